--- /dev/null
+++ b/tests/unit/test_base.c
@@ -0,0 +1,52 @@
+/* Unit tests of src/base. */
+#include <check.h>
+#include <stdlib.h>
+#include "base/status.h"
+#include "base/str.h"
+
+START_TEST(buffer_adds_and_drops)
+{
+	AUTO_BUF b = {0};
+
+	buf_add(&b, STR("lot "));
+	buf_addf(&b, "%d", 42);
+	ck_assert(str_eq(str_buf(&b), STR("lot 42")));
+	buf_drop(&b, 4);
+	ck_assert_str_eq(b.p, "42");
+}
+END_TEST
+
+START_TEST(json_string_is_escaped)
+{
+	AUTO_BUF b = {0};
+
+	buf_add_json(&b, STR("a\"b\n\x01"));
+	ck_assert_str_eq(b.p, "\"a\\\"b\\n\\u0001\"");
+}
+END_TEST
+
+START_TEST(status_keeps_last_message)
+{
+	ck_assert_int_eq(st_fail(ST_LIMIT, "over %d", 3), ST_LIMIT);
+	ck_assert_str_eq(st_message(), "over 3");
+	ck_assert_str_eq(st_name(ST_LIMIT), "limit");
+	ck_assert_str_eq(verdict_name(VERDICT_MAY_HAVE_RUN), "may_have_run");
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("base");
+	TCase *t = tcase_create("base");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_add_test(t, buffer_adds_and_drops);
+	tcase_add_test(t, json_string_is_escaped);
+	tcase_add_test(t, status_keeps_last_message);
+	srunner_run_all(r, CK_ENV);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
