Headers of the modules, messages between processes

Cause: the modules are to be built side by side, so what they show each other is fixed first. Ruled out: a message of free-form maps (not typed); streams over ONC RPC (forwarded answers are event streams, they go over HTTP). Conclusion: no behaviour yet.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 LDLIBS   := -lulfius -lorcania -lyder -lmicrohttpd -lcurl -ljansson -largtable2 -llog4c -lxxhash \
             -lisal -lsodium -lgsl -lgslcblas -ltirpc -lstdc++ -lm -lpthread
 
-LIB_SRC  := $(wildcard src/base/*.c src/proto/*.c src/raft/*.c src/state/*.c src/policy/*.c)
+LIB_SRC  := $(wildcard src/base/*.c src/proto/*.c src/raft/*.c src/state/*.c src/policy/*.c src/client/*.c)
 LIB_OBJ  := $(LIB_SRC:%.c=$(B)/obj/%.o) $(B)/obj/src/base/cf_toml.o
 LIB      := $(B)/lib/libauburn.a
 
@@ -42,7 +42,7 @@
 	@rm -f $@
 	ar rcs $@ $^
 
-$(B)/obj/src/proto/%.o: src/proto/%.c
+$(B)/obj/src/proto/%_xdr.o: src/proto/%_xdr.c
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) -std=gnu11 $(OPT) $(SAN) -w -pthread -MMD -c $< -o $@
 
--- /dev/null
+++ b/src/raft/gr.h
@@ -0,0 +1,102 @@
+/**
+ * One replicated group in a process: the log's core, its files and its thread, around a state
+ * machine that the caller supplies. Blocking calls are for traffic threads; callbacks run on the
+ * group's own thread, one at a time.
+ */
+#ifndef AUBURN_GR_H
+#define AUBURN_GR_H
+
+#include <stdint.h>
+#include "base/clk.h"
+#include "base/status.h"
+#include "base/str.h"
+
+typedef struct gr gr_t;
+
+/** A replica as the group's log names it. */
+typedef struct {
+	uint64_t id; /* random, made with the data folder; never 0 */
+	char addr[64]; /* ip:port of its control process */
+	char zone[32];
+	bool voter; /* else a learner */
+} gr_peer_t;
+
+#define GR_PEERS_MAX 9
+
+typedef struct {
+	unsigned group;
+	const char *dir; /* data folder of this group; made if missing */
+	const char *addr; /* own ip:port */
+	const char *zone;
+	/** First voters' addresses, own included; used only when the folder is new and `bootstrap`.
+	 */
+	const char *const *seeds;
+	unsigned nseeds;
+	/** True on the first start of a new fleet; a folder made without it joins as a learner. */
+	bool bootstrap;
+	unsigned tick_ms;
+	unsigned election_ms; /* base of the election timeout */
+	uint64_t snapshot_entries; /* applied entries between snapshots */
+	uint64_t snapshot_bytes; /* or bytes of log, whichever comes first */
+	void *ctx;
+	/** Applies one command; result is handed to the proposer. Must be deterministic. */
+	void (*apply)(void *ctx, uint64_t index, str_t cmd, buf_t *result);
+	/** Appends the whole state to out. */
+	void (*snapshot)(void *ctx, buf_t *out);
+	/** Replaces the whole state. */
+	status_t (*restore)(void *ctx, str_t snap);
+	/** Queues a message to the control process at addr; may drop it. */
+	void (*send)(void *ctx, const char *addr, unsigned group, str_t msg);
+	/** Called on the group's thread after a change of role. */
+	void (*role)(void *ctx, bool leader, uint64_t term);
+} gr_options_t;
+
+/** Opens the folder, replays it and starts the group's thread. */
+status_t gr_open(const gr_options_t *o, gr_t **out);
+void gr_close(gr_t *g);
+
+/** Hands in a message that another replica's send callback was given. */
+void gr_receive(gr_t *g, str_t msg);
+
+/** Commits and applies cmd. ST_NOT_LEADER: surely not done. ST_TIMEOUT: may be done, now or later.
+ *  ST_IO: own disk failed. */
+status_t gr_propose(gr_t *g, str_t cmd, deadline_t deadline, buf_t *result);
+
+/** Returns ST_OK once this replica is known to lead still and has applied all that was committed
+ *  when the call began. Concurrent calls share one round. */
+status_t gr_barrier(gr_t *g, deadline_t deadline);
+
+/** Runs fn on the group's thread, between two applies. */
+void gr_with_state(gr_t *g, void (*fn)(void *ctx, void *arg), void *arg);
+
+typedef struct {
+	uint64_t self;
+	uint64_t term;
+	uint64_t commit;
+	uint64_t applied;
+	uint64_t first_index;
+	uint64_t last_index;
+	uint64_t snapshot_index;
+	bool leader;
+	char leader_addr[64]; /* empty when unknown */
+	deadline_t led_since; /* when this replica began to lead; 0 if it doesn't */
+	unsigned npeers;
+	gr_peer_t peers[GR_PEERS_MAX];
+	uint64_t match[GR_PEERS_MAX]; /* leader only: synced index of each peer */
+	deadline_t heard[GR_PEERS_MAX]; /* leader only: when each peer last answered */
+	uint64_t syncs;
+	uint64_t sync_us;
+	uint64_t commands;
+} gr_status_t;
+
+void gr_status(gr_t *g, gr_status_t *out);
+
+/** Membership, one change at a time; leader only. Each returns once the change is committed.
+ *  gr_promote refuses (ST_LIMIT) until the learner has synced everything committed. */
+status_t gr_add_learner(gr_t *g, const gr_peer_t *peer, deadline_t deadline);
+status_t gr_promote(gr_t *g, uint64_t id, deadline_t deadline);
+status_t gr_remove(gr_t *g, uint64_t id, deadline_t deadline);
+/** Hands leadership to the most advanced voter, for a planned stop. */
+status_t gr_step_down(gr_t *g, deadline_t deadline);
+
+#endif
