Base: log events, traces, metrics, settings, ONC RPC, and the control client

Cause: every process needs these before it can talk. Change: lg over log4c with a ring for look-up, tr (W3C ids), mx counters and histograms, cf over toml++ with line and key in each error, rp (ONC RPC, a thread for each connection, own sockets), ar (argtable), cc (finds each group's leader, sends again until the deadline). Ruled out: one svc loop for all peers (a proposal that waits for its commit would hold all others); svc_run with deferred replies (the library keeps one call's state for each connection).

--- /dev/null
+++ b/src/base/ar.h
@@ -0,0 +1,37 @@
+/** Command line that the daemons share, and their exit codes. */
+#ifndef AUBURN_AR_H
+#define AUBURN_AR_H
+
+#include <stdbool.h>
+
+#define AUBURN_VERSION "0.1.0"
+
+/** Exit codes of every program. */
+enum {
+	AR_OK = 0,
+	AR_FAILED = 1, /* it ran and what was asked for failed */
+	AR_USAGE = 2, /* bad command line */
+	AR_SETTINGS = 3, /* settings file wrong */
+	AR_LISTEN = 4, /* a port can't be listened on */
+	AR_DATA = 5, /* the data folder can't be written or is damaged */
+	AR_UNREACHED = 6 /* nobody who could answer was reached */
+};
+
+typedef struct {
+	const char *program;
+	const char *about;
+	const char *flag; /* name of one more flag, or NULL */
+	const char *flag_help;
+} ar_options_t;
+
+typedef struct {
+	char *config; /* path of the settings file */
+	bool check; /* read the settings, say what is wrong, start nothing */
+	bool flag;
+} ar_t;
+
+/** Parses; -1 when the program is to go on, else the exit code (after --help, --version, a fault).
+ */
+int ar_parse(const ar_options_t *o, int argc, char **argv, ar_t *out);
+
+#endif
--- /dev/null
+++ b/src/base/lg.c
@@ -0,0 +1,125 @@
+#include "base/lg.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <log4c.h>
+#include "base/clk.h"
+#include "base/mx.h"
+
+/* Lines kept for look-up, and the longest value written. */
+#define RING_LINES	4096
+#define VALUE_MAX_BYTES 512
+
+static pthread_mutex_t ring_lock = PTHREAD_MUTEX_INITIALIZER;
+static char *ring[RING_LINES];
+static size_t ring_next;
+static const char *process_name = "-";
+static lg_level_t max_level = LG_INFO;
+static log4c_category_t *category;
+
+static const char *const level_names[] = {"error", "warn", "info", "debug"};
+static const int priorities[] = {LOG4C_PRIORITY_ERROR, LOG4C_PRIORITY_WARN, LOG4C_PRIORITY_INFO,
+				 LOG4C_PRIORITY_DEBUG};
+
+static const char *format_bare(const log4c_layout_t *layout, const log4c_logging_event_t *e)
+{
+	return e->evt_msg;
+}
+
+static const log4c_layout_type_t bare_type = {.name = "auburn_line", .format = format_bare};
+
+void lg_open(const char *process, lg_level_t level)
+{
+	log4c_layout_t *layout;
+	log4c_appender_t *appender;
+
+	process_name = process;
+	max_level = level;
+	log4c_init();
+	log4c_layout_type_set(&bare_type);
+	layout = log4c_layout_get("auburn_line");
+	log4c_layout_set_type(layout, &bare_type);
+	appender = log4c_appender_get("stderr");
+	log4c_appender_set_layout(appender, layout);
+	category = log4c_category_get("auburn");
+	log4c_category_set_appender(category, appender);
+	log4c_category_set_additivity(category, 0);
+	log4c_category_set_priority(category, priorities[level]);
+}
+
+/* A value needs quotes when a reader could not tell where it ends. */
+static bool needs_quotes(str_t s)
+{
+	if (s.n == 0)
+		return true;
+	for (size_t i = 0; i < s.n; i++) {
+		unsigned char c = (unsigned char)s.p[i];
+
+		if (c <= ' ' || c == '"' || c == '=' || c == '\\' || c == 0x7f)
+			return true;
+	}
+	return false;
+}
+
+static void add_value(buf_t *b, str_t s)
+{
+	if (s.n > VALUE_MAX_BYTES)
+		s.n = VALUE_MAX_BYTES;
+	if (needs_quotes(s))
+		buf_add_json(b, s);
+	else
+		buf_add(b, s);
+}
+
+static void ring_keep(str_t line)
+{
+	char *copy = str_dup(line);
+	char *old;
+
+	pthread_mutex_lock(&ring_lock);
+	old = ring[ring_next];
+	ring[ring_next] = copy;
+	ring_next = (ring_next + 1) % RING_LINES;
+	pthread_mutex_unlock(&ring_lock);
+	free(old);
+}
+
+void lg_event(lg_level_t level, const char *event, const lg_field_t *fields)
+{
+	AUTO_BUF b = {0};
+
+	if (level > max_level)
+		return;
+	buf_addf(&b, "t=%lld level=%s process=%s event=%s", (long long)clk_wall_ms(),
+		 level_names[level], process_name, event);
+	for (const lg_field_t *f = fields; f->type != LG_END; f++) {
+		buf_addf(&b, " %s=", f->key);
+		if (f->type == LG_INT)
+			buf_addf(&b, "%lld", (long long)f->i);
+		else
+			add_value(&b, f->s);
+	}
+	ring_keep(str_buf(&b));
+	if (category)
+		log4c_category_log(category, priorities[level], "%s\n", b.p);
+}
+
+void lg_find(buf_t *out, str_t needle, unsigned max)
+{
+	const char *found[RING_LINES];
+	size_t n = 0;
+
+	pthread_mutex_lock(&ring_lock);
+	for (size_t i = 1; i <= RING_LINES && n < max && n < RING_LINES; i++) {
+		const char *line = ring[(ring_next + RING_LINES - i) % RING_LINES];
+
+		if (line && str_find(str_c(line), needle) >= 0)
+			found[n++] = line;
+	}
+	while (n > 0) {
+		buf_add(out, str_c(found[--n]));
+		buf_addc(out, '\n');
+	}
+	pthread_mutex_unlock(&ring_lock);
+}
--- /dev/null
+++ b/src/base/mx.c
@@ -0,0 +1,148 @@
+#include "base/mx.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Each power of two is cut into SUB equal buckets: an error of at most 1/32. */
+#define SUB_BITS 5
+#define SUB	 (1 << SUB_BITS)
+#define BUCKETS	 (64 * SUB)
+
+struct mx {
+	mx_kind_t kind;
+	char *name;
+	char *label;
+	atomic_llong value; /* histogram: sum */
+	atomic_llong count;
+	atomic_llong *buckets;
+	mx_t *next;
+};
+
+static pthread_mutex_t registry_lock = PTHREAD_MUTEX_INITIALIZER;
+static mx_t *registry;
+
+static mx_t *find(mx_kind_t kind, const char *name, const char *label)
+{
+	for (mx_t *m = registry; m; m = m->next) {
+		if (m->kind == kind && strcmp(m->name, name) == 0 && strcmp(m->label, label) == 0)
+			return m;
+	}
+	return NULL;
+}
+
+mx_t *mx_get(mx_kind_t kind, const char *name, const char *label)
+{
+	mx_t *m;
+
+	label = label ? label : "";
+	pthread_mutex_lock(&registry_lock);
+	m = find(kind, name, label);
+	if (!m) {
+		m = mem_new(sizeof(*m));
+		m->kind = kind;
+		m->name = str_dup(str_c(name));
+		m->label = str_dup(str_c(label));
+		if (kind == MX_HISTOGRAM)
+			m->buckets = mem_new(BUCKETS * sizeof(*m->buckets));
+		m->next = registry;
+		registry = m;
+	}
+	pthread_mutex_unlock(&registry_lock);
+	return m;
+}
+
+void mx_add(mx_t *m, int64_t n)
+{
+	atomic_fetch_add_explicit(&m->value, n, memory_order_relaxed);
+}
+
+void mx_set(mx_t *m, int64_t v)
+{
+	atomic_store_explicit(&m->value, v, memory_order_relaxed);
+}
+
+int64_t mx_value(const mx_t *m)
+{
+	return atomic_load_explicit(&m->value, memory_order_relaxed);
+}
+
+static unsigned bucket_of(int64_t v)
+{
+	unsigned top;
+
+	if (v < SUB)
+		return v < 0 ? 0 : (unsigned)v;
+	top = 63 - (unsigned)__builtin_clzll((unsigned long long)v);
+	return (top - SUB_BITS + 1) * SUB + (unsigned)((v >> (top - SUB_BITS)) & (SUB - 1));
+}
+
+static int64_t bucket_value(unsigned b)
+{
+	unsigned shift;
+
+	if (b < SUB)
+		return b;
+	shift = b / SUB - 1;
+	return ((int64_t)(SUB + b % SUB) << shift) + ((1LL << shift) >> 1);
+}
+
+void mx_record(mx_t *m, int64_t v)
+{
+	atomic_fetch_add_explicit(&m->buckets[bucket_of(v)], 1, memory_order_relaxed);
+	atomic_fetch_add_explicit(&m->count, 1, memory_order_relaxed);
+	mx_add(m, v);
+}
+
+int64_t mx_quantile(const mx_t *m, double q)
+{
+	int64_t total = atomic_load_explicit(&m->count, memory_order_relaxed);
+	int64_t want = (int64_t)(q * (double)total);
+	int64_t seen = 0;
+
+	if (total == 0)
+		return 0;
+	if (want >= total)
+		want = total - 1;
+	for (unsigned b = 0; b < BUCKETS; b++) {
+		seen += atomic_load_explicit(&m->buckets[b], memory_order_relaxed);
+		if (seen > want)
+			return bucket_value(b);
+	}
+	return 0;
+}
+
+static void render_one(buf_t *out, const mx_t *m)
+{
+	static const double quantiles[] = {0.5, 0.95, 0.99};
+	const char *sep = m->label[0] ? "," : "";
+
+	if (m->kind != MX_HISTOGRAM) {
+		buf_addf(out, m->label[0] ? "%s{%s} %lld\n" : "%s%s %lld\n", m->name, m->label,
+			 (long long)mx_value(m));
+		return;
+	}
+	for (size_t i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++)
+		buf_addf(out, "%s{%s%squantile=\"%g\"} %lld\n", m->name, m->label, sep,
+			 quantiles[i], (long long)mx_quantile(m, quantiles[i]));
+	buf_addf(out, m->label[0] ? "%s_count{%s} %lld\n" : "%s_count%s %lld\n", m->name, m->label,
+		 (long long)atomic_load(&m->count));
+	buf_addf(out, m->label[0] ? "%s_sum{%s} %lld\n" : "%s_sum%s %lld\n", m->name, m->label,
+		 (long long)mx_value(m));
+}
+
+void mx_render(buf_t *out)
+{
+	static const char *const types[] = {"counter", "gauge", "summary"};
+	const mx_t *first;
+
+	pthread_mutex_lock(&registry_lock);
+	first = registry;
+	pthread_mutex_unlock(&registry_lock);
+	for (const mx_t *m = first; m; m = m->next) {
+		buf_addf(out, "# TYPE %s %s\n", m->name, types[m->kind]);
+		render_one(out, m);
+	}
+}
--- a/src/base/rp.h
+++ b/src/base/rp.h
@@ -29,6 +29,9 @@
 /** Listens and serves until the process ends; one call for each program. ST_IO: can't listen. */
 status_t rp_serve(const rp_server_options_t *o);
 
+/** The empty argument or result. */
+bool_t rp_xdr_void(XDR *x, ...);
+
 typedef struct rp_client rp_client_t;
 
 rp_client_t *rp_client_new(const char *addr, unsigned prog, unsigned vers);
