--- a/src/base/rp.c
+++ b/src/base/rp.c
@@ -23,6 +23,7 @@
 #define THREAD_STACK_BYTES (512 << 10)
 #define PROGRAMS_MAX	   4
 #define LISTEN_BACKLOG	   1024
+#define ROUTES_MAX	   64
 /* A peer that is silent in the middle of a record for longer is dropped. */
 #define RECORD_IDLE_MS 10000
 
@@ -84,6 +85,35 @@
 	return ST_OK;
 }
 
+typedef struct {
+	char *addr;
+	char *via;
+} route_t;
+
+static route_t routes[ROUTES_MAX];
+static size_t nroutes;
+
+status_t rp_route(const char *addr, const char *via)
+{
+	struct sockaddr_in sa;
+
+	if (nroutes == ROUTES_MAX)
+		return st_fail(ST_LIMIT, "more than %d routes", ROUTES_MAX);
+	if (to_sockaddr(addr, &sa) != ST_OK || to_sockaddr(via, &sa) != ST_OK)
+		return ST_INVALID;
+	routes[nroutes++] = (route_t){str_dup(str_c(addr)), str_dup(str_c(via))};
+	return ST_OK;
+}
+
+static const char *route_of(const char *addr)
+{
+	for (size_t i = 0; i < nroutes; i++) {
+		if (strcmp(routes[i].addr, addr) == 0)
+			return routes[i].via;
+	}
+	return addr;
+}
+
 static void set_options(int fd)
 {
 	int one = 1;
@@ -350,7 +380,7 @@
 	struct netbuf nb = {sizeof(sa), sizeof(sa), &sa};
 	int64_t left = clk_left_ms(deadline);
 	struct timeval send_limit;
-	status_t st = to_sockaddr(c->addr, &sa);
+	status_t st = to_sockaddr(route_of(c->addr), &sa);
 
 	if (st != ST_OK)
 		return st;
--- a/src/base/rp.h
+++ b/src/base/rp.h
@@ -41,6 +41,10 @@
 status_t rp_call(rp_client_t *c, unsigned proc, xdrproc_t xdr_arg, const void *arg,
 		 xdrproc_t xdr_res, void *res, deadline_t deadline);
 
+/** Later connections to addr go to `via` instead; for networks where an address is reached another
+ * way. Call before the first connection. */
+status_t rp_route(const char *addr, const char *via);
+
 /** Splits "ip:port". */
 status_t rp_split_addr(const char *addr, char ip[64], unsigned *port);
 
--- /dev/null
+++ b/src/ctl/ct_explain.c
@@ -0,0 +1,159 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/ar.h"
+#include "client/cc.h"
+#include "ctl/ct.h"
+
+#define ASK_MS	    2000
+#define LINES_MAX   500
+#define PATH_BYTES  512
+#define TRACE_CHARS 32
+
+typedef struct {
+	char **v;
+	size_t n;
+} lines_t;
+
+static void add_lines(lines_t *l, str_t text)
+{
+	while (text.n) {
+		const char *end = memchr(text.p, '\n', text.n);
+		size_t n = end ? (size_t)(end - text.p) : text.n;
+
+		l->v = mem_grow(l->v, (l->n + 1) * sizeof(*l->v));
+		l->v[l->n++] = str_dup((str_t){text.p, n});
+		n += end != NULL;
+		text.p += n;
+		text.n -= n;
+	}
+}
+
+static void from_entries(ct_t *ct, const char *needle, lines_t *l)
+{
+	char path[PATH_BYTES];
+	ct_call_t call = {.method = "GET", .path = path, .as_operator = true};
+	cf_strs_t addrs;
+
+	snprintf(path, sizeof(path), "/v1/events?key=%s&max=%d", needle, LINES_MAX);
+	ct_entries(ct, &addrs);
+	for (size_t i = 0; i < addrs.n; i++) {
+		AUTO_BUF body = {0};
+		long http = 0;
+
+		if (ct_call_at(ct, addrs.v[i], &call, &body, &http) == ST_OK && http == 200)
+			add_lines(l, str_buf(&body));
+		else
+			fprintf(stderr, "auburnctl: entry %s was not reached\n", addrs.v[i]);
+	}
+	cf_strs_free(&addrs);
+}
+
+static void from_controls(ct_t *ct, const char *needle, lines_t *l)
+{
+	cc_t *cc;
+
+	if (ct->s.controls.n == 0)
+		return;
+	cc = cc_new((const char *const *)ct->s.controls.v, ct->s.controls.n, 1);
+	for (size_t i = 0; i < ct->s.controls.n; i++) {
+		AUTO_BUF text = {0};
+
+		if (cc_events(cc, i, str_c(needle), LINES_MAX, &text, clk_now_ms() + ASK_MS) ==
+		    ST_OK)
+			add_lines(l, str_buf(&text));
+		else
+			fprintf(stderr, "auburnctl: control %s was not reached\n",
+				ct->s.controls.v[i]);
+	}
+	cc_free(cc);
+}
+
+/* Lines begin with t=MS, so their text order is their order in time. */
+static int by_time(const void *a, const void *b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+static bool has(const lines_t *l, const char *line)
+{
+	for (size_t i = 0; i < l->n; i++) {
+		if (strcmp(l->v[i], line) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void gather(ct_t *ct, const char *needle, lines_t *l)
+{
+	lines_t found = {0};
+
+	from_entries(ct, needle, &found);
+	from_controls(ct, needle, &found);
+	for (size_t i = 0; i < found.n; i++) {
+		if (!has(l, found.v[i]))
+			add_lines(l, str_c(found.v[i]));
+		free(found.v[i]);
+	}
+	free(found.v);
+}
+
+static int print_lines(lines_t *l, const char *needle)
+{
+	if (l->n)
+		qsort(l->v, l->n, sizeof(*l->v), by_time);
+	for (size_t i = 0; i < l->n; i++) {
+		puts(l->v[i]);
+		free(l->v[i]);
+	}
+	free(l->v);
+	if (l->n)
+		return AR_OK;
+	fprintf(stderr, "auburnctl: no process remembers %s\n", needle);
+	return AR_FAILED;
+}
+
+int ct_trace(ct_t *ct)
+{
+	lines_t l = {0};
+
+	if (!ct->words[1]) {
+		fprintf(stderr, "auburnctl: a trace id is missing\n");
+		return AR_USAGE;
+	}
+	gather(ct, ct->words[1], &l);
+	return print_lines(&l, ct->words[1]);
+}
+
+/* The trace ids that lines of the key name; spans at other hops know only those. */
+static void add_traces(ct_t *ct, lines_t *l)
+{
+	char last[TRACE_CHARS + 1] = "";
+	size_t n = l->n;
+
+	for (size_t i = 0; i < n; i++) {
+		const char *at = strstr(l->v[i], " trace=");
+		char id[TRACE_CHARS + 1];
+
+		if (!at || strlen(at + 7) < TRACE_CHARS)
+			continue;
+		snprintf(id, sizeof(id), "%s", at + 7);
+		if (strcmp(id, last) == 0)
+			continue;
+		memcpy(last, id, sizeof(last));
+		gather(ct, id, l);
+	}
+}
+
+int ct_explain(ct_t *ct)
+{
+	lines_t l = {0};
+
+	if (!ct->words[1]) {
+		fprintf(stderr, "auburnctl: a key is missing\n");
+		return AR_USAGE;
+	}
+	gather(ct, ct->words[1], &l);
+	add_traces(ct, &l);
+	return print_lines(&l, ct->words[1]);
+}
--- /dev/null
+++ b/src/ctl/ct_http.c
@@ -0,0 +1,221 @@
+#include <curl/curl.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/ar.h"
+#include "ctl/ct.h"
+
+#define CONNECT_MS   1000L
+#define HEADER_BYTES 512
+#define READ_BYTES   65536
+#define RETRY_ROUNDS 3
+
+typedef struct {
+	const ct_call_t *call;
+	CURL *curl;
+	buf_t *out;
+} sink_t;
+
+static size_t on_body(char *p, size_t size, size_t n, void *ctx)
+{
+	sink_t *s = ctx;
+	long code = 0;
+	str_t piece = {p, size * n};
+
+	curl_easy_getinfo(s->curl, CURLINFO_RESPONSE_CODE, &code);
+	if (s->call->on_piece && code == 200)
+		s->call->on_piece(s->call->ctx, piece);
+	else
+		buf_add(s->out, piece);
+	return piece.n;
+}
+
+static int on_progress(void *ctx, curl_off_t dltotal, curl_off_t dlnow, curl_off_t ultotal,
+		       curl_off_t ulnow)
+{
+	if (ultotal > 0)
+		fprintf(stderr, "\rupload %lld of %lld bytes", (long long)ulnow,
+			(long long)ultotal);
+	return 0;
+}
+
+static struct curl_slist *add_header(struct curl_slist *h, const char *name, const char *value)
+{
+	char line[HEADER_BYTES];
+
+	if (!value)
+		return h;
+	snprintf(line, sizeof(line), "%s: %s", name, value);
+	return curl_slist_append(h, line);
+}
+
+static struct curl_slist *headers_of(const ct_t *ct, const ct_call_t *call)
+{
+	const char *key = call->as_operator ? ct->s.operator_key : ct->s.key;
+	struct curl_slist *h = curl_slist_append(NULL, "Expect:");
+	char bearer[HEADER_BYTES];
+
+	if (key) {
+		snprintf(bearer, sizeof(bearer), "Bearer %s", key);
+		h = add_header(h, "Authorization", bearer);
+	}
+	h = add_header(h, "Idempotency-Key", call->idempotency_key);
+	return curl_slist_append(h, "Content-Type: application/octet-stream");
+}
+
+static void set_body(CURL *c, const ct_call_t *call)
+{
+	curl_easy_setopt(c, CURLOPT_CUSTOMREQUEST, call->method);
+	if (!call->body.p)
+		return;
+	curl_easy_setopt(c, CURLOPT_POSTFIELDS, call->body.p);
+	curl_easy_setopt(c, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)call->body.n);
+}
+
+status_t ct_call_at(ct_t *ct, const char *addr, const ct_call_t *call, buf_t *out, long *http)
+{
+	CURL *c = curl_easy_init();
+	struct curl_slist *h = headers_of(ct, call);
+	sink_t sink = {call, c, out};
+	AUTO_BUF url = {0};
+	CURLcode rc;
+
+	buf_addf(&url, "http://%s%s", addr, call->path);
+	curl_easy_setopt(c, CURLOPT_URL, url.p);
+	curl_easy_setopt(c, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(c, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MS);
+	curl_easy_setopt(c, CURLOPT_HTTPHEADER, h);
+	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(c, CURLOPT_WRITEDATA, &sink);
+	set_body(c, call);
+	if (call->show_upload) {
+		curl_easy_setopt(c, CURLOPT_NOPROGRESS, 0L);
+		curl_easy_setopt(c, CURLOPT_XFERINFOFUNCTION, on_progress);
+	}
+	rc = curl_easy_perform(c);
+	if (call->show_upload)
+		fputc('\n', stderr);
+	*http = 0;
+	curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, http);
+	curl_slist_free_all(h);
+	curl_easy_cleanup(c);
+	if (rc != CURLE_OK)
+		return st_fail(ST_UNAVAILABLE, "%s: %s", addr, curl_easy_strerror(rc));
+	return ST_OK;
+}
+
+static void add_strs(cf_strs_t *s, const char *v)
+{
+	s->v = mem_grow(s->v, (s->n + 1) * sizeof(*s->v));
+	s->v[s->n++] = str_dup(str_c(v));
+}
+
+static bool entries_from(ct_t *ct, const char *addr, cf_strs_t *out)
+{
+	ct_call_t call = {.method = "GET", .path = "/v1/addresses"};
+	AUTO_BUF body = {0};
+	long http = 0;
+	json_t *root;
+	json_t *list;
+	json_t *a;
+	size_t i;
+
+	if (ct_call_at(ct, addr, &call, &body, &http) != ST_OK || http != 200)
+		return false;
+	root = json_loadb(body.p, body.n, 0, NULL);
+	list = json_object_get(root, "addresses");
+	json_array_foreach(list, i, a)
+	{
+		const char *v = json_string_value(json_object_get(a, "addr"));
+
+		if (v)
+			add_strs(out, v);
+	}
+	json_decref(root);
+	return out->n > 0;
+}
+
+void ct_entries(ct_t *ct, cf_strs_t *out)
+{
+	*out = (cf_strs_t){0};
+	for (size_t i = 0; i < ct->s.entries.n; i++) {
+		if (entries_from(ct, ct->s.entries.v[i], out))
+			return;
+	}
+	for (size_t i = 0; i < ct->s.entries.n; i++)
+		add_strs(out, ct->s.entries.v[i]);
+}
+
+static status_t try_all(ct_t *ct, const cf_strs_t *addrs, const ct_call_t *call, buf_t *out,
+			long *http)
+{
+	status_t st = ST_UNAVAILABLE;
+
+	for (size_t i = 0; i < addrs->n; i++) {
+		out->n = 0;
+		st = ct_call_at(ct, addrs->v[i], call, out, http);
+		if (st == ST_OK && *http != 503)
+			return ST_OK;
+	}
+	return st;
+}
+
+/* Every call carries an idempotency key or is a read, so it may be sent again elsewhere. */
+status_t ct_call(ct_t *ct, const ct_call_t *call, buf_t *out, long *http)
+{
+	cf_strs_t addrs;
+	status_t st = ST_UNAVAILABLE;
+
+	ct_entries(ct, &addrs);
+	for (int round = 0; round < RETRY_ROUNDS; round++) {
+		st = try_all(ct, &addrs, call, out, http);
+		if (st == ST_OK && *http != 503)
+			break;
+	}
+	cf_strs_free(&addrs);
+	return st;
+}
+
+int ct_show_error(status_t st, long http, const buf_t *body)
+{
+	if (st != ST_OK) {
+		fprintf(stderr, "auburnctl: no entry was reached: %s\n", st_message());
+		return AR_UNREACHED;
+	}
+	fprintf(stderr, "auburnctl: status %ld: %s\n", http, body->p ? body->p : "");
+	return AR_FAILED;
+}
+
+int ct_call_print(ct_t *ct, const ct_call_t *call)
+{
+	AUTO_BUF body = {0};
+	long http = 0;
+	status_t st = ct_call(ct, call, &body, &http);
+
+	if (st != ST_OK || http >= 300)
+		return ct_show_error(st, http, &body);
+	if (body.n) {
+		fwrite(body.p, 1, body.n, stdout);
+		if (body.p[body.n - 1] != '\n')
+			putchar('\n');
+	}
+	return AR_OK;
+}
+
+status_t ct_read_file(const char *path, buf_t *out)
+{
+	FILE *f = strcmp(path, "-") == 0 ? stdin : fopen(path, "rb");
+	char *piece;
+	size_t n;
+
+	if (!f)
+		return st_fail(ST_NOT_FOUND, "%s: %s", path, strerror(errno));
+	piece = mem_new(READ_BYTES);
+	while ((n = fread(piece, 1, READ_BYTES, f)) > 0)
+		buf_add(out, (str_t){piece, n});
+	free(piece);
+	if (f != stdin)
+		fclose(f);
+	return ST_OK;
+}
--- /dev/null
+++ b/src/ctl/main.c
@@ -0,0 +1,137 @@
+/* auburnctl: the operator's and caller's command line. */
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <stdio.h>
+#include <string.h>
+#include "base/ar.h"
+#include "ctl/ct.h"
+
+#define WORDS_MAX 3
+
+static const struct {
+	const char *group;
+	const char *action; /* NULL: the group alone is the command */
+	ct_command_t run;
+	const char *help;
+} commands[] = {
+	{"config", "check", ct_config_check, "config check FILE        check a text"},
+	{"config", "submit", ct_config_submit,
+	 "config submit FILE       submit a text [--number N]"},
+	{"config", "show", ct_config_show,
+	 "config show              the text in force [--number N]"},
+	{"config", "diff", ct_config_diff,
+	 "config diff FILE         lines that differ from the one in force"},
+	{"job", "submit", ct_job_submit,
+	 "job submit FILE          --service S --key ID [--deadline-ms N] [--wait]"},
+	{"job", "status", ct_job_status, "job status ID            counts of a job [--wait]"},
+	{"job", "results", ct_job_results, "job results ID           results as JSON lines"},
+	{"job", "cancel", ct_job_cancel, "job cancel ID            stop a job"},
+	{"job", "list", ct_job_list, "job list                 the caller's jobs"},
+	{"request", "send", ct_request_send,
+	 "request send             --service S --prompt P [--max-tokens N] [--path P] [--key K]"},
+	{"request", "show", ct_request_show,
+	 "request show KEY         state and result of a request"},
+	{"status", NULL, ct_status,
+	 "status                   every process, its number in force, owners, queues"},
+	{"trace", NULL, ct_trace, "trace ID                 the spans of a trace"},
+	{"explain", NULL, ct_explain,
+	 "explain KEY              what the processes decided about a key"},
+};
+
+static ct_command_t find_command(const ct_t *ct)
+{
+	for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++) {
+		if (!ct->words[0] || strcmp(ct->words[0], commands[i].group) != 0)
+			continue;
+		if (!commands[i].action ||
+		    (ct->words[1] && strcmp(ct->words[1], commands[i].action) == 0))
+			return commands[i].run;
+	}
+	return NULL;
+}
+
+static void print_help(void **table)
+{
+	fputs("Usage: auburnctl", stdout);
+	arg_print_syntax(stdout, table, "\n\nCommands:\n");
+	for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++)
+		printf("  %s\n", commands[i].help);
+	puts("\nOptions:");
+	arg_print_glossary(stdout, table, "  %-24s %s\n");
+}
+
+static int run(ct_t *ct, const char *config)
+{
+	ct_command_t command = find_command(ct);
+	bool local = command == ct_config_check;
+
+	if (!command) {
+		fprintf(stderr, "auburnctl: no such command, see --help\n");
+		return AR_USAGE;
+	}
+	if (!config && !local) {
+		fprintf(stderr, "auburnctl: --config FILE is missing\n");
+		return AR_USAGE;
+	}
+	if (config && ct_settings_load(config, &ct->s) != ST_OK) {
+		fprintf(stderr, "auburnctl: %s\n", st_message());
+		return AR_SETTINGS;
+	}
+	return command(ct);
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "show this help");
+	struct arg_lit *version = arg_lit0(NULL, "version", "show the version");
+	struct arg_file *config = arg_file0("c", "config", "FILE", "settings (TOML)");
+	struct arg_lit *check = arg_lit0(NULL, "check", "check the settings only");
+	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
+	struct arg_lit *wait = arg_lit0(NULL, "wait", "wait until the job is over");
+	struct arg_str *service = arg_str0(NULL, "service", "NAME", "service");
+	struct arg_str *key = arg_str0(NULL, "key", "KEY", "idempotency key or job id");
+	struct arg_str *prompt = arg_str0(NULL, "prompt", "TEXT", "prompt or body");
+	struct arg_str *path = arg_str0(NULL, "path", "PATH", "path at a plain service");
+	struct arg_int *number = arg_int0(NULL, "number", "N", "number of a text");
+	struct arg_int *tokens = arg_int0(NULL, "max-tokens", "N", "tokens at most");
+	struct arg_int *deadline = arg_int0(NULL, "deadline-ms", "N", "time until a job is due");
+	struct arg_str *words =
+		arg_strn(NULL, NULL, "COMMAND", 0, WORDS_MAX, "command and its words");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {help,	 version, config, check,  json,	    wait,  service, key,
+			 prompt, path,	  number, tokens, deadline, words, end};
+	int errors = arg_parse(argc, argv, table);
+	ct_t ct = {0};
+
+	if (help->count) {
+		print_help(table);
+		return AR_OK;
+	}
+	if (version->count) {
+		puts("auburnctl " AUBURN_VERSION);
+		return AR_OK;
+	}
+	if (errors) {
+		arg_print_errors(stderr, end, "auburnctl");
+		return AR_USAGE;
+	}
+	for (int i = 0; i < words->count; i++)
+		ct.words[i] = words->sval[i];
+	ct.service = service->count ? service->sval[0] : NULL;
+	ct.key = key->count ? key->sval[0] : NULL;
+	ct.prompt = prompt->count ? prompt->sval[0] : NULL;
+	ct.path = path->count ? path->sval[0] : NULL;
+	ct.number = number->count ? number->ival[0] : 0;
+	ct.max_tokens = tokens->count ? tokens->ival[0] : 0;
+	ct.deadline_ms = deadline->count ? deadline->ival[0] : 0;
+	ct.json = json->count > 0;
+	ct.wait = wait->count > 0;
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	if (check->count && config->count) {
+		if (ct_settings_load(config->filename[0], &ct.s) == ST_OK)
+			return AR_OK;
+		fprintf(stderr, "auburnctl: %s\n", st_message());
+		return AR_SETTINGS;
+	}
+	return run(&ct, config->count ? config->filename[0] : NULL);
+}
