--- a/src/policy/ow.h
+++ b/src/policy/ow.h
@@ -29,7 +29,7 @@
 	int64_t step_bound_us; /* time between tokens that batch may not push it over */
 	unsigned queue_max; /* online streams that may wait */
 	void *ctx;
-	/** Begin stream id on the replica. */
+	/** Begin stream id on the replica; also called within ow_offer, before OW_STARTED. */
 	void (*start)(void *ctx, uint64_t id);
 	/** Cancel batch stream id at the engine; its end is reported with ow_ended as for any
 	 * other. */
@@ -57,7 +57,7 @@
 /** Offers a stream. OW_REFUSED: not taken; *retry_after_ms tells when a slot is likely. A batch
  *  stream is started or refused, never queued. */
 ow_answer_t ow_offer(ow_t *w, const ow_stream_t *s, int64_t now_ms, int64_t *retry_after_ms);
-/** A running stream ended, however; starts what waits. */
+/** A running stream ended, however; starts what waits. An id that isn't running is passed over. */
 void ow_ended(ow_t *w, uint64_t id, int64_t now_ms);
 /** A caller left the queue. */
 void ow_withdraw(ow_t *w, uint64_t id, int64_t now_ms);
--- /dev/null
+++ b/src/policy/pk.c
@@ -0,0 +1,98 @@
+#include "policy/pk.h"
+
+#include <assert.h>
+
+/* Costs in thousandths of a replica that is full. */
+#define COST_FULL	1000
+#define COST_OTHER_ZONE 60
+#define COST_HOP	30
+#define GAIN_PREFIX	150
+#define COST_STALE	500
+#define STALE_MS	3000
+#define RANDOM_BITS	32
+
+static int64_t cost_of(const pk_candidate_t *c, int64_t now_ms)
+{
+	int64_t slots = c->slots > 0 ? c->slots : 1;
+	int64_t room = (int64_t)c->free_slots - c->sent_since;
+	int64_t load = room > 0 ? slots - room : slots - room + c->queued;
+	int64_t cost = load * COST_FULL / slots;
+
+	if (!c->same_zone)
+		cost += COST_OTHER_ZONE;
+	if (!c->owned_here)
+		cost += COST_HOP;
+	if (c->prefix_known && room > 0)
+		cost -= GAIN_PREFIX;
+	if (!c->owned_here && (c->reported == 0 || now_ms - c->reported > STALE_MS))
+		cost += COST_STALE;
+	return cost;
+}
+
+static int better(const pk_candidate_t *c, int a, int b, int64_t now_ms)
+{
+	return cost_of(&c[b], now_ms) < cost_of(&c[a], now_ms) ? b : a;
+}
+
+static size_t count_usable(const pk_candidate_t *c, size_t n)
+{
+	size_t usable = 0;
+
+	for (size_t i = 0; i < n; i++)
+		usable += c[i].usable;
+	return usable;
+}
+
+/** Index of the k-th usable candidate. */
+static int usable_at(const pk_candidate_t *c, size_t n, size_t k)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (!c[i].usable)
+			continue;
+		if (k == 0)
+			return (int)i;
+		k--;
+	}
+	assert(!"fewer usable candidates than counted");
+	return -1;
+}
+
+static int pick_two(const pk_candidate_t *c, size_t n, size_t usable, uint64_t rnd, int64_t now_ms)
+{
+	size_t first = (uint32_t)rnd % usable;
+	size_t second;
+
+	if (usable == 1)
+		return usable_at(c, n, 0);
+	second = (first + 1 + (rnd >> RANDOM_BITS) % (usable - 1)) % usable;
+	assert(first != second);
+	return better(c, usable_at(c, n, first), usable_at(c, n, second), now_ms);
+}
+
+static int pick_least(const pk_candidate_t *c, size_t n, size_t usable, uint64_t rnd,
+		      int64_t now_ms)
+{
+	size_t from = rnd % usable;
+	int best = usable_at(c, n, from);
+
+	/* Starts at a random place, so that ties don't all go to one replica. */
+	for (size_t k = 1; k < usable; k++)
+		best = better(c, best, usable_at(c, n, (from + k) % usable), now_ms);
+	return best;
+}
+
+int pk_pick(const pk_candidate_t *c, size_t n, pk_way_t way, uint64_t rnd, int64_t now_ms)
+{
+	size_t usable = count_usable(c, n);
+
+	if (usable == 0)
+		return -1;
+	switch (way) {
+	case PK_RANDOM:
+		return usable_at(c, n, rnd % usable);
+	case PK_LEAST_LOADED:
+		return pick_least(c, n, usable, rnd, now_ms);
+	default:
+		return pick_two(c, n, usable, rnd, now_ms);
+	}
+}
