Stand-ins: engine, plain service, platform, relay

Cause: auburnwing is to be tested at its interfaces, so the outside systems need small emulators with faults that can be switched on by HTTP.

A resumed stream prefills its earlier tokens anew; counts also show prefill_tokens and prefix_hits, and by_request with ?by_request=1. A waiting or silent stream notices its client's end within 100 ms. After a cut the relay ends the connections that lost bytes, as TCP never delivers a stream with holes.

Ruled out: answering 200 and ending the stream for a lost answer, since the client would see headers; the socket is shut down instead.

--- /dev/null
+++ b/fakes/fake-engine.c
@@ -0,0 +1,252 @@
+/* Stand-in of one replica of a model engine: settings and HTTP API. */
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include "fk_common.h"
+#include "fk_engine.h"
+
+#define MAX_TIME_US    60000000
+#define MAX_TIME_MS    3600000
+#define MAX_TOKENS     1000000
+#define DEFAULT_TOKENS 16
+#define STREAM_BLOCK   4096
+#define DIE_EXIT       9
+
+static status_t configure(void *ctx, const cf_t *c)
+{
+	fk_settings_t *s = &((fk_engine_t *)ctx)->settings;
+	const cf_key_t keys[] = {
+		{"listen", CF_STR, true, 1, 64, &s->listen},
+		{"name", CF_STR, false, 0, 64, &s->name},
+		{"weight_store", CF_STR, false, 0, 256, &s->weight_store},
+		{"slots", CF_INT, false, 1, 4096, &s->slots},
+		{"step_base_us", CF_INT, false, 0, MAX_TIME_US, &s->step_base_us},
+		{"step_per_stream_us", CF_INT, false, 0, MAX_TIME_US, &s->step_per_stream_us},
+		{"prefill_us_per_token", CF_INT, false, 0, MAX_TIME_US, &s->prefill_us_per_token},
+		{"cache_prefixes", CF_INT, false, 0, FK_MAX_PREFIXES, &s->cache_prefixes},
+		{"prefix_bytes", CF_INT, false, 1, 65536, &s->prefix_bytes},
+		{"report_lag_ms", CF_INT, false, 0, MAX_TIME_MS, &s->report_lag_ms},
+		{"event_lag_ms", CF_INT, false, 0, MAX_TIME_MS, &s->event_lag_ms},
+		{"event_gap_percent", CF_INT, false, 0, 100, &s->event_gap_percent},
+		{"load_ms", CF_INT, false, 0, MAX_TIME_MS, &s->load_ms},
+		{"seed", CF_INT, false, 0, UINT32_MAX, &s->seed},
+		{"fencing", CF_BOOL, false, 0, 0, &s->fencing},
+		{NULL, CF_STR, false, 0, 0, NULL},
+	};
+
+	return cf_read(c, cf_root(c), keys, NULL);
+}
+
+static int answer_old_fence(fk_engine_t *e, struct _u_response *r)
+{
+	return fk_answer(r, 409,
+			 json_pack("{s:s,s:I}", "error", "old fence", "fence",
+				   (json_int_t)fk_orders_fence(&e->orders)));
+}
+
+static ssize_t read_stream(void *ctx, uint64_t offset, char *out, size_t max)
+{
+	long n = fk_stream_read(ctx, out, max);
+
+	if (n > 0)
+		return n;
+	return n == 0 ? U_STREAM_END : U_STREAM_ERROR;
+}
+
+static void free_stream(void *ctx)
+{
+	fk_stream_free(ctx);
+}
+
+static str_t member(const json_t *o, const char *key)
+{
+	const json_t *v = json_object_get(o, key);
+
+	return (str_t){json_string_value(v), json_string_length(v)};
+}
+
+static int handle_completion(const struct _u_request *q, struct _u_response *r, void *ctx)
+{
+	fk_engine_t *e = ctx;
+	AUTO_JSON *body = fk_body(q);
+	const fk_stream_options_t o = {
+		.id = member(body, "request_id"),
+		.prompt = member(body, "prompt"),
+		.resume_from = fk_int(body, "resume_from", 0),
+		.max_tokens = fk_int(body, "max_tokens", DEFAULT_TOKENS),
+		.socket = fk_http_socket(q),
+	};
+
+	if (!o.id.n || !o.prompt.p)
+		return fk_answer_error(r, 400, "request_id and prompt are needed");
+	if (o.max_tokens < 0 || o.max_tokens > MAX_TOKENS || o.resume_from < 0 ||
+	    o.resume_from > o.max_tokens)
+		return fk_answer_error(r, 400, "max_tokens or resume_from is out of bounds");
+	if (!fk_orders_pass(&e->orders, fk_int(body, "fence", -1)))
+		return answer_old_fence(e, r);
+	if (str_find(o.prompt, STR("{never}")) >= 0)
+		return fk_answer_error(r, 422, "the prompt can't be completed");
+	u_map_put(r->map_header, "Content-Type", "text/event-stream");
+	ulfius_set_stream_response(r, 200, read_stream, free_stream, U_STREAM_SIZE_UNKNOWN,
+				   STREAM_BLOCK, fk_stream_new(e, &o));
+	return U_CALLBACK_COMPLETE;
+}
+
+static int handle_cancel(const struct _u_request *q, struct _u_response *r, void *ctx)
+{
+	AUTO_JSON *body = fk_body(q);
+	str_t id = member(body, "request_id");
+
+	if (!id.p)
+		return fk_answer_error(r, 400, "request_id is needed");
+	return fk_answer(r, 200, json_pack("{s:b}", "cancelled", fk_engine_cancel(ctx, id)));
+}
+
+static int handle_load(const struct _u_request *q, struct _u_response *r, void *ctx)
+{
+	fk_engine_t *e = ctx;
+	int64_t lag_ms = e->settings.report_lag_ms;
+	fk_sample_t s;
+
+	pthread_mutex_lock(&e->lock);
+	s = fk_report_at(&e->report, lag_ms);
+	pthread_mutex_unlock(&e->lock);
+	return fk_answer(r, 200,
+			 json_pack("{s:I,s:I,s:I,s:I,s:I}", "running", (json_int_t)s.running,
+				   "waiting", (json_int_t)s.waiting, "slots",
+				   (json_int_t)e->settings.slots, "step_us", (json_int_t)s.step_us,
+				   "age_ms", (json_int_t)lag_ms));
+}
+
+static int handle_cache_events(const struct _u_request *q, struct _u_response *r, void *ctx)
+{
+	fk_engine_t *e = ctx;
+	json_t *body;
+
+	pthread_mutex_lock(&e->lock);
+	body = fk_cache_events(&e->cache, fk_query_int(q, "after", 0), e->settings.event_lag_ms);
+	pthread_mutex_unlock(&e->lock);
+	return fk_answer(r, 200, body);
+}
+
+static int handle_cache(const struct _u_request *q, struct _u_response *r, void *ctx)
+{
+	fk_engine_t *e = ctx;
+	json_t *body;
+
+	pthread_mutex_lock(&e->lock);
+	body = fk_cache_list(&e->cache);
+	pthread_mutex_unlock(&e->lock);
+	return fk_answer(r, 200, body);
+}
+
+static int handle_orders(const struct _u_request *q, struct _u_response *r, void *ctx)
+{
+	fk_engine_t *e = ctx;
+	AUTO_JSON *body = fk_body(q);
+	bool load = strcmp(fk_str(body, "op"), "load") == 0;
+	bool role = strcmp(fk_str(body, "op"), "role") == 0;
+
+	if (!(load && *fk_str(body, "model")) && !(role && *fk_str(body, "role")))
+		return fk_answer_error(r, 400, "not an order");
+	if (!fk_orders_pass(&e->orders, fk_int(body, "fence", -1)))
+		return answer_old_fence(e, r);
+	if (load)
+		fk_orders_load(&e->orders, fk_str(body, "model"), fk_str(body, "version"),
+			       fk_str(body, "adapter"));
+	else
+		fk_orders_role(&e->orders, fk_str(body, "role"));
+	return fk_answer(r, 202, json_pack("{s:b}", "accepted", 1));
+}
+
+static int handle_state(const struct _u_request *q, struct _u_response *r, void *ctx)
+{
+	fk_engine_t *e = ctx;
+
+	return fk_answer(r, 200, fk_orders_state(&e->orders));
+}
+
+static int handle_counts(const struct _u_request *q, struct _u_response *r, void *ctx)
+{
+	fk_engine_t *e = ctx;
+	const fk_counts_t *c = &e->counts;
+	json_t *body;
+
+	pthread_mutex_lock(&e->lock);
+	body = json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "started", (json_int_t)c->started,
+			 "finished", (json_int_t)c->finished, "cancelled", (json_int_t)c->cancelled,
+			 "max_running", (json_int_t)c->max_running, "max_waiting",
+			 (json_int_t)c->max_waiting, "tokens", (json_int_t)c->tokens,
+			 "prefill_tokens", (json_int_t)c->prefill_tokens, "prefix_hits",
+			 (json_int_t)c->prefix_hits);
+	if (fk_query_int(q, "by_request", 0))
+		json_object_set_new(body, "by_request", json_deep_copy(c->by_request));
+	pthread_mutex_unlock(&e->lock);
+	return fk_answer(r, 200, body);
+}
+
+static int handle_fault(const struct _u_request *q, struct _u_response *r, void *ctx)
+{
+	fk_engine_t *e = ctx;
+	fk_faults_t *f = &e->faults;
+	AUTO_JSON *body = fk_body(q);
+
+	if (!body)
+		return fk_answer_error(r, 400, "not a JSON object");
+	if (fk_bool(body, "die"))
+		_exit(DIE_EXIT);
+	pthread_mutex_lock(&e->lock);
+	f->stall = fk_int(body, "stall", f->stall);
+	f->cross = fk_int(body, "cross", f->cross);
+	f->lose = fk_int(body, "lose", f->lose);
+	f->late_ms = fk_int(body, "late_ms", f->late_ms);
+	if (json_object_get(body, "freeze_ms"))
+		f->frozen_until = clk_now_ms() + fk_int(body, "freeze_ms", 0);
+	pthread_mutex_unlock(&e->lock);
+	return fk_answer(r, 200, json_object());
+}
+
+static status_t start(void *ctx)
+{
+	static const fk_route_t routes[] = {
+		{"POST", "/v1/completions", handle_completion},
+		{"POST", "/v1/cancel", handle_cancel},
+		{"GET", "/v1/load", handle_load},
+		{"GET", "/v1/cache_events", handle_cache_events},
+		{"GET", "/v1/cache", handle_cache},
+		{"POST", "/v1/orders", handle_orders},
+		{"GET", "/v1/state", handle_state},
+		{"GET", "/v1/counts", handle_counts},
+		{"POST", "/fault", handle_fault},
+		{NULL, NULL, NULL},
+	};
+	fk_engine_t *e = ctx;
+
+	fk_engine_start(e);
+	return fk_http_start(&(fk_http_options_t){e->settings.listen, routes, NULL, e});
+}
+
+int main(int argc, char **argv)
+{
+	static fk_engine_t e = {
+		.settings =
+			{
+				.slots = 8,
+				.step_base_us = 20000,
+				.step_per_stream_us = 1000,
+				.prefill_us_per_token = 200,
+				.cache_prefixes = 64,
+				.prefix_bytes = 256,
+				.report_lag_ms = 500,
+				.event_lag_ms = 300,
+				.event_gap_percent = 5,
+				.load_ms = 500,
+				.seed = 1,
+				.fencing = true,
+			},
+	};
+	const fk_program_t program = {"auburn-fake-engine", "stand-in of a model engine replica",
+				      configure, start, &e};
+
+	return fk_main(argc, argv, &program);
+}
--- /dev/null
+++ b/fakes/fake-platform.c
@@ -0,0 +1,202 @@
+/* Stand-in of the platform: a lagging list of VMs and a rate-limited weight store. */
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/clk.h"
+#include "fk_common.h"
+
+#define MAX_LAG_MS     3600000
+#define MAX_RATE       100000
+#define RATE_PERIOD_MS 60000
+
+/* One version of the list; older ones follow. */
+typedef struct version {
+	int64_t since_ms;
+	json_t *vms;
+	struct version *older;
+} version_t;
+
+typedef struct {
+	char *listen;
+	int64_t lag_ms;
+	int64_t weight_ms;
+	int64_t weight_rate; /* per minute */
+	pthread_mutex_t lock;
+	version_t *newest;
+	int64_t *served_ms; /* ring of the last weight_rate answers' times */
+	int64_t weights;
+	int64_t refused;
+} platform_t;
+
+static void add_version(platform_t *p, json_t *vms)
+{
+	version_t *v = mem_new(sizeof(*v));
+
+	*v = (version_t){clk_now_ms(), vms, p->newest};
+	p->newest = v;
+}
+
+static status_t read_vm(const cf_t *c, const cf_table_t *t, json_t *vms)
+{
+	AUTO_FREE char *id = NULL;
+	AUTO_FREE char *addr = NULL;
+	AUTO_FREE char *zone = NULL;
+	AUTO_FREE char *service = NULL;
+	AUTO_FREE char *state = NULL;
+	const cf_key_t keys[] = {
+		{"id", CF_STR, true, 1, 64, &id},	 {"addr", CF_STR, true, 1, 64, &addr},
+		{"zone", CF_STR, true, 1, 64, &zone},	 {"service", CF_STR, true, 1, 64, &service},
+		{"state", CF_STR, false, 1, 16, &state}, {NULL, CF_STR, false, 0, 0, NULL},
+	};
+	status_t st = cf_read(c, t, keys, NULL);
+
+	if (st != ST_OK)
+		return st;
+	json_array_append_new(vms,
+			      json_pack("{s:s,s:s,s:s,s:s,s:s}", "id", id, "addr", addr, "zone",
+					zone, "service", service, "state", state ? state : "live"));
+	return ST_OK;
+}
+
+static status_t configure(void *ctx, const cf_t *c)
+{
+	static const char *const sub[] = {"vm", NULL};
+	platform_t *p = ctx;
+	const cf_table_t *root = cf_root(c);
+	const cf_key_t keys[] = {
+		{"listen", CF_STR, true, 1, 64, &p->listen},
+		{"lag_ms", CF_INT, false, 0, MAX_LAG_MS, &p->lag_ms},
+		{"weight_ms", CF_INT, false, 0, MAX_LAG_MS, &p->weight_ms},
+		{"weight_rate", CF_INT, false, 1, MAX_RATE, &p->weight_rate},
+		{NULL, CF_STR, false, 0, 0, NULL},
+	};
+	status_t st = cf_read(c, root, keys, sub);
+	json_t *vms = json_array();
+
+	for (size_t i = 0; st == ST_OK && i < cf_count(root, "vm"); i++)
+		st = read_vm(c, cf_at(root, "vm", i), vms);
+	add_version(p, vms);
+	return st;
+}
+
+static void drop_older(version_t *v)
+{
+	version_t *next;
+
+	for (version_t *old = v->older; old; old = next) {
+		next = old->older;
+		json_decref(old->vms);
+		free(old);
+	}
+	v->older = NULL;
+}
+
+/* The newest version that is lag_ms old; the first one holds from the start. */
+static version_t *visible_version(platform_t *p)
+{
+	int64_t at = clk_now_ms() - p->lag_ms;
+	version_t *v = p->newest;
+
+	while (v->since_ms > at && v->older)
+		v = v->older;
+	drop_older(v);
+	return v;
+}
+
+static int handle_get_vms(const struct _u_request *q, struct _u_response *r, void *ctx)
+{
+	platform_t *p = ctx;
+	json_t *body;
+
+	pthread_mutex_lock(&p->lock);
+	body = json_pack("{s:o}", "vms", json_deep_copy(visible_version(p)->vms));
+	pthread_mutex_unlock(&p->lock);
+	return fk_answer(r, 200, body);
+}
+
+static int handle_put_vms(const struct _u_request *q, struct _u_response *r, void *ctx)
+{
+	platform_t *p = ctx;
+	AUTO_JSON *body = fk_body(q);
+	json_t *vms = json_object_get(body, "vms");
+
+	if (!json_is_array(vms))
+		return fk_answer_error(r, 400, "no list of VMs");
+	pthread_mutex_lock(&p->lock);
+	add_version(p, json_incref(vms));
+	pthread_mutex_unlock(&p->lock);
+	return fk_answer(r, 200, json_object());
+}
+
+/* Tells whether one more answer stays within weight_rate of any minute. */
+static bool take_weight(platform_t *p)
+{
+	int64_t now = clk_now_ms();
+	int64_t *oldest = &p->served_ms[p->weights % p->weight_rate];
+
+	if (p->weights >= p->weight_rate && now - *oldest < RATE_PERIOD_MS) {
+		p->refused++;
+		return false;
+	}
+	*oldest = now;
+	p->weights++;
+	return true;
+}
+
+static int handle_weight(const struct _u_request *q, struct _u_response *r, void *ctx)
+{
+	platform_t *p = ctx;
+	const char *name = u_map_get(q->map_url, "name");
+	bool taken;
+
+	pthread_mutex_lock(&p->lock);
+	taken = take_weight(p);
+	pthread_mutex_unlock(&p->lock);
+	if (!taken) {
+		u_map_put(r->map_header, "Retry-After", "1");
+		return fk_answer_error(r, 429, "over the rate");
+	}
+	clk_sleep_ms(p->weight_ms);
+	return fk_answer(r, 200, json_pack("{s:s}", "name", name ? name : ""));
+}
+
+static int handle_counts(const struct _u_request *q, struct _u_response *r, void *ctx)
+{
+	platform_t *p = ctx;
+	json_t *body;
+
+	pthread_mutex_lock(&p->lock);
+	body = json_pack("{s:I,s:I}", "weights", (json_int_t)p->weights, "refused",
+			 (json_int_t)p->refused);
+	pthread_mutex_unlock(&p->lock);
+	return fk_answer(r, 200, body);
+}
+
+static status_t start(void *ctx)
+{
+	static const fk_route_t routes[] = {
+		{"GET", "/v1/vms", handle_get_vms},
+		{"PUT", "/v1/vms", handle_put_vms},
+		{"GET", "/v1/weights/:name", handle_weight},
+		{"GET", "/v1/counts", handle_counts},
+		{NULL, NULL, NULL},
+	};
+	platform_t *p = ctx;
+
+	p->served_ms = mem_new((size_t)p->weight_rate * sizeof(*p->served_ms));
+	return fk_http_start(&(fk_http_options_t){p->listen, routes, NULL, p});
+}
+
+int main(int argc, char **argv)
+{
+	platform_t p = {
+		.lock = PTHREAD_MUTEX_INITIALIZER,
+		.lag_ms = 2000,
+		.weight_ms = 50,
+		.weight_rate = 60,
+	};
+	const fk_program_t program = {"auburn-fake-platform", "stand-in of the platform", configure,
+				      start, &p};
+
+	return fk_main(argc, argv, &program);
+}
--- /dev/null
+++ b/fakes/fake-service.c
@@ -0,0 +1,125 @@
+/* Stand-in of a plain service: counts how often each idempotency key was run. */
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/clk.h"
+#include "fk_common.h"
+
+#define MAX_DELAY_MS 600000
+
+typedef struct {
+	char *listen;
+	char *name;
+	pthread_mutex_t lock;
+	int64_t delay_ms;
+	int64_t lose; /* requests still to run without an answer */
+	int64_t fail; /* requests still to refuse */
+	int64_t total;
+	json_t *keys; /* runs by key */
+} service_t;
+
+static status_t configure(void *ctx, const cf_t *c)
+{
+	service_t *s = ctx;
+	const cf_key_t keys[] = {
+		{"listen", CF_STR, true, 1, 64, &s->listen},
+		{"name", CF_STR, false, 0, 64, &s->name},
+		{"delay_ms", CF_INT, false, 0, MAX_DELAY_MS, &s->delay_ms},
+		{NULL, CF_STR, false, 0, 0, NULL},
+	};
+
+	return cf_read(c, cf_root(c), keys, NULL);
+}
+
+static bool take(int64_t *left)
+{
+	if (*left <= 0)
+		return false;
+	(*left)--;
+	return true;
+}
+
+static int64_t count_run(service_t *s, const char *key)
+{
+	int64_t n = fk_int(s->keys, key, 0) + 1;
+
+	json_object_set_new(s->keys, key, json_integer(n));
+	s->total++;
+	return n;
+}
+
+static int handle_run(const struct _u_request *q, struct _u_response *r, void *ctx)
+{
+	service_t *s = ctx;
+	const char *key = u_map_get_case(q->map_header, "Idempotency-Key");
+	int64_t run;
+	int64_t delay_ms;
+	bool lose;
+
+	if (strcmp(q->http_verb, "POST") != 0)
+		return fk_answer_error(r, 404, "not found");
+	pthread_mutex_lock(&s->lock);
+	if (take(&s->fail)) {
+		pthread_mutex_unlock(&s->lock);
+		return fk_answer_error(r, 503, "not run");
+	}
+	run = count_run(s, key ? key : "");
+	lose = take(&s->lose);
+	delay_ms = s->delay_ms;
+	pthread_mutex_unlock(&s->lock);
+	clk_sleep_ms(delay_ms);
+	if (lose)
+		fk_http_drop(q);
+	return fk_answer(
+		r, 200,
+		json_pack("{s:b,s:I,s:s}", "ok", 1, "run", (json_int_t)run, "key", key ? key : ""));
+}
+
+static int handle_runs(const struct _u_request *q, struct _u_response *r, void *ctx)
+{
+	service_t *s = ctx;
+	json_t *body;
+
+	pthread_mutex_lock(&s->lock);
+	body = json_pack("{s:I,s:o}", "total", (json_int_t)s->total, "keys",
+			 json_deep_copy(s->keys));
+	pthread_mutex_unlock(&s->lock);
+	return fk_answer(r, 200, body);
+}
+
+static int handle_fault(const struct _u_request *q, struct _u_response *r, void *ctx)
+{
+	service_t *s = ctx;
+	AUTO_JSON *body = fk_body(q);
+
+	if (!body)
+		return fk_answer_error(r, 400, "not a JSON object");
+	pthread_mutex_lock(&s->lock);
+	s->lose = fk_int(body, "lose", s->lose);
+	s->fail = fk_int(body, "fail", s->fail);
+	s->delay_ms = fk_int(body, "delay_ms", s->delay_ms);
+	pthread_mutex_unlock(&s->lock);
+	return fk_answer(r, 200, json_object());
+}
+
+static status_t start(void *ctx)
+{
+	static const fk_route_t routes[] = {
+		{"GET", "/runs", handle_runs},
+		{"POST", "/fault", handle_fault},
+		{NULL, NULL, NULL},
+	};
+	service_t *s = ctx;
+
+	s->keys = json_object();
+	return fk_http_start(&(fk_http_options_t){s->listen, routes, handle_run, s});
+}
+
+int main(int argc, char **argv)
+{
+	service_t s = {.lock = PTHREAD_MUTEX_INITIALIZER, .delay_ms = 20};
+	const fk_program_t program = {"auburn-fake-service", "stand-in of a plain service",
+				      configure, start, &s};
+
+	return fk_main(argc, argv, &program);
+}
--- /dev/null
+++ b/fakes/fk_common.h
@@ -0,0 +1,62 @@
+/** Common parts of the stand-ins: command line, settings, HTTP server and JSON answers. */
+#ifndef AUBURN_FK_COMMON_H
+#define AUBURN_FK_COMMON_H
+
+#include <jansson.h>
+#include <ulfius.h>
+#include "base/cf.h"
+#include "base/status.h"
+
+typedef struct {
+	const char *name;
+	const char *about; /* one line for --help */
+	/** Reads the settings into ctx. */
+	status_t (*configure)(void *ctx, const cf_t *c);
+	/** Starts to serve; returns at once. */
+	status_t (*start)(void *ctx);
+	void *ctx;
+} fk_program_t;
+
+/** Runs a stand-in until SIGTERM or SIGINT; its result is the exit status. */
+int fk_main(int argc, char **argv, const fk_program_t *p);
+
+typedef int (*fk_handler_t)(const struct _u_request *q, struct _u_response *r, void *ctx);
+
+typedef struct {
+	const char *method;
+	const char *path;
+	fk_handler_t handle;
+} fk_route_t;
+
+typedef struct {
+	const char *listen; /* ip:port */
+	const fk_route_t *routes; /* ends with a NULL method */
+	fk_handler_t other; /* takes all other requests; may be NULL */
+	void *ctx;
+} fk_http_options_t;
+
+/** Listens and serves until the process ends. */
+status_t fk_http_start(const fk_http_options_t *o);
+/** The socket on which a request came, or -1. */
+int fk_http_socket(const struct _u_request *q);
+/** Closes a request's connection, so that no answer reaches the client. */
+void fk_http_drop(const struct _u_request *q);
+
+/** Answers with a JSON document, which it takes over. */
+int fk_answer(struct _u_response *r, unsigned status, json_t *body);
+int fk_answer_error(struct _u_response *r, unsigned status, const char *what);
+/** The request's JSON object, or NULL; the caller releases it. */
+json_t *fk_body(const struct _u_request *q);
+int64_t fk_int(const json_t *o, const char *key, int64_t absent);
+/** A borrowed string value, or "" when absent. */
+const char *fk_str(const json_t *o, const char *key);
+bool fk_bool(const json_t *o, const char *key);
+int64_t fk_query_int(const struct _u_request *q, const char *key, int64_t absent);
+
+void fk_json_cleanup(json_t **j);
+#define AUTO_JSON __attribute__((cleanup(fk_json_cleanup))) json_t
+
+/** Splits "ip:port" into an IPv4 socket address. */
+status_t fk_address(const char *addr, struct sockaddr_in *out);
+
+#endif
--- /dev/null
+++ b/fakes/fk_engine.c
@@ -0,0 +1,367 @@
+/* Streams and steps of the engine emulator. */
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+#include <utlist.h>
+#include "fk_engine.h"
+
+#define BYTES_PER_TOKEN	     4
+#define TOKENS_BEFORE_STALL  2
+#define TOKENS_BEFORE_LOSS   3
+#define CLIENT_CHECK_MS	     100
+#define FREEZE_POLL_MS	     5
+#define POISON_EXIT	     9
+#define MAX_COUNTED_REQUESTS 100000
+
+typedef enum { STREAM_WAITING, STREAM_RUNNING, STREAM_WHOLE, STREAM_BROKEN } stream_state_t;
+
+struct fk_stream {
+	fk_engine_t *e;
+	char *id;
+	char *shown_id; /* the id in its events */
+	buf_t prompt;
+	size_t prompt_n;
+	int64_t next; /* index of the next token */
+	int64_t end;
+	int64_t silent_at; /* index before which it goes silent */
+	int64_t lose_at; /* index before which its connection is closed */
+	deadline_t first_at; /* no token before */
+	bool poison;
+	int socket;
+	stream_state_t state;
+	buf_t out;
+	pthread_cond_t ready;
+	fk_stream_t *prev, *next_stream;
+};
+
+static void note_load(fk_engine_t *e)
+{
+	if (e->running_n > e->counts.max_running)
+		e->counts.max_running = e->running_n;
+	if (e->waiting_n > e->counts.max_waiting)
+		e->counts.max_waiting = e->waiting_n;
+	fk_report_add(&e->report, &(fk_sample_t){
+					  .at_ms = clk_now_ms(),
+					  .running = e->running_n,
+					  .waiting = e->waiting_n,
+					  .step_us = e->step_us,
+				  });
+}
+
+static void leave(fk_stream_t *s)
+{
+	fk_engine_t *e = s->e;
+
+	if (s->state == STREAM_RUNNING) {
+		DL_DELETE2(e->running, s, prev, next_stream);
+		e->running_n--;
+	} else if (s->state == STREAM_WAITING) {
+		DL_DELETE2(e->waiting, s, prev, next_stream);
+		e->waiting_n--;
+	}
+}
+
+static void end_stream(fk_stream_t *s, stream_state_t state)
+{
+	leave(s);
+	s->state = state;
+	note_load(s->e);
+	pthread_cond_signal(&s->ready);
+}
+
+static int64_t prefill_tokens(fk_engine_t *e, const fk_stream_t *s)
+{
+	size_t prefix_n = (size_t)e->settings.prefix_bytes;
+	size_t known = 0;
+
+	if (prefix_n > s->prompt_n)
+		prefix_n = s->prompt_n;
+	if (fk_cache_use(&e->cache, str_hash((str_t){s->prompt.p, prefix_n}))) {
+		e->counts.prefix_hits++;
+		known = prefix_n;
+	}
+	return (int64_t)((s->prompt_n - known) / BYTES_PER_TOKEN) + s->next;
+}
+
+/* Fills free slots in order of arrival; the result is the tokens to prefill. */
+static int64_t admit(fk_engine_t *e)
+{
+	int64_t prefill = 0;
+	fk_stream_t *s;
+
+	while (e->waiting && e->running_n < e->settings.slots) {
+		s = e->waiting;
+		leave(s);
+		s->state = STREAM_RUNNING;
+		s->first_at = clk_now_ms() + e->faults.late_ms;
+		DL_APPEND2(e->running, s, prev, next_stream);
+		e->running_n++;
+		prefill += prefill_tokens(e, s);
+	}
+	e->counts.prefill_tokens += prefill;
+	return prefill;
+}
+
+static void add_token(fk_stream_t *s)
+{
+	AUTO_BUF seed = {0};
+	unsigned long long h;
+
+	buf_add(&seed, (str_t){s->prompt.p, s->prompt_n});
+	buf_addf(&seed, ":%lld", (long long)s->next);
+	h = str_hash(str_buf(&seed));
+	buf_add(&s->out, STR("data: {\"id\":"));
+	buf_add_json(&s->out, str_c(s->shown_id));
+	buf_addf(&s->out, ",\"index\":%lld,\"choices\":[{\"index\":0,\"text\":\"w%06llx \"}]}\n\n",
+		 (long long)s->next, h & 0xffffff);
+}
+
+static void step_stream(fk_engine_t *e, fk_stream_t *s, int64_t now)
+{
+	if (now < s->first_at || s->next == s->silent_at)
+		return;
+	if (s->poison)
+		_exit(POISON_EXIT);
+	if (s->next < s->end) {
+		add_token(s);
+		s->next++;
+		e->counts.tokens++;
+	}
+	if (s->next == s->lose_at) {
+		end_stream(s, STREAM_BROKEN);
+	} else if (s->next >= s->end) {
+		buf_add(&s->out, STR("data: [DONE]\n\n"));
+		e->counts.finished++;
+		end_stream(s, STREAM_WHOLE);
+	}
+	pthread_cond_signal(&s->ready);
+}
+
+static void sleep_us(int64_t us)
+{
+	struct timespec t = {us / 1000000, us % 1000000 * 1000};
+
+	while (nanosleep(&t, &t) != 0 && errno == EINTR)
+		;
+}
+
+static void wait_for_work(fk_engine_t *e)
+{
+	while (!e->running && !e->waiting)
+		pthread_cond_wait(&e->work, &e->lock);
+	while (clk_now_ms() < e->faults.frozen_until) {
+		pthread_mutex_unlock(&e->lock);
+		clk_sleep_ms(FREEZE_POLL_MS);
+		pthread_mutex_lock(&e->lock);
+	}
+}
+
+/* One step: admissions, the time it takes, then a token for each running stream. */
+static void step(fk_engine_t *e)
+{
+	const fk_settings_t *set = &e->settings;
+	int64_t begin_us = clk_now_us();
+	int64_t prefill = admit(e);
+	fk_stream_t *s;
+	fk_stream_t *tmp;
+	int64_t now;
+
+	e->step_us = set->step_base_us + set->step_per_stream_us * e->running_n +
+		     prefill * set->prefill_us_per_token;
+	note_load(e);
+	pthread_mutex_unlock(&e->lock);
+	sleep_us(begin_us + e->step_us - clk_now_us());
+	pthread_mutex_lock(&e->lock);
+	now = clk_now_ms();
+	DL_FOREACH_SAFE2(e->running, s, tmp, next_stream)
+	step_stream(e, s, now);
+}
+
+static void *run_steps(void *arg)
+{
+	fk_engine_t *e = arg;
+
+	pthread_mutex_lock(&e->lock);
+	for (;;) {
+		wait_for_work(e);
+		step(e);
+	}
+	return NULL;
+}
+
+void fk_engine_start(fk_engine_t *e)
+{
+	pthread_t t;
+
+	pthread_mutex_init(&e->lock, NULL);
+	pthread_cond_init(&e->work, NULL);
+	e->cache.max = (size_t)e->settings.cache_prefixes;
+	e->cache.gap_percent = e->settings.event_gap_percent;
+	e->cache.seed = (unsigned)e->settings.seed;
+	e->counts.by_request = json_object();
+	fk_orders_init(&e->orders, &e->settings);
+	note_load(e);
+	if (pthread_create(&t, NULL, run_steps, e) != 0)
+		abort();
+	pthread_detach(t);
+}
+
+static void count_start(fk_engine_t *e, const char *id)
+{
+	json_t *by = e->counts.by_request;
+	json_int_t n = json_integer_value(json_object_get(by, id));
+
+	e->counts.started++;
+	if (n || json_object_size(by) < MAX_COUNTED_REQUESTS)
+		json_object_set_new(by, id, json_integer(n + 1));
+}
+
+static bool take(int64_t *left)
+{
+	if (*left <= 0)
+		return false;
+	(*left)--;
+	return true;
+}
+
+/* The id of another stream, as an engine that mixes up its answers would send it. */
+static char *other_id(fk_engine_t *e, const char *id)
+{
+	AUTO_BUF b = {0};
+	const fk_stream_t *s;
+
+	DL_FOREACH2(e->running, s, next_stream)
+	{
+		if (strcmp(s->id, id) != 0)
+			return str_dup(str_c(s->id));
+	}
+	buf_addf(&b, "%s-other", id);
+	return str_dup(str_buf(&b));
+}
+
+static void apply_faults(fk_engine_t *e, fk_stream_t *s)
+{
+	int64_t left = s->end - s->next;
+
+	s->silent_at = take(&e->faults.stall) ? s->next + TOKENS_BEFORE_STALL : -1;
+	s->lose_at = -1;
+	if (take(&e->faults.lose))
+		s->lose_at = s->next + (left < TOKENS_BEFORE_LOSS ? left : TOKENS_BEFORE_LOSS);
+	s->shown_id = take(&e->faults.cross) ? other_id(e, s->id) : str_dup(str_c(s->id));
+}
+
+fk_stream_t *fk_stream_new(fk_engine_t *e, const fk_stream_options_t *o)
+{
+	fk_stream_t *s = mem_new(sizeof(*s));
+
+	s->e = e;
+	s->id = str_dup(o->id);
+	buf_add(&s->prompt, o->prompt);
+	s->prompt_n = o->prompt.n;
+	s->next = o->resume_from;
+	s->end = o->max_tokens;
+	s->poison = str_find(o->prompt, STR("{poison}")) >= 0;
+	s->socket = o->socket;
+	pthread_cond_init(&s->ready, NULL);
+	pthread_mutex_lock(&e->lock);
+	apply_faults(e, s);
+	count_start(e, s->id);
+	s->state = STREAM_WAITING;
+	DL_APPEND2(e->waiting, s, prev, next_stream);
+	e->waiting_n++;
+	note_load(e);
+	pthread_cond_signal(&e->work);
+	pthread_mutex_unlock(&e->lock);
+	return s;
+}
+
+static bool client_gone(const fk_stream_t *s)
+{
+	char c;
+	ssize_t n;
+
+	if (s->socket < 0)
+		return false;
+	n = recv(s->socket, &c, 1, MSG_PEEK | MSG_DONTWAIT);
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+static void wait_ready(fk_stream_t *s)
+{
+	struct timespec until;
+
+	clock_gettime(CLOCK_MONOTONIC, &until);
+	until.tv_nsec += CLIENT_CHECK_MS * 1000000;
+	until.tv_sec += until.tv_nsec / 1000000000;
+	until.tv_nsec %= 1000000000;
+	pthread_cond_clockwait(&s->ready, &s->e->lock, CLOCK_MONOTONIC, &until);
+}
+
+long fk_stream_read(fk_stream_t *s, char *out, size_t max)
+{
+	long n = 0;
+
+	pthread_mutex_lock(&s->e->lock);
+	while (!s->out.n && s->state < STREAM_WHOLE && n == 0) {
+		wait_ready(s);
+		n = client_gone(s) ? -1 : 0;
+	}
+	if (n == 0 && s->out.n) {
+		n = (long)(s->out.n < max ? s->out.n : max);
+		memcpy(out, s->out.p, (size_t)n);
+		buf_drop(&s->out, (size_t)n);
+	} else if (s->state == STREAM_BROKEN) {
+		n = -1;
+	}
+	pthread_mutex_unlock(&s->e->lock);
+	return n;
+}
+
+void fk_stream_free(fk_stream_t *s)
+{
+	pthread_mutex_lock(&s->e->lock);
+	if (s->state < STREAM_WHOLE) {
+		s->e->counts.cancelled++;
+		end_stream(s, STREAM_BROKEN);
+	}
+	pthread_mutex_unlock(&s->e->lock);
+	pthread_cond_destroy(&s->ready);
+	buf_free(&s->prompt);
+	buf_free(&s->out);
+	free(s->id);
+	free(s->shown_id);
+	free(s);
+}
+
+static bool cancel_in(fk_engine_t *e, fk_stream_t *list, str_t id)
+{
+	bool found = false;
+	fk_stream_t *s;
+	fk_stream_t *tmp;
+
+	DL_FOREACH_SAFE2(list, s, tmp, next_stream)
+	{
+		if (!str_eq(str_c(s->id), id))
+			continue;
+		buf_drop(&s->out, s->out.n);
+		e->counts.cancelled++;
+		end_stream(s, STREAM_BROKEN);
+		found = true;
+	}
+	return found;
+}
+
+bool fk_engine_cancel(fk_engine_t *e, str_t id)
+{
+	bool running;
+	bool waiting;
+
+	pthread_mutex_lock(&e->lock);
+	running = cancel_in(e, e->running, id);
+	waiting = cancel_in(e, e->waiting, id);
+	pthread_mutex_unlock(&e->lock);
+	return running || waiting;
+}
--- /dev/null
+++ b/fakes/fk_engine_orders.c
@@ -0,0 +1,145 @@
+/* Orders of the engine emulator: fencing, roles and loads, which one thread carries out in order.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include "base/clk.h"
+#include "fk_common.h"
+#include "fk_engine.h"
+
+#define WEIGHT_RETRY_MS	 200
+#define WEIGHT_TIMEOUT_S 30ul
+
+static bool fetch_weight(const char *url)
+{
+	struct _u_request q;
+	struct _u_response r;
+	bool done;
+
+	ulfius_init_request(&q);
+	ulfius_init_response(&r);
+	ulfius_set_request_properties(&q, U_OPT_HTTP_VERB, "GET", U_OPT_HTTP_URL, url,
+				      U_OPT_TIMEOUT, WEIGHT_TIMEOUT_S, U_OPT_NONE);
+	done = ulfius_send_http_request(&q, &r) == U_OK && r.status == 200;
+	ulfius_clean_request(&q);
+	ulfius_clean_response(&r);
+	return done;
+}
+
+static void load_weight(const fk_settings_t *s, const json_t *load)
+{
+	AUTO_BUF url = {0};
+
+	if (s->weight_store && *s->weight_store) {
+		buf_addf(&url, "%s/v1/weights/%s", s->weight_store, fk_str(load, "model"));
+		while (!fetch_weight(url.p))
+			clk_sleep_ms(WEIGHT_RETRY_MS);
+	}
+	clk_sleep_ms(s->load_ms);
+}
+
+static bool same_place(const json_t *a, const json_t *b)
+{
+	return strcmp(fk_str(a, "model"), fk_str(b, "model")) == 0 &&
+	       strcmp(fk_str(a, "adapter"), fk_str(b, "adapter")) == 0;
+}
+
+/* Another version of a model and adapter takes the place of the one before. */
+static void note_loaded(fk_orders_t *o, json_t *load)
+{
+	size_t i = 0;
+
+	while (i < json_array_size(o->loaded) && !same_place(json_array_get(o->loaded, i), load))
+		i++;
+	if (i < json_array_size(o->loaded))
+		json_array_set(o->loaded, i, load);
+	else
+		json_array_append(o->loaded, load);
+}
+
+static void *run_loads(void *arg)
+{
+	fk_orders_t *o = arg;
+	json_t *load;
+
+	pthread_mutex_lock(&o->lock);
+	for (;;) {
+		while (!json_array_size(o->loading))
+			pthread_cond_wait(&o->changed, &o->lock);
+		load = json_array_get(o->loading, 0);
+		pthread_mutex_unlock(&o->lock);
+		load_weight(o->settings, load);
+		pthread_mutex_lock(&o->lock);
+		note_loaded(o, load);
+		json_array_remove(o->loading, 0);
+	}
+	return NULL;
+}
+
+void fk_orders_init(fk_orders_t *o, const fk_settings_t *s)
+{
+	pthread_t t;
+
+	pthread_mutex_init(&o->lock, NULL);
+	pthread_cond_init(&o->changed, NULL);
+	o->settings = s;
+	o->role = str_dup(STR("mixed"));
+	o->loaded = json_array();
+	o->loading = json_array();
+	if (pthread_create(&t, NULL, run_loads, o) != 0)
+		abort();
+	pthread_detach(t);
+}
+
+bool fk_orders_pass(fk_orders_t *o, int64_t fence)
+{
+	bool old;
+
+	pthread_mutex_lock(&o->lock);
+	old = fence >= 0 && fence < o->fence;
+	if (fence > o->fence)
+		o->fence = fence;
+	pthread_mutex_unlock(&o->lock);
+	return !(old && o->settings->fencing);
+}
+
+int64_t fk_orders_fence(fk_orders_t *o)
+{
+	int64_t fence;
+
+	pthread_mutex_lock(&o->lock);
+	fence = o->fence;
+	pthread_mutex_unlock(&o->lock);
+	return fence;
+}
+
+void fk_orders_load(fk_orders_t *o, const char *model, const char *version, const char *adapter)
+{
+	json_t *load =
+		json_pack("{s:s,s:s,s:s}", "model", model, "version", version, "adapter", adapter);
+
+	pthread_mutex_lock(&o->lock);
+	json_array_append_new(o->loading, load);
+	o->loads_total++;
+	pthread_cond_signal(&o->changed);
+	pthread_mutex_unlock(&o->lock);
+}
+
+void fk_orders_role(fk_orders_t *o, const char *role)
+{
+	pthread_mutex_lock(&o->lock);
+	free(o->role);
+	o->role = str_dup(str_c(role));
+	pthread_mutex_unlock(&o->lock);
+}
+
+json_t *fk_orders_state(fk_orders_t *o)
+{
+	json_t *state;
+
+	pthread_mutex_lock(&o->lock);
+	state = json_pack("{s:I,s:s,s:o,s:o,s:I}", "fence", (json_int_t)o->fence, "role", o->role,
+			  "loaded", json_deep_copy(o->loaded), "loading",
+			  json_deep_copy(o->loading), "loads_total", (json_int_t)o->loads_total);
+	pthread_mutex_unlock(&o->lock);
+	return state;
+}
--- /dev/null
+++ b/fakes/relay.c
@@ -0,0 +1,372 @@
+/* A TCP relay that can drop, hold or delay the bytes between two processes: a network fault. */
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utlist.h>
+#include "base/clk.h"
+#include "fk_common.h"
+
+#define READ_BYTES    65536
+#define MAX_QUEUED    (1u << 20)
+#define MODE_CHECK_MS 20
+#define MAX_DELAY_MS  600000
+#define BACKLOG	      1024
+
+typedef enum { MODE_PASS, MODE_CUT, MODE_HOLD, MODE_DELAY, MODE_COUNT } relay_mode_t;
+
+static const char *const mode_names[MODE_COUNT] = {"pass", "cut", "hold", "delay"};
+
+typedef struct {
+	char *listen;
+	char *target;
+	char *control;
+	struct sockaddr_in target_addr;
+	int listen_fd;
+	atomic_int mode;
+	atomic_llong delay_ms;
+	atomic_llong connections;
+} relay_t;
+
+typedef struct chunk {
+	int64_t due_ms;
+	size_t n; /* 0: the sender closed its side */
+	size_t sent;
+	struct chunk *next;
+	char bytes[];
+} chunk_t;
+
+/** One direction of a connection. */
+typedef struct {
+	int from;
+	int to;
+	chunk_t *queue;
+	size_t queued;
+	bool ended; /* no more to read */
+	bool closed; /* the end was passed on */
+} flow_t;
+
+typedef struct {
+	relay_t *relay;
+	flow_t flow[2];
+	bool lost; /* bytes were dropped; a break ends the connection once the cut is over */
+	bool failed;
+} link_t;
+
+static void push(flow_t *f, const char *bytes, size_t n, int64_t due_ms)
+{
+	chunk_t *c = mem_new(sizeof(*c) + n);
+
+	c->due_ms = due_ms;
+	c->n = n;
+	memcpy(c->bytes, bytes, n);
+	LL_APPEND(f->queue, c);
+	f->queued += n;
+	f->ended |= n == 0;
+}
+
+static void pop(flow_t *f)
+{
+	chunk_t *c = f->queue;
+
+	f->queued -= c->n;
+	LL_DELETE(f->queue, c);
+	free(c);
+}
+
+static void read_some(link_t *l, flow_t *f)
+{
+	relay_t *r = l->relay;
+	char bytes[READ_BYTES];
+	ssize_t n = recv(f->from, bytes, sizeof(bytes), MSG_DONTWAIT);
+	relay_mode_t mode = atomic_load(&r->mode);
+	int64_t delay_ms = mode == MODE_DELAY ? atomic_load(&r->delay_ms) : 0;
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (mode == MODE_CUT) {
+		l->lost = true;
+		f->ended |= n <= 0;
+	} else if (n < 0) {
+		l->failed = true;
+	} else {
+		push(f, bytes, (size_t)n, clk_now_ms() + delay_ms);
+	}
+}
+
+static void write_chunk(link_t *l, flow_t *f)
+{
+	chunk_t *c = f->queue;
+	ssize_t n;
+
+	if (!c->n) {
+		shutdown(f->to, SHUT_WR);
+		f->closed = true;
+		pop(f);
+		return;
+	}
+	n = send(f->to, c->bytes + c->sent, c->n - c->sent, MSG_DONTWAIT | MSG_NOSIGNAL);
+	if (n >= 0)
+		c->sent += (size_t)n;
+	else if (errno != EAGAIN && errno != EINTR)
+		l->failed = true;
+	if (c->sent == c->n)
+		pop(f);
+}
+
+static bool due(const flow_t *f)
+{
+	return f->queue && f->queue->due_ms <= clk_now_ms();
+}
+
+static bool flowing(const relay_t *r)
+{
+	relay_mode_t mode = atomic_load(&r->mode);
+
+	return mode == MODE_PASS || mode == MODE_DELAY;
+}
+
+/* Readiness of a flow's two ends that it waits for now. */
+static void want(const link_t *l, const flow_t *f, struct pollfd *from, struct pollfd *to)
+{
+	bool hold = atomic_load(&l->relay->mode) == MODE_HOLD;
+
+	if (!hold && !f->ended && f->queued < MAX_QUEUED)
+		from->events |= POLLIN;
+	if (flowing(l->relay) && due(f))
+		to->events |= POLLOUT;
+}
+
+/* Time until a held back chunk is due, at most MODE_CHECK_MS. */
+static int64_t queue_wait_ms(const flow_t *f)
+{
+	int64_t left = f->queue ? clk_left_ms(f->queue->due_ms) : 0;
+
+	return left > 0 && left < MODE_CHECK_MS ? left : MODE_CHECK_MS;
+}
+
+static int wait_ms(const link_t *l)
+{
+	bool pending = l->flow[0].queue || l->flow[1].queue || l->lost;
+	int64_t a = queue_wait_ms(&l->flow[0]);
+	int64_t b = queue_wait_ms(&l->flow[1]);
+
+	if (atomic_load(&l->relay->mode) == MODE_PASS && !pending)
+		return -1;
+	return (int)(a < b ? a : b);
+}
+
+static void move_bytes(link_t *l)
+{
+	struct pollfd p[2] = {{.fd = l->flow[0].from}, {.fd = l->flow[1].from}};
+	int timeout_ms = wait_ms(l);
+	int i;
+
+	for (i = 0; i < 2; i++)
+		want(l, &l->flow[i], &p[i], &p[1 - i]);
+	/* A socket that broke would be ready all the time, also without events. */
+	for (i = 0; i < 2; i++)
+		p[i].fd = p[i].events ? p[i].fd : -1;
+	if (poll(p, 2, timeout_ms) < 0)
+		return;
+	for (i = 0; i < 2; i++) {
+		flow_t *f = &l->flow[i];
+
+		if (p[i].revents & (POLLIN | POLLHUP | POLLERR) && p[i].events & POLLIN)
+			read_some(l, f);
+		if (flowing(l->relay) && due(f))
+			write_chunk(l, f);
+	}
+}
+
+static bool link_over(const link_t *l)
+{
+	bool broken = l->lost || l->failed;
+
+	return flowing(l->relay) && (broken || (l->flow[0].closed && l->flow[1].closed));
+}
+
+static void set_nodelay(int fd)
+{
+	int one = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+}
+
+/* Connects to the target once the mode allows it; a client that came in a cut is given up. */
+static int connect_target(const relay_t *r)
+{
+	bool cut = false;
+	int fd;
+
+	while (!flowing(r)) {
+		cut |= atomic_load(&r->mode) == MODE_CUT;
+		clk_sleep_ms(MODE_CHECK_MS);
+	}
+	if (cut)
+		return -1;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (fd >= 0 &&
+	    connect(fd, (const struct sockaddr *)&r->target_addr, sizeof(r->target_addr)) == 0)
+		return fd;
+	if (fd >= 0)
+		close(fd);
+	return -1;
+}
+
+static void run_link(relay_t *r, int client, int target)
+{
+	link_t l = {.relay = r, .flow = {{client, target}, {target, client}}};
+	int i;
+
+	set_nodelay(client);
+	set_nodelay(target);
+	while (!link_over(&l))
+		move_bytes(&l);
+	for (i = 0; i < 2; i++) {
+		while (l.flow[i].queue)
+			pop(&l.flow[i]);
+	}
+}
+
+typedef struct {
+	relay_t *relay;
+	int client;
+} accepted_t;
+
+static void *serve(void *arg)
+{
+	accepted_t a = *(accepted_t *)arg;
+	int target;
+
+	free(arg);
+	atomic_fetch_add(&a.relay->connections, 1);
+	target = connect_target(a.relay);
+	if (target >= 0) {
+		run_link(a.relay, a.client, target);
+		close(target);
+	}
+	close(a.client);
+	atomic_fetch_sub(&a.relay->connections, 1);
+	return NULL;
+}
+
+static void *accept_clients(void *arg)
+{
+	relay_t *r = arg;
+	accepted_t *a;
+	pthread_t t;
+	int fd;
+
+	for (;;) {
+		fd = accept4(r->listen_fd, NULL, NULL, SOCK_CLOEXEC);
+		if (fd < 0) {
+			clk_sleep_ms(MODE_CHECK_MS);
+			continue;
+		}
+		a = mem_new(sizeof(*a));
+		*a = (accepted_t){r, fd};
+		if (pthread_create(&t, NULL, serve, a) == 0) {
+			pthread_detach(t);
+		} else {
+			close(fd);
+			free(a);
+		}
+	}
+	return NULL;
+}
+
+static status_t start_listen(relay_t *r)
+{
+	struct sockaddr_in addr;
+	status_t st = fk_address(r->listen, &addr);
+	int one = 1;
+
+	if (st != ST_OK)
+		return st;
+	r->listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (r->listen_fd < 0)
+		return st_fail(ST_IO, "%s: %s", r->listen, strerror(errno));
+	setsockopt(r->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(r->listen_fd, (struct sockaddr *)&addr, sizeof(addr)) != 0 ||
+	    listen(r->listen_fd, BACKLOG) != 0)
+		return st_fail(ST_IO, "%s: can't listen: %s", r->listen, strerror(errno));
+	return ST_OK;
+}
+
+static int answer_mode(const relay_t *r, struct _u_response *rs)
+{
+	return fk_answer(rs, 200,
+			 json_pack("{s:s,s:I,s:I}", "mode", mode_names[atomic_load(&r->mode)], "ms",
+				   (json_int_t)atomic_load(&r->delay_ms), "connections",
+				   (json_int_t)atomic_load(&r->connections)));
+}
+
+static int handle_get_mode(const struct _u_request *q, struct _u_response *rs, void *ctx)
+{
+	return answer_mode(ctx, rs);
+}
+
+static int handle_set_mode(const struct _u_request *q, struct _u_response *rs, void *ctx)
+{
+	relay_t *r = ctx;
+	AUTO_JSON *body = fk_body(q);
+	int64_t ms = fk_int(body, "ms", 0);
+	int mode = 0;
+
+	while (mode < MODE_COUNT && strcmp(mode_names[mode], fk_str(body, "mode")) != 0)
+		mode++;
+	if (mode == MODE_COUNT || ms < 0 || ms > MAX_DELAY_MS)
+		return fk_answer_error(rs, 400, "no such mode");
+	atomic_store(&r->delay_ms, ms);
+	atomic_store(&r->mode, mode);
+	return answer_mode(r, rs);
+}
+
+static status_t configure(void *ctx, const cf_t *c)
+{
+	relay_t *r = ctx;
+	const cf_key_t keys[] = {
+		{"listen", CF_STR, true, 1, 64, &r->listen},
+		{"target", CF_STR, true, 1, 64, &r->target},
+		{"control", CF_STR, true, 1, 64, &r->control},
+		{NULL, CF_STR, false, 0, 0, NULL},
+	};
+	status_t st = cf_read(c, cf_root(c), keys, NULL);
+
+	return st == ST_OK ? fk_address(r->target, &r->target_addr) : st;
+}
+
+static status_t start(void *ctx)
+{
+	static const fk_route_t routes[] = {
+		{"GET", "/mode", handle_get_mode},
+		{"POST", "/mode", handle_set_mode},
+		{NULL, NULL, NULL},
+	};
+	relay_t *r = ctx;
+	status_t st = start_listen(r);
+	pthread_t t;
+
+	if (st != ST_OK)
+		return st;
+	if (pthread_create(&t, NULL, accept_clients, r) != 0)
+		return st_fail(ST_IO, "can't start a thread");
+	pthread_detach(t);
+	return fk_http_start(&(fk_http_options_t){r->control, routes, NULL, r});
+}
+
+int main(int argc, char **argv)
+{
+	static relay_t r;
+	const fk_program_t program = {"auburn-relay", "TCP relay with network faults", configure,
+				      start, &r};
+
+	return fk_main(argc, argv, &program);
+}
