Messages: a key in item results, a command that forgets closed sessions

An orphaned request that LEASE hands out has no job, so a batch of results could not name it when its entry gives it back or it fails: aw_item_result_t gets the request's key, as aw_item_t has. AW_FLEET_FORGET names closed sessions that every ledger group was told of: until then group 0 lists them, so that a control leader that restarts in between still sends SESSIONS_LOST. Ruled out: FINISH for a request that goes back unrun (it is final by definition).

--- a/src/proto/aw.x
+++ b/src/proto/aw.x
@@ -53,7 +53,8 @@
 	AW_FLEET_SESSION_DRAIN = 3,
 	AW_FLEET_SESSION_CLOSE = 4,
 	AW_FLEET_OWN = 5,
-	AW_FLEET_UPSTREAMS = 6
+	AW_FLEET_UPSTREAMS = 6,
+	AW_FLEET_FORGET = 7		/* closed sessions that every ledger group was told of */
 };
 
 union aw_fleet_cmd_t switch (aw_fleet_kind_t kind) {
@@ -69,6 +70,8 @@
 	aw_own_change_t own<>;
 case AW_FLEET_UPSTREAMS:
 	aw_upstream_t upstreams<>;
+case AW_FLEET_FORGET:
+	unsigned hyper forget<>;
 };
 
 struct aw_fleet_res_t {
@@ -189,6 +192,7 @@
 struct aw_item_result_t {
 	aw_bytes_t caller;
 	aw_bytes_t job;
+	aw_bytes_t key;			/* as in aw_item_t: the request's key when job is empty */
 	unsigned int index;
 	unsigned int attempt;
 	bool done;
--- a/src/proto/aw_xdr.c
+++ b/src/proto/aw_xdr.c
@@ -153,6 +153,11 @@
 			sizeof (aw_upstream_t), (xdrproc_t) xdr_aw_upstream_t))
 			 return FALSE;
 		break;
+	case AW_FLEET_FORGET:
+		 if (!xdr_array (xdrs, (char **)&objp->aw_fleet_cmd_t_u.forget.forget_val, (u_int *) &objp->aw_fleet_cmd_t_u.forget.forget_len, ~0,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -482,6 +487,8 @@
 			 return FALSE;
 		 if (!xdr_aw_bytes_t (xdrs, &objp->job))
 			 return FALSE;
+		 if (!xdr_aw_bytes_t (xdrs, &objp->key))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->index))
@@ -506,6 +513,8 @@
 			 return FALSE;
 		 if (!xdr_aw_bytes_t (xdrs, &objp->job))
 			 return FALSE;
+		 if (!xdr_aw_bytes_t (xdrs, &objp->key))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->index))
@@ -531,6 +540,8 @@
 		 return FALSE;
 	 if (!xdr_aw_bytes_t (xdrs, &objp->job))
 		 return FALSE;
+	 if (!xdr_aw_bytes_t (xdrs, &objp->key))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->index))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->attempt))
--- a/src/proto/aw_xdr.h
+++ b/src/proto/aw_xdr.h
@@ -75,6 +75,7 @@
 	AW_FLEET_SESSION_CLOSE = 4,
 	AW_FLEET_OWN = 5,
 	AW_FLEET_UPSTREAMS = 6,
+	AW_FLEET_FORGET = 7,
 };
 typedef enum aw_fleet_kind_t aw_fleet_kind_t;
 
@@ -93,6 +94,10 @@
 			u_int upstreams_len;
 			aw_upstream_t *upstreams_val;
 		} upstreams;
+		struct {
+			u_int forget_len;
+			u_quad_t *forget_val;
+		} forget;
 	} aw_fleet_cmd_t_u;
 };
 typedef struct aw_fleet_cmd_t aw_fleet_cmd_t;
@@ -235,6 +240,7 @@
 struct aw_item_result_t {
 	aw_bytes_t caller;
 	aw_bytes_t job;
+	aw_bytes_t key;
 	u_int index;
 	u_int attempt;
 	bool_t done;
