--- /dev/null
+++ b/src/state/fl.c
@@ -0,0 +1,386 @@
+#include "state/fl.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include "state/fl_core.h"
+#include "state/tx.h"
+
+#define LIST_CAP_MIN 16
+
+static void answer(aw_fleet_res_t *res, status_t st)
+{
+	res->status = (int)st;
+	if (st != ST_OK)
+		res->message = px_copy(str_c(st_message()));
+}
+
+fl_t *fl_new(unsigned ledger_groups)
+{
+	fl_t *f = mem_new(sizeof(*f));
+
+	f->ledger_groups = ledger_groups;
+	return f;
+}
+
+fl_member_t *fl_member(const fl_t *f, uint64_t session)
+{
+	fl_member_t *m;
+
+	HASH_FIND(hh, f->members, &session, sizeof(session), m);
+	return m;
+}
+
+fl_upstream_t *fl_upstream(const fl_t *f, str_t id)
+{
+	fl_upstream_t *u;
+
+	HASH_FIND(hh, f->upstreams, id.p, id.n, u);
+	return u;
+}
+
+void fl_member_add(fl_t *f, fl_member_t *m)
+{
+	HASH_ADD(hh, f->members, session, sizeof(m->session), m);
+}
+
+static void member_free(fl_t *f, fl_member_t *m)
+{
+	HASH_DEL(f->members, m);
+	free(m->name);
+	free(m->addr);
+	free(m->peer);
+	free(m->zone);
+	free(m);
+}
+
+void fl_upstream_add(fl_t *f, fl_upstream_t *u)
+{
+	HASH_ADD_KEYPTR(hh, f->upstreams, u->id, strlen(u->id), u);
+}
+
+void fl_upstream_free(fl_t *f, fl_upstream_t *u)
+{
+	HASH_DEL(f->upstreams, u);
+	free(u->id);
+	free(u->addr);
+	free(u->zone);
+	free(u->service);
+	free(u);
+}
+
+void fl_free(fl_t *f)
+{
+	fl_member_t *m;
+	fl_member_t *mtmp;
+	fl_upstream_t *u;
+	fl_upstream_t *utmp;
+
+	if (!f)
+		return;
+	for (uint64_t i = 0; i < f->nconfs; i++) {
+		free(f->confs[i].operator_name);
+		free(f->confs[i].text);
+	}
+	HASH_ITER (hh, f->members, m, mtmp) {
+		member_free(f, m);
+	}
+	HASH_ITER (hh, f->upstreams, u, utmp) {
+		fl_upstream_free(f, u);
+	}
+	free(f->confs);
+	free(f->closed);
+	free(f);
+}
+
+/* ---- the operators' text ---- */
+
+void fl_conf_add(fl_t *f, uint64_t digest, str_t operator_name, str_t text)
+{
+	if (f->nconfs == f->confs_cap) {
+		f->confs_cap = f->confs_cap ? f->confs_cap * 2 : LIST_CAP_MIN;
+		f->confs = mem_grow(f->confs, f->confs_cap * sizeof(*f->confs));
+	}
+	f->confs[f->nconfs++] = (fl_conf_t){
+		.digest = digest,
+		.operator_name = str_dup(operator_name),
+		.operator_n = (uint32_t)operator_name.n,
+		.text = str_dup(text),
+		.text_n = (uint32_t)text.n,
+	};
+}
+
+void fl_conf_drop_text(fl_t *f, uint64_t number)
+{
+	fl_conf_t *c = &f->confs[number - 1];
+
+	free(c->text);
+	c->text = NULL;
+	c->text_n = 0;
+}
+
+/** Answers a submit under a number that is taken. */
+static status_t submit_again(const fl_t *f, uint64_t number, uint64_t digest, aw_fleet_res_t *res)
+{
+	uint64_t winner = f->confs[number - 1].digest;
+
+	res->winner_digest = winner;
+	if (winner != digest)
+		return st_fail(ST_CONFLICT, "number %llu holds another text",
+			       (unsigned long long)number);
+	res->number = number;
+	return ST_OK;
+}
+
+static status_t submit(fl_t *f, const aw_conf_submit_t *c, aw_fleet_res_t *res)
+{
+	uint64_t digest = tx_digest(px_str(c->text));
+
+	res->number = f->nconfs;
+	if (c->number == 0 || c->number > f->nconfs + 1)
+		return st_fail(ST_INVALID, "number %llu can't follow %llu",
+			       (unsigned long long)c->number, (unsigned long long)f->nconfs);
+	if (c->number <= f->nconfs)
+		return submit_again(f, c->number, digest, res);
+	fl_conf_add(f, digest, px_str(c->operator_name), px_str(c->text));
+	if (f->nconfs > FL_TEXTS_KEPT)
+		fl_conf_drop_text(f, f->nconfs - FL_TEXTS_KEPT);
+	res->number = c->number;
+	res->winner_digest = digest;
+	return ST_OK;
+}
+
+/* ---- sessions ---- */
+
+static fl_member_t *member_named(const fl_t *f, str_t name)
+{
+	for (fl_member_t *m = f->members; m; m = m->hh.next)
+		if (str_eq(str_c(m->name), name))
+			return m;
+	return NULL;
+}
+
+void fl_closed_add(fl_t *f, uint64_t session)
+{
+	if (f->nclosed == f->closed_cap) {
+		f->closed_cap = f->closed_cap ? f->closed_cap * 2 : LIST_CAP_MIN;
+		f->closed = mem_grow(f->closed, f->closed_cap * sizeof(*f->closed));
+	}
+	f->closed[f->nclosed++] = session;
+}
+
+static void close_member(fl_t *f, fl_member_t *m)
+{
+	fl_closed_add(f, m->session);
+	member_free(f, m);
+	f->view_version++;
+}
+
+static status_t session_open(fl_t *f, const aw_member_t *c, aw_fleet_res_t *res)
+{
+	fl_member_t *m = member_named(f, px_str(c->name));
+
+	if (c->name.aw_bytes_t_len == 0)
+		return st_fail(ST_INVALID, "a session needs a name");
+	if (m && m->boot == c->boot) {
+		res->number = m->session;
+		return ST_OK;
+	}
+	if (m)
+		close_member(f, m);
+	m = mem_new(sizeof(*m));
+	m->name = str_dup(px_str(c->name));
+	m->addr = str_dup(px_str(c->addr));
+	m->peer = str_dup(px_str(c->peer));
+	m->zone = str_dup(px_str(c->zone));
+	m->boot = c->boot;
+	m->session = ++f->last_session;
+	m->draining = c->draining;
+	fl_member_add(f, m);
+	f->view_version++;
+	res->number = m->session;
+	return ST_OK;
+}
+
+/** Status for a session that isn't open. */
+static status_t not_open(const fl_t *f, uint64_t session)
+{
+	if (session == 0 || session > f->last_session)
+		return st_fail(ST_NOT_FOUND, "no session %llu", (unsigned long long)session);
+	return st_fail(ST_CANCELLED, "session %llu is closed", (unsigned long long)session);
+}
+
+static status_t session_drain(fl_t *f, uint64_t session)
+{
+	fl_member_t *m = fl_member(f, session);
+
+	if (!m)
+		return not_open(f, session);
+	if (!m->draining)
+		f->view_version++;
+	m->draining = true;
+	return ST_OK;
+}
+
+static status_t session_close(fl_t *f, const aw_session_close_t *c)
+{
+	fl_member_t *m = fl_member(f, c->session);
+
+	if (m)
+		close_member(f, m);
+	else if (c->session == 0 || c->session > f->last_session)
+		return not_open(f, c->session);
+	return ST_OK;
+}
+
+static bool listed(const u_quad_t *v, u_int n, uint64_t session)
+{
+	for (u_int i = 0; i < n; i++)
+		if (v[i] == session)
+			return true;
+	return false;
+}
+
+static void forget(fl_t *f, const u_quad_t *v, u_int n)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < f->nclosed; i++)
+		if (!listed(v, n, f->closed[i]))
+			f->closed[kept++] = f->closed[i];
+	f->nclosed = kept;
+}
+
+/* ---- upstreams and owners ---- */
+
+static bool may_own(const fl_t *f, const fl_upstream_t *u, uint64_t session)
+{
+	const fl_member_t *m = fl_member(f, session);
+
+	if (session == 0)
+		return true;
+	return m && !m->draining && u->state != AW_UP_GONE;
+}
+
+static bool own(fl_t *f, const aw_own_change_t *c)
+{
+	fl_upstream_t *u = fl_upstream(f, px_str(c->id));
+
+	if (!u || u->fence != c->was_fence || u->owner == c->session || !may_own(f, u, c->session))
+		return false;
+	if (c->session == 0) {
+		u->last_owner = u->owner;
+		u->released_view = f->view_version + 1;
+	}
+	u->owner = c->session;
+	u->fence = ++f->last_fence;
+	if (u->owner == 0 && u->state == AW_UP_GONE)
+		fl_upstream_free(f, u);
+	return true;
+}
+
+static status_t apply_own(fl_t *f, const aw_own_change_t *v, u_int n, aw_fleet_res_t *res)
+{
+	u_int taken = 0;
+
+	for (u_int i = 0; i < n; i++)
+		taken += own(f, &v[i]);
+	if (taken)
+		f->view_version++;
+	res->number = taken;
+	return ST_OK;
+}
+
+/** Replaces a string that differs; true when it did. */
+static bool set_text(char **p, aw_bytes_t b)
+{
+	if (*p && str_eq(str_c(*p), px_str(b)))
+		return false;
+	free(*p);
+	*p = str_dup(px_str(b));
+	return true;
+}
+
+static bool list_upstream(fl_t *f, const aw_upstream_t *c)
+{
+	fl_upstream_t *u = fl_upstream(f, px_str(c->id));
+	aw_upstream_state_t state = c->state == AW_UP_LIVE ? AW_UP_LIVE : AW_UP_LEAVING;
+	bool changed = !u;
+
+	if (!u) {
+		u = mem_new(sizeof(*u));
+		u->id = str_dup(px_str(c->id));
+		fl_upstream_add(f, u);
+	}
+	if (u->listed)
+		return false;
+	u->listed = true;
+	changed |= set_text(&u->addr, c->addr);
+	changed |= set_text(&u->zone, c->zone);
+	changed |= set_text(&u->service, c->service);
+	changed |= u->state != state;
+	u->state = state;
+	return changed;
+}
+
+/** Marks an upstream that left the list; true when the view changed. */
+static bool unlist(fl_t *f, fl_upstream_t *u)
+{
+	bool changed = u->state != AW_UP_GONE;
+
+	u->state = AW_UP_GONE;
+	if (u->owner)
+		return changed;
+	fl_upstream_free(f, u);
+	return true;
+}
+
+static void replace_upstreams(fl_t *f, const aw_upstream_t *v, u_int n)
+{
+	fl_upstream_t *u;
+	fl_upstream_t *tmp;
+	bool changed = false;
+
+	for (u_int i = 0; i < n; i++)
+		if (v[i].state != AW_UP_GONE && v[i].id.aw_bytes_t_len)
+			changed |= list_upstream(f, &v[i]);
+	HASH_ITER (hh, f->upstreams, u, tmp) {
+		if (!u->listed)
+			changed |= unlist(f, u);
+		else
+			u->listed = false;
+	}
+	f->view_version += changed;
+}
+
+void fl_apply(fl_t *f, const aw_fleet_cmd_t *cmd, aw_fleet_res_t *res)
+{
+	memset(res, 0, sizeof(*res));
+	switch (cmd->kind) {
+	case AW_FLEET_CONF_SUBMIT:
+		answer(res, submit(f, &cmd->aw_fleet_cmd_t_u.submit, res));
+		break;
+	case AW_FLEET_SESSION_OPEN:
+		answer(res, session_open(f, &cmd->aw_fleet_cmd_t_u.open, res));
+		break;
+	case AW_FLEET_SESSION_DRAIN:
+		answer(res, session_drain(f, cmd->aw_fleet_cmd_t_u.drain));
+		break;
+	case AW_FLEET_SESSION_CLOSE:
+		answer(res, session_close(f, &cmd->aw_fleet_cmd_t_u.close));
+		break;
+	case AW_FLEET_OWN:
+		answer(res, apply_own(f, cmd->aw_fleet_cmd_t_u.own.own_val,
+				      cmd->aw_fleet_cmd_t_u.own.own_len, res));
+		break;
+	case AW_FLEET_UPSTREAMS:
+		replace_upstreams(f, cmd->aw_fleet_cmd_t_u.upstreams.upstreams_val,
+				  cmd->aw_fleet_cmd_t_u.upstreams.upstreams_len);
+		break;
+	case AW_FLEET_FORGET:
+		forget(f, cmd->aw_fleet_cmd_t_u.forget.forget_val,
+		       cmd->aw_fleet_cmd_t_u.forget.forget_len);
+		break;
+	default:
+		answer(res, st_fail(ST_INVALID, "unknown fleet command %d", (int)cmd->kind));
+	}
+}
--- a/src/state/fl.h
+++ b/src/state/fl.h
@@ -26,9 +26,26 @@
 /** Live sessions; returns how many were written, at most max. */
 size_t fl_sessions(const fl_t *f, uint64_t *out, size_t max);
 
-/** Plans ownership: every live or leaving upstream that an entry must own gets one, spread evenly,
- * its own zone first, few moves. `alive` tells if a session's lease may still run; replicas of a
- * session that is closed are moved. Appends changes to cmd (AW_FLEET_OWN); returns their count. */
+/** Closed sessions, oldest first, that AW_FLEET_FORGET has not named yet: the control leader tells
+ * every ledger group of them (AW_LEDGER_SESSIONS_LOST) before it forgets them. Returns how many
+ * were written, at most max. */
+size_t fl_closed(const fl_t *f, uint64_t *out, size_t max);
+
+/** Plans ownership: every live or leaving upstream gets an owner, spread within one of even for
+ * each service over the members that aren't draining, its own zone first, with few moves. Those of
+ * a closed session get a new owner at once, so close a session only once its lease has certainly
+ * ended. Those of an open session are moved in two steps: a first plan releases them (owner 0), a
+ * later one gives them to another. Those that are gone are released. Makes cmd an AW_FLEET_OWN,
+ * which px_free frees, and returns the count of its changes. */
 size_t fl_plan_owners(const fl_t *f, size_t max_changes, aw_fleet_cmd_t *cmd);
 
+/** The same, but a released upstream waits until `seen` says that the session which owned it knows
+ * of the view in which it was released, or is closed. */
+typedef struct {
+	size_t max_changes;
+	bool (*seen)(void *ctx, uint64_t session, uint64_t view_version); /* NULL: always */
+	void *ctx;
+} fl_plan_t;
+size_t fl_plan_owners_seen(const fl_t *f, const fl_plan_t *plan, aw_fleet_cmd_t *cmd);
+
 #endif
--- a/src/state/ld.h
+++ b/src/state/ld.h
@@ -15,6 +15,20 @@
 #define LD_DEATHS_MAX	   5
 #define LD_JOB_ITEMS_MAX   540000
 #define LD_LEASE_CHUNK_MAX 256
+/** A chunk ends once its bodies hold this much. */
+#define LD_LEASE_BYTES_MAX   1048576
+#define LD_RESULTS_PAGE_MAX  1000
+#define LD_RESULTS_BYTES_MAX 1048576
+#define LD_JOBS_PAGE_MAX     100
+/** Things that one EXPIRE removes at most. */
+#define LD_EXPIRE_MAX 10000
+/** Jobs are removed that long after JOB_OPEN when they were never sealed. */
+#define LD_UNSEALED_MAX_MS 3600000
+/** Jobs whose deadlines fall into the same span of this length take turns. */
+#define LD_BAND_MS 60000
+
+/** One step of a job's digest: starts at 0 and takes in each item's body in order. */
+uint64_t ld_digest_step(uint64_t so_far, str_t body);
 
 ld_t *ld_new(void);
 void ld_free(ld_t *l);
--- /dev/null
+++ b/src/state/ld_lease.c
@@ -0,0 +1,462 @@
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+#include "state/ld_core.h"
+
+void ld_queue_push(ld_job_t *j, ld_queue_t *q, uint32_t index)
+{
+	ld_item_t *it = &j->items[index];
+
+	it->next = LD_NO_ITEM;
+	it->prev = q->tail;
+	if (q->tail == LD_NO_ITEM)
+		q->head = index;
+	else
+		j->items[q->tail].next = index;
+	q->tail = index;
+}
+
+static void queue_remove(ld_job_t *j, ld_queue_t *q, uint32_t index)
+{
+	ld_item_t *it = &j->items[index];
+
+	if (it->prev == LD_NO_ITEM)
+		q->head = it->next;
+	else
+		j->items[it->prev].next = it->next;
+	if (it->next == LD_NO_ITEM)
+		q->tail = it->prev;
+	else
+		j->items[it->next].prev = it->prev;
+}
+
+uint32_t ld_queue_pop(ld_job_t *j, ld_queue_t *q)
+{
+	uint32_t index = q->head;
+
+	if (index != LD_NO_ITEM)
+		queue_remove(j, q, index);
+	return index;
+}
+
+static uint16_t free_slot(ld_job_t *j)
+{
+	for (uint16_t i = 0; i < j->nholds; i++)
+		if (!j->holds[i])
+			return i;
+	assert(j->nholds < UINT16_MAX);
+	j->holds = mem_grow(j->holds, (j->nholds + 1) * sizeof(*j->holds));
+	return j->nholds++;
+}
+
+ld_hold_t *ld_hold_get(ld_job_t *j, ld_session_t *s)
+{
+	ld_hold_t *h;
+
+	for (uint16_t i = 0; i < j->nholds; i++)
+		if (j->holds[i] && j->holds[i]->session == s)
+			return j->holds[i];
+	h = mem_new(sizeof(*h));
+	h->session = s;
+	h->job = j;
+	h->items = (ld_queue_t){LD_NO_ITEM, LD_NO_ITEM};
+	h->slot = free_slot(j);
+	j->holds[h->slot] = h;
+	if (j->cancelled)
+		DL_APPEND(s->cancelled, h);
+	else
+		DL_APPEND(s->holds, h);
+	return h;
+}
+
+void ld_hold_add(ld_hold_t *h, uint32_t index)
+{
+	ld_item_t *it = &h->job->items[index];
+
+	it->state = LD_LEASED;
+	it->hold = h->slot;
+	ld_queue_push(h->job, &h->items, index);
+	h->n++;
+}
+
+/** Takes an item off its hold, which is freed when it was the last. */
+static void hold_drop(ld_t *l, ld_job_t *j, uint32_t index)
+{
+	ld_hold_t *h = j->holds[j->items[index].hold];
+
+	queue_remove(j, &h->items, index);
+	assert(h->n > 0 && j->leased > 0 && l->leased > 0);
+	j->leased--;
+	l->leased--;
+	if (--h->n)
+		return;
+	if (j->cancelled)
+		DL_DELETE(h->session->cancelled, h);
+	else
+		DL_DELETE(h->session->holds, h);
+	j->holds[h->slot] = NULL;
+	free(h);
+}
+
+static void fill_item(const ld_job_t *j, uint32_t index, aw_item_t *out)
+{
+	const ld_item_t *it = &j->items[index];
+
+	*out = (aw_item_t){
+		.caller = px_copy(ld_id_caller(&j->id)),
+		.job = px_copy(ld_id_name(&j->id)),
+		.index = index,
+		.attempt = it->attempts,
+		.alone = it->deaths >= LD_DEATHS_ALONE,
+		.repeatable = true,
+		.deadline_wall_ms = j->deadline_ms,
+		.body = px_copy((str_t){it->data, it->len}),
+		.trace = px_copy((str_t){j->trace, j->trace_n}),
+	};
+}
+
+static void fill_request(const ld_request_t *r, aw_item_t *out)
+{
+	*out = (aw_item_t){
+		.caller = px_copy(ld_id_caller(&r->id)),
+		.key = px_copy(ld_id_name(&r->id)),
+		.attempt = r->attempts,
+		.alone = r->deaths >= LD_DEATHS_ALONE,
+		.repeatable = r->repeatable,
+		.deadline_wall_ms = r->deadline_ms,
+		.path = px_copy((str_t){r->input, r->path_n}),
+		.body = px_copy((str_t){r->input + r->path_n, r->body_n}),
+		.trace = px_copy((str_t){r->input + r->path_n + r->body_n, r->trace_n}),
+	};
+}
+
+/** Items of an answer while it is filled. */
+typedef struct {
+	aw_ledger_res_t *res;
+	uint32_t max;
+	size_t bytes;
+} chunk_t;
+
+static bool chunk_full(const chunk_t *ch)
+{
+	return ch->res->items.items_len >= ch->max || ch->bytes >= LD_LEASE_BYTES_MAX;
+}
+
+static aw_item_t *chunk_next(chunk_t *ch)
+{
+	return &ch->res->items.items_val[ch->res->items.items_len++];
+}
+
+static void chunk_booked(chunk_t *ch)
+{
+	const aw_item_t *it = &ch->res->items.items_val[ch->res->items.items_len - 1];
+
+	ch->bytes += it->body.aw_bytes_t_len;
+}
+
+/** The session's lease record of a service, made if need be. */
+static ld_lease_t *lease_record(ld_session_t *s, ld_service_t *service)
+{
+	ld_lease_t *le = s->leases;
+
+	while (le && le->service != service)
+		le = le->next;
+	if (le)
+		return le;
+	le = mem_new(sizeof(*le));
+	le->service = service;
+	le->next = s->leases;
+	s->leases = le;
+	return le;
+}
+
+static void take_orphans(ld_session_t *s, ld_lease_t *le, chunk_t *ch)
+{
+	ld_node_t *n;
+
+	while (!chunk_full(ch) && (n = ld_heap_min(&le->service->orphans))) {
+		ld_request_t *r = LD_CONTAINER(n, ld_request_t, wait);
+
+		ld_heap_remove(&le->service->orphans, n);
+		r->attempts++;
+		r->lease_seq = le->seq;
+		ld_request_hold(r, s);
+		fill_request(r, chunk_next(ch));
+		chunk_booked(ch);
+	}
+}
+
+static uint32_t next_waiting(ld_job_t *j)
+{
+	uint32_t index = ld_queue_pop(j, &j->back);
+
+	if (index != LD_NO_ITEM)
+		return index;
+	if (j->cursor < j->count)
+		return j->cursor++;
+	return ld_queue_pop(j, &j->retry);
+}
+
+/** Moves a lane and its job behind the others of their rings. */
+static void end_turn(ld_job_t *j)
+{
+	ld_lane_t *lane = j->lane;
+	ld_band_t *b = lane->band;
+
+	DL_DELETE(lane->ready, j);
+	DL_APPEND(lane->ready, j);
+	DL_DELETE(b->ring, lane);
+	DL_APPEND(b->ring, lane);
+}
+
+/** Leases one item of the caller and job whose turn it is. */
+static void take_item(ld_t *l, ld_session_t *s, ld_lease_t *le, const ld_node_t *band, chunk_t *ch)
+{
+	ld_band_t *b = LD_CONTAINER(band, ld_band_t, node);
+	ld_job_t *j = b->ring->ready;
+	uint32_t index = next_waiting(j);
+	ld_item_t *it;
+
+	assert(index != LD_NO_ITEM && j->sealed && !j->cancelled);
+	it = &j->items[index];
+	assert(it->state == LD_WAITING);
+	it->attempts++;
+	j->waiting--;
+	j->leased++;
+	l->leased++;
+	ld_hold_add(ld_hold_get(j, s), index);
+	le->refs[le->n++] = (ld_ref_t){j->serial, index, it->attempts};
+	end_turn(j);
+	if (j->waiting == 0)
+		ld_job_unready(j);
+	ld_job_settle(l, j, 0);
+	fill_item(j, index, chunk_next(ch));
+	chunk_booked(ch);
+}
+
+static void lease_new(ld_t *l, ld_session_t *s, ld_lease_t *le, uint64_t seq, chunk_t *ch)
+{
+	ld_node_t *band;
+
+	le->seq = seq;
+	le->n = 0;
+	free(le->refs);
+	le->refs = mem_new(ch->max * sizeof(*le->refs));
+	take_orphans(s, le, ch);
+	while (!chunk_full(ch) && (band = ld_heap_min(&le->service->bands)))
+		take_item(l, s, le, band, ch);
+}
+
+static void drop_leased(ld_t *l, ld_job_t *j, uint32_t index, int64_t now_ms)
+{
+	hold_drop(l, j, index);
+	ld_item_end(l, j, index, LD_DROPPED, (str_t){0});
+	j->dropped++;
+	ld_job_settle(l, j, now_ms);
+}
+
+/** Answers a resend with the items that the session still holds under that lease. The items of jobs
+ * cancelled since then are dropped: the session has not begun them. */
+static void lease_again(ld_t *l, ld_session_t *s, ld_lease_t *le, int64_t now_ms, chunk_t *ch)
+{
+	ld_request_t *r;
+
+	DL_FOREACH (s->requests, r) {
+		if (r->lease_seq == le->seq && r->service == le->service &&
+		    ch->res->items.items_len < ch->max)
+			fill_request(r, chunk_next(ch));
+	}
+	for (uint32_t i = 0; i < le->n && ch->res->items.items_len < ch->max; i++) {
+		ld_ref_t *ref = &le->refs[i];
+		ld_job_t *j;
+		ld_item_t *it;
+
+		HASH_FIND(hh_serial, l->jobs_by_serial, &ref->job, sizeof(ref->job), j);
+		it = j ? &j->items[ref->index] : NULL;
+		if (!it || it->state != LD_LEASED || it->attempts != ref->attempt)
+			continue;
+		if (j->cancelled)
+			drop_leased(l, j, ref->index, now_ms);
+		else
+			fill_item(j, ref->index, chunk_next(ch));
+	}
+}
+
+/** Lists cancelled jobs that the session still holds items of. */
+static void fill_cancelled(const ld_session_t *s, aw_ledger_res_t *res)
+{
+	const ld_hold_t *h;
+	uint32_t n = 0;
+
+	DL_FOREACH (s->cancelled, h)
+		n++;
+	if (n == 0)
+		return;
+	res->cancelled.cancelled_val = mem_new(n * sizeof(aw_job_ref_t));
+	DL_FOREACH (s->cancelled, h) {
+		aw_job_ref_t *ref = &res->cancelled.cancelled_val[res->cancelled.cancelled_len++];
+
+		ref->caller = px_copy(ld_id_caller(&h->job->id));
+		ref->job = px_copy(ld_id_name(&h->job->id));
+	}
+}
+
+static status_t check_session(const ld_t *l, uint64_t session)
+{
+	if (session == 0)
+		return st_fail(ST_INVALID, "no session");
+	if (ld_is_lost(l, session))
+		return st_fail(ST_CANCELLED, "session %llu is lost", (unsigned long long)session);
+	return ST_OK;
+}
+
+void ld_lease(ld_t *l, const aw_lease_t *c, aw_ledger_res_t *res)
+{
+	status_t st = check_session(l, c->session);
+	chunk_t ch = {res, c->max < LD_LEASE_CHUNK_MAX ? c->max : LD_LEASE_CHUNK_MAX, 0};
+	ld_session_t *s;
+	ld_lease_t *le;
+
+	if (st == ST_OK && c->seq == 0)
+		st = st_fail(ST_INVALID, "lease commands are counted from 1");
+	if (st != ST_OK) {
+		ld_answer(res, st);
+		return;
+	}
+	s = ld_session(l, c->session);
+	le = lease_record(s, ld_service(l, px_str(c->service)));
+	if (c->seq < le->seq) {
+		ld_answer(res, st_fail(ST_CONFLICT, "lease %llu came after %llu",
+				       (unsigned long long)c->seq, (unsigned long long)le->seq));
+		return;
+	}
+	res->items.items_val = mem_new(LD_LEASE_CHUNK_MAX * sizeof(aw_item_t));
+	if (c->seq == le->seq) {
+		ch.max = LD_LEASE_CHUNK_MAX;
+		lease_again(l, s, le, c->now_wall_ms, &ch);
+	} else {
+		lease_new(l, s, le, c->seq, &ch);
+	}
+	fill_cancelled(s, res);
+}
+
+/** Books an item's failed run and puts it back, or ends it when its bounds are used up. */
+static void item_failed(ld_t *l, ld_job_t *j, uint32_t index, aw_blame_t blame, str_t reason)
+{
+	ld_item_t *it = &j->items[index];
+	bool suspect = blame == AW_BLAME_ITEM;
+
+	if (blame == AW_BLAME_ITEM)
+		it->fails++;
+	if (blame == AW_BLAME_REPLICA) {
+		it->deaths++;
+		suspect = it->deaths >= LD_DEATHS_ALONE;
+	}
+	if (it->fails >= LD_ITEM_ATTEMPTS || it->deaths >= LD_DEATHS_MAX) {
+		ld_item_end(l, j, index, LD_FAILED, reason);
+		j->failed++;
+		return;
+	}
+	it->state = LD_WAITING;
+	j->waiting++;
+	ld_queue_push(j, suspect ? &j->retry : &j->back, index);
+	ld_job_ready(j);
+}
+
+/** Takes a leased item's end; the item is off its hold. */
+static void item_result(ld_t *l, ld_job_t *j, const aw_item_result_t *r)
+{
+	if (j->cancelled) {
+		ld_item_end(l, j, r->index, LD_DROPPED, (str_t){0});
+		j->dropped++;
+		return;
+	}
+	if (!r->done) {
+		item_failed(l, j, r->index, r->blame, px_str(r->body));
+		return;
+	}
+	ld_item_end(l, j, r->index, LD_DONE, px_str(r->body));
+	j->done++;
+}
+
+static bool holds(const ld_job_t *j, uint64_t session, const aw_item_result_t *r)
+{
+	const ld_item_t *it;
+
+	if (!j || r->index >= j->received)
+		return false;
+	it = &j->items[r->index];
+	return it->state == LD_LEASED && it->attempts == r->attempt &&
+	       j->holds[it->hold]->session->id == session;
+}
+
+static bool take_result(ld_t *l, uint64_t session, int64_t now_ms, const aw_item_result_t *r)
+{
+	ld_job_t *j;
+	bool cancelled;
+
+	if (r->job.aw_bytes_t_len == 0)
+		return ld_request_result(l, session, now_ms, r);
+	j = ld_job_find(l, px_str(r->caller), px_str(r->job));
+	if (!holds(j, session, r))
+		return false;
+	cancelled = j->cancelled;
+	hold_drop(l, j, r->index);
+	item_result(l, j, r);
+	ld_job_settle(l, j, now_ms);
+	return !cancelled;
+}
+
+void ld_done(ld_t *l, const aw_done_t *c, aw_ledger_res_t *res)
+{
+	status_t st = check_session(l, c->session);
+	ld_session_t *s;
+
+	if (st != ST_OK) {
+		l->late_dropped += c->results.results_len;
+		ld_answer(res, st);
+		return;
+	}
+	for (uint32_t i = 0; i < c->results.results_len; i++) {
+		if (take_result(l, c->session, c->now_wall_ms, &c->results.results_val[i]))
+			res->count++;
+		else
+			l->late_dropped++;
+	}
+	s = ld_session_find(l, c->session);
+	if (s)
+		fill_cancelled(s, res);
+}
+
+/** Gives a lost session's items of one job back, in the order they were leased. */
+static void hold_lost(ld_t *l, ld_hold_t *h, int64_t now_ms)
+{
+	ld_job_t *j = h->job;
+	aw_item_result_t back = {.blame = AW_BLAME_NONE};
+
+	for (uint32_t left = h->n; left > 0; left--) {
+		back.index = h->items.head;
+		hold_drop(l, j, back.index);
+		item_result(l, j, &back);
+	}
+	ld_job_settle(l, j, now_ms);
+}
+
+void ld_sessions_lost(ld_t *l, const aw_sessions_lost_t *c, aw_ledger_res_t *res)
+{
+	for (uint32_t i = 0; i < c->sessions.sessions_len; i++) {
+		ld_session_t *s = ld_session_find(l, c->sessions.sessions_val[i]);
+
+		ld_mark_lost(l, c->sessions.sessions_val[i]);
+		res->count++;
+		if (!s)
+			continue;
+		ld_requests_lost(l, s, c->now_wall_ms);
+		while (s->holds)
+			hold_lost(l, s->holds, c->now_wall_ms);
+		while (s->cancelled)
+			hold_lost(l, s->cancelled, c->now_wall_ms);
+		ld_session_free(l, s);
+	}
+}
--- /dev/null
+++ b/src/state/sn.c
@@ -0,0 +1,88 @@
+#include "state/sn.h"
+
+#define VARINT_BYTES_MAX 10
+#define VARINT_BITS	 7
+#define VARINT_MORE	 0x80U
+
+void sn_put(buf_t *out, uint64_t v)
+{
+	char tmp[VARINT_BYTES_MAX];
+	size_t n = 0;
+
+	while (v >= VARINT_MORE) {
+		tmp[n++] = (char)(v | VARINT_MORE);
+		v >>= VARINT_BITS;
+	}
+	tmp[n++] = (char)v;
+	buf_add(out, (str_t){tmp, n});
+}
+
+void sn_put_i64(buf_t *out, int64_t v)
+{
+	sn_put(out, ((uint64_t)v << 1) ^ (uint64_t)(v >> 63));
+}
+
+void sn_put_str(buf_t *out, str_t s)
+{
+	sn_put(out, s.n);
+	buf_add(out, s);
+}
+
+uint64_t sn_get(sn_reader_t *r)
+{
+	uint64_t v = 0;
+
+	for (size_t i = 0; i < VARINT_BYTES_MAX && i < r->left.n; i++) {
+		unsigned char c = (unsigned char)r->left.p[i];
+
+		v |= (uint64_t)(c & (VARINT_MORE - 1)) << (VARINT_BITS * i);
+		if (c & VARINT_MORE)
+			continue;
+		r->left.p += i + 1;
+		r->left.n -= i + 1;
+		return v;
+	}
+	r->bad = true;
+	r->left.n = 0;
+	return 0;
+}
+
+int64_t sn_get_i64(sn_reader_t *r)
+{
+	uint64_t v = sn_get(r);
+
+	return (int64_t)(v >> 1) ^ -(int64_t)(v & 1);
+}
+
+uint64_t sn_get_max(sn_reader_t *r, uint64_t max)
+{
+	uint64_t v = sn_get(r);
+
+	if (v <= max)
+		return v;
+	r->bad = true;
+	r->left.n = 0;
+	return 0;
+}
+
+str_t sn_get_str(sn_reader_t *r)
+{
+	uint64_t n = sn_get_max(r, r->left.n);
+	str_t s;
+
+	if (n > r->left.n) {
+		r->bad = true;
+		n = 0;
+	}
+	s = (str_t){r->left.p, n};
+	r->left.p += n;
+	r->left.n -= n;
+	return s;
+}
+
+status_t sn_end(const sn_reader_t *r, const char *what)
+{
+	if (r->bad || r->left.n)
+		return st_fail(ST_CORRUPT, "%s snapshot can't be read", what);
+	return ST_OK;
+}
--- a/src/state/tx.h
+++ b/src/state/tx.h
@@ -2,6 +2,8 @@
 #ifndef AUBURN_TX_H
 #define AUBURN_TX_H
 
+#include <stdbool.h>
+#include <stdint.h>
 #include "base/status.h"
 #include "base/str.h"
 
--- /dev/null
+++ b/tests/unit/test_ledger.c
@@ -0,0 +1,449 @@
+/* Unit tests of the ledger: requests, jobs, leases, snapshots. */
+#include "ledger_kit.h"
+
+static ld_t *l;
+
+static void setup(void)
+{
+	l = ld_new();
+}
+
+static void teardown(void)
+{
+	ld_free(l);
+}
+
+START_TEST(same_key_and_digest_is_one_request)
+{
+	AUTO_RES first = kit_accept(l, "k", 7, true, 1);
+	AUTO_RES again = kit_accept(l, "k", 7, true, 2);
+	AUTO_RES other = kit_accept(l, "k", 8, true, 1);
+	AUTO_RES end = kit_finish(l, "k", AW_DONE, "answer");
+	AUTO_RES late = kit_finish(l, "k", AW_FAILED, "other");
+	AUTO_RES read = kit_accept(l, "k", 7, true, 2);
+	ld_stats_t st;
+
+	ck_assert(first.status == ST_OK && first.record.fresh);
+	ck_assert(again.status == ST_OK && !again.record.fresh && again.record.session == 1);
+	ck_assert_int_eq(other.status, ST_CONFLICT);
+	ck_assert(end.record.fresh && !late.record.fresh);
+	ck_assert(late.record.state == AW_DONE && kit_is(late.record.result, "answer"));
+	ck_assert(read.record.state == AW_DONE && kit_is(read.record.result, "answer"));
+	ld_stats(l, &st);
+	ck_assert_int_eq(st.late_dropped, 1);
+	ck_assert_int_eq(st.requests, 1);
+}
+END_TEST
+
+START_TEST(one_attempt_token_ever)
+{
+	AUTO_RES made = kit_accept(l, "k", 7, false, 1);
+	AUTO_RES stranger = kit_attempt(l, "k", 9, 2);
+	AUTO_RES first = kit_attempt(l, "k", 5, 1);
+	AUTO_RES again = kit_attempt(l, "k", 5, 1);
+	AUTO_RES other = kit_attempt(l, "k", 6, 1);
+	AUTO_RES end = kit_finish(l, "k", AW_DONE, "sent");
+	AUTO_RES late = kit_attempt(l, "k", 5, 1);
+
+	ck_assert_int_eq(stranger.status, ST_CONFLICT);
+	ck_assert_int_eq(first.status, ST_OK);
+	ck_assert_int_eq(again.status, ST_OK);
+	ck_assert_int_eq(other.status, ST_CONFLICT);
+	ck_assert_int_eq(late.status, ST_CONFLICT);
+	ck_assert(late.record.state == AW_DONE && kit_is(late.record.result, "sent"));
+}
+END_TEST
+
+START_TEST(lost_session_leaves_orphans)
+{
+	AUTO_RES a = kit_accept(l, "repeat", 1, true, 1);
+	AUTO_RES b = kit_accept(l, "quote", 2, false, 1);
+	AUTO_RES c = kit_accept(l, "sent", 3, false, 1);
+	AUTO_RES begun = kit_attempt(l, "sent", 5, 1);
+	AUTO_RES lost = kit_lost(l, 1);
+	AUTO_RES sent = kit_accept(l, "sent", 3, false, 2);
+	AUTO_RES late = kit_finish(l, "sent", AW_DONE, "too late");
+	AUTO_RES lease = kit_lease(l, 2, 1, 10);
+	AUTO_RES again = kit_lease(l, 2, 1, 10);
+	AUTO_RES stale = kit_attempt(l, "quote", 6, 1);
+	AUTO_RES begin = kit_attempt(l, "quote", 6, 2);
+
+	ck_assert_int_eq(begun.status, ST_OK);
+	ck_assert(sent.record.state == AW_FAILED && !sent.record.fresh);
+	ck_assert_int_eq(sent.record.verdict, VERDICT_MAY_HAVE_RUN);
+	ck_assert_int_eq(late.record.state, AW_FAILED);
+	ck_assert_int_eq(lease.items.items_len, 2);
+	ck_assert_int_eq(again.items.items_len, 2);
+	ck_assert(lease.items.items_val[0].job.aw_bytes_t_len == 0);
+	ck_assert(kit_is(lease.items.items_val[0].key, "repeat"));
+	ck_assert(kit_is(lease.items.items_val[0].path, "/v1/x"));
+	ck_assert(kit_is(lease.items.items_val[0].body, "body"));
+	ck_assert(kit_is(lease.items.items_val[1].key, "quote"));
+	ck_assert(!lease.items.items_val[1].repeatable);
+	ck_assert_int_eq(stale.status, ST_CANCELLED);
+	ck_assert_int_eq(begin.status, ST_OK);
+}
+END_TEST
+
+START_TEST(orphan_is_given_back_and_ends)
+{
+	AUTO_RES a = kit_accept(l, "k", 1, true, 1);
+	AUTO_RES lost = kit_lost(l, 1);
+	AUTO_RES one = kit_lease(l, 2, 1, 10);
+	unsigned back = kit_done_one(l, 2, one.items.items_val, false, AW_BLAME_NONE, "");
+	AUTO_RES two = kit_lease(l, 3, 1, 10);
+	unsigned stale = kit_done_one(l, 2, one.items.items_val, true, AW_BLAME_NONE, "old");
+	unsigned done = kit_done_one(l, 3, two.items.items_val, true, AW_BLAME_NONE, "new");
+	AUTO_RES read = kit_accept(l, "k", 1, true, 3);
+
+	ck_assert_int_eq(back, 1);
+	ck_assert_int_eq(two.items.items_len, 1);
+	ck_assert_int_eq(stale, 0);
+	ck_assert_int_eq(done, 1);
+	ck_assert(read.record.state == AW_DONE && kit_is(read.record.result, "new"));
+}
+END_TEST
+
+START_TEST(lost_session_gets_nothing)
+{
+	AUTO_RES lost = kit_lost(l, 1);
+	AUTO_RES accept = kit_accept(l, "k", 1, true, 1);
+	AUTO_RES lease;
+
+	kit_job(l, "paper", "lot", 2, KIT_NOW_MS);
+	lease = kit_lease(l, 1, 1, 10);
+	ck_assert_int_eq(accept.status, ST_CANCELLED);
+	ck_assert_int_eq(lease.status, ST_CANCELLED);
+	ck_assert_int_eq(lease.items.items_len, 0);
+}
+END_TEST
+
+START_TEST(job_steps_are_idempotent)
+{
+	uint64_t digest = kit_digest(10);
+
+	for (int i = 0; i < 3; i++) {
+		AUTO_RES open = kit_open(l, "paper", "lot", 10, digest, KIT_NOW_MS);
+		AUTO_RES gap = kit_items(l, "paper", "lot", 8, 2);
+		AUTO_RES head = kit_items(l, "paper", "lot", 0, 4);
+		AUTO_RES early = kit_ref(l, AW_LEDGER_JOB_SEAL, "paper", "lot");
+		AUTO_RES tail = kit_items(l, "paper", "lot", 3, 7);
+		AUTO_RES seal = kit_ref(l, AW_LEDGER_JOB_SEAL, "paper", "lot");
+
+		ck_assert_int_eq(open.status, ST_OK);
+		ck_assert_int_eq(open.job.fresh, i == 0);
+		ck_assert_int_eq(gap.status, i ? ST_OK : ST_INVALID);
+		ck_assert_int_eq(head.status, ST_OK);
+		ck_assert_int_eq(early.status, i ? ST_OK : ST_INVALID);
+		ck_assert_int_eq(tail.job.received, 10);
+		ck_assert_int_eq(seal.status, ST_OK);
+		ck_assert_int_eq(seal.job.fresh, i == 0);
+		ck_assert(seal.job.sealed && seal.job.waiting == 10);
+	}
+	AUTO_RES other = kit_open(l, "paper", "lot", 10, digest + 1, KIT_NOW_MS);
+
+	ck_assert_int_eq(other.status, ST_CONFLICT);
+}
+END_TEST
+
+START_TEST(wrong_digest_is_no_job)
+{
+	AUTO_RES open = kit_open(l, "paper", "lot", 3, 77, KIT_NOW_MS);
+	AUTO_RES items = kit_items(l, "paper", "lot", 0, 3);
+	AUTO_RES unsealed = kit_lease(l, 1, 1, 10);
+	AUTO_RES seal = kit_ref(l, AW_LEDGER_JOB_SEAL, "paper", "lot");
+	AUTO_QRES q = kit_query_job(l, "paper", "lot");
+
+	ck_assert_int_eq(unsealed.items.items_len, 0);
+	ck_assert_int_eq(seal.status, ST_INVALID);
+	ck_assert_int_eq(q.status, ST_NOT_FOUND);
+}
+END_TEST
+
+START_TEST(lease_resend_gets_the_same)
+{
+	kit_job(l, "paper", "lot", 10, KIT_NOW_MS);
+	AUTO_RES a = kit_lease(l, 1, 1, 4);
+
+	kit_reload(&l);
+	AUTO_RES b = kit_lease(l, 1, 1, 4);
+	AUTO_RES c = kit_lease(l, 1, 2, 4);
+	AUTO_RES old = kit_lease(l, 1, 1, 4);
+
+	ck_assert_int_eq(a.items.items_len, 4);
+	ck_assert_int_eq(b.items.items_len, 4);
+	for (int i = 0; i < 4; i++) {
+		ck_assert_int_eq(a.items.items_val[i].index, b.items.items_val[i].index);
+		ck_assert_int_eq(a.items.items_val[i].attempt, b.items.items_val[i].attempt);
+	}
+	ck_assert_int_eq(c.items.items_val[0].index, 4);
+	ck_assert_int_eq(old.status, ST_CONFLICT);
+}
+END_TEST
+
+START_TEST(earliest_deadline_first_in_turns)
+{
+	static const char *const want[] = {"soon", "a1", "b1", "a2", "b1", "a1", "b1", "late"};
+
+	kit_job(l, "a", "late", 1, KIT_NOW_MS + 10LL * LD_BAND_MS);
+	kit_job(l, "a", "a1", 2, KIT_NOW_MS + 3LL * LD_BAND_MS);
+	kit_job(l, "a", "a2", 1, KIT_NOW_MS + 3LL * LD_BAND_MS);
+	kit_job(l, "b", "b1", 3, KIT_NOW_MS + 3LL * LD_BAND_MS);
+	kit_job(l, "a", "soon", 1, KIT_NOW_MS + LD_BAND_MS);
+	for (unsigned i = 0; i < 8; i++) {
+		AUTO_RES r = kit_lease(l, 1, i + 1, 1);
+
+		kit_reload(&l);
+		ck_assert_int_eq(r.items.items_len, 1);
+		ck_assert_msg(kit_is(r.items.items_val[0].job, want[i]), "turn %u", i);
+	}
+}
+END_TEST
+
+START_TEST(first_result_wins)
+{
+	kit_job(l, "paper", "lot", 1, KIT_NOW_MS);
+	AUTO_RES a = kit_lease(l, 1, 1, 1);
+	unsigned stranger = kit_done_one(l, 2, a.items.items_val, true, AW_BLAME_NONE, "x");
+	unsigned first = kit_done_one(l, 1, a.items.items_val, true, AW_BLAME_NONE, "one");
+	unsigned second = kit_done_one(l, 1, a.items.items_val, true, AW_BLAME_NONE, "two");
+	AUTO_QRES q = kit_query_results(l, "paper", "lot", 0, 10);
+	ld_stats_t st;
+
+	ld_stats(l, &st);
+	ck_assert_int_eq(stranger, 0);
+	ck_assert_int_eq(first, 1);
+	ck_assert_int_eq(second, 0);
+	ck_assert_int_eq(st.late_dropped, 2);
+	ck_assert_int_eq(q.items.items_len, 1);
+	ck_assert(kit_is(q.items.items_val[0].body, "one"));
+}
+END_TEST
+
+START_TEST(late_result_of_lost_session_is_dropped)
+{
+	kit_job(l, "paper", "lot", 1, KIT_NOW_MS);
+	AUTO_RES a = kit_lease(l, 1, 1, 1);
+	AUTO_RES lost = kit_lost(l, 1);
+	AUTO_RES b = kit_lease(l, 2, 1, 1);
+	unsigned late = kit_done_one(l, 1, a.items.items_val, true, AW_BLAME_NONE, "old");
+	unsigned forged = kit_done_one(l, 2, a.items.items_val, true, AW_BLAME_NONE, "old");
+	unsigned good = kit_done_one(l, 2, b.items.items_val, true, AW_BLAME_NONE, "new");
+
+	ck_assert_int_eq(b.items.items_len, 1);
+	ck_assert_int_eq(b.items.items_val[0].attempt, 2);
+	ck_assert_int_eq(late, 0);
+	ck_assert_int_eq(forged, 0);
+	ck_assert_int_eq(good, 1);
+}
+END_TEST
+
+/* Leases the only item and fails it; returns the number of runs until it is final. */
+static unsigned runs_until_failed(aw_blame_t blame, unsigned alone_from)
+{
+	for (unsigned run = 1; run < 100; run++) {
+		AUTO_RES a = kit_lease(l, 1, run, 1);
+
+		if (a.items.items_len == 0)
+			return run - 1;
+		ck_assert_int_eq(a.items.items_val[0].alone, run > alone_from);
+		ck_assert_int_eq(kit_done_one(l, 1, a.items.items_val, false, blame, "why"), 1);
+	}
+	return 100;
+}
+
+START_TEST(blame_is_charged_apart)
+{
+	kit_job(l, "paper", "bad", 1, KIT_NOW_MS);
+	ck_assert_int_eq(runs_until_failed(AW_BLAME_ITEM, 100), LD_ITEM_ATTEMPTS);
+	AUTO_QRES q = kit_query_results(l, "paper", "bad", 0, 1);
+
+	ck_assert_int_eq(q.items.items_val[0].state, AW_FAILED);
+	ck_assert(kit_is(q.items.items_val[0].body, "why"));
+	teardown();
+	setup();
+	kit_job(l, "paper", "killer", 1, KIT_NOW_MS);
+	ck_assert_int_eq(runs_until_failed(AW_BLAME_REPLICA, LD_DEATHS_ALONE), LD_DEATHS_MAX);
+	teardown();
+	setup();
+	kit_job(l, "paper", "fine", 1, KIT_NOW_MS);
+	ck_assert_int_eq(runs_until_failed(AW_BLAME_NONE, 100), 100);
+}
+END_TEST
+
+START_TEST(cancelled_job_stops)
+{
+	kit_job(l, "paper", "lot", 10, KIT_NOW_MS);
+	AUTO_RES a = kit_lease(l, 1, 1, 4);
+	AUTO_RES cancel = kit_ref(l, AW_LEDGER_JOB_CANCEL, "paper", "lot");
+	AUTO_RES again = kit_ref(l, AW_LEDGER_JOB_CANCEL, "paper", "lot");
+	AUTO_RES next = kit_lease(l, 1, 2, 4);
+	AUTO_RES stranger = kit_lease(l, 2, 1, 4);
+	unsigned late;
+
+	ck_assert_int_eq(cancel.job.dropped, 6);
+	ck_assert_int_eq(cancel.job.leased, 4);
+	ck_assert_int_eq(again.status, ST_OK);
+	ck_assert_int_eq(next.items.items_len, 0);
+	ck_assert_int_eq(next.cancelled.cancelled_len, 1);
+	ck_assert_int_eq(stranger.cancelled.cancelled_len, 0);
+	kit_reload(&l);
+	for (int i = 0; i < 4; i++) {
+		late = kit_done_one(l, 1, &a.items.items_val[i], true, AW_BLAME_NONE, "x");
+		ck_assert_int_eq(late, 0);
+	}
+	AUTO_RES after = kit_lease(l, 1, 3, 4);
+	AUTO_QRES q = kit_query_job(l, "paper", "lot");
+	AUTO_QRES items = kit_query_results(l, "paper", "lot", 0, 10);
+
+	ck_assert_int_eq(after.cancelled.cancelled_len, 0);
+	ck_assert_int_eq(q.jobs.jobs_val[0].dropped, 10);
+	ck_assert_int_eq(items.items.items_val[0].state, AW_CANCELLED);
+	ck_assert_int_eq(items.items.items_val[9].state, AW_CANCELLED);
+}
+END_TEST
+
+START_TEST(resent_lease_drops_cancelled_items)
+{
+	kit_job(l, "paper", "lot", 4, KIT_NOW_MS);
+	AUTO_RES a = kit_lease(l, 1, 1, 4);
+	AUTO_RES cancel = kit_ref(l, AW_LEDGER_JOB_CANCEL, "paper", "lot");
+	AUTO_RES again = kit_lease(l, 1, 1, 4);
+	AUTO_QRES q = kit_query_job(l, "paper", "lot");
+
+	ck_assert_int_eq(a.items.items_len, 4);
+	ck_assert_int_eq(again.items.items_len, 0);
+	ck_assert_int_eq(again.cancelled.cancelled_len, 0);
+	ck_assert_int_eq(q.jobs.jobs_val[0].dropped, 4);
+}
+END_TEST
+
+START_TEST(cancel_before_seal_stops_the_upload)
+{
+	AUTO_RES open = kit_open(l, "paper", "lot", 4, kit_digest(4), KIT_NOW_MS);
+	AUTO_RES head = kit_items(l, "paper", "lot", 0, 2);
+	AUTO_RES cancel = kit_ref(l, AW_LEDGER_JOB_CANCEL, "paper", "lot");
+	AUTO_RES tail = kit_items(l, "paper", "lot", 2, 2);
+	AUTO_RES seal = kit_ref(l, AW_LEDGER_JOB_SEAL, "paper", "lot");
+
+	ck_assert_int_eq(cancel.job.dropped, 4);
+	ck_assert_int_eq(tail.status, ST_CANCELLED);
+	ck_assert_int_eq(seal.status, ST_CANCELLED);
+	kit_reload(&l);
+}
+END_TEST
+
+START_TEST(final_records_expire)
+{
+	AUTO_RES a = kit_accept(l, "done", 1, true, 1);
+	AUTO_RES b = kit_accept(l, "open", 1, true, 1);
+	AUTO_RES end = kit_finish(l, "done", AW_DONE, "x");
+	AUTO_RES unsealed = kit_open(l, "paper", "never", 4, 1, KIT_NOW_MS);
+	AUTO_RES lease;
+	ld_stats_t st;
+
+	kit_job(l, "paper", "lot", 1, KIT_NOW_MS);
+	kit_job(l, "paper", "open", 1, KIT_NOW_MS + LD_BAND_MS);
+	lease = kit_lease(l, 1, 1, 1);
+	kit_done_one(l, 1, lease.items.items_val, true, AW_BLAME_NONE, "x");
+	ck_assert_int_eq(kit_expire(l, KIT_NOW_MS + 99, 100), 0);
+	ck_assert_int_eq(kit_expire(l, KIT_NOW_MS + 100, 100), 2);
+	ck_assert_int_eq(kit_expire(l, KIT_NOW_MS + LD_UNSEALED_MAX_MS, 100), 1);
+	ld_stats(l, &st);
+	ck_assert_int_eq(st.requests, 1);
+	ck_assert_int_eq(st.jobs, 1);
+}
+END_TEST
+
+START_TEST(jobs_are_paged)
+{
+	aw_query_t q = {.kind = AW_QUERY_JOBS};
+	AUTO_QRES page;
+	AUTO_QRES rest;
+
+	kit_job(l, "paper", "one", 1, KIT_NOW_MS);
+	kit_job(l, "other", "x", 1, KIT_NOW_MS);
+	kit_job(l, "paper", "two", 1, KIT_NOW_MS);
+	kit_job(l, "paper", "three", 1, KIT_NOW_MS);
+	q.aw_query_t_u.jobs = (aw_jobs_ref_t){kit_b("paper"), {0}, 2};
+	ld_query(l, &q, &page);
+	q.aw_query_t_u.jobs = (aw_jobs_ref_t){kit_b("paper"), kit_b("two"), 2};
+	ld_query(l, &q, &rest);
+	ck_assert_int_eq(page.jobs.jobs_len, 2);
+	ck_assert(kit_is(page.jobs.jobs_val[1].job, "two"));
+	ck_assert_int_eq(rest.jobs.jobs_len, 1);
+	ck_assert(kit_is(rest.jobs.jobs_val[0].job, "three"));
+}
+END_TEST
+
+START_TEST(cut_snapshot_is_refused)
+{
+	AUTO_BUF snap = {0};
+	ld_t *other = ld_new();
+	ld_stats_t st;
+
+	kit_job(l, "paper", "lot", 5, KIT_NOW_MS);
+	AUTO_RES a = kit_accept(l, "k", 1, true, 1);
+	AUTO_RES b = kit_lease(l, 1, 1, 2);
+
+	ld_snapshot(l, &snap);
+	for (size_t n = 0; n < snap.n; n++)
+		ck_assert_int_eq(ld_restore(other, (str_t){snap.p, n}), ST_CORRUPT);
+	ld_stats(other, &st);
+	ck_assert_int_eq(st.jobs, 0);
+	ld_free(other);
+}
+END_TEST
+
+START_TEST(unknown_things_are_named)
+{
+	aw_ledger_cmd_t cmd = {.kind = (aw_ledger_kind_t)99};
+	AUTO_RES bad;
+	AUTO_RES attempt = kit_attempt(l, "none", 1, 1);
+	AUTO_RES finish = kit_finish(l, "none", AW_DONE, "");
+	AUTO_RES cancel = kit_ref(l, AW_LEDGER_JOB_CANCEL, "paper", "none");
+	AUTO_RES empty = kit_open(l, "paper", "none", 0, 1, 1);
+
+	ld_apply(l, &cmd, &bad);
+	ck_assert_int_eq(bad.status, ST_INVALID);
+	ck_assert_int_eq(attempt.status, ST_NOT_FOUND);
+	ck_assert_int_eq(finish.status, ST_NOT_FOUND);
+	ck_assert_int_eq(cancel.status, ST_NOT_FOUND);
+	ck_assert_int_eq(empty.status, ST_INVALID);
+	ck_assert(cancel.message.aw_bytes_t_len > 0);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("ledger");
+	TCase *t = tcase_create("ledger");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, same_key_and_digest_is_one_request);
+	tcase_add_test(t, one_attempt_token_ever);
+	tcase_add_test(t, lost_session_leaves_orphans);
+	tcase_add_test(t, orphan_is_given_back_and_ends);
+	tcase_add_test(t, lost_session_gets_nothing);
+	tcase_add_test(t, job_steps_are_idempotent);
+	tcase_add_test(t, wrong_digest_is_no_job);
+	tcase_add_test(t, lease_resend_gets_the_same);
+	tcase_add_test(t, earliest_deadline_first_in_turns);
+	tcase_add_test(t, first_result_wins);
+	tcase_add_test(t, late_result_of_lost_session_is_dropped);
+	tcase_add_test(t, blame_is_charged_apart);
+	tcase_add_test(t, cancelled_job_stops);
+	tcase_add_test(t, resent_lease_drops_cancelled_items);
+	tcase_add_test(t, cancel_before_seal_stops_the_upload);
+	tcase_add_test(t, final_records_expire);
+	tcase_add_test(t, jobs_are_paged);
+	tcase_add_test(t, cut_snapshot_is_refused);
+	tcase_add_test(t, unknown_things_are_named);
+	srunner_run_all(r, CK_ENV);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/unit/test_text.c
@@ -0,0 +1,122 @@
+/* Unit tests of the operators' text. */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+#include "state/tx.h"
+
+static const char good[] = "retention_s = 600\n"
+			   "[[service]]\n"
+			   "name = \"sammandrag-llm\"\n"
+			   "depends = [\"quotes\"]\n"
+			   "latency_weight = 0.25\n"
+			   "slots = 16\n"
+			   "checks_fencing = true\n"
+			   "model = \"m7\"\n"
+			   "[[service]]\n"
+			   "name = \"quotes\"\n"
+			   "kind = \"plain\"\n"
+			   "repeatable = false\n"
+			   "[[limit]]\n"
+			   "caller = \"*\"\n"
+			   "rate_per_s = 5\n"
+			   "[[limit]]\n"
+			   "caller = \"live-desk\"\n"
+			   "share = 4\n";
+
+START_TEST(text_is_read)
+{
+	tx_text_t *t = NULL;
+	const tx_service_t *s;
+
+	ck_assert_int_eq(tx_parse(str_c(good), &t), ST_OK);
+	ck_assert_int_eq(t->nservices, 2);
+	ck_assert_int_eq(t->retention_s, 600);
+	ck_assert_int_eq(t->address_ttl_s, 30);
+	s = tx_service(t, STR("sammandrag-llm"));
+	ck_assert_int_eq(s->slots, 16);
+	ck_assert(s->checks_fencing && s->repeatable);
+	ck_assert_str_eq(s->model, "m7");
+	ck_assert_str_eq(s->depends[0], "quotes");
+	s = tx_service(t, STR("quotes"));
+	ck_assert(s->kind == TX_PLAIN && !s->repeatable);
+	ck_assert_ptr_null(tx_service(t, STR("none")));
+	ck_assert_int_eq(tx_limit(t, STR("live-desk"))->share, 4);
+	ck_assert_int_eq(tx_limit(t, STR("paper"))->rate_per_s, 5);
+	tx_free(t);
+}
+END_TEST
+
+START_TEST(empty_text_has_defaults)
+{
+	tx_text_t *t = NULL;
+
+	ck_assert_int_eq(tx_parse(STR(""), &t), ST_OK);
+	ck_assert_int_eq(t->nservices, 0);
+	ck_assert_int_eq(t->retention_s, 86400);
+	ck_assert_int_gt(tx_limit(t, STR("x"))->rate_per_s, 0);
+	tx_free(t);
+}
+END_TEST
+
+static const struct {
+	const char *text;
+	const char *message;
+} wrong[] = {
+	{"colour = 1\n", "text:1: colour: unknown key"},
+	{"[[service]]\nname = \"a\"\n\nslotz = 2\n", "text:4: slotz: unknown key"},
+	{"[[service]]\nkind = \"plain\"\n", "text:1: name: missing"},
+	{"[[service]]\nname = 5\n", "text:2: name: must be a string"},
+	{"[[service]]\nname = \"a\"\nkind = \"odd\"\n", "text:3: kind: "},
+	{"[[service]]\nname = \"a\"\nslots = 0\n", "text:3: slots: it must be 1 to 4096"},
+	{"[[service]]\nname = \"a\"\nslots = 2\nkept_slots = 2\n", "text:4: kept_slots: "},
+	{"[[service]]\nname = \"a\"\n[[service]]\nname = \"a\"\n",
+	 "text:4: name: a second service"},
+	{"[[service]]\nname = \"a\"\ndepends = [\"b\"]\n", "text:3: depends: no service \"b\""},
+	{"[[service]]\nname = \"a\"\ndepends = [\"a\"]\n", "text:3: depends: circular: \"a -> a\""},
+	{"[[service]]\nname = \"x\"\ndepends = [\"a\"]\n[[service]]\nname = \"a\"\ndepends = "
+	 "[\"b\"]\n"
+	 "[[service]]\nname = \"b\"\ndepends = [\"c\"]\n[[service]]\nname = \"c\"\ndepends = "
+	 "[\"a\"]\n",
+	 "text:12: depends: circular: \"a -> b -> c -> a\""},
+	{"[[limit]]\ncaller = \"a\"\nburst = -1\n", "text:3: burst: it must be"},
+	{"[[limit]]\ncaller = \"a\"\n[[limit]]\ncaller = \"a\"\n",
+	 "text:4: caller: a second limit"},
+	{"retention_s = \"long\"\n", "text:1: retention_s: must be a whole number"},
+	{"retention_s = \n", "text:1: syntax"},
+};
+
+START_TEST(error_names_line_and_key)
+{
+	tx_text_t *t = NULL;
+
+	ck_assert_int_eq(tx_parse(str_c(wrong[_i].text), &t), ST_INVALID);
+	ck_assert_ptr_null(t);
+	ck_assert_msg(strncmp(st_message(), wrong[_i].message, strlen(wrong[_i].message)) == 0,
+		      "\"%s\" instead of \"%s\"", st_message(), wrong[_i].message);
+}
+END_TEST
+
+START_TEST(digest_tells_texts_apart)
+{
+	ck_assert(tx_digest(STR("a = 1")) == tx_digest(STR("a = 1")));
+	ck_assert(tx_digest(STR("a = 1")) != tx_digest(STR("a = 2")));
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("text");
+	TCase *t = tcase_create("text");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_add_test(t, text_is_read);
+	tcase_add_test(t, empty_text_has_defaults);
+	tcase_add_loop_test(t, error_names_line_and_key, 0, sizeof(wrong) / sizeof(wrong[0]));
+	tcase_add_test(t, digest_tells_texts_apart);
+	srunner_run_all(r, CK_ENV);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
