Lint: macros of utlist, uthash and jansson for cppcheck; headers without a length bound

Change: tools/cppcheck.cfg; auburnctl builds header lines in a buffer. Ruled out: -D options (cppcheck takes them as configurations and can't parse macros with arguments).

--- a/Makefile
+++ b/Makefile
@@ -109,7 +109,7 @@
 	@printf '%s\n' $(filter %.c,$(OWN)) | xargs -P $$(nproc) -I{} tools/tidy {} $(CPPFLAGS)
 	cppcheck --quiet --enable=warning,performance,portability --inline-suppr --error-exitcode=1 \
 	  --suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches --suppress=nullPointerOutOfMemory \
-	  -j $$(nproc) -DHASH_FUNCTION=1 --std=c11 -Isrc $(filter %.c,$(OWN))
+	  -j $$(nproc) --library=tools/cppcheck.cfg --std=c11 -Isrc $(filter %.c,$(OWN))
 
 clean:
 	rm -rf $(B)
--- a/src/ctl/ct_http.c
+++ b/src/ctl/ct_http.c
@@ -42,23 +42,23 @@
 
 static struct curl_slist *add_header(struct curl_slist *h, const char *name, const char *value)
 {
-	char line[HEADER_BYTES];
+	AUTO_BUF line = {0};
 
 	if (!value)
 		return h;
-	snprintf(line, sizeof(line), "%s: %s", name, value);
-	return curl_slist_append(h, line);
+	buf_addf(&line, "%s: %s", name, value);
+	return curl_slist_append(h, line.p);
 }
 
 static struct curl_slist *headers_of(const ct_t *ct, const ct_call_t *call)
 {
 	const char *key = call->as_operator ? ct->s.operator_key : ct->s.key;
 	struct curl_slist *h = curl_slist_append(NULL, "Expect:");
-	char bearer[HEADER_BYTES];
+	AUTO_BUF bearer = {0};
 
 	if (key) {
-		snprintf(bearer, sizeof(bearer), "Bearer %s", key);
-		h = add_header(h, "Authorization", bearer);
+		buf_addf(&bearer, "Bearer %s", key);
+		h = add_header(h, "Authorization", bearer.p);
 	}
 	h = add_header(h, "Idempotency-Key", call->idempotency_key);
 	return curl_slist_append(h, "Content-Type: application/octet-stream");
--- a/src/ctl/ct_job.c
+++ b/src/ctl/ct_job.c
@@ -130,7 +130,7 @@
 {
 	int first = 0;
 	int lines = 0;
-	int code;
+	int code = AR_OK;
 
 	if (!ct->words[2])
 		return needs("a job");
