The replicated log: core, store and runtime of a group, first version

Cause: the durable state needs a log of the project's own. Entries go to followers while the own disk syncs; the own sync counts only when done. gr.h gains gr_exists and gr_seed_id and says when a seed must not bootstrap. Ruled out: syncing on the group's thread (commits would wait for each other), ids from addresses beyond the first voters (a replaced VM could vote again under the old id).

--- a/src/raft/gr.h
+++ b/src/raft/gr.h
@@ -51,8 +51,18 @@
 	void (*role)(void *ctx, bool leader, uint64_t term);
 } gr_options_t;
 
-/** Opens the folder, replays it and starts the group's thread. */
+/** Opens the folder, replays it and starts the group's thread. ST_CORRUPT names file and offset:
+ * the replica must not go on under its old id; rename the folder away and join as a learner.
+ *
+ *  The first voters' ids follow from their addresses, so a seed that has lost its folder must not
+ * be opened with `bootstrap` again: it could vote twice. The caller first asks the other seeds; as
+ *  soon as one of them answers with a term above 0, the group exists and `bootstrap` must be false.
+ */
 status_t gr_open(const gr_options_t *o, gr_t **out);
+/** True when dir holds a replica already; `bootstrap` has no effect on it then. */
+bool gr_exists(const char *dir);
+/** Id of the first voter at a seed's address. */
+uint64_t gr_seed_id(unsigned group, const char *addr);
 void gr_close(gr_t *g);
 
 /** Hands in a message that another replica's send callback was given. */
--- /dev/null
+++ b/src/raft/gr_calls.c
@@ -0,0 +1,203 @@
+/* Calls by other threads: each queues an item and waits for the group's thread to finish it. */
+#include "raft/gr_int.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+void gr_list_add(gr_list_t *l, gr_item_t *it)
+{
+	it->next = NULL;
+	if (l->last)
+		l->last->next = it;
+	else
+		l->first = it;
+	l->last = it;
+}
+
+gr_item_t *gr_list_take(gr_list_t *l)
+{
+	gr_item_t *it = l->first;
+
+	if (!it)
+		return NULL;
+	l->first = it->next;
+	if (!l->first)
+		l->last = NULL;
+	it->next = NULL;
+	return it;
+}
+
+static gr_item_t *new_item(gr_kind_t kind, unsigned refs)
+{
+	gr_item_t *it = mem_new(sizeof(*it));
+	pthread_condattr_t attr;
+
+	it->kind = kind;
+	it->refs = refs;
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&it->cond, &attr);
+	pthread_condattr_destroy(&attr);
+	return it;
+}
+
+/* With the lock held. */
+static void unref_locked(gr_item_t *it)
+{
+	if (--it->refs > 0)
+		return;
+	pthread_cond_destroy(&it->cond);
+	buf_free(&it->data);
+	free(it);
+}
+
+void gr_item_unref(gr_t *g, gr_item_t *it)
+{
+	pthread_mutex_lock(&g->lock);
+	unref_locked(it);
+	pthread_mutex_unlock(&g->lock);
+}
+
+void gr_item_finish(gr_t *g, gr_item_t *it, status_t st)
+{
+	pthread_mutex_lock(&g->lock);
+	it->done = true;
+	it->st = st;
+	if (st != ST_OK)
+		snprintf(it->message, sizeof(it->message), "%s", st_message());
+	pthread_cond_signal(&it->cond);
+	unref_locked(it);
+	pthread_mutex_unlock(&g->lock);
+}
+
+static void wait_on(pthread_cond_t *cond, pthread_mutex_t *lock, int64_t ms)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	ts.tv_sec += ms / 1000;
+	ts.tv_nsec += (ms % 1000) * 1000000;
+	if (ts.tv_nsec >= 1000000000) {
+		ts.tv_sec++;
+		ts.tv_nsec -= 1000000000;
+	}
+	pthread_cond_timedwait(cond, lock, &ts);
+}
+
+#define WAIT_MAX_MS 1000 /* a wait is cut into such, since its clock doesn't count suspend */
+
+static void wait_done(gr_t *g, gr_item_t *it, deadline_t deadline)
+{
+	while (!it->done) {
+		int64_t left = clk_left_ms(deadline);
+
+		if (left == 0)
+			return;
+		wait_on(&it->cond, &g->lock, left < WAIT_MAX_MS ? left : WAIT_MAX_MS);
+	}
+}
+
+/* Queues an item, waits for it and lets go of it. */
+static status_t run_item(gr_t *g, gr_item_t *it, deadline_t deadline, buf_t *result)
+{
+	status_t st = ST_TIMEOUT;
+
+	pthread_mutex_lock(&g->lock);
+	if (g->stop) {
+		it->refs = 1;
+		unref_locked(it);
+		pthread_mutex_unlock(&g->lock);
+		return st_fail(ST_NOT_LEADER, "the group is closed");
+	}
+	g->callers++;
+	gr_list_add(&g->inbox, it);
+	pthread_cond_signal(&g->wake);
+	wait_done(g, it, deadline);
+	if (it->done)
+		st = it->st;
+	if (st == ST_OK && result)
+		buf_add(result, str_buf(&it->data));
+	if (st != ST_OK)
+		st_fail(st, "%s", it->done ? it->message : "no answer before the deadline");
+	unref_locked(it);
+	if (--g->callers == 0)
+		pthread_cond_signal(&g->idle);
+	pthread_mutex_unlock(&g->lock);
+	return st;
+}
+
+status_t gr_propose(gr_t *g, str_t cmd, deadline_t deadline, buf_t *result)
+{
+	gr_item_t *it = new_item(GR_PROPOSE, 2);
+
+	buf_add(&it->data, cmd);
+	return run_item(g, it, deadline, result);
+}
+
+status_t gr_barrier(gr_t *g, deadline_t deadline)
+{
+	return run_item(g, new_item(GR_BARRIER, 2), deadline, NULL);
+}
+
+void gr_with_state(gr_t *g, void (*fn)(void *ctx, void *arg), void *arg)
+{
+	gr_item_t *it = new_item(GR_WITH_STATE, 2);
+
+	it->fn = fn;
+	it->arg = arg;
+	run_item(g, it, DEADLINE_NEVER, NULL);
+}
+
+status_t gr_add_learner(gr_t *g, const gr_peer_t *peer, deadline_t deadline)
+{
+	gr_item_t *it = new_item(GR_ADD_LEARNER, 2);
+
+	it->peer = *peer;
+	return run_item(g, it, deadline, NULL);
+}
+
+status_t gr_promote(gr_t *g, uint64_t id, deadline_t deadline)
+{
+	gr_item_t *it = new_item(GR_PROMOTE, 2);
+
+	it->peer.id = id;
+	return run_item(g, it, deadline, NULL);
+}
+
+status_t gr_remove(gr_t *g, uint64_t id, deadline_t deadline)
+{
+	gr_item_t *it = new_item(GR_REMOVE, 2);
+
+	it->peer.id = id;
+	return run_item(g, it, deadline, NULL);
+}
+
+status_t gr_step_down(gr_t *g, deadline_t deadline)
+{
+	return run_item(g, new_item(GR_STEP_DOWN, 2), deadline, NULL);
+}
+
+void gr_receive(gr_t *g, str_t msg)
+{
+	gr_item_t *it = new_item(GR_MESSAGE, 1);
+
+	buf_add(&it->data, msg);
+	pthread_mutex_lock(&g->lock);
+	if (g->stop) {
+		unref_locked(it);
+	} else {
+		gr_list_add(&g->inbox, it);
+		pthread_cond_signal(&g->wake);
+	}
+	pthread_mutex_unlock(&g->lock);
+}
+
+void gr_status(gr_t *g, gr_status_t *out)
+{
+	pthread_mutex_lock(&g->lock);
+	*out = g->status;
+	pthread_mutex_unlock(&g->lock);
+}
--- /dev/null
+++ b/src/raft/rf_read.c
@@ -0,0 +1,63 @@
+/* Read index: a read is answered after a majority has confirmed the leader in a later round. */
+#include "raft/rf_int.h"
+
+#include <string.h>
+
+bool rf_read(rf_t *r, uint64_t token)
+{
+	uint64_t index = r->commit > r->term_start ? r->commit : r->term_start;
+
+	if (r->role != RF_LEADER || r->failed)
+		return false;
+	if (r->nreads == r->reads_cap) {
+		r->reads_cap = r->reads_cap ? r->reads_cap * 2 : 16;
+		r->reads = mem_grow(r->reads, r->reads_cap * sizeof(*r->reads));
+	}
+	/* Until an entry of this term is committed, the leader may not know all that is. */
+	r->reads[r->nreads++] = (rf_read_t){token, 0, index};
+	return true;
+}
+
+void rf_reads_begin_round(rf_t *r)
+{
+	if (r->nreads == 0 || r->reads[r->nreads - 1].round != 0)
+		return;
+	r->round++;
+	for (size_t i = r->nreads; i > 0 && r->reads[i - 1].round == 0; i--)
+		r->reads[i - 1].round = r->round;
+}
+
+static bool answered_round(const rf_t *r, unsigned i, uint64_t round)
+{
+	return r->conf.peers[i].id == r->self || r->progress[i].round >= round;
+}
+
+void rf_reads_answer(rf_t *r)
+{
+	size_t done = 0;
+
+	while (done < r->nreads) {
+		const rf_read_t *rd = &r->reads[done];
+
+		if (rd->round == 0 || rd->index > r->applied)
+			break;
+		if (!rf_quorum(r, answered_round, rd->round))
+			break;
+		done++;
+	}
+	if (done == 0)
+		return;
+	for (size_t i = 0; i < done; i++)
+		r->cb.read_done(r->cb.ctx, r->reads[i].token, true);
+	r->nreads -= done;
+	memmove(r->reads, r->reads + done, r->nreads * sizeof(*r->reads));
+}
+
+void rf_reads_fail(rf_t *r)
+{
+	size_t n = r->nreads;
+
+	r->nreads = 0;
+	for (size_t i = 0; i < n; i++)
+		r->cb.read_done(r->cb.ctx, r->reads[i].token, false);
+}
--- /dev/null
+++ b/src/raft/rs_file.c
@@ -0,0 +1,154 @@
+#include "raft/rs_file.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#define READ_BYTES (1024 * 1024)
+
+static long fault_value(const char *env, const char *key)
+{
+	const char *at = env ? strstr(env, key) : NULL;
+
+	return at ? strtol(at + strlen(key), NULL, 10) : -1;
+}
+
+void rs_fault_read(rs_fault_t *f)
+{
+	const char *env = getenv("AUBURN_DISK_FAULT");
+
+	f->fsync_fail_after = fault_value(env, "fsync_fail_after=");
+	f->full_after_bytes = fault_value(env, "full_after_bytes=");
+}
+
+static status_t io_error(const char *what, const char *name)
+{
+	return st_fail(ST_IO, "%s: %s: %s", name, what, strerror(errno));
+}
+
+/* Takes n bytes from the bound of a disk that is to become full. */
+static bool take_room(rs_fault_t *f, size_t n)
+{
+	long left = __atomic_load_n(&f->full_after_bytes, __ATOMIC_RELAXED);
+
+	if (left < 0)
+		return true;
+	if ((long)n > left)
+		return false;
+	__atomic_fetch_sub(&f->full_after_bytes, (long)n, __ATOMIC_RELAXED);
+	return true;
+}
+
+status_t rs_file_write(rs_fault_t *f, int fd, const char *name, str_t data, off_t at)
+{
+	if (!take_room(f, data.n)) {
+		errno = ENOSPC;
+		return io_error("write", name);
+	}
+	while (data.n) {
+		ssize_t n = pwrite(fd, data.p, data.n, at);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0)
+			return io_error("write", name);
+		data.p += n;
+		data.n -= (size_t)n;
+		at += n;
+	}
+	return ST_OK;
+}
+
+static bool sync_may_succeed(rs_fault_t *f)
+{
+	long left = __atomic_load_n(&f->fsync_fail_after, __ATOMIC_RELAXED);
+
+	if (left > 0)
+		__atomic_fetch_sub(&f->fsync_fail_after, 1, __ATOMIC_RELAXED);
+	errno = EIO;
+	return left != 0;
+}
+
+status_t rs_file_sync(rs_fault_t *f, int fd, const char *name)
+{
+	if (!sync_may_succeed(f) || fdatasync(fd) != 0)
+		return io_error("sync", name);
+	return ST_OK;
+}
+
+status_t rs_dir_sync(rs_fault_t *f, const char *dir)
+{
+	int fd = open(dir, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	status_t st;
+
+	if (fd < 0)
+		return io_error("open", dir);
+	st = sync_may_succeed(f) && fsync(fd) == 0 ? ST_OK : io_error("sync", dir);
+	close(fd);
+	return st;
+}
+
+status_t rs_file_read(const char *path, buf_t *out)
+{
+	int fd = open(path, O_RDONLY | O_CLOEXEC);
+	char *tmp = mem_new(READ_BYTES);
+	ssize_t n = 0;
+
+	if (fd >= 0) {
+		while ((n = read(fd, tmp, READ_BYTES)) > 0)
+			buf_add(out, (str_t){tmp, (size_t)n});
+	}
+	free(tmp);
+	if (fd < 0)
+		return io_error("open", path);
+	close(fd);
+	return n < 0 ? io_error("read", path) : ST_OK;
+}
+
+status_t rs_file_replace(rs_fault_t *f, const char *dir, const char *name, str_t data)
+{
+	char path[RS_PATH_BYTES];
+	char tmp[RS_PATH_BYTES];
+	status_t st;
+	int fd;
+
+	snprintf(path, sizeof(path), "%s/%s", dir, name);
+	snprintf(tmp, sizeof(tmp), "%s/%s.tmp", dir, name);
+	fd = open(tmp, O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, 0600);
+	if (fd < 0)
+		return io_error("open", tmp);
+	st = rs_file_write(f, fd, tmp, data, 0);
+	if (st == ST_OK)
+		st = rs_file_sync(f, fd, tmp);
+	close(fd);
+	if (st == ST_OK && rename(tmp, path) != 0)
+		st = io_error("rename", path);
+	return st == ST_OK ? rs_dir_sync(f, dir) : st;
+}
+
+status_t rs_dir_make(rs_fault_t *f, const char *dir)
+{
+	char up[RS_PATH_BYTES];
+	char *slash;
+	status_t st;
+
+	if (mkdir(dir, 0700) == 0) {
+		snprintf(up, sizeof(up), "%s/..", dir);
+		return rs_dir_sync(f, up);
+	}
+	if (errno == EEXIST)
+		return ST_OK;
+	if (errno != ENOENT)
+		return io_error("mkdir", dir);
+	snprintf(up, sizeof(up), "%s", dir);
+	slash = strrchr(up, '/');
+	if (!slash || slash == up)
+		return io_error("mkdir", dir);
+	*slash = 0;
+	st = rs_dir_make(f, up);
+	return st == ST_OK ? rs_dir_make(f, dir) : st;
+}
--- /dev/null
+++ b/src/raft/rs_replay.c
@@ -0,0 +1,283 @@
+/* Reading the segments back when a folder is opened. */
+#include "raft/rs_int.h"
+
+#include <dirent.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+/* The log while it is put together. */
+typedef struct {
+	rs_t *s;
+	rs_state_t *state;
+	uint64_t base; /* entries[i] is entry base + 1 + i */
+	bool based; /* base is known */
+	uint64_t base_term;
+	rf_entry_t *entries;
+	size_t n;
+	size_t cap;
+	uint64_t max_index; /* of the segment being read */
+} replay_t;
+
+static void drop_entries(replay_t *rp, size_t keep)
+{
+	while (rp->n > keep)
+		free(rp->entries[--rp->n].data.data_val);
+}
+
+static void take_entry(replay_t *rp, const rs_record_t *rec, str_t data)
+{
+	rf_entry_t e = {.term = rec->term, .kind = (rf_kind_t)rec->kind};
+
+	if (!rp->based || rec->index <= rp->base) {
+		drop_entries(rp, 0);
+		rp->base = rec->index - 1;
+		rp->based = true;
+	}
+	drop_entries(rp, rec->index - rp->base - 1);
+	if (rp->n == rp->cap) {
+		rp->cap = rp->cap ? rp->cap * 2 : 64;
+		rp->entries = mem_grow(rp->entries, rp->cap * sizeof(*rp->entries));
+	}
+	e.data.data_len = (u_int)data.n;
+	e.data.data_val = str_dup(data);
+	rp->entries[rp->n++] = e;
+	if (rp->max_index < rec->index)
+		rp->max_index = rec->index;
+}
+
+static status_t take_record(replay_t *rp, const rs_record_t *rec, str_t data, const char *path,
+			    size_t at)
+{
+	switch (rec->type) {
+	case RS_ENTRY:
+		if (rec->index == 0 || (rp->based && rec->index > rp->base + rp->n + 1))
+			return st_fail(ST_CORRUPT, "%s: offset %zu: entry %lu after %lu", path, at,
+				       (unsigned long)rec->index,
+				       (unsigned long)(rp->base + rp->n));
+		take_entry(rp, rec, data);
+		return ST_OK;
+	case RS_HARD:
+		rp->state->term = rec->term;
+		rp->state->vote = rec->index;
+		rp->s->hard =
+			(rs_record_t){.type = RS_HARD, .index = rec->index, .term = rec->term};
+		return ST_OK;
+	case RS_RESET:
+		drop_entries(rp, 0);
+		rp->base = rec->index;
+		rp->base_term = rec->term;
+		rp->based = true;
+		return ST_OK;
+	default:
+		return st_fail(ST_CORRUPT, "%s: offset %zu: record of type %u", path, at,
+			       rec->type);
+	}
+}
+
+/* Reads the record at `at`; its length with padding, or 0 when there is no whole one. */
+static size_t parse_record(str_t file, size_t at, rs_record_t *rec, str_t *data)
+{
+	size_t padded;
+	uint32_t crc;
+
+	if (file.n - at < sizeof(*rec))
+		return 0;
+	memcpy(rec, file.p + at, sizeof(*rec));
+	if (rec->magic != RS_RECORD_MAGIC || rec->len > file.n - at - sizeof(*rec))
+		return 0;
+	padded = ((size_t)rec->len + RS_ALIGN - 1) / RS_ALIGN * RS_ALIGN;
+	*data = (str_t){file.p + at + sizeof(*rec), rec->len};
+	crc = rs_crc(0, &rec->len, sizeof(*rec) - offsetof(rs_record_t, len));
+	if (rs_crc(crc, data->p, data->n) != rec->crc || padded > file.n - at - sizeof(*rec))
+		return 0;
+	return sizeof(*rec) + padded;
+}
+
+/* True when a later record proves that the bytes at `broken` had been synced. */
+static bool was_synced(str_t file, size_t broken)
+{
+	rs_record_t rec;
+	str_t data;
+
+	for (size_t at = broken + RS_ALIGN; at + sizeof(rec) <= file.n; at += RS_ALIGN) {
+		if (parse_record(file, at, &rec, &data) != 0 && rec.synced > broken)
+			return true;
+	}
+	return false;
+}
+
+static bool header_is_whole(const rs_t *s, str_t file, uint64_t number)
+{
+	rs_segment_header_t h;
+
+	if (file.n < sizeof(h))
+		return false;
+	memcpy(&h, file.p, sizeof(h));
+	return h.magic == RS_SEGMENT_MAGIC && h.id == s->id && h.number == number &&
+	       h.crc == rs_crc(0, &h, offsetof(rs_segment_header_t, crc));
+}
+
+static status_t cut_tail(rs_t *s, const char *path, size_t at)
+{
+	int fd = open(path, O_RDWR | O_CLOEXEC);
+	status_t st = ST_OK;
+
+	if (fd < 0 || ftruncate(fd, (off_t)at) != 0)
+		st = st_fail(ST_IO, "%s: truncate: %s", path, strerror(errno));
+	if (st == ST_OK)
+		st = rs_file_sync(&s->fault, fd, path);
+	if (fd >= 0)
+		close(fd);
+	return st;
+}
+
+/* Reads one segment; *size is the length of its whole records. */
+static status_t read_segment(replay_t *rp, uint64_t number, bool is_last, size_t *size)
+{
+	char path[RS_PATH_BYTES];
+	AUTO_BUF b = {0};
+	rs_record_t rec;
+	str_t data;
+	str_t file;
+	size_t at = sizeof(rs_segment_header_t);
+	status_t st;
+
+	rs_segment_path(rp->s, number, path);
+	st = rs_file_read(path, &b);
+	if (st != ST_OK)
+		return st;
+	file = str_buf(&b);
+	*size = 0;
+	if (!header_is_whole(rp->s, file, number)) {
+		if (is_last && !was_synced(file, 0)) {
+			rp->state->cut_bytes = file.n;
+			return ST_OK;
+		}
+		return st_fail(ST_CORRUPT, "%s: offset 0: broken header", path);
+	}
+	while (at < file.n) {
+		size_t n = parse_record(file, at, &rec, &data);
+
+		if (n == 0)
+			break;
+		st = take_record(rp, &rec, data, path, at);
+		if (st != ST_OK)
+			return st;
+		at += n;
+	}
+	*size = at;
+	if (at == file.n)
+		return ST_OK;
+	if (!is_last || was_synced(file, at))
+		return st_fail(ST_CORRUPT, "%s: offset %zu: broken record", path, at);
+	rp->state->cut_bytes = file.n - at;
+	return cut_tail(rp->s, path, at);
+}
+
+static int compare_numbers(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static size_t list_segments(const rs_t *s, uint64_t **out)
+{
+	DIR *d = opendir(s->dir);
+	struct dirent *e;
+	uint64_t *v = NULL;
+	size_t n = 0;
+
+	while (d && (e = readdir(d))) {
+		char *end;
+		unsigned long number;
+
+		if (strncmp(e->d_name, "log-", 4) != 0)
+			continue;
+		number = strtoul(e->d_name + 4, &end, 16);
+		if (*end)
+			continue;
+		v = mem_grow(v, (n + 1) * sizeof(*v));
+		v[n++] = number;
+	}
+	if (d)
+		closedir(d);
+	if (n)
+		qsort(v, n, sizeof(*v), compare_numbers);
+	*out = v;
+	return n;
+}
+
+static status_t read_segments(replay_t *rp)
+{
+	AUTO_FREE uint64_t *numbers = NULL;
+	size_t n = list_segments(rp->s, &numbers);
+	status_t st = ST_OK;
+	size_t size = 0;
+
+	for (size_t i = 0; i < n && st == ST_OK; i++) {
+		if (i > 0 && numbers[i] != numbers[i - 1] + 1)
+			return st_fail(ST_CORRUPT, "%s: segment %lx is missing", rp->s->dir,
+				       (unsigned long)numbers[i - 1] + 1);
+		rp->max_index = 0;
+		st = read_segment(rp, numbers[i], i + 1 == n, &size);
+		if (st == ST_OK && size > 0)
+			rs_segment_add(rp->s, numbers[i], rp->max_index);
+	}
+	if (st != ST_OK)
+		return st;
+	if (n == 0)
+		return st_fail(ST_CORRUPT, "%s: no segment", rp->s->dir);
+	/* A segment whose header is torn held nothing yet; it is made anew. */
+	if (size == 0 && n == 1)
+		return st_fail(ST_CORRUPT, "%s: the only segment has no whole header", rp->s->dir);
+	if (size == 0)
+		return rs_segment_begin(rp->s, numbers[n - 1]);
+	return rs_segment_continue(rp->s, size);
+}
+
+/* Hands over what follows the snapshot. */
+static status_t join_snapshot(replay_t *rp)
+{
+	rs_state_t *state = rp->state;
+	uint64_t snap = state->snap_index;
+	uint64_t last = rp->base + rp->n;
+	uint64_t term;
+	size_t skip;
+
+	if (rp->based && rp->base > snap)
+		return st_fail(ST_CORRUPT, "%s: the log begins after %lu, the snapshot ends at %lu",
+			       rp->s->dir, (unsigned long)rp->base, (unsigned long)snap);
+	skip = last < snap ? rp->n : snap - rp->base;
+	term = skip ? rp->entries[skip - 1].term : state->snap_term;
+	if (last < snap || term != state->snap_term) {
+		/* The snapshot came from a leader, and the log wasn't yet begun anew. */
+		drop_entries(rp, 0);
+		rs_reset(rp->s, 0, snap, state->snap_term);
+		return ST_OK;
+	}
+	for (size_t i = 0; i < skip; i++)
+		free(rp->entries[i].data.data_val);
+	rp->n -= skip;
+	memmove(rp->entries, rp->entries + skip, rp->n * sizeof(*rp->entries));
+	return ST_OK;
+}
+
+status_t rs_replay(rs_t *s, rs_state_t *state)
+{
+	replay_t rp = {.s = s, .state = state};
+	status_t st = read_segments(&rp);
+
+	if (st == ST_OK)
+		st = join_snapshot(&rp);
+	if (st != ST_OK)
+		drop_entries(&rp, 0);
+	state->entries = rp.entries;
+	state->nentries = rp.n;
+	return st;
+}
--- /dev/null
+++ b/tests/unit/test_gr.c
@@ -0,0 +1,387 @@
+/* Unit tests of the group runtime: replicas in one process over function calls, real files. */
+#include <check.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <ftw.h>
+#include "raft/gr.h"
+
+#define REPLICAS_MAX 5
+#define WAIT_MS	     30000
+
+/* A state machine that counts and remembers the sum of the commands' numbers. */
+typedef struct {
+	char addr[32];
+	gr_t *g;
+	pthread_rwlock_t lock; /* guards g against senders */
+	bool cut; /* neither sends nor receives */
+	uint64_t applied;
+	uint64_t sum;
+	uint64_t restores;
+} node_t;
+
+static node_t nodes[REPLICAS_MAX];
+static char root[64];
+
+static void on_apply(void *ctx, uint64_t index, str_t cmd, buf_t *result)
+{
+	node_t *n = ctx;
+
+	ck_assert(index > n->applied);
+	n->applied = index;
+	n->sum += strtoul(cmd.p, NULL, 10);
+	buf_addf(result, "%lu", (unsigned long)n->sum);
+}
+
+static void on_snapshot(void *ctx, buf_t *out)
+{
+	node_t *n = ctx;
+
+	buf_addf(out, "%lu %lu", (unsigned long)n->applied, (unsigned long)n->sum);
+	for (int i = 0; i < 400000; i++)
+		buf_addc(out, ' ');
+}
+
+static status_t on_restore(void *ctx, str_t snap)
+{
+	node_t *n = ctx;
+	char *end;
+
+	n->applied = strtoul(snap.p, &end, 10);
+	n->sum = strtoul(end, NULL, 10);
+	n->restores++;
+	return ST_OK;
+}
+
+static void on_send(void *ctx, const char *addr, unsigned group, str_t msg)
+{
+	const node_t *from = ctx;
+
+	for (unsigned i = 0; i < REPLICAS_MAX; i++) {
+		node_t *n = &nodes[i];
+
+		if (strcmp(n->addr, addr) != 0 || from->cut)
+			continue;
+		pthread_rwlock_rdlock(&n->lock);
+		if (n->g && !n->cut)
+			gr_receive(n->g, msg);
+		pthread_rwlock_unlock(&n->lock);
+	}
+}
+
+static deadline_t soon(void)
+{
+	return clk_now_ms() + WAIT_MS;
+}
+
+static status_t start_with(unsigned i, unsigned nseeds, uint64_t snapshot_entries)
+{
+	static const char *const seeds[] = {"127.0.20.1:1", "127.0.20.2:1", "127.0.20.3:1"};
+	node_t *n = &nodes[i];
+	char dir[128];
+	gr_t *g = NULL;
+	status_t st;
+	gr_options_t o = {.dir = dir,
+			  .addr = n->addr,
+			  .zone = "z",
+			  .seeds = seeds,
+			  .nseeds = nseeds,
+			  .bootstrap = nseeds > 0,
+			  .tick_ms = 10,
+			  .election_ms = 200,
+			  .snapshot_entries = snapshot_entries,
+			  .snapshot_bytes = 1 << 30,
+			  .ctx = n,
+			  .apply = on_apply,
+			  .snapshot = on_snapshot,
+			  .restore = on_restore,
+			  .send = on_send};
+
+	snprintf(dir, sizeof(dir), "%s/%u", root, i);
+	n->applied = n->sum = 0;
+	n->cut = false;
+	st = gr_open(&o, &g);
+	pthread_rwlock_wrlock(&n->lock);
+	n->g = g;
+	pthread_rwlock_unlock(&n->lock);
+	return st;
+}
+
+static void start(unsigned i, unsigned nseeds)
+{
+	ck_assert_int_eq(start_with(i, nseeds, 1000000), ST_OK);
+}
+
+static void stop(unsigned i)
+{
+	node_t *n = &nodes[i];
+	gr_t *g = n->g;
+
+	pthread_rwlock_wrlock(&n->lock);
+	n->g = NULL;
+	pthread_rwlock_unlock(&n->lock);
+	gr_close(g);
+}
+
+/* Waits until some replica but `not` leads and can commit. */
+static unsigned wait_leader(int not )
+{
+	deadline_t d = soon();
+
+	for (;;) {
+		for (unsigned i = 0; i < REPLICAS_MAX; i++) {
+			gr_status_t s;
+
+			if (!nodes[i].g || (int)i == not )
+				continue;
+			gr_status(nodes[i].g, &s);
+			if (s.leader && gr_barrier(nodes[i].g, clk_now_ms() + 500) == ST_OK)
+				return i;
+		}
+		ck_assert(clk_left_ms(d) > 0);
+		clk_sleep_ms(5);
+	}
+}
+
+static status_t add(unsigned i, const char *number)
+{
+	return gr_propose(nodes[i].g, str_c(number), soon(), NULL);
+}
+
+static void wait_sum(unsigned i, uint64_t sum)
+{
+	deadline_t d = soon();
+
+	while (__atomic_load_n(&nodes[i].sum, __ATOMIC_RELAXED) != sum) {
+		ck_assert(clk_left_ms(d) > 0);
+		clk_sleep_ms(5);
+	}
+}
+
+static void setup(void)
+{
+	const char *tmp = getenv("TMPDIR");
+
+	snprintf(root, sizeof(root), "%s/auburn-gr-XXXXXX", tmp ? tmp : "/tmp");
+	ck_assert_ptr_nonnull(mkdtemp(root));
+	memset(nodes, 0, sizeof(nodes));
+	for (unsigned i = 0; i < REPLICAS_MAX; i++) {
+		snprintf(nodes[i].addr, sizeof(nodes[i].addr), "127.0.20.%u:1", i + 1);
+		pthread_rwlock_init(&nodes[i].lock, NULL);
+	}
+}
+
+static int remove_one(const char *path, const struct stat *sb, int type, struct FTW *f)
+{
+	return remove(path);
+}
+
+static void teardown(void)
+{
+	for (unsigned i = 0; i < REPLICAS_MAX; i++) {
+		if (nodes[i].g)
+			stop(i);
+	}
+	nftw(root, remove_one, 16, FTW_DEPTH | FTW_PHYS);
+}
+
+START_TEST(single_replica_restarts)
+{
+	AUTO_BUF r = {0};
+
+	start(0, 1);
+	ck_assert_uint_eq(wait_leader(-1), 0);
+	for (int i = 0; i < 100; i++)
+		ck_assert_int_eq(add(0, "2"), ST_OK);
+	stop(0);
+	start(0, 1);
+	wait_leader(-1);
+	ck_assert_int_eq(gr_propose(nodes[0].g, STR("1"), soon(), &r), ST_OK);
+	ck_assert_str_eq(r.p, "201");
+}
+END_TEST
+
+START_TEST(leader_lost_and_back)
+{
+	unsigned first;
+	unsigned second;
+
+	for (unsigned i = 0; i < 3; i++)
+		start(i, 3);
+	first = wait_leader(-1);
+	for (int i = 0; i < 20; i++)
+		ck_assert_int_eq(add(first, "1"), ST_OK);
+	stop(first);
+	second = wait_leader((int)first);
+	ck_assert_int_eq(add(second, "5"), ST_OK);
+	start(first, 3);
+	wait_sum(first, 25);
+}
+END_TEST
+
+START_TEST(cut_off_leader_acknowledges_nothing)
+{
+	unsigned first;
+
+	for (unsigned i = 0; i < 3; i++)
+		start(i, 3);
+	first = wait_leader(-1);
+	nodes[first].cut = true;
+	ck_assert_int_ne(gr_propose(nodes[first].g, STR("7"), clk_now_ms() + 1000, NULL), ST_OK);
+	ck_assert_int_ne(gr_barrier(nodes[first].g, clk_now_ms() + 1000), ST_OK);
+	ck_assert_int_eq(add(wait_leader((int)first), "1"), ST_OK);
+	nodes[first].cut = false;
+	wait_sum(first, 1);
+}
+END_TEST
+
+START_TEST(planned_stop_hands_leadership_over)
+{
+	unsigned first;
+
+	for (unsigned i = 0; i < 3; i++)
+		start(i, 3);
+	first = wait_leader(-1);
+	ck_assert_int_eq(gr_step_down(nodes[first].g, soon()), ST_OK);
+	ck_assert_int_eq(add(wait_leader((int)first), "1"), ST_OK);
+}
+END_TEST
+
+/* Adds the replica at i as a learner and waits until it may vote. */
+static void join(unsigned leader, unsigned i)
+{
+	gr_status_t s;
+	gr_peer_t p = {0};
+	status_t st;
+	deadline_t d = soon();
+
+	gr_status(nodes[i].g, &s);
+	p.id = s.self;
+	snprintf(p.addr, sizeof(p.addr), "%s", nodes[i].addr);
+	ck_assert_int_eq(gr_add_learner(nodes[leader].g, &p, soon()), ST_OK);
+	do {
+		st = gr_promote(nodes[leader].g, p.id, soon());
+		ck_assert(st == ST_OK || st == ST_LIMIT);
+		ck_assert(clk_left_ms(d) > 0);
+		clk_sleep_ms(5);
+	} while (st != ST_OK);
+}
+
+START_TEST(lost_disk_is_replaced_from_snapshot)
+{
+	gr_status_t s;
+	unsigned leader;
+	unsigned lost;
+	uint64_t old;
+
+	for (unsigned i = 0; i < 3; i++)
+		ck_assert_int_eq(start_with(i, 3, 50), ST_OK);
+	leader = wait_leader(-1);
+	for (int i = 0; i < 300; i++)
+		ck_assert_int_eq(add(leader, "1"), ST_OK);
+	lost = (leader + 1) % 3;
+	old = gr_seed_id(0, nodes[lost].addr);
+	stop(lost);
+	start(3, 0); /* an empty disk elsewhere */
+	join(leader, 3);
+	ck_assert_int_eq(gr_remove(nodes[leader].g, old, soon()), ST_OK);
+	wait_sum(3, 300);
+	ck_assert_uint_ge(nodes[3].restores, 1);
+	/* A second one is lost right after the repair. */
+	stop((leader + 2) % 3);
+	leader = wait_leader(-1);
+	ck_assert_int_eq(add(leader, "1"), ST_OK);
+	gr_status(nodes[leader].g, &s);
+	ck_assert_uint_eq(s.npeers, 3);
+	stop(3);
+	start(3, 0);
+	wait_sum(3, 301);
+}
+END_TEST
+
+START_TEST(failing_disk_stops_acknowledging)
+{
+	unsigned leader;
+	status_t st;
+
+	setenv("AUBURN_DISK_FAULT", "fsync_fail_after=40", 1);
+	start(0, 3);
+	unsetenv("AUBURN_DISK_FAULT");
+	start(1, 3);
+	start(2, 3);
+	leader = wait_leader(-1);
+	for (int i = 0; i < 100; i++)
+		add(leader, "1");
+	/* Whoever leads now has a whole disk; the failed one says what is wrong with it. */
+	leader = wait_leader(0);
+	ck_assert_int_eq(add(leader, "1"), ST_OK);
+	do {
+		st = gr_propose(nodes[0].g, STR("1"), soon(), NULL);
+		add(leader, "1");
+	} while (st == ST_NOT_LEADER);
+	ck_assert_int_eq(st, ST_IO);
+}
+END_TEST
+
+typedef struct {
+	gr_t *g;
+	unsigned ok;
+} proposer_t;
+
+static void *propose_many(void *arg)
+{
+	proposer_t *p = arg;
+
+	for (int i = 0; i < 50; i++)
+		p->ok += gr_propose(p->g, STR("1"), soon(), NULL) == ST_OK;
+	return NULL;
+}
+
+START_TEST(concurrent_proposals_share_syncs)
+{
+	proposer_t p[16];
+	pthread_t t[16];
+	gr_status_t s;
+	unsigned leader;
+
+	for (unsigned i = 0; i < 3; i++)
+		start(i, 3);
+	leader = wait_leader(-1);
+	for (int i = 0; i < 16; i++) {
+		p[i] = (proposer_t){nodes[leader].g, 0};
+		pthread_create(&t[i], NULL, propose_many, &p[i]);
+	}
+	for (int i = 0; i < 16; i++) {
+		pthread_join(t[i], NULL);
+		ck_assert_uint_eq(p[i].ok, 50);
+	}
+	gr_status(nodes[leader].g, &s);
+	ck_assert_uint_eq(nodes[leader].sum, 800);
+	ck_assert_uint_lt(s.syncs, 800);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("gr");
+	TCase *t = tcase_create("gr");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_set_timeout(t, 120);
+	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, single_replica_restarts);
+	tcase_add_test(t, leader_lost_and_back);
+	tcase_add_test(t, cut_off_leader_acknowledges_nothing);
+	tcase_add_test(t, planned_stop_hands_leadership_over);
+	tcase_add_test(t, lost_disk_is_replaced_from_snapshot);
+	tcase_add_test(t, failing_disk_stops_acknowledging);
+	tcase_add_test(t, concurrent_proposals_share_syncs);
+	srunner_run_all(r, CK_ENV);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
