--- a/src/base/rp.h
+++ b/src/base/rp.h
@@ -29,6 +29,9 @@
 /** Listens and serves until the process ends; one call for each program. ST_IO: can't listen. */
 status_t rp_serve(const rp_server_options_t *o);
 
+/** The empty argument or result. */
+bool_t rp_xdr_void(XDR *x, ...);
+
 typedef struct rp_client rp_client_t;
 
 rp_client_t *rp_client_new(const char *addr, unsigned prog, unsigned vers);
@@ -38,6 +41,10 @@
 status_t rp_call(rp_client_t *c, unsigned proc, xdrproc_t xdr_arg, const void *arg,
 		 xdrproc_t xdr_res, void *res, deadline_t deadline);
 
+/** Later connections to addr go to `via` instead; for networks where an address is reached another
+ * way. Call before the first connection. */
+status_t rp_route(const char *addr, const char *via);
+
 /** Splits "ip:port". */
 status_t rp_split_addr(const char *addr, char ip[64], unsigned *port);
 
