--- /dev/null
+++ b/src/control/cn_http.c
@@ -0,0 +1,64 @@
+#include <arpa/inet.h>
+#include <ulfius.h>
+#include "base/mx.h"
+#include "base/rp.h"
+#include "control/cn.h"
+
+static int on_metrics(const struct _u_request *req, struct _u_response *res, void *ctx)
+{
+	AUTO_BUF b = {0};
+
+	mx_render(&b);
+	ulfius_set_binary_body_response(res, 200, b.p, b.n);
+	u_map_put(res->map_header, "Content-Type", "text/plain; version=0.0.4");
+	return U_CALLBACK_COMPLETE;
+}
+
+static int on_health(const struct _u_request *req, struct _u_response *res, void *ctx)
+{
+	ulfius_set_string_body_response(res, 200, "ok\n");
+	return U_CALLBACK_COMPLETE;
+}
+
+static bool knows_leaders(cn_t *cn)
+{
+	for (unsigned n = 0; cn->ready && n < cn->ngroups; n++) {
+		gr_status_t st;
+
+		gr_status(cn->groups[n].gr, &st);
+		if (!st.leader_addr[0])
+			return false;
+	}
+	return cn->ready;
+}
+
+static int on_ready(const struct _u_request *req, struct _u_response *res, void *ctx)
+{
+	bool ready = knows_leaders(ctx);
+
+	ulfius_set_string_body_response(res, ready ? 200 : 503, ready ? "ready\n" : "no leader\n");
+	return U_CALLBACK_COMPLETE;
+}
+
+status_t cn_http_start(cn_t *cn)
+{
+	static struct _u_instance instance;
+	struct sockaddr_in sa = {.sin_family = AF_INET};
+	char ip[64];
+	unsigned port = 0;
+
+	if (!cn->s.http)
+		return ST_OK;
+	if (rp_split_addr(cn->s.http, ip, &port) != ST_OK ||
+	    inet_pton(AF_INET, ip, &sa.sin_addr) != 1)
+		return ST_INVALID;
+	sa.sin_port = htons((uint16_t)port);
+	if (ulfius_init_instance(&instance, port, &sa, NULL) != U_OK)
+		return st_fail(ST_IO, "can't set up HTTP on %s", cn->s.http);
+	ulfius_add_endpoint_by_val(&instance, "GET", "/metrics", NULL, 0, on_metrics, cn);
+	ulfius_add_endpoint_by_val(&instance, "GET", "/healthz", NULL, 0, on_health, cn);
+	ulfius_add_endpoint_by_val(&instance, "GET", "/readyz", NULL, 0, on_ready, cn);
+	if (ulfius_start_framework(&instance) != U_OK)
+		return st_fail(ST_IO, "can't listen on %s", cn->s.http);
+	return ST_OK;
+}
--- /dev/null
+++ b/src/control/cn_peer.c
@@ -0,0 +1,153 @@
+#include <stdlib.h>
+#include <string.h>
+#include "base/lg.h"
+#include "base/mx.h"
+#include "base/rp.h"
+#include "control/cn.h"
+
+#define PEERS_MAX	  (2 * GR_PEERS_MAX)
+#define QUEUE_MAX	  4096
+#define BATCH_MAX	  512
+#define BATCH_MAX_BYTES	  (8 << 20)
+#define SEND_TIMEOUT_MS	  1000
+#define RECONNECT_WAIT_MS 50
+
+typedef struct {
+	unsigned group;
+	buf_t msg;
+} queued_t;
+
+/* A ring of messages that wait, with the thread that sends them. */
+typedef struct {
+	char addr[64];
+	cn_t *cn;
+	rp_client_t *client;
+	pthread_mutex_t lock;
+	pthread_cond_t wake;
+	queued_t queue[QUEUE_MAX];
+	size_t head;
+	size_t n;
+} peer_t;
+
+struct cn_peers {
+	pthread_mutex_t lock;
+	peer_t *peers[PEERS_MAX];
+	size_t n;
+};
+
+struct cn_peers *cn_peers_new(cn_t *cn)
+{
+	struct cn_peers *p = mem_new(sizeof(*p));
+
+	pthread_mutex_init(&p->lock, NULL);
+	return p;
+}
+
+static size_t take_batch(peer_t *p, queued_t out[BATCH_MAX])
+{
+	size_t n = 0;
+	size_t bytes = 0;
+
+	pthread_mutex_lock(&p->lock);
+	while (p->n == 0)
+		pthread_cond_wait(&p->wake, &p->lock);
+	while (p->n > 0 && n < BATCH_MAX && bytes < BATCH_MAX_BYTES) {
+		out[n] = p->queue[p->head];
+		p->queue[p->head] = (queued_t){0};
+		bytes += out[n++].msg.n;
+		p->head = (p->head + 1) % QUEUE_MAX;
+		p->n--;
+	}
+	pthread_mutex_unlock(&p->lock);
+	return n;
+}
+
+static void send_batch(peer_t *p, queued_t *batch, size_t n)
+{
+	aw_raft_msg_t msgs[BATCH_MAX];
+	aw_raft_arg_t arg = {px_bytes(str_c(p->cn->s.listen)), {(u_int)n, msgs}};
+	char none;
+	status_t st;
+
+	for (size_t i = 0; i < n; i++) {
+		msgs[i].group = batch[i].group;
+		msgs[i].payload = px_bytes(str_buf(&batch[i].msg));
+	}
+	st = rp_call(p->client, AUBURN_RAFT, PX(aw_raft_arg_t), &arg, rp_xdr_void, &none,
+		     clk_now_ms() + SEND_TIMEOUT_MS);
+	if (st != ST_OK) {
+		MX_COUNT("auburn_log_send_failures_total");
+		clk_sleep_ms(RECONNECT_WAIT_MS);
+	}
+}
+
+static void *send_loop(void *arg)
+{
+	peer_t *p = arg;
+	queued_t *batch = mem_new(BATCH_MAX * sizeof(*batch));
+
+	for (;;) {
+		size_t n = take_batch(p, batch);
+
+		send_batch(p, batch, n);
+		for (size_t i = 0; i < n; i++)
+			buf_free(&batch[i].msg);
+	}
+	return NULL;
+}
+
+static peer_t *peer_start(cn_t *cn, const char *addr)
+{
+	peer_t *p = mem_new(sizeof(*p));
+	pthread_t t;
+
+	snprintf(p->addr, sizeof(p->addr), "%s", addr);
+	p->cn = cn;
+	p->client = rp_client_new(addr, AUBURN_CONTROL, AUBURN_CONTROL_V1);
+	pthread_mutex_init(&p->lock, NULL);
+	pthread_cond_init(&p->wake, NULL);
+	if (pthread_create(&t, NULL, send_loop, p) != 0)
+		abort();
+	pthread_detach(t);
+	return p;
+}
+
+static peer_t *peer_of(cn_t *cn, const char *addr)
+{
+	struct cn_peers *ps = cn->peers;
+	peer_t *p = NULL;
+
+	pthread_mutex_lock(&ps->lock);
+	for (size_t i = 0; i < ps->n && !p; i++) {
+		if (strcmp(ps->peers[i]->addr, addr) == 0)
+			p = ps->peers[i];
+	}
+	if (!p && ps->n < PEERS_MAX) {
+		p = peer_start(cn, addr);
+		ps->peers[ps->n++] = p;
+	}
+	pthread_mutex_unlock(&ps->lock);
+	return p;
+}
+
+void cn_peer_send(cn_t *cn, const char *addr, unsigned group, str_t msg)
+{
+	peer_t *p = peer_of(cn, addr);
+	queued_t *q;
+
+	if (!p)
+		return;
+	pthread_mutex_lock(&p->lock);
+	if (p->n == QUEUE_MAX) {
+		buf_free(&p->queue[p->head].msg);
+		p->head = (p->head + 1) % QUEUE_MAX;
+		p->n--;
+		MX_COUNT("auburn_log_messages_dropped_total");
+	}
+	q = &p->queue[(p->head + p->n++) % QUEUE_MAX];
+	q->group = group;
+	q->msg = (buf_t){0};
+	buf_add(&q->msg, msg);
+	pthread_cond_signal(&p->wake);
+	pthread_mutex_unlock(&p->lock);
+}
--- /dev/null
+++ b/src/control/cn_repair.c
@@ -0,0 +1,181 @@
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/lg.h"
+#include "base/mx.h"
+#include "control/cn.h"
+
+#define CHANGE_MS 3000
+#define ASK_MS	  500
+#define PERIOD_MS 500
+
+/* What the process at an address says of its replica of a group. */
+static uint64_t replica_id_at(const char *addr, unsigned group, char zone[32])
+{
+	const char *addrs[] = {addr};
+	cc_t *c = cc_new(addrs, 1, 1);
+	AUTO_BUF text = {0};
+	uint64_t id = 0;
+	json_t *o;
+	json_t *g;
+
+	if (cc_status(c, 0, &text, clk_now_ms() + ASK_MS) == ST_OK) {
+		o = json_loadb(text.p, text.n, 0, NULL);
+		g = json_array_get(json_object_get(o, "groups"), group);
+		if (json_is_string(json_object_get(g, "id")))
+			id = strtoull(json_string_value(json_object_get(g, "id")), NULL, 16);
+		if (json_is_string(json_object_get(o, "zone")))
+			snprintf(zone, 32, "%s", json_string_value(json_object_get(o, "zone")));
+		json_decref(o);
+	}
+	cc_free(c);
+	return id;
+}
+
+static const gr_peer_t *peer_by_id(const gr_status_t *st, uint64_t id)
+{
+	for (unsigned i = 0; i < st->npeers; i++) {
+		if (st->peers[i].id == id)
+			return &st->peers[i];
+	}
+	return NULL;
+}
+
+static bool is_voter_addr(const gr_status_t *st, const char *addr)
+{
+	for (unsigned i = 0; i < st->npeers; i++) {
+		if (st->peers[i].voter && strcmp(st->peers[i].addr, addr) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool is_silent(const gr_status_t *st, unsigned i, int64_t ms)
+{
+	deadline_t heard = st->heard[i] > st->led_since ? st->heard[i] : st->led_since;
+
+	return clk_now_ms() - heard > ms;
+}
+
+/* The lost voter's own address under a new id comes first, then a spare in its zone, then any. */
+static bool find_replacement(cn_t *cn, cn_group_t *g, const gr_status_t *st, const gr_peer_t *lost,
+			     gr_peer_t *out)
+{
+	uint64_t id;
+	bool found = false;
+
+	*out = (gr_peer_t){0};
+	snprintf(out->addr, sizeof(out->addr), "%s", lost->addr);
+	id = replica_id_at(lost->addr, g->n, out->zone);
+	if (id && id != lost->id && !peer_by_id(st, id)) {
+		out->id = id;
+		return true;
+	}
+	for (size_t i = 0; i < cn->s.spares.n; i++) {
+		gr_peer_t p = {0};
+
+		if (is_voter_addr(st, cn->s.spares.v[i]))
+			continue;
+		snprintf(p.addr, sizeof(p.addr), "%s", cn->s.spares.v[i]);
+		p.id = replica_id_at(p.addr, g->n, p.zone);
+		if (!p.id || peer_by_id(st, p.id))
+			continue;
+		if (!found || strcmp(p.zone, lost->zone) == 0)
+			*out = p;
+		found = true;
+	}
+	return found;
+}
+
+/* A learner that waits stands for the voter that it is to replace. */
+static bool promote_ready(cn_group_t *g, const gr_status_t *st)
+{
+	for (unsigned i = 0; i < st->npeers; i++) {
+		status_t got;
+
+		if (st->peers[i].voter)
+			continue;
+		if (st->match[i] < st->commit)
+			return true;
+		got = gr_promote(g->gr, st->peers[i].id, clk_now_ms() + CHANGE_MS);
+		lg(LG_INFO, "voter_promoted", LG_I("group", g->n), LG_C("addr", st->peers[i].addr),
+		   LG_C("status", st_name(got)));
+		if (got == ST_OK)
+			MX_COUNT("auburn_repairs_total");
+		return true;
+	}
+	return false;
+}
+
+/* A learner that is gone itself makes room for another. */
+static bool drop_dead_learner(cn_t *cn, cn_group_t *g, const gr_status_t *st)
+{
+	for (unsigned i = 0; i < st->npeers; i++) {
+		if (st->peers[i].voter || !is_silent(st, i, cn->s.replace_grace_ms))
+			continue;
+		gr_remove(g->gr, st->peers[i].id, clk_now_ms() + CHANGE_MS);
+		lg(LG_WARN, "learner_removed", LG_I("group", g->n),
+		   LG_C("addr", st->peers[i].addr));
+		return true;
+	}
+	return false;
+}
+
+static unsigned voters(const gr_status_t *st)
+{
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < st->npeers; i++)
+		n += st->peers[i].voter;
+	return n;
+}
+
+/* The lost one leaves only once its replacement votes: the group is never smaller than before. */
+static void replace_voter(cn_t *cn, cn_group_t *g, const gr_status_t *st, unsigned i)
+{
+	const gr_peer_t *lost = &st->peers[i];
+	gr_peer_t fresh;
+	status_t got;
+
+	if (voters(st) > cn->s.controls.n) {
+		got = gr_remove(g->gr, lost->id, clk_now_ms() + CHANGE_MS);
+		lg(LG_WARN, "voter_removed", LG_I("group", g->n), LG_C("addr", lost->addr),
+		   LG_C("status", st_name(got)), LG_C("reason", "silent past the grace, replaced"));
+		return;
+	}
+	if (!find_replacement(cn, g, st, lost, &fresh))
+		return;
+	got = gr_add_learner(g->gr, &fresh, clk_now_ms() + CHANGE_MS);
+	lg(LG_WARN, "voter_replacement_begun", LG_I("group", g->n), LG_C("lost", lost->addr),
+	   LG_C("by", fresh.addr), LG_C("status", st_name(got)));
+}
+
+/* A voter whose address answers under another id has lost its disk: no grace is needed. */
+static bool has_new_id(cn_group_t *g, const gr_status_t *st, unsigned i)
+{
+	char zone[32];
+	uint64_t id = replica_id_at(st->peers[i].addr, g->n, zone);
+
+	return id != 0 && id != st->peers[i].id;
+}
+
+void cn_repair_round(cn_t *cn, cn_group_t *g, const gr_status_t *st)
+{
+	static deadline_t next[CN_GROUPS_MAX];
+
+	if (clk_now_ms() < next[g->n])
+		return;
+	next[g->n] = clk_now_ms() + PERIOD_MS;
+	if (drop_dead_learner(cn, g, st) || promote_ready(g, st))
+		return;
+	for (unsigned i = 0; i < st->npeers; i++) {
+		if (!st->peers[i].voter || st->peers[i].id == st->self)
+			continue;
+		if (!is_silent(st, i, 2 * cn->s.election_ms))
+			continue;
+		if (is_silent(st, i, cn->s.replace_grace_ms) || has_new_id(g, st, i)) {
+			replace_voter(cn, g, st, i);
+			return;
+		}
+	}
+}
