--- a/src/policy/ow.c
+++ b/src/policy/ow.c
@@ -138,10 +138,8 @@
 static ow_answer_t offer_batch(ow_t *w, const ow_stream_t *s, int64_t now_ms,
 			       int64_t *retry_after_ms)
 {
-	bool room = ow_room_batch(w, now_ms) > 0;
+	bool room = s->alone ? ow_room_alone(w, now_ms) : ow_room_batch(w, now_ms) > 0;
 
-	if (s->alone && w->nrun > 0)
-		room = false;
 	if (!room)
 		return refuse_offer(w, w->nqueue, retry_after_ms);
 	start(w, s, now_ms);
--- a/src/policy/ow_core.h
+++ b/src/policy/ow_core.h
@@ -47,6 +47,7 @@
 	unsigned ceiling; /* slots, or more after slots were taken away from running streams */
 	unsigned nonline, ncancelling; /* of nrun */
 	bool alone; /* the running stream runs alone */
+	int64_t hold_until_ms, hold_again_ms; /* no other batch until then, for a stream alone */
 	ow_wait_t *queue; /* sorted by turn */
 	unsigned nqueue, queue_cap;
 	ow_step_t step;
@@ -76,6 +77,8 @@
 /** Can a stream at this place of the queue give its first token by then? */
 bool ow_room_makes(const ow_t *w, unsigned place, deadline_t deadline, int64_t now_ms);
 int64_t ow_room_retry_ms(const ow_t *w, unsigned place);
+/** May a stream that runs alone start? If not, other batch holds off for a while. */
+bool ow_room_alone(ow_t *w, int64_t now_ms);
 /** Batch streams that may start. */
 unsigned ow_room_batch(const ow_t *w, int64_t now_ms);
 
--- a/src/policy/ow_room.c
+++ b/src/policy/ow_room.c
@@ -17,6 +17,8 @@
 #define RETRY_MIN_MS	 50
 #define RETRY_MAX_MS	 30000
 #define RETRY_UNKNOWN_MS 200
+#define ALONE_HOLD_MS	 2000
+#define ALONE_PAUSE_MS	 4000 /* from the end of one hold to the next */
 #define QUANTILE_STEP	 0.95
 
 static void mean_add(double *mean, double value)
@@ -179,6 +181,21 @@
 	}
 }
 
+bool ow_room_alone(ow_t *w, int64_t now_ms)
+{
+	if (w->closed || w->nqueue > 0)
+		return false;
+	if (w->nrun == 0) {
+		w->hold_until_ms = 0;
+		return true;
+	}
+	if (!w->alone && now_ms >= w->hold_again_ms) {
+		w->hold_until_ms = now_ms + ALONE_HOLD_MS;
+		w->hold_again_ms = w->hold_until_ms + ALONE_PAUSE_MS;
+	}
+	return false;
+}
+
 unsigned ow_room_batch(const ow_t *w, int64_t now_ms)
 {
 	unsigned used = w->nrun + kept_slots(w);
@@ -186,6 +203,8 @@
 	unsigned cap = (unsigned)w->step.batch_cap;
 	unsigned room;
 
+	if (now_ms < w->hold_until_ms)
+		return 0;
 	if (w->closed || w->alone || w->nqueue > 0 || used >= w->o.slots || batch >= cap)
 		return 0;
 	room = w->o.slots - used;
--- a/src/policy/tb.c
+++ b/src/policy/tb.c
@@ -32,7 +32,7 @@
 		return;
 	t->last_ms = now_ms;
 	/* One thousandth of a token a ms for each token a second. */
-	if (t->milli >= full || (rate_per_s > 0 && passed >= (full - t->milli) / rate_per_s + 1))
+	if (rate_per_s > 0 && passed >= (full - t->milli) / rate_per_s + 1)
 		t->milli = full;
 	else
 		t->milli += passed * rate_per_s;
