Entry: the process that answers callers and owns replicas, first version

Cause: callers had no process to talk to. This is the whole path: filters from listening to the reply, replica owners, engine client, batch leases, forwarding, orders, operators' calls, planned stop.

--- /dev/null
+++ b/src/entry/ad.c
@@ -0,0 +1,80 @@
+#include "entry/ad.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <uthash.h>
+
+#define CALLERS_MAX 20000
+
+typedef struct {
+	uint64_t service;
+	int64_t running;
+	UT_hash_handle hh;
+} count_t;
+
+struct ad {
+	pthread_mutex_t lock;
+	tb_map_t *buckets;
+	count_t *counts;
+};
+
+ad_t *ad_new(void)
+{
+	ad_t *a = mem_new(sizeof(*a));
+
+	pthread_mutex_init(&a->lock, NULL);
+	a->buckets = tb_map_new(CALLERS_MAX);
+	return a;
+}
+
+bool ad_rate(ad_t *a, str_t caller, const tx_limit_t *limit, int64_t *retry_after_ms)
+{
+	int64_t now = clk_now_ms();
+	bool ok;
+
+	pthread_mutex_lock(&a->lock);
+	ok = tb_take(tb_map_get(a->buckets, str_hash(caller), now), limit->rate_per_s, limit->burst,
+		     now, retry_after_ms);
+	pthread_mutex_unlock(&a->lock);
+	return ok;
+}
+
+static count_t *count_of(ad_t *a, str_t service)
+{
+	uint64_t h = str_hash(service);
+	count_t *c;
+
+	HASH_FIND(hh, a->counts, &h, sizeof(h), c);
+	if (!c) {
+		c = mem_new(sizeof(*c));
+		c->service = h;
+		HASH_ADD(hh, a->counts, service, sizeof(c->service), c);
+	}
+	return c;
+}
+
+bool ad_enter(ad_t *a, str_t service, int64_t bound, unsigned entries)
+{
+	int64_t share = entries ? (bound + entries - 1) / entries : bound;
+	count_t *c;
+	bool ok;
+
+	pthread_mutex_lock(&a->lock);
+	c = count_of(a, service);
+	ok = bound == 0 || c->running < share;
+	if (ok)
+		c->running++;
+	pthread_mutex_unlock(&a->lock);
+	return ok;
+}
+
+void ad_leave(ad_t *a, str_t service)
+{
+	count_t *c;
+
+	pthread_mutex_lock(&a->lock);
+	c = count_of(a, service);
+	assert(c->running > 0);
+	c->running--;
+	pthread_mutex_unlock(&a->lock);
+}
--- /dev/null
+++ b/src/entry/fi_accept.c
@@ -0,0 +1,146 @@
+#include "entry/fi.h"
+
+#include <stdlib.h>
+#include "base/lg.h"
+#include "base/mx.h"
+#include "entry/lc.h"
+#include "entry/rk.h"
+
+#define ACCEPT_MS	     3000
+#define IN_PROGRESS_RETRY_MS 1000
+#define TIMEOUT_RETRY_MS     1000
+
+static status_t accept_call(fi_call_t *c, aw_ledger_res_t *res)
+{
+	char trace[TR_PARENT_BYTES];
+	tr_span_t sp;
+	status_t st;
+	lc_accept_t a = {.caller = c->caller,
+			 .key = str_c(c->key),
+			 .digest = c->digest,
+			 .service = str_c(c->service->name),
+			 .repeatable = c->service->kind == TX_ENGINE || c->service->repeatable,
+			 .deadline_wall_ms = clk_wall_ms() + clk_left_ms(c->deadline),
+			 .path = c->path,
+			 .body = hs_body(c->req)};
+
+	tr_parent(&c->span, trace);
+	a.trace = str_c(trace);
+	tr_begin(&sp, "accept", a.trace);
+	st = lc_accept(c->en, &a, res, clk_now_ms() + ACCEPT_MS);
+	tr_end(&sp, a.key, st_name(st));
+	return st;
+}
+
+typedef struct {
+	en_t *en;
+	char *caller;
+	char *key;
+} abandon_t;
+
+static void *abandon_thread(void *arg)
+{
+	abandon_t *a = arg;
+	AUTO_BUF result = {0};
+	lc_finish_t f = {.caller = str_c(a->caller),
+			 .key = str_c(a->key),
+			 .verdict = VERDICT_NOT_RUN,
+			 .http_status = 503};
+
+	lc_error_json(&result, "accept_timeout", STR("the acceptance was not confirmed in time"),
+		      VERDICT_NOT_RUN, TIMEOUT_RETRY_MS);
+	f.result = str_buf(&result);
+	lc_finish(a->en, &f);
+	rk_drop(f.caller, f.key);
+	atomic_fetch_sub(&a->en->requests, 1);
+	free(a->caller);
+	free(a->key);
+	free(a);
+	return NULL;
+}
+
+/* The record may be there: it is ended as not run, which is true, so that nobody runs it later. */
+static void abandon(fi_call_t *c)
+{
+	abandon_t *a = mem_new(sizeof(*a));
+	pthread_t t;
+
+	a->en = c->en;
+	a->caller = str_dup(c->caller);
+	a->key = str_dup(str_c(c->key));
+	c->registered = false;
+	atomic_fetch_add(&c->en->requests, 1);
+	if (pthread_create(&t, NULL, abandon_thread, a) != 0)
+		abort();
+	pthread_detach(t);
+}
+
+/* A stored result, in the shape that was asked for. */
+static void replay_done(fi_call_t *c, str_t result)
+{
+	json_t *j = json_loadb(result.p, result.n, 0, NULL);
+	bool stream = json_is_true(json_object_get(c->json, "stream"));
+	json_t *text = json_object_get(j, "text");
+	AUTO_BUF b = {0};
+
+	if (c->service->kind == TX_ENGINE && stream && json_is_string(text)) {
+		buf_add(&b, STR("data: {\"id\":"));
+		buf_add_json(&b, str_c(c->key));
+		buf_add(&b, STR(",\"index\":0,\"choices\":[{\"index\":0,\"text\":"));
+		buf_add_json(&b, (str_t){json_string_value(text), json_string_length(text)});
+		buf_add(&b, STR("}]}\n\ndata: [DONE]\n\n"));
+		hs_reply(c->res, 200, "text/event-stream", str_buf(&b));
+	} else {
+		hs_json(c->res, 200, result);
+	}
+	json_decref(j);
+}
+
+static void replay(fi_call_t *c, const aw_record_t *r)
+{
+	lg(LG_INFO, "replayed", LG_C("key", c->key), LG_I("state", r->state),
+	   LG_I("status", r->http_status));
+	MX_COUNT("auburn_replayed_total");
+	u_map_put(c->res->map_header, "X-Auburn-Replay", "1");
+	if (r->state == AW_DONE)
+		replay_done(c, px_str(r->result));
+	else
+		hs_error_json(c->res, r->http_status ? r->http_status : 503, px_str(r->result),
+			      r->verdict == VERDICT_NOT_RUN ? IN_PROGRESS_RETRY_MS : 0);
+	tr_end(&c->span, str_c(c->key), "replayed");
+}
+
+static void judge(fi_call_t *c, const aw_ledger_res_t *res, const fi_step_t *next)
+{
+	const aw_record_t *r = &res->record;
+	bool own = r->session == en_session(c->en->snap);
+
+	if (res->status == ST_CONFLICT) {
+		fi_refuse(c, 409, "key_conflict", STR("the key stands for another request"), 0);
+	} else if (res->status != ST_OK) {
+		fi_refuse(c, 503, "ledger", px_str(res->message), TIMEOUT_RETRY_MS);
+	} else if (r->state == AW_ACCEPTED && (r->fresh || own)) {
+		fi_next(c, next);
+	} else if (r->state == AW_ACCEPTED || r->state == AW_ATTEMPTED) {
+		hs_error(c->res, 409, "in_progress", STR("this key is being worked on"),
+			 VERDICT_MAY_HAVE_RUN, IN_PROGRESS_RETRY_MS);
+		tr_end(&c->span, str_c(c->key), "in_progress");
+	} else {
+		replay(c, r);
+	}
+}
+
+void fi_accept(fi_call_t *c, const fi_step_t *next)
+{
+	aw_ledger_res_t res = {0};
+	status_t st = accept_call(c, &res);
+
+	if (st == ST_OK) {
+		judge(c, &res, next);
+	} else {
+		if (st != ST_UNAVAILABLE)
+			abandon(c);
+		fi_refuse(c, 503, "ledger_unreachable", str_c(st_message()), TIMEOUT_RETRY_MS);
+	}
+	px_free(PX(aw_ledger_res_t), &res);
+}
--- /dev/null
+++ b/src/entry/fi_idempotency.c
@@ -0,0 +1,56 @@
+#include "entry/fi.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include "entry/rk.h"
+
+#define IN_PROGRESS_RETRY_MS 1000
+
+static bool take_key(fi_call_t *c)
+{
+	str_t key = hs_header(c->req, "Idempotency-Key");
+
+	if (key.n >= sizeof(c->key)) {
+		fi_refuse(c, 400, "bad_key", STR("Idempotency-Key is too long"), 0);
+		return false;
+	}
+	if (key.n == 0 && c->service->kind == TX_PLAIN && !c->service->repeatable) {
+		fi_refuse(c, 400, "key_required",
+			  STR("a call that may not be repeated needs an Idempotency-Key"), 0);
+		return false;
+	}
+	if (key.n == 0)
+		snprintf(c->key, sizeof(c->key), "made-%016" PRIx64 "%016" PRIx64, en_random(),
+			 en_random());
+	else
+		snprintf(c->key, sizeof(c->key), "%.*s", STR_ARG(key));
+	return true;
+}
+
+/* Digest of all that makes the request what it is. */
+static uint64_t digest(const fi_call_t *c)
+{
+	AUTO_BUF b = {0};
+
+	buf_add(&b, str_c(c->service->name));
+	buf_addc(&b, 0);
+	buf_add(&b, c->path);
+	buf_addc(&b, 0);
+	buf_add(&b, hs_body(c->req));
+	return str_hash(str_buf(&b));
+}
+
+void fi_idempotency(fi_call_t *c, const fi_step_t *next)
+{
+	if (!take_key(c))
+		return;
+	u_map_put(c->res->map_header, "Idempotency-Key", c->key);
+	c->digest = digest(c);
+	if (!rk_hold(c->caller, str_c(c->key))) {
+		hs_error(c->res, 409, "in_progress", STR("this key is being worked on"),
+			 VERDICT_MAY_HAVE_RUN, IN_PROGRESS_RETRY_MS);
+		return;
+	}
+	c->registered = true;
+	fi_next(c, next);
+}
--- /dev/null
+++ b/src/entry/hs.c
@@ -0,0 +1,184 @@
+#include "entry/hs.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/mx.h"
+#include "base/rp.h"
+
+#define HEADER_MAX_BYTES   (64 << 10)
+#define IDLE_TIMEOUT_S	   60
+#define THREAD_STACK_BYTES (512 << 10)
+#define BEARER		   "Bearer "
+#define MS_PER_S	   1000
+
+static struct _u_instance instance;
+
+static int not_found(const struct _u_request *req, struct _u_response *res, void *en)
+{
+	return hs_error(res, 404, "no_such_path", str_c(req->url_path), VERDICT_NOT_RUN, 0);
+}
+
+status_t hs_start(en_t *en, const hs_route_t *routes)
+{
+	struct sockaddr_in addr = {.sin_family = AF_INET};
+	char ip[64];
+	unsigned port;
+	unsigned flags = MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD |
+			 MHD_USE_POLL | MHD_USE_ITC;
+	struct MHD_OptionItem options[] = {
+		{MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)mhd_request_completed, NULL},
+		{MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)ulfius_uri_logger, NULL},
+		{MHD_OPTION_SOCK_ADDR, 0, &addr},
+		{MHD_OPTION_CONNECTION_LIMIT, (intptr_t)en->set.max_connections, NULL},
+		{MHD_OPTION_CONNECTION_MEMORY_LIMIT, HEADER_MAX_BYTES, NULL},
+		{MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S, NULL},
+		{MHD_OPTION_THREAD_STACK_SIZE, THREAD_STACK_BYTES, NULL},
+		{MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, NULL},
+		{MHD_OPTION_END, 0, NULL}};
+
+	if (rp_split_addr(en->set.listen, ip, &port) != ST_OK ||
+	    inet_pton(AF_INET, ip, &addr.sin_addr) != 1)
+		return st_fail(ST_INVALID, "listen: \"%s\" is not ip:port", en->set.listen);
+	addr.sin_port = htons((uint16_t)port);
+	if (ulfius_init_instance(&instance, port, &addr, NULL) != U_OK)
+		return st_fail(ST_IO, "the HTTP server can't be made");
+	instance.max_post_body_size = (size_t)en->set.max_body_bytes;
+	instance.check_utf8 = 0;
+	instance.allowed_post_processor = U_POST_PROCESS_NONE;
+	for (; routes->method; routes++)
+		ulfius_add_endpoint_by_val(&instance, routes->method, routes->path, NULL, 0,
+					   routes->handler, en);
+	ulfius_set_default_endpoint(&instance, not_found, en);
+	if (ulfius_start_framework_with_mhd_options(&instance, flags, options) != U_OK)
+		return st_fail(ST_IO, "can't listen on %s: %s", en->set.listen, strerror(errno));
+	return ST_OK;
+}
+
+void hs_stop(void)
+{
+	ulfius_stop_framework(&instance);
+	ulfius_clean_instance(&instance);
+}
+
+str_t hs_header(const struct _u_request *req, const char *name)
+{
+	return str_c(u_map_get_case(req->map_header, name));
+}
+
+str_t hs_param(const struct _u_request *req, const char *name)
+{
+	return str_c(u_map_get(req->map_url, name));
+}
+
+int64_t hs_int(str_t s, int64_t other)
+{
+	char *end;
+	long long v;
+
+	if (s.n == 0)
+		return other;
+	errno = 0;
+	v = strtoll(s.p, &end, 10);
+	return errno || *end ? other : v;
+}
+
+str_t hs_body(const struct _u_request *req)
+{
+	return (str_t){req->binary_body ? req->binary_body : "", req->binary_body_length};
+}
+
+int hs_reply(struct _u_response *res, int status, const char *type, str_t body)
+{
+	ulfius_set_binary_body_response(res, (unsigned)status, body.p, body.n);
+	u_map_put(res->map_header, "Content-Type", type);
+	return U_CALLBACK_COMPLETE;
+}
+
+int hs_json(struct _u_response *res, int status, str_t body)
+{
+	return hs_reply(res, status, "application/json", body);
+}
+
+int hs_error_json(struct _u_response *res, int status, str_t body, int64_t retry_after_ms)
+{
+	char seconds[24];
+
+	if (retry_after_ms > 0) {
+		snprintf(seconds, sizeof(seconds), "%lld",
+			 (long long)(retry_after_ms + MS_PER_S - 1) / MS_PER_S);
+		u_map_put(res->map_header, "Retry-After", seconds);
+	}
+	MX_COUNT("auburn_error_replies_total");
+	return hs_json(res, status, body);
+}
+
+int hs_error(struct _u_response *res, int status, const char *code, str_t message,
+	     verdict_t verdict, int64_t retry_after_ms)
+{
+	AUTO_BUF b = {0};
+
+	buf_addf(&b, "{\"error\":{\"code\":\"%s\",\"message\":", code);
+	buf_add_json(&b, message);
+	buf_addf(&b, ",\"verdict\":\"%s\",\"retry_after_ms\":%lld}}", verdict_name(verdict),
+		 (long long)retry_after_ms);
+	return hs_error_json(res, status, str_buf(&b), retry_after_ms);
+}
+
+/* Compares with every key, so that the time taken tells nothing. */
+static bool identify(const en_identity_t *ids, size_t n, str_t key, str_t *name)
+{
+	bool found = false;
+
+	for (size_t i = 0; i < n; i++) {
+		if (!str_eq_secret(str_c(ids[i].key), key))
+			continue;
+		*name = str_c(ids[i].name);
+		found = true;
+	}
+	return found;
+}
+
+static str_t bearer(const struct _u_request *req)
+{
+	str_t h = hs_header(req, "Authorization");
+	str_t prefix = STR(BEARER);
+
+	if (!str_starts(h, prefix))
+		return STR("");
+	return (str_t){h.p + prefix.n, h.n - prefix.n};
+}
+
+static bool refuse_key(struct _u_response *res)
+{
+	u_map_put(res->map_header, "WWW-Authenticate", "Bearer");
+	hs_error(res, 401, "bad_key", STR("no or unknown bearer key"), VERDICT_NOT_RUN, 0);
+	return false;
+}
+
+bool hs_caller(en_t *en, const struct _u_request *req, struct _u_response *res, str_t *name)
+{
+	return identify(en->set.callers, en->set.ncallers, bearer(req), name) || refuse_key(res);
+}
+
+bool hs_operator(en_t *en, const struct _u_request *req, struct _u_response *res, str_t *name)
+{
+	return identify(en->set.operators, en->set.noperators, bearer(req), name) ||
+	       refuse_key(res);
+}
+
+bool hs_body_fits(en_t *en, const struct _u_request *req, struct _u_response *res)
+{
+	str_t declared = hs_header(req, "Content-Length");
+
+	if (hs_int(declared, 0) <= en->set.max_body_bytes &&
+	    (declared.n == 0 || hs_int(declared, -1) >= 0) &&
+	    (int64_t)req->binary_body_length <= en->set.max_body_bytes)
+		return true;
+	hs_error(res, 413, "body_too_large", STR("the body is over max_body_bytes"),
+		 VERDICT_NOT_RUN, 0);
+	return false;
+}
--- /dev/null
+++ b/src/entry/ir_cancel.c
@@ -0,0 +1,88 @@
+#include "entry/ir.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include "base/mx.h"
+#include "entry/bj.h"
+
+#define URL_BYTES 128
+#define ASK_MS	  1000
+
+int ir_cancel(const struct _u_request *req, struct _u_response *res, void *ctx)
+{
+	en_t *en = ctx;
+	str_t body = hs_body(req);
+	json_t *j = json_loadb(body.p, body.n, 0, NULL);
+	const char *caller = json_string_value(json_object_get(j, "caller"));
+	const char *job = json_string_value(json_object_get(j, "job"));
+	AUTO_VIEW *v = en_view_get(en->snap);
+	uint64_t session = (uint64_t)json_integer_value(json_object_get(j, "session"));
+
+	if (caller && job && v && en_member(&v->view, session)) {
+		bj_cancel(en->batch, str_c(caller), str_c(job));
+		hs_json(res, 200, STR("{\"ok\":true}"));
+	} else {
+		hs_error(res, 403, "not_a_member", STR("not from a member"), VERDICT_NOT_RUN, 0);
+	}
+	json_decref(j);
+	return U_CALLBACK_COMPLETE;
+}
+
+typedef struct {
+	pthread_mutex_t lock;
+	pthread_cond_t cond;
+	unsigned left;
+} asked_t;
+
+static void on_answer(void *ctx, const ec_end_t *end)
+{
+	asked_t *a = ctx;
+
+	if (end->kind != EC_FINISHED)
+		MX_COUNT("auburn_cancel_broadcasts_failed_total");
+	pthread_mutex_lock(&a->lock);
+	a->left--;
+	pthread_cond_signal(&a->cond);
+	pthread_mutex_unlock(&a->lock);
+}
+
+static void ask(en_t *en, const aw_member_t *m, str_t body, asked_t *a)
+{
+	static const char *const headers[] = {"Content-Type: application/json", NULL};
+	char url[URL_BYTES];
+	const ec_options_t o = {.method = "POST",
+				.url = url,
+				.headers = headers,
+				.body = body,
+				.deadline = clk_now_ms() + ASK_MS,
+				.ctx = a,
+				.end = on_answer};
+
+	snprintf(url, sizeof(url), "http://%.*s/internal/v1/cancel", STR_ARG(px_str(m->addr)));
+	pthread_mutex_lock(&a->lock);
+	a->left++;
+	pthread_mutex_unlock(&a->lock);
+	ec_start(en->ec, &o);
+}
+
+void ir_cancel_everywhere(en_t *en, str_t caller, str_t job)
+{
+	AUTO_VIEW *v = en_view_get(en->snap);
+	asked_t a = {PTHREAD_MUTEX_INITIALIZER, PTHREAD_COND_INITIALIZER, 0};
+	AUTO_BUF body = {0};
+
+	bj_cancel(en->batch, caller, job);
+	buf_addf(&body, "{\"session\":%llu,\"caller\":", (unsigned long long)en_session(en->snap));
+	buf_add_json(&body, caller);
+	buf_add(&body, STR(",\"job\":"));
+	buf_add_json(&body, job);
+	buf_addc(&body, '}');
+	for (u_int i = 0; v && i < v->view.members.members_len; i++)
+		if (v->view.members.members_val[i].session != en_session(en->snap))
+			ask(en, &v->view.members.members_val[i], str_buf(&body), &a);
+	pthread_mutex_lock(&a.lock);
+	while (a.left)
+		pthread_cond_wait(&a.cond, &a.lock);
+	pthread_mutex_unlock(&a.lock);
+}
--- /dev/null
+++ b/src/entry/main.c
@@ -0,0 +1,156 @@
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include "base/lg.h"
+#include "base/mx.h"
+#include "entry/aa.h"
+#include "entry/ad.h"
+#include "entry/bj.h"
+#include "entry/bt.h"
+#include "entry/en.h"
+#include "entry/en_drain.h"
+#include "entry/fi.h"
+#include "entry/ir.h"
+#include "entry/jb.h"
+#include "entry/lx.h"
+#include "entry/oc.h"
+#include "entry/pr.h"
+#include "entry/sv.h"
+#include "entry/up.h"
+
+enum { EXIT_USAGE = 1, EXIT_SETTINGS = 2, EXIT_PORT = 3 };
+
+static en_t en;
+
+uint64_t en_random(void)
+{
+	uint64_t v;
+
+	randombytes_buf(&v, sizeof(v));
+	return v;
+}
+
+static int on_completion(const struct _u_request *req, struct _u_response *res, void *ctx)
+{
+	static const fi_step_t chain[] = {{fi_identify},    {fi_leased}, {fi_match_model},
+					  {fi_idempotency}, {fi_admit},	 {fi_accept},
+					  {fi_complete},    {NULL}};
+
+	return fi_run(ctx, req, res, "entry", chain);
+}
+
+static int on_plain(const struct _u_request *req, struct _u_response *res, void *ctx)
+{
+	static const fi_step_t chain[] = {{fi_identify},    {fi_leased}, {fi_match_plain},
+					  {fi_idempotency}, {fi_admit},	 {fi_accept},
+					  {fi_plain},	    {NULL}};
+
+	return fi_run(ctx, req, res, "entry", chain);
+}
+
+static const hs_route_t ROUTES[] = {{"GET", "/v1/addresses", aa_get},
+				    {"POST", "/v1/completions", on_completion},
+				    {"GET", "/v1/requests/:key", jb_request},
+				    {"POST", "/v1/services/:service/*", on_plain},
+				    {"POST", "/v1/jobs", jb_post},
+				    {"GET", "/v1/jobs", jb_list},
+				    {"GET", "/v1/jobs/:id", jb_get},
+				    {"GET", "/v1/jobs/:id/results", jb_results},
+				    {"DELETE", "/v1/jobs/:id", jb_delete},
+				    {"GET", "/v1/config", oc_get},
+				    {"PUT", "/v1/config", oc_put},
+				    {"POST", "/v1/config/check", oc_check},
+				    {"GET", "/v1/status", sv_status},
+				    {"GET", "/v1/events", sv_events},
+				    {"GET", "/metrics", sv_metrics},
+				    {"GET", "/healthz", sv_healthz},
+				    {"GET", "/readyz", sv_readyz},
+				    {"POST", "/internal/v1/run", ir_post},
+				    {"POST", "/internal/v1/cancel", ir_cancel},
+				    {NULL, NULL, NULL}};
+
+static int fail(int code)
+{
+	fprintf(stderr, "auburn-entry: %s\n", st_message());
+	return code;
+}
+
+static int serve(void)
+{
+	sigset_t stop;
+	int sig;
+
+	sigemptyset(&stop);
+	sigaddset(&stop, SIGTERM);
+	sigaddset(&stop, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &stop, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	lg_open(en.set.name, LG_INFO);
+	en.boot = en_random();
+	en.cc = cc_new((const char *const *)en.set.controls.v, en.set.controls.n,
+		       (unsigned)en.set.ledger_groups);
+	en.snap = en_snap_new();
+	en.ec = ec_new();
+	en.ups = up_new(&en);
+	en.admission = ad_new();
+	if (lx_start(&en) != ST_OK || hs_start(&en, ROUTES) != ST_OK)
+		return fail(EXIT_PORT);
+	en.batch = bj_start(&en);
+	bt_start(&en);
+	pr_start(&en);
+	lg(LG_INFO, "entry_started", LG_C("listen", en.set.listen), LG_C("peer", en.set.peer));
+	sigwait(&stop, &sig);
+	en_drain(&en);
+	hs_stop();
+	lg(LG_INFO, "entry_stopped", LG_I("signal", sig));
+	return 0;
+}
+
+static int load_and_serve(const char *path, bool check)
+{
+	status_t st = en_settings_load(path, &en.set);
+	int code;
+
+	if (st != ST_OK)
+		return fail(EXIT_SETTINGS);
+	if (check)
+		return puts("settings are valid") < 0;
+	code = serve();
+	/* Detached threads still use what they were given; the process ends here. */
+	fflush(NULL);
+	_exit(code);
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "show this help");
+	struct arg_lit *version = arg_lit0(NULL, "version", "show the version");
+	struct arg_lit *check = arg_lit0(NULL, "check", "read the settings, start nothing");
+	struct arg_file *config = arg_file0("c", "config", "FILE", "settings (TOML)");
+	struct arg_end *end = arg_end(4);
+	void *table[] = {help, version, check, config, end};
+	int errors = arg_parse(argc, argv, table);
+	int code = 0;
+
+	if (sodium_init() < 0)
+		return EXIT_USAGE;
+	if (help->count > 0) {
+		printf("Usage: auburn-entry");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-20s %s\n");
+		printf("Exit codes: 0 stopped, 1 usage, 2 settings, 3 address in use.\n");
+	} else if (version->count > 0) {
+		printf("auburn-entry %s\n", EN_VERSION);
+	} else if (errors || config->count == 0) {
+		arg_print_errors(stderr, end, "auburn-entry");
+		fprintf(stderr, "auburn-entry: needs --config FILE, see --help\n");
+		code = EXIT_USAGE;
+	} else {
+		code = load_and_serve(config->filename[0], check->count > 0);
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return code;
+}
--- /dev/null
+++ b/src/entry/pr_orders.c
@@ -0,0 +1,95 @@
+#include "entry/pr.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include "base/lg.h"
+#include "base/mx.h"
+
+#define URL_BYTES     256
+#define ORDER_MS      1000
+#define MS_PER_MIN    60000
+#define HTTP_CONFLICT 409
+
+static bool same(json_t *v, const char *want)
+{
+	const char *have = json_is_string(v) ? json_string_value(v) : "";
+
+	return strcmp(have, want ? want : "") == 0;
+}
+
+static bool listed(json_t *list, const tx_service_t *s)
+{
+	for (size_t i = 0; i < json_array_size(list); i++) {
+		json_t *m = json_array_get(list, i);
+
+		if (same(json_object_get(m, "model"), s->model) &&
+		    same(json_object_get(m, "version"), s->version) &&
+		    same(json_object_get(m, "adapter"), s->adapter))
+			return true;
+	}
+	return false;
+}
+
+/* This entry's part of the weight store's rate. */
+static bool load_allowed(en_t *en, const en_conf_t *c)
+{
+	static deadline_t next; /* used by the probe thread only */
+	AUTO_VIEW *v = en_view_get(en->snap);
+	int64_t entries = v && v->view.members.members_len ? v->view.members.members_len : 1;
+	int64_t rate = c->text->weight_loads_per_min;
+
+	if (rate <= 0)
+		return true;
+	if (clk_now_ms() < next)
+		return false;
+	next = clk_now_ms() + MS_PER_MIN * entries / rate;
+	return true;
+}
+
+static void write_order(buf_t *b, const up_info_t *info, const tx_service_t *s)
+{
+	buf_addf(b, "{\"fence\":%" PRIu64 ",\"op\":\"load\",\"model\":", info->fence);
+	buf_add_json(b, str_c(s->model));
+	buf_add(b, STR(",\"version\":"));
+	buf_add_json(b, str_c(s->version));
+	buf_add(b, STR(",\"adapter\":"));
+	buf_add_json(b, str_c(s->adapter));
+	buf_addc(b, '}');
+}
+
+static void order(en_t *en, const up_info_t *info, const tx_service_t *s)
+{
+	static const char *const headers[] = {"Content-Type: application/json", NULL};
+	char url[URL_BYTES];
+	AUTO_BUF body = {0};
+	int status = 0;
+	ec_options_t o = {.method = "POST",
+			  .url = url,
+			  .headers = headers,
+			  .fresh = true,
+			  .deadline = clk_now_ms() + ORDER_MS};
+
+	snprintf(url, sizeof(url), "http://%s/v1/orders", info->addr);
+	write_order(&body, info, s);
+	o.body = str_buf(&body);
+	ec_call(en->ec, &o, &status, NULL);
+	lg(LG_INFO, "order_sent", LG_C("upstream", info->id), LG_I("fence", info->fence),
+	   LG_C("model", s->model), LG_C("version", s->version ? s->version : ""),
+	   LG_I("status", status));
+	MX_COUNT("auburn_orders_total");
+	if (status == HTTP_CONFLICT)
+		atomic_store(&en->view_wanted, true);
+}
+
+void pr_orders(en_t *en, const up_info_t *info, const en_conf_t *c, const tx_service_t *s,
+	       pr_replica_t *r)
+{
+	json_t *j = pr_get(en, info->addr, "/v1/state");
+	bool wanted = j && !listed(json_object_get(j, "loaded"), s) &&
+		      !listed(json_object_get(j, "loading"), s);
+
+	json_decref(j);
+	if (wanted && en_lease_valid(en->snap) && load_allowed(en, c))
+		order(en, info, s);
+}
--- /dev/null
+++ b/src/entry/rk.c
@@ -0,0 +1,55 @@
+#include "entry/rk.h"
+
+#include <assert.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <uthash.h>
+
+typedef struct {
+	char *name;
+	UT_hash_handle hh;
+} held_t;
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static held_t *held;
+
+static void name_of(buf_t *b, str_t caller, str_t key)
+{
+	buf_add(b, caller);
+	buf_addc(b, 0);
+	buf_add(b, key);
+}
+
+bool rk_hold(str_t caller, str_t key)
+{
+	AUTO_BUF name = {0};
+	held_t *h;
+	bool ok;
+
+	name_of(&name, caller, key);
+	pthread_mutex_lock(&lock);
+	HASH_FIND(hh, held, name.p, name.n, h);
+	ok = h == NULL;
+	if (ok) {
+		h = mem_new(sizeof(*h));
+		h->name = str_dup(str_buf(&name));
+		HASH_ADD_KEYPTR(hh, held, h->name, name.n, h);
+	}
+	pthread_mutex_unlock(&lock);
+	return ok;
+}
+
+void rk_drop(str_t caller, str_t key)
+{
+	AUTO_BUF name = {0};
+	held_t *h;
+
+	name_of(&name, caller, key);
+	pthread_mutex_lock(&lock);
+	HASH_FIND(hh, held, name.p, name.n, h);
+	assert(h);
+	HASH_DEL(held, h);
+	pthread_mutex_unlock(&lock);
+	free(h->name);
+	free(h);
+}
--- /dev/null
+++ b/src/entry/rq.c
@@ -0,0 +1,417 @@
+#include "entry/rq.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/lg.h"
+#include "base/mx.h"
+#include "entry/ad.h"
+#include "entry/dp.h"
+#include "entry/lc.h"
+#include "entry/rk.h"
+#include "policy/rt.h"
+
+#define TRIES_MAX      8
+#define LOST_MAX       3 /* replicas that a request may lose before it is given up */
+#define REFUSED_MAX    3 /* owners that say it can't make its deadline */
+#define NONE_PAUSE_MS  20
+#define RESUME_WAIT_MS 30000 /* for a replica to resume on, once tokens were given */
+#define THREAD_STACK   (256 << 10)
+#define FAIL_RETRY_MS  1000
+
+struct rq {
+	atomic_int refs;
+	en_t *en;
+	char *caller;
+	char *key;
+	char *service;
+	char *model;
+	char *prompt;
+	size_t prompt_n;
+	unsigned max_tokens;
+	deadline_t deadline;
+	tr_span_t span;
+	char trace[TR_PARENT_BYTES];
+	pthread_mutex_t lock; /* guards all below */
+	pthread_cond_t cond;
+	unsigned attempt; /* number of the attempt whose tokens count */
+	bool attempt_ended;
+	rn_kind_t end_kind;
+	int64_t end_retry_after_ms;
+	buf_t end_message;
+	unsigned ntokens;
+	buf_t text;
+	buf_t out; /* events not yet read */
+	bool ended;
+	rq_outcome_t outcome;
+	buf_t message;
+	buf_t result;
+	/* used by the running thread only */
+	up_t *tried[TRIES_MAX];
+	size_t ntried;
+	int lost;
+	int refused;
+};
+
+/* The sink of one attempt; late callbacks of a dropped attempt find another number and are lost. */
+typedef struct {
+	rq_t *r;
+	unsigned attempt;
+} attempt_t;
+
+static rq_t *rq_ref(rq_t *r)
+{
+	atomic_fetch_add(&r->refs, 1);
+	return r;
+}
+
+void rq_unref(rq_t *r)
+{
+	if (atomic_fetch_sub(&r->refs, 1) != 1)
+		return;
+	free(r->caller);
+	free(r->key);
+	free(r->service);
+	free(r->model);
+	free(r->prompt);
+	buf_free(&r->end_message);
+	buf_free(&r->text);
+	buf_free(&r->out);
+	buf_free(&r->message);
+	buf_free(&r->result);
+	pthread_cond_destroy(&r->cond);
+	pthread_mutex_destroy(&r->lock);
+	free(r);
+}
+
+static void add_event(rq_t *r, unsigned index, str_t text)
+{
+	buf_add(&r->out, STR("data: {\"id\":"));
+	buf_add_json(&r->out, str_c(r->key));
+	buf_addf(&r->out, ",\"index\":%u,\"choices\":[{\"index\":0,\"text\":", index);
+	buf_add_json(&r->out, text);
+	buf_add(&r->out, STR("}]}\n\n"));
+}
+
+static void on_token(void *ctx, unsigned index, str_t text)
+{
+	attempt_t *a = ctx;
+	rq_t *r = a->r;
+
+	pthread_mutex_lock(&r->lock);
+	if (a->attempt != r->attempt || r->attempt_ended || index != r->ntokens) {
+		MX_COUNT("auburn_late_tokens_dropped_total");
+	} else {
+		r->ntokens++;
+		buf_add(&r->text, text);
+		add_event(r, index, text);
+		pthread_cond_broadcast(&r->cond);
+	}
+	pthread_mutex_unlock(&r->lock);
+}
+
+static void on_end(void *ctx, const rn_end_t *end)
+{
+	attempt_t *a = ctx;
+	rq_t *r = a->r;
+
+	pthread_mutex_lock(&r->lock);
+	if (a->attempt == r->attempt) {
+		r->attempt_ended = true;
+		r->end_kind = end->kind;
+		r->end_retry_after_ms = end->retry_after_ms;
+		buf_free(&r->end_message);
+		buf_add(&r->end_message, end->message);
+		pthread_cond_broadcast(&r->cond);
+	}
+	pthread_mutex_unlock(&r->lock);
+	rq_unref(r);
+	free(a);
+}
+
+static void run_attempt(rq_t *r, const up_choice_t *c)
+{
+	attempt_t *a = mem_new(sizeof(*a));
+	rn_sink_t sink = {a, on_token, on_end};
+	rn_work_t w = {.cls = OW_ONLINE,
+		       .deadline = r->deadline,
+		       .max_tokens = r->max_tokens,
+		       .caller = str_c(r->caller),
+		       .key = str_c(r->key),
+		       .service = str_c(r->service),
+		       .model = str_c(r->model),
+		       .prompt = {r->prompt, r->prompt_n},
+		       .trace = str_c(r->trace)};
+	dp_handle_t h;
+
+	pthread_mutex_lock(&r->lock);
+	r->attempt++;
+	r->attempt_ended = false;
+	w.resume_from = r->ntokens;
+	if (r->ntokens)
+		w.deadline = clk_now_ms() + RESUME_WAIT_MS;
+	pthread_mutex_unlock(&r->lock);
+	*a = (attempt_t){rq_ref(r), r->attempt};
+	if (w.resume_from) {
+		lg(LG_INFO, "resumed", LG_C("key", r->key), LG_C("upstream", c->id),
+		   LG_I("from", w.resume_from));
+		MX_COUNT("auburn_resumed_total");
+	}
+	dp_start(r->en, c, &w, &sink, &h);
+	pthread_mutex_lock(&r->lock);
+	while (!r->attempt_ended)
+		pthread_cond_wait(&r->cond, &r->lock);
+	pthread_mutex_unlock(&r->lock);
+	dp_release(&h);
+}
+
+static void set_outcome(rq_t *r, int http_status, verdict_t verdict, const char *code,
+			str_t message, int64_t retry_after_ms)
+{
+	buf_free(&r->message);
+	buf_add(&r->message, message);
+	r->outcome = (rq_outcome_t){.ok = code == NULL,
+				    .http_status = http_status,
+				    .verdict = verdict,
+				    .code = code,
+				    .retry_after_ms = retry_after_ms};
+}
+
+static void fail_unplaced(rq_t *r, str_t message, int64_t retry_after_ms)
+{
+	verdict_t v = r->ntokens || r->lost ? VERDICT_MAY_HAVE_RUN : VERDICT_NOT_RUN;
+
+	set_outcome(r, 503, v, "no_replica", message,
+		    retry_after_ms > 0 ? retry_after_ms : FAIL_RETRY_MS);
+}
+
+/* Time until which a replica is looked for. */
+static deadline_t place_deadline(const rq_t *r, deadline_t lost_at)
+{
+	return r->ntokens ? lost_at + RESUME_WAIT_MS : r->deadline;
+}
+
+static bool pick(rq_t *r, up_choice_t *c, deadline_t until)
+{
+	while (!up_pick(r->en->ups, str_c(r->service), (str_t){r->prompt, r->prompt_n}, r->tried,
+			r->ntried, c)) {
+		if (clk_now_ms() >= until)
+			return false;
+		r->ntried = 0; /* all have been tried: once more, after a pause */
+		clk_sleep_ms(NONE_PAUSE_MS);
+	}
+	return true;
+}
+
+/* True if the request goes on with another attempt. */
+static bool judge(rq_t *r, const up_choice_t *c)
+{
+	lg(LG_INFO, "retried", LG_C("key", r->key), LG_C("upstream", c->id),
+	   LG_C("ended", rn_kind_name(r->end_kind)), LG_I("tokens", r->ntokens),
+	   LG_S("message", str_buf(&r->end_message)));
+	if (r->ntried == TRIES_MAX)
+		r->ntried = 0;
+	r->tried[r->ntried++] = c->up;
+	switch (r->end_kind) {
+	case RN_REJECTED:
+		set_outcome(r, 422, VERDICT_NOT_RUN, "rejected", str_buf(&r->end_message), 0);
+		return false;
+	case RN_REFUSED:
+		r->refused += r->end_retry_after_ms > 0;
+		if (r->refused < REFUSED_MAX || r->ntokens)
+			return true;
+		fail_unplaced(r, str_buf(&r->end_message), r->end_retry_after_ms);
+		return false;
+	case RN_UNREACHED:
+	case RN_PREEMPTED:
+	case RN_CANCELLED:
+		return true;
+	default:
+		break;
+	}
+	if (++r->lost < LOST_MAX)
+		return lc_retry(r->en, str_c(r->service));
+	set_outcome(r, 502, VERDICT_MAY_HAVE_RUN, "replicas_lost", str_buf(&r->end_message), 0);
+	return false;
+}
+
+static void run_attempts(rq_t *r)
+{
+	deadline_t lost_at = clk_now_ms();
+	up_choice_t c;
+
+	for (;;) {
+		deadline_t until = place_deadline(r, lost_at);
+		bool more;
+
+		if (!pick(r, &c, until)) {
+			fail_unplaced(r, STR("no replica can take it before its deadline"),
+				      r->end_retry_after_ms);
+			return;
+		}
+		run_attempt(r, &c);
+		lost_at = clk_now_ms();
+		if (r->end_kind == RN_DONE) {
+			ro_unref(c.ro);
+			assert(r->ntokens == r->max_tokens);
+			set_outcome(r, 200, VERDICT_RAN, NULL, STR(""), 0);
+			return;
+		}
+		more = judge(r, &c);
+		ro_unref(c.ro);
+		if (!more) {
+			if (!r->outcome.code)
+				fail_unplaced(r, STR("the retry budget is used up"), FAIL_RETRY_MS);
+			return;
+		}
+		if (r->end_kind == RN_REFUSED && clk_now_ms() >= place_deadline(r, lost_at)) {
+			fail_unplaced(r, str_buf(&r->end_message), r->end_retry_after_ms);
+			return;
+		}
+	}
+}
+
+static void write_result(rq_t *r)
+{
+	if (!r->outcome.ok) {
+		lc_error_json(&r->result, r->outcome.code, str_buf(&r->message), r->outcome.verdict,
+			      r->outcome.retry_after_ms);
+		return;
+	}
+	buf_add(&r->result, STR("{\"id\":"));
+	buf_add_json(&r->result, str_c(r->key));
+	buf_add(&r->result, STR(",\"text\":"));
+	buf_add_json(&r->result, str_buf(&r->text));
+	buf_addf(&r->result, ",\"tokens\":%u,\"verdict\":\"ran\"}", r->ntokens);
+}
+
+static void add_last_event(rq_t *r)
+{
+	if (r->outcome.ok) {
+		buf_add(&r->out, STR("data: [DONE]\n\n"));
+		return;
+	}
+	buf_add(&r->out, STR("event: error\ndata: "));
+	buf_add(&r->out, str_buf(&r->result));
+	buf_add(&r->out, STR("\n\n"));
+}
+
+static void commit(rq_t *r)
+{
+	const lc_finish_t f = {.caller = str_c(r->caller),
+			       .key = str_c(r->key),
+			       .done = r->outcome.ok,
+			       .verdict = r->outcome.verdict,
+			       .http_status = r->outcome.http_status,
+			       .result = str_buf(&r->result)};
+
+	if (lc_finish(r->en, &f) == ST_OK)
+		return;
+	lg(LG_ERROR, "result_not_committed", LG_C("key", r->key), LG_C("message", st_message()));
+	if (!r->outcome.ok)
+		return;
+	set_outcome(r, 503, VERDICT_MAY_HAVE_RUN, "result_not_committed",
+		    STR("the result could not be stored yet: ask again under the same key"),
+		    FAIL_RETRY_MS);
+	buf_free(&r->result);
+	write_result(r);
+}
+
+static void *run_thread(void *arg)
+{
+	rq_t *r = arg;
+
+	run_attempts(r);
+	write_result(r);
+	commit(r);
+	pthread_mutex_lock(&r->lock);
+	r->outcome.message = str_buf(&r->message);
+	r->outcome.result = str_buf(&r->result);
+	add_last_event(r);
+	r->ended = true;
+	pthread_cond_broadcast(&r->cond);
+	pthread_mutex_unlock(&r->lock);
+	tr_end(&r->span, str_c(r->key), r->outcome.ok ? "done" : r->outcome.code);
+	rk_drop(str_c(r->caller), str_c(r->key));
+	ad_leave(r->en->admission, str_c(r->service));
+	atomic_fetch_sub(&r->en->requests, 1);
+	rq_unref(r);
+	return NULL;
+}
+
+rq_t *rq_start(const rq_options_t *o)
+{
+	rq_t *r = mem_new(sizeof(*r));
+	pthread_attr_t attr;
+	pthread_t t;
+
+	atomic_init(&r->refs, 2);
+	r->en = o->en;
+	r->caller = str_dup(o->caller);
+	r->key = str_dup(o->key);
+	r->service = str_dup(o->service);
+	r->model = str_dup(o->model);
+	r->prompt = str_dup(o->prompt);
+	r->prompt_n = o->prompt.n;
+	r->max_tokens = o->max_tokens;
+	r->deadline = o->deadline;
+	r->span = *o->span;
+	tr_parent(&r->span, r->trace);
+	pthread_mutex_init(&r->lock, NULL);
+	pthread_cond_init(&r->cond, NULL);
+	atomic_fetch_add(&r->en->requests, 1);
+	pthread_attr_init(&attr);
+	pthread_attr_setdetachstate(&attr, PTHREAD_CREATE_DETACHED);
+	pthread_attr_setstacksize(&attr, THREAD_STACK);
+	if (pthread_create(&t, &attr, run_thread, r) != 0)
+		abort();
+	pthread_attr_destroy(&attr);
+	return r;
+}
+
+void rq_open(rq_t *r)
+{
+	atomic_fetch_add(&r->en->streams, 1);
+}
+
+void rq_close(rq_t *r)
+{
+	atomic_fetch_sub(&r->en->streams, 1);
+	rq_unref(r);
+}
+
+bool rq_wait_first(rq_t *r)
+{
+	bool any;
+
+	pthread_mutex_lock(&r->lock);
+	while (!r->ended && r->ntokens == 0)
+		pthread_cond_wait(&r->cond, &r->lock);
+	any = r->ntokens > 0;
+	pthread_mutex_unlock(&r->lock);
+	return any;
+}
+
+size_t rq_read(rq_t *r, char *out, size_t max)
+{
+	size_t n;
+
+	pthread_mutex_lock(&r->lock);
+	while (!r->ended && r->out.n == 0)
+		pthread_cond_wait(&r->cond, &r->lock);
+	n = r->out.n < max ? r->out.n : max;
+	if (n)
+		memcpy(out, r->out.p, n);
+	buf_drop(&r->out, n);
+	pthread_mutex_unlock(&r->lock);
+	return n;
+}
+
+void rq_wait_end(rq_t *r, rq_outcome_t *out)
+{
+	pthread_mutex_lock(&r->lock);
+	while (!r->ended)
+		pthread_cond_wait(&r->cond, &r->lock);
+	*out = r->outcome;
+	pthread_mutex_unlock(&r->lock);
+}
