--- a/src/base/lg.c
+++ b/src/base/lg.c
@@ -3,6 +3,7 @@
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 #include <log4c.h>
 #include "base/clk.h"
 #include "base/mx.h"
@@ -29,6 +30,16 @@
 
 static const log4c_layout_type_t bare_type = {.name = "auburn_line", .format = format_bare};
 
+/* log4c's stream types put the appender's name before each line. */
+static int append_line(log4c_appender_t *appender, const log4c_logging_event_t *e)
+{
+	str_t line = str_c(e->evt_rendered_msg);
+
+	return write(STDERR_FILENO, line.p, line.n) == (ssize_t)line.n ? 0 : -1;
+}
+
+static const log4c_appender_type_t line_type = {.name = "auburn_line", .append = append_line};
+
 void lg_open(const char *process, lg_level_t level)
 {
 	log4c_layout_t *layout;
@@ -40,7 +51,9 @@
 	log4c_layout_type_set(&bare_type);
 	layout = log4c_layout_get("auburn_line");
 	log4c_layout_set_type(layout, &bare_type);
-	appender = log4c_appender_get("stderr");
+	log4c_appender_type_set(&line_type);
+	appender = log4c_appender_get("auburn_stderr");
+	log4c_appender_set_type(appender, &line_type);
 	log4c_appender_set_layout(appender, layout);
 	category = log4c_category_get("auburn");
 	log4c_category_set_appender(category, appender);
