--- a/src/entry/en_settings.c
+++ b/src/entry/en_settings.c
@@ -21,16 +21,16 @@
 	int value;
 } choice_t;
 
-static const choice_t WAYS[] = {{"owner", EN_OWNER},
+static const choice_t ways[] = {{"owner", EN_OWNER},
 				{"alone", EN_ALONE},
 				{"alone_cancel", EN_ALONE_CANCEL},
 				{"split", EN_SPLIT},
 				{NULL, 0}};
-static const choice_t PREEMPTS[] = {{"none", OW_PREEMPT_NONE},
+static const choice_t preempts[] = {{"none", OW_PREEMPT_NONE},
 				    {"cancel", OW_PREEMPT_CANCEL},
 				    {"resume", OW_PREEMPT_RESUME},
 				    {NULL, 0}};
-static const choice_t KEEPS[] = {
+static const choice_t keeps[] = {
 	{"none", OW_KEEP_NONE}, {"fixed", OW_KEEP_FIXED}, {"peak", OW_KEEP_PEAK}, {NULL, 0}};
 
 static status_t choose(const cf_t *c, const cf_table_t *t, const char *key, const char *value,
@@ -64,11 +64,11 @@
 	if (t)
 		st = cf_read(c, t, keys, NULL);
 	if (st == ST_OK && t)
-		st = choose(c, t, "way", way, WAYS, &value[0]);
+		st = choose(c, t, "way", way, ways, &value[0]);
 	if (st == ST_OK && t)
-		st = choose(c, t, "preempt", preempt, PREEMPTS, &value[1]);
+		st = choose(c, t, "preempt", preempt, preempts, &value[1]);
 	if (st == ST_OK && t)
-		st = choose(c, t, "keep", keep, KEEPS, &value[2]);
+		st = choose(c, t, "keep", keep, keeps, &value[2]);
 	s->way = (en_way_t)value[0];
 	s->preempt = (ow_preempt_t)value[1];
 	s->keep = (ow_keep_t)value[2];
--- a/src/entry/ir.c
+++ b/src/entry/ir.c
@@ -179,8 +179,11 @@
 	rn_sink_t sink = {r, on_token, on_end};
 	rn_end_t end = {RN_REFUSED, 0, STR("the owner takes no more")};
 
-	if (ro_offer(ro, w, &sink, &r->id, &end.retry_after_ms) == OW_REFUSED)
-		on_end(r, &end);
+	if (ro_offer(ro, w, &sink, &r->id, &end.retry_after_ms) == OW_REFUSED) {
+		write_end(&r->out, &end);
+		r->ended = true;
+		atomic_store(&r->refs, 1); /* the replica holds none */
+	}
 	u_map_put(res->map_header, "Content-Type", "text/event-stream");
 	ulfius_set_stream_response(res, 200, read_stream, free_stream, U_STREAM_SIZE_UNKNOWN,
 				   BLOCK_BYTES, r);
--- a/src/entry/jb.c
+++ b/src/entry/jb.c
@@ -68,7 +68,7 @@
 static void list(en_t *en, struct _u_response *res, const aw_query_t *q, u_int max)
 {
 	aw_query_res_t *r = mem_new((cc_groups(en->cc) + 1) * sizeof(*r));
-	aw_job_t *jobs = NULL;
+	aw_job_t *jobs = mem_new(sizeof(*jobs));
 	u_int n = 0;
 	bool ok = true;
 	AUTO_BUF b = {0};
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -51,7 +51,7 @@
 	return fi_run(ctx, req, res, "entry", chain);
 }
 
-static const hs_route_t ROUTES[] = {{"GET", "/v1/addresses", aa_get},
+static const hs_route_t routes[] = {{"GET", "/v1/addresses", aa_get},
 				    {"POST", "/v1/completions", on_completion},
 				    {"GET", "/v1/requests/:key", jb_request},
 				    {"POST", "/v1/services/:service/*", on_plain},
@@ -96,7 +96,7 @@
 	en.ec = ec_new();
 	en.ups = up_new(&en);
 	en.admission = ad_new();
-	if (lx_start(&en) != ST_OK || hs_start(&en, ROUTES) != ST_OK)
+	if (lx_start(&en) != ST_OK || hs_start(&en, routes) != ST_OK)
 		return fail(EXIT_PORT);
 	en.batch = bj_start(&en);
 	bt_start(&en);
--- a/src/entry/ro.c
+++ b/src/entry/ro.c
@@ -92,6 +92,7 @@
 
 	bool failed;
 
+	ro_ref(r); /* the stream's own reference ends with it */
 	pthread_mutex_lock(&r->lock);
 	if (s->stopping && (kind == RN_LOST || kind == RN_STALLED))
 		kind = s->stop_kind;
@@ -104,6 +105,7 @@
 	unlock(r);
 	if (failed)
 		r->health(r->ctx, false);
+	ro_unref(r);
 }
 
 static void start(void *ctx, uint64_t id)
--- a/src/entry/up.c
+++ b/src/entry/up.c
@@ -46,7 +46,7 @@
 	pthread_mutex_init(&u->lock, NULL);
 	rt_breaker_init(&u->breaker);
 	pthread_rwlock_wrlock(&t->lock);
-	t->v = mem_grow(t->v, (t->n + 1) * sizeof(*t->v));
+	t->v = mem_grow(t->v, (t->n + 1) * sizeof(up_t *));
 	t->v[t->n++] = u;
 	pthread_rwlock_unlock(&t->lock);
 	return u;
