--- a/src/entry/en_settings.c
+++ b/src/entry/en_settings.c
@@ -12,6 +12,7 @@
 #define MAX_ITEMS_LIMIT	  540000
 #define MAX_CONNECTIONS	  2000
 #define CONNECTIONS_LIMIT 60000
+#define CONTROLS_MAX	  16
 #define GROUPS_MAX	  64
 #define NAME_MAX_BYTES	  128
 #define KEY_MIN_BYTES	  8
@@ -115,7 +116,7 @@
 		{"zone", CF_STR, true, 1, NAME_MAX_BYTES, &s->zone},
 		{"listen", CF_STR, true, 1, NAME_MAX_BYTES, &s->listen},
 		{"peer", CF_STR, true, 1, NAME_MAX_BYTES, &s->peer},
-		{"controls", CF_STRS, true, 0, 0, &s->controls},
+		{"controls", CF_STRS, true, 1, CONTROLS_MAX, &s->controls},
 		{"ledger_groups", CF_INT, false, 1, GROUPS_MAX, &s->ledger_groups},
 		{"address_ttl_ms", CF_INT, false, 0, ADDRESS_TTL_MAX, &s->address_ttl_ms},
 		{"max_body_bytes", CF_INT, false, 1, MAX_BODY_LIMIT, &s->max_body_bytes},
@@ -130,9 +131,6 @@
 		st = check_addr(c, "peer", s->peer);
 	for (size_t i = 0; st == ST_OK && i < s->controls.n; i++)
 		st = check_addr(c, "controls", s->controls.v[i]);
-	if (st == ST_OK && s->controls.n == 0)
-		st = st_fail(ST_INVALID, "%s:%d: controls: names no address", cf_name(c),
-			     cf_line(cf_root(c), "controls"));
 	return st;
 }
 
--- a/src/entry/ro.c
+++ b/src/entry/ro.c
@@ -49,9 +49,22 @@
 	DL_APPEND(r->ended, s);
 }
 
+static void drop_refs(ro_t *r, int n)
+{
+	if (atomic_fetch_sub(&r->refs, n) != n)
+		return;
+	assert(!r->streams && !r->ended);
+	ow_free(r->ow);
+	pthread_mutex_destroy(&r->lock);
+	free(r->id);
+	free(r->addr);
+	free(r);
+}
+
 /* Tells the sinks of streams that ended under the lock, which it gives back. */
 static void unlock(ro_t *r)
 {
+	int n = 0;
 	ro_stream_t *list = r->ended;
 	ro_stream_t *s;
 	ro_stream_t *next;
@@ -65,8 +78,10 @@
 		tr_end(&s->span, str_c(s->key), rn_kind_name(s->kind));
 		s->sink.end(s->sink.ctx, &end);
 		ro_stream_free(s);
-		ro_unref(r);
+		n++;
 	}
+	if (n)
+		drop_refs(r, n);
 }
 
 static void on_token(void *ctx, ro_stream_t *s, unsigned index, str_t text)
@@ -211,14 +226,8 @@
 
 void ro_unref(ro_t *r)
 {
-	if (!r || atomic_fetch_sub(&r->refs, 1) != 1)
-		return;
-	assert(!r->streams && !r->ended);
-	ow_free(r->ow);
-	pthread_mutex_destroy(&r->lock);
-	free(r->id);
-	free(r->addr);
-	free(r);
+	if (r)
+		drop_refs(r, 1);
 }
 
 void ro_update(ro_t *r, const ow_options_t *policy, int64_t stall_ms)
