--- a/src/control/cn_http.c
+++ b/src/control/cn_http.c
@@ -1,13 +1,38 @@
 #include <arpa/inet.h>
+#include <stdio.h>
 #include <ulfius.h>
 #include "base/mx.h"
 #include "base/rp.h"
 #include "control/cn.h"
 
+static void set_gauge(const char *name, unsigned group, int64_t v)
+{
+	char label[32];
+
+	snprintf(label, sizeof(label), "group=\"%u\"", group);
+	mx_set(mx_get(MX_GAUGE, name, label), v);
+}
+
+static void set_group_gauges(cn_t *cn)
+{
+	for (unsigned n = 0; cn->ready && n < cn->ngroups; n++) {
+		gr_status_t st;
+
+		gr_status(cn->groups[n].gr, &st);
+		set_gauge("auburn_group_leader", n, st.leader);
+		set_gauge("auburn_group_term", n, (int64_t)st.term);
+		set_gauge("auburn_group_applied", n, (int64_t)st.applied);
+		set_gauge("auburn_group_commit", n, (int64_t)st.commit);
+		set_gauge("auburn_group_syncs", n, (int64_t)st.syncs);
+		set_gauge("auburn_group_sync_us", n, (int64_t)st.sync_us);
+	}
+}
+
 static int on_metrics(const struct _u_request *req, struct _u_response *res, void *ctx)
 {
 	AUTO_BUF b = {0};
 
+	set_group_gauges(ctx);
 	mx_render(&b);
 	ulfius_set_binary_body_response(res, 200, b.p, b.n);
 	u_map_put(res->map_header, "Content-Type", "text/plain; version=0.0.4");
--- a/tests/proc/fleet.py
+++ b/tests/proc/fleet.py
@@ -118,6 +118,12 @@
     return texts, done, error
 
 
+def sse_text(body):
+    """The whole answer of an event stream."""
+    texts = sse_texts(body)[0]
+    return "".join(t for i in sorted(texts) for t in texts[i])
+
+
 class Proc:
     """One process with its settings file and log."""
 
