--- /dev/null
+++ b/tests/proc/test_cut.py
@@ -0,0 +1,109 @@
+"""A control process that is cut off silently or frozen for longer than every lease, then comes back."""
+import unittest
+
+import fleet as fl
+
+LEASE_S = 2
+
+
+def max_term(f):
+    return max(g["term"] for c in f.control_status().values() for g in c.get("groups", []) if g["group"] == 0)
+
+
+def numbers(f):
+    return [f.status(i)["conf_number"] for i in range(len(f.entries))]
+
+
+class Cut(unittest.TestCase):
+    def index_of_leader(self, f):
+        leader = fl.wait_for("a leader", f.leader)
+        return f.controls.index(leader)
+
+    def submit_elsewhere(self, f, number):
+        text = f.text + "\n# number %d\n" % number
+        self.assertEqual(f.submit(number, text)[0], 200)
+        return text
+
+    def test_leader_cut_off_silently_for_longer_than_every_lease(self):
+        with fl.Fleet(entries=3) as f:
+            for i in range(3):
+                f.route_control(i)
+            # The last entry knows one control process only, past its relay: it stands on the cut-off side.
+            f.start()
+            cut = self.index_of_leader(f)
+            term = max_term(f)
+            f.cut(cut)
+            text = self.submit_elsewhere(f, 2)
+            f.wait_in_force(2)
+            # The cut-off side: an entry that reaches only the cut-off process.
+            alone = f.make_entry(7, {"controls": [f.controls[cut].settings["listen"]]})
+            alone.start()
+            addr = alone.settings["listen"]
+            fl.wait_for("the entry alone", lambda: fl.call(addr, "GET", "/healthz")[0] == 200)
+            f.procs.append(alone)
+            status, headers, body = fl.call(addr, "POST", "/v1/completions",
+                                            '{"model":"sammandrag-llm","prompt":"x","max_tokens":2}',
+                                            fl.bearer(fl.CALLER_KEY, "cut-1"))
+            self.assertEqual(status, 503, body)
+            self.assertIn(b'"not_run"', body)
+            self.assertIn("Retry-After", headers)
+            status, _, body = fl.call(addr, "PUT", "/v1/config?number=3", f.text, fl.bearer(fl.OPERATOR_KEY))
+            self.assertEqual(status, 503, body)
+            status, _, body = fl.call(addr, "GET", "/v1/config", headers=fl.bearer(fl.OPERATOR_KEY))
+            self.assertEqual(status, 503, body)
+            # Longer than every lease: another leader has long been there and goes on.
+            for n in range(3, 8):
+                text = self.submit_elsewhere(f, n)
+            before = max_term(f)
+            f.heal(cut)
+            fl.wait_for("the cut-off process to catch up", lambda: all(
+                c["conf_number"] == 7 for c in f.control_status().values()) and len(f.control_status()) == 3)
+            self.assertLessEqual(max_term(f), before + 1)
+            self.assertLessEqual(before, term + 3)
+            f.wait_in_force(7)
+            self.assertEqual(numbers(f), [7, 7, 7])
+            self.assertEqual(fl.get_json(f.addr(1), "/v1/config", fl.bearer(fl.OPERATOR_KEY))["text"], text)
+
+    def test_leader_frozen_for_longer_than_its_lease_then_wakes(self):
+        with fl.Fleet() as f:
+            f.start()
+            leader = f.controls[self.index_of_leader(f)]
+            term = max_term(f)
+            leader.freeze()
+            for n in range(2, 6):
+                text = self.submit_elsewhere(f, n)
+            f.wait_in_force(5)
+            self.assertEqual(f.complete("during", "x", 4)[0], 200)
+            leader.thaw()
+            for i in range(3):
+                self.assertEqual(fl.get_json(f.addr(i), "/v1/config", fl.bearer(fl.OPERATOR_KEY))["text"], text)
+            fl.wait_for("the frozen one to catch up", lambda: [
+                c["conf_number"] for c in f.control_status().values()] == [5, 5, 5])
+            f.wait_in_force(5)
+            self.assertEqual(numbers(f), [5, 5, 5])
+            self.assertLessEqual(max_term(f), term + 4)
+            self.assertEqual(f.complete("after", "x", 4)[0], 200)
+
+    def test_entry_without_a_lease_takes_no_new_work(self):
+        with fl.Fleet(entries=2) as f:
+            relays = [f.relay("er%d" % i, f.net + "%d:7200" % (230 + i), a) for i, a in enumerate(f.control_addrs)]
+            f.entries[1].settings["controls"] = [r.settings["listen"] for r in relays]
+            f.start()
+            self.assertEqual(f.complete("a", "x", 2, entry=1)[0], 200)
+            for r in relays:
+                f.relay_mode(r, "cut")
+            status, headers, body = fl.wait_for("a refusal for want of a lease", lambda: (
+                lambda a: a if a[0] == 503 and f.addr(0).encode() in a[2] else None)(f.complete("b", "x", 2, entry=1)))
+            self.assertIn(b'"not_run"', body)
+            self.assertIn("Retry-After", headers)
+            fl.wait_for("its replicas to go to the other", lambda: all(
+                u["owned_here"] for u in f.status(0)["upstreams"] if u["service"] == "sammandrag-llm"))
+            self.assertEqual(f.submit(2, f.text + "\n# two\n")[0], 200)
+            for r in relays:
+                f.relay_mode(r, "pass")
+            fl.wait_for("the new number", lambda: f.status(1)["conf_number"] == 2)
+            fl.wait_for("an answer", lambda: f.complete("b", "x", 2, entry=1)[0] == 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
