--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 OPT      ?= -O2 -g
 SAN      ?=
 WARN     := -Wall -Wextra -Werror -Wshadow -Wno-unused-parameter
-CPPFLAGS += -D_GNU_SOURCE -Isrc -I$(B)/gen $(shell pkg-config --cflags libtirpc)
+CPPFLAGS += -D_GNU_SOURCE -Isrc -I. -I$(B)/gen $(shell pkg-config --cflags libtirpc)
 CFLAGS   += -std=gnu11 $(OPT) $(SAN) $(WARN) -pthread
 CXXFLAGS += -std=c++17 $(OPT) $(SAN) -Wall -Wextra -Werror -fno-exceptions -fno-rtti -pthread
 LDLIBS   := -lulfius -lorcania -lyder -lmicrohttpd -lcurl -ljansson -largtable2 -llog4c -lxxhash \
@@ -68,6 +68,10 @@
 	$(link)
 $(TOOLS): $(B)/bin/auburn-%: $(B)/obj/tools/%.o $(LIB)
 	$(link)
+# The randomised run of the log's core is shared by its tool and its test.
+SIM      := $(patsubst %.c,$(B)/obj/%.o,$(wildcard tests/unit/sim*.c))
+$(B)/bin/auburn-core-random $(B)/test/test_raft: $(SIM)
+$(B)/bin/auburn-core-random $(B)/test/test_raft: LDLIBS := $(LIB) $(LDLIBS)
 $(B)/test/%: $(B)/obj/tests/unit/%.o $(LIB)
 	@mkdir -p $(@D); $(CC) $(CFLAGS) -o $@ $^ -lcheck -lsubunit -lrt $(LDLIBS)
 
--- a/src/raft/rf_conf.c
+++ b/src/raft/rf_conf.c
@@ -58,6 +58,14 @@
 	return ST_OK;
 }
 
+/* Refuses members of whom a majority of voters is silent: they couldn't commit their own entry. */
+static status_t check_live(const rf_t *r, const rf_conf_t *conf)
+{
+	if (rf_lead_has_live_majority(r, conf))
+		return ST_OK;
+	return st_fail(ST_LIMIT, "no majority of these voters has answered lately");
+}
+
 static uint64_t propose_conf(rf_t *r, const rf_conf_t *conf)
 {
 	AUTO_BUF b = {0};
@@ -111,6 +119,9 @@
 		return st_fail(ST_LIMIT, "the learner has synced %lu of %lu",
 			       (unsigned long)r->progress[at].match, (unsigned long)r->commit);
 	conf.peers[at].voter = true;
+	st = check_live(r, &conf);
+	if (st != ST_OK)
+		return st;
 	*index = propose_conf(r, &conf);
 	return ST_OK;
 }
@@ -139,6 +150,9 @@
 		return st_fail(ST_INVALID, "the last voter can't be removed");
 	conf.n--;
 	memmove(&conf.peers[at], &conf.peers[at + 1], (conf.n - (unsigned)at) * sizeof(gr_peer_t));
+	st = check_live(r, &conf);
+	if (st != ST_OK)
+		return st;
 	*index = propose_conf(r, &conf);
 	return ST_OK;
 }
--- a/src/raft/rf_follow.c
+++ b/src/raft/rf_follow.c
@@ -18,6 +18,7 @@
 	r->term_leader = m->from;
 	r->leader = m->from;
 	r->role = RF_FOLLOWER;
+	r->asked = false;
 	rf_reset_timeout(r);
 }
 
@@ -130,6 +131,20 @@
 	r->cb.persist_reset(r->cb.ctx, r->next_seq, m->index, m->log_term);
 }
 
+/* True when the log has the snapshot's last entry, and so all before it. What follows may have been
+ * acknowledged and must stay. */
+static bool holds_entry(rf_t *r, uint64_t index, uint64_t term)
+{
+	if (index <= r->commit)
+		return true;
+	if (index > rf_last(r) || rf_term_at(r, index) != term)
+		return false;
+	if (r->verified < index)
+		r->verified = index;
+	rf_log_commit(r, index);
+	return true;
+}
+
 void rf_handle_snap(rf_t *r, const rf_msg_t *m)
 {
 	rf_chunk_t c = {.index = m->index,
@@ -141,7 +156,7 @@
 	rf_conf_t conf;
 
 	hear_leader(r, m);
-	if (m->index <= r->commit) {
+	if (holds_entry(r, m->index, m->log_term)) {
 		answer(r);
 		return;
 	}
--- a/src/raft/rf_int.h
+++ b/src/raft/rf_int.h
@@ -19,7 +19,7 @@
 	uint64_t round; /* newest read round it answered */
 	uint64_t round_sent;
 	rf_flow_t flow;
-	bool recent; /* answered since the last quorum check */
+	unsigned silent_ticks; /* since it last answered */
 	bool probing; /* a probe is under way */
 	uint64_t inflight[RF_INFLIGHT_MAX]; /* last index of each unanswered append */
 	unsigned inflight_head;
@@ -54,7 +54,7 @@
 	uint64_t vote;
 	uint64_t leader; /* 0: unknown */
 	uint64_t term_leader; /* whoever was seen to lead in this term */
-	unsigned elapsed; /* ticks since the leader was heard, or since the last quorum check */
+	unsigned elapsed; /* ticks since the leader was heard */
 	unsigned timeout;
 	unsigned heartbeat_elapsed;
 
@@ -83,6 +83,7 @@
 	uint64_t votes[GR_PEERS_MAX];
 	unsigned nvotes;
 	bool self_vote;
+	bool asked; /* a candidate with an older log counts this replica as a voter */
 
 	rf_progress_t progress[GR_PEERS_MAX]; /* parallel to conf.peers */
 	uint64_t term_start; /* index of the leader's first entry */
@@ -146,6 +147,8 @@
 void rf_handle_snap_resp(rf_t *r, const rf_msg_t *m);
 bool rf_quorum(const rf_t *r, bool (*has)(const rf_t *r, unsigned i, uint64_t arg), uint64_t arg);
 
+bool rf_lead_has_live_majority(const rf_t *r, const rf_conf_t *conf);
+
 /* rf_send.c */
 void rf_send_append(rf_t *r, rf_progress_t *p, bool heartbeat);
 void rf_send_chunk(rf_t *r, rf_progress_t *p);
--- a/src/raft/rf_lead.c
+++ b/src/raft/rf_lead.c
@@ -76,18 +76,27 @@
 	rf_flush(r);
 }
 
-static bool was_heard(const rf_t *r, unsigned i, uint64_t unused)
+static bool is_live(const rf_t *r, uint64_t id)
 {
-	return r->conf.peers[i].id == r->self || r->progress[i].recent;
+	int at = rf_conf_find(&r->conf, id);
+
+	if (id == r->self)
+		return true;
+	return at >= 0 && r->progress[at].silent_ticks < r->election_ticks;
 }
 
-static bool check_quorum(rf_t *r)
+bool rf_lead_has_live_majority(const rf_t *r, const rf_conf_t *conf)
 {
-	bool ok = rf_quorum(r, was_heard, 0);
+	unsigned voters = 0;
+	unsigned live = 0;
 
-	for (unsigned i = 0; i < r->conf.n; i++)
-		r->progress[i].recent = false;
-	return ok;
+	for (unsigned i = 0; i < conf->n; i++) {
+		if (!conf->peers[i].voter)
+			continue;
+		voters++;
+		live += is_live(r, conf->peers[i].id);
+	}
+	return live > voters / 2;
 }
 
 static void tick_peers(rf_t *r, bool heartbeat)
@@ -97,6 +106,7 @@
 
 		if (p->id == r->self)
 			continue;
+		p->silent_ticks++;
 		if (p->flow == RF_SNAPSHOT && ++p->snap_wait_ticks >= r->election_ticks)
 			p->snap_sent = false;
 		if (!heartbeat)
@@ -110,12 +120,10 @@
 {
 	bool heartbeat = ++r->heartbeat_elapsed >= r->heartbeat_ticks;
 
-	if (++r->elapsed >= r->election_ticks) {
-		r->elapsed = 0;
-		if (!check_quorum(r)) {
-			rf_become_follower(r, r->term, 0);
-			return;
-		}
+	/* Check-quorum: without a majority, another leader may be at work already. */
+	if (!rf_lead_has_live_majority(r, &r->conf)) {
+		rf_become_follower(r, r->term, 0);
+		return;
 	}
 	if (r->transfer_to && ++r->transfer_ticks >= r->election_ticks)
 		r->transfer_to = 0;
@@ -231,7 +239,7 @@
 
 	if (r->role != RF_LEADER || !p)
 		return;
-	p->recent = true;
+	p->silent_ticks = 0;
 	p->round = max_u64(p->round, m->round);
 	if (m->reject) {
 		handle_reject(r, p, m);
@@ -243,6 +251,7 @@
 	pop_inflight(p);
 	if (p->flow == RF_PROBE || (p->flow == RF_SNAPSHOT && p->match >= p->snap_index)) {
 		p->flow = RF_REPLICATE;
+		p->probing = false;
 		p->next = p->match + 1;
 		p->inflight_n = 0;
 	}
@@ -261,7 +270,7 @@
 
 	if (r->role != RF_LEADER || !p)
 		return;
-	p->recent = true;
+	p->silent_ticks = 0;
 	if (p->flow != RF_SNAPSHOT || m->index != p->snap_index)
 		return;
 	p->snap_offset = m->hint;
@@ -272,7 +281,7 @@
 bool rf_sending_snapshot(const rf_t *r)
 {
 	for (unsigned i = 0; i < r->conf.n && r->role == RF_LEADER; i++) {
-		if (r->progress[i].flow == RF_SNAPSHOT && r->progress[i].recent)
+		if (r->progress[i].flow == RF_SNAPSHOT && is_live(r, r->progress[i].id))
 			return true;
 	}
 	return false;
--- a/src/raft/rf_vote.c
+++ b/src/raft/rf_vote.c
@@ -10,11 +10,26 @@
 	return r->leader != 0 && r->elapsed < r->election_ticks;
 }
 
-static bool is_voter(const rf_t *r)
+static bool conf_has_voter(const rf_conf_t *c, uint64_t id)
 {
-	int at = rf_conf_find(&r->conf, r->self);
+	int at = rf_conf_find(c, id);
 
-	return at >= 0 && r->conf.peers[at].voter;
+	return at >= 0 && c->peers[at].voter;
+}
+
+/* A voter whose removal isn't committed may be the only one that can still commit it. Likewise a
+ * learner, whose promotion it hasn't seen, may be the only one who can win: its votes are counted
+ * by the members that its own log names, so that a win is as safe as any. */
+static bool may_campaign(const rf_t *r)
+{
+	rf_conf_t committed;
+
+	if (conf_has_voter(&r->conf, r->self) || r->asked)
+		return true;
+	if (r->conf_index <= r->commit)
+		return false;
+	rf_conf_at(r, r->commit, &committed);
+	return conf_has_voter(&committed, r->self);
 }
 
 static bool voted_for_us(const rf_t *r, unsigned i, uint64_t unused)
@@ -42,7 +57,7 @@
 
 void rf_start_prevote(rf_t *r)
 {
-	if (!is_voter(r))
+	if (!may_campaign(r))
 		return;
 	r->role = RF_PRECANDIDATE;
 	r->nvotes = 0;
@@ -55,7 +70,7 @@
 
 void rf_campaign(rf_t *r, bool force)
 {
-	if (!is_voter(r))
+	if (!may_campaign(r))
 		return;
 	rf_set_hard(r, r->term + 1, r->self);
 	r->verified = r->commit;
@@ -89,6 +104,7 @@
 	rf_msg_t resp = {.type = RF_PREVOTE_RESP};
 
 	resp.reject = m->term <= r->term || rf_has_lease(r) || !log_is_current(r, m);
+	r->asked |= m->term > r->term && !rf_has_lease(r) && !log_is_current(r, m);
 	resp.term = resp.reject ? r->term : m->term;
 	rf_send(r, &resp, m->from);
 }
--- /dev/null
+++ b/tests/unit/sim.c
@@ -0,0 +1,415 @@
+/* The randomised run itself: callers, faults, repairs, and the calm at the end. */
+#include "sim.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CALM_STEPS     4000
+#define DELIVERIES_MAX 8
+
+static bool chance(sim_t *s, unsigned per_mille)
+{
+	return sim_random(s, 1000) < per_mille;
+}
+
+static sim_node_t *any_node(sim_t *s)
+{
+	return &s->nodes[sim_random(s, SIM_SLOTS)];
+}
+
+/* A running replica that believes to lead, or NULL. */
+static sim_node_t *any_leader(sim_t *s)
+{
+	unsigned start = (unsigned)sim_random(s, SIM_SLOTS);
+
+	for (unsigned i = 0; i < SIM_SLOTS; i++) {
+		sim_node_t *n = &s->nodes[(start + i) % SIM_SLOTS];
+
+		if (n->rf && !n->frozen && rf_role(n->rf) == RF_LEADER)
+			return n;
+	}
+	return NULL;
+}
+
+static void flush(sim_t *s, sim_node_t *n)
+{
+	if (n->rf && !n->frozen && chance(s, 700))
+		rf_flush(n->rf);
+}
+
+static uint64_t new_id(sim_t *s, unsigned slot)
+{
+	uint64_t id = s->nids + 1;
+
+	s->ids[s->nids].id = id;
+	s->ids[s->nids].slot = slot;
+	s->ids[s->nids].lost = false;
+	s->nids++;
+	return id;
+}
+
+static bool is_lost(const sim_t *s, uint64_t id)
+{
+	for (unsigned i = 0; i < s->nids; i++) {
+		if (s->ids[i].id == id)
+			return s->ids[i].lost;
+	}
+	return true;
+}
+
+/* The first voters, as a fresh folder holds them. */
+static void bootstrap(sim_t *s, unsigned n)
+{
+	rf_conf_t conf = {.n = n};
+	AUTO_BUF b = {0};
+
+	for (unsigned i = 0; i < n; i++)
+		conf.peers[i] = (gr_peer_t){.id = new_id(s, i), .voter = true};
+	rf_conf_encode(&conf, &b);
+	for (unsigned i = 0; i < SIM_SLOTS; i++) {
+		sim_node_t *node = &s->nodes[i];
+
+		node->sim = s;
+		node->slot = i;
+		node->id = i < n ? s->ids[i].id : new_id(s, i);
+		if (i < n) {
+			node->disk.entries = mem_new(sizeof(rf_entry_t));
+			node->disk.entries[0].kind = RF_CONF;
+			node->disk.entries[0].data.data_len = (u_int)b.n;
+			node->disk.entries[0].data.data_val = str_dup(str_buf(&b));
+			node->disk.n = 1;
+		}
+		sim_node_start(node);
+	}
+}
+
+static void write_some(sim_t *s)
+{
+	sim_node_t *n = any_leader(s);
+	sim_cmd_t cmd = {.op = ++s->next_op, .key = (uint32_t)sim_random(s, SIM_KEYS)};
+	uint64_t index;
+
+	if (!n)
+		return;
+	index = rf_propose(n->rf, (str_t){(const char *)&cmd, sizeof(cmd)});
+	if (index)
+		sim_call_begin(s, n, false, cmd.op, index, cmd.key);
+	flush(s, n);
+}
+
+static void read_some(sim_t *s)
+{
+	sim_node_t *n = any_leader(s);
+	uint64_t token = ++s->next_op;
+
+	if (!n)
+		return;
+	sim_call_begin(s, n, true, token, 0, (uint32_t)sim_random(s, SIM_KEYS));
+	if (!rf_read(n->rf, token))
+		sim_call_read_done(n, token, false);
+	flush(s, n);
+}
+
+static void tick_all(sim_t *s)
+{
+	for (unsigned i = 0; i < SIM_SLOTS; i++) {
+		sim_node_t *n = &s->nodes[i];
+
+		if (n->rf && !n->frozen && chance(s, 900))
+			rf_tick(n->rf);
+		flush(s, n);
+	}
+}
+
+static void restart(sim_t *s, sim_node_t *n)
+{
+	if (n->rf) {
+		sim_node_stop(n);
+		s->res->restarts++;
+	} else {
+		sim_node_start(n);
+	}
+}
+
+static void partition(sim_t *s)
+{
+	bool heal = chance(s, 500);
+
+	for (unsigned i = 0; i < SIM_SLOTS; i++)
+		s->nodes[i].island = heal ? 0 : (unsigned)sim_random(s, 2);
+}
+
+/* Members as the most advanced replica has them. */
+static void newest_conf(const sim_t *s, rf_conf_t *out)
+{
+	uint64_t best = 0;
+	rf_view_t v;
+
+	*out = (rf_conf_t){0};
+	for (unsigned i = 0; i < SIM_SLOTS; i++) {
+		if (!s->nodes[i].rf)
+			continue;
+		rf_view(s->nodes[i].rf, &v);
+		if (v.commit >= best) {
+			best = v.commit;
+			*out = v.conf;
+		}
+	}
+}
+
+/* True when, by what every replica knows, a majority of voters is left without this one. */
+static bool may_lose(const sim_t *s, uint64_t id)
+{
+	unsigned voters = 0;
+	unsigned lost = 0;
+
+	for (unsigned i = 0; i < SIM_SLOTS; i++) {
+		rf_view_t v;
+
+		voters = lost = 0;
+		if (!s->nodes[i].rf)
+			return false;
+		rf_view(s->nodes[i].rf, &v);
+		for (unsigned k = 0; k < v.conf.n; k++) {
+			if (!v.conf.peers[k].voter)
+				continue;
+			voters++;
+			lost += is_lost(s, v.conf.peers[k].id) || v.conf.peers[k].id == id;
+		}
+		if (voters && lost > (voters - 1) / 2)
+			return false;
+	}
+	return true;
+}
+
+void sim_lose_disk(sim_t *s, sim_node_t *n)
+{
+	sim_node_stop(n);
+	sim_disk_clear(&n->disk);
+	for (unsigned i = 0; i < s->nids; i++)
+		s->ids[i].lost |= s->ids[i].id == n->id;
+	n->id = new_id(s, n->slot);
+	sim_node_start(n);
+	s->res->disks_lost++;
+}
+
+static void lose_some_disk(sim_t *s)
+{
+	sim_node_t *n = any_node(s);
+
+	if (s->nids < SIM_IDS_MAX && may_lose(s, n->id))
+		sim_lose_disk(s, n);
+}
+
+/* Learners join, are promoted once they may be, and the lost are removed. */
+static void change_members(sim_t *s)
+{
+	sim_node_t *leader = any_leader(s);
+	gr_peer_t peer = {.id = any_node(s)->id};
+	uint64_t index = 0;
+	bool spare;
+	rf_view_t v;
+	int at;
+
+	if (!leader)
+		return;
+	rf_view(leader->rf, &v);
+	spare = v.conf.n > 4;
+	for (unsigned i = 0; i < v.conf.n; i++)
+		spare &= !is_lost(s, v.conf.peers[i].id);
+	at = rf_conf_find(&v.conf, peer.id);
+	if (at < 0)
+		rf_add_learner(leader->rf, &peer, &index);
+	else if (!v.conf.peers[at].voter)
+		rf_promote(leader->rf, peer.id, &index);
+	for (unsigned i = 0; i < v.conf.n && !index; i++) {
+		if (is_lost(s, v.conf.peers[i].id) || (spare && chance(s, 50)))
+			rf_remove(leader->rf, v.conf.peers[i].id, &index);
+	}
+	s->res->changes += index != 0;
+	flush(s, leader);
+}
+
+static void sync_some(sim_t *s)
+{
+	sim_node_t *n = any_node(s);
+
+	if (!n->rf || n->frozen)
+		return;
+	sim_node_sync(n, sim_random(s, 4));
+	flush(s, n);
+}
+
+static void fault(sim_t *s)
+{
+	sim_node_t *n = any_node(s);
+
+	if (chance(s, 6) || (!n->rf && chance(s, 100)))
+		restart(s, n);
+	if (chance(s, 8))
+		partition(s);
+	if (chance(s, 4) && n->rf)
+		n->frozen = (unsigned)sim_random(s, 200);
+	if (chance(s, 3))
+		lose_some_disk(s);
+	if (chance(s, 5))
+		s->loss = chance(s, 500) ? 0 : (unsigned)sim_random(s, 40);
+	if (chance(s, 3)) {
+		n = any_leader(s);
+		if (n)
+			rf_transfer(n->rf);
+	}
+}
+
+static void step(sim_t *s)
+{
+	unsigned n = 1 + (unsigned)sim_random(s, DELIVERIES_MAX);
+
+	for (unsigned i = 0; i < SIM_SLOTS; i++)
+		s->nodes[i].frozen -= s->nodes[i].frozen > 0;
+	for (unsigned i = 0; i < n; i++)
+		sim_deliver(s);
+	flush(s, any_node(s));
+	if (chance(s, 200))
+		tick_all(s);
+	for (unsigned i = 0; i < 3; i++)
+		sync_some(s);
+	if (chance(s, 300))
+		write_some(s);
+	if (chance(s, 150))
+		read_some(s);
+	if (chance(s, 30) && any_node(s)->rf) {
+		sim_node_t *node = any_node(s);
+
+		if (node->rf && !node->frozen)
+			sim_node_snapshot(node);
+	}
+	if (chance(s, 40))
+		change_members(s);
+}
+
+static bool all_equal(const sim_t *s)
+{
+	rf_conf_t conf;
+
+	newest_conf(s, &conf);
+	for (unsigned i = 0; i < conf.n; i++) {
+		int slot = sim_id_slot(s, conf.peers[i].id);
+		const sim_node_t *n = &s->nodes[slot];
+
+		if (n->id != conf.peers[i].id)
+			continue;
+		if (!n->rf || rf_applied(n->rf) != s->ref_last)
+			return false;
+	}
+	return conf.n > 0;
+}
+
+/* With all replicas running and no losses, the group commits again and all come to agree. */
+static void calm(sim_t *s)
+{
+	uint64_t writes = s->res->writes;
+
+	s->loss = 0;
+	for (unsigned i = 0; i < SIM_SLOTS; i++) {
+		s->nodes[i].island = 0;
+		s->nodes[i].frozen = 0;
+		if (!s->nodes[i].rf)
+			sim_node_start(&s->nodes[i]);
+	}
+	for (unsigned i = 0; i < CALM_STEPS && !s->res->violated; i++) {
+		bool quiet = s->res->writes > writes + 3;
+
+		for (unsigned k = 0; k < DELIVERIES_MAX; k++)
+			sim_deliver(s);
+		if (chance(s, 150))
+			tick_all(s);
+		for (unsigned k = 0; k < SIM_SLOTS; k++) {
+			sim_node_sync(&s->nodes[k], SIZE_MAX);
+			rf_flush(s->nodes[k].rf);
+		}
+		if (!quiet && chance(s, 100))
+			write_some(s);
+		if (quiet && all_equal(s))
+			return;
+	}
+	if (!s->res->violated)
+		sim_violate(s, "no agreement after %d calm steps", CALM_STEPS);
+}
+
+/* The state that the reference gives is the one that each replica has. */
+static void check_final(sim_t *s)
+{
+	rf_conf_t conf;
+
+	newest_conf(s, &conf);
+	for (unsigned i = 0; i < conf.n; i++) {
+		const sim_node_t *n = &s->nodes[sim_id_slot(s, conf.peers[i].id)];
+
+		for (unsigned k = 0; k < SIM_KEYS && n->id == conf.peers[i].id; k++) {
+			if (n->state.version[k] < s->seen[k])
+				sim_violate(s, "replica %u lost an acknowledged write", n->slot);
+			if (n->state.op[k] != any_leader(s)->state.op[k])
+				sim_violate(s, "replica %u differs from the leader", n->slot);
+		}
+	}
+}
+
+sim_t *sim_new(uint64_t seed, unsigned voters, sim_result_t *res)
+{
+	sim_t *s = mem_new(sizeof(*s));
+
+	*res = (sim_result_t){0};
+	s->res = res;
+	s->random = (seed + 1) * 0x9e3779b97f4a7c15ull;
+	bootstrap(s, voters ? voters : 3 + (unsigned)sim_random(s, 3));
+	return s;
+}
+
+void sim_free(sim_t *s)
+{
+	for (unsigned i = 0; i < SIM_SLOTS; i++)
+		sim_node_free(&s->nodes[i]);
+	while (s->npackets)
+		buf_free(&s->packets[--s->npackets].bytes);
+	free(s->calls);
+	free(s);
+}
+
+void sim_settle(sim_t *s)
+{
+	bool busy = true;
+
+	while (busy) {
+		busy = false;
+		while (s->npackets)
+			sim_deliver(s);
+		for (unsigned i = 0; i < SIM_SLOTS; i++) {
+			sim_node_t *n = &s->nodes[i];
+
+			if (!n->rf)
+				continue;
+			rf_flush(n->rf);
+			busy |= n->disk.nwrites > 0;
+			sim_node_sync(n, SIZE_MAX);
+		}
+		busy |= s->npackets > 0;
+	}
+}
+
+bool sim_run(const sim_options_t *o, sim_result_t *res)
+{
+	sim_t *s = sim_new(o->seed, 0, res);
+
+	for (res->step = 0; res->step < o->steps && !res->violated; res->step++) {
+		step(s);
+		fault(s);
+	}
+	if (!res->violated)
+		calm(s);
+	if (!res->violated && any_leader(s))
+		check_final(s);
+	sim_free(s);
+	return !res->violated;
+}
--- /dev/null
+++ b/tests/unit/sim_net.c
@@ -0,0 +1,63 @@
+/* The network of the randomised run: by address, in any order, with losses and repeats. */
+#include "sim.h"
+
+#include <string.h>
+#include "proto/px.h"
+
+int sim_id_slot(const sim_t *s, uint64_t id)
+{
+	for (unsigned i = 0; i < s->nids; i++) {
+		if (s->ids[i].id == id)
+			return (int)s->ids[i].slot;
+	}
+	return -1;
+}
+
+static void remove_packet(sim_t *s, unsigned i)
+{
+	buf_free(&s->packets[i].bytes);
+	s->packets[i] = s->packets[--s->npackets];
+}
+
+void sim_send(sim_node_t *from, const rf_msg_t *m)
+{
+	sim_t *s = from->sim;
+	int slot = sim_id_slot(s, m->to);
+	sim_packet_t *p;
+
+	if (slot < 0 || sim_random(s, 100) < s->loss)
+		return;
+	if (s->npackets == SIM_MESSAGES_MAX)
+		remove_packet(s, (unsigned)sim_random(s, s->npackets));
+	p = &s->packets[s->npackets++];
+	*p = (sim_packet_t){.from = from->slot, .to = (unsigned)slot};
+	px_encode(&p->bytes, PX(rf_msg_t), m);
+}
+
+/* Hands one message, any, to whatever runs at its address. */
+void sim_deliver(sim_t *s)
+{
+	unsigned i;
+	sim_node_t *to;
+	AUTO_BUF bytes = {0};
+	rf_msg_t m;
+
+	if (s->npackets == 0)
+		return;
+	i = (unsigned)sim_random(s, s->npackets);
+	to = &s->nodes[s->packets[i].to];
+	if (to->frozen && sim_random(s, 10) > 0)
+		return;
+	if (!to->rf || to->island != s->nodes[s->packets[i].from].island) {
+		remove_packet(s, i);
+		return;
+	}
+	if (to->frozen)
+		return;
+	buf_add(&bytes, str_buf(&s->packets[i].bytes));
+	if (sim_random(s, 20) > 0)
+		remove_packet(s, i);
+	if (px_decode(str_buf(&bytes), PX(rf_msg_t), &m, sizeof(m)) == ST_OK)
+		rf_receive(to->rf, &m);
+	px_free(PX(rf_msg_t), &m);
+}
--- /dev/null
+++ b/tests/unit/sim_node.c
@@ -0,0 +1,298 @@
+/* A replica of the randomised run: its disk, its state and the core's callbacks. */
+#include "sim.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CHUNK_BYTES 24
+
+uint64_t sim_random(sim_t *s, uint64_t n)
+{
+	s->random ^= s->random << 13;
+	s->random ^= s->random >> 7;
+	s->random ^= s->random << 17;
+	return (s->random >> 11) % n;
+}
+
+void sim_violate(sim_t *s, const char *fmt, ...)
+{
+	va_list ap;
+
+	if (s->res->violated)
+		return;
+	s->res->violated = true;
+	va_start(ap, fmt);
+	vsnprintf(s->res->what, sizeof(s->res->what), fmt, ap);
+	va_end(ap);
+}
+
+static rf_entry_t copy_entry(const rf_entry_t *e)
+{
+	rf_entry_t c = *e;
+
+	c.data.data_val = str_dup((str_t){e->data.data_val, e->data.data_len});
+	return c;
+}
+
+static void free_write(sim_write_t *w)
+{
+	for (size_t i = 0; i < w->n; i++)
+		free(w->entries[i].data.data_val);
+	free(w->entries);
+}
+
+static void drop_entries(sim_disk_t *d, size_t keep)
+{
+	while (d->n > keep)
+		free(d->entries[--d->n].data.data_val);
+}
+
+void sim_disk_clear(sim_disk_t *d)
+{
+	drop_entries(d, 0);
+	for (size_t i = 0; i < d->nwrites; i++)
+		free_write(&d->writes[i]);
+	free(d->entries);
+	free(d->writes);
+	*d = (sim_disk_t){0};
+}
+
+/* Makes one write durable. */
+static void do_write(sim_disk_t *d, sim_write_t *w)
+{
+	if (w->type == SIM_HARD) {
+		d->term = w->term;
+		d->vote = w->index;
+	} else if (w->type == SIM_RESET) {
+		drop_entries(d, 0);
+		d->base = w->index;
+		d->base_term = w->term;
+	} else {
+		drop_entries(d, w->index - d->base - 1);
+		d->entries = mem_grow(d->entries, (d->n + w->n) * sizeof(*d->entries));
+		memcpy(d->entries + d->n, w->entries, w->n * sizeof(*d->entries));
+		d->n += w->n;
+		w->n = 0;
+	}
+	free_write(w);
+}
+
+static void sync_disk(sim_disk_t *d, size_t n)
+{
+	for (size_t i = 0; i < n; i++)
+		do_write(d, &d->writes[i]);
+	d->nwrites -= n;
+	memmove(d->writes, d->writes + n, d->nwrites * sizeof(*d->writes));
+}
+
+void sim_node_sync(sim_node_t *n, size_t writes)
+{
+	uint64_t seq;
+
+	if (writes > n->disk.nwrites)
+		writes = n->disk.nwrites;
+	if (writes == 0)
+		return;
+	seq = n->disk.writes[writes - 1].seq;
+	sync_disk(&n->disk, writes);
+	rf_synced(n->rf, seq);
+}
+
+static void queue_write(sim_node_t *n, sim_write_t w)
+{
+	sim_disk_t *d = &n->disk;
+
+	d->writes = mem_grow(d->writes, (d->nwrites + 1) * sizeof(*d->writes));
+	d->writes[d->nwrites++] = w;
+}
+
+static void on_send(void *ctx, const rf_msg_t *m)
+{
+	sim_send(ctx, m);
+}
+
+static void on_hard(void *ctx, uint64_t seq, uint64_t term, uint64_t vote)
+{
+	queue_write(ctx, (sim_write_t){SIM_HARD, seq, term, vote, NULL, 0});
+}
+
+static void on_entries(void *ctx, uint64_t seq, uint64_t from, const rf_entry_t *e, size_t n)
+{
+	sim_write_t w = {SIM_ENTRIES, seq, 0, from, mem_new(n * sizeof(*e)), n};
+
+	for (size_t i = 0; i < n; i++)
+		w.entries[i] = copy_entry(&e[i]);
+	queue_write(ctx, w);
+}
+
+static void on_reset(void *ctx, uint64_t seq, uint64_t index, uint64_t term)
+{
+	queue_write(ctx, (sim_write_t){SIM_RESET, seq, term, index, NULL, 0});
+}
+
+static void on_apply(void *ctx, uint64_t index, const rf_entry_t *e)
+{
+	sim_check_apply(ctx, index, e);
+}
+
+static void keep_snap(sim_disk_t *d, const sim_snap_t *sn)
+{
+	d->snaps[1] = d->snaps[0];
+	d->snaps[0] = *sn;
+	if (d->nsnaps < 2)
+		d->nsnaps++;
+}
+
+void sim_node_snapshot(sim_node_t *n)
+{
+	sim_snap_t sn = {.index = rf_applied(n->rf), .state = n->state};
+
+	if (sn.index == 0 || (n->disk.nsnaps && n->disk.snaps[0].index >= sn.index))
+		return;
+	sn.term = rf_term_at(n->rf, sn.index);
+	rf_conf_at(n->rf, sn.index, &sn.conf);
+	keep_snap(&n->disk, &sn);
+	if (n->disk.nsnaps > 1)
+		rf_compact(n->rf, n->disk.snaps[1].index);
+}
+
+static bool on_snap_read(void *ctx, rf_chunk_t *c)
+{
+	sim_node_t *n = ctx;
+	const sim_snap_t *sn = NULL;
+
+	for (unsigned i = n->disk.nsnaps; i > 0; i--) {
+		if (c->index == 0 || n->disk.snaps[i - 1].index == c->index)
+			sn = &n->disk.snaps[i - 1];
+	}
+	if (!sn || c->offset > sizeof(sn->state))
+		return false;
+	n->outgoing.n = n->out_conf.n = 0;
+	buf_add(&n->outgoing, (str_t){(const char *)&sn->state, sizeof(sn->state)});
+	buf_drop(&n->outgoing, c->offset);
+	rf_conf_encode(&sn->conf, &n->out_conf);
+	c->index = sn->index;
+	c->term = sn->term;
+	c->conf = str_buf(&n->out_conf);
+	c->data = str_buf(&n->outgoing);
+	if (c->data.n > CHUNK_BYTES)
+		c->data.n = CHUNK_BYTES;
+	c->last = c->offset + c->data.n == sizeof(sn->state);
+	return true;
+}
+
+static bool on_snap_write(void *ctx, const rf_chunk_t *c)
+{
+	sim_node_t *n = ctx;
+	sim_snap_t sn = {.index = c->index, .term = c->term};
+
+	if (c->offset == 0)
+		n->incoming.n = 0;
+	if (c->offset != n->incoming.n)
+		return false;
+	buf_add(&n->incoming, c->data);
+	if (!c->last)
+		return true;
+	if (n->incoming.n != sizeof(sn.state) || rf_conf_decode(c->conf, &sn.conf) != ST_OK) {
+		sim_violate(n->sim, "a snapshot arrived with %zu bytes", n->incoming.n);
+		return false;
+	}
+	memcpy(&sn.state, n->incoming.p, sizeof(sn.state));
+	if (sn.state.applied > sn.index)
+		sim_violate(n->sim, "a snapshot holds more than its index");
+	keep_snap(&n->disk, &sn);
+	n->state = sn.state;
+	n->sim->res->installs++;
+	return true;
+}
+
+static void on_read_done(void *ctx, uint64_t token, bool ok)
+{
+	sim_call_read_done(ctx, token, ok);
+}
+
+static void on_role(void *ctx, rf_role_t role, uint64_t term)
+{
+	if (role == RF_LEADER)
+		sim_check_leader(ctx, term);
+}
+
+/* Drops what the snapshot holds, or all of a log that doesn't go on from it. */
+static void join_snapshot(sim_disk_t *d)
+{
+	uint64_t index = d->nsnaps ? d->snaps[0].index : 0;
+	uint64_t term = d->nsnaps ? d->snaps[0].term : 0;
+	size_t skip = index - d->base;
+
+	if (index == d->base)
+		return;
+	if (skip > d->n || d->entries[skip - 1].term != term) {
+		drop_entries(d, 0);
+	} else {
+		for (size_t i = 0; i < skip; i++)
+			free(d->entries[i].data.data_val);
+		d->n -= skip;
+		memmove(d->entries, d->entries + skip, d->n * sizeof(*d->entries));
+	}
+	d->base = index;
+	d->base_term = term;
+}
+
+void sim_node_start(sim_node_t *n)
+{
+	sim_disk_t *d = &n->disk;
+	rf_options_t o = {.self = n->id,
+			  .election_ticks = 6,
+			  .heartbeat_ticks = 2,
+			  .random_seed = sim_random(n->sim, 1u << 30) + 1,
+			  .term = d->term,
+			  .vote = d->vote,
+			  .cb = {.ctx = n,
+				 .send = on_send,
+				 .persist_hard = on_hard,
+				 .persist_entries = on_entries,
+				 .persist_reset = on_reset,
+				 .apply = on_apply,
+				 .snap_read = on_snap_read,
+				 .snap_write = on_snap_write,
+				 .read_done = on_read_done,
+				 .role = on_role}};
+
+	join_snapshot(d);
+	n->state = (sim_state_t){0};
+	if (d->nsnaps) {
+		n->state = d->snaps[0].state;
+		o.base_conf = d->snaps[0].conf;
+	}
+	o.base = d->base;
+	o.base_term = d->base_term;
+	o.entries = d->entries;
+	o.nentries = d->n;
+	n->rf = rf_new(&o);
+}
+
+void sim_node_stop(sim_node_t *n)
+{
+	if (!n->rf)
+		return;
+	sync_disk(&n->disk, sim_random(n->sim, n->disk.nwrites + 1));
+	for (size_t i = 0; i < n->disk.nwrites; i++)
+		free_write(&n->disk.writes[i]);
+	n->disk.nwrites = 0;
+	rf_free(n->rf);
+	n->rf = NULL;
+	n->frozen = 0;
+	n->incoming.n = 0;
+	sim_call_forget(n->sim, n->slot);
+}
+
+void sim_node_free(sim_node_t *n)
+{
+	rf_free(n->rf);
+	sim_disk_clear(&n->disk);
+	buf_free(&n->incoming);
+	buf_free(&n->outgoing);
+	buf_free(&n->out_conf);
+}
--- /dev/null
+++ b/tools/core-random.c
@@ -0,0 +1,89 @@
+/* Randomised runs of the log's core: auburn-core-random --seed S --steps N [--seeds A..B]. */
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include "tests/unit/sim.h"
+
+static volatile unsigned long current_seed;
+
+/* An invariant that the program itself asserts has failed: says in which seed. */
+static void on_abort(int sig)
+{
+	char line[64];
+	int n = snprintf(line, sizeof(line), "result=abort seed=%lu\n", current_seed);
+
+	if (write(STDERR_FILENO, line, (size_t)n) < 0)
+		_exit(2);
+	_exit(1);
+}
+
+static void print_result(unsigned long seed, const sim_result_t *r)
+{
+	printf("result=%s seed=%lu step=%u writes=%lu reads=%lu elections=%lu installs=%lu "
+	       "restarts=%lu disks_lost=%lu changes=%lu%s%s%s\n",
+	       r->violated ? "violation" : "ok", seed, r->step, (unsigned long)r->writes,
+	       (unsigned long)r->reads, (unsigned long)r->elections, (unsigned long)r->installs,
+	       (unsigned long)r->restarts, (unsigned long)r->disks_lost, (unsigned long)r->changes,
+	       r->violated ? " what=\"" : "", r->what, r->violated ? "\"" : "");
+	fflush(stdout);
+}
+
+static void add_up(sim_result_t *sum, const sim_result_t *r)
+{
+	sum->writes += r->writes;
+	sum->reads += r->reads;
+	sum->elections += r->elections;
+	sum->installs += r->installs;
+	sum->restarts += r->restarts;
+	sum->disks_lost += r->disks_lost;
+	sum->changes += r->changes;
+}
+
+static int run_seeds(unsigned long from, unsigned long to, unsigned steps)
+{
+	sim_result_t sum = {0};
+	sim_result_t r;
+
+	for (unsigned long seed = from; seed <= to; seed++) {
+		sim_options_t o = {.seed = seed, .steps = steps};
+
+		current_seed = seed;
+		if (!sim_run(&o, &r)) {
+			print_result(seed, &r);
+			return 1;
+		}
+		add_up(&sum, &r);
+	}
+	sum.step = steps;
+	print_result(to, &sum);
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_int *seed = arg_int0(NULL, "seed", "S", "runs this seed");
+	struct arg_int *steps = arg_int0(NULL, "steps", "N", "steps of each run, 2000");
+	struct arg_str *seeds = arg_str0(NULL, "seeds", "A..B", "runs all these seeds");
+	struct arg_end *end = arg_end(5);
+	void *table[] = {seed, steps, seeds, end};
+	unsigned long from = 1;
+	unsigned long to;
+	char *rest;
+
+	steps->ival[0] = 2000;
+	seed->ival[0] = 1;
+	if (arg_parse(argc, argv, table) > 0) {
+		arg_print_errors(stderr, end, argv[0]);
+		return 2;
+	}
+	from = to = (unsigned long)seed->ival[0];
+	if (seeds->count) {
+		from = strtoul(seeds->sval[0], &rest, 10);
+		to = strncmp(rest, "..", 2) == 0 ? strtoul(rest + 2, NULL, 10) : from;
+	}
+	signal(SIGABRT, on_abort);
+	return run_seeds(from, to, (unsigned)steps->ival[0]);
+}
