--- a/src/raft/rf_vote.c
+++ b/src/raft/rf_vote.c
@@ -10,26 +10,15 @@
 	return r->leader != 0 && r->elapsed < r->election_ticks;
 }
 
-static bool conf_has_voter(const rf_conf_t *c, uint64_t id)
-{
-	int at = rf_conf_find(c, id);
-
-	return at >= 0 && c->peers[at].voter;
-}
-
-/* A voter whose removal isn't committed may be the only one that can still commit it. Likewise a
- * learner, whose promotion it hasn't seen, may be the only one who can win: its votes are counted
- * by the members that its own log names, so that a win is as safe as any. */
+/* One that isn't a voter by its own log may campaign once a candidate with an older log has counted
+ * on it: its removal isn't committed, or it hasn't seen its promotion, and it may be the only one
+ * who can win. The votes are counted by the members that its log names, so that a win is as safe as
+ * any. */
 static bool may_campaign(const rf_t *r)
 {
-	rf_conf_t committed;
+	int at = rf_conf_find(&r->conf, r->self);
 
-	if (conf_has_voter(&r->conf, r->self) || r->asked)
-		return true;
-	if (r->conf_index <= r->commit)
-		return false;
-	rf_conf_at(r, r->commit, &committed);
-	return conf_has_voter(&committed, r->self);
+	return r->asked || (at >= 0 && r->conf.peers[at].voter);
 }
 
 static bool voted_for_us(const rf_t *r, unsigned i, uint64_t unused)
--- a/tests/unit/sim.h
+++ b/tests/unit/sim.h
@@ -105,6 +105,7 @@
 	uint64_t restarts;
 	uint64_t disks_lost;
 	uint64_t changes; /* of members */
+	uint64_t stuck; /* ended with a majority of its voters lost: nothing to agree on */
 } sim_result_t;
 
 struct sim {
@@ -113,6 +114,8 @@
 	sim_packet_t packets[SIM_MESSAGES_MAX];
 	unsigned npackets;
 	unsigned loss; /* percent */
+	unsigned tick_per_mille; /* chance of a tick in a step; many ticks make elections collide */
+	unsigned syncs; /* tries to sync in a step */
 	struct {
 		uint64_t id;
 		unsigned slot;
--- a/tests/unit/test_raft.c
+++ b/tests/unit/test_raft.c
@@ -6,7 +6,7 @@
 #include "sim.h"
 
 #define ELECTION_TICKS 6 /* as the replicas of sim_node_start have it */
-#define FIXED_SEEDS    80
+#define FIXED_SEEDS    140
 
 static sim_t *s;
 static sim_result_t res;
@@ -73,6 +73,12 @@
 	return n;
 }
 
+static void drop_packets(void)
+{
+	while (s->npackets)
+		buf_free(&s->packets[--s->npackets].bytes);
+}
+
 START_TEST(fixed_seeds)
 {
 	sim_options_t o = {.steps = 2000};
@@ -237,9 +243,12 @@
 START_TEST(replaced_disk_is_not_the_old_voter)
 {
 	sim_node_t *l = elect(0);
+	rf_msg_t vote = {.type = RF_VOTE, .from = l->id, .to = s->nodes[1].id, .term = 50};
 	uint64_t index;
 
 	sim_lose_disk(s, &s->nodes[1]);
+	rf_receive(s->nodes[1].rf, &vote); /* for the id that the address had before */
+	ck_assert_uint_eq(view(&s->nodes[1]).term, 0);
 	sim_node_stop(&s->nodes[2]);
 	index = propose(l);
 	for (int i = 0; i < 5; i++) {
@@ -322,6 +331,80 @@
 }
 END_TEST
 
+START_TEST(entries_of_earlier_terms_commit_only_with_one_of_this_term)
+{
+	sim_node_t *l = elect(0);
+	uint64_t old = propose(l);
+	rf_msg_t ack = {.type = RF_APPEND_RESP, .from = s->nodes[1].id, .to = l->id, .index = old};
+
+	l->island = 1;
+	sim_settle(s);
+	rf_step_down(l->rf);
+	tick(&s->nodes[1], ELECTION_TICKS);
+	tick(&s->nodes[2], ELECTION_TICKS);
+	drop_packets();
+	l->island = 0;
+	tick(l, 2 * ELECTION_TICKS);
+	while (rf_role(l->rf) != RF_LEADER) {
+		sim_deliver(s);
+		for (int i = 0; i < 3; i++)
+			sim_node_sync(&s->nodes[i], SIZE_MAX);
+	}
+	ack.term = view(l).term;
+	ack.index = old;
+	rf_receive(l->rf, &ack);
+	ck_assert_uint_lt(view(l).commit, old);
+	ack.index = view(l).last;
+	rf_receive(l->rf, &ack);
+	sim_node_sync(l, SIZE_MAX);
+	ck_assert_uint_gt(view(l).commit, old);
+}
+END_TEST
+
+START_TEST(snapshot_inside_the_log_keeps_what_follows)
+{
+	sim_node_t *l = elect(0);
+	sim_node_t *f = &s->nodes[1];
+	uint64_t first = propose(l);
+	rf_msg_t snap = {.type = RF_SNAP, .from = l->id, .to = f->id, .term = view(l).term};
+	uint64_t last;
+
+	last = propose(l);
+	sim_settle(s);
+	ck_assert_uint_lt(view(f).commit, first);
+	snap.index = first;
+	snap.log_term = view(l).term;
+	rf_receive(f->rf, &snap);
+	ck_assert_uint_eq(view(f).last, last);
+	ck_assert_uint_eq(view(f).commit, first);
+	sim_settle(s);
+}
+END_TEST
+
+START_TEST(removed_voter_campaigns_until_its_removal_is_committed)
+{
+	sim_node_t *l = elect(0);
+	uint64_t index;
+
+	ck_assert_int_eq(rf_remove(l->rf, s->nodes[2].id, &index), ST_OK);
+	sim_settle(s);
+	sim_node_stop(&s->nodes[2]);
+	l->island = 1;
+	ck_assert_int_eq(rf_remove(l->rf, l->id, &index), ST_OK);
+	sim_settle(s);
+	tick(l, ELECTION_TICKS + 1);
+	tick(&s->nodes[1], ELECTION_TICKS);
+	l->island = 0;
+	for (int i = 0; i < 6; i++) {
+		tick(l, ELECTION_TICKS);
+		tick(&s->nodes[1], ELECTION_TICKS);
+		sim_settle(s);
+	}
+	ck_assert_ptr_eq(leader(), &s->nodes[1]);
+	ck_assert_uint_eq(view(&s->nodes[1]).conf.n, 1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("raft");
@@ -348,6 +431,9 @@
 	tcase_add_test(t, learner_catches_up_by_a_snapshot);
 	tcase_add_test(t, removal_that_leaves_no_live_majority_is_refused);
 	tcase_add_test(t, removed_leader_steps_down);
+	tcase_add_test(t, entries_of_earlier_terms_commit_only_with_one_of_this_term);
+	tcase_add_test(t, snapshot_inside_the_log_keeps_what_follows);
+	tcase_add_test(t, removed_voter_campaigns_until_its_removal_is_committed);
 	srunner_run_all(r, CK_ENV);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
--- /dev/null
+++ b/tests/unit/test_store.c
@@ -0,0 +1,315 @@
+/* Unit tests of the store: what a folder holds after each kind of damage. */
+#include <check.h>
+#include <fcntl.h>
+#include <ftw.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include "raft/rs_int.h"
+
+static char root[64];
+static char dir[96];
+static rs_t *s;
+static rs_state_t st;
+
+static status_t open_again(void)
+{
+	rs_options_t o = {.dir = dir, .new_id = 77, .segment_bytes = 4096};
+
+	rs_close(s);
+	rs_state_free(&st);
+	s = NULL;
+	return rs_open(&o, &s, &st);
+}
+
+static int remove_one(const char *path, const struct stat *sb, int type, struct FTW *f)
+{
+	return remove(path);
+}
+
+static void setup(void)
+{
+	const char *tmp = getenv("TMPDIR");
+
+	snprintf(root, sizeof(root), "%s/auburn-rs-XXXXXX", tmp ? tmp : "/tmp");
+	ck_assert_ptr_nonnull(mkdtemp(root));
+	snprintf(dir, sizeof(dir), "%s/a/b", root);
+	ck_assert(!rs_exists(dir));
+	ck_assert_int_eq(open_again(), ST_OK);
+	ck_assert(rs_exists(dir));
+	ck_assert(st.fresh);
+}
+
+static void teardown(void)
+{
+	rs_close(s);
+	rs_state_free(&st);
+	nftw(root, remove_one, 16, FTW_DEPTH | FTW_PHYS);
+}
+
+/* Appends and syncs the entry at index, of this term. */
+static void put(uint64_t index, uint64_t term, str_t data)
+{
+	rf_entry_t e = {.term = term, .kind = RF_COMMAND};
+	uint64_t seq;
+
+	e.data.data_val = (char *)data.p;
+	e.data.data_len = (u_int)data.n;
+	rs_entries(s, index, index, &e, 1);
+	ck_assert_int_eq(rs_sync(s, &seq), ST_OK);
+	ck_assert_uint_eq(seq, index);
+}
+
+static void put_hard(uint64_t term, uint64_t vote)
+{
+	uint64_t seq;
+
+	rs_hard(s, 1, term, vote);
+	ck_assert_int_eq(rs_sync(s, &seq), ST_OK);
+}
+
+static void path_of(const char *name, char path[256])
+{
+	snprintf(path, 256, "%s/%s", dir, name);
+}
+
+static long size_of(const char *name)
+{
+	char path[256];
+	struct stat sb;
+
+	path_of(name, path);
+	ck_assert_int_eq(stat(path, &sb), 0);
+	return sb.st_size;
+}
+
+static void cut(const char *name, long size)
+{
+	char path[256];
+
+	path_of(name, path);
+	ck_assert_int_eq(truncate(path, size), 0);
+}
+
+static void flip(const char *name, long at)
+{
+	char path[256];
+	char c;
+	int fd;
+
+	path_of(name, path);
+	fd = open(path, O_RDWR);
+	ck_assert_int_eq(pread(fd, &c, 1, at), 1);
+	c ^= 0x40;
+	ck_assert_int_eq(pwrite(fd, &c, 1, at), 1);
+	close(fd);
+}
+
+#define SEGMENT "log-0000000000000001"
+
+START_TEST(entries_and_votes_last)
+{
+	put_hard(3, 99);
+	put(1, 1, STR("a"));
+	put(2, 3, STR("bb"));
+	put(2, 3, STR("cc")); /* takes the place of the one before */
+	ck_assert_int_eq(open_again(), ST_OK);
+	ck_assert(!st.fresh);
+	ck_assert_uint_eq(st.id, 77);
+	ck_assert_uint_eq(st.term, 3);
+	ck_assert_uint_eq(st.vote, 99);
+	ck_assert_uint_eq(st.nentries, 2);
+	ck_assert_mem_eq(st.entries[1].data.data_val, "cc", 2);
+}
+END_TEST
+
+START_TEST(torn_last_record_is_cut)
+{
+	long whole;
+
+	put(1, 1, STR("first"));
+	whole = size_of(SEGMENT);
+	put(2, 1, STR("second"));
+	cut(SEGMENT, size_of(SEGMENT) - 9);
+	ck_assert_int_eq(open_again(), ST_OK);
+	ck_assert_uint_eq(st.nentries, 1);
+	ck_assert_uint_gt(st.cut_bytes, 0);
+	ck_assert_int_eq(size_of(SEGMENT), whole);
+	put(2, 1, STR("again"));
+	ck_assert_int_eq(open_again(), ST_OK);
+	ck_assert_uint_eq(st.nentries, 2);
+}
+END_TEST
+
+START_TEST(flipped_byte_in_the_middle_is_an_error)
+{
+	char want[64];
+	long at;
+
+	put(1, 1, STR("first"));
+	at = size_of(SEGMENT);
+	put(2, 1, STR("second"));
+	put(3, 1, STR("third"));
+	flip(SEGMENT, at + (long)sizeof(rs_record_t) + 1);
+	ck_assert_int_eq(open_again(), ST_CORRUPT);
+	snprintf(want, sizeof(want), SEGMENT ": offset %ld", at);
+	ck_assert_msg(strstr(st_message(), want) != NULL, "%s", st_message());
+}
+END_TEST
+
+START_TEST(flipped_header_is_an_error)
+{
+	put(1, 1, STR("first"));
+	flip(SEGMENT, 9);
+	ck_assert_int_eq(open_again(), ST_CORRUPT);
+	ck_assert(strstr(st_message(), SEGMENT ": offset 0") != NULL);
+}
+END_TEST
+
+START_TEST(flipped_byte_in_an_older_segment_is_an_error)
+{
+	for (uint64_t i = 1; i <= 200; i++)
+		put(i, 1, STR("some bytes that fill a segment"));
+	flip(SEGMENT, size_of(SEGMENT) - 1);
+	flip(SEGMENT, size_of(SEGMENT) - 20);
+	ck_assert_int_eq(open_again(), ST_CORRUPT);
+}
+END_TEST
+
+START_TEST(snapshot_cut_short_gives_way_to_the_one_before)
+{
+	AUTO_BUF conf = {0};
+	rf_conf_t none = {0};
+
+	rf_conf_encode(&none, &conf);
+	for (uint64_t i = 1; i <= 20; i++)
+		put(i, 1, STR("x"));
+	ck_assert_int_eq(rs_snap_save(s, 5, 1, str_buf(&conf), STR("state at 5")), ST_OK);
+	ck_assert_int_eq(rs_snap_save(s, 9, 1, str_buf(&conf), STR("state at 9")), ST_OK);
+	ck_assert_int_eq(open_again(), ST_OK);
+	ck_assert_uint_eq(st.snap_index, 9);
+	ck_assert_uint_eq(st.nentries, 11);
+	ck_assert_str_eq(st.snap.p, "state at 9");
+	cut("snap-0000000000000009", size_of("snap-0000000000000009") - 3);
+	ck_assert_int_eq(open_again(), ST_OK);
+	ck_assert(st.snap_broken);
+	ck_assert_uint_eq(st.snap_index, 5);
+	ck_assert_uint_eq(st.nentries, 15);
+	ck_assert_str_eq(st.snap.p, "state at 5");
+}
+END_TEST
+
+START_TEST(segments_go_when_two_snapshots_hold_them)
+{
+	AUTO_BUF conf = {0};
+	rf_conf_t none = {0};
+	char path[256];
+
+	rf_conf_encode(&none, &conf);
+	put_hard(4, 5);
+	for (uint64_t i = 1; i <= 300; i++)
+		put(i, 4, STR("some bytes that fill a segment"));
+	ck_assert_int_eq(rs_snap_save(s, 250, 4, str_buf(&conf), STR("a")), ST_OK);
+	path_of(SEGMENT, path);
+	ck_assert_int_eq(access(path, F_OK), 0);
+	ck_assert_int_eq(rs_snap_save(s, 290, 4, str_buf(&conf), STR("b")), ST_OK);
+	ck_assert_int_ne(access(path, F_OK), 0);
+	ck_assert_int_eq(open_again(), ST_OK);
+	ck_assert_uint_eq(st.term, 4);
+	ck_assert_uint_eq(st.vote, 5);
+	ck_assert_uint_eq(st.snap_index, 290);
+	ck_assert_uint_eq(st.nentries, 10);
+}
+END_TEST
+
+START_TEST(received_snapshot_starts_the_log_anew)
+{
+	AUTO_BUF conf = {0};
+	rf_conf_t none = {0};
+	rf_chunk_t c = {.index = 50, .term = 2, .data = STR("half "), .last = false};
+	uint64_t seq;
+
+	rf_conf_encode(&none, &conf);
+	c.conf = str_buf(&conf);
+	put(1, 1, STR("old"));
+	ck_assert_int_eq(rs_snap_receive(s, &c), ST_OK);
+	ck_assert_int_eq(rs_snap_receive(s, &(rf_chunk_t){.index = 50, .offset = 3}), ST_INVALID);
+	c.offset = 5;
+	c.data = STR("and half");
+	c.last = true;
+	ck_assert_int_eq(rs_snap_receive(s, &c), ST_OK);
+	/* The process ends before the log is begun anew: the next one does so. */
+	ck_assert_int_eq(open_again(), ST_OK);
+	ck_assert_str_eq(st.snap.p, "half and half");
+	ck_assert_uint_eq(st.nentries, 0);
+	put(51, 2, STR("new"));
+	rs_reset(s, 52, 51, 2);
+	ck_assert_int_eq(rs_sync(s, &seq), ST_OK);
+	ck_assert_int_eq(open_again(), ST_CORRUPT); /* the log begins after 51, no snapshot there */
+}
+END_TEST
+
+START_TEST(full_disk_acknowledges_nothing)
+{
+	rf_entry_t e = {.term = 1, .kind = RF_COMMAND};
+	char data[600] = {0};
+	uint64_t seq = 0;
+	status_t got = ST_OK;
+	uint64_t i;
+
+	setenv("AUBURN_DISK_FAULT", "full_after_bytes=8192", 1);
+	ck_assert_int_eq(open_again(), ST_OK);
+	unsetenv("AUBURN_DISK_FAULT");
+	e.data.data_val = data;
+	e.data.data_len = sizeof(data);
+	for (i = 1; got == ST_OK && i < 100; i++) {
+		rs_entries(s, i, i, &e, 1);
+		got = rs_sync(s, &seq);
+	}
+	ck_assert_int_eq(got, ST_IO);
+	ck_assert_int_eq(rs_sync(s, &seq), ST_IO);
+	ck_assert_int_eq(open_again(), ST_OK);
+	ck_assert_uint_ge(st.nentries, i - 2);
+}
+END_TEST
+
+START_TEST(failing_sync_stays_failed)
+{
+	uint64_t seq;
+
+	setenv("AUBURN_DISK_FAULT", "fsync_fail_after=1", 1);
+	ck_assert_int_eq(open_again(), ST_OK);
+	unsetenv("AUBURN_DISK_FAULT");
+	put(1, 1, STR("a"));
+	rs_hard(s, 2, 2, 0);
+	ck_assert_int_eq(rs_sync(s, &seq), ST_IO);
+	rs_hard(s, 3, 3, 0);
+	ck_assert_int_eq(rs_sync(s, &seq), ST_IO);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("store");
+	TCase *t = tcase_create("store");
+	SRunner *r = srunner_create(suite);
+	int failed;
+
+	suite_add_tcase(suite, t);
+	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, entries_and_votes_last);
+	tcase_add_test(t, torn_last_record_is_cut);
+	tcase_add_test(t, flipped_byte_in_the_middle_is_an_error);
+	tcase_add_test(t, flipped_header_is_an_error);
+	tcase_add_test(t, flipped_byte_in_an_older_segment_is_an_error);
+	tcase_add_test(t, snapshot_cut_short_gives_way_to_the_one_before);
+	tcase_add_test(t, segments_go_when_two_snapshots_hold_them);
+	tcase_add_test(t, received_snapshot_starts_the_log_anew);
+	tcase_add_test(t, full_disk_acknowledges_nothing);
+	tcase_add_test(t, failing_sync_stays_failed);
+	srunner_run_all(r, CK_ENV);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/tools/core-random.c
+++ b/tools/core-random.c
@@ -23,11 +23,12 @@
 static void print_result(unsigned long seed, const sim_result_t *r)
 {
 	printf("result=%s seed=%lu step=%u writes=%lu reads=%lu elections=%lu installs=%lu "
-	       "restarts=%lu disks_lost=%lu changes=%lu%s%s%s\n",
+	       "restarts=%lu disks_lost=%lu changes=%lu stuck=%lu%s%s%s\n",
 	       r->violated ? "violation" : "ok", seed, r->step, (unsigned long)r->writes,
 	       (unsigned long)r->reads, (unsigned long)r->elections, (unsigned long)r->installs,
 	       (unsigned long)r->restarts, (unsigned long)r->disks_lost, (unsigned long)r->changes,
-	       r->violated ? " what=\"" : "", r->what, r->violated ? "\"" : "");
+	       (unsigned long)r->stuck, r->violated ? " what=\"" : "", r->what,
+	       r->violated ? "\"" : "");
 	fflush(stdout);
 }
 
@@ -40,6 +41,7 @@
 	sum->restarts += r->restarts;
 	sum->disks_lost += r->disks_lost;
 	sum->changes += r->changes;
+	sum->stuck += r->stuck;
 }
 
 static int run_seeds(unsigned long from, unsigned long to, unsigned steps)
--- /dev/null
+++ b/tools/log-bench.c
@@ -0,0 +1,426 @@
+/* Measures the replicated log in one process: replicas that call each other's functions, with real
+ * files and syncs. One line of key=value pairs for each measurement. */
+#include <argtable2.h>
+#include <ftw.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include "base/mx.h"
+#include "raft/gr.h"
+
+#define REPLICAS_MAX  5
+#define GROUPS_MAX    16
+#define PROPOSERS_MAX 512
+#define WAIT_MS	      120000
+#define TICK_MS	      20
+#define ELECTION_MS   1000
+
+typedef struct {
+	gr_t *g;
+	pthread_rwlock_t lock; /* guards g against senders */
+	char addr[32];
+	unsigned group;
+	buf_t state;
+	uint64_t applied;
+} node_t;
+
+static node_t nodes[GROUPS_MAX][REPLICAS_MAX];
+static char root[64];
+static const char *const seeds[REPLICAS_MAX] = {"127.0.20.1:1", "127.0.20.2:1", "127.0.20.3:1",
+						"127.0.20.4:1", "127.0.20.5:1"};
+
+static void on_apply(void *ctx, uint64_t index, str_t cmd, buf_t *result)
+{
+	node_t *n = ctx;
+
+	__atomic_store_n(&n->applied, index, __ATOMIC_RELEASE);
+}
+
+static void on_snapshot(void *ctx, buf_t *out)
+{
+	node_t *n = ctx;
+
+	buf_add(out, str_buf(&n->state));
+}
+
+static status_t on_restore(void *ctx, str_t snap)
+{
+	node_t *n = ctx;
+
+	n->state.n = 0;
+	buf_add(&n->state, snap);
+	return ST_OK;
+}
+
+static void on_send(void *ctx, const char *addr, unsigned group, str_t msg)
+{
+	for (unsigned i = 0; i < REPLICAS_MAX; i++) {
+		node_t *n = &nodes[group][i];
+
+		if (strcmp(seeds[i], addr) != 0)
+			continue;
+		pthread_rwlock_rdlock(&n->lock);
+		if (n->g)
+			gr_receive(n->g, msg);
+		pthread_rwlock_unlock(&n->lock);
+	}
+}
+
+static void start(unsigned group, unsigned i, unsigned nseeds, uint64_t snapshot_entries)
+{
+	node_t *n = &nodes[group][i];
+	char dir[128];
+	gr_t *g = NULL;
+	gr_options_t o = {.group = group,
+			  .dir = dir,
+			  .addr = seeds[i],
+			  .zone = "z",
+			  .seeds = seeds,
+			  .nseeds = nseeds,
+			  .bootstrap = nseeds > 0,
+			  .tick_ms = TICK_MS,
+			  .election_ms = ELECTION_MS,
+			  .snapshot_entries = snapshot_entries,
+			  .snapshot_bytes = 1ull << 40,
+			  .ctx = n,
+			  .apply = on_apply,
+			  .snapshot = on_snapshot,
+			  .restore = on_restore,
+			  .send = on_send};
+
+	snprintf(dir, sizeof(dir), "%s/%u-%u", root, group, i);
+	n->group = group;
+	n->applied = 0;
+	if (gr_open(&o, &g) != ST_OK) {
+		fprintf(stderr, "%s\n", st_message());
+		exit(1);
+	}
+	pthread_rwlock_wrlock(&n->lock);
+	n->g = g;
+	pthread_rwlock_unlock(&n->lock);
+}
+
+static void stop(unsigned group, unsigned i)
+{
+	node_t *n = &nodes[group][i];
+	gr_t *g = n->g;
+
+	if (!g)
+		return;
+	pthread_rwlock_wrlock(&n->lock);
+	n->g = NULL;
+	pthread_rwlock_unlock(&n->lock);
+	gr_close(g);
+	buf_free(&n->state);
+}
+
+static int remove_one(const char *path, const struct stat *sb, int type, struct FTW *f)
+{
+	return remove(path);
+}
+
+static void clear(void)
+{
+	for (unsigned g = 0; g < GROUPS_MAX; g++) {
+		for (unsigned i = 0; i < REPLICAS_MAX; i++)
+			stop(g, i);
+	}
+	nftw(root, remove_one, 16, FTW_DEPTH | FTW_PHYS);
+	if (mkdir(root, 0700) != 0)
+		exit(1);
+}
+
+static gr_t *wait_leader(unsigned group)
+{
+	deadline_t d = clk_now_ms() + WAIT_MS;
+
+	while (clk_left_ms(d) > 0) {
+		for (unsigned i = 0; i < REPLICAS_MAX; i++) {
+			gr_status_t s;
+
+			if (!nodes[group][i].g)
+				continue;
+			gr_status(nodes[group][i].g, &s);
+			if (s.leader && gr_barrier(nodes[group][i].g, d) == ST_OK)
+				return nodes[group][i].g;
+		}
+		clk_sleep_ms(1);
+	}
+	fprintf(stderr, "no leader\n");
+	exit(1);
+}
+
+typedef struct {
+	gr_t *g;
+	unsigned bytes;
+	deadline_t end;
+	mx_t *us;
+	uint64_t done;
+	uint64_t failed;
+} proposer_t;
+
+static void *propose_until(void *arg)
+{
+	proposer_t *p = arg;
+	char *cmd = mem_new(p->bytes);
+
+	while (clk_left_ms(p->end) > 0) {
+		int64_t start_us = clk_now_us();
+
+		if (gr_propose(p->g, (str_t){cmd, p->bytes}, clk_now_ms() + WAIT_MS, NULL) !=
+		    ST_OK) {
+			p->failed++;
+			continue;
+		}
+		mx_record(p->us, clk_now_us() - start_us);
+		p->done++;
+	}
+	free(cmd);
+	return NULL;
+}
+
+typedef struct {
+	unsigned replicas;
+	unsigned groups;
+	unsigned proposers; /* of all groups together */
+	unsigned bytes;
+	unsigned ms;
+} load_t;
+
+static void print_load(const load_t *l, const proposer_t *p, mx_t *us, int64_t took_us,
+		       const gr_status_t *before, const gr_status_t *after)
+{
+	uint64_t done = 0;
+	uint64_t failed = 0;
+	uint64_t syncs = after->syncs - before->syncs;
+	uint64_t sync_us = after->sync_us - before->sync_us;
+
+	for (unsigned i = 0; i < l->proposers; i++) {
+		done += p[i].done;
+		failed += p[i].failed;
+	}
+	printf("measure=commit replicas=%u groups=%u proposers=%u bytes=%u ms=%ld commits=%lu "
+	       "failed=%lu commits_per_s=%lu p50_us=%ld p99_us=%ld leader_syncs=%lu "
+	       "sync_mean_us=%lu sync_share=%.2f commits_per_sync=%.1f\n",
+	       l->replicas, l->groups, l->proposers, l->bytes, (long)(took_us / 1000),
+	       (unsigned long)done, (unsigned long)failed,
+	       (unsigned long)(done * 1000000 / (uint64_t)took_us), (long)mx_quantile(us, 0.5),
+	       (long)mx_quantile(us, 0.99), (unsigned long)syncs,
+	       (unsigned long)(syncs ? sync_us / syncs : 0),
+	       (double)sync_us / (double)took_us, /* of the first group's leader */
+	       syncs ? (double)done / l->groups / (double)syncs : 0.0);
+	fflush(stdout);
+}
+
+static void measure_load(const load_t *l)
+{
+	static unsigned run;
+	static proposer_t p[PROPOSERS_MAX];
+	static pthread_t t[PROPOSERS_MAX];
+	gr_t *leaders[GROUPS_MAX];
+	gr_status_t before;
+	gr_status_t after;
+	char label[32];
+	mx_t *us;
+	int64_t start_us;
+
+	snprintf(label, sizeof(label), "run=\"%u\"", run++);
+	us = mx_get(MX_HISTOGRAM, "commit_us", label);
+	for (unsigned g = 0; g < l->groups; g++) {
+		for (unsigned i = 0; i < l->replicas; i++)
+			start(g, i, l->replicas, 1ull << 40);
+	}
+	for (unsigned g = 0; g < l->groups; g++)
+		leaders[g] = wait_leader(g);
+	gr_status(leaders[0], &before);
+	start_us = clk_now_us();
+	for (unsigned i = 0; i < l->proposers; i++) {
+		p[i] = (proposer_t){
+			leaders[i % l->groups], l->bytes, clk_now_ms() + l->ms, us, 0, 0};
+		pthread_create(&t[i], NULL, propose_until, &p[i]);
+	}
+	for (unsigned i = 0; i < l->proposers; i++)
+		pthread_join(t[i], NULL);
+	start_us = clk_now_us() - start_us;
+	gr_status(leaders[0], &after);
+	print_load(l, p, us, start_us, &before, &after);
+	clear();
+}
+
+static void propose_some(gr_t *g, unsigned n)
+{
+	for (unsigned i = 0; i < n; i++) {
+		if (gr_propose(g, STR("command"), clk_now_ms() + WAIT_MS, NULL) != ST_OK)
+			exit(1);
+	}
+}
+
+/* Waits until the leader's newest snapshot is beyond index. */
+static void wait_snapshot(gr_t *g, uint64_t index)
+{
+	gr_status_t s;
+
+	do {
+		propose_some(g, 1);
+		gr_status(g, &s);
+	} while (s.snapshot_index <= index);
+}
+
+static void set_state(void *ctx, void *arg)
+{
+	node_t *n = ctx;
+	size_t bytes = *(size_t *)arg;
+	char *fill = mem_new(bytes);
+
+	for (size_t i = 0; i < bytes; i++)
+		fill[i] = (char)(i * 31);
+	n->state.n = 0;
+	buf_add(&n->state, (str_t){fill, bytes});
+	free(fill);
+}
+
+static gr_t *join_learner(gr_t *leader, unsigned i)
+{
+	gr_peer_t peer = {0};
+	gr_status_t s;
+
+	start(0, i, 0, 1ull << 40);
+	gr_status(nodes[0][i].g, &s);
+	peer.id = s.self;
+	snprintf(peer.addr, sizeof(peer.addr), "%s", seeds[i]);
+	if (gr_add_learner(leader, &peer, clk_now_ms() + WAIT_MS) != ST_OK)
+		exit(1);
+	return nodes[0][i].g;
+}
+
+/* A replica with a snapshot of `bytes` starts again; then an empty one catches up from it. */
+static void measure_state(size_t bytes)
+{
+	int64_t open_us;
+	int64_t lead_us;
+	int64_t catch_us;
+	gr_status_t s;
+	gr_status_t ls;
+	gr_t *g;
+
+	start(0, 0, 1, 20);
+	g = wait_leader(0);
+	gr_with_state(g, set_state, &bytes);
+	wait_snapshot(g, 0);
+	gr_status(g, &ls);
+	wait_snapshot(g, ls.snapshot_index);
+	stop(0, 0);
+	open_us = clk_now_us();
+	start(0, 0, 1, 1ull << 40);
+	lead_us = clk_now_us();
+	open_us = lead_us - open_us;
+	g = wait_leader(0);
+	lead_us = clk_now_us() - lead_us;
+	propose_some(g, 10);
+	catch_us = clk_now_us();
+	join_learner(g, 1);
+	do {
+		clk_sleep_ms(1);
+		gr_status(nodes[0][1].g, &s);
+		gr_status(g, &ls);
+	} while (s.applied < ls.commit);
+	catch_us = clk_now_us() - catch_us;
+	printf("measure=state bytes=%zu open_ms=%.1f election_ms=%.1f catch_up_ms=%.1f "
+	       "snapshot_index=%lu\n",
+	       bytes, (double)open_us / 1000, (double)lead_us / 1000, (double)catch_us / 1000,
+	       (unsigned long)ls.snapshot_index);
+	fflush(stdout);
+	clear();
+}
+
+/* An empty replica catches up by entries alone; then a replica replays them at its start. */
+static void measure_entries(unsigned entries)
+{
+	int64_t open_us;
+	int64_t catch_us;
+	proposer_t p[64];
+	pthread_t t[64];
+	mx_t *us = mx_get(MX_HISTOGRAM, "fill_us", NULL);
+	gr_status_t s = {0};
+	gr_status_t ls;
+	gr_t *g;
+
+	start(0, 0, 1, 1ull << 40);
+	g = wait_leader(0);
+	while (s.applied < entries) {
+		for (unsigned i = 0; i < 64; i++) {
+			p[i] = (proposer_t){g, 128, clk_now_ms() + 50, us, 0, 0};
+			pthread_create(&t[i], NULL, propose_until, &p[i]);
+		}
+		for (unsigned i = 0; i < 64; i++)
+			pthread_join(t[i], NULL);
+		gr_status(g, &s);
+	}
+	catch_us = clk_now_us();
+	join_learner(g, 1);
+	do {
+		clk_sleep_ms(1);
+		gr_status(nodes[0][1].g, &s);
+		gr_status(g, &ls);
+	} while (s.applied < ls.commit);
+	catch_us = clk_now_us() - catch_us;
+	stop(0, 0);
+	open_us = clk_now_us();
+	start(0, 0, 1, 1ull << 40);
+	open_us = clk_now_us() - open_us;
+	printf("measure=entries entries=%lu bytes=128 catch_up_ms=%.1f open_ms=%.1f\n",
+	       (unsigned long)ls.commit, (double)catch_us / 1000, (double)open_us / 1000);
+	fflush(stdout);
+	clear();
+}
+
+static void measure_loads(unsigned ms)
+{
+	static const unsigned replicas[] = {1, 3, 5};
+	static const unsigned proposers[] = {1, 8, 64, 256};
+	static const unsigned bytes[] = {128, 1024, 8192, 65536};
+	static const unsigned groups[] = {1, 2, 4, 8};
+
+	for (unsigned r = 0; r < 3; r++) {
+		for (unsigned p = 0; p < 4; p++)
+			measure_load(&(load_t){replicas[r], 1, proposers[p], 256, ms});
+	}
+	for (unsigned b = 0; b < 4; b++)
+		measure_load(&(load_t){3, 1, 64, bytes[b], ms});
+	for (unsigned g = 0; g < 4; g++)
+		measure_load(&(load_t){3, groups[g], 128, 256, ms});
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_int *ms = arg_int0(NULL, "ms", "MS", "length of each load, 1500");
+	struct arg_lit *state = arg_lit0(NULL, "state-only", "only start and catch-up times");
+	struct arg_end *end = arg_end(5);
+	void *table[] = {ms, state, end};
+	const char *tmp = getenv("TMPDIR");
+
+	ms->ival[0] = 1500;
+	if (arg_parse(argc, argv, table) > 0) {
+		arg_print_errors(stderr, end, argv[0]);
+		return 2;
+	}
+	snprintf(root, sizeof(root), "%s/auburn-log-XXXXXX", tmp ? tmp : "/tmp");
+	if (!mkdtemp(root))
+		return 1;
+	for (unsigned g = 0; g < GROUPS_MAX; g++) {
+		for (unsigned i = 0; i < REPLICAS_MAX; i++)
+			pthread_rwlock_init(&nodes[g][i].lock, NULL);
+	}
+	if (!state->count)
+		measure_loads((unsigned)ms->ival[0]);
+	for (size_t mb = 1; mb <= 256; mb *= 4)
+		measure_state(mb << 20);
+	measure_entries(10000);
+	measure_entries(100000);
+	clear();
+	rmdir(root);
+	return 0;
+}
