--- a/src/state/ld.h
+++ b/src/state/ld.h
@@ -1,6 +1,45 @@
 /**
  * State machine of a ledger group: requests under idempotency keys, jobs and their items.
  * Pure: no clock, no I/O. Counts of a job always add up (asserted after each command).
+ *
+ * Requests. ACCEPT makes a record, or answers with the one that stands under the same key and
+ * digest (fresh = false); another digest is ST_CONFLICT. ATTEMPT is for calls that may not be
+ * repeated: the first token of the session that holds the request gets ST_OK, as does the same
+ * token again, all else ST_CONFLICT. FINISH: the first one wins (record.fresh); later ones get
+ * ST_OK with the record that stands, and are counted in late_dropped.
+ *
+ * Lost sessions. SESSIONS_LOST ends attempted requests as AW_FAILED with verdict may_have_run, for
+ * ever; the others wait for LEASE by another entry. Leased items wait again, at no charge. A lost
+ * session gets ST_CANCELLED for ACCEPT, ATTEMPT, LEASE and DONE from then on.
+ *
+ * Jobs. JOB_OPEN, JOB_ITEMS in order (a gap is ST_INVALID; what was received before is passed over)
+ * and JOB_SEAL may each be resent. The job is accepted once sealed, which needs all items and the
+ * digest made by ld_digest_step; a wrong digest removes the job. JOB_OPEN again with the same
+ * digest, count and service: the same job; else ST_CONFLICT. The deadline isn't compared. A job
+ * past its deadline still runs: jobs are due, not dropped.
+ *
+ * LEASE hands out, for one service, first requests that lost their entry, by deadline, then items.
+ * Jobs whose deadlines fall into the same LD_BAND_MS form a band; the earliest band goes first;
+ * within it callers take turns, one item each, and a caller's jobs take turns within its turns.
+ * Bands that are over take turns, item by item, with the earliest that isn't, so that late work
+ * doesn't make all other work late. Within a job, items given back go first, then new ones, then
+ * those that failed or are suspected of killing replicas (alone = true from LD_DEATHS_ALONE deaths
+ * on). For each service, a session's seq must grow with each new LEASE; the same seq again gets the
+ * items that it still holds of that answer (an entry resends until it is answered, or it will hold
+ * items it doesn't know of), a lower one ST_CONFLICT. A resend drops items of jobs cancelled since
+ * then.
+ *
+ * DONE takes a result only from the session that holds the item under that attempt; others are
+ * dropped and counted. AW_BLAME_ITEM ends an item as failed at LD_ITEM_ATTEMPTS,
+ * AW_BLAME_REPLICA at LD_DEATHS_MAX, AW_BLAME_NONE never does. Results with an empty job are those
+ * of requests that LEASE handed out; when done they are stored with HTTP status 200, so use FINISH
+ * for any other.
+ *
+ * JOB_CANCEL drops waiting items at once; leased ones are dropped when their result comes, their
+ * session is lost, or their LEASE is resent. Until then LEASE and DONE list the job as cancelled.
+ *
+ * EXPIRE removes final requests and ended jobs after the retention time, and unsealed jobs after
+ * LD_UNSEALED_MAX_MS; at most LD_EXPIRE_MAX of them, so send it again when count is that.
  */
 #ifndef AUBURN_LD_H
 #define AUBURN_LD_H
@@ -15,6 +54,8 @@
 #define LD_DEATHS_MAX	   5
 #define LD_JOB_ITEMS_MAX   540000
 #define LD_LEASE_CHUNK_MAX 256
+/** Memory of an item beside its body or result. */
+#define LD_ITEM_BYTES 32
 /** A chunk ends once its bodies hold this much. */
 #define LD_LEASE_BYTES_MAX   1048576
 #define LD_RESULTS_PAGE_MAX  1000
@@ -32,10 +73,14 @@
 
 ld_t *ld_new(void);
 void ld_free(ld_t *l);
+/** Applies one command and fills res, which owns its bytes. */
 void ld_apply(ld_t *l, const aw_ledger_cmd_t *cmd, aw_ledger_res_t *res);
-/** Answers AW_QUERY_REQUEST, _JOB, _JOBS and _RESULTS. */
+/** Answers AW_QUERY_REQUEST, _JOB, _JOBS and _RESULTS; res owns its bytes. A job that isn't sealed
+ * is found, with sealed = false. RESULTS answers at most LD_RESULTS_PAGE_MAX items, and fewer when
+ * they hold LD_RESULTS_BYTES_MAX: read on from the last index + 1. */
 void ld_query(const ld_t *l, const aw_query_t *q, aw_query_res_t *res);
 void ld_snapshot(const ld_t *l, buf_t *out);
+/** Replaces the state; ST_CORRUPT leaves it as it was. */
 status_t ld_restore(ld_t *l, str_t snap);
 
 typedef struct {
@@ -44,7 +89,7 @@
 	uint64_t items;
 	uint64_t leased;
 	uint64_t late_dropped;
-	uint64_t bytes;
+	uint64_t bytes; /* records, bodies and results; without tables of keys */
 } ld_stats_t;
 void ld_stats(const ld_t *l, ld_stats_t *out);
 
--- a/src/state/ld_core.h
+++ b/src/state/ld_core.h
@@ -138,6 +138,7 @@
 	uint8_t fails;
 	uint8_t deaths;
 } ld_item_t;
+_Static_assert(sizeof(ld_item_t) == LD_ITEM_BYTES, "an item's record");
 
 /** Bodies of items that came in one command; freed once all of them are final. */
 typedef struct {
--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -200,6 +200,21 @@
 }
 END_TEST
 
+START_TEST(overdue_work_takes_turns)
+{
+	static const char *const want[] = {"due", "late", "due", "late", "late"};
+
+	kit_job(l, "a", "late", 3, KIT_NOW_MS - 2LL * LD_BAND_MS);
+	kit_job(l, "b", "due", 2, KIT_NOW_MS + LD_BAND_MS);
+	for (unsigned i = 0; i < 5; i++) {
+		AUTO_RES r = kit_lease(l, 1, i + 1, 1);
+
+		kit_reload(&l);
+		ck_assert_msg(kit_is(r.items.items_val[0].job, want[i]), "turn %u", i);
+	}
+}
+END_TEST
+
 START_TEST(first_result_wins)
 {
 	kit_job(l, "paper", "lot", 1, KIT_NOW_MS);
@@ -395,6 +410,42 @@
 }
 END_TEST
 
+/* Items that one command carries in the test of a big job. */
+#define BIG_CHUNK 4500U
+
+START_TEST(big_job_fits)
+{
+	static aw_bytes_t bodies[BIG_CHUNK];
+	aw_ledger_cmd_t cmd = {.kind = AW_LEDGER_JOB_ITEMS};
+	uint64_t digest = 0;
+	ld_stats_t st;
+
+	for (unsigned i = 0; i < LD_JOB_ITEMS_MAX; i++)
+		digest = ld_digest_step(digest, STR("0123456789"));
+	AUTO_RES open = kit_open(l, "paper", "big", LD_JOB_ITEMS_MAX, digest, KIT_NOW_MS);
+
+	for (unsigned i = 0; i < BIG_CHUNK; i++)
+		bodies[i] = kit_b("0123456789");
+	for (unsigned first = 0; first < LD_JOB_ITEMS_MAX; first += BIG_CHUNK) {
+		cmd.aw_ledger_cmd_t_u.items =
+			(aw_job_items_t){kit_b("paper"), kit_b("big"), first, {BIG_CHUNK, bodies}};
+		AUTO_RES res;
+
+		ld_apply(l, &cmd, &res);
+		ck_assert_int_eq(res.status, ST_OK);
+	}
+	AUTO_RES seal = kit_ref(l, AW_LEDGER_JOB_SEAL, "paper", "big");
+
+	ck_assert_int_eq(seal.status, ST_OK);
+	ld_stats(l, &st);
+	ck_assert_uint_le(st.bytes, (LD_ITEM_BYTES + 10) * (LD_JOB_ITEMS_MAX + 1000ULL));
+	kit_reload(&l);
+	AUTO_RES a = kit_lease(l, 1, 1, LD_LEASE_CHUNK_MAX);
+
+	ck_assert_int_eq(a.items.items_len, LD_LEASE_CHUNK_MAX);
+}
+END_TEST
+
 START_TEST(unknown_things_are_named)
 {
 	aw_ledger_cmd_t cmd = {.kind = (aw_ledger_kind_t)99};
@@ -432,6 +483,7 @@
 	tcase_add_test(t, wrong_digest_is_no_job);
 	tcase_add_test(t, lease_resend_gets_the_same);
 	tcase_add_test(t, earliest_deadline_first_in_turns);
+	tcase_add_test(t, overdue_work_takes_turns);
 	tcase_add_test(t, first_result_wins);
 	tcase_add_test(t, late_result_of_lost_session_is_dropped);
 	tcase_add_test(t, blame_is_charged_apart);
@@ -441,6 +493,7 @@
 	tcase_add_test(t, final_records_expire);
 	tcase_add_test(t, jobs_are_paged);
 	tcase_add_test(t, cut_snapshot_is_refused);
+	tcase_add_test(t, big_job_fits);
 	tcase_add_test(t, unknown_things_are_named);
 	srunner_run_all(r, CK_ENV);
 	failed = srunner_ntests_failed(r);
