auburn-bench: open-loop load with checked streams, batch jobs beside it

Cause: the policy is chosen by measurement, and a tool that waits for answers before it sends again would hide the very delays that are looked for.

Change: bench/*.c. Poisson arrivals with bursts and pauses (thinned, so a seed gives the same plan whatever is answered), every stream checked token by token against the deterministic text, times counted from when the plan wanted the request sent, resends under the same key, jobs kept open by a thread of their own, exact quantiles, one key=value line a phase. test_bench checks that each fault of a stream is seen and that arrivals follow the rate.

Not measured yet: main's entry process refuses a settings file with a control list.

--- /dev/null
+++ b/bench/bn_job.c
@@ -0,0 +1,222 @@
+#include "bn_job.h"
+
+#include <gsl/gsl_randist.h>
+#include <gsl/gsl_rng.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/clk.h"
+#include "base/str.h"
+#include "bn_http.h"
+
+#define JOBS_MAX   64
+#define ID_BYTES   64
+#define CALL_MS	   5000
+#define POLL_MS	   300
+#define TOKENS_MAX 512
+
+typedef struct {
+	char id[ID_BYTES];
+	bool open;
+	unsigned long done, failed; /* as last read */
+} job_t;
+
+struct bn_jobs {
+	bn_job_options_t o;
+	gsl_rng *rng;
+	pthread_mutex_t lock;
+	pthread_t thread;
+	atomic_bool stop;
+	atomic_bool submits;
+	job_t job[JOBS_MAX];
+	unsigned long number;
+	bn_job_counts_t counts; /* of jobs that ended */
+};
+
+static void add_item(bn_jobs_t *j, buf_t *body, int index)
+{
+	AUTO_BUF prompt = {0};
+	unsigned tokens = gsl_ran_geometric(j->rng, 1.0 / j->o.max_tokens);
+
+	buf_addf(&prompt, "digest %lu/%lu/%d ", j->o.seed, j->number, index);
+	while (prompt.n < (size_t)j->o.prompt_bytes)
+		buf_addf(&prompt, "%06lx ", gsl_rng_get(j->rng) & 0xffffff);
+	buf_add(body, STR("{\"prompt\":"));
+	buf_add_json(body, str_buf(&prompt));
+	buf_addf(body, ",\"max_tokens\":%u}\n", tokens < TOKENS_MAX ? tokens : TOKENS_MAX);
+}
+
+static void submit(bn_jobs_t *j, job_t *job)
+{
+	char addr[BN_ADDR_BYTES];
+	AUTO_BUF body = {0};
+	AUTO_BUF url = {0};
+	AUTO_BUF answer = {0};
+	long code;
+
+	if (bn_addr_pick(j->o.addr, gsl_rng_get(j->rng), addr) != ST_OK)
+		return;
+	snprintf(job->id, sizeof(job->id), "bench-job-%lu-%lu", j->o.seed, j->number);
+	for (int i = 0; i < j->o.items; i++)
+		add_item(j, &body, i);
+	j->number++;
+	buf_addf(&url, "http://%s/v1/jobs?service=%s&deadline_ms=%d", addr, j->o.service,
+		 j->o.deadline_ms);
+	code = bn_http_post(url.p, j->o.key, job->id, str_buf(&body), CALL_MS, &answer);
+	if (code != 202) {
+		fprintf(stderr, "bench: job %s: status %ld %.*s\n", job->id, code,
+			STR_ARG(str_buf(&answer)));
+		return;
+	}
+	pthread_mutex_lock(&j->lock);
+	job->open = true;
+	job->done = 0;
+	job->failed = 0;
+	j->counts.submitted++;
+	pthread_mutex_unlock(&j->lock);
+}
+
+static void close_job(bn_jobs_t *j, job_t *job, const char *state, bool adds_up)
+{
+	job->open = false;
+	j->counts.done += job->done;
+	j->counts.failed += job->failed;
+	job->done = 0;
+	job->failed = 0;
+	j->counts.finished += strcmp(state, "done") == 0;
+	j->counts.cancelled += strcmp(state, "cancelled") == 0;
+	j->counts.lost += !adds_up;
+}
+
+static void read_job(bn_jobs_t *j, job_t *job, const char *body)
+{
+	json_t *v = json_loads(body, 0, NULL);
+	const char *state = json_string_value(json_object_get(v, "state"));
+	long count = (long)json_integer_value(json_object_get(v, "count"));
+	long waiting = (long)json_integer_value(json_object_get(v, "waiting"));
+	long leased = (long)json_integer_value(json_object_get(v, "leased"));
+	long dropped = (long)json_integer_value(json_object_get(v, "dropped"));
+
+	pthread_mutex_lock(&j->lock);
+	if (state) {
+		job->done = (unsigned long)json_integer_value(json_object_get(v, "done"));
+		job->failed = (unsigned long)json_integer_value(json_object_get(v, "failed"));
+		if (strcmp(state, "running") != 0) {
+			long all = waiting + leased + dropped + (long)job->done + (long)job->failed;
+
+			close_job(j, job, state, all == count && count == j->o.items);
+		}
+	}
+	pthread_mutex_unlock(&j->lock);
+	json_decref(v);
+}
+
+static void watch(bn_jobs_t *j, job_t *job)
+{
+	char addr[BN_ADDR_BYTES];
+	AUTO_BUF url = {0};
+	AUTO_BUF body = {0};
+
+	if (bn_addr_pick(j->o.addr, gsl_rng_get(j->rng), addr) != ST_OK)
+		return;
+	buf_addf(&url, "http://%s/v1/jobs/%s", addr, job->id);
+	if (bn_http_get(url.p, j->o.key, CALL_MS, &body) == 200)
+		read_job(j, job, body.p ? body.p : "");
+}
+
+static void round_of(bn_jobs_t *j)
+{
+	for (int i = 0; i < j->o.jobs; i++) {
+		if (j->job[i].open)
+			watch(j, &j->job[i]);
+		if (!j->job[i].open && atomic_load(&j->submits))
+			submit(j, &j->job[i]);
+	}
+}
+
+static void *feed(void *ctx)
+{
+	bn_jobs_t *j = ctx;
+
+	while (!atomic_load(&j->stop)) {
+		round_of(j);
+		clk_sleep_ms(POLL_MS);
+	}
+	return NULL;
+}
+
+bn_jobs_t *bn_jobs_start(const bn_job_options_t *o)
+{
+	bn_jobs_t *j = mem_new(sizeof(*j));
+
+	j->o = *o;
+	if (j->o.jobs > JOBS_MAX)
+		j->o.jobs = JOBS_MAX;
+	j->rng = gsl_rng_alloc(gsl_rng_mt19937);
+	gsl_rng_set(j->rng, o->seed);
+	pthread_mutex_init(&j->lock, NULL);
+	atomic_store(&j->submits, true);
+	pthread_create(&j->thread, NULL, feed, j);
+	return j;
+}
+
+void bn_jobs_read(bn_jobs_t *j, bn_job_counts_t *out)
+{
+	pthread_mutex_lock(&j->lock);
+	*out = j->counts;
+	for (int i = 0; i < j->o.jobs; i++) {
+		out->done += j->job[i].done;
+		out->failed += j->job[i].failed;
+	}
+	pthread_mutex_unlock(&j->lock);
+}
+
+static bool any_open(bn_jobs_t *j)
+{
+	bool open = false;
+
+	pthread_mutex_lock(&j->lock);
+	for (int i = 0; i < j->o.jobs; i++)
+		open = open || j->job[i].open;
+	pthread_mutex_unlock(&j->lock);
+	return open;
+}
+
+void bn_jobs_wait(bn_jobs_t *j, int wait_ms)
+{
+	deadline_t until = clk_now_ms() + wait_ms;
+
+	atomic_store(&j->submits, false);
+	while (any_open(j) && clk_now_ms() < until)
+		clk_sleep_ms(POLL_MS);
+}
+
+static void cancel(bn_jobs_t *j, const job_t *job)
+{
+	char addr[BN_ADDR_BYTES];
+	AUTO_BUF url = {0};
+	AUTO_BUF body = {0};
+
+	if (bn_addr_pick(j->o.addr, gsl_rng_get(j->rng), addr) != ST_OK)
+		return;
+	buf_addf(&url, "http://%s/v1/jobs/%s", addr, job->id);
+	if (bn_http_delete(url.p, j->o.key, CALL_MS, &body) != 200)
+		fprintf(stderr, "bench: job %s wasn't cancelled\n", job->id);
+}
+
+void bn_jobs_stop(bn_jobs_t *j, bool cancel_open)
+{
+	atomic_store(&j->submits, false);
+	atomic_store(&j->stop, true);
+	pthread_join(j->thread, NULL);
+	for (int i = 0; cancel_open && i < j->o.jobs; i++) {
+		if (j->job[i].open)
+			cancel(j, &j->job[i]);
+	}
+	gsl_rng_free(j->rng);
+	pthread_mutex_destroy(&j->lock);
+	free(j);
+}
--- /dev/null
+++ b/bench/main.c
@@ -0,0 +1,214 @@
+/* auburn-bench: offers load to a fleet and prints what came of it. */
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include "base/ar.h"
+#include "base/clk.h"
+#include "bn_job.h"
+#include "bn_load.h"
+
+#define DEFAULT_SECONDS	    10
+#define DEFAULT_RATE	    10
+#define DEFAULT_TOKENS	    60
+#define DEFAULT_PROMPT	    400
+#define DEFAULT_GOAL_MS	    1000
+#define DEFAULT_TIMEOUT_MS  3000
+#define DEFAULT_RESENDS	    5
+#define DEFAULT_JOBS	    4
+#define DEFAULT_JOB_TIME_MS 3600000
+#define ERRORS_MAX	    20
+#define MS_PER_S	    1000.0
+
+typedef struct {
+	struct arg_str *entry, *addresses, *key, *service, *burst, *gap, *job_key;
+	struct arg_dbl *rate, *seconds, *warmup;
+	struct arg_int *seed, *prompt_bytes, *prefixes, *max_tokens, *goal_ms, *deadline_ms,
+		*timeout_ms, *resends, *job_items, *jobs, *job_tokens, *job_deadline_ms,
+		*job_wait_ms;
+	struct arg_lit *no_online, *verbose, *help, *version;
+	struct arg_end *end;
+} args_t;
+
+static int int_or(const struct arg_int *a, int other)
+{
+	return a->count ? a->ival[0] : other;
+}
+
+static double dbl_or(const struct arg_dbl *a, double other)
+{
+	return a->count ? a->dval[0] : other;
+}
+
+static const char *str_or(const struct arg_str *a, const char *other)
+{
+	return a->count ? a->sval[0] : other;
+}
+
+static status_t read_load(const args_t *a, bn_load_options_t *o)
+{
+	*o = (bn_load_options_t){
+		.key = str_or(a->key, ""),
+		.service = str_or(a->service, "sammandrag-llm"),
+		.rate.per_s = dbl_or(a->rate, DEFAULT_RATE),
+		.seconds = dbl_or(a->seconds, DEFAULT_SECONDS),
+		.warmup_s = dbl_or(a->warmup, 0),
+		.seed = (unsigned long)int_or(a->seed, 1),
+		.prompt_bytes = int_or(a->prompt_bytes, DEFAULT_PROMPT),
+		.prefixes = int_or(a->prefixes, 0),
+		.max_tokens = int_or(a->max_tokens, DEFAULT_TOKENS),
+		.deadline_ms = int_or(a->deadline_ms, 0),
+		.goal_ms = int_or(a->goal_ms, DEFAULT_GOAL_MS),
+		.timeout_ms = int_or(a->timeout_ms, DEFAULT_TIMEOUT_MS),
+		.resends = int_or(a->resends, DEFAULT_RESENDS),
+		.verbose = a->verbose->count > 0,
+	};
+	if (o->rate.per_s <= 0 || o->seconds <= 0 || o->max_tokens < 1)
+		return st_fail(ST_INVALID, "--rate, --seconds and --max-tokens are above zero");
+	if (a->burst->count && bn_window_parse(a->burst->sval[0], true, &o->rate.burst) != ST_OK)
+		return ST_INVALID;
+	if (a->gap->count)
+		return bn_window_parse(a->gap->sval[0], false, &o->rate.gap);
+	return ST_OK;
+}
+
+static void read_jobs(const args_t *a, const bn_load_options_t *load, bn_job_options_t *o)
+{
+	*o = (bn_job_options_t){
+		.key = str_or(a->job_key, load->key),
+		.service = load->service,
+		.items = int_or(a->job_items, 0),
+		.jobs = int_or(a->jobs, DEFAULT_JOBS),
+		.prompt_bytes = load->prompt_bytes,
+		.max_tokens = int_or(a->job_tokens, DEFAULT_TOKENS),
+		.deadline_ms = int_or(a->job_deadline_ms, DEFAULT_JOB_TIME_MS),
+		.seed = load->seed,
+	};
+}
+
+static void print_phases(const bn_load_options_t *o, bn_stat_t stat[BN_PHASES])
+{
+	static const char *const names[BN_PHASES] = {"steady", "burst", "gap"};
+	double counted_s = o->seconds - o->warmup_s;
+	bn_stat_t all = {0};
+
+	for (int i = 0; i < BN_PHASES; i++) {
+		bn_stat_merge(&all, &stat[i]);
+		if (i != BN_GAP && o->rate.burst.every_s > 0)
+			bn_stat_print(stdout, names[i], &stat[i], counted_s);
+	}
+	bn_stat_print(stdout, "all", &all, counted_s);
+	bn_stat_free(&all);
+}
+
+static void print_jobs(const bn_job_counts_t *from, const bn_job_counts_t *to, double seconds)
+{
+	printf("phase=batch seconds=%.1f jobs=%lu finished=%lu cancelled=%lu items_done=%lu "
+	       "items_failed=%lu items_per_s=%.2f not_adding_up=%lu\n",
+	       seconds, to->submitted, to->finished, to->cancelled, to->done - from->done,
+	       to->failed - from->failed, (double)(to->done - from->done) / seconds, to->lost);
+	fflush(stdout);
+}
+
+/** Online load with batch beside it. */
+static void run(const args_t *a, bn_load_options_t *load, const bn_job_options_t *jobs)
+{
+	bn_stat_t stat[BN_PHASES] = {0};
+	bn_job_counts_t before = {0};
+	bn_job_counts_t after = {0};
+	bn_jobs_t *j = jobs->items > 0 ? bn_jobs_start(jobs) : NULL;
+	int64_t start = clk_now_ms();
+	int wait_ms = int_or(a->job_wait_ms, 0);
+
+	if (a->no_online->count)
+		clk_sleep_ms((int64_t)(load->seconds * MS_PER_S));
+	else
+		bn_load_run(load, stat);
+	if (j && wait_ms > 0)
+		bn_jobs_wait(j, wait_ms);
+	if (j) {
+		bn_jobs_read(j, &after);
+		print_jobs(&before, &after, (double)(clk_now_ms() - start) / MS_PER_S);
+		bn_jobs_stop(j, wait_ms == 0);
+	}
+	if (!a->no_online->count)
+		print_phases(load, stat);
+	for (int i = 0; i < BN_PHASES; i++)
+		bn_stat_free(&stat[i]);
+}
+
+static int start(const args_t *a)
+{
+	bn_load_options_t load;
+	bn_job_options_t jobs;
+
+	if (!a->entry->count && !a->addresses->count) {
+		fputs("auburn-bench: --entry or --addresses is missing\n", stderr);
+		return AR_USAGE;
+	}
+	if (read_load(a, &load) != ST_OK) {
+		fprintf(stderr, "auburn-bench: %s\n", st_message());
+		return AR_USAGE;
+	}
+	read_jobs(a, &load, &jobs);
+	curl_global_init(CURL_GLOBAL_ALL);
+	load.addr = bn_addr_new(str_or(a->entry, NULL), str_or(a->addresses, NULL));
+	jobs.addr = load.addr;
+	run(a, &load, &jobs);
+	bn_addr_free(load.addr);
+	return AR_OK;
+}
+
+int main(int argc, char **argv)
+{
+	args_t a = {
+		.entry = arg_str0(NULL, "entry", "LIST", "entries to call, ip:port,ip:port"),
+		.addresses = arg_str0(NULL, "addresses", "LIST",
+				      "entries to ask which ones to call, ip:port,ip:port"),
+		.key = arg_str0(NULL, "key", "KEY", "bearer key of the caller"),
+		.service = arg_str0(NULL, "service", "NAME", "service to call"),
+		.rate = arg_dbl0(NULL, "rate", "N", "online requests a second"),
+		.burst = arg_str0(NULL, "burst", "TEXT", "\"xF:every S:for S\", rate times F"),
+		.gap = arg_str0(NULL, "gap", "TEXT", "\"every S:for S\", no arrivals"),
+		.seconds = arg_dbl0(NULL, "seconds", "S", "length of the run"),
+		.warmup = arg_dbl0(NULL, "warmup", "S", "part of it that isn't counted"),
+		.seed = arg_int0(NULL, "seed", "N", "of arrivals, prompts and lengths"),
+		.prompt_bytes = arg_int0(NULL, "prompt-bytes", "N", "length of a prompt"),
+		.prefixes = arg_int0(NULL, "prefixes", "N", "different beginnings of prompts"),
+		.max_tokens = arg_int0(NULL, "max-tokens", "N", "mean tokens of an answer"),
+		.goal_ms = arg_int0(NULL, "goal-ms", "N", "time to first token for goodput"),
+		.deadline_ms = arg_int0(NULL, "deadline-ms", "N", "deadline told to the system"),
+		.timeout_ms = arg_int0(NULL, "timeout-ms", "N", "silence until a resend"),
+		.resends = arg_int0(NULL, "resends", "N", "resends of one request"),
+		.job_items = arg_int0(NULL, "job-items", "N", "items of a batch job"),
+		.jobs = arg_int0(NULL, "jobs", "N", "batch jobs open at once"),
+		.job_key = arg_str0(NULL, "job-key", "KEY", "bearer key of the jobs"),
+		.job_tokens = arg_int0(NULL, "job-tokens", "N", "mean tokens of an item"),
+		.job_deadline_ms = arg_int0(NULL, "job-deadline-ms", "N", "time for a job"),
+		.job_wait_ms = arg_int0(NULL, "job-wait-ms", "N",
+					"wait for open jobs at the end; else they are cancelled"),
+		.no_online = arg_lit0(NULL, "no-online", "batch only"),
+		.verbose = arg_lit0("v", "verbose", "say what went wrong with each request"),
+		.help = arg_lit0("h", "help", "this text"),
+		.version = arg_lit0(NULL, "version", "version"),
+		.end = arg_end(ERRORS_MAX),
+	};
+	void **table = (void **)&a;
+	int faults = arg_parse(argc, argv, table);
+
+	if (a.help->count) {
+		fputs("Usage: auburn-bench", stdout);
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-26s %s\n");
+		return AR_OK;
+	}
+	if (a.version->count) {
+		puts("auburn-bench " AUBURN_VERSION);
+		return AR_OK;
+	}
+	if (faults > 0) {
+		arg_print_errors(stderr, a.end, "auburn-bench");
+		return AR_USAGE;
+	}
+	return start(&a);
+}
