--- a/bench/bn_job.c
+++ b/bench/bn_job.c
@@ -16,7 +16,7 @@
 #define ID_BYTES   64
 #define CALL_MS	   5000
 #define POLL_MS	   300
-#define TOKENS_MAX 512
+#define TOKENS_CAP 4 /* means */
 
 typedef struct {
 	char id[ID_BYTES];
@@ -33,6 +33,7 @@
 	atomic_bool submits;
 	job_t job[JOBS_MAX];
 	unsigned long number;
+	atomic_ulong tokens; /* of all items made */
 	bn_job_counts_t counts; /* of jobs that ended */
 };
 
@@ -40,13 +41,16 @@
 {
 	AUTO_BUF prompt = {0};
 	unsigned tokens = gsl_ran_geometric(j->rng, 1.0 / j->o.max_tokens);
+	unsigned cap = (unsigned)j->o.max_tokens * TOKENS_CAP;
 
+	tokens = tokens < cap ? tokens : cap;
+	atomic_fetch_add(&j->tokens, tokens);
 	buf_addf(&prompt, "digest %lu/%lu/%d ", j->o.seed, j->number, index);
 	while (prompt.n < (size_t)j->o.prompt_bytes)
 		buf_addf(&prompt, "%06lx ", gsl_rng_get(j->rng) & 0xffffff);
 	buf_add(body, STR("{\"prompt\":"));
 	buf_add_json(body, str_buf(&prompt));
-	buf_addf(body, ",\"max_tokens\":%u}\n", tokens < TOKENS_MAX ? tokens : TOKENS_MAX);
+	buf_addf(body, ",\"max_tokens\":%u}\n", tokens);
 }
 
 static void submit(bn_jobs_t *j, job_t *job)
@@ -167,6 +171,7 @@
 {
 	pthread_mutex_lock(&j->lock);
 	*out = j->counts;
+	out->tokens = atomic_load(&j->tokens);
 	for (int i = 0; i < j->o.jobs; i++) {
 		out->done += j->job[i].done;
 		out->failed += j->job[i].failed;
--- a/bench/bn_job.h
+++ b/bench/bn_job.h
@@ -20,6 +20,7 @@
 typedef struct {
 	unsigned long submitted, finished, cancelled; /* jobs */
 	unsigned long done, failed; /* items */
+	unsigned long tokens; /* asked for, by all items */
 	unsigned long lost; /* jobs whose counts didn't add up */
 } bn_job_counts_t;
 
--- a/bench/bn_request.c
+++ b/bench/bn_request.c
@@ -7,7 +7,7 @@
 #include "bn_http.h"
 
 #define PREFIX_BYTES  256
-#define TOKENS_MAX    512
+#define TOKENS_CAP    4 /* means */
 #define MS_PER_US     0.001
 #define S_PER_US      1e-6
 #define REFUSED_FROM  429
@@ -55,8 +55,8 @@
 	r->check.prompt = str_buf(&r->prompt);
 	r->check.key = r->key;
 	r->check.tokens = (int)gsl_ran_geometric(rng, 1.0 / o->max_tokens);
-	if (r->check.tokens > TOKENS_MAX)
-		r->check.tokens = TOKENS_MAX;
+	if (r->check.tokens > o->max_tokens * TOKENS_CAP)
+		r->check.tokens = o->max_tokens * TOKENS_CAP;
 	make_body(r);
 	return r;
 }
--- a/bench/main.c
+++ b/bench/main.c
@@ -104,9 +104,10 @@
 static void print_jobs(const bn_job_counts_t *from, const bn_job_counts_t *to, double seconds)
 {
 	printf("phase=batch seconds=%.1f jobs=%lu finished=%lu cancelled=%lu items_done=%lu "
-	       "items_failed=%lu items_per_s=%.2f not_adding_up=%lu\n",
+	       "items_failed=%lu items_per_s=%.2f item_tokens=%lu not_adding_up=%lu\n",
 	       seconds, to->submitted, to->finished, to->cancelled, to->done - from->done,
-	       to->failed - from->failed, (double)(to->done - from->done) / seconds, to->lost);
+	       to->failed - from->failed, (double)(to->done - from->done) / seconds, to->tokens,
+	       to->lost);
 	fflush(stdout);
 }
 
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,321 @@
+#!/usr/bin/env python3
+"""`make bench`: measures the policy on real processes, all ways in one run on the same seeds.
+
+3 controls, 6 entries, 18 fake engines; online requests come at random, batch jobs fill the rest. One line
+for each way and load:
+  way=... preempt=... keep=... weight=... load=... online_p99_ms=... harm=... idle_used=... goodput=...
+harm: online first-token p99 with batch, divided by that of the same seed and load without batch.
+idle_used: share of the slot time left by online requests in which batch ran.
+With several seeds a figure is the median, followed by the least and the most in brackets.
+
+--quick: fewer cases, one seed.  --only WORD: cases whose name holds WORD.  --seeds N.  --seconds S.
+"""
+import argparse
+import http.client
+import json
+import os
+import statistics
+import subprocess
+import sys
+import threading
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path.insert(0, os.path.join(ROOT, "tests", "proc"))
+import fleet as fl  # noqa: E402
+
+ENTRIES, ENGINES, SLOTS = 6, 18, 8
+ENGINE = {"slots": SLOTS, "step_base_us": 30000, "step_per_stream_us": 1500, "prefill_us_per_token": 100,
+          "report_lag_ms": 500}
+MAX_TOKENS = 40
+PROMPT_BYTES = 400
+STEADY_RATE = 40.0  # about 45% of the slots
+FULL_RATE = 80.0  # about all of the slots
+WARMUP_S = 3
+GOAL_MS = 1000
+SAMPLE_S = 0.5
+SETTLE_S = 1.5
+
+TEXT = """\
+retention_s = 3600
+address_ttl_s = 2
+
+[[service]]
+name = "sammandrag-llm"
+kind = "engine"
+latency_weight = %s
+kept_slots = %d
+slots = 8
+stall_ms = 2000
+online_deadline_ms = 10000
+step_bound_ms = 60
+checks_fencing = true
+"""
+
+LOADS = {
+    "steady": ["--rate", str(STEADY_RATE)],
+    "burst": ["--rate", str(STEADY_RATE / 2), "--burst", "x5:every 5:for 1"],
+    "gaps": ["--rate", str(STEADY_RATE), "--gap", "every 6:for 3"],
+}
+
+
+class Case:
+    """One way to run the fleet, under one load."""
+
+    def __init__(self, name, way="owner", preempt="resume", keep="peak", weight=0.5, load="steady", batch=True,
+                 seeds=1, fault=None, rate=None, extra=()):
+        self.name, self.way, self.preempt, self.keep = name, way, preempt, keep
+        self.weight, self.load, self.batch, self.seeds = weight, load, batch, seeds
+        self.fault, self.rate, self.extra = fault, rate, list(extra)
+
+    def settings(self):
+        """What the entries' settings hold; cases that share it share a fleet."""
+        return (self.way, self.preempt, self.keep)
+
+    def args(self):
+        return ["--rate", str(self.rate)] if self.rate else LOADS[self.load]
+
+    def label(self):
+        return "way=%s preempt=%s keep=%s weight=%s load=%s batch=%d fault=%s" % (
+            self.way, self.preempt, self.keep, self.weight, self.load, self.batch, self.fault or "none")
+
+
+def cases(quick, seeds):
+    out = []
+    for load in LOADS:
+        few = seeds if load == "steady" else 1
+        out.append(Case("base-" + load, load=load, batch=False, seeds=few))
+        for w in (0, 0.5, 1):
+            out.append(Case("owner-%s-%s" % (w, load), weight=w, load=load, seeds=few))
+        out.append(Case("alone-" + load, way="alone", load=load, seeds=few))
+        if quick:
+            return [c for c in out if c.weight != 0.5 or c.name.startswith(("base", "alone"))]
+    out += [Case("preempt-none", preempt="none"), Case("preempt-cancel", preempt="cancel"),
+            Case("keep-none", keep="none", weight=1), Case("keep-fixed", keep="fixed", weight=1),
+            Case("alone_cancel", way="alone_cancel", seeds=2), Case("split", way="split", seeds=2)]
+    out += [Case("fault-" + f, weight=1, fault=f) for f in ("kill_entry", "freeze_entry", "replica_dies", "stall")]
+    tight = ["--deadline-ms", str(GOAL_MS)]
+    out += [Case("overload-x1", weight=1, rate=FULL_RATE, extra=tight),
+            Case("overload-x2", weight=1, rate=2 * FULL_RATE, extra=tight)]
+    return out
+
+
+class Sampler(threading.Thread):
+    """Reads the streams running on all engines while a load runs."""
+
+    def __init__(self, fleet):
+        super().__init__(daemon=True)
+        self.fleet, self.sums, self.going = fleet, [], threading.Event()
+        self.going.set()
+
+    def run(self):
+        while self.going.is_set():
+            self.sums.append(sum(self.running(e) for e in self.fleet.engines if e.alive()))
+            time.sleep(SAMPLE_S)
+
+    def running(self, engine):
+        try:
+            return fl.get_json(engine.settings["listen"], "/v1/load")["running"]
+        except (OSError, ValueError, http.client.HTTPException):
+            return 0
+
+    def mean(self, skip_s, seconds):
+        part = self.sums[int(skip_s / SAMPLE_S):int((skip_s + seconds) / SAMPLE_S)]
+        return statistics.mean(part) if part else 0
+
+
+def metric(fleet, name):
+    """Sum of a counter over the entries that answer."""
+    total = 0
+    for i, e in enumerate(fleet.entries):
+        if not e.alive():
+            continue
+        try:
+            text = fl.call(fleet.addr(i), "GET", "/metrics", timeout=2)[2].decode()
+        except OSError:
+            continue
+        total += sum(float(x.split()[-1]) for x in text.splitlines() if x.startswith(name + " "))
+    return total
+
+
+def engine_counts(fleet, key):
+    return sum(fl.get_json(e.settings["listen"], "/v1/counts")[key] for e in fleet.engines if e.alive())
+
+
+def fault_thread(fleet, kind, seconds):
+    """Does the fault a third into the run; repeats it when it is one that repeats."""
+    time.sleep(WARMUP_S + seconds / 4)
+    if kind == "kill_entry":
+        fleet.entries[-1].kill()
+    elif kind == "freeze_entry":
+        fleet.entries[-1].freeze()
+    elif kind == "stall":
+        fl.call(fleet.engines[0].settings["listen"], "POST", "/fault", '{"stall": 1000}')
+    elif kind == "replica_dies":
+        for i in range(int(seconds / 4)):
+            fleet.engines[i % ENGINES].kill()
+            time.sleep(2)
+            fleet.engines[i % ENGINES].start()
+            time.sleep(1)
+
+
+def mend(fleet, kind):
+    """Whether the fleet can be used again after this fault."""
+    return kind is None
+
+
+def parse(line):
+    return dict(w.split("=", 1) for w in line.split() if "=" in w)
+
+
+def load(fleet, case, seed, seconds):
+    """Runs auburn-bench; gives its lines by phase."""
+    argv = [os.path.join(fl.BIN, "auburn-bench"), "--addresses", ",".join(fleet.addr(i) for i in range(ENTRIES)),
+            "--key", fl.CALLER_KEY, "--service", "sammandrag-llm", "--seconds", str(seconds + WARMUP_S),
+            "--warmup", str(WARMUP_S), "--seed", str(seed), "--prompt-bytes", str(PROMPT_BYTES),
+            "--max-tokens", str(MAX_TOKENS), "--job-tokens", str(MAX_TOKENS), "--goal-ms", str(GOAL_MS)]
+    argv += case.args() + case.extra
+    if case.batch:
+        argv += ["--job-items", "100", "--jobs", "8", "--job-key", fl.CALLER2_KEY]
+    if os.environ.get("BENCH_VERBOSE"):
+        argv.append("-v")
+    p = subprocess.run(argv, stdout=subprocess.PIPE, text=True, timeout=seconds + 120)
+    return {parse(x)["phase"]: parse(x) for x in p.stdout.splitlines() if x.startswith("phase=")}
+
+
+def measure(fleet, case, seed, seconds):
+    sampler = Sampler(fleet)
+    sampler.start()
+    if case.fault:
+        threading.Thread(target=fault_thread, args=(fleet, case.fault, seconds), daemon=True).start()
+    before = metric(fleet, "auburn_preempted_total")
+    phases = load(fleet, case, seed, seconds)
+    sampler.going.clear()
+    sampler.join()
+    out = {k: float(v) for k, v in phases["all"].items() if k != "phase"}
+    for k, v in phases.get("burst", {}).items():
+        if k.startswith("first_"):
+            out["burst_" + k] = float(v)
+    online = out["busy_s"] / seconds
+    idle = max(1e-9, ENGINES * SLOTS - online)
+    out["idle_used"] = max(0.0, sampler.mean(WARMUP_S, seconds) - online) / idle
+    out["online_slots"] = online
+    out["items_per_s"] = float(phases.get("batch", {}).get("items_per_s", 0))
+    out["not_adding_up"] = float(phases.get("batch", {}).get("not_adding_up", 0))
+    out["preempted"] = metric(fleet, "auburn_preempted_total") - before
+    return out
+
+
+def spread(values, digits=2):
+    f = "%%.%df" % digits
+    text = f % statistics.median(values)
+    if len(values) > 1:
+        text += "[%s..%s]" % (f % min(values), f % max(values))
+    return text
+
+
+def report(case, runs, base):
+    """Prints the line of a case; base: first-token p99 by (load, seed)."""
+    one = [r for _, r in runs]
+    harm = [r["first_p99_ms"] / base[(case.load, s)] for s, r in runs if base.get((case.load, s))]
+    words = ["case=" + case.name, case.label(),
+             "online_p50_ms=" + spread([r["first_p50_ms"] for r in one], 1),
+             "online_p95_ms=" + spread([r["first_p95_ms"] for r in one], 1),
+             "online_p99_ms=" + spread([r["first_p99_ms"] for r in one], 1),
+             "harm=" + (spread(harm) if harm and not case.rate else "-"),
+             "idle_used=" + spread([r["idle_used"] for r in one]),
+             "goodput=" + spread([r["goodput"] for r in one]),
+             "step_p95_ms=" + spread([r["step_p95_ms"] for r in one], 1),
+             "items_per_s=" + spread([r["items_per_s"] for r in one], 1),
+             "preempted=" + spread([r["preempted"] for r in one], 0)]
+    for k in ("sent", "ok", "refused", "failed", "broken", "resent", "not_adding_up"):
+        words.append("%s=%d" % (k, sum(r[k] for r in one)))
+    if "burst_first_p99_ms" in one[0]:
+        words.append("burst_p99_ms=" + spread([r["burst_first_p99_ms"] for r in one], 1))
+    print(" ".join(words), flush=True)
+
+
+class Fleets:
+    """Keeps one fleet running; makes a new one when the entries' settings change."""
+
+    def __init__(self):
+        self.fleet, self.settings, self.number, self.weight = None, None, 0, None
+
+    def close(self):
+        if self.fleet:
+            self.fleet.close()
+        self.fleet, self.settings = None, None
+
+    def get(self, case):
+        if self.fleet and self.settings != case.settings():
+            self.close()
+        if not self.fleet:
+            self.open(case)
+        if self.weight != case.weight:
+            self.number += 1
+            self.fleet.submit(self.number, self.text(case))
+            self.fleet.wait_in_force(self.number)
+            self.weight = case.weight
+        return self.fleet
+
+    def text(self, case):
+        return TEXT % (float(case.weight), 1 if case.keep == "fixed" else 0)
+
+    def open(self, case):
+        way, preempt, keep = case.settings()
+        entry = {"bench": {"way": way, "preempt": preempt, "keep": keep}}
+        f = fl.Fleet(entries=ENTRIES, engines=ENGINES, plain=0, text=self.text(case), engine=ENGINE, entry=entry)
+        self.fleet, self.settings, self.number, self.weight = f, case.settings(), 1, case.weight
+        f.start()
+        time.sleep(SETTLE_S)
+
+
+def run_case(fleets, case, seconds, base, first_seed):
+    runs = []
+    for seed in range(first_seed, first_seed + case.seeds):
+        f = fleets.get(case)
+        r = measure(f, case, seed, seconds)
+        runs.append((seed, r))
+        if not case.batch:
+            base[(case.load, seed)] = r["first_p99_ms"]
+        dead = [p.name for p in f.procs if p.p and not p.alive()]
+        if dead and not case.fault:
+            print("case=%s seed=%d ended_processes=%s" % (case.name, seed, ",".join(dead)), flush=True)
+        if not mend(f, case.fault) or dead:
+            fleets.close()
+        time.sleep(SETTLE_S)
+    report(case, runs, base)
+
+
+def main():
+    p = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    p.add_argument("--quick", action="store_true")
+    p.add_argument("--only", default="")
+    p.add_argument("--seeds", type=int, default=3)
+    p.add_argument("--first-seed", type=int, default=1)
+    p.add_argument("--seconds", type=float, default=12)
+    p.add_argument("--net", help="loopback prefix, as 127.0.30.")
+    a = p.parse_args()
+    if a.net:
+        fl.net = lambda offset=0: a.net
+    words = [w for w in a.only.split(",") if w]
+    todo = [c for c in cases(a.quick, 1 if a.quick else a.seeds)
+            if not words or any(w in c.name for w in words)]
+    fleets, base, failed = Fleets(), {}, 0
+    print("load_average=%.1f cores=%d" % (os.getloadavg()[0], os.cpu_count()), flush=True)
+    try:
+        for c in todo:
+            try:
+                run_case(fleets, c, a.seconds, base, a.first_seed)
+            except (AssertionError, ValueError, KeyError, OSError, subprocess.TimeoutExpired) as e:
+                print("case=%s %s error=%s" % (c.name, c.label(), json.dumps(str(e))), flush=True)
+                fleets.close()
+                failed += 1
+    finally:
+        fleets.close()
+    print("load_average=%.1f cases=%d not_measured=%d" % (os.getloadavg()[0], len(todo), failed), flush=True)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
