--- a/bench/bn_job.c
+++ b/bench/bn_job.c
@@ -12,11 +12,12 @@
 #include "base/str.h"
 #include "bn_http.h"
 
-#define JOBS_MAX   64
-#define ID_BYTES   64
-#define CALL_MS	   5000
-#define POLL_MS	   300
-#define TOKENS_CAP 4 /* means */
+#define JOBS_MAX    64
+#define ID_BYTES    64
+#define CALL_MS	    5000
+#define POLL_MS	    300
+#define TOKENS_CAP  4 /* means */
+#define FAULTS_TOLD 3
 
 typedef struct {
 	char id[ID_BYTES];
@@ -33,6 +34,7 @@
 	atomic_bool submits;
 	job_t job[JOBS_MAX];
 	unsigned long number;
+	unsigned long faults; /* submits that weren't taken */
 	atomic_ulong tokens; /* of all items made */
 	bn_job_counts_t counts; /* of jobs that ended */
 };
@@ -71,8 +73,9 @@
 		 j->o.deadline_ms);
 	code = bn_http_post(url.p, j->o.key, job->id, str_buf(&body), CALL_MS, &answer);
 	if (code != 202) {
-		fprintf(stderr, "bench: job %s: status %ld %.*s\n", job->id, code,
-			STR_ARG(str_buf(&answer)));
+		if (j->faults++ < FAULTS_TOLD)
+			fprintf(stderr, "bench: job %s: status %ld %.*s\n", job->id, code,
+				STR_ARG(str_buf(&answer)));
 		return;
 	}
 	pthread_mutex_lock(&j->lock);
