--- a/bench/bn_job.h
+++ b/bench/bn_job.h
@@ -14,6 +14,7 @@
 	int prompt_bytes;
 	int max_tokens; /* mean */
 	int deadline_ms;
+	const char *run; /* begins each id and prompt */
 	unsigned long seed;
 } bn_job_options_t;
 
--- a/bench/bn_load.h
+++ b/bench/bn_load.h
@@ -13,6 +13,7 @@
 	bn_rate_t rate;
 	double seconds;
 	double warmup_s; /* sent, but not counted */
+	const char *run; /* begins each key and prompt, so that no run meets another's */
 	unsigned long seed;
 	int prompt_bytes;
 	int prefixes; /* prompts begin with one of so many prefixes; 0 = each its own */
--- a/bench/bn_request.h
+++ b/bench/bn_request.h
@@ -5,7 +5,7 @@
 #include <curl/curl.h>
 #include "bn_load.h"
 
-#define BN_KEY_BYTES 64
+#define BN_KEY_BYTES 128
 
 typedef struct {
 	const bn_load_options_t *o;
--- a/bench/main.c
+++ b/bench/main.c
@@ -21,7 +21,7 @@
 #define MS_PER_S	    1000.0
 
 typedef struct {
-	struct arg_str *entry, *addresses, *key, *service, *burst, *gap, *job_key;
+	struct arg_str *entry, *addresses, *key, *service, *burst, *gap, *job_key, *run;
 	struct arg_dbl *rate, *seconds, *warmup;
 	struct arg_int *seed, *prompt_bytes, *prefixes, *max_tokens, *goal_ms, *deadline_ms,
 		*timeout_ms, *resends, *job_items, *jobs, *job_tokens, *job_deadline_ms,
@@ -53,6 +53,7 @@
 		.rate.per_s = dbl_or(a->rate, DEFAULT_RATE),
 		.seconds = dbl_or(a->seconds, DEFAULT_SECONDS),
 		.warmup_s = dbl_or(a->warmup, 0),
+		.run = str_or(a->run, "bench"),
 		.seed = (unsigned long)int_or(a->seed, 1),
 		.prompt_bytes = int_or(a->prompt_bytes, DEFAULT_PROMPT),
 		.prefixes = int_or(a->prefixes, 0),
@@ -82,6 +83,7 @@
 		.prompt_bytes = load->prompt_bytes,
 		.max_tokens = int_or(a->job_tokens, DEFAULT_TOKENS),
 		.deadline_ms = int_or(a->job_deadline_ms, DEFAULT_JOB_TIME_MS),
+		.run = load->run,
 		.seed = load->seed,
 	};
 }
@@ -168,6 +170,7 @@
 				      "entries to ask which ones to call, ip:port,ip:port"),
 		.key = arg_str0(NULL, "key", "KEY", "bearer key of the caller"),
 		.service = arg_str0(NULL, "service", "NAME", "service to call"),
+		.run = arg_str0(NULL, "run", "NAME", "begins each key and prompt"),
 		.rate = arg_dbl0(NULL, "rate", "N", "online requests a second"),
 		.burst = arg_str0(NULL, "burst", "TEXT", "\"xF:every S:for S\", rate times F"),
 		.gap = arg_str0(NULL, "gap", "TEXT", "\"every S:for S\", no arrivals"),
--- a/bench/run.py
+++ b/bench/run.py
@@ -174,7 +174,7 @@
             "--key", fl.CALLER_KEY, "--service", "sammandrag-llm", "--seconds", str(seconds + WARMUP_S),
             "--warmup", str(WARMUP_S), "--seed", str(seed), "--prompt-bytes", str(PROMPT_BYTES),
             "--max-tokens", str(MAX_TOKENS), "--job-tokens", str(MAX_TOKENS), "--goal-ms", str(GOAL_MS)]
-    argv += case.args() + case.extra
+    argv += case.args() + case.extra + ["--run", "%s-%x" % (case.name, int(time.time()))]
     if case.batch:
         argv += ["--job-items", "100", "--jobs", "8", "--job-key", fl.CALLER2_KEY]
     if os.environ.get("BENCH_VERBOSE"):
--- a/tests/unit/test_bench.c
+++ b/tests/unit/test_bench.c
@@ -39,6 +39,29 @@
 }
 END_TEST
 
+START_TEST(a_stored_answer_is_one_event)
+{
+	bn_check_t c = check_of(3);
+	AUTO_BUF text = {0};
+	AUTO_BUF line = {0};
+	char one[TEXT_BYTES];
+
+	for (int i = 0; i < 3; i++) {
+		expected_text(&c, i, one);
+		buf_add(&text, str_c(one));
+	}
+	buf_addf(&line,
+		 "data: {\"id\":\"k1\",\"index\":0,\"choices\":[{\"index\":0,\"text\":\"%s\"}]}\n\n"
+		 "data: [DONE]\n\n",
+		 text.p);
+	bn_check_feed(&c, str_buf(&line));
+	ck_assert(bn_check_whole(&c));
+	c.tokens = 4;
+	ck_assert(!bn_check_whole(&c));
+	bn_check_reset(&c);
+}
+END_TEST
+
 START_TEST(each_fault_is_seen)
 {
 	static const struct {
@@ -116,6 +139,7 @@
 
 	suite_add_tcase(s, t);
 	tcase_add_test(t, a_whole_stream_is_good);
+	tcase_add_test(t, a_stored_answer_is_one_event);
 	tcase_add_test(t, each_fault_is_seen);
 	tcase_add_test(t, an_early_end_and_an_error_event_are_not_whole);
 	tcase_add_test(t, arrivals_follow_the_rate_its_bursts_and_pauses);
