--- a/bench/run.py
+++ b/bench/run.py
@@ -33,7 +33,7 @@
 FULL_RATE = 80.0  # about all of the slots
 WARMUP_S = 3
 GOAL_MS = 1000
-SAMPLE_S = 0.5
+SAMPLE_S = 0.25
 SETTLE_S = 1.5
 
 TEXT = """\
@@ -101,27 +101,34 @@
 
 
 class Sampler(threading.Thread):
-    """Reads the streams running on all engines while a load runs."""
+    """Reads what entries say of the streams that they run, while a load runs."""
 
     def __init__(self, fleet):
         super().__init__(daemon=True)
-        self.fleet, self.sums, self.going = fleet, [], threading.Event()
+        self.fleet, self.seen, self.going = fleet, [], threading.Event()
         self.going.set()
 
     def run(self):
         while self.going.is_set():
-            self.sums.append(sum(self.running(e) for e in self.fleet.engines if e.alive()))
+            at = time.monotonic()
+            each = [self.running(i) for i, e in enumerate(self.fleet.entries) if e.alive()]
+            self.seen.append((at, sum(o for o, _ in each), sum(b for _, b in each)))
             time.sleep(SAMPLE_S)
 
-    def running(self, engine):
+    def running(self, i):
+        """Online and batch streams that entry i runs."""
         try:
-            return fl.get_json(engine.settings["listen"], "/v1/load")["running"]
-        except (OSError, ValueError, http.client.HTTPException):
-            return 0
+            status, _, body = fl.call(self.fleet.addr(i), "GET", "/v1/status", None, fl.bearer(fl.OPERATOR_KEY), 1)
+            ups = json.loads(body)["upstreams"] if status == 200 else []
+        except (OSError, ValueError, KeyError, http.client.HTTPException):
+            return 0, 0
+        return sum(u["running_online"] for u in ups), sum(u["running_batch"] for u in ups)
 
-    def mean(self, skip_s, seconds):
-        part = self.sums[int(skip_s / SAMPLE_S):int((skip_s + seconds) / SAMPLE_S)]
-        return statistics.mean(part) if part else 0
+    def idle_used(self, start, seconds):
+        """Share of the slots that online left in which batch ran."""
+        part = [(o, b) for at, o, b in self.seen if start + WARMUP_S <= at <= start + WARMUP_S + seconds]
+        idle = sum(max(0, ENGINES * SLOTS - o) for o, _ in part)
+        return sum(b for _, b in part) / idle if idle else 0
 
 
 def metric(fleet, name):
@@ -138,10 +145,6 @@
     return total
 
 
-def engine_counts(fleet, key):
-    return sum(fl.get_json(e.settings["listen"], "/v1/counts")[key] for e in fleet.engines if e.alive())
-
-
 def fault_thread(fleet, kind, seconds):
     """Does the fault a third into the run; repeats it when it is one that repeats."""
     time.sleep(WARMUP_S + seconds / 4)
@@ -184,7 +187,7 @@
 
 
 def measure(fleet, case, seed, seconds):
-    sampler = Sampler(fleet)
+    sampler, start = Sampler(fleet), time.monotonic()
     sampler.start()
     if case.fault:
         threading.Thread(target=fault_thread, args=(fleet, case.fault, seconds), daemon=True).start()
@@ -196,10 +199,7 @@
     for k, v in phases.get("burst", {}).items():
         if k.startswith("first_"):
             out["burst_" + k] = float(v)
-    online = out["busy_s"] / seconds
-    idle = max(1e-9, ENGINES * SLOTS - online)
-    out["idle_used"] = max(0.0, sampler.mean(WARMUP_S, seconds) - online) / idle
-    out["online_slots"] = online
+    out["idle_used"] = sampler.idle_used(start, seconds)
     out["items_per_s"] = float(phases.get("batch", {}).get("items_per_s", 0))
     out["not_adding_up"] = float(phases.get("batch", {}).get("not_adding_up", 0))
     out["preempted"] = metric(fleet, "auburn_preempted_total") - before
