Owner: time between tokens is judged over two seconds, not half a second

Cause: in half a second a replica makes about 12 steps, so one step with two prefills in it put the 95% value over the bound and took a quarter of the batch streams away, which came back at one in two windows.

Change: windows of 2 s with up to 1024 samples; near the bound one stream goes, over it a quarter; one comes back a window; full latency weight begins 5% below the bound instead of 20%.

The step test runs longer because the windows are; its bounds are the same.

--- a/src/policy/ow_core.h
+++ b/src/policy/ow_core.h
@@ -4,7 +4,7 @@
 
 #include "policy/ow.h"
 
-#define OW_STEP_SAMPLES 512
+#define OW_STEP_SAMPLES 1024
 
 /** A stream on the replica. */
 typedef struct {
--- a/src/policy/ow_room.c
+++ b/src/policy/ow_room.c
@@ -6,11 +6,11 @@
 #include <string.h>
 
 #define MEAN_SHARE	 0.05 /* weight of a new value in a running mean */
-#define STEP_WINDOW_MS	 500
+#define STEP_WINDOW_MS	 2000
 #define STEP_MIN_SAMPLES 16
-#define STEP_NEAR	 0.2 /* how far below the bound full latency weight begins to shrink */
-#define STEP_SHRINK	 0.75
-#define STEP_GROW	 0.5 /* batch streams a window */
+#define STEP_NEAR	 0.05 /* how far below the bound full latency weight begins to shrink */
+#define STEP_SHRINK	 0.75 /* over the bound; near it one batch stream goes */
+#define STEP_GROW	 1 /* batch streams a window */
 #define STEP_GROW_BELOW	 0.9 /* of the point where shrinking begins */
 #define PEAK_SLICE_MS	 100
 #define PEAK_DECAY	 0.99 /* a slice; halves in about 7 s */
@@ -98,8 +98,10 @@
 		s->batch_cap = w->o.slots;
 		return;
 	}
-	if ((double)s->p95_us >= near)
+	if (s->p95_us >= w->o.step_bound_us)
 		s->batch_cap = fmin(s->batch_cap, batch) * STEP_SHRINK;
+	else if ((double)s->p95_us >= near)
+		s->batch_cap = fmax(fmin(s->batch_cap, batch) - 1, 0);
 	else if ((double)s->p95_us < near * STEP_GROW_BELOW)
 		s->batch_cap = fmin(s->batch_cap + STEP_GROW, w->o.slots);
 }
