--- a/fakes/fake-engine.c
+++ b/fakes/fake-engine.c
@@ -33,8 +33,9 @@
 		{"fencing", CF_BOOL, false, 0, 0, &s->fencing},
 		{NULL, CF_STR, false, 0, 0, NULL},
 	};
+	status_t st = cf_read(c, cf_root(c), keys, NULL);
 
-	return cf_read(c, cf_root(c), keys, NULL);
+	return st == ST_OK ? fk_check_address(c, "listen", s->listen) : st;
 }
 
 static int answer_old_fence(fk_engine_t *e, struct _u_response *r)
--- a/fakes/fake-platform.c
+++ b/fakes/fake-platform.c
@@ -76,7 +76,7 @@
 	for (size_t i = 0; st == ST_OK && i < cf_count(root, "vm"); i++)
 		st = read_vm(c, cf_at(root, "vm", i), vms);
 	add_version(p, vms);
-	return st;
+	return st == ST_OK ? fk_check_address(c, "listen", p->listen) : st;
 }
 
 static void drop_older(version_t *v)
--- a/fakes/fake-service.c
+++ b/fakes/fake-service.c
@@ -27,8 +27,9 @@
 		{"delay_ms", CF_INT, false, 0, MAX_DELAY_MS, &s->delay_ms},
 		{NULL, CF_STR, false, 0, 0, NULL},
 	};
+	status_t st = cf_read(c, cf_root(c), keys, NULL);
 
-	return cf_read(c, cf_root(c), keys, NULL);
+	return st == ST_OK ? fk_check_address(c, "listen", s->listen) : st;
 }
 
 static bool take(int64_t *left)
--- a/fakes/fk_common.h
+++ b/fakes/fk_common.h
@@ -58,5 +58,7 @@
 
 /** Splits "ip:port" into an IPv4 socket address. */
 status_t fk_address(const char *addr, struct sockaddr_in *out);
+/** Checks the address under a key of the settings. */
+status_t fk_check_address(const cf_t *c, const char *key, const char *addr);
 
 #endif
--- a/fakes/fk_http.c
+++ b/fakes/fk_http.c
@@ -115,6 +115,16 @@
 	return ST_OK;
 }
 
+status_t fk_check_address(const cf_t *c, const char *key, const char *addr)
+{
+	struct sockaddr_in ignored;
+
+	if (fk_address(addr, &ignored) == ST_OK)
+		return ST_OK;
+	return st_fail(ST_INVALID, "%s:%d: %s: %s is not ip:port", cf_name(c),
+		       cf_line(cf_root(c), key), key, addr);
+}
+
 static int start_server(struct _u_instance *server)
 {
 	struct MHD_OptionItem options[] = {
--- a/fakes/relay.c
+++ b/fakes/relay.c
@@ -340,6 +340,12 @@
 	};
 	status_t st = cf_read(c, cf_root(c), keys, NULL);
 
+	if (st == ST_OK)
+		st = fk_check_address(c, "listen", r->listen);
+	if (st == ST_OK)
+		st = fk_check_address(c, "control", r->control);
+	if (st == ST_OK)
+		st = fk_check_address(c, "target", r->target);
 	return st == ST_OK ? fk_address(r->target, &r->target_addr) : st;
 }
 
--- a/src/control/cn_settings.c
+++ b/src/control/cn_settings.c
@@ -12,20 +12,21 @@
 #define DEFAULT_SNAPSHOT_MIB	 64
 #define ROUTES_MAX		 64
 
-static status_t check_addr(const char *path, const char *key, const char *addr)
+static status_t check_addr(const cf_t *c, const char *key, const char *addr)
 {
 	char ip[64];
 	unsigned port;
 
 	if (rp_split_addr(addr, ip, &port) == ST_OK)
 		return ST_OK;
-	return st_fail(ST_INVALID, "%s:0: %s: %s is not ip:port", path, key, addr);
+	return st_fail(ST_INVALID, "%s:%d: %s: %s is not ip:port", cf_name(c),
+		       cf_line(cf_root(c), key), key, addr);
 }
 
-static status_t check_addrs(const char *path, const char *key, const cf_strs_t *s)
+static status_t check_addrs(const cf_t *c, const char *key, const cf_strs_t *s)
 {
 	for (size_t i = 0; i < s->n; i++) {
-		status_t st = check_addr(path, key, s->v[i]);
+		status_t st = check_addr(c, key, s->v[i]);
 
 		if (st != ST_OK)
 			return st;
@@ -33,7 +34,7 @@
 	return ST_OK;
 }
 
-static status_t set_routes(const char *path, const cf_strs_t *routes)
+static status_t set_routes(const cf_t *c, const cf_strs_t *routes)
 {
 	for (size_t i = 0; i < routes->n; i++) {
 		AUTO_FREE char *addr = str_dup(str_c(routes->v[i]));
@@ -42,8 +43,8 @@
 		if (eq)
 			*eq = 0;
 		if (!eq || rp_route(addr, eq + 1) != ST_OK)
-			return st_fail(ST_INVALID, "%s:0: routes: %s is not ip:port=ip:port", path,
-				       routes->v[i]);
+			return st_fail(ST_INVALID, "%s:%d: routes: %s is not ip:port=ip:port",
+				       cf_name(c), cf_line(cf_root(c), "routes"), routes->v[i]);
 	}
 	return ST_OK;
 }
@@ -87,14 +88,14 @@
 	if (st == ST_OK)
 		st = cf_read(c, cf_root(c), keys, NULL);
 	if (st == ST_OK)
-		st = check_addr(path, "listen", s->listen);
+		st = check_addr(c, "listen", s->listen);
 	if (st == ST_OK && s->http)
-		st = check_addr(path, "http", s->http);
+		st = check_addr(c, "http", s->http);
 	if (st == ST_OK)
-		st = check_addrs(path, "controls", &s->controls);
+		st = check_addrs(c, "controls", &s->controls);
 	if (st == ST_OK)
-		st = check_addrs(path, "spares", &s->spares);
+		st = check_addrs(c, "spares", &s->spares);
 	if (st == ST_OK)
-		st = set_routes(path, &s->routes);
+		st = set_routes(c, &s->routes);
 	return st;
 }
