Settings and operators' text: no input ends the process; addresses are checked

Cause: toml++ asserts on its input ("[[[" and the like), so that a settings file or an operator's text ended the program by abort: the entry that checks it, and any control process that parses it.

Change: TOML_ASSERT is empty in cf_toml.cpp; the parser then reports its error at the same place (without NDEBUG its ASSUME form is the same macro, so nothing is assumed). rp_split_addr checks the IPv4 address; auburnctl checks entries and controls.

Ruled out: a scan of the text before the parser, which would refuse "[[[" in multi-line strings.

--- a/src/base/cf_toml.cpp
+++ b/src/base/cf_toml.cpp
@@ -1,5 +1,8 @@
 // TOML documents by toml++; the one C++ file, behind the C interface of cf.h.
 #define TOML_EXCEPTIONS 0
+// The parser asserts on what its input holds, as in "[[[", and would end the process; without the
+// assertions it reports an error there.
+#define TOML_ASSERT(expr) static_cast<void>(0)
 #include <toml++/toml.h>
 
 #include <cstdio>
--- a/src/base/rp.c
+++ b/src/base/rp.c
@@ -55,6 +55,7 @@
 status_t rp_split_addr(const char *addr, char ip[64], unsigned *port)
 {
 	const char *colon = strrchr(addr, ':');
+	struct in_addr ignored;
 	char *end;
 	unsigned long v;
 
@@ -63,7 +64,8 @@
 	memcpy(ip, addr, (size_t)(colon - addr));
 	ip[colon - addr] = 0;
 	v = strtoul(colon + 1, &end, 10);
-	if (*end || end == colon + 1 || v == 0 || v > 65535)
+	if (inet_pton(AF_INET, ip, &ignored) != 1 || *end || end == colon + 1 || v == 0 ||
+	    v > 65535)
 		return st_fail(ST_INVALID, "%s is not ip:port", addr);
 	*port = (unsigned)v;
 	return ST_OK;
--- a/src/base/rp.h
+++ b/src/base/rp.h
@@ -45,7 +45,7 @@
  * way. Call before the first connection. */
 status_t rp_route(const char *addr, const char *via);
 
-/** Splits "ip:port". */
+/** Splits "ip:port", an IPv4 address by its number. */
 status_t rp_split_addr(const char *addr, char ip[64], unsigned *port);
 
 #endif
--- a/src/ctl/ct_settings.c
+++ b/src/ctl/ct_settings.c
@@ -1,7 +1,21 @@
+#include "base/rp.h"
 #include "ctl/ct.h"
 
 #define LISTED_MAX 1000
 
+static status_t check_addrs(const cf_t *c, const char *key, const cf_strs_t *s)
+{
+	char ip[64];
+	unsigned port;
+
+	for (size_t i = 0; i < s->n; i++) {
+		if (rp_split_addr(s->v[i], ip, &port) != ST_OK)
+			return st_fail(ST_INVALID, "%s:%d: %s: %s is not ip:port", cf_name(c),
+				       cf_line(cf_root(c), key), key, s->v[i]);
+	}
+	return ST_OK;
+}
+
 status_t ct_settings_load(const char *path, ct_settings_t *s)
 {
 	const cf_key_t keys[] = {
@@ -16,5 +30,9 @@
 
 	if (st == ST_OK)
 		st = cf_read(c, cf_root(c), keys, NULL);
+	if (st == ST_OK)
+		st = check_addrs(c, "entries", &s->entries);
+	if (st == ST_OK)
+		st = check_addrs(c, "controls", &s->controls);
 	return st;
 }
