--- a/src/control/cn_http.c
+++ b/src/control/cn_http.c
@@ -4,6 +4,9 @@
 #include "base/rp.h"
 #include "control/cn.h"
 
+/* No endpoint reads a body. */
+#define BODY_MAX_BYTES 1024
+
 static int on_metrics(const struct _u_request *req, struct _u_response *res, void *ctx)
 {
 	AUTO_BUF b = {0};
@@ -55,6 +58,8 @@
 	sa.sin_port = htons((uint16_t)port);
 	if (ulfius_init_instance(&instance, port, &sa, NULL) != U_OK)
 		return st_fail(ST_IO, "can't set up HTTP on %s", cn->s.http);
+	instance.max_post_body_size = BODY_MAX_BYTES;
+	instance.allowed_post_processor = U_POST_PROCESS_NONE;
 	ulfius_add_endpoint_by_val(&instance, "GET", "/metrics", NULL, 0, on_metrics, cn);
 	ulfius_add_endpoint_by_val(&instance, "GET", "/healthz", NULL, 0, on_health, cn);
 	ulfius_add_endpoint_by_val(&instance, "GET", "/readyz", NULL, 0, on_ready, cn);
--- a/src/entry/fi_idempotency.c
+++ b/src/entry/fi_idempotency.c
@@ -10,8 +10,9 @@
 {
 	str_t key = hs_header(c->req, "Idempotency-Key");
 
-	if (key.n >= sizeof(c->key)) {
-		fi_refuse(c, 400, "bad_key", STR("Idempotency-Key is too long"), 0);
+	if (key.n >= sizeof(c->key) || (key.n && !hs_key_valid(key))) {
+		fi_refuse(c, 400, "bad_key",
+			  STR("Idempotency-Key is too long or not printable ASCII"), 0);
 		return false;
 	}
 	if (key.n == 0 && c->service->kind == TX_PLAIN && !c->service->repeatable) {
--- a/src/entry/fi_match.c
+++ b/src/entry/fi_match.c
@@ -16,7 +16,8 @@
 
 static void set_deadline(fi_call_t *c)
 {
-	int64_t left = hs_int(hs_header(c->req, "X-Deadline-Ms"), c->service->online_deadline_ms);
+	int64_t left =
+		hs_ms_left(hs_header(c->req, "X-Deadline-Ms"), c->service->online_deadline_ms);
 
 	c->deadline = clk_now_ms() + left;
 }
--- a/src/entry/hs.c
+++ b/src/entry/hs.c
@@ -14,6 +14,7 @@
 #define THREAD_STACK_BYTES (512 << 10)
 #define BEARER		   "Bearer "
 #define MS_PER_S	   1000
+#define MS_LEFT_MAX	   (365LL * 86400 * MS_PER_S)
 
 static struct _u_instance instance;
 
@@ -87,6 +88,24 @@
 	return errno || *end ? other : v;
 }
 
+int64_t hs_ms_left(str_t s, int64_t other)
+{
+	int64_t ms = hs_int(s, other);
+
+	if (ms < 0)
+		return 0;
+	return ms > MS_LEFT_MAX ? MS_LEFT_MAX : ms;
+}
+
+bool hs_key_valid(str_t key)
+{
+	for (size_t i = 0; i < key.n; i++) {
+		if (key.p[i] <= ' ' || key.p[i] > '~')
+			return false;
+	}
+	return key.n > 0;
+}
+
 str_t hs_body(const struct _u_request *req)
 {
 	return (str_t){req->binary_body ? req->binary_body : "", req->binary_body_length};
--- a/src/entry/hs.h
+++ b/src/entry/hs.h
@@ -23,6 +23,10 @@
 str_t hs_param(const struct _u_request *req, const char *name);
 /** A whole number from a header or parameter, or `other` if it is absent or malformed. */
 int64_t hs_int(str_t s, int64_t other);
+/** Milliseconds left, from 0 to a year; `other` if absent or malformed. */
+int64_t hs_ms_left(str_t s, int64_t other);
+/** Tells whether a caller's key or job id may stand in JSON, logs and paths: printable ASCII. */
+bool hs_key_valid(str_t key);
 str_t hs_body(const struct _u_request *req);
 
 int hs_reply(struct _u_response *res, int status, const char *type, str_t body);
--- a/src/entry/jb_post.c
+++ b/src/entry/jb_post.c
@@ -236,13 +236,14 @@
 {
 	post_t p = {.en = ctx, .res = res, .service = hs_param(req, "service")};
 	str_t key = hs_header(req, "Idempotency-Key");
-	int64_t deadline_ms = hs_int(hs_param(req, "deadline_ms"), DEFAULT_DEADLINE_MS);
+	int64_t deadline_ms = hs_ms_left(hs_param(req, "deadline_ms"), DEFAULT_DEADLINE_MS);
 	tr_span_t sp;
 
 	if (!hs_caller(p.en, req, res, &p.caller) || !hs_body_fits(p.en, req, res))
 		return U_CALLBACK_COMPLETE;
-	if (key.n == 0 || key.n >= sizeof(p.id))
-		return hs_error(res, 400, "key_required", STR("a job needs an Idempotency-Key"),
+	if (key.n >= sizeof(p.id) || !hs_key_valid(key))
+		return hs_error(res, 400, "key_required",
+				STR("a job needs an Idempotency-Key in printable ASCII"),
 				VERDICT_NOT_RUN, 0);
 	snprintf(p.id, sizeof(p.id), "%.*s", STR_ARG(key));
 	tr_begin(&sp, "entry", hs_header(req, "traceparent"));
