--- a/src/entry/jb_post.c
+++ b/src/entry/jb_post.c
@@ -1,4 +1,5 @@
 #include "entry/jb.h"
+#include "state/ld.h"
 
 #include <inttypes.h>
 #include <jansson.h>
