--- a/src/state/ld_snapshot.c
+++ b/src/state/ld_snapshot.c
@@ -282,7 +282,7 @@
 static void get_items(sn_reader_t *in, ld_t *l, ld_job_t *j, uint32_t n)
 {
 	item_line_t lines[RESTORE_BLOCK_ITEMS];
-	aw_bytes_t bodies[RESTORE_BLOCK_ITEMS];
+	aw_bytes_t bodies[RESTORE_BLOCK_ITEMS] = {0};
 	uint32_t first = j->received;
 
 	for (uint32_t i = 0; i < n; i++) {
