Entry: paths with variables, job digests as the ledger counts them

Cause: ulfius finds variables in a path only when the endpoint has a prefix, so GET /v1/requests/{key} asked for an empty key; a job's digest was not built with ld_digest_step, so no job was sealed.

--- a/src/entry/hs.c
+++ b/src/entry/hs.c
@@ -50,8 +50,8 @@
 	instance.check_utf8 = 0;
 	instance.allowed_post_processor = U_POST_PROCESS_NONE;
 	for (; routes->method; routes++)
-		ulfius_add_endpoint_by_val(&instance, routes->method, routes->path, NULL, 0,
-					   routes->handler, en);
+		ulfius_add_endpoint_by_val(&instance, routes->method, routes->prefix, routes->path,
+					   0, routes->handler, en);
 	ulfius_set_default_endpoint(&instance, not_found, en);
 	if (ulfius_start_framework_with_mhd_options(&instance, flags, options) != U_OK)
 		return st_fail(ST_IO, "can't listen on %s: %s", en->set.listen, strerror(errno));
--- a/src/entry/hs.h
+++ b/src/entry/hs.h
@@ -9,6 +9,7 @@
 
 typedef struct {
 	const char *method;
+	const char *prefix; /* variables in paths are found only when there is one */
 	const char *path;
 	hs_handler_t handler;
 } hs_route_t;
--- a/src/entry/jb_post.c
+++ b/src/entry/jb_post.c
@@ -9,6 +9,7 @@
 #include "base/mx.h"
 #include "base/tr.h"
 #include "entry/ad.h"
+#include "state/ld.h"
 
 #define CALL_MS		    10000
 #define RETRY_MS	    1000
@@ -90,13 +91,11 @@
 
 static uint64_t digest_of(const post_t *p)
 {
-	uint64_t h[2] = {str_hash(p->service), 0};
+	uint64_t d = 0;
 
-	for (size_t i = 0; i < p->lines.n; i++) {
-		h[1] = str_hash(p->lines.v[i]);
-		h[0] = str_hash((str_t){(const char *)h, sizeof(h)});
-	}
-	return h[0];
+	for (size_t i = 0; i < p->lines.n; i++)
+		d = ld_digest_step(d, p->lines.v[i]);
+	return d;
 }
 
 /* Runs a ledger command of the job; false after an error was set. */
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -51,26 +51,26 @@
 	return fi_run(ctx, req, res, "entry", chain);
 }
 
-static const hs_route_t routes[] = {{"GET", "/v1/addresses", aa_get},
-				    {"POST", "/v1/completions", on_completion},
-				    {"GET", "/v1/requests/:key", jb_request},
-				    {"POST", "/v1/services/:service/*", on_plain},
-				    {"POST", "/v1/jobs", jb_post},
-				    {"GET", "/v1/jobs", jb_list},
-				    {"GET", "/v1/jobs/:id", jb_get},
-				    {"GET", "/v1/jobs/:id/results", jb_results},
-				    {"DELETE", "/v1/jobs/:id", jb_delete},
-				    {"GET", "/v1/config", oc_get},
-				    {"PUT", "/v1/config", oc_put},
-				    {"POST", "/v1/config/check", oc_check},
-				    {"GET", "/v1/status", sv_status},
-				    {"GET", "/v1/events", sv_events},
-				    {"GET", "/metrics", sv_metrics},
-				    {"GET", "/healthz", sv_healthz},
-				    {"GET", "/readyz", sv_readyz},
-				    {"POST", "/internal/v1/run", ir_post},
-				    {"POST", "/internal/v1/cancel", ir_cancel},
-				    {NULL, NULL, NULL}};
+static const hs_route_t routes[] = {{"GET", "/v1", "/addresses", aa_get},
+				    {"POST", "/v1", "/completions", on_completion},
+				    {"GET", "/v1", "/requests/:key", jb_request},
+				    {"POST", "/v1", "/services/:service/*", on_plain},
+				    {"POST", "/v1", "/jobs", jb_post},
+				    {"GET", "/v1", "/jobs", jb_list},
+				    {"GET", "/v1", "/jobs/:id", jb_get},
+				    {"GET", "/v1", "/jobs/:id/results", jb_results},
+				    {"DELETE", "/v1", "/jobs/:id", jb_delete},
+				    {"GET", "/v1", "/config", oc_get},
+				    {"PUT", "/v1", "/config", oc_put},
+				    {"POST", "/v1", "/config/check", oc_check},
+				    {"GET", "/v1", "/status", sv_status},
+				    {"GET", "/v1", "/events", sv_events},
+				    {"GET", NULL, "/metrics", sv_metrics},
+				    {"GET", NULL, "/healthz", sv_healthz},
+				    {"GET", NULL, "/readyz", sv_readyz},
+				    {"POST", NULL, "/internal/v1/run", ir_post},
+				    {"POST", NULL, "/internal/v1/cancel", ir_cancel},
+				    {NULL, NULL, NULL, NULL}};
 
 static int fail(int code)
 {
