--- a/src/entry/bj_commit.c
+++ b/src/entry/bj_commit.c
@@ -5,7 +5,6 @@
 #include <utlist.h>
 #include "base/lg.h"
 #include "base/mx.h"
-#include "entry/lc.h"
 #include "entry/rk.h"
 
 #define DONE_MAX     64
@@ -32,6 +31,16 @@
 	}
 }
 
+static unsigned count(const bj_item_t *list)
+{
+	const bj_item_t *it;
+	unsigned n = 0;
+
+	DL_FOREACH (list, it)
+		n++;
+	return n;
+}
+
 static bool is_reached(status_t st)
 {
 	return st != ST_UNAVAILABLE && st != ST_TIMEOUT && st != ST_NOT_LEADER;
@@ -47,6 +56,7 @@
 		d->results.results_val[d->results.results_len++] =
 			(aw_item_result_t){.caller = px_bytes(str_c(it->caller)),
 					   .job = px_bytes(str_c(it->job)),
+					   .key = px_bytes(str_c(it->key)),
 					   .index = it->index,
 					   .attempt = it->attempt,
 					   .done = it->done,
@@ -63,7 +73,7 @@
 			  px_str(res->cancelled.cancelled_val[i].job));
 }
 
-/* Commits the results of job items; goes on until the ledger has answered, unless the session
+/* Commits the results of items; goes on until the ledger has answered, unless the session
  * that leased them is over. */
 static void commit_items(bj_group_t *g, bj_item_t *list, unsigned n)
 {
@@ -89,52 +99,6 @@
 	free(d->results.results_val);
 }
 
-/* An orphaned request: its end is committed under its key; one that did not run is left for the
- * next entry. */
-static void commit_request(bj_t *b, bj_item_t *it)
-{
-	AUTO_BUF error = {0};
-	lc_finish_t f = {.caller = str_c(it->caller), .key = str_c(it->key), .done = it->done};
-
-	if (!it->done && it->blame == AW_BLAME_NONE)
-		return;
-	f.verdict = it->done ? VERDICT_RAN : VERDICT_MAY_HAVE_RUN;
-	f.http_status = it->done ? 200 : 502;
-	f.result = str_buf(&it->result);
-	if (!it->done) {
-		lc_error_json(&error, "replicas_lost", f.result, (verdict_t)f.verdict, 0);
-		f.result = str_buf(&error);
-	}
-	lc_finish(b->en, &f);
-	lg(LG_INFO, "orphan_finished", LG_C("key", it->key), LG_I("done", it->done));
-}
-
-static void commit(bj_group_t *g, bj_item_t *list)
-{
-	bj_item_t *items = NULL;
-	bj_item_t *it;
-	bj_item_t *next;
-	unsigned n = 0;
-
-	DL_FOREACH_SAFE(list, it, next)
-	{
-		DL_DELETE(list, it);
-		if (it->job[0] == 0) {
-			bj_item_t *one = NULL;
-
-			commit_request(g->b, it);
-			DL_APPEND(one, it);
-			free_items(g->b, one);
-		} else {
-			DL_APPEND(items, it);
-			n++;
-		}
-	}
-	if (n)
-		commit_items(g, items, n);
-	free_items(g->b, items);
-}
-
 /* Waits until results are due to be sent, or a while. */
 static bj_item_t *wait_results(bj_group_t *g)
 {
@@ -166,7 +130,8 @@
 		bj_item_t *list = wait_results(g);
 
 		if (list) {
-			commit(g, list);
+			commit_items(g, list, count(list));
+			free_items(g->b, list);
 		} else if (bj_held(g->b) && clk_now_ms() >= probe &&
 			   en_lease_valid(g->b->en->snap)) {
 			commit_items(g, NULL, 0); /* asks which jobs were cancelled */
--- a/src/entry/bj_impl.h
+++ b/src/entry/bj_impl.h
@@ -50,6 +50,7 @@
 	unsigned waiting;
 	deadline_t next_lease[BJ_GROUPS_MAX + 1];
 	int64_t pause_ms[BJ_GROUPS_MAX + 1];
+	uint64_t lease_seq[BJ_GROUPS_MAX + 1]; /* last one answered in this session */
 } bj_service_t;
 
 struct bj {
@@ -65,7 +66,6 @@
 	unsigned nresults[BJ_GROUPS_MAX + 1];
 	size_t held;
 	uint64_t session;
-	uint64_t lease_seq[BJ_GROUPS_MAX + 1];
 	bool draining;
 };
 
--- a/src/entry/bj_lease.c
+++ b/src/entry/bj_lease.c
@@ -28,7 +28,8 @@
 	pthread_mutex_lock(&b->lock);
 	if (b->session != session) {
 		b->session = session;
-		memset(b->lease_seq, 0, sizeof(b->lease_seq));
+		for (size_t i = 0; i < b->nservices; i++)
+			memset(b->services[i].lease_seq, 0, sizeof(b->services[i].lease_seq));
 		DL_FOREACH_SAFE(b->waiting, it, next)
 		{
 			DL_DELETE(b->waiting, it);
@@ -106,7 +107,7 @@
 }
 
 /* Number of items leased; the same count again after an answer that was lost. */
-static unsigned lease(bj_group_t *g, const char *service, bool plain, unsigned max)
+static unsigned lease(bj_group_t *g, bj_service_t *s, const char *service, bool plain, unsigned max)
 {
 	bj_t *b = g->b;
 	aw_ledger_cmd_t cmd = {.kind = AW_LEDGER_LEASE};
@@ -115,13 +116,13 @@
 	status_t st;
 
 	cmd.aw_ledger_cmd_t_u.lease = (aw_lease_t){.session = b->session,
-						   .seq = b->lease_seq[g->group] + 1,
+						   .seq = s->lease_seq[g->group] + 1,
 						   .service = px_bytes(str_c(service)),
 						   .max = max,
 						   .now_wall_ms = clk_wall_ms()};
 	st = cc_ledger_group(b->en->cc, g->group, &cmd, &res, clk_now_ms() + LEASE_MS);
 	if (st == ST_OK) {
-		b->lease_seq[g->group]++;
+		s->lease_seq[g->group]++;
 		if (res.status == ST_OK && b->session == en_session(b->en->snap))
 			n = take_answer(g, service, plain, &res);
 	}
@@ -180,6 +181,6 @@
 		const char *name = wanted(g, i, &max, &plain);
 
 		if (name)
-			set_next(g, i, lease(g, name, plain, max));
+			set_next(g, i, lease(g, &g->b->services[i], name, plain, max));
 	}
 }
--- a/src/entry/fi_accept.c
+++ b/src/entry/fi_accept.c
@@ -96,6 +96,19 @@
 	json_decref(j);
 }
 
+/* An entry stored its reply; the ledger itself stores a reason in words. */
+static void replay_failed(fi_call_t *c, const aw_record_t *r)
+{
+	str_t result = px_str(r->result);
+	int status = r->http_status ? r->http_status : 502;
+
+	if (str_starts(result, STR("{\"error\"")))
+		hs_error_json(c->res, status, result,
+			      r->verdict == VERDICT_NOT_RUN ? IN_PROGRESS_RETRY_MS : 0);
+	else
+		hs_error(c->res, status, "failed", result, (verdict_t)r->verdict, 0);
+}
+
 static void replay(fi_call_t *c, const aw_record_t *r)
 {
 	lg(LG_INFO, "replayed", LG_C("key", c->key), LG_I("state", r->state),
@@ -105,8 +118,7 @@
 	if (r->state == AW_DONE)
 		replay_done(c, px_str(r->result));
 	else
-		hs_error_json(c->res, r->http_status ? r->http_status : 503, px_str(r->result),
-			      r->verdict == VERDICT_NOT_RUN ? IN_PROGRESS_RETRY_MS : 0);
+		replay_failed(c, r);
 	tr_end(&c->span, str_c(c->key), "replayed");
 }
 
