Messages: a load report says how long a new stream would wait

Cause: an entry that does not own a replica can't tell whether a request would make its deadline there, so a request in overload is accepted, refused by the owner and then ended: two commits for nothing.

Change: one field, drain_ms, in aw_load_t; generated code made anew.

--- a/src/proto/aw_xdr.c
+++ b/src/proto/aw_xdr.c
@@ -1090,7 +1090,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->fence))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_int (xdrs, &objp->free_slots))
 				 return FALSE;
@@ -1100,12 +1100,15 @@
 				 return FALSE;
 			 if (!xdr_int (xdrs, &objp->step_us))
 				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->drain_ms))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_LONG(buf, objp->free_slots);
 		IXDR_PUT_LONG(buf, objp->queued);
 		IXDR_PUT_LONG(buf, objp->running);
 		IXDR_PUT_LONG(buf, objp->step_us);
+		IXDR_PUT_LONG(buf, objp->drain_ms);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->prefixes.prefixes_val, (u_int *) &objp->prefixes.prefixes_len, ~0,
 			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
@@ -1116,7 +1119,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->fence))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_int (xdrs, &objp->free_slots))
 				 return FALSE;
@@ -1126,12 +1129,15 @@
 				 return FALSE;
 			 if (!xdr_int (xdrs, &objp->step_us))
 				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->drain_ms))
+				 return FALSE;
 
 		} else {
 		objp->free_slots = IXDR_GET_LONG(buf);
 		objp->queued = IXDR_GET_LONG(buf);
 		objp->running = IXDR_GET_LONG(buf);
 		objp->step_us = IXDR_GET_LONG(buf);
+		objp->drain_ms = IXDR_GET_LONG(buf);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->prefixes.prefixes_val, (u_int *) &objp->prefixes.prefixes_len, ~0,
 			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
@@ -1151,6 +1157,8 @@
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->step_us))
 		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->drain_ms))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->prefixes.prefixes_val, (u_int *) &objp->prefixes.prefixes_len, ~0,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
--- a/src/proto/aw_xdr.h
+++ b/src/proto/aw_xdr.h
@@ -488,6 +488,7 @@
 	int queued;
 	int running;
 	int step_us;
+	int drain_ms;
 	struct {
 		u_int prefixes_len;
 		u_quad_t *prefixes_val;
