--- a/src/entry/en_settings.c
+++ b/src/entry/en_settings.c
@@ -14,7 +14,6 @@
 #define CONNECTIONS_LIMIT 60000
 #define CONTROLS_MAX	  16
 #define GROUPS_MAX	  64
-#define CONTROLS_MAX	  16
 #define NAME_MAX_BYTES	  128
 #define KEY_MIN_BYTES	  8
 
--- a/src/entry/fi_admit.c
+++ b/src/entry/fi_admit.c
@@ -2,6 +2,7 @@
 
 #include "entry/ad.h"
 #include "entry/lc.h"
+#include "entry/up.h"
 
 #define BUSY_RETRY_MS 500
 
@@ -25,6 +26,13 @@
 		fi_refuse(c, 504, "deadline", STR("the deadline has passed"), BUSY_RETRY_MS);
 		return;
 	}
+	wait_ms = up_wait_ms(c->en->ups, service);
+	if (c->service->kind == TX_ENGINE && c->en->set.way == EN_OWNER &&
+	    wait_ms > clk_left_ms(c->deadline)) {
+		fi_refuse(c, 503, "overloaded", STR("no replica can start it before its deadline"),
+			  wait_ms - clk_left_ms(c->deadline));
+		return;
+	}
 	if (!ad_enter(c->en->admission, service, c->service->concurrency, entries(c->en))) {
 		fi_refuse(c, 503, "service_busy", STR("the service is at its concurrency"),
 			  BUSY_RETRY_MS);
--- a/src/entry/lx.c
+++ b/src/entry/lx.c
@@ -1,5 +1,6 @@
 #include "entry/lx.h"
 
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 #include "base/lg.h"
@@ -48,7 +49,8 @@
 			 .free_slots = (int)st.free_slots,
 			 .queued = (int)st.queued,
 			 .running = (int)(st.running_online + st.running_batch),
-			 .step_us = (int)st.step_us};
+			 .step_us = (int)st.step_us,
+			 .drain_ms = st.drain_ms < INT_MAX ? (int)st.drain_ms : INT_MAX};
 	l->prefixes.prefixes_len = (u_int)up_prefixes_copy(info->up, &prefixes);
 	l->prefixes.prefixes_val = (u_quad_t *)prefixes;
 	return true;
--- a/src/entry/up_pick.c
+++ b/src/entry/up_pick.c
@@ -132,6 +132,44 @@
 	return found;
 }
 
+/* Time until a stream offered to the replica would start. */
+static int64_t wait_of(up_t *u, int64_t now_ms)
+{
+	pk_candidate_t c = candidate(u, 0, now_ms);
+	ow_stats_t st;
+
+	if (!c.usable)
+		return INT64_MAX;
+	if (c.reported + REPORT_FRESH_MS < now_ms || c.free_slots > c.sent_since)
+		return 0;
+	if (!u->ro)
+		return u->drain_ms;
+	ro_stats(u->ro, &st);
+	return st.drain_ms;
+}
+
+int64_t up_wait_ms(up_table_t *t, str_t service)
+{
+	int64_t now_ms = clk_now_ms();
+	int64_t best = INT64_MAX;
+
+	pthread_rwlock_rdlock(&t->lock);
+	for (size_t i = 0; i < t->n && best > 0; i++) {
+		up_t *u = t->v[i];
+		int64_t wait;
+
+		if (!str_eq(str_c(u->service), service))
+			continue;
+		pthread_mutex_lock(&u->lock);
+		wait = wait_of(u, now_ms);
+		pthread_mutex_unlock(&u->lock);
+		if (wait < best)
+			best = wait;
+	}
+	pthread_rwlock_unlock(&t->lock);
+	return best == INT64_MAX ? 0 : best;
+}
+
 bool up_plain(up_table_t *t, str_t service, up_choice_t *out, char addr[64])
 {
 	int64_t now_ms = clk_now_ms();
@@ -167,6 +205,7 @@
 		u->report.free_slots = load->free_slots;
 		u->report.queued = load->queued;
 		u->report.running = load->running;
+		u->drain_ms = load->drain_ms;
 		u->report.sent_since = 0;
 		u->report.reported = clk_now_ms();
 		free(u->prefixes);
