--- a/src/entry/jb_post.c
+++ b/src/entry/jb_post.c
@@ -1,5 +1,4 @@
 #include "entry/jb.h"
-#include "state/ld.h"
 
 #include <inttypes.h>
 #include <jansson.h>
@@ -92,11 +91,11 @@
 
 static uint64_t digest_of(const post_t *p)
 {
-	uint64_t digest = 0;
+	uint64_t d = 0;
 
 	for (size_t i = 0; i < p->lines.n; i++)
-		digest = ld_digest_step(digest, p->lines.v[i]);
-	return digest;
+		d = ld_digest_step(d, p->lines.v[i]);
+	return d;
 }
 
 /* Runs a ledger command of the job; false after an error was set. */
