--- a/src/state/fl.c
+++ b/src/state/fl.c
@@ -40,6 +40,7 @@
 
 void fl_member_add(fl_t *f, fl_member_t *m)
 {
+	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
 	HASH_ADD(hh, f->members, session, sizeof(m->session), m);
 }
 
@@ -70,23 +71,16 @@
 
 void fl_free(fl_t *f)
 {
-	fl_member_t *m;
-	fl_member_t *mtmp;
-	fl_upstream_t *u;
-	fl_upstream_t *utmp;
-
 	if (!f)
 		return;
 	for (uint64_t i = 0; i < f->nconfs; i++) {
 		free(f->confs[i].operator_name);
 		free(f->confs[i].text);
 	}
-	HASH_ITER (hh, f->members, m, mtmp) {
-		member_free(f, m);
-	}
-	HASH_ITER (hh, f->upstreams, u, utmp) {
-		fl_upstream_free(f, u);
-	}
+	while (f->members)
+		member_free(f, f->members);
+	while (f->upstreams)
+		fl_upstream_free(f, f->upstreams);
 	free(f->confs);
 	free(f->closed);
 	free(f);
@@ -336,14 +330,14 @@
 
 static void replace_upstreams(fl_t *f, const aw_upstream_t *v, u_int n)
 {
-	fl_upstream_t *u;
-	fl_upstream_t *tmp;
+	fl_upstream_t *next;
 	bool changed = false;
 
 	for (u_int i = 0; i < n; i++)
 		if (v[i].state != AW_UP_GONE && v[i].id.aw_bytes_t_len)
 			changed |= list_upstream(f, &v[i]);
-	HASH_ITER (hh, f->upstreams, u, tmp) {
+	for (fl_upstream_t *u = f->upstreams; u; u = next) {
+		next = u->hh.next;
 		if (!u->listed)
 			changed |= unlist(f, u);
 		else
--- a/src/state/fl_plan.c
+++ b/src/state/fl_plan.c
@@ -1,3 +1,4 @@
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 #include "state/fl_core.h"
@@ -63,9 +64,12 @@
 /** Shares n upstreams between the places. */
 static void set_caps(planner_t *p, size_t n)
 {
-	size_t base = n / p->nplaces;
-	size_t extra = n % p->nplaces;
+	size_t base;
+	size_t extra;
 
+	assert(p->nplaces > 0);
+	base = n / p->nplaces;
+	extra = n % p->nplaces;
 	qsort(p->places, p->nplaces, sizeof(*p->places), by_load);
 	for (size_t i = 0; i < p->nplaces; i++)
 		p->places[i].cap = base + (i < extra);
--- a/src/state/ld.c
+++ b/src/state/ld.c
@@ -155,20 +155,17 @@
 
 static void free_sessions(ld_t *l)
 {
-	ld_session_t *s;
-	ld_session_t *tmp;
-
-	HASH_ITER (hh, l->sessions, s, tmp) {
-		ld_session_free(l, s);
-	}
+	while (l->sessions)
+		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
+		ld_session_free(l, l->sessions);
 }
 
 static void free_services(ld_t *l)
 {
-	ld_service_t *s;
-	ld_service_t *tmp;
+	while (l->services) {
+		ld_service_t *s = l->services;
 
-	HASH_ITER (hh, l->services, s, tmp) {
+		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
 		HASH_DEL(l->services, s);
 		ld_heap_free(&s->bands);
 		ld_heap_free(&s->overdue);
@@ -180,19 +177,12 @@
 
 void ld_free(ld_t *l)
 {
-	ld_request_t *r;
-	ld_request_t *rtmp;
-	ld_job_t *j;
-	ld_job_t *jtmp;
-
 	if (!l)
 		return;
-	HASH_ITER (hh, l->requests, r, rtmp) {
-		ld_request_free(l, r);
-	}
-	HASH_ITER (hh, l->jobs, j, jtmp) {
-		ld_job_free(l, j);
-	}
+	while (l->requests)
+		ld_request_free(l, l->requests);
+	while (l->jobs)
+		ld_job_free(l, l->jobs);
 	assert(l->items == 0 && l->leased == 0 && l->bytes == 0);
 	free_sessions(l);
 	free_services(l);
--- a/src/state/ld_heap.c
+++ b/src/state/ld_heap.c
@@ -50,7 +50,7 @@
 	assert(node->pos == 0);
 	if (h->n == h->cap) {
 		h->cap = h->cap ? h->cap * 2 : HEAP_CAP_MIN;
-		h->v = mem_grow(h->v, h->cap * sizeof(*h->v));
+		h->v = mem_grow(h->v, h->cap * sizeof(ld_node_t *));
 	}
 	sift_up(h, h->n++, node);
 }
--- a/src/state/ld_job.c
+++ b/src/state/ld_job.c
@@ -83,12 +83,12 @@
 	ld_lane_t *lane;
 
 	assert(!j->lane);
-	HASH_FIND(hh, b->lane_table, &j->caller, sizeof(j->caller), lane);
+	HASH_FIND(hh, b->lane_table, &j->caller, sizeof(ld_caller_t *), lane);
 	if (!lane) {
 		lane = mem_new(sizeof(*lane));
 		lane->caller = j->caller;
 		lane->band = b;
-		HASH_ADD(hh, b->lane_table, caller, sizeof(lane->caller), lane);
+		HASH_ADD(hh, b->lane_table, caller, sizeof(ld_caller_t *), lane);
 	}
 	lane->jobs++;
 	j->lane = lane;
--- a/src/state/ld_lease.c
+++ b/src/state/ld_lease.c
@@ -46,7 +46,7 @@
 		if (!j->holds[i])
 			return i;
 	assert(j->nholds < UINT16_MAX);
-	j->holds = mem_grow(j->holds, (j->nholds + 1) * sizeof(*j->holds));
+	j->holds = mem_grow(j->holds, (j->nholds + 1) * sizeof(ld_hold_t *));
 	return j->nholds++;
 }
 
@@ -283,7 +283,7 @@
 {
 	ld_request_t *r;
 
-	DL_FOREACH (s->requests, r) {
+	for (r = s->requests; r; r = r->next) {
 		if (r->lease_seq == le->seq && r->service == le->service &&
 		    ch->res->items.items_len < ch->max)
 			fill_request(r, chunk_next(ch));
@@ -310,12 +310,12 @@
 	const ld_hold_t *h;
 	uint32_t n = 0;
 
-	DL_FOREACH (s->cancelled, h)
+	for (h = s->cancelled; h; h = h->next)
 		n++;
 	if (n == 0)
 		return;
 	res->cancelled.cancelled_val = mem_new(n * sizeof(aw_job_ref_t));
-	DL_FOREACH (s->cancelled, h) {
+	for (h = s->cancelled; h; h = h->next) {
 		aw_job_ref_t *ref = &res->cancelled.cancelled_val[res->cancelled.cancelled_len++];
 
 		ref->caller = px_copy(ld_id_caller(&h->job->id));
--- a/src/state/ld_snapshot.c
+++ b/src/state/ld_snapshot.c
@@ -48,13 +48,15 @@
 static void put_item(buf_t *out, const ld_job_t *j, uint32_t index)
 {
 	const ld_item_t *it = &j->items[index];
-	bool gone = it->state == LD_WAITING && j->cancelled;
+	str_t data = {it->data, it->len};
 
+	if (it->state == LD_WAITING && j->cancelled)
+		data.n = 0;
 	sn_put(out, it->state);
 	sn_put(out, it->attempts);
 	sn_put(out, it->fails);
 	sn_put(out, it->deaths);
-	sn_put_str(out, gone ? (str_t){0} : (str_t){it->data, it->len});
+	sn_put_str(out, data);
 }
 
 static void put_queue(buf_t *out, const ld_job_t *j, const ld_queue_t *q)
@@ -117,10 +119,10 @@
 	const ld_lease_t *le;
 
 	sn_put(out, s->id);
-	DL_FOREACH (s->holds, h)
+	for (h = s->holds; h; h = h->next)
 		put_hold(out, h);
 	sn_put(out, 0);
-	DL_FOREACH (s->cancelled, h)
+	for (h = s->cancelled; h; h = h->next)
 		put_hold(out, h);
 	sn_put(out, 0);
 	for (le = s->leases; le; le = le->next)
@@ -137,8 +139,8 @@
 	for (uint32_t i = 0; i < bands->n; i++) {
 		const ld_band_t *b = LD_CONTAINER(bands->v[i], ld_band_t, node);
 
-		DL_FOREACH (b->ring, lane) {
-			DL_FOREACH (lane->ready, j)
+		for (lane = b->ring; lane; lane = lane->next) {
+			for (j = lane->ready; j; j = j->next)
 				sn_put(out, j->serial);
 		}
 	}
--- a/src/state/sn.c
+++ b/src/state/sn.c
@@ -19,7 +19,9 @@
 
 void sn_put_i64(buf_t *out, int64_t v)
 {
-	sn_put(out, ((uint64_t)v << 1) ^ (uint64_t)(v >> 63));
+	uint64_t twice = (uint64_t)v << 1;
+
+	sn_put(out, v < 0 ? ~twice : twice);
 }
 
 void sn_put_str(buf_t *out, str_t s)
--- a/tests/unit/test_ledger_random.c
+++ b/tests/unit/test_ledger_random.c
@@ -14,15 +14,14 @@
 #define STEP_MS	     1500
 
 typedef struct {
-	bool exists;
 	uint64_t digest;
-	bool repeatable;
-	aw_state_t state;
 	uint64_t holder; /* 0: waits, or final */
 	uint64_t token;
+	int64_t deadline_ms, end_ms;
+	aw_state_t state;
 	unsigned attempt;
 	unsigned fails, deaths;
-	int64_t deadline_ms, end_ms;
+	bool exists, repeatable;
 	char result[16];
 } mreq_t;
 
