--- a/src/control/cn_http.c
+++ b/src/control/cn_http.c
@@ -1,13 +1,41 @@
 #include <arpa/inet.h>
+#include <stdio.h>
 #include <ulfius.h>
 #include "base/mx.h"
 #include "base/rp.h"
 #include "control/cn.h"
 
+/* No endpoint reads a body. */
+#define BODY_MAX_BYTES 1024
+
+static void set_gauge(const char *name, unsigned group, int64_t v)
+{
+	char label[32];
+
+	snprintf(label, sizeof(label), "group=\"%u\"", group);
+	mx_set(mx_get(MX_GAUGE, name, label), v);
+}
+
+static void set_group_gauges(cn_t *cn)
+{
+	for (unsigned n = 0; cn->ready && n < cn->ngroups; n++) {
+		gr_status_t st;
+
+		gr_status(cn->groups[n].gr, &st);
+		set_gauge("auburn_group_leader", n, st.leader);
+		set_gauge("auburn_group_term", n, (int64_t)st.term);
+		set_gauge("auburn_group_applied", n, (int64_t)st.applied);
+		set_gauge("auburn_group_commit", n, (int64_t)st.commit);
+		set_gauge("auburn_group_syncs", n, (int64_t)st.syncs);
+		set_gauge("auburn_group_sync_us", n, (int64_t)st.sync_us);
+	}
+}
+
 static int on_metrics(const struct _u_request *req, struct _u_response *res, void *ctx)
 {
 	AUTO_BUF b = {0};
 
+	set_group_gauges(ctx);
 	mx_render(&b);
 	ulfius_set_binary_body_response(res, 200, b.p, b.n);
 	u_map_put(res->map_header, "Content-Type", "text/plain; version=0.0.4");
@@ -55,6 +83,8 @@
 	sa.sin_port = htons((uint16_t)port);
 	if (ulfius_init_instance(&instance, port, &sa, NULL) != U_OK)
 		return st_fail(ST_IO, "can't set up HTTP on %s", cn->s.http);
+	instance.max_post_body_size = BODY_MAX_BYTES;
+	instance.allowed_post_processor = U_POST_PROCESS_NONE;
 	ulfius_add_endpoint_by_val(&instance, "GET", "/metrics", NULL, 0, on_metrics, cn);
 	ulfius_add_endpoint_by_val(&instance, "GET", "/healthz", NULL, 0, on_health, cn);
 	ulfius_add_endpoint_by_val(&instance, "GET", "/readyz", NULL, 0, on_ready, cn);
--- a/src/entry/hs.c
+++ b/src/entry/hs.c
@@ -14,6 +14,7 @@
 #define THREAD_STACK_BYTES (512 << 10)
 #define BEARER		   "Bearer "
 #define MS_PER_S	   1000
+#define MS_LEFT_MAX	   (365LL * 86400 * MS_PER_S)
 
 static struct _u_instance instance;
 
@@ -46,11 +47,13 @@
 	addr.sin_port = htons((uint16_t)port);
 	if (ulfius_init_instance(&instance, port, &addr, NULL) != U_OK)
 		return st_fail(ST_IO, "the HTTP server can't be made");
-	instance.max_post_body_size = (size_t)en->set.max_body_bytes;
+	/* The library cuts a longer body short without a word; one byte more lets that be seen. */
+	instance.max_post_body_size = (size_t)en->set.max_body_bytes + 1;
 	instance.check_utf8 = 0;
 	instance.allowed_post_processor = U_POST_PROCESS_NONE;
 	for (; routes->method; routes++)
-		ulfius_add_endpoint_by_val(&instance, routes->method, routes->path, NULL, 0,
+		/* ulfius reads parameters from the format only, not from the prefix. */
+		ulfius_add_endpoint_by_val(&instance, routes->method, NULL, routes->path, 0,
 					   routes->handler, en);
 	ulfius_set_default_endpoint(&instance, not_found, en);
 	if (ulfius_start_framework_with_mhd_options(&instance, flags, options) != U_OK)
@@ -86,6 +89,24 @@
 	return errno || *end ? other : v;
 }
 
+int64_t hs_ms_left(str_t s, int64_t other)
+{
+	int64_t ms = hs_int(s, other);
+
+	if (ms < 0)
+		return 0;
+	return ms > MS_LEFT_MAX ? MS_LEFT_MAX : ms;
+}
+
+bool hs_key_valid(str_t key)
+{
+	for (size_t i = 0; i < key.n; i++) {
+		if (key.p[i] <= ' ' || key.p[i] > '~')
+			return false;
+	}
+	return key.n > 0;
+}
+
 str_t hs_body(const struct _u_request *req)
 {
 	return (str_t){req->binary_body ? req->binary_body : "", req->binary_body_length};
