Messages: FINISH names the session that sends it

An entry whose session was lost may still believe that a request failed, or was not run, while another entry runs it. The ledger needs the sender to tell. 0, the value of a sender that doesn't fill it in, is not checked.

--- a/src/proto/aw.x
+++ b/src/proto/aw.x
@@ -135,6 +135,7 @@
 	int http_status;
 	aw_bytes_t result;
 	hyper now_wall_ms;
+	unsigned hyper session;		/* of the sender; one that doesn't hold the request can't fail it. 0 = unchecked */
 };
 
 struct aw_job_open_t {
--- a/src/proto/aw_xdr.c
+++ b/src/proto/aw_xdr.c
@@ -291,6 +291,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->now_wall_ms))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->session))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/proto/aw_xdr.h
+++ b/src/proto/aw_xdr.h
@@ -173,6 +173,7 @@
 	int http_status;
 	aw_bytes_t result;
 	quad_t now_wall_ms;
+	u_quad_t session;
 };
 typedef struct aw_finish_t aw_finish_t;
 
