Ledger: only the holder can say that a request failed or was not run

Cause: FINISH of an entry that had lost its session, with not_run, was taken while another entry ran the request: a caller could be told that it was not run when it was. Now a session that doesn't hold the request can only deliver a result, and only of a call that may be repeated. A late FINISH that differs from what stands gets ST_CONFLICT with the record, no longer ST_OK, so that an entry can't tell its caller something else than what every resend will read; the same again is ST_OK.

--- a/src/state/ld.h
+++ b/src/state/ld.h
@@ -5,8 +5,11 @@
  * Requests. ACCEPT makes a record, or answers with the one that stands under the same key and
  * digest (fresh = false); another digest is ST_CONFLICT. ATTEMPT is for calls that may not be
  * repeated: the first token of the session that holds the request gets ST_OK, as does the same
- * token again, all else ST_CONFLICT. FINISH: the first one wins (record.fresh); later ones get
- * ST_OK with the record that stands, and are counted in late_dropped.
+ * token again, all else ST_CONFLICT. FINISH: the first one wins (record.fresh); the same again gets
+ * ST_OK, a different one ST_CONFLICT with the record that stands, which is what the caller must be
+ * told, and is counted in late_dropped. A session that doesn't hold the request can finish it only
+ * with AW_DONE, when it may be repeated: another entry may be running it, so it can't say that it
+ * failed or was not run.
  *
  * Lost sessions. SESSIONS_LOST ends attempted requests as AW_FAILED with verdict may_have_run, for
  * ever; the others wait for LEASE by another entry. Leased items wait again, at no charge. A lost
--- a/src/state/ld_lease.c
+++ b/src/state/ld_lease.c
@@ -277,17 +277,36 @@
 	ld_job_settle(l, j, now_ms);
 }
 
+static int by_deadline(const void *a, const void *b)
+{
+	const ld_request_t *x = *(ld_request_t *const *)a;
+	const ld_request_t *y = *(ld_request_t *const *)b;
+
+	if (x->deadline_ms != y->deadline_ms)
+		return x->deadline_ms < y->deadline_ms ? -1 : 1;
+	return x->serial < y->serial ? -1 : 1;
+}
+
+/** The requests that a lease command gave out, in the order of then. */
+static void orphans_again(const ld_session_t *s, const ld_lease_t *le, chunk_t *ch)
+{
+	ld_request_t *found[LD_LEASE_CHUNK_MAX];
+	size_t n = 0;
+
+	for (ld_request_t *r = s->requests; r && n < LD_LEASE_CHUNK_MAX; r = r->next)
+		if (r->lease_seq == le->seq && r->service == le->service)
+			found[n++] = r;
+	if (n)
+		qsort(found, n, sizeof(ld_request_t *), by_deadline);
+	for (size_t i = 0; i < n; i++)
+		fill_request(found[i], chunk_next(ch));
+}
+
 /** Answers a resend with the items that the session still holds under that lease. The items of jobs
  * cancelled since then are dropped: the session has not begun them. */
 static void lease_again(ld_t *l, ld_session_t *s, ld_lease_t *le, int64_t now_ms, chunk_t *ch)
 {
-	ld_request_t *r;
-
-	for (r = s->requests; r; r = r->next) {
-		if (r->lease_seq == le->seq && r->service == le->service &&
-		    ch->res->items.items_len < ch->max)
-			fill_request(r, chunk_next(ch));
-	}
+	orphans_again(s, le, ch);
 	for (uint32_t i = 0; i < le->n && ch->res->items.items_len < ch->max; i++) {
 		ld_ref_t *ref = &le->refs[i];
 		ld_job_t *j;
--- a/src/state/ld_request.c
+++ b/src/state/ld_request.c
@@ -216,26 +216,53 @@
 	res->record.fresh = r->state != before;
 }
 
+/** True when the request ended just so: the command is a resend. */
+static bool ended_so(const ld_request_t *r, const ending_t *e)
+{
+	return r->state == e->state && r->verdict == e->verdict &&
+	       r->http_status == e->http_status &&
+	       str_eq((str_t){r->result, r->result_n}, e->result);
+}
+
+/** An entry that doesn't hold the request may still deliver the result of a call that may be
+ * repeated, but it can't know that the request failed. */
+static bool may_finish(const ld_request_t *r, const aw_finish_t *c)
+{
+	bool holder = r->session && r->session->id == c->session;
+
+	return c->session == 0 || holder || (r->repeatable && c->state == AW_DONE);
+}
+
+static status_t finish(ld_t *l, ld_request_t *r, const aw_finish_t *c, bool *fresh)
+{
+	ending_t e = {c->state, c->verdict, c->http_status, px_str(c->result), c->now_wall_ms};
+
+	if (c->state < AW_DONE || c->state > AW_CANCELLED)
+		return st_fail(ST_INVALID, "state %d is not final", (int)c->state);
+	if (is_final(r) && ended_so(r, &e))
+		return ST_OK;
+	if (is_final(r) || !may_finish(r, c)) {
+		l->late_dropped++;
+		return st_fail(ST_CONFLICT, is_final(r) ? "the request has ended otherwise"
+							: "another session holds the request");
+	}
+	end_request(l, r, &e);
+	*fresh = true;
+	return ST_OK;
+}
+
 void ld_finish(ld_t *l, const aw_finish_t *c, aw_ledger_res_t *res)
 {
 	ld_request_t *r = ld_request_find(l, px_str(c->caller), px_str(c->key));
-	ending_t e = {c->state, c->verdict, c->http_status, px_str(c->result), c->now_wall_ms};
+	bool fresh = false;
 
 	if (!r) {
 		ld_answer(res, st_fail(ST_NOT_FOUND, "no such request"));
 		return;
 	}
-	if (c->state < AW_DONE || c->state > AW_CANCELLED) {
-		ld_answer(res, st_fail(ST_INVALID, "state %d is not final", (int)c->state));
-		return;
-	}
-	if (is_final(r)) {
-		l->late_dropped++;
-	} else {
-		end_request(l, r, &e);
-		res->record.fresh = true;
-	}
+	ld_answer(res, finish(l, r, c, &fresh));
 	ld_request_fill(r, &res->record);
+	res->record.fresh = fresh;
 }
 
 /** An attempt of a call that may not be repeated has an unknown end. */
--- a/tests/unit/ledger_kit.h
+++ b/tests/unit/ledger_kit.h
@@ -75,8 +75,8 @@
 	return res;
 }
 
-static inline aw_ledger_res_t kit_finish(ld_t *l, const char *key, aw_state_t state,
-					 const char *result)
+static inline aw_ledger_res_t kit_finish_by(ld_t *l, const char *key, aw_state_t state,
+					    const char *result, uint64_t session)
 {
 	aw_ledger_cmd_t cmd = {.kind = AW_LEDGER_FINISH};
 	aw_ledger_res_t res;
@@ -85,15 +85,22 @@
 		.caller = kit_b("desk"),
 		.key = kit_b(key),
 		.state = state,
-		.verdict = VERDICT_RAN,
+		.verdict = state == AW_DONE ? VERDICT_RAN : VERDICT_NOT_RUN,
 		.http_status = 200,
 		.result = kit_b(result),
 		.now_wall_ms = kit_now_ms,
+		.session = session,
 	};
 	ld_apply(l, &cmd, &res);
 	return res;
 }
 
+static inline aw_ledger_res_t kit_finish(ld_t *l, const char *key, aw_state_t state,
+					 const char *result)
+{
+	return kit_finish_by(l, key, state, result, 0);
+}
+
 static inline aw_ledger_res_t kit_lost(ld_t *l, uint64_t session)
 {
 	aw_ledger_cmd_t cmd = {.kind = AW_LEDGER_SESSIONS_LOST};
--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -19,6 +19,7 @@
 	AUTO_RES again = kit_accept(l, "k", 7, true, 2);
 	AUTO_RES other = kit_accept(l, "k", 8, true, 1);
 	AUTO_RES end = kit_finish(l, "k", AW_DONE, "answer");
+	AUTO_RES resend = kit_finish(l, "k", AW_DONE, "answer");
 	AUTO_RES late = kit_finish(l, "k", AW_FAILED, "other");
 	AUTO_RES read = kit_accept(l, "k", 7, true, 2);
 	ld_stats_t st;
@@ -26,7 +27,8 @@
 	ck_assert(first.status == ST_OK && first.record.fresh);
 	ck_assert(again.status == ST_OK && !again.record.fresh && again.record.session == 1);
 	ck_assert_int_eq(other.status, ST_CONFLICT);
-	ck_assert(end.record.fresh && !late.record.fresh);
+	ck_assert(end.record.fresh && !late.record.fresh && !resend.record.fresh);
+	ck_assert(resend.status == ST_OK && late.status == ST_CONFLICT);
 	ck_assert(late.record.state == AW_DONE && kit_is(late.record.result, "answer"));
 	ck_assert(read.record.state == AW_DONE && kit_is(read.record.result, "answer"));
 	ld_stats(l, &st);
@@ -85,6 +87,28 @@
 }
 END_TEST
 
+START_TEST(only_the_holder_says_not_run)
+{
+	AUTO_RES a = kit_accept(l, "k", 1, true, 1);
+	AUTO_RES b = kit_accept(l, "quote", 1, false, 1);
+	AUTO_RES lost = kit_lost(l, 1);
+	AUTO_RES lease = kit_lease(l, 2, 1, 10);
+	AUTO_RES begin = kit_attempt(l, "quote", 5, 2);
+	AUTO_RES refused = kit_finish_by(l, "k", AW_FAILED, "not run", 1);
+	AUTO_RES unsent = kit_finish_by(l, "quote", AW_FAILED, "not run", 1);
+	AUTO_RES forged = kit_finish_by(l, "quote", AW_DONE, "sent", 1);
+	AUTO_RES result = kit_finish_by(l, "k", AW_DONE, "answer", 1);
+	AUTO_RES sent = kit_finish_by(l, "quote", AW_DONE, "sent", 2);
+
+	ck_assert_int_eq(begin.status, ST_OK);
+	ck_assert(refused.status == ST_CONFLICT && refused.record.state == AW_ACCEPTED);
+	ck_assert(unsent.status == ST_CONFLICT && unsent.record.state == AW_ATTEMPTED);
+	ck_assert_int_eq(forged.status, ST_CONFLICT);
+	ck_assert(result.status == ST_OK && result.record.state == AW_DONE);
+	ck_assert(sent.status == ST_OK && sent.record.fresh);
+}
+END_TEST
+
 START_TEST(orphan_is_given_back_and_ends)
 {
 	AUTO_RES a = kit_accept(l, "k", 1, true, 1);
@@ -477,6 +501,7 @@
 	tcase_add_test(t, same_key_and_digest_is_one_request);
 	tcase_add_test(t, one_attempt_token_ever);
 	tcase_add_test(t, lost_session_leaves_orphans);
+	tcase_add_test(t, only_the_holder_says_not_run);
 	tcase_add_test(t, orphan_is_given_back_and_ends);
 	tcase_add_test(t, lost_session_gets_nothing);
 	tcase_add_test(t, job_steps_are_idempotent);
--- a/tests/unit/test_ledger_random.c
+++ b/tests/unit/test_ledger_random.c
@@ -219,22 +219,24 @@
 	unsigned k = rnd(KEYS);
 	mreq_t *r = &reqs[k];
 	aw_state_t state = (aw_state_t)(AW_DONE + rnd(3));
-	bool open = r->state < AW_DONE;
+	uint64_t session = rnd(3) ? r->holder : any_session();
+	bool may = session == 0 || session == r->holder || (r->repeatable && state == AW_DONE);
+	bool open = r->state < AW_DONE && may;
 	char result[16];
 
 	snprintf(result, sizeof(result), "r%llu", (unsigned long long)++answers);
-	AUTO_RES res = BOTH(kit_finish(l, key_name(k), state, result));
+	AUTO_RES res = BOTH(kit_finish_by(l, key_name(k), state, result, session));
 
 	if (!r->exists) {
 		ck_assert_int_eq(res.status, ST_NOT_FOUND);
 		return;
 	}
 	ck_assert_int_eq(res.record.fresh, open);
+	ck_assert_int_eq(res.status, open ? ST_OK : ST_CONFLICT);
+	dropped += !open;
 	if (open) {
 		end_req(r, state, result);
 		r->token = 0;
-	} else {
-		dropped++;
 	}
 	check_record(r, &res.record);
 }
@@ -758,15 +760,27 @@
 	}
 }
 
-START_TEST(random_commands_keep_the_promises)
+static void reset(unsigned long seed)
 {
-	const char *seed = getenv("AUBURN_SEED");
-
-	rnd_state = (seed ? strtoul(seed, NULL, 10) : 1) + (unsigned long)_i - 1;
+	memset(reqs, 0, sizeof(reqs));
+	memset(jobs, 0, sizeof(jobs));
+	ngiven = 0;
+	last_session = 0;
+	dropped = 0;
+	answers = 0;
+	kit_now_ms = KIT_NOW_MS;
+	rnd_state = seed;
 	l = ld_new();
 	twin = ld_new();
 	for (unsigned i = 0; i < SLOTS; i++)
 		new_session(&slots[i]);
+}
+
+START_TEST(random_commands_keep_the_promises)
+{
+	const char *seed = getenv("AUBURN_SEED");
+
+	reset((seed ? strtoul(seed, NULL, 10) : 1) + (unsigned long)_i - 1);
 	for (unsigned i = 0; i < STEPS; i++) {
 		one_step();
 		if (i % 50 == 0)
