--- a/tests/unit/test_ledger_random.c
+++ b/tests/unit/test_ledger_random.c
@@ -425,10 +425,11 @@
 static bool leased_to(uint64_t session, const given_t *g)
 {
 	const mreq_t *r = &reqs[g->at];
-	const mitem_t *m = &jobs[g->at].items[g->index];
+	const mitem_t *m;
 
 	if (g->request)
 		return r->exists && r->holder == session && r->attempt == g->attempt;
+	m = &jobs[g->at].items[g->index];
 	return jobs[g->at].exists && m->state == M_LEASED && m->holder == session &&
 	       m->attempt == g->attempt;
 }
