--- a/bench/run.py
+++ b/bench/run.py
@@ -4,6 +4,8 @@
 3 controls, 6 entries, 18 fake engines; online requests come at random, batch jobs fill the rest. One line
 for each way and load:
   way=... preempt=... keep=... weight=... load=... online_p99_ms=... harm=... idle_used=... goodput=...
+engine=late: the first token comes 450 ms after admission and the prefill holds up no step; engine=step: only a
+short prefill, so that the first token is one or two steps away and the step's own growth shows most.
 harm: online first-token p99 with batch, divided by that of the same seed and load without batch.
 idle_used: share of the slot time left by online requests in which batch ran.
 With several seeds a figure is the median, followed by the least and the most in brackets.
@@ -29,10 +31,11 @@
           "report_lag_ms": 500}
 MAX_TOKENS = 40
 PROMPT_BYTES = 400
-STEADY_RATE = 40.0  # about 45% of the slots
-FULL_RATE = 80.0  # about all of the slots
+LATE_MS = 450  # first token of an engine whose prefill doesn't hold up its steps
+STEADY_RATE = {"step": 40.0, "late": 29.0}  # about 45% of the slots
+FULL_RATE = {"step": 80.0, "late": 62.0}  # about all of the slots
 WARMUP_S = 3
-GOAL_MS = 1000
+GOAL_MS = {"step": 1000, "late": 1500}
 SAMPLE_S = 0.25
 SETTLE_S = 1.5
 
@@ -52,51 +55,67 @@
 checks_fencing = true
 """
 
-LOADS = {
-    "steady": ["--rate", str(STEADY_RATE)],
-    "burst": ["--rate", str(STEADY_RATE / 2), "--burst", "x5:every 5:for 1"],
-    "gaps": ["--rate", str(STEADY_RATE), "--gap", "every 6:for 3"],
-}
+LOADS = ("steady", "burst", "gaps")
+
+
+def load_args(name, engine):
+    rate = STEADY_RATE[engine]
+    return {"steady": ["--rate", str(rate)],
+            "burst": ["--rate", str(rate / 2), "--burst", "x5:every 5:for 1"],
+            "gaps": ["--rate", str(rate), "--gap", "every 6:for 3"]}[name]
 
 
 class Case:
     """One way to run the fleet, under one load."""
 
     def __init__(self, name, way="owner", preempt="resume", keep="peak", weight=0.5, load="steady", batch=True,
-                 seeds=1, fault=None, rate=None, extra=()):
+                 seeds=1, fault=None, times=0, engine="late", exact=False):
         self.name, self.way, self.preempt, self.keep = name, way, preempt, keep
         self.weight, self.load, self.batch, self.seeds = weight, load, batch, seeds
-        self.fault, self.rate, self.extra = fault, rate, list(extra)
+        self.fault, self.times, self.engine = fault, times, engine
+        self.exact = exact  # wait for the jobs, so that the tokens made twice can be counted
 
     def settings(self):
-        """What the entries' settings hold; cases that share it share a fleet."""
-        return (self.way, self.preempt, self.keep)
+        """What can't change while a fleet runs; cases that share it share a fleet."""
+        return (self.way, self.preempt, self.keep, self.engine)
 
     def args(self):
-        return ["--rate", str(self.rate)] if self.rate else LOADS[self.load]
+        """Arguments for auburn-bench; `times` of the full rate comes with a deadline."""
+        if not self.times:
+            return load_args(self.load, self.engine)
+        return ["--rate", str(self.times * FULL_RATE[self.engine]), "--deadline-ms", str(GOAL_MS[self.engine])]
 
     def label(self):
-        return "way=%s preempt=%s keep=%s weight=%s load=%s batch=%d fault=%s" % (
-            self.way, self.preempt, self.keep, self.weight, self.load, self.batch, self.fault or "none")
+        return "way=%s preempt=%s keep=%s weight=%s engine=%s load=%s batch=%d fault=%s" % (
+            self.way, self.preempt, self.keep, self.weight, self.engine,
+            "x%g" % self.times if self.times else self.load, self.batch, self.fault or "none")
 
 
-def cases(quick, seeds):
+def curve(engine, loads, seeds):
+    """With and without batch, each weight, against entries that choose alone."""
     out = []
-    for load in LOADS:
+    for load in loads:
         few = seeds if load == "steady" else 1
-        out.append(Case("base-" + load, load=load, batch=False, seeds=few))
+        out.append(Case("base-%s-%s" % (load, engine), load=load, batch=False, seeds=few, engine=engine))
         for w in (0, 0.5, 1):
-            out.append(Case("owner-%s-%s" % (w, load), weight=w, load=load, seeds=few))
-        out.append(Case("alone-" + load, way="alone", load=load, seeds=few))
-        if quick:
-            return [c for c in out if c.weight != 0.5 or c.name.startswith(("base", "alone"))]
-    out += [Case("preempt-none", preempt="none"), Case("preempt-cancel", preempt="cancel"),
-            Case("keep-none", keep="none", weight=1), Case("keep-fixed", keep="fixed", weight=1),
+            out.append(Case("owner-%s-%s-%s" % (w, load, engine), weight=w, load=load, seeds=few, engine=engine))
+    return out
+
+
+def cases(quick, seeds):
+    out = curve("late", LOADS[:1] if quick else LOADS, seeds)
+    if quick:
+        return [c for c in out if c.weight != 0.5 or not c.batch] + [Case("alone-steady-late", way="alone")]
+    out += [Case("keep-none-steady", keep="none", weight=1, seeds=seeds),
+            Case("keep-none-burst", keep="none", weight=1, load="burst"),
+            Case("keep-fixed-steady", keep="fixed", weight=1),
+            Case("preempt-none", preempt="none"), Case("preempt-cancel", preempt="cancel"),
+            Case("alone-steady", way="alone", seeds=2), Case("alone-burst", way="alone", load="burst"),
             Case("alone_cancel", way="alone_cancel", seeds=2), Case("split", way="split", seeds=2)]
-    out += [Case("fault-" + f, weight=1, fault=f) for f in ("kill_entry", "freeze_entry", "replica_dies", "stall")]
-    tight = ["--deadline-ms", str(GOAL_MS)]
-    out += [Case("overload-x1", weight=1, rate=FULL_RATE, extra=tight),
-            Case("overload-x2", weight=1, rate=2 * FULL_RATE, extra=tight)]
+    out += [Case("lost-" + p, preempt=p, exact=True) for p in ("resume", "cancel")]
+    out += curve("step", LOADS[:1], 1)
+    out += [Case("overload-x1", weight=1, times=1), Case("overload-x2", weight=1, times=2)]
+    out += [Case("fault-" + f, weight=1, fault=f) for f in ("stall", "replica_dies", "kill_entry", "freeze_entry")]
     return out
 
 
@@ -131,6 +150,28 @@
         return sum(b for _, b in part) / idle if idle else 0
 
 
+class TokenCounter:
+    """Tokens that the engines made, at the start and at the end of the online load."""
+
+    def __init__(self, fleet, seconds):
+        self.fleet, self.at_end = fleet, None
+        self.at_start = self.read()
+        self.timer = threading.Timer(seconds, self.note_end)
+        self.timer.daemon = True
+        self.timer.start()
+
+    def read(self):
+        return sum(fl.get_json(e.settings["listen"], "/v1/counts")["tokens"] for e in self.fleet.engines)
+
+    def note_end(self):
+        self.at_end = self.read()
+
+    def lost(self, online, items):
+        """Tokens made beyond those asked for, as a share of the batch tokens made beside online load."""
+        beside = self.at_end - self.at_start - online
+        return (self.read() - self.at_start - online - items) / max(1, beside)
+
+
 def metric(fleet, name):
     """Sum of a counter over the entries that answer."""
     total = 0
@@ -145,28 +186,29 @@
     return total
 
 
+def set_fault(engine, fault):
+    status, _, body = fl.call(engine.settings["listen"], "POST", "/fault", json.dumps(fault))
+    assert status == 200, body
+
+
 def fault_thread(fleet, kind, seconds):
-    """Does the fault a third into the run; repeats it when it is one that repeats."""
+    """Does the fault a quarter into the run; repeats it when it is one that repeats."""
     time.sleep(WARMUP_S + seconds / 4)
     if kind == "kill_entry":
         fleet.entries[-1].kill()
     elif kind == "freeze_entry":
         fleet.entries[-1].freeze()
     elif kind == "stall":
-        fl.call(fleet.engines[0].settings["listen"], "POST", "/fault", '{"stall": 1000}')
+        set_fault(fleet.engines[0], {"stall": 1000})
     elif kind == "replica_dies":
-        for i in range(int(seconds / 4)):
-            fleet.engines[i % ENGINES].kill()
+        for e in fleet.engines[:int(seconds / 4)]:
+            e.kill()
             time.sleep(2)
-            fleet.engines[i % ENGINES].start()
+            e.start()
+            fl.wait_for("engine", lambda e=e: set_fault(e, {"late_ms": LATE_MS}) is None)
             time.sleep(1)
 
 
-def mend(fleet, kind):
-    """Whether the fleet can be used again after this fault."""
-    return kind is None
-
-
 def parse(line):
     return dict(w.split("=", 1) for w in line.split() if "=" in w)
 
@@ -175,11 +217,13 @@
     """Runs auburn-bench; gives its lines by phase."""
     argv = [os.path.join(fl.BIN, "auburn-bench"), "--addresses", ",".join(fleet.addr(i) for i in range(ENTRIES)),
             "--key", fl.CALLER_KEY, "--service", "sammandrag-llm", "--seconds", str(seconds + WARMUP_S),
-            "--warmup", str(WARMUP_S), "--seed", str(seed), "--prompt-bytes", str(PROMPT_BYTES),
-            "--max-tokens", str(MAX_TOKENS), "--job-tokens", str(MAX_TOKENS), "--goal-ms", str(GOAL_MS)]
-    argv += case.args() + case.extra + ["--run", "%s-%x" % (case.name, int(time.time()))]
+            "--warmup", "0" if case.exact else str(WARMUP_S), "--seed", str(seed), "--prompt-bytes", str(PROMPT_BYTES),
+            "--max-tokens", str(MAX_TOKENS), "--job-tokens", str(MAX_TOKENS), "--goal-ms", str(GOAL_MS[case.engine])]
+    argv += case.args() + ["--run", "%s-%x" % (case.name, int(time.time()))]
     if case.batch:
-        argv += ["--job-items", "100", "--jobs", "8", "--job-key", fl.CALLER2_KEY]
+        argv += ["--job-items", "100", "--jobs", "3" if case.exact else "8", "--job-key", fl.CALLER2_KEY]
+    if case.exact:
+        argv += ["--job-wait-ms", "60000"]
     if os.environ.get("BENCH_VERBOSE"):
         argv.append("-v")
     p = subprocess.run(argv, stdout=subprocess.PIPE, text=True, timeout=seconds + 120)
@@ -192,6 +236,7 @@
     if case.fault:
         threading.Thread(target=fault_thread, args=(fleet, case.fault, seconds), daemon=True).start()
     before = metric(fleet, "auburn_preempted_total")
+    tokens = TokenCounter(fleet, seconds + WARMUP_S) if case.exact else None
     phases = load(fleet, case, seed, seconds)
     sampler.going.clear()
     sampler.join()
@@ -202,6 +247,8 @@
     out["idle_used"] = sampler.idle_used(start, seconds)
     out["items_per_s"] = float(phases.get("batch", {}).get("items_per_s", 0))
     out["not_adding_up"] = float(phases.get("batch", {}).get("not_adding_up", 0))
+    if tokens and phases["batch"]["finished"] == phases["batch"]["jobs"]:
+        out["lost"] = tokens.lost(out["tokens"], float(phases["batch"]["item_tokens"]))
     out["preempted"] = metric(fleet, "auburn_preempted_total") - before
     return out
 
@@ -215,14 +262,15 @@
 
 
 def report(case, runs, base):
-    """Prints the line of a case; base: first-token p99 by (load, seed)."""
+    """Prints the line of a case; base: first-token p99 by (engine, load, seed)."""
     one = [r for _, r in runs]
-    harm = [r["first_p99_ms"] / base[(case.load, s)] for s, r in runs if base.get((case.load, s))]
+    known = [(r, base[(case.engine, case.load, s)]) for s, r in runs if (case.engine, case.load, s) in base]
+    harm = [r["first_p99_ms"] / b for r, b in known]
     words = ["case=" + case.name, case.label(),
              "online_p50_ms=" + spread([r["first_p50_ms"] for r in one], 1),
              "online_p95_ms=" + spread([r["first_p95_ms"] for r in one], 1),
              "online_p99_ms=" + spread([r["first_p99_ms"] for r in one], 1),
-             "harm=" + (spread(harm) if harm and not case.rate else "-"),
+             "harm=" + (spread(harm) if harm and not case.times else "-"),
              "idle_used=" + spread([r["idle_used"] for r in one]),
              "goodput=" + spread([r["goodput"] for r in one]),
              "step_p95_ms=" + spread([r["step_p95_ms"] for r in one], 1),
@@ -230,6 +278,8 @@
              "preempted=" + spread([r["preempted"] for r in one], 0)]
     for k in ("sent", "ok", "refused", "failed", "broken", "resent", "not_adding_up"):
         words.append("%s=%d" % (k, sum(r[k] for r in one)))
+    if "lost" in one[0]:
+        words.append("batch_tokens_lost=" + spread([r["lost"] for r in one], 4))
     if "burst_first_p99_ms" in one[0]:
         words.append("burst_p99_ms=" + spread([r["burst_first_p99_ms"] for r in one], 1))
     print(" ".join(words), flush=True)
@@ -262,11 +312,13 @@
         return TEXT % (float(case.weight), 1 if case.keep == "fixed" else 0)
 
     def open(self, case):
-        way, preempt, keep = case.settings()
+        way, preempt, keep, engine = case.settings()
         entry = {"bench": {"way": way, "preempt": preempt, "keep": keep}}
         f = fl.Fleet(entries=ENTRIES, engines=ENGINES, plain=0, text=self.text(case), engine=ENGINE, entry=entry)
         self.fleet, self.settings, self.number, self.weight = f, case.settings(), 1, case.weight
         f.start()
+        for e in f.engines if engine == "late" else ():
+            set_fault(e, {"late_ms": LATE_MS})
         time.sleep(SETTLE_S)
 
 
@@ -277,11 +329,11 @@
         r = measure(f, case, seed, seconds)
         runs.append((seed, r))
         if not case.batch:
-            base[(case.load, seed)] = r["first_p99_ms"]
+            base[(case.engine, case.load, seed)] = r["first_p99_ms"]
         dead = [p.name for p in f.procs if p.p and not p.alive()]
         if dead and not case.fault:
             print("case=%s seed=%d ended_processes=%s" % (case.name, seed, ",".join(dead)), flush=True)
-        if not mend(f, case.fault) or dead:
+        if case.fault or dead:
             fleets.close()
         time.sleep(SETTLE_S)
     report(case, runs, base)
