--- a/src/entry/hs.c
+++ b/src/entry/hs.c
@@ -174,10 +174,12 @@
 bool hs_body_fits(en_t *en, const struct _u_request *req, struct _u_response *res)
 {
 	str_t declared = hs_header(req, "Content-Length");
+	int64_t max = en->set.max_body_bytes;
 
-	if (hs_int(declared, 0) <= en->set.max_body_bytes &&
-	    (declared.n == 0 || hs_int(declared, -1) >= 0) &&
-	    (int64_t)req->binary_body_length <= en->set.max_body_bytes)
+	/* A body of undeclared length that fills the bound may have been cut there. */
+	if (declared.n == 0 && (int64_t)req->binary_body_length < max)
+		return true;
+	if (declared.n && hs_int(declared, -1) >= 0 && hs_int(declared, -1) <= max)
 		return true;
 	hs_error(res, 413, "body_too_large", STR("the body is over max_body_bytes"),
 		 VERDICT_NOT_RUN, 0);
