Entry: answers stay truthful when the session changes or the ledger is silent

Cause, found by reading: an attempt that the ledger refused because the session was lost was ended as "not run" although another entry may run it; the same for a request whose entry got a new session, and for an acceptance that timed out. An orphan that a call here held already stayed leased for ever if that call failed.

Change: nothing is ended by an entry whose session is over unless it ran; such answers say may_have_run and name the key; a held orphan is given back. A refused fence asks for a newer view; a dispatched event names replica and attempt for explain.

--- a/src/entry/bj_commit.c
+++ b/src/entry/bj_commit.c
@@ -22,7 +22,7 @@
 
 	DL_FOREACH_SAFE(list, it, next)
 	{
-		if (it->job[0] == 0)
+		if (it->key_held)
 			rk_drop(str_c(it->caller), str_c(it->key));
 		bj_item_free(it);
 		pthread_mutex_lock(&b->lock);
--- a/src/entry/bj_impl.h
+++ b/src/entry/bj_impl.h
@@ -5,7 +5,7 @@
 #include "entry/bj.h"
 #include "entry/up.h"
 
-#define BJ_SERVICES_MAX 256
+#define BJ_SERVICES_MAX 1024
 #define BJ_GROUPS_MAX	64
 
 typedef struct bj_item {
@@ -33,6 +33,7 @@
 	unsigned ntokens;
 	int resumes; /* after a fault of the stream */
 	bool cancelled;
+	bool key_held; /* in rk_, for a request */
 	ro_t *ro; /* while it runs */
 	uint64_t stream;
 	bool done;
--- a/src/entry/bj_lease.c
+++ b/src/entry/bj_lease.c
@@ -79,19 +79,24 @@
 {
 	bj_t *b = g->b;
 	bj_item_t *it;
+	bool run = false;
 
-	/* An orphan whose caller asked for it again here is run by that request. */
-	if (a->job.aw_bytes_t_len == 0 && !rk_hold(px_str(a->caller), px_str(a->key)))
-		return;
 	it = bj_item_new(b, g->group, service, a);
 	if (it->job[0] == 0)
+		it->key_held = rk_hold(str_c(it->caller), str_c(it->key));
+	if (it->key_held)
 		lg(LG_INFO, "orphan_taken", LG_C("key", it->key), LG_C("service", service));
 	pthread_mutex_lock(&b->lock);
 	b->held++;
-	if (!plain)
+	/* What a call of its caller runs here already is given back, in case that call fails. */
+	if (it->job[0] == 0 && !it->key_held)
+		bj_item_end(b, it, false, AW_BLAME_NONE, STR("runs here already"));
+	else if (!plain)
 		bj_item_wait(b, it);
+	else
+		run = true;
 	pthread_mutex_unlock(&b->lock);
-	if (plain)
+	if (run)
 		run_plain(it);
 }
 
--- a/src/entry/fi_accept.c
+++ b/src/entry/fi_accept.c
@@ -34,6 +34,7 @@
 
 typedef struct {
 	en_t *en;
+	uint64_t session;
 	char *caller;
 	char *key;
 } abandon_t;
@@ -50,7 +51,9 @@
 	lc_error_json(&result, "accept_timeout", STR("the acceptance was not confirmed in time"),
 		      VERDICT_NOT_RUN, TIMEOUT_RETRY_MS);
 	f.result = str_buf(&result);
-	lc_finish(a->en, &f);
+	/* In a later session the record may be another entry's to run. */
+	if (en_session(a->en->snap) == a->session)
+		lc_finish(a->en, &f);
 	rk_drop(f.caller, f.key);
 	atomic_fetch_sub(&a->en->requests, 1);
 	free(a->caller);
@@ -66,6 +69,7 @@
 	pthread_t t;
 
 	a->en = c->en;
+	a->session = en_session(c->en->snap);
 	a->caller = str_dup(c->caller);
 	a->key = str_dup(str_c(c->key));
 	c->registered = false;
@@ -142,6 +146,24 @@
 	}
 }
 
+/* After a timeout the record may be there, and then another entry may run it. */
+static void refuse_unaccepted(fi_call_t *c, status_t st)
+{
+	AUTO_BUF why = {0};
+
+	if (st == ST_UNAVAILABLE) {
+		fi_refuse(c, 503, "ledger_unreachable", str_c(st_message()), TIMEOUT_RETRY_MS);
+		return;
+	}
+	buf_addf(&why, "the acceptance is not known, ask again under the same key: %s",
+		 st_message());
+	lg(LG_WARN, "acceptance_unknown", LG_C("key", c->key), LG_C("status", st_name(st)));
+	hs_error(c->res, 503, "acceptance_unknown", str_buf(&why), VERDICT_MAY_HAVE_RUN,
+		 TIMEOUT_RETRY_MS);
+	tr_end(&c->span, str_c(c->key), "acceptance_unknown");
+	abandon(c);
+}
+
 void fi_accept(fi_call_t *c, const fi_step_t *next)
 {
 	aw_ledger_res_t res = {0};
@@ -150,9 +172,7 @@
 	if (st == ST_OK) {
 		judge(c, &res, next);
 	} else {
-		if (st != ST_UNAVAILABLE)
-			abandon(c);
-		fi_refuse(c, 503, "ledger_unreachable", str_c(st_message()), TIMEOUT_RETRY_MS);
+		refuse_unaccepted(c, st);
 	}
 	px_free(PX(aw_ledger_res_t), &res);
 }
--- a/src/entry/fi_plain.c
+++ b/src/entry/fi_plain.c
@@ -23,8 +23,9 @@
 	atomic_fetch_add(&c->en->requests, 1);
 	st = ps_run(c->en, &call, &end);
 	atomic_fetch_sub(&c->en->requests, 1);
-	if (st == ST_CONFLICT)
-		hs_error(c->res, 409, "in_progress", STR("another attempt of this key was begun"),
+	if (st != ST_OK)
+		hs_error(c->res, 409, "in_progress",
+			 STR("another attempt of this key was or may be begun"),
 			 VERDICT_MAY_HAVE_RUN, IN_PROGRESS_RETRY_MS);
 	else if (end.done)
 		hs_json(c->res, end.http_status, str_buf(&end.result));
--- a/src/entry/lc.c
+++ b/src/entry/lc.c
@@ -9,7 +9,7 @@
 #define FINISH_TRY_MS 3000
 #define PAUSE_MS      100
 #define QUERY_MS      3000
-#define SERVICES_MAX  256
+#define SERVICES_MAX  1024
 
 typedef struct {
 	uint64_t service; /* hash */
--- a/src/entry/ps.c
+++ b/src/entry/ps.c
@@ -10,6 +10,7 @@
 
 #define URL_BYTES	  512
 #define HEADER_BYTES	  256
+#define ATTEMPT_LONG_MS	  60000
 #define ATTEMPT_MS	  3000
 #define CONNECT_TRIES	  4
 #define PAUSE_MS	  50
@@ -17,9 +18,11 @@
 #define HTTP_SERVER_ERROR 500
 #define HTTP_UNAVAILABLE  503
 
-/* Commits that an attempt begins; after this only this process may send, and only once. */
+/* Commits that an attempt begins; after this only this process may send, and only once. Goes on
+ * past the call's deadline, because the record must not stay as it is. */
 static status_t open_attempt(en_t *en, const ps_call_t *c, uint64_t token)
 {
+	deadline_t until = clk_now_ms() + ATTEMPT_LONG_MS;
 	aw_ledger_cmd_t cmd = {.kind = AW_LEDGER_ATTEMPT};
 	status_t st = ST_TIMEOUT;
 
@@ -28,7 +31,7 @@
 						       .token = token,
 						       .session = en_session(en->snap),
 						       .upstream = px_bytes(STR(""))};
-	while (clk_now_ms() < c->deadline) {
+	while (clk_now_ms() < until) {
 		aw_ledger_res_t res = {0};
 
 		st = cc_ledger(en->cc, &cmd, &res, clk_now_ms() + ATTEMPT_MS);
@@ -141,12 +144,12 @@
 
 	if (!c->repeatable)
 		st = open_attempt(en, c, en_random() | 1);
-	if (st == ST_CONFLICT)
-		return st;
 	if (st != ST_OK)
-		set_failed(end, 503, VERDICT_NOT_RUN, "ledger_unreachable", str_c(st_message()));
-	else
+		return st;
+	if (clk_now_ms() < c->deadline)
 		run_tries(en, c, end);
+	else
+		set_failed(end, 504, VERDICT_NOT_RUN, "deadline", STR("the deadline has passed"));
 	f.done = end->done;
 	f.verdict = end->verdict;
 	f.http_status = end->http_status;
--- a/src/entry/ps.h
+++ b/src/entry/ps.h
@@ -23,8 +23,8 @@
 	buf_t result; /* body, or the error JSON */
 } ps_end_t;
 
-/** Runs an accepted call and commits its end. ST_CONFLICT: another attempt is or was open, and
- *  nothing was done. */
+/** Runs an accepted call and commits its end. Unless ST_OK, nothing was sent from here, but another
+ *  attempt is or may be open. */
 status_t ps_run(en_t *en, const ps_call_t *c, ps_end_t *end);
 
 #endif
--- a/src/entry/ro.c
+++ b/src/entry/ro.c
@@ -111,6 +111,8 @@
 	pthread_mutex_lock(&r->lock);
 	if (s->stopping && (kind == RN_LOST || kind == RN_STALLED))
 		kind = s->stop_kind;
+	if (kind == RN_REFUSED) /* an old fence, perhaps */
+		atomic_store(&r->en->view_wanted, true);
 	failed =
 		kind == RN_LOST || kind == RN_STALLED || kind == RN_CROSSED || kind == RN_UNREACHED;
 	if (kind == RN_STALLED || kind == RN_CROSSED)
@@ -141,6 +143,8 @@
 		return;
 	}
 	s->started = true;
+	lg(LG_INFO, "dispatched", LG_C("key", s->key), LG_C("upstream", r->id),
+	   LG_C("attempt", s->attempt), LG_I("from", s->next_index));
 	ro_engine_start(&o, s);
 }
 
--- a/src/entry/rq.c
+++ b/src/entry/rq.c
@@ -22,6 +22,7 @@
 struct rq {
 	atomic_int refs;
 	en_t *en;
+	uint64_t session; /* that accepted it */
 	char *caller;
 	char *key;
 	char *service;
@@ -296,6 +297,15 @@
 	buf_add(&r->out, STR("\n\n"));
 }
 
+static void disown(rq_t *r)
+{
+	set_outcome(r, 503, VERDICT_MAY_HAVE_RUN, "session_lost",
+		    STR("another entry may have taken it over: ask again under the same key"),
+		    FAIL_RETRY_MS);
+	buf_free(&r->result);
+	write_result(r);
+}
+
 static void commit(rq_t *r)
 {
 	const lc_finish_t f = {.caller = str_c(r->caller),
@@ -305,6 +315,11 @@
 			       .http_status = r->outcome.http_status,
 			       .result = str_buf(&r->result)};
 
+	/* In a later session another entry may run it: its end is not for this one to tell. */
+	if (!r->outcome.ok && en_session(r->en->snap) != r->session) {
+		disown(r);
+		return;
+	}
 	if (lc_finish(r->en, &f) == ST_OK)
 		return;
 	lg(LG_ERROR, "result_not_committed", LG_C("key", r->key), LG_C("message", st_message()));
@@ -347,6 +362,7 @@
 
 	atomic_init(&r->refs, 2);
 	r->en = o->en;
+	r->session = en_session(o->en->snap);
 	r->caller = str_dup(o->caller);
 	r->key = str_dup(o->key);
 	r->service = str_dup(o->service);
