--- a/src/raft/rf_vote.c
+++ b/src/raft/rf_vote.c
@@ -10,11 +10,15 @@
 	return r->leader != 0 && r->elapsed < r->election_ticks;
 }
 
-static bool is_voter(const rf_t *r)
+/* One that isn't a voter by its own log may campaign once a candidate with an older log has counted
+ * on it: its removal isn't committed, or it hasn't seen its promotion, and it may be the only one
+ * who can win. The votes are counted by the members that its log names, so that a win is as safe as
+ * any. */
+static bool may_campaign(const rf_t *r)
 {
 	int at = rf_conf_find(&r->conf, r->self);
 
-	return at >= 0 && r->conf.peers[at].voter;
+	return r->asked || (at >= 0 && r->conf.peers[at].voter);
 }
 
 static bool voted_for_us(const rf_t *r, unsigned i, uint64_t unused)
@@ -42,7 +46,7 @@
 
 void rf_start_prevote(rf_t *r)
 {
-	if (!is_voter(r))
+	if (!may_campaign(r))
 		return;
 	r->role = RF_PRECANDIDATE;
 	r->nvotes = 0;
@@ -55,7 +59,7 @@
 
 void rf_campaign(rf_t *r, bool force)
 {
-	if (!is_voter(r))
+	if (!may_campaign(r))
 		return;
 	rf_set_hard(r, r->term + 1, r->self);
 	r->verified = r->commit;
@@ -89,6 +93,7 @@
 	rf_msg_t resp = {.type = RF_PREVOTE_RESP};
 
 	resp.reject = m->term <= r->term || rf_has_lease(r) || !log_is_current(r, m);
+	r->asked |= m->term > r->term && !rf_has_lease(r) && !log_is_current(r, m);
 	resp.term = resp.reject ? r->term : m->term;
 	rf_send(r, &resp, m->from);
 }
