Entry: the test of a cancelled job also counts what ran to its end

Cause: with the cancel of running streams taken out it still passed, because the items were long; now no stream may finish after the cancel.

--- a/tests/proc/test_entry_faults.py
+++ b/tests/proc/test_entry_faults.py
@@ -115,6 +115,7 @@
         self.assertEqual(f.submit_job("stop-1", items)[0], 202)
         fl.wait_for("running items", lambda: f.job("stop-1")["leased"] > 0 and
                     sum(e["running_batch"] for i in range(2) for e in f.status(i)["upstreams"]) > 0)
+        finished = sum(counts(e)["finished"] for e in f.engines)
         status, _, body = fl.call(f.addr(1), "DELETE", "/v1/jobs/stop-1", headers=fl.bearer(fl.CALLER_KEY))
         self.assertEqual(status, 200, body)
         started = sum(counts(e)["started"] for e in f.engines)
@@ -125,6 +126,7 @@
         fl.wait_for("idle engines", lambda: all(
             fl.get_json(e.settings["listen"], "/v1/load")["running"] == 0 for e in f.engines))
         self.assertEqual(sum(counts(e)["started"] for e in f.engines), started)
+        self.assertEqual(sum(counts(e)["finished"] for e in f.engines), finished)
 
     def test_resend_while_it_runs_and_another_body(self):
         t = threading.Thread(target=self.f.complete, args=("twice", "två", 200))
