--- a/tests/proc/test_entry_faults.py
+++ b/tests/proc/test_entry_faults.py
@@ -67,9 +67,12 @@
 
     def test_lost_stream_resumes(self):
         want = self.whole("lose-0", "lost")
+        before = sum(counts(e)["tokens"] for e in self.f.engines)
         for e in self.f.engines:
             fault(e, lose=1)
         self.assertEqual(self.whole("lose-1", "lost"), want)
+        made = sum(counts(e)["tokens"] for e in self.f.engines) - before
+        self.assertLessEqual(made, TOKENS + 2, "tokens made again")
         for e in self.f.engines:
             fault(e, lose=0)
 
