--- a/src/entry/bj_impl.h
+++ b/src/entry/bj_impl.h
@@ -5,7 +5,7 @@
 #include "entry/bj.h"
 #include "entry/up.h"
 
-#define BJ_SERVICES_MAX 256
+#define BJ_SERVICES_MAX 1024
 #define BJ_GROUPS_MAX	64
 
 typedef struct bj_item {
@@ -33,6 +33,7 @@
 	unsigned ntokens;
 	int resumes; /* after a fault of the stream */
 	bool cancelled;
+	bool key_held; /* in rk_, for a request */
 	ro_t *ro; /* while it runs */
 	uint64_t stream;
 	bool done;
@@ -50,6 +51,7 @@
 	unsigned waiting;
 	deadline_t next_lease[BJ_GROUPS_MAX + 1];
 	int64_t pause_ms[BJ_GROUPS_MAX + 1];
+	uint64_t lease_seq[BJ_GROUPS_MAX + 1]; /* last one answered in this session */
 } bj_service_t;
 
 struct bj {
@@ -65,7 +67,6 @@
 	unsigned nresults[BJ_GROUPS_MAX + 1];
 	size_t held;
 	uint64_t session;
-	uint64_t lease_seq[BJ_GROUPS_MAX + 1];
 	bool draining;
 };
 
--- a/src/proto/aw.x
+++ b/src/proto/aw.x
@@ -135,6 +135,7 @@
 	int http_status;
 	aw_bytes_t result;
 	hyper now_wall_ms;
+	unsigned hyper session;		/* of the sender; one that doesn't hold the request can't fail it. 0 = unchecked */
 };
 
 struct aw_job_open_t {
@@ -411,6 +412,7 @@
 	int queued;
 	int running;
 	int step_us;			/* recent time between tokens */
+	int drain_ms;			/* until a stream offered now would start */
 	unsigned hyper prefixes<>;	/* hashes of prefixes that its cache holds */
 };
 
--- a/src/proto/aw_xdr.h
+++ b/src/proto/aw_xdr.h
@@ -173,6 +173,7 @@
 	int http_status;
 	aw_bytes_t result;
 	quad_t now_wall_ms;
+	u_quad_t session;
 };
 typedef struct aw_finish_t aw_finish_t;
 
@@ -488,6 +489,7 @@
 	int queued;
 	int running;
 	int step_us;
+	int drain_ms;
 	struct {
 		u_int prefixes_len;
 		u_quad_t *prefixes_val;
--- a/src/state/ld_job.c
+++ b/src/state/ld_job.c
@@ -83,12 +83,12 @@
 	ld_lane_t *lane;
 
 	assert(!j->lane);
-	HASH_FIND(hh, b->lane_table, &j->caller, sizeof(j->caller), lane);
+	HASH_FIND(hh, b->lane_table, &j->caller, sizeof(ld_caller_t *), lane);
 	if (!lane) {
 		lane = mem_new(sizeof(*lane));
 		lane->caller = j->caller;
 		lane->band = b;
-		HASH_ADD(hh, b->lane_table, caller, sizeof(lane->caller), lane);
+		HASH_ADD(hh, b->lane_table, caller, sizeof(ld_caller_t *), lane);
 	}
 	lane->jobs++;
 	j->lane = lane;
@@ -144,8 +144,18 @@
 	if (lane->ready)
 		return;
 	DL_DELETE(b->ring, lane);
-	if (!b->ring)
-		ld_heap_remove(&b->service->bands, &b->node);
+	if (b->ring)
+		return;
+	ld_heap_remove(b->late ? &b->service->overdue : &b->service->bands, &b->node);
+	b->late = false;
+}
+
+void ld_band_late(ld_band_t *b)
+{
+	assert(!b->late);
+	ld_heap_remove(&b->service->bands, &b->node);
+	ld_heap_push(&b->service->overdue, &b->node);
+	b->late = true;
 }
 
 static void free_bodies(ld_t *l, ld_job_t *j)
