--- a/src/proto/rf.x
+++ b/src/proto/rf.x
@@ -44,7 +44,8 @@
 	unsigned hyper log_term;	/* term of the entry at index */
 	unsigned hyper commit;
 	unsigned hyper round;		/* read index: number of the leader's round, echoed */
-	unsigned hyper hint;		/* refusal: where the logs may meet; SNAP_RESP: wanted offset */
+	unsigned hyper hint;		/* refusal: where the logs may meet; SNAP_RESP: wanted
+					   offset; last SNAP: checksum of the whole */
 	bool reject;
 	bool force;			/* VOTE for a transfer of leadership: leases don't count */
 	rf_entry_t entries<>;
--- a/src/raft/gr_core.c
+++ b/src/raft/gr_core.c
@@ -162,14 +162,6 @@
 		gr_item_finish(g, it, st_fail(ST_TIMEOUT, "may be done: leadership was lost"));
 }
 
-/* The group's thread sees it in its next batch. */
-static void mark_failed(gr_t *g)
-{
-	pthread_mutex_lock(&g->lock);
-	g->disk_failed = true;
-	pthread_mutex_unlock(&g->lock);
-}
-
 static bool on_snap_write(void *ctx, const rf_chunk_t *c)
 {
 	gr_t *g = ctx;
@@ -184,7 +176,7 @@
 	if (st == ST_OK && c->last)
 		st = g->o.restore(g->o.ctx, str_buf(&state));
 	if (st != ST_OK && st != ST_INVALID)
-		mark_failed(g);
+		gr_disk_mark_failed(g);
 	if (st != ST_OK || !c->last)
 		return st == ST_OK;
 	g->snap_index = c->index;
--- a/src/raft/gr_disk.c
+++ b/src/raft/gr_disk.c
@@ -2,6 +2,16 @@
 #include "raft/gr_int.h"
 
 #include <assert.h>
+#include "base/lg.h"
+
+void gr_disk_mark_failed(gr_t *g)
+{
+	lg(LG_ERROR, "disk_failed", LG_I("group", g->o.group), LG_C("what", st_message()));
+	pthread_mutex_lock(&g->lock);
+	g->disk_failed = true;
+	pthread_cond_signal(&g->wake);
+	pthread_mutex_unlock(&g->lock);
+}
 
 void gr_disk_poke(gr_t *g)
 {
@@ -15,6 +25,8 @@
 {
 	bool has;
 
+	if (!rs_has_queued(g->rs))
+		rs_idle(g->rs);
 	pthread_mutex_lock(&g->lock);
 	while (!(has = rs_has_queued(g->rs)) && !g->disk_stop)
 		pthread_cond_wait(&g->disk_wake, &g->lock);
@@ -25,17 +37,16 @@
 void *gr_disk_loop(void *arg)
 {
 	gr_t *g = arg;
-	bool failed = false;
 
-	while (!failed && wait_queued(g)) {
+	while (wait_queued(g)) {
 		uint64_t seq = 0;
 
-		failed = rs_sync(g->rs, &seq) != ST_OK;
+		if (rs_sync(g->rs, &seq) != ST_OK) {
+			gr_disk_mark_failed(g);
+			return NULL;
+		}
 		pthread_mutex_lock(&g->lock);
-		if (failed)
-			g->disk_failed = true;
-		else
-			g->synced_seq = seq;
+		g->synced_seq = seq;
 		pthread_cond_signal(&g->wake);
 		pthread_mutex_unlock(&g->lock);
 	}
@@ -48,10 +59,10 @@
 	status_t st = rs_snap_save(g->rs, g->snap_index, g->snap_term, str_buf(&g->snap_conf),
 				   str_buf(&g->snap_state));
 
+	if (st != ST_OK)
+		gr_disk_mark_failed(g);
 	pthread_mutex_lock(&g->lock);
 	g->snap_saved = true;
-	if (st != ST_OK)
-		g->disk_failed = true;
 	pthread_cond_signal(&g->wake);
 	pthread_mutex_unlock(&g->lock);
 	return NULL;
--- a/src/raft/gr_int.h
+++ b/src/raft/gr_int.h
@@ -106,6 +106,8 @@
 /* gr_disk.c */
 void *gr_disk_loop(void *arg);
 void gr_disk_poke(gr_t *g);
+/** Tells the group's thread, and the log, that the disk has failed; st_message says how. */
+void gr_disk_mark_failed(gr_t *g);
 void gr_snap_begin(gr_t *g);
 void gr_snap_end(gr_t *g);
 void gr_snap_join(gr_t *g);
--- a/src/raft/gr_open.c
+++ b/src/raft/gr_open.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sodium.h>
+#include "base/lg.h"
 
 #define TICKS_PER_HEARTBEAT_DIV 4 /* heartbeats in an election timeout */
 
@@ -139,6 +140,21 @@
 	free(g);
 }
 
+static void log_opened(const gr_t *g, const rs_state_t *state)
+{
+	char id[32];
+
+	snprintf(id, sizeof(id), "%016lx", (unsigned long)state->id);
+	lg(LG_INFO, "group_opened", LG_I("group", g->o.group), LG_C("replica", id),
+	   LG_I("new", state->fresh), LG_I("term", state->term),
+	   LG_I("snapshot", state->snap_index), LG_I("entries", state->nentries));
+	if (state->cut_bytes)
+		lg(LG_WARN, "torn_tail_cut", LG_I("group", g->o.group),
+		   LG_I("bytes", state->cut_bytes));
+	if (state->snap_broken)
+		lg(LG_WARN, "broken_snapshot_passed_over", LG_I("group", g->o.group));
+}
+
 status_t gr_open(const gr_options_t *o, gr_t **out)
 {
 	gr_t *g = mem_new(sizeof(*g));
@@ -158,6 +174,7 @@
 		free_group(g);
 		return st;
 	}
+	log_opened(g, &state);
 	open_core(g, &state);
 	rs_state_free(&state);
 	err = pthread_create(&g->disk_thread, NULL, gr_disk_loop, g);
--- a/src/raft/rf.h
+++ b/src/raft/rf.h
@@ -30,6 +30,7 @@
 	uint64_t offset;
 	str_t data;
 	bool last;
+	uint32_t crc; /* with last: of the whole state, as its writer computed it */
 } rf_chunk_t;
 
 typedef struct {
--- a/src/raft/rf_core.c
+++ b/src/raft/rf_core.c
@@ -31,6 +31,15 @@
 	r->vote = 0;
 }
 
+static bool is_sole_voter(const rf_t *r)
+{
+	for (unsigned i = 0; i < r->conf.n; i++) {
+		if (r->conf.peers[i].voter && r->conf.peers[i].id != r->self)
+			return false;
+	}
+	return rf_conf_find(&r->conf, r->self) >= 0;
+}
+
 rf_t *rf_new(const rf_options_t *o)
 {
 	rf_t *r = mem_new(sizeof(*r));
@@ -58,6 +67,8 @@
 	r->verified = r->commit;
 	raise_term(r);
 	rf_reset_timeout(r);
+	if (is_sole_voter(r))
+		r->elapsed = r->timeout - 1; /* there is nobody to wait for */
 	return r;
 }
 
@@ -160,6 +171,9 @@
 
 void rf_fail(rf_t *r)
 {
+	/* Nothing more is acknowledged here, so that a successor need not wait for its timeout. */
+	if (r->role == RF_LEADER)
+		rf_lead_abandon(r);
 	rf_step_down(r);
 	r->failed = true;
 	r->role = RF_FOLLOWER;
--- a/src/raft/rf_follow.c
+++ b/src/raft/rf_follow.c
@@ -152,7 +152,8 @@
 			.conf = {m->conf.conf_val, m->conf.conf_len},
 			.offset = m->offset,
 			.data = {m->data.data_val, m->data.data_len},
-			.last = m->last};
+			.last = m->last,
+			.crc = (uint32_t)m->hint};
 	rf_conf_t conf;
 
 	hear_leader(r, m);
--- a/src/raft/rf_int.h
+++ b/src/raft/rf_int.h
@@ -142,6 +142,7 @@
 void rf_lead_tick(rf_t *r);
 void rf_lead_flush(rf_t *r);
 void rf_lead_update_commit(rf_t *r);
+void rf_lead_abandon(rf_t *r);
 void rf_lead_rebuild_progress(rf_t *r);
 void rf_handle_append_resp(rf_t *r, const rf_msg_t *m);
 void rf_handle_snap_resp(rf_t *r, const rf_msg_t *m);
--- a/src/raft/rf_lead.c
+++ b/src/raft/rf_lead.c
@@ -287,11 +287,12 @@
 	return false;
 }
 
-bool rf_transfer(rf_t *r)
+/* The other voter that has synced most, or NULL. */
+static const rf_progress_t *most_advanced(const rf_t *r)
 {
 	const rf_progress_t *best = NULL;
 
-	for (unsigned i = 0; i < r->conf.n && r->role == RF_LEADER; i++) {
+	for (unsigned i = 0; i < r->conf.n; i++) {
 		const rf_progress_t *p = &r->progress[i];
 
 		if (p->id == r->self || !r->conf.peers[i].voter)
@@ -299,6 +300,16 @@
 		if (!best || p->match > best->match)
 			best = p;
 	}
+	return best;
+}
+
+bool rf_transfer(rf_t *r)
+{
+	const rf_progress_t *best;
+
+	if (r->role != RF_LEADER)
+		return false;
+	best = most_advanced(r);
 	if (!best)
 		return false;
 	r->transfer_to = best->id;
@@ -306,3 +317,12 @@
 	try_transfer(r, best);
 	return true;
 }
+
+void rf_lead_abandon(rf_t *r)
+{
+	const rf_progress_t *best = most_advanced(r);
+	rf_msg_t m = {.type = RF_TIMEOUT_NOW};
+
+	if (best)
+		rf_send(r, &m, best->id);
+}
--- a/src/raft/rf_send.c
+++ b/src/raft/rf_send.c
@@ -118,5 +118,6 @@
 	m.data.data_len = (u_int)c.data.n;
 	m.data.data_val = (char *)c.data.p;
 	m.last = c.last;
+	m.hint = c.crc;
 	rf_send(r, &m, p->id);
 }
--- a/src/raft/rs.h
+++ b/src/raft/rs.h
@@ -51,6 +51,9 @@
  *  After ST_IO every later call fails as well. */
 status_t rs_sync(rs_t *s, uint64_t *seq);
 bool rs_has_queued(rs_t *s);
+/** Called by the syncing thread when nothing is queued: leaves a mark, unsynced, by which a later
+ *  start tells damage to the newest records from a torn tail. */
+void rs_idle(rs_t *s);
 
 /** Writes and syncs a snapshot, then removes all but the two newest, and the segments that hold
  *  only what the older of them holds. */
--- a/src/raft/rs_file.c
+++ b/src/raft/rs_file.c
@@ -109,7 +109,20 @@
 	return n < 0 ? io_error("read", path) : ST_OK;
 }
 
-status_t rs_file_replace(rs_fault_t *f, const char *dir, const char *name, str_t data)
+static status_t write_parts(rs_fault_t *f, int fd, const char *name, const str_t *parts, size_t n)
+{
+	status_t st = ST_OK;
+	off_t at = 0;
+
+	for (size_t i = 0; i < n && st == ST_OK; i++) {
+		st = rs_file_write(f, fd, name, parts[i], at);
+		at += (off_t)parts[i].n;
+	}
+	return st;
+}
+
+status_t rs_file_replace(rs_fault_t *f, const char *dir, const char *name, const str_t *parts,
+			 size_t n)
 {
 	char path[RS_PATH_BYTES];
 	char tmp[RS_PATH_BYTES];
@@ -121,7 +134,7 @@
 	fd = open(tmp, O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, 0600);
 	if (fd < 0)
 		return io_error("open", tmp);
-	st = rs_file_write(f, fd, tmp, data, 0);
+	st = write_parts(f, fd, tmp, parts, n);
 	if (st == ST_OK)
 		st = rs_file_sync(f, fd, tmp);
 	close(fd);
--- a/src/raft/rs_file.h
+++ b/src/raft/rs_file.h
@@ -22,8 +22,9 @@
 status_t rs_dir_sync(rs_fault_t *f, const char *dir);
 /** Appends the whole file to out. */
 status_t rs_file_read(const char *path, buf_t *out);
-/** Writes a file under a temporary name, syncs it, renames it and syncs the folder. */
-status_t rs_file_replace(rs_fault_t *f, const char *dir, const char *name, str_t data);
+/** Writes the parts to a file under a temporary name, syncs it, renames it and syncs the folder. */
+status_t rs_file_replace(rs_fault_t *f, const char *dir, const char *name, const str_t *parts,
+			 size_t n);
 /** Makes a folder and those above it. */
 status_t rs_dir_make(rs_fault_t *f, const char *dir);
 
--- a/src/raft/rs_int.h
+++ b/src/raft/rs_int.h
@@ -15,7 +15,8 @@
 #define RS_SNAPS_KEPT	 2
 #define RS_CHUNK_BYTES	 (256 * 1024)
 
-typedef enum { RS_ENTRY = 1, RS_HARD = 2, RS_RESET = 3 } rs_record_type_t;
+/** RS_MARK holds nothing: it shows that what is before it was synced. */
+typedef enum { RS_ENTRY = 1, RS_HARD = 2, RS_RESET = 3, RS_MARK = 4 } rs_record_type_t;
 
 /** Starts each record of a segment; data and padding to RS_ALIGN follow. */
 typedef struct {
@@ -62,8 +63,9 @@
 	uint64_t term;
 	uint64_t len; /* of the state */
 	uint64_t at; /* offset of the state in the file */
-	buf_t conf;
+	uint32_t crc; /* of the state */
 	int fd;
+	buf_t conf;
 } rs_snap_t;
 
 /** A snapshot that arrives in pieces. */
@@ -96,6 +98,7 @@
 	buf_t writing;
 	int fd;
 	uint64_t number; /* of the segment being written */
+	bool marked; /* nothing was written since the newest RS_MARK */
 	uint64_t size;
 	buf_t chunk; /* used by the group's thread only */
 	buf_t chunk_conf;
--- a/src/raft/rs_log.c
+++ b/src/raft/rs_log.c
@@ -11,9 +11,18 @@
 #include <isa-l.h>
 #include "base/clk.h"
 
+#define CRC_BYTES (1 << 30) /* the library counts in an int */
+
 uint32_t rs_crc(uint32_t crc, const void *p, size_t n)
 {
-	return crc32_iscsi((unsigned char *)p, (int)n, crc);
+	unsigned char *at = (unsigned char *)p;
+
+	while (n > CRC_BYTES) {
+		crc = crc32_iscsi(at, CRC_BYTES, crc);
+		at += CRC_BYTES;
+		n -= CRC_BYTES;
+	}
+	return crc32_iscsi(at, (int)n, crc);
 }
 
 void rs_segment_path(const rs_t *s, uint64_t number, char path[RS_PATH_BYTES])
@@ -199,6 +208,7 @@
 
 	if (st != ST_OK || s->writing.n == 0)
 		return st;
+	s->marked = false;
 	st = write_synced(s, &s->writing);
 	pthread_mutex_lock(&s->lock);
 	s->counters.syncs++;
@@ -215,6 +225,21 @@
 	return st;
 }
 
+void rs_idle(rs_t *s)
+{
+	AUTO_BUF b = {0};
+	char path[RS_PATH_BYTES];
+
+	if (s->marked)
+		return;
+	s->marked = true;
+	add_record(&b, (rs_record_t){.type = RS_MARK}, (str_t){0});
+	seal_records(&b, s->size);
+	rs_segment_path(s, s->number, path);
+	if (rs_file_write(&s->fault, s->fd, path, str_buf(&b), (off_t)s->size) == ST_OK)
+		s->size += b.n;
+}
+
 /* Takes the oldest segment off the list if it holds nothing beyond index. */
 static bool take_oldest(rs_t *s, uint64_t index, uint64_t *number)
 {
--- a/src/raft/rs_open.c
+++ b/src/raft/rs_open.c
@@ -49,7 +49,8 @@
 	id_file_t f = {RS_ID_MAGIC, s->id, 0, 0};
 
 	f.crc = rs_crc(0, &f, offsetof(id_file_t, crc));
-	return rs_file_replace(&s->fault, s->dir, ID_NAME, (str_t){(const char *)&f, sizeof(f)});
+	return rs_file_replace(&s->fault, s->dir, ID_NAME, &(str_t){(const char *)&f, sizeof(f)},
+			       1);
 }
 
 /* Removes what a making that was cut off left behind; a folder with a snapshot is no such. */
--- a/src/raft/rs_replay.c
+++ b/src/raft/rs_replay.c
@@ -73,6 +73,8 @@
 		rp->base_term = rec->term;
 		rp->based = true;
 		return ST_OK;
+	case RS_MARK:
+		return ST_OK;
 	default:
 		return st_fail(ST_CORRUPT, "%s: offset %zu: record of type %u", path, at,
 			       rec->type);
--- a/src/raft/rs_snap.c
+++ b/src/raft/rs_snap.c
@@ -44,64 +44,133 @@
 	s->in.fd = -1;
 }
 
-/* Reads a snapshot file whole and checks it; the state is appended to out. */
-static status_t check_snap(const rs_t *s, uint64_t index, rs_snap_t *sn, buf_t *out)
+static bool read_at(int fd, uint64_t at, void *out, size_t n)
+{
+	size_t done = 0;
+
+	while (done < n) {
+		ssize_t got = pread(fd, (char *)out + done, n - done, (off_t)(at + done));
+
+		if (got < 0 && errno == EINTR)
+			continue;
+		if (got <= 0)
+			return false;
+		done += (size_t)got;
+	}
+	return true;
+}
+
+/* Appends n bytes of a file to out. */
+static bool append_at(int fd, uint64_t at, size_t n, buf_t *out)
+{
+	if (out->cap < out->n + n + 1) {
+		out->cap = out->n + n + 1;
+		out->p = mem_grow(out->p, out->cap);
+	}
+	if (!read_at(fd, at, out->p + out->n, n))
+		return false;
+	out->n += n;
+	out->p[out->n] = 0;
+	return true;
+}
+
+/* Reads what stands around the state. False: the file was cut short or isn't a snapshot. */
+static bool read_frame(rs_snap_t *sn, uint64_t size)
 {
-	char path[RS_PATH_BYTES];
-	AUTO_BUF b = {0};
 	rs_snap_header_t h;
 	rs_snap_footer_t f;
-	status_t st;
 
-	snap_path(s, index, path);
-	st = rs_file_read(path, &b);
-	if (st != ST_OK)
-		return st;
-	if (b.n < sizeof(h) + sizeof(f))
-		return st_fail(ST_CORRUPT, "%s: offset %zu: cut short", path, b.n);
-	memcpy(&h, b.p, sizeof(h));
-	memcpy(&f, b.p + b.n - sizeof(f), sizeof(f));
-	if (h.magic != RS_SNAP_MAGIC || h.index != index || f.magic != RS_RECORD_MAGIC ||
-	    h.conf_len > b.n || sizeof(h) + h.conf_len + f.len + sizeof(f) != b.n)
-		return st_fail(ST_CORRUPT, "%s: offset 0: cut short or not a snapshot", path);
-	sn->index = index;
+	if (size < sizeof(h) + sizeof(f) || !read_at(sn->fd, 0, &h, sizeof(h)) ||
+	    !read_at(sn->fd, size - sizeof(f), &f, sizeof(f)))
+		return false;
+	if (h.magic != RS_SNAP_MAGIC || h.index != sn->index || f.magic != RS_RECORD_MAGIC ||
+	    h.conf_len > size || sizeof(h) + h.conf_len + f.len + sizeof(f) != size)
+		return false;
 	sn->term = h.term;
 	sn->at = sizeof(h) + h.conf_len;
 	sn->len = f.len;
-	if (make_header(index, h.term, (str_t){b.p + sizeof(h), h.conf_len}).crc != h.crc ||
-	    rs_crc(0, b.p + sn->at, sn->len) != f.crc)
-		return st_fail(ST_CORRUPT, "%s: offset 0: checksum differs", path);
-	buf_add(&sn->conf, (str_t){b.p + sizeof(h), h.conf_len});
-	buf_add(out, (str_t){b.p + sn->at, sn->len});
-	return ST_OK;
+	sn->crc = f.crc;
+	return append_at(sn->fd, sizeof(h), h.conf_len, &sn->conf) &&
+	       make_header(sn->index, h.term, str_buf(&sn->conf)).crc == h.crc;
 }
 
-/* Opens a file that was checked and keeps it as the newest; drops those beyond the two newest. */
-static status_t keep_snap(rs_t *s, rs_snap_t *sn)
+/* Opens a snapshot's file and checks all but the state. */
+static status_t open_snap(const rs_t *s, uint64_t index, rs_snap_t *sn)
 {
 	char path[RS_PATH_BYTES];
-	rs_snap_t old = {.fd = -1};
+	struct stat sb;
 
-	snap_path(s, sn->index, path);
+	*sn = (rs_snap_t){.index = index};
+	snap_path(s, index, path);
 	sn->fd = open(path, O_RDONLY | O_CLOEXEC);
-	if (sn->fd < 0) {
-		buf_free(&sn->conf);
+	if (sn->fd < 0 || fstat(sn->fd, &sb) != 0)
 		return st_fail(ST_IO, "%s: open: %s", path, strerror(errno));
-	}
-	pthread_mutex_lock(&s->lock);
-	s->snaps[s->nsnaps++] = *sn;
+	if (!read_frame(sn, (uint64_t)sb.st_size))
+		return st_fail(ST_CORRUPT, "%s: offset 0: cut short or not a snapshot", path);
+	return ST_OK;
+}
+
+/* Appends the state to out once it is checked. */
+static status_t load_state(const rs_t *s, const rs_snap_t *sn, buf_t *out)
+{
+	char path[RS_PATH_BYTES];
+	size_t was = out->n;
+
+	snap_path(s, sn->index, path);
+	if (!append_at(sn->fd, sn->at, sn->len, out))
+		return st_fail(ST_IO, "%s: read: %s", path, strerror(errno));
+	if (rs_crc(0, out->p + was, sn->len) == sn->crc)
+		return ST_OK;
+	out->n = was;
+	return st_fail(ST_CORRUPT, "%s: offset %lu: checksum differs", path, (unsigned long)sn->at);
+}
+
+/* Puts a snapshot into the list, which is oldest first; drops those beyond the two newest. */
+static rs_snap_t insert_snap(rs_t *s, const rs_snap_t *sn)
+{
+	rs_snap_t old = {.fd = -1};
+	unsigned at = s->nsnaps;
+
+	while (at > 0 && s->snaps[at - 1].index > sn->index)
+		at--;
+	memmove(&s->snaps[at + 1], &s->snaps[at], (s->nsnaps - at) * sizeof(*sn));
+	s->snaps[at] = *sn;
+	s->nsnaps++;
 	if (s->nsnaps > RS_SNAPS_KEPT) {
 		old = s->snaps[0];
 		s->nsnaps--;
 		memmove(s->snaps, s->snaps + 1, s->nsnaps * sizeof(s->snaps[0]));
 	}
+	return old;
+}
+
+/* Keeps an open snapshot; removes the one that it makes superfluous. */
+static void keep_snap(rs_t *s, const rs_snap_t *sn)
+{
+	char path[RS_PATH_BYTES];
+	rs_snap_t old;
+
+	pthread_mutex_lock(&s->lock);
+	old = insert_snap(s, sn);
 	pthread_mutex_unlock(&s->lock);
 	if (old.fd >= 0) {
 		snap_path(s, old.index, path);
 		unlink(path);
 	}
 	close_snap(&old);
-	return ST_OK;
+}
+
+/* Keeps the snapshot whose file was just written. */
+static status_t keep_written(rs_t *s, uint64_t index)
+{
+	rs_snap_t sn;
+	status_t st = open_snap(s, index, &sn);
+
+	if (st == ST_OK)
+		keep_snap(s, &sn);
+	else
+		close_snap(&sn);
+	return st;
 }
 
 static int compare_indexes(const void *a, const void *b)
@@ -150,64 +219,67 @@
 	rename(path, aside);
 }
 
+/* Checks one file and keeps it; the first that is whole gives the state. A broken one is set
+ * aside. */
+static status_t take_snap(rs_t *s, uint64_t index, rs_state_t *state)
+{
+	rs_snap_t sn;
+	rf_conf_t conf;
+	status_t st = open_snap(s, index, &sn);
+
+	if (st == ST_OK)
+		st = rf_conf_decode(str_buf(&sn.conf), &conf);
+	if (st == ST_OK && state->snap_index == 0)
+		st = load_state(s, &sn, &state->snap);
+	if (st != ST_OK)
+		close_snap(&sn);
+	if (st == ST_CORRUPT) {
+		set_aside(s, index);
+		state->snap_broken = true;
+		return ST_OK;
+	}
+	if (st != ST_OK)
+		return st;
+	if (state->snap_index == 0) {
+		state->snap_index = index;
+		state->snap_term = sn.term;
+		state->snap_conf = conf;
+	}
+	keep_snap(s, &sn);
+	return ST_OK;
+}
+
 /* The newest whole snapshot becomes the state; a broken one gives way to the one before. */
 status_t rs_snaps_find(rs_t *s, rs_state_t *state)
 {
 	AUTO_FREE uint64_t *v = NULL;
 	size_t n = list_snaps(s, &v);
-	status_t st;
 
-	for (size_t i = 0; i < n; i++) {
-		rs_snap_t sn = {0};
-
-		state->snap.n = 0;
-		st = check_snap(s, v[i], &sn, &state->snap);
-		if (st == ST_OK)
-			st = rf_conf_decode(str_buf(&sn.conf), &state->snap_conf);
-		if (st == ST_CORRUPT) {
-			buf_free(&sn.conf);
-			set_aside(s, v[i]);
-			state->snap_broken = true;
-			continue;
-		}
-		if (st == ST_OK)
-			st = keep_snap(s, &sn);
+	for (size_t i = n; i > 0; i--) {
+		status_t st = take_snap(s, v[i - 1], state);
+
 		if (st != ST_OK)
 			return st;
-		state->snap_index = sn.index;
-		state->snap_term = sn.term;
 	}
-	if (s->nsnaps == 0)
-		return ST_OK;
-	/* The last file read may have been a broken one. */
-	state->snap.n = 0;
-	st = rs_snap_load(s, state->snap_index, &state->snap);
-	if (st == ST_OK)
-		st = rf_conf_decode(str_buf(&s->snaps[s->nsnaps - 1].conf), &state->snap_conf);
-	return st;
+	return ST_OK;
 }
 
 status_t rs_snap_save(rs_t *s, uint64_t index, uint64_t term, str_t conf, str_t state)
 {
 	rs_snap_header_t h = make_header(index, term, conf);
 	rs_snap_footer_t f = {state.n, rs_crc(0, state.p, state.n), RS_RECORD_MAGIC};
-	rs_snap_t sn = {index, term, state.n, sizeof(h) + conf.n, {0}, -1};
-	AUTO_BUF b = {0};
+	const str_t parts[] = {
+		{(const char *)&h, sizeof(h)}, conf, state, {(const char *)&f, sizeof(f)}};
 	char name[64];
 	status_t st;
 
 	if (index <= rs_snap_newest(s))
 		return ST_OK;
 	snprintf(name, sizeof(name), "snap-%016lx", (unsigned long)index);
-	buf_add(&b, (str_t){(const char *)&h, sizeof(h)});
-	buf_add(&b, conf);
-	buf_add(&b, state);
-	buf_add(&b, (str_t){(const char *)&f, sizeof(f)});
-	st = rs_file_replace(&s->fault, s->dir, name, str_buf(&b));
+	st = rs_file_replace(&s->fault, s->dir, name, parts, sizeof(parts) / sizeof(parts[0]));
 	if (st != ST_OK)
 		return st;
-	buf_add(&sn.conf, conf);
-	st = keep_snap(s, &sn);
+	st = keep_written(s, index);
 	if (st == ST_OK)
 		rs_segments_drop(s, rs_snap_oldest(s));
 	return st;
@@ -222,22 +294,6 @@
 	return NULL;
 }
 
-static ssize_t read_state(const rs_snap_t *sn, uint64_t offset, char *out, size_t n)
-{
-	size_t done = 0;
-
-	while (done < n) {
-		ssize_t got = pread(sn->fd, out + done, n - done, (off_t)(sn->at + offset + done));
-
-		if (got < 0 && errno == EINTR)
-			continue;
-		if (got <= 0)
-			return -1;
-		done += (size_t)got;
-	}
-	return (ssize_t)done;
-}
-
 bool rs_snap_read(rs_t *s, rf_chunk_t *c)
 {
 	rs_snap_t *sn;
@@ -249,7 +305,7 @@
 	ok = sn && c->offset <= sn->len;
 	if (ok) {
 		n = sn->len - c->offset < RS_CHUNK_BYTES ? sn->len - c->offset : RS_CHUNK_BYTES;
-		ok = read_state(sn, c->offset, s->chunk.p, n) >= 0;
+		ok = read_at(sn->fd, sn->at + c->offset, s->chunk.p, n);
 		s->chunk.n = n;
 	}
 	if (ok) {
@@ -260,6 +316,7 @@
 		c->conf = str_buf(&s->chunk_conf);
 		c->data = (str_t){s->chunk.p, s->chunk.n};
 		c->last = c->offset + s->chunk.n == sn->len;
+		c->crc = sn->crc;
 	}
 	pthread_mutex_unlock(&s->lock);
 	return ok;
@@ -267,10 +324,12 @@
 
 status_t rs_snap_load(rs_t *s, uint64_t index, buf_t *out)
 {
-	rs_snap_t sn = {0};
-	status_t st = check_snap(s, index, &sn, out);
+	rs_snap_t sn;
+	status_t st = open_snap(s, index, &sn);
 
-	buf_free(&sn.conf);
+	if (st == ST_OK)
+		st = load_state(s, &sn, out);
+	close_snap(&sn);
 	return st;
 }
 
@@ -293,10 +352,13 @@
 static status_t finish_incoming(rs_t *s, const rf_chunk_t *c, const char *path)
 {
 	rs_snap_footer_t f = {s->in.len, s->in.crc, RS_RECORD_MAGIC};
-	rs_snap_t sn = {c->index, c->term, s->in.len, s->in.at, {0}, -1};
 	char final[RS_PATH_BYTES];
 	status_t st;
 
+	if (c->crc != s->in.crc)
+		return st_fail(ST_INVALID, "the snapshot at %lu arrived with another checksum",
+			       (unsigned long)c->index);
+
 	st = rs_file_write(&s->fault, s->in.fd, path, (str_t){(const char *)&f, sizeof(f)},
 			   (off_t)(s->in.at + s->in.len));
 	if (st == ST_OK)
@@ -308,10 +370,7 @@
 		st = st_fail(ST_IO, "%s: rename: %s", path, strerror(errno));
 	if (st == ST_OK)
 		st = rs_dir_sync(&s->fault, s->dir);
-	if (st != ST_OK)
-		return st;
-	buf_add(&sn.conf, c->conf);
-	return keep_snap(s, &sn);
+	return st == ST_OK ? keep_written(s, c->index) : st;
 }
 
 status_t rs_snap_receive(rs_t *s, const rf_chunk_t *c)
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -158,6 +158,19 @@
 }
 END_TEST
 
+START_TEST(flipped_byte_in_the_newest_record_is_an_error)
+{
+	long at;
+
+	put(1, 1, STR("first"));
+	at = size_of(SEGMENT);
+	put(2, 1, STR("second"));
+	rs_idle(s);
+	flip(SEGMENT, at + (long)sizeof(rs_record_t) + 1);
+	ck_assert_int_eq(open_again(), ST_CORRUPT);
+}
+END_TEST
+
 START_TEST(flipped_header_is_an_error)
 {
 	put(1, 1, STR("first"));
@@ -238,6 +251,11 @@
 	c.offset = 5;
 	c.data = STR("and half");
 	c.last = true;
+	ck_assert_int_eq(rs_snap_receive(s, &c), ST_INVALID); /* its checksum is missing */
+	ck_assert_uint_eq(rs_snap_newest(s), 0);
+	c.offset = 0;
+	c.data = STR("half and half");
+	c.crc = rs_crc(0, c.data.p, c.data.n);
 	ck_assert_int_eq(rs_snap_receive(s, &c), ST_OK);
 	/* The process ends before the log is begun anew: the next one does so. */
 	ck_assert_int_eq(open_again(), ST_OK);
@@ -301,6 +319,7 @@
 	tcase_add_test(t, entries_and_votes_last);
 	tcase_add_test(t, torn_last_record_is_cut);
 	tcase_add_test(t, flipped_byte_in_the_middle_is_an_error);
+	tcase_add_test(t, flipped_byte_in_the_newest_record_is_an_error);
 	tcase_add_test(t, flipped_header_is_an_error);
 	tcase_add_test(t, flipped_byte_in_an_older_segment_is_an_error);
 	tcase_add_test(t, snapshot_cut_short_gives_way_to_the_one_before);
--- a/tools/log-bench.c
+++ b/tools/log-bench.c
@@ -17,12 +17,14 @@
 #define WAIT_MS	      120000
 #define TICK_MS	      20
 #define ELECTION_MS   1000
+#define FAILOVERS     10
 
 typedef struct {
 	gr_t *g;
 	pthread_rwlock_t lock; /* guards g against senders */
 	char addr[32];
 	unsigned group;
+	_Atomic bool cut; /* neither sends nor receives */
 	buf_t state;
 	uint64_t applied;
 } node_t;
@@ -57,10 +59,12 @@
 
 static void on_send(void *ctx, const char *addr, unsigned group, str_t msg)
 {
+	const node_t *from = ctx;
+
 	for (unsigned i = 0; i < REPLICAS_MAX; i++) {
 		node_t *n = &nodes[group][i];
 
-		if (strcmp(seeds[i], addr) != 0)
+		if (from->cut || n->cut || strcmp(seeds[i], addr) != 0)
 			continue;
 		pthread_rwlock_rdlock(&n->lock);
 		if (n->g)
@@ -133,7 +137,7 @@
 		exit(1);
 }
 
-static gr_t *wait_leader(unsigned group)
+static gr_t *wait_leader_but(unsigned group, const gr_t * not )
 {
 	deadline_t d = clk_now_ms() + WAIT_MS;
 
@@ -141,7 +145,7 @@
 		for (unsigned i = 0; i < REPLICAS_MAX; i++) {
 			gr_status_t s;
 
-			if (!nodes[group][i].g)
+			if (!nodes[group][i].g || nodes[group][i].g == not )
 				continue;
 			gr_status(nodes[group][i].g, &s);
 			if (s.leader && gr_barrier(nodes[group][i].g, d) == ST_OK)
@@ -153,6 +157,11 @@
 	exit(1);
 }
 
+static gr_t *wait_leader(unsigned group)
+{
+	return wait_leader_but(group, NULL);
+}
+
 typedef struct {
 	gr_t *g;
 	unsigned bytes;
@@ -377,6 +386,50 @@
 	clear();
 }
 
+static void cut_node(const gr_t *g, bool cut)
+{
+	for (unsigned i = 0; i < REPLICAS_MAX; i++) {
+		if (nodes[0][i].g == g)
+			nodes[0][i].cut = cut;
+	}
+}
+
+static int compare_ms(const void *a, const void *b)
+{
+	return (int)(*(const int64_t *)a - *(const int64_t *)b);
+}
+
+/* Time until a command is committed by another leader, after the leader is cut off or hands over.
+ */
+static void measure_failover(bool planned)
+{
+	int64_t ms[FAILOVERS];
+
+	for (unsigned i = 0; i < 3; i++)
+		start(0, i, 3, 1ull << 40);
+	for (unsigned i = 0; i < FAILOVERS; i++) {
+		gr_t *old = wait_leader(0);
+		int64_t start_ms = clk_now_ms();
+
+		if (planned)
+			gr_step_down(old, clk_now_ms() + WAIT_MS);
+		else
+			cut_node(old, true);
+		while (gr_propose(wait_leader_but(0, old), STR("x"), clk_now_ms() + WAIT_MS,
+				  NULL) != ST_OK)
+			;
+		ms[i] = clk_now_ms() - start_ms;
+		cut_node(old, false);
+		clk_sleep_ms(ELECTION_MS);
+	}
+	qsort(ms, FAILOVERS, sizeof(ms[0]), compare_ms);
+	printf("measure=failover how=%s election_ms=%d runs=%d p50_ms=%ld max_ms=%ld\n",
+	       planned ? "handover" : "cut", ELECTION_MS, FAILOVERS, (long)ms[FAILOVERS / 2],
+	       (long)ms[FAILOVERS - 1]);
+	fflush(stdout);
+	clear();
+}
+
 static void measure_loads(unsigned ms)
 {
 	static const unsigned replicas[] = {1, 3, 5};
@@ -397,7 +450,8 @@
 int main(int argc, char **argv)
 {
 	struct arg_int *ms = arg_int0(NULL, "ms", "MS", "length of each load, 1500");
-	struct arg_lit *state = arg_lit0(NULL, "state-only", "only start and catch-up times");
+	struct arg_lit *state =
+		arg_lit0(NULL, "state-only", "no loads: start, catch-up and failover only");
 	struct arg_end *end = arg_end(5);
 	void *table[] = {ms, state, end};
 	const char *tmp = getenv("TMPDIR");
@@ -420,6 +474,8 @@
 		measure_state(mb << 20);
 	measure_entries(10000);
 	measure_entries(100000);
+	measure_failover(false);
+	measure_failover(true);
 	clear();
 	rmdir(root);
 	return 0;
