--- a/tests/unit/test_gr.c
+++ b/tests/unit/test_gr.c
@@ -1,5 +1,6 @@
 /* Unit tests of the group runtime: replicas in one process over function calls, real files. */
 #include <check.h>
+#include <fcntl.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -344,6 +345,52 @@
 }
 END_TEST
 
+/* Eight bytes, since up to seven may be padding. */
+static void flip_middle_of_log(const char *dir)
+{
+	char path[160];
+	char bytes[8];
+	int fd;
+
+	snprintf(path, sizeof(path), "%s/log-0000000000000001", dir);
+	fd = open(path, O_RDWR);
+	ck_assert_int_eq(pread(fd, bytes, sizeof(bytes), 500), sizeof(bytes));
+	for (size_t i = 0; i < sizeof(bytes); i++)
+		bytes[i] ^= 1;
+	ck_assert_int_eq(pwrite(fd, bytes, sizeof(bytes), 500), sizeof(bytes));
+	close(fd);
+}
+
+START_TEST(damaged_folder_joins_again_under_a_new_id)
+{
+	gr_peer_t old = {.id = gr_seed_id(0, nodes[1].addr)};
+	gr_status_t s;
+	char dir[128];
+	char aside[160];
+
+	for (unsigned i = 0; i < 3; i++)
+		start(i, 3);
+	for (int i = 0; i < 50; i++)
+		must_add(-1, "1");
+	wait_sum(1, 50);
+	stop(1);
+	snprintf(dir, sizeof(dir), "%s/1", root);
+	snprintf(aside, sizeof(aside), "%s.damaged", dir);
+	flip_middle_of_log(dir);
+	ck_assert(gr_exists(dir));
+	ck_assert_int_eq(start_with(1, 3, 1000), ST_CORRUPT);
+	ck_assert(strstr(st_message(), "log-0000000000000001: offset ") != NULL);
+	ck_assert_int_eq(rename(dir, aside), 0);
+	ck_assert(!gr_exists(dir));
+	start(1, 0);
+	gr_status(nodes[1].g, &s);
+	ck_assert_uint_ne(s.self, old.id);
+	join(1);
+	change(do_remove, &old);
+	wait_sum(1, 50);
+}
+END_TEST
+
 START_TEST(failing_disk_stops_acknowledging)
 {
 	unsigned leader;
@@ -421,6 +468,7 @@
 	tcase_add_test(t, cut_off_leader_acknowledges_nothing);
 	tcase_add_test(t, planned_stop_hands_leadership_over);
 	tcase_add_test(t, lost_disk_is_replaced_from_snapshot);
+	tcase_add_test(t, damaged_folder_joins_again_under_a_new_id);
 	tcase_add_test(t, failing_disk_stops_acknowledging);
 	tcase_add_test(t, concurrent_proposals_share_syncs);
 	srunner_run_all(r, CK_ENV);
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -307,6 +307,139 @@
 }
 END_TEST
 
+/* What a folder should hold: entry base + 1 + i has term terms[i]. */
+typedef struct {
+	uint64_t base;
+	uint64_t n;
+	uint64_t terms[512];
+	uint64_t term;
+	uint64_t vote;
+} model_t;
+
+static void entry_text(uint64_t index, uint64_t term, char text[64])
+{
+	snprintf(text, 64, "%lu of %lu %.*s", (unsigned long)index, (unsigned long)term,
+		 (int)(index % 30), "..............................");
+}
+
+/* Queues one random record and notes it in the model. */
+static void queue_any(model_t *m, uint64_t seq)
+{
+	char text[64];
+	rf_entry_t e = {.kind = RF_COMMAND};
+	uint64_t keep = m->n;
+
+	if (rand() % 5 == 0) {
+		m->vote = m->term == 0 || rand() % 2 ? 7 : m->vote;
+		m->term++;
+		rs_hard(s, seq, m->term, m->vote);
+		return;
+	}
+	if (rand() % 6 == 0 && m->n > 0)
+		keep = m->n - (uint64_t)rand() % (m->n < 4 ? m->n : 4);
+	if (keep == 512)
+		keep = 300;
+	e.term = m->term;
+	entry_text(m->base + keep + 1, e.term, text);
+	e.data.data_val = text;
+	e.data.data_len = (u_int)strlen(text);
+	rs_entries(s, seq, m->base + keep + 1, &e, 1);
+	m->terms[keep] = e.term;
+	m->n = keep + 1;
+}
+
+static bool matches(const model_t *m)
+{
+	if (st.term != m->term || st.vote != m->vote || st.snap_index != m->base ||
+	    st.nentries != m->n)
+		return false;
+	for (uint64_t i = 0; i < m->n; i++) {
+		char text[64];
+
+		entry_text(m->base + 1 + i, m->terms[i], text);
+		if (st.entries[i].term != m->terms[i] ||
+		    st.entries[i].data.data_len != strlen(text) ||
+		    memcmp(st.entries[i].data.data_val, text, strlen(text)) != 0)
+			return false;
+	}
+	return true;
+}
+
+/* Cuts the newest segment at a random place within what was written last. */
+static void tear(uint64_t number, long from)
+{
+	char name[64];
+	long size;
+
+	snprintf(name, sizeof(name), "log-%016lx", (unsigned long)number);
+	size = size_of(name);
+	if (size > from)
+		cut(name, from + rand() % (size - from + 1));
+}
+
+/* Moves the model's base to its last entry but some, as a snapshot does. */
+static void snapshot_model(model_t *m)
+{
+	AUTO_BUF conf = {0};
+	rf_conf_t none = {0};
+	uint64_t skip = m->n - (uint64_t)rand() % 3;
+
+	if (m->n < 3)
+		return;
+	rf_conf_encode(&none, &conf);
+	ck_assert_int_eq(
+		rs_snap_save(s, m->base + skip, m->terms[skip - 1], str_buf(&conf), STR("state")),
+		ST_OK);
+	memmove(m->terms, m->terms + skip, (m->n - skip) * sizeof(m->terms[0]));
+	m->base += skip;
+	m->n -= skip;
+}
+
+START_TEST(torn_writes_leave_a_prefix)
+{
+	static model_t states[16];
+	uint64_t seq = 0;
+
+	srand((unsigned)_i);
+	memset(states, 0, sizeof(states));
+	for (int round = 0; round < 60; round++) {
+		unsigned n = 1 + (unsigned)rand() % 15;
+		model_t *now = &states[0];
+		uint64_t number;
+		bool found = false;
+		uint64_t got;
+		long from;
+
+		for (int i = rand() % 20; i >= 0; i--) {
+			queue_any(now, ++seq);
+			ck_assert_int_eq(rs_sync(s, &got), ST_OK);
+		}
+		if (rand() % 4 == 0)
+			snapshot_model(now);
+		if (rand() % 2)
+			rs_idle(s);
+		number = s->number;
+		from = (long)s->size;
+		for (unsigned i = 1; i < n; i++) {
+			states[i] = states[i - 1];
+			queue_any(&states[i], ++seq);
+		}
+		ck_assert_int_eq(rs_sync(s, &got), ST_OK);
+		if (s->number == number)
+			tear(number, from);
+		else
+			states[0] = states[n - 1];
+		ck_assert_msg(open_again() == ST_OK, "%s", st_message());
+		for (unsigned i = 0; i < n && !found; i++) {
+			found = matches(&states[i]);
+			if (found)
+				states[0] = states[i];
+		}
+		ck_assert_msg(found, "round %d: not a prefix", round);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("store");
@@ -327,6 +460,8 @@
 	tcase_add_test(t, received_snapshot_starts_the_log_anew);
 	tcase_add_test(t, full_disk_acknowledges_nothing);
 	tcase_add_test(t, failing_sync_stays_failed);
+	tcase_add_loop_test(t, torn_writes_leave_a_prefix, 1, 9);
+	tcase_set_timeout(t, 60);
 	srunner_run_all(r, CK_ENV);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
