--- a/src/state/ld_core.h
+++ b/src/state/ld_core.h
@@ -8,6 +8,9 @@
 
 #define LD_NO_ITEM UINT32_MAX
 
+#define LD_SNAPSHOT_MAGIC   0x4c44U
+#define LD_SNAPSHOT_VERSION 1U
+
 typedef struct ld_service ld_service_t;
 typedef struct ld_band ld_band_t;
 typedef struct ld_lane ld_lane_t;
@@ -95,7 +98,6 @@
 	uint64_t token;
 	uint64_t lease_seq; /* of the lease command that gave it to its session, 0 = accepted there
 			     */
-	uint64_t last_session; /* id of the session that worked on it last */
 	int64_t deadline_ms;
 	ld_service_t *service;
 	ld_session_t *session; /* NULL: final, or waits for an entry */
@@ -178,7 +180,6 @@
 	uint64_t digest;
 	uint64_t running_digest; /* over the items received */
 	int64_t deadline_ms;
-	int64_t opened_ms;
 	ld_service_t *service;
 	ld_caller_t *caller;
 	ld_lane_t *lane; /* set while sealed and not cancelled */
@@ -296,15 +297,28 @@
 void ld_job_cancel(ld_t *l, const aw_job_ref_t *c, aw_ledger_res_t *res);
 void ld_expire(ld_t *l, const aw_expire_t *c, aw_ledger_res_t *res);
 
-/* ld_lease.c */
+/* ld_hold.c */
 
-void ld_lease(ld_t *l, const aw_lease_t *c, aw_ledger_res_t *res);
-void ld_done(ld_t *l, const aw_done_t *c, aw_ledger_res_t *res);
-void ld_sessions_lost(ld_t *l, const aw_sessions_lost_t *c, aw_ledger_res_t *res);
 /** The session's hold on the job, made if need be. */
 ld_hold_t *ld_hold_get(ld_job_t *j, ld_session_t *s);
 void ld_hold_add(ld_hold_t *h, uint32_t index);
+/** Takes an item off its hold, which is freed when it was the last. */
+void ld_hold_drop(ld_t *l, ld_job_t *j, uint32_t index);
 void ld_queue_push(ld_job_t *j, ld_queue_t *q, uint32_t index);
+/** The first item, or LD_NO_ITEM. */
 uint32_t ld_queue_pop(ld_job_t *j, ld_queue_t *q);
 
+/* ld_lease.c */
+
+void ld_lease(ld_t *l, const aw_lease_t *c, aw_ledger_res_t *res);
+/** ST_OK for a session that may work; ST_CANCELLED when it is lost. */
+status_t ld_check_session(const ld_t *l, uint64_t session);
+/** Lists cancelled jobs that the session still holds items of. */
+void ld_fill_cancelled(const ld_session_t *s, aw_ledger_res_t *res);
+
+/* ld_done.c */
+
+void ld_done(ld_t *l, const aw_done_t *c, aw_ledger_res_t *res);
+void ld_sessions_lost(ld_t *l, const aw_sessions_lost_t *c, aw_ledger_res_t *res);
+
 #endif
--- a/src/state/ld_job_cmd.c
+++ b/src/state/ld_job_cmd.c
@@ -29,14 +29,13 @@
 	j->serial = ++l->serial;
 	j->digest = c->digest;
 	j->deadline_ms = c->deadline_wall_ms;
-	j->opened_ms = c->now_wall_ms;
 	j->service = ld_service(l, px_str(c->service));
 	j->trace = ld_copy(px_str(c->trace));
 	j->trace_n = c->trace.aw_bytes_t_len;
 	j->count = c->count;
 	j->waiting = c->count;
 	ld_job_add(l, j);
-	j->end.key = j->opened_ms;
+	j->end.key = c->now_wall_ms;
 	j->end.serial = j->serial;
 	ld_heap_push(&l->unsealed_jobs, &j->end);
 	return j;
--- a/src/state/ld_lease.c
+++ b/src/state/ld_lease.c
@@ -4,101 +4,6 @@
 #include <utlist.h>
 #include "state/ld_core.h"
 
-void ld_queue_push(ld_job_t *j, ld_queue_t *q, uint32_t index)
-{
-	ld_item_t *it = &j->items[index];
-
-	it->next = LD_NO_ITEM;
-	it->prev = q->tail;
-	if (q->tail == LD_NO_ITEM)
-		q->head = index;
-	else
-		j->items[q->tail].next = index;
-	q->tail = index;
-}
-
-static void queue_remove(ld_job_t *j, ld_queue_t *q, uint32_t index)
-{
-	ld_item_t *it = &j->items[index];
-
-	if (it->prev == LD_NO_ITEM)
-		q->head = it->next;
-	else
-		j->items[it->prev].next = it->next;
-	if (it->next == LD_NO_ITEM)
-		q->tail = it->prev;
-	else
-		j->items[it->next].prev = it->prev;
-}
-
-uint32_t ld_queue_pop(ld_job_t *j, ld_queue_t *q)
-{
-	uint32_t index = q->head;
-
-	if (index != LD_NO_ITEM)
-		queue_remove(j, q, index);
-	return index;
-}
-
-static uint16_t free_slot(ld_job_t *j)
-{
-	for (uint16_t i = 0; i < j->nholds; i++)
-		if (!j->holds[i])
-			return i;
-	assert(j->nholds < UINT16_MAX);
-	j->holds = mem_grow(j->holds, (j->nholds + 1) * sizeof(ld_hold_t *));
-	return j->nholds++;
-}
-
-ld_hold_t *ld_hold_get(ld_job_t *j, ld_session_t *s)
-{
-	ld_hold_t *h;
-
-	for (uint16_t i = 0; i < j->nholds; i++)
-		if (j->holds[i] && j->holds[i]->session == s)
-			return j->holds[i];
-	h = mem_new(sizeof(*h));
-	h->session = s;
-	h->job = j;
-	h->items = (ld_queue_t){LD_NO_ITEM, LD_NO_ITEM};
-	h->slot = free_slot(j);
-	j->holds[h->slot] = h;
-	if (j->cancelled)
-		DL_APPEND(s->cancelled, h);
-	else
-		DL_APPEND(s->holds, h);
-	return h;
-}
-
-void ld_hold_add(ld_hold_t *h, uint32_t index)
-{
-	ld_item_t *it = &h->job->items[index];
-
-	it->state = LD_LEASED;
-	it->hold = h->slot;
-	ld_queue_push(h->job, &h->items, index);
-	h->n++;
-}
-
-/** Takes an item off its hold, which is freed when it was the last. */
-static void hold_drop(ld_t *l, ld_job_t *j, uint32_t index)
-{
-	ld_hold_t *h = j->holds[j->items[index].hold];
-
-	queue_remove(j, &h->items, index);
-	assert(h->n > 0 && j->leased > 0 && l->leased > 0);
-	j->leased--;
-	l->leased--;
-	if (--h->n)
-		return;
-	if (j->cancelled)
-		DL_DELETE(h->session->cancelled, h);
-	else
-		DL_DELETE(h->session->holds, h);
-	j->holds[h->slot] = NULL;
-	free(h);
-}
-
 static void fill_item(const ld_job_t *j, uint32_t index, aw_item_t *out)
 {
 	const ld_item_t *it = &j->items[index];
@@ -271,7 +176,7 @@
 
 static void drop_leased(ld_t *l, ld_job_t *j, uint32_t index, int64_t now_ms)
 {
-	hold_drop(l, j, index);
+	ld_hold_drop(l, j, index);
 	ld_item_end(l, j, index, LD_DROPPED, (str_t){0});
 	j->dropped++;
 	ld_job_settle(l, j, now_ms);
@@ -323,8 +228,7 @@
 	}
 }
 
-/** Lists cancelled jobs that the session still holds items of. */
-static void fill_cancelled(const ld_session_t *s, aw_ledger_res_t *res)
+void ld_fill_cancelled(const ld_session_t *s, aw_ledger_res_t *res)
 {
 	const ld_hold_t *h;
 	uint32_t n = 0;
@@ -342,7 +246,7 @@
 	}
 }
 
-static status_t check_session(const ld_t *l, uint64_t session)
+status_t ld_check_session(const ld_t *l, uint64_t session)
 {
 	if (session == 0)
 		return st_fail(ST_INVALID, "no session");
@@ -353,7 +257,7 @@
 
 void ld_lease(ld_t *l, const aw_lease_t *c, aw_ledger_res_t *res)
 {
-	status_t st = check_session(l, c->session);
+	status_t st = ld_check_session(l, c->session);
 	chunk_t ch = {res, c->max < LD_LEASE_CHUNK_MAX ? c->max : LD_LEASE_CHUNK_MAX, 0};
 	ld_session_t *s;
 	ld_lease_t *le;
@@ -378,125 +282,5 @@
 	} else {
 		lease_new(l, s, le, c, &ch);
 	}
-	fill_cancelled(s, res);
-}
-
-/** Books an item's failed run and puts it back, or ends it when its bounds are used up. */
-static void item_failed(ld_t *l, ld_job_t *j, uint32_t index, aw_blame_t blame, str_t reason)
-{
-	ld_item_t *it = &j->items[index];
-	bool suspect = blame == AW_BLAME_ITEM;
-
-	if (blame == AW_BLAME_ITEM)
-		it->fails++;
-	if (blame == AW_BLAME_REPLICA) {
-		it->deaths++;
-		suspect = it->deaths >= LD_DEATHS_ALONE;
-	}
-	if (it->fails >= LD_ITEM_ATTEMPTS || it->deaths >= LD_DEATHS_MAX) {
-		ld_item_end(l, j, index, LD_FAILED, reason);
-		j->failed++;
-		return;
-	}
-	it->state = LD_WAITING;
-	j->waiting++;
-	ld_queue_push(j, suspect ? &j->retry : &j->back, index);
-	ld_job_ready(j);
-}
-
-/** Takes a leased item's end; the item is off its hold. */
-static void item_result(ld_t *l, ld_job_t *j, const aw_item_result_t *r)
-{
-	if (j->cancelled) {
-		ld_item_end(l, j, r->index, LD_DROPPED, (str_t){0});
-		j->dropped++;
-		return;
-	}
-	if (!r->done) {
-		item_failed(l, j, r->index, r->blame, px_str(r->body));
-		return;
-	}
-	ld_item_end(l, j, r->index, LD_DONE, px_str(r->body));
-	j->done++;
-}
-
-static bool holds(const ld_job_t *j, uint64_t session, const aw_item_result_t *r)
-{
-	const ld_item_t *it;
-
-	if (!j || r->index >= j->received)
-		return false;
-	it = &j->items[r->index];
-	return it->state == LD_LEASED && it->attempts == r->attempt &&
-	       j->holds[it->hold]->session->id == session;
-}
-
-static bool take_result(ld_t *l, uint64_t session, int64_t now_ms, const aw_item_result_t *r)
-{
-	ld_job_t *j;
-	bool cancelled;
-
-	if (r->job.aw_bytes_t_len == 0)
-		return ld_request_result(l, session, now_ms, r);
-	j = ld_job_find(l, px_str(r->caller), px_str(r->job));
-	if (!holds(j, session, r))
-		return false;
-	cancelled = j->cancelled;
-	hold_drop(l, j, r->index);
-	item_result(l, j, r);
-	ld_job_settle(l, j, now_ms);
-	return !cancelled;
-}
-
-void ld_done(ld_t *l, const aw_done_t *c, aw_ledger_res_t *res)
-{
-	status_t st = check_session(l, c->session);
-	ld_session_t *s;
-
-	if (st != ST_OK) {
-		l->late_dropped += c->results.results_len;
-		ld_answer(res, st);
-		return;
-	}
-	for (uint32_t i = 0; i < c->results.results_len; i++) {
-		if (take_result(l, c->session, c->now_wall_ms, &c->results.results_val[i]))
-			res->count++;
-		else
-			l->late_dropped++;
-	}
-	s = ld_session_find(l, c->session);
-	if (s)
-		fill_cancelled(s, res);
-}
-
-/** Gives a lost session's items of one job back, in the order they were leased. */
-static void hold_lost(ld_t *l, ld_hold_t *h, int64_t now_ms)
-{
-	ld_job_t *j = h->job;
-	aw_item_result_t back = {.blame = AW_BLAME_NONE};
-
-	for (uint32_t left = h->n; left > 0; left--) {
-		back.index = h->items.head;
-		hold_drop(l, j, back.index);
-		item_result(l, j, &back);
-	}
-	ld_job_settle(l, j, now_ms);
-}
-
-void ld_sessions_lost(ld_t *l, const aw_sessions_lost_t *c, aw_ledger_res_t *res)
-{
-	for (uint32_t i = 0; i < c->sessions.sessions_len; i++) {
-		ld_session_t *s = ld_session_find(l, c->sessions.sessions_val[i]);
-
-		ld_mark_lost(l, c->sessions.sessions_val[i]);
-		res->count++;
-		if (!s)
-			continue;
-		ld_requests_lost(l, s, c->now_wall_ms);
-		while (s->holds)
-			hold_lost(l, s->holds, c->now_wall_ms);
-		while (s->cancelled)
-			hold_lost(l, s->cancelled, c->now_wall_ms);
-		ld_session_free(l, s);
-	}
+	ld_fill_cancelled(s, res);
 }
--- a/src/state/ld_request.c
+++ b/src/state/ld_request.c
@@ -48,7 +48,6 @@
 {
 	assert(!r->session && !is_final(r) && r->wait.pos == 0);
 	r->session = s;
-	r->last_session = s->id;
 	DL_APPEND(s->requests, r);
 }
 
@@ -112,12 +111,9 @@
 static status_t check_accept(const ld_t *l, const aw_accept_t *c)
 {
 	if (c->caller.aw_bytes_t_len == 0 || c->key.aw_bytes_t_len == 0 ||
-	    c->service.aw_bytes_t_len == 0 || c->session == 0)
-		return st_fail(ST_INVALID, "caller, key, service and session must be set");
-	if (ld_is_lost(l, c->session))
-		return st_fail(ST_CANCELLED, "session %llu is lost",
-			       (unsigned long long)c->session);
-	return ST_OK;
+	    c->service.aw_bytes_t_len == 0)
+		return st_fail(ST_INVALID, "caller, key and service must be set");
+	return ld_check_session(l, c->session);
 }
 
 static char *join_input(const aw_accept_t *c)
@@ -182,9 +178,10 @@
 
 static status_t begin_attempt(const ld_t *l, ld_request_t *r, const aw_attempt_t *c)
 {
-	if (ld_is_lost(l, c->session))
-		return st_fail(ST_CANCELLED, "session %llu is lost",
-			       (unsigned long long)c->session);
+	status_t st = ld_check_session(l, c->session);
+
+	if (st != ST_OK)
+		return st;
 	if (r->repeatable)
 		return st_fail(ST_INVALID, "the request may be repeated; it needs no attempt");
 	if (is_final(r))
