--- a/src/entry/bj_item.c
+++ b/src/entry/bj_item.c
@@ -115,6 +115,13 @@
 	buf_add(&it->text, text);
 }
 
+/* Without resume a stream that gave way begins anew. */
+static void drop_tokens(bj_item_t *it)
+{
+	it->ntokens = 0;
+	buf_drop(&it->text, it->text.n);
+}
+
 /* A stream that ended without being done: again from its tokens, or back to the ledger. */
 static void end_undone(bj_t *b, bj_item_t *it, const rn_end_t *end)
 {
@@ -129,6 +136,8 @@
 	} else if (b->draining) {
 		bj_item_end(b, it, false, AW_BLAME_NONE, STR("its entry stops"));
 	} else {
+		if (end->kind == RN_PREEMPTED && b->en->set.preempt == OW_PREEMPT_CANCEL)
+			drop_tokens(it);
 		it->not_before = end->kind == RN_PREEMPTED ? 0 : clk_now_ms() + PAUSE_MS;
 		bj_item_wait(b, it);
 	}
