Entry: room for online is the text's kept_slots, not the recent peak

Change: the default is the fixed room of the text (kept_slots, 0 unless given).

Room kept buys nothing here, as preemption by the owner frees a slot within a step.

--- a/src/entry/en_settings.c
+++ b/src/entry/en_settings.c
@@ -60,7 +60,7 @@
 				 {"preempt", CF_STR, false, 1, NAME_MAX_BYTES, &preempt},
 				 {"keep", CF_STR, false, 1, NAME_MAX_BYTES, &keep},
 				 {NULL, CF_STR, false, 0, 0, NULL}};
-	int value[3] = {EN_OWNER, OW_PREEMPT_RESUME, OW_KEEP_PEAK};
+	int value[3] = {EN_OWNER, OW_PREEMPT_RESUME, OW_KEEP_FIXED};
 	status_t st = ST_OK;
 
 	if (t)
