--- a/src/entry/bj_lease.c
+++ b/src/entry/bj_lease.c
@@ -163,6 +163,7 @@
 	bj_service_t *s = &g->b->services[i];
 	int64_t *pause = &s->pause_ms[g->group];
 
+	pthread_mutex_lock(&g->b->lock);
 	if (s->plain)
 		*pause = PLAIN_PAUSE_MS;
 	else if (got)
@@ -170,6 +171,7 @@
 	else if (*pause < PAUSE_MAX_MS)
 		*pause = *pause ? *pause * 2 : PAUSE_MIN_MS;
 	s->next_lease[g->group] = clk_now_ms() + *pause;
+	pthread_mutex_unlock(&g->b->lock);
 }
 
 void bj_lease(bj_group_t *g)
