--- a/src/entry/ro.c
+++ b/src/entry/ro.c
@@ -27,6 +27,7 @@
 	int64_t stall_ms;
 	ow_t *ow;
 	bool closed;
+	mx_t *step_us;
 	ro_stream_t *streams; /* hash by id */
 	ro_stream_t *ended; /* taken out under the lock, told after it */
 };
@@ -93,6 +94,8 @@
 	pthread_mutex_lock(&r->lock);
 	ow_token(r->ow, s->id, step_us, now_us / 1000);
 	s->last_token_us = now_us;
+	if (step_us)
+		mx_record(r->step_us, step_us);
 	if (s->stopping && ++s->after_stop % RESEND_CANCEL_TOKENS == 0)
 		ro_engine_cancel(r->en->ec, r->addr, s);
 	unlock(r);
@@ -217,6 +220,7 @@
 	r->ctx = o->ctx;
 	r->health = o->health;
 	pthread_mutex_init(&r->lock, NULL);
+	r->step_us = mx_get(MX_HISTOGRAM, "auburn_step_us", NULL);
 	r->ow = ow_new(&policy, clk_now_ms());
 	return r;
 }
--- a/src/entry/rq.c
+++ b/src/entry/rq.c
@@ -103,7 +103,9 @@
 	if (a->attempt != r->attempt || r->attempt_ended || index != r->ntokens) {
 		MX_COUNT("auburn_late_tokens_dropped_total");
 	} else {
-		r->ntokens++;
+		if (r->ntokens++ == 0)
+			mx_record(mx_get(MX_HISTOGRAM, "auburn_first_token_us", NULL),
+				  clk_now_us() - r->span.start_us);
 		buf_add(&r->text, text);
 		add_event(r, index, text);
 		pthread_cond_broadcast(&r->cond);
--- a/src/entry/sv.c
+++ b/src/entry/sv.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 #include "base/lg.h"
 #include "base/mx.h"
+#include "entry/bj.h"
 #include "entry/up.h"
 
 #define EVENTS_MAX     4096
@@ -116,10 +117,56 @@
 	return hs_reply(res, 200, "text/plain", str_buf(&b));
 }
 
+static void gauge(const char *name, int64_t v)
+{
+	mx_set(mx_get(MX_GAUGE, name, NULL), v);
+}
+
+typedef struct {
+	int64_t owned;
+	int64_t online;
+	int64_t batch;
+	int64_t queued;
+} sums_t;
+
+static bool add_sums(void *ctx, const up_info_t *info)
+{
+	sums_t *s = ctx;
+	ow_stats_t st;
+
+	if (!info->ro)
+		return true;
+	ro_stats(info->ro, &st);
+	s->owned++;
+	s->online += st.running_online;
+	s->batch += st.running_batch;
+	s->queued += st.queued;
+	return true;
+}
+
+static void set_gauges(en_t *en)
+{
+	sums_t s = {0};
+
+	up_each(en->ups, add_sums, &s);
+	gauge("auburn_conf_number", (int64_t)en_conf_number(en->snap));
+	gauge("auburn_view_version", (int64_t)en_view_version(en->snap));
+	gauge("auburn_lease_left_ms", clk_left_ms(en_lease_deadline(en->snap)));
+	gauge("auburn_draining", atomic_load(&en->draining));
+	gauge("auburn_requests_running", atomic_load(&en->requests));
+	gauge("auburn_streams_open", atomic_load(&en->streams));
+	gauge("auburn_items_held", (int64_t)bj_held(en->batch));
+	gauge("auburn_replicas_owned", s.owned);
+	gauge("auburn_replica_streams_online", s.online);
+	gauge("auburn_replica_streams_batch", s.batch);
+	gauge("auburn_replica_queue", s.queued);
+}
+
 int sv_metrics(const struct _u_request *req, struct _u_response *res, void *ctx)
 {
 	AUTO_BUF b = {0};
 
+	set_gauges(ctx);
 	mx_render(&b);
 	return hs_reply(res, 200, "text/plain; version=0.0.4", str_buf(&b));
 }
