Replica owner: its statistics tell the mean time to a first token

Cause: an entry that judges before acceptance whether a request can make its deadline needs the same sum as the owner, wait plus first token.

--- a/src/policy/ow.c
+++ b/src/policy/ow.c
@@ -306,6 +306,7 @@
 		.free_slots = online_slots(w),
 		.step_us = w->step.p95_us,
 		.drain_ms = ow_room_wait_ms(w, w->nqueue),
+		.first_ms = (int64_t)w->first_ms,
 		.preempted = w->preempted,
 		.refused = w->refused,
 		.started = w->started,
--- a/src/policy/ow.h
+++ b/src/policy/ow.h
@@ -81,6 +81,7 @@
 	unsigned free_slots; /* slots that an online stream would get at once, by preemption too */
 	int64_t step_us; /* recent 95% time between tokens */
 	int64_t drain_ms; /* time until a stream offered now would start */
+	int64_t first_ms; /* recent mean time from start to first token */
 	uint64_t preempted;
 	uint64_t refused;
 	uint64_t started;
