--- a/tools/state_bench.c
+++ b/tools/state-bench.c
@@ -1,9 +1,11 @@
-/* Measures the ledger's state machine: time and memory for each item and request. */
+/* Measures the state machines: the ledger's time and memory for each item and request, the size of
+ * the fleet's view and what planning owners costs. */
 #include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include "base/clk.h"
+#include "state/fl.h"
 #include "state/ld.h"
 
 #define BODY_BYTES   200
@@ -267,6 +269,86 @@
 	ld_free(l);
 }
 
+static void fleet_apply(fl_t *f, const aw_fleet_cmd_t *cmd)
+{
+	aw_fleet_res_t res = {0};
+
+	fl_apply(f, cmd, &res);
+	if (res.status != ST_OK)
+		exit(EXIT_FAILURE);
+	px_free(PX(aw_fleet_res_t), &res);
+}
+
+static void open_members(fl_t *f, unsigned n)
+{
+	for (unsigned i = 0; i < n; i++) {
+		char name[NAME_BYTES];
+		char addr[NAME_BYTES];
+		aw_fleet_cmd_t cmd = {.kind = AW_FLEET_SESSION_OPEN};
+
+		snprintf(name, sizeof(name), "entry-%u", i);
+		snprintf(addr, sizeof(addr), "10.1.%u.%u:7000", i / 250, i % 250);
+		cmd.aw_fleet_cmd_t_u.open = (aw_member_t){.name = px_bytes(str_c(name)),
+							  .addr = px_bytes(str_c(addr)),
+							  .peer = px_bytes(str_c(addr)),
+							  .zone = px_bytes(STR("se-mid-a")),
+							  .boot = i + 1};
+		fleet_apply(f, &cmd);
+	}
+}
+
+static void list_upstreams(fl_t *f, unsigned n)
+{
+	aw_fleet_cmd_t cmd = {.kind = AW_FLEET_UPSTREAMS};
+	aw_upstream_t *u = mem_new(n * sizeof(*u));
+
+	for (unsigned i = 0; i < n; i++) {
+		char name[NAME_BYTES];
+
+		snprintf(name, sizeof(name), "engine-%u", i);
+		u[i].id = px_copy(str_c(name));
+		u[i].addr = px_copy(STR("10.2.100.100:8000"));
+		u[i].zone = px_copy(STR("se-mid-a"));
+		u[i].service = px_copy(STR("sammandrag-llm"));
+	}
+	cmd.aw_fleet_cmd_t_u.upstreams.upstreams_len = n;
+	cmd.aw_fleet_cmd_t_u.upstreams.upstreams_val = u;
+	fleet_apply(f, &cmd);
+	px_free(PX(aw_fleet_cmd_t), &cmd);
+}
+
+/* What an entry fetches when the view changed, and what the leader spends to plan. */
+static void bench_fleet(unsigned members, unsigned upstreams)
+{
+	fl_t *f = fl_new(4);
+	aw_query_t q = {.kind = AW_QUERY_VIEW};
+	aw_query_res_t res;
+	aw_fleet_cmd_t plan = {0};
+	AUTO_BUF view = {0};
+	AUTO_BUF snap = {0};
+	int64_t start;
+	int64_t plan_us;
+	int64_t view_us;
+
+	open_members(f, members);
+	list_upstreams(f, upstreams);
+	start = clk_now_us();
+	fl_plan_owners(f, upstreams, &plan);
+	plan_us = clk_now_us() - start;
+	fleet_apply(f, &plan);
+	px_free(PX(aw_fleet_cmd_t), &plan);
+	start = clk_now_us();
+	fl_query(f, &q, &res);
+	px_encode(&view, PX(aw_query_res_t), &res);
+	view_us = clk_now_us() - start;
+	px_free(PX(aw_query_res_t), &res);
+	fl_snapshot(f, &snap);
+	printf("bench=fleet members=%u upstreams=%u view_bytes=%zu view_us=%lld plan_us=%lld "
+	       "snapshot_bytes=%zu\n",
+	       members, upstreams, view.n, (long long)view_us, (long long)plan_us, snap.n);
+	fl_free(f);
+}
+
 int main(void)
 {
 	static const unsigned sizes[] = {1000, 10000, 100000, LD_JOB_ITEMS_MAX};
@@ -280,5 +362,10 @@
 				bench_items(sizes[i], callers[k]);
 	}
 	bench_requests(REQUESTS);
+	bench_fleet(6, 12);
+	bench_fleet(9, 18);
+	bench_fleet(30, 50);
+	bench_fleet(100, 160);
+	bench_fleet(380, 600);
 	return EXIT_SUCCESS;
 }
