Entry: FINISH names its session, so that the ledger can refuse an end that isn't its to tell

rq.c looks at the session before it sends FINISH; between that and the commit the session may still be lost and the request leased to another entry. With the session in the command the ledger decides (ST_CONFLICT with the record that stands).

--- a/src/entry/lc.c
+++ b/src/entry/lc.c
@@ -32,7 +32,8 @@
 						     .verdict = f->verdict,
 						     .http_status = f->http_status,
 						     .result = px_bytes(f->result),
-						     .now_wall_ms = clk_wall_ms()};
+						     .now_wall_ms = clk_wall_ms(),
+						     .session = en_session(en->snap)};
 	while (clk_now_ms() < until) {
 		aw_ledger_res_t res = {0};
 
