Messages: JOB_OPEN carries the caller's share

The operators' text gives callers a weight in the fair share, which nothing used: the ledger doesn't know the text, so the entry that opens a job tells it. 0, of a sender that doesn't, counts as 1.

--- a/src/proto/aw.x
+++ b/src/proto/aw.x
@@ -147,6 +147,7 @@
 	unsigned int count;
 	aw_bytes_t trace;
 	hyper now_wall_ms;
+	unsigned int share;		/* the caller's weight in the fair share; 0 counts as 1 */
 };
 
 struct aw_job_items_t {
--- a/src/proto/aw_xdr.c
+++ b/src/proto/aw_xdr.c
@@ -317,6 +317,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->now_wall_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->share))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/proto/aw_xdr.h
+++ b/src/proto/aw_xdr.h
@@ -186,6 +186,7 @@
 	u_int count;
 	aw_bytes_t trace;
 	quad_t now_wall_ms;
+	u_int share;
 };
 typedef struct aw_job_open_t aw_job_open_t;
 
