Ledger: a caller's turn is as long as its share

LEASE gave each caller one item a turn. With the share that JOB_OPEN carries, a caller with share 3 gets three items for another's one among jobs of near-equal deadlines.

--- a/src/state/ld.h
+++ b/src/state/ld.h
@@ -23,14 +23,14 @@
  *
  * LEASE hands out, for one service, first requests that lost their entry, by deadline, then items.
  * Jobs whose deadlines fall into the same LD_BAND_MS form a band; the earliest band goes first;
- * within it callers take turns, one item each, and a caller's jobs take turns within its turns.
- * Bands that are over take turns, item by item, with the earliest that isn't, so that late work
- * doesn't make all other work late. Within a job, items given back go first, then new ones, then
- * those that failed or are suspected of killing replicas (alone = true from LD_DEATHS_ALONE deaths
- * on). For each service, a session's seq must grow with each new LEASE; the same seq again gets the
- * items that it still holds of that answer (an entry resends until it is answered, or it will hold
- * items it doesn't know of), a lower one ST_CONFLICT. A resend drops items of jobs cancelled since
- * then.
+ * within it callers take turns, each of as many items as the caller's share (JOB_OPEN), and a
+ * caller's jobs take turns within its turns. Bands that are over take turns, item by item, with the
+ * earliest that isn't, so that late work doesn't make all other work late. Within a job, items
+ * given back go first, then new ones, then those that failed or are suspected of killing replicas
+ * (alone = true from LD_DEATHS_ALONE deaths on). For each service, a session's seq must grow with
+ * each new LEASE; the same seq again gets the items that it still holds of that answer (an entry
+ * resends until it is answered, or it will hold items it doesn't know of), a lower one ST_CONFLICT.
+ * A resend drops items of jobs cancelled since then.
  *
  * DONE takes a result only from the session that holds the item under that attempt; others are
  * dropped and counted. AW_BLAME_ITEM ends an item as failed at LD_ITEM_ATTEMPTS,
--- a/src/state/ld_core.h
+++ b/src/state/ld_core.h
@@ -53,6 +53,7 @@
 	ld_caller_t *caller;
 	ld_band_t *band;
 	ld_job_t *ready; /* jobs with waiting items, the next in turn first */
+	uint32_t taken; /* items leased in the turn at hand */
 	uint32_t jobs; /* jobs that refer to this lane */
 	ld_lane_t *prev;
 	ld_lane_t *next;
@@ -185,6 +186,7 @@
 	ld_lane_t *lane; /* set while sealed and not cancelled */
 	char *trace;
 	uint32_t trace_n;
+	uint32_t share; /* items that a turn of its caller gives */
 	uint32_t count;
 	uint32_t received;
 	uint32_t waiting;
--- a/src/state/ld_job.c
+++ b/src/state/ld_job.c
@@ -143,6 +143,7 @@
 	j->ready = false;
 	if (lane->ready)
 		return;
+	lane->taken = 0;
 	DL_DELETE(b->ring, lane);
 	if (b->ring)
 		return;
--- a/src/state/ld_job_cmd.c
+++ b/src/state/ld_job_cmd.c
@@ -32,6 +32,7 @@
 	j->service = ld_service(l, px_str(c->service));
 	j->trace = ld_copy(px_str(c->trace));
 	j->trace_n = c->trace.aw_bytes_t_len;
+	j->share = c->share ? c->share : 1;
 	j->count = c->count;
 	j->waiting = c->count;
 	ld_job_add(l, j);
--- a/src/state/ld_lease.c
+++ b/src/state/ld_lease.c
@@ -103,7 +103,8 @@
 	return ld_queue_pop(j, &j->retry);
 }
 
-/** Moves a lane and its job behind the others of their rings. */
+/** Moves a job behind its caller's others, and the caller behind the others once its share of items
+ * is taken. */
 static void end_turn(ld_job_t *j)
 {
 	ld_lane_t *lane = j->lane;
@@ -111,6 +112,9 @@
 
 	DL_DELETE(lane->ready, j);
 	DL_APPEND(lane->ready, j);
+	if (++lane->taken < j->share)
+		return;
+	lane->taken = 0;
 	DL_DELETE(b->ring, lane);
 	DL_APPEND(b->ring, lane);
 }
--- a/src/state/ld_restore.c
+++ b/src/state/ld_restore.c
@@ -167,6 +167,7 @@
 	trace = sn_get_str(in);
 	j->trace = ld_copy(trace);
 	j->trace_n = (uint32_t)trace.n;
+	j->share = (uint32_t)sn_get_max(in, UINT32_MAX);
 	j->count = (uint32_t)sn_get_max(in, LD_JOB_ITEMS_MAX);
 	j->done = (uint32_t)sn_get_max(in, j->count);
 	j->failed = (uint32_t)sn_get_max(in, j->count);
@@ -293,6 +294,7 @@
 			return;
 		}
 		ld_job_ready(j);
+		j->lane->taken = (uint32_t)sn_get_max(in, UINT32_MAX);
 		if (late && !j->lane->band->late)
 			ld_band_late(j->lane->band);
 	}
--- a/src/state/ld_snapshot.c
+++ b/src/state/ld_snapshot.c
@@ -65,6 +65,7 @@
 	sn_put_i64(out, j->deadline_ms);
 	sn_put_str(out, (str_t){j->service->name, j->service->name_n});
 	sn_put_str(out, (str_t){j->trace, j->trace_n});
+	sn_put(out, j->share);
 	sn_put(out, j->count);
 	sn_put(out, j->done);
 	sn_put(out, j->failed);
@@ -128,8 +129,10 @@
 		const ld_band_t *b = LD_CONTAINER(bands->v[i], ld_band_t, node);
 
 		for (lane = b->ring; lane; lane = lane->next) {
-			for (j = lane->ready; j; j = j->next)
+			for (j = lane->ready; j; j = j->next) {
 				sn_put(out, j->serial);
+				sn_put(out, lane->taken);
+			}
 		}
 	}
 	sn_put(out, 0);
--- a/tests/unit/ledger_kit.h
+++ b/tests/unit/ledger_kit.h
@@ -14,6 +14,8 @@
 
 /* Wall clock of the commands. */
 static int64_t kit_now_ms = KIT_NOW_MS;
+/* Share of the callers whose jobs are opened. */
+static unsigned kit_share;
 
 static inline void kit_res_free(aw_ledger_res_t *res)
 {
@@ -193,6 +195,7 @@
 		.deadline_wall_ms = deadline_ms,
 		.count = count,
 		.now_wall_ms = kit_now_ms,
+		.share = kit_share,
 	};
 	ld_apply(l, &cmd, &res);
 	return res;
--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -224,6 +224,24 @@
 }
 END_TEST
 
+START_TEST(turns_are_as_long_as_the_share)
+{
+	static const char *const want[] = {"big", "big",   "big",   "small", "big",
+					   "big", "small", "small", "small", "small"};
+
+	kit_share = 3;
+	kit_job(l, "a", "big", 5, KIT_NOW_MS + LD_BAND_MS);
+	kit_share = 1;
+	kit_job(l, "b", "small", 5, KIT_NOW_MS + LD_BAND_MS);
+	for (unsigned i = 0; i < 10; i++) {
+		AUTO_RES r = kit_lease(l, 1, i + 1, 1);
+
+		kit_reload(&l);
+		ck_assert_msg(kit_is(r.items.items_val[0].job, want[i]), "turn %u", i);
+	}
+}
+END_TEST
+
 START_TEST(overdue_work_takes_turns)
 {
 	static const char *const want[] = {"due", "late", "due", "late", "late"};
@@ -508,6 +526,7 @@
 	tcase_add_test(t, wrong_digest_is_no_job);
 	tcase_add_test(t, lease_resend_gets_the_same);
 	tcase_add_test(t, earliest_deadline_first_in_turns);
+	tcase_add_test(t, turns_are_as_long_as_the_share);
 	tcase_add_test(t, overdue_work_takes_turns);
 	tcase_add_test(t, first_result_wins);
 	tcase_add_test(t, late_result_of_lost_session_is_dropped);
--- a/tests/unit/test_ledger_random.c
+++ b/tests/unit/test_ledger_random.c
@@ -282,6 +282,8 @@
 	unsigned count = 1 + n % ITEMS;
 	int64_t deadline_ms = kit_now_ms + (rnd(6) - 1) * (int64_t)LD_BAND_MS;
 	uint64_t digest = kit_digest(count) + (rnd(6) == 0);
+
+	kit_share = rnd(4);
 	AUTO_RES res = BOTH(kit_open(l, job_caller(n), job_name(n), count, digest, deadline_ms));
 
 	if (j->exists && digest != kit_digest(count)) {
