Entry: a job is opened with its caller's share

So that the share of the operators' text has its effect in LEASE. test_cancelled_job_stops (which posts a job) passes; no process test measures the shares.

--- a/src/entry/jb_post.c
+++ b/src/entry/jb_post.c
@@ -31,6 +31,7 @@
 	str_t caller;
 	char id[KEY_BYTES];
 	str_t service;
+	unsigned share; /* the caller's weight among jobs */
 	lines_t lines;
 	char trace[TR_PARENT_BYTES];
 	aw_job_t job; /* the last answer, without its strings */
@@ -129,7 +130,8 @@
 				.deadline_wall_ms = clk_wall_ms() + deadline_ms,
 				.count = (u_int)p->lines.n,
 				.trace = px_bytes(str_c(p->trace)),
-				.now_wall_ms = clk_wall_ms()};
+				.now_wall_ms = clk_wall_ms(),
+				.share = p->share};
 	return run(p, &cmd);
 }
 
@@ -194,6 +196,7 @@
 {
 	AUTO_CONF *c = en_conf_get(p->en->snap);
 	const tx_service_t *s = c ? tx_service(c->text, p->service) : NULL;
+	const tx_limit_t *limit = c ? tx_limit(c->text, p->caller) : NULL;
 	int64_t wait_ms = 0;
 
 	if (!c || !en_lease_valid(p->en->snap)) {
@@ -207,11 +210,12 @@
 			 VERDICT_NOT_RUN, 0);
 		return false;
 	}
-	if (!ad_rate(p->en->admission, p->caller, tx_limit(c->text, p->caller), &wait_ms)) {
+	if (!ad_rate(p->en->admission, p->caller, limit, &wait_ms)) {
 		hs_error(p->res, 429, "rate_limit", STR("the caller is over its rate"),
 			 VERDICT_NOT_RUN, wait_ms);
 		return false;
 	}
+	p->share = (unsigned)limit->share;
 	return true;
 }
 
