--- a/tests/unit/test_ledger_random.c
+++ b/tests/unit/test_ledger_random.c
@@ -1,167 +1,14 @@
 /* Randomised test of the ledger against a model of what it promises. AUBURN_SEED sets the first
  * seed; loop i of the test runs seed AUBURN_SEED + i - 1. */
-#include "ledger_kit.h"
+#include "ledger_model.h"
 
 #define STEPS	     4000
 #define SEEDS	     16
-#define KEYS	     24
-#define JOBS	     12
-#define ITEMS	     12
-#define CALLERS	     3
-#define SLOTS	     4
-#define GIVEN	     256
 #define RETENTION_MS 400000
 #define STEP_MS	     1500
 
-typedef struct {
-	uint64_t digest;
-	uint64_t holder; /* 0: waits, or final */
-	uint64_t token;
-	int64_t deadline_ms, end_ms;
-	aw_state_t state;
-	unsigned attempt;
-	unsigned fails, deaths;
-	bool exists, repeatable;
-	char result[16];
-} mreq_t;
-
-typedef enum { M_WAITING, M_LEASED, M_DONE, M_FAILED, M_DROPPED } mstate_t;
-
-typedef struct {
-	mstate_t state;
-	uint64_t holder;
-	unsigned attempt;
-	unsigned fails, deaths;
-	char result[16];
-} mitem_t;
-
-typedef struct {
-	bool exists, sealed, cancelled, ended;
-	unsigned count, received;
-	int64_t deadline_ms, opened_ms, end_ms;
-	mitem_t items[ITEMS];
-} mjob_t;
-
-/* Something that LEASE handed out at some time. */
-typedef struct {
-	bool request;
-	unsigned at; /* key or job */
-	unsigned index;
-	unsigned attempt;
-	uint64_t session;
-} given_t;
-
-typedef struct {
-	uint64_t session;
-	uint64_t seq;
-	given_t last[LD_LEASE_CHUNK_MAX];
-	unsigned nlast;
-} slot_t;
-
-/* The ledger, and a twin that applies the same commands but is never restored. */
-static ld_t *l;
-static ld_t *twin;
-static mreq_t reqs[KEYS];
-static mjob_t jobs[JOBS];
-static slot_t slots[SLOTS];
-static given_t given[GIVEN];
-static unsigned ngiven;
-static uint64_t last_session;
-static uint64_t dropped;
-static uint64_t answers; /* counter that makes results unique */
-static unsigned long rnd_state;
-
-static unsigned rnd(unsigned below)
-{
-	rnd_state = rnd_state * 6364136223846793005UL + 1442695040888963407UL;
-	return (unsigned)((rnd_state >> 33) % below);
-}
-
-/* Runs a call on the twin and then on the ledger; both must answer the same. */
-#define BOTH(call)                                                                                 \
-	({                                                                                         \
-		AUTO_BUF one_ = {0};                                                               \
-		AUTO_BUF two_ = {0};                                                               \
-		ld_t *real_ = l;                                                                   \
-		l = twin;                                                                          \
-		AUTO_RES other_ = call;                                                            \
-		l = real_;                                                                         \
-		aw_ledger_res_t res_ = call;                                                       \
-		px_encode(&one_, PX(aw_ledger_res_t), &other_);                                    \
-		px_encode(&two_, PX(aw_ledger_res_t), &res_);                                      \
-		ck_assert(str_eq(str_buf(&one_), str_buf(&two_)));                                 \
-		res_;                                                                              \
-	})
-
-static const char *key_name(unsigned k)
-{
-	static char name[8];
-
-	snprintf(name, sizeof(name), "k%u", k);
-	return name;
-}
-
-static const char *job_name(unsigned j)
-{
-	static char name[8];
-
-	snprintf(name, sizeof(name), "j%u", j);
-	return name;
-}
-
-static const char *job_caller(unsigned j)
-{
-	static const char *const names[CALLERS] = {"paper", "hotel", "desk"};
-
-	return names[j % CALLERS];
-}
-
-static unsigned number_of(aw_bytes_t name)
-{
-	return (unsigned)strtoul(name.aw_bytes_t_val + 1, NULL, 10);
-}
-
-static bool is_live(uint64_t session)
-{
-	for (unsigned i = 0; i < SLOTS; i++)
-		if (slots[i].session == session)
-			return true;
-	return false;
-}
-
-/* A live session, or now and then one that is lost. */
-static uint64_t any_session(void)
-{
-	if (rnd(8) == 0)
-		return 1 + rnd((unsigned)last_session);
-	return slots[rnd(SLOTS)].session;
-}
-
-static void new_session(slot_t *s)
-{
-	*s = (slot_t){.session = ++last_session};
-}
-
 /* ---- requests ---- */
 
-static void end_req(mreq_t *r, aw_state_t state, const char *result)
-{
-	r->state = state;
-	r->holder = 0;
-	r->end_ms = kit_now_ms;
-	snprintf(r->result, sizeof(r->result), "%s", result);
-}
-
-static void check_record(const mreq_t *r, const aw_record_t *rec)
-{
-	ck_assert_int_eq(rec->state, r->state);
-	ck_assert(rec->session == r->holder);
-	if (r->state == AW_DONE)
-		ck_assert(kit_is(rec->result, r->result));
-	if (r->state == AW_FAILED && r->token)
-		ck_assert_int_eq(rec->verdict, VERDICT_MAY_HAVE_RUN);
-}
-
 static void step_accept(void)
 {
 	unsigned k = rnd(KEYS);
@@ -243,38 +90,6 @@
 
 /* ---- jobs ---- */
 
-static unsigned tally(const mjob_t *j, mstate_t state)
-{
-	unsigned n = 0;
-
-	for (unsigned i = 0; i < j->count; i++)
-		n += j->items[i].state == state;
-	return n;
-}
-
-static void check_job(const mjob_t *j, const aw_job_t *got)
-{
-	ck_assert_uint_eq(got->count, j->count);
-	ck_assert_uint_eq(got->received, j->received);
-	ck_assert_int_eq(got->sealed, j->sealed);
-	ck_assert_int_eq(got->cancelled, j->cancelled);
-	ck_assert_uint_eq(got->waiting, tally(j, M_WAITING));
-	ck_assert_uint_eq(got->leased, tally(j, M_LEASED));
-	ck_assert_uint_eq(got->done, tally(j, M_DONE));
-	ck_assert_uint_eq(got->failed, tally(j, M_FAILED));
-	ck_assert_uint_eq(got->dropped, tally(j, M_DROPPED));
-}
-
-static void settle(mjob_t *j)
-{
-	bool open = tally(j, M_WAITING) || tally(j, M_LEASED);
-
-	if (j->ended || open || !(j->sealed || j->cancelled))
-		return;
-	j->ended = true;
-	j->end_ms = kit_now_ms;
-}
-
 static void step_open(void)
 {
 	unsigned n = rnd(JOBS);
@@ -365,22 +180,6 @@
 
 /* ---- leases and results ---- */
 
-/* Earliest deadline band with a waiting item, of overdue or other work; INT64_MAX when none. */
-static int64_t first_band(bool overdue)
-{
-	int64_t best = INT64_MAX;
-
-	for (unsigned n = 0; n < JOBS; n++) {
-		int64_t band = jobs[n].deadline_ms / LD_BAND_MS;
-		bool over = (band + 1) * LD_BAND_MS <= kit_now_ms;
-
-		if (jobs[n].exists && jobs[n].sealed && tally(&jobs[n], M_WAITING) &&
-		    over == overdue && band < best)
-			best = band;
-	}
-	return best;
-}
-
 static void note_given(given_t g, slot_t *s)
 {
 	given[ngiven++ % GIVEN] = g;
@@ -423,19 +222,6 @@
 	note_given((given_t){true, k, 0, it->attempt, s->session}, s);
 }
 
-/* True when session holds what g names, under the same attempt. */
-static bool leased_to(uint64_t session, const given_t *g)
-{
-	const mreq_t *r = &reqs[g->at];
-	const mitem_t *m;
-
-	if (g->request)
-		return r->exists && r->holder == session && r->attempt == g->attempt;
-	m = &jobs[g->at].items[g->index];
-	return jobs[g->at].exists && m->state == M_LEASED && m->holder == session &&
-	       m->attempt == g->attempt;
-}
-
 /* A resend gives what the session still holds of the last answer and drops what was cancelled. */
 static void check_resend(slot_t *s, const aw_ledger_res_t *res)
 {
@@ -461,21 +247,6 @@
 	ck_assert_uint_eq(at, res->items.items_len);
 }
 
-static void check_cancelled(uint64_t session, const aw_ledger_res_t *res)
-{
-	unsigned n = 0;
-
-	for (unsigned j = 0; j < JOBS; j++) {
-		unsigned held = 0;
-
-		for (unsigned i = 0; i < jobs[j].count; i++)
-			held += jobs[j].items[i].state == M_LEASED &&
-				jobs[j].items[i].holder == session;
-		n += jobs[j].exists && jobs[j].cancelled && held;
-	}
-	ck_assert_uint_eq(res->cancelled.cancelled_len, n);
-}
-
 static void lease(slot_t *s, uint64_t seq, unsigned max)
 {
 	AUTO_RES res = BOTH(kit_lease(l, s->session, seq, max));
@@ -516,40 +287,6 @@
 	lease(s, s->seq && rnd(4) == 0 ? s->seq : s->seq + 1, 1 + rnd(8));
 }
 
-static bool used_up(unsigned *fails, unsigned *deaths, aw_blame_t blame)
-{
-	*fails += blame == AW_BLAME_ITEM;
-	*deaths += blame == AW_BLAME_REPLICA;
-	return *fails >= LD_ITEM_ATTEMPTS || *deaths >= LD_DEATHS_MAX;
-}
-
-static void model_req_result(mreq_t *r, const aw_item_result_t *v, const char *body)
-{
-	if (v->done)
-		end_req(r, AW_DONE, body);
-	else if (r->state == AW_ATTEMPTED || used_up(&r->fails, &r->deaths, v->blame))
-		end_req(r, AW_FAILED, body);
-	else
-		r->holder = 0;
-	if (r->state == AW_DONE)
-		r->token = 0;
-}
-
-static void model_item_result(mjob_t *j, mitem_t *m, const aw_item_result_t *v, const char *body)
-{
-	if (j->cancelled)
-		m->state = M_DROPPED;
-	else if (v->done)
-		m->state = M_DONE;
-	else if (used_up(&m->fails, &m->deaths, v->blame))
-		m->state = M_FAILED;
-	else
-		m->state = M_WAITING;
-	if (m->state == M_DONE || m->state == M_FAILED)
-		snprintf(m->result, sizeof(m->result), "%s", body);
-	settle(j);
-}
-
 /* Delivers a result for g as session says; the model decides if it counts. */
 static void deliver(const given_t *g, uint64_t session, bool done, aw_blame_t blame)
 {
@@ -654,39 +391,6 @@
 	ck_assert_uint_eq(res.count, n);
 }
 
-static void check_all(void)
-{
-	ld_stats_t st;
-
-	ld_stats(l, &st);
-	ck_assert_uint_eq(st.late_dropped, dropped);
-	for (unsigned n = 0; n < JOBS; n++) {
-		AUTO_QRES q = kit_query_job(l, job_caller(n), job_name(n));
-		AUTO_QRES r = kit_query_results(l, job_caller(n), job_name(n), 0, ITEMS);
-
-		ck_assert_int_eq(q.status, jobs[n].exists ? ST_OK : ST_NOT_FOUND);
-		if (jobs[n].exists)
-			check_job(&jobs[n], &q.jobs.jobs_val[0]);
-		for (unsigned i = 0; i < r.items.items_len; i++) {
-			const mitem_t *m = &jobs[n].items[i];
-
-			ck_assert_uint_eq(r.items.items_val[i].attempts, m->attempt);
-			if (m->state == M_DONE || m->state == M_FAILED)
-				ck_assert(kit_is(r.items.items_val[i].body, m->result));
-		}
-	}
-}
-
-static void check_twin(void)
-{
-	AUTO_BUF a = {0};
-	AUTO_BUF b = {0};
-
-	ld_snapshot(l, &a);
-	ld_snapshot(twin, &b);
-	ck_assert(str_eq(str_buf(&a), str_buf(&b)));
-}
-
 /* After all faults every item of a sealed job and every orphan ends exactly once. */
 static void drain(void)
 {
@@ -711,31 +415,6 @@
 	} while (s->nlast);
 }
 
-/* The model's side of the losses that drain brings about. */
-static void model_all_lost(void)
-{
-	for (unsigned k = 0; k < KEYS; k++) {
-		if (reqs[k].exists && reqs[k].state == AW_ATTEMPTED)
-			end_req(&reqs[k], AW_FAILED, "");
-		reqs[k].holder = 0;
-	}
-	for (unsigned j = 0; j < JOBS; j++) {
-		for (unsigned i = 0; i < jobs[j].count; i++)
-			if (jobs[j].items[i].state == M_LEASED)
-				jobs[j].items[i].state = jobs[j].cancelled ? M_DROPPED : M_WAITING;
-		settle(&jobs[j]);
-	}
-}
-
-static void check_drained(void)
-{
-	for (unsigned k = 0; k < KEYS; k++)
-		ck_assert(!reqs[k].exists || reqs[k].state >= AW_DONE);
-	for (unsigned j = 0; j < JOBS; j++)
-		ck_assert(!jobs[j].sealed || jobs[j].ended);
-	check_all();
-}
-
 static void one_step(void)
 {
 	static void (*const steps[])(void) = {
