Decoders grow with what arrived; fuzz test of the parsers

Cause: the generated decoders allocate what an array's length claims, and free walks over it: a message of some 50 bytes that claims 2^27 items of 32 bytes took 4 GiB and seconds. test_fuzz didn't end within 600 s for it; it stood in px_free of aw_fleet_cmd_t. Any peer of an RPC port could do that.

Ruled out: bounds on each array in aw.x, which would have to stay below what the largest legal message needs and still allow 64 MiB of memory for 50 bytes.

--- a/Makefile
+++ b/Makefile
@@ -42,9 +42,9 @@
 	@rm -f $@
 	ar rcs $@ $^
 
-$(B)/obj/src/proto/%_xdr.o: src/proto/%_xdr.c
+$(B)/obj/src/proto/%_xdr.o: src/proto/%_xdr.c src/proto/px_grow.h
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) -std=gnu11 $(OPT) $(SAN) -w -pthread -MMD -c $< -o $@
+	$(CC) $(CPPFLAGS) -include src/proto/px_grow.h -std=gnu11 $(OPT) $(SAN) -w -pthread -MMD -c $< -o $@
 
 $(B)/obj/%.o: %.c
 	@mkdir -p $(@D)
--- /dev/null
+++ b/tests/unit/test_fuzz.c
@@ -0,0 +1,426 @@
+/* Random and mutated bytes into the parsers that meet outside bytes; seeds are fixed. */
+#include <arpa/inet.h>
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+#include "base/cf.h"
+#include "proto/px.h"
+#include "proto/rf_xdr.h"
+#include "state/fl.h"
+#include "state/ld.h"
+#include "state/tx.h"
+
+#define TEXT_ROUNDS	20000
+#define MESSAGE_ROUNDS	20000
+#define COMMAND_ROUNDS	60000
+#define SNAPSHOT_ROUNDS 3000
+#define MAX_MUTATIONS	6
+#define MAX_WORDS	60
+
+static uint64_t rng_state;
+
+static uint32_t rng(uint32_t below)
+{
+	rng_state ^= rng_state << 13;
+	rng_state ^= rng_state >> 7;
+	rng_state ^= rng_state << 17;
+	return (uint32_t)(rng_state >> 16) % below;
+}
+
+static const char text[] =
+	"retention_s = 3600\naddress_ttl_s = 2\n\n[[service]]\nname = \"llm\"\nkind = \"engine\"\n"
+	"latency_weight = 0.5\nslots = 8\nstall_ms = 2000\nchecks_fencing = true\n\n"
+	"[[service]]\nname = \"quotes\"\nkind = \"plain\"\nrepeatable = false\n"
+	"depends = [\"llm\"]\n\n[[limit]]\ncaller = \"desk\"\nrate_per_s = 10\n";
+
+static const char *const tokens[] = {
+	"[",
+	"]",
+	"[[",
+	"]]",
+	"=",
+	"\"",
+	"\"\"\"",
+	"'",
+	"{",
+	"}",
+	",",
+	".",
+	"#",
+	"\n",
+	"\r\n",
+	"\\u",
+	"\\",
+	"[[[",
+	"0x",
+	"-",
+	"+inf",
+	"nan",
+	"1e999",
+	"true",
+	"[a.b]",
+	"a.b=1",
+	"\xff",
+	"\x00",
+	"\xe2\x82",
+	"{a={",
+	"1979-05-27T07:32:00Z",
+	"[[service]]\n",
+	"'''",
+	"99999999999999999999",
+	"\xef\xbb\xbf",
+	"_",
+	"07:32:00",
+	"depends=[\"quotes\"]\n",
+};
+
+static void insert(buf_t *b, size_t at, str_t s)
+{
+	AUTO_BUF tail = {0};
+
+	buf_add(&tail, (str_t){b->p + at, b->n - at});
+	b->n = at;
+	buf_add(b, s);
+	buf_add(b, str_buf(&tail));
+}
+
+static void cut(buf_t *b, size_t at, size_t n)
+{
+	if (n > b->n - at)
+		n = b->n - at;
+	memmove(b->p + at, b->p + at + n, b->n - at - n);
+	b->n -= n;
+}
+
+static void mutate_once(buf_t *b)
+{
+	size_t at = rng((uint32_t)b->n);
+
+	switch (rng(6)) {
+	case 0:
+		b->p[at] = (char)rng(256);
+		break;
+	case 1:
+		b->p[at] ^= (char)(1 << rng(8));
+		break;
+	case 2:
+		cut(b, at, 1 + rng(20));
+		break;
+	case 3:
+		insert(b, at, str_c(tokens[rng(sizeof(tokens) / sizeof(tokens[0]))]));
+		break;
+	case 4: {
+		AUTO_FREE char *copy = str_dup((str_t){b->p + at, b->n - at});
+
+		insert(b, rng((uint32_t)b->n), (str_t){copy, rng((uint32_t)(b->n - at + 1))});
+		break;
+	}
+	default:
+		b->n = at;
+	}
+}
+
+static void mutate(buf_t *b)
+{
+	for (uint32_t i = 1 + rng(MAX_MUTATIONS); i > 0 && b->n > 0; i--)
+		mutate_once(b);
+}
+
+/* A message of words that are mostly small, as kinds, lengths and counts are. */
+static void random_words(buf_t *b)
+{
+	static const uint32_t often[] = {0, 0, 0, 0, 1, 1, 1, 2, 3, 4, 5, 8, 9, 64, 0x7fffffff};
+	uint32_t n = rng(MAX_WORDS);
+
+	for (uint32_t i = 0; i < n; i++) {
+		uint32_t w = rng(8) ? often[rng(sizeof(often) / sizeof(often[0]))] : rng(1u << 20);
+
+		w = htonl(w);
+		buf_add(b, (str_t){(const char *)&w, sizeof(w)});
+	}
+}
+
+static void use_document(const cf_t *c)
+{
+	static const char *const names[] = {"service", "limit", "a", ""};
+	const cf_key_t keys[] = {{0}};
+
+	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+		size_t n = cf_count(cf_root(c), names[i]);
+
+		cf_line(cf_root(c), names[i]);
+		for (size_t k = 0; k < n; k++)
+			cf_read(c, cf_at(cf_root(c), names[i], k), keys, NULL);
+	}
+	ck_assert(!cf_at(cf_root(c), "service", cf_count(cf_root(c), "service")));
+}
+
+START_TEST(texts)
+{
+	unsigned good = 0;
+
+	rng_state = 0x9e3779b97f4a7c15;
+	for (int i = 0; i < TEXT_ROUNDS; i++) {
+		AUTO_BUF b = {0};
+		AUTO_CF *c = NULL;
+		tx_text_t *t = NULL;
+		status_t st;
+
+		buf_add(&b, STR(text));
+		mutate(&b);
+		st = cf_parse(str_buf(&b), "text", &c);
+		ck_assert(st == ST_OK ? c != NULL : (st == ST_INVALID && *st_message()));
+		if (c)
+			use_document(c);
+		st = tx_parse(str_buf(&b), &t);
+		ck_assert(st == ST_OK ? t != NULL : (st == ST_INVALID && *st_message()));
+		good += st == ST_OK;
+		tx_free(t);
+	}
+	ck_assert_uint_gt(good, 0);
+	ck_assert_uint_lt(good, TEXT_ROUNDS);
+}
+END_TEST
+
+typedef struct {
+	const char *name;
+	xdrproc_t proc;
+	size_t size;
+} type_t;
+
+#define TYPE(t)                                                                                    \
+	{                                                                                          \
+#t, PX(t), sizeof(t)                                                               \
+	}
+
+static const type_t types[] = {
+	TYPE(aw_fleet_cmd_t),  TYPE(aw_fleet_res_t),  TYPE(aw_view_t),	     TYPE(aw_conf_t),
+	TYPE(aw_ledger_cmd_t), TYPE(aw_ledger_res_t), TYPE(aw_query_t),	     TYPE(aw_query_res_t),
+	TYPE(aw_exec_arg_t),   TYPE(aw_exec_res_t),   TYPE(aw_beat_arg_t),   TYPE(aw_beat_res_t),
+	TYPE(aw_raft_arg_t),   TYPE(aw_text_t),	      TYPE(aw_events_arg_t), TYPE(aw_load_arg_t),
+	TYPE(rf_msg_t),	       TYPE(rf_wire_conf_t),
+};
+
+/* Decodes b and puts the message's own encoding in its place. */
+static bool recode(const type_t *t, buf_t *b)
+{
+	AUTO_FREE void *msg = mem_new(t->size);
+	buf_t again = {0};
+	bool ok = px_decode(str_buf(b), t->proc, msg, t->size) == ST_OK;
+
+	if (ok) {
+		px_encode(&again, t->proc, msg);
+		buf_free(b);
+		*b = again;
+	}
+	px_free(t->proc, msg);
+	return ok;
+}
+
+/* What decodes encodes again, and that encoding is stable. The first may differ from what came:
+ * padding, other true values, and zero bytes in strings aren't kept. */
+static bool decode(const type_t *t, buf_t *b)
+{
+	AUTO_BUF first = {0};
+
+	if (!recode(t, b))
+		return false;
+	buf_add(&first, str_buf(b));
+	ck_assert_msg(recode(t, b) && str_eq(str_buf(b), str_buf(&first)), "%s", t->name);
+	return true;
+}
+
+START_TEST(messages)
+{
+	const type_t *t = &types[_i];
+	AUTO_BUF seed = {0};
+	unsigned good = 0;
+
+	rng_state = 0x2545f4914f6cdd1d + (uint64_t)_i;
+	for (int i = 0; i < MESSAGE_ROUNDS; i++) {
+		AUTO_BUF b = {0};
+
+		if (seed.n && rng(2)) {
+			buf_add(&b, str_buf(&seed));
+			mutate(&b);
+		} else {
+			random_words(&b);
+		}
+		if (!decode(t, &b))
+			continue;
+		good++;
+		if (b.n > seed.n || !rng(4)) {
+			buf_free(&seed);
+			seed = b;
+			b = (buf_t){0};
+		}
+	}
+	ck_assert_msg(good > 0, "%s", t->name);
+}
+END_TEST
+
+/* Makes a command: random words, or a mutation of the last that decoded. */
+static bool next_command(const type_t *t, buf_t *seed, void *cmd)
+{
+	AUTO_BUF b = {0};
+
+	if (seed->n && rng(3)) {
+		buf_add(&b, str_buf(seed));
+		mutate(&b);
+	} else {
+		random_words(&b);
+	}
+	if (px_decode(str_buf(&b), t->proc, cmd, t->size) != ST_OK) {
+		px_free(t->proc, cmd);
+		return false;
+	}
+	buf_free(seed);
+	*seed = b;
+	b = (buf_t){0};
+	return true;
+}
+
+START_TEST(ledger_takes_any_command)
+{
+	const type_t t = TYPE(aw_ledger_cmd_t);
+	AUTO_BUF seed = {0};
+	AUTO_BUF snap = {0};
+	AUTO_BUF again = {0};
+	ld_t *l = ld_new();
+	ld_t *copy = ld_new();
+	aw_ledger_cmd_t cmd;
+	unsigned taken = 0;
+
+	rng_state = 0x853c49e6748fea9b;
+	for (int i = 0; i < COMMAND_ROUNDS; i++) {
+		aw_ledger_res_t res = {0};
+
+		if (!next_command(&t, &seed, &cmd))
+			continue;
+		ld_apply(l, &cmd, &res);
+		taken += res.status == ST_OK;
+		px_free(PX(aw_ledger_res_t), &res);
+		px_free(t.proc, &cmd);
+	}
+	ck_assert_uint_gt(taken, 0);
+	ld_snapshot(l, &snap);
+	ck_assert_int_eq(ld_restore(copy, str_buf(&snap)), ST_OK);
+	ld_snapshot(copy, &again);
+	ck_assert(str_eq(str_buf(&snap), str_buf(&again)));
+	ld_free(copy);
+	ld_free(l);
+}
+END_TEST
+
+START_TEST(fleet_takes_any_command)
+{
+	const type_t t = TYPE(aw_fleet_cmd_t);
+	AUTO_BUF seed = {0};
+	AUTO_BUF snap = {0};
+	AUTO_BUF again = {0};
+	fl_t *f = fl_new(2);
+	fl_t *copy = fl_new(2);
+	aw_fleet_cmd_t cmd;
+	unsigned taken = 0;
+
+	rng_state = 0xda3e39cb94b95bdb;
+	for (int i = 0; i < COMMAND_ROUNDS; i++) {
+		aw_fleet_res_t res = {0};
+
+		if (!next_command(&t, &seed, &cmd))
+			continue;
+		fl_apply(f, &cmd, &res);
+		taken += res.status == ST_OK;
+		px_free(PX(aw_fleet_res_t), &res);
+		px_free(t.proc, &cmd);
+	}
+	ck_assert_uint_gt(taken, 0);
+	fl_snapshot(f, &snap);
+	ck_assert_int_eq(fl_restore(copy, str_buf(&snap)), ST_OK);
+	fl_snapshot(copy, &again);
+	ck_assert(str_eq(str_buf(&snap), str_buf(&again)));
+	fl_free(copy);
+	fl_free(f);
+}
+END_TEST
+
+/* A ledger and a fleet with something of each kind, as snapshots. */
+static void fill_snapshots(buf_t *ledger, buf_t *fleet)
+{
+	const type_t lt = TYPE(aw_ledger_cmd_t);
+	const type_t ft = TYPE(aw_fleet_cmd_t);
+	buf_t seeds[2] = {{0}, {0}};
+	ld_t *l = ld_new();
+	fl_t *f = fl_new(2);
+
+	for (int i = 0; i < COMMAND_ROUNDS; i++) {
+		aw_ledger_cmd_t lc;
+		aw_fleet_cmd_t fc;
+		aw_ledger_res_t lr = {0};
+		aw_fleet_res_t fr = {0};
+
+		if (next_command(&lt, &seeds[0], &lc)) {
+			ld_apply(l, &lc, &lr);
+			px_free(PX(aw_ledger_res_t), &lr);
+			px_free(lt.proc, &lc);
+		}
+		if (next_command(&ft, &seeds[1], &fc)) {
+			fl_apply(f, &fc, &fr);
+			px_free(PX(aw_fleet_res_t), &fr);
+			px_free(ft.proc, &fc);
+		}
+	}
+	ld_snapshot(l, ledger);
+	fl_snapshot(f, fleet);
+	ld_free(l);
+	fl_free(f);
+	buf_free(&seeds[0]);
+	buf_free(&seeds[1]);
+}
+
+START_TEST(snapshots)
+{
+	AUTO_BUF ledger = {0};
+	AUTO_BUF fleet = {0};
+	unsigned refused = 0;
+
+	rng_state = 0x14057b7ef767814f;
+	fill_snapshots(&ledger, &fleet);
+	for (int i = 0; i < SNAPSHOT_ROUNDS; i++) {
+		AUTO_BUF a = {0};
+		AUTO_BUF b = {0};
+		ld_t *l = ld_new();
+		fl_t *f = fl_new(2);
+
+		buf_add(&a, str_buf(&ledger));
+		buf_add(&b, str_buf(&fleet));
+		mutate(&a);
+		mutate(&b);
+		refused += ld_restore(l, str_buf(&a)) != ST_OK;
+		refused += fl_restore(f, str_buf(&b)) != ST_OK;
+		ld_free(l);
+		fl_free(f);
+	}
+	ck_assert_uint_gt(refused, 0);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("fuzz");
+	TCase *t = tcase_create("fuzz");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_set_timeout(t, 120);
+	tcase_add_test(t, texts);
+	tcase_add_loop_test(t, messages, 0, sizeof(types) / sizeof(types[0]));
+	tcase_add_test(t, ledger_takes_any_command);
+	tcase_add_test(t, fleet_takes_any_command);
+	tcase_add_test(t, snapshots);
+	srunner_run_all(r, CK_ENV);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
