Test of bad input: well-framed RPC with bad content

Cause: random bytes seldom pass the RPC layer. Change: commands, queries, beats, raft messages and loads that decode in part, with claims of 2^27 items; memory and the list of addresses are checked.

--- a/tests/proc/test_bad_input.py
+++ b/tests/proc/test_bad_input.py
@@ -125,6 +125,8 @@
 
 
 CONTROL_PROGRAM, PEER_PROGRAM = 0x20ab0001, 0x20ab0002
+EXEC, QUERY, BEAT, RAFT, STATUS, EVENTS = range(1, 7)
+LOAD = 1
 
 
 def rpc_call(program, proc, args=b"", xid=7):
@@ -132,6 +134,32 @@
     return struct.pack(">I", 0x80000000 | len(msg)) + msg
 
 
+def opaque(data):
+    return struct.pack(">I", len(data)) + data + b"\0" * (-len(data) % 4)
+
+
+def rpc_reply(s):
+    """Body of the next reply, or None when the peer closes."""
+    data = b""
+    try:
+        while len(data) < 4 or len(data) < 4 + (struct.unpack(">I", data[:4])[0] & 0x7fffffff):
+            more = s.recv(65536)
+            if not more:
+                return None
+            data += more
+    except OSError:
+        return None
+    return data[4:]
+
+
+def rpc_status(s, proc, args):
+    """The status that a control's answer begins with; -1 for a refusal by the RPC layer."""
+    send_all(s, rpc_call(CONTROL_PROGRAM, proc, args))
+    body = rpc_reply(s)
+    accept = struct.unpack(">I", body[20:24])[0]
+    return struct.unpack(">i", body[24:28])[0] if accept == 0 else -1
+
+
 def connect(addr):
     host, port = addr.rsplit(":", 1)
     s = socket.create_connection((host, int(port)), 10)
@@ -242,6 +270,31 @@
                     send_all(s, m)
                     s.shutdown(socket.SHUT_WR)
 
+    def test_framed_rpc_with_bad_content(self):
+        rng = random.Random(11)
+        for addr, program in self.rpc:
+            before = {p.name: rss_mib(p) for p in self.f.controls + self.f.entries}
+            with connect(addr) as s:
+                if program == CONTROL_PROGRAM:
+                    for group in (0, 1, 2, 3, 0xffffffff):
+                        for payload in (b"", rng.randbytes(40), struct.pack(">II", 11, 1), struct.pack(">II", 6, 0x7ffffff)):
+                            args = struct.pack(">III", group, 100, 0) + opaque(payload)
+                            self.assertNotEqual(rpc_status(s, EXEC, args), 0, (group, payload))
+                            self.assertNotEqual(rpc_status(s, QUERY, args), 0, (group, payload))
+                            send_all(s, rpc_call(program, RAFT, opaque(b"x") + struct.pack(">II", 1, group) + opaque(payload)))
+                            self.assertIsNotNone(rpc_reply(s))
+                    self.assertNotEqual(rpc_status(s, BEAT, b"\0" * 60), 0)
+                    send_all(s, rpc_call(program, EVENTS, opaque(b"") + b"\xff" * 4))
+                    self.assertIsNotNone(rpc_reply(s))
+                for proc in (RAFT, LOAD):
+                    send_all(s, rpc_call(program, proc, struct.pack(">III", 0, 0x07ffffff, 0x07ffffff)))
+                    send_all(s, rpc_call(program, proc, struct.pack(">III", 0, 0, 0x07ffffff) + b"\0" * 64))
+                    rpc_reply(s)
+            for p in self.f.controls + self.f.entries:
+                self.assertLess(rss_mib(p) - before[p.name], 64, p.name)
+        members = fleet.get_json(self.f.addr(), "/v1/addresses")["addresses"]
+        self.assertEqual(sorted(m["addr"] for m in members), sorted(e.settings["listen"] for e in self.f.entries))
+
     def test_huge_bodies_are_not_kept(self):
         """1 GiB declared; 48 MiB of it are sent. RPC records may hold 64 MiB."""
         part = b"x" * (1 << 20)
