Runtime: a stalled leader listens before it counts ticks; test of a frozen leader

Change: inputs come before ticks, and a leader counts at most half an election timeout at once. Nothing rests on it: reads need a round after the call, commits need answers of this term. gr.h says what ST_LIMIT means and how first voters get their zone.

--- a/src/raft/gr.h
+++ b/src/raft/gr.h
@@ -41,7 +41,8 @@
 	void *ctx;
 	/** Applies one command; result is handed to the proposer. Must be deterministic. */
 	void (*apply)(void *ctx, uint64_t index, str_t cmd, buf_t *result);
-	/** Appends the whole state to out. */
+	/** Appends the whole state to out; commits wait meanwhile, so that it must take much less
+	 * than an election timeout. */
 	void (*snapshot)(void *ctx, buf_t *out);
 	/** Replaces the whole state. */
 	status_t (*restore)(void *ctx, str_t snap);
@@ -102,7 +103,10 @@
 void gr_status(gr_t *g, gr_status_t *out);
 
 /** Membership, one change at a time; leader only. Each returns once the change is committed.
- *  gr_promote refuses (ST_LIMIT) until the learner has synced everything committed. */
+ *  ST_LIMIT: another change is under way, or no majority of the voters that it leaves has answered
+ *  lately; gr_promote also refuses so until the learner has synced everything committed.
+ *  gr_add_learner with the id of a member renews its address and availability zone, which the
+ *  first voters' entries lack, and leaves its vote as it is. */
 status_t gr_add_learner(gr_t *g, const gr_peer_t *peer, deadline_t deadline);
 status_t gr_promote(gr_t *g, uint64_t id, deadline_t deadline);
 status_t gr_remove(gr_t *g, uint64_t id, deadline_t deadline);
--- a/src/raft/gr_loop.c
+++ b/src/raft/gr_loop.c
@@ -145,8 +145,8 @@
 	pthread_mutex_unlock(&g->lock);
 }
 
-/* Ticks that have passed. After a freeze a leader makes up for as many as let it find out that
- * its majority is gone; a follower first listens. */
+/* Ticks that have passed. After a freeze, or a long snapshot, a leader counts no more of them than
+ * leave its followers time to answer, and a follower listens first. */
 static void tick(gr_t *g, deadline_t *next_tick)
 {
 	int64_t now = clk_now_ms();
@@ -156,7 +156,7 @@
 	if (now < *next_tick)
 		return;
 	missed = (now - *next_tick) / g->o.tick_ms + 1;
-	most = rf_role(g->rf) == RF_LEADER ? g->o.election_ms / g->o.tick_ms + 1 : 1;
+	most = rf_role(g->rf) == RF_LEADER ? g->o.election_ms / g->o.tick_ms / 2 : 1;
 	*next_tick += missed * g->o.tick_ms;
 	for (int64_t i = 0; i < missed && i < most; i++)
 		rf_tick(g->rf);
@@ -242,7 +242,6 @@
 		gr_item_t *it;
 
 		take_batch(g, next_tick, known_seq, failed, &b);
-		tick(g, &next_tick);
 		if (b.disk_failed && !failed)
 			fail_disk(g);
 		failed = b.disk_failed;
@@ -251,6 +250,7 @@
 		known_seq = b.synced_seq;
 		while ((it = gr_list_take(&b.items)))
 			take_item(g, it);
+		tick(g, &next_tick);
 		rf_flush(g->rf);
 		if (b.snap_saved)
 			gr_snap_end(g);
--- a/tests/unit/test_gr.c
+++ b/tests/unit/test_gr.c
@@ -260,6 +260,57 @@
 }
 END_TEST
 
+static _Atomic bool thaw;
+
+static void freeze(void *ctx, void *arg)
+{
+	while (!thaw)
+		clk_sleep_ms(5);
+}
+
+static void *freeze_group(void *arg)
+{
+	gr_with_state(arg, freeze, NULL);
+	return NULL;
+}
+
+typedef struct {
+	unsigned node;
+	status_t st;
+} read_t;
+
+static void *read_frozen(void *arg)
+{
+	read_t *r = arg;
+
+	r->st = gr_barrier(nodes[r->node].g, soon());
+	return NULL;
+}
+
+START_TEST(frozen_leader_wakes_and_gives_no_stale_answer)
+{
+	read_t read = {0};
+	pthread_t frozen;
+	pthread_t reader;
+
+	thaw = false;
+	for (unsigned i = 0; i < 3; i++)
+		start(i, 3);
+	read.node = wait_leader(-1);
+	pthread_create(&frozen, NULL, freeze_group, nodes[read.node].g);
+	clk_sleep_ms(50);
+	pthread_create(&reader, NULL, read_frozen, &read);
+	nodes[read.node].cut = true; /* nobody tells it */
+	must_add((int)read.node, "3");
+	thaw = true;
+	pthread_join(frozen, NULL);
+	pthread_join(reader, NULL);
+	ck_assert_int_eq(read.st, ST_NOT_LEADER);
+	nodes[read.node].cut = false;
+	wait_sum(read.node, 3);
+}
+END_TEST
+
 START_TEST(planned_stop_hands_leadership_over)
 {
 	unsigned first;
@@ -466,6 +517,7 @@
 	tcase_add_test(t, single_replica_restarts);
 	tcase_add_test(t, leader_lost_and_back);
 	tcase_add_test(t, cut_off_leader_acknowledges_nothing);
+	tcase_add_test(t, frozen_leader_wakes_and_gives_no_stale_answer);
 	tcase_add_test(t, planned_stop_hands_leadership_over);
 	tcase_add_test(t, lost_disk_is_replaced_from_snapshot);
 	tcase_add_test(t, damaged_folder_joins_again_under_a_new_id);
