--- a/Makefile
+++ b/Makefile
@@ -22,11 +22,11 @@
 BENCH    := $(call objs,bench/*.c)
 FAKE_COMMON := $(call objs,fakes/fk_*.c)
 FAKES    := $(patsubst fakes/%.c,$(B)/bin/auburn-%,$(filter-out fakes/fk_%,$(wildcard fakes/*.c)))
-TOOLS    := $(patsubst tools/%.c,$(B)/bin/auburn-%,$(wildcard tools/*.c))
+TOOLS    := $(patsubst tools/%.c,$(B)/bin/auburn-%,$(filter-out tools/lb_%,$(wildcard tools/*.c)))
 PROGS    := $(if $(CONTROL),$(B)/bin/auburn-control) $(if $(ENTRY),$(B)/bin/auburn-entry) \
             $(if $(CTL),$(B)/bin/auburnctl) $(if $(BENCH),$(B)/bin/auburn-bench) $(FAKES) $(TOOLS)
 UNIT     := $(patsubst tests/unit/%.c,$(B)/test/%,$(wildcard tests/unit/test_*.c))
-SOURCES  := $(wildcard src/*/*.c src/*/*.h fakes/*.c fakes/*.h bench/*.c bench/*.h tools/*.c tests/unit/*.c tests/unit/*.h)
+SOURCES  := $(wildcard src/*/*.c src/*/*.h fakes/*.c fakes/*.h bench/*.c bench/*.h tools/*.c tools/*.h tests/unit/*.c tests/unit/*.h)
 OWN      := $(filter-out src/proto/%_xdr.c src/proto/%_xdr.h,$(SOURCES))
 
 .PHONY: all check demo bench capacity soak lint format format-check install unit clean generate
@@ -71,7 +71,8 @@
 # The randomised run of the log's core is shared by its tool and its test.
 SIM      := $(patsubst %.c,$(B)/obj/%.o,$(wildcard tests/unit/sim*.c))
 $(B)/bin/auburn-core-random $(B)/test/test_raft: $(SIM)
-$(B)/bin/auburn-core-random $(B)/test/test_raft: LDLIBS := $(LIB) $(LDLIBS)
+$(B)/bin/auburn-log-bench: $(B)/obj/tools/lb_nodes.o
+$(B)/bin/auburn-core-random $(B)/test/test_raft $(B)/bin/auburn-log-bench: LDLIBS := $(LIB) $(LDLIBS)
 $(B)/test/%: $(B)/obj/tests/unit/%.o $(LIB)
 	@mkdir -p $(@D); $(CC) $(CFLAGS) -o $@ $^ -lcheck -lsubunit -lrt $(LDLIBS)
 
--- /dev/null
+++ b/tools/lb_nodes.c
@@ -0,0 +1,150 @@
+/* The replicas that auburn-log-bench measures. */
+#include "lb_nodes.h"
+
+#include <ftw.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+lb_node_t lb_nodes[GROUPS_MAX][REPLICAS_MAX];
+char lb_root[64];
+const char *const lb_seeds[REPLICAS_MAX] = {"127.0.20.1:1", "127.0.20.2:1", "127.0.20.3:1",
+					    "127.0.20.4:1", "127.0.20.5:1"};
+
+static void on_apply(void *ctx, uint64_t index, str_t cmd, buf_t *result)
+{
+	lb_node_t *n = ctx;
+
+	__atomic_store_n(&n->applied, index, __ATOMIC_RELEASE);
+}
+
+static void on_snapshot(void *ctx, buf_t *out)
+{
+	lb_node_t *n = ctx;
+
+	buf_add(out, str_buf(&n->state));
+}
+
+static status_t on_restore(void *ctx, str_t snap)
+{
+	lb_node_t *n = ctx;
+
+	n->state.n = 0;
+	buf_add(&n->state, snap);
+	return ST_OK;
+}
+
+static void on_send(void *ctx, const char *addr, unsigned group, str_t msg)
+{
+	const lb_node_t *from = ctx;
+
+	for (unsigned i = 0; i < REPLICAS_MAX; i++) {
+		lb_node_t *n = &lb_nodes[group][i];
+
+		if (from->cut || n->cut || strcmp(lb_seeds[i], addr) != 0)
+			continue;
+		pthread_rwlock_rdlock(&n->lock);
+		if (n->g)
+			gr_receive(n->g, msg);
+		pthread_rwlock_unlock(&n->lock);
+	}
+}
+
+void lb_start(unsigned group, unsigned i, unsigned nseeds, uint64_t snapshot_entries)
+{
+	lb_node_t *n = &lb_nodes[group][i];
+	char dir[128];
+	gr_t *g = NULL;
+	gr_options_t o = {.group = group,
+			  .dir = dir,
+			  .addr = lb_seeds[i],
+			  .zone = "z",
+			  .seeds = lb_seeds,
+			  .nseeds = nseeds,
+			  .bootstrap = nseeds > 0,
+			  .tick_ms = TICK_MS,
+			  .election_ms = ELECTION_MS,
+			  .snapshot_entries = snapshot_entries,
+			  .snapshot_bytes = 1ull << 40,
+			  .ctx = n,
+			  .apply = on_apply,
+			  .snapshot = on_snapshot,
+			  .restore = on_restore,
+			  .send = on_send};
+
+	snprintf(dir, sizeof(dir), "%s/%u-%u", lb_root, group, i);
+	n->group = group;
+	n->applied = 0;
+	if (gr_open(&o, &g) != ST_OK) {
+		fprintf(stderr, "%s\n", st_message());
+		exit(1);
+	}
+	pthread_rwlock_wrlock(&n->lock);
+	n->g = g;
+	pthread_rwlock_unlock(&n->lock);
+}
+
+void lb_stop(unsigned group, unsigned i)
+{
+	lb_node_t *n = &lb_nodes[group][i];
+	gr_t *g = n->g;
+
+	if (!g)
+		return;
+	pthread_rwlock_wrlock(&n->lock);
+	n->g = NULL;
+	pthread_rwlock_unlock(&n->lock);
+	gr_close(g);
+	buf_free(&n->state);
+}
+
+static int remove_one(const char *path, const struct stat *sb, int type, struct FTW *f)
+{
+	return remove(path);
+}
+
+void lb_clear(void)
+{
+	for (unsigned g = 0; g < GROUPS_MAX; g++) {
+		for (unsigned i = 0; i < REPLICAS_MAX; i++)
+			lb_stop(g, i);
+	}
+	nftw(lb_root, remove_one, 16, FTW_DEPTH | FTW_PHYS);
+	if (mkdir(lb_root, 0700) != 0)
+		exit(1);
+}
+
+gr_t *lb_wait_leader_but(unsigned group, const gr_t *except)
+{
+	deadline_t d = clk_now_ms() + WAIT_MS;
+
+	while (clk_left_ms(d) > 0) {
+		for (unsigned i = 0; i < REPLICAS_MAX; i++) {
+			gr_status_t s;
+
+			if (!lb_nodes[group][i].g || lb_nodes[group][i].g == except)
+				continue;
+			gr_status(lb_nodes[group][i].g, &s);
+			if (s.leader && gr_barrier(lb_nodes[group][i].g, d) == ST_OK)
+				return lb_nodes[group][i].g;
+		}
+		clk_sleep_ms(1);
+	}
+	fprintf(stderr, "no leader\n");
+	exit(1);
+}
+
+gr_t *lb_wait_leader(unsigned group)
+{
+	return lb_wait_leader_but(group, NULL);
+}
+
+void lb_cut(const gr_t *g, bool cut)
+{
+	for (unsigned i = 0; i < REPLICAS_MAX; i++) {
+		if (lb_nodes[0][i].g == g)
+			lb_nodes[0][i].cut = cut;
+	}
+}
--- a/tools/log-bench.c
+++ b/tools/log-bench.c
@@ -1,169 +1,17 @@
 /* Measures the replicated log in one process: replicas that call each other's functions, with real
  * files and syncs. One line of key=value pairs for each measurement. */
 #include <argtable2.h>
-#include <ftw.h>
-#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/stat.h>
 #include <unistd.h>
 #include "base/mx.h"
-#include "raft/gr.h"
-
-#define REPLICAS_MAX  5
-#define GROUPS_MAX    16
-#define PROPOSERS_MAX 512
-#define WAIT_MS	      120000
-#define TICK_MS	      20
-#define ELECTION_MS   1000
-#define FAILOVERS     10
+#include "lb_nodes.h"
 
+#define PROPOSERS_MAX	 512
+#define FAILOVERS	 10
 #define SNAPSHOT_LOAD_MS 6000
 
-typedef struct {
-	gr_t *g;
-	pthread_rwlock_t lock; /* guards g against senders */
-	char addr[32];
-	unsigned group;
-	_Atomic bool cut; /* neither sends nor receives */
-	buf_t state;
-	uint64_t applied;
-} node_t;
-
-static node_t nodes[GROUPS_MAX][REPLICAS_MAX];
-static char root[64];
-static const char *const seeds[REPLICAS_MAX] = {"127.0.20.1:1", "127.0.20.2:1", "127.0.20.3:1",
-						"127.0.20.4:1", "127.0.20.5:1"};
-
-static void on_apply(void *ctx, uint64_t index, str_t cmd, buf_t *result)
-{
-	node_t *n = ctx;
-
-	__atomic_store_n(&n->applied, index, __ATOMIC_RELEASE);
-}
-
-static void on_snapshot(void *ctx, buf_t *out)
-{
-	node_t *n = ctx;
-
-	buf_add(out, str_buf(&n->state));
-}
-
-static status_t on_restore(void *ctx, str_t snap)
-{
-	node_t *n = ctx;
-
-	n->state.n = 0;
-	buf_add(&n->state, snap);
-	return ST_OK;
-}
-
-static void on_send(void *ctx, const char *addr, unsigned group, str_t msg)
-{
-	const node_t *from = ctx;
-
-	for (unsigned i = 0; i < REPLICAS_MAX; i++) {
-		node_t *n = &nodes[group][i];
-
-		if (from->cut || n->cut || strcmp(seeds[i], addr) != 0)
-			continue;
-		pthread_rwlock_rdlock(&n->lock);
-		if (n->g)
-			gr_receive(n->g, msg);
-		pthread_rwlock_unlock(&n->lock);
-	}
-}
-
-static void start(unsigned group, unsigned i, unsigned nseeds, uint64_t snapshot_entries)
-{
-	node_t *n = &nodes[group][i];
-	char dir[128];
-	gr_t *g = NULL;
-	gr_options_t o = {.group = group,
-			  .dir = dir,
-			  .addr = seeds[i],
-			  .zone = "z",
-			  .seeds = seeds,
-			  .nseeds = nseeds,
-			  .bootstrap = nseeds > 0,
-			  .tick_ms = TICK_MS,
-			  .election_ms = ELECTION_MS,
-			  .snapshot_entries = snapshot_entries,
-			  .snapshot_bytes = 1ull << 40,
-			  .ctx = n,
-			  .apply = on_apply,
-			  .snapshot = on_snapshot,
-			  .restore = on_restore,
-			  .send = on_send};
-
-	snprintf(dir, sizeof(dir), "%s/%u-%u", root, group, i);
-	n->group = group;
-	n->applied = 0;
-	if (gr_open(&o, &g) != ST_OK) {
-		fprintf(stderr, "%s\n", st_message());
-		exit(1);
-	}
-	pthread_rwlock_wrlock(&n->lock);
-	n->g = g;
-	pthread_rwlock_unlock(&n->lock);
-}
-
-static void stop(unsigned group, unsigned i)
-{
-	node_t *n = &nodes[group][i];
-	gr_t *g = n->g;
-
-	if (!g)
-		return;
-	pthread_rwlock_wrlock(&n->lock);
-	n->g = NULL;
-	pthread_rwlock_unlock(&n->lock);
-	gr_close(g);
-	buf_free(&n->state);
-}
-
-static int remove_one(const char *path, const struct stat *sb, int type, struct FTW *f)
-{
-	return remove(path);
-}
-
-static void clear(void)
-{
-	for (unsigned g = 0; g < GROUPS_MAX; g++) {
-		for (unsigned i = 0; i < REPLICAS_MAX; i++)
-			stop(g, i);
-	}
-	nftw(root, remove_one, 16, FTW_DEPTH | FTW_PHYS);
-	if (mkdir(root, 0700) != 0)
-		exit(1);
-}
-
-static gr_t *wait_leader_but(unsigned group, const gr_t * not )
-{
-	deadline_t d = clk_now_ms() + WAIT_MS;
-
-	while (clk_left_ms(d) > 0) {
-		for (unsigned i = 0; i < REPLICAS_MAX; i++) {
-			gr_status_t s;
-
-			if (!nodes[group][i].g || nodes[group][i].g == not )
-				continue;
-			gr_status(nodes[group][i].g, &s);
-			if (s.leader && gr_barrier(nodes[group][i].g, d) == ST_OK)
-				return nodes[group][i].g;
-		}
-		clk_sleep_ms(1);
-	}
-	fprintf(stderr, "no leader\n");
-	exit(1);
-}
-
-static gr_t *wait_leader(unsigned group)
-{
-	return wait_leader_but(group, NULL);
-}
-
 typedef struct {
 	gr_t *g;
 	unsigned bytes;
@@ -242,10 +90,10 @@
 	us = mx_get(MX_HISTOGRAM, "commit_us", label);
 	for (unsigned g = 0; g < l->groups; g++) {
 		for (unsigned i = 0; i < l->replicas; i++)
-			start(g, i, l->replicas, 1ull << 40);
+			lb_start(g, i, l->replicas, 1ull << 40);
 	}
 	for (unsigned g = 0; g < l->groups; g++)
-		leaders[g] = wait_leader(g);
+		leaders[g] = lb_wait_leader(g);
 	gr_status(leaders[0], &before);
 	start_us = clk_now_us();
 	for (unsigned i = 0; i < l->proposers; i++) {
@@ -258,7 +106,7 @@
 	start_us = clk_now_us() - start_us;
 	gr_status(leaders[0], &after);
 	print_load(l, p, us, start_us, &before, &after);
-	clear();
+	lb_clear();
 }
 
 static void propose_some(gr_t *g, unsigned n)
@@ -282,7 +130,7 @@
 
 static void set_state(void *ctx, void *arg)
 {
-	node_t *n = ctx;
+	lb_node_t *n = ctx;
 	size_t bytes = *(size_t *)arg;
 	char *fill = mem_new(bytes);
 
@@ -298,13 +146,13 @@
 	gr_peer_t peer = {0};
 	gr_status_t s;
 
-	start(0, i, 0, 1ull << 40);
-	gr_status(nodes[0][i].g, &s);
+	lb_start(0, i, 0, 1ull << 40);
+	gr_status(lb_nodes[0][i].g, &s);
 	peer.id = s.self;
-	snprintf(peer.addr, sizeof(peer.addr), "%s", seeds[i]);
+	snprintf(peer.addr, sizeof(peer.addr), "%s", lb_seeds[i]);
 	if (gr_add_learner(leader, &peer, clk_now_ms() + WAIT_MS) != ST_OK)
 		exit(1);
-	return nodes[0][i].g;
+	return lb_nodes[0][i].g;
 }
 
 /* A replica with a snapshot of `bytes` starts again; then an empty one catches up from it. */
@@ -317,25 +165,25 @@
 	gr_status_t ls;
 	gr_t *g;
 
-	start(0, 0, 1, 20);
-	g = wait_leader(0);
+	lb_start(0, 0, 1, 20);
+	g = lb_wait_leader(0);
 	gr_with_state(g, set_state, &bytes);
 	wait_snapshot(g, 0);
 	gr_status(g, &ls);
 	wait_snapshot(g, ls.snapshot_index);
-	stop(0, 0);
+	lb_stop(0, 0);
 	open_us = clk_now_us();
-	start(0, 0, 1, 1ull << 40);
+	lb_start(0, 0, 1, 1ull << 40);
 	lead_us = clk_now_us();
 	open_us = lead_us - open_us;
-	g = wait_leader(0);
+	g = lb_wait_leader(0);
 	lead_us = clk_now_us() - lead_us;
 	propose_some(g, 10);
 	catch_us = clk_now_us();
 	join_learner(g, 1);
 	do {
 		clk_sleep_ms(1);
-		gr_status(nodes[0][1].g, &s);
+		gr_status(lb_nodes[0][1].g, &s);
 		gr_status(g, &ls);
 	} while (s.applied < ls.commit);
 	catch_us = clk_now_us() - catch_us;
@@ -344,7 +192,7 @@
 	       bytes, (double)open_us / 1000, (double)lead_us / 1000, (double)catch_us / 1000,
 	       (unsigned long)ls.snapshot_index);
 	fflush(stdout);
-	clear();
+	lb_clear();
 }
 
 /* Commit times of three replicas that keep writing snapshots of `bytes` meanwhile. */
@@ -361,10 +209,10 @@
 	snprintf(label, sizeof(label), "run=\"%u\"", run++);
 	us = mx_get(MX_HISTOGRAM, "snapshot_commit_us", label);
 	for (unsigned i = 0; i < 3; i++)
-		start(0, i, 3, 2000);
-	g = wait_leader(0);
+		lb_start(0, i, 3, 2000);
+	g = lb_wait_leader(0);
 	for (unsigned i = 0; i < 3; i++)
-		gr_with_state(nodes[0][i].g, set_state, &bytes);
+		gr_with_state(lb_nodes[0][i].g, set_state, &bytes);
 	for (unsigned i = 0; i < 8; i++) {
 		p[i] = (proposer_t){g, 256, clk_now_ms() + SNAPSHOT_LOAD_MS, us, 0, 0};
 		pthread_create(&t[i], NULL, propose_until, &p[i]);
@@ -379,7 +227,7 @@
 	       (long)mx_quantile(us, 0.5), (long)mx_quantile(us, 0.99),
 	       (long)mx_quantile(us, 0.999), (long)mx_quantile(us, 1.0), s.leader);
 	fflush(stdout);
-	clear();
+	lb_clear();
 }
 
 /* An empty replica catches up by entries alone; then a replica replays them at its start. */
@@ -394,8 +242,8 @@
 	gr_status_t ls;
 	gr_t *g;
 
-	start(0, 0, 1, 1ull << 40);
-	g = wait_leader(0);
+	lb_start(0, 0, 1, 1ull << 40);
+	g = lb_wait_leader(0);
 	while (s.applied < entries) {
 		for (unsigned i = 0; i < 64; i++) {
 			p[i] = (proposer_t){g, 128, clk_now_ms() + 50, us, 0, 0};
@@ -409,26 +257,18 @@
 	join_learner(g, 1);
 	do {
 		clk_sleep_ms(1);
-		gr_status(nodes[0][1].g, &s);
+		gr_status(lb_nodes[0][1].g, &s);
 		gr_status(g, &ls);
 	} while (s.applied < ls.commit);
 	catch_us = clk_now_us() - catch_us;
-	stop(0, 0);
+	lb_stop(0, 0);
 	open_us = clk_now_us();
-	start(0, 0, 1, 1ull << 40);
+	lb_start(0, 0, 1, 1ull << 40);
 	open_us = clk_now_us() - open_us;
 	printf("measure=entries entries=%lu bytes=128 catch_up_ms=%.1f open_ms=%.1f\n",
 	       (unsigned long)ls.commit, (double)catch_us / 1000, (double)open_us / 1000);
 	fflush(stdout);
-	clear();
-}
-
-static void cut_node(const gr_t *g, bool cut)
-{
-	for (unsigned i = 0; i < REPLICAS_MAX; i++) {
-		if (nodes[0][i].g == g)
-			nodes[0][i].cut = cut;
-	}
+	lb_clear();
 }
 
 static int compare_ms(const void *a, const void *b)
@@ -443,20 +283,20 @@
 	int64_t ms[FAILOVERS];
 
 	for (unsigned i = 0; i < 3; i++)
-		start(0, i, 3, 1ull << 40);
+		lb_start(0, i, 3, 1ull << 40);
 	for (unsigned i = 0; i < FAILOVERS; i++) {
-		gr_t *old = wait_leader(0);
+		gr_t *old = lb_wait_leader(0);
 		int64_t start_ms = clk_now_ms();
 
 		if (planned)
 			gr_step_down(old, clk_now_ms() + WAIT_MS);
 		else
-			cut_node(old, true);
-		while (gr_propose(wait_leader_but(0, old), STR("x"), clk_now_ms() + WAIT_MS,
+			lb_cut(old, true);
+		while (gr_propose(lb_wait_leader_but(0, old), STR("x"), clk_now_ms() + WAIT_MS,
 				  NULL) != ST_OK)
 			;
 		ms[i] = clk_now_ms() - start_ms;
-		cut_node(old, false);
+		lb_cut(old, false);
 		clk_sleep_ms(ELECTION_MS);
 	}
 	qsort(ms, FAILOVERS, sizeof(ms[0]), compare_ms);
@@ -464,7 +304,7 @@
 	       planned ? "handover" : "cut", ELECTION_MS, FAILOVERS, (long)ms[FAILOVERS / 2],
 	       (long)ms[FAILOVERS - 1]);
 	fflush(stdout);
-	clear();
+	lb_clear();
 }
 
 static void measure_loads(unsigned ms)
@@ -498,12 +338,12 @@
 		arg_print_errors(stderr, end, argv[0]);
 		return 2;
 	}
-	snprintf(root, sizeof(root), "%s/auburn-log-XXXXXX", tmp ? tmp : "/tmp");
-	if (!mkdtemp(root))
+	snprintf(lb_root, sizeof(lb_root), "%s/auburn-log-XXXXXX", tmp ? tmp : "/tmp");
+	if (!mkdtemp(lb_root))
 		return 1;
 	for (unsigned g = 0; g < GROUPS_MAX; g++) {
 		for (unsigned i = 0; i < REPLICAS_MAX; i++)
-			pthread_rwlock_init(&nodes[g][i].lock, NULL);
+			pthread_rwlock_init(&lb_nodes[g][i].lock, NULL);
 	}
 	if (!state->count)
 		measure_loads((unsigned)ms->ival[0]);
@@ -515,7 +355,7 @@
 	measure_entries(100000);
 	measure_failover(false);
 	measure_failover(true);
-	clear();
-	rmdir(root);
+	lb_clear();
+	rmdir(lb_root);
 	return 0;
 }
