--- a/bench/bn_load.c
+++ b/bench/bn_load.c
@@ -7,7 +7,7 @@
 #define US_PER_S       1e6
 #define POLL_MAX_MS    20
 #define DRAIN_S	       20 /* for what still runs after the last arrival */
-#define RESEND_WAIT_US 100000
+#define RESEND_WAIT_US 250000
 #define CONNECTIONS    1024L
 
 /** A request that waits until it is sent again. */
--- a/bench/bn_request.h
+++ b/bench/bn_request.h
@@ -17,6 +17,7 @@
 	int64_t arrived_us; /* when the plan wanted it sent */
 	int64_t first_us; /* 0 = none yet */
 	int64_t last_us;
+	int64_t heard_us; /* last byte of this attempt, or its start */
 	int resends;
 	buf_t error; /* body of an answer that isn't 200 */
 	CURL *curl;
--- a/bench/bn_stat.c
+++ b/bench/bn_stat.c
@@ -39,6 +39,7 @@
 	to->tokens += from->tokens;
 	to->busy_s += from->busy_s;
 	merge_values(&to->first_ms, &from->first_ms);
+	merge_values(&to->direct_ms, &from->direct_ms);
 	merge_values(&to->step_ms, &from->step_ms);
 	merge_values(&to->refused_ms, &from->refused_ms);
 }
@@ -58,6 +59,7 @@
 	fprintf(out, " step_p50_ms=%.1f step_p95_ms=%.1f refused_p99_ms=%.1f",
 		bn_values_quantile(&s->step_ms, 0.50), bn_values_quantile(&s->step_ms, 0.95),
 		bn_values_quantile(&s->refused_ms, 0.99));
+	fprintf(out, " direct_p99_ms=%.1f", bn_values_quantile(&s->direct_ms, 0.99));
 	fprintf(out, " goodput=%.2f tokens=%lu busy_s=%.1f", (double)s->good / seconds, s->tokens,
 		s->busy_s);
 	for (int i = BN_MISSING; i < BN_FAULTS; i++) {
@@ -71,6 +73,7 @@
 void bn_stat_free(bn_stat_t *s)
 {
 	free(s->first_ms.v);
+	free(s->direct_ms.v);
 	free(s->step_ms.v);
 	free(s->refused_ms.v);
 	*s = (bn_stat_t){0};
--- a/bench/bn_stat.h
+++ b/bench/bn_stat.h
@@ -29,6 +29,7 @@
 	uint64_t tokens;
 	double busy_s; /* time from first token to end, summed */
 	bn_values_t first_ms;
+	bn_values_t direct_ms; /* the same, of requests that were sent once */
 	bn_values_t step_ms;
 	bn_values_t refused_ms; /* time until a refusal was said */
 } bn_stat_t;
--- a/bench/main.c
+++ b/bench/main.c
@@ -14,7 +14,7 @@
 #define DEFAULT_PROMPT	    400
 #define DEFAULT_GOAL_MS	    1000
 #define DEFAULT_TIMEOUT_MS  3000
-#define DEFAULT_RESENDS	    5
+#define DEFAULT_RESENDS	    60
 #define DEFAULT_JOBS	    4
 #define DEFAULT_JOB_TIME_MS 3600000
 #define ERRORS_MAX	    20
