--- a/src/entry/lx.c
+++ b/src/entry/lx.c
@@ -32,6 +32,11 @@
 		up_report(en->ups, &a->loads.loads_val[i]);
 }
 
+static int clamp(int64_t ms)
+{
+	return ms < INT_MAX ? (int)ms : INT_MAX;
+}
+
 static bool add_load(void *ctx, const up_info_t *info)
 {
 	aw_load_arg_t *a = ctx;
@@ -50,7 +55,7 @@
 			 .queued = (int)st.queued,
 			 .running = (int)(st.running_online + st.running_batch),
 			 .step_us = (int)st.step_us,
-			 .drain_ms = st.drain_ms < INT_MAX ? (int)st.drain_ms : INT_MAX};
+			 .drain_ms = clamp(st.drain_ms + st.first_ms)};
 	l->prefixes.prefixes_len = (u_int)up_prefixes_copy(info->up, &prefixes);
 	l->prefixes.prefixes_val = (u_quad_t *)prefixes;
 	return true;
--- a/src/entry/up.h
+++ b/src/entry/up.h
@@ -43,7 +43,7 @@
 /** Picks a replica of a service that is not in `tried` (ids); false if none is usable. */
 bool up_pick(up_table_t *t, str_t service, str_t prompt, up_t *const *tried, size_t ntried,
 	     up_choice_t *out);
-/** Least time until a new stream of the service would start anywhere, by what is known; 0 when
+/** Least time until a new stream of the service would give a first token, by what is known; 0 when
  *  nothing is. */
 int64_t up_wait_ms(up_table_t *t, str_t service);
 /** The replica with this id if it is dispatched to from here under this fence; a reference. */
--- a/src/entry/up_pick.c
+++ b/src/entry/up_pick.c
@@ -132,7 +132,7 @@
 	return found;
 }
 
-/* Time until a stream offered to the replica would start. */
+/* Time until a stream offered to the replica would give its first token. */
 static int64_t wait_of(up_t *u, int64_t now_ms)
 {
 	pk_candidate_t c = candidate(u, 0, now_ms);
@@ -145,7 +145,7 @@
 	if (!u->ro)
 		return u->drain_ms;
 	ro_stats(u->ro, &st);
-	return st.drain_ms;
+	return st.drain_ms + st.first_ms;
 }
 
 int64_t up_wait_ms(up_table_t *t, str_t service)
--- a/src/proto/aw.x
+++ b/src/proto/aw.x
@@ -412,7 +412,7 @@
 	int queued;
 	int running;
 	int step_us;			/* recent time between tokens */
-	int drain_ms;			/* until a stream offered now would start */
+	int drain_ms;			/* until a stream offered now would give its first token */
 	unsigned hyper prefixes<>;	/* hashes of prefixes that its cache holds */
 };
 
