--- a/src/entry/ec.c
+++ b/src/entry/ec.c
@@ -117,7 +117,9 @@
 	c->body = str_dup(o->body);
 	c->o.body = (str_t){c->body, o->body.n};
 	c->silence_ms = o->silence_ms;
-	c->silent_at = o->silence_ms ? clk_now_ms() + o->silence_ms : DEADLINE_NEVER;
+	c->silent_at = DEADLINE_NEVER;
+	if (o->first_ms || o->silence_ms)
+		c->silent_at = clk_now_ms() + (o->first_ms ? o->first_ms : o->silence_ms);
 	c->deadline = o->deadline ? o->deadline : DEADLINE_NEVER;
 	c->curl = curl_easy_init();
 	if (!c->curl)
--- a/src/entry/ec.h
+++ b/src/entry/ec.h
@@ -33,6 +33,7 @@
 	str_t body;
 	const char *const *headers; /* "Name: value", ends with NULL; may be NULL */
 	int64_t silence_ms; /* broken off after so long without a byte; 0 = no bound */
+	int64_t first_ms; /* the same before the first byte; 0 = silence_ms */
 	deadline_t deadline; /* broken off then */
 	bool fresh; /* on a new connection, never sent twice by the library */
 	void *ctx;
--- a/src/entry/ro.c
+++ b/src/entry/ro.c
@@ -14,6 +14,8 @@
 
 /* A cancel may overtake its stream's request: it is sent again after so many tokens. */
 #define RESEND_CANCEL_TOKENS 3
+/* Without ownership a stream may wait in the engine's own queue. */
+#define FIRST_UNOWNED_MS 30000
 
 struct ro {
 	atomic_int refs;
@@ -136,6 +138,7 @@
 				       .addr = r->addr,
 				       .fence = r->fence,
 				       .stall_ms = r->stall_ms,
+				       .first_ms = r->fence ? 0 : FIRST_UNOWNED_MS,
 				       .ctx = r,
 				       .token = on_token,
 				       .end = on_stream_end};
--- a/src/entry/ro_engine.c
+++ b/src/entry/ro_engine.c
@@ -159,6 +159,7 @@
 			     .url = url,
 			     .headers = headers,
 			     .silence_ms = o->stall_ms,
+			     .first_ms = o->first_ms,
 			     .ctx = s,
 			     .event = on_event,
 			     .end = on_end};
--- a/src/entry/ro_engine.h
+++ b/src/entry/ro_engine.h
@@ -46,6 +46,7 @@
 	const char *addr;
 	uint64_t fence;
 	int64_t stall_ms;
+	int64_t first_ms; /* bound on the wait for the first token; 0 = stall_ms */
 	void *ctx;
 	/** Each token once, in order, on the HTTP client's thread. */
 	void (*token)(void *ctx, ro_stream_t *s, unsigned index, str_t text);
