--- a/src/entry/en.h
+++ b/src/entry/en.h
@@ -14,6 +14,7 @@
 
 typedef struct up_table up_table_t;
 typedef struct ad ad_t;
+typedef struct ki ki_t;
 typedef struct bj bj_t;
 
 typedef struct en {
@@ -24,6 +25,8 @@
 	ec_t *ec;
 	up_table_t *ups;
 	ad_t *admission;
+	ki_t *caller_keys;
+	ki_t *operator_keys;
 	bj_t *batch;
 	atomic_bool draining;
 	atomic_bool view_wanted; /* an upstream saw a newer fence than ours */
--- a/src/entry/hs.c
+++ b/src/entry/hs.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include "base/mx.h"
 #include "base/rp.h"
+#include "entry/ki.h"
 
 #define HEADER_MAX_BYTES   (64 << 10)
 #define IDLE_TIMEOUT_S	   60
@@ -149,20 +150,6 @@
 	return hs_error_json(res, status, str_buf(&b), retry_after_ms);
 }
 
-/* Compares with every key, so that the time taken tells nothing. */
-static bool identify(const en_identity_t *ids, size_t n, str_t key, str_t *name)
-{
-	bool found = false;
-
-	for (size_t i = 0; i < n; i++) {
-		if (!str_eq_secret(str_c(ids[i].key), key))
-			continue;
-		*name = str_c(ids[i].name);
-		found = true;
-	}
-	return found;
-}
-
 static str_t bearer(const struct _u_request *req)
 {
 	str_t h = hs_header(req, "Authorization");
@@ -182,13 +169,12 @@
 
 bool hs_caller(en_t *en, const struct _u_request *req, struct _u_response *res, str_t *name)
 {
-	return identify(en->set.callers, en->set.ncallers, bearer(req), name) || refuse_key(res);
+	return ki_find(en->caller_keys, bearer(req), name) || refuse_key(res);
 }
 
 bool hs_operator(en_t *en, const struct _u_request *req, struct _u_response *res, str_t *name)
 {
-	return identify(en->set.operators, en->set.noperators, bearer(req), name) ||
-	       refuse_key(res);
+	return ki_find(en->operator_keys, bearer(req), name) || refuse_key(res);
 }
 
 bool hs_body_fits(en_t *en, const struct _u_request *req, struct _u_response *res)
--- a/src/entry/jb.c
+++ b/src/entry/jb.c
@@ -1,6 +1,7 @@
 #include "entry/jb.h"
 
 #include <inttypes.h>
+#include <jansson.h>
 #include <stdlib.h>
 #include "base/lg.h"
 #include "base/mx.h"
@@ -152,10 +153,13 @@
 static void add_result(buf_t *b, str_t body)
 {
 	/* Results are JSON but for a failed item's reason and plain services' bodies. */
-	if (body.n && (body.p[0] == '{' || body.p[0] == '['))
+	json_t *j = json_loadb(body.p, body.n, JSON_DECODE_ANY, NULL);
+
+	if (j)
 		buf_add(b, body);
 	else
 		buf_add_json(b, body);
+	json_decref(j);
 }
 
 int jb_results(const struct _u_request *req, struct _u_response *res, void *ctx)
--- /dev/null
+++ b/src/entry/ki.c
@@ -0,0 +1,52 @@
+#include "entry/ki.h"
+
+#include <assert.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+/* Found by a hash under a secret of the process, then compared in constant time. */
+typedef struct {
+	unsigned char hash[crypto_shorthash_BYTES];
+	const en_identity_t *id;
+	UT_hash_handle hh;
+} entry_t;
+
+struct ki {
+	unsigned char secret[crypto_shorthash_KEYBYTES];
+	entry_t *entries;
+};
+
+static void hash_key(const ki_t *k, str_t key, unsigned char out[crypto_shorthash_BYTES])
+{
+	crypto_shorthash(out, (const unsigned char *)key.p, key.n, k->secret);
+}
+
+ki_t *ki_new(const en_identity_t *ids, size_t n)
+{
+	ki_t *k = mem_new(sizeof(*k));
+
+	crypto_shorthash_keygen(k->secret);
+	for (size_t i = 0; i < n; i++) {
+		entry_t *e = mem_new(sizeof(*e));
+
+		hash_key(k, str_c(ids[i].key), e->hash);
+		e->id = &ids[i];
+		HASH_ADD(hh, k->entries, hash, sizeof(e->hash), e);
+	}
+	return k;
+}
+
+bool ki_find(const ki_t *k, str_t key, str_t *name)
+{
+	unsigned char hash[crypto_shorthash_BYTES];
+	entry_t *e;
+
+	hash_key(k, key, hash);
+	HASH_FIND(hh, k->entries, hash, sizeof(hash), e);
+	if (!e || !str_eq_secret(str_c(e->id->key), key))
+		return false;
+	*name = str_c(e->id->name);
+	return true;
+}
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -15,6 +15,7 @@
 #include "entry/fi.h"
 #include "entry/ir.h"
 #include "entry/jb.h"
+#include "entry/ki.h"
 #include "entry/lx.h"
 #include "entry/oc.h"
 #include "entry/pr.h"
@@ -96,6 +97,8 @@
 	en.ec = ec_new();
 	en.ups = up_new(&en);
 	en.admission = ad_new();
+	en.caller_keys = ki_new(en.set.callers, en.set.ncallers);
+	en.operator_keys = ki_new(en.set.operators, en.set.noperators);
 	if (lx_start(&en) != ST_OK || hs_start(&en, routes) != ST_OK)
 		return fail(EXIT_PORT);
 	en.batch = bj_start(&en);
