Batch: an item that must run alone gets a replica emptied for it

Cause, found by reading: an item suspected of killing replicas was offered only where batch had room, and an owner that empties itself for it has none; under steady load it never ran. A suspected request would also have broken an assertion of the owner, which takes only batch as alone.

Change: such an item is offered again and again to one replica, whose batch streams give way (their tokens are kept) and which other entries pass over meanwhile.

--- a/src/entry/bj_feed.c
+++ b/src/entry/bj_feed.c
@@ -19,16 +19,27 @@
 	return &b->services[b->nservices++];
 }
 
-/* Takes the waiting item that is due first, if `room` lets it run. */
-static bj_item_t *take(bj_t *b, const char *service, bool batch_room)
+/* May it be offered to the replica? One that runs alone is offered to the same replica again and
+ * again, whatever its room: the offer makes its owner empty it. */
+static bool offered_to(const bj_item_t *it, const up_t *u, bool batch_room, int64_t now)
 {
+	if (it->not_before > now)
+		return false;
+	if (it->alone)
+		return !it->pinned || it->pinned == u || it->pinned_until <= now;
+	return batch_room || it->job[0] == 0;
+}
+
+/* Takes the waiting item that is due first of those that may be offered to the replica. */
+static bj_item_t *take(bj_t *b, const up_info_t *info, bool batch_room)
+{
+	const char *service = info->service;
 	int64_t now = clk_now_ms();
 	bj_item_t *it;
 
 	pthread_mutex_lock(&b->lock);
 	DL_FOREACH (b->waiting, it) {
-		if (strcmp(it->service, service) == 0 && it->not_before <= now &&
-		    (batch_room || it->job[0] == 0))
+		if (strcmp(it->service, service) == 0 && offered_to(it, info->up, batch_room, now))
 			break;
 	}
 	if (it) {
@@ -63,11 +74,11 @@
 
 	if (!s || !info->ro || info->state != AW_UP_LIVE)
 		return true;
-	room = room_of(f->b, info, s);
-	while ((it = take(f->b, info->service, room > 0)) != NULL) {
+	room = up_avoided(info->up) ? 0 : room_of(f->b, info, s);
+	while ((it = take(f->b, info, room > 0)) != NULL) {
 		up_count_sent(info->up);
 		bj_item_run(it, info);
-		room = room_of(f->b, info, s);
+		room = up_avoided(info->up) ? 0 : room_of(f->b, info, s);
 	}
 	pthread_mutex_lock(&f->b->lock);
 	bs = bj_service(f->b, info->service);
--- a/src/entry/bj_impl.h
+++ b/src/entry/bj_impl.h
@@ -26,6 +26,8 @@
 	unsigned index;
 	unsigned attempt;
 	bool alone;
+	up_t *pinned; /* replica that is being emptied for an item that runs alone */
+	deadline_t pinned_until;
 	bool repeatable;
 	deadline_t deadline;
 	deadline_t not_before;
--- a/src/entry/bj_item.c
+++ b/src/entry/bj_item.c
@@ -10,6 +10,8 @@
 
 #define RESUMES_MAX    3
 #define PAUSE_MS       50
+#define PAUSE_ALONE_MS 10
+#define PINNED_MS      10000
 #define ORPHAN_WAIT_MS 30000
 
 static void read_body(bj_item_t *it)
@@ -158,6 +160,9 @@
 	ro = it->ro;
 	it->ro = NULL;
 	it->stream = 0;
+	if (it->pinned)
+		up_avoid(it->pinned, 0);
+	it->pinned = NULL;
 	if (end->kind == RN_DONE)
 		end_done(b, it);
 	else
@@ -173,7 +178,7 @@
 	const tx_service_t *s = c ? tx_service(c->text, str_c(it->service)) : NULL;
 	bool orphan = it->job[0] == 0;
 
-	return (rn_work_t){.cls = orphan ? OW_ONLINE : OW_BATCH,
+	return (rn_work_t){.cls = orphan && !it->alone ? OW_ONLINE : OW_BATCH,
 			   .deadline = orphan ? clk_now_ms() + ORPHAN_WAIT_MS : it->deadline,
 			   .alone = it->alone,
 			   .max_tokens = it->max_tokens,
@@ -186,6 +191,17 @@
 			   .trace = str_c(it->trace)};
 }
 
+static void pin(bj_item_t *it, up_t *u)
+{
+	if (!it->alone || (it->pinned == u && it->pinned_until > clk_now_ms()))
+		return;
+	it->pinned = u;
+	it->pinned_until = clk_now_ms() + PINNED_MS;
+	up_avoid(u, it->pinned_until);
+	lg(LG_INFO, "replica_emptied", LG_C("key", it->job[0] ? it->job : it->key),
+	   LG_I("index", it->index));
+}
+
 void bj_item_run(bj_item_t *it, const up_info_t *at)
 {
 	bj_t *b = it->b;
@@ -193,6 +209,7 @@
 	rn_work_t w = work_of(it);
 	int64_t retry_after_ms;
 	ro_t *ro = ro_ref(at->ro);
+	bool alone = it->alone;
 
 	pthread_mutex_lock(&b->lock);
 	it->ro = ro_ref(ro);
@@ -206,9 +223,12 @@
 		DL_DELETE(b->running, it);
 		it->ro = NULL;
 		it->stream = 0;
-		it->not_before = clk_now_ms() + PAUSE_MS;
+		it->not_before = clk_now_ms() + (it->alone ? PAUSE_ALONE_MS : PAUSE_MS);
+		pin(it, at->up);
 		bj_item_wait(b, it);
 		pthread_mutex_unlock(&b->lock);
+		if (alone)
+			ro_preempt_one(ro);
 		ro_unref(ro);
 	}
 	ro_unref(ro);
--- a/src/entry/lx.c
+++ b/src/entry/lx.c
@@ -8,11 +8,12 @@
 #include "base/rp.h"
 #include "entry/up.h"
 
-#define SEND_MS	  100
-#define CALL_MS	  500
-#define SCAN_MS	  200
-#define PEERS_MAX 1024
-#define STEP_MS	  10
+#define SEND_MS	      100
+#define CALL_MS	      500
+#define SCAN_MS	      200
+#define AVOIDED_QUEUE 64 /* makes the others prefer any other replica */
+#define PEERS_MAX     1024
+#define STEP_MS	      10
 
 typedef struct peer {
 	en_t *en;
@@ -56,6 +57,10 @@
 			 .running = (int)(st.running_online + st.running_batch),
 			 .step_us = (int)st.step_us,
 			 .drain_ms = clamp(st.drain_ms + st.first_ms)};
+	if (up_avoided(info->up)) {
+		l->free_slots = 0;
+		l->queued += AVOIDED_QUEUE;
+	}
 	l->prefixes.prefixes_len = (u_int)up_prefixes_copy(info->up, &prefixes);
 	l->prefixes.prefixes_val = (u_quad_t *)prefixes;
 	return true;
--- a/src/entry/up.h
+++ b/src/entry/up.h
@@ -58,6 +58,9 @@
 void up_engine_report(up_t *u, int running, int waiting, int slots);
 /** Room for batch by the engine's last report, less what was sent since (ways without owners). */
 unsigned up_reported_room(up_t *u, unsigned kept);
+/** Until then the replica is being emptied: others are preferred to it. */
+void up_avoid(up_t *u, deadline_t until);
+bool up_avoided(up_t *u);
 /** Counts a stream sent there since the last report. */
 void up_count_sent(up_t *u);
 /** Replaces or changes what is known of a replica's prefix cache. */
--- a/src/entry/up_impl.h
+++ b/src/entry/up_impl.h
@@ -18,6 +18,7 @@
 	int slots;
 	ro_t *ro;
 	pk_candidate_t report;
+	deadline_t avoid_until;
 	int64_t drain_ms; /* as its owner last said */
 	rt_breaker_t breaker;
 	uint64_t *prefixes; /* sorted */
--- a/src/entry/up_pick.c
+++ b/src/entry/up_pick.c
@@ -47,6 +47,10 @@
 	c->running = (int)(st.running_online + st.running_batch);
 	c->sent_since = 0;
 	c->reported = now_ms;
+	if (u->avoid_until > now_ms) {
+		c->free_slots = 0;
+		c->queued += u->slots;
+	}
 }
 
 static pk_candidate_t candidate(up_t *u, uint64_t prefix, int64_t now_ms)
@@ -240,6 +244,23 @@
 	return room > 0 ? (unsigned)room : 0;
 }
 
+void up_avoid(up_t *u, deadline_t until)
+{
+	pthread_mutex_lock(&u->lock);
+	u->avoid_until = until;
+	pthread_mutex_unlock(&u->lock);
+}
+
+bool up_avoided(up_t *u)
+{
+	bool yes;
+
+	pthread_mutex_lock(&u->lock);
+	yes = u->avoid_until > clk_now_ms();
+	pthread_mutex_unlock(&u->lock);
+	return yes;
+}
+
 void up_count_sent(up_t *u)
 {
 	pthread_mutex_lock(&u->lock);
--- a/tests/proc/test_entry_upstreams.py
+++ b/tests/proc/test_entry_upstreams.py
@@ -32,11 +32,14 @@
         self.addCleanup(t.join)
         self.addCleanup(stop.set)
         items = [{"prompt": "good %d" % i, "max_tokens": 20} for i in range(60)]
+        f.submit_job("beside", [{"prompt": "beside %d" % i, "max_tokens": 400} for i in range(400)])
         items[7]["prompt"] = "{never} 7"
         items[33]["prompt"] = "{poison} 33"
         self.assertEqual(f.submit_job("mixed", items)[0], 202)
         job = fl.wait_for("end of the job", lambda: (lambda j: j if j["state"] == "done" else None)(f.job("mixed")), 120)
         self.assertEqual((job["done"], job["failed"], job["waiting"], job["leased"]), (58, 2, 0, 0))
+        self.assertEqual(f.job("beside")["state"], "running")
+        fl.call(f.addr(), "DELETE", "/v1/jobs/beside", headers=fl.bearer(fl.CALLER_KEY))
         body = fl.call(f.addr(1), "GET", "/v1/jobs/mixed/results?max=100", headers=fl.bearer(fl.CALLER_KEY))[2]
         states = {r["index"]: r["state"] for r in map(json.loads, body.splitlines())}
         self.assertEqual(sorted(i for i, s in states.items() if s == "failed"), [7, 33])
