Entry: a resend waits for the one answer

Change: such a call follows the record until its deadline and is answered with the stored result; it never runs anything itself.

--- a/src/entry/fi.h
+++ b/src/entry/fi.h
@@ -24,7 +24,7 @@
 	deadline_t deadline;
 	tr_span_t span;
 	bool admitted; /* counted in the service's concurrency */
-	bool registered; /* its key is held against a second one here */
+	bool registered; /* holds its key; else another call here does, and this one only follows */
 } fi_call_t;
 
 /** A chain: each step gets the rest of it, to call with fi_next. Ends with a step that replies. */
@@ -39,6 +39,12 @@
 /** Replies with a refusal: not run. */
 void fi_refuse(fi_call_t *c, int status, const char *code, str_t message, int64_t retry_after_ms);
 
+/** Replies with a final record. */
+void fi_replay(fi_call_t *c, const aw_record_t *r);
+/** Waits, until the call's deadline, for the end of a request that runs elsewhere, and replies with
+ *  it. */
+void fi_follow(fi_call_t *c);
+
 /* The filters, one file each. */
 void fi_identify(fi_call_t *c, const fi_step_t *next);
 void fi_leased(fi_call_t *c, const fi_step_t *next);
--- a/src/entry/fi_accept.c
+++ b/src/entry/fi_accept.c
@@ -6,9 +6,8 @@
 #include "entry/lc.h"
 #include "entry/rk.h"
 
-#define ACCEPT_MS	     3000
-#define IN_PROGRESS_RETRY_MS 1000
-#define TIMEOUT_RETRY_MS     1000
+#define ACCEPT_MS	 3000
+#define TIMEOUT_RETRY_MS 1000
 
 static status_t accept_call(fi_call_t *c, aw_ledger_res_t *res)
 {
@@ -79,53 +78,6 @@
 	pthread_detach(t);
 }
 
-/* A stored result, in the shape that was asked for. */
-static void replay_done(fi_call_t *c, str_t result)
-{
-	json_t *j = json_loadb(result.p, result.n, 0, NULL);
-	bool stream = json_is_true(json_object_get(c->json, "stream"));
-	json_t *text = json_object_get(j, "text");
-	AUTO_BUF b = {0};
-
-	if (c->service->kind == TX_ENGINE && stream && json_is_string(text)) {
-		buf_add(&b, STR("data: {\"id\":"));
-		buf_add_json(&b, str_c(c->key));
-		buf_add(&b, STR(",\"index\":0,\"choices\":[{\"index\":0,\"text\":"));
-		buf_add_json(&b, (str_t){json_string_value(text), json_string_length(text)});
-		buf_add(&b, STR("}]}\n\ndata: [DONE]\n\n"));
-		hs_reply(c->res, 200, "text/event-stream", str_buf(&b));
-	} else {
-		hs_json(c->res, 200, result);
-	}
-	json_decref(j);
-}
-
-/* An entry stored its reply; the ledger itself stores a reason in words. */
-static void replay_failed(fi_call_t *c, const aw_record_t *r)
-{
-	str_t result = px_str(r->result);
-	int status = r->http_status ? r->http_status : 502;
-
-	if (str_starts(result, STR("{\"error\"")))
-		hs_error_json(c->res, status, result,
-			      r->verdict == VERDICT_NOT_RUN ? IN_PROGRESS_RETRY_MS : 0);
-	else
-		hs_error(c->res, status, "failed", result, (verdict_t)r->verdict, 0);
-}
-
-static void replay(fi_call_t *c, const aw_record_t *r)
-{
-	lg(LG_INFO, "replayed", LG_C("key", c->key), LG_I("state", r->state),
-	   LG_I("status", r->http_status));
-	MX_COUNT("auburn_replayed_total");
-	u_map_put(c->res->map_header, "X-Auburn-Replay", "1");
-	if (r->state == AW_DONE)
-		replay_done(c, px_str(r->result));
-	else
-		replay_failed(c, r);
-	tr_end(&c->span, str_c(c->key), "replayed");
-}
-
 static void judge(fi_call_t *c, const aw_ledger_res_t *res, const fi_step_t *next)
 {
 	const aw_record_t *r = &res->record;
@@ -135,14 +87,12 @@
 		fi_refuse(c, 409, "key_conflict", STR("the key stands for another request"), 0);
 	} else if (res->status != ST_OK) {
 		fi_refuse(c, 503, "ledger", px_str(res->message), TIMEOUT_RETRY_MS);
-	} else if (r->state == AW_ACCEPTED && (r->fresh || own)) {
+	} else if (r->state == AW_ACCEPTED && c->registered && (r->fresh || own)) {
 		fi_next(c, next);
 	} else if (r->state == AW_ACCEPTED || r->state == AW_ATTEMPTED) {
-		hs_error(c->res, 409, "in_progress", STR("this key is being worked on"),
-			 VERDICT_MAY_HAVE_RUN, IN_PROGRESS_RETRY_MS);
-		tr_end(&c->span, str_c(c->key), "in_progress");
+		fi_follow(c);
 	} else {
-		replay(c, r);
+		fi_replay(c, r);
 	}
 }
 
@@ -161,7 +111,8 @@
 	hs_error(c->res, 503, "acceptance_unknown", str_buf(&why), VERDICT_MAY_HAVE_RUN,
 		 TIMEOUT_RETRY_MS);
 	tr_end(&c->span, str_c(c->key), "acceptance_unknown");
-	abandon(c);
+	if (c->registered)
+		abandon(c);
 }
 
 void fi_accept(fi_call_t *c, const fi_step_t *next)
--- a/src/entry/fi_idempotency.c
+++ b/src/entry/fi_idempotency.c
@@ -4,8 +4,6 @@
 #include <stdio.h>
 #include "entry/rk.h"
 
-#define IN_PROGRESS_RETRY_MS 1000
-
 static bool take_key(fi_call_t *c)
 {
 	str_t key = hs_header(c->req, "Idempotency-Key");
@@ -47,11 +45,6 @@
 		return;
 	u_map_put(c->res->map_header, "Idempotency-Key", c->key);
 	c->digest = digest(c);
-	if (!rk_hold(c->caller, str_c(c->key))) {
-		hs_error(c->res, 409, "in_progress", STR("this key is being worked on"),
-			 VERDICT_MAY_HAVE_RUN, IN_PROGRESS_RETRY_MS);
-		return;
-	}
-	c->registered = true;
+	c->registered = rk_hold(c->caller, str_c(c->key));
 	fi_next(c, next);
 }
