--- a/src/entry/fi_match.c
+++ b/src/entry/fi_match.c
@@ -2,7 +2,8 @@
 
 #include <string.h>
 
-#define TOKENS_MAX 1000000
+#define TOKENS_MAX     1000000
+#define PATH_MAX_BYTES 384
 
 static bool valid_work(fi_call_t *c)
 {
@@ -55,6 +56,10 @@
 		return;
 	}
 	c->path = str_c(*rest ? rest : "/");
+	if (c->path.n > PATH_MAX_BYTES || !hs_key_valid(c->path)) {
+		fi_refuse(c, 400, "bad_path", STR("the path is too long or holds other bytes"), 0);
+		return;
+	}
 	set_deadline(c);
 	fi_next(c, next);
 }
