--- a/src/base/mx.h
+++ b/src/base/mx.h
@@ -24,7 +24,7 @@
 /** Counts and returns without a handle of one's own: MX_COUNT("auburn_refused_total"). */
 #define MX_COUNT(name)                                                                             \
 	do {                                                                                       \
-		static mx_t *mx_here_;                                                             \
+		static _Atomic(mx_t *) mx_here_;                                                   \
 		if (!mx_here_)                                                                     \
 			mx_here_ = mx_get(MX_COUNTER, (name), NULL);                               \
 		mx_add(mx_here_, 1);                                                               \
