--- a/src/base/mx.h
+++ b/src/base/mx.h
@@ -25,10 +25,9 @@
 #define MX_COUNT(name)                                                                             \
 	do {                                                                                       \
 		static _Atomic(mx_t *) mx_here_;                                                   \
-		mx_t *mx_this_ = mx_here_;                                                         \
-		if (!mx_this_)                                                                     \
-			mx_here_ = mx_this_ = mx_get(MX_COUNTER, (name), NULL);                    \
-		mx_add(mx_this_, 1);                                                               \
+		if (!mx_here_)                                                                     \
+			mx_here_ = mx_get(MX_COUNTER, (name), NULL);                               \
+		mx_add(mx_here_, 1);                                                               \
 	} while (0)
 
 #endif
--- a/src/entry/lx.c
+++ b/src/entry/lx.c
@@ -8,11 +8,12 @@
 #include "base/rp.h"
 #include "entry/up.h"
 
-#define SEND_MS	  100
-#define CALL_MS	  500
-#define SCAN_MS	  200
-#define PEERS_MAX 1024
-#define STEP_MS	  10
+#define SEND_MS	      100
+#define CALL_MS	      500
+#define SCAN_MS	      200
+#define AVOIDED_QUEUE 64 /* makes the others prefer any other replica */
+#define PEERS_MAX     1024
+#define STEP_MS	      10
 
 typedef struct peer {
 	en_t *en;
@@ -32,6 +33,11 @@
 		up_report(en->ups, &a->loads.loads_val[i]);
 }
 
+static int clamp(int64_t ms)
+{
+	return ms < INT_MAX ? (int)ms : INT_MAX;
+}
+
 static bool add_load(void *ctx, const up_info_t *info)
 {
 	aw_load_arg_t *a = ctx;
@@ -50,7 +56,11 @@
 			 .queued = (int)st.queued,
 			 .running = (int)(st.running_online + st.running_batch),
 			 .step_us = (int)st.step_us,
-			 .drain_ms = st.drain_ms < INT_MAX ? (int)st.drain_ms : INT_MAX};
+			 .drain_ms = clamp(st.drain_ms + st.first_ms)};
+	if (up_avoided(info->up)) {
+		l->free_slots = 0;
+		l->queued += AVOIDED_QUEUE;
+	}
 	l->prefixes.prefixes_len = (u_int)up_prefixes_copy(info->up, &prefixes);
 	l->prefixes.prefixes_val = (u_quad_t *)prefixes;
 	return true;
--- a/src/entry/up.h
+++ b/src/entry/up.h
@@ -43,7 +43,7 @@
 /** Picks a replica of a service that is not in `tried` (ids); false if none is usable. */
 bool up_pick(up_table_t *t, str_t service, str_t prompt, up_t *const *tried, size_t ntried,
 	     up_choice_t *out);
-/** Least time until a new stream of the service would start anywhere, by what is known; 0 when
+/** Least time until a new stream of the service would give a first token, by what is known; 0 when
  *  nothing is. */
 int64_t up_wait_ms(up_table_t *t, str_t service);
 /** The replica with this id if it is dispatched to from here under this fence; a reference. */
@@ -58,6 +58,9 @@
 void up_engine_report(up_t *u, int running, int waiting, int slots);
 /** Room for batch by the engine's last report, less what was sent since (ways without owners). */
 unsigned up_reported_room(up_t *u, unsigned kept);
+/** Until then the replica is being emptied: others are preferred to it. */
+void up_avoid(up_t *u, deadline_t until);
+bool up_avoided(up_t *u);
 /** Counts a stream sent there since the last report. */
 void up_count_sent(up_t *u);
 /** Replaces or changes what is known of a replica's prefix cache. */
