--- a/tests/unit/sim_node.c
+++ b/tests/unit/sim_node.c
@@ -84,7 +84,8 @@
 	for (size_t i = 0; i < n; i++)
 		do_write(d, &d->writes[i]);
 	d->nwrites -= n;
-	memmove(d->writes, d->writes + n, d->nwrites * sizeof(*d->writes));
+	if (d->nwrites)
+		memmove(d->writes, d->writes + n, d->nwrites * sizeof(*d->writes));
 }
 
 void sim_node_sync(sim_node_t *n, size_t writes)
