Entry: calls between entries need the fleet's peer key; exit codes are those of the other programs

Cause: /internal/v1/run and /internal/v1/cancel stand on the callers' port and checked only a session number, which is small and can be guessed: a stranger could run work past every limit or stop a job (test_peer, seen failing: 200 in place of 401). The entry's exit codes differed from those of control and ctl. Change: setting peer_key (required), compared in constant time; the entry parses its command line by ar. test_bad_input sends its bad bodies to /internal with the peer key, so that they still reach the parser. Ruled out: a port of its own (one more address to keep apart, and no protection by itself).

--- a/src/entry/dp.c
+++ b/src/entry/dp.c
@@ -101,8 +101,9 @@
 {
 	char url[URL_BYTES];
 	char trace[TR_PARENT_BYTES + sizeof("traceparent: ")];
-	const char *const headers[] = {"Content-Type: application/json", trace, NULL};
+	AUTO_BUF key = {0};
 	AUTO_BUF body = {0};
+	const char *headers[] = {"Content-Type: application/json", trace, NULL, NULL};
 	remote_t *r = mem_new(sizeof(*r));
 	ec_options_t call = {.method = "POST",
 			     .url = url,
@@ -117,6 +118,8 @@
 	r->sink = *sink;
 	snprintf(url, sizeof(url), "http://%s/internal/v1/run", c->owner_addr);
 	snprintf(trace, sizeof(trace), "traceparent: %.*s", STR_ARG(w->trace));
+	buf_addf(&key, "Authorization: Bearer %s", en->set.peer_key);
+	headers[2] = key.p;
 	dp_write_work(&body, en, c->id, c->fence, w);
 	call.body = str_buf(&body);
 	MX_COUNT("auburn_forwarded_total");
--- a/src/entry/en.h
+++ b/src/entry/en.h
@@ -10,7 +10,6 @@
 #include "entry/en_snap.h"
 #include "policy/tb.h"
 
-#define EN_VERSION "0.1.0"
 
 typedef struct up_table up_table_t;
 typedef struct ad ad_t;
--- a/src/entry/en_settings.c
+++ b/src/entry/en_settings.c
@@ -117,6 +117,7 @@
 		{"zone", CF_STR, true, 1, NAME_MAX_BYTES, &s->zone},
 		{"listen", CF_STR, true, 1, NAME_MAX_BYTES, &s->listen},
 		{"peer", CF_STR, true, 1, NAME_MAX_BYTES, &s->peer},
+		{"peer_key", CF_STR, true, KEY_MIN_BYTES, NAME_MAX_BYTES, &s->peer_key},
 		{"controls", CF_STRS, true, 1, CONTROLS_MAX, &s->controls},
 		{"ledger_groups", CF_INT, false, 1, GROUPS_MAX, &s->ledger_groups},
 		{"address_ttl_ms", CF_INT, false, 0, ADDRESS_TTL_MAX, &s->address_ttl_ms},
@@ -172,6 +173,7 @@
 	free(s->zone);
 	free(s->listen);
 	free(s->peer);
+	free(s->peer_key);
 	cf_strs_free(&s->controls);
 	free_identities(s->callers, s->ncallers);
 	free_identities(s->operators, s->noperators);
--- a/src/entry/en_settings.h
+++ b/src/entry/en_settings.h
@@ -20,6 +20,7 @@
 	char *zone;
 	char *listen; /* ip:port of the HTTP side */
 	char *peer; /* ip:port of the RPC side */
+	char *peer_key; /* bearer key of calls between entries, the same in the whole fleet */
 	cf_strs_t controls;
 	int64_t ledger_groups;
 	int64_t address_ttl_ms;
--- a/src/entry/hs.c
+++ b/src/entry/hs.c
@@ -177,6 +177,11 @@
 	return ki_find(en->operator_keys, bearer(req), name) || refuse_key(res);
 }
 
+bool hs_peer(en_t *en, const struct _u_request *req, struct _u_response *res)
+{
+	return str_eq_secret(str_c(en->set.peer_key), bearer(req)) || refuse_key(res);
+}
+
 bool hs_body_fits(en_t *en, const struct _u_request *req, struct _u_response *res)
 {
 	str_t declared = hs_header(req, "Content-Length");
--- a/src/entry/hs.h
+++ b/src/entry/hs.h
@@ -39,6 +39,8 @@
 /** The caller or operator that the bearer key belongs to; false after a 401 was set. */
 bool hs_caller(en_t *en, const struct _u_request *req, struct _u_response *res, str_t *name);
 bool hs_operator(en_t *en, const struct _u_request *req, struct _u_response *res, str_t *name);
+/** True when the call carries the fleet's peer key; false after a 401 was set. */
+bool hs_peer(en_t *en, const struct _u_request *req, struct _u_response *res);
 /** False after a 413 was set: the declared length is over the bound. */
 bool hs_body_fits(en_t *en, const struct _u_request *req, struct _u_response *res);
 
--- a/src/entry/ir.c
+++ b/src/entry/ir.c
@@ -193,10 +193,15 @@
 {
 	en_t *en = ctx;
 	str_t body = hs_body(req);
-	json_t *j = json_loadb(body.p, body.n, 0, NULL);
-	rn_work_t w = read_work(j, hs_header(req, "traceparent"));
-	ro_t *ro = j ? find_owned(en, j) : NULL;
+	json_t *j;
+	rn_work_t w;
+	ro_t *ro;
 
+	if (!hs_peer(en, req, res))
+		return U_CALLBACK_COMPLETE;
+	j = json_loadb(body.p, body.n, 0, NULL);
+	w = read_work(j, hs_header(req, "traceparent"));
+	ro = j ? find_owned(en, j) : NULL;
 	if (ro && en_lease_valid(en->snap))
 		run(en, ro, &w, res);
 	else
--- a/src/entry/ir_cancel.c
+++ b/src/entry/ir_cancel.c
@@ -13,12 +13,18 @@
 {
 	en_t *en = ctx;
 	str_t body = hs_body(req);
-	json_t *j = json_loadb(body.p, body.n, 0, NULL);
-	const char *caller = json_string_value(json_object_get(j, "caller"));
-	const char *job = json_string_value(json_object_get(j, "job"));
 	AUTO_VIEW *v = en_view_get(en->snap);
-	uint64_t session = (uint64_t)json_integer_value(json_object_get(j, "session"));
+	const char *caller;
+	const char *job;
+	uint64_t session;
+	json_t *j;
 
+	if (!hs_peer(en, req, res))
+		return U_CALLBACK_COMPLETE;
+	j = json_loadb(body.p, body.n, 0, NULL);
+	caller = json_string_value(json_object_get(j, "caller"));
+	job = json_string_value(json_object_get(j, "job"));
+	session = (uint64_t)json_integer_value(json_object_get(j, "session"));
 	if (caller && job && v && en_member(&v->view, session)) {
 		bj_cancel(en->batch, str_c(caller), str_c(job));
 		hs_json(res, 200, STR("{\"ok\":true}"));
@@ -49,7 +55,8 @@
 
 static void ask(en_t *en, const aw_member_t *m, str_t body, asked_t *a)
 {
-	static const char *const headers[] = {"Content-Type: application/json", NULL};
+	AUTO_BUF key = {0};
+	const char *headers[] = {"Content-Type: application/json", NULL, NULL};
 	char url[URL_BYTES];
 	const ec_options_t o = {.method = "POST",
 				.url = url,
@@ -59,6 +66,8 @@
 				.ctx = a,
 				.end = on_answer};
 
+	buf_addf(&key, "Authorization: Bearer %s", en->set.peer_key);
+	headers[1] = key.p;
 	snprintf(url, sizeof(url), "http://%.*s/internal/v1/cancel", STR_ARG(px_str(m->addr)));
 	pthread_mutex_lock(&a->lock);
 	a->left++;
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -1,9 +1,9 @@
-#include <argtable2.h>
 #include <curl/curl.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include "base/ar.h"
 #include "base/lg.h"
 #include "base/mx.h"
 #include "entry/aa.h"
@@ -22,8 +22,6 @@
 #include "entry/sv.h"
 #include "entry/up.h"
 
-enum { EXIT_USAGE = 1, EXIT_SETTINGS = 2, EXIT_PORT = 3 };
-
 static en_t en;
 
 uint64_t en_random(void)
@@ -100,7 +98,7 @@
 	en.caller_keys = ki_new(en.set.callers, en.set.ncallers);
 	en.operator_keys = ki_new(en.set.operators, en.set.noperators);
 	if (lx_start(&en) != ST_OK || hs_start(&en, routes) != ST_OK)
-		return fail(EXIT_PORT);
+		return fail(AR_LISTEN);
 	en.batch = bj_start(&en);
 	bt_start(&en);
 	pr_start(&en);
@@ -112,48 +110,23 @@
 	return 0;
 }
 
-static int load_and_serve(const char *path, bool check)
+int main(int argc, char **argv)
 {
-	status_t st = en_settings_load(path, &en.set);
-	int code;
+	const ar_options_t o = {"auburn-entry", "Answers callers and owns replicas of the models.",
+				NULL, NULL};
+	ar_t args;
+	int code = ar_parse(&o, argc, argv, &args);
 
-	if (st != ST_OK)
-		return fail(EXIT_SETTINGS);
-	if (check)
-		return puts("settings are valid") < 0;
+	if (code >= 0)
+		return code;
+	if (sodium_init() < 0)
+		return AR_FAILED;
+	if (en_settings_load(args.config, &en.set) != ST_OK)
+		return fail(AR_SETTINGS);
+	if (args.check)
+		return AR_OK;
 	code = serve();
 	/* Detached threads still use what they were given; the process ends here. */
 	fflush(NULL);
 	_exit(code);
 }
-
-int main(int argc, char **argv)
-{
-	struct arg_lit *help = arg_lit0("h", "help", "show this help");
-	struct arg_lit *version = arg_lit0(NULL, "version", "show the version");
-	struct arg_lit *check = arg_lit0(NULL, "check", "read the settings, start nothing");
-	struct arg_file *config = arg_file0("c", "config", "FILE", "settings (TOML)");
-	struct arg_end *end = arg_end(4);
-	void *table[] = {help, version, check, config, end};
-	int errors = arg_parse(argc, argv, table);
-	int code = 0;
-
-	if (sodium_init() < 0)
-		return EXIT_USAGE;
-	if (help->count > 0) {
-		printf("Usage: auburn-entry");
-		arg_print_syntax(stdout, table, "\n");
-		arg_print_glossary(stdout, table, "  %-20s %s\n");
-		printf("Exit codes: 0 stopped, 1 usage, 2 settings, 3 address in use.\n");
-	} else if (version->count > 0) {
-		printf("auburn-entry %s\n", EN_VERSION);
-	} else if (errors || config->count == 0) {
-		arg_print_errors(stderr, end, "auburn-entry");
-		fprintf(stderr, "auburn-entry: needs --config FILE, see --help\n");
-		code = EXIT_USAGE;
-	} else {
-		code = load_and_serve(config->filename[0], check->count > 0);
-	}
-	arg_freetable(table, sizeof(table) / sizeof(table[0]));
-	return code;
-}
--- a/tests/proc/fleet.py
+++ b/tests/proc/fleet.py
@@ -14,6 +14,7 @@
 CALLER_KEY = "caller-key-desk"
 CALLER2_KEY = "caller-key-paper"
 OPERATOR_KEY = "operator-key-0001"
+PEER_KEY = "peer-key-of-the-fleet"
 
 TEXT = """\
 retention_s = 3600
@@ -213,7 +214,7 @@
     def make_entry(self, i, more):
         ip = self.net + "%d" % (51 + i)
         s = {"name": "entry-%d" % (i + 1), "zone": self.zone(i), "listen": ip + ":7000", "peer": ip + ":7001",
-             "controls": self.control_addrs + self.spare_addrs, "ledger_groups": self.groups,
+             "peer_key": PEER_KEY, "controls": self.control_addrs + self.spare_addrs, "ledger_groups": self.groups,
              "caller": [{"name": "desk", "key": CALLER_KEY}, {"name": "paper", "key": CALLER2_KEY}],
              "operator": [{"name": "ops", "key": OPERATOR_KEY}]}
         s.update(more or {})
--- a/tests/proc/test_bad_input.py
+++ b/tests/proc/test_bad_input.py
@@ -29,7 +29,8 @@
         {"listen": WRONG_ADDR, "http": WRONG_ADDR, "controls": [[], [5], ["x"], 5, ADDR], "spares": [["x"], 5],
          "routes": [["x"], [ADDR + "="], 5]}),
     "auburn-entry": (
-        {"name": "e", "zone": "z", "listen": ADDR, "peer": ADDR2, "controls": [ADDR3], "ledger_groups": 2,
+        {"name": "e", "zone": "z", "listen": ADDR, "peer": ADDR2, "peer_key": "a-key-of-peers", "controls": [ADDR3],
+         "ledger_groups": 2,
          "address_ttl_ms": 1000, "max_body_bytes": 1000, "max_items": 10, "max_connections": 10, "caller": KEYS,
          "operator": KEYS, "bench": {"way": "owner", "preempt": "resume", "keep": "peak"}},
         {"listen": WRONG_ADDR, "peer": WRONG_ADDR, "controls": [[], [5], ["x"], 5]}),
@@ -368,7 +369,8 @@
             for path in ("/v1/completions", "/v1/jobs?service=sammandrag-llm", "/v1/services/none/x", "/internal/v1/run"):
                 if b"none" in body and path.startswith("/v1/jobs"):
                     continue  # an item has no model
-                status, _, out = call(self.f.addr(), "POST", path, body, bearer(CALLER_KEY, "bad-%d" % i))
+                key = fleet.PEER_KEY if path.startswith("/internal") else CALLER_KEY
+                status, _, out = call(self.f.addr(), "POST", path, body, bearer(key, "bad-%d" % i))
                 refused = status == 503 if path.startswith("/internal") else 400 <= status < 500
                 self.assertTrue(refused or status == 400, (path, body[:60], status, out))
                 self.assertEqual(json.loads(out)["error"]["verdict"], "not_run", (path, body[:60]))
