--- a/src/proto/aw.x
+++ b/src/proto/aw.x
@@ -147,6 +147,7 @@
 	unsigned int count;
 	aw_bytes_t trace;
 	hyper now_wall_ms;
+	unsigned int share;		/* the caller's weight in the fair share; 0 counts as 1 */
 };
 
 struct aw_job_items_t {
@@ -361,6 +362,7 @@
 struct aw_exec_arg_t {
 	unsigned int group;
 	unsigned int wait_ms;		/* time left */
+	bool forward;			/* a process that doesn't lead passes it on to the leader */
 	aw_bytes_t payload;		/* an encoded command or query */
 };
 
@@ -375,6 +377,7 @@
 	aw_member_t member;		/* session 0 asks for one */
 	unsigned hyper conf_number;	/* in force at the sender */
 	unsigned hyper view_version;
+	bool forward;			/* as in aw_exec_arg_t */
 };
 
 struct aw_beat_res_t {
@@ -412,7 +415,7 @@
 	int queued;
 	int running;
 	int step_us;			/* recent time between tokens */
-	int drain_ms;			/* until a stream offered now would start */
+	int drain_ms;			/* until a stream offered now would give its first token */
 	unsigned hyper prefixes<>;	/* hashes of prefixes that its cache holds */
 };
 
--- a/src/raft/rs_file.c
+++ b/src/raft/rs_file.c
@@ -8,7 +8,8 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
-#define READ_BYTES (1024 * 1024)
+#define READ_BYTES  (1024 * 1024)
+#define PIECE_BYTES (1024 * 1024)
 
 static long fault_value(const char *env, const char *key)
 {
@@ -109,7 +110,36 @@
 	return n < 0 ? io_error("read", path) : ST_OK;
 }
 
-status_t rs_file_replace(rs_fault_t *f, const char *dir, const char *name, str_t data)
+/* Writes data with a sync after each piece: much unsynced data would hold up the log's syncs. */
+static status_t write_pieces(rs_fault_t *f, int fd, const char *name, str_t data, off_t *at)
+{
+	status_t st = ST_OK;
+
+	while (data.n > 0 && st == ST_OK) {
+		size_t n = data.n < PIECE_BYTES ? data.n : PIECE_BYTES;
+
+		st = rs_file_write(f, fd, name, (str_t){data.p, n}, *at);
+		if (st == ST_OK && n == PIECE_BYTES)
+			st = rs_file_sync(f, fd, name);
+		data.p += n;
+		data.n -= n;
+		*at += (off_t)n;
+	}
+	return st;
+}
+
+static status_t write_parts(rs_fault_t *f, int fd, const char *name, const str_t *parts, size_t n)
+{
+	status_t st = ST_OK;
+	off_t at = 0;
+
+	for (size_t i = 0; i < n && st == ST_OK; i++)
+		st = write_pieces(f, fd, name, parts[i], &at);
+	return st;
+}
+
+status_t rs_file_replace(rs_fault_t *f, const char *dir, const char *name, const str_t *parts,
+			 size_t n)
 {
 	char path[RS_PATH_BYTES];
 	char tmp[RS_PATH_BYTES];
@@ -121,7 +151,7 @@
 	fd = open(tmp, O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, 0600);
 	if (fd < 0)
 		return io_error("open", tmp);
-	st = rs_file_write(f, fd, tmp, data, 0);
+	st = write_parts(f, fd, tmp, parts, n);
 	if (st == ST_OK)
 		st = rs_file_sync(f, fd, tmp);
 	close(fd);
