--- a/src/entry/en.h
+++ b/src/entry/en.h
@@ -10,7 +10,6 @@
 #include "entry/en_snap.h"
 #include "policy/tb.h"
 
-
 typedef struct up_table up_table_t;
 typedef struct ad ad_t;
 typedef struct ki ki_t;
