--- a/bench/run.py
+++ b/bench/run.py
@@ -226,7 +226,7 @@
             "--max-tokens", str(MAX_TOKENS), "--job-tokens", str(MAX_TOKENS), "--goal-ms", str(GOAL_MS[case.engine])]
     argv += case.args() + ["--run", "%s-%x" % (case.name, int(time.time()))]
     if case.batch:
-        argv += ["--job-items", "100", "--jobs", "6" if case.exact else "8", "--job-key", fl.CALLER2_KEY]
+        argv += ["--job-items", "100", "--jobs", "6" if case.exact else "16", "--job-key", fl.CALLER2_KEY]
     if case.exact:
         argv += ["--job-wait-ms", "60000"]
     if os.environ.get("BENCH_VERBOSE"):
