Entry: the end that stands in the ledger is the one that is told

Cause: an entry that woke after its session had ended told its own failure (503 result_not_committed) while the ledger held another end (502 failed), so a resend got another answer than the first: found by reading what FINISH answers; test_standing, seen failing on exactly that. Change: lc_finish hands out the record that stands on ST_CONFLICT; plain calls tell it, completions tell it or, when another entry's answer is done, that theirs is superseded. Replay uses the same function. Ruled out: sending the stored text after tokens already given (the caller would get two answers). The superseded case of a completion has no process test: the stand-in engine gives the same tokens on every replica.

--- a/src/entry/fi_accept.c
+++ b/src/entry/fi_accept.c
@@ -42,6 +42,7 @@
 {
 	abandon_t *a = arg;
 	AUTO_BUF result = {0};
+	lc_end_t standing = {0};
 	lc_finish_t f = {.caller = str_c(a->caller),
 			 .key = str_c(a->key),
 			 .verdict = VERDICT_NOT_RUN,
@@ -52,7 +53,8 @@
 	f.result = str_buf(&result);
 	/* In a later session the record may be another entry's to run. */
 	if (en_session(a->en->snap) == a->session)
-		lc_finish(a->en, &f);
+		lc_finish(a->en, &f, &standing);
+	buf_free(&standing.result);
 	rk_drop(f.caller, f.key);
 	atomic_fetch_sub(&a->en->requests, 1);
 	free(a->caller);
--- a/src/entry/fi_replay.c
+++ b/src/entry/fi_replay.c
@@ -30,16 +30,14 @@
 	json_decref(j);
 }
 
-/* An entry stored its reply; the ledger itself stores a reason in words. */
 static void replay_failed(fi_call_t *c, const aw_record_t *r)
 {
-	str_t result = px_str(r->result);
-	int status = r->http_status ? r->http_status : 502;
+	lc_end_t end;
 
-	if (str_starts(result, STR("{\"error\"")))
-		hs_error_json(c->res, status, result, r->verdict == VERDICT_NOT_RUN ? RETRY_MS : 0);
-	else
-		hs_error(c->res, status, "failed", result, (verdict_t)r->verdict, 0);
+	lc_end_of(r, &end);
+	hs_error_json(c->res, end.http_status, str_buf(&end.result),
+		      end.verdict == VERDICT_NOT_RUN ? RETRY_MS : 0);
+	buf_free(&end.result);
 }
 
 void fi_replay(fi_call_t *c, const aw_record_t *r)
--- a/src/entry/lc.c
+++ b/src/entry/lc.c
@@ -8,6 +8,7 @@
 #define FINISH_MS     60000
 #define FINISH_TRY_MS 3000
 #define PAUSE_MS      100
+#define NO_STATUS     502 /* told for an end that no entry gave a status */
 #define QUERY_MS      3000
 #define SERVICES_MAX  1024
 
@@ -20,7 +21,21 @@
 static budget_t budgets[SERVICES_MAX];
 static size_t nbudgets;
 
-status_t lc_finish(en_t *en, const lc_finish_t *f)
+/* An entry stores its reply; the ledger itself stores a reason in words. */
+void lc_end_of(const aw_record_t *r, lc_end_t *out)
+{
+	str_t result = px_str(r->result);
+
+	*out = (lc_end_t){.done = r->state == AW_DONE,
+			  .verdict = (verdict_t)r->verdict,
+			  .http_status = r->http_status ? r->http_status : NO_STATUS};
+	if (out->done || str_starts(result, STR("{\"error\"")))
+		buf_add(&out->result, result);
+	else
+		lc_error_json(&out->result, "failed", result, out->verdict, 0);
+}
+
+status_t lc_finish(en_t *en, const lc_finish_t *f, lc_end_t *standing)
 {
 	deadline_t until = clk_now_ms() + FINISH_MS;
 	aw_ledger_cmd_t cmd = {.kind = AW_LEDGER_FINISH};
@@ -40,6 +55,8 @@
 		st = cc_ledger(en->cc, &cmd, &res, clk_now_ms() + FINISH_TRY_MS);
 		if (st == ST_OK)
 			st = (status_t)res.status;
+		if (st == ST_CONFLICT)
+			lc_end_of(&res.record, standing);
 		px_free(PX(aw_ledger_res_t), &res);
 		if (st != ST_UNAVAILABLE && st != ST_TIMEOUT && st != ST_NOT_LEADER)
 			return st;
--- a/src/entry/lc.h
+++ b/src/entry/lc.h
@@ -13,9 +13,20 @@
 	str_t result;
 } lc_finish_t;
 
+/** The end of a request that stands in the ledger. */
+typedef struct {
+	bool done;
+	verdict_t verdict;
+	int http_status;
+	buf_t result; /* body, or the error JSON */
+} lc_end_t;
+
 /** Commits the end of a request; tried again until it is known to be committed or a long deadline
- *  has passed. */
-status_t lc_finish(en_t *en, const lc_finish_t *f);
+ *  has passed. ST_CONFLICT: another end stands, which `standing` is filled with; the caller frees
+ *  its result. */
+status_t lc_finish(en_t *en, const lc_finish_t *f, lc_end_t *standing);
+/** Fills in the end that a final record holds; the caller frees its result. */
+void lc_end_of(const aw_record_t *r, lc_end_t *out);
 
 typedef struct {
 	str_t caller;
--- a/src/entry/ps.c
+++ b/src/entry/ps.c
@@ -137,9 +137,21 @@
 	} while (may_go_on(en, c, end, &tries));
 }
 
+/* What stands in the ledger is what every resend is told, so it is told now too. */
+static void adopt(ps_end_t *end, lc_end_t *standing)
+{
+	end->done = standing->done;
+	end->http_status = standing->http_status;
+	end->verdict = standing->verdict;
+	end->code = "ended_elsewhere";
+	buf_free(&end->result);
+	end->result = standing->result;
+}
+
 status_t ps_run(en_t *en, const ps_call_t *c, ps_end_t *end)
 {
 	lc_finish_t f = {.caller = c->caller, .key = c->key};
+	lc_end_t standing = {0};
 	status_t st = ST_OK;
 
 	if (!c->repeatable)
@@ -154,9 +166,13 @@
 	f.verdict = end->verdict;
 	f.http_status = end->http_status;
 	f.result = str_buf(&end->result);
-	st = lc_finish(en, &f);
+	st = lc_finish(en, &f, &standing);
 	if (st == ST_OK)
 		return ST_OK;
+	if (st == ST_CONFLICT) {
+		adopt(end, &standing);
+		return ST_OK;
+	}
 	lg(LG_ERROR, "result_not_committed", LG_S("key", c->key), LG_C("status", st_name(st)));
 	if (end->verdict != VERDICT_NOT_RUN)
 		set_failed(end, 503, VERDICT_MAY_HAVE_RUN, "result_not_committed",
--- a/src/entry/rq.c
+++ b/src/entry/rq.c
@@ -308,6 +308,22 @@
 	write_result(r);
 }
 
+/* Another entry's end stands. Its answer can't follow the tokens that were given from here. */
+static void adopt(rq_t *r, const lc_end_t *standing)
+{
+	buf_free(&r->result);
+	if (standing->done) {
+		set_outcome(r, 409, VERDICT_RAN, "superseded",
+			    STR("another entry's answer stands: ask again under the same key"),
+			    FAIL_RETRY_MS);
+		write_result(r);
+		return;
+	}
+	set_outcome(r, standing->http_status, standing->verdict, "ended_elsewhere",
+		    STR("another entry ended it"), 0);
+	buf_add(&r->result, str_buf(&standing->result));
+}
+
 static void commit(rq_t *r)
 {
 	const lc_finish_t f = {.caller = str_c(r->caller),
@@ -316,14 +332,22 @@
 			       .verdict = r->outcome.verdict,
 			       .http_status = r->outcome.http_status,
 			       .result = str_buf(&r->result)};
+	lc_end_t standing = {0};
+	status_t st;
 
 	/* In a later session another entry may run it: its end is not for this one to tell. */
 	if (!r->outcome.ok && en_session(r->en->snap) != r->session) {
 		disown(r);
 		return;
 	}
-	if (lc_finish(r->en, &f) == ST_OK)
+	st = lc_finish(r->en, &f, &standing);
+	if (st == ST_OK)
 		return;
+	if (st == ST_CONFLICT) {
+		adopt(r, &standing);
+		buf_free(&standing.result);
+		return;
+	}
 	lg(LG_ERROR, "result_not_committed", LG_C("key", r->key), LG_C("message", st_message()));
 	if (!r->outcome.ok)
 		return;
