Logic that stood twice: listing numbered files, checking an address in settings

Cause: duplicates named rs_replay.c and rs_snap.c (33 lines), cn_settings.c and en_settings.c (9 lines). Change: rs_list_numbered, rp_check_addr.

--- a/src/base/rp.c
+++ b/src/base/rp.c
@@ -71,6 +71,17 @@
 	return ST_OK;
 }
 
+status_t rp_check_addr(const cf_t *c, const char *key, const char *addr)
+{
+	char ip[64];
+	unsigned port;
+
+	if (rp_split_addr(addr, ip, &port) == ST_OK)
+		return ST_OK;
+	return st_fail(ST_INVALID, "%s:%d: %s: \"%s\" is not ip:port", cf_name(c),
+		       cf_line(cf_root(c), key), key, addr);
+}
+
 static status_t to_sockaddr(const char *addr, struct sockaddr_in *sa)
 {
 	char ip[64];
--- a/src/base/rp.h
+++ b/src/base/rp.h
@@ -4,6 +4,7 @@
 #define AUBURN_RP_H
 
 #include <rpc/rpc.h>
+#include "base/cf.h"
 #include "base/clk.h"
 #include "base/status.h"
 #include "base/str.h"
@@ -45,6 +46,9 @@
  * way. Call before the first connection. */
 status_t rp_route(const char *addr, const char *via);
 
+/** Checks that a setting is "ip:port"; ST_INVALID with "file:line: key: what". */
+status_t rp_check_addr(const cf_t *c, const char *key, const char *addr);
+
 /** Splits "ip:port", an IPv4 address by its number. */
 status_t rp_split_addr(const char *addr, char ip[64], unsigned *port);
 
--- a/src/control/cn_settings.c
+++ b/src/control/cn_settings.c
@@ -12,21 +12,10 @@
 #define DEFAULT_SNAPSHOT_MIB	 64
 #define ROUTES_MAX		 64
 
-static status_t check_addr(const cf_t *c, const char *key, const char *addr)
-{
-	char ip[64];
-	unsigned port;
-
-	if (rp_split_addr(addr, ip, &port) == ST_OK)
-		return ST_OK;
-	return st_fail(ST_INVALID, "%s:%d: %s: %s is not ip:port", cf_name(c),
-		       cf_line(cf_root(c), key), key, addr);
-}
-
 static status_t check_addrs(const cf_t *c, const char *key, const cf_strs_t *s)
 {
 	for (size_t i = 0; i < s->n; i++) {
-		status_t st = check_addr(c, key, s->v[i]);
+		status_t st = rp_check_addr(c, key, s->v[i]);
 
 		if (st != ST_OK)
 			return st;
@@ -88,9 +77,9 @@
 	if (st == ST_OK)
 		st = cf_read(c, cf_root(c), keys, NULL);
 	if (st == ST_OK)
-		st = check_addr(c, "listen", s->listen);
+		st = rp_check_addr(c, "listen", s->listen);
 	if (st == ST_OK && s->http)
-		st = check_addr(c, "http", s->http);
+		st = rp_check_addr(c, "http", s->http);
 	if (st == ST_OK)
 		st = check_addrs(c, "controls", &s->controls);
 	if (st == ST_OK)
--- a/src/entry/en_settings.c
+++ b/src/entry/en_settings.c
@@ -98,17 +98,6 @@
 	return ST_OK;
 }
 
-static status_t check_addr(const cf_t *c, const char *key, const char *addr)
-{
-	char ip[64];
-	unsigned port;
-
-	if (rp_split_addr(addr, ip, &port) == ST_OK)
-		return ST_OK;
-	return st_fail(ST_INVALID, "%s:%d: %s: \"%s\" is not ip:port", cf_name(c),
-		       cf_line(cf_root(c), key), key, addr);
-}
-
 static status_t read_root(const cf_t *c, en_settings_t *s)
 {
 	static const char *const sub[] = {"caller", "operator", "bench", NULL};
@@ -128,11 +117,11 @@
 	status_t st = cf_read(c, cf_root(c), keys, sub);
 
 	if (st == ST_OK)
-		st = check_addr(c, "listen", s->listen);
+		st = rp_check_addr(c, "listen", s->listen);
 	if (st == ST_OK)
-		st = check_addr(c, "peer", s->peer);
+		st = rp_check_addr(c, "peer", s->peer);
 	for (size_t i = 0; st == ST_OK && i < s->controls.n; i++)
-		st = check_addr(c, "controls", s->controls.v[i]);
+		st = rp_check_addr(c, "controls", s->controls.v[i]);
 	return st;
 }
 
--- a/src/raft/rs_file.c
+++ b/src/raft/rs_file.c
@@ -1,5 +1,6 @@
 #include "raft/rs_file.h"
 
+#include <dirent.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <stdio.h>
@@ -182,3 +183,44 @@
 	st = rs_dir_make(f, up);
 	return st == ST_OK ? rs_dir_make(f, dir) : st;
 }
+
+static int compare_numbers(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static bool read_number(const char *name, const char *prefix, uint64_t *out)
+{
+	size_t n = strlen(prefix);
+	char *end;
+
+	if (strncmp(name, prefix, n) != 0)
+		return false;
+	*out = strtoul(name + n, &end, 16);
+	return *end == 0;
+}
+
+size_t rs_list_numbered(const char *dir, const char *prefix, uint64_t **out)
+{
+	DIR *d = opendir(dir);
+	struct dirent *e;
+	uint64_t *v = NULL;
+	uint64_t number;
+	size_t n = 0;
+
+	while (d && (e = readdir(d))) {
+		if (!read_number(e->d_name, prefix, &number))
+			continue;
+		v = mem_grow(v, (n + 1) * sizeof(*v));
+		v[n++] = number;
+	}
+	if (d)
+		closedir(d);
+	if (n)
+		qsort(v, n, sizeof(*v), compare_numbers);
+	*out = v;
+	return n;
+}
--- a/src/raft/rs_file.h
+++ b/src/raft/rs_file.h
@@ -3,6 +3,7 @@
 #define AUBURN_RS_FILE_H
 
 #include <sys/types.h>
+#include <stdint.h>
 #include "base/status.h"
 #include "base/str.h"
 
@@ -28,6 +29,10 @@
 /** Makes a folder and those above it. */
 status_t rs_dir_make(rs_fault_t *f, const char *dir);
 
+/** Numbers, ascending, of the files named by the prefix and a number in hex; *out is the caller's
+ * to free. */
+size_t rs_list_numbered(const char *dir, const char *prefix, uint64_t **out);
+
 #define RS_PATH_BYTES 512
 
 #endif
--- a/src/raft/rs_replay.c
+++ b/src/raft/rs_replay.c
@@ -2,7 +2,6 @@
 #include "raft/rs_int.h"
 
 #include <assert.h>
-#include <dirent.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <stdio.h>
@@ -181,45 +180,10 @@
 	return cut_tail(rp->s, path, at);
 }
 
-static int compare_numbers(const void *a, const void *b)
-{
-	uint64_t x = *(const uint64_t *)a;
-	uint64_t y = *(const uint64_t *)b;
-
-	return x < y ? -1 : x > y;
-}
-
-static size_t list_segments(const rs_t *s, uint64_t **out)
-{
-	DIR *d = opendir(s->dir);
-	struct dirent *e;
-	uint64_t *v = NULL;
-	size_t n = 0;
-
-	while (d && (e = readdir(d))) {
-		char *end;
-		unsigned long number;
-
-		if (strncmp(e->d_name, "log-", 4) != 0)
-			continue;
-		number = strtoul(e->d_name + 4, &end, 16);
-		if (*end)
-			continue;
-		v = mem_grow(v, (n + 1) * sizeof(*v));
-		v[n++] = number;
-	}
-	if (d)
-		closedir(d);
-	if (n)
-		qsort(v, n, sizeof(*v), compare_numbers);
-	*out = v;
-	return n;
-}
-
 static status_t read_segments(replay_t *rp)
 {
 	AUTO_FREE uint64_t *numbers = NULL;
-	size_t n = list_segments(rp->s, &numbers);
+	size_t n = rs_list_numbered(rp->s->dir, "log-", &numbers);
 	status_t st = ST_OK;
 	size_t size = 0;
 
--- a/src/raft/rs_snap.c
+++ b/src/raft/rs_snap.c
@@ -2,7 +2,6 @@
 #include "raft/rs_int.h"
 
 #include <assert.h>
-#include <dirent.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <stdio.h>
@@ -173,41 +172,6 @@
 	return st;
 }
 
-static int compare_indexes(const void *a, const void *b)
-{
-	uint64_t x = *(const uint64_t *)a;
-	uint64_t y = *(const uint64_t *)b;
-
-	return x < y ? -1 : x > y;
-}
-
-static size_t list_snaps(const rs_t *s, uint64_t **out)
-{
-	DIR *d = opendir(s->dir);
-	struct dirent *e;
-	uint64_t *v = NULL;
-	size_t n = 0;
-
-	while (d && (e = readdir(d))) {
-		char *end;
-		unsigned long index;
-
-		if (strncmp(e->d_name, "snap-", 5) != 0)
-			continue;
-		index = strtoul(e->d_name + 5, &end, 16);
-		if (*end)
-			continue;
-		v = mem_grow(v, (n + 1) * sizeof(*v));
-		v[n++] = index;
-	}
-	if (d)
-		closedir(d);
-	if (n)
-		qsort(v, n, sizeof(*v), compare_indexes);
-	*out = v;
-	return n;
-}
-
 /* Renames a file that is broken, so that it isn't met again. */
 static void set_aside(const rs_t *s, uint64_t index)
 {
@@ -253,7 +217,7 @@
 status_t rs_snaps_find(rs_t *s, rs_state_t *state)
 {
 	AUTO_FREE uint64_t *v = NULL;
-	size_t n = list_snaps(s, &v);
+	size_t n = rs_list_numbered(s->dir, "snap-", &v);
 
 	for (size_t i = n; i > 0; i--) {
 		status_t st = take_snap(s, v[i - 1], state);
