--- a/tests/proc/test_state.py
+++ b/tests/proc/test_state.py
@@ -80,11 +80,11 @@
             lose_disk(first)
             want = f.control_addrs[1:] + f.spare_addrs
             fl.wait_for("the spare votes instead", lambda: all_voting(f, want))
+            out = f.ctl("explain", "voter_replacement_begun")
+            self.assertIn(f.spare_addrs[0], out)
             lose_disk(f.controls[1])
             for k, still in checks.items():
                 fl.wait_for("%s after the second loss" % k, still)
-            out = f.ctl("explain", "voter_replacement_begun")
-            self.assertIn(f.spare_addrs[0], out)
 
     def test_all_controls_stop_and_start_again(self):
         with fl.Fleet() as f:
