--- a/Makefile
+++ b/Makefile
@@ -9,9 +9,9 @@
 CFLAGS   += -std=gnu11 $(OPT) $(SAN) $(WARN) -pthread
 CXXFLAGS += -std=c++17 $(OPT) $(SAN) -Wall -Wextra -Werror -fno-exceptions -fno-rtti -pthread
 LDLIBS   := -lulfius -lorcania -lyder -lmicrohttpd -lcurl -ljansson -largtable2 -llog4c -lxxhash \
-            -lisal -lsodium -lgsl -lgslcblas -ltirpc -lstdc++ -lm -lpthread
+            -lisal -lsodium -lgsl -lgslcblas -ltirpc -lhttp_parser -lev -lstdc++ -lm -lpthread
 
-LIB_SRC  := $(wildcard src/base/*.c src/proto/*.c src/raft/*.c src/state/*.c src/policy/*.c src/client/*.c)
+LIB_SRC  := $(wildcard src/base/*.c src/proto/*.c src/raft/*.c src/state/*.c src/policy/*.c src/client/*.c src/net/*.c platform/*.c)
 LIB_OBJ  := $(LIB_SRC:%.c=$(B)/obj/%.o) $(B)/obj/src/base/cf_toml.o
 LIB      := $(B)/lib/libauburn.a
 
@@ -19,14 +19,15 @@
 CONTROL  := $(call objs,src/control/*.c)
 ENTRY    := $(call objs,src/entry/*.c)
 CTL      := $(call objs,src/ctl/*.c)
+FRONT    := $(call objs,src/front/*.c)
 BENCH    := $(call objs,bench/*.c)
 FAKE_COMMON := $(call objs,fakes/fk_*.c)
 FAKES    := $(patsubst fakes/%.c,$(B)/bin/auburn-%,$(filter-out fakes/fk_%,$(wildcard fakes/*.c)))
 TOOLS    := $(patsubst tools/%.c,$(B)/bin/auburn-%,$(filter-out tools/lb_%,$(wildcard tools/*.c)))
-PROGS    := $(if $(CONTROL),$(B)/bin/auburn-control) $(if $(ENTRY),$(B)/bin/auburn-entry) \
+PROGS    := $(if $(CONTROL),$(B)/bin/auburn-control) $(B)/bin/auburn-front $(if $(ENTRY),$(B)/bin/auburn-entry) \
             $(if $(CTL),$(B)/bin/auburnctl) $(if $(BENCH),$(B)/bin/auburn-bench) $(FAKES) $(TOOLS)
 UNIT     := $(patsubst tests/unit/%.c,$(B)/test/%,$(wildcard tests/unit/test_*.c))
-SOURCES  := $(wildcard src/*/*.c src/*/*.h fakes/*.c fakes/*.h bench/*.c bench/*.h tools/*.c tools/*.h tests/unit/*.c tests/unit/*.h)
+SOURCES  := $(wildcard src/*/*.c src/*/*.h platform/*.c platform/*.h fakes/*.c fakes/*.h bench/*.c bench/*.h tools/*.c tools/*.h tests/unit/*.c tests/unit/*.h)
 OWN      := $(filter-out src/proto/%_xdr.c src/proto/%_xdr.h,$(SOURCES))
 
 .PHONY: all check demo bench capacity soak lint format format-check install unit clean generate
@@ -60,6 +61,8 @@
 	$(link)
 $(B)/bin/auburn-entry: $(ENTRY) $(LIB)
 	$(link)
+$(B)/bin/auburn-front: $(FRONT) $(LIB)
+	$(link)
 $(B)/bin/auburnctl: $(CTL) $(LIB)
 	$(link)
 $(B)/bin/auburn-bench: $(BENCH) $(LIB)
--- /dev/null
+++ b/src/client/ul.c
@@ -0,0 +1,122 @@
+#include "client/ul.h"
+
+#include "base/lg.h"
+#include "base/mx.h"
+#include "platform/pf.h"
+
+/** A read that takes longer, in ms, is given up: the next one follows a second later. */
+#define READ_MS	   1500
+#define CONNECT_MS 500
+
+struct ul {
+	ul_options_t o;
+	hu_call_t *call;
+	ev_timer timer;
+	lw_view_t list;
+	buf_t cursor;
+	buf_t body;
+	int status;
+	bool failing;
+};
+
+static void stop(ul_t *u)
+{
+	ev_timer_stop(u->o.loop, &u->timer);
+	px_free(PX(lw_view_t), &u->list);
+	u->list = (lw_view_t){0};
+	u->call = NULL;
+}
+
+static void fail(ul_t *u, const char *reason)
+{
+	MX_COUNT("auburn_list_reads_failed_total");
+	if (!u->failing)
+		lg(LG_WARN, "list_lost", LG_C("addr", u->o.addr), LG_C("reason", reason),
+		   LG_I("status", u->status));
+	u->failing = true;
+	stop(u);
+}
+
+static void read_page(ul_t *u);
+
+static void on_end(void *ctx, hu_end_t how)
+{
+	ul_t *u = ctx;
+
+	u->call = NULL;
+	if (how != HU_DONE || u->status != 200) {
+		fail(u, how == HU_DONE ? "refused" : "connection broken");
+		return;
+	}
+	if (pf_list_decode(str_buf(&u->body), &u->list, &u->cursor) != ST_OK) {
+		fail(u, st_message());
+		return;
+	}
+	if (u->cursor.n) {
+		read_page(u);
+		return;
+	}
+	if (u->failing)
+		lg(LG_INFO, "list_regained", LG_C("addr", u->o.addr));
+	u->failing = false;
+	u->o.list(u->o.ctx, &u->list);
+	stop(u);
+}
+
+static bool on_head(void *ctx, const hp_head_t *h)
+{
+	((ul_t *)ctx)->status = h->status;
+	return true;
+}
+
+static void on_body(void *ctx, str_t piece)
+{
+	buf_add(&((ul_t *)ctx)->body, piece);
+}
+
+static void read_page(ul_t *u)
+{
+	AUTO_BUF req = {0};
+
+	pf_list_request(&req, str_c(u->o.addr), str_buf(&u->cursor));
+	u->body.n = 0;
+	u->status = 0;
+	u->call = hu_start(u->o.http, &(hu_options_t){
+					      .request = str_buf(&req),
+					      .addr = u->o.addr,
+					      .connect_by = clk_now_ms() + CONNECT_MS,
+					      .ctx = u,
+					      .head = on_head,
+					      .body = on_body,
+					      .end = on_end,
+				      });
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	ul_t *u = w->data;
+
+	if (u->call)
+		hu_cancel(u->call);
+	fail(u, "no answer");
+}
+
+ul_t *ul_new(const ul_options_t *o)
+{
+	ul_t *u = mem_new(sizeof(*u));
+
+	u->o = *o;
+	ev_timer_init(&u->timer, on_timer, 0.0, 0.0);
+	u->timer.data = u;
+	return u;
+}
+
+void ul_read(ul_t *u)
+{
+	if (u->call)
+		return;
+	u->cursor.n = 0;
+	ev_timer_set(&u->timer, READ_MS / 1000.0, 0.0);
+	ev_timer_start(u->o.loop, &u->timer);
+	read_page(u);
+}
--- a/src/control/cn.h
+++ b/src/control/cn.h
@@ -10,10 +10,13 @@
 #include "raft/gr.h"
 #include "state/fl.h"
 #include "state/ld.h"
+#include "state/lo.h"
 
 #define CN_GROUPS_MAX 65 /* group 0 and the ledger groups */
 /** Added to a lease on the granting side for clocks that run at different rates. */
 #define CN_LEASE_MARGIN_MS 300
+/** Control processes that may become voters, as the hub knows them. */
+#define CN_CANDIDATES_MAX 32
 
 /** Settings of the process; times in ms. */
 typedef struct {
@@ -26,6 +29,16 @@
 	cf_strs_t controls; /* addresses of the first control processes, own included */
 	cf_strs_t routes; /* "addr=via": an address that is reached another way */
 	cf_strs_t spares; /* addresses of control processes that may replace a lost one */
+	char *operators; /* ip:port for operators; may be NULL */
+	char *directory; /* ip:port for callers that look for an entry; may be NULL */
+	char *upstream_list; /* ip:port of the list of replicas; may be NULL */
+	int64_t rpc_port; /* of all control processes, where `controls` gives another; 0: as given */
+	int64_t link_port; /* where control processes take links; 0: no hub */
+	int64_t tolerate; /* VMs with a disk that may be lost at once; 0: one voter for each of
+			     `controls` */
+	int64_t drain_ms; /* a planned stop ends by then */
+	int64_t lot_ttl_ms; /* results of a lot are readable this long after its acceptance */
+	bool bootstrap;
 	int64_t ledger_groups;
 	int64_t tick_ms;
 	int64_t election_ms;
@@ -44,6 +57,7 @@
 	gr_t *gr;
 	pthread_rwlock_t lock; /* guards fl or ld */
 	fl_t *fl; /* group 0 */
+	lo_t *lo; /* group 0 */
 	ld_t *ld; /* others */
 } cn_group_t;
 
@@ -57,6 +71,7 @@
 	cc_t *cc; /* to the other control processes */
 	struct cn_peers *peers;
 	struct cn_sessions *sessions;
+	struct hub *hub; /* NULL without link_port */
 } cn_t;
 
 /* cn_group.c */
@@ -100,6 +115,14 @@
 /** Decides how to open the data folder; asks the other control processes when it is new. */
 cn_boot_t cn_boot_decide(cn_t *cn, bool bootstrap);
 
+/** Voters that group 0 is to have. */
+unsigned cn_voters(const cn_t *cn);
+
+/* cn_hub.c */
+status_t cn_hub_start(cn_t *cn);
+/** Control processes that are linked to this one while it leads; returns how many. */
+unsigned cn_hub_candidates(cn_t *cn, gr_peer_t out[CN_CANDIDATES_MAX]);
+
 /* cn_status.c */
 void cn_status_json(cn_t *cn, buf_t *out);
 
--- a/src/control/cn_boot.c
+++ b/src/control/cn_boot.c
@@ -33,6 +33,15 @@
 	json_decref(o);
 }
 
+static bool is_founder(cn_t *cn)
+{
+	for (size_t i = 0; i < cn->s.controls.n; i++) {
+		if (strcmp(cn->s.controls.v[i], cn->s.listen) == 0)
+			return true;
+	}
+	return false;
+}
+
 /*
  * A VM that lost its disk must not vote again, so a new folder founds a fleet only when every other
  * control process was asked and none of them holds state. One that holds some: join it.
@@ -41,7 +50,7 @@
 {
 	if (folder_exists(cn))
 		return CN_BOOT_MEMBER;
-	if (!bootstrap)
+	if (!bootstrap || !is_founder(cn))
 		return CN_BOOT_JOIN;
 	for (unsigned round = 0;; round++) {
 		size_t blank = 0;
--- a/src/control/cn_group.c
+++ b/src/control/cn_group.c
@@ -4,6 +4,7 @@
 #include "base/lg.h"
 #include "base/mx.h"
 #include "control/cn.h"
+#include "state/sn.h"
 
 #define MIB (1024 * 1024)
 
@@ -14,10 +15,12 @@
 	aw_fleet_cmd_t c;
 	aw_fleet_res_t res = {0};
 
-	if (px_decode(cmd, PX(aw_fleet_cmd_t), &c, sizeof(c)) == ST_OK)
-		fl_apply(g->fl, &c, &res);
-	else
+	if (px_decode(cmd, PX(aw_fleet_cmd_t), &c, sizeof(c)) != ST_OK)
 		res.status = ST_CORRUPT;
+	else if (c.kind == AW_FLEET_LOTS)
+		lo_apply(g->lo, &c.aw_fleet_cmd_t_u.lots, &res);
+	else
+		fl_apply(g->fl, &c, &res);
 	px_free(PX(aw_fleet_cmd_t), &c);
 	px_encode(result, PX(aw_fleet_res_t), &res);
 	px_free(PX(aw_fleet_res_t), &res);
@@ -49,13 +52,48 @@
 	pthread_rwlock_unlock(&g->lock);
 }
 
+/* Marks a snapshot of group 0 that holds lots behind the fleet's state. */
+#define WITH_LOTS 0x4730U
+
+static void snapshot_fleet(cn_group_t *g, buf_t *out)
+{
+	AUTO_BUF part = {0};
+
+	sn_put(out, WITH_LOTS);
+	fl_snapshot(g->fl, &part);
+	sn_put_str(out, str_buf(&part));
+	part.n = 0;
+	lo_snapshot(g->lo, &part);
+	sn_put_str(out, str_buf(&part));
+}
+
+static status_t restore_fleet(cn_group_t *g, str_t snap)
+{
+	sn_reader_t in = {snap, false};
+	str_t fleet;
+	str_t lots;
+	status_t st;
+
+	/* Snapshots of versions that knew no lots hold the fleet's state alone. */
+	if (sn_get(&in) != WITH_LOTS)
+		return fl_restore(g->fl, snap);
+	fleet = sn_get_str(&in);
+	lots = sn_get_str(&in);
+	st = sn_end(&in, "group 0");
+	if (st == ST_OK)
+		st = fl_restore(g->fl, fleet);
+	if (st == ST_OK)
+		st = lo_restore(g->lo, lots);
+	return st;
+}
+
 static void on_snapshot(void *ctx, buf_t *out)
 {
 	cn_group_t *g = ctx;
 
 	pthread_rwlock_rdlock(&g->lock);
 	if (g->fl)
-		fl_snapshot(g->fl, out);
+		snapshot_fleet(g, out);
 	else
 		ld_snapshot(g->ld, out);
 	pthread_rwlock_unlock(&g->lock);
@@ -68,7 +106,7 @@
 	status_t st;
 
 	pthread_rwlock_wrlock(&g->lock);
-	st = g->fl ? fl_restore(g->fl, snap) : ld_restore(g->ld, snap);
+	st = g->fl ? restore_fleet(g, snap) : ld_restore(g->ld, snap);
 	pthread_rwlock_unlock(&g->lock);
 	lg(LG_INFO, "snapshot_restored", LG_I("group", g->n), LG_I("bytes", snap.n),
 	   LG_C("status", st_name(st)));
@@ -137,10 +175,12 @@
 	process = cn;
 	g->n = n;
 	pthread_rwlock_init(&g->lock, NULL);
-	if (n == 0)
+	if (n == 0) {
 		g->fl = fl_new((unsigned)cn->s.ledger_groups);
-	else
+		g->lo = lo_new();
+	} else {
 		g->ld = ld_new();
+	}
 	buf_addf(&dir, "%s/group-%u", cn->s.data, n);
 	o = options_of(cn, g, dir.p, bootstrap);
 	st = gr_open(&o, &g->gr);
--- /dev/null
+++ b/src/control/cn_hub.c
@@ -0,0 +1,408 @@
+/* The hub's thread: links, roles, and calls that others make on this process. */
+#include "control/cn_hub.h"
+
+#include <string.h>
+#include <utlist.h>
+#include "base/lg.h"
+#include "base/mx.h"
+#include "base/rp.h"
+#include "net/sk.h"
+
+/** A linked process that says nothing for this long, in ms, is taken for lost. */
+#define PEER_SILENT_MS 700
+/** A new leader's first barrier may take this long, in ms. */
+#define BARRIER_MS 2000
+#define CALL_THREADS 3
+
+hub_peer_t *hub_peer(hub_t *h, uint64_t id)
+{
+	hub_peer_t *p;
+
+	HASH_FIND(hh, h->peers, &id, sizeof(id), p);
+	return p;
+}
+
+void hub_send(hub_peer_t *p, const lw_msg_t *m)
+{
+	AUTO_BUF b = {0};
+
+	px_encode(&b, PX(lw_msg_t), m);
+	lk_send(p->link, str_buf(&b));
+	p->sent = clk_now_ms();
+}
+
+void hub_reply(hub_t *h, const hub_caller_t *to, lw_reply_t *r)
+{
+	lw_msg_t m = {.kind = LW_REPLY};
+	hub_peer_t *p;
+
+	if (to->reply) {
+		to->reply(to->ctx, r);
+		return;
+	}
+	p = hub_peer(h, to->peer);
+	if (!p)
+		return;
+	r->id = to->call;
+	m.lw_msg_t_u.reply = *r;
+	hub_send(p, &m);
+}
+
+void hub_reply_status(hub_t *h, const hub_caller_t *to, status_t st)
+{
+	lw_reply_t r = {.status = (int)st};
+
+	if (st != ST_OK)
+		r.message = px_bytes(str_c(st_message()));
+	hub_reply(h, to, &r);
+}
+
+void hub_call(hub_t *h, const hub_caller_t *from, const lw_what_t *what)
+{
+	if (h->role != HUB_LEADS)
+		hub_reply_status(h, from, st_fail(ST_UNAVAILABLE, "this process doesn't lead"));
+	else if (what->kind == LW_CALL_SUBMIT || what->kind == LW_CALL_CONF)
+		hub_text_call(h, from, what);
+	else
+		hub_lots_call(h, from, what);
+}
+
+/* ---- candidates for votes ---- */
+
+static void note_candidates(hub_t *h)
+{
+	pthread_mutex_lock(&h->lock);
+	h->ncandidates = 0;
+	for (hub_peer_t *p = h->peers; p; p = p->hh.next) {
+		gr_peer_t *c = &h->candidates[h->ncandidates];
+
+		if (!p->control[0] || !p->replica || h->ncandidates == CN_CANDIDATES_MAX)
+			continue;
+		*c = (gr_peer_t){.id = p->replica};
+		snprintf(c->addr, sizeof(c->addr), "%s", p->control);
+		snprintf(c->zone, sizeof(c->zone), "%s", p->zone);
+		h->ncandidates++;
+	}
+	pthread_mutex_unlock(&h->lock);
+}
+
+unsigned cn_hub_candidates(cn_t *cn, gr_peer_t out[CN_CANDIDATES_MAX])
+{
+	hub_t *h = cn->hub;
+	unsigned n;
+
+	pthread_mutex_lock(&h->lock);
+	n = h->ncandidates;
+	memcpy(out, h->candidates, n * sizeof(*out));
+	pthread_mutex_unlock(&h->lock);
+	return n;
+}
+
+/* ---- links ---- */
+
+static void peer_drop(hub_peer_t *p, const char *reason)
+{
+	hub_t *h = p->h;
+
+	HASH_DEL(h->peers, p);
+	if (p->greeted)
+		lg(LG_INFO, "peer_lost", LG_C("peer", p->name), LG_C("reason", reason));
+	if (h->ds)
+		ds_entry_remove(h->ds, p->id, clk_now_ms());
+	h->view_changed = true;
+	free(p);
+	note_candidates(h);
+}
+
+static void on_closed(void *ctx, lk_t *l)
+{
+	peer_drop(lk_data(l), "closed");
+}
+
+static void copy(char *out, size_t size, aw_bytes_t b)
+{
+	snprintf(out, size, "%.*s", STR_ARG(px_str(b)));
+}
+
+static void welcome(hub_t *h, hub_peer_t *p)
+{
+	lw_msg_t m = {.kind = LW_WELCOME};
+	gr_status_t st;
+
+	gr_status(h->cn->groups[0].gr, &st);
+	m.lw_msg_t_u.welcome.leads = h->role == HUB_LEADS;
+	m.lw_msg_t_u.welcome.leader = px_bytes(str_c(st.leader ? "" : st.leader_addr));
+	hub_send(p, &m);
+}
+
+static void on_hello(hub_t *h, hub_peer_t *p, const lw_hello_t *m)
+{
+	bool first = !p->greeted;
+
+	copy(p->name, sizeof(p->name), m->name);
+	copy(p->addr, sizeof(p->addr), m->addr);
+	copy(p->zone, sizeof(p->zone), m->zone);
+	copy(p->control, sizeof(p->control), m->control);
+	p->replica = m->replica;
+	p->draining = m->draining;
+	if (first)
+		welcome(h, p);
+	if (h->role != HUB_LEADS)
+		return;
+	if (first)
+		lg(LG_INFO, "peer_linked", LG_C("peer", p->name), LG_C("zone", p->zone),
+		   LG_I("runs", m->runs.runs_len));
+	else if (p->draining)
+		lg(LG_INFO, "peer_draining", LG_C("peer", p->name));
+	p->greeted = true;
+	h->view_changed = true;
+	note_candidates(h);
+	hub_dispatch_hello(h, p, m);
+	if (first)
+		hub_view_send(h, p);
+}
+
+static void on_message(void *ctx, lk_t *l, str_t s)
+{
+	hub_t *h = ctx;
+	hub_peer_t *p = lk_data(l);
+	lw_msg_t m;
+
+	if (px_decode(s, PX(lw_msg_t), &m, sizeof(m)) != ST_OK) {
+		lg(LG_ERROR, "link_message_malformed", LG_C("peer", p->name), LG_I("bytes", s.n));
+		peer_drop(p, "malformed message");
+		lk_close(l);
+	} else if (m.kind == LW_HELLO) {
+		on_hello(h, p, &m.lw_msg_t_u.hello);
+	} else if (m.kind == LW_CALL) {
+		hub_caller_t from = {.peer = p->id, .call = m.lw_msg_t_u.call.id};
+
+		hub_call(h, &from, &m.lw_msg_t_u.call.what);
+	} else if (m.kind != LW_PING && h->role == HUB_LEADS && p->greeted) {
+		hub_dispatch_message(h, p, &m);
+	}
+	px_free(PX(lw_msg_t), &m);
+}
+
+static void on_accept(struct ev_loop *loop, ev_io *w, int events)
+{
+	hub_t *h = w->data;
+	lk_options_t o = {loop, h, on_message, on_closed, NULL};
+	int fd;
+
+	while ((fd = sk_accept(h->listener)) >= 0) {
+		hub_peer_t *p = mem_new(sizeof(*p));
+
+		p->h = h;
+		p->id = ++h->peer_id;
+		p->link = lk_accepted(fd, &o);
+		lk_set_data(p->link, p);
+		HASH_ADD(hh, h->peers, id, sizeof(p->id), p);
+	}
+}
+
+static void watch_links(hub_t *h, deadline_t now)
+{
+	hub_peer_t *p;
+	hub_peer_t *next;
+
+	HASH_ITER (hh, h->peers, p, next) {
+		if (now - lk_heard(p->link) > PEER_SILENT_MS) {
+			lk_t *l = p->link;
+
+			peer_drop(p, "silent");
+			lk_close(l);
+		} else if (now - p->sent >= LL_PING_MS) {
+			hub_send(p, &(lw_msg_t){.kind = LW_PING});
+		}
+	}
+}
+
+static void drop_links(hub_t *h)
+{
+	hub_peer_t *p;
+	hub_peer_t *next;
+
+	HASH_ITER (hh, h->peers, p, next) {
+		lk_t *l = p->link;
+
+		peer_drop(p, "no longer leads");
+		lk_close(l);
+	}
+}
+
+/* ---- roles ---- */
+
+typedef struct {
+	wk_job_t job;
+	hub_t *h;
+	uint64_t term;
+	status_t st;
+} start_t;
+
+static void start_work(wk_job_t *j)
+{
+	start_t *s = (start_t *)j;
+
+	s->st = gr_barrier(s->h->cn->groups[0].gr, clk_now_ms() + BARRIER_MS);
+}
+
+static void start_done(wk_job_t *j)
+{
+	start_t *s = (start_t *)j;
+	hub_t *h = s->h;
+
+	if (h->role == HUB_STARTS && h->term == s->term) {
+		h->role = s->st == ST_OK ? HUB_LEADS : HUB_FOLLOWS;
+		if (h->role == HUB_LEADS)
+			hub_lead_begin(h);
+	}
+	free(s);
+}
+
+void hub_lead_begin(hub_t *h)
+{
+	lg(LG_INFO, "dispatch_begins", LG_I("term", h->term));
+	ll_set_idle(h->leader, true);
+	hub_conf_tick(h);
+	hub_dispatch_begin(h);
+	h->list_at = 0;
+	h->view_changed = true;
+}
+
+void hub_lead_end(hub_t *h)
+{
+	bool led = h->role == HUB_LEADS;
+
+	h->role = HUB_FOLLOWS;
+	if (!led)
+		return;
+	lg(LG_WARN, "dispatch_ends", LG_I("term", h->term));
+	hub_lots_drop(h);
+	hub_dispatch_end(h);
+	drop_links(h);
+	ll_set_idle(h->leader, false);
+}
+
+static void check_role(hub_t *h)
+{
+	gr_status_t st;
+	start_t *s;
+
+	gr_status(h->cn->groups[0].gr, &st);
+	if (h->role != HUB_FOLLOWS && (!st.leader || st.term != h->term))
+		hub_lead_end(h);
+	if (h->role != HUB_FOLLOWS || !st.leader)
+		return;
+	h->role = HUB_STARTS;
+	h->term = st.term;
+	s = mem_new(sizeof(*s));
+	*s = (start_t){.job = {start_work, start_done, NULL}, .h = h, .term = st.term};
+	wk_submit(h->calls, &s->job);
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *w, int events)
+{
+	hub_t *h = w->data;
+	deadline_t now = clk_now_ms();
+
+	check_role(h);
+	watch_links(h, now);
+	if (h->role != HUB_LEADS)
+		return;
+	hub_conf_tick(h);
+	hub_view_tick(h, now);
+	hub_lots_tick(h, now);
+	ds_tick(h->ds, now);
+}
+
+/* ---- the link to the leader ---- */
+
+static void fill_hello(void *ctx, lw_hello_t *out)
+{
+	hub_t *h = ctx;
+	gr_status_t st;
+
+	gr_status(h->cn->groups[0].gr, &st);
+	*out = (lw_hello_t){
+		.name = px_bytes(str_c(h->cn->s.name)),
+		.zone = px_bytes(str_c(h->cn->s.zone)),
+		.control = px_bytes(str_c(h->cn->s.listen)),
+		.replica = st.self,
+	};
+}
+
+static void on_leader_message(void *ctx, const lw_msg_t *m)
+{
+	hub_t *h = ctx;
+
+	if (m->kind == LW_VIEW)
+		hub_view_learn(h, m);
+	else if (m->kind == LW_CONF)
+		hub_conf_learn(h, &m->lw_msg_t_u.conf);
+}
+
+static void on_link_change(void *ctx)
+{
+}
+
+static void *run(void *arg)
+{
+	hub_t *h = arg;
+
+	ev_run(h->loop, 0);
+	return NULL;
+}
+
+static status_t listen_links(hub_t *h)
+{
+	AUTO_BUF addr = {0};
+	char ip[64];
+	unsigned port;
+
+	if (rp_split_addr(h->cn->s.listen, ip, &port) != ST_OK)
+		return ST_INVALID;
+	buf_addf(&addr, "%s:%u", ip, (unsigned)h->cn->s.link_port);
+	h->listener = sk_listen(addr.p);
+	if (h->listener < 0)
+		return ST_IO;
+	ev_io_init(&h->accept, on_accept, h->listener, EV_READ);
+	h->accept.data = h;
+	ev_io_start(h->loop, &h->accept);
+	return ST_OK;
+}
+
+status_t cn_hub_start(cn_t *cn)
+{
+	hub_t *h = mem_new(sizeof(*h));
+	pthread_t t;
+
+	h->cn = cn;
+	h->loop = ev_loop_new(EVFLAG_AUTO);
+	pthread_mutex_init(&h->lock, NULL);
+	h->http = hu_new(h->loop);
+	h->commits = wk_new(h->loop, 1);
+	h->calls = wk_new(h->loop, CALL_THREADS);
+	h->leader = ll_new(&(ll_options_t){
+		.loop = h->loop,
+		.controls = (const char *const *)cn->s.controls.v,
+		.ncontrols = cn->s.controls.n,
+		.link_port = (unsigned)cn->s.link_port,
+		.ctx = h,
+		.hello = fill_hello,
+		.message = on_leader_message,
+		.up = on_link_change,
+		.down = on_link_change,
+	});
+	hub_view_start(h);
+	if (listen_links(h) != ST_OK || hub_http_start(h) != ST_OK)
+		return ST_IO;
+	ev_timer_init(&h->tick, on_tick, 0.0, HUB_TICK_MS / 1000.0);
+	h->tick.data = h;
+	ev_timer_start(h->loop, &h->tick);
+	cn->hub = h;
+	if (pthread_create(&t, NULL, run, h) != 0)
+		return st_fail(ST_IO, "no thread for the hub");
+	pthread_detach(t);
+	return ST_OK;
+}
--- /dev/null
+++ b/src/control/cn_hub.h
@@ -0,0 +1,188 @@
+/**
+ * The hub: the thread of a control process that serves links from entries, operators and callers
+ * that look for an entry. While its process leads group 0 it also dispatches: it reads the list of
+ * replicas, places online requests and items, and commits what becomes of lots. Otherwise it links
+ * to the leader, passes calls on to it and keeps its view.
+ */
+#ifndef AUBURN_CN_HUB_H
+#define AUBURN_CN_HUB_H
+
+#include <ev.h>
+#include <pthread.h>
+#include <uthash.h>
+#include "client/ll.h"
+#include "client/ul.h"
+#include "control/cn.h"
+#include "net/hl.h"
+#include "net/lk.h"
+#include "net/wk.h"
+#include "policy/ds.h"
+#include "state/lo.h"
+#include "state/ru.h"
+
+/** Roles are checked, links watched and what waits placed on this period, in ms. */
+#define HUB_TICK_MS 25
+/** The list of replicas is read on this period, in ms: it lags by about as much. */
+#define HUB_LIST_MS 1000
+
+typedef struct hub hub_t;
+
+/** Another process with a link to this one. */
+typedef struct hub_peer {
+	hub_t *h;
+	uint64_t id;
+	lk_t *link;
+	bool greeted;
+	bool draining;
+	char name[64];
+	char addr[32]; /* for callers; empty for a control process */
+	char zone[32];
+	char control[32]; /* ip:port of its RPC; empty for an entry */
+	uint64_t replica; /* id of its replica of group 0 */
+	deadline_t sent;
+	UT_hash_handle hh;
+} hub_peer_t;
+
+/** Who made a call: another process, or a function of this one. */
+typedef struct {
+	uint64_t peer;
+	uint64_t call;
+	void (*reply)(void *ctx, const lw_reply_t *r);
+	void *ctx;
+} hub_caller_t;
+
+typedef struct hub_lot hub_lot_t;
+
+/** An item that isn't listed yet, as the dispatcher sees it. */
+typedef struct {
+	hub_lot_t *lot;
+	uint32_t index;
+	ds_item_t *run; /* NULL once it needs no further run */
+	uint64_t entry; /* that was told to run it last */
+	buf_t text; /* made by runs so far */
+	uint32_t events;
+	uint32_t failures;
+} hub_item_t;
+
+struct hub_lot {
+	hub_t *h;
+	char *id;
+	uint32_t nitems;
+	uint32_t left; /* items with a run */
+	hub_item_t *items;
+	UT_hash_handle hh;
+};
+
+/** A read that waits for a result. */
+typedef struct hub_waiter {
+	hub_caller_t from;
+	char *lot;
+	uint32_t after;
+	deadline_t until;
+	struct hub_waiter *prev;
+	struct hub_waiter *next;
+} hub_waiter_t;
+
+/** What is gathered for the next commit. */
+typedef struct {
+	aw_lots_cmd_t cmd;
+	size_t opens_cap;
+	size_t results_cap;
+	size_t ends_cap;
+	hub_caller_t *open_from;
+	hub_caller_t *end_from;
+	size_t bytes;
+} hub_batch_t;
+
+typedef enum { HUB_FOLLOWS, HUB_STARTS, HUB_LEADS } hub_role_t;
+
+struct hub {
+	cn_t *cn;
+	struct ev_loop *loop;
+	ev_timer tick;
+	int listener;
+	ev_io accept;
+	hl_t *operators;
+	hl_t *directory;
+	hu_t *http;
+	ul_t *list;
+	ll_t *leader;
+	wk_t *commits; /* one thread: commits follow one another */
+	wk_t *calls; /* reads and changes of the text, which may wait out a partition */
+	hub_role_t role;
+	uint64_t term; /* that it leads in */
+	hub_peer_t *peers;
+	uint64_t peer_id;
+	ds_t *ds;
+	deadline_t list_at; /* next read of the list */
+	lw_view_t view; /* newest known: own list, or the leader's */
+	bool view_changed;
+	aw_conf_t conf; /* newest known text */
+	ru_t *routes; /* decoded, leader only */
+	uint64_t conf_number;
+	hub_lot_t *lots;
+	uint64_t lots_seen; /* serial of the newest lot that is dispatched */
+	deadline_t lots_at; /* next look for lots that were given up */
+	hub_waiter_t *waiters;
+	hub_batch_t next;
+	bool committing;
+	pthread_mutex_t lock; /* guards candidates */
+	gr_peer_t candidates[CN_CANDIDATES_MAX];
+	unsigned ncandidates;
+};
+
+/* cn_hub.c */
+
+void hub_send(hub_peer_t *p, const lw_msg_t *m);
+hub_peer_t *hub_peer(hub_t *h, uint64_t id);
+/** Answers a call; r->id is set here. */
+void hub_reply(hub_t *h, const hub_caller_t *to, lw_reply_t *r);
+void hub_reply_status(hub_t *h, const hub_caller_t *to, status_t st);
+void hub_lead_begin(hub_t *h);
+void hub_lead_end(hub_t *h);
+
+/* cn_hub_view.c: the list of replicas, entries and control processes, and the text in force */
+
+void hub_view_start(hub_t *h);
+void hub_view_tick(hub_t *h, deadline_t now);
+/** Sends the newest view and text to one peer. */
+void hub_view_send(hub_t *h, hub_peer_t *p);
+/** Takes over the leader's view or text. */
+void hub_view_learn(hub_t *h, const lw_msg_t *m);
+void hub_conf_learn(hub_t *h, const lw_conf_t *c);
+/** Looks whether a newer text is in force. */
+void hub_conf_tick(hub_t *h);
+
+/* cn_hub_dispatch.c: online requests and items at entries */
+
+void hub_dispatch_begin(hub_t *h);
+void hub_dispatch_end(hub_t *h);
+void hub_dispatch_hello(hub_t *h, hub_peer_t *p, const lw_hello_t *hello);
+void hub_dispatch_message(hub_t *h, hub_peer_t *p, const lw_msg_t *m);
+void hub_dispatch_routes(hub_t *h);
+/** Starts on lots accepted since, and stops what was ended or given up. */
+void hub_lots_sync(hub_t *h);
+/** Ends what is left of a lot. */
+void hub_lot_stop(hub_t *h, hub_lot_t *lot);
+
+/* cn_hub_lots.c: calls on lots, and their commits */
+
+void hub_lots_call(hub_t *h, const hub_caller_t *from, const lw_what_t *what);
+void hub_lots_result(hub_t *h, hub_item_t *it, bool dead, str_t text);
+/** Begins a commit of what was gathered, unless one is under way. */
+void hub_commit(hub_t *h);
+void hub_lots_tick(hub_t *h, deadline_t now);
+void hub_lots_drop(hub_t *h);
+
+/* cn_hub_text.c: changes and reads of the operators' text */
+
+void hub_text_call(hub_t *h, const hub_caller_t *from, const lw_what_t *what);
+
+/* cn_hub_http.c: operators and callers that look for an entry */
+
+status_t hub_http_start(hub_t *h);
+
+/* cn_hub.c: a call on this process while it leads */
+void hub_call(hub_t *h, const hub_caller_t *from, const lw_what_t *what);
+
+#endif
--- /dev/null
+++ b/src/control/cn_hub_view.c
@@ -0,0 +1,242 @@
+/* What the hub tells of: replicas, entries, control processes, and the text in force. */
+#include <stdlib.h>
+#include <string.h>
+#include "base/lg.h"
+#include "base/mx.h"
+#include "control/cn_hub.h"
+#include "platform/pf.h"
+
+/** Entries that were known before this process began to lead count this long, in ms, until they
+ * have linked themselves. */
+#define INHERIT_MS 2000
+
+static bool same_upstream(const lw_upstream_t *a, const lw_upstream_t *b)
+{
+	return str_eq(px_str(a->id), px_str(b->id)) && str_eq(px_str(a->addr), px_str(b->addr)) &&
+	       str_eq(px_str(a->service), px_str(b->service)) && a->slots == b->slots &&
+	       a->leaving == b->leaving;
+}
+
+static const lw_upstream_t *find(const lw_view_t *v, str_t id)
+{
+	for (u_int i = 0; i < v->upstreams.upstreams_len; i++) {
+		if (str_eq(px_str(v->upstreams.upstreams_val[i].id), id))
+			return &v->upstreams.upstreams_val[i];
+	}
+	return NULL;
+}
+
+/* Logs what the list says anew; true when it differs from what was believed. */
+static bool compare(const lw_view_t *was, const lw_view_t *now)
+{
+	bool changed = was->upstreams.upstreams_len != now->upstreams.upstreams_len;
+
+	for (u_int i = 0; i < now->upstreams.upstreams_len; i++) {
+		const lw_upstream_t *u = &now->upstreams.upstreams_val[i];
+		const lw_upstream_t *old = find(was, px_str(u->id));
+
+		if (old && same_upstream(old, u))
+			continue;
+		changed = true;
+		lg(LG_INFO, "replica_listed", LG_S("replica", px_str(u->id)),
+		   LG_S("addr", px_str(u->addr)), LG_I("slots", u->slots),
+		   LG_I("leaving", u->leaving));
+	}
+	for (u_int i = 0; i < was->upstreams.upstreams_len; i++) {
+		const lw_upstream_t *u = &was->upstreams.upstreams_val[i];
+
+		if (find(now, px_str(u->id)))
+			continue;
+		changed = true;
+		lg(LG_INFO, "replica_unlisted", LG_S("replica", px_str(u->id)));
+	}
+	return changed;
+}
+
+static void tell_dispatcher(hub_t *h)
+{
+	u_int n = h->view.upstreams.upstreams_len;
+	ds_replica_t *v = mem_new((n + 1) * sizeof(*v));
+
+	for (u_int i = 0; i < n; i++) {
+		const lw_upstream_t *u = &h->view.upstreams.upstreams_val[i];
+
+		v[i] = (ds_replica_t){px_str(u->id), px_str(u->zone), px_str(u->service), u->slots,
+				      u->leaving};
+	}
+	ds_replicas(h->ds, v, n, clk_now_ms());
+	free(v);
+}
+
+static void on_list(void *ctx, lw_view_t *v)
+{
+	hub_t *h = ctx;
+
+	if (h->role != HUB_LEADS)
+		return;
+	if (compare(&h->view, v)) {
+		lw_view_t old = {.upstreams = h->view.upstreams};
+
+		h->view.upstreams = v->upstreams;
+		v->upstreams = old.upstreams;
+		h->view_changed = true;
+	}
+	tell_dispatcher(h);
+}
+
+static void set_entries(hub_t *h)
+{
+	size_t n = HASH_COUNT(h->peers);
+	lw_entry_t *v = mem_new((n + 1) * sizeof(*v));
+	aw_bytes_t *c = mem_new((n + 2) * sizeof(*c));
+	u_int entries = 0;
+	u_int controls = 0;
+
+	c[controls++] = px_copy(str_c(h->cn->s.listen));
+	for (hub_peer_t *p = h->peers; p; p = p->hh.next) {
+		if (p->greeted && p->control[0])
+			c[controls++] = px_copy(str_c(p->control));
+		if (p->greeted && p->addr[0] && !p->draining)
+			v[entries++] = (lw_entry_t){px_copy(str_c(p->addr)),
+						    px_copy(str_c(p->zone))};
+	}
+	for (u_int i = 0; i < h->view.entries.entries_len; i++)
+		px_free(PX(lw_entry_t), &h->view.entries.entries_val[i]);
+	for (u_int i = 0; i < h->view.controls.controls_len; i++)
+		px_free(PX(aw_bytes_t), &h->view.controls.controls_val[i]);
+	free(h->view.entries.entries_val);
+	free(h->view.controls.controls_val);
+	h->view.entries.entries_val = v;
+	h->view.entries.entries_len = entries;
+	h->view.controls.controls_val = c;
+	h->view.controls.controls_len = controls;
+}
+
+static void send_view(hub_t *h, hub_peer_t *p)
+{
+	lw_msg_t m = {.kind = LW_VIEW};
+
+	m.lw_msg_t_u.view = h->view;
+	hub_send(p, &m);
+}
+
+static void send_conf(hub_t *h, hub_peer_t *p)
+{
+	lw_msg_t m = {.kind = LW_CONF};
+
+	if (!h->conf.number)
+		return;
+	m.lw_msg_t_u.conf.number = h->conf.number;
+	m.lw_msg_t_u.conf.text = h->conf.text;
+	hub_send(p, &m);
+}
+
+void hub_view_send(hub_t *h, hub_peer_t *p)
+{
+	send_conf(h, p);
+	send_view(h, p);
+}
+
+void hub_view_start(hub_t *h)
+{
+	if (h->cn->s.upstream_list)
+		h->list = ul_new(&(ul_options_t){.loop = h->loop,
+						 .http = h->http,
+						 .addr = h->cn->s.upstream_list,
+						 .ctx = h,
+						 .list = on_list});
+}
+
+void hub_view_tick(hub_t *h, deadline_t now)
+{
+	gr_status_t st;
+
+	if (h->list && now >= h->list_at) {
+		ul_read(h->list);
+		h->list_at = now + HUB_LIST_MS;
+	}
+	if (!h->view_changed)
+		return;
+	gr_status(h->cn->groups[0].gr, &st);
+	/* Callers are still told the entries that the leader before knew. */
+	if (now - st.led_since < INHERIT_MS && h->view.entries.entries_len > HASH_COUNT(h->peers))
+		return;
+	h->view_changed = false;
+	set_entries(h);
+	for (hub_peer_t *p = h->peers; p; p = p->hh.next) {
+		if (p->greeted)
+			send_view(h, p);
+	}
+}
+
+void hub_view_learn(hub_t *h, const lw_msg_t *m)
+{
+	AUTO_BUF b = {0};
+	lw_msg_t own;
+	const lw_view_t *v = &m->lw_msg_t_u.view;
+
+	px_encode(&b, PX(lw_msg_t), m);
+	if (px_decode(str_buf(&b), PX(lw_msg_t), &own, sizeof(own)) == ST_OK) {
+		lw_view_t old = h->view;
+
+		h->view = own.lw_msg_t_u.view;
+		own.lw_msg_t_u.view = old;
+	}
+	px_free(PX(lw_msg_t), &own);
+	for (u_int i = 0; i < v->controls.controls_len; i++)
+		ll_add_control(h->leader, px_str(v->controls.controls_val[i]));
+}
+
+void hub_conf_learn(hub_t *h, const lw_conf_t *c)
+{
+	if (c->number <= h->conf.number)
+		return;
+	px_free(PX(aw_conf_t), &h->conf);
+	h->conf = (aw_conf_t){.number = c->number, .text = px_copy(px_str(c->text))};
+}
+
+typedef struct {
+	uint64_t known;
+	aw_query_res_t res;
+} newer_t;
+
+static void read_newer(cn_group_t *g, void *arg)
+{
+	newer_t *n = arg;
+	aw_query_t q = {.kind = AW_QUERY_CONF};
+
+	if (fl_conf_number(g->fl) > n->known)
+		fl_query(g->fl, &q, &n->res);
+}
+
+void hub_conf_tick(hub_t *h)
+{
+	newer_t n = {.known = h->routes ? h->conf_number : 0};
+	ru_t *routes;
+
+	cn_group_read(&h->cn->groups[0], read_newer, &n);
+	if (n.res.conf.number == 0 || n.res.status != ST_OK) {
+		px_free(PX(aw_query_res_t), &n.res);
+		return;
+	}
+	px_free(PX(aw_conf_t), &h->conf);
+	h->conf = n.res.conf;
+	n.res.conf = (aw_conf_t){0};
+	px_free(PX(aw_query_res_t), &n.res);
+	h->conf_number = h->conf.number;
+	if (pf_conf_decode(px_str(h->conf.text), &routes) != ST_OK) {
+		lg(LG_ERROR, "text_unreadable", LG_I("number", h->conf.number),
+		   LG_C("what", st_message()));
+		return;
+	}
+	ru_free(h->routes);
+	h->routes = routes;
+	lg(LG_INFO, "text_in_force", LG_I("number", h->conf.number),
+	   LG_I("version", routes->version), LG_I("routes", routes->nroutes));
+	for (hub_peer_t *p = h->peers; p; p = p->hh.next) {
+		if (p->greeted)
+			send_conf(h, p);
+	}
+	if (h->ds)
+		hub_dispatch_routes(h);
+}
--- a/src/control/cn_repair.c
+++ b/src/control/cn_repair.c
@@ -7,7 +7,7 @@
 
 #define CHANGE_MS 3000
 #define ASK_MS	  500
-#define PERIOD_MS 500
+#define PERIOD_MS 200
 
 /* What the process at an address says of its replica of a group. */
 static uint64_t replica_id_at(const char *addr, unsigned group, char zone[32])
@@ -57,34 +57,87 @@
 	return clk_now_ms() - heard > ms;
 }
 
+/* Control processes that could vote: those linked to the hub, or else the spares of the settings. */
+static unsigned candidates(cn_t *cn, cn_group_t *g, gr_peer_t out[CN_CANDIDATES_MAX])
+{
+	unsigned n = 0;
+
+	if (cn->hub)
+		return cn_hub_candidates(cn, out);
+	for (size_t i = 0; i < cn->s.spares.n && n < CN_CANDIDATES_MAX; i++) {
+		gr_peer_t *p = &out[n];
+
+		*p = (gr_peer_t){0};
+		snprintf(p->addr, sizeof(p->addr), "%s", cn->s.spares.v[i]);
+		p->id = replica_id_at(p->addr, g->n, p->zone);
+		n += p->id != 0;
+	}
+	return n;
+}
+
+/* Id of the replica at a voter's address: another one there has lost its disk. */
+static uint64_t id_at(cn_t *cn, cn_group_t *g, const char *addr, char zone[32])
+{
+	gr_peer_t v[CN_CANDIDATES_MAX];
+	unsigned n;
+
+	if (!cn->hub)
+		return replica_id_at(addr, g->n, zone);
+	n = cn_hub_candidates(cn, v);
+	for (unsigned i = 0; i < n; i++) {
+		if (strcmp(v[i].addr, addr) != 0)
+			continue;
+		snprintf(zone, 32, "%s", v[i].zone);
+		return v[i].id;
+	}
+	return 0;
+}
+
+static unsigned voters_in(const gr_status_t *st, const char *zone)
+{
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < st->npeers; i++)
+		n += st->peers[i].voter && strcmp(st->peers[i].zone, zone) == 0;
+	return n;
+}
+
+/* Prefers a zone, and without one the zone that holds the fewest voters. */
+static bool find_spare(cn_t *cn, cn_group_t *g, const gr_status_t *st, const char *zone,
+		       gr_peer_t *out)
+{
+	gr_peer_t v[CN_CANDIDATES_MAX];
+	unsigned n = candidates(cn, g, v);
+	bool found = false;
+
+	for (unsigned i = 0; i < n; i++) {
+		bool better;
+
+		if (is_voter_addr(st, v[i].addr) || peer_by_id(st, v[i].id))
+			continue;
+		better = zone ? strcmp(v[i].zone, zone) == 0
+			      : voters_in(st, v[i].zone) < voters_in(st, out->zone);
+		if (!found || better)
+			*out = v[i];
+		found = true;
+	}
+	return found;
+}
+
 /* The lost voter's own address under a new id comes first, then a spare in its zone, then any. */
 static bool find_replacement(cn_t *cn, cn_group_t *g, const gr_status_t *st, const gr_peer_t *lost,
 			     gr_peer_t *out)
 {
 	uint64_t id;
-	bool found = false;
 
 	*out = (gr_peer_t){0};
 	snprintf(out->addr, sizeof(out->addr), "%s", lost->addr);
-	id = replica_id_at(lost->addr, g->n, out->zone);
+	id = id_at(cn, g, lost->addr, out->zone);
 	if (id && id != lost->id && !peer_by_id(st, id)) {
 		out->id = id;
 		return true;
 	}
-	for (size_t i = 0; i < cn->s.spares.n; i++) {
-		gr_peer_t p = {0};
-
-		if (is_voter_addr(st, cn->s.spares.v[i]))
-			continue;
-		snprintf(p.addr, sizeof(p.addr), "%s", cn->s.spares.v[i]);
-		p.id = replica_id_at(p.addr, g->n, p.zone);
-		if (!p.id || peer_by_id(st, p.id))
-			continue;
-		if (!found || strcmp(p.zone, lost->zone) == 0)
-			*out = p;
-		found = true;
-	}
-	return found;
+	return find_spare(cn, g, st, lost->zone, out);
 }
 
 /* A learner that waits stands for the voter that it is to replace. */
@@ -137,7 +190,7 @@
 	gr_peer_t fresh;
 	status_t got;
 
-	if (voters(st) > cn->s.controls.n) {
+	if (voters(st) > cn_voters(cn)) {
 		got = gr_remove(g->gr, lost->id, clk_now_ms() + CHANGE_MS);
 		lg(LG_WARN, "voter_removed", LG_I("group", g->n), LG_C("addr", lost->addr),
 		   LG_C("status", st_name(got)), LG_C("reason", "silent past the grace, replaced"));
@@ -151,14 +204,32 @@
 }
 
 /* A voter whose address answers under another id has lost its disk: no grace is needed. */
-static bool has_new_id(cn_group_t *g, const gr_status_t *st, unsigned i)
+static bool has_new_id(cn_t *cn, cn_group_t *g, const gr_status_t *st, unsigned i)
 {
 	char zone[32];
-	uint64_t id = replica_id_at(st->peers[i].addr, g->n, zone);
+	uint64_t id = id_at(cn, g, st->peers[i].addr, zone);
 
 	return id != 0 && id != st->peers[i].id;
 }
 
+unsigned cn_voters(const cn_t *cn)
+{
+	return cn->s.tolerate ? 2 * (unsigned)cn->s.tolerate + 1 : (unsigned)cn->s.controls.n;
+}
+
+/* A group founded with fewer voters than it is to have grows by one at a time. */
+static void grow(cn_t *cn, cn_group_t *g, const gr_status_t *st)
+{
+	gr_peer_t fresh = {0};
+	status_t got;
+
+	if (voters(st) >= cn_voters(cn) || !find_spare(cn, g, st, NULL, &fresh))
+		return;
+	got = gr_add_learner(g->gr, &fresh, clk_now_ms() + CHANGE_MS);
+	lg(LG_INFO, "voter_added", LG_I("group", g->n), LG_C("addr", fresh.addr),
+	   LG_I("voters", voters(st)), LG_C("status", st_name(got)));
+}
+
 void cn_repair_round(cn_t *cn, cn_group_t *g, const gr_status_t *st)
 {
 	static deadline_t next[CN_GROUPS_MAX];
@@ -173,9 +244,10 @@
 			continue;
 		if (!is_silent(st, i, 2 * cn->s.election_ms))
 			continue;
-		if (is_silent(st, i, cn->s.replace_grace_ms) || has_new_id(g, st, i)) {
+		if (is_silent(st, i, cn->s.replace_grace_ms) || has_new_id(cn, g, st, i)) {
 			replace_voter(cn, g, st, i);
 			return;
 		}
 	}
+	grow(cn, g, st);
 }
--- a/src/control/cn_settings.c
+++ b/src/control/cn_settings.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 #include "base/rp.h"
 #include "control/cn.h"
@@ -10,7 +11,10 @@
 #define DEFAULT_PLATFORM_POLL_MS 1000
 #define DEFAULT_SNAPSHOT_ENTRIES 20000
 #define DEFAULT_SNAPSHOT_MIB	 64
+#define DEFAULT_DRAIN_MS	 5000
+#define DEFAULT_LOT_TTL_MS	 120000
 #define ROUTES_MAX		 64
+#define PORT_MAX		 65535
 
 static status_t check_addrs(const cf_t *c, const char *key, const cf_strs_t *s)
 {
@@ -38,6 +42,22 @@
 	return ST_OK;
 }
 
+/* Control processes are listed by another of their addresses. */
+static void set_port(cf_strs_t *addrs, unsigned port)
+{
+	for (size_t i = 0; i < addrs->n; i++) {
+		AUTO_BUF b = {0};
+		char ip[64];
+		unsigned other;
+
+		if (rp_split_addr(addrs->v[i], ip, &other) != ST_OK)
+			continue;
+		buf_addf(&b, "%s:%u", ip, port);
+		free(addrs->v[i]);
+		addrs->v[i] = str_dup(str_buf(&b));
+	}
+}
+
 status_t cn_settings_load(const char *path, cn_settings_t *s)
 {
 	const cf_key_t keys[] = {
@@ -50,7 +70,16 @@
 		{"controls", CF_STRS, true, 1, GR_PEERS_MAX, &s->controls},
 		{"spares", CF_STRS, false, 0, GR_PEERS_MAX, &s->spares},
 		{"routes", CF_STRS, false, 0, ROUTES_MAX, &s->routes},
-		{"ledger_groups", CF_INT, false, 1, CN_GROUPS_MAX - 1, &s->ledger_groups},
+		{"operators", CF_STR, false, 9, 60, &s->operators},
+		{"directory", CF_STR, false, 9, 60, &s->directory},
+		{"upstream_list", CF_STR, false, 9, 60, &s->upstream_list},
+		{"rpc_port", CF_INT, false, 1, PORT_MAX, &s->rpc_port},
+		{"link_port", CF_INT, false, 1, PORT_MAX, &s->link_port},
+		{"tolerate", CF_INT, false, 0, (GR_PEERS_MAX - 1) / 2, &s->tolerate},
+		{"drain_ms", CF_INT, false, 0, 600000, &s->drain_ms},
+		{"lot_ttl_ms", CF_INT, false, 1000, 86400000, &s->lot_ttl_ms},
+		{"bootstrap", CF_BOOL, false, 0, 0, &s->bootstrap},
+		{"ledger_groups", CF_INT, false, 0, CN_GROUPS_MAX - 1, &s->ledger_groups},
 		{"tick_ms", CF_INT, false, 5, 1000, &s->tick_ms},
 		{"election_ms", CF_INT, false, 50, 60000, &s->election_ms},
 		{"lease_ms", CF_INT, false, 200, 60000, &s->lease_ms},
@@ -72,6 +101,8 @@
 		.platform_poll_ms = DEFAULT_PLATFORM_POLL_MS,
 		.snapshot_entries = DEFAULT_SNAPSHOT_ENTRIES,
 		.snapshot_mib = DEFAULT_SNAPSHOT_MIB,
+		.drain_ms = DEFAULT_DRAIN_MS,
+		.lot_ttl_ms = DEFAULT_LOT_TTL_MS,
 	};
 	st = cf_load(path, &c);
 	if (st == ST_OK)
@@ -86,5 +117,13 @@
 		st = check_addrs(c, "spares", &s->spares);
 	if (st == ST_OK)
 		st = set_routes(c, &s->routes);
+	if (st == ST_OK && s->operators)
+		st = rp_check_addr(c, "operators", s->operators);
+	if (st == ST_OK && s->directory)
+		st = rp_check_addr(c, "directory", s->directory);
+	if (st == ST_OK && s->upstream_list)
+		st = rp_check_addr(c, "upstream_list", s->upstream_list);
+	if (st == ST_OK && s->rpc_port)
+		set_port(&s->controls, (unsigned)s->rpc_port);
 	return st;
 }
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -85,7 +85,7 @@
 		addrs[n++] = s->controls.v[i];
 	for (size_t i = 0; i < s->spares.n; i++)
 		addrs[n++] = s->spares.v[i];
-	return cc_new(addrs, n, (unsigned)s->ledger_groups);
+	return cc_new(addrs, n, s->ledger_groups ? (unsigned)s->ledger_groups : 1);
 }
 
 int main(int argc, char **argv)
@@ -119,8 +119,10 @@
 	cn.sessions = cn_sessions_new();
 	if (cn_rpc_start(&cn) != ST_OK || cn_http_start(&cn) != ST_OK)
 		return fail_with(AR_LISTEN);
-	if (open_groups(&cn, args.flag) != ST_OK)
+	if (open_groups(&cn, args.flag || cn.s.bootstrap) != ST_OK)
 		return fail_with(AR_DATA);
+	if (cn.s.link_port && cn_hub_start(&cn) != ST_OK)
+		return fail_with(AR_LISTEN);
 	run(&cn, &set);
 	return AR_OK;
 }
--- a/src/entry/ec.c
+++ b/src/entry/ec.c
@@ -8,7 +8,7 @@
 #include <uthash.h>
 #include <utlist.h>
 #include "base/mx.h"
-#include "entry/ec_sse.h"
+#include "net/ss.h"
 
 #define CONNECT_TIMEOUT_MS 1000
 #define POLL_MS		   20
@@ -21,7 +21,7 @@
 	struct curl_slist *headers;
 	char *body;
 	buf_t answer;
-	ec_sse_t sse;
+	ss_t sse;
 	int64_t silence_ms;
 	deadline_t silent_at;
 	deadline_t deadline;
@@ -51,11 +51,11 @@
 	return type && strncmp(type, "text/event-stream", strlen("text/event-stream")) == 0;
 }
 
-static bool on_event(void *ctx, str_t name, str_t data)
+static bool on_event(void *ctx, const ss_event_t *e)
 {
 	call_t *c = ctx;
 
-	return c->o.event(c->o.ctx, name, data);
+	return !e->has_data || c->o.event(c->o.ctx, e->name, e->data);
 }
 
 static size_t on_bytes(char *p, size_t size, size_t n, void *ctx)
@@ -66,7 +66,7 @@
 	if (c->silence_ms)
 		c->silent_at = clk_now_ms() + c->silence_ms;
 	if (c->o.event && is_stream(c))
-		return ec_sse_feed(&c->sse, bytes, on_event, c) ? bytes.n : 0;
+		return ss_feed(&c->sse, bytes, on_event, c) ? bytes.n : 0;
 	if (c->answer.n + bytes.n > BODY_MAX_BYTES)
 		return 0;
 	buf_add(&c->answer, bytes);
@@ -148,7 +148,7 @@
 	curl_slist_free_all(c->headers);
 	free(c->body);
 	buf_free(&c->answer);
-	ec_sse_free(&c->sse);
+	ss_free(&c->sse);
 	free(c);
 }
 
--- /dev/null
+++ b/src/front/fx.c
@@ -0,0 +1,134 @@
+#include <stdlib.h>
+#include "front/fr.h"
+
+/** A replica that takes no connection within this, in ms, isn't reached: handshakes take a few. */
+#define CONNECT_MS 250
+
+struct fx {
+	fx_options_t o;
+	hu_call_t *call;
+	ss_t sse;
+	ev_timer silence;
+	bool events;
+	bool seen;
+	bool bad;
+	char id[64];
+};
+
+static void fx_free(fx_t *x)
+{
+	ev_timer_stop(x->o.f->loop, &x->silence);
+	ss_free(&x->sse);
+	free(x);
+}
+
+static void end(fx_t *x, fx_end_t how)
+{
+	x->o.end(x->o.ctx, how);
+	fx_free(x);
+}
+
+static void arm(fx_t *x, int64_t ms)
+{
+	ev_timer_stop(x->o.f->loop, &x->silence);
+	if (ms <= 0)
+		return;
+	ev_timer_set(&x->silence, (double)ms / 1000.0, 0.0);
+	ev_timer_start(x->o.f->loop, &x->silence);
+}
+
+static void on_silence(struct ev_loop *loop, ev_timer *w, int events)
+{
+	fx_t *x = w->data;
+
+	hu_cancel(x->call);
+	end(x, x->bad ? FX_BROKEN : FX_SILENT);
+}
+
+static bool on_head(void *ctx, const hp_head_t *h)
+{
+	fx_t *x = ctx;
+	pf_reply_t r;
+
+	pf_reply_decode(h, &r);
+	if (r.id.n > 0 && !str_eq(r.id, str_c(x->id)))
+		return false;
+	x->events = r.events && r.status == 200 && r.certified;
+	x->o.head(x->o.ctx, h, &r);
+	return true;
+}
+
+static bool on_event(void *ctx, const ss_event_t *e)
+{
+	fx_t *x = ctx;
+
+	x->seen = true;
+	if (!x->bad && !x->o.event(x->o.ctx, e))
+		x->bad = true;
+	return !x->bad;
+}
+
+/* A run that has gone wrong is ended from the loop, never from inside the parser. */
+static void on_body(void *ctx, str_t piece)
+{
+	fx_t *x = ctx;
+
+	if (x->bad)
+		return;
+	if (!x->events) {
+		x->o.bytes(x->o.ctx, piece);
+		return;
+	}
+	ss_feed(&x->sse, piece, on_event, x);
+	if (x->bad) {
+		ev_feed_event(x->o.f->loop, &x->silence, EV_TIMER);
+		return;
+	}
+	if (x->seen)
+		arm(x, x->o.pause_ms);
+}
+
+static void on_end(void *ctx, hu_end_t how)
+{
+	fx_t *x = ctx;
+
+	ev_clear_pending(x->o.f->loop, &x->silence);
+	if (x->bad) {
+		end(x, FX_BROKEN);
+		return;
+	}
+	if (how == HU_DONE && x->sse.pending.n > 0)
+		x->o.bytes(x->o.ctx, str_buf(&x->sse.pending));
+	if (how == HU_DONE)
+		end(x, FX_DONE);
+	else
+		end(x, how == HU_UNSENT ? FX_UNSENT : FX_BROKEN);
+}
+
+fx_t *fx_start(const fx_options_t *o)
+{
+	fx_t *x = mem_new(sizeof(*x));
+
+	x->o = *o;
+	snprintf(x->id, sizeof(x->id), "%.*s", STR_ARG(o->id));
+	ev_timer_init(&x->silence, on_silence, 0.0, 0.0);
+	x->silence.data = x;
+	x->call = hu_start(o->f->http, &(hu_options_t){
+					       .request = o->request,
+					       .addr = o->addr,
+					       .fresh = o->fresh,
+					       .connect_by = clk_now_ms() + CONNECT_MS,
+					       .ctx = x,
+					       .head = on_head,
+					       .body = on_body,
+					       .end = on_end,
+				       });
+	arm(x, o->first_ms);
+	return x;
+}
+
+void fx_cancel(fx_t *x)
+{
+	hu_cancel(x->call);
+	fx_free(x);
+}
--- /dev/null
+++ b/src/net/hl.c
@@ -0,0 +1,424 @@
+#include "net/hl.h"
+
+#include <stdlib.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include "base/lg.h"
+#include "net/sk.h"
+
+/** Bytes read ahead while a request is being answered. */
+#define READ_AHEAD_BYTES 65536
+#define READ_BYTES	 16384
+/** Time for the client to read the last answer before the socket is closed, in ms. */
+#define LINGER_MS 1000
+/** Accepts in one turn of the loop, so that open connections get theirs. */
+#define ACCEPTS 32
+
+struct hl {
+	hl_options_t o;
+	int fd;
+	ev_io accept;
+	bool draining;
+	size_t busy;
+};
+
+struct hl_conn {
+	hl_t *l;
+	int fd;
+	ev_io rd;
+	ev_io wr;
+	ev_timer timer;
+	hp_t parser;
+	buf_t in;
+	buf_t body;
+	buf_t out;
+	deadline_t begun; /* when the request's first byte came; 0 between requests */
+	bool have_head;
+	bool busy; /* a request is being answered */
+	bool chunked;
+	bool keep;
+	bool closing; /* nothing more is read as a request */
+	bool broken;
+	bool dead;
+	int depth;
+	void *data;
+};
+
+static const struct {
+	int status;
+	const char *reason;
+} reasons[] = {
+	{200, "OK"},
+	{202, "Accepted"},
+	{307, "Temporary Redirect"},
+	{400, "Bad Request"},
+	{404, "Not Found"},
+	{405, "Method Not Allowed"},
+	{408, "Request Timeout"},
+	{409, "Conflict"},
+	{413, "Content Too Large"},
+	{421, "Misdirected Request"},
+	{422, "Unprocessable Content"},
+	{429, "Too Many Requests"},
+	{431, "Request Header Fields Too Large"},
+	{500, "Internal Server Error"},
+	{502, "Bad Gateway"},
+	{503, "Service Unavailable"},
+	{504, "Gateway Timeout"},
+};
+
+const char *hl_reason(int status)
+{
+	for (size_t i = 0; i < sizeof(reasons) / sizeof(reasons[0]); i++) {
+		if (reasons[i].status == status)
+			return reasons[i].reason;
+	}
+	return "Unknown";
+}
+
+static void conn_free(hl_conn_t *c)
+{
+	hp_free(&c->parser);
+	buf_free(&c->in);
+	buf_free(&c->body);
+	buf_free(&c->out);
+	free(c);
+}
+
+static void conn_close(hl_conn_t *c)
+{
+	if (c->dead)
+		return;
+	c->dead = true;
+	if (c->busy)
+		c->l->busy--;
+	ev_io_stop(c->l->o.loop, &c->rd);
+	ev_io_stop(c->l->o.loop, &c->wr);
+	ev_timer_stop(c->l->o.loop, &c->timer);
+	close(c->fd);
+	if (c->depth == 0)
+		conn_free(c);
+}
+
+static void conn_leave(hl_conn_t *c)
+{
+	if (--c->depth == 0 && c->dead)
+		conn_free(c);
+}
+
+static void set_timer(hl_conn_t *c, int64_t ms)
+{
+	ev_timer_stop(c->l->o.loop, &c->timer);
+	ev_timer_set(&c->timer, (double)ms / 1000.0, 0.0);
+	ev_timer_start(c->l->o.loop, &c->timer);
+}
+
+static void flush(hl_conn_t *c)
+{
+	if (c->dead)
+		return;
+	if (!sk_write(c->fd, &c->out)) {
+		/* The caller's own step goes on; the loop then finds the connection broken. */
+		c->out.n = 0;
+		c->broken = true;
+		ev_io_stop(c->l->o.loop, &c->wr);
+		ev_feed_event(c->l->o.loop, &c->rd, EV_READ);
+		return;
+	}
+	if (c->out.n > 0) {
+		ev_io_start(c->l->o.loop, &c->wr);
+		return;
+	}
+	ev_io_stop(c->l->o.loop, &c->wr);
+	if (c->closing && !c->busy)
+		shutdown(c->fd, SHUT_WR);
+}
+
+static void on_head(void *ctx, const hp_head_t *h)
+{
+	hl_conn_t *c = ctx;
+	str_t expect = hp_header(h, "Expect");
+
+	c->have_head = true;
+	if (expect.n == 12 && strncasecmp(expect.p, "100-continue", 12) == 0) {
+		buf_add(&c->out, STR("HTTP/1.1 100 Continue\r\n\r\n"));
+		flush(c);
+	}
+}
+
+static void on_body(void *ctx, str_t piece)
+{
+	hl_conn_t *c = ctx;
+
+	if (c->body.n <= c->l->o.limits.max_body_bytes)
+		buf_add(&c->body, piece);
+}
+
+static void on_end(void *ctx)
+{
+	hl_conn_t *c = ctx;
+
+	c->busy = true;
+	c->l->busy++;
+}
+
+/* Ends the connection with an answer of the listener's own. */
+static void refuse(hl_conn_t *c, int status, const char *what)
+{
+	if (!c->busy) {
+		c->busy = true;
+		c->l->busy++;
+	}
+	c->keep = false;
+	c->closing = true;
+	lg(LG_INFO, "request_refused", LG_I("status", status), LG_C("reason", what));
+	hl_reply(c, status, STR(""), STR(""));
+}
+
+static void hand_over(hl_conn_t *c)
+{
+	hl_request_t r = {c->parser.head, str_buf(&c->body), c->begun};
+
+	ev_timer_stop(c->l->o.loop, &c->timer);
+	c->keep = c->parser.head.keep_alive;
+	c->l->o.request(c->l->o.ctx, c, &r);
+}
+
+static void parse(hl_conn_t *c)
+{
+	const hl_limits_t *m = &c->l->o.limits;
+	status_t st;
+	size_t used;
+
+	while (!c->dead && !c->busy && !c->closing && c->in.n > 0) {
+		if (!c->begun) {
+			c->begun = clk_now_ms();
+			set_timer(c, m->header_ms);
+		}
+		st = hp_feed(&c->parser, str_buf(&c->in), &used);
+		if (c->dead)
+			return;
+		buf_drop(&c->in, used < c->in.n ? used : c->in.n);
+		if (c->body.n > m->max_body_bytes)
+			refuse(c, 413, "body over the limit");
+		else if (st == ST_LIMIT)
+			refuse(c, 431, st_message());
+		else if (st != ST_OK)
+			refuse(c, 400, st_message());
+		else if (c->busy)
+			hand_over(c);
+	}
+	if (!c->dead && !c->busy && c->have_head)
+		set_timer(c, m->idle_ms);
+}
+
+static void on_readable(struct ev_loop *loop, ev_io *w, int events)
+{
+	hl_conn_t *c = w->data;
+	long n;
+
+	if (!c->broken && c->busy && c->in.n >= READ_AHEAD_BYTES) {
+		ev_io_stop(loop, &c->rd);
+		return;
+	}
+	n = c->broken ? SK_BROKEN : sk_read(c->fd, &c->in, READ_BYTES);
+	c->depth++;
+	if (n < 0) {
+		if (c->busy && !c->dead && c->l->o.gone)
+			c->l->o.gone(c->l->o.ctx, c);
+		conn_close(c);
+	} else if (c->closing) {
+		c->in.n = 0;
+	} else {
+		parse(c);
+	}
+	conn_leave(c);
+}
+
+static void on_writable(struct ev_loop *loop, ev_io *w, int events)
+{
+	hl_conn_t *c = w->data;
+
+	c->depth++;
+	flush(c);
+	conn_leave(c);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	hl_conn_t *c = w->data;
+
+	c->depth++;
+	if (c->begun && !c->busy && !c->closing)
+		refuse(c, 408, "request not read in time");
+	else
+		conn_close(c);
+	conn_leave(c);
+}
+
+static void conn_new(hl_t *l, int fd)
+{
+	hl_conn_t *c = mem_new(sizeof(*c));
+
+	c->l = l;
+	c->fd = fd;
+	hp_init(&c->parser, &(hp_options_t){
+				    .pause = true,
+				    .max_header_bytes = l->o.limits.max_header_bytes,
+				    .cb = {c, on_head, on_body, on_end},
+			    });
+	ev_io_init(&c->rd, on_readable, fd, EV_READ);
+	ev_io_init(&c->wr, on_writable, fd, EV_WRITE);
+	ev_timer_init(&c->timer, on_timer, 0.0, 0.0);
+	c->rd.data = c->wr.data = c->timer.data = c;
+	ev_io_start(l->o.loop, &c->rd);
+	set_timer(c, l->o.limits.idle_ms);
+}
+
+static void on_accept(struct ev_loop *loop, ev_io *w, int events)
+{
+	hl_t *l = w->data;
+
+	for (int i = 0; i < ACCEPTS; i++) {
+		int fd = sk_accept(l->fd);
+
+		if (fd < 0)
+			return;
+		conn_new(l, fd);
+	}
+}
+
+hl_t *hl_new(const hl_options_t *o)
+{
+	int fd = sk_listen(o->addr);
+	hl_t *l;
+
+	if (fd < 0)
+		return NULL;
+	l = mem_new(sizeof(*l));
+	l->o = *o;
+	l->fd = fd;
+	ev_io_init(&l->accept, on_accept, fd, EV_READ);
+	l->accept.data = l;
+	ev_io_start(o->loop, &l->accept);
+	return l;
+}
+
+void hl_set_limits(hl_t *l, const hl_limits_t *limits)
+{
+	l->o.limits = *limits;
+}
+
+void hl_drain(hl_t *l)
+{
+	l->draining = true;
+}
+
+size_t hl_busy(const hl_t *l)
+{
+	return l->busy;
+}
+
+void hl_set_data(hl_conn_t *c, void *data)
+{
+	c->data = data;
+}
+
+void *hl_data(const hl_conn_t *c)
+{
+	return c->data;
+}
+
+/* The answer is complete: reads the next request or closes. */
+static void finish(hl_conn_t *c)
+{
+	c->busy = false;
+	c->l->busy--;
+	c->data = NULL;
+	c->begun = 0;
+	c->have_head = false;
+	c->body.n = 0;
+	if (!c->keep) {
+		c->closing = true;
+		set_timer(c, LINGER_MS);
+		flush(c);
+		return;
+	}
+	set_timer(c, c->l->o.limits.idle_ms);
+	flush(c);
+	if (c->dead)
+		return;
+	hp_next(&c->parser);
+	c->parser.o.max_header_bytes = c->l->o.limits.max_header_bytes;
+	ev_io_start(c->l->o.loop, &c->rd);
+	/* A pipelined request is parsed from the loop, not from inside the caller's answer. */
+	if (c->in.n > 0)
+		ev_feed_event(c->l->o.loop, &c->rd, EV_READ);
+}
+
+static void add_head(hl_conn_t *c, int status, str_t headers)
+{
+	if (c->l->draining)
+		c->keep = false;
+	buf_addf(&c->out, "HTTP/1.1 %d %s\r\n", status, hl_reason(status));
+	buf_add(&c->out, headers);
+	if (!c->keep)
+		buf_add(&c->out, STR("Connection: close\r\n"));
+}
+
+void hl_reply(hl_conn_t *c, int status, str_t headers, str_t body)
+{
+	if (c->dead)
+		return;
+	c->depth++;
+	add_head(c, status, headers);
+	buf_addf(&c->out, "Content-Length: %zu\r\n\r\n", body.n);
+	buf_add(&c->out, body);
+	finish(c);
+	conn_leave(c);
+}
+
+void hl_begin(hl_conn_t *c, int status, str_t headers)
+{
+	if (c->dead)
+		return;
+	c->depth++;
+	add_head(c, status, headers);
+	buf_add(&c->out, STR("Transfer-Encoding: chunked\r\n\r\n"));
+	c->chunked = true;
+	flush(c);
+	conn_leave(c);
+}
+
+void hl_piece(hl_conn_t *c, str_t piece)
+{
+	if (c->dead || piece.n == 0)
+		return;
+	c->depth++;
+	buf_addf(&c->out, "%zx\r\n", piece.n);
+	buf_add(&c->out, piece);
+	buf_add(&c->out, STR("\r\n"));
+	flush(c);
+	conn_leave(c);
+}
+
+void hl_end(hl_conn_t *c)
+{
+	if (c->dead)
+		return;
+	c->depth++;
+	buf_add(&c->out, STR("0\r\n\r\n"));
+	c->chunked = false;
+	finish(c);
+	conn_leave(c);
+}
+
+void hl_abort(hl_conn_t *c)
+{
+	if (c->dead)
+		return;
+	c->depth++;
+	conn_close(c);
+	conn_leave(c);
+}
--- /dev/null
+++ b/src/net/hp.c
@@ -0,0 +1,203 @@
+#include "net/hp.h"
+
+#include <string.h>
+#include <strings.h>
+
+static str_t span(const hp_t *p, size_t at, size_t n)
+{
+	return (str_t){p->text.p ? p->text.p + at : "", n};
+}
+
+static bool take(hp_t *p, const char *at, size_t n)
+{
+	if (p->text.n + n > p->o.max_header_bytes) {
+		p->too_large = true;
+		return false;
+	}
+	buf_add(&p->text, (str_t){at, n});
+	return true;
+}
+
+static int on_begin(http_parser *hp)
+{
+	hp_t *p = hp->data;
+
+	p->text.n = 0;
+	p->target_n = 0;
+	p->nspans = 0;
+	p->in_value = false;
+	return 0;
+}
+
+static int on_url(http_parser *hp, const char *at, size_t n)
+{
+	hp_t *p = hp->data;
+
+	p->target_n += n;
+	return take(p, at, n) ? 0 : 1;
+}
+
+static int on_field(http_parser *hp, const char *at, size_t n)
+{
+	hp_t *p = hp->data;
+	hp_span_t *s;
+
+	if (p->in_value || p->nspans == 0) {
+		if (p->nspans == HP_HEADERS_MAX) {
+			p->too_large = true;
+			return 1;
+		}
+		s = &p->spans[p->nspans++];
+		*s = (hp_span_t){.name = p->text.n};
+		p->in_value = false;
+	}
+	s = &p->spans[p->nspans - 1];
+	s->name_n += n;
+	return take(p, at, n) ? 0 : 1;
+}
+
+static int on_value(http_parser *hp, const char *at, size_t n)
+{
+	hp_t *p = hp->data;
+	hp_span_t *s = &p->spans[p->nspans - 1];
+
+	if (!p->in_value)
+		s->value = p->text.n;
+	p->in_value = true;
+	s->value_n += n;
+	return take(p, at, n) ? 0 : 1;
+}
+
+static int on_head(http_parser *hp)
+{
+	hp_t *p = hp->data;
+
+	for (size_t i = 0; i < p->nspans; i++) {
+		const hp_span_t *s = &p->spans[i];
+
+		p->headers[i] = (hp_header_t){span(p, s->name, s->name_n),
+					      span(p, s->value, s->value_n)};
+	}
+	p->head = (hp_head_t){
+		.target = span(p, 0, p->target_n),
+		.status = (int)hp->status_code,
+		.headers = p->headers,
+		.nheaders = p->nspans,
+		.keep_alive = http_should_keep_alive(hp) != 0,
+	};
+	if (!p->o.responses)
+		p->head.method = str_c(http_method_str((enum http_method)hp->method));
+	p->o.cb.head(p->o.cb.ctx, &p->head);
+	return 0;
+}
+
+static int on_body(http_parser *hp, const char *at, size_t n)
+{
+	hp_t *p = hp->data;
+
+	p->o.cb.body(p->o.cb.ctx, (str_t){at, n});
+	return 0;
+}
+
+static int on_end(http_parser *hp)
+{
+	hp_t *p = hp->data;
+
+	if (p->o.pause)
+		http_parser_pause(hp, 1);
+	p->o.cb.end(p->o.cb.ctx);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_begin,
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_end,
+};
+
+void hp_init(hp_t *p, const hp_options_t *o)
+{
+	*p = (hp_t){.o = *o};
+	http_parser_init(&p->parser, o->responses ? HTTP_RESPONSE : HTTP_REQUEST);
+	p->parser.data = p;
+}
+
+void hp_free(hp_t *p)
+{
+	buf_free(&p->text);
+}
+
+status_t hp_feed(hp_t *p, str_t in, size_t *used)
+{
+	enum http_errno err;
+
+	*used = http_parser_execute(&p->parser, &parser_settings, in.p, in.n);
+	err = HTTP_PARSER_ERRNO(&p->parser);
+	if (p->too_large || err == HPE_HEADER_OVERFLOW)
+		return st_fail(ST_LIMIT, "head of more than %zu bytes", p->o.max_header_bytes);
+	if (p->parser.upgrade)
+		return st_fail(ST_INVALID, "upgrades aren't served");
+	if (err != HPE_OK && err != HPE_PAUSED)
+		return st_fail(ST_INVALID, "not HTTP: %s", http_errno_description(err));
+	return ST_OK;
+}
+
+void hp_next(hp_t *p)
+{
+	http_parser_pause(&p->parser, 0);
+}
+
+str_t hp_header(const hp_head_t *h, const char *name)
+{
+	size_t n = strlen(name);
+
+	for (size_t i = 0; i < h->nheaders; i++) {
+		if (h->headers[i].name.n == n &&
+		    strncasecmp(h->headers[i].name.p, name, n) == 0)
+			return h->headers[i].value;
+	}
+	return (str_t){NULL, 0};
+}
+
+str_t hp_path(str_t target)
+{
+	const char *q = memchr(target.p, '?', target.n);
+
+	return q ? (str_t){target.p, (size_t)(q - target.p)} : target;
+}
+
+str_t hp_query(str_t target, const char *key)
+{
+	str_t path = hp_path(target);
+	size_t at = path.n + 1;
+	size_t kn = strlen(key);
+
+	while (at < target.n) {
+		str_t left = {target.p + at, target.n - at};
+		const char *amp = memchr(left.p, '&', left.n);
+		size_t n = amp ? (size_t)(amp - left.p) : left.n;
+
+		if (n > kn && left.p[kn] == '=' && memcmp(left.p, key, kn) == 0)
+			return (str_t){left.p + kn + 1, n - kn - 1};
+		at += n + 1;
+	}
+	return (str_t){NULL, 0};
+}
+
+long long hp_number(str_t s)
+{
+	long long v = 0;
+
+	if (s.n == 0 || s.n > 15)
+		return -1;
+	for (size_t i = 0; i < s.n; i++) {
+		if (s.p[i] < '0' || s.p[i] > '9')
+			return -1;
+		v = v * 10 + (s.p[i] - '0');
+	}
+	return v;
+}
--- /dev/null
+++ b/src/net/hu.c
@@ -0,0 +1,414 @@
+#include "net/hu.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <unistd.h>
+#include <uthash.h>
+#include "net/sk.h"
+
+#define READ_BYTES	 16384
+#define MAX_HEADER_BYTES 65536
+/** A kept connection isn't used again after this, in ms, unless the server states a shorter time;
+ * under the usual idle timeouts of servers. */
+#define IDLE_MS 4000
+/** Part of the server's stated time after which the connection isn't used again: it may be closing
+ * it just then. */
+#define IDLE_SHARE_PERCENT 60
+#define IDLE_MAX	   16
+
+typedef struct conn conn_t;
+
+typedef struct {
+	char addr[32];
+	conn_t *idle; /* newest first */
+	unsigned nidle;
+	UT_hash_handle hh;
+} host_t;
+
+struct hu {
+	struct ev_loop *loop;
+	host_t *hosts;
+	uint64_t connects;
+};
+
+struct conn {
+	hu_t *h;
+	host_t *host;
+	int fd;
+	ev_io rd;
+	ev_io wr;
+	ev_timer timer;
+	hp_t parser;
+	buf_t out;
+	buf_t in;
+	bool connected;
+	bool used; /* has answered a request before this one */
+	bool skip; /* the answer being read belongs to another request */
+	bool keep;
+	bool ended;
+	int64_t idle_ms;
+	hu_call_t *call;
+	conn_t *next;
+	bool dead;
+	int depth;
+};
+
+struct hu_call {
+	hu_options_t o;
+	conn_t *conn;
+};
+
+static void conn_free(conn_t *c)
+{
+	hp_free(&c->parser);
+	buf_free(&c->out);
+	buf_free(&c->in);
+	free(c);
+}
+
+static void unlink_idle(conn_t *c)
+{
+	for (conn_t **p = &c->host->idle; *p; p = &(*p)->next) {
+		if (*p == c) {
+			*p = c->next;
+			c->host->nidle--;
+			return;
+		}
+	}
+}
+
+static void conn_close(conn_t *c)
+{
+	if (c->dead)
+		return;
+	c->dead = true;
+	unlink_idle(c);
+	ev_io_stop(c->h->loop, &c->rd);
+	ev_io_stop(c->h->loop, &c->wr);
+	ev_timer_stop(c->h->loop, &c->timer);
+	close(c->fd);
+	if (c->depth == 0)
+		conn_free(c);
+}
+
+static void conn_leave(conn_t *c)
+{
+	if (--c->depth == 0 && c->dead)
+		conn_free(c);
+}
+
+static void set_timer(conn_t *c, int64_t ms)
+{
+	ev_timer_stop(c->h->loop, &c->timer);
+	ev_timer_set(&c->timer, (double)ms / 1000.0, 0.0);
+	ev_timer_start(c->h->loop, &c->timer);
+}
+
+/* Ends the call; its connection is closed unless it may serve another. */
+static void end_call(conn_t *c, hu_end_t how)
+{
+	hu_call_t *call = c->call;
+
+	c->call = NULL;
+	if (call) {
+		call->conn = NULL;
+		call->o.end(call->o.ctx, how);
+		free(call);
+	}
+}
+
+static void fail(conn_t *c, hu_end_t how)
+{
+	c->depth++;
+	conn_close(c);
+	end_call(c, how);
+	conn_leave(c);
+}
+
+static void read_keep_alive(conn_t *c, const hp_head_t *h)
+{
+	str_t ka = hp_header(h, "Keep-Alive");
+	long at = str_find(ka, STR("timeout="));
+	long long s = 0;
+
+	c->keep = h->keep_alive;
+	c->idle_ms = IDLE_MS;
+	if (at < 0)
+		return;
+	for (size_t i = (size_t)at + 8; i < ka.n && ka.p[i] >= '0' && ka.p[i] <= '9'; i++)
+		s = s * 10 + (ka.p[i] - '0');
+	if (s * 10 * IDLE_SHARE_PERCENT < IDLE_MS)
+		c->idle_ms = s * 10 * IDLE_SHARE_PERCENT;
+}
+
+static void on_head(void *ctx, const hp_head_t *h)
+{
+	conn_t *c = ctx;
+
+	if (h->status < 200) {
+		c->skip = true;
+		return;
+	}
+	read_keep_alive(c, h);
+	c->skip = !c->call || !c->call->o.head(c->call->o.ctx, h);
+}
+
+static void on_body(void *ctx, str_t piece)
+{
+	conn_t *c = ctx;
+
+	if (!c->skip && c->call)
+		c->call->o.body(c->call->o.ctx, piece);
+}
+
+static void on_end(void *ctx)
+{
+	conn_t *c = ctx;
+
+	c->ended = !c->skip;
+	c->skip = false;
+}
+
+static void go_idle(conn_t *c)
+{
+	c->used = true;
+	if (!c->keep || c->in.n > 0 || c->out.n > 0 || c->idle_ms <= 0 ||
+	    c->host->nidle >= IDLE_MAX) {
+		conn_close(c);
+		return;
+	}
+	c->next = c->host->idle;
+	c->host->idle = c;
+	c->host->nidle++;
+	set_timer(c, c->idle_ms);
+}
+
+/* Parses what was read; the end of the stream is told by an empty input. */
+static void parse(conn_t *c, bool closed)
+{
+	status_t st = ST_OK;
+	size_t used;
+
+	while (!c->dead && !c->ended && st == ST_OK && c->in.n > 0) {
+		st = hp_feed(&c->parser, str_buf(&c->in), &used);
+		if (c->dead)
+			return;
+		buf_drop(&c->in, used < c->in.n ? used : c->in.n);
+		if (!c->ended && st == ST_OK)
+			hp_next(&c->parser);
+	}
+	if (c->dead)
+		return;
+	if (st == ST_OK && !c->ended && closed) {
+		st = hp_feed(&c->parser, (str_t){"", 0}, &used);
+		if (c->dead)
+			return;
+		if (st != ST_OK || !c->ended) {
+			fail(c, HU_BROKEN);
+			return;
+		}
+	}
+	if (st != ST_OK) {
+		fail(c, HU_MALFORMED);
+		return;
+	}
+	if (c->ended) {
+		c->depth++;
+		if (closed)
+			c->keep = false;
+		go_idle(c);
+		end_call(c, HU_DONE);
+		conn_leave(c);
+	}
+}
+
+static void on_readable(struct ev_loop *loop, ev_io *w, int events)
+{
+	conn_t *c = w->data;
+	long n = sk_read(c->fd, &c->in, READ_BYTES);
+
+	c->depth++;
+	if (!c->call) {
+		/* An idle connection that speaks or ends serves nobody. */
+		conn_close(c);
+	} else if (n < 0) {
+		parse(c, n == SK_CLOSED);
+		if (n == SK_BROKEN && !c->dead)
+			fail(c, HU_BROKEN);
+	} else if (n > 0) {
+		parse(c, false);
+	}
+	conn_leave(c);
+}
+
+static void flush(conn_t *c)
+{
+	if (!sk_write(c->fd, &c->out)) {
+		/* What the server said before it closed is still read. */
+		ev_io_stop(c->h->loop, &c->wr);
+		c->out.n = 0;
+		c->keep = false;
+		return;
+	}
+	if (c->out.n > 0)
+		ev_io_start(c->h->loop, &c->wr);
+	else
+		ev_io_stop(c->h->loop, &c->wr);
+}
+
+static void on_writable(struct ev_loop *loop, ev_io *w, int events)
+{
+	conn_t *c = w->data;
+
+	if (!c->connected) {
+		if (sk_error(c->fd) != 0) {
+			fail(c, HU_UNSENT);
+			return;
+		}
+		c->connected = true;
+		ev_timer_stop(loop, &c->timer);
+		ev_io_start(loop, &c->rd);
+	}
+	flush(c);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	conn_t *c = w->data;
+
+	if (c->call)
+		fail(c, HU_UNSENT);
+	else
+		conn_close(c);
+}
+
+static host_t *host_of(hu_t *h, const char *addr)
+{
+	host_t *x;
+
+	HASH_FIND_STR(h->hosts, addr, x);
+	if (x)
+		return x;
+	x = mem_new(sizeof(*x));
+	snprintf(x->addr, sizeof(x->addr), "%s", addr);
+	HASH_ADD_STR(h->hosts, addr, x);
+	return x;
+}
+
+static conn_t *conn_open(hu_t *h, host_t *host)
+{
+	int fd = sk_connect(host->addr);
+	conn_t *c;
+
+	if (fd < 0)
+		return NULL;
+	c = mem_new(sizeof(*c));
+	c->h = h;
+	c->host = host;
+	c->fd = fd;
+	hp_init(&c->parser, &(hp_options_t){
+				    .responses = true,
+				    .pause = true,
+				    .max_header_bytes = MAX_HEADER_BYTES,
+				    .cb = {c, on_head, on_body, on_end},
+			    });
+	ev_io_init(&c->rd, on_readable, fd, EV_READ);
+	ev_io_init(&c->wr, on_writable, fd, EV_WRITE);
+	ev_timer_init(&c->timer, on_timer, 0.0, 0.0);
+	c->rd.data = c->wr.data = c->timer.data = c;
+	h->connects++;
+	return c;
+}
+
+static conn_t *take_idle(host_t *host)
+{
+	conn_t *c = host->idle;
+
+	if (!c)
+		return NULL;
+	host->idle = c->next;
+	host->nidle--;
+	ev_timer_stop(c->h->loop, &c->timer);
+	hp_next(&c->parser);
+	c->ended = false;
+	c->skip = false;
+	return c;
+}
+
+hu_t *hu_new(struct ev_loop *loop)
+{
+	hu_t *h = mem_new(sizeof(*h));
+
+	h->loop = loop;
+	return h;
+}
+
+static void on_unsent(int revents, void *arg)
+{
+	hu_call_t *call = arg;
+
+	call->o.end(call->o.ctx, HU_UNSENT);
+	free(call);
+}
+
+hu_call_t *hu_start(hu_t *h, const hu_options_t *o)
+{
+	host_t *host = host_of(h, o->addr);
+	hu_call_t *call = mem_new(sizeof(*call));
+	conn_t *c = o->fresh ? NULL : take_idle(host);
+
+	call->o = *o;
+	if (!c) {
+		c = conn_open(h, host);
+		if (!c) {
+			ev_once(h->loop, -1, 0, 0.0, on_unsent, call);
+			return call;
+		}
+		set_timer(c, clk_left_ms(o->connect_by));
+	}
+	c->call = call;
+	call->conn = c;
+	buf_add(&c->out, o->request);
+	if (c->connected)
+		flush(c);
+	else
+		ev_io_start(h->loop, &c->wr);
+	return call;
+}
+
+bool hu_reused(const hu_call_t *c)
+{
+	return c->conn && c->conn->used;
+}
+
+static void drop_body(void *ctx, str_t piece)
+{
+}
+
+static void drop_end(void *ctx, hu_end_t how)
+{
+}
+
+void hu_cancel(hu_call_t *call)
+{
+	conn_t *c = call->conn;
+
+	if (!c) {
+		/* Its end is already on the way and finds nobody. */
+		call->o.body = drop_body;
+		call->o.end = drop_end;
+		return;
+	}
+	c->depth++;
+	c->call = NULL;
+	conn_close(c);
+	conn_leave(c);
+	free(call);
+}
+
+uint64_t hu_connects(const hu_t *h)
+{
+	return h->connects;
+}
--- /dev/null
+++ b/src/net/hu.h
@@ -0,0 +1,41 @@
+/** HTTP/1.1 client on an event loop, with a pool of idle connections for each address. */
+#ifndef AUBURN_HU_H
+#define AUBURN_HU_H
+
+#include <ev.h>
+#include "base/clk.h"
+#include "net/hp.h"
+
+typedef struct hu hu_t;
+typedef struct hu_call hu_call_t;
+
+typedef enum {
+	HU_DONE, /* the answer came whole */
+	HU_UNSENT, /* no connection was made: surely not received */
+	HU_BROKEN, /* the connection ended early; may have run */
+	HU_MALFORMED /* what came isn't an answer; may have run */
+} hu_end_t;
+
+typedef struct {
+	str_t request; /* whole, head and body; copied */
+	const char *addr; /* ip:port */
+	bool fresh; /* not on a kept connection, which the server may be closing */
+	deadline_t connect_by;
+	void *ctx;
+	/** False: this answer belongs to another request and is passed over. */
+	bool (*head)(void *ctx, const hp_head_t *h);
+	void (*body)(void *ctx, str_t piece);
+	/** Called once unless the call was cancelled; the call is freed after it. */
+	void (*end)(void *ctx, hu_end_t how);
+} hu_options_t;
+
+hu_t *hu_new(struct ev_loop *loop);
+hu_call_t *hu_start(hu_t *h, const hu_options_t *o);
+/** True when the call went out on a kept connection. */
+bool hu_reused(const hu_call_t *c);
+/** Ends a call by closing its connection; no callback follows. */
+void hu_cancel(hu_call_t *c);
+/** Connections made so far. */
+uint64_t hu_connects(const hu_t *h);
+
+#endif
--- /dev/null
+++ b/src/net/sk.c
@@ -0,0 +1,127 @@
+#include "net/sk.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include "base/rp.h"
+
+#define BACKLOG 1024
+/** Unacknowledged bytes end a connection after this, in ms; a silent peer is noticed sooner by the
+ * protocols above. */
+#define UNACKED_MS 2000
+
+static bool set_addr(const char *addr, struct sockaddr_in *sa)
+{
+	char ip[64];
+	unsigned port;
+
+	if (rp_split_addr(addr, ip, &port) != ST_OK)
+		return false;
+	memset(sa, 0, sizeof(*sa));
+	sa->sin_family = AF_INET;
+	sa->sin_port = htons((uint16_t)port);
+	return inet_pton(AF_INET, ip, &sa->sin_addr) == 1;
+}
+
+static void set_options(int fd)
+{
+	int one = 1;
+	unsigned unacked = UNACKED_MS;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof(unacked));
+}
+
+int sk_listen(const char *addr)
+{
+	struct sockaddr_in sa;
+	int one = 1;
+	int fd;
+
+	if (!set_addr(addr, &sa)) {
+		st_fail(ST_INVALID, "%s is not ip:port", addr);
+		return -1;
+	}
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0 && listen(fd, BACKLOG) == 0)
+		return fd;
+	st_fail(ST_IO, "listen on %s: %s", addr, strerror(errno));
+	close(fd);
+	return -1;
+}
+
+int sk_accept(int listener)
+{
+	int fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	if (fd >= 0)
+		set_options(fd);
+	return fd;
+}
+
+int sk_connect(const char *addr)
+{
+	struct sockaddr_in sa;
+	int fd;
+
+	if (!set_addr(addr, &sa))
+		return -1;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return -1;
+	set_options(fd);
+	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0 || errno == EINPROGRESS)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+int sk_error(int fd)
+{
+	int err = 0;
+	socklen_t n = sizeof(err);
+
+	if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &err, &n) != 0)
+		return errno;
+	return err;
+}
+
+long sk_read(int fd, buf_t *in, size_t max)
+{
+	char tmp[16384];
+	ssize_t n = recv(fd, tmp, max < sizeof(tmp) ? max : sizeof(tmp), 0);
+
+	if (n > 0) {
+		buf_add(in, (str_t){tmp, (size_t)n});
+		return n;
+	}
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return 0;
+	return n == 0 ? SK_CLOSED : SK_BROKEN;
+}
+
+bool sk_write(int fd, buf_t *out)
+{
+	size_t done = 0;
+
+	while (done < out->n) {
+		ssize_t n = send(fd, out->p + done, out->n - done, MSG_NOSIGNAL);
+
+		if (n > 0) {
+			done += (size_t)n;
+			continue;
+		}
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && errno != EAGAIN)
+			return false;
+		break;
+	}
+	buf_drop(out, done);
+	return true;
+}
--- /dev/null
+++ b/src/policy/ds_pick.c
@@ -0,0 +1,191 @@
+/* Choices of a replica, of an item that gives way, and of the entry that runs an item. */
+#include <stdlib.h>
+#include <string.h>
+#include "policy/ds_core.h"
+
+/** Costs of a choice, in places taken: another zone costs bytes between zones, another replica than
+ * the one that read the shared parts costs reading them again; neither is worth a crowded replica.
+ */
+#define COST_OTHER_ZONE	  2
+#define COST_OTHER_PREFIX 1
+#define COST_SCALE	  4
+/** Prompts whose replica is remembered; a table of this size takes about 1 MB. */
+#define PREFIXES_MAX 8192
+
+static uint64_t next_random(ds_t *d)
+{
+	d->random ^= d->random << 13;
+	d->random ^= d->random >> 7;
+	d->random ^= d->random << 17;
+	return d->random;
+}
+
+static unsigned used(const replica_t *r)
+{
+	return r->online + r->items;
+}
+
+/* A replica that has failed gets one request at a time until it has served one. */
+static unsigned places(const replica_t *r)
+{
+	return r->strikes > 0 ? 1 : r->slots;
+}
+
+static bool usable(const replica_t *r, const char *service, deadline_t now)
+{
+	return !r->leaving && r->listed && now >= r->suspect_until &&
+	       strcmp(r->service, service) == 0;
+}
+
+static bool avoided(const ask_t *q, const replica_t *r)
+{
+	for (unsigned i = 0; i < q->a.navoid; i++) {
+		if (strcmp(q->avoid[i], r->id) == 0)
+			return true;
+	}
+	return false;
+}
+
+static replica_t *prefix_replica(const ds_t *d, uint64_t prefix)
+{
+	prefix_t *p = NULL;
+
+	if (prefix)
+		HASH_FIND(hh, d->prefixes, &prefix, sizeof(prefix), p);
+	return p ? p->replica : NULL;
+}
+
+static unsigned cost(const replica_t *r, const replica_t *reader, str_t zone)
+{
+	unsigned c = used(r) * COST_SCALE / places(r);
+
+	if (!str_eq(str_c(r->zone), zone))
+		c += COST_OTHER_ZONE;
+	if (reader && reader != r)
+		c += COST_OTHER_PREFIX;
+	return c;
+}
+
+replica_t *ds_pick_free(ds_t *d, const ask_t *q, str_t zone, deadline_t now)
+{
+	replica_t *reader = prefix_replica(d, q->a.prefix);
+	replica_t *best = NULL;
+	unsigned best_cost = 0;
+	unsigned ties = 0;
+
+	for (replica_t *r = d->replicas; r; r = r->hh.next) {
+		unsigned c;
+
+		if (!usable(r, q->service, now) || now < r->full_until || avoided(q, r) ||
+		    used(r) >= places(r))
+			continue;
+		c = cost(r, reader, zone);
+		if (best && c > best_cost)
+			continue;
+		if (!best || c < best_cost)
+			ties = 0;
+		/* Dispatchers that work apart must not all choose the same one. */
+		if (next_random(d) % ++ties != 0)
+			continue;
+		best = r;
+		best_cost = c;
+	}
+	return best;
+}
+
+ds_item_t *ds_pick_victim(ds_t *d, const ask_t *q, str_t zone, deadline_t now)
+{
+	ds_item_t *best = NULL;
+	bool best_near = false;
+
+	for (ds_item_t *it = d->running; it; it = it->next) {
+		bool near;
+
+		if (it->state != ITEM_RUNNING || !it->replica || it->lost_until ||
+		    !usable(it->replica, q->service, now) || avoided(q, it->replica) ||
+		    it->replica->strikes > 0)
+			continue;
+		near = str_eq(str_c(it->replica->zone), zone);
+		if (best && (near < best_near || (near == best_near && it->due <= best->due)))
+			continue;
+		best = it;
+		best_near = near;
+	}
+	return best;
+}
+
+replica_t *ds_pick_for_item(ds_t *d, const ds_item_t *it, deadline_t now)
+{
+	replica_t *best = NULL;
+
+	for (replica_t *r = d->replicas; r; r = r->hh.next) {
+		if (!usable(r, it->service, now) || now < r->full_until || used(r) >= places(r))
+			continue;
+		if (!best || used(r) * best->slots < used(best) * r->slots)
+			best = r;
+	}
+	return best;
+}
+
+entry_t *ds_pick_entry(ds_t *d, const replica_t *r)
+{
+	entry_t *best = NULL;
+	bool best_near = false;
+
+	for (entry_t *e = d->entries; e; e = e->hh.next) {
+		bool near = strcmp(e->zone, r->zone) == 0;
+
+		if (!e->takes_items)
+			continue;
+		if (best && (near < best_near || (near == best_near && e->items >= best->items)))
+			continue;
+		best = e;
+		best_near = near;
+	}
+	return best;
+}
+
+void ds_prefix_note(ds_t *d, uint64_t prefix, replica_t *r)
+{
+	prefix_t *p = NULL;
+
+	if (!prefix)
+		return;
+	HASH_FIND(hh, d->prefixes, &prefix, sizeof(prefix), p);
+	if (p) {
+		p->replica = r;
+		return;
+	}
+	if (HASH_COUNT(d->prefixes) >= PREFIXES_MAX) {
+		p = d->prefixes;
+		HASH_DEL(d->prefixes, p);
+	} else {
+		p = mem_new(sizeof(*p));
+	}
+	*p = (prefix_t){.prefix = prefix, .replica = r};
+	HASH_ADD(hh, d->prefixes, prefix, sizeof(p->prefix), p);
+}
+
+void ds_prefix_forget(ds_t *d, const replica_t *r)
+{
+	prefix_t *p;
+	prefix_t *next;
+
+	HASH_ITER (hh, d->prefixes, p, next) {
+		if (r && p->replica != r)
+			continue;
+		HASH_DEL(d->prefixes, p);
+		free(p);
+	}
+}
+
+unsigned ds_places(const ds_t *d, const char *service, deadline_t now)
+{
+	unsigned n = 0;
+
+	for (const replica_t *r = d->replicas; r; r = r->hh.next) {
+		if (usable(r, service, now))
+			n += places(r);
+	}
+	return n;
+}
--- /dev/null
+++ b/src/policy/ds_place.c
@@ -0,0 +1,208 @@
+/* Puts what waits onto replicas: online requests first, then items by due time. */
+#include <stdlib.h>
+#include "policy/ds_core.h"
+
+/** A refused caller isn't asked to come back sooner, in ms: a place takes about this long to free
+ * on a busy fleet. */
+#define RETRY_MIN_MS 50
+/** Nor later, in ms: the callers' deadlines are a few seconds. */
+#define RETRY_MAX_MS 1500
+/** Retry-After when no replica takes work, in ms: about how long a list needs to show one. */
+#define RETRY_NONE_MS 500
+/** A waiting request is refused when its caller would give up within this, in ms. */
+#define GIVE_UP_MS 300
+/** An item due sooner than this, in ms, can't be done in time and lets the others go first. */
+#define HOPELESS_MS 500
+
+static str_t zone_of(ds_t *d, uint64_t entry)
+{
+	entry_t *e;
+
+	HASH_FIND(hh, d->entries, &entry, sizeof(entry), e);
+	return e ? str_c(e->zone) : (str_t){"", 0};
+}
+
+void ds_ask_free(ds_t *d, ask_t *q)
+{
+	DL_DELETE(d->asks, q);
+	d->nasks--;
+	for (unsigned i = 0; i < q->a.navoid; i++)
+		free(q->avoid[i]);
+	free(q->service);
+	free(q);
+}
+
+void ds_item_unplace(ds_t *d, ds_item_t *it)
+{
+	entry_t *e;
+
+	if (it->replica)
+		it->replica->items--;
+	it->replica = NULL;
+	if (it->state == ITEM_WAITING) {
+		DL_DELETE(d->waiting, it);
+		d->nwaiting--;
+		return;
+	}
+	HASH_FIND(hh, d->entries, &it->entry, sizeof(it->entry), e);
+	if (e && e->items > 0)
+		e->items--;
+	DL_DELETE(d->running, it);
+}
+
+void ds_item_queue(ds_t *d, ds_item_t *it)
+{
+	ds_item_t *before = d->waiting ? d->waiting->prev : NULL;
+
+	it->state = ITEM_WAITING;
+	it->lost_until = 0;
+	d->nwaiting++;
+	/* Walks from the tail: new items are mostly due last. */
+	while (before && before->due > it->due)
+		before = before == d->waiting ? NULL : before->prev;
+	if (before)
+		DL_APPEND_ELEM(d->waiting, before, it);
+	else
+		DL_PREPEND(d->waiting, it);
+}
+
+static void grant(ds_t *d, ask_t *q, replica_t *r, deadline_t now)
+{
+	run_t *run = mem_new(sizeof(*run));
+	uint64_t entry = q->a.entry;
+	uint64_t request = q->a.request;
+
+	run->key = (run_key_t){entry, request};
+	run->replica = r;
+	run->since = now;
+	r->online++;
+	HASH_ADD(hh, d->runs, key, sizeof(run->key), run);
+	ds_prefix_note(d, q->a.prefix, r);
+	ds_ask_free(d, q);
+	d->cb.grant(d->cb.ctx, entry, request, str_c(r->id));
+}
+
+static void refuse(ds_t *d, ask_t *q, int64_t retry_ms)
+{
+	uint64_t entry = q->a.entry;
+	uint64_t request = q->a.request;
+
+	ds_ask_free(d, q);
+	if (retry_ms < RETRY_MIN_MS)
+		retry_ms = RETRY_MIN_MS;
+	d->cb.refuse(d->cb.ctx, entry, request, retry_ms > RETRY_MAX_MS ? RETRY_MAX_MS : retry_ms);
+}
+
+static void preempt(ds_t *d, ds_item_t *it)
+{
+	it->replica->items--;
+	it->replica = NULL;
+	it->state = ITEM_STOPPING;
+	d->preempted++;
+	d->cb.stop(d->cb.ctx, it->data, it->entry);
+}
+
+static bool place_ask(ds_t *d, ask_t *q, deadline_t now)
+{
+	str_t zone = zone_of(d, q->a.entry);
+	replica_t *r = ds_pick_free(d, q, zone, now);
+	ds_item_t *victim;
+
+	if (!r) {
+		victim = ds_pick_victim(d, q, zone, now);
+		if (!victim)
+			return false;
+		r = victim->replica;
+		preempt(d, victim);
+	}
+	grant(d, q, r, now);
+	return true;
+}
+
+/* A request that would get its place only after its objective is told when to come back. */
+static void judge_ask(ds_t *d, ask_t *q, unsigned ahead, deadline_t now)
+{
+	unsigned n = ds_places(d, q->service, now);
+	int64_t wait_ms = n ? d->hold_us * (ahead + 1) / n / 1000 : RETRY_NONE_MS;
+
+	if (now + GIVE_UP_MS > q->a.deadline)
+		refuse(d, q, wait_ms);
+	else if (!q->a.resumed && now + wait_ms > q->a.objective)
+		refuse(d, q, wait_ms);
+}
+
+static void place_asks(ds_t *d, deadline_t now)
+{
+	ask_t *q;
+	ask_t *next;
+	unsigned ahead = 0;
+
+	for (q = d->asks; q; q = next) {
+		next = q->next;
+		if (!place_ask(d, q, now))
+			judge_ask(d, q, ahead++, now);
+	}
+}
+
+static bool place_item(ds_t *d, ds_item_t *it, deadline_t now)
+{
+	replica_t *r = ds_pick_for_item(d, it, now);
+	entry_t *e = r ? ds_pick_entry(d, r) : NULL;
+
+	if (!e)
+		return false;
+	ds_item_unplace(d, it);
+	it->state = ITEM_RUNNING;
+	it->replica = r;
+	it->entry = e->id;
+	r->items++;
+	e->items++;
+	DL_APPEND(d->running, it);
+	d->cb.run(d->cb.ctx, it->data, e->id, str_c(r->id));
+	return true;
+}
+
+static void place_items(ds_t *d, bool in_time, deadline_t now)
+{
+	ds_item_t *it;
+	ds_item_t *next;
+
+	for (it = d->waiting; it; it = next) {
+		next = it->next;
+		if (in_time == (it->due > now + HOPELESS_MS) && !place_item(d, it, now))
+			return;
+	}
+}
+
+static void requeue_lost(ds_t *d, deadline_t now)
+{
+	ds_item_t *it;
+	ds_item_t *next;
+
+	for (it = d->running; it; it = next) {
+		next = it->next;
+		if (!it->lost_until || now < it->lost_until)
+			continue;
+		ds_item_unplace(d, it);
+		ds_item_queue(d, it);
+	}
+}
+
+void ds_place(ds_t *d, deadline_t now)
+{
+	if (d->placing) {
+		d->again = true;
+		return;
+	}
+	d->placing = true;
+	do {
+		d->again = false;
+		requeue_lost(d, now);
+		place_asks(d, now);
+		if (!d->asks && now >= d->hold_until) {
+			place_items(d, true, now);
+			place_items(d, false, now);
+		}
+	} while (d->again);
+	d->placing = false;
+}
--- a/src/proto/aw.x
+++ b/src/proto/aw.x
@@ -47,6 +47,42 @@
 	unsigned hyper session;		/* new owner, 0 = none */
 };
 
+/* ---- group 0: batch lots, which are accepted whole and run item by item ---- */
+
+struct aw_lot_item_t {
+	aw_bytes_t id;
+	aw_bytes_t path;
+	aw_bytes_t headers;		/* lines that end with CRLF */
+	aw_bytes_t body;
+	unsigned int tokens;
+};
+
+struct aw_lot_open_t {
+	aw_bytes_t lot;
+	aw_bytes_t route;		/* whose quota it counts for */
+	aw_bytes_t host;
+	hyper due_wall_ms;
+	hyper drop_wall_ms;		/* items that aren't done by then are given up */
+	hyper forget_wall_ms;		/* results are readable until then */
+	unsigned hyper quota;		/* tokens that may wait on the route; 0: no bound */
+	aw_lot_item_t items<>;
+};
+
+struct aw_lot_result_t {
+	aw_bytes_t lot;
+	unsigned int item;
+	bool dead;
+	aw_bytes_t text;
+};
+
+/* What was gathered for one commit, in the order in which it is applied. */
+struct aw_lots_cmd_t {
+	hyper now_wall_ms;
+	aw_lot_result_t results<>;
+	aw_bytes_t ends<>;
+	aw_lot_open_t opens<>;
+};
+
 enum aw_fleet_kind_t {
 	AW_FLEET_CONF_SUBMIT = 1,
 	AW_FLEET_SESSION_OPEN = 2,
@@ -54,7 +90,8 @@
 	AW_FLEET_SESSION_CLOSE = 4,
 	AW_FLEET_OWN = 5,
 	AW_FLEET_UPSTREAMS = 6,
-	AW_FLEET_FORGET = 7		/* closed sessions that every ledger group was told of */
+	AW_FLEET_FORGET = 7,		/* closed sessions that every ledger group was told of */
+	AW_FLEET_LOTS = 8
 };
 
 union aw_fleet_cmd_t switch (aw_fleet_kind_t kind) {
@@ -72,6 +109,8 @@
 	aw_upstream_t upstreams<>;
 case AW_FLEET_FORGET:
 	unsigned hyper forget<>;
+case AW_FLEET_LOTS:
+	aw_lots_cmd_t lots;
 };
 
 struct aw_fleet_res_t {
@@ -79,6 +118,7 @@
 	aw_bytes_t message;
 	unsigned hyper number;		/* CONF_SUBMIT: the number in force; SESSION_OPEN: the session */
 	unsigned hyper winner_digest;	/* CONF_SUBMIT: digest of the text that holds the number asked for */
+	int opened<>;			/* LOTS: status_t of each of its opens */
 };
 
 struct aw_view_t {
--- a/src/proto/aw_xdr.c
+++ b/src/proto/aw_xdr.c
@@ -109,6 +109,84 @@
 	return TRUE;
 }
 
+bool_t
+xdr_aw_lot_item_t (XDR *xdrs, aw_lot_item_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_aw_bytes_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_aw_bytes_t (xdrs, &objp->path))
+		 return FALSE;
+	 if (!xdr_aw_bytes_t (xdrs, &objp->headers))
+		 return FALSE;
+	 if (!xdr_aw_bytes_t (xdrs, &objp->body))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_aw_lot_open_t (XDR *xdrs, aw_lot_open_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_aw_bytes_t (xdrs, &objp->lot))
+		 return FALSE;
+	 if (!xdr_aw_bytes_t (xdrs, &objp->route))
+		 return FALSE;
+	 if (!xdr_aw_bytes_t (xdrs, &objp->host))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->due_wall_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->drop_wall_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->forget_wall_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->quota))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, ~0,
+		sizeof (aw_lot_item_t), (xdrproc_t) xdr_aw_lot_item_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_aw_lot_result_t (XDR *xdrs, aw_lot_result_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_aw_bytes_t (xdrs, &objp->lot))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->item))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->dead))
+		 return FALSE;
+	 if (!xdr_aw_bytes_t (xdrs, &objp->text))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_aw_lots_cmd_t (XDR *xdrs, aw_lots_cmd_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->now_wall_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->results.results_val, (u_int *) &objp->results.results_len, ~0,
+		sizeof (aw_lot_result_t), (xdrproc_t) xdr_aw_lot_result_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->ends.ends_val, (u_int *) &objp->ends.ends_len, ~0,
+		sizeof (aw_bytes_t), (xdrproc_t) xdr_aw_bytes_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->opens.opens_val, (u_int *) &objp->opens.opens_len, ~0,
+		sizeof (aw_lot_open_t), (xdrproc_t) xdr_aw_lot_open_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_aw_fleet_kind_t (XDR *xdrs, aw_fleet_kind_t *objp)
 {
@@ -158,6 +236,10 @@
 			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 			 return FALSE;
 		break;
+	case AW_FLEET_LOTS:
+		 if (!xdr_aw_lots_cmd_t (xdrs, &objp->aw_fleet_cmd_t_u.lots))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -177,6 +259,9 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->winner_digest))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->opened.opened_val, (u_int *) &objp->opened.opened_len, ~0,
+		sizeof (int), (xdrproc_t) xdr_int))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/proto/aw_xdr.h
+++ b/src/proto/aw_xdr.h
@@ -68,6 +68,55 @@
 };
 typedef struct aw_own_change_t aw_own_change_t;
 
+struct aw_lot_item_t {
+	aw_bytes_t id;
+	aw_bytes_t path;
+	aw_bytes_t headers;
+	aw_bytes_t body;
+	u_int tokens;
+};
+typedef struct aw_lot_item_t aw_lot_item_t;
+
+struct aw_lot_open_t {
+	aw_bytes_t lot;
+	aw_bytes_t route;
+	aw_bytes_t host;
+	quad_t due_wall_ms;
+	quad_t drop_wall_ms;
+	quad_t forget_wall_ms;
+	u_quad_t quota;
+	struct {
+		u_int items_len;
+		aw_lot_item_t *items_val;
+	} items;
+};
+typedef struct aw_lot_open_t aw_lot_open_t;
+
+struct aw_lot_result_t {
+	aw_bytes_t lot;
+	u_int item;
+	bool_t dead;
+	aw_bytes_t text;
+};
+typedef struct aw_lot_result_t aw_lot_result_t;
+
+struct aw_lots_cmd_t {
+	quad_t now_wall_ms;
+	struct {
+		u_int results_len;
+		aw_lot_result_t *results_val;
+	} results;
+	struct {
+		u_int ends_len;
+		aw_bytes_t *ends_val;
+	} ends;
+	struct {
+		u_int opens_len;
+		aw_lot_open_t *opens_val;
+	} opens;
+};
+typedef struct aw_lots_cmd_t aw_lots_cmd_t;
+
 enum aw_fleet_kind_t {
 	AW_FLEET_CONF_SUBMIT = 1,
 	AW_FLEET_SESSION_OPEN = 2,
@@ -76,6 +125,7 @@
 	AW_FLEET_OWN = 5,
 	AW_FLEET_UPSTREAMS = 6,
 	AW_FLEET_FORGET = 7,
+	AW_FLEET_LOTS = 8,
 };
 typedef enum aw_fleet_kind_t aw_fleet_kind_t;
 
@@ -98,6 +148,7 @@
 			u_int forget_len;
 			u_quad_t *forget_val;
 		} forget;
+		aw_lots_cmd_t lots;
 	} aw_fleet_cmd_t_u;
 };
 typedef struct aw_fleet_cmd_t aw_fleet_cmd_t;
@@ -107,6 +158,10 @@
 	aw_bytes_t message;
 	u_quad_t number;
 	u_quad_t winner_digest;
+	struct {
+		u_int opened_len;
+		int *opened_val;
+	} opened;
 };
 typedef struct aw_fleet_res_t aw_fleet_res_t;
 
@@ -581,6 +636,10 @@
 extern  bool_t xdr_aw_conf_submit_t (XDR *, aw_conf_submit_t*);
 extern  bool_t xdr_aw_session_close_t (XDR *, aw_session_close_t*);
 extern  bool_t xdr_aw_own_change_t (XDR *, aw_own_change_t*);
+extern  bool_t xdr_aw_lot_item_t (XDR *, aw_lot_item_t*);
+extern  bool_t xdr_aw_lot_open_t (XDR *, aw_lot_open_t*);
+extern  bool_t xdr_aw_lot_result_t (XDR *, aw_lot_result_t*);
+extern  bool_t xdr_aw_lots_cmd_t (XDR *, aw_lots_cmd_t*);
 extern  bool_t xdr_aw_fleet_kind_t (XDR *, aw_fleet_kind_t*);
 extern  bool_t xdr_aw_fleet_cmd_t (XDR *, aw_fleet_cmd_t*);
 extern  bool_t xdr_aw_fleet_res_t (XDR *, aw_fleet_res_t*);
@@ -631,6 +690,10 @@
 extern bool_t xdr_aw_conf_submit_t ();
 extern bool_t xdr_aw_session_close_t ();
 extern bool_t xdr_aw_own_change_t ();
+extern bool_t xdr_aw_lot_item_t ();
+extern bool_t xdr_aw_lot_open_t ();
+extern bool_t xdr_aw_lot_result_t ();
+extern bool_t xdr_aw_lots_cmd_t ();
 extern bool_t xdr_aw_fleet_kind_t ();
 extern bool_t xdr_aw_fleet_cmd_t ();
 extern bool_t xdr_aw_fleet_res_t ();
--- /dev/null
+++ b/src/state/lo.c
@@ -0,0 +1,341 @@
+#include "state/lo.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include "state/sn.h"
+
+#define SNAPSHOT_MAGIC	 0x4c4fU
+#define SNAPSHOT_VERSION 1U
+
+/** Tokens that wait on one route. */
+typedef struct {
+	char *name;
+	uint64_t waiting;
+	UT_hash_handle hh;
+} route_t;
+
+struct lo {
+	lo_lot_t *lots;
+	route_t *routes;
+	uint64_t serial;
+};
+
+lo_t *lo_new(void)
+{
+	return mem_new(sizeof(lo_t));
+}
+
+static void lot_free(lo_t *l, lo_lot_t *t)
+{
+	HASH_DEL(l->lots, t);
+	for (uint32_t i = 0; i < t->nitems; i++) {
+		free(t->items[i].id);
+		free(t->items[i].path);
+		free(t->items[i].headers);
+		free(t->items[i].data);
+	}
+	free(t->items);
+	free(t->listed);
+	free(t->id);
+	free(t->route);
+	free(t->host);
+	free(t);
+}
+
+static void clear(lo_t *l)
+{
+	route_t *r;
+	route_t *next;
+
+	while (l->lots)
+		lot_free(l, l->lots);
+	HASH_ITER (hh, l->routes, r, next) {
+		HASH_DEL(l->routes, r);
+		free(r->name);
+		free(r);
+	}
+}
+
+void lo_free(lo_t *l)
+{
+	if (!l)
+		return;
+	clear(l);
+	free(l);
+}
+
+static lo_lot_t *find(const lo_t *l, str_t id)
+{
+	lo_lot_t *t;
+
+	HASH_FIND(hh, l->lots, id.p, id.n, t);
+	return t;
+}
+
+const lo_lot_t *lo_find(const lo_t *l, str_t id)
+{
+	return find(l, id);
+}
+
+const lo_lot_t *lo_first(const lo_t *l)
+{
+	return l->lots;
+}
+
+long lo_item(const lo_lot_t *lot, str_t id)
+{
+	for (uint32_t i = 0; i < lot->nitems; i++) {
+		if (str_eq(str_c(lot->items[i].id), id))
+			return (long)i;
+	}
+	return -1;
+}
+
+static route_t *route_of(lo_t *l, str_t name)
+{
+	route_t *r;
+
+	HASH_FIND(hh, l->routes, name.p, name.n, r);
+	if (r)
+		return r;
+	r = mem_new(sizeof(*r));
+	r->name = str_dup(name);
+	HASH_ADD_KEYPTR(hh, l->routes, r->name, name.n, r);
+	return r;
+}
+
+uint64_t lo_waiting(const lo_t *l, str_t route)
+{
+	route_t *r;
+
+	HASH_FIND(hh, l->routes, route.p, route.n, r);
+	return r ? r->waiting : 0;
+}
+
+static uint64_t open_tokens(const lo_lot_t *t)
+{
+	uint64_t n = 0;
+
+	for (uint32_t i = 0; i < t->nitems; i++) {
+		if (t->items[i].state == LO_OPEN)
+			n += t->items[i].tokens;
+	}
+	return n;
+}
+
+static void set_data(lo_item_t *it, str_t data)
+{
+	free(it->data);
+	it->data = data.n ? str_dup(data) : NULL;
+	it->data_n = (uint32_t)data.n;
+}
+
+static void item_init(lo_item_t *it, const aw_lot_item_t *c)
+{
+	it->id = str_dup(px_str(c->id));
+	it->path = str_dup(px_str(c->path));
+	it->headers = str_dup(px_str(c->headers));
+	it->headers_n = c->headers.aw_bytes_t_len;
+	it->tokens = c->tokens;
+	set_data(it, px_str(c->body));
+}
+
+static status_t open_lot(lo_t *l, const aw_lot_open_t *c)
+{
+	route_t *r = route_of(l, px_str(c->route));
+	uint64_t tokens = 0;
+	lo_lot_t *t;
+
+	if (find(l, px_str(c->lot)))
+		return ST_OK;
+	for (u_int i = 0; i < c->items.items_len; i++)
+		tokens += c->items.items_val[i].tokens;
+	if (c->quota && r->waiting + tokens > c->quota)
+		return st_fail(ST_LIMIT, "%llu tokens wait on the route",
+			       (unsigned long long)r->waiting);
+	t = mem_new(sizeof(*t));
+	t->id = str_dup(px_str(c->lot));
+	t->route = str_dup(px_str(c->route));
+	t->host = str_dup(px_str(c->host));
+	t->serial = ++l->serial;
+	t->due_wall_ms = c->due_wall_ms;
+	t->drop_wall_ms = c->drop_wall_ms;
+	t->forget_wall_ms = c->forget_wall_ms;
+	t->nitems = c->items.items_len;
+	t->items = mem_new((t->nitems + 1) * sizeof(*t->items));
+	t->listed = mem_new((t->nitems + 1) * sizeof(*t->listed));
+	for (uint32_t i = 0; i < t->nitems; i++)
+		item_init(&t->items[i], &c->items.items_val[i]);
+	HASH_ADD_KEYPTR(hh, l->lots, t->id, px_str(c->lot).n, t);
+	r->waiting += tokens;
+	return ST_OK;
+}
+
+/* An item of a lot that has ended no longer counts for the quota. */
+static void list_item(lo_t *l, lo_lot_t *t, uint32_t i, lo_state_t state, str_t text)
+{
+	lo_item_t *it = &t->items[i];
+
+	assert(it->state == LO_OPEN && t->nlisted < t->nitems);
+	if (!t->ended)
+		route_of(l, str_c(t->route))->waiting -= it->tokens;
+	it->state = state;
+	set_data(it, text);
+	free(it->headers);
+	it->headers = NULL;
+	it->headers_n = 0;
+	t->listed[t->nlisted++] = i;
+}
+
+static void take_result(lo_t *l, const aw_lot_result_t *c)
+{
+	lo_lot_t *t = find(l, px_str(c->lot));
+
+	if (!t || c->item >= t->nitems || t->items[c->item].state != LO_OPEN || t->ended)
+		return;
+	list_item(l, t, c->item, c->dead ? LO_DEAD : LO_DONE, px_str(c->text));
+}
+
+static void end_lot(lo_t *l, str_t id)
+{
+	lo_lot_t *t = find(l, id);
+
+	if (!t || t->ended)
+		return;
+	route_of(l, str_c(t->route))->waiting -= open_tokens(t);
+	t->ended = true;
+	for (uint32_t i = 0; i < t->nitems; i++) {
+		if (t->items[i].state == LO_OPEN)
+			set_data(&t->items[i], (str_t){NULL, 0});
+	}
+}
+
+static void expire(lo_t *l, int64_t now)
+{
+	lo_lot_t *t;
+	lo_lot_t *next;
+
+	HASH_ITER (hh, l->lots, t, next) {
+		for (uint32_t i = 0; !t->ended && now >= t->drop_wall_ms && i < t->nitems; i++) {
+			if (t->items[i].state == LO_OPEN)
+				list_item(l, t, i, LO_DEAD, (str_t){NULL, 0});
+		}
+		if (now >= t->forget_wall_ms)
+			lot_free(l, t);
+	}
+}
+
+void lo_apply(lo_t *l, const aw_lots_cmd_t *cmd, aw_fleet_res_t *res)
+{
+	u_int n = cmd->opens.opens_len;
+
+	for (u_int i = 0; i < cmd->results.results_len; i++)
+		take_result(l, &cmd->results.results_val[i]);
+	for (u_int i = 0; i < cmd->ends.ends_len; i++)
+		end_lot(l, px_str(cmd->ends.ends_val[i]));
+	expire(l, cmd->now_wall_ms);
+	res->opened.opened_val = n ? mem_new(n * sizeof(int)) : NULL;
+	res->opened.opened_len = n;
+	for (u_int i = 0; i < n; i++)
+		res->opened.opened_val[i] = (int)open_lot(l, &cmd->opens.opens_val[i]);
+}
+
+/* ---- snapshots ---- */
+
+void lo_snapshot(const lo_t *l, buf_t *out)
+{
+	sn_put(out, SNAPSHOT_MAGIC);
+	sn_put(out, SNAPSHOT_VERSION);
+	sn_put(out, l->serial);
+	sn_put(out, HASH_COUNT(l->lots));
+	for (const lo_lot_t *t = l->lots; t; t = t->hh.next) {
+		sn_put_str(out, str_c(t->id));
+		sn_put_str(out, str_c(t->route));
+		sn_put_str(out, str_c(t->host));
+		sn_put(out, t->serial);
+		sn_put_i64(out, t->due_wall_ms);
+		sn_put_i64(out, t->drop_wall_ms);
+		sn_put_i64(out, t->forget_wall_ms);
+		sn_put(out, t->ended);
+		sn_put(out, t->nitems);
+		for (uint32_t i = 0; i < t->nitems; i++) {
+			const lo_item_t *it = &t->items[i];
+
+			sn_put_str(out, str_c(it->id));
+			sn_put_str(out, str_c(it->path));
+			sn_put_str(out, (str_t){it->headers, it->headers_n});
+			sn_put_str(out, (str_t){it->data, it->data_n});
+			sn_put(out, it->tokens);
+			sn_put(out, it->state);
+		}
+		sn_put(out, t->nlisted);
+		for (uint32_t i = 0; i < t->nlisted; i++)
+			sn_put(out, t->listed[i]);
+	}
+}
+
+static void get_item(sn_reader_t *in, lo_item_t *it)
+{
+	str_t s;
+
+	it->id = str_dup(sn_get_str(in));
+	it->path = str_dup(sn_get_str(in));
+	s = sn_get_str(in);
+	it->headers = str_dup(s);
+	it->headers_n = (uint32_t)s.n;
+	set_data(it, sn_get_str(in));
+	it->tokens = (uint32_t)sn_get_max(in, UINT32_MAX);
+	it->state = (lo_state_t)sn_get_max(in, LO_DEAD);
+}
+
+static void get_lot(sn_reader_t *in, lo_t *l)
+{
+	lo_lot_t *t = mem_new(sizeof(*t));
+	uint64_t n;
+
+	t->id = str_dup(sn_get_str(in));
+	t->route = str_dup(sn_get_str(in));
+	t->host = str_dup(sn_get_str(in));
+	t->serial = sn_get(in);
+	t->due_wall_ms = sn_get_i64(in);
+	t->drop_wall_ms = sn_get_i64(in);
+	t->forget_wall_ms = sn_get_i64(in);
+	t->ended = sn_get_max(in, 1) == 1;
+	n = sn_get_max(in, in->left.n);
+	t->items = mem_new((n + 1) * sizeof(*t->items));
+	t->listed = mem_new((n + 1) * sizeof(*t->listed));
+	t->nitems = (uint32_t)n;
+	for (uint32_t i = 0; i < t->nitems; i++)
+		get_item(in, &t->items[i]);
+	n = sn_get_max(in, t->nitems);
+	for (uint32_t i = 0; i < n && t->nitems; i++)
+		t->listed[t->nlisted++] = (uint32_t)sn_get_max(in, t->nitems - 1);
+	HASH_ADD_KEYPTR(hh, l->lots, t->id, strlen(t->id), t);
+	if (!t->ended)
+		route_of(l, str_c(t->route))->waiting += open_tokens(t);
+}
+
+status_t lo_restore(lo_t *l, str_t snap)
+{
+	sn_reader_t in = {snap, false};
+	lo_t *fresh = lo_new();
+	lo_t old = *l;
+	status_t st;
+
+	if (sn_get(&in) != SNAPSHOT_MAGIC || sn_get(&in) != SNAPSHOT_VERSION) {
+		lo_free(fresh);
+		return st_fail(ST_CORRUPT, "not a snapshot of lots of version %u",
+			       SNAPSHOT_VERSION);
+	}
+	fresh->serial = sn_get(&in);
+	for (uint64_t n = sn_get(&in); n > 0 && !in.bad; n--)
+		get_lot(&in, fresh);
+	st = sn_end(&in, "lots");
+	if (st == ST_OK) {
+		*l = *fresh;
+		*fresh = old;
+	}
+	lo_free(fresh);
+	return st;
+}
