Control: SIGHUP reloads the list of control processes

Change: the main thread waits for SIGHUP too, checks the settings and hands new control addresses to the hub.

--- a/src/control/cn.h
+++ b/src/control/cn.h
@@ -120,6 +120,8 @@
 
 /* cn_hub.c */
 status_t cn_hub_start(cn_t *cn);
+/** Further control processes that may lead; from any thread. */
+void cn_hub_add_controls(cn_t *cn, const cf_strs_t *addrs);
 /** Control processes that are linked to this one while it leads; returns how many. */
 unsigned cn_hub_candidates(cn_t *cn, gr_peer_t out[CN_CANDIDATES_MAX]);
 
--- a/src/control/cn_hub.c
+++ b/src/control/cn_hub.c
@@ -1,6 +1,7 @@
 /* The hub's thread: links, roles, and calls that others make on this process. */
 #include "control/cn_hub.h"
 
+#include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
 #include "base/lg.h"
@@ -318,6 +319,42 @@
 
 /* ---- the link to the leader ---- */
 
+typedef struct {
+	wk_job_t job;
+	hub_t *h;
+	char **addrs;
+	size_t n;
+} controls_t;
+
+static void controls_work(wk_job_t *j)
+{
+}
+
+static void controls_done(wk_job_t *j)
+{
+	controls_t *c = (controls_t *)j;
+
+	for (size_t i = 0; i < c->n; i++) {
+		ll_add_control(c->h->leader, str_c(c->addrs[i]));
+		free(c->addrs[i]);
+	}
+	free(c->addrs);
+	free(c);
+}
+
+void cn_hub_add_controls(cn_t *cn, const cf_strs_t *addrs)
+{
+	controls_t *c = mem_new(sizeof(*c));
+
+	c->job = (wk_job_t){controls_work, controls_done, NULL};
+	c->h = cn->hub;
+	c->n = addrs->n;
+	c->addrs = mem_new((addrs->n + 1) * sizeof(*c->addrs));
+	for (size_t i = 0; i < addrs->n; i++)
+		c->addrs[i] = str_dup(str_c(addrs->v[i]));
+	wk_submit(cn->hub->calls, &c->job);
+}
+
 static void fill_hello(void *ctx, lw_hello_t *out)
 {
 	hub_t *h = ctx;
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -34,6 +34,7 @@
 	sigemptyset(set);
 	sigaddset(set, SIGTERM);
 	sigaddset(set, SIGINT);
+	sigaddset(set, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, set, NULL);
 	signal(SIGPIPE, SIG_IGN);
 }
@@ -67,12 +68,34 @@
 	lg(LG_INFO, "stopped", LG_C("name", cn->s.name));
 }
 
-static void run(cn_t *cn, const sigset_t *set)
+/* Only the known control processes may change without a restart. */
+static void reload(cn_t *cn, const char *path)
+{
+	cn_settings_t s;
+
+	if (cn_settings_load(path, &s) != ST_OK) {
+		lg(LG_ERROR, "reload_failed", LG_C("what", st_message()));
+		return;
+	}
+	if (cn->hub)
+		cn_hub_add_controls(cn, &s.controls);
+	lg(LG_INFO, "reloaded", LG_I("controls", s.controls.n));
+}
+
+static void run(cn_t *cn, const sigset_t *set, const char *path)
 {
 	struct timespec round = {0, ROUND_MS * 1000000L};
 
-	while (sigtimedwait(set, NULL, &round) < 0)
-		cn_lead_round(cn);
+	for (;;) {
+		int got = sigtimedwait(set, NULL, &round);
+
+		if (got == SIGHUP)
+			reload(cn, path);
+		else if (got > 0)
+			break;
+		else
+			cn_lead_round(cn);
+	}
 	stop(cn);
 }
 
@@ -123,6 +146,6 @@
 		return fail_with(AR_DATA);
 	if (cn.s.link_port && cn_hub_start(&cn) != ST_OK)
 		return fail_with(AR_LISTEN);
-	run(&cn, &set);
+	run(&cn, &set, args.config);
 	return AR_OK;
 }
