The leader tells control processes that aren't linked who leads

Change: the leader links to each known control process that isn't linked to it and names itself; such a process passes that on.

--- a/src/client/ll.c
+++ b/src/client/ll.c
@@ -29,7 +29,8 @@
 	size_t n;
 	size_t next;
 	char hint[32];
-	char addr[32]; /* of the process that is tried or linked */
+	char rpc[32]; /* of the process that is tried or linked */
+	char addr[32]; /* where it takes links */
 	lk_t *link;
 	bool up;
 	bool idle;
@@ -52,6 +53,28 @@
 		snprintf(l->controls[l->n++], sizeof(l->controls[0]), "%.*s", STR_ARG(addr));
 }
 
+void ll_hint(ll_t *l, str_t addr)
+{
+	if (l->up || addr.n == 0 || addr.n >= sizeof(l->hint))
+		return;
+	snprintf(l->hint, sizeof(l->hint), "%.*s", STR_ARG(addr));
+	ll_add_control(l, addr);
+}
+
+str_t ll_leader(const ll_t *l)
+{
+	return l->up ? str_c(l->rpc) : (str_t){"", 0};
+}
+
+size_t ll_controls(const ll_t *l, str_t *out, size_t max)
+{
+	size_t n = l->n < max ? l->n : max;
+
+	for (size_t i = 0; i < n; i++)
+		out[i] = str_c(l->controls[i]);
+	return n;
+}
+
 bool ll_is_up(const ll_t *l)
 {
 	return l->up;
@@ -133,10 +156,7 @@
 	str_t leader = px_str(w->leader);
 
 	if (!w->leads) {
-		if (leader.n < sizeof(l->hint))
-			snprintf(l->hint, sizeof(l->hint), "%.*s", STR_ARG(leader));
-		if (l->hint[0])
-			ll_add_control(l, leader);
+		ll_hint(l, leader);
 		drop(l, "doesn't lead");
 		return;
 	}
@@ -196,14 +216,14 @@
 	unsigned port;
 
 	if (l->hint[0]) {
-		snprintf(l->addr, sizeof(l->addr), "%s", l->hint);
+		snprintf(l->rpc, sizeof(l->rpc), "%s", l->hint);
 		l->hint[0] = 0;
 	} else {
-		snprintf(l->addr, sizeof(l->addr), "%s", l->controls[l->next++ % l->n]);
+		snprintf(l->rpc, sizeof(l->rpc), "%s", l->controls[l->next++ % l->n]);
 	}
 	l->tried = clk_now_ms();
 	l->retry_at = l->tried + RETRY_MS;
-	if (rp_split_addr(l->addr, ip, &port) != ST_OK)
+	if (rp_split_addr(l->rpc, ip, &port) != ST_OK)
 		return;
 	snprintf(l->addr, sizeof(l->addr), "%.20s:%u", ip, l->o.link_port);
 	l->link = lk_connect(l->addr, &o);
--- a/src/client/ll.h
+++ b/src/client/ll.h
@@ -46,6 +46,12 @@
 void ll_greet(ll_t *l);
 /** A control process that may lead. */
 void ll_add_control(ll_t *l, str_t rpc_addr);
+/** A control process that says that it leads: it is tried next. */
+void ll_hint(ll_t *l, str_t rpc_addr);
+/** RPC address of the linked leader; empty while there is none. */
+str_t ll_leader(const ll_t *l);
+/** RPC addresses of all known control processes, up to max; returns how many. */
+size_t ll_controls(const ll_t *l, str_t *out, size_t max);
 /** Pauses or resumes looking for a leader: a process that leads needs no link. */
 void ll_set_idle(ll_t *l, bool idle);
 /** A call with an answer; the callback comes once, unless ll_forget was called for its ctx. */
--- a/src/control/cn_hub.c
+++ b/src/control/cn_hub.c
@@ -14,6 +14,8 @@
 /** A new leader's first barrier may take this long, in ms. */
 #define BARRIER_MS 2000
 #define CALL_THREADS 3
+/** Control processes that aren't linked are told who leads on this period, in ms. */
+#define ANNOUNCE_MS 500
 
 hub_peer_t *hub_peer(hub_t *h, uint64_t id)
 {
@@ -132,7 +134,9 @@
 
 	gr_status(h->cn->groups[0].gr, &st);
 	m.lw_msg_t_u.welcome.leads = h->role == HUB_LEADS;
-	m.lw_msg_t_u.welcome.leader = px_bytes(str_c(st.leader ? "" : st.leader_addr));
+	m.lw_msg_t_u.welcome.leader = st.leader	  ? px_bytes(STR(""))
+				      : st.leader_addr[0] ? px_bytes(str_c(st.leader_addr))
+							  : px_bytes(ll_leader(h->leader));
 	hub_send(p, &m);
 }
 
@@ -175,6 +179,8 @@
 		lk_close(l);
 	} else if (m.kind == LW_HELLO) {
 		on_hello(h, p, &m.lw_msg_t_u.hello);
+	} else if (m.kind == LW_WELCOME) {
+		ll_hint(h->leader, px_str(m.lw_msg_t_u.welcome.leader));
 	} else if (m.kind == LW_CALL) {
 		hub_caller_t from = {.peer = p->id, .call = m.lw_msg_t_u.call.id};
 
@@ -232,6 +238,82 @@
 	}
 }
 
+/* ---- announcements ---- */
+
+/*
+ * Entries that have restarted know only the seeds. When these aren't members, because they were
+ * replaced or lost their disks, nobody tells them who leads: so the leader does.
+ */
+static void announce_closed(void *ctx, lk_t *l)
+{
+	hub_t *h = ctx;
+
+	for (size_t i = 0; i < h->nannounced; i++) {
+		if (h->announced[i] == l)
+			h->announced[i] = NULL;
+	}
+}
+
+static void announce_message(void *ctx, lk_t *l, str_t s)
+{
+}
+
+static void announce_open(void *ctx, lk_t *l)
+{
+	hub_t *h = ctx;
+	lw_msg_t m = {.kind = LW_WELCOME};
+	AUTO_BUF b = {0};
+
+	m.lw_msg_t_u.welcome.leads = true;
+	m.lw_msg_t_u.welcome.leader = px_bytes(str_c(h->cn->s.listen));
+	px_encode(&b, PX(lw_msg_t), &m);
+	lk_send(l, str_buf(&b));
+}
+
+static bool is_linked(hub_t *h, str_t control)
+{
+	for (hub_peer_t *p = h->peers; p; p = p->hh.next) {
+		if (str_eq(str_c(p->control), control))
+			return true;
+	}
+	return str_eq(str_c(h->cn->s.listen), control);
+}
+
+static void announce_end(hub_t *h)
+{
+	for (size_t i = 0; i < h->nannounced; i++) {
+		if (h->announced[i])
+			lk_close(h->announced[i]);
+	}
+	h->nannounced = 0;
+}
+
+static void announce(hub_t *h, deadline_t now)
+{
+	lk_options_t o = {h->loop, h, announce_message, announce_closed, announce_open};
+	str_t controls[HUB_ANNOUNCE_MAX];
+	size_t n;
+
+	if (now < h->announce_at)
+		return;
+	h->announce_at = now + ANNOUNCE_MS;
+	announce_end(h);
+	n = ll_controls(h->leader, controls, HUB_ANNOUNCE_MAX);
+	for (size_t i = 0; i < n; i++) {
+		AUTO_BUF addr = {0};
+		char ip[64];
+		unsigned port;
+
+		if (is_linked(h, controls[i]) ||
+		    rp_split_addr(controls[i].p, ip, &port) != ST_OK)
+			continue;
+		addr.n = 0;
+		buf_addf(&addr, "%s:%u", ip, (unsigned)h->cn->s.link_port);
+		h->announced[h->nannounced] = lk_connect(addr.p, &o);
+		h->nannounced += h->announced[h->nannounced] != NULL;
+	}
+}
+
 /* ---- roles ---- */
 
 typedef struct {
@@ -279,6 +361,7 @@
 	if (!led)
 		return;
 	lg(LG_WARN, "dispatch_ends", LG_I("term", h->term));
+	announce_end(h);
 	hub_lots_drop(h);
 	hub_dispatch_end(h);
 	drop_links(h);
@@ -311,6 +394,7 @@
 	watch_links(h, now);
 	if (h->role != HUB_LEADS)
 		return;
+	announce(h, now);
 	hub_conf_tick(h);
 	hub_view_tick(h, now);
 	hub_lots_tick(h, now);
--- a/src/control/cn_hub.h
+++ b/src/control/cn_hub.h
@@ -25,6 +25,9 @@
 /** The list of replicas is read on this period, in ms: it lags by about as much. */
 #define HUB_LIST_MS 1000
 
+/** Control processes that are told who leads. */
+#define HUB_ANNOUNCE_MAX 32
+
 typedef struct hub hub_t;
 
 /** Another process with a link to this one. */
@@ -126,6 +129,9 @@
 	hub_waiter_t *waiters;
 	hub_batch_t next;
 	bool committing;
+	deadline_t announce_at;
+	lk_t *announced[HUB_ANNOUNCE_MAX]; /* links that only tell who leads */
+	size_t nannounced;
 	pthread_mutex_t lock; /* guards candidates */
 	gr_peer_t candidates[CN_CANDIDATES_MAX];
 	unsigned ncandidates;
