--- a/src/client/ll.c
+++ b/src/client/ll.c
@@ -10,9 +10,9 @@
 #include "net/lk.h"
 
 /** A control process that doesn't answer a hello within this, in ms, is passed over. */
-#define HELLO_MS 300
+#define HELLO_MS 150
 /** Pause before the next try after one that failed at once, in ms. */
-#define RETRY_MS     50
+#define RETRY_MS     20
 #define CONTROLS_MAX 32
 
 typedef struct {
@@ -38,6 +38,7 @@
 	deadline_t tried;
 	deadline_t retry_at;
 	deadline_t sent; /* when something was sent last */
+	deadline_t asked; /* when the oldest unacknowledged question was sent; 0: there is none */
 	uint64_t call_id;
 	call_t *calls;
 	ev_timer tick;
@@ -100,6 +101,15 @@
 		send_msg(l, m);
 }
 
+void ll_ask(ll_t *l, const lw_msg_t *m)
+{
+	if (!l->up)
+		return;
+	send_msg(l, m);
+	if (!l->asked)
+		l->asked = l->sent;
+}
+
 static void greet(ll_t *l)
 {
 	lw_msg_t m = {.kind = LW_HELLO};
@@ -141,6 +151,7 @@
 		lk_close(l->link);
 	l->link = NULL;
 	l->up = false;
+	l->asked = 0;
 	l->retry_at = clk_now_ms() + RETRY_MS;
 	if (!was_up)
 		return;
@@ -183,6 +194,7 @@
 	ll_t *l = ctx;
 	lw_msg_t m;
 
+	l->asked = 0;
 	if (px_decode(s, PX(lw_msg_t), &m, sizeof(m)) != ST_OK) {
 		lg(LG_ERROR, "link_message_malformed", LG_I("bytes", s.n));
 		drop(l, "malformed message");
@@ -239,6 +251,8 @@
 		return;
 	if (l->up && now - lk_heard(l->link) > LL_SILENT_MS)
 		drop(l, "silent");
+	else if (l->up && l->asked && now - l->asked > LL_ANSWER_MS)
+		drop(l, "no answer");
 	else if (l->link && !l->up && now - l->tried > HELLO_MS)
 		drop(l, "no answer");
 	if (!l->link && now >= l->retry_at && l->n > 0)
--- a/src/client/ll.h
+++ b/src/client/ll.h
@@ -13,13 +13,18 @@
 typedef struct ll ll_t;
 
 /** Links are checked and pinged on this period, in ms. */
-#define LL_TICK_MS 50
+#define LL_TICK_MS 25
 /** Either end says something at least this often, in ms. */
 #define LL_PING_MS 150
 /** A leader that says nothing for this long, in ms, is taken for lost: three pings, and under the
  * pause that streams allow. */
 #define LL_SILENT_MS 500
 
+/** A leader that was asked something and says nothing for this long, in ms, is taken for lost too: a
+ * round trip takes a few, and a process out of its share of a core stands still for up to a tenth
+ * of a second. */
+#define LL_ANSWER_MS 150
+
 typedef struct {
 	struct ev_loop *loop;
 	const char *const *controls; /* ip:port of the RPC of known control processes */
@@ -42,6 +47,8 @@
 deadline_t ll_down_since(const ll_t *l);
 /** Sends, or drops the message while the link is down. */
 void ll_send(ll_t *l, const lw_msg_t *m);
+/** Sends what the leader acknowledges at once; it is taken for lost when it doesn't. */
+void ll_ask(ll_t *l, const lw_msg_t *m);
 /** Sends the hello again, after a change of what it says. */
 void ll_greet(ll_t *l);
 /** A control process that may lead. */
--- a/src/control/cn.h
+++ b/src/control/cn.h
@@ -32,7 +32,8 @@
 	char *operators; /* ip:port for operators; may be NULL */
 	char *directory; /* ip:port for callers that look for an entry; may be NULL */
 	char *upstream_list; /* ip:port of the list of replicas; may be NULL */
-	int64_t rpc_port; /* of all control processes, where `controls` gives another; 0: as given */
+	int64_t rpc_port; /* of all control processes, where `controls` gives another; 0: as given
+			   */
 	int64_t link_port; /* where control processes take links; 0: no hub */
 	int64_t tolerate; /* VMs with a disk that may be lost at once; 0: one voter for each of
 			     `controls` */
--- a/src/control/cn_hub.c
+++ b/src/control/cn_hub.c
@@ -12,7 +12,7 @@
 /** A linked process that says nothing for this long, in ms, is taken for lost. */
 #define PEER_SILENT_MS 700
 /** A new leader's first barrier may take this long, in ms. */
-#define BARRIER_MS 2000
+#define BARRIER_MS   2000
 #define CALL_THREADS 3
 /** Control processes that aren't linked are told who leads on this period, in ms. */
 #define ANNOUNCE_MS 500
@@ -134,7 +134,7 @@
 
 	gr_status(h->cn->groups[0].gr, &st);
 	m.lw_msg_t_u.welcome.leads = h->role == HUB_LEADS;
-	m.lw_msg_t_u.welcome.leader = st.leader	  ? px_bytes(STR(""))
+	m.lw_msg_t_u.welcome.leader = st.leader		  ? px_bytes(STR(""))
 				      : st.leader_addr[0] ? px_bytes(str_c(st.leader_addr))
 							  : px_bytes(ll_leader(h->leader));
 	hub_send(p, &m);
@@ -304,8 +304,7 @@
 		char ip[64];
 		unsigned port;
 
-		if (is_linked(h, controls[i]) ||
-		    rp_split_addr(controls[i].p, ip, &port) != ST_OK)
+		if (is_linked(h, controls[i]) || rp_split_addr(controls[i].p, ip, &port) != ST_OK)
 			continue;
 		addr.n = 0;
 		buf_addf(&addr, "%s:%u", ip, (unsigned)h->cn->s.link_port);
--- a/src/control/cn_hub_dispatch.c
+++ b/src/control/cn_hub_dispatch.c
@@ -267,7 +267,8 @@
 		for (uint32_t i = 0; i < lot->nitems; i++) {
 			hub_item_t *it = &lot->items[i];
 
-			if (it->run && ds_item_is_waiting(it->run) && !ds_item_has_service(it->run)) {
+			if (it->run && ds_item_is_waiting(it->run) &&
+			    !ds_item_has_service(it->run)) {
 				lg(LG_WARN, "item_dead", LG_C("lot", lot->id), LG_I("item", i),
 				   LG_C("reason", "its route was removed"));
 				hub_lots_result(h, it, true, (str_t){"", 0});
@@ -335,6 +336,9 @@
 	for (u_int i = 0; i < m->avoid.avoid_len && i < DS_AVOID_MAX; i++)
 		a.avoid[a.navoid++] = px_str(m->avoid.avoid_val[i]);
 	ds_ask(h->ds, &a, now);
+	/* A request that waits for a place shows its entry that this process is there. */
+	if (p->sent < now)
+		hub_send(p, &(lw_msg_t){.kind = LW_PING});
 }
 
 static void item_over(hub_t *h, hub_item_t *it, bool dead, str_t text, const char *reason)
@@ -351,7 +355,8 @@
 {
 	int64_t most = 1;
 
-	/* All batch routes' items carry the same bound in practice; the largest is never too few. */
+	/* All batch routes' items carry the same bound in practice; the largest is never too few.
+	 */
 	for (size_t i = 0; h->routes && i < h->routes->nroutes; i++) {
 		if (h->routes->routes[i].kind == RU_BATCH && h->routes->routes[i].attempts > most)
 			most = h->routes->routes[i].attempts;
--- a/src/control/cn_hub_lots.c
+++ b/src/control/cn_hub_lots.c
@@ -9,7 +9,7 @@
 /** A commit that takes longer, in ms, may still come to pass: its callers are told so. */
 #define COMMIT_MS 2000
 /** Bytes gathered for one commit; more wait for the next. */
-#define COMMIT_BYTES (4U << 20)
+#define COMMIT_BYTES   (4U << 20)
 #define READ_BYTES_MAX 1000000
 /** Lots that were given up or forgotten are looked for on this period, in ms. */
 #define SYNC_MS 500
@@ -73,10 +73,9 @@
 	hub_batch_t *b = &h->next;
 	u_int n = b->cmd.results.results_len;
 
-	b->cmd.results.results_val = grow(b->cmd.results.results_val, n, &b->results_cap,
-					  sizeof(aw_lot_result_t));
-	b->cmd.results.results_val[n] =
-		(aw_lot_result_t){px_copy(lot), item, dead, px_copy(text)};
+	b->cmd.results.results_val =
+		grow(b->cmd.results.results_val, n, &b->results_cap, sizeof(aw_lot_result_t));
+	b->cmd.results.results_val[n] = (aw_lot_result_t){px_copy(lot), item, dead, px_copy(text)};
 	b->cmd.results.results_len++;
 	b->bytes += text.n;
 }
@@ -268,8 +267,8 @@
 	commit_t *c = (commit_t *)j;
 	AUTO_BUF result = {0};
 
-	c->st = gr_propose(c->h->cn->groups[0].gr, str_buf(&c->payload),
-			   clk_now_ms() + COMMIT_MS, &result);
+	c->st = gr_propose(c->h->cn->groups[0].gr, str_buf(&c->payload), clk_now_ms() + COMMIT_MS,
+			   &result);
 	if (c->st == ST_OK)
 		c->st = px_decode(str_buf(&result), PX(aw_fleet_res_t), &c->res, sizeof(c->res));
 	snprintf(c->message, sizeof(c->message), "%s", c->st == ST_OK ? "" : st_message());
@@ -323,8 +322,7 @@
 	h->committing = false;
 	if (c->st != ST_OK)
 		lg(LG_WARN, "commit_failed", LG_C("status", st_name(c->st)),
-		   LG_C("message", c->message),
-		   LG_I("results", c->batch.cmd.results.results_len));
+		   LG_C("message", c->message), LG_I("results", c->batch.cmd.results.results_len));
 	answer_opens(h, c);
 	answer_ends(h, c);
 	if (leads) {
--- a/src/control/cn_hub_text.c
+++ b/src/control/cn_hub_text.c
@@ -6,7 +6,8 @@
 #include "control/cn_hub.h"
 #include "platform/pf.h"
 
-/** A change or read that takes longer, in ms, gets no clear answer: its caller asks another node. */
+/** A change or read that takes longer, in ms, gets no clear answer: its caller asks another node.
+ */
 #define CALL_MS 2500
 
 typedef struct {
--- a/src/control/cn_hub_view.c
+++ b/src/control/cn_hub_view.c
@@ -97,8 +97,8 @@
 		if (p->greeted && p->control[0])
 			c[controls++] = px_copy(str_c(p->control));
 		if (p->greeted && p->addr[0] && !p->draining)
-			v[entries++] = (lw_entry_t){px_copy(str_c(p->addr)),
-						    px_copy(str_c(p->zone))};
+			v[entries++] =
+				(lw_entry_t){px_copy(str_c(p->addr)), px_copy(str_c(p->zone))};
 	}
 	for (u_int i = 0; i < h->view.entries.entries_len; i++)
 		px_free(PX(lw_entry_t), &h->view.entries.entries_val[i]);
--- a/src/control/cn_repair.c
+++ b/src/control/cn_repair.c
@@ -57,7 +57,8 @@
 	return clk_now_ms() - heard > ms;
 }
 
-/* Control processes that could vote: those linked to the hub, or else the spares of the settings. */
+/* Control processes that could vote: those linked to the hub, or else the spares of the settings.
+ */
 static unsigned candidates(cn_t *cn, cn_group_t *g, gr_peer_t out[CN_CANDIDATES_MAX])
 {
 	unsigned n = 0;
--- a/src/front/fb.c
+++ b/src/front/fb.c
@@ -126,8 +126,7 @@
 {
 	fb_t *b;
 
-	DL_FOREACH(f->items, b)
-	{
+	DL_FOREACH (f->items, b) {
 		if (b->m.item == item && str_eq(px_str(b->m.job), px_str(job)))
 			return b;
 	}
@@ -218,12 +217,10 @@
 	size_t n = 0;
 	fb_t *b;
 
-	DL_FOREACH(f->items, b)
-	{
+	DL_FOREACH (f->items, b) {
 		if (!b->ended && n < max)
-			out[n++] = (lw_run_t){.replica = b->m.replica,
-					      .job = b->m.job,
-					      .item = b->m.item};
+			out[n++] = (lw_run_t){
+				.replica = b->m.replica, .job = b->m.job, .item = b->m.item};
 	}
 	return n;
 }
--- a/src/front/fr.h
+++ b/src/front/fr.h
@@ -1,5 +1,5 @@
-/** auburn-front: answers callers by routes, streams through what replicas answer, runs items for the
- * dispatcher. One thread, one event loop, nothing durable. What its files show each other. */
+/** auburn-front: answers callers by routes, streams through what replicas answer, runs items for
+ * the dispatcher. One thread, one event loop, nothing durable. What its files show each other. */
 #ifndef AUBURN_FR_H
 #define AUBURN_FR_H
 
--- a/src/front/fr_ask.c
+++ b/src/front/fr_ask.c
@@ -73,7 +73,7 @@
 		avoid[i] = px_bytes(str_c(o->avoid[i]));
 	a->avoid.avoid_len = o->navoid;
 	a->avoid.avoid_val = avoid;
-	ll_send(f->leader, &m);
+	ll_ask(f->leader, &m);
 }
 
 void fr_ask(fr_t *f, fo_t *o)
@@ -120,8 +120,8 @@
 		const lw_upstream_t *u = &f->view.upstreams.upstreams_val[i];
 
 		/* The own zone counts for nothing: every entry would crowd the same replicas. */
-		v[i] = (ds_replica_t){px_str(u->id), str_c(f->s.zone), px_str(u->service),
-				      u->slots, u->leaving};
+		v[i] = (ds_replica_t){px_str(u->id), str_c(f->s.zone), px_str(u->service), u->slots,
+				      u->leaving};
 	}
 	ds_replicas(f->local, v, n, clk_now_ms());
 	free(v);
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -15,6 +15,8 @@
  * callers have let go of its address. */
 #define EXIT_IDLE_PERCENT 82
 #define METRICS_BODY_MAX  1024
+/** Retry-After while no text is known, in ms: a fleet that starts anew has a leader by then. */
+#define NO_ROUTES_RETRY_MS 1200
 /** Before a text is known: what its limits usually are. */
 #define HEADER_BYTES 16384
 #define BODY_BYTES   (4U << 20)
@@ -35,7 +37,7 @@
 	if (!f->routes) {
 		AUTO_BUF headers = {0};
 
-		pf_retry_after(&headers, 500);
+		pf_retry_after(&headers, NO_ROUTES_RETRY_MS);
 		hl_reply(c, 503, str_buf(&headers), STR("no routes are known yet"));
 		return;
 	}
@@ -88,8 +90,7 @@
 
 	mx_set(mx_get(MX_GAUGE, "auburn_requests_open", NULL), HASH_COUNT(f->requests));
 	mx_set(mx_get(MX_GAUGE, "auburn_items_running", NULL), (int64_t)fb_count(f));
-	mx_set(mx_get(MX_GAUGE, "auburn_replica_connections", NULL),
-	       (int64_t)hu_connects(f->http));
+	mx_set(mx_get(MX_GAUGE, "auburn_replica_connections", NULL), (int64_t)hu_connects(f->http));
 	mx_set(mx_get(MX_GAUGE, "auburn_leader_linked", NULL), ll_is_up(f->leader));
 	mx_render(&b);
 	hl_reply(c, 200, STR("Content-Type: text/plain; version=0.0.4\r\n"), str_buf(&b));
@@ -118,8 +119,8 @@
 	if (f->exit_by)
 		return;
 	f->exit_by = clk_now_ms() + f->s.grace_s * 1000 - EXIT_MARGIN_MS;
-	lg(LG_INFO, "stopping", LG_C("reason", "signal"),
-	   LG_I("requests", HASH_COUNT(f->requests)), LG_I("items", fb_count(f)));
+	lg(LG_INFO, "stopping", LG_C("reason", "signal"), LG_I("requests", HASH_COUNT(f->requests)),
+	   LG_I("items", fb_count(f)));
 	hl_drain(f->callers);
 	ll_greet(f->leader);
 	fb_stop_all(f);
--- a/src/net/hp.c
+++ b/src/net/hp.c
@@ -75,8 +75,8 @@
 	for (size_t i = 0; i < p->nspans; i++) {
 		const hp_span_t *s = &p->spans[i];
 
-		p->headers[i] = (hp_header_t){span(p, s->name, s->name_n),
-					      span(p, s->value, s->value_n)};
+		p->headers[i] =
+			(hp_header_t){span(p, s->name, s->name_n), span(p, s->value, s->value_n)};
 	}
 	p->head = (hp_head_t){
 		.target = span(p, 0, p->target_n),
@@ -156,8 +156,7 @@
 	size_t n = strlen(name);
 
 	for (size_t i = 0; i < h->nheaders; i++) {
-		if (h->headers[i].name.n == n &&
-		    strncasecmp(h->headers[i].name.p, name, n) == 0)
+		if (h->headers[i].name.n == n && strncasecmp(h->headers[i].name.p, name, n) == 0)
 			return h->headers[i].value;
 	}
 	return (str_t){NULL, 0};
--- a/src/policy/ds.c
+++ b/src/policy/ds.c
@@ -10,9 +10,9 @@
 #define HOLD_WEIGHT   16
 /** A replica that failed is left alone this long, in ms, doubled with each failure since its last
  * success. A crash shows on the list only seconds later. */
-#define SUSPECT_MS	 250
-#define SUSPECT_MAX_MS	 2000
-#define SUSPECT_DOUBLES	 3
+#define SUSPECT_MS	250
+#define SUSPECT_MAX_MS	2000
+#define SUSPECT_DOUBLES 3
 /** A replica that said it was full gets nothing for this long, in ms: a few steps of its engine. */
 #define FULL_MS 40
 
@@ -227,8 +227,7 @@
 	for (unsigned i = 0; i < ask->navoid; i++)
 		q->avoid[i] = str_dup(ask->avoid[i]);
 	d->nasks++;
-	DL_FOREACH(d->asks, at)
-	{
+	DL_FOREACH (d->asks, at) {
 		if (goes_before(q, at))
 			break;
 	}
@@ -387,9 +386,8 @@
 
 void ds_stats(const ds_t *d, ds_stats_t *out)
 {
-	*out = (ds_stats_t){.asks_waiting = d->nasks,
-			    .items_waiting = d->nwaiting,
-			    .preempted = d->preempted};
+	*out = (ds_stats_t){
+		.asks_waiting = d->nasks, .items_waiting = d->nwaiting, .preempted = d->preempted};
 	for (const replica_t *r = d->replicas; r; r = r->hh.next) {
 		out->online += r->online;
 		out->items += r->items;
