Entries answer callers that look for an entry; answers are kept 5 s

Conclusion: stays; a planned stop outlasts 5 s, callers that keep an answer for longer meet a closed port.

--- a/src/control/cn_hub_http.c
+++ b/src/control/cn_hub_http.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include "base/lg.h"
 #include "base/mx.h"
+#include "client/la.h"
 #include "control/cn_hub.h"
 #include "platform/pf.h"
 
@@ -12,8 +13,6 @@
 #define IDLE_MS		 15000
 /** An operator's call passed on to the leader has no clear answer after this, in ms. */
 #define CALL_MS 2500
-/** Callers keep a list of entries this long, in ms: a planned stop must outlast it. */
-#define KEEP_MS 2000
 
 typedef struct {
 	hub_t *h;
@@ -107,27 +106,7 @@
 
 static void on_look_up(void *ctx, hl_conn_t *conn, const hl_request_t *r)
 {
-	hub_t *h = ctx;
-	AUTO_BUF body = {0};
-	str_t addrs[PF_ADDRESSES_MAX];
-	u_int n = h->view.entries.entries_len;
-	pf_op_t op;
-
-	pf_op_decode(&r->head, &op);
-	if (op.kind != PF_OP_ADDRESSES) {
-		hl_reply(conn, 404, STR(""), STR("no such call"));
-		return;
-	}
-	if (n == 0) {
-		hl_reply(conn, 503, STR(""), STR("no entry is known"));
-		return;
-	}
-	n = n < PF_ADDRESSES_MAX ? n : PF_ADDRESSES_MAX;
-	for (u_int i = 0; i < n; i++)
-		addrs[i] = px_str(h->view.entries.entries_val[i].addr);
-	pf_addresses_encode(&body, addrs, n, KEEP_MS);
-	hl_reply(conn, 200, PF_JSON, str_buf(&body));
-	MX_COUNT("auburn_look_ups_total");
+	la_answer(conn, r, &((hub_t *)ctx)->view);
 }
 
 static void on_gone(void *ctx, hl_conn_t *conn)
--- a/src/front/fr.h
+++ b/src/front/fr.h
@@ -20,6 +20,7 @@
 	char *name;
 	char *zone;
 	char *listen; /* ip:port for callers */
+	char *directory; /* ip:port for callers that look for an entry; may be NULL */
 	char *ready; /* ip:port for the platform's checks; may be NULL */
 	char *metrics; /* ip:port of /metrics; may be NULL */
 	char *upstream_list; /* ip:port of the list of replicas; may be NULL */
@@ -46,6 +47,7 @@
 	fr_settings_t s;
 	struct ev_loop *loop;
 	hl_t *callers;
+	hl_t *directory;
 	hl_t *ready;
 	hl_t *metrics;
 	hu_t *http;
--- a/src/front/fr_settings.c
+++ b/src/front/fr_settings.c
@@ -19,6 +19,7 @@
 		{"name", CF_STR, true, 1, 63, &s->name},
 		{"zone", CF_STR, true, 1, 31, &s->zone},
 		{"listen", CF_STR, true, 9, 30, &s->listen},
+		{"directory", CF_STR, false, 9, 30, &s->directory},
 		{"ready", CF_STR, false, 9, 30, &s->ready},
 		{"metrics", CF_STR, false, 9, 30, &s->metrics},
 		{"upstream_list", CF_STR, false, 9, 30, &s->upstream_list},
@@ -37,6 +38,8 @@
 		st = cf_read(c, cf_root(c), keys, NULL);
 	if (st == ST_OK)
 		st = check(c, "listen", s->listen);
+	if (st == ST_OK)
+		st = check(c, "directory", s->directory);
 	if (st == ST_OK)
 		st = check(c, "ready", s->ready);
 	if (st == ST_OK)
@@ -53,6 +56,7 @@
 	free(s->name);
 	free(s->zone);
 	free(s->listen);
+	free(s->directory);
 	free(s->ready);
 	free(s->metrics);
 	free(s->upstream_list);
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -6,6 +6,7 @@
 #include "base/ar.h"
 #include "base/lg.h"
 #include "base/mx.h"
+#include "client/la.h"
 #include "front/fr.h"
 
 #define TICK_MS 50
@@ -83,6 +84,11 @@
 		hl_reply(c, 200, STR(""), STR("ready\n"));
 }
 
+static void on_look_up(void *ctx, hl_conn_t *c, const hl_request_t *r)
+{
+	la_answer(c, r, &((fr_t *)ctx)->view);
+}
+
 static void on_metrics(void *ctx, hl_conn_t *c, const hl_request_t *r)
 {
 	fr_t *f = ctx;
@@ -163,6 +169,8 @@
 	f->callers = serve(f, s->listen, BODY_BYTES, on_request);
 	if (!f->callers)
 		return false;
+	if (s->directory && !(f->directory = serve(f, s->directory, METRICS_BODY_MAX, on_look_up)))
+		return false;
 	if (s->ready && !(f->ready = serve(f, s->ready, METRICS_BODY_MAX, on_ready)))
 		return false;
 	return !s->metrics || (f->metrics = serve(f, s->metrics, METRICS_BODY_MAX, on_metrics));
