A member that has just started campaigns early; entries hold requests until their first text

Change: the first election timeout of a member with a log is at most half a timeout (pre-vote keeps a live leader in place); an entry that has just started holds requests for up to 0.5 s until it has a text.

--- a/src/front/fr.h
+++ b/src/front/fr.h
@@ -35,6 +35,7 @@
 
 typedef struct fo fo_t;
 typedef struct fb fb_t;
+typedef struct fh fh_t;
 
 /** A known replica. */
 typedef struct {
@@ -67,6 +68,8 @@
 	uint64_t last_request;
 	fo_t *requests; /* hash by number */
 	fb_t *items;
+	fh_t *held; /* requests that wait for a text */
+	deadline_t started;
 } fr_t;
 
 /* fr_link.c: the leader's link, routes and replicas */
@@ -176,7 +179,16 @@
 size_t fb_runs(const fr_t *f, lw_run_t *out, size_t max);
 size_t fb_count(const fr_t *f);
 
-/* fl_calls.c: calls on lots */
+/* fh.c: requests before a text is known */
+
+void fh_hold(fr_t *f, hl_conn_t *c, const hl_request_t *r);
+void fh_release(fr_t *f);
+void fh_tick(fr_t *f, deadline_t now);
+
+/* main.c: matches a request with a route and begins to answer it */
+void fr_serve(fr_t *f, hl_conn_t *c, const hl_request_t *r);
+
+/* fr_lot.c: calls on lots */
 
 void fr_lot_open(fr_t *f, hl_conn_t *c, const hl_request_t *r, const pf_call_t *call,
 		 const ru_route_t *route);
@@ -184,7 +196,7 @@
 
 /** What a connection's data points to, first member of each. */
 typedef struct {
-	enum { FR_ONLINE, FR_LOT } kind;
+	enum { FR_ONLINE, FR_LOT, FR_HELD } kind; /* of: fo_t, or where the connection is kept */
 	void *of;
 } fr_data_t;
 
--- a/src/front/fr_link.c
+++ b/src/front/fr_link.c
@@ -81,6 +81,7 @@
 		hl_set_limits(f->callers, &limits);
 	lg(LG_INFO, "text_in_force", LG_I("number", m->number), LG_I("version", r->version),
 	   LG_I("routes", r->nroutes));
+	fh_release(f);
 }
 
 static void on_message(void *ctx, const lw_msg_t *m)
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -16,17 +16,15 @@
  * callers have let go of its address. */
 #define EXIT_IDLE_PERCENT 82
 #define METRICS_BODY_MAX  1024
-/** Retry-After while no text is known, in ms: a fleet that starts anew has a leader by then. */
-#define NO_ROUTES_RETRY_MS 1200
+
 /** Before a text is known: what its limits usually are. */
 #define HEADER_BYTES 16384
 #define BODY_BYTES   (4U << 20)
 #define HEADER_MS    3000
 #define IDLE_MS	     15000
 
-static void on_request(void *ctx, hl_conn_t *c, const hl_request_t *r)
+void fr_serve(fr_t *f, hl_conn_t *c, const hl_request_t *r)
 {
-	fr_t *f = ctx;
 	const ru_route_t *route;
 	pf_call_t call;
 
@@ -35,13 +33,6 @@
 		hl_reply(c, 400, STR(""), str_c(st_message()));
 		return;
 	}
-	if (!f->routes) {
-		AUTO_BUF headers = {0};
-
-		pf_retry_after(&headers, NO_ROUTES_RETRY_MS);
-		hl_reply(c, 503, str_buf(&headers), STR("no routes are known yet"));
-		return;
-	}
 	if (call.kind != PF_REQUEST && call.kind != PF_READY) {
 		fr_lot_call(f, c, &call);
 		return;
@@ -60,13 +51,23 @@
 		fo_begin(f, c, r, &call, route);
 }
 
+static void on_request(void *ctx, hl_conn_t *c, const hl_request_t *r)
+{
+	fr_t *f = ctx;
+
+	if (f->routes)
+		fr_serve(f, c, r);
+	else
+		fh_hold(f, c, r);
+}
+
 static void on_gone(void *ctx, hl_conn_t *c)
 {
 	fr_data_t *d = hl_data(c);
 
 	if (!d)
 		return;
-	if (d->kind == FR_LOT) {
+	if (d->kind != FR_ONLINE) {
 		*(hl_conn_t **)d->of = NULL;
 		return;
 	}
@@ -110,6 +111,7 @@
 	bool idle;
 
 	fr_link_tick(f, now);
+	fh_tick(f, now);
 	if (!f->exit_by)
 		return;
 	idle = HASH_COUNT(f->requests) == 0 &&
@@ -206,6 +208,7 @@
 		return AR_FAILED;
 	lg_open(f.s.name, LG_INFO);
 	f.settings_path = args.config;
+	f.started = clk_now_ms();
 	f.loop = ev_default_loop(EVFLAG_AUTO);
 	f.http = hu_new(f.loop);
 	if (!listen_all(&f)) {
--- a/src/raft/rf_core.c
+++ b/src/raft/rf_core.c
@@ -40,6 +40,15 @@
 	return rf_conf_find(&r->conf, r->self) >= 0;
 }
 
+/* A member that has just started knows of no leader. If there is one, the others reject its
+ * pre-vote; if all have started anew, nobody need wait out a whole timeout. */
+static void start_early(rf_t *r)
+{
+	unsigned wait = 1 + (unsigned)(next_random(r) % (r->election_ticks / 2 + 1));
+
+	r->elapsed = r->timeout > wait ? r->timeout - wait : 0;
+}
+
 rf_t *rf_new(const rf_options_t *o)
 {
 	rf_t *r = mem_new(sizeof(*r));
@@ -69,6 +78,8 @@
 	rf_reset_timeout(r);
 	if (is_sole_voter(r))
 		r->elapsed = r->timeout - 1; /* there is nobody to wait for */
+	else if (r->term > 0)
+		start_early(r);
 	return r;
 }
 
