A grant carries the replica's address; callers that come back go first

Change: grants and items carry ip:port; a caller whose remaining wait is under 95% of its route's timeout counts as coming back, goes before new ones and is refused only when its deadline can't be met.

--- a/src/control/cn_hub.h
+++ b/src/control/cn_hub.h
@@ -150,6 +150,8 @@
 /* cn_hub_view.c: the list of replicas, entries and control processes, and the text in force */
 
 void hub_view_start(hub_t *h);
+/** Address of a listed replica; empty when it isn't listed. */
+str_t hub_replica_addr(const hub_t *h, str_t id);
 void hub_view_tick(hub_t *h, deadline_t now);
 /** Sends the newest view and text to one peer. */
 void hub_view_send(hub_t *h, hub_peer_t *p);
--- a/src/control/cn_hub_dispatch.c
+++ b/src/control/cn_hub_dispatch.c
@@ -20,6 +20,7 @@
 		return;
 	m.lw_msg_t_u.grant.request = request;
 	m.lw_msg_t_u.grant.replica = px_bytes(replica);
+	m.lw_msg_t_u.grant.addr = px_bytes(hub_replica_addr(ctx, replica));
 	hub_send(p, &m);
 	MX_COUNT("auburn_granted_total");
 }
@@ -65,6 +66,7 @@
 		.headers = px_bytes((str_t){item->headers, item->headers_n}),
 		.body = px_bytes((str_t){item->data, item->data_n}),
 		.replica = px_bytes(r->replica),
+		.addr = px_bytes(hub_replica_addr(r->h, r->replica)),
 		.text = px_bytes(str_buf(&r->it->text)),
 		.events = r->it->events,
 		.deadline_ms = (int)(t->drop_wall_ms - clk_wall_ms()),
@@ -328,6 +330,7 @@
 		.service = px_str(m->service),
 		.priority = m->priority,
 		.resumed = m->resumed,
+		.returning = m->returning,
 		.objective = now + m->objective_ms,
 		.deadline = now + m->deadline_ms,
 		.prefix = m->prefix,
--- a/src/control/cn_hub_view.c
+++ b/src/control/cn_hub_view.c
@@ -26,6 +26,13 @@
 	return NULL;
 }
 
+str_t hub_replica_addr(const hub_t *h, str_t id)
+{
+	const lw_upstream_t *u = find(&h->view, id);
+
+	return u ? px_str(u->addr) : (str_t){"", 0};
+}
+
 /* Logs what the list says anew; true when it differs from what was believed. */
 static bool compare(const lw_view_t *was, const lw_view_t *now)
 {
--- a/src/front/fb.c
+++ b/src/front/fb.c
@@ -138,7 +138,7 @@
 	fb_t *b = find(f, m->job, m->item);
 	AUTO_BUF copy = {0};
 	AUTO_BUF req = {0};
-	const char *addr;
+	AUTO_FREE char *addr = str_dup(px_str(m->addr));
 	pf_send_t s;
 
 	if (b)
@@ -150,9 +150,8 @@
 	buf_add(&b->text, px_str(m->text));
 	b->events = m->events;
 	DL_APPEND(f->items, b);
-	addr = fr_replica_addr(f, px_str(b->m.replica));
-	if (!addr || f->exit_by) {
-		finish(b, LW_ITEM_BACK, addr ? DS_LEFT : DS_GONE);
+	if (!addr[0] || f->exit_by) {
+		finish(b, LW_ITEM_BACK, addr[0] ? DS_LEFT : DS_GONE);
 		return;
 	}
 	s = (pf_send_t){px_str(b->m.replica), m->deadline_ms, b->events};
--- a/src/front/fo.c
+++ b/src/front/fo.c
@@ -13,6 +13,9 @@
 /** Without an event for this part of the longest pause it goes on elsewhere, for the same reason.
  */
 #define PAUSE_PERCENT 55
+/** A caller that waits less than this part of its route's timeout has used the rest of its time at
+ * another entry. */
+#define RETURNING_PERCENT 95
 /** Deadline of a request whose caller doesn't say how long it waits, in ms. */
 #define WAIT_DEFAULT_MS 30000
 /** Retry-After of a refusal that has no better figure, in ms. */
@@ -260,9 +263,9 @@
 	return repeatable(o) && o->tries < o->attempts;
 }
 
-void fo_granted(fo_t *o, str_t replica)
+void fo_granted(fo_t *o, str_t replica, str_t addr)
 {
-	const char *addr = fr_replica_addr(o->f, replica);
+	AUTO_FREE char *to = str_dup(addr);
 	AUTO_BUF req = {0};
 	int64_t objective_ms = o->objective - o->r.received;
 	pf_send_t s = {replica, clk_left_ms(o->deadline), o->last_event};
@@ -271,7 +274,7 @@
 	o->state = FO_RUNNING;
 	o->granted = clk_now_ms();
 	o->tries++;
-	if (!addr) {
+	if (addr.n == 0) {
 		next_try(o, DS_GONE);
 		return;
 	}
@@ -280,7 +283,7 @@
 		.f = o->f,
 		.request = str_buf(&req),
 		.id = o->call.id,
-		.addr = addr,
+		.addr = to,
 		.fresh = !repeatable(o),
 		.first_ms = may_move(o) ? objective_ms * FIRST_PERCENT / 100 : 0,
 		.pause_ms = may_move(o) ? o->pause_ms * PAUSE_PERCENT / 100 : 0,
@@ -343,6 +346,7 @@
 	o->attempts = (unsigned)route->attempts;
 	o->priority = (unsigned)route->priority;
 	o->pause_ms = route->pause_ms;
+	o->returning = wait < route->timeout_ms * RETURNING_PERCENT / 100;
 	o->objective = r->received + route->objective_ms;
 	o->deadline = r->received + (wait < route->timeout_ms ? wait : route->timeout_ms);
 	o->last_event = call->last_event;
--- a/src/front/fr.h
+++ b/src/front/fr.h
@@ -76,7 +76,7 @@
 
 status_t fr_link_start(fr_t *f);
 void fr_link_tick(fr_t *f, deadline_t now);
-/** Address of a replica; NULL when it isn't known. */
+/** Address of a replica; empty when it isn't known. */
 const char *fr_replica_addr(const fr_t *f, str_t id);
 
 /* fr_ask.c: asking for a place, of the leader or, while there is none, of this process itself */
@@ -135,6 +135,7 @@
 	char replica[64]; /* that it runs at, or ran at last */
 	ru_kind_t kind;
 	bool resumable;
+	bool returning; /* its caller has waited elsewhere already */
 	unsigned attempts;
 	unsigned priority;
 	int64_t pause_ms;
@@ -162,7 +163,7 @@
 void fo_begin(fr_t *f, hl_conn_t *c, const hl_request_t *r, const pf_call_t *call,
 	      const ru_route_t *route);
 void fo_gone(fo_t *o);
-void fo_granted(fo_t *o, str_t replica);
+void fo_granted(fo_t *o, str_t replica, str_t addr);
 void fo_refused(fo_t *o, int64_t retry_ms);
 /** The leader's link has changed: a request that waits asks anew. */
 bool fo_is_asking(const fo_t *o);
--- a/src/front/fr_ask.c
+++ b/src/front/fr_ask.c
@@ -15,7 +15,7 @@
 	fo_t *o = fo_find(f, request);
 
 	if (o && fo_is_asking(o))
-		fo_granted(o, replica);
+		fo_granted(o, replica, str_c(fr_replica_addr(f, replica)));
 }
 
 static void on_refuse(void *ctx, uint64_t entry, uint64_t request, int64_t retry_ms)
@@ -43,6 +43,7 @@
 		.service = str_c(o->service),
 		.priority = o->priority,
 		.resumed = o->begun,
+		.returning = o->returning,
 		.objective = o->objective,
 		.deadline = o->deadline,
 		.prefix = o->call.prefix,
@@ -65,6 +66,7 @@
 		.service = px_bytes(str_c(o->service)),
 		.priority = o->priority,
 		.resumed = o->begun,
+		.returning = o->returning,
 		.objective_ms = (int)(o->objective - now),
 		.deadline_ms = (int)(o->deadline - now),
 		.prefix = o->call.prefix,
--- a/src/front/fr_link.c
+++ b/src/front/fr_link.c
@@ -18,7 +18,7 @@
 	fr_replica_t *r;
 
 	HASH_FIND(hh, f->replicas, id.p, id.n, r);
-	return r ? r->addr : NULL;
+	return r ? r->addr : "";
 }
 
 static void index_replicas(fr_t *f)
@@ -35,7 +35,7 @@
 	for (u_int i = 0; i < f->view.upstreams.upstreams_len; i++) {
 		const lw_upstream_t *u = &f->view.upstreams.upstreams_val[i];
 
-		if (fr_replica_addr(f, px_str(u->id)))
+		if (fr_replica_addr(f, px_str(u->id))[0])
 			continue;
 		r = mem_new(sizeof(*r));
 		r->id = str_dup(px_str(u->id));
@@ -99,7 +99,8 @@
 	case LW_GRANT:
 		o = fo_find(f, m->lw_msg_t_u.grant.request);
 		if (o && fo_is_asking(o)) {
-			fo_granted(o, px_str(m->lw_msg_t_u.grant.replica));
+			fo_granted(o, px_str(m->lw_msg_t_u.grant.replica),
+				   px_str(m->lw_msg_t_u.grant.addr));
 		} else if (!o) {
 			lw_msg_t end = {.kind = LW_ENDED};
 
--- a/src/policy/ds.c
+++ b/src/policy/ds.c
@@ -208,12 +208,15 @@
 	return run;
 }
 
-/* Streams that go on first, then by priority, then in order of arrival. */
+/* Streams that go on first, then by priority, then callers that come back, then in order of
+ * arrival. */
 static bool goes_before(const ask_t *a, const ask_t *b)
 {
 	if (a->a.resumed != b->a.resumed)
 		return a->a.resumed;
-	return a->a.priority < b->a.priority;
+	if (a->a.priority != b->a.priority)
+		return a->a.priority < b->a.priority;
+	return a->a.returning && !b->a.returning;
 }
 
 void ds_ask(ds_t *d, const ds_ask_t *ask, deadline_t now)
--- a/src/policy/ds.h
+++ b/src/policy/ds.h
@@ -56,6 +56,8 @@
 	str_t service;
 	unsigned priority; /* 0 goes first */
 	bool resumed; /* its caller reads the stream already: goes first and isn't refused */
+	bool returning; /* its caller has waited elsewhere already: goes before new ones, and is
+			   refused only when its deadline can't be met */
 	deadline_t objective; /* when its first byte is due */
 	deadline_t deadline; /* when its caller gives up */
 	uint64_t prefix; /* hash of the shared parts of its prompt; 0: none */
--- a/src/policy/ds_place.c
+++ b/src/policy/ds_place.c
@@ -127,7 +127,7 @@
 
 	if (now + GIVE_UP_MS > q->a.deadline)
 		refuse(d, q, wait_ms);
-	else if (!q->a.resumed && now + wait_ms > q->a.objective)
+	else if (!q->a.resumed && !q->a.returning && now + wait_ms > q->a.objective)
 		refuse(d, q, wait_ms);
 }
 
--- a/src/proto/lw.x
+++ b/src/proto/lw.x
@@ -61,6 +61,7 @@
 	aw_bytes_t service;
 	unsigned int priority;		/* 0 goes first */
 	bool resumed;			/* goes on with a stream that its caller reads already */
+	bool returning;			/* its caller has waited elsewhere already */
 	int objective_ms;		/* left until the first byte is due; negative when it is past */
 	int deadline_ms;		/* left until its caller gives up */
 	unsigned hyper prefix;		/* hash of the shared parts of its prompt */
@@ -70,6 +71,7 @@
 struct lw_grant_t {
 	unsigned hyper request;
 	aw_bytes_t replica;
+	aw_bytes_t addr;		/* ip:port of the replica */
 };
 
 struct lw_refuse_t {
@@ -103,6 +105,7 @@
 	aw_bytes_t headers;		/* lines that end with CRLF */
 	aw_bytes_t body;
 	aw_bytes_t replica;
+	aw_bytes_t addr;		/* ip:port of the replica */
 	aw_bytes_t text;		/* made by earlier runs */
 	unsigned int events;		/* that text holds */
 	int deadline_ms;
--- a/src/proto/lw_xdr.c
+++ b/src/proto/lw_xdr.c
@@ -130,12 +130,14 @@
 			 return FALSE;
 		 if (!xdr_aw_bytes_t (xdrs, &objp->service))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->priority))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->resumed))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->returning))
+				 return FALSE;
 			 if (!xdr_int (xdrs, &objp->objective_ms))
 				 return FALSE;
 			 if (!xdr_int (xdrs, &objp->deadline_ms))
@@ -144,6 +146,7 @@
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->priority);
 		IXDR_PUT_BOOL(buf, objp->resumed);
+		IXDR_PUT_BOOL(buf, objp->returning);
 		IXDR_PUT_LONG(buf, objp->objective_ms);
 		IXDR_PUT_LONG(buf, objp->deadline_ms);
 		}
@@ -158,12 +161,14 @@
 			 return FALSE;
 		 if (!xdr_aw_bytes_t (xdrs, &objp->service))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->priority))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->resumed))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->returning))
+				 return FALSE;
 			 if (!xdr_int (xdrs, &objp->objective_ms))
 				 return FALSE;
 			 if (!xdr_int (xdrs, &objp->deadline_ms))
@@ -172,6 +177,7 @@
 		} else {
 		objp->priority = IXDR_GET_U_LONG(buf);
 		objp->resumed = IXDR_GET_BOOL(buf);
+		objp->returning = IXDR_GET_BOOL(buf);
 		objp->objective_ms = IXDR_GET_LONG(buf);
 		objp->deadline_ms = IXDR_GET_LONG(buf);
 		}
@@ -191,6 +197,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->resumed))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->returning))
+		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->objective_ms))
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->deadline_ms))
@@ -212,6 +220,8 @@
 		 return FALSE;
 	 if (!xdr_aw_bytes_t (xdrs, &objp->replica))
 		 return FALSE;
+	 if (!xdr_aw_bytes_t (xdrs, &objp->addr))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -274,6 +284,8 @@
 		 return FALSE;
 	 if (!xdr_aw_bytes_t (xdrs, &objp->replica))
 		 return FALSE;
+	 if (!xdr_aw_bytes_t (xdrs, &objp->addr))
+		 return FALSE;
 	 if (!xdr_aw_bytes_t (xdrs, &objp->text))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->events))
--- a/src/proto/lw_xdr.h
+++ b/src/proto/lw_xdr.h
@@ -87,6 +87,7 @@
 	aw_bytes_t service;
 	u_int priority;
 	bool_t resumed;
+	bool_t returning;
 	int objective_ms;
 	int deadline_ms;
 	u_quad_t prefix;
@@ -100,6 +101,7 @@
 struct lw_grant_t {
 	u_quad_t request;
 	aw_bytes_t replica;
+	aw_bytes_t addr;
 };
 typedef struct lw_grant_t lw_grant_t;
 
@@ -137,6 +139,7 @@
 	aw_bytes_t headers;
 	aw_bytes_t body;
 	aw_bytes_t replica;
+	aw_bytes_t addr;
 	aw_bytes_t text;
 	u_int events;
 	int deadline_ms;
