Dispatch: callers that can still be answered in time go before those that are late

Change: requests are ranked when a place frees: streams that go on, callers about to give up, those in time, late ones by deadline; a request is refused once a run of usual length can't end before its caller gives up.

--- a/src/policy/ds.c
+++ b/src/policy/ds.c
@@ -208,15 +208,12 @@
 	return run;
 }
 
-/* Streams that go on first, then by priority, then callers that come back, then in order of
- * arrival. */
+/* By priority, then by when their callers give up; ds_place ranks them by what that leaves. */
 static bool goes_before(const ask_t *a, const ask_t *b)
 {
-	if (a->a.resumed != b->a.resumed)
-		return a->a.resumed;
 	if (a->a.priority != b->a.priority)
 		return a->a.priority < b->a.priority;
-	return a->a.returning && !b->a.returning;
+	return a->a.deadline < b->a.deadline;
 }
 
 void ds_ask(ds_t *d, const ds_ask_t *ask, deadline_t now)
--- a/src/policy/ds.h
+++ b/src/policy/ds.h
@@ -55,8 +55,8 @@
 	uint64_t request;
 	str_t service;
 	unsigned priority; /* 0 goes first */
-	bool resumed; /* its caller reads the stream already: goes first and isn't refused */
-	bool returning; /* its caller has waited elsewhere already: goes before new ones, and is
+	bool resumed; /* its caller reads the stream already: goes first */
+	bool returning; /* its caller has waited elsewhere already and is past its objective: it is
 			   refused only when its deadline can't be met */
 	deadline_t objective; /* when its first byte is due */
 	deadline_t deadline; /* when its caller gives up */
--- a/src/policy/ds_place.c
+++ b/src/policy/ds_place.c
@@ -9,8 +9,9 @@
 #define RETRY_MAX_MS 1500
 /** Retry-After when no replica takes work, in ms: about how long a list needs to show one. */
 #define RETRY_NONE_MS 500
-/** A waiting request is refused when its caller would give up within this, in ms. */
-#define GIVE_UP_MS 300
+/** A caller that is late already goes before those in time once this is left until it gives up, in
+ * ms: about three times an answer's usual length. */
+#define URGENT_MS 2000
 /** An item due sooner than this, in ms, can't be done in time and lets the others go first. */
 #define HOPELESS_MS 500
 
@@ -119,28 +120,48 @@
 	return true;
 }
 
-/* A request that would get its place only after its objective is told when to come back. */
-static void judge_ask(ds_t *d, ask_t *q, unsigned ahead, deadline_t now)
+/*
+ * After a fault callers come in a herd that takes seconds to serve. A caller past its objective loses
+ * nothing more by waiting until shortly before it gives up, so those that can still be answered in
+ * time go first; nobody is passed over once its time runs out.
+ */
+typedef enum { RANK_RESUMED, RANK_URGENT, RANK_IN_TIME, RANK_LATE, RANKS } rank_t;
+
+static rank_t rank_of(const ask_t *q, deadline_t now)
+{
+	if (q->a.resumed)
+		return RANK_RESUMED;
+	if (!q->a.returning && now <= q->a.objective)
+		return RANK_IN_TIME;
+	return q->a.deadline - now < URGENT_MS ? RANK_URGENT : RANK_LATE;
+}
+
+/* A request that can't be answered before its caller gives up is refused, as is a new one that would
+ * get its place only after its objective: it is told when to come back. */
+static void judge_ask(ds_t *d, ask_t *q, rank_t rank, unsigned ahead, deadline_t now)
 {
 	unsigned n = ds_places(d, q->service, now);
 	int64_t wait_ms = n ? d->hold_us * (ahead + 1) / n / 1000 : RETRY_NONE_MS;
 
-	if (now + GIVE_UP_MS > q->a.deadline)
+	if (now + d->hold_us / 1000 > q->a.deadline)
 		refuse(d, q, wait_ms);
-	else if (!q->a.resumed && !q->a.returning && now + wait_ms > q->a.objective)
+	else if (rank == RANK_IN_TIME && now + wait_ms > q->a.objective)
 		refuse(d, q, wait_ms);
 }
 
 static void place_asks(ds_t *d, deadline_t now)
 {
-	ask_t *q;
-	ask_t *next;
 	unsigned ahead = 0;
 
-	for (q = d->asks; q; q = next) {
-		next = q->next;
-		if (!place_ask(d, q, now))
-			judge_ask(d, q, ahead++, now);
+	for (unsigned rank = 0; rank < RANKS; rank++) {
+		ask_t *q;
+		ask_t *next;
+
+		for (q = d->asks; q; q = next) {
+			next = q->next;
+			if (rank_of(q, now) == rank && !place_ask(d, q, now))
+				judge_ask(d, q, (rank_t)rank, ahead++, now);
+		}
 	}
 }
 
