--- a/src/control/cn_hub.c
+++ b/src/control/cn_hub.c
@@ -66,6 +66,8 @@
 		hub_reply_status(h, from, st_fail(ST_UNAVAILABLE, "this process doesn't lead"));
 	else if (what->kind == LW_CALL_SUBMIT || what->kind == LW_CALL_CONF)
 		hub_text_call(h, from, what);
+	else if (what->kind == LW_CALL_RETIRE || what->kind == LW_CALL_RETIRED)
+		hub_retire_call(h, from, what);
 	else
 		hub_lots_call(h, from, what);
 }
--- a/src/control/cn_hub.h
+++ b/src/control/cn_hub.h
@@ -186,6 +186,10 @@
 
 void hub_text_call(hub_t *h, const hub_caller_t *from, const lw_what_t *what);
 
+/* cn_hub_retire.c: control processes that are to hold nothing any more */
+
+void hub_retire_call(hub_t *h, const hub_caller_t *from, const lw_what_t *what);
+
 /* cn_hub_http.c: operators and callers that look for an entry */
 
 status_t hub_http_start(hub_t *h);
--- a/src/control/cn_hub_http.c
+++ b/src/control/cn_hub_http.c
@@ -17,9 +17,45 @@
 typedef struct {
 	hub_t *h;
 	hl_conn_t *conn; /* NULL once the operator has left */
-	bool read;
+	lw_call_kind_t kind;
 } call_t;
 
+/* Answers what was done as asked. */
+static void answer_ok(const call_t *c, const lw_reply_t *r)
+{
+	AUTO_BUF body = {0};
+
+	switch (c->kind) {
+	case LW_CALL_CONF:
+		if (r->bytes.aw_bytes_t_len == 0)
+			hl_reply(c->conn, 503, STR(""), STR("no text yet"));
+		else
+			hl_reply(c->conn, 200, PF_JSON, px_str(r->bytes));
+		break;
+	case LW_CALL_RETIRED:
+		pf_retired_encode(&body, r->empty);
+		hl_reply(c->conn, 200, PF_JSON, str_buf(&body));
+		break;
+	default:
+		hl_reply(c->conn, 200, PF_JSON, STR("{}"));
+		break;
+	}
+}
+
+static int status_of(status_t st)
+{
+	switch (st) {
+	case ST_INVALID:
+		return 400;
+	case ST_NOT_FOUND:
+		return 404;
+	case ST_CONFLICT:
+		return 409;
+	default:
+		return 503;
+	}
+}
+
 static void answer(call_t *c, const lw_reply_t *r)
 {
 	status_t st = r ? (status_t)r->status : ST_UNAVAILABLE;
@@ -28,19 +64,13 @@
 
 	if (conn) {
 		hl_set_data(conn, NULL);
-		if (st == ST_INVALID)
-			hl_reply(conn, 400, STR(""), message);
-		else if (st != ST_OK)
-			hl_reply(conn, 503, STR(""), message);
-		else if (c->read && r->bytes.aw_bytes_t_len == 0)
-			hl_reply(conn, 503, STR(""), STR("no text yet"));
-		else if (c->read)
-			hl_reply(conn, 200, PF_JSON, px_str(r->bytes));
+		if (st == ST_OK)
+			answer_ok(c, r);
 		else
-			hl_reply(conn, 200, PF_JSON, STR("{}"));
+			hl_reply(conn, status_of(st), STR(""), message);
 	}
-	lg(LG_INFO, "operator_answered", LG_C("call", c->read ? "read" : "change"),
-	   LG_C("status", st_name(st)), LG_S("message", message), LG_I("left", conn == NULL));
+	lg(LG_INFO, "operator_answered", LG_I("call", c->kind), LG_C("status", st_name(st)),
+	   LG_S("message", message), LG_I("left", conn == NULL));
 	free(c);
 }
 
@@ -54,12 +84,12 @@
 	answer(ctx, r);
 }
 
-static void pass(hub_t *h, hl_conn_t *conn, bool read, lw_what_t *what)
+static void pass(hub_t *h, hl_conn_t *conn, lw_what_t *what)
 {
 	call_t *c = mem_new(sizeof(*c));
 	hub_caller_t from = {.reply = on_reply, .ctx = c};
 
-	*c = (call_t){h, conn, read};
+	*c = (call_t){h, conn, what->kind};
 	hl_set_data(conn, c);
 	if (h->role == HUB_LEADS)
 		hub_call(h, &from, what);
@@ -80,12 +110,13 @@
 	}
 	ru_free(routes);
 	what.lw_what_t_u.text = px_bytes(body);
-	pass(h, conn, false, &what);
+	pass(h, conn, &what);
 }
 
 static void on_operator(void *ctx, hl_conn_t *conn, const hl_request_t *r)
 {
 	hub_t *h = ctx;
+	lw_what_t what = {0};
 	pf_op_t op;
 
 	pf_op_decode(&r->head, &op);
@@ -94,10 +125,15 @@
 		put(h, conn, r->body);
 		break;
 	case PF_OP_GET:
-		pass(h, conn, true, &(lw_what_t){.kind = LW_CALL_CONF});
+		pass(h, conn, &(lw_what_t){.kind = LW_CALL_CONF});
+		break;
+	case PF_OP_RETIRE:
+	case PF_OP_RETIRED:
+		what.kind = op.kind == PF_OP_RETIRE ? LW_CALL_RETIRE : LW_CALL_RETIRED;
+		what.lw_what_t_u.node = px_bytes(op.node);
+		pass(h, conn, &what);
 		break;
 	default:
-		/* No VM of a class of its own holds data, so there is none to empty. */
 		lg(LG_INFO, "operator_call_unknown", LG_S("target", r->head.target));
 		hl_reply(conn, 404, STR(""), STR("no such call or VM"));
 		break;
--- a/src/control/cn_repair.c
+++ b/src/control/cn_repair.c
@@ -57,6 +57,27 @@
 	return clk_now_ms() - heard > ms;
 }
 
+typedef struct {
+	uint64_t id;
+	bool retired;
+} retired_t;
+
+static void read_retired(cn_group_t *g, void *arg)
+{
+	retired_t *r = arg;
+
+	r->retired = fl_is_retired(g->fl, r->id);
+}
+
+/* The operators want this replica emptied. */
+static bool is_retired(cn_t *cn, uint64_t id)
+{
+	retired_t r = {.id = id};
+
+	cn_group_read(&cn->groups[0], read_retired, &r);
+	return r.retired;
+}
+
 /* Control processes that could vote: those linked to the hub, or else the spares of the settings.
  */
 static unsigned candidates(cn_t *cn, cn_group_t *g, gr_peer_t out[CN_CANDIDATES_MAX])
@@ -114,7 +135,8 @@
 	for (unsigned i = 0; i < n; i++) {
 		bool better;
 
-		if (is_voter_addr(st, v[i].addr) || peer_by_id(st, v[i].id))
+		if (is_voter_addr(st, v[i].addr) || peer_by_id(st, v[i].id) ||
+		    is_retired(cn, v[i].id))
 			continue;
 		better = zone ? strcmp(v[i].zone, zone) == 0
 			      : voters_in(st, v[i].zone) < voters_in(st, out->zone);
@@ -194,7 +216,7 @@
 	if (voters(st) > cn_voters(cn)) {
 		got = gr_remove(g->gr, lost->id, clk_now_ms() + CHANGE_MS);
 		lg(LG_WARN, "voter_removed", LG_I("group", g->n), LG_C("addr", lost->addr),
-		   LG_C("status", st_name(got)), LG_C("reason", "silent past the grace, replaced"));
+		   LG_C("status", st_name(got)), LG_C("reason", "lost or retired, replaced"));
 		return;
 	}
 	if (!find_replacement(cn, g, st, lost, &fresh))
@@ -231,6 +253,23 @@
 	   LG_I("voters", voters(st)), LG_C("status", st_name(got)));
 }
 
+/* Replaces a voter that is to be emptied; one that leads hands over first. */
+static bool retire_one(cn_t *cn, cn_group_t *g, const gr_status_t *st)
+{
+	for (unsigned i = 0; i < st->npeers; i++) {
+		if (!is_retired(cn, st->peers[i].id))
+			continue;
+		if (!st->peers[i].voter)
+			gr_remove(g->gr, st->peers[i].id, clk_now_ms() + CHANGE_MS);
+		else if (st->peers[i].id == st->self && voters(st) > cn_voters(cn))
+			gr_step_down(g->gr, clk_now_ms() + CHANGE_MS);
+		else
+			replace_voter(cn, g, st, i);
+		return true;
+	}
+	return false;
+}
+
 void cn_repair_round(cn_t *cn, cn_group_t *g, const gr_status_t *st)
 {
 	static deadline_t next[CN_GROUPS_MAX];
@@ -250,5 +289,6 @@
 			return;
 		}
 	}
-	grow(cn, g, st);
+	if (!retire_one(cn, g, st))
+		grow(cn, g, st);
 }
--- a/src/proto/aw.x
+++ b/src/proto/aw.x
@@ -83,6 +83,12 @@
 	aw_lot_open_t opens<>;
 };
 
+/* A control process that is to hold nothing any more. */
+struct aw_retire_t {
+	aw_bytes_t name;
+	unsigned hyper replica;		/* id of its replica of group 0 */
+};
+
 enum aw_fleet_kind_t {
 	AW_FLEET_CONF_SUBMIT = 1,
 	AW_FLEET_SESSION_OPEN = 2,
@@ -91,7 +97,8 @@
 	AW_FLEET_OWN = 5,
 	AW_FLEET_UPSTREAMS = 6,
 	AW_FLEET_FORGET = 7,		/* closed sessions that every ledger group was told of */
-	AW_FLEET_LOTS = 8
+	AW_FLEET_LOTS = 8,
+	AW_FLEET_RETIRE = 9
 };
 
 union aw_fleet_cmd_t switch (aw_fleet_kind_t kind) {
@@ -111,6 +118,8 @@
 	unsigned hyper forget<>;
 case AW_FLEET_LOTS:
 	aw_lots_cmd_t lots;
+case AW_FLEET_RETIRE:
+	aw_retire_t retire;
 };
 
 struct aw_fleet_res_t {
--- a/src/proto/aw_xdr.c
+++ b/src/proto/aw_xdr.c
@@ -187,6 +187,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_aw_retire_t (XDR *xdrs, aw_retire_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_aw_bytes_t (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->replica))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_aw_fleet_kind_t (XDR *xdrs, aw_fleet_kind_t *objp)
 {
@@ -240,6 +252,10 @@
 		 if (!xdr_aw_lots_cmd_t (xdrs, &objp->aw_fleet_cmd_t_u.lots))
 			 return FALSE;
 		break;
+	case AW_FLEET_RETIRE:
+		 if (!xdr_aw_retire_t (xdrs, &objp->aw_fleet_cmd_t_u.retire))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/proto/aw_xdr.h
+++ b/src/proto/aw_xdr.h
@@ -117,6 +117,12 @@
 };
 typedef struct aw_lots_cmd_t aw_lots_cmd_t;
 
+struct aw_retire_t {
+	aw_bytes_t name;
+	u_quad_t replica;
+};
+typedef struct aw_retire_t aw_retire_t;
+
 enum aw_fleet_kind_t {
 	AW_FLEET_CONF_SUBMIT = 1,
 	AW_FLEET_SESSION_OPEN = 2,
@@ -126,6 +132,7 @@
 	AW_FLEET_UPSTREAMS = 6,
 	AW_FLEET_FORGET = 7,
 	AW_FLEET_LOTS = 8,
+	AW_FLEET_RETIRE = 9,
 };
 typedef enum aw_fleet_kind_t aw_fleet_kind_t;
 
@@ -149,6 +156,7 @@
 			u_quad_t *forget_val;
 		} forget;
 		aw_lots_cmd_t lots;
+		aw_retire_t retire;
 	} aw_fleet_cmd_t_u;
 };
 typedef struct aw_fleet_cmd_t aw_fleet_cmd_t;
@@ -640,6 +648,7 @@
 extern  bool_t xdr_aw_lot_open_t (XDR *, aw_lot_open_t*);
 extern  bool_t xdr_aw_lot_result_t (XDR *, aw_lot_result_t*);
 extern  bool_t xdr_aw_lots_cmd_t (XDR *, aw_lots_cmd_t*);
+extern  bool_t xdr_aw_retire_t (XDR *, aw_retire_t*);
 extern  bool_t xdr_aw_fleet_kind_t (XDR *, aw_fleet_kind_t*);
 extern  bool_t xdr_aw_fleet_cmd_t (XDR *, aw_fleet_cmd_t*);
 extern  bool_t xdr_aw_fleet_res_t (XDR *, aw_fleet_res_t*);
@@ -694,6 +703,7 @@
 extern bool_t xdr_aw_lot_open_t ();
 extern bool_t xdr_aw_lot_result_t ();
 extern bool_t xdr_aw_lots_cmd_t ();
+extern bool_t xdr_aw_retire_t ();
 extern bool_t xdr_aw_fleet_kind_t ();
 extern bool_t xdr_aw_fleet_cmd_t ();
 extern bool_t xdr_aw_fleet_res_t ();
--- a/src/proto/lw.x
+++ b/src/proto/lw.x
@@ -139,7 +139,9 @@
 	LW_CALL_BODY = 3,
 	LW_CALL_END = 4,
 	LW_CALL_SUBMIT = 5,
-	LW_CALL_CONF = 6
+	LW_CALL_CONF = 6,
+	LW_CALL_RETIRE = 7,		/* empty a control process */
+	LW_CALL_RETIRED = 8		/* how far that is */
 };
 
 struct lw_read_t {
@@ -166,6 +168,9 @@
 	aw_bytes_t text;
 case LW_CALL_CONF:
 	void;
+case LW_CALL_RETIRE:
+case LW_CALL_RETIRED:
+	aw_bytes_t node;
 };
 
 struct lw_call_t {
@@ -186,6 +191,7 @@
 	aw_bytes_t bytes;		/* BODY, CONF */
 	unsigned int total;		/* READ: items of the job */
 	lw_result_t results<>;		/* READ */
+	bool empty;			/* RETIRED: it holds nothing any more */
 };
 
 enum lw_kind_t {
--- a/src/proto/lw_xdr.c
+++ b/src/proto/lw_xdr.c
@@ -405,6 +405,11 @@
 		break;
 	case LW_CALL_CONF:
 		break;
+	case LW_CALL_RETIRE:
+	case LW_CALL_RETIRED:
+		 if (!xdr_aw_bytes_t (xdrs, &objp->lw_what_t_u.node))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -455,6 +460,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->results.results_val, (u_int *) &objp->results.results_len, ~0,
 		sizeof (lw_result_t), (xdrproc_t) xdr_lw_result_t))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->empty))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/proto/lw_xdr.h
+++ b/src/proto/lw_xdr.h
@@ -178,6 +178,8 @@
 	LW_CALL_END = 4,
 	LW_CALL_SUBMIT = 5,
 	LW_CALL_CONF = 6,
+	LW_CALL_RETIRE = 7,
+	LW_CALL_RETIRED = 8,
 };
 typedef enum lw_call_kind_t lw_call_kind_t;
 
@@ -202,6 +204,7 @@
 		lw_body_t body;
 		aw_bytes_t job;
 		aw_bytes_t text;
+		aw_bytes_t node;
 	} lw_what_t_u;
 };
 typedef struct lw_what_t lw_what_t;
@@ -229,6 +232,7 @@
 		u_int results_len;
 		lw_result_t *results_val;
 	} results;
+	bool_t empty;
 };
 typedef struct lw_reply_t lw_reply_t;
 
--- a/src/state/fl.c
+++ b/src/state/fl.c
@@ -82,6 +82,9 @@
 	while (f->upstreams)
 		fl_upstream_free(f, f->upstreams);
 	free(f->confs);
+	for (size_t i = 0; i < f->nretired; i++)
+		free(f->retired[i].name);
+	free(f->retired);
 	free(f->closed);
 	free(f);
 }
@@ -226,6 +229,26 @@
 	return ST_OK;
 }
 
+/* ---- control processes that are emptied ---- */
+
+void fl_retired_add(fl_t *f, str_t name, uint64_t replica)
+{
+	if (f->nretired == f->retired_cap) {
+		f->retired_cap = f->retired_cap ? f->retired_cap * 2 : LIST_CAP_MIN;
+		f->retired = mem_grow(f->retired, f->retired_cap * sizeof(*f->retired));
+	}
+	f->retired[f->nretired++] = (fl_retired_t){str_dup(name), replica};
+}
+
+static status_t retire(fl_t *f, const aw_retire_t *c)
+{
+	if (c->name.aw_bytes_t_len == 0 || c->replica == 0)
+		return st_fail(ST_INVALID, "no control process is named");
+	if (!fl_is_retired(f, c->replica))
+		fl_retired_add(f, px_str(c->name), c->replica);
+	return ST_OK;
+}
+
 static bool listed(const u_quad_t *v, u_int n, uint64_t session)
 {
 	for (u_int i = 0; i < n; i++)
@@ -374,6 +397,9 @@
 		forget(f, cmd->aw_fleet_cmd_t_u.forget.forget_val,
 		       cmd->aw_fleet_cmd_t_u.forget.forget_len);
 		break;
+	case AW_FLEET_RETIRE:
+		answer(res, retire(f, &cmd->aw_fleet_cmd_t_u.retire));
+		break;
 	default:
 		answer(res, st_fail(ST_INVALID, "unknown fleet command %d", (int)cmd->kind));
 	}
--- a/src/state/fl.h
+++ b/src/state/fl.h
@@ -18,6 +18,11 @@
 void fl_snapshot(const fl_t *f, buf_t *out);
 status_t fl_restore(fl_t *f, str_t snap);
 
+/** Replica that AW_FLEET_RETIRE named last under this name; 0 when it named none. */
+uint64_t fl_retired(const fl_t *f, str_t name);
+/** True when this replica is to hold nothing any more. */
+bool fl_is_retired(const fl_t *f, uint64_t replica);
+
 uint64_t fl_conf_number(const fl_t *f);
 uint64_t fl_view_version(const fl_t *f);
 /** Session with this name and boot, or 0. */
--- a/src/state/fl_core.h
+++ b/src/state/fl_core.h
@@ -42,6 +42,12 @@
 	UT_hash_handle hh; /* by id */
 } fl_upstream_t;
 
+/** A control process that is to hold nothing any more. */
+typedef struct {
+	char *name;
+	uint64_t replica;
+} fl_retired_t;
+
 struct fl {
 	unsigned ledger_groups;
 	fl_conf_t *confs; /* number n at n - 1 */
@@ -52,6 +58,9 @@
 	size_t nclosed;
 	size_t closed_cap;
 	fl_upstream_t *upstreams;
+	fl_retired_t *retired; /* oldest first */
+	size_t nretired;
+	size_t retired_cap;
 	uint64_t last_session;
 	uint64_t last_fence;
 	uint64_t view_version;
@@ -64,6 +73,7 @@
 void fl_member_add(fl_t *f, fl_member_t *m);
 void fl_upstream_add(fl_t *f, fl_upstream_t *u);
 void fl_upstream_free(fl_t *f, fl_upstream_t *u);
+void fl_retired_add(fl_t *f, str_t name, uint64_t replica);
 void fl_closed_add(fl_t *f, uint64_t session);
 
 #endif
--- a/src/state/fl_query.c
+++ b/src/state/fl_query.c
@@ -1,6 +1,22 @@
 #include <string.h>
 #include "state/fl_core.h"
 
+uint64_t fl_retired(const fl_t *f, str_t name)
+{
+	for (size_t i = f->nretired; i > 0; i--)
+		if (str_eq(str_c(f->retired[i - 1].name), name))
+			return f->retired[i - 1].replica;
+	return 0;
+}
+
+bool fl_is_retired(const fl_t *f, uint64_t replica)
+{
+	for (size_t i = 0; i < f->nretired; i++)
+		if (f->retired[i].replica == replica)
+			return true;
+	return false;
+}
+
 uint64_t fl_conf_number(const fl_t *f)
 {
 	return f->nconfs;
--- a/src/state/fl_snapshot.c
+++ b/src/state/fl_snapshot.c
@@ -2,7 +2,9 @@
 #include "state/sn.h"
 
 #define SNAPSHOT_MAGIC	 0x464cU
-#define SNAPSHOT_VERSION 1U
+#define SNAPSHOT_VERSION 2U
+/** Without the list of control processes that are emptied. */
+#define SNAPSHOT_VERSION_1 1U
 
 static void put_conf(buf_t *out, const fl_conf_t *c)
 {
@@ -56,6 +58,11 @@
 	sn_put(out, HASH_COUNT(f->upstreams));
 	for (const fl_upstream_t *u = f->upstreams; u; u = u->hh.next)
 		put_upstream(out, u);
+	sn_put(out, f->nretired);
+	for (size_t i = 0; i < f->nretired; i++) {
+		sn_put_str(out, str_c(f->retired[i].name));
+		sn_put(out, f->retired[i].replica);
+	}
 }
 
 static void get_conf(sn_reader_t *in, fl_t *f)
@@ -103,9 +110,12 @@
 static status_t read_all(fl_t *f, str_t snap)
 {
 	sn_reader_t in = {snap, false};
+	uint64_t version;
 	uint64_t n;
 
-	if (sn_get(&in) != SNAPSHOT_MAGIC || sn_get(&in) != SNAPSHOT_VERSION)
+	n = sn_get(&in);
+	version = sn_get(&in);
+	if (n != SNAPSHOT_MAGIC || version < SNAPSHOT_VERSION_1 || version > SNAPSHOT_VERSION)
 		return st_fail(ST_CORRUPT, "not a fleet snapshot of version %u", SNAPSHOT_VERSION);
 	f->ledger_groups = (unsigned)sn_get_max(&in, UINT32_MAX);
 	f->last_session = sn_get(&in);
@@ -119,6 +129,13 @@
 		fl_closed_add(f, sn_get(&in));
 	for (n = sn_get(&in); n > 0 && !in.bad; n--)
 		get_upstream(&in, f);
+	if (version >= SNAPSHOT_VERSION) {
+		for (n = sn_get(&in); n > 0 && !in.bad; n--) {
+			str_t name = sn_get_str(&in);
+
+			fl_retired_add(f, name, sn_get(&in));
+		}
+	}
 	return sn_end(&in, "fleet");
 }
 
