--- a/src/net/hl.c
+++ b/src/net/hl.c
@@ -1,5 +1,6 @@
 #include "net/hl.h"
 
+#include <limits.h>
 #include <stdlib.h>
 #include <strings.h>
 #include <sys/socket.h>
@@ -35,6 +36,7 @@
 	buf_t out;
 	deadline_t begun; /* when the request's first byte came; 0 between requests */
 	bool have_head;
+	bool too_long; /* the head declares a body over the limit */
 	bool busy; /* a request is being answered */
 	bool chunked;
 	bool keep;
@@ -136,6 +138,10 @@
 	str_t expect = hp_header(h, "Expect");
 
 	c->have_head = true;
+	c->too_long = c->parser.parser.content_length != ULLONG_MAX &&
+		      c->parser.parser.content_length > c->l->o.limits.max_body_bytes;
+	if (c->too_long)
+		return;
 	if (expect.n == 12 && strncasecmp(expect.p, "100-continue", 12) == 0) {
 		buf_add(&c->out, STR("HTTP/1.1 100 Continue\r\n\r\n"));
 		flush(c);
@@ -195,7 +201,7 @@
 		if (c->dead)
 			return;
 		buf_drop(&c->in, used < c->in.n ? used : c->in.n);
-		if (c->body.n > m->max_body_bytes)
+		if (c->too_long || c->body.n > m->max_body_bytes)
 			refuse(c, 413, "body over the limit");
 		else if (st == ST_LIMIT)
 			refuse(c, 431, st_message());
--- a/src/policy/ds_place.c
+++ b/src/policy/ds_place.c
@@ -1,5 +1,7 @@
 /* Puts what waits onto replicas: online requests first, then items by due time. */
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include "policy/ds_core.h"
 
 /** A refused caller isn't asked to come back sooner, in ms: a place takes about this long to free
@@ -9,9 +11,6 @@
 #define RETRY_MAX_MS 1500
 /** Retry-After when no replica takes work, in ms: about how long a list needs to show one. */
 #define RETRY_NONE_MS 500
-/** A caller that is late already goes before those in time once this is left until it gives up, in
- * ms: about three times an answer's usual length. */
-#define URGENT_MS 2000
 /** An item due sooner than this, in ms, can't be done in time and lets the others go first. */
 #define HOPELESS_MS 500
 
@@ -123,25 +122,39 @@
 /*
  * After a fault callers come in a herd that takes seconds to serve. A caller past its objective
  * loses nothing more by waiting until shortly before it gives up, so those that can still be
- * answered in time go first; nobody is passed over once its time runs out.
+ * answered in time go first: as many are served in all, and more of them in time.
  */
-typedef enum { RANK_RESUMED, RANK_URGENT, RANK_IN_TIME, RANK_LATE, RANKS } rank_t;
+typedef enum { RANK_RESUMED, RANK_IN_TIME, RANK_LATE, RANKS } rank_t;
 
 static rank_t rank_of(const ask_t *q, deadline_t now)
 {
 	if (q->a.resumed)
 		return RANK_RESUMED;
-	if (!q->a.returning && now <= q->a.objective)
-		return RANK_IN_TIME;
-	return q->a.deadline - now < URGENT_MS ? RANK_URGENT : RANK_LATE;
+	return !q->a.returning && now <= q->a.objective ? RANK_IN_TIME : RANK_LATE;
+}
+
+/** What a pass over the waiting requests has found out about a service. */
+typedef struct {
+	char service[64];
+	unsigned places;
+	bool full; /* a request that avoids no replica found no place */
+	unsigned ahead;
+} pass_t;
+
+static void look_at(ds_t *d, pass_t *p, const char *service, deadline_t now)
+{
+	if (strcmp(p->service, service) == 0)
+		return;
+	*p = (pass_t){.places = ds_places(d, service, now)};
+	snprintf(p->service, sizeof(p->service), "%s", service);
 }
 
 /* A request that can't be answered before its caller gives up is refused, as is a new one that
  * would get its place only after its objective: it is told when to come back. */
-static void judge_ask(ds_t *d, ask_t *q, rank_t rank, unsigned ahead, deadline_t now)
+static void judge_ask(ds_t *d, ask_t *q, rank_t rank, const pass_t *p, deadline_t now)
 {
-	unsigned n = ds_places(d, q->service, now);
-	int64_t wait_ms = n ? d->hold_us * (ahead + 1) / n / 1000 : RETRY_NONE_MS;
+	int64_t wait_ms =
+		p->places ? d->hold_us * (p->ahead + 1) / p->places / 1000 : RETRY_NONE_MS;
 
 	if (now + d->hold_us / 1000 > q->a.deadline)
 		refuse(d, q, wait_ms);
@@ -151,7 +164,7 @@
 
 static void place_asks(ds_t *d, deadline_t now)
 {
-	unsigned ahead = 0;
+	pass_t p = {0};
 
 	for (unsigned rank = 0; rank < RANKS; rank++) {
 		ask_t *q;
@@ -159,8 +172,14 @@
 
 		for (q = d->asks; q; q = next) {
 			next = q->next;
-			if (rank_of(q, now) == rank && !place_ask(d, q, now))
-				judge_ask(d, q, (rank_t)rank, ahead++, now);
+			if (rank_of(q, now) != rank)
+				continue;
+			look_at(d, &p, q->service, now);
+			if (!p.full && place_ask(d, q, now))
+				continue;
+			p.full |= q->a.navoid == 0;
+			judge_ask(d, q, (rank_t)rank, &p, now);
+			p.ahead++;
 		}
 	}
 }
--- /dev/null
+++ b/tests/unit/test_dispatch.c
@@ -0,0 +1,619 @@
+/* Unit tests of the dispatcher, and the peak load played against it. */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "policy/ds.h"
+
+#define LOG_MAX 64
+
+typedef struct {
+	char what; /* g, r, R, S */
+	uint64_t entry;
+	uint64_t request;
+	char replica[32];
+	int64_t retry_ms;
+	void *data;
+} effect_t;
+
+static effect_t effects[LOG_MAX];
+static int neffects;
+
+static effect_t *effect(char what)
+{
+	effect_t *e = &effects[neffects++ % LOG_MAX];
+
+	*e = (effect_t){.what = what};
+	return e;
+}
+
+static void on_grant(void *ctx, uint64_t entry, uint64_t request, str_t replica)
+{
+	effect_t *e = effect('g');
+
+	e->entry = entry;
+	e->request = request;
+	snprintf(e->replica, sizeof(e->replica), "%.*s", STR_ARG(replica));
+}
+
+static void on_refuse(void *ctx, uint64_t entry, uint64_t request, int64_t retry_ms)
+{
+	effect_t *e = effect('r');
+
+	e->entry = entry;
+	e->request = request;
+	e->retry_ms = retry_ms;
+}
+
+static void on_run(void *ctx, void *data, uint64_t entry, str_t replica)
+{
+	effect_t *e = effect('R');
+
+	e->entry = entry;
+	e->data = data;
+	snprintf(e->replica, sizeof(e->replica), "%.*s", STR_ARG(replica));
+}
+
+static void on_stop(void *ctx, void *data, uint64_t entry)
+{
+	effect_t *e = effect('S');
+
+	e->entry = entry;
+	e->data = data;
+}
+
+static const ds_callbacks_t callbacks = {NULL, on_grant, on_refuse, on_run, on_stop};
+
+static ds_t *fresh(unsigned replicas, unsigned slots)
+{
+	ds_t *d = ds_new(&callbacks, 7);
+	ds_replica_t v[16];
+	static char ids[16][8];
+
+	neffects = 0;
+	for (unsigned i = 0; i < replicas; i++) {
+		snprintf(ids[i], sizeof(ids[i]), "r%u", i);
+		v[i] = (ds_replica_t){str_c(ids[i]), i % 2 ? STR("b") : STR("a"), STR("s"), slots,
+				      false};
+	}
+	ds_entry_add(d, 1, STR("a"), true);
+	ds_entry_add(d, 2, STR("b"), true);
+	ds_replicas(d, v, replicas, 0);
+	return d;
+}
+
+static ds_ask_t ask_of(uint64_t request, deadline_t now)
+{
+	return (ds_ask_t){.entry = 1,
+			  .request = request,
+			  .service = STR("s"),
+			  .objective = now + 300,
+			  .deadline = now + 5000};
+}
+
+static void ask(ds_t *d, uint64_t request, deadline_t now)
+{
+	ds_ask_t a = ask_of(request, now);
+
+	ds_ask(d, &a, now);
+}
+
+START_TEST(a_free_place_of_the_own_zone_is_granted)
+{
+	ds_t *d = fresh(2, 2);
+
+	ask(d, 1, 0);
+	ck_assert_int_eq(neffects, 1);
+	ck_assert_int_eq(effects[0].what, 'g');
+	ck_assert_str_eq(effects[0].replica, "r0");
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(no_replica_gets_more_than_it_runs_at_once)
+{
+	ds_t *d = fresh(4, 3);
+	unsigned at[4] = {0};
+
+	for (uint64_t i = 1; i <= 12; i++)
+		ask(d, i, 0);
+	ck_assert_int_eq(neffects, 12);
+	for (int i = 0; i < 12; i++)
+		at[effects[i].replica[1] - '0']++;
+	for (int i = 0; i < 4; i++)
+		ck_assert_uint_eq(at[i], 3);
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(an_online_request_takes_the_place_of_the_item_due_last)
+{
+	ds_t *d = fresh(1, 2);
+	int first;
+	int last;
+
+	ds_item_add(d, STR("s"), 5000, &first);
+	ds_item_add(d, STR("s"), 9000, &last);
+	ds_tick(d, 0);
+	ck_assert_int_eq(neffects, 2);
+	ask(d, 1, 10);
+	ck_assert_int_eq(neffects, 4);
+	ck_assert_int_eq(effects[2].what, 'S');
+	ck_assert_ptr_eq(effects[2].data, &last);
+	ck_assert_int_eq(effects[3].what, 'g');
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(a_stopped_item_runs_again_once_there_is_room)
+{
+	ds_t *d = fresh(1, 1);
+	int data;
+	ds_item_t *it = ds_item_add(d, STR("s"), 5000, &data);
+
+	ds_tick(d, 0);
+	ask(d, 1, 10);
+	ds_item_back(d, it, DS_LEFT, 20);
+	ck_assert_int_eq(neffects, 3);
+	ds_ended(d, 1, 1, DS_OK, 700);
+	ck_assert_int_eq(neffects, 4);
+	ck_assert_int_eq(effects[3].what, 'R');
+	ck_assert_ptr_eq(effects[3].data, &data);
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(items_run_earliest_due_first_but_hopeless_ones_last)
+{
+	ds_t *d = fresh(1, 1);
+	int hopeless;
+	int early;
+	int late;
+
+	ask(d, 1, 0);
+	ds_item_add(d, STR("s"), 900, &hopeless);
+	ds_item_add(d, STR("s"), 9000, &late);
+	ds_item_add(d, STR("s"), 6000, &early);
+	ds_ended(d, 1, 1, DS_OK, 1000);
+	ck_assert_int_eq(effects[1].what, 'R');
+	ck_assert_ptr_eq(effects[1].data, &early);
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(a_new_request_that_would_be_late_is_refused_with_the_time_of_room)
+{
+	ds_t *d = fresh(1, 1);
+
+	ask(d, 1, 0);
+	ask(d, 2, 0);
+	ck_assert_int_eq(effects[1].what, 'r');
+	ck_assert_uint_eq(effects[1].request, 2);
+	ck_assert_int_ge(effects[1].retry_ms, 300);
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(one_that_comes_back_waits_and_lets_those_in_time_go_first)
+{
+	ds_t *d = fresh(1, 8);
+	ds_ask_t back = ask_of(20, 0);
+
+	back.returning = true;
+	for (uint64_t i = 1; i <= 8; i++)
+		ask(d, i, 0);
+	ds_ask(d, &back, 0);
+	ask(d, 21, 0);
+	ck_assert_int_eq(neffects, 8);
+	ds_ended(d, 1, 1, DS_OK, 50);
+	ck_assert_uint_eq(effects[8].request, 21);
+	ds_ended(d, 1, 2, DS_OK, 60);
+	ck_assert_uint_eq(effects[9].request, 20);
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(what_can_not_end_before_its_caller_gives_up_is_refused_at_once)
+{
+	ds_t *d = fresh(1, 1);
+	ds_ask_t back = ask_of(20, 0);
+
+	back.returning = true;
+	back.deadline = 500;
+	ask(d, 1, 0);
+	ds_ask(d, &back, 0);
+	ck_assert_int_eq(effects[1].what, 'r');
+	ck_assert_uint_eq(effects[1].request, 20);
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(a_replica_that_failed_is_left_alone_then_tried_with_one)
+{
+	ds_t *d = fresh(2, 4);
+	int on_failed = 0;
+
+	ask(d, 1, 0);
+	ck_assert_str_eq(effects[0].replica, "r0");
+	ds_ended(d, 1, 1, DS_BROKEN, 10);
+	for (uint64_t i = 2; i <= 4; i++) {
+		ask(d, i, 20);
+		ck_assert_str_eq(effects[i - 1].replica, "r1");
+	}
+	for (uint64_t i = 5; i <= 9; i++)
+		ask(d, i, 400);
+	for (int i = 4; i < neffects; i++)
+		on_failed += effects[i].what == 'g' && strcmp(effects[i].replica, "r0") == 0;
+	ck_assert_int_eq(on_failed, 1);
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(runs_that_break_together_are_one_failure)
+{
+	ds_t *d = fresh(2, 4);
+	int on_failed = 0;
+
+	for (uint64_t i = 1; i <= 8; i++)
+		ask(d, i, 0);
+	for (uint64_t i = 1; i <= 8; i++) {
+		if (strcmp(effects[i - 1].replica, "r0") == 0)
+			ds_ended(d, 1, i, DS_BROKEN, 10);
+	}
+	/* Tried again after the first wait, not after one doubled four times. */
+	ask(d, 20, 270);
+	for (int i = 8; i < neffects; i++)
+		on_failed += strcmp(effects[i].replica, "r0") == 0;
+	ck_assert_int_eq(on_failed, 1);
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(a_replica_that_failed_a_request_is_avoided_by_it)
+{
+	ds_t *d = fresh(2, 4);
+	ds_ask_t a = ask_of(1, 0);
+
+	a.avoid[a.navoid++] = STR("r0");
+	ds_ask(d, &a, 0);
+	ck_assert_str_eq(effects[0].replica, "r1");
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(a_leaving_replica_gets_no_new_work)
+{
+	ds_t *d = fresh(1, 4);
+	ds_replica_t v = {STR("r0"), STR("a"), STR("s"), 4, true};
+
+	ds_replicas(d, &v, 1, 0);
+	ask(d, 1, 0);
+	ck_assert_int_eq(effects[0].what, 'r');
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(items_of_a_lost_entry_wait_for_it_then_run_elsewhere)
+{
+	ds_t *d = fresh(1, 1);
+	int data;
+
+	ds_item_add(d, STR("s"), 9000, &data);
+	ds_tick(d, 0);
+	ds_entry_remove(d, effects[0].entry, 100);
+	ds_tick(d, 100 + DS_ADOPT_MS - 1);
+	ck_assert_int_eq(neffects, 1);
+	ds_tick(d, 100 + DS_ADOPT_MS);
+	ck_assert_int_eq(neffects, 2);
+	ck_assert_int_eq(effects[1].what, 'R');
+	ck_assert_uint_ne(effects[1].entry, effects[0].entry);
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(an_entry_that_comes_back_keeps_its_item)
+{
+	ds_t *d = fresh(1, 1);
+	int data;
+	ds_item_t *it = ds_item_add(d, STR("s"), 9000, &data);
+
+	ds_tick(d, 0);
+	ds_entry_remove(d, effects[0].entry, 100);
+	ds_entry_add(d, 9, STR("a"), true);
+	ck_assert(ds_item_may_adopt(it, 200));
+	ds_item_adopt(d, it, 9, STR("r0"), 200);
+	ds_tick(d, 100 + DS_ADOPT_MS + 10);
+	ck_assert_int_eq(neffects, 1);
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(items_are_held_back_until_entries_have_told_what_they_run)
+{
+	ds_t *d = fresh(1, 1);
+	int data;
+
+	ds_hold_items(d, 800);
+	ds_item_add(d, STR("s"), 9000, &data);
+	ds_tick(d, 700);
+	ck_assert_int_eq(neffects, 0);
+	ds_tick(d, 800);
+	ck_assert_int_eq(neffects, 1);
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(the_replica_that_read_a_prompt_gets_its_like)
+{
+	ds_t *d = fresh(4, 4);
+	ds_ask_t a = ask_of(1, 0);
+	char first[32];
+
+	a.prefix = 77;
+	ds_ask(d, &a, 0);
+	snprintf(first, sizeof(first), "%s", effects[0].replica);
+	ds_ended(d, 1, 1, DS_OK, 500);
+	for (uint64_t i = 2; i < 12; i++) {
+		a.request = i;
+		ds_ask(d, &a, 1000 * (deadline_t)i);
+		ck_assert_str_eq(effects[neffects - 1].replica, first);
+		ds_ended(d, 1, i, DS_OK, 1000 * (deadline_t)i + 500);
+	}
+	ds_free(d);
+}
+END_TEST
+
+/* ---- the peak load, played ---- */
+
+#define PLAY_REPLICAS	12
+#define PLAY_SLOTS	8
+#define PLAY_STREAM_MS	700
+#define PLAY_ITEM_MS	4800
+#define PLAY_MS		60000
+#define PLAY_ITEM_S	7
+#define PLAY_DUE_MS	18000
+#define PLAY_REQUESTS	65536
+#define PLAY_HIGH_MS	3000
+#define PLAY_PERIOD_MS	5200
+#define PLAY_HIGH	1.85
+#define PLAY_LOW	0.378
+#define PLAY_MEAN_PER_S 56.0
+
+typedef struct {
+	deadline_t asked;
+	deadline_t ends;
+	bool running;
+	bool back; /* second attempt */
+	deadline_t again; /* comes back then; 0: doesn't */
+} request_t;
+
+typedef struct {
+	ds_item_t *it;
+	deadline_t due;
+	int64_t left;
+	deadline_t since;
+	bool running;
+	bool stopping;
+	bool done;
+} item_t;
+
+typedef struct {
+	ds_t *d;
+	deadline_t now;
+	request_t *r;
+	uint64_t n;
+	item_t items[1024];
+	unsigned nitems;
+	unsigned in_time, late, lost;
+	unsigned items_in_time, items_late;
+	unsigned at[PLAY_REPLICAS];
+} play_t;
+
+static void play_grant(void *ctx, uint64_t entry, uint64_t request, str_t replica)
+{
+	play_t *p = ctx;
+	request_t *r = &p->r[request];
+
+	r->running = true;
+	r->ends = p->now + PLAY_STREAM_MS;
+	if (!r->back && p->now - r->asked <= 270)
+		p->in_time++;
+	else
+		p->late++;
+}
+
+static void play_refuse(void *ctx, uint64_t entry, uint64_t request, int64_t retry_ms)
+{
+	play_t *p = ctx;
+	request_t *r = &p->r[request];
+
+	if (r->back)
+		p->lost++;
+	else
+		r->again = p->now + retry_ms;
+}
+
+static void play_run(void *ctx, void *data, uint64_t entry, str_t replica)
+{
+	item_t *it = data;
+
+	it->running = true;
+	it->since = ((play_t *)ctx)->now;
+}
+
+static void play_stop(void *ctx, void *data, uint64_t entry)
+{
+	item_t *it = data;
+
+	it->left -= ((play_t *)ctx)->now - it->since;
+	it->running = false;
+	it->stopping = true;
+}
+
+static void play_ask(play_t *p, bool back)
+{
+	ds_ask_t a = ask_of(p->n, p->now);
+
+	p->r[p->n] = (request_t){.asked = p->now, .back = back};
+	a.entry = 1 + p->n % 2;
+	a.returning = back;
+	if (back)
+		a.deadline -= 1500;
+	p->n++;
+	ds_ask(p->d, &a, p->now);
+}
+
+static void play_requests(play_t *p)
+{
+	for (uint64_t i = p->n > 8192 ? p->n - 8192 : 1; i < p->n; i++) {
+		request_t *r = &p->r[i];
+
+		if (r->running && p->now >= r->ends) {
+			r->running = false;
+			ds_ended(p->d, 1 + i % 2, i, DS_OK, p->now);
+		} else if (r->again && p->now >= r->again) {
+			r->again = 0;
+			play_ask(p, true);
+		}
+	}
+}
+
+static void play_items(play_t *p)
+{
+	for (unsigned i = 0; i < p->nitems; i++) {
+		item_t *it = &p->items[i];
+
+		if (it->stopping) {
+			it->stopping = false;
+			ds_item_back(p->d, it->it, DS_LEFT, p->now);
+		} else if (it->running && p->now - it->since >= it->left) {
+			it->running = false;
+			it->done = true;
+			if (p->now <= it->due)
+				p->items_in_time++;
+			else
+				p->items_late++;
+			ds_item_remove(p->d, it->it, true, p->now);
+		}
+	}
+}
+
+/* Steps of the users' sheets, times x, on 96 places. */
+static play_t *play(double x, double items)
+{
+	static ds_callbacks_t cb;
+	play_t *p = calloc(1, sizeof(*p));
+	double owed = 0;
+	double owed_items = 0;
+
+	cb = (ds_callbacks_t){p, play_grant, play_refuse, play_run, play_stop};
+	p->r = calloc(PLAY_REQUESTS, sizeof(*p->r));
+	p->n = 1;
+	p->d = fresh(PLAY_REPLICAS, PLAY_SLOTS);
+	ds_free(p->d);
+	p->d = ds_new(&cb, 11);
+	ds_entry_add(p->d, 1, STR("a"), true);
+	ds_entry_add(p->d, 2, STR("b"), true);
+	{
+		ds_replica_t v[PLAY_REPLICAS];
+		static char ids[PLAY_REPLICAS][8];
+
+		for (unsigned j = 0; j < PLAY_REPLICAS; j++) {
+			snprintf(ids[j], sizeof(ids[j]), "r%u", j);
+			v[j] = (ds_replica_t){str_c(ids[j]), STR("a"), STR("s"), PLAY_SLOTS, false};
+		}
+		ds_replicas(p->d, v, PLAY_REPLICAS, 0);
+	}
+	for (p->now = 0; p->now < PLAY_MS; p->now++) {
+		bool high = p->now % PLAY_PERIOD_MS < PLAY_HIGH_MS;
+
+		play_requests(p);
+		play_items(p);
+		owed += x * PLAY_MEAN_PER_S * (high ? PLAY_HIGH : PLAY_LOW) / 1000.0;
+		for (; owed >= 1; owed--)
+			play_ask(p, false);
+		owed_items += items * PLAY_ITEM_S / 1000.0;
+		for (; owed_items >= 1 && p->now < PLAY_MS - PLAY_DUE_MS; owed_items--) {
+			item_t *it = &p->items[p->nitems++];
+
+			it->due = p->now + PLAY_DUE_MS;
+			it->left = PLAY_ITEM_MS;
+			it->it = ds_item_add(p->d, STR("s"), it->due, it);
+		}
+		ds_tick(p->d, p->now);
+	}
+	printf("load x%.1f: online in time %u late %u lost %u of %llu; items in time %u late %u of "
+	       "%u\n",
+	       x, p->in_time, p->late, p->lost, (unsigned long long)p->n - 1, p->items_in_time,
+	       p->items_late, p->nitems);
+	return p;
+}
+
+static void play_free(play_t *p)
+{
+	ds_free(p->d);
+	free(p->r);
+	free(p);
+}
+
+START_TEST(the_sheets_load_is_served_in_time_beside_batch)
+{
+	play_t *p = play(1.0, 1.0);
+
+	ck_assert_uint_eq(p->late, 0);
+	ck_assert_uint_eq(p->lost, 0);
+	ck_assert_uint_eq(p->items_late, 0);
+	ck_assert_uint_ge(p->items_in_time, p->nitems - 1);
+	play_free(p);
+}
+END_TEST
+
+/* 96 places of 0.7 s serve 137 requests a second; the goodput at overload must stay near that. */
+START_TEST(goodput_does_not_fall_at_twice_and_four_times_the_load)
+{
+	play_t *twice = play(2.0, 0.0);
+	play_t *four = play(4.0, 0.0);
+	unsigned most = PLAY_MS / PLAY_STREAM_MS * PLAY_REPLICAS * PLAY_SLOTS;
+
+	ck_assert_uint_ge(twice->in_time + twice->late, 4800);
+	ck_assert_uint_ge(four->in_time + four->late, twice->in_time + twice->late);
+	ck_assert_uint_ge((four->in_time + four->late) * 100, most * 70);
+	/* What is answered is mostly answered in time. */
+	ck_assert_uint_ge(four->in_time, four->late);
+	play_free(twice);
+	play_free(four);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("dispatch");
+	TCase *t = tcase_create("all");
+	SRunner *r;
+	int failed;
+
+	tcase_add_test(t, a_free_place_of_the_own_zone_is_granted);
+	tcase_add_test(t, no_replica_gets_more_than_it_runs_at_once);
+	tcase_add_test(t, an_online_request_takes_the_place_of_the_item_due_last);
+	tcase_add_test(t, a_stopped_item_runs_again_once_there_is_room);
+	tcase_add_test(t, items_run_earliest_due_first_but_hopeless_ones_last);
+	tcase_add_test(t, a_new_request_that_would_be_late_is_refused_with_the_time_of_room);
+	tcase_add_test(t, one_that_comes_back_waits_and_lets_those_in_time_go_first);
+	tcase_add_test(t, what_can_not_end_before_its_caller_gives_up_is_refused_at_once);
+	tcase_add_test(t, a_replica_that_failed_is_left_alone_then_tried_with_one);
+	tcase_add_test(t, runs_that_break_together_are_one_failure);
+	tcase_add_test(t, a_replica_that_failed_a_request_is_avoided_by_it);
+	tcase_add_test(t, a_leaving_replica_gets_no_new_work);
+	tcase_add_test(t, items_of_a_lost_entry_wait_for_it_then_run_elsewhere);
+	tcase_add_test(t, an_entry_that_comes_back_keeps_its_item);
+	tcase_add_test(t, items_are_held_back_until_entries_have_told_what_they_run);
+	tcase_add_test(t, the_replica_that_read_a_prompt_gets_its_like);
+	tcase_add_test(t, the_sheets_load_is_served_in_time_beside_batch);
+	tcase_add_test(t, goodput_does_not_fall_at_twice_and_four_times_the_load);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_ENV);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? 1 : 0;
+}
--- /dev/null
+++ b/tests/unit/test_lots.c
@@ -0,0 +1,322 @@
+/* Unit tests of the state machine of batch lots. */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "state/lo.h"
+
+#define NOW 1000000
+
+static aw_lots_cmd_t cmd;
+static aw_lot_open_t opens[4];
+static aw_lot_result_t results[8];
+static aw_bytes_t ends[4];
+static aw_lot_item_t items[4][8];
+static aw_fleet_res_t res;
+
+static void begin(void)
+{
+	cmd = (aw_lots_cmd_t){.now_wall_ms = NOW};
+	cmd.opens.opens_val = opens;
+	cmd.results.results_val = results;
+	cmd.ends.ends_val = ends;
+}
+
+static void add_open(const char *id, unsigned n, unsigned tokens, uint64_t quota)
+{
+	u_int k = cmd.opens.opens_len++;
+	static char ids[4][8][16];
+
+	opens[k] = (aw_lot_open_t){.lot = px_bytes(str_c(id)),
+				   .route = px_bytes(STR("h/p/")),
+				   .host = px_bytes(STR("h")),
+				   .due_wall_ms = NOW + 18000,
+				   .drop_wall_ms = NOW + 60000,
+				   .forget_wall_ms = NOW + 120000,
+				   .quota = quota};
+	opens[k].items.items_val = items[k];
+	opens[k].items.items_len = n;
+	for (unsigned i = 0; i < n; i++) {
+		snprintf(ids[k][i], sizeof(ids[k][i]), "%s-%u", id, i);
+		items[k][i] = (aw_lot_item_t){.id = px_bytes(str_c(ids[k][i])),
+					      .path = px_bytes(STR("/p/1")),
+					      .headers = px_bytes(STR("A: b\r\n")),
+					      .body = px_bytes(STR("body")),
+					      .tokens = tokens};
+	}
+}
+
+static void add_result(const char *id, unsigned item, bool dead, const char *text)
+{
+	results[cmd.results.results_len++] =
+		(aw_lot_result_t){px_bytes(str_c(id)), item, dead, px_bytes(str_c(text))};
+}
+
+static void add_end(const char *id)
+{
+	ends[cmd.ends.ends_len++] = px_bytes(str_c(id));
+}
+
+static void apply(lo_t *l)
+{
+	px_free(PX(aw_fleet_res_t), &res);
+	res = (aw_fleet_res_t){0};
+	lo_apply(l, &cmd, &res);
+}
+
+static lo_t *with_lot(const char *id, unsigned n)
+{
+	lo_t *l = lo_new();
+
+	begin();
+	add_open(id, n, 100, 0);
+	apply(l);
+	return l;
+}
+
+START_TEST(a_lot_is_accepted_once)
+{
+	lo_t *l = with_lot("a", 3);
+	uint64_t serial = lo_find(l, STR("a"))->serial;
+
+	begin();
+	add_open("a", 2, 100, 0);
+	apply(l);
+	ck_assert_int_eq(res.opened.opened_val[0], ST_OK);
+	ck_assert_uint_eq(lo_find(l, STR("a"))->nitems, 3);
+	ck_assert_uint_eq(lo_find(l, STR("a"))->serial, serial);
+	ck_assert_uint_eq(lo_waiting(l, STR("h/p/")), 300);
+	lo_free(l);
+}
+END_TEST
+
+START_TEST(results_stand_in_the_order_in_which_they_came)
+{
+	lo_t *l = with_lot("a", 3);
+	const lo_lot_t *t;
+
+	begin();
+	add_result("a", 2, false, "two");
+	add_result("a", 0, true, "");
+	apply(l);
+	t = lo_find(l, STR("a"));
+	ck_assert_uint_eq(t->nlisted, 2);
+	ck_assert_uint_eq(t->listed[0], 2);
+	ck_assert_uint_eq(t->listed[1], 0);
+	ck_assert_int_eq(t->items[2].state, LO_DONE);
+	ck_assert_int_eq(t->items[0].state, LO_DEAD);
+	ck_assert_int_eq(memcmp(t->items[2].data, "two", 3), 0);
+	lo_free(l);
+}
+END_TEST
+
+START_TEST(the_first_result_of_an_item_stands)
+{
+	lo_t *l = with_lot("a", 2);
+	const lo_lot_t *t;
+
+	begin();
+	add_result("a", 1, false, "first");
+	add_result("a", 1, false, "second");
+	add_result("a", 9, false, "no such item");
+	add_result("b", 0, false, "no such lot");
+	apply(l);
+	t = lo_find(l, STR("a"));
+	ck_assert_uint_eq(t->nlisted, 1);
+	ck_assert_uint_eq(t->items[1].data_n, 5);
+	lo_free(l);
+}
+END_TEST
+
+START_TEST(the_quota_counts_what_waits)
+{
+	lo_t *l = lo_new();
+
+	begin();
+	add_open("a", 3, 100, 500);
+	add_open("b", 3, 100, 500);
+	apply(l);
+	ck_assert_int_eq(res.opened.opened_val[0], ST_OK);
+	ck_assert_int_eq(res.opened.opened_val[1], ST_LIMIT);
+	ck_assert_ptr_null(lo_find(l, STR("b")));
+	/* What is finished makes room in the same commit. */
+	begin();
+	add_result("a", 0, false, "x");
+	add_open("b", 3, 100, 500);
+	apply(l);
+	ck_assert_int_eq(res.opened.opened_val[0], ST_OK);
+	ck_assert_uint_eq(lo_waiting(l, STR("h/p/")), 500);
+	lo_free(l);
+}
+END_TEST
+
+START_TEST(an_ended_lot_frees_its_quota_and_keeps_what_is_listed)
+{
+	lo_t *l = with_lot("a", 3);
+	const lo_lot_t *t;
+
+	begin();
+	add_result("a", 1, false, "one");
+	apply(l);
+	begin();
+	add_end("a");
+	add_end("unknown");
+	apply(l);
+	begin();
+	add_result("a", 2, false, "late");
+	apply(l);
+	t = lo_find(l, STR("a"));
+	ck_assert(t->ended);
+	ck_assert_uint_eq(t->nlisted, 1);
+	ck_assert_int_eq(memcmp(t->items[1].data, "one", 3), 0);
+	ck_assert_uint_eq(lo_waiting(l, STR("h/p/")), 0);
+	lo_free(l);
+}
+END_TEST
+
+START_TEST(items_are_given_up_and_lots_forgotten_in_time)
+{
+	lo_t *l = with_lot("a", 2);
+
+	begin();
+	cmd.now_wall_ms = NOW + 60000;
+	apply(l);
+	ck_assert_uint_eq(lo_find(l, STR("a"))->nlisted, 2);
+	ck_assert_int_eq(lo_find(l, STR("a"))->items[0].state, LO_DEAD);
+	begin();
+	cmd.now_wall_ms = NOW + 119999;
+	apply(l);
+	ck_assert_ptr_nonnull(lo_find(l, STR("a")));
+	begin();
+	cmd.now_wall_ms = NOW + 120000;
+	apply(l);
+	ck_assert_ptr_null(lo_find(l, STR("a")));
+	ck_assert_uint_eq(lo_waiting(l, STR("h/p/")), 0);
+	lo_free(l);
+}
+END_TEST
+
+START_TEST(a_snapshot_restores_everything)
+{
+	lo_t *l = with_lot("a", 3);
+	lo_t *copy = lo_new();
+	buf_t one = {0};
+	buf_t two = {0};
+
+	begin();
+	add_open("b", 2, 50, 0);
+	add_result("a", 1, false, "text\nof it");
+	add_end("b");
+	apply(l);
+	lo_snapshot(l, &one);
+	ck_assert_int_eq(lo_restore(copy, str_buf(&one)), ST_OK);
+	lo_snapshot(copy, &two);
+	ck_assert(str_eq(str_buf(&one), str_buf(&two)));
+	ck_assert_uint_eq(lo_waiting(copy, STR("h/p/")), lo_waiting(l, STR("h/p/")));
+	ck_assert_int_eq(lo_item(lo_find(copy, STR("a")), STR("a-2")), 2);
+	ck_assert_int_eq(lo_item(lo_find(copy, STR("a")), STR("zz")), -1);
+	buf_free(&one);
+	buf_free(&two);
+	lo_free(copy);
+	lo_free(l);
+}
+END_TEST
+
+START_TEST(a_cut_snapshot_is_an_error_and_changes_nothing)
+{
+	lo_t *l = with_lot("a", 3);
+	lo_t *other = with_lot("keep", 1);
+	buf_t one = {0};
+
+	lo_snapshot(l, &one);
+	for (size_t n = 0; n < one.n; n++) {
+		ck_assert_int_eq(lo_restore(other, (str_t){one.p, n}), ST_CORRUPT);
+		ck_assert_ptr_nonnull(lo_find(other, STR("keep")));
+	}
+	buf_free(&one);
+	lo_free(other);
+	lo_free(l);
+}
+END_TEST
+
+/* Random commands: counts add up, positions never change, a restored copy behaves alike. */
+START_TEST(random_commands_keep_the_promises)
+{
+	lo_t *l = lo_new();
+	unsigned seed = 4711;
+	uint32_t seen[8][8];
+	uint32_t nseen[8] = {0};
+
+	for (int step = 0; step < 3000; step++) {
+		char id[8];
+		unsigned k = (unsigned)rand_r(&seed) % 8;
+		uint64_t waiting = 0;
+
+		snprintf(id, sizeof(id), "lot%u", k);
+		begin();
+		switch (rand_r(&seed) % 4) {
+		case 0:
+			add_open(id, 1 + (unsigned)rand_r(&seed) % 7, 10, 300);
+			break;
+		case 1:
+			if (rand_r(&seed) % 40 == 0)
+				add_end(id);
+			break;
+		default:
+			add_result(id, (unsigned)rand_r(&seed) % 8, rand_r(&seed) % 9 == 0, "t");
+			break;
+		}
+		apply(l);
+		if (step % 100 == 0) {
+			buf_t b = {0};
+			lo_t *copy = lo_new();
+
+			lo_snapshot(l, &b);
+			ck_assert_int_eq(lo_restore(copy, str_buf(&b)), ST_OK);
+			lo_free(l);
+			l = copy;
+			buf_free(&b);
+		}
+		for (const lo_lot_t *t = lo_first(l); t; t = t->hh.next) {
+			unsigned open = 0;
+			unsigned n = (unsigned)(t->id[3] - '0');
+
+			for (uint32_t i = 0; i < t->nitems; i++)
+				open += t->items[i].state == LO_OPEN;
+			ck_assert_uint_eq(open + t->nlisted, t->nitems);
+			waiting += t->ended ? 0 : open * 10;
+			for (uint32_t i = 0; i < nseen[n]; i++)
+				ck_assert_uint_eq(t->listed[i], seen[n][i]);
+			for (; nseen[n] < t->nlisted; nseen[n]++)
+				seen[n][nseen[n]] = t->listed[nseen[n]];
+		}
+		ck_assert_uint_eq(lo_waiting(l, STR("h/p/")), waiting);
+		ck_assert_uint_le(waiting, 300);
+	}
+	lo_free(l);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("lots");
+	TCase *t = tcase_create("all");
+	SRunner *r;
+	int failed;
+
+	tcase_add_test(t, a_lot_is_accepted_once);
+	tcase_add_test(t, results_stand_in_the_order_in_which_they_came);
+	tcase_add_test(t, the_first_result_of_an_item_stands);
+	tcase_add_test(t, the_quota_counts_what_waits);
+	tcase_add_test(t, an_ended_lot_frees_its_quota_and_keeps_what_is_listed);
+	tcase_add_test(t, items_are_given_up_and_lots_forgotten_in_time);
+	tcase_add_test(t, a_snapshot_restores_everything);
+	tcase_add_test(t, a_cut_snapshot_is_an_error_and_changes_nothing);
+	tcase_add_test(t, random_commands_keep_the_promises);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_ENV);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? 1 : 0;
+}
--- /dev/null
+++ b/tests/unit/test_net.c
@@ -0,0 +1,517 @@
+/* Unit tests of the HTTP reader, of server-sent events, and of listener and client over loopback.
+ */
+#include <arpa/inet.h>
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include "net/hl.h"
+#include "net/hu.h"
+#include "net/ss.h"
+
+/* ---- reader ---- */
+
+typedef struct {
+	int heads;
+	int ends;
+	buf_t body;
+	char path[64];
+	int status;
+} seen_t;
+
+static void on_head(void *ctx, const hp_head_t *h)
+{
+	seen_t *s = ctx;
+
+	s->heads++;
+	s->status = h->status;
+	snprintf(s->path, sizeof(s->path), "%.*s", STR_ARG(hp_path(h->target)));
+}
+
+static void on_body(void *ctx, str_t piece)
+{
+	buf_add(&((seen_t *)ctx)->body, piece);
+}
+
+static void on_end(void *ctx)
+{
+	((seen_t *)ctx)->ends++;
+}
+
+static void reader(hp_t *p, seen_t *s, bool responses)
+{
+	*s = (seen_t){0};
+	hp_init(p, &(hp_options_t){.responses = responses,
+				   .pause = true,
+				   .max_header_bytes = 256,
+				   .cb = {s, on_head, on_body, on_end}});
+}
+
+START_TEST(a_request_is_read_byte_by_byte)
+{
+	static const char in[] = "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz"
+				 "GET /next HTTP/1.1\r\n\r\n";
+	hp_t p;
+	seen_t s;
+	size_t used;
+	size_t at = 0;
+
+	reader(&p, &s, false);
+	while (s.ends == 0) {
+		ck_assert_int_eq(hp_feed(&p, (str_t){in + at, 1}, &used), ST_OK);
+		at += used;
+	}
+	ck_assert_str_eq(s.path, "/a/b");
+	ck_assert(str_eq(str_buf(&s.body), STR("xyz")));
+	ck_assert_str_eq(in + at, "GET /next HTTP/1.1\r\n\r\n");
+	hp_next(&p);
+	ck_assert_int_eq(hp_feed(&p, str_c(in + at), &used), ST_OK);
+	ck_assert_int_eq(s.ends, 2);
+	ck_assert_str_eq(s.path, "/next");
+	buf_free(&s.body);
+	hp_free(&p);
+}
+END_TEST
+
+START_TEST(a_pipelined_request_is_left_for_later)
+{
+	static const char in[] = "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n";
+	hp_t p;
+	seen_t s;
+	size_t used;
+
+	reader(&p, &s, false);
+	ck_assert_int_eq(hp_feed(&p, str_c(in), &used), ST_OK);
+	ck_assert_int_eq(s.ends, 1);
+	ck_assert_str_eq(in + used, "GET /2 HTTP/1.1\r\n\r\n");
+	hp_free(&p);
+}
+END_TEST
+
+START_TEST(what_is_not_http_or_too_large_is_said)
+{
+	AUTO_BUF big = {0};
+	hp_t p;
+	seen_t s;
+	size_t used;
+
+	reader(&p, &s, false);
+	ck_assert_int_eq(hp_feed(&p, STR("nonsense\r\n\r\n"), &used), ST_INVALID);
+	hp_free(&p);
+	buf_add(&big, STR("GET / HTTP/1.1\r\nA: "));
+	for (int i = 0; i < 300; i++)
+		buf_addc(&big, 'x');
+	reader(&p, &s, false);
+	ck_assert_int_eq(hp_feed(&p, str_buf(&big), &used), ST_LIMIT);
+	hp_free(&p);
+}
+END_TEST
+
+START_TEST(a_response_without_length_ends_with_its_connection)
+{
+	hp_t p;
+	seen_t s;
+	size_t used;
+
+	reader(&p, &s, true);
+	ck_assert_int_eq(hp_feed(&p, STR("HTTP/1.1 200 OK\r\n\r\nabc"), &used), ST_OK);
+	ck_assert_int_eq(s.ends, 0);
+	ck_assert_int_eq(hp_feed(&p, (str_t){"", 0}, &used), ST_OK);
+	ck_assert_int_eq(s.ends, 1);
+	buf_free(&s.body);
+	hp_free(&p);
+}
+END_TEST
+
+START_TEST(a_response_cut_short_does_not_end)
+{
+	hp_t p;
+	seen_t s;
+	size_t used;
+
+	reader(&p, &s, true);
+	hp_feed(&p, STR("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab"), &used);
+	ck_assert_int_eq(hp_feed(&p, (str_t){"", 0}, &used), ST_INVALID);
+	ck_assert_int_eq(s.ends, 0);
+	buf_free(&s.body);
+	hp_free(&p);
+}
+END_TEST
+
+START_TEST(query_and_numbers_are_read)
+{
+	ck_assert(str_eq(hp_query(STR("/a?x=1&after=12"), "after"), STR("12")));
+	ck_assert_ptr_null(hp_query(STR("/a?x=1&after2=12"), "after").p);
+	ck_assert_ptr_null(hp_query(STR("/a"), "a").p);
+	ck_assert_int_eq(hp_number(STR("12")), 12);
+	ck_assert_int_eq(hp_number(STR("")), -1);
+	ck_assert_int_eq(hp_number(STR("-1")), -1);
+	ck_assert_int_eq(hp_number(STR("9999999999999999")), -1);
+}
+END_TEST
+
+/* ---- events ---- */
+
+typedef struct {
+	int n;
+	long long last;
+	buf_t raw;
+	buf_t data;
+} events_t;
+
+static bool on_event(void *ctx, const ss_event_t *e)
+{
+	events_t *v = ctx;
+
+	v->n++;
+	v->last = e->id;
+	buf_add(&v->raw, e->raw);
+	buf_add(&v->data, e->data);
+	return true;
+}
+
+START_TEST(events_are_found_wherever_the_bytes_are_cut)
+{
+	static const char in[] = "id: 1\ndata: one\n\nweight-versions: 2\nid: 2\ndata: two\n\n"
+				 "id: 3\r\ndata: three\r\n\r\nid: 4\ndata: fo";
+
+	for (size_t step = 1; step < sizeof(in); step++) {
+		ss_t s = {0};
+		events_t v = {0};
+
+		for (size_t at = 0; at < sizeof(in) - 1; at += step) {
+			size_t n = sizeof(in) - 1 - at;
+
+			ss_feed(&s, (str_t){in + at, n < step ? n : step}, on_event, &v);
+		}
+		ck_assert_int_eq(v.n, 3);
+		ck_assert_int_eq(v.last, 3);
+		ck_assert(str_eq(str_buf(&v.data), STR("onetwothree")));
+		ck_assert(str_eq(str_buf(&s.pending), STR("id: 4\ndata: fo")));
+		ck_assert_uint_eq(v.raw.n + s.pending.n, sizeof(in) - 1);
+		buf_free(&v.raw);
+		buf_free(&v.data);
+		ss_free(&s);
+	}
+}
+END_TEST
+
+/* ---- listener and client ---- */
+
+typedef struct {
+	struct ev_loop *loop;
+	hl_t *server;
+	hu_t *client;
+	char addr[32];
+	int requests;
+	int gone;
+	hl_conn_t *open;
+	int ended;
+	hu_end_t how;
+	int status;
+	buf_t body;
+	bool skip_first;
+	enum { WHOLE, STREAM, ABORT, HOLD } manner;
+} pair_t;
+
+static void serve(void *ctx, hl_conn_t *c, const hl_request_t *r)
+{
+	pair_t *p = ctx;
+
+	p->requests++;
+	p->open = c;
+	switch (p->manner) {
+	case WHOLE:
+		hl_reply(c, 200, STR("X: y\r\n"), r->body);
+		break;
+	case STREAM:
+		hl_begin(c, 200, STR(""));
+		hl_piece(c, STR("one"));
+		hl_piece(c, STR("two"));
+		hl_end(c);
+		break;
+	case ABORT:
+		hl_begin(c, 200, STR(""));
+		hl_piece(c, STR("one"));
+		hl_abort(c);
+		break;
+	default:
+		break;
+	}
+}
+
+static void on_gone(void *ctx, hl_conn_t *c)
+{
+	((pair_t *)ctx)->gone++;
+}
+
+static bool call_head(void *ctx, const hp_head_t *h)
+{
+	((pair_t *)ctx)->status = h->status;
+	return true;
+}
+
+static void call_body(void *ctx, str_t piece)
+{
+	buf_add(&((pair_t *)ctx)->body, piece);
+}
+
+static void call_end(void *ctx, hu_end_t how)
+{
+	pair_t *p = ctx;
+
+	p->ended++;
+	p->how = how;
+	ev_break(p->loop, EVBREAK_ALL);
+}
+
+static void on_timeout(int events, void *arg)
+{
+	ev_break(((pair_t *)arg)->loop, EVBREAK_ALL);
+}
+
+static void turn(pair_t *p, double s)
+{
+	ev_once(p->loop, -1, 0, s, on_timeout, p);
+	ev_run(p->loop, 0);
+}
+
+static unsigned free_port(void)
+{
+	struct sockaddr_in sa = {.sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	socklen_t n = sizeof(sa);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	bind(fd, (struct sockaddr *)&sa, sizeof(sa));
+	getsockname(fd, (struct sockaddr *)&sa, &n);
+	close(fd);
+	return ntohs(sa.sin_port);
+}
+
+static void pair_open(pair_t *p)
+{
+	*p = (pair_t){.loop = ev_loop_new(EVFLAG_AUTO)};
+	snprintf(p->addr, sizeof(p->addr), "127.0.0.1:%u", free_port());
+	p->server = hl_new(&(hl_options_t){.loop = p->loop,
+					   .addr = p->addr,
+					   .limits = {1024, 1024, 200, 400},
+					   .ctx = p,
+					   .request = serve,
+					   .gone = on_gone});
+	ck_assert_ptr_nonnull(p->server);
+	p->client = hu_new(p->loop);
+}
+
+static hu_call_t *call(pair_t *p, str_t request)
+{
+	return hu_start(p->client, &(hu_options_t){.request = request,
+						   .addr = p->addr,
+						   .connect_by = clk_now_ms() + 500,
+						   .ctx = p,
+						   .head = call_head,
+						   .body = call_body,
+						   .end = call_end});
+}
+
+static const str_t post = STR("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello");
+
+START_TEST(a_call_is_answered_and_its_connection_kept)
+{
+	pair_t p;
+
+	pair_open(&p);
+	for (int i = 0; i < 3; i++) {
+		p.body.n = 0;
+		call(&p, post);
+		turn(&p, 1.0);
+		ck_assert_int_eq(p.how, HU_DONE);
+		ck_assert_int_eq(p.status, 200);
+		ck_assert(str_eq(str_buf(&p.body), STR("hello")));
+	}
+	ck_assert_int_eq(p.ended, 3);
+	ck_assert_uint_eq(hu_connects(p.client), 1);
+	buf_free(&p.body);
+}
+END_TEST
+
+START_TEST(pieces_arrive_and_an_aborted_answer_is_broken)
+{
+	pair_t p;
+
+	pair_open(&p);
+	p.manner = STREAM;
+	call(&p, post);
+	turn(&p, 1.0);
+	ck_assert_int_eq(p.how, HU_DONE);
+	ck_assert(str_eq(str_buf(&p.body), STR("onetwo")));
+	p.manner = ABORT;
+	call(&p, post);
+	turn(&p, 1.0);
+	ck_assert_int_eq(p.how, HU_BROKEN);
+	buf_free(&p.body);
+}
+END_TEST
+
+START_TEST(a_cancelled_call_is_seen_by_the_server)
+{
+	pair_t p;
+	hu_call_t *c;
+
+	pair_open(&p);
+	p.manner = HOLD;
+	c = call(&p, post);
+	turn(&p, 0.1);
+	ck_assert_int_eq(p.requests, 1);
+	hu_cancel(c);
+	turn(&p, 0.1);
+	ck_assert_int_eq(p.gone, 1);
+	ck_assert_int_eq(p.ended, 0);
+	ck_assert_uint_eq(hl_busy(p.server), 0);
+}
+END_TEST
+
+START_TEST(a_port_nobody_listens_on_is_surely_unsent)
+{
+	pair_t p;
+
+	pair_open(&p);
+	snprintf(p.addr, sizeof(p.addr), "127.0.0.1:%u", free_port());
+	call(&p, post);
+	turn(&p, 1.0);
+	ck_assert_int_eq(p.ended, 1);
+	ck_assert_int_eq(p.how, HU_UNSENT);
+}
+END_TEST
+
+START_TEST(a_draining_listener_closes_behind_each_answer)
+{
+	pair_t p;
+
+	pair_open(&p);
+	hl_drain(p.server);
+	for (int i = 0; i < 2; i++) {
+		call(&p, post);
+		turn(&p, 1.0);
+		ck_assert_int_eq(p.how, HU_DONE);
+	}
+	ck_assert_uint_eq(hu_connects(p.client), 2);
+	buf_free(&p.body);
+}
+END_TEST
+
+/* A client by hand, for what hu doesn't send. */
+static int dial(pair_t *p)
+{
+	struct sockaddr_in sa = {.sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sa.sin_port = htons((uint16_t)atoi(strchr(p->addr, ':') + 1));
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	return fd;
+}
+
+static void expect(int fd, const char *begin)
+{
+	char got[256] = {0};
+
+	ck_assert_int_gt(recv(fd, got, sizeof(got) - 1, MSG_DONTWAIT), 0);
+	ck_assert_msg(strncmp(got, begin, strlen(begin)) == 0, "%s", got);
+}
+
+START_TEST(bad_input_gets_one_clear_answer)
+{
+	static const struct {
+		const char *in;
+		const char *out;
+	} cases[] = {
+		{"nonsense\r\n\r\n", "HTTP/1.1 400 "},
+		{"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", "HTTP/1.1 413 "},
+		{"POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\nx", "HTTP/1.1 408 "},
+		{"GET / HTTP/1.1\r\nHo", "HTTP/1.1 408 "},
+	};
+	pair_t p;
+
+	pair_open(&p);
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		int fd = dial(&p);
+
+		ck_assert_int_gt(write(fd, cases[i].in, strlen(cases[i].in)), 0);
+		turn(&p, 0.5);
+		expect(fd, cases[i].out);
+		close(fd);
+		turn(&p, 0.05);
+	}
+	ck_assert_int_eq(p.requests, 0);
+}
+END_TEST
+
+START_TEST(a_body_over_the_limit_is_413)
+{
+	AUTO_BUF big = {0};
+	pair_t p;
+	int fd;
+
+	pair_open(&p);
+	buf_add(&big, STR("POST / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n"));
+	for (int i = 0; i < 2000; i++)
+		buf_addc(&big, 'x');
+	fd = dial(&p);
+	ck_assert_int_gt(write(fd, big.p, big.n), 0);
+	turn(&p, 0.2);
+	expect(fd, "HTTP/1.1 413 ");
+	close(fd);
+	ck_assert_int_eq(p.requests, 0);
+}
+END_TEST
+
+START_TEST(pipelined_requests_are_answered_in_order)
+{
+	static const char two[] = "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\na"
+				  "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nb";
+	char got[512] = {0};
+	pair_t p;
+	int fd;
+
+	pair_open(&p);
+	fd = dial(&p);
+	ck_assert_int_gt(write(fd, two, sizeof(two) - 1), 0);
+	turn(&p, 0.2);
+	ck_assert_int_gt(recv(fd, got, sizeof(got) - 1, MSG_DONTWAIT), 0);
+	ck_assert_int_eq(p.requests, 2);
+	ck_assert_ptr_nonnull(strstr(got, "\r\n\r\na"));
+	ck_assert_ptr_nonnull(strstr(strstr(got, "\r\n\r\na"), "\r\n\r\nb"));
+	close(fd);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("net");
+	TCase *t = tcase_create("all");
+	SRunner *r;
+	int failed;
+
+	tcase_add_test(t, a_request_is_read_byte_by_byte);
+	tcase_add_test(t, a_pipelined_request_is_left_for_later);
+	tcase_add_test(t, what_is_not_http_or_too_large_is_said);
+	tcase_add_test(t, a_response_without_length_ends_with_its_connection);
+	tcase_add_test(t, a_response_cut_short_does_not_end);
+	tcase_add_test(t, query_and_numbers_are_read);
+	tcase_add_test(t, events_are_found_wherever_the_bytes_are_cut);
+	tcase_add_test(t, a_call_is_answered_and_its_connection_kept);
+	tcase_add_test(t, pieces_arrive_and_an_aborted_answer_is_broken);
+	tcase_add_test(t, a_cancelled_call_is_seen_by_the_server);
+	tcase_add_test(t, a_port_nobody_listens_on_is_surely_unsent);
+	tcase_add_test(t, a_draining_listener_closes_behind_each_answer);
+	tcase_add_test(t, bad_input_gets_one_clear_answer);
+	tcase_add_test(t, a_body_over_the_limit_is_413);
+	tcase_add_test(t, pipelined_requests_are_answered_in_order);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_ENV);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? 1 : 0;
+}
