Logs to standard output, bounded; process tests before stand-ins of the platform

Cause: the users want structured lines on standard output that never block and stay bounded; the path had no test with processes. Change: a line that standard output has no room for is lost and counted, an event writes at most 200 lines a second and says how many it left out; tests/proc/platform_kit.py has stand-ins for replicas, list, callers and operators.

--- a/src/base/lg.c
+++ b/src/base/lg.c
@@ -1,8 +1,11 @@
 #include "base/lg.h"
 
+#include <limits.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 #include <log4c.h>
 #include "base/clk.h"
@@ -11,6 +14,10 @@
 /* Lines kept for look-up, and the longest value written. */
 #define RING_LINES	4096
 #define VALUE_MAX_BYTES 512
+/** Lines that one event may write a second: several times what a busy process has to say of a kind,
+ * and under 1% of a core. */
+#define LINES_PER_S 200
+#define BUDGETS_MAX 128
 
 static pthread_mutex_t ring_lock = PTHREAD_MUTEX_INITIALIZER;
 static char *ring[RING_LINES];
@@ -30,12 +37,27 @@
 
 static const log4c_layout_type_t bare_type = {.name = "auburn_line", .format = format_bare};
 
+/* A reader that doesn't keep up loses lines; the process never waits for it. */
+static bool has_room(void)
+{
+	struct pollfd p = {.fd = STDOUT_FILENO, .events = POLLOUT};
+
+	return poll(&p, 1, 0) == 1 && (p.revents & POLLOUT);
+}
+
 /* log4c's stream types put the appender's name before each line. */
 static int append_line(log4c_appender_t *appender, const log4c_logging_event_t *e)
 {
 	str_t line = str_c(e->evt_rendered_msg);
 
-	return write(STDERR_FILENO, line.p, line.n) == (ssize_t)line.n ? 0 : -1;
+	/* A pipe that polls as writable takes this much without blocking. */
+	if (line.n > PIPE_BUF)
+		line.n = PIPE_BUF;
+	if (!has_room()) {
+		MX_COUNT("auburn_log_lines_lost_total");
+		return -1;
+	}
+	return write(STDOUT_FILENO, line.p, line.n) == (ssize_t)line.n ? 0 : -1;
 }
 
 static const log4c_appender_type_t line_type = {.name = "auburn_line", .append = append_line};
@@ -52,7 +74,7 @@
 	layout = log4c_layout_get("auburn_line");
 	log4c_layout_set_type(layout, &bare_type);
 	log4c_appender_type_set(&line_type);
-	appender = log4c_appender_get("auburn_stderr");
+	appender = log4c_appender_get("auburn_stdout");
 	log4c_appender_set_type(appender, &line_type);
 	log4c_appender_set_layout(appender, layout);
 	category = log4c_category_get("auburn");
@@ -98,12 +120,67 @@
 	free(old);
 }
 
+/* One slot for each event name; a name without a slot isn't bounded. */
+typedef struct {
+	const char *event;
+	int64_t second;
+	unsigned written;
+	unsigned left_out;
+} budget_t;
+
+static budget_t budgets[BUDGETS_MAX];
+static pthread_mutex_t budget_lock = PTHREAD_MUTEX_INITIALIZER;
+
+static budget_t *budget_of(const char *event)
+{
+	for (size_t i = 0; i < BUDGETS_MAX; i++) {
+		if (!budgets[i].event)
+			budgets[i].event = event;
+		if (strcmp(budgets[i].event, event) == 0)
+			return &budgets[i];
+	}
+	return NULL;
+}
+
+/* False when the event has used up its lines of this second. *left_out: lines of an earlier second
+ * that are to be told of now. */
+static bool take_line(const char *event, int64_t second, unsigned *left_out)
+{
+	budget_t *x;
+	bool ok = true;
+
+	*left_out = 0;
+	pthread_mutex_lock(&budget_lock);
+	x = budget_of(event);
+	if (x && x->second != second) {
+		*left_out = x->left_out;
+		x->second = second;
+		x->written = 0;
+		x->left_out = 0;
+	}
+	if (x && x->written >= LINES_PER_S) {
+		x->left_out++;
+		ok = false;
+	} else if (x) {
+		x->written++;
+	}
+	pthread_mutex_unlock(&budget_lock);
+	return ok;
+}
+
 void lg_event(lg_level_t level, const char *event, const lg_field_t *fields)
 {
 	AUTO_BUF b = {0};
+	unsigned left_out;
 
 	if (level > max_level)
 		return;
+	if (!take_line(event, clk_now_ms() / 1000, &left_out)) {
+		MX_COUNT("auburn_log_lines_left_out_total");
+		return;
+	}
+	if (left_out)
+		lg(LG_WARN, "lines_left_out", LG_C("of", event), LG_I("count", left_out));
 	buf_addf(&b, "t=%lld level=%s process=%s event=%s", (long long)clk_wall_ms(),
 		 level_names[level], process_name, event);
 	for (const lg_field_t *f = fields; f->type != LG_END; f++) {
--- a/src/base/lg.h
+++ b/src/base/lg.h
@@ -32,7 +32,9 @@
 #define lg(level, event, ...)                                                                      \
 	lg_event((level), (event), (const lg_field_t[]){__VA_ARGS__, {NULL, LG_END, {0}, 0}})
 
-/** Sets the process name on each line and the level; lines go to standard error. */
+/** Sets the process name on each line and the level. Lines go to standard output, which is never
+ * waited for: a line that it has no room for is lost and counted, and an event that has written its
+ * lines of a second leaves out the rest, with one line that says how many. */
 void lg_open(const char *process, lg_level_t level);
 void lg_event(lg_level_t level, const char *event, const lg_field_t *fields);
 /** Appends the newest ring lines, oldest first, that hold needle; at most max. */
--- /dev/null
+++ b/tests/proc/platform_kit.py
@@ -0,0 +1,446 @@
+"""Stand-ins for the users' platform and a small fleet of real processes before them.
+
+Each process has an address of its own in 127.0.0.0/8, as ports are the same on all machines.
+Replicas, the list and all callers run on one asyncio loop in a thread of their own.
+"""
+import asyncio
+import base64
+import json
+import os
+import random
+import shutil
+import signal
+import subprocess
+import tempfile
+import threading
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+BIN = os.path.join(ROOT, os.environ.get("AUBURN_BIN_DIR", "build/bin"))
+HOST = "desk.example"
+EVENT_S = 0.02
+
+
+class Loop:
+    """An asyncio loop in a thread; run() waits for a coroutine from outside."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+
+    def run(self, coro, timeout=60):
+        return asyncio.run_coroutine_threadsafe(coro, self.loop).result(timeout)
+
+    def close(self):
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(5)
+
+
+async def read_message(reader):
+    """First line, headers in lower case, body; None at the end of the stream."""
+    line = await reader.readline()
+    if not line.strip():
+        return None
+    headers = {}
+    while True:
+        h = (await reader.readline()).decode("latin-1").rstrip("\r\n")
+        if not h:
+            break
+        k, _, v = h.partition(":")
+        headers[k.strip().lower()] = v.strip()
+    body = b""
+    if "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    return line.decode("latin-1").split(None, 2), headers, body
+
+
+def event_text(rid, n):
+    return "%s-%d" % (rid, n)
+
+
+class Replica:
+    """Streams `events` events a request; what it does wrong stands in its fields."""
+
+    def __init__(self, kit, name, zone, slots=4):
+        self.kit, self.name, self.zone, self.slots = kit, name, zone, slots
+        self.id = "i-%s-%d" % (name, random.getrandbits(24))
+        self.state = "ready"
+        self.events = 10
+        self.full = False       # 503, not run
+        self.fail_ids = {}      # item id: status
+        self.cut_after = None   # breaks off behind this event, once
+        self.mute_after = None  # says nothing more behind this event, on all runs while it is set
+        self.server = None
+        self.writers = set()
+
+    async def start(self):
+        self.addr = self.kit.next_addr()
+        ip, port = self.addr.split(":")
+        self.server = await asyncio.start_server(self.serve, ip, int(port))
+
+    async def stop(self):
+        if self.server:
+            self.server.close()
+            self.server = None
+        for w in list(self.writers):
+            w.transport.abort()
+
+    def entry(self):
+        return {"id": self.id, "service": "llm", "addr": self.addr, "zone": self.zone, "version": "v1",
+                "slots": self.slots, "state": self.state, "coldLeftMs": 0, "born": 1}
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                m = await read_message(reader)
+                if not m or not await self.answer(m, reader, writer):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def reply(self, writer, status, headers, body=b""):
+        head = "HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n" % (
+            status, "".join("%s: %s\r\n" % h for h in headers), len(body))
+        writer.write(head.encode() + body)
+        await writer.drain()
+        return True
+
+    async def answer(self, m, reader, writer):
+        (method, target, _), h, body = m
+        rid = h.get("request-id", "")
+        if h.get("expect-instance") != self.id:
+            return await self.reply(writer, 421, [("Instance-Id", self.id)])
+        if self.full:
+            return await self.reply(writer, 503, [("Not-Run", "1")])
+        run = {"id": rid, "replica": self.id, "after": int(h.get("last-event-id", 0)), "at": time.time(),
+               "end": None, "ended": None, "target": target, "body": body, "method": method,
+               "wait": h.get("deadline-ms"), "model": h.get("model")}
+        self.kit.runs.append(run)
+        mark = [("Request-Id", rid), ("Signature", "sig-" + rid)]
+        status = self.fail_ids.get(rid)
+        if status:
+            run["end"] = status
+            return await self.reply(writer, status, mark, b"no")
+        return await self.stream(run, mark, reader, writer)
+
+    async def stream(self, run, mark, reader, writer):
+        head = "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write((head % "".join("%s: %s\r\n" % x for x in mark)).encode())
+        left = asyncio.ensure_future(reader.read(1))
+        try:
+            for n in range(run["after"] + 1, self.events + 1):
+                done, _ = await asyncio.wait([left], timeout=EVENT_S)
+                if done:
+                    run["end"] = "left"
+                    return False
+                while self.mute_after is not None and n > self.mute_after:
+                    done, _ = await asyncio.wait([left], timeout=0.05)
+                    if done:
+                        run["end"] = "left"
+                        return False
+                data = ("id: %d\ndata: %s\n\n" % (n, event_text(run["id"], n))).encode()
+                if self.cut_after == n:
+                    self.cut_after = None
+                    run["end"] = "cut"
+                    writer.write(b"%x\r\n%s" % (len(data), data[:5]))
+                    await writer.drain()
+                    writer.transport.abort()
+                    return False
+                writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+            run["end"] = "done"
+            left.cancel()
+            try:
+                await left
+            except asyncio.CancelledError:
+                pass
+            return True
+        finally:
+            run["ended"] = time.time()
+            if run["end"] is None:
+                run["end"] = "broken"
+
+
+class Proc:
+    def __init__(self, kit, program, name, zone, settings):
+        self.kit, self.program, self.name, self.zone = kit, program, name, zone
+        self.ip = settings.pop("_ip")
+        self.path = os.path.join(kit.dir, name + ".toml")
+        self.log = os.path.join(kit.dir, name + ".log")
+        with open(self.path, "w") as f:
+            for k, v in settings.items():
+                f.write("%s = %s\n" % (k, json.dumps(v)))
+        self.p = None
+        self.expected_end = False
+
+    def start(self):
+        self.expected_end = False
+        with open(self.log, "a") as log:
+            self.p = subprocess.Popen([os.path.join(BIN, self.program), "--config", self.path],
+                                      stdout=log, stderr=subprocess.STDOUT)
+
+    def signal(self, sig):
+        if self.p and self.p.poll() is None:
+            if sig in (signal.SIGKILL, signal.SIGTERM):
+                self.expected_end = True
+            self.p.send_signal(sig)
+
+    def stop(self):
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.p:
+            self.p.wait()
+
+    def text(self):
+        with open(self.log, errors="replace") as f:
+            return f.read()
+
+
+class Kit:
+    def __init__(self, controls=3, fronts=2, replicas=3, slots=4, seed=None):
+        self.dir = tempfile.mkdtemp(prefix="auburn-platform-")
+        self.net = "127.%d.%d" % (random.randint(1, 250), random.randint(1, 250))
+        self.port = random.randint(20000, 28000)
+        self.last = 0
+        self.runs = []
+        self.loop = Loop()
+        self.list_down = False
+        self.zones = ["za", "zb", "zc"]
+        self.list_addr = self.next_addr()
+        self.loop.run(self.start_list())
+        self.replicas = [Replica(self, "r%d" % i, self.zones[i % 3], slots) for i in range(replicas)]
+        for r in self.replicas:
+            self.loop.run(r.start())
+        ips = [self.next_ip() for _ in range(controls)]
+        self.seeds = ["%s:%d" % (ip, self.port) for ip in ips[:3]]
+        self.controls = [self.control("control-%d" % i, ip, self.zones[i % 3], True) for i, ip in enumerate(ips)]
+        self.fronts = [self.front("front-%d" % i, self.zones[i % 3]) for i in range(fronts)]
+        self.version = 0
+        self.acked = 0
+        for p in self.controls + self.fronts:
+            p.start()
+
+    def next_ip(self):
+        self.last += 1
+        return "%s.%d" % (self.net, self.last)
+
+    def next_addr(self):
+        return "%s:%d" % (self.next_ip(), self.port)
+
+    def control(self, name, ip, zone, bootstrap):
+        return Proc(self, "auburn-control", name, zone, {
+            "_ip": ip, "name": name, "zone": zone, "listen": "%s:%d" % (ip, self.port),
+            "data": os.path.join(self.dir, name), "controls": self.seeds, "rpc_port": self.port,
+            "link_port": self.port + 1, "operators": "%s:%d" % (ip, self.port + 2),
+            "upstream_list": self.list_addr, "tolerate": 1, "bootstrap": bootstrap, "ledger_groups": 0,
+            "replace_grace_ms": 1500, "election_ms": 300, "tick_ms": 10, "snapshot_entries": 100})
+
+    def front(self, name, zone):
+        ip = self.next_ip()
+        return Proc(self, "auburn-front", name, zone, {
+            "_ip": ip, "name": name, "zone": zone, "listen": "%s:%d" % (ip, self.port),
+            "ready": "%s:%d" % (ip, self.port + 2), "directory": "%s:%d" % (ip, self.port + 3),
+            "metrics": "%s:%d" % (ip, self.port + 4), "upstream_list": self.list_addr,
+            "controls": self.seeds, "rpc_port": self.port, "link_port": self.port + 1, "grace_s": 4})
+
+    async def start_list(self):
+        async def serve(reader, writer):
+            try:
+                while await read_message(reader):
+                    if self.list_down:
+                        await asyncio.sleep(5)
+                        break
+                    body = json.dumps({"instances": [r.entry() for r in self.replicas if r.state != "gone"]
+                                       + [{"id": "odd"}], "nextToken": None}).encode()
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+                    await writer.drain()
+            except (ConnectionError, asyncio.IncompleteReadError):
+                pass
+            writer.close()
+        ip, port = self.list_addr.split(":")
+        self.list_server = await asyncio.start_server(serve, ip, int(port))
+
+    # ---- callers ----
+
+    async def call(self, ip, port, method, target, headers=(), body=b"", timeout=10, events=None):
+        """One request on a fresh connection: (status, headers, body); status 0: no whole answer."""
+        writer = None
+        got = b""
+        status, rh = 0, {}
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(ip, port), 1)
+            head = "%s %s HTTP/1.1\r\nContent-Length: %d\r\n" % (method, target, len(body))
+            head += "".join("%s: %s\r\n" % h for h in headers) + "\r\n"
+            writer.write(head.encode() + body)
+
+            async def read():
+                nonlocal got, status, rh
+                line = (await reader.readline()).split()
+                if len(line) < 2:
+                    return 0
+                st = int(line[1])
+                while True:
+                    h = (await reader.readline()).decode("latin-1").rstrip("\r\n")
+                    if not h:
+                        break
+                    k, _, v = h.partition(":")
+                    rh[k.strip().lower()] = v.strip()
+                status = -st
+                if "content-length" in rh:
+                    got = await reader.readexactly(int(rh["content-length"]))
+                    return st
+                while True:
+                    size = int((await reader.readline()) or b"", 16)
+                    piece = await reader.readexactly(size)
+                    await reader.readexactly(2)
+                    if size == 0:
+                        return st
+                    got += piece
+                    if events is not None:
+                        events.append((time.time(), piece))
+            status = await asyncio.wait_for(read(), timeout)
+        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, ValueError):
+            status = 0
+        finally:
+            if writer:
+                writer.transport.abort()
+        return status, rh, got
+
+    async def stream(self, front, path, rid, wait_ms=5000, timeout=None, events=None):
+        return await self.call(front.ip, self.port, "POST", path, [
+            ("Host", HOST), ("Request-Id", rid), ("Deadline-Ms", wait_ms), ("Model", "m"),
+            ("Token-Usage", "450,200"), ("Prompt-Prefix", "aa:100,bb:100,%s:250" % rid)],
+            b"body of " + rid.encode(), timeout or wait_ms / 1000 + 1, events)
+
+    def config(self, version, **changes):
+        routes = [
+            {"name": "brief", "host": HOST, "pathPrefix": "/brief/", "kind": "stream", "timeoutMs": 5000,
+             "sloMs": 300, "priority": 0, "service": "llm", "attempts": 2, "sticky": True, "resumable": True,
+             "gapTargetMs": 400},
+            {"name": "alert", "host": HOST, "pathPrefix": "/alert/", "kind": "stream", "timeoutMs": 5000,
+             "sloMs": 300, "priority": 0, "service": "llm", "attempts": 1, "sticky": True, "resumable": False,
+             "gapTargetMs": 400},
+            {"name": "digest", "host": HOST, "pathPrefix": "/digest/", "kind": "batch", "timeoutMs": 15000,
+             "sloMs": 400, "priority": 2, "service": "llm", "attempts": 3, "dueMs": 18000, "retentionS": 60,
+             "maxQueued": changes.get("quota", 0)}]
+        if changes.get("extra"):
+            routes.append(dict(routes[0], name="extra", pathPrefix="/%s/" % changes["extra"]))
+        return {"version": version, "routes": routes, "services": [
+            {"name": "llm", "healthPath": "/health", "maxConns": 100, "proto": "h1", "tls": False,
+             "engine": {"slots": 4}}],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
+                       "idleTimeoutMs": 15000}}
+
+    async def put(self, control, conf):
+        s, _, _ = await self.call(control.ip, self.port + 2, "POST", "/config/put", [], json.dumps(conf).encode(), 3)
+        return s
+
+    async def get(self, control):
+        s, _, b = await self.call(control.ip, self.port + 2, "GET", "/config/get", [], b"", 3)
+        return json.loads(b) if s == 200 else None
+
+    async def submit(self, tries=40, **changes):
+        """Sends a new version until some control process acknowledges it."""
+        self.version += random.randint(1, 5)
+        conf = self.config(self.version, **changes)
+        for i in range(tries):
+            if await self.put(self.controls[i % len(self.controls)], conf) == 200:
+                self.acked = max(self.acked, conf["version"])
+                return conf["version"]
+            await asyncio.sleep(0.1)
+        return 0
+
+    async def ready(self, front):
+        return (await self.call(front.ip, self.port + 2, "GET", "/ready", [], b"", 1))[0] == 200
+
+    async def wait_ready(self, fronts=None, s=15):
+        end = time.time() + s
+        for f in fronts or self.fronts:
+            while not await self.ready(f):
+                if time.time() > end:
+                    raise AssertionError("%s isn't ready: %s" % (f.name, f.text()[-2000:]))
+                await asyncio.sleep(0.05)
+
+    async def entries(self, front):
+        s, _, b = await self.call(front.ip, self.port + 3, "GET", "/resolve?name=x&zone=za", [], b"", 1)
+        return json.loads(b)["addresses"] if s == 200 else []
+
+    def up(self, **changes):
+        self.loop.run(self.submit(**changes))
+        self.loop.run(self.wait_ready())
+
+    # ---- lots ----
+
+    def lot(self, n, lot=None, body=b"item body"):
+        lot = lot or "%08x" % random.getrandbits(32)
+        items = [{"id": "%s%02d" % (lot, i), "path": "/digest/%d" % i,
+                  "headers": {"Model": "m", "Token-Usage": "350,200"},
+                  "body": base64.b64encode(body + b"%d" % i).decode(), "tokens": 550} for i in range(n)]
+        return lot, items
+
+    async def open_lot(self, front, lot, items):
+        return (await self.call(front.ip, self.port, "POST", "/digest/" + lot,
+                                [("Host", HOST), ("Request-Id", lot)], json.dumps({"items": items}).encode(), 4))[0]
+
+    async def read_lot(self, front, lot, after=0, wait=0):
+        h = [("Host", HOST)] + ([("Wait-Ms", wait)] if wait else [])
+        s, _, b = await self.call(front.ip, self.port, "GET", "/lots/%s?after=%d" % (lot, after), h, b"", 4)
+        return s, json.loads(b) if s == 200 else None
+
+    async def read_whole(self, lot, s=30):
+        """All results once every item is listed, read in pieces from changing entries."""
+        end = time.time() + s
+        results, i = [], 0
+        while time.time() < end:
+            i += 1
+            st, r = await self.read_lot(self.fronts[i % len(self.fronts)], lot, len(results), 1000)
+            if st == 200:
+                results += r["results"]
+                if len(results) == r["total"]:
+                    return results
+            else:
+                await asyncio.sleep(0.1)
+        return results
+
+    async def end_lot(self, front, lot):
+        return (await self.call(front.ip, self.port, "DELETE", "/lots/" + lot, [("Host", HOST)], b"", 4))[0]
+
+    def whole_text(self, rid, events=None):
+        n = events or self.replicas[0].events
+        return "\n".join(event_text(rid, i) for i in range(1, n + 1))
+
+    def check_stream(self, rid, body, events=None):
+        n = events or self.replicas[0].events
+        want = "".join("id: %d\ndata: %s\n\n" % (i, event_text(rid, i)) for i in range(1, n + 1))
+        assert body.decode() == want, "%s: %r" % (rid, body)
+
+    def runs_of(self, rid):
+        return [r for r in self.runs if r["id"] == rid]
+
+    def leader(self):
+        for c in self.controls:
+            begun = c.text().count("event=dispatch_begins")
+            if c.p and c.p.poll() is None and begun > c.text().count("event=dispatch_ends"):
+                return c
+        return None
+
+    def unexpected_ends(self):
+        return [p.name for p in self.controls + self.fronts
+                if p.p and p.p.poll() is not None and not p.expected_end]
+
+    def close(self):
+        for p in self.fronts + self.controls:
+            p.stop()
+        for r in self.replicas:
+            self.loop.run(r.stop())
+        self.list_server.close()
+        self.loop.close()
+        if not os.environ.get("AUBURN_KEEP"):
+            shutil.rmtree(self.dir, ignore_errors=True)
--- /dev/null
+++ b/tests/proc/test_platform.py
@@ -0,0 +1,428 @@
+"""The whole path on the users' platform: real processes before stand-ins."""
+import asyncio
+import random
+import signal
+import time
+import unittest
+
+from platform_kit import HOST, Kit, Replica
+
+
+class Platform(unittest.TestCase):
+    kit_args = {}
+
+    def setUp(self):
+        self.kit = Kit(**self.kit_args)
+        self.addCleanup(self.kit.close)
+        self.kit.up()
+
+    def run_all(self, *coros):
+        async def go():
+            return await asyncio.gather(*coros)
+        return self.kit.loop.run(go())
+
+    def run_one(self, coro):
+        return self.kit.loop.run(coro)
+
+    def rid(self):
+        return "%016x" % random.getrandbits(64)
+
+
+class Online(Platform):
+    def test_a_stream_passes_unchanged(self):
+        rid = self.rid()
+        s, h, b = self.run_one(self.kit.stream(self.kit.fronts[0], "/brief/1?q=2", rid))
+        self.assertEqual(s, 200)
+        self.kit.check_stream(rid, b)
+        self.assertEqual(h["signature"], "sig-" + rid)
+        run, = self.kit.runs_of(rid)
+        self.assertEqual((run["target"], run["body"], run["model"], run["method"]),
+                         ("/brief/1?q=2", b"body of " + rid.encode(), "m", "POST"))
+        self.assertLessEqual(int(run["wait"]), 5000)
+
+    def test_events_arrive_as_they_are_made(self):
+        rid, events = self.rid(), []
+        self.run_one(self.kit.stream(self.kit.fronts[0], "/brief/1", rid, events=events))
+        self.assertGreaterEqual(len(events), 8)
+
+    def test_unknown_routes_are_404(self):
+        s, _, _ = self.run_one(self.kit.stream(self.kit.fronts[0], "/nothing/1", self.rid()))
+        self.assertEqual(s, 404)
+
+    def test_many_at_once_never_overfill_a_replica(self):
+        rids = [self.rid() for _ in range(12)]
+        got = self.run_all(*[self.kit.stream(self.kit.fronts[i % 2], "/brief/1", r) for i, r in enumerate(rids)])
+        for rid, (s, _, b) in zip(rids, got):
+            self.assertEqual(s, 200)
+            self.kit.check_stream(rid, b)
+        for r in self.kit.replicas:
+            spans = [(x["at"], x["ended"]) for x in self.kit.runs if x["replica"] == r.id]
+            for at, _ in spans:
+                self.assertLessEqual(sum(a <= at < e for a, e in spans), r.slots)
+
+    def test_a_stream_goes_on_elsewhere_behind_what_was_seen(self):
+        self.kit.replicas[0].cut_after = self.kit.replicas[1].cut_after = self.kit.replicas[2].cut_after = 4
+        rid = self.rid()
+        s, _, b = self.run_one(self.kit.stream(self.kit.fronts[0], "/brief/1", rid))
+        self.assertEqual(s, 0)  # both of its attempts were broken: the second one breaks the answer off
+        self.assertEqual([r["after"] for r in self.kit.runs_of(rid)], [0, 3])
+        for r in self.kit.replicas:
+            r.cut_after = None
+        self.kit.replicas[0].cut_after = 4
+        for _ in range(12):
+            rid = self.rid()
+            s, _, b = self.run_one(self.kit.stream(self.kit.fronts[0], "/brief/1", rid))
+            self.assertEqual(s, 200)
+            self.kit.check_stream(rid, b)
+            if len(self.kit.runs_of(rid)) == 2:
+                self.assertEqual(self.kit.runs_of(rid)[1]["after"], 3)
+                self.assertNotEqual(*[r["replica"] for r in self.kit.runs_of(rid)])
+                return
+        self.fail("no request met the replica that cuts")
+
+    def test_a_silent_replica_is_left_within_the_pause(self):
+        muted = self.kit.replicas[0]
+        muted.mute_after = 4
+        moved = 0
+        for _ in range(12):
+            rid, events = self.rid(), []
+            s, _, b = self.run_one(self.kit.stream(self.kit.fronts[0], "/brief/1", rid, events=events))
+            self.assertEqual(s, 200)
+            self.kit.check_stream(rid, b)
+            if len(self.kit.runs_of(rid)) == 2:
+                moved += 1
+                gaps = [b[0] - a[0] for a, b in zip(events, events[1:])]
+                self.assertLess(max(gaps), 0.4)
+                first, second = self.kit.runs_of(rid)
+                self.assertLess(first["ended"] - second["at"], 0.4)
+        self.assertGreater(moved, 0)
+
+    def test_what_may_not_be_resumed_runs_once(self):
+        for r in self.kit.replicas:
+            r.cut_after = 4
+        rid = self.rid()
+        s, _, _ = self.run_one(self.kit.stream(self.kit.fronts[0], "/alert/1", rid))
+        self.assertEqual(s, 0)
+        self.assertEqual(len(self.kit.runs_of(rid)), 1)
+
+    def test_a_full_replica_is_passed_over_and_a_refusal_is_true(self):
+        self.kit.replicas[0].full = self.kit.replicas[1].full = True
+        rid = self.rid()
+        s, _, b = self.run_one(self.kit.stream(self.kit.fronts[0], "/alert/1", rid))
+        self.assertEqual(s, 200)
+        self.kit.check_stream(rid, b)
+        self.kit.replicas[2].full = True
+        rid = self.rid()
+        s, h, _ = self.run_one(self.kit.stream(self.kit.fronts[0], "/alert/1", rid))
+        self.assertEqual(s, 503)
+        self.assertGreater(float(h["retry-after"]), 0)
+        for r in self.kit.replicas:
+            r.full = False
+        time.sleep(0.5)
+        self.assertEqual(self.kit.runs_of(rid), [])
+
+    def test_a_caller_that_leaves_ends_its_run(self):
+        for r in self.kit.replicas:
+            r.events = 200
+        rid = self.rid()
+        left = time.time() + 0.3
+        self.run_one(self.kit.stream(self.kit.fronts[0], "/brief/1", rid, timeout=0.3))
+        time.sleep(0.6)
+        run, = self.kit.runs_of(rid)
+        self.assertEqual(run["end"], "left")
+        self.assertLess(run["ended"] - left, 0.5)
+
+    def test_a_leaving_replica_gets_nothing_new(self):
+        gone = self.kit.replicas[0]
+        gone.state = "draining"
+        time.sleep(2.2)
+        n = len(self.kit.runs)
+        for _ in range(8):
+            self.run_one(self.kit.stream(self.kit.fronts[0], "/brief/1", self.rid()))
+        self.assertNotIn(gone.id, [r["replica"] for r in self.kit.runs[n:]])
+
+    def test_another_replica_at_an_address_runs_nothing_of_others(self):
+        self.kit.replicas[0].id = "i-other"
+        for _ in range(6):
+            s, _, _ = self.run_one(self.kit.stream(self.kit.fronts[0], "/brief/1", self.rid()))
+            self.assertEqual(s, 200)
+
+
+class Faults(Platform):
+    kit_args = {"fronts": 3}
+
+    def stream_for(self, seconds, path="/brief/1"):
+        async def go():
+            got, n, end = [], 0, time.time() + seconds
+
+            async def one(f, rid):
+                begun = time.time()
+                s, _, b = await self.kit.stream(f, path, rid)
+                got.append((rid, s, b, time.time() - begun, begun))
+            tasks = []
+            while time.time() < end:
+                tasks.append(asyncio.ensure_future(one(self.kit.fronts[n % len(self.kit.fronts)], self.rid())))
+                n += 1
+                await asyncio.sleep(0.06)
+            await asyncio.gather(*tasks)
+            return got
+        return asyncio.run_coroutine_threadsafe(go(), self.kit.loop.loop)
+
+    def check(self, got):
+        for rid, s, b, _, _ in got:
+            if s == 200:
+                self.kit.check_stream(rid, b)
+            if s in (429, 503):
+                self.assertEqual(self.kit.runs_of(rid), [], rid)
+
+    def test_the_leader_killed_or_frozen_interrupts_no_stream(self):
+        for sig in (signal.SIGKILL, signal.SIGSTOP):
+            leader = self.kit.leader()
+            f = self.stream_for(3)
+            time.sleep(1)
+            leader.signal(sig)
+            got = f.result(30)
+            self.check(got)
+            bad = [(s, d) for _, s, _, d, _ in got if s != 200 or d > 2]
+            self.assertEqual(bad, [])
+            leader.signal(signal.SIGCONT)
+            if sig == signal.SIGKILL:
+                leader.p.wait()
+                leader.start()
+            time.sleep(2)
+
+    def test_all_controls_killed_at_once_are_back_within_seconds(self):
+        for c in self.kit.controls:
+            c.stop()
+        for c in self.kit.controls:
+            c.start()
+        begun = time.time()
+        self.assertTrue(self.run_one(self.kit.submit(extra="new")))
+        self.assertLess(time.time() - begun, 3)
+        self.assertEqual(self.run_one(self.kit.get(self.kit.controls[0]))["version"], self.kit.acked)
+
+    def test_everything_killed_serves_again(self):
+        for p in self.kit.controls + self.kit.fronts:
+            p.stop()
+        for p in self.kit.controls + self.kit.fronts:
+            p.start()
+        self.run_one(self.kit.wait_ready())
+        rid = self.rid()
+        s, _, b = self.run_one(self.kit.stream(self.kit.fronts[0], "/brief/1", rid))
+        self.assertEqual(s, 200)
+        self.kit.check_stream(rid, b)
+
+    def test_a_planned_stop_interrupts_nothing(self):
+        front = self.kit.fronts[0]
+        f = self.stream_for(2)
+        time.sleep(1)
+        front.signal(signal.SIGTERM)
+        time.sleep(0.3)
+        self.assertFalse(self.run_one(self.kit.ready(front)))
+        self.assertNotIn("%s:%d" % (front.ip, self.kit.port), self.run_one(self.kit.entries(self.kit.fronts[1])))
+        got = f.result(30)
+        self.check(got)
+        self.assertEqual([s for _, s, _, _, _ in got if s != 200], [])
+        self.assertEqual(front.p.wait(8), 0)
+
+    def test_the_list_down_stops_nothing(self):
+        self.kit.list_down = True
+        got = self.stream_for(3).result(30)
+        self.check(got)
+        self.assertEqual([s for _, s, _, _, _ in got if s != 200], [])
+
+    def test_seeds_that_lost_their_disks_still_lead_to_the_leader(self):
+        """Restarted entries know only the seeds; none of these is a member any more."""
+        for i in range(3):
+            ip = self.kit.next_ip()
+            c = self.kit.control("extra-%d" % i, ip, self.kit.zones[i], False)
+            c.start()
+            self.kit.controls.append(c)
+        old = self.kit.controls[:3]
+        for c in old:
+            time.sleep(4)
+            c.stop()
+        time.sleep(5)
+        import shutil
+        for c in old:
+            shutil.rmtree(c.kit.dir + "/" + c.name)
+            with open(c.path) as f:
+                text = f.read().replace("bootstrap = true", "bootstrap = false")
+            with open(c.path, "w") as f:
+                f.write(text)
+        for p in self.kit.fronts + self.kit.controls[3:]:
+            p.stop()
+        for p in self.kit.fronts + self.kit.controls:
+            p.start()
+        self.run_one(self.kit.wait_ready())
+        self.assertEqual(self.run_one(self.kit.stream(self.kit.fronts[0], "/brief/1", self.rid()))[0], 200)
+
+
+class Text(Platform):
+    def test_versions_never_go_back_and_are_read_as_sent(self):
+        k = self.kit
+        old = k.version
+        self.run_one(k.submit(extra="new"))
+        for c in k.controls:
+            self.assertEqual(self.run_one(k.get(c)), k.config(k.version, extra="new"))
+        self.assertEqual(self.run_one(k.put(k.controls[0], k.config(old))), 200)
+        self.assertEqual(self.run_one(k.put(k.controls[1], k.config(k.version, extra="forged"))), 200)
+        self.assertEqual(self.run_one(k.get(k.controls[2])), k.config(k.version, extra="new"))
+        time.sleep(0.3)
+        for f in k.fronts:
+            self.assertEqual(self.run_one(k.stream(f, "/new/1", self.rid()))[0], 200)
+            self.assertEqual(self.run_one(k.stream(f, "/forged/1", self.rid()))[0], 404)
+
+    def test_wrong_texts_change_nothing(self):
+        k = self.kit
+        before = self.run_one(k.get(k.controls[0]))
+        bad = k.config(k.version + 10)
+        bad["routes"][0]["service"] = "nobody"
+        self.assertEqual(self.run_one(k.put(k.controls[0], bad)), 400)
+        bad = k.config(k.version + 10)
+        bad["routes"][0]["timeoutMs"] = 0
+        self.assertEqual(self.run_one(k.put(k.controls[1], bad)), 400)
+        self.assertEqual(self.run_one(k.get(k.controls[2])), before)
+
+    def test_two_operators_at_once_leave_the_highest(self):
+        k = self.kit
+        base = k.version
+        k.version += 20
+        got = self.run_all(*[k.put(k.controls[i % 3], k.config(base + 1 + i, extra="x%d" % i)) for i in range(6)])
+        self.assertEqual(set(got), {200})
+        self.assertEqual(self.run_one(k.get(k.controls[0])), k.config(base + 6, extra="x5"))
+
+
+class Lots(Platform):
+    kit_args = {"fronts": 3}
+
+    def test_a_lot_is_accepted_run_and_read(self):
+        k = self.kit
+        lot, items = k.lot(9)
+        self.assertEqual(self.run_one(k.open_lot(k.fronts[0], lot, items)), 202)
+        self.assertEqual(self.run_one(k.open_lot(k.fronts[1], lot, items)), 202)
+        results = self.run_one(k.read_whole(lot))
+        self.assertEqual(sorted(r["id"] for r in results), [i["id"] for i in items])
+        for r in results:
+            self.assertEqual((r["state"], r["output"]), ("completed", k.whole_text(r["id"])))
+        again = self.run_one(k.read_lot(k.fronts[2], lot))[1]
+        self.assertEqual(again["results"], results)
+
+    def test_items_that_can_never_be_done_end_dead(self):
+        k = self.kit
+        lot, items = k.lot(3)
+        for r in k.replicas:
+            r.fail_ids = {items[0]["id"]: 422, items[1]["id"]: 500}
+        self.run_one(k.open_lot(k.fronts[0], lot, items))
+        states = {r["id"]: r["state"] for r in self.run_one(k.read_whole(lot))}
+        self.assertEqual([states[i["id"]] for i in items], ["dead", "dead", "completed"])
+        self.assertEqual(len(k.runs_of(items[0]["id"])), 1)
+        self.assertEqual(len(k.runs_of(items[1]["id"])), 3)
+
+    def test_online_takes_the_places_of_items_which_go_on(self):
+        k = self.kit
+        for r in k.replicas:
+            r.events = 60
+        lot, items = k.lot(12)
+        self.run_one(k.open_lot(k.fronts[0], lot, items))
+        end = time.time() + 5
+        while len(k.runs) < 12:  # a new leader first waits for what entries run already
+            self.assertLess(time.time(), end)
+            time.sleep(0.05)
+        time.sleep(0.2)
+        rids = [self.rid() for _ in range(8)]
+        begun = time.time()
+        got = self.run_all(*[k.stream(k.fronts[i % 3], "/brief/1", r) for i, r in enumerate(rids)])
+        self.assertLess(time.time() - begun, 60 * 0.02 * 2.5)
+        for rid, (s, _, b) in zip(rids, got):
+            self.assertEqual(s, 200)
+            k.check_stream(rid, b, 60)
+        results = self.run_one(k.read_whole(lot))
+        self.assertEqual([r["output"] for r in results], [k.whole_text(r["id"], 60) for r in results])
+        self.assertTrue(any(r["after"] > 0 for i in items for r in k.runs_of(i["id"])))
+
+    def test_an_ended_lot_stops(self):
+        k = self.kit
+        for r in k.replicas:
+            r.events = 500
+        lot, items = k.lot(6)
+        self.run_one(k.open_lot(k.fronts[0], lot, items))
+        time.sleep(0.5)
+        self.assertEqual(self.run_one(k.end_lot(k.fronts[1], lot)), 200)
+        self.assertEqual(self.run_one(k.end_lot(k.fronts[2], lot)), 200)
+        time.sleep(1)
+        n = len(k.runs)
+        self.assertTrue(all(r["end"] == "left" for r in k.runs))
+        time.sleep(1)
+        self.assertEqual(len(k.runs), n)
+
+    def test_bodies_are_read_until_an_item_is_listed(self):
+        k = self.kit
+        for r in k.replicas:
+            r.events = 500
+        lot, items = k.lot(1)
+        self.run_one(k.open_lot(k.fronts[0], lot, items))
+
+        async def body():
+            return await k.call(k.fronts[1].ip, k.port, "GET", "/items/%s?id=%s" % (lot, items[0]["id"]),
+                                [("Host", HOST)])
+        s, _, b = self.run_one(body())
+        self.assertEqual((s, b), (200, b"item body0"))
+        self.assertEqual(self.run_one(k.read_lot(k.fronts[1], "nolot"))[0], 404)
+
+    def test_the_quota_refuses_what_does_not_fit(self):
+        k = self.kit
+        for r in k.replicas:
+            r.events = 500
+        self.run_one(k.submit(quota=1200))
+        time.sleep(0.3)
+        one, two = k.lot(2), k.lot(2)
+        self.assertEqual(self.run_one(k.open_lot(k.fronts[0], *one)), 202)
+        self.assertEqual(self.run_one(k.open_lot(k.fronts[1], *two)), 429)
+        self.run_one(k.end_lot(k.fronts[0], one[0]))
+        self.assertEqual(self.run_one(k.open_lot(k.fronts[1], *two)), 202)
+
+    def test_lots_outlive_their_entry_and_the_leader(self):
+        k = self.kit
+        for r in k.replicas:
+            r.events = 100
+        lot, items = k.lot(10)
+        self.assertEqual(self.run_one(k.open_lot(k.fronts[0], lot, items)), 202)
+        time.sleep(0.5)
+        k.fronts[0].stop()
+        k.leader().stop()
+        results = self.run_one(k.read_whole(lot, 40))
+        self.assertEqual(len(results), 10)
+        for r in results:
+            self.assertEqual((r["state"], r["output"]), ("completed", k.whole_text(r["id"], 100)))
+
+
+class Retire(Platform):
+    kit_args = {"controls": 4}
+
+    def test_a_control_process_is_emptied_and_the_rest_hold_all(self):
+        k = self.kit
+
+        async def order(node):
+            return (await k.call(k.controls[0].ip, k.port + 2, "POST", "/retire/%s/start" % node, [],
+                                 b'{"durationS":5}'))[0]
+
+        async def state(node):
+            return (await k.call(k.controls[3].ip, k.port + 2, "GET", "/retire/%s/get" % node))[2]
+        self.assertEqual(self.run_one(order("nobody")), 404)
+        lot, items = k.lot(4)
+        self.run_one(k.open_lot(k.fronts[0], lot, items))
+        leader = k.leader()
+        self.assertEqual(self.run_one(order(leader.name)), 200)
+        end = time.time() + 8
+        while b"completed" not in self.run_one(state(leader.name)):
+            self.assertLess(time.time(), end)
+            time.sleep(0.1)
+        leader.stop()
+        left = [c for c in k.controls if c is not leader]
+        self.assertEqual(self.run_one(order(left[0].name)), 409)
+        self.assertEqual(len(self.run_one(k.read_whole(lot))), 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/unit/test_log.c
@@ -0,0 +1,74 @@
+/* Unit tests of the log: bounded, and never waiting for its reader. */
+#include <check.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include "base/clk.h"
+#include "base/lg.h"
+#include "base/mx.h"
+
+/* Standard output becomes a pipe that nobody reads. */
+static int stdout_to_pipe(int fds[2])
+{
+	int kept = dup(STDOUT_FILENO);
+
+	ck_assert_int_eq(pipe(fds), 0);
+	dup2(fds[1], STDOUT_FILENO);
+	return kept;
+}
+
+START_TEST(a_reader_that_does_not_read_stops_nobody)
+{
+	static const char *const names[] = {"a", "b", "c", "d", "e", "f", "g", "h"};
+	int fds[2];
+	int kept = stdout_to_pipe(fds);
+	deadline_t begun = clk_now_ms();
+
+	lg_open("test", LG_INFO);
+	for (int i = 0; i < 8 * 200; i++)
+		lg(LG_INFO, names[i % 8],
+		   LG_C("filler", "0123456789012345678901234567890123456789"));
+	dup2(kept, STDOUT_FILENO);
+	ck_assert_int_lt(clk_now_ms() - begun, 2000);
+	ck_assert_int_gt(mx_value(mx_get(MX_COUNTER, "auburn_log_lines_lost_total", NULL)), 0);
+}
+END_TEST
+
+START_TEST(an_event_is_bounded_and_says_what_was_left_out)
+{
+	char buf[65536] = {0};
+	int fds[2];
+	int kept = stdout_to_pipe(fds);
+
+	lg_open("test", LG_INFO);
+	for (int i = 0; i < 1000; i++)
+		lg(LG_INFO, "busy", LG_I("i", i));
+	clk_sleep_ms(1100);
+	lg(LG_INFO, "busy", LG_I("i", 1000));
+	dup2(kept, STDOUT_FILENO);
+	fcntl(fds[0], F_SETFL, O_NONBLOCK);
+	ck_assert_int_gt(read(fds[0], buf, sizeof(buf) - 1), 0);
+	ck_assert_ptr_nonnull(strstr(buf, "event=busy i=0"));
+	ck_assert_ptr_null(strstr(buf, "event=busy i=900\n"));
+	ck_assert_ptr_nonnull(strstr(buf, "event=lines_left_out of=busy count="));
+	ck_assert_ptr_nonnull(strstr(buf, "event=busy i=1000"));
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("log");
+	TCase *t = tcase_create("all");
+	SRunner *r;
+	int failed;
+
+	tcase_add_test(t, a_reader_that_does_not_read_stops_nobody);
+	tcase_add_test(t, an_event_is_bounded_and_says_what_was_left_out);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_ENV);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? 1 : 0;
+}
