--- a/src/client/la.h
+++ b/src/client/la.h
@@ -5,10 +5,9 @@
 #include "net/hl.h"
 #include "proto/lw_xdr.h"
 
-/** Callers keep the answer this long, in ms: the longest that the platform lets count. A caller
- * then seldom meets a directory that has just gone dark; an entry that stops serves on for longer.
- */
-#define LA_KEEP_MS 5000
+/** Callers keep the answer this long, in ms; some keep it three times as long, which is still less
+ * than an entry that stops goes on serving. */
+#define LA_KEEP_MS 2000
 
 void la_answer(hl_conn_t *c, const hl_request_t *r, const lw_view_t *view);
 
--- a/src/control/cn_hub_http.c
+++ b/src/control/cn_hub_http.c
@@ -3,6 +3,7 @@
 #include "base/lg.h"
 #include "base/mx.h"
 #include "client/la.h"
+#include "client/rc.h"
 #include "control/cn_hub.h"
 #include "platform/pf.h"
 
@@ -102,7 +103,7 @@
 	lw_what_t what = {.kind = LW_CALL_SUBMIT};
 	ru_t *routes = NULL;
 
-	if (pf_conf_decode(body, &routes) != ST_OK) {
+	if (rc_decode(body, 0, &routes) != ST_OK) {
 		lg(LG_WARN, "text_refused", LG_I("bytes", body.n), LG_C("reason", st_message()));
 		MX_COUNT("auburn_texts_refused_total");
 		hl_reply(conn, 400, STR(""), str_c(st_message()));
--- a/src/control/cn_hub_text.c
+++ b/src/control/cn_hub_text.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 #include "base/lg.h"
 #include "base/mx.h"
+#include "client/rc.h"
 #include "control/cn_hub.h"
-#include "platform/pf.h"
 
 /** A change or read that takes longer, in ms, gets no clear answer: its caller asks another node.
  */
@@ -42,12 +42,12 @@
 	return st;
 }
 
-static uint64_t version_of(str_t text)
+static uint64_t version_of(str_t text, uint64_t number)
 {
 	ru_t *r = NULL;
 	uint64_t version;
 
-	if (pf_conf_decode(text, &r) != ST_OK)
+	if (rc_decode(text, number, &r) != ST_OK)
 		return 0;
 	version = r->version;
 	ru_free(r);
@@ -64,7 +64,8 @@
 
 	if (st != ST_OK)
 		return st;
-	if (c->head.conf.number && c->version <= version_of(px_str(c->head.conf.text)))
+	if (c->head.conf.number &&
+	    c->version <= version_of(px_str(c->head.conf.text), c->head.conf.number))
 		return ST_OK;
 	s->number = c->head.conf.number + 1;
 	s->text = px_bytes((str_t){c->text, c->text_n});
@@ -116,7 +117,7 @@
 
 	if (what->kind == LW_CALL_SUBMIT) {
 		text = px_str(what->lw_what_t_u.text);
-		version = version_of(text);
+		version = version_of(text, 0);
 		if (version == 0) {
 			hub_reply_status(h, from, ST_INVALID);
 			return;
--- a/src/control/cn_hub_view.c
+++ b/src/control/cn_hub_view.c
@@ -3,8 +3,8 @@
 #include <string.h>
 #include "base/lg.h"
 #include "base/mx.h"
+#include "client/rc.h"
 #include "control/cn_hub.h"
-#include "platform/pf.h"
 
 /** Entries that were known before this process began to lead count this long, in ms, until they
  * have linked themselves. */
@@ -231,7 +231,7 @@
 	n.res.conf = (aw_conf_t){0};
 	px_free(PX(aw_query_res_t), &n.res);
 	h->conf_number = h->conf.number;
-	if (pf_conf_decode(px_str(h->conf.text), &routes) != ST_OK) {
+	if (rc_decode(px_str(h->conf.text), h->conf.number, &routes) != ST_OK) {
 		lg(LG_ERROR, "text_unreadable", LG_I("number", h->conf.number),
 		   LG_C("what", st_message()));
 		return;
--- a/src/ctl/ct_config.c
+++ b/src/ctl/ct_config.c
@@ -1,8 +1,8 @@
 #include <stdio.h>
 #include <string.h>
 #include "base/ar.h"
+#include "client/rc.h"
 #include "ctl/ct.h"
-#include "state/tx.h"
 
 #define PATH_BYTES 128
 
@@ -16,12 +16,11 @@
 int ct_config_check(ct_t *ct)
 {
 	AUTO_BUF text = {0};
-	tx_text_t *t = NULL;
+	AUTO_RU *routes = NULL;
 	status_t st = read_text(ct, &text);
 
 	if (st == ST_OK)
-		st = tx_parse(str_buf(&text), &t);
-	tx_free(t);
+		st = rc_decode(str_buf(&text), 0, &routes);
 	if (st != ST_OK) {
 		fprintf(stderr, "auburnctl: %s\n", st_message());
 		return AR_FAILED;
--- a/src/front/fr_link.c
+++ b/src/front/fr_link.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include "base/lg.h"
 #include "base/mx.h"
+#include "client/rc.h"
 #include "front/fr.h"
 
 /** Without a leader for this long, in ms, this process reads the list of replicas itself, on a
@@ -65,7 +66,7 @@
 	ru_t *r = NULL;
 	hl_limits_t limits;
 
-	if (pf_conf_decode(px_str(m->text), &r) != ST_OK) {
+	if (rc_decode(px_str(m->text), m->number, &r) != ST_OK) {
 		lg(LG_ERROR, "text_unreadable", LG_I("number", m->number),
 		   LG_C("what", st_message()));
 		return;
--- a/src/state/tx.c
+++ b/src/state/tx.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
-#include "base/cf.h"
+#include "state/tx_core.h"
 
 #define RETENTION_S_DEFAULT   86400
 #define RETENTION_S_MAX	      (366LL * 86400)
@@ -49,6 +49,7 @@
 		service_free(&t->services[i]);
 	for (size_t i = 0; i < t->nlimits; i++)
 		free(t->limits[i].caller);
+	ru_free(t->routes);
 	free(t->default_limit.caller);
 	free(t->services);
 	free(t->limits);
@@ -285,7 +286,7 @@
 		{"weight_loads_per_min", CF_INT, false, 1, RATE_MAX, &t->weight_loads_per_min},
 		{0},
 	};
-	const char *const sub[] = {"service", "limit", NULL};
+	const char *const sub[] = {"service", "limit", "route", NULL};
 	status_t st = cf_read(c, cf_root(c), keys, sub);
 
 	if (st == ST_OK)
@@ -294,6 +295,8 @@
 		st = read_limits(c, t);
 	if (st == ST_OK)
 		st = check_dependencies(c, t);
+	if (st == ST_OK)
+		st = tx_read_routes(c, t);
 	return st;
 }
 
--- a/src/state/tx.h
+++ b/src/state/tx.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 #include "base/status.h"
 #include "base/str.h"
+#include "state/ru.h"
 
 typedef enum { TX_ENGINE, TX_PLAIN } tx_kind_t;
 
@@ -46,6 +47,7 @@
 	tx_limit_t *limits;
 	size_t nlimits;
 	tx_limit_t default_limit;
+	ru_t *routes; /* never NULL; may hold none */
 } tx_text_t;
 
 /** Parses and checks: unknown keys, wrong types, bounds, unknown or circular dependencies.
--- a/tests/unit/test_text.c
+++ b/tests/unit/test_text.c
@@ -103,6 +103,77 @@
 }
 END_TEST
 
+static const char routed[] = "[[service]]\n"
+			     "name = \"llm\"\n"
+			     "slots = 6\n"
+			     "[[service]]\n"
+			     "name = \"llm-next\"\n"
+			     "[[route]]\n"
+			     "name = \"brief\"\n"
+			     "host = \"desk.example\"\n"
+			     "prefix = \"/brief/\"\n"
+			     "kind = \"stream\"\n"
+			     "services = [\"llm=90\", \"llm-next=10\"]\n"
+			     "objective_ms = 300\n"
+			     "resumable = true\n"
+			     "[[route]]\n"
+			     "name = \"digest\"\n"
+			     "host = \"desk.example\"\n"
+			     "prefix = \"/digest/\"\n"
+			     "kind = \"batch\"\n"
+			     "services = [\"llm\"]\n"
+			     "retention_s = 60\n"
+			     "waiting_tokens_max = 2500000\n";
+
+START_TEST(routes_are_read)
+{
+	tx_text_t *t = NULL;
+	const ru_route_t *r;
+
+	ck_assert_int_eq(tx_parse(str_c(routed), &t), ST_OK);
+	ck_assert_uint_eq(t->routes->nroutes, 2);
+	r = ru_match(t->routes, STR("desk.example"), STR("/brief/7"));
+	ck_assert_str_eq(r->name, "brief");
+	ck_assert_int_eq(r->kind, RU_STREAM);
+	ck_assert_int_eq(r->objective_ms, 300);
+	ck_assert(r->resumable);
+	ck_assert_uint_eq(r->nshares, 2);
+	ck_assert_str_eq(r->shares[1].service, "llm-next");
+	ck_assert_int_eq(r->shares[1].weight, 10);
+	ck_assert_int_eq(t->routes->routes[1].retention_ms, 60000);
+	ck_assert_int_eq(ru_service(t->routes, STR("llm"))->slots, 6);
+	tx_free(t);
+}
+END_TEST
+
+static const struct {
+	const char *was;
+	const char *is;
+	const char *message;
+} route_faults[] = {
+	{"services = [\"llm\"]", "services = [\"nobody\"]", "service \"nobody\" does not exist"},
+	{"services = [\"llm=90\", \"llm-next=10\"]", "services = [\"llm=0\"]", "add up to 0"},
+	{"/digest/", "/brief/", "share host and prefix"},
+	{"/digest/", "digest", "begin and end with a slash"},
+	{"kind = \"batch\"", "kind = \"bulk\"", "text:18: kind: unknown kind \"bulk\""},
+	{"objective_ms = 300", "timeout_ms = 0", "text:12: timeout_ms"},
+	{"objective_ms = 300", "objctive_ms = 300", "objctive_ms"},
+};
+
+START_TEST(a_wrong_route_is_refused)
+{
+	AUTO_BUF b = {0};
+	const char *at = strstr(routed, route_faults[_i].was);
+	tx_text_t *t = NULL;
+
+	buf_add(&b, (str_t){routed, (size_t)(at - routed)});
+	buf_add(&b, str_c(route_faults[_i].is));
+	buf_add(&b, str_c(at + strlen(route_faults[_i].was)));
+	ck_assert_int_eq(tx_parse(str_buf(&b), &t), ST_INVALID);
+	ck_assert_msg(strstr(st_message(), route_faults[_i].message), "%s", st_message());
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("text");
@@ -115,6 +186,9 @@
 	tcase_add_test(t, empty_text_has_defaults);
 	tcase_add_loop_test(t, error_names_line_and_key, 0, sizeof(wrong) / sizeof(wrong[0]));
 	tcase_add_test(t, digest_tells_texts_apart);
+	tcase_add_test(t, routes_are_read);
+	tcase_add_loop_test(t, a_wrong_route_is_refused, 0,
+			    sizeof(route_faults) / sizeof(route_faults[0]));
 	srunner_run_all(r, CK_ENV);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
