--- a/src/control/cn.h
+++ b/src/control/cn.h
@@ -37,7 +37,6 @@
 	int64_t link_port; /* where control processes take links; 0: no hub */
 	int64_t tolerate; /* VMs with a disk that may be lost at once; 0: one voter for each of
 			     `controls` */
-	int64_t drain_ms; /* a planned stop ends by then */
 	int64_t lot_ttl_ms; /* results of a lot are readable this long after its acceptance */
 	bool bootstrap;
 	int64_t ledger_groups;
--- a/src/control/cn_hub.h
+++ b/src/control/cn_hub.h
@@ -118,6 +118,7 @@
 	uint64_t peer_id;
 	ds_t *ds;
 	deadline_t list_at; /* next read of the list */
+	deadline_t list_read; /* when it was read last, here or by the leader before */
 	lw_view_t view; /* newest known: own list, or the leader's */
 	bool view_changed;
 	aw_conf_t conf; /* newest known text */
--- a/src/control/cn_hub_dispatch.c
+++ b/src/control/cn_hub_dispatch.c
@@ -25,6 +25,17 @@
 	MX_COUNT("auburn_granted_total");
 }
 
+static void log_refusal(hub_t *h, const hub_peer_t *p, uint64_t number, int64_t retry_ms)
+{
+	ds_stats_t st;
+
+	ds_stats(h->ds, &st);
+	lg(LG_INFO, "place_refused", LG_C("entry", p->name), LG_I("number", number),
+	   LG_I("retry_ms", retry_ms), LG_I("replicas", st.replicas), LG_I("places", st.slots),
+	   LG_I("online", st.online), LG_I("items", st.items), LG_I("waiting", st.asks_waiting),
+	   LG_I("list_age_ms", clk_now_ms() - h->list_read));
+}
+
 static void on_refuse(void *ctx, uint64_t entry, uint64_t request, int64_t retry_ms)
 {
 	lw_msg_t m = {.kind = LW_REFUSE};
@@ -35,6 +46,7 @@
 	m.lw_msg_t_u.refuse.request = request;
 	m.lw_msg_t_u.refuse.retry_ms = (int)retry_ms;
 	hub_send(p, &m);
+	log_refusal(ctx, p, request, retry_ms);
 	MX_COUNT("auburn_refused_total");
 }
 
@@ -386,6 +398,7 @@
 			item_over(h, it, true, (str_t){"", 0}, "failed at every attempt");
 			return;
 		}
+		ds_item_avoid(it->run, px_str(m->replica));
 		break;
 	default:
 		break;
@@ -396,8 +409,9 @@
 		buf_add(&it->text, px_str(m->text));
 	}
 	lg(LG_INFO, "item_back", LG_C("lot", it->lot->id), LG_I("item", it->index),
-	   LG_I("outcome", m->outcome), LG_S("replica", px_str(m->replica)),
-	   LG_I("events", it->events), LG_I("failures", it->failures));
+	   LG_C("outcome", ds_outcome_name((ds_outcome_t)m->outcome)),
+	   LG_S("replica", px_str(m->replica)), LG_I("events", it->events),
+	   LG_I("failures", it->failures));
 	ds_item_back(h->ds, it->run, (ds_outcome_t)m->outcome, clk_now_ms());
 }
 
--- a/src/control/cn_hub_view.c
+++ b/src/control/cn_hub_view.c
@@ -88,6 +88,7 @@
 
 	if (h->role != HUB_LEADS)
 		return;
+	h->list_read = clk_now_ms();
 	if (compare(&h->view, v)) {
 		lw_view_t old = {.upstreams = h->view.upstreams};
 
@@ -131,6 +132,7 @@
 	lw_msg_t m = {.kind = LW_VIEW};
 
 	m.lw_msg_t_u.view = h->view;
+	m.lw_msg_t_u.view.age_ms = (u_int)(clk_now_ms() - h->list_read);
 	hub_send(p, &m);
 }
 
@@ -194,6 +196,7 @@
 		lw_view_t old = h->view;
 
 		h->view = own.lw_msg_t_u.view;
+		h->list_read = clk_now_ms() - h->view.age_ms;
 		own.lw_msg_t_u.view = old;
 	}
 	px_free(PX(lw_msg_t), &own);
--- a/src/control/cn_settings.c
+++ b/src/control/cn_settings.c
@@ -11,7 +11,6 @@
 #define DEFAULT_PLATFORM_POLL_MS 1000
 #define DEFAULT_SNAPSHOT_ENTRIES 20000
 #define DEFAULT_SNAPSHOT_MIB	 64
-#define DEFAULT_DRAIN_MS	 5000
 #define DEFAULT_LOT_TTL_MS	 120000
 #define ROUTES_MAX		 64
 #define PORT_MAX		 65535
@@ -76,7 +75,6 @@
 		{"rpc_port", CF_INT, false, 1, PORT_MAX, &s->rpc_port},
 		{"link_port", CF_INT, false, 1, PORT_MAX, &s->link_port},
 		{"tolerate", CF_INT, false, 0, (GR_PEERS_MAX - 1) / 2, &s->tolerate},
-		{"drain_ms", CF_INT, false, 0, 600000, &s->drain_ms},
 		{"lot_ttl_ms", CF_INT, false, 1000, 86400000, &s->lot_ttl_ms},
 		{"bootstrap", CF_BOOL, false, 0, 0, &s->bootstrap},
 		{"ledger_groups", CF_INT, false, 0, CN_GROUPS_MAX - 1, &s->ledger_groups},
@@ -101,7 +99,6 @@
 		.platform_poll_ms = DEFAULT_PLATFORM_POLL_MS,
 		.snapshot_entries = DEFAULT_SNAPSHOT_ENTRIES,
 		.snapshot_mib = DEFAULT_SNAPSHOT_MIB,
-		.drain_ms = DEFAULT_DRAIN_MS,
 		.lot_ttl_ms = DEFAULT_LOT_TTL_MS,
 	};
 	st = cf_load(path, &c);
--- a/src/front/fb.c
+++ b/src/front/fb.c
@@ -24,6 +24,8 @@
 	fb_t *next;
 };
 
+static const char *const end_names[] = {"done", "impossible", "failed", "back"};
+
 static void fb_free(fb_t *b)
 {
 	if (b->run)
@@ -58,7 +60,8 @@
 	b->outcome = outcome;
 	lg(LG_INFO, "item_end", LG_S("lot", px_str(b->m.job)), LG_I("item", b->m.item),
 	   LG_S("request", px_str(b->m.id)), LG_S("replica", px_str(b->m.replica)),
-	   LG_I("end", end), LG_I("outcome", outcome), LG_I("events", b->events));
+	   LG_C("end", end_names[end]), LG_C("outcome", ds_outcome_name(outcome)),
+	   LG_I("events", b->events));
 	if (ll_is_up(b->f->leader))
 		tell(b);
 }
--- a/src/front/fo.c
+++ b/src/front/fo.c
@@ -21,9 +21,6 @@
 /** Retry-After of a refusal that has no better figure, in ms. */
 #define RETRY_MS 200
 
-static const char *const outcome_names[] = {"ok",     "full",	"gone", "broken",
-					    "silent", "failed", "left"};
-
 static bool repeatable(const fo_t *o)
 {
 	return o->kind == RU_REPEATABLE || (o->kind == RU_STREAM && o->resumable);
@@ -34,6 +31,7 @@
 	lg(LG_INFO, "request_end", LG_S("request", o->call.id), LG_I("number", o->number),
 	   LG_C("outcome", outcome), LG_I("status", status), LG_C("replica", o->replica),
 	   LG_I("ms", clk_now_ms() - o->r.received), LG_I("first_ms", o->first_ms),
+	   LG_C("placed_by", o->f->local ? "entry" : "leader"), LG_I("wait_ms", o->place_ms),
 	   LG_I("tries", o->tries), LG_I("not_run", o->not_run), LG_I("events", o->last_event),
 	   LG_I("text", o->f->routes_version));
 	mx_record(mx_get(MX_HISTOGRAM, "auburn_request_ms", NULL), clk_now_ms() - o->r.received);
@@ -113,7 +111,7 @@
 
 	fr_ended(o->f, o, how);
 	lg(LG_INFO, "try_failed", LG_S("request", o->call.id), LG_C("replica", o->replica),
-	   LG_C("outcome", outcome_names[how]), LG_I("tries", o->tries),
+	   LG_C("outcome", ds_outcome_name(how)), LG_I("tries", o->tries),
 	   LG_I("events", o->last_event), LG_I("ms", clk_now_ms() - o->granted));
 	note_avoid(o);
 	if (ran)
@@ -124,11 +122,11 @@
 	o->headers.n = 0;
 	o->body.n = 0;
 	if (ran && (!repeatable(o) || o->tries >= o->attempts)) {
-		give_up(o, outcome_names[how]);
+		give_up(o, ds_outcome_name(how));
 		return;
 	}
 	if (!ran && o->not_run >= NOT_RUN_MAX) {
-		give_up(o, outcome_names[how]);
+		give_up(o, ds_outcome_name(how));
 		return;
 	}
 	ask(o);
@@ -273,6 +271,7 @@
 	snprintf(o->replica, sizeof(o->replica), "%.*s", STR_ARG(replica));
 	o->state = FO_RUNNING;
 	o->granted = clk_now_ms();
+	o->place_ms += o->granted - o->asked;
 	o->tries++;
 	if (addr.n == 0) {
 		next_try(o, DS_GONE);
--- a/src/front/fr.h
+++ b/src/front/fr.h
@@ -156,7 +156,8 @@
 	buf_t body;
 	deadline_t asked;
 	deadline_t granted;
-	int64_t first_ms;
+	int64_t first_ms; /* until its first byte; -1: none came */
+	int64_t place_ms; /* waited for places, all tries */
 	UT_hash_handle hh;
 };
 
--- a/src/policy/ds.c
+++ b/src/policy/ds.c
@@ -16,6 +16,14 @@
 /** A replica that said it was full gets nothing for this long, in ms: a few steps of its engine. */
 #define FULL_MS 40
 
+const char *ds_outcome_name(ds_outcome_t how)
+{
+	static const char *const names[] = {"ok",     "full",	"gone", "broken",
+					    "silent", "failed", "left"};
+
+	return (size_t)how < sizeof(names) / sizeof(names[0]) ? names[how] : "unknown";
+}
+
 ds_t *ds_new(const ds_callbacks_t *cb, uint64_t random_seed)
 {
 	ds_t *d = mem_new(sizeof(*d));
@@ -39,6 +47,7 @@
 static void item_free(ds_item_t *it)
 {
 	free(it->service);
+	free(it->avoid);
 	free(it);
 }
 
@@ -336,6 +345,12 @@
 	set_str(&it->service, service);
 }
 
+void ds_item_avoid(ds_item_t *it, str_t replica)
+{
+	free(it->avoid);
+	it->avoid = str_dup(replica);
+}
+
 bool ds_item_has_service(const ds_item_t *it)
 {
 	return it->service[0] != 0;
--- a/src/policy/ds.h
+++ b/src/policy/ds.h
@@ -30,6 +30,8 @@
 	DS_LEFT /* the caller left, or the run was stopped */
 } ds_outcome_t;
 
+const char *ds_outcome_name(ds_outcome_t how);
+
 typedef struct {
 	void *ctx;
 	void (*grant)(void *ctx, uint64_t entry, uint64_t request, str_t replica);
@@ -94,6 +96,8 @@
 void ds_item_service(ds_item_t *it, str_t service);
 bool ds_item_has_service(const ds_item_t *it);
 bool ds_item_is_waiting(const ds_item_t *it);
+/** The item failed at this replica: its next run goes to another one if there is a place. */
+void ds_item_avoid(ds_item_t *it, str_t replica);
 /** True when no entry that is there runs it. */
 bool ds_item_may_adopt(const ds_item_t *it, deadline_t now);
 /** The item needs no further run; a run of it is stopped unless it has ended. */
--- a/src/policy/ds_core.h
+++ b/src/policy/ds_core.h
@@ -57,6 +57,7 @@
 
 struct ds_item {
 	char *service;
+	char *avoid; /* replica that it failed at last; NULL: none */
 	deadline_t due;
 	void *data;
 	item_state_t state;
--- a/src/policy/ds_pick.c
+++ b/src/policy/ds_pick.c
@@ -114,17 +114,25 @@
 	return best;
 }
 
+static bool failed_there(const ds_item_t *it, const replica_t *r)
+{
+	return it->avoid && strcmp(it->avoid, r->id) == 0;
+}
+
 replica_t *ds_pick_for_item(ds_t *d, const ds_item_t *it, deadline_t now)
 {
 	replica_t *best = NULL;
+	replica_t *last = NULL;
 
 	for (replica_t *r = d->replicas; r; r = r->hh.next) {
 		if (!usable(r, it->service, now) || now < r->full_until || used(r) >= places(r))
 			continue;
-		if (!best || used(r) * best->slots < used(best) * r->slots)
+		if (failed_there(it, r))
+			last = r;
+		else if (!best || used(r) * best->slots < used(best) * r->slots)
 			best = r;
 	}
-	return best;
+	return best ? best : last;
 }
 
 entry_t *ds_pick_entry(ds_t *d, const replica_t *r)
--- a/tests/proc/test_platform.py
+++ b/tests/proc/test_platform.py
@@ -148,6 +148,26 @@
             self.assertEqual(s, 200)
 
 
+class Scarce(Platform):
+    kit_args = {"replicas": 2, "slots": 1}
+
+    def test_a_request_that_lost_its_replica_waits_for_another(self):
+        k = self.kit
+        for r in k.replicas:
+            r.events = 40
+
+        async def go():
+            first = asyncio.ensure_future(k.stream(k.fronts[0], "/brief/1", self.rid()))
+            while not k.runs:
+                await asyncio.sleep(0.01)
+            for r in k.replicas:
+                r.cut_after = None if r.id == k.runs[0]["replica"] else 1
+            other = await k.stream(k.fronts[0], "/brief/1", self.rid())
+            return await first, other
+        for s, _, _ in self.run_one(go()):
+            self.assertEqual(s, 200)
+
+
 class Faults(Platform):
     kit_args = {"fronts": 3}
 
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -343,6 +343,26 @@
 }
 END_TEST
 
+START_TEST(an_item_that_failed_at_a_replica_is_run_at_another)
+{
+	ds_t *d = fresh(2, 1);
+	int data;
+	ds_item_t *it = ds_item_add(d, STR("s"), 9000, &data);
+
+	ds_tick(d, 0);
+	ds_item_avoid(it, str_c(effects[0].replica));
+	ds_item_back(d, it, DS_LEFT, 10);
+	ck_assert_int_eq(neffects, 2);
+	ck_assert_str_ne(effects[1].replica, effects[0].replica);
+	/* Where there is no other, it is tried there again. */
+	ask(d, 1, 20);
+	ds_item_avoid(it, str_c(effects[1].replica));
+	ds_item_back(d, it, DS_LEFT, 30);
+	ck_assert_int_eq(effects[neffects - 1].what, 'R');
+	ds_free(d);
+}
+END_TEST
+
 START_TEST(the_replica_that_read_a_prompt_gets_its_like)
 {
 	ds_t *d = fresh(4, 4);
@@ -530,15 +550,18 @@
 		play_requests(p);
 		play_items(p);
 		owed += x * PLAY_MEAN_PER_S * (high ? PLAY_HIGH : PLAY_LOW) / 1000.0;
-		for (; owed >= 1; owed--)
+		while (owed >= 1) {
 			play_ask(p, false);
+			owed -= 1;
+		}
 		owed_items += items * PLAY_ITEM_S / 1000.0;
-		for (; owed_items >= 1 && p->now < PLAY_MS - PLAY_DUE_MS; owed_items--) {
+		while (owed_items >= 1 && p->now < PLAY_MS - PLAY_DUE_MS) {
 			item_t *it = &p->items[p->nitems++];
 
 			it->due = p->now + PLAY_DUE_MS;
 			it->left = PLAY_ITEM_MS;
 			it->it = ds_item_add(p->d, STR("s"), it->due, it);
+			owed_items -= 1;
 		}
 		ds_tick(p->d, p->now);
 	}
@@ -592,6 +615,7 @@
 	SRunner *r;
 	int failed;
 
+	tcase_set_timeout(t, 60);
 	tcase_add_test(t, a_free_place_of_the_own_zone_is_granted);
 	tcase_add_test(t, no_replica_gets_more_than_it_runs_at_once);
 	tcase_add_test(t, an_online_request_takes_the_place_of_the_item_due_last);
@@ -607,6 +631,7 @@
 	tcase_add_test(t, items_of_a_lost_entry_wait_for_it_then_run_elsewhere);
 	tcase_add_test(t, an_entry_that_comes_back_keeps_its_item);
 	tcase_add_test(t, items_are_held_back_until_entries_have_told_what_they_run);
+	tcase_add_test(t, an_item_that_failed_at_a_replica_is_run_at_another);
 	tcase_add_test(t, the_replica_that_read_a_prompt_gets_its_like);
 	tcase_add_test(t, the_sheets_load_is_served_in_time_beside_batch);
 	tcase_add_test(t, goodput_does_not_fall_at_twice_and_four_times_the_load);
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -284,7 +284,7 @@
 	socklen_t n = sizeof(sa);
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-	bind(fd, (struct sockaddr *)&sa, sizeof(sa));
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
 	getsockname(fd, (struct sockaddr *)&sa, &n);
 	close(fd);
 	return ntohs(sa.sin_port);
