--- a/src/control/cn.h
+++ b/src/control/cn.h
@@ -115,6 +115,8 @@
 /** Decides how to open the data folder; asks the other control processes when it is new. */
 cn_boot_t cn_boot_decide(cn_t *cn, bool bootstrap);
 
+/** True when the operators want this replica of group 0 emptied. */
+bool cn_is_retired(cn_t *cn, uint64_t replica);
 /** Voters that group 0 is to have. */
 unsigned cn_voters(const cn_t *cn);
 
--- a/src/control/cn_hub_retire.c
+++ b/src/control/cn_hub_retire.c
@@ -99,26 +99,6 @@
 	return 0;
 }
 
-typedef struct {
-	uint64_t id;
-	bool retired;
-} look_t;
-
-static void look(cn_group_t *g, void *arg)
-{
-	look_t *l = arg;
-
-	l->retired = fl_is_retired(g->fl, l->id);
-}
-
-static bool is_retired(hub_t *h, uint64_t id)
-{
-	look_t l = {.id = id};
-
-	cn_group_read(&h->cn->groups[0], look, &l);
-	return l.retired;
-}
-
 /* Control processes that would be left to vote. */
 static unsigned left_without(hub_t *h, uint64_t replica)
 {
@@ -126,9 +106,9 @@
 	unsigned n;
 
 	gr_status(h->cn->groups[0].gr, &st);
-	n = st.self != replica && !is_retired(h, st.self);
+	n = st.self != replica && !cn_is_retired(h->cn, st.self);
 	for (hub_peer_t *p = h->peers; p; p = p->hh.next)
-		n += p->control[0] && p->replica != replica && !is_retired(h, p->replica);
+		n += p->control[0] && p->replica != replica && !cn_is_retired(h->cn, p->replica);
 	return n;
 }
 
@@ -152,7 +132,7 @@
 			       st_fail(ST_NOT_FOUND, "no VM with this name is known"));
 			return;
 		}
-		if (!is_retired(h, replica) && left_without(h, replica) < cn_voters(h->cn)) {
+		if (!cn_is_retired(h->cn, replica) && left_without(h, replica) < cn_voters(h->cn)) {
 			refuse(h, from, node, st_fail(ST_CONFLICT, "too few VMs would be left"));
 			return;
 		}
--- a/src/control/cn_repair.c
+++ b/src/control/cn_repair.c
@@ -69,8 +69,7 @@
 	r->retired = fl_is_retired(g->fl, r->id);
 }
 
-/* The operators want this replica emptied. */
-static bool is_retired(cn_t *cn, uint64_t id)
+bool cn_is_retired(cn_t *cn, uint64_t id)
 {
 	retired_t r = {.id = id};
 
@@ -136,7 +135,7 @@
 		bool better;
 
 		if (is_voter_addr(st, v[i].addr) || peer_by_id(st, v[i].id) ||
-		    is_retired(cn, v[i].id))
+		    cn_is_retired(cn, v[i].id))
 			continue;
 		better = zone ? strcmp(v[i].zone, zone) == 0
 			      : voters_in(st, v[i].zone) < voters_in(st, out->zone);
@@ -257,7 +256,7 @@
 static bool retire_one(cn_t *cn, cn_group_t *g, const gr_status_t *st)
 {
 	for (unsigned i = 0; i < st->npeers; i++) {
-		if (!is_retired(cn, st->peers[i].id))
+		if (!cn_is_retired(cn, st->peers[i].id))
 			continue;
 		if (!st->peers[i].voter)
 			gr_remove(g->gr, st->peers[i].id, clk_now_ms() + CHANGE_MS);
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -312,7 +312,8 @@
 		"{\"items\":[{\"id\":\"a\",\"path\":\"/a b\",\"tokens\":1}]}",
 		"{\"items\":[{\"id\":\"a\",\"path\":\"/a\",\"tokens\":-1}]}",
 		"{\"items\":[{\"id\":\"a\",\"path\":\"/a\",\"tokens\":1,\"body\":\"!\"}]}",
-		"{\"items\":[{\"id\":\"a\",\"path\":\"/a\",\"tokens\":1,\"headers\":{\"A\":\"b\\nC\"}}]}",
+		"{\"items\":[{\"id\":\"a\",\"path\":\"/"
+		"a\",\"tokens\":1,\"headers\":{\"A\":\"b\\nC\"}}]}",
 	};
 
 	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
