Work on items is kept in the log

Change: entries report what running items have made each second, preempted ones at once; the leader commits the new part of the text with the next commit; a new leader and a new run go on behind it. Test: Lots.test_work_on_items_outlives_everything_being_killed, what_an_item_has_made_is_kept_until_it_is_listed.

--- a/src/control/cn_hub.h
+++ b/src/control/cn_hub.h
@@ -64,6 +64,8 @@
 	uint64_t entry; /* that was told to run it last */
 	buf_t text; /* made by runs so far */
 	uint32_t events;
+	uint32_t saved_n; /* of the text, handed to the log */
+	uint32_t saved_events;
 	uint32_t failures;
 	uint32_t attempts; /* failures that its route allows */
 } hub_item_t;
@@ -93,6 +95,7 @@
 	size_t opens_cap;
 	size_t results_cap;
 	size_t ends_cap;
+	size_t progress_cap;
 	hub_caller_t *open_from;
 	hub_caller_t *end_from;
 	size_t bytes;
@@ -181,6 +184,8 @@
 
 void hub_lots_call(hub_t *h, const hub_caller_t *from, const lw_what_t *what);
 void hub_lots_result(hub_t *h, hub_item_t *it, bool dead, str_t text);
+/** Keeps what the item has made since it was kept last, with the next commit. */
+void hub_lots_progress(hub_t *h, hub_item_t *it);
 /** Begins a commit of what was gathered, unless one is under way. */
 void hub_commit(hub_t *h);
 void hub_lots_tick(hub_t *h, deadline_t now);
--- a/src/control/cn_hub_dispatch.c
+++ b/src/control/cn_hub_dispatch.c
@@ -178,6 +178,9 @@
 			if (t->items[i].state != LO_OPEN)
 				continue;
 			lot->left++;
+			buf_add(&it->text, (str_t){t->items[i].made, t->items[i].made_n});
+			it->events = it->saved_events = t->items[i].events;
+			it->saved_n = t->items[i].made_n;
 			it->run = ds_item_add(h->ds, str_c(route_item(h, t, it)),
 					      s->now + t->due_wall_ms - wall, it);
 		}
@@ -399,6 +402,7 @@
 		it->events = m->events;
 		it->text.n = 0;
 		buf_add(&it->text, px_str(m->text));
+		hub_lots_progress(h, it);
 	}
 	lg(LG_INFO, "item_back", LG_C("lot", it->lot->id), LG_I("item", it->index),
 	   LG_C("outcome", ds_outcome_name((ds_outcome_t)m->outcome)),
@@ -407,6 +411,17 @@
 	ds_item_back(h->ds, it->run, (ds_outcome_t)m->outcome, clk_now_ms());
 }
 
+static void on_item_progress(hub_t *h, hub_peer_t *p, const lw_item_progress_t *m)
+{
+	hub_item_t *it = find_item(h, m->job, m->item);
+
+	if (!it || it->entry != p->id || m->from != it->events || m->events <= m->from)
+		return;
+	buf_add(&it->text, px_str(m->text));
+	it->events = m->events;
+	hub_lots_progress(h, it);
+}
+
 void hub_dispatch_message(hub_t *h, hub_peer_t *p, const lw_msg_t *m)
 {
 	switch (m->kind) {
@@ -420,6 +435,9 @@
 		ds_ended(h->ds, p->id, m->lw_msg_t_u.ended.request,
 			 (ds_outcome_t)m->lw_msg_t_u.ended.outcome, clk_now_ms());
 		break;
+	case LW_ITEM_PROGRESS:
+		on_item_progress(h, p, &m->lw_msg_t_u.progress);
+		break;
 	case LW_ITEM_ENDED:
 		on_item_ended(h, p, &m->lw_msg_t_u.item_ended);
 		break;
--- a/src/control/cn_hub_lots.c
+++ b/src/control/cn_hub_lots.c
@@ -85,6 +85,25 @@
 	add_result(h, str_c(it->lot->id), it->index, dead, text);
 }
 
+void hub_lots_progress(hub_t *h, hub_item_t *it)
+{
+	hub_batch_t *b = &h->next;
+	u_int n = b->cmd.progress.progress_len;
+	str_t text = {it->text.p + it->saved_n, it->text.n - it->saved_n};
+
+	if (it->events <= it->saved_events)
+		return;
+	b->cmd.progress.progress_val =
+		grow(b->cmd.progress.progress_val, n, &b->progress_cap, sizeof(aw_lot_progress_t));
+	b->cmd.progress.progress_val[n] =
+		(aw_lot_progress_t){px_copy(str_c(it->lot->id)), it->index, it->saved_events,
+				    it->events, px_copy(text)};
+	b->cmd.progress.progress_len++;
+	b->bytes += text.n;
+	it->saved_n = (uint32_t)it->text.n;
+	it->saved_events = it->events;
+}
+
 static void batch_free(hub_batch_t *b)
 {
 	px_free(PX(aw_lots_cmd_t), &b->cmd);
@@ -344,7 +363,9 @@
 	aw_lots_cmd_t *l = &h->next.cmd;
 	commit_t *c;
 
-	if (h->committing || l->opens.opens_len + l->results.results_len + l->ends.ends_len == 0)
+	if (h->committing || l->opens.opens_len + l->results.results_len + l->ends.ends_len +
+					     l->progress.progress_len ==
+				     0)
 		return;
 	h->committing = true;
 	c = mem_new(sizeof(*c));
--- a/src/front/fb.c
+++ b/src/front/fb.c
@@ -9,12 +9,17 @@
 /** An item whose replica sends no event for this long, in ms, is run elsewhere: many times the
  * usual pause, as nobody waits for its next event. */
 #define SILENT_MS 1500
+/** The leader is told what an item has made on this period, in ms: no fault costs more work. */
+#define TELL_MS 1000
 
 struct fb {
 	fr_t *f;
 	lw_item_run_t m; /* owned */
 	buf_t text;
 	unsigned events;
+	size_t told_n; /* of the text, that the leader has */
+	unsigned told_events;
+	deadline_t tell_at;
 	fx_t *run;
 	pf_reply_t reply;
 	bool ended; /* waits for a leader to be told */
@@ -151,7 +156,9 @@
 	px_encode(&copy, PX(lw_item_run_t), m);
 	px_decode(str_buf(&copy), PX(lw_item_run_t), &b->m, sizeof(b->m));
 	buf_add(&b->text, px_str(m->text));
-	b->events = m->events;
+	b->events = b->told_events = m->events;
+	b->told_n = b->text.n;
+	b->tell_at = clk_now_ms() + TELL_MS;
 	DL_APPEND(f->items, b);
 	if (!addr[0] || f->exit_by) {
 		finish(b, LW_ITEM_BACK, addr[0] ? DS_LEFT : DS_GONE);
@@ -202,6 +209,31 @@
 	}
 }
 
+void fb_tick(fr_t *f, deadline_t now)
+{
+	fb_t *b;
+
+	if (!ll_is_up(f->leader))
+		return;
+	DL_FOREACH (f->items, b) {
+		lw_msg_t m = {.kind = LW_ITEM_PROGRESS};
+
+		if (b->ended || now < b->tell_at || b->events == b->told_events)
+			continue;
+		m.lw_msg_t_u.progress = (lw_item_progress_t){
+			.job = b->m.job,
+			.item = b->m.item,
+			.from = b->told_events,
+			.events = b->events,
+			.text = px_bytes((str_t){b->text.p + b->told_n, b->text.n - b->told_n}),
+		};
+		ll_send(f->leader, &m);
+		b->told_n = b->text.n;
+		b->told_events = b->events;
+		b->tell_at = now + TELL_MS;
+	}
+}
+
 void fb_up(fr_t *f)
 {
 	fb_t *b;
--- a/src/front/fr.h
+++ b/src/front/fr.h
@@ -178,6 +178,8 @@
 void fb_stop_all(fr_t *f);
 /** Tells the leader what ended while there was none. */
 void fb_up(fr_t *f);
+/** Reports what running items have made since. */
+void fb_tick(fr_t *f, deadline_t now);
 size_t fb_runs(const fr_t *f, lw_run_t *out, size_t max);
 size_t fb_count(const fr_t *f);
 
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -112,6 +112,7 @@
 
 	fr_link_tick(f, now);
 	fh_tick(f, now);
+	fb_tick(f, now);
 	if (!f->exit_by)
 		return;
 	idle = HASH_COUNT(f->requests) == 0 &&
--- a/src/policy/ds.c
+++ b/src/policy/ds.c
@@ -198,8 +198,10 @@
 			ds_ask_free(d, q);
 	}
 	for (ds_item_t *it = d->running; it; it = it->next) {
-		if (it->entry == id && !it->lost_until)
-			it->lost_until = now + DS_ADOPT_MS;
+		if (it->entry != id || it->lost_until)
+			continue;
+		ds_item_count(it, now);
+		it->lost_until = now + DS_ADOPT_MS;
 	}
 	HASH_DEL(d->entries, e);
 	free(e->zone);
--- a/src/policy/ds_place.c
+++ b/src/policy/ds_place.c
@@ -272,7 +272,6 @@
 		if (!it->lost_until || now < it->lost_until)
 			continue;
 		ds_item_unplace(d, it);
-		it->ran_ms = 0; /* what it made is lost with its entry */
 		ds_item_queue(d, it);
 	}
 }
--- a/src/proto/aw.x
+++ b/src/proto/aw.x
@@ -75,9 +75,19 @@
 	aw_bytes_t text;
 };
 
+/* Events that an item has made since, so that no run begins anew after a fault. */
+struct aw_lot_progress_t {
+	aw_bytes_t lot;
+	unsigned int item;
+	unsigned int from;		/* passed over unless as many are held */
+	unsigned int events;		/* held afterwards */
+	aw_bytes_t text;		/* appended */
+};
+
 /* What was gathered for one commit, in the order in which it is applied. */
 struct aw_lots_cmd_t {
 	hyper now_wall_ms;
+	aw_lot_progress_t progress<>;
 	aw_lot_result_t results<>;
 	aw_bytes_t ends<>;
 	aw_lot_open_t opens<>;
--- a/src/proto/aw_xdr.c
+++ b/src/proto/aw_xdr.c
@@ -168,6 +168,67 @@
 	return TRUE;
 }
 
+bool_t
+xdr_aw_lot_progress_t (XDR *xdrs, aw_lot_progress_t *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_aw_bytes_t (xdrs, &objp->lot))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->item))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->from))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->events))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->item);
+		IXDR_PUT_U_LONG(buf, objp->from);
+		IXDR_PUT_U_LONG(buf, objp->events);
+		}
+		 if (!xdr_aw_bytes_t (xdrs, &objp->text))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_aw_bytes_t (xdrs, &objp->lot))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->item))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->from))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->events))
+				 return FALSE;
+
+		} else {
+		objp->item = IXDR_GET_U_LONG(buf);
+		objp->from = IXDR_GET_U_LONG(buf);
+		objp->events = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_aw_bytes_t (xdrs, &objp->text))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_aw_bytes_t (xdrs, &objp->lot))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->item))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->events))
+		 return FALSE;
+	 if (!xdr_aw_bytes_t (xdrs, &objp->text))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_aw_lots_cmd_t (XDR *xdrs, aw_lots_cmd_t *objp)
 {
@@ -175,6 +236,9 @@
 
 	 if (!xdr_quad_t (xdrs, &objp->now_wall_ms))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->progress.progress_val, (u_int *) &objp->progress.progress_len, ~0,
+		sizeof (aw_lot_progress_t), (xdrproc_t) xdr_aw_lot_progress_t))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->results.results_val, (u_int *) &objp->results.results_len, ~0,
 		sizeof (aw_lot_result_t), (xdrproc_t) xdr_aw_lot_result_t))
 		 return FALSE;
--- a/src/proto/aw_xdr.h
+++ b/src/proto/aw_xdr.h
@@ -100,8 +100,21 @@
 };
 typedef struct aw_lot_result_t aw_lot_result_t;
 
+struct aw_lot_progress_t {
+	aw_bytes_t lot;
+	u_int item;
+	u_int from;
+	u_int events;
+	aw_bytes_t text;
+};
+typedef struct aw_lot_progress_t aw_lot_progress_t;
+
 struct aw_lots_cmd_t {
 	quad_t now_wall_ms;
+	struct {
+		u_int progress_len;
+		aw_lot_progress_t *progress_val;
+	} progress;
 	struct {
 		u_int results_len;
 		aw_lot_result_t *results_val;
@@ -647,6 +660,7 @@
 extern  bool_t xdr_aw_lot_item_t (XDR *, aw_lot_item_t*);
 extern  bool_t xdr_aw_lot_open_t (XDR *, aw_lot_open_t*);
 extern  bool_t xdr_aw_lot_result_t (XDR *, aw_lot_result_t*);
+extern  bool_t xdr_aw_lot_progress_t (XDR *, aw_lot_progress_t*);
 extern  bool_t xdr_aw_lots_cmd_t (XDR *, aw_lots_cmd_t*);
 extern  bool_t xdr_aw_retire_t (XDR *, aw_retire_t*);
 extern  bool_t xdr_aw_fleet_kind_t (XDR *, aw_fleet_kind_t*);
@@ -702,6 +716,7 @@
 extern bool_t xdr_aw_lot_item_t ();
 extern bool_t xdr_aw_lot_open_t ();
 extern bool_t xdr_aw_lot_result_t ();
+extern bool_t xdr_aw_lot_progress_t ();
 extern bool_t xdr_aw_lots_cmd_t ();
 extern bool_t xdr_aw_retire_t ();
 extern bool_t xdr_aw_fleet_kind_t ();
--- a/src/proto/lw.x
+++ b/src/proto/lw.x
@@ -133,6 +133,15 @@
 	unsigned int events;
 };
 
+/* Events of a running item since the last report. */
+struct lw_item_progress_t {
+	aw_bytes_t job;
+	unsigned int item;
+	unsigned int from;
+	unsigned int events;
+	aw_bytes_t text;
+};
+
 enum lw_call_kind_t {
 	LW_CALL_OPEN = 1,
 	LW_CALL_READ = 2,
@@ -209,7 +218,8 @@
 	LW_ITEM_ENDED = 12,
 	LW_CALL = 13,
 	LW_REPLY = 14,
-	LW_PING = 15
+	LW_PING = 15,
+	LW_ITEM_PROGRESS = 16
 };
 
 union lw_msg_t switch (lw_kind_t kind) {
@@ -237,6 +247,8 @@
 	lw_item_ref_t stop;
 case LW_ITEM_ENDED:
 	lw_item_ended_t item_ended;
+case LW_ITEM_PROGRESS:
+	lw_item_progress_t progress;
 case LW_CALL:
 	lw_call_t call;
 case LW_REPLY:
--- a/src/proto/lw_xdr.c
+++ b/src/proto/lw_xdr.c
@@ -339,6 +339,67 @@
 	return TRUE;
 }
 
+bool_t
+xdr_lw_item_progress_t (XDR *xdrs, lw_item_progress_t *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_aw_bytes_t (xdrs, &objp->job))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->item))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->from))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->events))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->item);
+		IXDR_PUT_U_LONG(buf, objp->from);
+		IXDR_PUT_U_LONG(buf, objp->events);
+		}
+		 if (!xdr_aw_bytes_t (xdrs, &objp->text))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_aw_bytes_t (xdrs, &objp->job))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->item))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->from))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->events))
+				 return FALSE;
+
+		} else {
+		objp->item = IXDR_GET_U_LONG(buf);
+		objp->from = IXDR_GET_U_LONG(buf);
+		objp->events = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_aw_bytes_t (xdrs, &objp->text))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_aw_bytes_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->item))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->events))
+		 return FALSE;
+	 if (!xdr_aw_bytes_t (xdrs, &objp->text))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_lw_call_kind_t (XDR *xdrs, lw_call_kind_t *objp)
 {
@@ -531,6 +592,10 @@
 		 if (!xdr_lw_item_ended_t (xdrs, &objp->lw_msg_t_u.item_ended))
 			 return FALSE;
 		break;
+	case LW_ITEM_PROGRESS:
+		 if (!xdr_lw_item_progress_t (xdrs, &objp->lw_msg_t_u.progress))
+			 return FALSE;
+		break;
 	case LW_CALL:
 		 if (!xdr_lw_call_t (xdrs, &objp->lw_msg_t_u.call))
 			 return FALSE;
--- a/src/proto/lw_xdr.h
+++ b/src/proto/lw_xdr.h
@@ -171,6 +171,15 @@
 };
 typedef struct lw_item_ended_t lw_item_ended_t;
 
+struct lw_item_progress_t {
+	aw_bytes_t job;
+	u_int item;
+	u_int from;
+	u_int events;
+	aw_bytes_t text;
+};
+typedef struct lw_item_progress_t lw_item_progress_t;
+
 enum lw_call_kind_t {
 	LW_CALL_OPEN = 1,
 	LW_CALL_READ = 2,
@@ -252,6 +261,7 @@
 	LW_CALL = 13,
 	LW_REPLY = 14,
 	LW_PING = 15,
+	LW_ITEM_PROGRESS = 16,
 };
 typedef enum lw_kind_t lw_kind_t;
 
@@ -270,6 +280,7 @@
 		lw_item_run_t run;
 		lw_item_ref_t stop;
 		lw_item_ended_t item_ended;
+		lw_item_progress_t progress;
 		lw_call_t call;
 		lw_reply_t reply;
 	} lw_msg_t_u;
@@ -295,6 +306,7 @@
 extern  bool_t xdr_lw_item_ref_t (XDR *, lw_item_ref_t*);
 extern  bool_t xdr_lw_item_end_t (XDR *, lw_item_end_t*);
 extern  bool_t xdr_lw_item_ended_t (XDR *, lw_item_ended_t*);
+extern  bool_t xdr_lw_item_progress_t (XDR *, lw_item_progress_t*);
 extern  bool_t xdr_lw_call_kind_t (XDR *, lw_call_kind_t*);
 extern  bool_t xdr_lw_read_t (XDR *, lw_read_t*);
 extern  bool_t xdr_lw_body_t (XDR *, lw_body_t*);
@@ -322,6 +334,7 @@
 extern bool_t xdr_lw_item_ref_t ();
 extern bool_t xdr_lw_item_end_t ();
 extern bool_t xdr_lw_item_ended_t ();
+extern bool_t xdr_lw_item_progress_t ();
 extern bool_t xdr_lw_call_kind_t ();
 extern bool_t xdr_lw_read_t ();
 extern bool_t xdr_lw_body_t ();
--- a/src/state/lo.c
+++ b/src/state/lo.c
@@ -34,6 +34,7 @@
 		free(t->items[i].path);
 		free(t->items[i].headers);
 		free(t->items[i].data);
+		free(t->items[i].made);
 	}
 	free(t->items);
 	free(t->listed);
@@ -173,6 +174,35 @@
 	return ST_OK;
 }
 
+static void drop_made(lo_item_t *it)
+{
+	free(it->made);
+	it->made = NULL;
+	it->made_n = 0;
+	it->events = 0;
+}
+
+static void set_made(lo_item_t *it, str_t text, uint32_t events)
+{
+	it->made = mem_grow(it->made, it->made_n + text.n + 1);
+	if (text.n)
+		memcpy(it->made + it->made_n, text.p, text.n);
+	it->made_n += (uint32_t)text.n;
+	it->events = events;
+}
+
+static void take_progress(lo_t *l, const aw_lot_progress_t *c)
+{
+	lo_lot_t *t = find(l, px_str(c->lot));
+	lo_item_t *it;
+
+	if (!t || t->ended || c->item >= t->nitems)
+		return;
+	it = &t->items[c->item];
+	if (it->state == LO_OPEN && it->events == c->from && c->events > c->from)
+		set_made(it, px_str(c->text), c->events);
+}
+
 /* An item of a lot that has ended no longer counts for the quota. */
 static void list_item(lo_t *l, lo_lot_t *t, uint32_t i, lo_state_t state, str_t text)
 {
@@ -182,6 +212,7 @@
 	if (!t->ended)
 		route_of(l, str_c(t->route))->waiting -= it->tokens;
 	it->state = state;
+	drop_made(it);
 	set_data(it, text);
 	free(it->headers);
 	it->headers = NULL;
@@ -209,6 +240,7 @@
 	for (uint32_t i = 0; i < t->nitems; i++) {
 		if (t->items[i].state == LO_OPEN)
 			set_data(&t->items[i], (str_t){NULL, 0});
+		drop_made(&t->items[i]);
 	}
 }
 
@@ -231,6 +263,8 @@
 {
 	u_int n = cmd->opens.opens_len;
 
+	for (u_int i = 0; i < cmd->progress.progress_len; i++)
+		take_progress(l, &cmd->progress.progress_val[i]);
 	for (u_int i = 0; i < cmd->results.results_len; i++)
 		take_result(l, &cmd->results.results_val[i]);
 	for (u_int i = 0; i < cmd->ends.ends_len; i++)
@@ -269,6 +303,8 @@
 			sn_put_str(out, (str_t){it->data, it->data_n});
 			sn_put(out, it->tokens);
 			sn_put(out, it->state);
+			sn_put_str(out, (str_t){it->made, it->made_n});
+			sn_put(out, it->events);
 		}
 		sn_put(out, t->nlisted);
 		for (uint32_t i = 0; i < t->nlisted; i++)
@@ -288,6 +324,8 @@
 	set_data(it, sn_get_str(in));
 	it->tokens = (uint32_t)sn_get_max(in, UINT32_MAX);
 	it->state = (lo_state_t)sn_get_max(in, LO_DEAD);
+	s = sn_get_str(in);
+	set_made(it, s, (uint32_t)sn_get_max(in, UINT32_MAX));
 }
 
 static void get_lot(sn_reader_t *in, lo_t *l)
--- a/src/state/lo.h
+++ b/src/state/lo.h
@@ -22,6 +22,9 @@
 	uint32_t headers_n;
 	uint32_t data_n;
 	uint32_t tokens;
+	char *made; /* while open: text of the events made so far, counted by made_n */
+	uint32_t made_n;
+	uint32_t events; /* that made holds */
 	lo_state_t state;
 } lo_item_t;
 
--- a/tests/proc/test_platform.py
+++ b/tests/proc/test_platform.py
@@ -426,6 +426,28 @@
             self.assertEqual((r["state"], r["output"]), ("completed", k.whole_text(r["id"], 100)))
 
 
+    def test_work_on_items_outlives_everything_being_killed(self):
+        k = self.kit
+        for r in k.replicas:
+            r.events = 150
+        lot, items = k.lot(4)
+        self.assertEqual(self.run_one(k.open_lot(k.fronts[0], lot, items)), 202)
+        end = time.time() + 5
+        while len(k.runs) < 4:
+            self.assertLess(time.time(), end)
+            time.sleep(0.05)
+        time.sleep(2)
+        for p in k.controls + k.fronts:
+            p.stop()
+        for p in k.controls + k.fronts:
+            p.start()
+        results = self.run_one(k.read_whole(lot, 40))
+        for r in results:
+            self.assertEqual((r["state"], r["output"]), ("completed", k.whole_text(r["id"], 150)))
+        for i in items:
+            self.assertGreater(k.runs_of(i["id"])[-1]["after"], 20)
+
+
 class Retire(Platform):
     kit_args = {"controls": 4}
 
--- a/tests/unit/test_lots.c
+++ b/tests/unit/test_lots.c
@@ -196,6 +196,46 @@
 }
 END_TEST
 
+static void add_progress(const char *id, unsigned item, unsigned from, unsigned events,
+			 const char *text)
+{
+	static aw_lot_progress_t v[4];
+
+	cmd.progress.progress_val = v;
+	v[cmd.progress.progress_len++] =
+		(aw_lot_progress_t){px_bytes(str_c(id)), item, from, events, px_bytes(str_c(text))};
+}
+
+START_TEST(what_an_item_has_made_is_kept_until_it_is_listed)
+{
+	lo_t *l = with_lot("a", 2);
+	lo_t *copy = lo_new();
+	const lo_item_t *it;
+	buf_t snap = {0};
+
+	begin();
+	add_progress("a", 1, 0, 2, "one\ntwo");
+	add_progress("a", 1, 1, 3, "not behind what is held");
+	add_progress("a", 1, 2, 3, "\nthree");
+	add_progress("zz", 0, 0, 1, "no such lot");
+	apply(l);
+	lo_snapshot(l, &snap);
+	ck_assert_int_eq(lo_restore(copy, str_buf(&snap)), ST_OK);
+	it = &lo_find(copy, STR("a"))->items[1];
+	ck_assert_uint_eq(it->events, 3);
+	ck_assert(str_eq((str_t){it->made, it->made_n}, STR("one\ntwo\nthree")));
+	begin();
+	add_result("a", 1, false, "one\ntwo\nthree\nfour");
+	apply(l);
+	it = &lo_find(l, STR("a"))->items[1];
+	ck_assert_uint_eq(it->events, 0);
+	ck_assert_ptr_null(it->made);
+	buf_free(&snap);
+	lo_free(copy);
+	lo_free(l);
+}
+END_TEST
+
 START_TEST(a_snapshot_restores_everything)
 {
 	lo_t *l = with_lot("a", 3);
@@ -310,6 +350,7 @@
 	tcase_add_test(t, the_quota_counts_what_waits);
 	tcase_add_test(t, an_ended_lot_frees_its_quota_and_keeps_what_is_listed);
 	tcase_add_test(t, items_are_given_up_and_lots_forgotten_in_time);
+	tcase_add_test(t, what_an_item_has_made_is_kept_until_it_is_listed);
 	tcase_add_test(t, a_snapshot_restores_everything);
 	tcase_add_test(t, a_cut_snapshot_is_an_error_and_changes_nothing);
 	tcase_add_test(t, random_commands_keep_the_promises);
