An entry is told of at most 64 replicas and entries

Comparing two lists took the square of their length. Change: entries get every n-th replica and entry, at most 64 of each (grants carry addresses, look-ups tell no more); control processes get all; changes are gathered 1 ms a peer; the comparison looks at the same place first.

--- a/src/control/cn_hub.h
+++ b/src/control/cn_hub.h
@@ -28,6 +28,9 @@
 /** Control processes that are told who leads. */
 #define HUB_ANNOUNCE_MAX 32
 
+/** Replicas, and entries, that one entry is told of. */
+#define HUB_SHARE_MAX 64
+
 typedef struct hub hub_t;
 
 /** Another process with a link to this one. */
@@ -125,6 +128,7 @@
 	deadline_t list_read; /* when it was read last, here or by the leader before */
 	lw_view_t view; /* newest known: own list, or the leader's */
 	bool view_changed;
+	deadline_t view_at; /* changes are told then */
 	aw_conf_t conf; /* newest known text */
 	ru_t *routes; /* decoded, leader only */
 	uint64_t conf_number;
--- a/src/control/cn_hub_view.c
+++ b/src/control/cn_hub_view.c
@@ -9,6 +9,9 @@
 /** Entries that were known before this process began to lead count this long, in ms, until they
  * have linked themselves. */
 #define INHERIT_MS 2000
+/** Changes are gathered this long for each peer that is told of them, in ms: what a view costs the
+ * leader stays under a tenth of a core. */
+#define VIEW_PEER_MS 1
 
 static bool same_upstream(const lw_upstream_t *a, const lw_upstream_t *b)
 {
@@ -17,8 +20,12 @@
 	       a->leaving == b->leaving;
 }
 
-static const lw_upstream_t *find(const lw_view_t *v, str_t id)
+/* Lists mostly keep their order, so the place in the other one is looked at first. */
+static const lw_upstream_t *find_near(const lw_view_t *v, str_t id, u_int place)
 {
+	if (place < v->upstreams.upstreams_len &&
+	    str_eq(px_str(v->upstreams.upstreams_val[place].id), id))
+		return &v->upstreams.upstreams_val[place];
 	for (u_int i = 0; i < v->upstreams.upstreams_len; i++) {
 		if (str_eq(px_str(v->upstreams.upstreams_val[i].id), id))
 			return &v->upstreams.upstreams_val[i];
@@ -28,7 +35,7 @@
 
 str_t hub_replica_addr(const hub_t *h, str_t id)
 {
-	const lw_upstream_t *u = find(&h->view, id);
+	const lw_upstream_t *u = find_near(&h->view, id, 0);
 
 	return u ? px_str(u->addr) : (str_t){"", 0};
 }
@@ -40,7 +47,7 @@
 
 	for (u_int i = 0; i < now->upstreams.upstreams_len; i++) {
 		const lw_upstream_t *u = &now->upstreams.upstreams_val[i];
-		const lw_upstream_t *old = find(was, px_str(u->id));
+		const lw_upstream_t *old = find_near(was, px_str(u->id), i);
 
 		if (old && same_upstream(old, u))
 			continue;
@@ -52,7 +59,7 @@
 	for (u_int i = 0; i < was->upstreams.upstreams_len; i++) {
 		const lw_upstream_t *u = &was->upstreams.upstreams_val[i];
 
-		if (find(now, px_str(u->id)))
+		if (find_near(now, px_str(u->id), i))
 			continue;
 		changed = true;
 		lg(LG_INFO, "replica_unlisted", LG_S("replica", px_str(u->id)));
@@ -127,10 +134,54 @@
 	h->view.controls.controls_len = controls;
 }
 
+/* Every n-th of a list from a place of the peer's own on; all of it when it is short. */
+static u_int pick_place(u_int k, u_int len, uint64_t peer)
+{
+	if (len <= HUB_SHARE_MAX)
+		return k;
+	return (u_int)((peer + (uint64_t)k * len / HUB_SHARE_MAX) % len);
+}
+
+/*
+ * Grants name their replica's address, so an entry needs the list only while it has no leader, and
+ * a caller is told no more entries than this. With hundreds of entries before thousands of replicas
+ * whole lists to all would be most of what the leader sends.
+ */
+static void send_share(hub_t *h, hub_peer_t *p)
+{
+	lw_msg_t m = {.kind = LW_VIEW};
+	lw_view_t *v = &m.lw_msg_t_u.view;
+	lw_upstream_t upstreams[HUB_SHARE_MAX];
+	lw_entry_t entries[HUB_SHARE_MAX];
+	const lw_view_t *all = &h->view;
+
+	*v = *all;
+	v->upstreams.upstreams_val = upstreams;
+	v->entries.entries_val = entries;
+	if (v->upstreams.upstreams_len > HUB_SHARE_MAX)
+		v->upstreams.upstreams_len = HUB_SHARE_MAX;
+	if (v->entries.entries_len > HUB_SHARE_MAX)
+		v->entries.entries_len = HUB_SHARE_MAX;
+	for (u_int k = 0; k < v->upstreams.upstreams_len; k++)
+		upstreams[k] =
+			all->upstreams
+				.upstreams_val[pick_place(k, all->upstreams.upstreams_len, p->id)];
+	for (u_int k = 0; k < v->entries.entries_len; k++)
+		entries[k] =
+			all->entries.entries_val[pick_place(k, all->entries.entries_len, p->id)];
+	v->age_ms = (u_int)(clk_now_ms() - h->list_read);
+	hub_send(p, &m);
+}
+
+/* A control process may lead next and needs all. */
 static void send_view(hub_t *h, hub_peer_t *p)
 {
 	lw_msg_t m = {.kind = LW_VIEW};
 
+	if (!p->control[0]) {
+		send_share(h, p);
+		return;
+	}
 	m.lw_msg_t_u.view = h->view;
 	m.lw_msg_t_u.view.age_ms = (u_int)(clk_now_ms() - h->list_read);
 	hub_send(p, &m);
@@ -177,6 +228,9 @@
 	/* Callers are still told the entries that the leader before knew. */
 	if (now - st.led_since < INHERIT_MS && h->view.entries.entries_len > HASH_COUNT(h->peers))
 		return;
+	if (now < h->view_at)
+		return;
+	h->view_at = now + (deadline_t)HASH_COUNT(h->peers) * VIEW_PEER_MS;
 	h->view_changed = false;
 	set_entries(h);
 	for (hub_peer_t *p = h->peers; p; p = p->hh.next) {
