--- a/src/client/ll.c
+++ b/src/client/ll.c
@@ -302,11 +302,3 @@
 	m.lw_msg_t_u.call.what = *what;
 	send_msg(l, &m);
 }
-
-void ll_forget(ll_t *l, void *ctx)
-{
-	for (call_t *c = l->calls; c; c = c->hh.next) {
-		if (c->ctx == ctx)
-			c->reply = NULL;
-	}
-}
--- a/src/client/ll.h
+++ b/src/client/ll.h
@@ -61,8 +61,7 @@
 size_t ll_controls(const ll_t *l, str_t *out, size_t max);
 /** Pauses or resumes looking for a leader: a process that leads needs no link. */
 void ll_set_idle(ll_t *l, bool idle);
-/** A call with an answer; the callback comes once, unless ll_forget was called for its ctx. */
+/** A call with an answer; the callback comes once. */
 void ll_call(ll_t *l, lw_what_t *what, deadline_t deadline, ll_reply_t reply, void *ctx);
-void ll_forget(ll_t *l, void *ctx);
 
 #endif
--- a/src/control/cn_hub.c
+++ b/src/control/cn_hub.c
@@ -319,6 +319,30 @@
 
 /* ---- roles ---- */
 
+static void lead_begin(hub_t *h)
+{
+	lg(LG_INFO, "dispatch_begins", LG_I("term", h->term));
+	ll_set_idle(h->leader, true);
+	hub_conf_tick(h);
+	hub_dispatch_begin(h);
+	hub_view_begin(h);
+}
+
+static void lead_end(hub_t *h)
+{
+	bool led = h->role == HUB_LEADS;
+
+	h->role = HUB_FOLLOWS;
+	if (!led)
+		return;
+	lg(LG_WARN, "dispatch_ends", LG_I("term", h->term));
+	announce_end(h);
+	hub_lots_drop(h);
+	hub_dispatch_end(h);
+	drop_links(h);
+	ll_set_idle(h->leader, false);
+}
+
 typedef struct {
 	wk_job_t job;
 	hub_t *h;
@@ -341,35 +365,11 @@
 	if (h->role == HUB_STARTS && h->term == s->term) {
 		h->role = s->st == ST_OK ? HUB_LEADS : HUB_FOLLOWS;
 		if (h->role == HUB_LEADS)
-			hub_lead_begin(h);
+			lead_begin(h);
 	}
 	free(s);
 }
 
-void hub_lead_begin(hub_t *h)
-{
-	lg(LG_INFO, "dispatch_begins", LG_I("term", h->term));
-	ll_set_idle(h->leader, true);
-	hub_conf_tick(h);
-	hub_dispatch_begin(h);
-	hub_view_begin(h);
-}
-
-void hub_lead_end(hub_t *h)
-{
-	bool led = h->role == HUB_LEADS;
-
-	h->role = HUB_FOLLOWS;
-	if (!led)
-		return;
-	lg(LG_WARN, "dispatch_ends", LG_I("term", h->term));
-	announce_end(h);
-	hub_lots_drop(h);
-	hub_dispatch_end(h);
-	drop_links(h);
-	ll_set_idle(h->leader, false);
-}
-
 static void check_role(hub_t *h)
 {
 	gr_status_t st;
@@ -377,7 +377,7 @@
 
 	gr_status(h->cn->groups[0].gr, &st);
 	if (h->role != HUB_FOLLOWS && (!st.leader || st.term != h->term))
-		hub_lead_end(h);
+		lead_end(h);
 	if (h->role != HUB_FOLLOWS || !st.leader)
 		return;
 	h->role = HUB_STARTS;
--- a/src/control/cn_hub.h
+++ b/src/control/cn_hub.h
@@ -153,8 +153,6 @@
 /** Answers a call; r->id is set here. */
 void hub_reply(hub_t *h, const hub_caller_t *to, lw_reply_t *r);
 void hub_reply_status(hub_t *h, const hub_caller_t *to, status_t st);
-void hub_lead_begin(hub_t *h);
-void hub_lead_end(hub_t *h);
 
 /* cn_hub_view.c: the list of replicas, entries and control processes, and the text in force */
 
@@ -181,8 +179,6 @@
 void hub_dispatch_routes(hub_t *h);
 /** Starts on lots accepted since, and stops what was ended or given up. */
 void hub_lots_sync(hub_t *h);
-/** Ends what is left of a lot. */
-void hub_lot_stop(hub_t *h, hub_lot_t *lot);
 
 /* cn_hub_lots.c: calls on lots, and their commits */
 
--- a/src/control/cn_hub_dispatch.c
+++ b/src/control/cn_hub_dispatch.c
@@ -211,12 +211,6 @@
 	free(lot);
 }
 
-void hub_lot_stop(hub_t *h, hub_lot_t *lot)
-{
-	for (uint32_t i = 0; i < lot->nitems; i++)
-		item_finish(&lot->items[i], false);
-}
-
 typedef struct {
 	const hub_lot_t *lot;
 	bool gone; /* ended or forgotten */
--- a/src/net/hu.c
+++ b/src/net/hu.c
@@ -46,7 +46,6 @@
 	buf_t out;
 	buf_t in;
 	bool connected;
-	bool used; /* has answered a request before this one */
 	bool skip; /* the answer being read belongs to another request */
 	bool keep;
 	bool ended;
@@ -171,7 +170,6 @@
 
 static void go_idle(conn_t *c)
 {
-	c->used = true;
 	if (!c->keep || c->in.n > 0 || c->out.n > 0 || c->idle_ms <= 0 ||
 	    c->host->nidle >= IDLE_MAX) {
 		conn_close(c);
@@ -372,11 +370,6 @@
 	return call;
 }
 
-bool hu_reused(const hu_call_t *c)
-{
-	return c->conn && c->conn->used;
-}
-
 static void drop_body(void *ctx, str_t piece)
 {
 }
--- a/src/net/hu.h
+++ b/src/net/hu.h
@@ -31,8 +31,6 @@
 
 hu_t *hu_new(struct ev_loop *loop);
 hu_call_t *hu_start(hu_t *h, const hu_options_t *o);
-/** True when the call went out on a kept connection. */
-bool hu_reused(const hu_call_t *c);
 /** Ends a call by closing its connection; no callback follows. */
 void hu_cancel(hu_call_t *c);
 /** Ends all calls without a callback and closes all connections; memory is freed by the loop's next
--- /dev/null
+++ b/tests/unit/test_dispatch_load.c
@@ -0,0 +1,268 @@
+/* The load of the users' sheets, played against the dispatcher: what callers and lots get. */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include "policy/ds.h"
+
+static ds_ask_t ask_of(uint64_t request, deadline_t now)
+{
+	return (ds_ask_t){.entry = 1,
+			  .request = request,
+			  .service = STR("s"),
+			  .objective = now + 300,
+			  .deadline = now + 5000};
+}
+
+#define PLAY_REPLICAS	12
+#define PLAY_SLOTS	8
+#define PLAY_STREAM_MS	700
+#define PLAY_ITEM_MS	4800
+#define PLAY_MS		60000
+#define PLAY_ITEM_S	7
+#define PLAY_DUE_MS	18000
+#define PLAY_REQUESTS	65536
+#define PLAY_HIGH_MS	3000
+#define PLAY_PERIOD_MS	5200
+#define PLAY_HIGH	1.85
+#define PLAY_LOW	0.378
+#define PLAY_MEAN_PER_S 56.0
+
+typedef struct {
+	deadline_t asked;
+	deadline_t ends;
+	bool running;
+	bool back; /* second attempt */
+	deadline_t again; /* comes back then; 0: doesn't */
+} request_t;
+
+typedef struct {
+	ds_item_t *it;
+	deadline_t due;
+	int64_t left;
+	deadline_t since;
+	bool running;
+	bool stopping;
+	bool done;
+} item_t;
+
+typedef struct {
+	ds_t *d;
+	deadline_t now;
+	request_t *r;
+	uint64_t n;
+	item_t items[1024];
+	unsigned nitems;
+	unsigned in_time, late, lost;
+	unsigned items_in_time, items_late;
+	unsigned at[PLAY_REPLICAS];
+} play_t;
+
+static void play_grant(void *ctx, uint64_t entry, uint64_t request, str_t replica)
+{
+	play_t *p = ctx;
+	request_t *r = &p->r[request];
+
+	r->running = true;
+	r->ends = p->now + PLAY_STREAM_MS;
+	if (!r->back && p->now - r->asked <= 270)
+		p->in_time++;
+	else
+		p->late++;
+}
+
+static void play_refuse(void *ctx, uint64_t entry, uint64_t request, int64_t retry_ms)
+{
+	play_t *p = ctx;
+	request_t *r = &p->r[request];
+
+	if (r->back)
+		p->lost++;
+	else
+		r->again = p->now + retry_ms;
+}
+
+static void play_run(void *ctx, void *data, uint64_t entry, str_t replica)
+{
+	item_t *it = data;
+
+	it->running = true;
+	it->since = ((play_t *)ctx)->now;
+}
+
+static void play_stop(void *ctx, void *data, uint64_t entry)
+{
+	item_t *it = data;
+
+	it->left -= ((play_t *)ctx)->now - it->since;
+	it->running = false;
+	it->stopping = true;
+}
+
+static void play_ask(play_t *p, bool back)
+{
+	ds_ask_t a = ask_of(p->n, p->now);
+
+	p->r[p->n] = (request_t){.asked = p->now, .back = back};
+	a.entry = 1 + p->n % 2;
+	a.returning = back;
+	if (back)
+		a.deadline -= 1500;
+	p->n++;
+	ds_ask(p->d, &a, p->now);
+}
+
+static void play_requests(play_t *p)
+{
+	for (uint64_t i = p->n > 8192 ? p->n - 8192 : 1; i < p->n; i++) {
+		request_t *r = &p->r[i];
+
+		if (r->running && p->now >= r->ends) {
+			r->running = false;
+			ds_ended(p->d, 1 + i % 2, i, DS_OK, p->now);
+		} else if (r->again && p->now >= r->again) {
+			r->again = 0;
+			play_ask(p, true);
+		}
+	}
+}
+
+static void play_items(play_t *p)
+{
+	for (unsigned i = 0; i < p->nitems; i++) {
+		item_t *it = &p->items[i];
+
+		if (it->stopping) {
+			it->stopping = false;
+			ds_item_back(p->d, it->it, DS_LEFT, p->now);
+		} else if (it->running && p->now - it->since >= it->left) {
+			it->running = false;
+			it->done = true;
+			if (p->now <= it->due)
+				p->items_in_time++;
+			else
+				p->items_late++;
+			ds_item_remove(p->d, it->it, true, p->now);
+		}
+	}
+}
+
+/* Steps of the users' sheets, times x, on 96 places. */
+static play_t *play(double x, double items)
+{
+	static ds_callbacks_t cb;
+	play_t *p = calloc(1, sizeof(*p));
+	double owed = 0;
+	double owed_items = 0;
+
+	cb = (ds_callbacks_t){p, play_grant, play_refuse, play_run, play_stop};
+	p->r = calloc(PLAY_REQUESTS, sizeof(*p->r));
+	p->n = 1;
+	p->d = ds_new(&cb, 11);
+	ds_entry_add(p->d, 1, STR("a"), true);
+	ds_entry_add(p->d, 2, STR("b"), true);
+	{
+		ds_replica_t v[PLAY_REPLICAS];
+		static char ids[PLAY_REPLICAS][16];
+
+		for (unsigned j = 0; j < PLAY_REPLICAS; j++) {
+			snprintf(ids[j], sizeof(ids[j]), "r%u", j);
+			v[j] = (ds_replica_t){str_c(ids[j]), STR("a"), STR("s"), PLAY_SLOTS, false};
+		}
+		ds_replicas(p->d, v, PLAY_REPLICAS, 0);
+	}
+	for (p->now = 0; p->now < PLAY_MS; p->now++) {
+		bool high = p->now % PLAY_PERIOD_MS < PLAY_HIGH_MS;
+
+		play_requests(p);
+		play_items(p);
+		owed += x * PLAY_MEAN_PER_S * (high ? PLAY_HIGH : PLAY_LOW) / 1000.0;
+		while (owed >= 1) {
+			play_ask(p, false);
+			owed -= 1;
+		}
+		owed_items += items * PLAY_ITEM_S / 1000.0;
+		while (owed_items >= 1 && p->now < PLAY_MS - PLAY_DUE_MS) {
+			item_t *it = &p->items[p->nitems++];
+
+			it->due = p->now + PLAY_DUE_MS;
+			it->left = PLAY_ITEM_MS;
+			it->it = ds_item_add(p->d, STR("s"), it->due, it);
+			owed_items -= 1;
+		}
+		ds_tick(p->d, p->now);
+	}
+	printf("load x%.1f: online in time %u late %u lost %u of %llu; items in time %u late %u of "
+	       "%u\n",
+	       x, p->in_time, p->late, p->lost, (unsigned long long)p->n - 1, p->items_in_time,
+	       p->items_late, p->nitems);
+	return p;
+}
+
+static void play_free(play_t *p)
+{
+	ds_free(p->d);
+	free(p->r);
+	free(p);
+}
+
+START_TEST(the_sheets_load_is_served_in_time_beside_batch)
+{
+	play_t *p = play(1.0, 1.0);
+
+	ck_assert_uint_eq(p->late, 0);
+	ck_assert_uint_eq(p->lost, 0);
+	ck_assert_uint_eq(p->items_late, 0);
+	ck_assert_uint_ge(p->items_in_time, p->nitems - 1);
+	play_free(p);
+}
+END_TEST
+
+/* Online takes 48 of 96 places on average, so that 48 are left: 10 items of 4.8 s a second.
+ * With 15.4 coming no fewer must be done in time than with the 9.8 that the places just carry. */
+START_TEST(too_many_items_do_not_make_all_of_them_late)
+{
+	play_t *fits = play(1.0, 1.4);
+	play_t *many = play(1.0, 2.2);
+
+	ck_assert_uint_eq(many->late, 0);
+	ck_assert_uint_ge(many->items_in_time, fits->items_in_time);
+	play_free(fits);
+	play_free(many);
+}
+END_TEST
+
+/* 96 places of 0.7 s serve 137 requests a second; the goodput at overload must stay near that. */
+START_TEST(goodput_does_not_fall_at_twice_and_four_times_the_load)
+{
+	play_t *twice = play(2.0, 0.0);
+	play_t *four = play(4.0, 0.0);
+	unsigned most = PLAY_MS / PLAY_STREAM_MS * PLAY_REPLICAS * PLAY_SLOTS;
+
+	ck_assert_uint_ge(twice->in_time + twice->late, 4800);
+	ck_assert_uint_ge(four->in_time + four->late, twice->in_time + twice->late);
+	ck_assert_uint_ge((four->in_time + four->late) * 100, most * 70);
+	/* What is answered is mostly answered in time. */
+	ck_assert_uint_ge(four->in_time, four->late);
+	play_free(twice);
+	play_free(four);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("dispatch_load");
+	TCase *t = tcase_create("all");
+	SRunner *r;
+	int failed;
+
+	tcase_set_timeout(t, 60);
+	tcase_add_test(t, the_sheets_load_is_served_in_time_beside_batch);
+	tcase_add_test(t, too_many_items_do_not_make_all_of_them_late);
+	tcase_add_test(t, goodput_does_not_fall_at_twice_and_four_times_the_load);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_ENV);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? 1 : 0;
+}
