--- a/tests/proc/test_platform.py
+++ b/tests/proc/test_platform.py
@@ -1,11 +1,15 @@
 """The whole path on the users' platform: real processes before stand-ins."""
 import asyncio
+import os
 import random
+import shutil
 import signal
+import subprocess
+import tempfile
 import time
 import unittest
 
-from platform_kit import HOST, Kit, Replica
+from platform_kit import BIN, HOST, Kit
 
 
 class Platform(unittest.TestCase):
@@ -272,7 +276,6 @@
             time.sleep(4)
             c.stop()
         time.sleep(5)
-        import shutil
         for c in old:
             shutil.rmtree(c.kit.dir + "/" + c.name)
             with open(c.path) as f:
@@ -475,5 +478,36 @@
         self.assertEqual(len(self.run_one(k.read_whole(lot))), 4)
 
 
+class Settings(unittest.TestCase):
+    GOOD = ('name = "f"\nzone = "z"\nlisten = "127.0.0.1:7000"\ncontrols = ["127.0.0.1:7001"]\n'
+            'link_port = 7002\n')
+
+    def check(self, text):
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as f:
+            f.write(text)
+            f.flush()
+            p = subprocess.run([os.path.join(BIN, "auburn-front"), "--config", f.name, "--check"],
+                               capture_output=True, text=True, timeout=10)
+            return p.returncode, p.stderr.replace(f.name, "FILE")
+
+    def test_wrong_settings_end_the_program_with_file_line_and_key(self):
+        self.assertEqual(self.check(self.GOOD), (0, ""))
+        for was, wrong, says in [
+                ("link_port = 7002", "link_port = \"7002\"", "FILE:5: link_port"),
+                ("link_port = 7002", "", "link_port"),
+                ("link_port = 7002", "link_port = 70000", "FILE:5: link_port"),
+                ("127.0.0.1:7000", "localhost", "FILE:3: listen"),
+                ("127.0.0.1:7001", "127.0.0.1", "FILE:4: controls"),
+                ("zone", "zoen", "zoen")]:
+            code, err = self.check(self.GOOD.replace(was, wrong))
+            self.assertEqual(code, 3, err)
+            self.assertIn(says, err)
+
+    def test_command_line(self):
+        for args, code in [(["--help"], 0), (["--version"], 0), ([], 2), (["--nonsense"], 2)]:
+            p = subprocess.run([os.path.join(BIN, "auburn-front")] + args, capture_output=True, timeout=10)
+            self.assertEqual(p.returncode, code, args)
+
+
 if __name__ == "__main__":
     unittest.main()
