--- a/src/policy/ds.c
+++ b/src/policy/ds.c
@@ -144,6 +144,7 @@
 		r->leaving = v[i].leaving;
 		r->listed = true;
 	}
+	d->listed |= n > 0;
 	drop_unlisted(d);
 	ds_place(d, now);
 }
--- a/src/policy/ds_core.h
+++ b/src/policy/ds_core.h
@@ -90,6 +90,7 @@
 	deadline_t hold_until;
 	int64_t hold_us; /* mean time that an online request holds its place, in us */
 	int64_t item_ms; /* mean time that an item needs a place in all; 0: none has ended yet */
+	bool listed; /* replicas have been known */
 	bool placing;
 	bool again;
 	unsigned nasks;
--- a/src/policy/ds_place.c
+++ b/src/policy/ds_place.c
@@ -182,7 +182,10 @@
 	int64_t wait_ms =
 		p->places ? d->hold_us * (p->ahead + 1) / p->places / 1000 : RETRY_NONE_MS;
 
-	if (now + d->hold_us / 1000 > q->a.deadline)
+	/* The first list is read within milliseconds of the start. */
+	if (!d->listed && now <= q->a.objective)
+		return;
+	if (!d->listed || now + d->hold_us / 1000 > q->a.deadline)
 		refuse(d, q, wait_ms);
 	else if (rank == RANK_IN_TIME && now + wait_ms > q->a.objective)
 		refuse(d, q, wait_ms);
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -281,6 +281,30 @@
 }
 END_TEST
 
+START_TEST(a_request_waits_for_the_first_list)
+{
+	ds_t *d = ds_new(&callbacks, 7);
+	ds_replica_t v = {STR("r0"), STR("a"), STR("s"), 4, false};
+
+	neffects = 0;
+	ds_entry_add(d, 1, STR("a"), true);
+	ds_replicas(d, NULL, 0, 0);
+	ask(d, 1, 0);
+	ds_tick(d, 200);
+	ck_assert_int_eq(neffects, 0);
+	ds_replicas(d, &v, 1, 250);
+	ck_assert_int_eq(effects[0].what, 'g');
+	ds_free(d);
+	d = ds_new(&callbacks, 7);
+	neffects = 0;
+	ask(d, 1, 0);
+	ds_tick(d, 301);
+	ck_assert_int_eq(neffects, 1);
+	ck_assert_int_eq(effects[0].what, 'r');
+	ds_free(d);
+}
+END_TEST
+
 START_TEST(a_leaving_replica_gets_no_new_work)
 {
 	ds_t *d = fresh(1, 4);
@@ -402,6 +426,7 @@
 	tcase_add_test(t, a_replica_that_failed_is_left_alone_then_tried_with_one);
 	tcase_add_test(t, runs_that_break_together_are_one_failure);
 	tcase_add_test(t, a_replica_that_failed_a_request_is_avoided_by_it);
+	tcase_add_test(t, a_request_waits_for_the_first_list);
 	tcase_add_test(t, a_leaving_replica_gets_no_new_work);
 	tcase_add_test(t, items_of_a_lost_entry_wait_for_it_then_run_elsewhere);
 	tcase_add_test(t, an_entry_that_comes_back_keeps_its_item);
