A new leader isn't sure yet which control processes there are

The same would count too few that are left. Change: in its first 3 s a leader answers such refusals as unavailable (503), so that the order is sent again.

--- a/src/control/cn_hub_retire.c
+++ b/src/control/cn_hub_retire.c
@@ -6,6 +6,8 @@
 
 /** An order that takes longer, in ms, gets no clear answer: it may be sent again. */
 #define ORDER_MS 2000
+/** Control processes are linked to a new leader by then, in ms: the worst seen took 1.8 s. */
+#define LINKED_MS 3000
 
 typedef struct {
 	wk_job_t job;
@@ -112,8 +114,20 @@
 	return n;
 }
 
+/* A new leader knows the others only once they have linked to it, so it can't be sure yet that a VM
+ * is unknown or that too few would be left. */
+static bool knows_all(hub_t *h)
+{
+	gr_status_t st;
+
+	gr_status(h->cn->groups[0].gr, &st);
+	return clk_now_ms() - st.led_since > LINKED_MS;
+}
+
 static void refuse(hub_t *h, const hub_caller_t *from, str_t node, status_t st)
 {
+	if (!knows_all(h))
+		st = st_fail(ST_UNAVAILABLE, "this process leads since a moment only");
 	lg(LG_INFO, "retire_refused", LG_S("node", node), LG_C("status", st_name(st)),
 	   LG_C("message", st_message()));
 	hub_reply_status(h, from, st);
