--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -346,6 +346,16 @@
         s, _, b = await self.call(control.ip, self.port + 2, "GET", "/config/get", [], b"", 3)
         return json.loads(b) if s == 200 else None
 
+    async def read(self, control, s=3):
+        """A read until its answer is clear: a process that can't be sure says 503."""
+        end = time.time() + s
+        while time.time() < end:
+            got = await self.get(control)
+            if got:
+                return got
+            await asyncio.sleep(0.05)
+        raise AssertionError("%s gives no clear answer for %d s" % (control.name, s))
+
     async def submit(self, tries=40, **changes):
         """Sends a new version until some control process acknowledges it."""
         self.version += random.randint(1, 5)
