A request that its replica calls malformed holds no place

Cause: found on rereading. When a replica answers 400 and says that it didn't run the request, which it does for one without an id, the entry answered its caller but never told the dispatcher that the run was over. The place stayed taken until the entry's link broke; twelve such requests before three replicas of four slots made every later one a 503. Change: the run is ended, with an outcome that says nothing of the replica. Test: test_requests_that_replicas_call_malformed_hold_no_place, failed first (503 != 200), passes now.

--- a/src/front/fo.c
+++ b/src/front/fo.c
@@ -204,18 +204,20 @@
 {
 	const pf_reply_t *r = &o->reply;
 
-	if (r->not_run && r->status == 400)
+	if (r->not_run && r->status == 400) {
+		fr_ended(o->f, o, DS_LEFT);
 		finish_own(o, 400, 0, "refused by the replica");
-	else if (r->not_run)
+	} else if (r->not_run) {
 		next_try(o, r->other_replica ? DS_GONE : DS_FULL);
-	else if (!r->certified)
+	} else if (!r->certified) {
 		next_try(o, DS_BROKEN);
-	else if (o->begun && r->status != 200)
+	} else if (o->begun && r->status != 200) {
 		next_try(o, DS_FAILED);
-	else if (r->status >= 500 && repeatable(o) && o->tries < o->attempts)
+	} else if (r->status >= 500 && repeatable(o) && o->tries < o->attempts) {
 		next_try(o, DS_FAILED);
-	else
+	} else {
 		finish_whole(o);
+	}
 }
 
 static void on_end(void *ctx, fx_end_t how)
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -115,6 +115,8 @@
         rid = h.get("request-id", "")
         if h.get("expect-instance") != self.id:
             return await self.reply(writer, 421, [("Instance-Id", self.id)])
+        if not rid:
+            return await self.reply(writer, 400, [("Not-Run", "1")])
         if self.full:
             return await self.reply(writer, 503, [("Not-Run", "1")])
         run = {"id": rid, "replica": self.id, "after": int(h.get("last-event-id", 0)), "at": time.time(),
--- a/tests/proc/test_platform.py
+++ b/tests/proc/test_platform.py
@@ -125,6 +125,20 @@
         time.sleep(0.5)
         self.assertEqual(self.kit.runs_of(rid), [])
 
+    def test_requests_that_replicas_call_malformed_hold_no_place(self):
+        k = self.kit
+        places = sum(r.slots for r in k.replicas)
+
+        async def without_id():
+            return (await k.call(k.fronts[0].ip, k.port, "POST", "/brief/1",
+                                 [("Host", HOST), ("Deadline-Ms", 3000)], b"x", 4))[0]
+        self.assertEqual(self.run_all(*[without_id() for _ in range(places)]), [400] * places)
+        for _ in range(places):
+            rid = self.rid()
+            s, _, b = self.run_one(k.stream(k.fronts[0], "/brief/1", rid))
+            self.assertEqual(s, 200)
+            k.check_stream(rid, b)
+
     def test_a_caller_that_leaves_ends_its_run(self):
         for r in self.kit.replicas:
             r.events = 200
