Trailers don't move a message's head

Cause: found on rereading. Field lines behind a chunked body were added to the same buffer as the head's. The buffer may move when it grows, while the head, which is used once the message is whole, points into it: a use after free that any caller could bring about. Change: fields behind the head are passed over; nobody reads trailers. Test: trailers_leave_the_head_as_it_was, failed first, passes now; net, platform and fuzz tests pass.

--- a/src/net/hp.c
+++ b/src/net/hp.c
@@ -26,6 +26,7 @@
 	p->target_n = 0;
 	p->nspans = 0;
 	p->in_value = false;
+	p->in_body = false;
 	return 0;
 }
 
@@ -42,6 +43,8 @@
 	hp_t *p = hp->data;
 	hp_span_t *s;
 
+	if (p->in_body)
+		return 0;
 	if (p->in_value || p->nspans == 0) {
 		if (p->nspans == HP_HEADERS_MAX) {
 			p->too_large = true;
@@ -59,8 +62,11 @@
 static int on_value(http_parser *hp, const char *at, size_t n)
 {
 	hp_t *p = hp->data;
-	hp_span_t *s = &p->spans[p->nspans - 1];
+	hp_span_t *s;
 
+	if (p->in_body)
+		return 0;
+	s = &p->spans[p->nspans - 1];
 	if (!p->in_value)
 		s->value = p->text.n;
 	p->in_value = true;
@@ -87,6 +93,7 @@
 	};
 	if (!p->o.responses)
 		p->head.method = str_c(http_method_str((enum http_method)hp->method));
+	p->in_body = true;
 	p->o.cb.head(p->o.cb.ctx, &p->head);
 	return 0;
 }
--- a/src/net/hp.h
+++ b/src/net/hp.h
@@ -58,6 +58,7 @@
 	hp_span_t spans[HP_HEADERS_MAX];
 	size_t nspans;
 	bool in_value;
+	bool in_body; /* fields that come now are trailers, which nobody gets */
 	bool too_large;
 	hp_header_t headers[HP_HEADERS_MAX];
 	hp_head_t head;
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -140,6 +140,32 @@
 }
 END_TEST
 
+/* The head is used once the whole message is there, so what follows the body must not move it. */
+START_TEST(trailers_leave_the_head_as_it_was)
+{
+	AUTO_BUF in = {0};
+	hp_t p;
+	seen_t s;
+	size_t used;
+
+	reader(&p, &s, false);
+	p.o.max_header_bytes = 65536;
+	buf_add(&in, STR("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+			 "3\r\nxyz\r\n0\r\n"));
+	for (int i = 0; i < 40; i++)
+		buf_addf(&in, "Trailer-%d: %0200d\r\n", i, i);
+	buf_add(&in, STR("\r\n"));
+	ck_assert_int_eq(hp_feed(&p, str_buf(&in), &used), ST_OK);
+	ck_assert_int_eq(s.ends, 1);
+	ck_assert_ptr_eq(p.head.target.p, p.text.p);
+	ck_assert(str_eq(hp_path(p.head.target), STR("/a")));
+	ck_assert(str_eq(hp_header(&p.head, "Host"), STR("h")));
+	ck_assert_uint_eq(p.head.nheaders, 2);
+	buf_free(&s.body);
+	hp_free(&p);
+}
+END_TEST
+
 START_TEST(query_and_numbers_are_read)
 {
 	ck_assert(str_eq(hp_query(STR("/a?x=1&after=12"), "after"), STR("12")));
@@ -516,6 +542,7 @@
 	tcase_add_test(t, what_is_not_http_or_too_large_is_said);
 	tcase_add_test(t, a_response_without_length_ends_with_its_connection);
 	tcase_add_test(t, a_response_cut_short_does_not_end);
+	tcase_add_test(t, trailers_leave_the_head_as_it_was);
 	tcase_add_test(t, query_and_numbers_are_read);
 	tcase_add_test(t, events_are_found_wherever_the_bytes_are_cut);
 	tcase_add_test(t, a_call_is_answered_and_its_connection_kept);
