One runner for the suites of the unit tests

Cause: 21 test programs carried the same six lines that run a suite, in two spellings. Change: suite_run in tests/unit/suite_kit.h. The tests themselves, their counts and timeouts are as they were.

--- a/tests/unit/test_base.c
+++ b/tests/unit/test_base.c
@@ -1,8 +1,8 @@
 /* Unit tests of src/base. */
-#include <check.h>
 #include <stdlib.h>
 #include "base/status.h"
 #include "base/str.h"
+#include "suite_kit.h"
 
 START_TEST(buffer_adds_and_drops)
 {
@@ -38,15 +38,10 @@
 {
 	Suite *s = suite_create("base");
 	TCase *t = tcase_create("base");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_test(t, buffer_adds_and_drops);
 	tcase_add_test(t, json_string_is_escaped);
 	tcase_add_test(t, status_keeps_last_message);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/tests/unit/test_bench.c
+++ b/tests/unit/test_bench.c
@@ -1,9 +1,9 @@
 /* The load tool's own decisions; it isn't part of the library, so its files are taken in here. */
-#include <check.h>
 #include <stdlib.h>
 // NOLINTBEGIN(bugprone-suspicious-include)
 #include "../../bench/bn_check.c"
 #include "../../bench/bn_rate.c"
+#include "suite_kit.h"
 // NOLINTEND(bugprone-suspicious-include)
 
 static bn_check_t check_of(int tokens)
@@ -134,8 +134,6 @@
 {
 	Suite *s = suite_create("bench");
 	TCase *t = tcase_create("bench");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_test(t, a_whole_stream_is_good);
@@ -143,8 +141,5 @@
 	tcase_add_test(t, each_fault_is_seen);
 	tcase_add_test(t, an_early_end_and_an_error_event_are_not_whole);
 	tcase_add_test(t, arrivals_follow_the_rate_its_bursts_and_pauses);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -1,9 +1,9 @@
 /* Unit tests of the dispatcher, and the peak load played against it. */
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include "policy/ds.h"
+#include "suite_kit.h"
 
 #define LOG_MAX 64
 
@@ -411,8 +411,6 @@
 {
 	Suite *s = suite_create("dispatch");
 	TCase *t = tcase_create("all");
-	SRunner *r;
-	int failed;
 
 	tcase_set_timeout(t, 60);
 	tcase_add_test(t, a_free_place_of_the_own_zone_is_granted);
@@ -434,9 +432,5 @@
 	tcase_add_test(t, an_item_that_failed_at_a_replica_is_run_at_another);
 	tcase_add_test(t, the_replica_that_read_a_prompt_gets_its_like);
 	suite_add_tcase(s, t);
-	r = srunner_create(s);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? 1 : 0;
+	return suite_run(s);
 }
--- a/tests/unit/test_dispatch_load.c
+++ b/tests/unit/test_dispatch_load.c
@@ -1,8 +1,8 @@
 /* The load of the users' sheets, played against the dispatcher: what callers and lots get. */
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include "policy/ds.h"
+#include "suite_kit.h"
 
 static ds_ask_t ask_of(uint64_t request, deadline_t now)
 {
@@ -252,17 +252,11 @@
 {
 	Suite *s = suite_create("dispatch_load");
 	TCase *t = tcase_create("all");
-	SRunner *r;
-	int failed;
 
 	tcase_set_timeout(t, 60);
 	tcase_add_test(t, the_sheets_load_is_served_in_time_beside_batch);
 	tcase_add_test(t, too_many_items_do_not_make_all_of_them_late);
 	tcase_add_test(t, goodput_does_not_fall_at_twice_and_four_times_the_load);
 	suite_add_tcase(s, t);
-	r = srunner_create(s);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? 1 : 0;
+	return suite_run(s);
 }
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -1,6 +1,7 @@
 /* Unit tests of the fleet group: numbered texts, sessions, upstreams and who may own them. */
 #include "fleet_kit.h"
 #include "state/tx.h"
+#include "suite_kit.h"
 
 static aw_fleet_res_t submit(uint64_t number, const char *text)
 {
@@ -185,8 +186,6 @@
 {
 	Suite *s = suite_create("fleet");
 	TCase *t = tcase_create("fleet");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_checked_fixture(t, setup, teardown);
@@ -197,8 +196,5 @@
 	tcase_add_test(t, ownership_is_compared_and_fenced);
 	tcase_add_test(t, vanished_upstream_stays_until_released);
 	tcase_add_test(t, listed_again_keeps_its_owner);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/tests/unit/test_fleet_plan.c
+++ b/tests/unit/test_fleet_plan.c
@@ -1,5 +1,6 @@
 /* Unit tests of the plan of owners. AUBURN_SEED sets the first seed of the random one. */
 #include "fleet_kit.h"
+#include "suite_kit.h"
 
 static bool seen_from(void *ctx, uint64_t session, uint64_t view_version)
 {
@@ -236,16 +237,11 @@
 {
 	Suite *s = suite_create("fleet_plan");
 	TCase *t = tcase_create("fleet_plan");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, released_upstream_waits_for_its_old_owner);
 	tcase_add_loop_test(t, random_plans_spread_and_settle, 1, 21);
 	tcase_add_test(t, lost_member_moves_only_its_own);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/tests/unit/test_fuzz.c
+++ b/tests/unit/test_fuzz.c
@@ -1,6 +1,5 @@
 /* Random and mutated bytes into the parsers that meet outside bytes; seeds are fixed. */
 #include <arpa/inet.h>
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 #include "base/cf.h"
@@ -9,6 +8,7 @@
 #include "state/fl.h"
 #include "state/ld.h"
 #include "state/tx.h"
+#include "suite_kit.h"
 
 #define TEXT_ROUNDS	20000
 #define MESSAGE_ROUNDS	20000
@@ -409,8 +409,6 @@
 {
 	Suite *s = suite_create("fuzz");
 	TCase *t = tcase_create("fuzz");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 120);
@@ -419,8 +417,5 @@
 	tcase_add_test(t, ledger_takes_any_command);
 	tcase_add_test(t, fleet_takes_any_command);
 	tcase_add_test(t, snapshots);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/tests/unit/test_gr.c
+++ b/tests/unit/test_gr.c
@@ -1,5 +1,4 @@
 /* Unit tests of the group runtime: replicas in one process over function calls, real files. */
-#include <check.h>
 #include <fcntl.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -8,6 +7,7 @@
 #include <unistd.h>
 #include <ftw.h>
 #include "raft/gr.h"
+#include "suite_kit.h"
 
 #define REPLICAS_MAX 5
 #define WAIT_MS	     30000
@@ -508,8 +508,6 @@
 {
 	Suite *s = suite_create("gr");
 	TCase *t = tcase_create("gr");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 120);
@@ -523,8 +521,5 @@
 	tcase_add_test(t, damaged_folder_joins_again_under_a_new_id);
 	tcase_add_test(t, failing_disk_stops_acknowledging);
 	tcase_add_test(t, concurrent_proposals_share_syncs);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -1,5 +1,6 @@
 /* Unit tests of the ledger: jobs, leases, snapshots. */
 #include "ledger_kit.h"
+#include "suite_kit.h"
 
 static ld_t *l;
 
@@ -382,8 +383,6 @@
 {
 	Suite *s = suite_create("ledger");
 	TCase *t = tcase_create("ledger");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_checked_fixture(t, setup, teardown);
@@ -404,8 +403,5 @@
 	tcase_add_test(t, cut_snapshot_is_refused);
 	tcase_add_test(t, big_job_fits);
 	tcase_add_test(t, unknown_things_are_named);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/tests/unit/test_ledger_random.c
+++ b/tests/unit/test_ledger_random.c
@@ -1,6 +1,7 @@
 /* Randomised test of the ledger against a model of what it promises. AUBURN_SEED sets the first
  * seed; loop i of the test runs seed AUBURN_SEED + i - 1. */
 #include "ledger_model.h"
+#include "suite_kit.h"
 
 #define STEPS	     4000
 #define SEEDS	     16
@@ -483,13 +484,8 @@
 {
 	Suite *s = suite_create("ledger_random");
 	TCase *t = tcase_create("ledger_random");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_loop_test(t, random_commands_keep_the_promises, 1, 1 + SEEDS);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/tests/unit/test_ledger_request.c
+++ b/tests/unit/test_ledger_request.c
@@ -1,5 +1,6 @@
 /* Unit tests of the ledger: requests and lost sessions. */
 #include "ledger_kit.h"
+#include "suite_kit.h"
 
 static ld_t *l;
 
@@ -146,8 +147,6 @@
 {
 	Suite *s = suite_create("ledger_request");
 	TCase *t = tcase_create("ledger_request");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_checked_fixture(t, setup, teardown);
@@ -157,8 +156,5 @@
 	tcase_add_test(t, only_the_holder_says_not_run);
 	tcase_add_test(t, orphan_is_given_back_and_ends);
 	tcase_add_test(t, lost_session_gets_nothing);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/tests/unit/test_log.c
+++ b/tests/unit/test_log.c
@@ -1,5 +1,4 @@
 /* Unit tests of the log: bounded, and never waiting for its reader. */
-#include <check.h>
 #include <fcntl.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,6 +6,7 @@
 #include "base/clk.h"
 #include "base/lg.h"
 #include "base/mx.h"
+#include "suite_kit.h"
 
 /* Standard output becomes a pipe that nobody reads. */
 static int stdout_to_pipe(int fds[2])
@@ -60,15 +60,9 @@
 {
 	Suite *s = suite_create("log");
 	TCase *t = tcase_create("all");
-	SRunner *r;
-	int failed;
 
 	tcase_add_test(t, a_reader_that_does_not_read_stops_nobody);
 	tcase_add_test(t, an_event_is_bounded_and_says_what_was_left_out);
 	suite_add_tcase(s, t);
-	r = srunner_create(s);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? 1 : 0;
+	return suite_run(s);
 }
--- a/tests/unit/test_lots.c
+++ b/tests/unit/test_lots.c
@@ -1,9 +1,9 @@
 /* Unit tests of the state machine of batch lots. */
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include "state/lo.h"
+#include "suite_kit.h"
 
 #define NOW 1000000
 
@@ -341,8 +341,6 @@
 {
 	Suite *s = suite_create("lots");
 	TCase *t = tcase_create("all");
-	SRunner *r;
-	int failed;
 
 	tcase_add_test(t, a_lot_is_accepted_once);
 	tcase_add_test(t, results_stand_in_the_order_in_which_they_came);
@@ -355,9 +353,5 @@
 	tcase_add_test(t, a_cut_snapshot_is_an_error_and_changes_nothing);
 	tcase_add_test(t, random_commands_keep_the_promises);
 	suite_add_tcase(s, t);
-	r = srunner_create(s);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? 1 : 0;
+	return suite_run(s);
 }
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -1,7 +1,6 @@
 /* Unit tests of the HTTP reader, of server-sent events, and of listener and client over loopback.
  */
 #include <arpa/inet.h>
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,6 +9,7 @@
 #include "net/hl.h"
 #include "net/hu.h"
 #include "net/ss.h"
+#include "suite_kit.h"
 
 /* ---- reader ---- */
 
@@ -534,8 +534,6 @@
 {
 	Suite *s = suite_create("net");
 	TCase *t = tcase_create("all");
-	SRunner *r;
-	int failed;
 
 	tcase_add_test(t, a_request_is_read_byte_by_byte);
 	tcase_add_test(t, a_pipelined_request_is_left_for_later);
@@ -554,9 +552,5 @@
 	tcase_add_test(t, a_body_over_the_limit_is_413);
 	tcase_add_test(t, pipelined_requests_are_answered_in_order);
 	suite_add_tcase(s, t);
-	r = srunner_create(s);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? 1 : 0;
+	return suite_run(s);
 }
--- a/tests/unit/test_owner.c
+++ b/tests/unit/test_owner.c
@@ -1,6 +1,6 @@
-#include <check.h>
 #include <stdlib.h>
 #include "policy/ow.h"
+#include "suite_kit.h"
 
 #define IDS    40000
 #define ROUNDS 60000
@@ -475,8 +475,6 @@
 {
 	Suite *s = suite_create("owner");
 	TCase *t = tcase_create("owner");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_test(t, online_starts_by_deadline);
@@ -492,8 +490,5 @@
 	tcase_add_test(t, a_stream_that_cannot_make_its_deadline_is_refused_at_once);
 	tcase_add_test(t, a_closed_owner_refuses_and_ends);
 	tcase_add_loop_test(t, random_calls_keep_the_invariants, 0, 12);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -1,8 +1,8 @@
 /* Unit tests of the adapter to the users' platform: bytes in, typed values out, and back. */
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 #include "platform/pf.h"
+#include "suite_kit.h"
 
 static const char conf[] =
 	"{\"version\":7,\"routes\":["
@@ -391,8 +391,6 @@
 {
 	Suite *s = suite_create("platform");
 	TCase *t = tcase_create("all");
-	SRunner *r;
-	int failed;
 
 	tcase_add_test(t, a_text_is_decoded);
 	tcase_add_test(t, a_wrong_text_is_refused);
@@ -411,9 +409,5 @@
 	tcase_add_test(t, operators_calls_are_decoded);
 	tcase_add_test(t, answers_are_encoded);
 	suite_add_tcase(s, t);
-	r = srunner_create(s);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? 1 : 0;
+	return suite_run(s);
 }
--- a/tests/unit/test_policy.c
+++ b/tests/unit/test_policy.c
@@ -1,10 +1,10 @@
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include "base/str.h"
 #include "policy/pk.h"
 #include "policy/rt.h"
 #include "policy/tb.h"
+#include "suite_kit.h"
 
 #define ROUNDS 20000
 
@@ -199,8 +199,6 @@
 {
 	Suite *s = suite_create("policy");
 	TCase *t = tcase_create("policy");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_test(t, bucket_gives_its_burst_then_its_rate);
@@ -211,8 +209,5 @@
 	tcase_add_test(t, breaker_lets_one_probe_through_after_a_doubling_pause);
 	tcase_add_test(t, pick_prefers_room_zone_and_prefix);
 	tcase_add_test(t, pick_spreads_and_never_takes_an_unusable_one);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/tests/unit/test_raft.c
+++ b/tests/unit/test_raft.c
@@ -1,9 +1,9 @@
 /* Unit tests of the log's core: fixed seeds of the randomised run, and each protection by itself.
  */
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 #include "sim.h"
+#include "suite_kit.h"
 
 #define ELECTION_TICKS 6 /* as the replicas of sim_node_start have it */
 #define FIXED_SEEDS    140
@@ -437,8 +437,6 @@
 	Suite *suite = suite_create("raft");
 	TCase *t = tcase_create("core");
 	TCase *seeds = tcase_create("seeds");
-	SRunner *r = srunner_create(suite);
-	int failed;
 
 	suite_add_tcase(suite, t);
 	suite_add_tcase(suite, seeds);
@@ -462,8 +460,5 @@
 	tcase_add_test(t, entries_of_earlier_terms_commit_only_with_one_of_this_term);
 	tcase_add_test(t, snapshot_inside_the_log_keeps_what_follows);
 	tcase_add_test(t, removed_voter_campaigns_until_its_removal_is_committed);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(suite);
 }
--- a/tests/unit/test_rpc.c
+++ b/tests/unit/test_rpc.c
@@ -1,7 +1,6 @@
 /* RPC between threads of one process: answers, concurrent clients, a peer that freezes mid-record.
  */
 #include <arpa/inet.h>
-#include <check.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <sys/socket.h>
@@ -10,6 +9,7 @@
 #include "base/cf.h"
 #include "base/rp.h"
 #include "proto/px.h"
+#include "suite_kit.h"
 
 #define ADDR	"127.0.10.1:7311"
 #define CALL_MS 5000
@@ -148,8 +148,6 @@
 {
 	Suite *s = suite_create("rpc");
 	TCase *t = tcase_create("rpc");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_test(t, clients_get_their_own_answers);
@@ -157,8 +155,5 @@
 	tcase_add_test(t, unreached_is_told_from_timeout);
 	tcase_add_test(t, histogram_quantiles_are_close);
 	tcase_add_test(t, settings_name_line_and_key);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -1,5 +1,4 @@
 /* Unit tests of the store: what a folder holds after each kind of damage. */
-#include <check.h>
 #include <fcntl.h>
 #include <ftw.h>
 #include <stdio.h>
@@ -7,6 +6,7 @@
 #include <string.h>
 #include <unistd.h>
 #include "raft/rs_int.h"
+#include "suite_kit.h"
 
 static char root[64];
 static char dir[96];
@@ -451,8 +451,6 @@
 {
 	Suite *suite = suite_create("store");
 	TCase *t = tcase_create("store");
-	SRunner *r = srunner_create(suite);
-	int failed;
 
 	suite_add_tcase(suite, t);
 	tcase_add_checked_fixture(t, setup, teardown);
@@ -469,8 +467,5 @@
 	tcase_add_test(t, failing_sync_stays_failed);
 	tcase_add_loop_test(t, torn_writes_leave_a_prefix, 1, 9);
 	tcase_set_timeout(t, 60);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(suite);
 }
--- a/tests/unit/test_text.c
+++ b/tests/unit/test_text.c
@@ -1,8 +1,8 @@
 /* Unit tests of the operators' text. */
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 #include "state/tx.h"
+#include "suite_kit.h"
 
 static const char good[] = "retention_s = 600\n"
 			   "[[service]]\n"
@@ -178,8 +178,6 @@
 {
 	Suite *s = suite_create("text");
 	TCase *t = tcase_create("text");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_test(t, text_is_read);
@@ -189,8 +187,5 @@
 	tcase_add_test(t, routes_are_read);
 	tcase_add_loop_test(t, a_wrong_route_is_refused, 0,
 			    sizeof(route_faults) / sizeof(route_faults[0]));
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
