Copies of messages, links and random numbers have one function each

Cause: on rereading, four places copied a message by encoding and decoding it with the result unchecked, three chose the address of the leader's link by the same lines, three held the same xorshift, and a few functions had no caller left (ec_abort, dp_stop, cc_controls, en_settings_free). Log lines named calls on lots and of operators by number. Change: px_dup (asserts that the copy is whole), ll_link_addr, ll_call_name (call= is a name now), rd_next, gr_wait; functions without a caller are out.

--- a/bench/bn_job.c
+++ b/bench/bn_job.c
@@ -121,15 +121,24 @@
 	json_decref(v);
 }
 
-static void watch(bn_jobs_t *j, job_t *job)
+/* Address of the job at some entry; false when none is known. */
+static bool job_url(bn_jobs_t *j, const job_t *job, buf_t *url)
 {
 	char addr[BN_ADDR_BYTES];
+
+	if (bn_addr_pick(j->o.addr, gsl_rng_get(j->rng), addr) != ST_OK)
+		return false;
+	buf_addf(url, "http://%s/v1/jobs/%s", addr, job->id);
+	return true;
+}
+
+static void watch(bn_jobs_t *j, job_t *job)
+{
 	AUTO_BUF url = {0};
 	AUTO_BUF body = {0};
 
-	if (bn_addr_pick(j->o.addr, gsl_rng_get(j->rng), addr) != ST_OK)
+	if (!job_url(j, job, &url))
 		return;
-	buf_addf(&url, "http://%s/v1/jobs/%s", addr, job->id);
 	if (bn_http_get(url.p, j->o.key, CALL_MS, &body) == 200)
 		read_job(j, job, body.p ? body.p : "");
 }
@@ -204,13 +213,11 @@
 
 static void cancel(bn_jobs_t *j, const job_t *job)
 {
-	char addr[BN_ADDR_BYTES];
 	AUTO_BUF url = {0};
 	AUTO_BUF body = {0};
 
-	if (bn_addr_pick(j->o.addr, gsl_rng_get(j->rng), addr) != ST_OK)
+	if (!job_url(j, job, &url))
 		return;
-	buf_addf(&url, "http://%s/v1/jobs/%s", addr, job->id);
 	if (bn_http_delete(url.p, j->o.key, CALL_MS, &body) != 200)
 		fprintf(stderr, "bench: job %s wasn't cancelled\n", job->id);
 }
--- /dev/null
+++ b/src/base/rd.c
@@ -0,0 +1,9 @@
+#include "base/rd.h"
+
+uint64_t rd_next(uint64_t *state)
+{
+	*state ^= *state << 13;
+	*state ^= *state >> 7;
+	*state ^= *state << 17;
+	return *state;
+}
--- a/src/client/cc.c
+++ b/src/client/cc.c
@@ -56,11 +56,6 @@
 	free(c);
 }
 
-size_t cc_controls(const cc_t *c)
-{
-	return c->n;
-}
-
 const char *cc_addr(const cc_t *c, size_t i)
 {
 	return c->pools[i].addr;
--- a/src/client/cc.h
+++ b/src/client/cc.h
@@ -33,7 +33,6 @@
 /** Status or events of the control process number i, as text. */
 status_t cc_status(cc_t *c, size_t i, buf_t *out, deadline_t deadline);
 status_t cc_events(cc_t *c, size_t i, str_t needle, unsigned max, buf_t *out, deadline_t deadline);
-size_t cc_controls(const cc_t *c);
 const char *cc_addr(const cc_t *c, size_t i);
 unsigned cc_group(const cc_t *c, str_t caller, str_t key);
 unsigned cc_groups(const cc_t *c);
--- a/src/client/ll.c
+++ b/src/client/ll.c
@@ -25,12 +25,12 @@
 
 struct ll {
 	ll_options_t o;
-	char controls[CONTROLS_MAX][32];
+	char controls[CONTROLS_MAX][LL_ADDR_BYTES];
 	size_t n;
 	size_t next;
-	char hint[32];
-	char rpc[32]; /* of the process that is tried or linked */
-	char addr[32]; /* where it takes links */
+	char hint[LL_ADDR_BYTES];
+	char rpc[LL_ADDR_BYTES]; /* of the process that is tried or linked */
+	char addr[LL_ADDR_BYTES]; /* where it takes links */
 	lk_t *link;
 	bool up;
 	bool idle;
@@ -44,6 +44,30 @@
 	ev_timer tick;
 };
 
+const char *ll_call_name(lw_call_kind_t kind)
+{
+	static const char *const names[] = {
+		[LW_CALL_OPEN] = "open",     [LW_CALL_READ] = "read",	    [LW_CALL_BODY] = "body",
+		[LW_CALL_END] = "end",	     [LW_CALL_SUBMIT] = "submit",   [LW_CALL_CONF] = "conf",
+		[LW_CALL_RETIRE] = "retire", [LW_CALL_RETIRED] = "retired",
+	};
+
+	return (size_t)kind < sizeof(names) / sizeof(names[0]) && names[kind] ? names[kind]
+									      : "unknown";
+}
+
+status_t ll_link_addr(str_t rpc_addr, unsigned link_port, char out[LL_ADDR_BYTES])
+{
+	AUTO_FREE char *rpc = str_dup(rpc_addr);
+	char ip[64];
+	unsigned port;
+
+	if (rp_split_addr(rpc, ip, &port) != ST_OK)
+		return ST_INVALID;
+	snprintf(out, LL_ADDR_BYTES, "%.20s:%u", ip, link_port);
+	return ST_OK;
+}
+
 void ll_add_control(ll_t *l, str_t addr)
 {
 	for (size_t i = 0; i < l->n; i++) {
@@ -225,8 +249,6 @@
 static void try_next(ll_t *l)
 {
 	lk_options_t o = {l->o.loop, l, on_message, on_closed, on_open};
-	char ip[64];
-	unsigned port;
 
 	if (l->hint[0]) {
 		snprintf(l->rpc, sizeof(l->rpc), "%s", l->hint);
@@ -236,10 +258,8 @@
 	}
 	l->tried = clk_now_ms();
 	l->retry_at = l->tried + RETRY_MS;
-	if (rp_split_addr(l->rpc, ip, &port) != ST_OK)
-		return;
-	snprintf(l->addr, sizeof(l->addr), "%.20s:%u", ip, l->o.link_port);
-	l->link = lk_connect(l->addr, &o);
+	if (ll_link_addr(str_c(l->rpc), l->o.link_port, l->addr) == ST_OK)
+		l->link = lk_connect(l->addr, &o);
 }
 
 static void on_tick(struct ev_loop *loop, ev_timer *w, int events)
--- a/src/client/ll.h
+++ b/src/client/ll.h
@@ -12,6 +12,9 @@
 
 typedef struct ll ll_t;
 
+/** Bytes of an ip:port with its end. */
+#define LL_ADDR_BYTES 32
+
 /** Links are checked and pinged on this period, in ms. */
 #define LL_TICK_MS 25
 /** Either end says something at least this often, in ms. */
@@ -41,6 +44,12 @@
 /** reply is NULL when none came in time; sent: the call may have reached the leader. */
 typedef void (*ll_reply_t)(void *ctx, const lw_reply_t *reply, bool sent);
 
+/** What a call is named in log lines. */
+const char *ll_call_name(lw_call_kind_t kind);
+
+/** Where the control process with this RPC address takes links. ST_INVALID: not ip:port. */
+status_t ll_link_addr(str_t rpc_addr, unsigned link_port, char out[LL_ADDR_BYTES]);
+
 ll_t *ll_new(const ll_options_t *o);
 bool ll_is_up(const ll_t *l);
 /** When the link went down; 0 while it is up. */
--- a/src/control/cn_hub.c
+++ b/src/control/cn_hub.c
@@ -5,8 +5,6 @@
 #include <string.h>
 #include <utlist.h>
 #include "base/lg.h"
-#include "base/mx.h"
-#include "base/rp.h"
 #include "net/sk.h"
 
 /** A linked process that says nothing for this long, in ms, is taken for lost. */
@@ -304,15 +302,12 @@
 	announce_end(h);
 	n = ll_controls(h->leader, controls, HUB_ANNOUNCE_MAX);
 	for (size_t i = 0; i < n; i++) {
-		AUTO_BUF addr = {0};
-		char ip[64];
-		unsigned port;
+		char addr[LL_ADDR_BYTES];
 
-		if (is_linked(h, controls[i]) || rp_split_addr(controls[i].p, ip, &port) != ST_OK)
+		if (is_linked(h, controls[i]) ||
+		    ll_link_addr(controls[i], (unsigned)h->cn->s.link_port, addr) != ST_OK)
 			continue;
-		addr.n = 0;
-		buf_addf(&addr, "%s:%u", ip, (unsigned)h->cn->s.link_port);
-		h->announced[h->nannounced] = lk_connect(addr.p, &o);
+		h->announced[h->nannounced] = lk_connect(addr, &o);
 		h->nannounced += h->announced[h->nannounced] != NULL;
 	}
 }
@@ -460,7 +455,7 @@
 	hub_t *h = ctx;
 
 	if (m->kind == LW_VIEW)
-		hub_view_learn(h, m);
+		hub_view_learn(h, &m->lw_msg_t_u.view);
 	else if (m->kind == LW_CONF)
 		hub_conf_learn(h, &m->lw_msg_t_u.conf);
 }
@@ -479,14 +474,11 @@
 
 static status_t listen_links(hub_t *h)
 {
-	AUTO_BUF addr = {0};
-	char ip[64];
-	unsigned port;
+	char addr[LL_ADDR_BYTES];
 
-	if (rp_split_addr(h->cn->s.listen, ip, &port) != ST_OK)
+	if (ll_link_addr(str_c(h->cn->s.listen), (unsigned)h->cn->s.link_port, addr) != ST_OK)
 		return ST_INVALID;
-	buf_addf(&addr, "%s:%u", ip, (unsigned)h->cn->s.link_port);
-	h->listener = sk_listen(addr.p);
+	h->listener = sk_listen(addr);
 	if (h->listener < 0)
 		return ST_IO;
 	ev_io_init(&h->accept, on_accept, h->listener, EV_READ);
--- a/src/control/cn_hub.h
+++ b/src/control/cn_hub.h
@@ -131,7 +131,7 @@
 	deadline_t view_at; /* changes are told then */
 	aw_conf_t conf; /* newest known text */
 	ru_t *routes; /* decoded, leader only */
-	uint64_t conf_number;
+	uint64_t routes_number; /* of the text that they were decoded from */
 	hub_lot_t *lots;
 	uint64_t lots_seen; /* serial of the newest lot that is dispatched */
 	deadline_t lots_at; /* next look for lots that were given up */
@@ -165,7 +165,7 @@
 /** Sends the newest view and text to one peer. */
 void hub_view_send(hub_t *h, hub_peer_t *p);
 /** Takes over the leader's view or text. */
-void hub_view_learn(hub_t *h, const lw_msg_t *m);
+void hub_view_learn(hub_t *h, const lw_view_t *v);
 void hub_conf_learn(hub_t *h, const lw_conf_t *c);
 /** Looks whether a newer text is in force. */
 void hub_conf_tick(hub_t *h);
--- a/src/control/cn_hub_http.c
+++ b/src/control/cn_hub_http.c
@@ -70,8 +70,8 @@
 		else
 			hl_reply(conn, status_of(st), STR(""), message);
 	}
-	lg(LG_INFO, "operator_answered", LG_I("call", c->kind), LG_C("status", st_name(st)),
-	   LG_S("message", message), LG_I("left", conn == NULL));
+	lg(LG_INFO, "operator_answered", LG_C("call", ll_call_name(c->kind)),
+	   LG_C("status", st_name(st)), LG_S("message", message), LG_I("left", conn == NULL));
 	free(c);
 }
 
--- a/src/control/cn_hub_lots.c
+++ b/src/control/cn_hub_lots.c
@@ -3,7 +3,6 @@
 #include <string.h>
 #include <utlist.h>
 #include "base/lg.h"
-#include "base/mx.h"
 #include "control/cn_hub.h"
 
 /** A commit that takes longer, in ms, may still come to pass: its callers are told so. */
@@ -43,16 +42,14 @@
 	hub_batch_t *b = &h->next;
 	u_int n = b->cmd.opens.opens_len;
 	size_t cap = b->opens_cap;
-	AUTO_BUF copy = {0};
 
 	b->cmd.opens.opens_val =
 		grow(b->cmd.opens.opens_val, n, &b->opens_cap, sizeof(aw_lot_open_t));
 	b->open_from = grow(b->open_from, n, &cap, sizeof(hub_caller_t));
-	px_encode(&copy, PX(aw_lot_open_t), o);
-	px_decode(str_buf(&copy), PX(aw_lot_open_t), &b->cmd.opens.opens_val[n], sizeof(*o));
+	px_dup(PX(aw_lot_open_t), o, &b->cmd.opens.opens_val[n], sizeof(*o));
 	b->open_from[n] = *from;
 	b->cmd.opens.opens_len++;
-	b->bytes += copy.n;
+	b->bytes += xdr_sizeof(PX(aw_lot_open_t), (void *)o);
 }
 
 static void add_end(hub_t *h, const hub_caller_t *from, str_t lot)
@@ -268,14 +265,12 @@
 /* "Not found" is said only by a process that surely leads. */
 static void check_and_answer(hub_t *h, const hub_caller_t *from, const lw_what_t *what)
 {
-	AUTO_BUF copy = {0};
 	check_t *c = mem_new(sizeof(*c));
 
 	c->job = (wk_job_t){check_work, check_done, NULL};
 	c->h = h;
 	c->from = *from;
-	px_encode(&copy, PX(lw_what_t), what);
-	px_decode(str_buf(&copy), PX(lw_what_t), &c->what, sizeof(c->what));
+	px_dup(PX(lw_what_t), what, &c->what, sizeof(c->what));
 	wk_submit(h->calls, &c->job);
 }
 
--- a/src/control/cn_hub_text.c
+++ b/src/control/cn_hub_text.c
@@ -2,7 +2,6 @@
  * text as number N+1 on N. */
 #include <stdlib.h>
 #include "base/lg.h"
-#include "base/mx.h"
 #include "client/rc.h"
 #include "control/cn_hub.h"
 
--- a/src/control/cn_hub_view.c
+++ b/src/control/cn_hub_view.c
@@ -2,7 +2,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include "base/lg.h"
-#include "base/mx.h"
 #include "client/rc.h"
 #include "control/cn_hub.h"
 
@@ -239,21 +238,11 @@
 	}
 }
 
-void hub_view_learn(hub_t *h, const lw_msg_t *m)
+void hub_view_learn(hub_t *h, const lw_view_t *v)
 {
-	AUTO_BUF b = {0};
-	lw_msg_t own;
-	const lw_view_t *v = &m->lw_msg_t_u.view;
-
-	px_encode(&b, PX(lw_msg_t), m);
-	if (px_decode(str_buf(&b), PX(lw_msg_t), &own, sizeof(own)) == ST_OK) {
-		lw_view_t old = h->view;
-
-		h->view = own.lw_msg_t_u.view;
-		h->list_read = clk_now_ms() - h->view.age_ms;
-		own.lw_msg_t_u.view = old;
-	}
-	px_free(PX(lw_msg_t), &own);
+	px_free(PX(lw_view_t), &h->view);
+	px_dup(PX(lw_view_t), v, &h->view, sizeof(h->view));
+	h->list_read = clk_now_ms() - v->age_ms;
 	for (u_int i = 0; i < v->controls.controls_len; i++)
 		ll_add_control(h->leader, px_str(v->controls.controls_val[i]));
 }
@@ -282,7 +271,7 @@
 
 void hub_conf_tick(hub_t *h)
 {
-	newer_t n = {.known = h->routes ? h->conf_number : 0};
+	newer_t n = {.known = h->routes_number};
 	ru_t *routes;
 
 	cn_group_read(&h->cn->groups[0], read_newer, &n);
@@ -294,7 +283,7 @@
 	h->conf = n.res.conf;
 	n.res.conf = (aw_conf_t){0};
 	px_free(PX(aw_query_res_t), &n.res);
-	h->conf_number = h->conf.number;
+	h->routes_number = h->conf.number;
 	if (rc_decode(px_str(h->conf.text), h->conf.number, &routes) != ST_OK) {
 		lg(LG_ERROR, "text_unreadable", LG_I("number", h->conf.number),
 		   LG_C("what", st_message()));
--- a/src/control/cn_peer.c
+++ b/src/control/cn_peer.c
@@ -1,6 +1,5 @@
 #include <stdlib.h>
 #include <string.h>
-#include "base/lg.h"
 #include "base/mx.h"
 #include "base/rp.h"
 #include "control/cn.h"
--- a/src/control/cn_session.c
+++ b/src/control/cn_session.c
@@ -1,6 +1,5 @@
 #include <stdlib.h>
 #include <uthash.h>
-#include "base/lg.h"
 #include "base/mx.h"
 #include "control/cn.h"
 
--- a/src/entry/dp.c
+++ b/src/entry/dp.c
@@ -152,12 +152,6 @@
 	out->ro = ro_ref(c->ro);
 }
 
-void dp_stop(en_t *en, const dp_handle_t *h)
-{
-	if (h->ro)
-		ro_stop(h->ro, h->id);
-}
-
 void dp_release(dp_handle_t *h)
 {
 	ro_unref(h->ro);
--- a/src/entry/dp.h
+++ b/src/entry/dp.h
@@ -15,8 +15,6 @@
  *  The handle is given back with dp_release. */
 void dp_start(en_t *en, const up_choice_t *choice, const rn_work_t *w, const rn_sink_t *sink,
 	      dp_handle_t *out);
-/** Breaks the attempt off; its end comes later. */
-void dp_stop(en_t *en, const dp_handle_t *h);
 void dp_release(dp_handle_t *h);
 
 /** The JSON that owners exchange. */
--- a/src/entry/ec.c
+++ b/src/entry/ec.c
@@ -38,8 +38,6 @@
 	pthread_mutex_t lock;
 	uint64_t last_id;
 	call_t *fresh; /* not yet given to curl */
-	uint64_t *aborts;
-	size_t naborts;
 	call_t *running; /* hash by id; used by the thread only */
 };
 
@@ -196,27 +194,6 @@
 	}
 }
 
-static void run_aborts(ec_t *e)
-{
-	uint64_t *ids;
-	size_t n;
-
-	pthread_mutex_lock(&e->lock);
-	ids = e->aborts;
-	n = e->naborts;
-	e->aborts = NULL;
-	e->naborts = 0;
-	pthread_mutex_unlock(&e->lock);
-	for (size_t i = 0; i < n; i++) {
-		call_t *c;
-
-		HASH_FIND(hh, e->running, &ids[i], sizeof(ids[i]), c);
-		if (c)
-			finish(e, c, EC_ABORTED);
-	}
-	free(ids);
-}
-
 static void finish_done(ec_t *e)
 {
 	CURLMsg *m;
@@ -253,7 +230,6 @@
 		int n = 0;
 
 		start_fresh(e);
-		run_aborts(e);
 		curl_multi_perform(e->multi, &n);
 		finish_done(e);
 		if (clk_now_ms() - checked >= POLL_MS) {
@@ -280,28 +256,16 @@
 	return e;
 }
 
-uint64_t ec_start(ec_t *e, const ec_options_t *o)
+void ec_start(ec_t *e, const ec_options_t *o)
 {
 	call_t *c = call_new(o);
-	uint64_t id;
 
 	assert(o->end);
 	pthread_mutex_lock(&e->lock);
-	id = ++e->last_id;
-	c->id = id;
+	c->id = ++e->last_id;
 	DL_APPEND(e->fresh, c);
 	pthread_mutex_unlock(&e->lock);
 	curl_multi_wakeup(e->multi);
-	return id;
-}
-
-void ec_abort(ec_t *e, uint64_t id)
-{
-	pthread_mutex_lock(&e->lock);
-	e->aborts = mem_grow(e->aborts, (e->naborts + 1) * sizeof(*e->aborts));
-	e->aborts[e->naborts++] = id;
-	pthread_mutex_unlock(&e->lock);
-	curl_multi_wakeup(e->multi);
 }
 
 typedef struct {
--- a/src/entry/ec.h
+++ b/src/entry/ec.h
@@ -16,8 +16,7 @@
 	EC_FINISHED, /* the answer came whole */
 	EC_NOT_SENT, /* no connection: surely not received */
 	EC_BROKEN, /* the connection ended before the answer did */
-	EC_STALLED, /* silent for too long */
-	EC_ABORTED /* by ec_abort */
+	EC_STALLED /* silent for too long */
 } ec_kind_t;
 
 typedef struct {
@@ -44,10 +43,8 @@
 } ec_options_t;
 
 ec_t *ec_new(void);
-/** Begins a call; strings are copied. Returns its id for ec_abort. */
-uint64_t ec_start(ec_t *e, const ec_options_t *o);
-/** Breaks a call off; its end comes on the client's thread. Unknown ids are ignored. */
-void ec_abort(ec_t *e, uint64_t id);
+/** Begins a call; strings are copied. */
+void ec_start(ec_t *e, const ec_options_t *o);
 /** Calls and waits. The body is appended to out, which may be NULL. */
 ec_kind_t ec_call(ec_t *e, const ec_options_t *o, int *http_status, buf_t *out);
 
--- a/src/entry/en_settings.c
+++ b/src/entry/en_settings.c
@@ -146,25 +146,3 @@
 		st = read_identities(c, "operator", &out->operators, &out->noperators);
 	return st;
 }
-
-static void free_identities(en_identity_t *ids, size_t n)
-{
-	for (size_t i = 0; i < n; i++) {
-		free(ids[i].name);
-		free(ids[i].key);
-	}
-	free(ids);
-}
-
-void en_settings_free(en_settings_t *s)
-{
-	free(s->name);
-	free(s->zone);
-	free(s->listen);
-	free(s->peer);
-	free(s->peer_key);
-	cf_strs_free(&s->controls);
-	free_identities(s->callers, s->ncallers);
-	free_identities(s->operators, s->noperators);
-	*s = (en_settings_t){0};
-}
--- a/src/entry/en_settings.h
+++ b/src/entry/en_settings.h
@@ -37,6 +37,5 @@
 } en_settings_t;
 
 status_t en_settings_load(const char *path, en_settings_t *out);
-void en_settings_free(en_settings_t *s);
 
 #endif
--- a/src/entry/ro_engine.c
+++ b/src/entry/ro_engine.c
@@ -116,7 +116,6 @@
 	case EC_FINISHED:
 		return kind_of_status(end->http_status);
 	case EC_BROKEN:
-	case EC_ABORTED:
 		break;
 	}
 	return RN_LOST;
--- a/src/front/fb.c
+++ b/src/front/fb.c
@@ -3,7 +3,6 @@
 #include <string.h>
 #include <utlist.h>
 #include "base/lg.h"
-#include "base/mx.h"
 #include "front/fr.h"
 
 /** An item whose replica sends no event for this long, in ms, is run elsewhere: many times the
@@ -144,7 +143,6 @@
 void fb_run(fr_t *f, const lw_item_run_t *m)
 {
 	fb_t *b = find(f, m->job, m->item);
-	AUTO_BUF copy = {0};
 	AUTO_BUF req = {0};
 	AUTO_FREE char *addr = str_dup(px_str(m->addr));
 	pf_send_t s;
@@ -153,8 +151,7 @@
 		fb_free(b);
 	b = mem_new(sizeof(*b));
 	b->f = f;
-	px_encode(&copy, PX(lw_item_run_t), m);
-	px_decode(str_buf(&copy), PX(lw_item_run_t), &b->m, sizeof(b->m));
+	px_dup(PX(lw_item_run_t), m, &b->m, sizeof(b->m));
 	buf_add(&b->text, px_str(m->text));
 	b->events = b->told_events = m->events;
 	b->told_n = b->text.n;
--- a/src/front/fr.h
+++ b/src/front/fr.h
@@ -74,7 +74,7 @@
 
 /* fr_link.c: the leader's link, routes and replicas */
 
-status_t fr_link_start(fr_t *f);
+void fr_link_start(fr_t *f);
 void fr_link_tick(fr_t *f, deadline_t now);
 /** Address of a replica; empty when it isn't known. */
 const char *fr_replica_addr(const fr_t *f, str_t id);
@@ -166,7 +166,7 @@
 void fo_gone(fo_t *o);
 void fo_granted(fo_t *o, str_t replica, str_t addr);
 void fo_refused(fo_t *o, int64_t retry_ms);
-/** The leader's link has changed: a request that waits asks anew. */
+/** True while it waits for a place. */
 bool fo_is_asking(const fo_t *o);
 fo_t *fo_find(fr_t *f, uint64_t number);
 
--- a/src/front/fr_ask.c
+++ b/src/front/fr_ask.c
@@ -2,8 +2,6 @@
  * leader. The own one knows only this process's runs, so it may choose a replica that others have
  * filled; such a replica refuses and another is tried. */
 #include <stdlib.h>
-#include "base/lg.h"
-#include "base/mx.h"
 #include "front/fr.h"
 
 /** This process in its own dispatcher. */
--- a/src/front/fr_link.c
+++ b/src/front/fr_link.c
@@ -2,7 +2,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include "base/lg.h"
-#include "base/mx.h"
 #include "client/rc.h"
 #include "front/fr.h"
 
@@ -50,12 +49,8 @@
 
 static void take_view(fr_t *f, const lw_view_t *m)
 {
-	AUTO_BUF copy = {0};
-
 	px_free(PX(lw_view_t), &f->view);
-	px_encode(&copy, PX(lw_view_t), m);
-	if (px_decode(str_buf(&copy), PX(lw_view_t), &f->view, sizeof(f->view)) != ST_OK)
-		lg(LG_ERROR, "view_unreadable", LG_C("what", st_message()));
+	px_dup(PX(lw_view_t), m, &f->view, sizeof(f->view));
 	for (u_int i = 0; i < f->view.controls.controls_len; i++)
 		ll_add_control(f->leader, px_str(f->view.controls.controls_val[i]));
 	index_replicas(f);
@@ -191,7 +186,7 @@
 	ul_read(f->list);
 }
 
-status_t fr_link_start(fr_t *f)
+void fr_link_start(fr_t *f)
 {
 	f->leader = ll_new(&(ll_options_t){
 		.loop = f->loop,
@@ -211,5 +206,4 @@
 						 .ctx = f,
 						 .list = on_list});
 	fr_ask_down(f);
-	return ST_OK;
 }
--- a/src/front/fr_lot.c
+++ b/src/front/fr_lot.c
@@ -1,7 +1,6 @@
 /* Calls on lots, which the leader answers. */
 #include <stdlib.h>
 #include "base/lg.h"
-#include "base/mx.h"
 #include "front/fr.h"
 
 /** The leader's answer is given up after this, in ms: its commit has failed by then. */
@@ -85,7 +84,7 @@
 	}
 	/* Reads that succeed come many times a second. */
 	if (c->kind == LW_CALL_OPEN || c->kind == LW_CALL_END || st != ST_OK)
-		lg(LG_INFO, "lot_call", LG_C("lot", c->id), LG_I("call", c->kind),
+		lg(LG_INFO, "lot_call", LG_C("lot", c->id), LG_C("call", ll_call_name(c->kind)),
 		   LG_C("outcome", st_name(st)), LG_I("status", status));
 	free(c);
 }
--- a/src/policy/ds_pick.c
+++ b/src/policy/ds_pick.c
@@ -1,6 +1,7 @@
 /* Choices of a replica, of an item that gives way, and of the entry that runs an item. */
 #include <stdlib.h>
 #include <string.h>
+#include "base/rd.h"
 #include "policy/ds_core.h"
 
 /** Costs of a choice, in places taken: another zone costs bytes between zones, another replica than
@@ -14,14 +15,6 @@
 /** Prompts whose replica is remembered; a table of this size takes about 1 MB. */
 #define PREFIXES_MAX 8192
 
-static uint64_t next_random(ds_t *d)
-{
-	d->random ^= d->random << 13;
-	d->random ^= d->random >> 7;
-	d->random ^= d->random << 17;
-	return d->random;
-}
-
 static unsigned used(const replica_t *r)
 {
 	return r->online + r->items;
@@ -87,7 +80,7 @@
 		if (!best || c < best_cost)
 			ties = 0;
 		/* Dispatchers that work apart must not all choose the same one. */
-		if (next_random(d) % ++ties != 0)
+		if (rd_next(&d->random) % ++ties != 0)
 			continue;
 		best = r;
 		best_cost = c;
--- a/src/proto/px.c
+++ b/src/proto/px.c
@@ -50,6 +50,17 @@
 	return ST_OK;
 }
 
+void px_dup(xdrproc_t proc, const void *msg, void *out, size_t msg_size)
+{
+	AUTO_BUF copy = {0};
+	status_t st;
+
+	px_encode(&copy, proc, msg);
+	st = px_decode(str_buf(&copy), proc, out, msg_size);
+	assert(st == ST_OK);
+	(void)st;
+}
+
 void px_free(xdrproc_t proc, void *msg)
 {
 	xdr_free(proc, msg);
--- a/src/proto/px.h
+++ b/src/proto/px.h
@@ -17,6 +17,8 @@
 /** Decodes all of s into *msg, which is zeroed first; ST_CORRUPT on a bad or longer encoding.
  *  The caller frees with px_free, also after an error. */
 status_t px_decode(str_t s, xdrproc_t proc, void *msg, size_t msg_size);
+/** Makes *out an own copy of msg, both of msg_size bytes; the caller frees it with px_free. */
+void px_dup(xdrproc_t proc, const void *msg, void *out, size_t msg_size);
 void px_free(xdrproc_t proc, void *msg);
 /** xdrproc_t of a generated type, e.g. PX(aw_view_t). */
 #define PX(type) ((xdrproc_t)xdr_##type)
--- a/src/raft/gr_calls.c
+++ b/src/raft/gr_calls.c
@@ -73,7 +73,7 @@
 	pthread_mutex_unlock(&g->lock);
 }
 
-static void wait_on(pthread_cond_t *cond, pthread_mutex_t *lock, int64_t ms)
+void gr_wait(gr_t *g, pthread_cond_t *cond, int64_t ms)
 {
 	struct timespec ts;
 
@@ -84,7 +84,7 @@
 		ts.tv_sec++;
 		ts.tv_nsec -= 1000000000;
 	}
-	pthread_cond_timedwait(cond, lock, &ts);
+	pthread_cond_timedwait(cond, &g->lock, &ts);
 }
 
 #define WAIT_MAX_MS 1000 /* a wait is cut into such, since its clock doesn't count suspend */
@@ -96,7 +96,7 @@
 
 		if (left == 0)
 			return;
-		wait_on(&it->cond, &g->lock, left < WAIT_MAX_MS ? left : WAIT_MAX_MS);
+		gr_wait(g, &it->cond, left < WAIT_MAX_MS ? left : WAIT_MAX_MS);
 	}
 }
 
--- a/src/raft/gr_int.h
+++ b/src/raft/gr_int.h
@@ -96,6 +96,8 @@
 
 /* gr_calls.c */
 void gr_item_finish(gr_t *g, gr_item_t *it, status_t st);
+/** Waits with the lock held, at most so many ms. */
+void gr_wait(gr_t *g, pthread_cond_t *cond, int64_t ms);
 void gr_item_unref(gr_t *g, gr_item_t *it);
 
 /* gr_core.c */
--- a/src/raft/gr_loop.c
+++ b/src/raft/gr_loop.c
@@ -107,17 +107,9 @@
 static void wait_tick(gr_t *g, deadline_t next_tick)
 {
 	int64_t ms = clk_left_ms(next_tick);
-	struct timespec ts;
 
-	clock_gettime(CLOCK_MONOTONIC, &ts);
-	ts.tv_sec += ms / 1000;
-	ts.tv_nsec += (ms % 1000) * 1000000;
-	if (ts.tv_nsec >= 1000000000) {
-		ts.tv_sec++;
-		ts.tv_nsec -= 1000000000;
-	}
 	if (ms > 0)
-		pthread_cond_timedwait(&g->wake, &g->lock, &ts);
+		gr_wait(g, &g->wake, ms);
 }
 
 /* What the other threads left since the last batch. */
--- a/src/raft/rf_core.c
+++ b/src/raft/rf_core.c
@@ -4,19 +4,12 @@
 #include <assert.h>
 #include <stdlib.h>
 #include <string.h>
-
-static uint64_t next_random(rf_t *r)
-{
-	r->random ^= r->random << 13;
-	r->random ^= r->random >> 7;
-	r->random ^= r->random << 17;
-	return r->random;
-}
+#include "base/rd.h"
 
 void rf_reset_timeout(rf_t *r)
 {
 	r->elapsed = 0;
-	r->timeout = r->election_ticks + (unsigned)(next_random(r) % r->election_ticks);
+	r->timeout = r->election_ticks + (unsigned)(rd_next(&r->random) % r->election_ticks);
 }
 
 /* A snapshot may have been synced before the term that it came in. No vote of that term can have
@@ -44,7 +37,7 @@
  * pre-vote; if all have started anew, nobody need wait out a whole timeout. */
 static void start_early(rf_t *r)
 {
-	unsigned wait = 1 + (unsigned)(next_random(r) % (r->election_ticks / 2 + 1));
+	unsigned wait = 1 + (unsigned)(rd_next(&r->random) % (r->election_ticks / 2 + 1));
 
 	r->elapsed = r->timeout > wait ? r->timeout - wait : 0;
 }
--- a/tests/unit/sim_node.c
+++ b/tests/unit/sim_node.c
@@ -1,5 +1,6 @@
 /* A replica of the randomised run: its disk, its state and the core's callbacks. */
 #include "sim.h"
+#include "base/rd.h"
 
 #include <stdarg.h>
 #include <stdio.h>
@@ -10,10 +11,7 @@
 
 uint64_t sim_random(sim_t *s, uint64_t n)
 {
-	s->random ^= s->random << 13;
-	s->random ^= s->random >> 7;
-	s->random ^= s->random << 17;
-	return (s->random >> 11) % n;
+	return (rd_next(&s->random) >> 11) % n;
 }
 
 void sim_violate(sim_t *s, const char *fmt, ...)
--- a/tests/unit/test_fuzz.c
+++ b/tests/unit/test_fuzz.c
@@ -2,6 +2,7 @@
 #include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
+#include "base/rd.h"
 #include "base/cf.h"
 #include "proto/px.h"
 #include "proto/rf_xdr.h"
@@ -21,10 +22,7 @@
 
 static uint32_t rng(uint32_t below)
 {
-	rng_state ^= rng_state << 13;
-	rng_state ^= rng_state >> 7;
-	rng_state ^= rng_state << 17;
-	return (uint32_t)(rng_state >> 16) % below;
+	return (uint32_t)(rd_next(&rng_state) >> 16) % below;
 }
 
 static const char text[] =
--- a/tests/unit/test_owner.c
+++ b/tests/unit/test_owner.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include "base/rd.h"
 #include "policy/ow.h"
 #include "suite_kit.h"
 
@@ -367,14 +368,6 @@
 }
 END_TEST
 
-static uint64_t next_random(uint64_t *state)
-{
-	*state ^= *state << 13;
-	*state ^= *state >> 7;
-	*state ^= *state << 17;
-	return *state;
-}
-
 /** A random stream among the newest that is in one of two states, or 0. */
 static uint64_t any_in(state_t a, state_t b, uint64_t newest, uint64_t rnd)
 {
@@ -391,7 +384,7 @@
 
 static void random_step(uint64_t *rnd, uint64_t *newest, int64_t now)
 {
-	uint64_t r = next_random(rnd);
+	uint64_t r = rd_next(rnd);
 	unsigned under_way = m.count[CANCELLING];
 	uint64_t id;
 
@@ -457,7 +450,7 @@
 	o.queue_max = 5 + _i;
 	open_owner(&o);
 	for (int i = 0; i < ROUNDS; i++) {
-		now += (int64_t)(next_random(&rnd) % 20);
+		now += (int64_t)(rd_next(&rnd) % 20);
 		random_step(&rnd, &newest, now);
 		check_counts(now);
 	}
--- a/tests/unit/test_policy.c
+++ b/tests/unit/test_policy.c
@@ -1,5 +1,6 @@
 #include <stdio.h>
 #include <stdlib.h>
+#include "base/rd.h"
 #include "base/str.h"
 #include "policy/pk.h"
 #include "policy/rt.h"
@@ -15,14 +16,6 @@
 	return s ? strtoull(s, NULL, 10) : 5;
 }
 
-static uint64_t next_random(uint64_t *state)
-{
-	*state ^= *state << 13;
-	*state ^= *state >> 7;
-	*state ^= *state << 17;
-	return *state;
-}
-
 START_TEST(bucket_gives_its_burst_then_its_rate)
 {
 	tb_t t = {0};
@@ -182,7 +175,7 @@
 		c[i].usable = i % 3 != 0;
 	}
 	for (int i = 0; i < ROUNDS; i++) {
-		int at = pk_pick(c, 18, i % 3 ? PK_TWO_CHOICES : PK_RANDOM, next_random(&rnd), 1);
+		int at = pk_pick(c, 18, i % 3 ? PK_TWO_CHOICES : PK_RANDOM, rd_next(&rnd), 1);
 
 		ck_assert_int_ge(at, 0);
 		ck_assert(c[at].usable);
--- a/tools/log-bench.c
+++ b/tools/log-bench.c
@@ -155,13 +155,27 @@
 	return lb_nodes[0][i].g;
 }
 
+/* Lets an empty replica join and catch up; how long that took, in us. */
+static int64_t catch_up(gr_t *leader, gr_status_t *out)
+{
+	int64_t start_us = clk_now_us();
+	gr_t *learner = join_learner(leader, 1);
+	gr_status_t s;
+
+	do {
+		clk_sleep_ms(1);
+		gr_status(learner, &s);
+		gr_status(leader, out);
+	} while (s.applied < out->commit);
+	return clk_now_us() - start_us;
+}
+
 /* A replica with a snapshot of `bytes` starts again; then an empty one catches up from it. */
 static void measure_state(size_t bytes)
 {
 	int64_t open_us;
 	int64_t lead_us;
 	int64_t catch_us;
-	gr_status_t s;
 	gr_status_t ls;
 	gr_t *g;
 
@@ -179,14 +193,7 @@
 	g = lb_wait_leader(0);
 	lead_us = clk_now_us() - lead_us;
 	propose_some(g, 10);
-	catch_us = clk_now_us();
-	join_learner(g, 1);
-	do {
-		clk_sleep_ms(1);
-		gr_status(lb_nodes[0][1].g, &s);
-		gr_status(g, &ls);
-	} while (s.applied < ls.commit);
-	catch_us = clk_now_us() - catch_us;
+	catch_us = catch_up(g, &ls);
 	printf("measure=state bytes=%zu open_ms=%.1f election_ms=%.1f catch_up_ms=%.1f "
 	       "snapshot_index=%lu\n",
 	       bytes, (double)open_us / 1000, (double)lead_us / 1000, (double)catch_us / 1000,
@@ -253,14 +260,7 @@
 			pthread_join(t[i], NULL);
 		gr_status(g, &s);
 	}
-	catch_us = clk_now_us();
-	join_learner(g, 1);
-	do {
-		clk_sleep_ms(1);
-		gr_status(lb_nodes[0][1].g, &s);
-		gr_status(g, &ls);
-	} while (s.applied < ls.commit);
-	catch_us = clk_now_us() - catch_us;
+	catch_us = catch_up(g, &ls);
 	lb_stop(0, 0);
 	open_us = clk_now_us();
 	lb_start(0, 0, 1, 1ull << 40);
