Dispatch: who can't have a first event before leaving is refused at once

Besides, the estimate for a new request left out the time from the place to the first event, and a refused request still counted for those behind it; and requests of two services took each other's count of who is ahead. Ruled out: a low goodput (158 answers a second in the burst, of 137 to 160 that 96 places can give). Counts by service.

--- a/src/control/cn_hub_dispatch.c
+++ b/src/control/cn_hub_dispatch.c
@@ -347,6 +347,7 @@
 		.returning = m->returning,
 		.objective = now + m->objective_ms,
 		.deadline = now + m->deadline_ms,
+		.leaves = now + m->leaves_ms,
 		.prefix = m->prefix,
 	};
 
--- a/src/front/fo.c
+++ b/src/front/fo.c
@@ -347,6 +347,7 @@
 	o->attempts = (unsigned)route->attempts;
 	o->priority = (unsigned)route->priority;
 	o->pause_ms = route->pause_ms;
+	o->patience_ms = route->patience_ms;
 	o->returning = wait < route->timeout_ms * RETURNING_PERCENT / 100;
 	o->objective = r->received + route->objective_ms;
 	o->deadline = r->received + (wait < route->timeout_ms ? wait : route->timeout_ms);
--- a/src/front/fr.h
+++ b/src/front/fr.h
@@ -139,6 +139,7 @@
 	unsigned attempts;
 	unsigned priority;
 	int64_t pause_ms;
+	int64_t patience_ms;
 	deadline_t objective;
 	deadline_t deadline;
 	ev_timer timer; /* at the deadline */
--- a/src/policy/ds.c
+++ b/src/policy/ds.c
@@ -223,12 +223,12 @@
 	return run;
 }
 
-/* By priority, then by when their callers give up; ds_place ranks them by what that leaves. */
+/* By priority, then by when their callers leave; ds_place ranks them by what that leaves. */
 static bool goes_before(const ask_t *a, const ask_t *b)
 {
 	if (a->a.priority != b->a.priority)
 		return a->a.priority < b->a.priority;
-	return a->a.deadline < b->a.deadline;
+	return a->a.leaves < b->a.leaves;
 }
 
 void ds_ask(ds_t *d, const ds_ask_t *ask, deadline_t now)
--- a/src/policy/ds_place.c
+++ b/src/policy/ds_place.c
@@ -11,6 +11,11 @@
 #define RETRY_MAX_MS 1500
 /** Retry-After when no replica takes work, in ms: about how long a list needs to show one. */
 #define RETRY_NONE_MS 500
+/** A replica's first event comes within this long of the grant, in ms: its prompt is read in a few
+ * steps of the engine, each of some ms. */
+#define FIRST_EVENT_MS 50
+/** Services whose waiting requests are counted apart; requests of further ones share a count. */
+#define SERVICES_MAX 32
 /** An item is taken to need at least this much longer, in ms: those that last longer than most. */
 #define ITEM_LEFT_MIN_MS 500
 
@@ -161,34 +166,49 @@
 
 /** What a pass over the waiting requests has found out about a service. */
 typedef struct {
-	char service[64];
+	char name[64];
 	unsigned places;
 	bool full; /* a request that avoids no replica found no place */
 	unsigned ahead;
+} service_t;
+
+typedef struct {
+	service_t services[SERVICES_MAX];
+	unsigned n;
 } pass_t;
 
-static void look_at(ds_t *d, pass_t *p, const char *service, deadline_t now)
+static service_t *look_at(ds_t *d, pass_t *p, const char *name, deadline_t now)
 {
-	if (strcmp(p->service, service) == 0)
-		return;
-	*p = (pass_t){.places = ds_places(d, service, now)};
-	snprintf(p->service, sizeof(p->service), "%s", service);
+	service_t *s;
+
+	for (unsigned i = 0; i < p->n; i++) {
+		if (strcmp(p->services[i].name, name) == 0)
+			return &p->services[i];
+	}
+	s = &p->services[p->n < SERVICES_MAX ? p->n++ : SERVICES_MAX - 1];
+	*s = (service_t){.places = ds_places(d, name, now)};
+	snprintf(s->name, sizeof(s->name), "%s", name);
+	return s;
 }
 
-/* A request that can't be answered before its caller gives up is refused, as is a new one that
- * would get its place only after its objective: it is told when to come back. */
-static void judge_ask(ds_t *d, ask_t *q, rank_t rank, const pass_t *p, deadline_t now)
+/* True when it may wait on. Refused are a request that can't be answered before its caller leaves,
+ * even if all places served only those before it, and a new one that would get its place only after
+ * its objective: it is told when to come back. */
+static bool judge_ask(ds_t *d, ask_t *q, rank_t rank, const service_t *s, deadline_t now)
 {
 	int64_t wait_ms =
-		p->places ? d->hold_us * (p->ahead + 1) / p->places / 1000 : RETRY_NONE_MS;
+		s->places ? d->hold_us * (s->ahead + 1) / s->places / 1000 : RETRY_NONE_MS;
+	int64_t first_ms = (s->places ? wait_ms : 0) + FIRST_EVENT_MS;
 
 	/* The first list is read within milliseconds of the start. */
 	if (!d->listed && now <= q->a.objective)
-		return;
-	if (!d->listed || now + d->hold_us / 1000 > q->a.deadline)
-		refuse(d, q, wait_ms);
-	else if (rank == RANK_IN_TIME && now + wait_ms > q->a.objective)
-		refuse(d, q, wait_ms);
+		return true;
+	if (d->listed && now + d->hold_us / 1000 <= q->a.deadline &&
+	    now + first_ms <= q->a.leaves &&
+	    (rank != RANK_IN_TIME || now + wait_ms + FIRST_EVENT_MS <= q->a.objective))
+		return true;
+	refuse(d, q, wait_ms);
+	return false;
 }
 
 static void place_asks(ds_t *d, deadline_t now)
@@ -200,15 +220,16 @@
 		ask_t *next;
 
 		for (q = d->asks; q; q = next) {
+			service_t *s;
+
 			next = q->next;
 			if (rank_of(q, now) != rank)
 				continue;
-			look_at(d, &p, q->service, now);
-			if (!p.full && place_ask(d, q, now))
+			s = look_at(d, &p, q->service, now);
+			if (!s->full && place_ask(d, q, now))
 				continue;
-			p.full |= q->a.navoid == 0;
-			judge_ask(d, q, (rank_t)rank, &p, now);
-			p.ahead++;
+			s->full |= q->a.navoid == 0;
+			s->ahead += judge_ask(d, q, (rank_t)rank, s, now);
 		}
 	}
 }
--- a/src/proto/lw.x
+++ b/src/proto/lw.x
@@ -64,6 +64,7 @@
 	bool returning;			/* its caller has waited elsewhere already */
 	int objective_ms;		/* left until the first byte is due; negative when it is past */
 	int deadline_ms;		/* left until its caller gives up */
+	int leaves_ms;			/* left until its caller leaves unless an event has come */
 	unsigned hyper prefix;		/* hash of the shared parts of its prompt */
 	aw_bytes_t avoid<>;		/* replicas that failed it */
 };
--- a/src/proto/lw_xdr.c
+++ b/src/proto/lw_xdr.c
@@ -130,7 +130,7 @@
 			 return FALSE;
 		 if (!xdr_aw_bytes_t (xdrs, &objp->service))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->priority))
 				 return FALSE;
@@ -142,6 +142,8 @@
 				 return FALSE;
 			 if (!xdr_int (xdrs, &objp->deadline_ms))
 				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->leaves_ms))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->priority);
@@ -149,6 +151,7 @@
 		IXDR_PUT_BOOL(buf, objp->returning);
 		IXDR_PUT_LONG(buf, objp->objective_ms);
 		IXDR_PUT_LONG(buf, objp->deadline_ms);
+		IXDR_PUT_LONG(buf, objp->leaves_ms);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->prefix))
 			 return FALSE;
@@ -161,7 +164,7 @@
 			 return FALSE;
 		 if (!xdr_aw_bytes_t (xdrs, &objp->service))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->priority))
 				 return FALSE;
@@ -173,6 +176,8 @@
 				 return FALSE;
 			 if (!xdr_int (xdrs, &objp->deadline_ms))
 				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->leaves_ms))
+				 return FALSE;
 
 		} else {
 		objp->priority = IXDR_GET_U_LONG(buf);
@@ -180,6 +185,7 @@
 		objp->returning = IXDR_GET_BOOL(buf);
 		objp->objective_ms = IXDR_GET_LONG(buf);
 		objp->deadline_ms = IXDR_GET_LONG(buf);
+		objp->leaves_ms = IXDR_GET_LONG(buf);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->prefix))
 			 return FALSE;
@@ -203,6 +209,8 @@
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->deadline_ms))
 		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->leaves_ms))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->prefix))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->avoid.avoid_val, (u_int *) &objp->avoid.avoid_len, ~0,
--- a/src/proto/lw_xdr.h
+++ b/src/proto/lw_xdr.h
@@ -90,6 +90,7 @@
 	bool_t returning;
 	int objective_ms;
 	int deadline_ms;
+	int leaves_ms;
 	u_quad_t prefix;
 	struct {
 		u_int avoid_len;
--- a/src/state/ru.h
+++ b/src/state/ru.h
@@ -30,6 +30,7 @@
 	int64_t timeout_ms; /* the longest that a caller is kept waiting */
 	int64_t objective_ms; /* until the first byte; RU_BATCH: until a lot is accepted */
 	int64_t pause_ms; /* longest pause between events that is still in time */
+	int64_t patience_ms; /* without an event for so long a caller leaves; 0: at its deadline */
 	int64_t due_ms; /* RU_BATCH: from acceptance until all results are due */
 	int64_t retention_ms; /* RU_BATCH: until an item may be given up */
 	int64_t attempts; /* replicas that one attempt of a caller may be sent to */
--- a/src/state/tx_route.c
+++ b/src/state/tx_route.c
@@ -62,6 +62,7 @@
 		{"timeout_ms", CF_INT, false, 1, TIMEOUT_MS_MAX, &r->timeout_ms},
 		{"objective_ms", CF_INT, false, 1, TIMEOUT_MS_MAX, &r->objective_ms},
 		{"pause_ms", CF_INT, false, 0, TIMEOUT_MS_MAX, &r->pause_ms},
+		{"patience_ms", CF_INT, false, 0, TIMEOUT_MS_MAX, &r->patience_ms},
 		{"due_ms", CF_INT, false, 0, TIMEOUT_MS_MAX, &r->due_ms},
 		{"retention_s", CF_INT, false, 1, RETENTION_S_MAX, &retention_s},
 		{"attempts", CF_INT, false, 1, ATTEMPTS_MAX, &r->attempts},
