Dispatch: replicas that are all silent at once are busy, not failed

Ruled out: too few places (the queue was served within 1.5 s of the wave); a slow start (all entries linked 0.6 s after power). Change: where more than half of a service's replicas are silent together none is taken for failed, for 0.7 s (the mean time that a request holds its place). Other failures count as before. Tests: replicas_that_are_all_silent_at_once_are_busy_not_failed (fails without it: refused), one_silent_replica_of_many_is_left_alone.

--- a/src/policy/ds.c
+++ b/src/policy/ds.c
@@ -15,6 +15,9 @@
 #define SUSPECT_MS	250
 #define SUSPECT_MAX_MS	2000
 #define SUSPECT_DOUBLES 3
+/** When most replicas of a service were silent at once, none is taken for failed for so long, in ms:
+ * about as long as a request holds its place. */
+#define ACQUIT_MS 700
 /** A replica that said it was full gets nothing for this long, in ms: a few steps of its engine. */
 #define FULL_MS 40
 
@@ -265,7 +268,36 @@
 	}
 }
 
-static void judge(replica_t *r, ds_outcome_t how, deadline_t now)
+/*
+ * After all VMs lost power their old runs still hold places at the replicas, until the replicas
+ * notice. Then every replica is silent at once, and leaving them all alone would leave no place.
+ */
+static bool most_are_silent(const ds_t *d, const replica_t *silent, deadline_t now)
+{
+	unsigned suspects = 1;
+	unsigned all = 0;
+
+	for (const replica_t *r = d->replicas; r; r = r->hh.next) {
+		if (!r->listed || r->leaving || strcmp(r->service, silent->service) != 0)
+			continue;
+		all++;
+		suspects += r != silent && now < r->suspect_until;
+	}
+	return suspects * 2 > all && all > 1;
+}
+
+static void acquit_all(ds_t *d, const char *service, deadline_t now)
+{
+	for (replica_t *r = d->replicas; r; r = r->hh.next) {
+		if (strcmp(r->service, service) != 0)
+			continue;
+		r->strikes = 0;
+		r->suspect_until = 0;
+		r->acquitted_until = now + ACQUIT_MS;
+	}
+}
+
+static void judge(ds_t *d, replica_t *r, ds_outcome_t how, deadline_t now)
 {
 	int64_t ms;
 
@@ -279,6 +311,14 @@
 	case DS_FULL:
 		r->full_until = now + FULL_MS;
 		return;
+	case DS_SILENT:
+		if (now < r->acquitted_until)
+			return;
+		if (now >= r->suspect_until && most_are_silent(d, r, now)) {
+			acquit_all(d, r->service, now);
+			return;
+		}
+		break;
 	default:
 		break;
 	}
@@ -296,7 +336,7 @@
 
 	if (!run)
 		return;
-	judge(run->replica, how, now);
+	judge(d, run->replica, how, now);
 	if (how == DS_OK)
 		d->hold_us += ((now - run->since) * 1000 - d->hold_us) / HOLD_WEIGHT;
 	drop_run(d, run);
@@ -377,7 +417,7 @@
 	if (it->state == ITEM_WAITING)
 		return;
 	if (it->replica)
-		judge(it->replica, how, now);
+		judge(d, it->replica, how, now);
 	ds_item_count(it, now);
 	ds_item_unplace(d, it);
 	ds_item_queue(d, it);
@@ -388,7 +428,7 @@
 void ds_item_remove(ds_t *d, ds_item_t *it, bool ended, deadline_t now)
 {
 	if (ended && it->replica) {
-		judge(it->replica, DS_OK, now);
+		judge(d, it->replica, DS_OK, now);
 		ds_item_count(it, now);
 		d->item_ms += d->item_ms ? (it->ran_ms - d->item_ms) / ITEM_WEIGHT : it->ran_ms;
 	}
--- a/src/policy/ds_core.h
+++ b/src/policy/ds_core.h
@@ -19,6 +19,7 @@
 	unsigned items;
 	unsigned strikes; /* failures since its last success */
 	deadline_t suspect_until;
+	deadline_t acquitted_until; /* silence doesn't count against it */
 	deadline_t full_until;
 	UT_hash_handle hh;
 };
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -322,6 +322,42 @@
 }
 END_TEST
 
+START_TEST(replicas_that_are_all_silent_at_once_are_busy_not_failed)
+{
+	ds_t *d = fresh(4, 2);
+	int granted;
+
+	for (uint64_t i = 1; i <= 8; i++)
+		ask(d, i, 0);
+	for (uint64_t i = 1; i <= 8; i++)
+		ds_ended(d, 1, i, DS_SILENT, 180);
+	granted = neffects;
+	for (uint64_t i = 11; i <= 18; i++)
+		ask(d, i, 185);
+	ck_assert_int_eq(neffects, granted + 8);
+	for (int i = granted; i < neffects; i++)
+		ck_assert_int_eq(effects[i].what, 'g');
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(one_silent_replica_of_many_is_left_alone)
+{
+	ds_t *d = fresh(4, 2);
+
+	for (uint64_t i = 1; i <= 8; i++)
+		ask(d, i, 0);
+	for (uint64_t i = 1; i <= 8; i++)
+		ds_ended(d, 1, i, strcmp(effects[i - 1].replica, "r1") ? DS_OK : DS_SILENT, 180);
+	for (uint64_t i = 11; i <= 16; i++)
+		ask(d, i, 185);
+	ck_assert_int_eq(neffects, 14);
+	for (int i = 8; i < neffects; i++)
+		ck_assert_str_ne(effects[i].replica, "r1");
+	ds_free(d);
+}
+END_TEST
+
 START_TEST(runs_that_break_together_are_one_failure)
 {
 	ds_t *d = fresh(2, 4);
@@ -498,6 +534,8 @@
 	tcase_add_test(t, a_place_that_gets_free_too_late_is_not_given_to_a_caller_who_leaves);
 	tcase_add_test(t, waiting_requests_of_one_service_do_not_count_for_another);
 	tcase_add_test(t, a_replica_that_failed_is_left_alone_then_tried_with_one);
+	tcase_add_test(t, replicas_that_are_all_silent_at_once_are_busy_not_failed);
+	tcase_add_test(t, one_silent_replica_of_many_is_left_alone);
 	tcase_add_test(t, runs_that_break_together_are_one_failure);
 	tcase_add_test(t, a_replica_that_failed_a_request_is_avoided_by_it);
 	tcase_add_test(t, a_request_waits_for_the_first_list);
