Dispatch: in a peak, freed places are left to online requests

Cause: in peaks every place that got free was given to an item and asked for by an online request some ms later. Besides, an item that found no place held up all items of other services. Change: each item that is stopped within 0.5 s of its place keeps one more place free of items, up to a quarter; the room shrinks by a place in 250 ms. An item that can't wait out a peak takes any place. What is known of a service stands in one table. Tests: a_place_that_gets_free_in_a_peak_is_left_to_online_requests, the_room_kept_for_online_requests_shrinks_when_none_come, an_item_that_can_not_wait_out_a_peak_takes_the_kept_room, an_item_without_a_place_does_not_hold_up_those_of_another_service; the played load: at most two stops an item.

--- a/src/policy/ds.c
+++ b/src/policy/ds.c
@@ -15,8 +15,8 @@
 #define SUSPECT_MS	250
 #define SUSPECT_MAX_MS	2000
 #define SUSPECT_DOUBLES 3
-/** When most replicas of a service were silent at once, none is taken for failed for so long, in ms:
- * about as long as a request holds its place. */
+/** When most replicas of a service were silent at once, none is taken for failed for so long, in
+ * ms: about as long as a request holds its place. */
 #define ACQUIT_MS 700
 /** A replica that said it was full gets nothing for this long, in ms: a few steps of its engine. */
 #define FULL_MS 40
--- a/src/policy/ds_core.h
+++ b/src/policy/ds_core.h
@@ -71,6 +71,21 @@
 	ds_item_t *next;
 };
 
+/** Services that are told apart; further ones share what is known of the last. */
+#define DS_SERVICES_MAX 32
+
+typedef struct {
+	char name[64];
+	unsigned keep; /* places that items leave free for online requests */
+	deadline_t shrink_at; /* one fewer then */
+	uint64_t pass; /* that what follows was found out in */
+	unsigned places;
+	unsigned ahead; /* waiting requests that go before */
+	bool full; /* a request that avoids no replica found no place */
+	bool no_place; /* nor did an item */
+	bool no_room; /* all free places are kept for online requests */
+} service_t;
+
 /** Where a prompt's shared parts were read last. */
 typedef struct {
 	uint64_t prefix;
@@ -91,6 +106,9 @@
 	deadline_t hold_until;
 	int64_t hold_us; /* mean time that an online request holds its place, in us */
 	int64_t item_ms; /* mean time that an item needs a place in all; 0: none has ended yet */
+	service_t services[DS_SERVICES_MAX];
+	unsigned nservices;
+	uint64_t pass; /* passes over what waits so far */
 	bool listed; /* replicas have been known */
 	bool placing;
 	bool again;
@@ -113,6 +131,7 @@
 void ds_prefix_forget(ds_t *d, const replica_t *r);
 /** Places of the service's usable replicas. */
 unsigned ds_places(const ds_t *d, const char *service, deadline_t now);
+unsigned ds_free_places(const ds_t *d, const char *service, deadline_t now);
 
 /* ds_place.c */
 
@@ -125,6 +144,8 @@
 int64_t ds_item_left(const ds_t *d, const ds_item_t *it, deadline_t now);
 /** False when the item can't be done by its due time any more, as far as others tell. */
 bool ds_item_in_time(const ds_t *d, const ds_item_t *it, deadline_t now);
+/** True when it can wait out a peak of online requests and still be done by its due time. */
+bool ds_item_can_wait(const ds_t *d, const ds_item_t *it, deadline_t now);
 void ds_ask_free(ds_t *d, ask_t *q);
 
 #endif
--- a/src/policy/ds_pick.c
+++ b/src/policy/ds_pick.c
@@ -88,10 +88,9 @@
 	return best;
 }
 
-/* What is left to its due time beyond the place time that it needs, in ms. */
-static int64_t slack(const ds_t *d, const ds_item_t *it, deadline_t now)
+bool ds_item_can_wait(const ds_t *d, const ds_item_t *it, deadline_t now)
 {
-	return it->due - now - ds_item_left(d, it, now);
+	return it->due - now - ds_item_left(d, it, now) > PEAK_MS;
 }
 
 /*
@@ -102,8 +101,8 @@
 static bool gives_way(const ds_t *d, const ds_item_t *a, const ds_item_t *b, str_t zone,
 		      deadline_t now)
 {
-	bool a_waits = slack(d, a, now) > PEAK_MS;
-	bool b_waits = slack(d, b, now) > PEAK_MS;
+	bool a_waits = ds_item_can_wait(d, a, now);
+	bool b_waits = ds_item_can_wait(d, b, now);
 	bool a_near = str_eq(str_c(a->replica->zone), zone);
 	bool b_near = str_eq(str_c(b->replica->zone), zone);
 
@@ -224,3 +223,14 @@
 	}
 	return n;
 }
+
+unsigned ds_free_places(const ds_t *d, const char *service, deadline_t now)
+{
+	unsigned n = 0;
+
+	for (const replica_t *r = d->replicas; r; r = r->hh.next) {
+		if (usable(r, service, now) && now >= r->full_until && used(r) < places(r))
+			n += places(r) - used(r);
+	}
+	return n;
+}
--- a/src/policy/ds_place.c
+++ b/src/policy/ds_place.c
@@ -14,8 +14,14 @@
 /** A replica's first event comes within this long of the grant, in ms: its prompt is read in a few
  * steps of the engine, each of some ms. */
 #define FIRST_EVENT_MS 50
-/** Services whose waiting requests are counted apart; requests of further ones share a count. */
-#define SERVICES_MAX 32
+/** An item that is stopped sooner after it got its place, in ms, hasn't gained what the place cost:
+ * its prompt and the events made so far are read again within tens of ms. */
+#define YOUNG_MS 500
+/** The room kept for online requests shrinks by a place in this time, in ms: half a peak for that
+ * of a small fleet. */
+#define KEEP_SHRINK_MS 250
+/** It is at most this part of the places, so that items have most of what online leaves. */
+#define KEEP_PART 4
 /** An item is taken to need at least this much longer, in ms: those that last longer than most. */
 #define ITEM_LEFT_MIN_MS 500
 
@@ -27,6 +33,34 @@
 	return e ? str_c(e->zone) : (str_t){"", 0};
 }
 
+/* What is known of a service; places as of this pass. */
+static service_t *look_at(ds_t *d, const char *name, deadline_t now)
+{
+	service_t *s = NULL;
+
+	for (unsigned i = 0; i < d->nservices && !s; i++) {
+		if (strcmp(d->services[i].name, name) == 0)
+			s = &d->services[i];
+	}
+	if (!s) {
+		s = &d->services[d->nservices < DS_SERVICES_MAX ? d->nservices++
+								: DS_SERVICES_MAX - 1];
+		*s = (service_t){0};
+		snprintf(s->name, sizeof(s->name), "%s", name);
+	}
+	if (s->pass == d->pass)
+		return s;
+	s->pass = d->pass;
+	s->places = ds_places(d, name, now);
+	s->full = false;
+	s->no_place = false;
+	s->no_room = false;
+	s->ahead = 0;
+	for (; s->keep > 0 && now >= s->shrink_at; s->shrink_at += KEEP_SHRINK_MS)
+		s->keep--;
+	return s;
+}
+
 void ds_ask_free(ds_t *d, ask_t *q)
 {
 	DL_DELETE(d->asks, q);
@@ -123,8 +157,21 @@
 	return it->due > now + ds_item_left(d, it, now);
 }
 
+/* In a peak a place that gets free is asked for again within ms. An item that takes it is stopped
+ * at once and has only read its prompt again; so each such stop keeps one more place free. */
+static void keep_more(ds_t *d, const ds_item_t *it, deadline_t now)
+{
+	service_t *s = look_at(d, it->replica->service, now);
+
+	if (now - it->placed >= YOUNG_MS || s->keep >= s->places / KEEP_PART)
+		return;
+	s->keep++;
+	s->shrink_at = now + KEEP_SHRINK_MS;
+}
+
 static void preempt(ds_t *d, ds_item_t *it, deadline_t now)
 {
+	keep_more(d, it, now);
 	ds_item_count(it, now);
 	it->replica->items--;
 	it->replica = NULL;
@@ -164,33 +211,6 @@
 	return !q->a.returning && now <= q->a.objective ? RANK_IN_TIME : RANK_LATE;
 }
 
-/** What a pass over the waiting requests has found out about a service. */
-typedef struct {
-	char name[64];
-	unsigned places;
-	bool full; /* a request that avoids no replica found no place */
-	unsigned ahead;
-} service_t;
-
-typedef struct {
-	service_t services[SERVICES_MAX];
-	unsigned n;
-} pass_t;
-
-static service_t *look_at(ds_t *d, pass_t *p, const char *name, deadline_t now)
-{
-	service_t *s;
-
-	for (unsigned i = 0; i < p->n; i++) {
-		if (strcmp(p->services[i].name, name) == 0)
-			return &p->services[i];
-	}
-	s = &p->services[p->n < SERVICES_MAX ? p->n++ : SERVICES_MAX - 1];
-	*s = (service_t){.places = ds_places(d, name, now)};
-	snprintf(s->name, sizeof(s->name), "%s", name);
-	return s;
-}
-
 /* True when it may wait on. Refused are a request that can't be answered before its caller leaves,
  * even if all places served only those before it, and a new one that would get its place only after
  * its objective: it is told when to come back. */
@@ -213,8 +233,6 @@
 
 static void place_asks(ds_t *d, deadline_t now)
 {
-	pass_t p = {0};
-
 	for (unsigned rank = 0; rank < RANKS; rank++) {
 		ask_t *q;
 		ask_t *next;
@@ -225,7 +243,7 @@
 			next = q->next;
 			if (rank_of(q, now) != rank)
 				continue;
-			s = look_at(d, &p, q->service, now);
+			s = look_at(d, q->service, now);
 			if (!s->full && place_ask(d, q, now))
 				continue;
 			s->full |= q->a.navoid == 0;
@@ -234,19 +252,29 @@
 	}
 }
 
-static bool place_item(ds_t *d, ds_item_t *it, deadline_t now)
+static void place_item(ds_t *d, ds_item_t *it, deadline_t now)
 {
-	replica_t *r = ds_pick_for_item(d, it, now);
+	service_t *s = look_at(d, it->service, now);
+	bool can_wait = ds_item_can_wait(d, it, now);
 	ds_item_t *late = NULL;
+	replica_t *r = NULL;
 	entry_t *e;
 
+	if (s->no_place || (s->no_room && can_wait))
+		return;
+	/* One that can't wait out a peak takes the room kept for online requests as well. */
+	s->no_room = s->keep > 0 && ds_free_places(d, it->service, now) <= s->keep;
+	if (s->no_room && can_wait)
+		return;
+	r = ds_pick_for_item(d, it, now);
 	if (!r && ds_item_in_time(d, it, now))
 		late = ds_pick_late(d, it, now);
 	if (late)
 		r = late->replica;
 	e = r ? ds_pick_entry(d, r) : NULL;
+	s->no_place = !e;
 	if (!e)
-		return false;
+		return;
 	if (late)
 		preempt(d, late, now);
 	ds_item_unplace(d, it);
@@ -258,7 +286,6 @@
 	e->items++;
 	DL_APPEND(d->running, it);
 	d->cb.run(d->cb.ctx, it->data, e->id, str_c(r->id));
-	return true;
 }
 
 /* Items that were begun go first: what they hold of their replicas' time is lost if they come late.
@@ -280,8 +307,8 @@
 
 		for (it = d->waiting; it; it = next) {
 			next = it->next;
-			if (turn_of(d, it, now) == turn && !place_item(d, it, now))
-				return;
+			if (turn_of(d, it, now) == turn)
+				place_item(d, it, now);
 		}
 	}
 }
@@ -309,6 +336,7 @@
 	d->placing = true;
 	do {
 		d->again = false;
+		d->pass++;
 		requeue_lost(d, now);
 		place_asks(d, now);
 		if (!d->asks && now >= d->hold_until)
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -164,6 +164,90 @@
 }
 END_TEST
 
+/* Eight places with online requests in seven and an item in one, which is stopped young. */
+static ds_t *after_a_young_stop(ds_item_t **it, deadline_t due, int *data)
+{
+	ds_t *d = fresh(1, 8);
+
+	for (uint64_t i = 1; i <= 7; i++)
+		ask(d, i, 0);
+	*it = ds_item_add(d, STR("s"), due, data);
+	ds_tick(d, 0);
+	ask(d, 8, 30);
+	ds_item_back(d, *it, DS_LEFT, 31);
+	ck_assert_int_eq(neffects, 10);
+	return d;
+}
+
+START_TEST(a_place_that_gets_free_in_a_peak_is_left_to_online_requests)
+{
+	ds_item_t *it;
+	int data;
+	ds_t *d = after_a_young_stop(&it, 9000, &data);
+
+	ds_ended(d, 1, 1, DS_OK, 50);
+	ck_assert_int_eq(neffects, 10);
+	/* The next request finds it; nobody is stopped for that. */
+	ask(d, 9, 60);
+	ck_assert_int_eq(effects[10].what, 'g');
+	/* With a second free place there is room for the item as well. */
+	ds_ended(d, 1, 2, DS_OK, 70);
+	ds_ended(d, 1, 3, DS_OK, 80);
+	ck_assert_int_eq(neffects, 12);
+	ck_assert_int_eq(effects[11].what, 'R');
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(the_room_kept_for_online_requests_shrinks_when_none_come)
+{
+	ds_item_t *it;
+	int data;
+	ds_t *d = after_a_young_stop(&it, 9000, &data);
+
+	ds_ended(d, 1, 1, DS_OK, 50);
+	ds_tick(d, 270);
+	ck_assert_int_eq(neffects, 10);
+	ds_tick(d, 290);
+	ck_assert_int_eq(neffects, 11);
+	ck_assert_int_eq(effects[10].what, 'R');
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(an_item_that_can_not_wait_out_a_peak_takes_the_kept_room)
+{
+	ds_item_t *it;
+	int data;
+	ds_t *d = after_a_young_stop(&it, 2000, &data);
+
+	ds_ended(d, 1, 1, DS_OK, 50);
+	ck_assert_int_eq(neffects, 11);
+	ck_assert_int_eq(effects[10].what, 'R');
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(an_item_without_a_place_does_not_hold_up_those_of_another_service)
+{
+	ds_t *d = fresh(1, 1);
+	ds_replica_t v[] = {{STR("r0"), STR("a"), STR("s"), 1, false},
+			    {STR("t0"), STR("a"), STR("t"), 1, false}};
+	int first;
+	int other;
+
+	ds_replicas(d, v, 2, 0);
+	ask(d, 1, 0);
+	ds_item_add(d, STR("s"), 5000, &first);
+	ds_item_add(d, STR("t"), 9000, &other);
+	ds_tick(d, 10);
+	ck_assert_int_eq(neffects, 2);
+	ck_assert_int_eq(effects[1].what, 'R');
+	ck_assert_ptr_eq(effects[1].data, &other);
+	ds_free(d);
+}
+END_TEST
+
 START_TEST(items_run_earliest_due_first_but_hopeless_ones_last)
 {
 	ds_t *d = fresh(1, 1);
@@ -526,6 +610,10 @@
 	tcase_add_test(t, no_replica_gets_more_than_it_runs_at_once);
 	tcase_add_test(t, an_online_request_takes_the_place_of_the_item_due_last);
 	tcase_add_test(t, a_stopped_item_runs_again_once_there_is_room);
+	tcase_add_test(t, a_place_that_gets_free_in_a_peak_is_left_to_online_requests);
+	tcase_add_test(t, the_room_kept_for_online_requests_shrinks_when_none_come);
+	tcase_add_test(t, an_item_that_can_not_wait_out_a_peak_takes_the_kept_room);
+	tcase_add_test(t, an_item_without_a_place_does_not_hold_up_those_of_another_service);
 	tcase_add_test(t, items_run_earliest_due_first_but_hopeless_ones_last);
 	tcase_add_test(t, a_new_request_that_would_be_late_is_refused_with_the_time_of_room);
 	tcase_add_test(t, one_that_comes_back_waits_and_lets_those_in_time_go_first);
--- a/tests/unit/test_dispatch_load.c
+++ b/tests/unit/test_dispatch_load.c
@@ -59,6 +59,7 @@
 	unsigned in_time, late, lost;
 	unsigned too_late; /* granted after its caller had left */
 	unsigned items_in_time, items_late;
+	ds_stats_t stats; /* at the end */
 	unsigned at[PLAY_REPLICAS];
 } play_t;
 
@@ -198,10 +199,11 @@
 		}
 		ds_tick(p->d, p->now);
 	}
+	ds_stats(p->d, &p->stats);
 	printf("load x%.1f: online in time %u late %u lost %u of %llu; items in time %u late %u of "
-	       "%u\n",
+	       "%u, stopped %llu times\n",
 	       x, p->in_time, p->late, p->lost, (unsigned long long)p->n - 1, p->items_in_time,
-	       p->items_late, p->nitems);
+	       p->items_late, p->nitems, (unsigned long long)p->stats.preempted);
 	return p;
 }
 
@@ -220,6 +222,8 @@
 	ck_assert_uint_eq(p->lost, 0);
 	ck_assert_uint_eq(p->items_late, 0);
 	ck_assert_uint_ge(p->items_in_time, p->nitems - 1);
+	/* An item of 4.8 s meets two peaks at most, and gives way once in each. */
+	ck_assert_uint_le(p->stats.preempted, 2 * p->nitems);
 	play_free(p);
 }
 END_TEST
