Dispatch: the room kept for online requests shrinks by a part of it

Change: it shrinks by a place and a quarter of what is left in 250 ms. Test: between_two_peaks_items_get_nearly_all_places_of_a_large_fleet (fails without it).

--- a/src/policy/ds_place.c
+++ b/src/policy/ds_place.c
@@ -17,9 +17,10 @@
 /** An item that is stopped sooner after it got its place, in ms, hasn't gained what the place cost:
  * its prompt and the events made so far are read again within tens of ms. */
 #define YOUNG_MS 500
-/** The room kept for online requests shrinks by a place in this time, in ms: half a peak for that
- * of a small fleet. */
-#define KEEP_SHRINK_MS 250
+/** In this time, in ms, the room kept for online requests shrinks by a place and by this part of
+ * it: between two peaks of 2 s most of it is gone, on fleets of any size. */
+#define KEEP_SHRINK_MS	 250
+#define KEEP_SHRINK_PART 4
 /** It is at most this part of the places, so that items have most of what online leaves. */
 #define KEEP_PART 4
 /** An item is taken to need at least this much longer, in ms: those that last longer than most. */
@@ -57,7 +58,7 @@
 	s->no_room = false;
 	s->ahead = 0;
 	for (; s->keep > 0 && now >= s->shrink_at; s->shrink_at += KEEP_SHRINK_MS)
-		s->keep--;
+		s->keep -= 1 + s->keep / KEEP_SHRINK_PART;
 	return s;
 }
 
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -215,6 +215,36 @@
 }
 END_TEST
 
+START_TEST(between_two_peaks_items_get_nearly_all_places_of_a_large_fleet)
+{
+	ds_t *d = fresh(12, 8);
+	static int data[96];
+	ds_item_t *it[96];
+	ds_stats_t st;
+
+	/* 24 items are stopped young: a quarter of the places is kept. */
+	for (int i = 0; i < 96; i++)
+		it[i] = ds_item_add(d, STR("s"), 60000 + i, &data[i]);
+	ds_tick(d, 0);
+	for (uint64_t i = 1; i <= 24; i++)
+		ask(d, i, 10);
+	for (int i = neffects - 48; i < neffects; i++) {
+		const effect_t *e = &effects[i % LOG_MAX];
+
+		if (e->what == 'S')
+			ds_item_back(d, it[(int *)e->data - data], DS_LEFT, 20);
+	}
+	for (uint64_t i = 1; i <= 24; i++)
+		ds_ended(d, 1, i, DS_OK, 700);
+	ds_stats(d, &st);
+	ck_assert_uint_lt(st.items, 96 - 8);
+	ds_tick(d, 2200);
+	ds_stats(d, &st);
+	ck_assert_uint_ge(st.items, 96 - 3);
+	ds_free(d);
+}
+END_TEST
+
 START_TEST(an_item_that_can_not_wait_out_a_peak_takes_the_kept_room)
 {
 	ds_item_t *it;
@@ -612,6 +642,7 @@
 	tcase_add_test(t, a_stopped_item_runs_again_once_there_is_room);
 	tcase_add_test(t, a_place_that_gets_free_in_a_peak_is_left_to_online_requests);
 	tcase_add_test(t, the_room_kept_for_online_requests_shrinks_when_none_come);
+	tcase_add_test(t, between_two_peaks_items_get_nearly_all_places_of_a_large_fleet);
 	tcase_add_test(t, an_item_that_can_not_wait_out_a_peak_takes_the_kept_room);
 	tcase_add_test(t, an_item_without_a_place_does_not_hold_up_those_of_another_service);
 	tcase_add_test(t, items_run_earliest_due_first_but_hopeless_ones_last);
