Dispatch: requests wait for the first list of replicas until it is there

The age of a list that was never read was the time since the clock's zero. Change: requests wait for the first list until it is there, for 2 s at most, and while their caller can still have an answer before leaving; list_age_ms=-1 says that no list was read.

--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -21,6 +21,8 @@
 FIELD = re.compile(r'(\w+)=("[^"]*"|\S*)')
 # Entries come up before control processes at the first start; what they wait there is no recovery.
 FIRST_START_MS = 3000
+# Entries try the next control process every 50 ms.
+AT_ONCE_MS = 1000
 
 
 def lines_of(path):
@@ -42,6 +44,7 @@
     """(kind, ms) of each recovery in one day's log."""
     rows = sorted(lines_of(path), key=lambda r: r[0])
     began, lost, replaced = {}, {}, {}
+    elected, waited = 0, []
     first = rows[0][0] if rows else 0
     for ms, v in rows:
         who, event = v.get("process"), v.get("event")
@@ -54,6 +57,9 @@
         elif event == "leader_found":
             if who in lost:
                 kind = "entry without leader" if entry else "control without leader"
+                # Who finds a new leader at once had lost the one before, and wasn't cut off itself.
+                if lost[who] < elected and ms - elected < AT_ONCE_MS:
+                    waited.append(elected - lost[who])
                 yield kind, ms - lost.pop(who)
             elif not entry and who in began and began[who][0] - first > FIRST_START_MS:
                 yield "control start", ms - began.pop(who)[0]
@@ -62,13 +68,15 @@
                 yield "entry start", ms - began[who][0]
             began[who] = (None, True)
         elif event == "role" and v.get("role") == "leader":
-            # Of those that are without a leader some may have been cut off for long; most were not.
-            if lost:
-                yield "leadership", ms - statistics.median(lost.values())
+            if waited:
+                yield "leadership", statistics.median(waited)
+            elected, waited = ms, []
         elif event == "voter_replacement_begun":
             replaced[v.get("lost")] = ms
         elif event == "voter_removed" and v.get("addr") in replaced:
             yield "voter replaced", ms - replaced.pop(v["addr"])
+    if waited:
+        yield "leadership", statistics.median(waited)
 
 
 def main():
--- a/src/control/cn_hub.h
+++ b/src/control/cn_hub.h
@@ -125,7 +125,7 @@
 	uint64_t peer_id;
 	ds_t *ds;
 	deadline_t list_at; /* next read of the list */
-	deadline_t list_read; /* when it was read last, here or by the leader before */
+	deadline_t list_read; /* when it was read last, here or by the leader before; 0: never */
 	lw_view_t view; /* newest known: own list, or the leader's */
 	bool view_changed;
 	deadline_t view_at; /* changes are told then */
@@ -165,6 +165,8 @@
 /** Sends the newest view and text to one peer. */
 void hub_view_send(hub_t *h, hub_peer_t *p);
 /** Takes over the leader's view or text. */
+/** Age of the list of upstreams; -1: it was never read. */
+int64_t hub_list_age_ms(const hub_t *h);
 void hub_view_learn(hub_t *h, const lw_view_t *v);
 void hub_conf_learn(hub_t *h, const lw_conf_t *c);
 /** Looks whether a newer text is in force. */
--- a/src/control/cn_hub_dispatch.c
+++ b/src/control/cn_hub_dispatch.c
@@ -33,7 +33,7 @@
 	lg(LG_INFO, "place_refused", LG_C("entry", p->name), LG_I("number", number),
 	   LG_I("retry_ms", retry_ms), LG_I("replicas", st.replicas), LG_I("places", st.slots),
 	   LG_I("online", st.online), LG_I("items", st.items), LG_I("waiting", st.asks_waiting),
-	   LG_I("list_age_ms", clk_now_ms() - h->list_read));
+	   LG_I("list_age_ms", hub_list_age_ms(h)));
 }
 
 static void on_refuse(void *ctx, uint64_t entry, uint64_t request, int64_t retry_ms)
--- a/src/control/cn_hub_view.c
+++ b/src/control/cn_hub_view.c
@@ -141,6 +141,11 @@
 	return (u_int)((peer + (uint64_t)k * len / HUB_SHARE_MAX) % len);
 }
 
+int64_t hub_list_age_ms(const hub_t *h)
+{
+	return h->list_read ? clk_now_ms() - h->list_read : -1;
+}
+
 /*
  * Grants name their replica's address, so an entry needs the list only while it has no leader, and
  * a caller is told no more entries than this. With hundreds of entries before thousands of replicas
@@ -168,7 +173,7 @@
 	for (u_int k = 0; k < v->entries.entries_len; k++)
 		entries[k] =
 			all->entries.entries_val[pick_place(k, all->entries.entries_len, p->id)];
-	v->age_ms = (u_int)(clk_now_ms() - h->list_read);
+	v->age_ms = (u_int)hub_list_age_ms(h); /* -1 becomes UINT32_MAX */
 	hub_send(p, &m);
 }
 
@@ -182,7 +187,7 @@
 		return;
 	}
 	m.lw_msg_t_u.view = h->view;
-	m.lw_msg_t_u.view.age_ms = (u_int)(clk_now_ms() - h->list_read);
+	m.lw_msg_t_u.view.age_ms = (u_int)hub_list_age_ms(h);
 	hub_send(p, &m);
 }
 
@@ -242,7 +247,7 @@
 {
 	px_free(PX(lw_view_t), &h->view);
 	px_dup(PX(lw_view_t), v, &h->view, sizeof(h->view));
-	h->list_read = clk_now_ms() - v->age_ms;
+	h->list_read = v->age_ms == UINT32_MAX ? 0 : clk_now_ms() - v->age_ms;
 	for (u_int i = 0; i < v->controls.controls_len; i++)
 		ll_add_control(h->leader, px_str(v->controls.controls_val[i]));
 }
--- a/src/policy/ds_core.h
+++ b/src/policy/ds_core.h
@@ -110,6 +110,7 @@
 	unsigned nservices;
 	uint64_t pass; /* passes over what waits so far */
 	bool listed; /* replicas have been known */
+	deadline_t list_by; /* until then requests wait for that */
 	bool placing;
 	bool again;
 	unsigned nasks;
--- a/src/policy/ds_place.c
+++ b/src/policy/ds_place.c
@@ -23,6 +23,9 @@
 #define KEEP_SHRINK_PART 4
 /** It is at most this part of the places, so that items have most of what online leaves. */
 #define KEEP_PART 4
+/** Requests wait so long for the first list of replicas, in ms: a leader reads it within tens of
+ * ms, an entry without one after 1.5 s. */
+#define LIST_WAIT_MS 2000
 /** An item is taken to need at least this much longer, in ms: those that last longer than most. */
 #define ITEM_LEFT_MIN_MS 500
 
@@ -221,8 +224,7 @@
 		s->places ? d->hold_us * (s->ahead + 1) / s->places / 1000 : RETRY_NONE_MS;
 	int64_t first_ms = (s->places ? wait_ms : 0) + FIRST_EVENT_MS;
 
-	/* The first list is read within milliseconds of the start. */
-	if (!d->listed && now <= q->a.objective)
+	if (!d->listed && now < d->list_by && now + FIRST_EVENT_MS <= q->a.leaves)
 		return true;
 	if (d->listed && now + d->hold_us / 1000 <= q->a.deadline &&
 	    now + first_ms <= q->a.leaves &&
@@ -334,6 +336,8 @@
 		d->again = true;
 		return;
 	}
+	if (!d->list_by)
+		d->list_by = now + LIST_WAIT_MS;
 	d->placing = true;
 	do {
 		d->again = false;
