Dispatch: requests shorter than a stream's first event; removed headers

Cause: on rereading, a new request was taken to need 50 ms to its first event also where requests hold their places for less; with an objective of some tens of ms every one that finds no free place would be refused. Change: it is taken to need at most what requests hold their places for; -MP in the Makefile.

--- a/Makefile
+++ b/Makefile
@@ -45,15 +45,15 @@
 
 $(B)/obj/src/proto/%_xdr.o: src/proto/%_xdr.c src/proto/px_grow.h
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) -include src/proto/px_grow.h -std=gnu11 $(OPT) $(SAN) -w -pthread -MMD -c $< -o $@
+	$(CC) $(CPPFLAGS) -include src/proto/px_grow.h -std=gnu11 $(OPT) $(SAN) -w -pthread -MMD -MP -c $< -o $@
 
 $(B)/obj/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c $< -o $@
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
 
 $(B)/obj/%.o: %.cpp
 	@mkdir -p $(@D)
-	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -c $< -o $@
+	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP -c $< -o $@
 
 link = @mkdir -p $(@D); $(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
--- a/src/control/cn_hub.h
+++ b/src/control/cn_hub.h
@@ -164,9 +164,9 @@
 void hub_view_tick(hub_t *h, deadline_t now);
 /** Sends the newest view and text to one peer. */
 void hub_view_send(hub_t *h, hub_peer_t *p);
-/** Takes over the leader's view or text. */
 /** Age of the list of upstreams; -1: it was never read. */
 int64_t hub_list_age_ms(const hub_t *h);
+/** Takes over the leader's view or text. */
 void hub_view_learn(hub_t *h, const lw_view_t *v);
 void hub_conf_learn(hub_t *h, const lw_conf_t *c);
 /** Looks whether a newer text is in force. */
--- a/src/policy/ds.h
+++ b/src/policy/ds.h
@@ -62,8 +62,7 @@
 			   refused only when its deadline can't be met */
 	deadline_t objective; /* when its first byte is due */
 	deadline_t deadline; /* when its caller gives up */
-	deadline_t
-		leaves; /* when its caller leaves unless its first event, or the next, has come */
+	deadline_t leaves; /* when its caller leaves unless its next event has come */
 	uint64_t prefix; /* hash of the shared parts of its prompt; 0: none */
 	str_t avoid[DS_AVOID_MAX];
 	unsigned navoid;
--- a/src/policy/ds_core.h
+++ b/src/policy/ds_core.h
@@ -77,7 +77,7 @@
 typedef struct {
 	char name[64];
 	unsigned keep; /* places that items leave free for online requests */
-	deadline_t shrink_at; /* one fewer then */
+	deadline_t shrink_at; /* fewer then */
 	uint64_t pass; /* that what follows was found out in */
 	unsigned places;
 	unsigned ahead; /* waiting requests that go before */
--- a/src/policy/ds_place.c
+++ b/src/policy/ds_place.c
@@ -11,7 +11,7 @@
 #define RETRY_MAX_MS 1500
 /** Retry-After when no replica takes work, in ms: about how long a list needs to show one. */
 #define RETRY_NONE_MS 500
-/** A replica's first event comes within this long of the grant, in ms: its prompt is read in a few
+/** A stream's first event comes within this long of the grant, in ms: its prompt is read in a few
  * steps of the engine, each of some ms. */
 #define FIRST_EVENT_MS 50
 /** An item that is stopped sooner after it got its place, in ms, hasn't gained what the place cost:
@@ -222,13 +222,14 @@
 {
 	int64_t wait_ms =
 		s->places ? d->hold_us * (s->ahead + 1) / s->places / 1000 : RETRY_NONE_MS;
-	int64_t first_ms = (s->places ? wait_ms : 0) + FIRST_EVENT_MS;
+	int64_t hold_ms = d->hold_us / 1000;
+	int64_t first_ms = hold_ms < FIRST_EVENT_MS ? hold_ms : FIRST_EVENT_MS;
 
-	if (!d->listed && now < d->list_by && now + FIRST_EVENT_MS <= q->a.leaves)
+	if (!d->listed && now < d->list_by && now + first_ms <= q->a.leaves)
 		return true;
-	if (d->listed && now + d->hold_us / 1000 <= q->a.deadline &&
-	    now + first_ms <= q->a.leaves &&
-	    (rank != RANK_IN_TIME || now + wait_ms + FIRST_EVENT_MS <= q->a.objective))
+	if (d->listed && now + hold_ms <= q->a.deadline &&
+	    now + first_ms + (s->places ? wait_ms : 0) <= q->a.leaves &&
+	    (rank != RANK_IN_TIME || now + wait_ms + first_ms <= q->a.objective))
 		return true;
 	refuse(d, q, wait_ms);
 	return false;
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -385,6 +385,28 @@
 }
 END_TEST
 
+START_TEST(short_requests_wait_for_a_place_within_a_short_objective)
+{
+	ds_t *d = fresh(1, 1);
+	ds_ask_t a;
+
+	/* Requests hold their place for 10 ms: the next one has it in time. */
+	for (uint64_t i = 1; i <= 200; i++) {
+		ask(d, i, (deadline_t)i * 20);
+		ds_ended(d, 1, i, DS_OK, (deadline_t)i * 20 + 10);
+	}
+	ask(d, 201, 5000);
+	neffects = 0;
+	a = ask_of(202, 5001);
+	a.objective = 5001 + 40;
+	ds_ask(d, &a, 5001);
+	ck_assert_int_eq(neffects, 0);
+	ds_ended(d, 1, 201, DS_OK, 5010);
+	ck_assert_int_eq(effects[0].what, 'g');
+	ds_free(d);
+}
+END_TEST
+
 START_TEST(waiting_requests_of_one_service_do_not_count_for_another)
 {
 	ds_t *d = fresh(1, 1);
@@ -653,6 +675,7 @@
 	tcase_add_test(t, what_can_not_end_before_its_caller_gives_up_is_refused_at_once);
 	tcase_add_test(t, one_whose_caller_leaves_before_there_is_room_is_refused_at_once);
 	tcase_add_test(t, a_place_that_gets_free_too_late_is_not_given_to_a_caller_who_leaves);
+	tcase_add_test(t, short_requests_wait_for_a_place_within_a_short_objective);
 	tcase_add_test(t, waiting_requests_of_one_service_do_not_count_for_another);
 	tcase_add_test(t, a_replica_that_failed_is_left_alone_then_tried_with_one);
 	tcase_add_test(t, replicas_that_are_all_silent_at_once_are_busy_not_failed);
