A refusal says why: no list, deadline, caller leaves, objective

Change: the dispatcher's refusal carries its reason; place_refused has reason=, at the leader and at an entry that places requests itself. Tests: four tests of test_dispatch.c check the reason as well.

--- a/src/control/cn_hub_dispatch.c
+++ b/src/control/cn_hub_dispatch.c
@@ -25,18 +25,21 @@
 	MX_COUNT("auburn_granted_total");
 }
 
-static void log_refusal(hub_t *h, const hub_peer_t *p, uint64_t number, int64_t retry_ms)
+static void log_refusal(hub_t *h, const hub_peer_t *p, uint64_t number, int64_t retry_ms,
+			ds_refusal_t why)
 {
 	ds_stats_t st;
 
 	ds_stats(h->ds, &st);
 	lg(LG_INFO, "place_refused", LG_C("entry", p->name), LG_I("number", number),
-	   LG_I("retry_ms", retry_ms), LG_I("replicas", st.replicas), LG_I("places", st.slots),
-	   LG_I("online", st.online), LG_I("items", st.items), LG_I("waiting", st.asks_waiting),
+	   LG_C("reason", ds_refusal_name(why)), LG_I("retry_ms", retry_ms),
+	   LG_I("replicas", st.replicas), LG_I("places", st.slots), LG_I("online", st.online),
+	   LG_I("items", st.items), LG_I("waiting", st.asks_waiting),
 	   LG_I("list_age_ms", hub_list_age_ms(h)));
 }
 
-static void on_refuse(void *ctx, uint64_t entry, uint64_t request, int64_t retry_ms)
+static void on_refuse(void *ctx, uint64_t entry, uint64_t request, int64_t retry_ms,
+		      ds_refusal_t why)
 {
 	lw_msg_t m = {.kind = LW_REFUSE};
 	hub_peer_t *p = hub_peer(ctx, entry);
@@ -46,7 +49,7 @@
 	m.lw_msg_t_u.refuse.request = request;
 	m.lw_msg_t_u.refuse.retry_ms = (int)retry_ms;
 	hub_send(p, &m);
-	log_refusal(ctx, p, request, retry_ms);
+	log_refusal(ctx, p, request, retry_ms, why);
 	MX_COUNT("auburn_refused_total");
 }
 
--- a/src/front/fr_ask.c
+++ b/src/front/fr_ask.c
@@ -2,6 +2,7 @@
  * leader. The own one knows only this process's runs, so it may choose a replica that others have
  * filled; such a replica refuses and another is tried. */
 #include <stdlib.h>
+#include "base/lg.h"
 #include "front/fr.h"
 
 /** This process in its own dispatcher. */
@@ -16,13 +17,21 @@
 		fo_granted(o, replica, str_c(fr_replica_addr(f, replica)));
 }
 
-static void on_refuse(void *ctx, uint64_t entry, uint64_t request, int64_t retry_ms)
+static void on_refuse(void *ctx, uint64_t entry, uint64_t request, int64_t retry_ms,
+		      ds_refusal_t why)
 {
 	fr_t *f = ctx;
 	fo_t *o = fo_find(f, request);
+	ds_stats_t st;
 
-	if (o && fo_is_asking(o))
-		fo_refused(o, retry_ms);
+	if (!o || !fo_is_asking(o))
+		return;
+	ds_stats(f->local, &st);
+	lg(LG_INFO, "place_refused", LG_S("request", o->call.id), LG_I("number", request),
+	   LG_C("reason", ds_refusal_name(why)), LG_I("retry_ms", retry_ms),
+	   LG_I("replicas", st.replicas), LG_I("places", st.slots), LG_I("online", st.online),
+	   LG_I("waiting", st.asks_waiting));
+	fo_refused(o, retry_ms);
 }
 
 static void no_item(void *ctx, void *data, uint64_t entry)
--- a/src/policy/ds.c
+++ b/src/policy/ds.c
@@ -29,6 +29,13 @@
 	return (size_t)how < sizeof(names) / sizeof(names[0]) ? names[how] : "unknown";
 }
 
+const char *ds_refusal_name(ds_refusal_t why)
+{
+	static const char *const names[] = {"no list", "deadline", "caller leaves", "objective"};
+
+	return (size_t)why < sizeof(names) / sizeof(names[0]) ? names[why] : "unknown";
+}
+
 ds_t *ds_new(const ds_callbacks_t *cb, uint64_t random_seed)
 {
 	ds_t *d = mem_new(sizeof(*d));
--- a/src/policy/ds.h
+++ b/src/policy/ds.h
@@ -32,10 +32,21 @@
 
 const char *ds_outcome_name(ds_outcome_t how);
 
+/** Why a request gets no place. */
+typedef enum {
+	DS_NO_LIST, /* no list of replicas has come */
+	DS_PAST_DEADLINE, /* it could not end by its deadline */
+	DS_CALLER_LEAVES, /* its caller leaves before its first event */
+	DS_PAST_OBJECTIVE /* new, and its first event would miss the objective */
+} ds_refusal_t;
+
+const char *ds_refusal_name(ds_refusal_t why);
+
 typedef struct {
 	void *ctx;
 	void (*grant)(void *ctx, uint64_t entry, uint64_t request, str_t replica);
-	void (*refuse)(void *ctx, uint64_t entry, uint64_t request, int64_t retry_ms);
+	void (*refuse)(void *ctx, uint64_t entry, uint64_t request, int64_t retry_ms,
+		       ds_refusal_t why);
 	/** Starts an item; data is what ds_item_add was given. */
 	void (*run)(void *ctx, void *data, uint64_t entry, str_t replica);
 	void (*stop)(void *ctx, void *data, uint64_t entry);
--- a/src/policy/ds_place.c
+++ b/src/policy/ds_place.c
@@ -125,7 +125,7 @@
 	d->cb.grant(d->cb.ctx, entry, request, str_c(r->id));
 }
 
-static void refuse(ds_t *d, ask_t *q, int64_t retry_ms)
+static void refuse(ds_t *d, ask_t *q, int64_t retry_ms, ds_refusal_t why)
 {
 	uint64_t entry = q->a.entry;
 	uint64_t request = q->a.request;
@@ -133,7 +133,8 @@
 	ds_ask_free(d, q);
 	if (retry_ms < RETRY_MIN_MS)
 		retry_ms = RETRY_MIN_MS;
-	d->cb.refuse(d->cb.ctx, entry, request, retry_ms > RETRY_MAX_MS ? RETRY_MAX_MS : retry_ms);
+	d->cb.refuse(d->cb.ctx, entry, request, retry_ms > RETRY_MAX_MS ? RETRY_MAX_MS : retry_ms,
+		     why);
 }
 
 void ds_item_count(ds_item_t *it, deadline_t now)
@@ -227,11 +228,16 @@
 
 	if (!d->listed && now < d->list_by && now + first_ms <= q->a.leaves)
 		return true;
-	if (d->listed && now + hold_ms <= q->a.deadline &&
-	    now + first_ms + (s->places ? wait_ms : 0) <= q->a.leaves &&
-	    (rank != RANK_IN_TIME || now + wait_ms + first_ms <= q->a.objective))
+	if (!d->listed)
+		refuse(d, q, wait_ms, DS_NO_LIST);
+	else if (now + hold_ms > q->a.deadline)
+		refuse(d, q, wait_ms, DS_PAST_DEADLINE);
+	else if (now + first_ms + (s->places ? wait_ms : 0) > q->a.leaves)
+		refuse(d, q, wait_ms, DS_CALLER_LEAVES);
+	else if (rank == RANK_IN_TIME && now + wait_ms + first_ms > q->a.objective)
+		refuse(d, q, wait_ms, DS_PAST_OBJECTIVE);
+	else
 		return true;
-	refuse(d, q, wait_ms);
 	return false;
 }
 
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -13,6 +13,7 @@
 	uint64_t request;
 	char replica[32];
 	int64_t retry_ms;
+	ds_refusal_t why;
 	void *data;
 } effect_t;
 
@@ -36,13 +37,15 @@
 	snprintf(e->replica, sizeof(e->replica), "%.*s", STR_ARG(replica));
 }
 
-static void on_refuse(void *ctx, uint64_t entry, uint64_t request, int64_t retry_ms)
+static void on_refuse(void *ctx, uint64_t entry, uint64_t request, int64_t retry_ms,
+		      ds_refusal_t why)
 {
 	effect_t *e = effect('r');
 
 	e->entry = entry;
 	e->request = request;
 	e->retry_ms = retry_ms;
+	e->why = why;
 }
 
 static void on_run(void *ctx, void *data, uint64_t entry, str_t replica)
@@ -305,6 +308,7 @@
 	ck_assert_int_eq(effects[1].what, 'r');
 	ck_assert_uint_eq(effects[1].request, 2);
 	ck_assert_int_ge(effects[1].retry_ms, 300);
+	ck_assert_int_eq(effects[1].why, DS_PAST_OBJECTIVE);
 	ds_free(d);
 }
 END_TEST
@@ -339,6 +343,7 @@
 	ds_ask(d, &back, 0);
 	ck_assert_int_eq(effects[1].what, 'r');
 	ck_assert_uint_eq(effects[1].request, 20);
+	ck_assert_int_eq(effects[1].why, DS_PAST_DEADLINE);
 	ds_free(d);
 }
 END_TEST
@@ -379,6 +384,7 @@
 	ds_tick(d, 3190);
 	ck_assert_int_eq(neffects, 2);
 	ck_assert_int_eq(effects[1].what, 'r');
+	ck_assert_int_eq(effects[1].why, DS_CALLER_LEAVES);
 	ds_ended(d, 1, 1, DS_OK, 3195);
 	ck_assert_int_eq(neffects, 2);
 	ds_free(d);
@@ -548,6 +554,7 @@
 	ds_tick(d, 2000);
 	ck_assert_int_eq(neffects, 1);
 	ck_assert_int_eq(effects[0].what, 'r');
+	ck_assert_int_eq(effects[0].why, DS_NO_LIST);
 	ds_free(d);
 }
 END_TEST
--- a/tests/unit/test_dispatch_load.c
+++ b/tests/unit/test_dispatch_load.c
@@ -78,7 +78,8 @@
 		p->late++;
 }
 
-static void play_refuse(void *ctx, uint64_t entry, uint64_t request, int64_t retry_ms)
+static void play_refuse(void *ctx, uint64_t entry, uint64_t request, int64_t retry_ms,
+			ds_refusal_t why)
 {
 	play_t *p = ctx;
 	request_t *r = &p->r[request];
