Tests of routes' patience, in the own text and in the platform's

Cause: patience_ms was read in two places without a test of its own. Change: the own text's key and default; the longest of the three times the platform's protocol names, each in turn.

--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -20,17 +20,23 @@
 	"\"idleTimeoutMs\":15000}}";
 
 /* The text with one piece replaced. */
+static void replace(buf_t *b, const char *what, const char *by)
+{
+	const char *at = strstr(conf, what);
+
+	ck_assert_ptr_nonnull(at);
+	buf_add(b, (str_t){conf, (size_t)(at - conf)});
+	buf_add(b, str_c(by));
+	buf_add(b, str_c(at + strlen(what)));
+}
+
 static status_t decode_with(const char *what, const char *by)
 {
 	AUTO_BUF b = {0};
-	const char *at = strstr(conf, what);
 	ru_t *r = NULL;
 	status_t st;
 
-	ck_assert_ptr_nonnull(at);
-	buf_add(&b, (str_t){conf, (size_t)(at - conf)});
-	buf_add(&b, str_c(by));
-	buf_add(&b, str_c(at + strlen(what)));
+	replace(&b, what, by);
 	st = pf_conf_decode(str_buf(&b), &r);
 	ck_assert(st == ST_OK || r == NULL);
 	ru_free(r);
@@ -50,11 +56,13 @@
 	ck_assert_int_eq(one->timeout_ms, 5000);
 	ck_assert_int_eq(one->objective_ms, 300);
 	ck_assert_int_eq(one->pause_ms, 400);
+	ck_assert_int_eq(one->patience_ms, 8 * 400);
 	ck_assert_int_eq(one->attempts, 2);
 	ck_assert(one->resumable);
 	ck_assert_uint_eq(one->nshares, 2);
 	ck_assert_int_eq(one->shares[1].weight, 10);
 	ck_assert_int_eq(r->routes[1].kind, RU_BATCH);
+	ck_assert_int_eq(r->routes[1].patience_ms, 0);
 	ck_assert_int_eq(r->routes[1].waiting_tokens_max, 2500000);
 	ck_assert_int_eq(r->routes[1].retention_ms, 60000);
 	ck_assert_int_eq(r->routes[1].due_ms, 18000);
@@ -63,6 +71,29 @@
 }
 END_TEST
 
+/* The longest of 2 s, four objectives and eight pauses. */
+START_TEST(how_long_callers_wait_for_an_event)
+{
+	static const struct {
+		const char *was, *is;
+		int64_t patience_ms;
+	} cases[] = {
+		{"\"gapTargetMs\":400", "\"gapTargetMs\":500", 4000},
+		{"\"gapTargetMs\":400", "\"gapTargetMs\":100", 2000},
+		{"\"sloMs\":300", "\"sloMs\":1000", 4000},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		AUTO_BUF b = {0};
+		AUTO_RU *r = NULL;
+
+		replace(&b, cases[i].was, cases[i].is);
+		ck_assert_int_eq(pf_conf_decode(str_buf(&b), &r), ST_OK);
+		ck_assert_int_eq(r->routes[0].patience_ms, cases[i].patience_ms);
+	}
+}
+END_TEST
+
 START_TEST(a_wrong_text_is_refused)
 {
 	ck_assert_int_eq(decode_with("\"version\":7", "\"version\":7"), ST_OK);
@@ -393,6 +424,7 @@
 	TCase *t = tcase_create("all");
 
 	tcase_add_test(t, a_text_is_decoded);
+	tcase_add_test(t, how_long_callers_wait_for_an_event);
 	tcase_add_test(t, a_wrong_text_is_refused);
 	tcase_add_test(t, a_text_cut_anywhere_is_refused);
 	tcase_add_test(t, routes_match_by_host_and_longest_prefix);
--- a/tests/unit/test_text.c
+++ b/tests/unit/test_text.c
@@ -116,6 +116,7 @@
 			     "services = [\"llm=90\", \"llm-next=10\"]\n"
 			     "objective_ms = 300\n"
 			     "resumable = true\n"
+			     "patience_ms = 3200\n"
 			     "[[route]]\n"
 			     "name = \"digest\"\n"
 			     "host = \"desk.example\"\n"
@@ -137,6 +138,8 @@
 	ck_assert_int_eq(r->kind, RU_STREAM);
 	ck_assert_int_eq(r->objective_ms, 300);
 	ck_assert(r->resumable);
+	ck_assert_int_eq(r->patience_ms, 3200);
+	ck_assert_int_eq(t->routes->routes[1].patience_ms, 0);
 	ck_assert_uint_eq(r->nshares, 2);
 	ck_assert_str_eq(r->shares[1].service, "llm-next");
 	ck_assert_int_eq(r->shares[1].weight, 10);
@@ -155,7 +158,7 @@
 	{"services = [\"llm=90\", \"llm-next=10\"]", "services = [\"llm=0\"]", "add up to 0"},
 	{"/digest/", "/brief/", "share host and prefix"},
 	{"/digest/", "digest", "begin and end with a slash"},
-	{"kind = \"batch\"", "kind = \"bulk\"", "text:18: kind: unknown kind \"bulk\""},
+	{"kind = \"batch\"", "kind = \"bulk\"", "text:19: kind: unknown kind \"bulk\""},
 	{"objective_ms = 300", "timeout_ms = 0", "text:12: timeout_ms"},
 	{"objective_ms = 300", "objctive_ms = 300", "objctive_ms"},
 };
