On rereading: a service's figures in one place; deadlines where they arise

Cause: the mean times of requests and items were one figure for all services, though the rest of what is known of a service was kept for each; the table of services had a limit beyond which the last place changed hands (its comment said that it is shared); names were compared for each replica and item. When a caller leaves was worked out where asks are encoded. "Acquit" needed explaining. bench/recovery.py told entries from control processes by an expression that mixed and with or.

--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -43,30 +43,29 @@
 def recoveries(path):
     """(kind, ms) of each recovery in one day's log."""
     rows = sorted(lines_of(path), key=lambda r: r[0])
-    began, lost, replaced = {}, {}, {}
+    entries = set()  # processes that are entries
+    starting, lost, replaced = {}, {}, {}
     elected, waited = 0, []
     first = rows[0][0] if rows else 0
     for ms, v in rows:
         who, event = v.get("process"), v.get("event")
-        entry = "zone" in v and event == "started" or who in began and began[who][1]
+        is_first_start = starting.get(who, first) - first < FIRST_START_MS
         if event in ("started", "opening"):
-            began[who] = (ms, event == "started")
+            if event == "started":
+                entries.add(who)
+            starting[who] = ms
             lost.pop(who, None)
         elif event == "leader_lost" and v.get("reason") not in ("leads itself", "doesn't lead"):
             lost[who] = ms
-        elif event == "leader_found":
-            if who in lost:
-                kind = "entry without leader" if entry else "control without leader"
-                # Who finds a new leader at once had lost the one before, and wasn't cut off itself.
-                if lost[who] < elected and ms - elected < AT_ONCE_MS:
-                    waited.append(elected - lost[who])
-                yield kind, ms - lost.pop(who)
-            elif not entry and who in began and began[who][0] - first > FIRST_START_MS:
-                yield "control start", ms - began.pop(who)[0]
-        elif event == "text_in_force" and entry and began[who][0] is not None:
-            if began[who][0] - first > FIRST_START_MS:
-                yield "entry start", ms - began[who][0]
-            began[who] = (None, True)
+        elif event == "leader_found" and who in lost:
+            # Who finds a new leader at once had lost the one before, and wasn't cut off itself.
+            if lost[who] < elected and ms - elected < AT_ONCE_MS:
+                waited.append(elected - lost[who])
+            yield ("entry" if who in entries else "control") + " without leader", ms - lost.pop(who)
+        elif event == ("text_in_force" if who in entries else "leader_found") and who in starting:
+            if not is_first_start:
+                yield ("entry" if who in entries else "control") + " start", ms - starting[who]
+            del starting[who]
         elif event == "role" and v.get("role") == "leader":
             if waited:
                 yield "leadership", statistics.median(waited)
--- a/src/control/cn_hub_dispatch.c
+++ b/src/control/cn_hub_dispatch.c
@@ -273,7 +273,7 @@
 		hub_item_t *it = &r->lot->items[i];
 
 		if (it->run)
-			ds_item_service(it->run, str_c(route_item(r->h, t, it)));
+			ds_item_service(r->h->ds, it->run, str_c(route_item(r->h, t, it)));
 	}
 }
 
--- a/src/front/fo.c
+++ b/src/front/fo.c
@@ -97,10 +97,21 @@
 		snprintf(o->avoid[o->navoid++], sizeof(o->avoid[0]), "%s", o->replica);
 }
 
+/* Its caller counts its patience from the last event, or from when it sent the request. */
+static deadline_t leaves(const fo_t *o)
+{
+	deadline_t since = o->begun ? o->asked : o->r.received;
+
+	if (o->patience_ms == 0 || since + o->patience_ms > o->deadline)
+		return o->deadline;
+	return since + o->patience_ms;
+}
+
 static void ask(fo_t *o)
 {
 	o->state = FO_ASKING;
 	o->asked = clk_now_ms();
+	o->leaves = leaves(o);
 	fr_ask(o->f, o);
 }
 
--- a/src/front/fr.h
+++ b/src/front/fr.h
@@ -142,6 +142,7 @@
 	int64_t patience_ms;
 	deadline_t objective;
 	deadline_t deadline;
+	deadline_t leaves; /* when its caller leaves unless an event has come */
 	ev_timer timer; /* at the deadline */
 	fx_t *run;
 	pf_reply_t reply; /* its views don't outlive the head */
--- a/src/front/fr_ask.c
+++ b/src/front/fr_ask.c
@@ -42,16 +42,6 @@
 {
 }
 
-/* When the caller leaves unless an event has come by then. */
-static deadline_t leaves(const fo_t *o)
-{
-	deadline_t since = o->begun ? o->asked : o->r.received;
-
-	if (o->patience_ms == 0 || since + o->patience_ms > o->deadline)
-		return o->deadline;
-	return since + o->patience_ms;
-}
-
 static void ask_local(fr_t *f, const fo_t *o)
 {
 	ds_ask_t a = {
@@ -63,7 +53,7 @@
 		.returning = o->returning || o->offered,
 		.objective = o->objective,
 		.deadline = o->deadline,
-		.leaves = leaves(o),
+		.leaves = o->leaves,
 		.prefix = o->call.prefix,
 	};
 
@@ -87,7 +77,7 @@
 		.returning = o->returning || o->offered,
 		.objective_ms = (int)(o->objective - now),
 		.deadline_ms = (int)(o->deadline - now),
-		.leaves_ms = (int)(leaves(o) - now),
+		.leaves_ms = (int)(o->leaves - now),
 		.prefix = o->call.prefix,
 	};
 	for (unsigned i = 0; i < o->navoid; i++)
--- a/src/policy/ds.c
+++ b/src/policy/ds.c
@@ -15,9 +15,9 @@
 #define SUSPECT_MS	250
 #define SUSPECT_MAX_MS	2000
 #define SUSPECT_DOUBLES 3
-/** When most replicas of a service were silent at once, none is taken for failed for so long, in
- * ms: about as long as a request holds its place. */
-#define ACQUIT_MS 700
+/** When most replicas of a service were silent at once, all count as busy for so long, in ms: about
+ * as long as a request holds its place. */
+#define BUSY_MS 700
 /** A replica that said it was full gets nothing for this long, in ms: a few steps of its engine. */
 #define FULL_MS 40
 
@@ -42,23 +42,34 @@
 
 	d->cb = *cb;
 	d->random = random_seed | 1;
-	d->hold_us = HOLD_FIRST_US;
 	return d;
 }
 
+static service_t *service_of(ds_t *d, str_t name)
+{
+	service_t *s;
+
+	HASH_FIND(hh, d->services, name.p, name.n, s);
+	if (s)
+		return s;
+	s = mem_new(sizeof(*s));
+	s->name = str_dup(name);
+	s->hold_us = HOLD_FIRST_US;
+	HASH_ADD_KEYPTR(hh, d->services, s->name, name.n, s);
+	return s;
+}
+
 static void replica_free(ds_t *d, replica_t *r)
 {
 	ds_prefix_forget(d, r);
 	HASH_DEL(d->replicas, r);
 	free(r->id);
 	free(r->zone);
-	free(r->service);
 	free(r);
 }
 
 static void item_free(ds_item_t *it)
 {
-	free(it->service);
 	free(it->avoid);
 	free(it);
 }
@@ -69,6 +80,7 @@
 	ds_item_t *next;
 	run_t *run;
 	entry_t *e;
+	service_t *s;
 
 	while (d->asks)
 		ds_ask_free(d, d->asks);
@@ -93,6 +105,12 @@
 		free(e->zone);
 		free(e);
 	}
+	while ((s = d->services)) {
+		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
+		HASH_DEL(d->services, s);
+		free(s->name);
+		free(s);
+	}
 	ds_prefix_forget(d, NULL);
 	while (d->replicas)
 		replica_free(d, d->replicas);
@@ -116,7 +134,7 @@
 	r = mem_new(sizeof(*r));
 	r->id = str_dup(id);
 	r->zone = str_dup(STR(""));
-	r->service = str_dup(STR(""));
+	r->service = service_of(d, STR(""));
 	r->slots = 1;
 	HASH_ADD_KEYPTR(hh, d->replicas, r->id, id.n, r);
 	return r;
@@ -149,7 +167,7 @@
 		replica_t *r = replica_of(d, v[i].id);
 
 		set_str(&r->zone, v[i].zone);
-		set_str(&r->service, v[i].service);
+		r->service = service_of(d, v[i].service);
 		r->slots = v[i].slots ? v[i].slots : 1;
 		r->leaving = v[i].leaving;
 		r->listed = true;
@@ -248,7 +266,7 @@
 
 	assert(ask->navoid <= DS_AVOID_MAX);
 	q->a = *ask;
-	q->service = str_dup(ask->service);
+	q->service = service_of(d, ask->service);
 	for (unsigned i = 0; i < ask->navoid; i++)
 		q->avoid[i] = str_dup(ask->avoid[i]);
 	d->nasks++;
@@ -285,7 +303,7 @@
 	unsigned all = 0;
 
 	for (const replica_t *r = d->replicas; r; r = r->hh.next) {
-		if (!r->listed || r->leaving || strcmp(r->service, silent->service) != 0)
+		if (!r->listed || r->leaving || r->service != silent->service)
 			continue;
 		all++;
 		suspects += r != silent && now < r->suspect_until;
@@ -293,14 +311,14 @@
 	return suspects * 2 > all && all > 1;
 }
 
-static void acquit_all(ds_t *d, const char *service, deadline_t now)
+static void note_busy(ds_t *d, const service_t *s, deadline_t now)
 {
 	for (replica_t *r = d->replicas; r; r = r->hh.next) {
-		if (strcmp(r->service, service) != 0)
+		if (r->service != s)
 			continue;
 		r->strikes = 0;
 		r->suspect_until = 0;
-		r->acquitted_until = now + ACQUIT_MS;
+		r->busy_until = now + BUSY_MS;
 	}
 }
 
@@ -319,10 +337,10 @@
 		r->full_until = now + FULL_MS;
 		return;
 	case DS_SILENT:
-		if (now < r->acquitted_until)
+		if (now < r->busy_until)
 			return;
 		if (now >= r->suspect_until && most_are_silent(d, r, now)) {
-			acquit_all(d, r->service, now);
+			note_busy(d, r->service, now);
 			return;
 		}
 		break;
@@ -340,12 +358,14 @@
 void ds_ended(ds_t *d, uint64_t entry, uint64_t request, ds_outcome_t how, deadline_t now)
 {
 	run_t *run = find_run(d, entry, request);
+	service_t *s;
 
 	if (!run)
 		return;
 	judge(d, run->replica, how, now);
+	s = run->replica->service;
 	if (how == DS_OK)
-		d->hold_us += ((now - run->since) * 1000 - d->hold_us) / HOLD_WEIGHT;
+		s->hold_us += ((now - run->since) * 1000 - s->hold_us) / HOLD_WEIGHT;
 	drop_run(d, run);
 	drop_unlisted(d);
 	ds_place(d, now);
@@ -369,7 +389,7 @@
 {
 	ds_item_t *it = mem_new(sizeof(*it));
 
-	it->service = str_dup(service);
+	it->service = service_of(d, service);
 	it->due = due;
 	it->data = data;
 	ds_item_queue(d, it);
@@ -393,9 +413,9 @@
 	ds_place(d, now);
 }
 
-void ds_item_service(ds_item_t *it, str_t service)
+void ds_item_service(ds_t *d, ds_item_t *it, str_t service)
 {
-	set_str(&it->service, service);
+	it->service = service_of(d, service);
 }
 
 void ds_item_avoid(ds_item_t *it, str_t replica)
@@ -406,7 +426,7 @@
 
 bool ds_item_has_service(const ds_item_t *it)
 {
-	return it->service[0] != 0;
+	return it->service->name[0] != 0;
 }
 
 bool ds_item_is_waiting(const ds_item_t *it)
@@ -434,10 +454,12 @@
 
 void ds_item_remove(ds_t *d, ds_item_t *it, bool ended, deadline_t now)
 {
+	service_t *s = it->service;
+
 	if (ended && it->replica) {
 		judge(d, it->replica, DS_OK, now);
 		ds_item_count(it, now);
-		d->item_ms += d->item_ms ? (it->ran_ms - d->item_ms) / ITEM_WEIGHT : it->ran_ms;
+		s->item_ms += s->item_ms ? (it->ran_ms - s->item_ms) / ITEM_WEIGHT : it->ran_ms;
 	}
 	if (!ended && it->state == ITEM_RUNNING && !it->lost_until)
 		d->cb.stop(d->cb.ctx, it->data, it->entry);
--- a/src/policy/ds.h
+++ b/src/policy/ds.h
@@ -6,7 +6,8 @@
  * in steps of several seconds at up to twice its mean, and batch work fills what is left. An online
  * request that finds no free place takes that of the batch item with the latest due time, which
  * goes on elsewhere behind the events that it has made. Only when online alone exceeds the places
- * does it wait here, or is refused with the time at which there will be room.
+ * does it wait here, or is refused with the time at which there will be room. While a peak lasts,
+ * places that get free are left to online requests, as items would hold them for ms only.
  *
  * Pure: time is an argument, effects are callbacks. Not thread-safe.
  */
@@ -105,7 +106,7 @@
 /** A run of the item has ended unfinished: it waits for another. */
 void ds_item_back(ds_t *d, ds_item_t *it, ds_outcome_t how, deadline_t now);
 /** Later runs of the item go to this service; empty: there is none, and it isn't run. */
-void ds_item_service(ds_item_t *it, str_t service);
+void ds_item_service(ds_t *d, ds_item_t *it, str_t service);
 bool ds_item_has_service(const ds_item_t *it);
 bool ds_item_is_waiting(const ds_item_t *it);
 /** The item failed at this replica: its next run goes to another one if there is a place. */
--- a/src/policy/ds_core.h
+++ b/src/policy/ds_core.h
@@ -8,10 +8,26 @@
 
 typedef struct replica replica_t;
 
+/** What is known of a service; kept as long as the dispatcher. */
+typedef struct {
+	char *name;
+	int64_t hold_us; /* mean time that an online request holds its place, in us */
+	int64_t item_ms; /* mean time that an item needs a place in all; 0: none has ended yet */
+	unsigned keep; /* places that items leave free for online requests */
+	deadline_t shrink_at; /* fewer then */
+	uint64_t pass; /* that what follows was found out in */
+	unsigned places;
+	unsigned ahead; /* waiting requests that go before */
+	bool full; /* a request that avoids no replica found no place */
+	bool no_place; /* nor did an item */
+	bool no_room; /* all free places are kept for online requests */
+	UT_hash_handle hh;
+} service_t;
+
 struct replica {
 	char *id;
 	char *zone;
-	char *service;
+	service_t *service;
 	unsigned slots;
 	bool leaving;
 	bool listed;
@@ -19,7 +35,7 @@
 	unsigned items;
 	unsigned strikes; /* failures since its last success */
 	deadline_t suspect_until;
-	deadline_t acquitted_until; /* silence doesn't count against it */
+	deadline_t busy_until; /* its silence until then is no failure */
 	deadline_t full_until;
 	UT_hash_handle hh;
 };
@@ -48,7 +64,7 @@
 /** An online request that waits for a place. */
 typedef struct ask {
 	ds_ask_t a;
-	char *service;
+	service_t *service;
 	char *avoid[DS_AVOID_MAX];
 	struct ask *prev;
 	struct ask *next;
@@ -57,7 +73,7 @@
 typedef enum { ITEM_WAITING, ITEM_RUNNING, ITEM_STOPPING } item_state_t;
 
 struct ds_item {
-	char *service;
+	service_t *service;
 	char *avoid; /* replica that it failed at last; NULL: none */
 	deadline_t due;
 	void *data;
@@ -71,21 +87,6 @@
 	ds_item_t *next;
 };
 
-/** Services that are told apart; further ones share what is known of the last. */
-#define DS_SERVICES_MAX 32
-
-typedef struct {
-	char name[64];
-	unsigned keep; /* places that items leave free for online requests */
-	deadline_t shrink_at; /* fewer then */
-	uint64_t pass; /* that what follows was found out in */
-	unsigned places;
-	unsigned ahead; /* waiting requests that go before */
-	bool full; /* a request that avoids no replica found no place */
-	bool no_place; /* nor did an item */
-	bool no_room; /* all free places are kept for online requests */
-} service_t;
-
 /** Where a prompt's shared parts were read last. */
 typedef struct {
 	uint64_t prefix;
@@ -104,10 +105,7 @@
 	ds_item_t *running; /* or stopping */
 	prefix_t *prefixes;
 	deadline_t hold_until;
-	int64_t hold_us; /* mean time that an online request holds its place, in us */
-	int64_t item_ms; /* mean time that an item needs a place in all; 0: none has ended yet */
-	service_t services[DS_SERVICES_MAX];
-	unsigned nservices;
+	service_t *services;
 	uint64_t pass; /* passes over what waits so far */
 	bool listed; /* replicas have been known */
 	deadline_t list_by; /* until then requests wait for that */
@@ -131,8 +129,8 @@
 void ds_prefix_note(ds_t *d, uint64_t prefix, replica_t *r);
 void ds_prefix_forget(ds_t *d, const replica_t *r);
 /** Places of the service's usable replicas. */
-unsigned ds_places(const ds_t *d, const char *service, deadline_t now);
-unsigned ds_free_places(const ds_t *d, const char *service, deadline_t now);
+unsigned ds_places(const ds_t *d, const service_t *s, deadline_t now);
+unsigned ds_free_places(const ds_t *d, const service_t *s, deadline_t now);
 
 /* ds_place.c */
 
@@ -142,11 +140,11 @@
 /** Notes the time for which it held its place until now. */
 void ds_item_count(ds_item_t *it, deadline_t now);
 /** How much longer the item is likely to need a place, in ms. */
-int64_t ds_item_left(const ds_t *d, const ds_item_t *it, deadline_t now);
+int64_t ds_item_left(const ds_item_t *it, deadline_t now);
 /** False when the item can't be done by its due time any more, as far as others tell. */
-bool ds_item_in_time(const ds_t *d, const ds_item_t *it, deadline_t now);
+bool ds_item_in_time(const ds_item_t *it, deadline_t now);
 /** True when it can wait out a peak of online requests and still be done by its due time. */
-bool ds_item_can_wait(const ds_t *d, const ds_item_t *it, deadline_t now);
+bool ds_item_can_wait(const ds_item_t *it, deadline_t now);
 void ds_ask_free(ds_t *d, ask_t *q);
 
 #endif
--- a/src/policy/ds_pick.c
+++ b/src/policy/ds_pick.c
@@ -26,10 +26,9 @@
 	return r->strikes > 0 ? 1 : r->slots;
 }
 
-static bool usable(const replica_t *r, const char *service, deadline_t now)
+static bool usable(const replica_t *r, const service_t *s, deadline_t now)
 {
-	return !r->leaving && r->listed && now >= r->suspect_until &&
-	       strcmp(r->service, service) == 0;
+	return !r->leaving && r->listed && now >= r->suspect_until && r->service == s;
 }
 
 static bool avoided(const ask_t *q, const replica_t *r)
@@ -88,9 +87,9 @@
 	return best;
 }
 
-bool ds_item_can_wait(const ds_t *d, const ds_item_t *it, deadline_t now)
+bool ds_item_can_wait(const ds_item_t *it, deadline_t now)
 {
-	return it->due - now - ds_item_left(d, it, now) > PEAK_MS;
+	return it->due - now - ds_item_left(it, now) > PEAK_MS;
 }
 
 /*
@@ -98,18 +97,17 @@
  * first, the one due last before others. When none can, one is given up for the others: that which
  * would need its place longest.
  */
-static bool gives_way(const ds_t *d, const ds_item_t *a, const ds_item_t *b, str_t zone,
-		      deadline_t now)
+static bool gives_way(const ds_item_t *a, const ds_item_t *b, str_t zone, deadline_t now)
 {
-	bool a_waits = ds_item_can_wait(d, a, now);
-	bool b_waits = ds_item_can_wait(d, b, now);
+	bool a_waits = ds_item_can_wait(a, now);
+	bool b_waits = ds_item_can_wait(b, now);
 	bool a_near = str_eq(str_c(a->replica->zone), zone);
 	bool b_near = str_eq(str_c(b->replica->zone), zone);
 
 	if (a_waits != b_waits)
 		return a_waits;
 	if (!a_waits)
-		return ds_item_left(d, a, now) > ds_item_left(d, b, now);
+		return ds_item_left(a, now) > ds_item_left(b, now);
 	return a_near == b_near ? a->due > b->due : a_near;
 }
 
@@ -122,7 +120,7 @@
 		    !usable(it->replica, q->service, now) || avoided(q, it->replica) ||
 		    it->replica->strikes > 0)
 			continue;
-		if (!best || gives_way(d, it, best, zone, now))
+		if (!best || gives_way(it, best, zone, now))
 			best = it;
 	}
 	return best;
@@ -133,7 +131,7 @@
 	for (ds_item_t *it = d->running; it; it = it->next) {
 		if (it->state == ITEM_RUNNING && it->replica && !it->lost_until &&
 		    it->replica->strikes == 0 && usable(it->replica, for_it->service, now) &&
-		    !ds_item_in_time(d, it, now))
+		    !ds_item_in_time(it, now))
 			return it;
 	}
 	return NULL;
@@ -213,23 +211,23 @@
 	}
 }
 
-unsigned ds_places(const ds_t *d, const char *service, deadline_t now)
+unsigned ds_places(const ds_t *d, const service_t *s, deadline_t now)
 {
 	unsigned n = 0;
 
 	for (const replica_t *r = d->replicas; r; r = r->hh.next) {
-		if (usable(r, service, now))
+		if (usable(r, s, now))
 			n += places(r);
 	}
 	return n;
 }
 
-unsigned ds_free_places(const ds_t *d, const char *service, deadline_t now)
+unsigned ds_free_places(const ds_t *d, const service_t *s, deadline_t now)
 {
 	unsigned n = 0;
 
 	for (const replica_t *r = d->replicas; r; r = r->hh.next) {
-		if (usable(r, service, now) && now >= r->full_until && used(r) < places(r))
+		if (usable(r, s, now) && now >= r->full_until && used(r) < places(r))
 			n += places(r) - used(r);
 	}
 	return n;
--- a/src/policy/ds_place.c
+++ b/src/policy/ds_place.c
@@ -37,25 +37,13 @@
 	return e ? str_c(e->zone) : (str_t){"", 0};
 }
 
-/* What is known of a service; places as of this pass. */
-static service_t *look_at(ds_t *d, const char *name, deadline_t now)
+/* What is known of a service as of this pass. */
+static service_t *look_at(ds_t *d, service_t *s, deadline_t now)
 {
-	service_t *s = NULL;
-
-	for (unsigned i = 0; i < d->nservices && !s; i++) {
-		if (strcmp(d->services[i].name, name) == 0)
-			s = &d->services[i];
-	}
-	if (!s) {
-		s = &d->services[d->nservices < DS_SERVICES_MAX ? d->nservices++
-								: DS_SERVICES_MAX - 1];
-		*s = (service_t){0};
-		snprintf(s->name, sizeof(s->name), "%s", name);
-	}
 	if (s->pass == d->pass)
 		return s;
 	s->pass = d->pass;
-	s->places = ds_places(d, name, now);
+	s->places = ds_places(d, s, now);
 	s->full = false;
 	s->no_place = false;
 	s->no_room = false;
@@ -71,7 +59,6 @@
 	d->nasks--;
 	for (unsigned i = 0; i < q->a.navoid; i++)
 		free(q->avoid[i]);
-	free(q->service);
 	free(q);
 }
 
@@ -149,17 +136,17 @@
  * is begun in turn and none is finished in time. So those that have no chance let the others go
  * first.
  */
-int64_t ds_item_left(const ds_t *d, const ds_item_t *it, deadline_t now)
+int64_t ds_item_left(const ds_item_t *it, deadline_t now)
 {
 	int64_t held_ms = it->replica ? now - it->placed : 0;
-	int64_t left = d->item_ms - it->ran_ms - held_ms;
+	int64_t left = it->service->item_ms - it->ran_ms - held_ms;
 
 	return left > ITEM_LEFT_MIN_MS ? left : ITEM_LEFT_MIN_MS;
 }
 
-bool ds_item_in_time(const ds_t *d, const ds_item_t *it, deadline_t now)
+bool ds_item_in_time(const ds_item_t *it, deadline_t now)
 {
-	return it->due > now + ds_item_left(d, it, now);
+	return it->due > now + ds_item_left(it, now);
 }
 
 /* In a peak a place that gets free is asked for again within ms. An item that takes it is stopped
@@ -222,8 +209,8 @@
 static bool judge_ask(ds_t *d, ask_t *q, rank_t rank, const service_t *s, deadline_t now)
 {
 	int64_t wait_ms =
-		s->places ? d->hold_us * (s->ahead + 1) / s->places / 1000 : RETRY_NONE_MS;
-	int64_t hold_ms = d->hold_us / 1000;
+		s->places ? s->hold_us * (s->ahead + 1) / s->places / 1000 : RETRY_NONE_MS;
+	int64_t hold_ms = s->hold_us / 1000;
 	int64_t first_ms = hold_ms < FIRST_EVENT_MS ? hold_ms : FIRST_EVENT_MS;
 
 	if (!d->listed && now < d->list_by && now + first_ms <= q->a.leaves)
@@ -265,7 +252,7 @@
 static void place_item(ds_t *d, ds_item_t *it, deadline_t now)
 {
 	service_t *s = look_at(d, it->service, now);
-	bool can_wait = ds_item_can_wait(d, it, now);
+	bool can_wait = ds_item_can_wait(it, now);
 	ds_item_t *late = NULL;
 	replica_t *r = NULL;
 	entry_t *e;
@@ -273,11 +260,11 @@
 	if (s->no_place || (s->no_room && can_wait))
 		return;
 	/* One that can't wait out a peak takes the room kept for online requests as well. */
-	s->no_room = s->keep > 0 && ds_free_places(d, it->service, now) <= s->keep;
+	s->no_room = s->keep > 0 && ds_free_places(d, s, now) <= s->keep;
 	if (s->no_room && can_wait)
 		return;
 	r = ds_pick_for_item(d, it, now);
-	if (!r && ds_item_in_time(d, it, now))
+	if (!r && ds_item_in_time(it, now))
 		late = ds_pick_late(d, it, now);
 	if (late)
 		r = late->replica;
@@ -302,9 +289,9 @@
  */
 typedef enum { TURN_BEGUN, TURN_NEW, TURN_LATE, TURNS } turn_t;
 
-static turn_t turn_of(const ds_t *d, const ds_item_t *it, deadline_t now)
+static turn_t turn_of(const ds_item_t *it, deadline_t now)
 {
-	if (!ds_item_in_time(d, it, now))
+	if (!ds_item_in_time(it, now))
 		return TURN_LATE;
 	return it->ran_ms > 0 ? TURN_BEGUN : TURN_NEW;
 }
@@ -317,7 +304,7 @@
 
 		for (it = d->waiting; it; it = next) {
 			next = it->next;
-			if (turn_of(d, it, now) == turn)
+			if (turn_of(it, now) == turn)
 				place_item(d, it, now);
 		}
 	}
