--- a/tests/unit/test_dispatch_load.c
+++ b/tests/unit/test_dispatch_load.c
@@ -1,21 +1,6 @@
 /* The load of the users' sheets, played against the dispatcher: what callers and lots get. */
-#include <stdio.h>
 #include <stdlib.h>
-#include "policy/ds.h"
-#include "suite_kit.h"
-
-/* A caller leaves a stream that is silent for so long. */
-#define PLAY_PATIENCE_MS 3200
-
-static ds_ask_t ask_of(uint64_t request, deadline_t now)
-{
-	return (ds_ask_t){.entry = 1,
-			  .request = request,
-			  .service = STR("s"),
-			  .objective = now + 300,
-			  .deadline = now + 5000,
-			  .leaves = now + PLAY_PATIENCE_MS};
-}
+#include "dispatch_kit.h"
 
 #define PLAY_REPLICAS	12
 #define PLAY_SLOTS	8
@@ -70,7 +55,7 @@
 
 	r->running = true;
 	r->ends = p->now + PLAY_STREAM_MS;
-	if (p->now - r->asked >= PLAY_PATIENCE_MS)
+	if (p->now - r->asked >= PATIENCE_MS)
 		p->too_late++;
 	else if (!r->back && p->now - r->asked <= 270)
 		p->in_time++;
