--- /dev/null
+++ b/bench/recovery.py
@@ -0,0 +1,92 @@
+#!/usr/bin/env python3
+"""How long the system takes to recover, by kind of loss, from the log lines of its processes.
+
+usage: bench/recovery.py LOG...   (one day each; lines as fleetbench's --log prints them or as written)
+
+Prints for each kind the count, the median and the worst, in ms, and the log that holds the worst.
+"""
+import collections
+import re
+import statistics
+import sys
+
+KINDS = {
+    "entry without leader": "an entry that lost the leader is linked to the next one",
+    "control without leader": "a control process that lost the leader is linked to the next one",
+    "entry start": "an entry that was started is linked, with a text",
+    "control start": "a control process that was started knows who leads",
+    "leadership": "the group has a leader again after the last one was lost",
+    "voter replaced": "a lost voter is replaced, from the begin of its replacement",
+}
+FIELD = re.compile(r'(\w+)=("[^"]*"|\S*)')
+# Entries come up before control processes at the first start; what they wait there is no recovery.
+FIRST_START_MS = 3000
+
+
+def lines_of(path):
+    """(ms, fields) of each structured line, in the order in which they were written."""
+    with open(path, errors="replace") as f:
+        for line in f:
+            if "event=" not in line or " t=" not in line:
+                continue
+            v = {k: x.strip('"') for k, x in FIELD.findall(line)}
+            try:
+                # The bench puts its own time before the line; clocks of VMs may differ by seconds.
+                ms = float(line.split()[0]) * 1000
+            except ValueError:
+                ms = float(v["t"])
+            yield ms, v
+
+
+def recoveries(path):
+    """(kind, ms) of each recovery in one day's log."""
+    rows = sorted(lines_of(path), key=lambda r: r[0])
+    began, lost, replaced = {}, {}, {}
+    first = rows[0][0] if rows else 0
+    for ms, v in rows:
+        who, event = v.get("process"), v.get("event")
+        entry = "zone" in v and event == "started" or who in began and began[who][1]
+        if event in ("started", "opening"):
+            began[who] = (ms, event == "started")
+            lost.pop(who, None)
+        elif event == "leader_lost" and v.get("reason") not in ("leads itself", "doesn't lead"):
+            lost[who] = ms
+        elif event == "leader_found":
+            if who in lost:
+                kind = "entry without leader" if entry else "control without leader"
+                yield kind, ms - lost.pop(who)
+            elif not entry and who in began and began[who][0] - first > FIRST_START_MS:
+                yield "control start", ms - began.pop(who)[0]
+        elif event == "text_in_force" and entry and began[who][0] is not None:
+            if began[who][0] - first > FIRST_START_MS:
+                yield "entry start", ms - began[who][0]
+            began[who] = (None, True)
+        elif event == "role" and v.get("role") == "leader":
+            # Of those that are without a leader some may have been cut off for long; most were not.
+            if lost:
+                yield "leadership", ms - statistics.median(lost.values())
+        elif event == "voter_replacement_begun":
+            replaced[v.get("lost")] = ms
+        elif event == "voter_removed" and v.get("addr") in replaced:
+            yield "voter replaced", ms - replaced.pop(v["addr"])
+
+
+def main():
+    if len(sys.argv) < 2 or sys.argv[1].startswith("-"):
+        sys.exit(__doc__)
+    found = collections.defaultdict(list)
+    for path in sys.argv[1:]:
+        for kind, ms in recoveries(path):
+            found[kind].append((ms, path))
+    print("%-24s %6s %8s %8s  %s" % ("kind", "count", "median", "worst", "worst in"))
+    for kind in KINDS:
+        v = sorted(found[kind])
+        if v:
+            median = statistics.median(ms for ms, _ in v)
+            print("%-24s %6d %8.0f %8.0f  %s" % (kind, len(v), median, v[-1][0], v[-1][1]))
+    for kind, what in KINDS.items():
+        print("# %s: %s" % (kind, what))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/client/ll.c
+++ b/src/client/ll.c
@@ -300,6 +300,8 @@
 {
 	if (idle && !l->idle && l->link)
 		drop(l, "leads itself");
+	if (!idle && l->idle)
+		l->down_since = clk_now_ms();
 	l->idle = idle;
 }
 
