--- a/src/client/ll.c
+++ b/src/client/ll.c
@@ -272,7 +272,8 @@
 		return;
 	if (l->up && now - lk_heard(l->link) > LL_SILENT_MS)
 		drop(l, "silent");
-	else if (l->up && l->asked && now - l->asked > LL_ANSWER_MS)
+	else if (l->up && l->asked && now - l->asked > LL_ANSWER_MS &&
+		 now - lk_heard(l->link) > LL_ANSWER_MS)
 		drop(l, "no answer");
 	else if (l->link && !l->up && now - l->tried > HELLO_MS)
 		drop(l, "no answer");
@@ -291,6 +292,8 @@
 	for (size_t i = 0; i < o->ncontrols; i++)
 		ll_add_control(l, str_c(o->controls[i]));
 	ev_timer_init(&l->tick, on_tick, 0.0, LL_TICK_MS / 1000.0);
+	/* After a pause of this process, what came meanwhile is read before silence is judged. */
+	ev_set_priority(&l->tick, EV_MINPRI);
 	l->tick.data = l;
 	ev_timer_start(o->loop, &l->tick);
 	return l;
--- a/src/control/cn_hub.c
+++ b/src/control/cn_hub.c
@@ -110,6 +110,7 @@
 	HASH_DEL(h->peers, p);
 	if (p->greeted)
 		lg(LG_INFO, "peer_lost", LG_C("peer", p->name), LG_C("reason", reason));
+	hub_routes_peer_lost(h, p);
 	if (h->ds)
 		ds_entry_remove(h->ds, p->id, clk_now_ms());
 	h->view_changed = true;
@@ -163,6 +164,7 @@
 	h->view_changed = true;
 	note_candidates(h);
 	hub_dispatch_hello(h, p, m);
+	hub_routes_peer(h, p, &m->text);
 	if (first)
 		hub_view_send(h, p);
 }
@@ -185,6 +187,8 @@
 		hub_caller_t from = {.peer = p->id, .call = m.lw_msg_t_u.call.id};
 
 		hub_call(h, &from, &m.lw_msg_t_u.call.what);
+	} else if (m.kind == LW_HOLDS) {
+		hub_routes_held(h, p, &m.lw_msg_t_u.holds);
 	} else if (m.kind != LW_PING && h->role == HUB_LEADS && p->greeted) {
 		hub_dispatch_message(h, p, &m);
 	}
@@ -318,7 +322,7 @@
 {
 	lg(LG_INFO, "dispatch_begins", LG_I("term", h->term));
 	ll_set_idle(h->leader, true);
-	hub_conf_tick(h);
+	hub_routes_begin(h);
 	hub_dispatch_begin(h);
 	hub_view_begin(h);
 }
@@ -334,6 +338,7 @@
 	announce_end(h);
 	hub_lots_drop(h);
 	hub_dispatch_end(h);
+	hub_routes_end(h);
 	drop_links(h);
 	ll_set_idle(h->leader, false);
 }
@@ -392,7 +397,7 @@
 	if (h->role != HUB_LEADS)
 		return;
 	announce(h, now);
-	hub_conf_tick(h);
+	hub_routes_tick(h, now);
 	hub_view_tick(h, now);
 	hub_lots_tick(h, now);
 	ds_tick(h->ds, now);
@@ -456,8 +461,6 @@
 
 	if (m->kind == LW_VIEW)
 		hub_view_learn(h, &m->lw_msg_t_u.view);
-	else if (m->kind == LW_CONF)
-		hub_conf_learn(h, &m->lw_msg_t_u.conf);
 }
 
 static void on_link_change(void *ctx)
@@ -513,6 +516,8 @@
 	if (listen_links(h) != ST_OK || hub_http_start(h) != ST_OK)
 		return ST_IO;
 	ev_timer_init(&h->tick, on_tick, 0.0, HUB_TICK_MS / 1000.0);
+	/* After a pause of this process, what came meanwhile is read before silence is judged. */
+	ev_set_priority(&h->tick, EV_MINPRI);
 	h->tick.data = h;
 	ev_timer_start(h->loop, &h->tick);
 	cn->hub = h;
--- a/src/control/cn_hub.h
+++ b/src/control/cn_hub.h
@@ -17,6 +17,7 @@
 #include "net/lk.h"
 #include "net/wk.h"
 #include "policy/ds.h"
+#include "policy/tf.h"
 #include "state/lo.h"
 #include "state/ru.h"
 
@@ -104,6 +105,17 @@
 	size_t bytes;
 } hub_batch_t;
 
+/** Routes that a change may be made on, and the newest. */
+#define HUB_ROUTES_KEPT (TF_BASES + 1)
+
+/** The routes of a text, and the change from them to the newest once it was asked for. */
+typedef struct {
+	tf_text_t text;
+	ru_t *routes;
+	buf_t change; /* packed; of the newest: all of it */
+	uint32_t change_size; /* unpacked; 0: not made yet */
+} hub_routes_t;
+
 typedef enum { HUB_FOLLOWS, HUB_STARTS, HUB_LEADS } hub_role_t;
 
 struct hub {
@@ -129,9 +141,11 @@
 	lw_view_t view; /* newest known: own list, or the leader's */
 	bool view_changed;
 	deadline_t view_at; /* changes are told then */
-	aw_conf_t conf; /* newest known text */
-	ru_t *routes; /* decoded, leader only */
-	uint64_t routes_number; /* of the text that they were decoded from */
+	hub_routes_t routes_kept[HUB_ROUTES_KEPT]; /* newest first */
+	ru_t *routes; /* in force here: the first of these; NULL until a text was decoded */
+	bool decoding; /* a newer text */
+	uint64_t text_seen; /* number of the newest text that was decoded, or couldn't be */
+	tf_t *fan_out; /* of the routes, while this process leads */
 	hub_lot_t *lots;
 	uint64_t lots_seen; /* serial of the newest lot that is dispatched */
 	deadline_t lots_at; /* next look for lots that were given up */
@@ -154,7 +168,7 @@
 void hub_reply(hub_t *h, const hub_caller_t *to, lw_reply_t *r);
 void hub_reply_status(hub_t *h, const hub_caller_t *to, status_t st);
 
-/* cn_hub_view.c: the list of replicas, entries and control processes, and the text in force */
+/* cn_hub_view.c: the list of replicas, entries and control processes */
 
 void hub_view_start(hub_t *h);
 /** Begins to lead with the replicas that the leader before knew. */
@@ -162,15 +176,24 @@
 /** Address of a listed replica; empty when it isn't listed. */
 str_t hub_replica_addr(const hub_t *h, str_t id);
 void hub_view_tick(hub_t *h, deadline_t now);
-/** Sends the newest view and text to one peer. */
+/** Sends the newest view to one peer. */
 void hub_view_send(hub_t *h, hub_peer_t *p);
 /** Age of the list of upstreams; -1: it was never read. */
 int64_t hub_list_age_ms(const hub_t *h);
-/** Takes over the leader's view or text. */
+/** Takes over the leader's view. */
 void hub_view_learn(hub_t *h, const lw_view_t *v);
-void hub_conf_learn(hub_t *h, const lw_conf_t *c);
-/** Looks whether a newer text is in force. */
-void hub_conf_tick(hub_t *h);
+
+/* cn_hub_routes.c: the routes in force, decoded, and their way to the entries */
+
+void hub_routes_begin(hub_t *h);
+void hub_routes_end(hub_t *h);
+/** Looks whether a newer text is in force, and sends routes on. */
+void hub_routes_tick(hub_t *h, deadline_t now);
+/** An entry has linked or is lost; holds: the text whose routes it has. */
+void hub_routes_peer(hub_t *h, const hub_peer_t *p, const lw_text_id_t *holds);
+void hub_routes_peer_lost(hub_t *h, const hub_peer_t *p);
+/** An entry says what it holds. */
+void hub_routes_held(hub_t *h, const hub_peer_t *p, const lw_text_id_t *holds);
 
 /* cn_hub_dispatch.c: online requests and items at entries */
 
--- a/src/control/cn_hub_http.c
+++ b/src/control/cn_hub_http.c
@@ -85,33 +85,73 @@
 	answer(ctx, r);
 }
 
-static void pass(hub_t *h, hl_conn_t *conn, lw_what_t *what)
+static call_t *call_new(hub_t *h, hl_conn_t *conn, lw_call_kind_t kind)
 {
 	call_t *c = mem_new(sizeof(*c));
-	hub_caller_t from = {.reply = on_reply, .ctx = c};
 
-	*c = (call_t){h, conn, what->kind};
+	*c = (call_t){h, conn, kind};
 	hl_set_data(conn, c);
-	if (h->role == HUB_LEADS)
-		hub_call(h, &from, what);
+	return c;
+}
+
+static void pass(call_t *c, lw_what_t *what)
+{
+	hub_caller_t from = {.reply = on_reply, .ctx = c};
+
+	if (c->h->role == HUB_LEADS)
+		hub_call(c->h, &from, what);
 	else
-		ll_call(h->leader, what, clk_now_ms() + CALL_MS, on_leader_reply, c);
+		ll_call(c->h->leader, what, clk_now_ms() + CALL_MS, on_leader_reply, c);
 }
 
-static void put(hub_t *h, hl_conn_t *conn, str_t body)
+typedef struct {
+	wk_job_t job;
+	call_t *call;
+	char *text;
+	size_t text_n;
+	status_t st;
+	char message[256];
+} check_t;
+
+static void check_work(wk_job_t *j)
 {
-	lw_what_t what = {.kind = LW_CALL_SUBMIT};
+	check_t *k = (check_t *)j;
 	ru_t *routes = NULL;
 
-	if (rc_decode(body, 0, &routes) != ST_OK) {
-		lg(LG_WARN, "text_refused", LG_I("bytes", body.n), LG_C("reason", st_message()));
+	k->st = rc_decode((str_t){k->text, k->text_n}, 0, &routes);
+	ru_free(routes);
+	if (k->st != ST_OK)
+		snprintf(k->message, sizeof(k->message), "%s", st_message());
+}
+
+static void check_done(wk_job_t *j)
+{
+	check_t *k = (check_t *)j;
+	lw_what_t what = {.kind = LW_CALL_SUBMIT};
+
+	if (k->st == ST_OK) {
+		what.lw_what_t_u.text = px_bytes((str_t){k->text, k->text_n});
+		pass(k->call, &what);
+	} else {
+		lg(LG_WARN, "text_refused", LG_I("bytes", k->text_n), LG_C("reason", k->message));
 		MX_COUNT("auburn_texts_refused_total");
-		hl_reply(conn, 400, STR(""), str_c(st_message()));
-		return;
+		answer(k->call,
+		       &(lw_reply_t){.status = (int)k->st, .message = px_bytes(str_c(k->message))});
 	}
-	ru_free(routes);
-	what.lw_what_t_u.text = px_bytes(body);
-	pass(h, conn, &what);
+	free(k->text);
+	free(k);
+}
+
+/* A worker checks the text: one of thousands of routes would hold up the links. */
+static void put(hub_t *h, hl_conn_t *conn, str_t body)
+{
+	check_t *k = mem_new(sizeof(*k));
+
+	k->job = (wk_job_t){check_work, check_done, NULL};
+	k->call = call_new(h, conn, LW_CALL_SUBMIT);
+	k->text = str_dup(body);
+	k->text_n = body.n;
+	wk_submit(h->calls, &k->job);
 }
 
 static void on_operator(void *ctx, hl_conn_t *conn, const hl_request_t *r)
@@ -126,13 +166,14 @@
 		put(h, conn, r->body);
 		break;
 	case PF_OP_GET:
-		pass(h, conn, &(lw_what_t){.kind = LW_CALL_CONF});
+		what.kind = LW_CALL_CONF;
+		pass(call_new(h, conn, what.kind), &what);
 		break;
 	case PF_OP_RETIRE:
 	case PF_OP_RETIRED:
 		what.kind = op.kind == PF_OP_RETIRE ? LW_CALL_RETIRE : LW_CALL_RETIRED;
 		what.lw_what_t_u.node = px_bytes(op.node);
-		pass(h, conn, &what);
+		pass(call_new(h, conn, what.kind), &what);
 		break;
 	default:
 		lg(LG_INFO, "operator_call_unknown", LG_S("target", r->head.target));
--- a/src/control/cn_hub_text.c
+++ b/src/control/cn_hub_text.c
@@ -14,7 +14,9 @@
 	hub_t *h;
 	hub_caller_t from;
 	bool submit;
-	uint64_t version;
+	uint64_t version; /* of the text */
+	uint64_t known_number; /* of the text in force when the call came, and its version */
+	uint64_t known_version;
 	char *text;
 	size_t text_n;
 	status_t st;
@@ -53,6 +55,15 @@
 	return version;
 }
 
+static uint64_t version_of_head(const text_call_t *c)
+{
+	const aw_conf_t *head = &c->head.conf;
+
+	if (head->number == c->known_number)
+		return c->known_version;
+	return head->number ? version_of(px_str(head->text), head->number) : 0;
+}
+
 /* ST_OK: in force, or overtaken. ST_CONFLICT: another change came first. */
 static status_t submit_once(text_call_t *c, deadline_t deadline)
 {
@@ -63,8 +74,7 @@
 
 	if (st != ST_OK)
 		return st;
-	if (c->head.conf.number &&
-	    c->version <= version_of(px_str(c->head.conf.text), c->head.conf.number))
+	if (c->version <= version_of_head(c))
 		return ST_OK;
 	s->number = c->head.conf.number + 1;
 	s->text = px_bytes((str_t){c->text, c->text_n});
@@ -76,18 +86,25 @@
 	return st;
 }
 
+static status_t submit(text_call_t *c, deadline_t deadline)
+{
+	status_t st;
+
+	c->version = version_of((str_t){c->text, c->text_n}, 0);
+	if (c->version == 0)
+		return ST_INVALID;
+	do {
+		st = submit_once(c, deadline);
+	} while (st == ST_CONFLICT && clk_now_ms() < deadline);
+	return st;
+}
+
 static void work(wk_job_t *j)
 {
 	text_call_t *c = (text_call_t *)j;
 	deadline_t deadline = clk_now_ms() + CALL_MS;
 
-	if (!c->submit) {
-		c->st = fetch_head(c, deadline);
-	} else {
-		do {
-			c->st = submit_once(c, deadline);
-		} while (c->st == ST_CONFLICT && clk_now_ms() < deadline);
-	}
+	c->st = c->submit ? submit(c, deadline) : fetch_head(c, deadline);
 	snprintf(c->message, sizeof(c->message), "%s", c->st == ST_OK ? "" : st_message());
 }
 
@@ -110,24 +127,19 @@
 
 void hub_text_call(hub_t *h, const hub_caller_t *from, const lw_what_t *what)
 {
-	text_call_t *c;
+	text_call_t *c = mem_new(sizeof(*c));
 	str_t text = {"", 0};
-	uint64_t version = 0;
 
-	if (what->kind == LW_CALL_SUBMIT) {
+	if (what->kind == LW_CALL_SUBMIT)
 		text = px_str(what->lw_what_t_u.text);
-		version = version_of(text, 0);
-		if (version == 0) {
-			hub_reply_status(h, from, ST_INVALID);
-			return;
-		}
-	}
-	c = mem_new(sizeof(*c));
 	c->job = (wk_job_t){work, done, NULL};
 	c->h = h;
 	c->from = *from;
 	c->submit = what->kind == LW_CALL_SUBMIT;
-	c->version = version;
+	if (h->routes) {
+		c->known_number = h->routes_kept[0].text.number;
+		c->known_version = h->routes->version;
+	}
 	c->text = str_dup(text);
 	c->text_n = text.n;
 	wk_submit(h->calls, &c->job);
--- a/src/control/cn_hub_view.c
+++ b/src/control/cn_hub_view.c
@@ -1,8 +1,7 @@
-/* What the hub tells of: replicas, entries, control processes, and the text in force. */
+/* What the hub tells of: replicas, entries and control processes. */
 #include <stdlib.h>
 #include <string.h>
 #include "base/lg.h"
-#include "client/rc.h"
 #include "control/cn_hub.h"
 
 /** Entries that were known before this process began to lead count this long, in ms, until they
@@ -191,20 +190,8 @@
 	hub_send(p, &m);
 }
 
-static void send_conf(hub_t *h, hub_peer_t *p)
-{
-	lw_msg_t m = {.kind = LW_CONF};
-
-	if (!h->conf.number)
-		return;
-	m.lw_msg_t_u.conf.number = h->conf.number;
-	m.lw_msg_t_u.conf.text = h->conf.text;
-	hub_send(p, &m);
-}
-
 void hub_view_send(hub_t *h, hub_peer_t *p)
 {
-	send_conf(h, p);
 	send_view(h, p);
 }
 
@@ -251,57 +238,3 @@
 	for (u_int i = 0; i < v->controls.controls_len; i++)
 		ll_add_control(h->leader, px_str(v->controls.controls_val[i]));
 }
-
-void hub_conf_learn(hub_t *h, const lw_conf_t *c)
-{
-	if (c->number <= h->conf.number)
-		return;
-	px_free(PX(aw_conf_t), &h->conf);
-	h->conf = (aw_conf_t){.number = c->number, .text = px_copy(px_str(c->text))};
-}
-
-typedef struct {
-	uint64_t known;
-	aw_query_res_t res;
-} newer_t;
-
-static void read_newer(cn_group_t *g, void *arg)
-{
-	newer_t *n = arg;
-	aw_query_t q = {.kind = AW_QUERY_CONF};
-
-	if (fl_conf_number(g->fl) > n->known)
-		fl_query(g->fl, &q, &n->res);
-}
-
-void hub_conf_tick(hub_t *h)
-{
-	newer_t n = {.known = h->routes_number};
-	ru_t *routes;
-
-	cn_group_read(&h->cn->groups[0], read_newer, &n);
-	if (n.res.conf.number == 0 || n.res.status != ST_OK) {
-		px_free(PX(aw_query_res_t), &n.res);
-		return;
-	}
-	px_free(PX(aw_conf_t), &h->conf);
-	h->conf = n.res.conf;
-	n.res.conf = (aw_conf_t){0};
-	px_free(PX(aw_query_res_t), &n.res);
-	h->routes_number = h->conf.number;
-	if (rc_decode(px_str(h->conf.text), h->conf.number, &routes) != ST_OK) {
-		lg(LG_ERROR, "text_unreadable", LG_I("number", h->conf.number),
-		   LG_C("what", st_message()));
-		return;
-	}
-	ru_free(h->routes);
-	h->routes = routes;
-	lg(LG_INFO, "text_in_force", LG_I("number", h->conf.number),
-	   LG_I("version", routes->version), LG_I("routes", routes->nroutes));
-	for (hub_peer_t *p = h->peers; p; p = p->hh.next) {
-		if (p->greeted)
-			send_conf(h, p);
-	}
-	if (h->ds)
-		hub_dispatch_routes(h);
-}
--- a/src/front/fr.h
+++ b/src/front/fr.h
@@ -11,6 +11,7 @@
 #include "net/hl.h"
 #include "net/hu.h"
 #include "net/ss.h"
+#include "net/wk.h"
 #include "platform/pf.h"
 #include "policy/ds.h"
 #include "state/ru.h"
@@ -62,6 +63,10 @@
 	const char *settings_path;
 	ru_t *routes; /* NULL until a text is known */
 	uint64_t routes_version;
+	lw_text_id_t text; /* of the routes */
+	wk_t *decoder; /* one thread: changes of routes follow one another */
+	bool decoding;
+	lw_conf_t next_conf; /* came meanwhile; owned */
 	lw_view_t view;
 	fr_replica_t *replicas;
 	ds_t *local; /* dispatches while no leader is linked; NULL otherwise */
@@ -79,6 +84,12 @@
 /** Address of a replica; empty when it isn't known. */
 const char *fr_replica_addr(const fr_t *f, str_t id);
 
+/* fr_routes.c: the routes in force */
+
+void fr_routes_start(fr_t *f);
+/** Takes over routes that the leader sends, and says so. */
+void fr_routes_take(fr_t *f, const lw_conf_t *m);
+
 /* fr_ask.c: asking for a place, of the leader or, while there is none, of this process itself */
 
 void fr_ask(fr_t *f, fo_t *o);
--- a/src/front/fr_link.c
+++ b/src/front/fr_link.c
@@ -1,8 +1,7 @@
-/* The link to the leader: what it tells of routes, replicas and items. */
+/* The link to the leader: what it tells of replicas and items. */
 #include <stdlib.h>
 #include <string.h>
 #include "base/lg.h"
-#include "client/rc.h"
 #include "front/fr.h"
 
 /** Without a leader for this long, in ms, this process reads the list of replicas itself, on a
@@ -56,32 +55,6 @@
 	index_replicas(f);
 }
 
-static void take_routes(fr_t *f, const lw_conf_t *m)
-{
-	ru_t *r = NULL;
-	hl_limits_t limits;
-
-	if (rc_decode(px_str(m->text), m->number, &r) != ST_OK) {
-		lg(LG_ERROR, "text_unreadable", LG_I("number", m->number),
-		   LG_C("what", st_message()));
-		return;
-	}
-	if (f->routes && r->version <= f->routes_version) {
-		ru_free(r);
-		return;
-	}
-	ru_free(f->routes);
-	f->routes = r;
-	f->routes_version = r->version;
-	limits = (hl_limits_t){(size_t)r->limits.header_bytes, (size_t)r->limits.body_bytes,
-			       r->limits.header_ms, r->limits.idle_ms};
-	if (limits.max_header_bytes && limits.max_body_bytes && limits.header_ms && limits.idle_ms)
-		hl_set_limits(f->callers, &limits);
-	lg(LG_INFO, "text_in_force", LG_I("number", m->number), LG_I("version", r->version),
-	   LG_I("routes", r->nroutes));
-	fh_release(f);
-}
-
 static void on_message(void *ctx, const lw_msg_t *m)
 {
 	fr_t *f = ctx;
@@ -89,7 +62,7 @@
 
 	switch (m->kind) {
 	case LW_CONF:
-		take_routes(f, &m->lw_msg_t_u.conf);
+		fr_routes_take(f, &m->lw_msg_t_u.conf);
 		break;
 	case LW_VIEW:
 		take_view(f, &m->lw_msg_t_u.view);
@@ -154,6 +127,7 @@
 		.addr = px_bytes(str_c(f->s.listen)),
 		.zone = px_bytes(str_c(f->s.zone)),
 		.draining = f->exit_by != 0,
+		.text = f->text,
 	};
 	out->runs.runs_len = (u_int)n;
 	out->runs.runs_val = runs;
@@ -188,6 +162,7 @@
 
 void fr_link_start(fr_t *f)
 {
+	fr_routes_start(f);
 	f->leader = ll_new(&(ll_options_t){
 		.loop = f->loop,
 		.controls = (const char *const *)f->s.controls.v,
--- a/src/proto/lw.x
+++ b/src/proto/lw.x
@@ -6,6 +6,12 @@
 %#include "proto/aw_xdr.h"
 #endif
 
+/* A text that is or was in force. */
+struct lw_text_id_t {
+	unsigned hyper number;
+	unsigned hyper digest;		/* of its bytes: numbers begin anew on empty disks */
+};
+
 /* A request or an item that an entry has at a replica. */
 struct lw_run_t {
 	unsigned hyper request;		/* the entry's number of an online request; 0 for an item */
@@ -21,6 +27,7 @@
 	bool draining;
 	aw_bytes_t control;		/* ip:port of its RPC; empty for an entry */
 	unsigned hyper replica;		/* id of its replica of group 0 */
+	lw_text_id_t text;		/* whose routes it holds; number 0: none */
 	lw_run_t runs<>;
 };
 
@@ -29,9 +36,60 @@
 	aw_bytes_t leader;		/* ip:port of the leader's RPC, if known and another */
 };
 
+struct lw_share_t {
+	aw_bytes_t service;
+	hyper weight;
+};
+
+/* Times in ms; the fields are those of ru_route_t. */
+struct lw_route_t {
+	aw_bytes_t name;
+	aw_bytes_t host;
+	aw_bytes_t prefix;
+	unsigned int kind;
+	lw_share_t shares<>;
+	hyper timeout_ms;
+	hyper objective_ms;
+	hyper pause_ms;
+	hyper patience_ms;
+	hyper due_ms;
+	hyper retention_ms;
+	hyper attempts;
+	hyper priority;
+	hyper waiting_tokens_max;
+	bool resumable;
+};
+
+struct lw_route_key_t {
+	aw_bytes_t host;
+	aw_bytes_t prefix;
+};
+
+struct lw_service_t {
+	aw_bytes_t name;
+	aw_bytes_t health_path;
+	hyper slots;
+	hyper connections_max;
+};
+
+/* What makes the routes of one text of those of another, or of none. */
+struct lw_routes_t {
+	unsigned hyper label;		/* the operators' own number of the text */
+	hyper header_bytes;
+	hyper body_bytes;
+	hyper header_ms;
+	hyper idle_ms;
+	lw_service_t services<>;	/* all of them */
+	lw_route_t put<>;		/* added or changed */
+	lw_route_key_t removed<>;
+};
+
+/* The routes in force. */
 struct lw_conf_t {
-	unsigned hyper number;
-	aw_bytes_t text;
+	lw_text_id_t text;
+	lw_text_id_t base;		/* that the change is made on; number 0: none */
+	unsigned int size;		/* of the change, unpacked */
+	aw_bytes_t change;		/* an lw_routes_t, deflated */
 };
 
 struct lw_upstream_t {
@@ -220,7 +278,8 @@
 	LW_CALL = 13,
 	LW_REPLY = 14,
 	LW_PING = 15,
-	LW_ITEM_PROGRESS = 16
+	LW_ITEM_PROGRESS = 16,
+	LW_HOLDS = 17			/* the sender has the routes of this text in force */
 };
 
 union lw_msg_t switch (lw_kind_t kind) {
@@ -250,6 +309,8 @@
 	lw_item_ended_t item_ended;
 case LW_ITEM_PROGRESS:
 	lw_item_progress_t progress;
+case LW_HOLDS:
+	lw_text_id_t holds;
 case LW_CALL:
 	lw_call_t call;
 case LW_REPLY:
--- a/src/proto/lw_xdr.c
+++ b/src/proto/lw_xdr.c
@@ -5,6 +5,18 @@
 
 #include "lw_xdr.h"
 
+bool_t
+xdr_lw_text_id_t (XDR *xdrs, lw_text_id_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_lw_run_t (XDR *xdrs, lw_run_t *objp)
 {
@@ -38,6 +50,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->replica))
 		 return FALSE;
+	 if (!xdr_lw_text_id_t (xdrs, &objp->text))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->runs.runs_val, (u_int *) &objp->runs.runs_len, ~0,
 		sizeof (lw_run_t), (xdrproc_t) xdr_lw_run_t))
 		 return FALSE;
@@ -56,14 +70,124 @@
 	return TRUE;
 }
 
+bool_t
+xdr_lw_share_t (XDR *xdrs, lw_share_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_aw_bytes_t (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->weight))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lw_route_t (XDR *xdrs, lw_route_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_aw_bytes_t (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_aw_bytes_t (xdrs, &objp->host))
+		 return FALSE;
+	 if (!xdr_aw_bytes_t (xdrs, &objp->prefix))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->shares.shares_val, (u_int *) &objp->shares.shares_len, ~0,
+		sizeof (lw_share_t), (xdrproc_t) xdr_lw_share_t))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->timeout_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->objective_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->pause_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->patience_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->due_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->retention_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->attempts))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->waiting_tokens_max))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->resumable))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lw_route_key_t (XDR *xdrs, lw_route_key_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_aw_bytes_t (xdrs, &objp->host))
+		 return FALSE;
+	 if (!xdr_aw_bytes_t (xdrs, &objp->prefix))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lw_service_t (XDR *xdrs, lw_service_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_aw_bytes_t (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_aw_bytes_t (xdrs, &objp->health_path))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->connections_max))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lw_routes_t (XDR *xdrs, lw_routes_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->label))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->header_bytes))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->body_bytes))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->header_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->idle_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, ~0,
+		sizeof (lw_service_t), (xdrproc_t) xdr_lw_service_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->put.put_val, (u_int *) &objp->put.put_len, ~0,
+		sizeof (lw_route_t), (xdrproc_t) xdr_lw_route_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->removed.removed_val, (u_int *) &objp->removed.removed_len, ~0,
+		sizeof (lw_route_key_t), (xdrproc_t) xdr_lw_route_key_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_lw_conf_t (XDR *xdrs, lw_conf_t *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->number))
+	 if (!xdr_lw_text_id_t (xdrs, &objp->text))
 		 return FALSE;
-	 if (!xdr_aw_bytes_t (xdrs, &objp->text))
+	 if (!xdr_lw_text_id_t (xdrs, &objp->base))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->size))
+		 return FALSE;
+	 if (!xdr_aw_bytes_t (xdrs, &objp->change))
 		 return FALSE;
 	return TRUE;
 }
@@ -604,6 +728,10 @@
 		 if (!xdr_lw_item_progress_t (xdrs, &objp->lw_msg_t_u.progress))
 			 return FALSE;
 		break;
+	case LW_HOLDS:
+		 if (!xdr_lw_text_id_t (xdrs, &objp->lw_msg_t_u.holds))
+			 return FALSE;
+		break;
 	case LW_CALL:
 		 if (!xdr_lw_call_t (xdrs, &objp->lw_msg_t_u.call))
 			 return FALSE;
--- a/src/proto/lw_xdr.h
+++ b/src/proto/lw_xdr.h
@@ -15,6 +15,12 @@
 
 #include "proto/aw_xdr.h"
 
+struct lw_text_id_t {
+	u_quad_t number;
+	u_quad_t digest;
+};
+typedef struct lw_text_id_t lw_text_id_t;
+
 struct lw_run_t {
 	u_quad_t request;
 	aw_bytes_t replica;
@@ -30,6 +36,7 @@
 	bool_t draining;
 	aw_bytes_t control;
 	u_quad_t replica;
+	lw_text_id_t text;
 	struct {
 		u_int runs_len;
 		lw_run_t *runs_val;
@@ -43,9 +50,74 @@
 };
 typedef struct lw_welcome_t lw_welcome_t;
 
+struct lw_share_t {
+	aw_bytes_t service;
+	quad_t weight;
+};
+typedef struct lw_share_t lw_share_t;
+
+struct lw_route_t {
+	aw_bytes_t name;
+	aw_bytes_t host;
+	aw_bytes_t prefix;
+	u_int kind;
+	struct {
+		u_int shares_len;
+		lw_share_t *shares_val;
+	} shares;
+	quad_t timeout_ms;
+	quad_t objective_ms;
+	quad_t pause_ms;
+	quad_t patience_ms;
+	quad_t due_ms;
+	quad_t retention_ms;
+	quad_t attempts;
+	quad_t priority;
+	quad_t waiting_tokens_max;
+	bool_t resumable;
+};
+typedef struct lw_route_t lw_route_t;
+
+struct lw_route_key_t {
+	aw_bytes_t host;
+	aw_bytes_t prefix;
+};
+typedef struct lw_route_key_t lw_route_key_t;
+
+struct lw_service_t {
+	aw_bytes_t name;
+	aw_bytes_t health_path;
+	quad_t slots;
+	quad_t connections_max;
+};
+typedef struct lw_service_t lw_service_t;
+
+struct lw_routes_t {
+	u_quad_t label;
+	quad_t header_bytes;
+	quad_t body_bytes;
+	quad_t header_ms;
+	quad_t idle_ms;
+	struct {
+		u_int services_len;
+		lw_service_t *services_val;
+	} services;
+	struct {
+		u_int put_len;
+		lw_route_t *put_val;
+	} put;
+	struct {
+		u_int removed_len;
+		lw_route_key_t *removed_val;
+	} removed;
+};
+typedef struct lw_routes_t lw_routes_t;
+
 struct lw_conf_t {
-	u_quad_t number;
-	aw_bytes_t text;
+	lw_text_id_t text;
+	lw_text_id_t base;
+	u_int size;
+	aw_bytes_t change;
 };
 typedef struct lw_conf_t lw_conf_t;
 
@@ -263,6 +335,7 @@
 	LW_REPLY = 14,
 	LW_PING = 15,
 	LW_ITEM_PROGRESS = 16,
+	LW_HOLDS = 17,
 };
 typedef enum lw_kind_t lw_kind_t;
 
@@ -282,6 +355,7 @@
 		lw_item_ref_t stop;
 		lw_item_ended_t item_ended;
 		lw_item_progress_t progress;
+		lw_text_id_t holds;
 		lw_call_t call;
 		lw_reply_t reply;
 	} lw_msg_t_u;
@@ -291,9 +365,15 @@
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
+extern  bool_t xdr_lw_text_id_t (XDR *, lw_text_id_t*);
 extern  bool_t xdr_lw_run_t (XDR *, lw_run_t*);
 extern  bool_t xdr_lw_hello_t (XDR *, lw_hello_t*);
 extern  bool_t xdr_lw_welcome_t (XDR *, lw_welcome_t*);
+extern  bool_t xdr_lw_share_t (XDR *, lw_share_t*);
+extern  bool_t xdr_lw_route_t (XDR *, lw_route_t*);
+extern  bool_t xdr_lw_route_key_t (XDR *, lw_route_key_t*);
+extern  bool_t xdr_lw_service_t (XDR *, lw_service_t*);
+extern  bool_t xdr_lw_routes_t (XDR *, lw_routes_t*);
 extern  bool_t xdr_lw_conf_t (XDR *, lw_conf_t*);
 extern  bool_t xdr_lw_upstream_t (XDR *, lw_upstream_t*);
 extern  bool_t xdr_lw_entry_t (XDR *, lw_entry_t*);
@@ -319,9 +399,15 @@
 extern  bool_t xdr_lw_msg_t (XDR *, lw_msg_t*);
 
 #else /* K&R C */
+extern bool_t xdr_lw_text_id_t ();
 extern bool_t xdr_lw_run_t ();
 extern bool_t xdr_lw_hello_t ();
 extern bool_t xdr_lw_welcome_t ();
+extern bool_t xdr_lw_share_t ();
+extern bool_t xdr_lw_route_t ();
+extern bool_t xdr_lw_route_key_t ();
+extern bool_t xdr_lw_service_t ();
+extern bool_t xdr_lw_routes_t ();
 extern bool_t xdr_lw_conf_t ();
 extern bool_t xdr_lw_upstream_t ();
 extern bool_t xdr_lw_entry_t ();
--- a/src/state/ru.c
+++ b/src/state/ru.c
@@ -1,9 +1,21 @@
 #include "state/ru.h"
 
 #include <assert.h>
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <uthash.h>
+
+/** Longest name of a host, in bytes, as DNS has it. */
+#define HOST_MAX 255
+
+/** A route in the index. */
+struct ru_slot {
+	const ru_route_t *route;
+	char *key; /* host in lower case, then the prefix */
+	UT_hash_handle hh;
+};
 
 ru_t *ru_new(void)
 {
@@ -24,8 +36,13 @@
 {
 	if (!r)
 		return;
-	for (size_t i = 0; i < r->nroutes; i++)
+	HASH_CLEAR(hh, r->index);
+	for (size_t i = 0; i < r->nroutes; i++) {
 		route_free(&r->routes[i]);
+		if (r->slots)
+			free(r->slots[i].key);
+	}
+	free(r->slots);
 	for (size_t i = 0; i < r->nservices; i++) {
 		free(r->services[i].name);
 		free(r->services[i].health_path);
@@ -77,46 +94,116 @@
 	if (t->timeout_ms <= 0)
 		return st_fail(ST_INVALID, "route \"%s\": a timeout of %lld ms", t->name,
 			       (long long)t->timeout_ms);
-	for (const ru_route_t *u = r->routes; u < t; u++) {
-		if (strcasecmp(u->host, t->host) == 0 && strcmp(u->prefix, t->prefix) == 0)
-			return st_fail(ST_INVALID, "routes \"%s\" and \"%s\" share host and prefix",
-				       u->name, t->name);
-	}
 	return check_shares(r, t);
 }
 
-status_t ru_check(const ru_t *r)
+/* Adds host and prefix as they stand in the index. */
+static void add_key(buf_t *b, str_t host, str_t prefix)
+{
+	for (size_t i = 0; i < host.n; i++)
+		buf_addc(b, (char)tolower((unsigned char)host.p[i]));
+	buf_add(b, prefix);
+}
+
+static struct ru_slot *find_slot(const ru_t *r, const char *key, size_t n)
 {
+	struct ru_slot *slot;
+
+	HASH_FIND(hh, r->index, key, n, slot);
+	return slot;
+}
+
+static status_t add_slot(ru_t *r, size_t i)
+{
+	const ru_route_t *t = &r->routes[i];
+	struct ru_slot *slot = &r->slots[i];
+	const struct ru_slot *other;
+	AUTO_BUF key = {0};
+
+	add_key(&key, str_c(t->host), str_c(t->prefix));
+	other = find_slot(r, key.p, key.n);
+	if (other)
+		return st_fail(ST_INVALID, "routes \"%s\" and \"%s\" share host and prefix",
+			       other->route->name, t->name);
+	slot->route = t;
+	slot->key = str_dup(str_buf(&key));
+	HASH_ADD_KEYPTR(hh, r->index, slot->key, key.n, slot);
+	if (strlen(t->prefix) > r->prefix_max)
+		r->prefix_max = strlen(t->prefix);
+	return ST_OK;
+}
+
+status_t ru_seal(ru_t *r)
+{
+	assert(!r->slots);
+	r->slots = mem_new((r->nroutes + 1) * sizeof(*r->slots));
 	for (size_t i = 0; i < r->nroutes; i++) {
 		status_t st = check_route(r, &r->routes[i]);
 
+		if (st == ST_OK)
+			st = add_slot(r, i);
 		if (st != ST_OK)
 			return st;
 	}
 	return ST_OK;
 }
 
-static bool same_host(str_t a, const char *b)
+const ru_route_t *ru_find(const ru_t *r, str_t host, str_t prefix)
 {
-	return strlen(b) == a.n && strncasecmp(a.p, b, a.n) == 0;
+	AUTO_BUF key = {0};
+	const struct ru_slot *slot;
+
+	add_key(&key, host, prefix);
+	slot = find_slot(r, key.p, key.n);
+	return slot ? slot->route : NULL;
+}
+
+static bool same_shares(const ru_route_t *a, const ru_route_t *b)
+{
+	if (a->nshares != b->nshares)
+		return false;
+	for (size_t i = 0; i < a->nshares; i++) {
+		if (a->shares[i].weight != b->shares[i].weight ||
+		    strcmp(a->shares[i].service, b->shares[i].service) != 0)
+			return false;
+	}
+	return true;
 }
 
+bool ru_route_eq(const ru_route_t *a, const ru_route_t *b)
+{
+	return strcmp(a->name, b->name) == 0 && strcmp(a->host, b->host) == 0 &&
+	       strcmp(a->prefix, b->prefix) == 0 && a->kind == b->kind && same_shares(a, b) &&
+	       a->timeout_ms == b->timeout_ms && a->objective_ms == b->objective_ms &&
+	       a->pause_ms == b->pause_ms && a->patience_ms == b->patience_ms &&
+	       a->due_ms == b->due_ms && a->retention_ms == b->retention_ms &&
+	       a->attempts == b->attempts && a->priority == b->priority &&
+	       a->waiting_tokens_max == b->waiting_tokens_max && a->resumable == b->resumable;
+}
+
+/* Every prefix ends with a slash, so only those of the path that do are looked up. */
 const ru_route_t *ru_match(const ru_t *r, str_t host, str_t path)
 {
-	const ru_route_t *best = NULL;
 	const char *colon = memchr(host.p, ':', host.n);
+	AUTO_BUF key = {0};
 
 	if (colon)
 		host.n = (size_t)(colon - host.p);
-	for (size_t i = 0; i < r->nroutes; i++) {
-		const ru_route_t *t = &r->routes[i];
-
-		if (!same_host(host, t->host) || !str_starts(path, str_c(t->prefix)))
+	if (host.n > HOST_MAX)
+		return NULL;
+	if (path.n > r->prefix_max)
+		path.n = r->prefix_max;
+	add_key(&key, host, path);
+	for (size_t n = key.n; n > host.n; n--) {
+		const struct ru_slot *slot;
+
+		if (key.p[n - 1] != '/')
 			continue;
-		if (!best || strlen(t->prefix) > strlen(best->prefix))
-			best = t;
+		slot = find_slot(r, key.p, n);
+		if (slot)
+			return slot->route;
 	}
-	return best;
+	return NULL;
 }
 
 const char *ru_pick(const ru_route_t *r, uint64_t dice)
--- a/src/state/ru.h
+++ b/src/state/ru.h
@@ -61,6 +61,9 @@
 	ru_service_t *services;
 	size_t nservices;
 	ru_limits_t limits;
+	struct ru_slot *slots; /* one a route */
+	struct ru_slot *index; /* by host and prefix; NULL until ru_seal */
+	size_t prefix_max; /* bytes of the longest prefix */
 } ru_t;
 
 ru_t *ru_new(void);
@@ -68,11 +71,15 @@
 void ru_cleanup(ru_t **r);
 #define AUTO_RU __attribute__((cleanup(ru_cleanup))) ru_t
 
-/** ST_INVALID with a message: an unknown service, two routes with one host and prefix, weights that
- *  add up to 0, a timeout of 0, a malformed prefix. */
-status_t ru_check(const ru_t *r);
+/** Checks all routes and makes them findable; called once, when they are complete. ST_INVALID with
+ * a message: an unknown service, two routes with one host and prefix, weights that add up to 0, a
+ *  timeout of 0, a malformed prefix. */
+status_t ru_seal(ru_t *r);
 /** The route of this host with the longest prefix of path; NULL when there is none. */
 const ru_route_t *ru_match(const ru_t *r, str_t host, str_t path);
+/** The route of exactly this host and prefix; NULL when there is none. */
+const ru_route_t *ru_find(const ru_t *r, str_t host, str_t prefix);
+bool ru_route_eq(const ru_route_t *a, const ru_route_t *b);
 /** Picks by weight; equal dice give equal answers. */
 const char *ru_pick(const ru_route_t *r, uint64_t dice);
 const ru_service_t *ru_service(const ru_t *r, str_t name);
--- a/src/state/tx_route.c
+++ b/src/state/tx_route.c
@@ -113,5 +113,5 @@
 		r->nroutes = i + 1;
 		st = read_route(c, cf_at(cf_root(c), "route", i), &r->routes[i]);
 	}
-	return st == ST_OK ? ru_check(r) : st;
+	return st == ST_OK ? ru_seal(r) : st;
 }
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -334,6 +334,8 @@
              "maxQueued": changes.get("quota", 0)}]
         if changes.get("extra"):
             routes.append(dict(routes[0], name="extra", pathPrefix="/%s/" % changes["extra"]))
+        for i in range(changes.get("more", 0)):
+            routes.append(dict(routes[0], name="more-%d" % i, host="more%d.example" % i, pathPrefix="/more/"))
         return {"version": version, "routes": routes, "services": [
             {"name": "llm", "healthPath": "/health", "maxConns": 100, "proto": "h1", "tls": False,
              "engine": {"slots": 4}}],
@@ -369,6 +371,10 @@
             await asyncio.sleep(0.1)
         return 0
 
+    async def metric(self, front, name):
+        _, _, b = await self.call(front.ip, self.port + 4, "GET", "/metrics", [], b"", 2)
+        return sum(float(x.split()[1]) for x in b.decode().splitlines() if x.startswith(name + " "))
+
     async def ready(self, front):
         return (await self.call(front.ip, self.port + 2, "GET", "/ready", [], b"", 1))[0] == 200
 
--- a/tests/proc/test_platform.py
+++ b/tests/proc/test_platform.py
@@ -304,6 +304,66 @@
         self.assertEqual(self.run_one(self.kit.stream(self.kit.fronts[0], "/brief/1", self.rid()))[0], 200)
 
 
+class LargeText(Platform):
+    """A text of 2,000 routes, as large as the users' changes."""
+    kit_args = {"controls": 3, "fronts": 10, "replicas": 2}
+    APPLY_S = 3
+
+    async def wait_served(self, host, end):
+        """Until every entry knows the host's route."""
+        for f in self.kit.fronts:
+            while True:
+                s, _, _ = await self.kit.call(f.ip, self.kit.port, "POST", "/more/1", [
+                    ("Host", host), ("Request-Id", self.rid()), ("Deadline-Ms", 3000)], b"x", 3)
+                if s == 200:
+                    break
+                self.assertLess(time.time(), end, "%s doesn't serve %s: %d" % (f.name, host, s))
+                await asyncio.sleep(0.05)
+
+    def links_lost(self):
+        return sum(f.text().count("event=leader_lost") for f in self.kit.fronts)
+
+    def texts_taken(self):
+        return sum(f.text().count("event=text_in_force") for f in self.kit.fronts)
+
+    def test_it_is_in_force_everywhere_in_time_and_costs_no_link(self):
+        lost = self.links_lost()
+        self.assertTrue(self.run_one(self.kit.submit(more=2000)))
+        self.run_one(self.wait_served("more1999.example", time.time() + self.APPLY_S))
+        self.assertEqual(self.links_lost(), lost)
+
+    def test_links_to_a_new_leader_bring_no_text_again(self):
+        self.assertTrue(self.run_one(self.kit.submit(more=2000)))
+        self.run_one(self.wait_served("more1999.example", time.time() + self.APPLY_S))
+        taken = self.texts_taken()
+        leader = self.kit.leader()
+        leader.signal(signal.SIGKILL)
+        leader.p.wait()
+        time.sleep(2)
+        self.assertGreaterEqual(self.links_lost(), len(self.kit.fronts))
+        self.assertEqual(self.texts_taken(), taken)
+        leader.start()
+
+    def test_texts_in_quick_succession_beside_a_killed_leader_end_in_the_newest(self):
+        for n in range(3):
+            self.assertTrue(self.run_one(self.kit.submit(more=2000 + n)))
+            if n == 1:
+                leader = self.kit.leader()
+                leader.signal(signal.SIGKILL)
+                leader.p.wait()
+                leader.start()
+        self.run_one(self.wait_served("more2001.example", time.time() + self.APPLY_S))
+        self.assertEqual(self.run_one(self.kit.read(self.kit.controls[0]))["version"], self.kit.acked)
+
+    def test_an_entry_that_restarts_gets_it_whole(self):
+        self.assertTrue(self.run_one(self.kit.submit(more=2000)))
+        front = self.kit.fronts[0]
+        front.stop()
+        front.start()
+        self.run_one(self.kit.wait_ready([front]))
+        self.run_one(self.wait_served("more1999.example", time.time() + self.APPLY_S))
+
+
 class Text(Platform):
     def test_versions_never_go_back_and_are_read_as_sent(self):
         k = self.kit
--- /dev/null
+++ b/tests/unit/test_fanout.c
@@ -0,0 +1,269 @@
+/* The fan-out of texts to hundreds of entries: a played fleet with links of 30 Mbit/s behind the
+ * leader's of 600 Mbit/s, and entries that put a text together on a tenth of a core. */
+#include <stdlib.h>
+#include "policy/tf.h"
+#include "suite_kit.h"
+
+#define ENTRIES	     250
+#define WHOLE_BYTES  60000 /* 2,000 routes, packed */
+#define CHANGE_BYTES 600
+#define LEADER_BYTES 75 /* a us */
+#define ENTRY_BYTES  3750 /* a ms */
+#define WHOLE_MS     60 /* to put them together on a tenth of a core */
+#define CHANGE_MS    30
+#define TICK_MS	     25
+/* No entry may fall behind by more, in ms, by the platform's rules. */
+#define APPLY_MS 3000
+
+typedef struct {
+	tf_text_t holds;
+	tf_text_t coming;
+	tf_text_t base;
+	deadline_t taken_at; /* 0: nothing is coming */
+	bool frozen;
+	unsigned wholes;
+	unsigned changes;
+} entry_t;
+
+typedef struct {
+	tf_t *f;
+	deadline_t now;
+	int64_t link_free_us; /* when the leader's link has sent what was given to it */
+	tf_text_t text;
+	entry_t e[ENTRIES];
+	size_t sent;
+	size_t most_on_the_way;
+	size_t most_for_one;
+	int64_t held_ms; /* of the newest text; -1: not all hold it */
+} fleet_t;
+
+static fleet_t fl;
+
+static size_t on_send(void *ctx, uint64_t peer, tf_text_t base)
+{
+	entry_t *e = &fl.e[peer];
+	size_t bytes = base.number ? CHANGE_BYTES : WHOLE_BYTES;
+	tf_stats_t st;
+
+	/* At most one text is on its way to an entry. */
+	ck_assert_int_eq(e->taken_at, 0);
+	if (fl.link_free_us < fl.now * 1000)
+		fl.link_free_us = fl.now * 1000;
+	fl.link_free_us += (int64_t)(bytes / LEADER_BYTES);
+	e->coming = fl.text;
+	e->base = base;
+	e->taken_at = fl.link_free_us / 1000 + (deadline_t)(bytes / ENTRY_BYTES) +
+		      (base.number ? CHANGE_MS : WHOLE_MS);
+	e->wholes += base.number == 0;
+	e->changes += base.number != 0;
+	fl.sent += bytes;
+	tf_stats(fl.f, &st);
+	if (st.flight_bytes + bytes > fl.most_on_the_way)
+		fl.most_on_the_way = st.flight_bytes + bytes;
+	return bytes;
+}
+
+static void on_held(void *ctx, tf_text_t text, size_t peers, int64_t ms)
+{
+	ck_assert(tf_text_eq(text, fl.text));
+	fl.held_ms = ms;
+}
+
+static void lead_without_text(void)
+{
+	tf_callbacks_t cb = {NULL, on_send, on_held};
+
+	tf_free(fl.f);
+	fl.f = tf_new(&cb);
+	fl.held_ms = -1;
+}
+
+static void lead(void)
+{
+	lead_without_text();
+	tf_text(fl.f, fl.text, fl.now);
+}
+
+static void link_all(void)
+{
+	for (uint64_t i = 0; i < ENTRIES; i++) {
+		fl.e[i].taken_at = 0; /* what was on its way went with the old link */
+		tf_add(fl.f, i, fl.e[i].holds, fl.now);
+	}
+}
+
+static void submit(void)
+{
+	fl.text = (tf_text_t){fl.text.number + 1, fl.text.digest * 31 + 7};
+	fl.held_ms = -1;
+	tf_text(fl.f, fl.text, fl.now);
+}
+
+static void play(int64_t ms)
+{
+	for (deadline_t end = fl.now + ms; fl.now < end; fl.now++) {
+		for (uint64_t i = 0; i < ENTRIES; i++) {
+			entry_t *e = &fl.e[i];
+
+			if (!e->taken_at || fl.now < e->taken_at || e->frozen)
+				continue;
+			e->taken_at = 0;
+			if (e->base.number == 0 || tf_text_eq(e->base, e->holds))
+				e->holds = e->coming;
+			tf_holds(fl.f, i, e->holds, fl.now);
+		}
+		if (fl.now % TICK_MS == 0)
+			tf_tick(fl.f, fl.now);
+	}
+}
+
+static void setup(void)
+{
+	fl = (fleet_t){.now = 1000, .text = {1, 99}, .held_ms = -1};
+	lead();
+	link_all();
+	play(APPLY_MS);
+	ck_assert_int_ge(fl.held_ms, 0);
+	ck_assert_uint_eq(fl.sent, ENTRIES * WHOLE_BYTES);
+	fl.sent = 0;
+}
+
+static void teardown(void)
+{
+	tf_free(fl.f);
+	fl.f = NULL;
+}
+
+START_TEST(all_entries_get_a_first_text_in_time_with_bounded_bytes_on_the_way)
+{
+	ck_assert_int_le(fl.held_ms, APPLY_MS / 2);
+	ck_assert_uint_le(fl.most_on_the_way, TF_FLIGHT_BYTES + WHOLE_BYTES);
+}
+END_TEST
+
+START_TEST(a_new_leader_sends_nothing_to_entries_that_hold_the_text)
+{
+	for (unsigned round = 0; round < 5; round++) {
+		lead();
+		link_all();
+		play(200);
+	}
+	ck_assert_uint_eq(fl.sent, 0);
+	ck_assert_int_eq(fl.held_ms, 0);
+}
+END_TEST
+
+START_TEST(holders_of_an_earlier_text_get_the_change_only)
+{
+	submit();
+	play(APPLY_MS);
+	ck_assert_int_ge(fl.held_ms, 0);
+	ck_assert_uint_eq(fl.sent, ENTRIES * CHANGE_BYTES);
+}
+END_TEST
+
+START_TEST(texts_in_quick_succession_are_skipped_not_queued)
+{
+	for (unsigned i = 0; i < 25; i++) {
+		submit();
+		play(60);
+	}
+	play(APPLY_MS);
+	ck_assert_int_ge(fl.held_ms, 0);
+	ck_assert_int_le(fl.held_ms, 300);
+	for (unsigned i = 0; i < ENTRIES; i++) {
+		ck_assert_uint_eq(fl.e[i].wholes, 1);
+		ck_assert_uint_le(fl.e[i].changes, 26);
+	}
+}
+END_TEST
+
+START_TEST(frozen_entries_hold_up_no_others)
+{
+	for (unsigned i = 0; i < ENTRIES; i++) {
+		fl.e[i].frozen = i % 3 == 0;
+		fl.e[i].holds = (tf_text_t){0, 0};
+	}
+	lead();
+	link_all();
+	play(APPLY_MS);
+	for (unsigned i = 0; i < ENTRIES; i++)
+		ck_assert(fl.e[i].frozen || tf_text_eq(fl.e[i].holds, fl.text));
+	ck_assert_int_eq(fl.held_ms, -1);
+	for (unsigned i = 0; i < ENTRIES; i++)
+		fl.e[i].frozen = false;
+	play(10);
+	ck_assert_int_ge(fl.held_ms, 0);
+}
+END_TEST
+
+START_TEST(a_leader_lost_in_the_midst_is_made_up_for_by_the_next)
+{
+	submit();
+	play(20);
+	lead();
+	link_all();
+	play(30);
+	submit();
+	submit();
+	lead();
+	link_all();
+	play(APPLY_MS);
+	ck_assert_int_ge(fl.held_ms, 0);
+	ck_assert_int_le(fl.held_ms, APPLY_MS / 2);
+}
+END_TEST
+
+START_TEST(entries_without_a_text_come_first)
+{
+	unsigned first = ENTRIES - TF_FLIGHT_BYTES / WHOLE_BYTES;
+
+	for (unsigned i = first; i < ENTRIES; i++)
+		fl.e[i].holds = (tf_text_t){0, 0};
+	lead_without_text();
+	link_all();
+	submit();
+	for (unsigned i = first; i < ENTRIES; i++)
+		ck_assert_int_gt(fl.e[i].taken_at, 0);
+	play(APPLY_MS);
+	ck_assert_int_ge(fl.held_ms, 0);
+}
+END_TEST
+
+/* An entry that starts again is another peer, which holds nothing. */
+START_TEST(entries_that_restart_are_forgotten)
+{
+	tf_stats_t st;
+
+	submit();
+	for (uint64_t i = 0; i < ENTRIES; i += 5) {
+		tf_remove(fl.f, i);
+		fl.e[i].taken_at = 0;
+		fl.e[i].holds = (tf_text_t){0, 0};
+		tf_add(fl.f, i, fl.e[i].holds, fl.now);
+	}
+	play(APPLY_MS);
+	tf_stats(fl.f, &st);
+	ck_assert_uint_eq(st.behind, 0);
+	ck_assert_uint_eq(st.flight_bytes, 0);
+	ck_assert_uint_eq(st.peers, ENTRIES);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("fanout");
+	TCase *t = tcase_create("all");
+
+	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, all_entries_get_a_first_text_in_time_with_bounded_bytes_on_the_way);
+	tcase_add_test(t, a_new_leader_sends_nothing_to_entries_that_hold_the_text);
+	tcase_add_test(t, holders_of_an_earlier_text_get_the_change_only);
+	tcase_add_test(t, texts_in_quick_succession_are_skipped_not_queued);
+	tcase_add_test(t, frozen_entries_hold_up_no_others);
+	tcase_add_test(t, a_leader_lost_in_the_midst_is_made_up_for_by_the_next);
+	tcase_add_test(t, entries_without_a_text_come_first);
+	tcase_add_test(t, entries_that_restart_are_forgotten);
+	suite_add_tcase(s, t);
+	return suite_run(s);
+}
