A replica that says that it leaves gets nothing new, by whoever heard it

Cause: the header Server-Leaving wasn't known. An entry learned of a leaving replica from the leader's list only, which lags, and not at all while cut off; a replica that started again under its id kept strikes and prefixes of the one before. Change: platform/ decodes the header from every answer of the asked replica and `born` from the list. policy/lv keeps who said so, by id and start. An entry refuses grants and items for them at once (outcome "leaves": the place is given back and another asked for), with or without a leader, and tells the leader, which places nothing there, marks its list, and is told anew in each hello. A later start under the same id is another replica: what was known of the one before is forgotten. What a restart of an entry forgets the leader still has; what a new leader lacks comes with the hellos. Not covered: a replica that starts again under its id and leaves before the list has shown its new start is used once more, until its first answer.

--- a/src/control/cn_hub.h
+++ b/src/control/cn_hub.h
@@ -17,6 +17,7 @@
 #include "net/lk.h"
 #include "net/wk.h"
 #include "policy/ds.h"
+#include "policy/lv.h"
 #include "policy/tf.h"
 #include "state/lo.h"
 #include "state/ru.h"
@@ -139,6 +140,7 @@
 	deadline_t list_at; /* next read of the list */
 	deadline_t list_read; /* when it was read last, here or by the leader before; 0: never */
 	lw_view_t view; /* newest known: own list, or the leader's */
+	lv_t *leavers; /* as entries told */
 	bool view_changed;
 	deadline_t view_at; /* changes are told then */
 	hub_routes_t routes_kept[HUB_ROUTES_KEPT]; /* newest first */
@@ -173,8 +175,10 @@
 void hub_view_start(hub_t *h);
 /** Begins to lead with the replicas that the leader before knew. */
 void hub_view_begin(hub_t *h);
-/** Address of a listed replica; empty when it isn't listed. */
-str_t hub_replica_addr(const hub_t *h, str_t id);
+/** A listed replica; NULL when it isn't listed. */
+const lw_upstream_t *hub_replica(const hub_t *h, str_t id);
+/** An entry has heard from a replica that it leaves. */
+void hub_view_leaver(hub_t *h, const hub_peer_t *p, const lw_leaver_t *m);
 void hub_view_tick(hub_t *h, deadline_t now);
 /** Sends the newest view to one peer. */
 void hub_view_send(hub_t *h, hub_peer_t *p);
--- a/src/control/cn_hub_dispatch.c
+++ b/src/control/cn_hub_dispatch.c
@@ -15,12 +15,15 @@
 {
 	lw_msg_t m = {.kind = LW_GRANT};
 	hub_peer_t *p = hub_peer(ctx, entry);
+	const lw_upstream_t *u = hub_replica(ctx, replica);
 
 	if (!p)
 		return;
-	m.lw_msg_t_u.grant.request = request;
-	m.lw_msg_t_u.grant.replica = px_bytes(replica);
-	m.lw_msg_t_u.grant.addr = px_bytes(hub_replica_addr(ctx, replica));
+	m.lw_msg_t_u.grant = (lw_grant_t){.request = request, .replica = px_bytes(replica)};
+	if (u) {
+		m.lw_msg_t_u.grant.addr = u->addr;
+		m.lw_msg_t_u.grant.born = u->born;
+	}
 	hub_send(p, &m);
 	MX_COUNT("auburn_granted_total");
 }
@@ -67,6 +70,7 @@
 	const lo_lot_t *t = lo_find(g->lo, str_c(r->it->lot->id));
 	lw_msg_t m = {.kind = LW_ITEM_RUN};
 	lw_item_run_t *x = &m.lw_msg_t_u.run;
+	const lw_upstream_t *u = hub_replica(r->h, r->replica);
 	const lo_item_t *item;
 
 	if (!t || t->ended || t->items[r->it->index].state != LO_OPEN)
@@ -81,7 +85,8 @@
 		.headers = px_bytes((str_t){item->headers, item->headers_n}),
 		.body = px_bytes((str_t){item->data, item->data_n}),
 		.replica = px_bytes(r->replica),
-		.addr = px_bytes(hub_replica_addr(r->h, r->replica)),
+		.addr = u ? u->addr : (aw_bytes_t){0},
+		.born = u ? u->born : 0,
 		.text = px_bytes(str_buf(&r->it->text)),
 		.events = r->it->events,
 		.deadline_ms = (int)(t->drop_wall_ms - clk_wall_ms()),
@@ -334,6 +339,8 @@
 	if (!p->addr[0])
 		return;
 	ds_entry_add(h->ds, p->id, str_c(p->zone), !p->draining);
+	for (u_int i = 0; i < hello->leavers.leavers_len; i++)
+		hub_view_leaver(h, p, &hello->leavers.leavers_val[i]);
 	for (u_int i = 0; i < hello->runs.runs_len; i++)
 		adopt(h, p, &hello->runs.runs_val[i]);
 }
@@ -433,6 +440,9 @@
 		ds_ended(h->ds, p->id, m->lw_msg_t_u.ended.request,
 			 (ds_outcome_t)m->lw_msg_t_u.ended.outcome, clk_now_ms());
 		break;
+	case LW_LEAVER:
+		hub_view_leaver(h, p, &m->lw_msg_t_u.leaver);
+		break;
 	case LW_ITEM_PROGRESS:
 		on_item_progress(h, p, &m->lw_msg_t_u.progress);
 		break;
--- a/src/control/cn_hub_view.c
+++ b/src/control/cn_hub_view.c
@@ -15,7 +15,7 @@
 {
 	return str_eq(px_str(a->id), px_str(b->id)) && str_eq(px_str(a->addr), px_str(b->addr)) &&
 	       str_eq(px_str(a->service), px_str(b->service)) && a->slots == b->slots &&
-	       a->leaving == b->leaving;
+	       a->leaving == b->leaving && a->born == b->born;
 }
 
 /* Lists mostly keep their order, so the place in the other one is looked at first. */
@@ -31,11 +31,9 @@
 	return NULL;
 }
 
-str_t hub_replica_addr(const hub_t *h, str_t id)
+const lw_upstream_t *hub_replica(const hub_t *h, str_t id)
 {
-	const lw_upstream_t *u = find_near(&h->view, id, 0);
-
-	return u ? px_str(u->addr) : (str_t){"", 0};
+	return find_near(&h->view, id, 0);
 }
 
 /* Logs what the list says anew; true when it differs from what was believed. */
@@ -52,7 +50,7 @@
 		changed = true;
 		lg(LG_INFO, "replica_listed", LG_S("replica", px_str(u->id)),
 		   LG_S("addr", px_str(u->addr)), LG_I("slots", u->slots),
-		   LG_I("leaving", u->leaving));
+		   LG_I("leaving", u->leaving), LG_I("born", u->born));
 	}
 	for (u_int i = 0; i < was->upstreams.upstreams_len; i++) {
 		const lw_upstream_t *u = &was->upstreams.upstreams_val[i];
@@ -73,13 +71,41 @@
 	for (u_int i = 0; i < n; i++) {
 		const lw_upstream_t *u = &h->view.upstreams.upstreams_val[i];
 
-		v[i] = (ds_replica_t){px_str(u->id), px_str(u->zone), px_str(u->service), u->slots,
-				      u->leaving};
+		v[i] = (ds_replica_t){px_str(u->id), px_str(u->zone), px_str(u->service),
+				      u->slots,	     u->leaving,      u->born};
 	}
 	ds_replicas(h->ds, v, n, clk_now_ms());
 	free(v);
 }
 
+/* What entries were told by replicas themselves comes before the list, which lags. */
+static void mark_leavers(hub_t *h, lw_view_t *v)
+{
+	for (u_int i = 0; i < v->upstreams.upstreams_len; i++) {
+		lw_upstream_t *u = &v->upstreams.upstreams_val[i];
+
+		if (lv_leaves(h->leavers, (lv_replica_t){px_str(u->id), u->born}))
+			u->leaving = true;
+	}
+}
+
+void hub_view_leaver(hub_t *h, const hub_peer_t *p, const lw_leaver_t *m)
+{
+	str_t id = px_str(m->replica);
+	const lw_upstream_t *u = hub_replica(h, id);
+
+	/* One that has started again since then doesn't leave. */
+	if ((u && m->born && u->born > m->born) ||
+	    !lv_note(h->leavers, (lv_replica_t){id, m->born}))
+		return;
+	lg(LG_INFO, "replica_leaves", LG_S("replica", id), LG_I("born", m->born),
+	   LG_C("entry", p->name));
+	mark_leavers(h, &h->view);
+	h->view_changed = true;
+	if (h->ds)
+		ds_leaves(h->ds, id);
+}
+
 void hub_view_begin(hub_t *h)
 {
 	tell_dispatcher(h);
@@ -94,6 +120,7 @@
 	if (h->role != HUB_LEADS)
 		return;
 	h->list_read = clk_now_ms();
+	mark_leavers(h, v);
 	if (compare(&h->view, v)) {
 		lw_view_t old = {.upstreams = h->view.upstreams};
 
@@ -197,6 +224,7 @@
 
 void hub_view_start(hub_t *h)
 {
+	h->leavers = lv_new();
 	if (h->cn->s.upstream_list)
 		h->list = ul_new(&(ul_options_t){.loop = h->loop,
 						 .http = h->http,
--- a/src/front/fb.c
+++ b/src/front/fb.c
@@ -145,6 +145,7 @@
 	fb_t *b = find(f, m->job, m->item);
 	AUTO_BUF req = {0};
 	AUTO_FREE char *addr = str_dup(px_str(m->addr));
+	lv_replica_t replica = {px_str(m->replica), m->born};
 	pf_send_t s;
 
 	if (b)
@@ -161,12 +162,17 @@
 		finish(b, LW_ITEM_BACK, addr[0] ? DS_LEFT : DS_GONE);
 		return;
 	}
+	if (lv_leaves(f->leavers, replica)) {
+		finish(b, LW_ITEM_BACK, DS_LEAVES);
+		return;
+	}
 	s = (pf_send_t){px_str(b->m.replica), m->deadline_ms, b->events};
 	pf_item_encode(&req, &b->m, &s);
 	b->run = fx_start(&(fx_options_t){
 		.f = f,
 		.request = str_buf(&req),
 		.id = px_str(b->m.id),
+		.replica = replica,
 		.addr = addr,
 		.first_ms = SILENT_MS,
 		.pause_ms = SILENT_MS,
--- a/src/front/fo.c
+++ b/src/front/fo.c
@@ -118,7 +118,8 @@
 /* The run at a replica is over without an answer. */
 static void next_try(fo_t *o, ds_outcome_t how)
 {
-	bool ran = how != DS_FULL && how != DS_GONE;
+	bool asked = how != DS_LEAVES;
+	bool ran = asked && how != DS_FULL && how != DS_GONE;
 
 	fr_ended(o->f, o, how);
 	lg(LG_INFO, "try_failed", LG_S("request", o->call.id), LG_C("replica", o->replica),
@@ -129,7 +130,7 @@
 		o->offered = true;
 	else
 		o->tries--;
-	o->not_run += !ran;
+	o->not_run += asked && !ran;
 	o->headers.n = 0;
 	o->body.n = 0;
 	if (ran && (!repeatable(o) || o->tries >= o->attempts)) {
@@ -274,20 +275,20 @@
 	return repeatable(o) && o->tries < o->attempts;
 }
 
-void fo_granted(fo_t *o, str_t replica, str_t addr)
+void fo_granted(fo_t *o, lv_replica_t replica, str_t addr)
 {
 	AUTO_FREE char *to = str_dup(addr);
 	AUTO_BUF req = {0};
 	int64_t objective_ms = o->objective - o->r.received;
-	pf_send_t s = {replica, clk_left_ms(o->deadline), o->last_event};
+	pf_send_t s = {replica.id, clk_left_ms(o->deadline), o->last_event};
 
-	snprintf(o->replica, sizeof(o->replica), "%.*s", STR_ARG(replica));
+	snprintf(o->replica, sizeof(o->replica), "%.*s", STR_ARG(replica.id));
 	o->state = FO_RUNNING;
 	o->granted = clk_now_ms();
 	o->place_ms += o->granted - o->asked;
 	o->tries++;
-	if (addr.n == 0) {
-		next_try(o, DS_GONE);
+	if (addr.n == 0 || lv_leaves(o->f->leavers, replica)) {
+		next_try(o, addr.n ? DS_LEAVES : DS_GONE);
 		return;
 	}
 	pf_request_encode(&req, &o->r.head, o->r.body, &s);
@@ -295,6 +296,7 @@
 		.f = o->f,
 		.request = str_buf(&req),
 		.id = o->call.id,
+		.replica = replica,
 		.addr = to,
 		.fresh = !repeatable(o),
 		.first_ms = may_move(o) ? objective_ms * FIRST_PERCENT / 100 : 0,
--- a/src/front/fr.h
+++ b/src/front/fr.h
@@ -14,6 +14,7 @@
 #include "net/wk.h"
 #include "platform/pf.h"
 #include "policy/ds.h"
+#include "policy/lv.h"
 #include "state/ru.h"
 
 /** Settings of the process. */
@@ -42,6 +43,7 @@
 typedef struct {
 	char *id;
 	char *addr;
+	uint64_t born;
 	UT_hash_handle hh;
 } fr_replica_t;
 
@@ -69,6 +71,7 @@
 	lw_conf_t next_conf; /* came meanwhile; owned */
 	lw_view_t view;
 	fr_replica_t *replicas;
+	lv_t *leavers; /* as they told this process */
 	ds_t *local; /* dispatches while no leader is linked; NULL otherwise */
 	uint64_t last_request;
 	fo_t *requests; /* hash by number */
@@ -81,8 +84,10 @@
 
 void fr_link_start(fr_t *f);
 void fr_link_tick(fr_t *f, deadline_t now);
-/** Address of a replica; empty when it isn't known. */
-const char *fr_replica_addr(const fr_t *f, str_t id);
+/** A known replica; NULL when it isn't known. */
+const fr_replica_t *fr_replica(const fr_t *f, str_t id);
+/** The replica has said that it leaves. */
+void fr_leaver(fr_t *f, lv_replica_t r);
 
 /* fr_routes.c: the routes in force */
 
@@ -114,6 +119,7 @@
 	fr_t *f;
 	str_t request; /* bytes to send; copied */
 	str_t id; /* of the request; answers to others are passed over */
+	lv_replica_t replica; /* copied */
 	const char *addr;
 	bool fresh; /* not on a kept connection */
 	int64_t first_ms; /* silence before the first event that ends it; 0: none does */
@@ -177,7 +183,7 @@
 void fo_begin(fr_t *f, hl_conn_t *c, const hl_request_t *r, const pf_call_t *call,
 	      const ru_route_t *route);
 void fo_gone(fo_t *o);
-void fo_granted(fo_t *o, str_t replica, str_t addr);
+void fo_granted(fo_t *o, lv_replica_t replica, str_t addr);
 void fo_refused(fo_t *o, int64_t retry_ms);
 /** True while it waits for a place. */
 bool fo_is_asking(const fo_t *o);
--- a/src/front/fr_ask.c
+++ b/src/front/fr_ask.c
@@ -12,9 +12,10 @@
 {
 	fr_t *f = ctx;
 	fo_t *o = fo_find(f, request);
+	const fr_replica_t *r = fr_replica(f, replica);
 
 	if (o && fo_is_asking(o))
-		fo_granted(o, replica, str_c(fr_replica_addr(f, replica)));
+		fo_granted(o, (lv_replica_t){replica, r ? r->born : 0}, str_c(r ? r->addr : ""));
 }
 
 static void on_refuse(void *ctx, uint64_t entry, uint64_t request, int64_t retry_ms,
@@ -131,8 +132,15 @@
 		const lw_upstream_t *u = &f->view.upstreams.upstreams_val[i];
 
 		/* The own zone counts for nothing: every entry would crowd the same replicas. */
-		v[i] = (ds_replica_t){px_str(u->id), str_c(f->s.zone), px_str(u->service), u->slots,
-				      u->leaving};
+		v[i] = (ds_replica_t){
+			.id = px_str(u->id),
+			.zone = str_c(f->s.zone),
+			.service = px_str(u->service),
+			.slots = u->slots,
+			.leaving = u->leaving ||
+				   lv_leaves(f->leavers, (lv_replica_t){px_str(u->id), u->born}),
+			.born = u->born,
+		};
 	}
 	ds_replicas(f->local, v, n, clk_now_ms());
 	free(v);
--- a/src/front/fr_link.c
+++ b/src/front/fr_link.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "base/lg.h"
+#include "base/mx.h"
 #include "front/fr.h"
 
 /** Without a leader for this long, in ms, this process reads the list of replicas itself, on a
@@ -12,12 +13,26 @@
 #define ITEMS_MS (DS_ADOPT_MS - 400)
 #define RUNS_MAX 4096
 
-const char *fr_replica_addr(const fr_t *f, str_t id)
+const fr_replica_t *fr_replica(const fr_t *f, str_t id)
 {
 	fr_replica_t *r;
 
 	HASH_FIND(hh, f->replicas, id.p, id.n, r);
-	return r ? r->addr : "";
+	return r;
+}
+
+void fr_leaver(fr_t *f, lv_replica_t r)
+{
+	lw_msg_t m = {.kind = LW_LEAVER};
+
+	if (!lv_note(f->leavers, r))
+		return;
+	lg(LG_INFO, "replica_leaves", LG_S("replica", r.id), LG_I("born", r.born));
+	MX_COUNT("auburn_replicas_leaving_total");
+	m.lw_msg_t_u.leaver = (lw_leaver_t){px_bytes(r.id), r.born};
+	ll_send(f->leader, &m);
+	if (f->local)
+		ds_leaves(f->local, r.id);
 }
 
 static void index_replicas(fr_t *f)
@@ -35,11 +50,12 @@
 	for (u_int i = 0; i < f->view.upstreams.upstreams_len; i++) {
 		const lw_upstream_t *u = &f->view.upstreams.upstreams_val[i];
 
-		if (fr_replica_addr(f, px_str(u->id))[0])
+		if (fr_replica(f, px_str(u->id)))
 			continue;
 		r = mem_new(sizeof(*r));
 		r->id = str_dup(px_str(u->id));
 		r->addr = str_dup(px_str(u->addr));
+		r->born = u->born;
 		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
 		HASH_ADD_KEYPTR(hh, f->replicas, r->id, strlen(r->id), r);
 	}
@@ -70,8 +86,10 @@
 	case LW_GRANT:
 		o = fo_find(f, m->lw_msg_t_u.grant.request);
 		if (o && fo_is_asking(o)) {
-			fo_granted(o, px_str(m->lw_msg_t_u.grant.replica),
-				   px_str(m->lw_msg_t_u.grant.addr));
+			lv_replica_t r = {px_str(m->lw_msg_t_u.grant.replica),
+					  m->lw_msg_t_u.grant.born};
+
+			fo_granted(o, r, px_str(m->lw_msg_t_u.grant.addr));
 		} else if (!o) {
 			lw_msg_t end = {.kind = LW_ENDED};
 
@@ -113,8 +131,11 @@
 static void fill_hello(void *ctx, lw_hello_t *out)
 {
 	static lw_run_t runs[RUNS_MAX];
+	static lw_leaver_t leavers[LV_MAX];
+	lv_replica_t known[LV_MAX];
 	fr_t *f = ctx;
 	size_t n = 0;
+	size_t nleavers = lv_all(f->leavers, known, LV_MAX);
 
 	for (fo_t *o = f->requests; o && n < RUNS_MAX; o = o->hh.next) {
 		if (!fo_is_asking(o))
@@ -131,6 +152,10 @@
 	};
 	out->runs.runs_len = (u_int)n;
 	out->runs.runs_val = runs;
+	for (size_t i = 0; i < nleavers; i++)
+		leavers[i] = (lw_leaver_t){px_bytes(known[i].id), known[i].born};
+	out->leavers.leavers_len = (u_int)nleavers;
+	out->leavers.leavers_val = leavers;
 }
 
 static void on_list(void *ctx, lw_view_t *v)
@@ -162,6 +187,7 @@
 
 void fr_link_start(fr_t *f)
 {
+	f->leavers = lv_new();
 	fr_routes_start(f);
 	f->leader = ll_new(&(ll_options_t){
 		.loop = f->loop,
--- a/src/front/fx.c
+++ b/src/front/fx.c
@@ -13,6 +13,7 @@
 	bool seen;
 	bool bad;
 	char id[64];
+	char replica[64];
 };
 
 static void fx_free(fx_t *x)
@@ -53,6 +54,8 @@
 	pf_reply_decode(h, &r);
 	if (r.id.n > 0 && !str_eq(r.id, str_c(x->id)))
 		return false;
+	if (r.leaving && !r.other_replica)
+		fr_leaver(x->o.f, x->o.replica);
 	x->events = r.events && r.status == 200 && r.certified;
 	x->o.head(x->o.ctx, h, &r);
 	return true;
@@ -111,6 +114,8 @@
 
 	x->o = *o;
 	snprintf(x->id, sizeof(x->id), "%.*s", STR_ARG(o->id));
+	snprintf(x->replica, sizeof(x->replica), "%.*s", STR_ARG(o->replica.id));
+	x->o.replica.id = str_c(x->replica);
 	ev_timer_init(&x->silence, on_silence, 0.0, 0.0);
 	x->silence.data = x;
 	x->call = hu_start(o->f->http, &(hu_options_t){
--- a/src/policy/ds.c
+++ b/src/policy/ds.c
@@ -24,7 +24,7 @@
 const char *ds_outcome_name(ds_outcome_t how)
 {
 	static const char *const names[] = {"ok",     "full",	"gone", "broken",
-					    "silent", "failed", "left"};
+					    "silent", "failed", "left", "leaves"};
 
 	return (size_t)how < sizeof(names) / sizeof(names[0]) ? names[how] : "unknown";
 }
@@ -159,6 +159,16 @@
 	}
 }
 
+/* Forgets what was known of the replica that had this id before. */
+static void begin_anew(ds_t *d, replica_t *r)
+{
+	ds_prefix_forget(d, r);
+	r->strikes = 0;
+	r->suspect_until = 0;
+	r->busy_until = 0;
+	r->full_until = 0;
+}
+
 void ds_replicas(ds_t *d, const ds_replica_t *v, size_t n, deadline_t now)
 {
 	for (replica_t *r = d->replicas; r; r = r->hh.next)
@@ -171,12 +181,23 @@
 		r->slots = v[i].slots ? v[i].slots : 1;
 		r->leaving = v[i].leaving;
 		r->listed = true;
+		if (r->born && v[i].born > r->born)
+			begin_anew(d, r);
+		r->born = v[i].born;
 	}
 	d->listed |= n > 0;
 	drop_unlisted(d);
 	ds_place(d, now);
 }
 
+void ds_leaves(ds_t *d, str_t replica)
+{
+	replica_t *r = find_replica(d, replica);
+
+	if (r)
+		r->leaving = true;
+}
+
 static entry_t *find_entry(const ds_t *d, uint64_t id)
 {
 	entry_t *e;
@@ -333,6 +354,9 @@
 		return;
 	case DS_LEFT:
 		return;
+	case DS_LEAVES:
+		r->leaving = true;
+		return;
 	case DS_FULL:
 		r->full_until = now + FULL_MS;
 		return;
--- a/src/policy/ds.h
+++ b/src/policy/ds.h
@@ -28,7 +28,8 @@
 	DS_BROKEN, /* its answer ended early or was malformed */
 	DS_SILENT, /* no event came for too long */
 	DS_FAILED, /* it answered with a failure */
-	DS_LEFT /* the caller left, or the run was stopped */
+	DS_LEFT, /* the caller left, or the run was stopped */
+	DS_LEAVES /* it had said that it leaves, and wasn't asked */
 } ds_outcome_t;
 
 const char *ds_outcome_name(ds_outcome_t how);
@@ -59,6 +60,7 @@
 	str_t service;
 	unsigned slots; /* requests that it runs at once; 0 counts as 1 */
 	bool leaving; /* gets no new work */
+	uint64_t born; /* when it started; 0: not known. With a later one it is another replica */
 } ds_replica_t;
 
 /** Most replicas that an ask may name as having failed it. */
@@ -86,6 +88,9 @@
 /** The whole list of replicas; those that aren't in it get no new work. */
 void ds_replicas(ds_t *d, const ds_replica_t *v, size_t n, deadline_t now);
 
+/** The replica has said that it leaves: it gets no new work, until the list says otherwise. */
+void ds_leaves(ds_t *d, str_t replica);
+
 /** An entry, which runs items when it takes them. Adding it again changes its zone or that. */
 void ds_entry_add(ds_t *d, uint64_t entry, str_t zone, bool takes_items);
 /** Its requests end; its items wait DS_ADOPT_MS for it to come back before they are run again. */
--- a/src/policy/ds_core.h
+++ b/src/policy/ds_core.h
@@ -31,6 +31,7 @@
 	unsigned slots;
 	bool leaving;
 	bool listed;
+	uint64_t born;
 	unsigned online;
 	unsigned items;
 	unsigned strikes; /* failures since its last success */
--- a/src/proto/lw.x
+++ b/src/proto/lw.x
@@ -20,6 +20,12 @@
 	unsigned int item;
 };
 
+/* A replica that said that it leaves. */
+struct lw_leaver_t {
+	aw_bytes_t replica;
+	unsigned hyper born;		/* when it started, Unix ms; 0: not known */
+};
+
 struct lw_hello_t {
 	aw_bytes_t name;
 	aw_bytes_t addr;		/* ip:port for callers; empty for a control process */
@@ -29,6 +35,7 @@
 	unsigned hyper replica;		/* id of its replica of group 0 */
 	lw_text_id_t text;		/* whose routes it holds; number 0: none */
 	lw_run_t runs<>;
+	lw_leaver_t leavers<>;
 };
 
 struct lw_welcome_t {
@@ -99,6 +106,7 @@
 	aw_bytes_t service;
 	unsigned int slots;
 	bool leaving;
+	unsigned hyper born;		/* when it started, Unix ms; 0: not known */
 };
 
 struct lw_entry_t {
@@ -131,6 +139,7 @@
 	unsigned hyper request;
 	aw_bytes_t replica;
 	aw_bytes_t addr;		/* ip:port of the replica */
+	unsigned hyper born;
 };
 
 struct lw_refuse_t {
@@ -145,7 +154,8 @@
 	LW_BROKEN = 3,			/* the answer ended early or was malformed */
 	LW_SILENT = 4,			/* no event came for too long */
 	LW_FAILED = 5,			/* the replica answered with a failure */
-	LW_LEFT = 6			/* the caller left, or the run was stopped */
+	LW_LEFT = 6,			/* the caller left, or the run was stopped */
+	LW_LEAVES = 7			/* the replica had said that it leaves, and wasn't asked */
 };
 
 struct lw_ended_t {
@@ -165,6 +175,7 @@
 	aw_bytes_t body;
 	aw_bytes_t replica;
 	aw_bytes_t addr;		/* ip:port of the replica */
+	unsigned hyper born;
 	aw_bytes_t text;		/* made by earlier runs */
 	unsigned int events;		/* that text holds */
 	int deadline_ms;
@@ -279,6 +290,7 @@
 	LW_REPLY = 14,
 	LW_PING = 15,
 	LW_ITEM_PROGRESS = 16,
+	LW_LEAVER = 18,
 	LW_HOLDS = 17			/* the sender has the routes of this text in force */
 };
 
@@ -309,6 +321,8 @@
 	lw_item_ended_t item_ended;
 case LW_ITEM_PROGRESS:
 	lw_item_progress_t progress;
+case LW_LEAVER:
+	lw_leaver_t leaver;
 case LW_HOLDS:
 	lw_text_id_t holds;
 case LW_CALL:
--- a/src/proto/lw_xdr.c
+++ b/src/proto/lw_xdr.c
@@ -33,6 +33,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_lw_leaver_t (XDR *xdrs, lw_leaver_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_aw_bytes_t (xdrs, &objp->replica))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_lw_hello_t (XDR *xdrs, lw_hello_t *objp)
 {
@@ -55,6 +67,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->runs.runs_val, (u_int *) &objp->runs.runs_len, ~0,
 		sizeof (lw_run_t), (xdrproc_t) xdr_lw_run_t))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->leavers.leavers_val, (u_int *) &objp->leavers.leavers_len, ~0,
+		sizeof (lw_leaver_t), (xdrproc_t) xdr_lw_leaver_t))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -209,6 +224,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -354,6 +371,8 @@
 		 return FALSE;
 	 if (!xdr_aw_bytes_t (xdrs, &objp->addr))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -418,6 +437,8 @@
 		 return FALSE;
 	 if (!xdr_aw_bytes_t (xdrs, &objp->addr))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born))
+		 return FALSE;
 	 if (!xdr_aw_bytes_t (xdrs, &objp->text))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->events))
@@ -728,6 +749,10 @@
 		 if (!xdr_lw_item_progress_t (xdrs, &objp->lw_msg_t_u.progress))
 			 return FALSE;
 		break;
+	case LW_LEAVER:
+		 if (!xdr_lw_leaver_t (xdrs, &objp->lw_msg_t_u.leaver))
+			 return FALSE;
+		break;
 	case LW_HOLDS:
 		 if (!xdr_lw_text_id_t (xdrs, &objp->lw_msg_t_u.holds))
 			 return FALSE;
--- a/src/proto/lw_xdr.h
+++ b/src/proto/lw_xdr.h
@@ -29,6 +29,12 @@
 };
 typedef struct lw_run_t lw_run_t;
 
+struct lw_leaver_t {
+	aw_bytes_t replica;
+	u_quad_t born;
+};
+typedef struct lw_leaver_t lw_leaver_t;
+
 struct lw_hello_t {
 	aw_bytes_t name;
 	aw_bytes_t addr;
@@ -41,6 +47,10 @@
 		u_int runs_len;
 		lw_run_t *runs_val;
 	} runs;
+	struct {
+		u_int leavers_len;
+		lw_leaver_t *leavers_val;
+	} leavers;
 };
 typedef struct lw_hello_t lw_hello_t;
 
@@ -128,6 +138,7 @@
 	aw_bytes_t service;
 	u_int slots;
 	bool_t leaving;
+	u_quad_t born;
 };
 typedef struct lw_upstream_t lw_upstream_t;
 
@@ -175,6 +186,7 @@
 	u_quad_t request;
 	aw_bytes_t replica;
 	aw_bytes_t addr;
+	u_quad_t born;
 };
 typedef struct lw_grant_t lw_grant_t;
 
@@ -192,6 +204,7 @@
 	LW_SILENT = 4,
 	LW_FAILED = 5,
 	LW_LEFT = 6,
+	LW_LEAVES = 7,
 };
 typedef enum lw_outcome_t lw_outcome_t;
 
@@ -213,6 +226,7 @@
 	aw_bytes_t body;
 	aw_bytes_t replica;
 	aw_bytes_t addr;
+	u_quad_t born;
 	aw_bytes_t text;
 	u_int events;
 	int deadline_ms;
@@ -335,6 +349,7 @@
 	LW_REPLY = 14,
 	LW_PING = 15,
 	LW_ITEM_PROGRESS = 16,
+	LW_LEAVER = 18,
 	LW_HOLDS = 17,
 };
 typedef enum lw_kind_t lw_kind_t;
@@ -355,6 +370,7 @@
 		lw_item_ref_t stop;
 		lw_item_ended_t item_ended;
 		lw_item_progress_t progress;
+		lw_leaver_t leaver;
 		lw_text_id_t holds;
 		lw_call_t call;
 		lw_reply_t reply;
@@ -367,6 +383,7 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_lw_text_id_t (XDR *, lw_text_id_t*);
 extern  bool_t xdr_lw_run_t (XDR *, lw_run_t*);
+extern  bool_t xdr_lw_leaver_t (XDR *, lw_leaver_t*);
 extern  bool_t xdr_lw_hello_t (XDR *, lw_hello_t*);
 extern  bool_t xdr_lw_welcome_t (XDR *, lw_welcome_t*);
 extern  bool_t xdr_lw_share_t (XDR *, lw_share_t*);
@@ -401,6 +418,7 @@
 #else /* K&R C */
 extern bool_t xdr_lw_text_id_t ();
 extern bool_t xdr_lw_run_t ();
+extern bool_t xdr_lw_leaver_t ();
 extern bool_t xdr_lw_hello_t ();
 extern bool_t xdr_lw_welcome_t ();
 extern bool_t xdr_lw_share_t ();
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -66,6 +66,8 @@
         self.kit, self.name, self.zone, self.slots = kit, name, zone, slots
         self.id = "i-%s-%d" % (name, random.getrandbits(24))
         self.state = "ready"
+        self.born = 1000
+        self.says_leaving = False
         self.events = 10
         self.full = False       # 503, not run
         self.fail_ids = {}      # item id: status
@@ -88,7 +90,7 @@
 
     def entry(self):
         return {"id": self.id, "service": "llm", "addr": self.addr, "zone": self.zone, "version": "v1",
-                "slots": self.slots, "state": self.state, "coldLeftMs": 0, "born": 1}
+                "slots": self.slots, "state": self.state, "coldLeftMs": 0, "born": self.born}
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -103,7 +105,11 @@
             self.writers.discard(writer)
             writer.close()
 
+    def marks(self):
+        return [("Server-Leaving", "1")] if self.says_leaving else []
+
     async def reply(self, writer, status, headers, body=b""):
+        headers = headers + self.marks()
         head = "HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n" % (
             status, "".join("%s: %s\r\n" % h for h in headers), len(body))
         writer.write(head.encode() + body)
@@ -132,7 +138,7 @@
 
     async def stream(self, run, mark, reader, writer):
         head = "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-        writer.write((head % "".join("%s: %s\r\n" % x for x in mark)).encode())
+        writer.write((head % "".join("%s: %s\r\n" % x for x in mark + self.marks())).encode())
         left = asyncio.ensure_future(reader.read(1))
         try:
             for n in range(run["after"] + 1, self.events + 1):
--- a/tests/proc/test_platform.py
+++ b/tests/proc/test_platform.py
@@ -304,6 +304,108 @@
         self.assertEqual(self.run_one(self.kit.stream(self.kit.fronts[0], "/brief/1", self.rid()))[0], 200)
 
 
+class Leaving(Platform):
+    """A replica says in its answers that it leaves, while the list still has it as ready."""
+    kit_args = {"controls": 3, "fronts": 3, "replicas": 3, "slots": 4}
+
+    def ask_all(self, n, path="/brief/1"):
+        rids = [self.rid() for _ in range(n)]
+        got = self.run_all(*[self.kit.stream(self.kit.fronts[i % 3], path, r) for i, r in enumerate(rids)])
+        for rid, (s, _, b) in zip(rids, got):
+            self.assertEqual(s, 200)
+            self.kit.check_stream(rid, b)
+        return rids
+
+    def until_it_said_so(self, replica):
+        """Requests until one was answered with the mark; the time after it."""
+        replica.says_leaving = True
+        for _ in range(20):
+            if any(r["replica"] == replica.id for x in self.ask_all(3) for r in self.kit.runs_of(x)):
+                return time.time()
+        self.fail("no request met the replica")
+
+    def runs_there_since(self, replica, t):
+        return [r for r in self.kit.runs if r["replica"] == replica.id and r["at"] > t]
+
+    def test_no_entry_uses_it_any_more(self):
+        leaver = self.kit.replicas[0]
+        t = self.until_it_said_so(leaver)
+        for _ in range(4):
+            self.ask_all(6)
+        self.assertEqual(self.runs_there_since(leaver, t), [])
+
+    def test_items_go_elsewhere(self):
+        leaver = self.kit.replicas[0]
+        t = self.until_it_said_so(leaver)
+        lot, items = self.kit.lot(20)
+        self.assertEqual(self.run_one(self.kit.open_lot(self.kit.fronts[0], lot, items)), 202)
+        self.assertEqual(len(self.run_one(self.kit.read_whole(lot))), 20)
+        self.assertEqual(self.runs_there_since(leaver, t), [])
+
+    def test_an_item_is_told_so_as_well(self):
+        leaver = self.kit.replicas[0]
+        leaver.says_leaving = True
+        for r in self.kit.replicas[1:]:
+            r.full = True
+        lot, items = self.kit.lot(1)
+        self.assertEqual(self.run_one(self.kit.open_lot(self.kit.fronts[0], lot, items)), 202)
+        self.run_one(self.kit.read_whole(lot))
+        t = time.time()
+        for r in self.kit.replicas[1:]:
+            r.full = False
+        for _ in range(4):
+            self.ask_all(6)
+        self.assertEqual(self.runs_there_since(leaver, t), [])
+
+    def test_without_a_leader_the_entry_that_heard_it_keeps_to_it(self):
+        leaver = self.kit.replicas[0]
+        t = self.until_it_said_so(leaver)
+        for c in self.kit.controls:
+            c.stop()
+        time.sleep(2.5)  # until entries read the list themselves, which has it as ready
+        heard = [f for f in self.kit.fronts if "event=replica_leaves" in f.text()]
+        self.assertGreater(len(heard), 0)
+        for _ in range(6):
+            rids = [self.rid() for _ in range(4)]
+            for s, _, _ in self.run_all(*[self.kit.stream(heard[0], "/brief/1", r) for r in rids]):
+                self.assertEqual(s, 200)
+        self.assertEqual(self.runs_there_since(leaver, t), [])
+
+    def test_a_new_leader_is_told_so(self):
+        leaver = self.kit.replicas[0]
+        t = self.until_it_said_so(leaver)
+        leader = self.kit.leader()
+        leader.signal(signal.SIGKILL)
+        leader.p.wait()
+        time.sleep(2)
+        leader.start()
+        for _ in range(4):
+            self.ask_all(6)
+        self.assertEqual(self.runs_there_since(leaver, t), [])
+
+    def test_an_entry_that_restarts_does_not_use_it_again(self):
+        leaver = self.kit.replicas[0]
+        t = self.until_it_said_so(leaver)
+        for f in self.kit.fronts:
+            f.stop()
+            f.start()
+            self.run_one(self.kit.wait_ready([f]))
+        for _ in range(4):
+            self.ask_all(6)
+        self.assertEqual(self.runs_there_since(leaver, t), [])
+
+    def test_one_that_starts_again_under_its_id_is_used(self):
+        leaver = self.kit.replicas[0]
+        self.until_it_said_so(leaver)
+        leaver.says_leaving = False
+        leaver.born += 5000
+        end = time.time() + 5
+        t = time.time()
+        while not self.runs_there_since(leaver, t):
+            self.assertLess(time.time(), end)
+            self.ask_all(6)
+
+
 class LargeText(Platform):
     """A text of 2,000 routes, as large as the users' changes."""
     kit_args = {"controls": 3, "fronts": 10, "replicas": 2}
--- a/tests/unit/dispatch_kit.h
+++ b/tests/unit/dispatch_kit.h
@@ -81,8 +81,8 @@
 	neffects = 0;
 	for (unsigned i = 0; i < replicas; i++) {
 		snprintf(ids[i], sizeof(ids[i]), "r%u", i);
-		v[i] = (ds_replica_t){str_c(ids[i]), i % 2 ? STR("b") : STR("a"), STR("s"), slots,
-				      false};
+		v[i] = (ds_replica_t){
+			str_c(ids[i]), i % 2 ? STR("b") : STR("a"), STR("s"), slots, false, 0};
 	}
 	ds_entry_add(d, 1, STR("a"), true);
 	ds_entry_add(d, 2, STR("b"), true);
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -1,6 +1,7 @@
 /* Unit tests of the dispatcher: online requests. */
 #include <stdlib.h>
 #include "dispatch_kit.h"
+#include "policy/lv.h"
 
 START_TEST(a_free_place_of_the_own_zone_is_granted)
 {
@@ -147,8 +148,8 @@
 START_TEST(short_requests_of_one_service_do_not_shorten_the_estimate_of_another)
 {
 	ds_t *d = fresh(1, 1);
-	ds_replica_t v[] = {{STR("r0"), STR("a"), STR("s"), 1, false},
-			    {STR("t0"), STR("a"), STR("t"), 1, false}};
+	ds_replica_t v[] = {{STR("r0"), STR("a"), STR("s"), 1, false, 0},
+			    {STR("t0"), STR("a"), STR("t"), 1, false, 0}};
 	ds_ask_t a;
 
 	ds_replicas(d, v, 2, 0);
@@ -172,8 +173,8 @@
 START_TEST(waiting_requests_of_one_service_do_not_count_for_another)
 {
 	ds_t *d = fresh(1, 1);
-	ds_replica_t v[] = {{STR("r0"), STR("a"), STR("s"), 1, false},
-			    {STR("t0"), STR("a"), STR("t"), 4, false}};
+	ds_replica_t v[] = {{STR("r0"), STR("a"), STR("s"), 1, false, 0},
+			    {STR("t0"), STR("a"), STR("t"), 4, false, 0}};
 
 	ds_replicas(d, v, 2, 0);
 	/* The queue alternates between both services; that of s holds four, as when it is alone. */
@@ -291,7 +292,7 @@
 START_TEST(a_request_waits_for_the_first_list)
 {
 	ds_t *d = ds_new(&callbacks, 7);
-	ds_replica_t v = {STR("r0"), STR("a"), STR("s"), 4, false};
+	ds_replica_t v = {STR("r0"), STR("a"), STR("s"), 4, false, 0};
 
 	neffects = 0;
 	ds_entry_add(d, 1, STR("a"), true);
@@ -318,7 +319,7 @@
 START_TEST(a_leaving_replica_gets_no_new_work)
 {
 	ds_t *d = fresh(1, 4);
-	ds_replica_t v = {STR("r0"), STR("a"), STR("s"), 4, true};
+	ds_replica_t v = {STR("r0"), STR("a"), STR("s"), 4, true, 0};
 
 	ds_replicas(d, &v, 1, 0);
 	ask(d, 1, 0);
@@ -347,6 +348,97 @@
 }
 END_TEST
 
+START_TEST(a_replica_that_says_it_leaves_gets_no_new_work)
+{
+	ds_t *d = fresh(2, 4);
+
+	ds_leaves(d, STR("r0"));
+	for (uint64_t i = 1; i <= 4; i++)
+		ask(d, i, 0);
+	ck_assert_int_eq(neffects, 4);
+	for (int i = 0; i < 4; i++)
+		ck_assert_str_eq(effects[i].replica, "r1");
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(a_place_given_back_by_an_entry_that_knows_better_is_not_given_again)
+{
+	ds_t *d = fresh(2, 4);
+
+	ask(d, 1, 0);
+	ck_assert_str_eq(effects[0].replica, "r0");
+	ds_ended(d, 1, 1, DS_LEAVES, 1);
+	for (uint64_t i = 2; i <= 5; i++)
+		ask(d, i, 2);
+	for (int i = 1; i <= 4; i++)
+		ck_assert_str_eq(effects[i].replica, "r1");
+	ds_free(d);
+}
+END_TEST
+
+/* Failures, and the prompts it had read, were those of the one before. */
+START_TEST(a_replica_that_starts_again_under_its_id_is_another_one)
+{
+	ds_replica_t v = {STR("r0"), STR("a"), STR("s"), 4, false, 1000};
+	ds_t *d = fresh(0, 0);
+
+	ds_replicas(d, &v, 1, 0);
+	ask(d, 1, 0);
+	ds_ended(d, 1, 1, DS_BROKEN, 1);
+	ask(d, 2, 2);
+	ck_assert_int_eq(effects[1].what, 'r'); /* it is suspected */
+	neffects = 0;
+	v.born = 2000;
+	ds_replicas(d, &v, 1, 3);
+	for (uint64_t i = 3; i <= 6; i++)
+		ask(d, i, 4);
+	ck_assert_int_eq(neffects, 4);
+	for (int i = 0; i < 4; i++)
+		ck_assert_int_eq(effects[i].what, 'g');
+	ds_free(d);
+}
+END_TEST
+
+START_TEST(leavers_are_known_by_id_and_start)
+{
+	lv_t *l = lv_new();
+	lv_replica_t known[4];
+
+	ck_assert(lv_note(l, (lv_replica_t){STR("i-1"), 1000}));
+	ck_assert(!lv_note(l, (lv_replica_t){STR("i-1"), 1000}));
+	ck_assert(lv_note(l, (lv_replica_t){STR("i-2"), 0}));
+	ck_assert(lv_leaves(l, (lv_replica_t){STR("i-1"), 1000}));
+	ck_assert(lv_leaves(l, (lv_replica_t){STR("i-1"), 0}));
+	ck_assert(lv_leaves(l, (lv_replica_t){STR("i-2"), 700}));
+	ck_assert(!lv_leaves(l, (lv_replica_t){STR("i-3"), 1000}));
+	ck_assert_uint_eq(lv_all(l, known, 4), 2);
+	/* It started again: the one that left isn't remembered. */
+	ck_assert(!lv_leaves(l, (lv_replica_t){STR("i-1"), 1001}));
+	ck_assert(!lv_leaves(l, (lv_replica_t){STR("i-1"), 1000}));
+	ck_assert(!lv_leaves(l, (lv_replica_t){STR("i-2"), 701}));
+	ck_assert_uint_eq(lv_all(l, known, 4), 0);
+	lv_free(l);
+}
+END_TEST
+
+START_TEST(leavers_are_bounded_in_number)
+{
+	lv_t *l = lv_new();
+	static lv_replica_t known[LV_MAX + 1];
+
+	for (unsigned i = 0; i < 3 * LV_MAX; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "i-%u", i);
+		lv_note(l, (lv_replica_t){str_c(id), 1});
+	}
+	ck_assert_uint_eq(lv_all(l, known, LV_MAX + 1), LV_MAX);
+	ck_assert(lv_leaves(l, (lv_replica_t){STR("i-3071"), 1}));
+	lv_free(l);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dispatch");
@@ -371,6 +463,11 @@
 	tcase_add_test(t, a_request_waits_for_the_first_list);
 	tcase_add_test(t, a_leaving_replica_gets_no_new_work);
 	tcase_add_test(t, the_replica_that_read_a_prompt_gets_its_like);
+	tcase_add_test(t, a_replica_that_says_it_leaves_gets_no_new_work);
+	tcase_add_test(t, a_place_given_back_by_an_entry_that_knows_better_is_not_given_again);
+	tcase_add_test(t, a_replica_that_starts_again_under_its_id_is_another_one);
+	tcase_add_test(t, leavers_are_known_by_id_and_start);
+	tcase_add_test(t, leavers_are_bounded_in_number);
 	suite_add_tcase(s, t);
 	return suite_run(s);
 }
--- a/tests/unit/test_dispatch_items.c
+++ b/tests/unit/test_dispatch_items.c
@@ -136,8 +136,8 @@
 START_TEST(an_item_without_a_place_does_not_hold_up_those_of_another_service)
 {
 	ds_t *d = fresh(1, 1);
-	ds_replica_t v[] = {{STR("r0"), STR("a"), STR("s"), 1, false},
-			    {STR("t0"), STR("a"), STR("t"), 1, false}};
+	ds_replica_t v[] = {{STR("r0"), STR("a"), STR("s"), 1, false, 0},
+			    {STR("t0"), STR("a"), STR("t"), 1, false, 0}};
 	int first;
 	int other;
 
--- a/tests/unit/test_dispatch_load.c
+++ b/tests/unit/test_dispatch_load.c
@@ -160,7 +160,8 @@
 
 		for (unsigned j = 0; j < PLAY_REPLICAS; j++) {
 			snprintf(ids[j], sizeof(ids[j]), "r%u", j);
-			v[j] = (ds_replica_t){str_c(ids[j]), STR("a"), STR("s"), PLAY_SLOTS, false};
+			v[j] = (ds_replica_t){str_c(ids[j]), STR("a"), STR("s"),
+					      PLAY_SLOTS,    false,    0};
 		}
 		ds_replicas(p->d, v, PLAY_REPLICAS, 0);
 	}
