Answers are bounded in bytes and in events without progress; late copies are told apart

Cause, each shown by a test: (1) an answer that isn't a stream was kept without a limit (2,053 MB in 2 s from 8 replicas, the VM has 160), an event without an end as well and searched anew at each read, empty events cost a search of all that had come each, interim heads were endless. (2) Any bytes put a stream's end for silence off, so a stalled stream that sent a byte now and then was never moved. (3) An event without an id was passed on at once, so that a stream that went on elsewhere had another replica's bytes in it. (4) A late second copy of an answer without its id, on a kept connection, was taken for the next request's: a caller got another's stream, a lot another item's text. (5) A caller's chunk extension never ended. (6) The list was read on a kept connection: a late copy of a page would be taken for the next one. Change: hu counts the bytes of a call, interim heads are bounded; ss searches each byte once and gives up an event of 1 MB; fx counts events that don't get the stream on (4,096 in a row) and only events that do put silence off; what has no id waits for an event that has one; kept bodies are bounded for all requests together (48 MB); hl bounds a request with its framing; lists are read on fresh connections and bounded; an answer without an id on a kept connection is broken. Before its first event a stream that may not be repeated is still ended by its deadline only, as a replica's silence is no reason.

--- a/src/client/ul.c
+++ b/src/client/ul.c
@@ -7,6 +7,10 @@
 /** A read that takes longer, in ms, is given up: the next one follows a second later. */
 #define READ_MS	   1500
 #define CONNECT_MS 500
+/** Bytes of an answer to a call for one page: a page of some hundred replicas is below 100 KB. */
+#define PAGE_BYTES_MAX (4U << 20)
+/** Replicas of a whole list: several times those of the size designed for. */
+#define REPLICAS_MAX 20000
 
 struct ul {
 	ul_options_t o;
@@ -45,13 +49,19 @@
 
 	u->call = NULL;
 	if (how != HU_DONE || u->status != 200) {
-		fail(u, how == HU_DONE ? "refused" : "connection broken");
+		fail(u, how == HU_TOO_LONG ? "page too long"
+			: how == HU_DONE   ? "refused"
+					   : "connection broken");
 		return;
 	}
 	if (pf_list_decode(str_buf(&u->body), &u->list, &u->cursor) != ST_OK) {
 		fail(u, st_message());
 		return;
 	}
+	if (u->list.upstreams.upstreams_len > REPLICAS_MAX) {
+		fail(u, "too many replicas");
+		return;
+	}
 	if (u->cursor.n) {
 		read_page(u);
 		return;
@@ -81,15 +91,19 @@
 	pf_list_request(&req, str_c(u->o.addr), str_buf(&u->cursor));
 	u->body.n = 0;
 	u->status = 0;
-	u->call = hu_start(u->o.http, &(hu_options_t){
-					      .request = str_buf(&req),
-					      .addr = u->o.addr,
-					      .connect_by = clk_now_ms() + CONNECT_MS,
-					      .ctx = u,
-					      .head = on_head,
-					      .body = on_body,
-					      .end = on_end,
-				      });
+	u->call =
+		hu_start(u->o.http, &(hu_options_t){
+					    .request = str_buf(&req),
+					    .addr = u->o.addr,
+					    /* A late copy of a page would be taken for the next. */
+					    .fresh = true,
+					    .max_bytes = PAGE_BYTES_MAX,
+					    .connect_by = clk_now_ms() + CONNECT_MS,
+					    .ctx = u,
+					    .head = on_head,
+					    .body = on_body,
+					    .end = on_end,
+				    });
 }
 
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
--- a/src/front/fb.c
+++ b/src/front/fb.c
@@ -78,23 +78,24 @@
 	b->reply.id = (str_t){"", 0};
 }
 
-static bool on_event(void *ctx, const ss_event_t *e)
+static fx_event_t on_event(void *ctx, const ss_event_t *e)
 {
 	fb_t *b = ctx;
 
 	if (e->id < 0 || (unsigned long long)e->id <= b->events)
-		return true;
+		return FX_KNOWN;
 	if ((unsigned long long)e->id != b->events + 1ULL)
-		return false;
+		return FX_BAD;
 	if (b->events > 0)
 		buf_addc(&b->text, '\n');
 	buf_add(&b->text, e->data);
 	b->events++;
-	return true;
+	return FX_NEXT;
 }
 
-static void on_bytes(void *ctx, str_t piece)
+static bool on_bytes(void *ctx, str_t piece)
 {
+	return true;
 }
 
 static void on_answer(fb_t *b)
--- a/src/front/fo.c
+++ b/src/front/fo.c
@@ -18,6 +18,9 @@
 #define RETURNING_PERCENT 95
 /** Deadline of a request whose caller doesn't say how long it waits, in ms. */
 #define WAIT_DEFAULT_MS 30000
+/** Bytes of answers that are kept until they are whole, of all requests together: a third of the
+ * memory of the VMs that the users run entries on. */
+#define BODIES_BYTES_MAX (48U << 20)
 /** Retry-After of a refusal that has no better figure, in ms. */
 #define RETRY_MS 200
 
@@ -39,14 +42,21 @@
 		mx_record(mx_get(MX_HISTOGRAM, "auburn_first_byte_ms", NULL), o->first_ms);
 }
 
+static void drop_body(fo_t *o)
+{
+	o->f->body_bytes -= o->body.n;
+	buf_free(&o->body);
+	o->body = (buf_t){0};
+}
+
 static void fo_free(fo_t *o)
 {
 	if (o->run)
 		fx_cancel(o->run);
+	drop_body(o);
 	ev_timer_stop(o->f->loop, &o->timer);
 	HASH_DEL(o->f->requests, o);
 	buf_free(&o->headers);
-	buf_free(&o->body);
 	free(o);
 }
 
@@ -132,7 +142,7 @@
 		o->tries--;
 	o->not_run += asked && !ran;
 	o->headers.n = 0;
-	o->body.n = 0;
+	drop_body(o);
 	if (ran && (!repeatable(o) || o->tries >= o->attempts)) {
 		give_up(o, ds_outcome_name(how));
 		return;
@@ -158,33 +168,47 @@
 	pf_reply_headers(&o->headers, h);
 }
 
-static bool on_event(void *ctx, const ss_event_t *e)
+static bool keep_bytes(fo_t *o, str_t piece)
+{
+	if (o->f->body_bytes + piece.n > BODIES_BYTES_MAX) {
+		lg(LG_WARN, "answers_fill_memory", LG_S("request", o->call.id),
+		   LG_C("replica", o->replica), LG_I("bytes", o->body.n),
+		   LG_I("most", BODIES_BYTES_MAX));
+		return false;
+	}
+	buf_add(&o->body, piece);
+	o->f->body_bytes += piece.n;
+	return true;
+}
+
+static fx_event_t on_event(void *ctx, const ss_event_t *e)
 {
 	fo_t *o = ctx;
 
 	if (e->id >= 0 && e->id <= o->last_event)
-		return true;
+		return FX_KNOWN;
 	if (e->id >= 0 && e->id != o->last_event + 1)
-		return false;
+		return FX_BAD;
+	/* What has no id waits for an event that has: the stream may go on elsewhere without it. */
+	if (e->id < 0)
+		return keep_bytes(o, e->raw) ? FX_KNOWN : FX_BAD;
 	if (!o->begun) {
 		o->begun = true;
 		o->first_ms = clk_now_ms() - o->r.received;
 		hl_begin(o->conn, 200, str_buf(&o->headers));
 	}
-	if (e->id >= 0)
-		o->last_event = e->id;
+	o->last_event = e->id;
+	if (o->body.n > 0) {
+		hl_piece(o->conn, str_buf(&o->body));
+		drop_body(o);
+	}
 	hl_piece(o->conn, e->raw);
-	return true;
+	return FX_NEXT;
 }
 
-static void on_bytes(void *ctx, str_t piece)
+static bool on_bytes(void *ctx, str_t piece)
 {
-	fo_t *o = ctx;
-
-	if (o->begun)
-		hl_piece(o->conn, piece);
-	else
-		buf_add(&o->body, piece);
+	return keep_bytes(ctx, piece);
 }
 
 static void finish_whole(fo_t *o)
@@ -199,14 +223,17 @@
 		o->first_ms = clk_now_ms() - o->r.received;
 	fr_ended(o->f, o, status >= 500 ? DS_FAILED : DS_OK);
 	log_end(o, "ok", status);
+	o->f->body_bytes -= body.n;
 	o->headers = (buf_t){0};
 	o->body = (buf_t){0};
 	detach(o);
 	fo_free(o);
-	if (begun)
+	if (begun) {
+		hl_piece(c, str_buf(&body));
 		hl_end(c);
-	else
+	} else {
 		hl_reply(c, status, str_buf(&headers), str_buf(&body));
+	}
 	buf_free(&headers);
 	buf_free(&body);
 }
--- a/src/front/fr.h
+++ b/src/front/fr.h
@@ -78,6 +78,7 @@
 	fb_t *items;
 	fh_t *held; /* requests that wait for a text */
 	deadline_t started;
+	size_t body_bytes; /* of answers that are kept until they are whole */
 } fr_t;
 
 /* fr_link.c: the leader's link, routes and replicas */
@@ -108,6 +109,13 @@
 
 typedef struct fx fx_t;
 
+/** What an event is to a run. */
+typedef enum {
+	FX_NEXT, /* the stream has got on by it */
+	FX_KNOWN, /* nothing new, or nothing that the stream consists of */
+	FX_BAD /* not an event of this stream */
+} fx_event_t;
+
 typedef enum {
 	FX_DONE, /* the answer came whole */
 	FX_UNSENT, /* surely not received */
@@ -122,14 +130,15 @@
 	lv_replica_t replica; /* copied */
 	const char *addr;
 	bool fresh; /* not on a kept connection */
-	int64_t first_ms; /* silence before the first event that ends it; 0: none does */
-	int64_t pause_ms; /* silence between events that ends it; 0: none does */
+	int64_t first_ms; /* without a first event for so long it ends; 0: it doesn't */
+	int64_t pause_ms; /* without the next event for so long it ends; 0: it doesn't */
 	void *ctx;
 	void (*head)(void *ctx, const hp_head_t *h, const pf_reply_t *r);
-	/** False ends the run as broken. */
-	bool (*event)(void *ctx, const ss_event_t *e);
-	/** Bytes of an answer that isn't a stream of events, or behind its last whole event. */
-	void (*bytes)(void *ctx, str_t piece);
+	/** FX_BAD ends the run as broken. */
+	fx_event_t (*event)(void *ctx, const ss_event_t *e);
+	/** Bytes of an answer that isn't a stream of events, or behind its last whole event. False
+	 * ends the run as broken. */
+	bool (*bytes)(void *ctx, str_t piece);
 	/** Called once, unless the run was cancelled; the run is freed after it. */
 	void (*end)(void *ctx, fx_end_t how);
 } fx_options_t;
--- a/src/net/hl.c
+++ b/src/net/hl.c
@@ -14,6 +14,10 @@
 #define READ_BYTES	 16384
 /** Time for the client to read the last answer before the socket is closed, in ms. */
 #define LINGER_MS 1000
+/** Bytes that may frame a body, as a multiple of it, and beside it: chunks of one byte take six
+ * times their body. */
+#define FRAMING_TIMES 8
+#define FRAMING_BYTES 65536
 /** Accepts in one turn of the loop, so that open connections get theirs. */
 #define ACCEPTS 32
 
@@ -37,6 +41,7 @@
 	buf_t body;
 	buf_t out;
 	deadline_t begun; /* when the request's first byte came; 0 between requests */
+	size_t bytes; /* of this request so far, with its framing and what was read ahead */
 	bool have_head;
 	bool too_long; /* the head declares a body over the limit */
 	bool busy; /* a request is being answered */
@@ -191,6 +196,12 @@
 	c->l->o.request(c->l->o.ctx, c, &r);
 }
 
+/* Of a whole request: chunk extensions and trailers count for nothing else. */
+static size_t bytes_max(const hl_limits_t *m)
+{
+	return m->max_header_bytes + m->max_body_bytes * FRAMING_TIMES + FRAMING_BYTES;
+}
+
 static void parse(hl_conn_t *c)
 {
 	const hl_limits_t *m = &c->l->o.limits;
@@ -206,7 +217,7 @@
 		if (c->dead)
 			return;
 		buf_drop(&c->in, used < c->in.n ? used : c->in.n);
-		if (c->too_long || c->body.n > m->max_body_bytes)
+		if (c->too_long || c->body.n > m->max_body_bytes || c->bytes > bytes_max(m))
 			refuse(c, 413, "body over the limit");
 		else if (st == ST_LIMIT)
 			refuse(c, 431, st_message());
@@ -229,6 +240,7 @@
 		return;
 	}
 	n = c->broken ? SK_BROKEN : sk_read(c->fd, &c->in, READ_BYTES);
+	c->bytes += n > 0 ? (size_t)n : 0;
 	if (n < 0) {
 		if (c->busy && !c->dead && c->l->o.gone)
 			c->l->o.gone(c->l->o.ctx, c);
@@ -354,6 +366,7 @@
 	c->begun = 0;
 	c->have_head = false;
 	c->body.n = 0;
+	c->bytes = c->in.n;
 	if (!c->keep) {
 		c->closing = true;
 		set_timer(c, LINGER_MS);
--- a/src/net/hu.c
+++ b/src/net/hu.c
@@ -1,5 +1,6 @@
 #include "net/hu.h"
 
+#include <assert.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,6 +19,8 @@
  * it just then. */
 #define IDLE_SHARE_PERCENT 60
 #define IDLE_MAX	   16
+/** Interim heads before an answer; servers send one or two. */
+#define INTERIM_MAX 16
 
 typedef struct conn conn_t;
 
@@ -49,6 +52,9 @@
 	bool skip; /* the answer being read belongs to another request */
 	bool keep;
 	bool ended;
+	bool kept; /* has served a call before */
+	unsigned interim; /* heads of the answer that is being read */
+	size_t bytes; /* that came since the call began */
 	int64_t idle_ms;
 	hu_call_t *call;
 	conn_t *next; /* idle at the same host */
@@ -146,8 +152,10 @@
 
 	if (h->status < 200) {
 		c->skip = true;
+		c->interim++;
 		return;
 	}
+	c->interim = 0;
 	read_keep_alive(c, h);
 	c->skip = !c->call || !c->call->o.head(c->call->o.ctx, h);
 }
@@ -192,6 +200,8 @@
 		if (c->dead)
 			return;
 		buf_drop(&c->in, used < c->in.n ? used : c->in.n);
+		if (c->interim > INTERIM_MAX)
+			st = ST_LIMIT;
 		if (!c->ended && st == ST_OK)
 			hp_next(&c->parser);
 	}
@@ -221,9 +231,12 @@
 	conn_t *c = w->data;
 	long n = sk_read(c->fd, &c->in, READ_BYTES);
 
+	c->bytes += n > 0 ? (size_t)n : 0;
 	if (!c->call) {
 		/* An idle connection that speaks or ends serves nobody. */
 		conn_close(c);
+	} else if (c->bytes > c->call->o.max_bytes) {
+		fail(c, HU_TOO_LONG);
 	} else if (n < 0) {
 		c->keep = false;
 		parse(c, n == SK_CLOSED);
@@ -326,6 +339,8 @@
 	hp_next(&c->parser);
 	c->ended = false;
 	c->skip = false;
+	c->kept = true;
+	c->bytes = 0;
 	return c;
 }
 
@@ -345,12 +360,18 @@
 	free(call);
 }
 
+bool hu_on_kept(const hu_call_t *call)
+{
+	return call->conn && call->conn->kept;
+}
+
 hu_call_t *hu_start(hu_t *h, const hu_options_t *o)
 {
 	host_t *host = host_of(h, o->addr);
 	hu_call_t *call = mem_new(sizeof(*call));
 	conn_t *c = o->fresh ? NULL : take_idle(host);
 
+	assert(o->max_bytes > 0);
 	call->o = *o;
 	if (!c) {
 		c = conn_open(h, host);
--- a/src/net/ss.c
+++ b/src/net/ss.c
@@ -1,5 +1,7 @@
 #include "net/ss.h"
 
+#include <string.h>
+
 #include "net/hp.h"
 
 static str_t after(str_t line, str_t prefix)
@@ -42,26 +44,44 @@
 	return event(ctx, &e);
 }
 
+/* Offset behind the event that ends first from `from` on; 0: none ends. */
+static size_t event_end(str_t s, size_t from)
+{
+	const char *nl;
+
+	while (from < s.n && (nl = memchr(s.p + from, '\n', s.n - from))) {
+		size_t i = (size_t)(nl - s.p);
+
+		if (i + 1 < s.n && s.p[i + 1] == '\n')
+			return i + 2;
+		if (i + 2 < s.n && s.p[i + 1] == '\r' && s.p[i + 2] == '\n')
+			return i + 3;
+		from = i + 1;
+	}
+	return 0;
+}
+
+/* The last bytes may be the begin of an empty line. */
+#define SEARCH_AGAIN 2
+
 bool ss_feed(ss_t *s, str_t bytes, ss_callback_t event, void *ctx)
 {
 	size_t used = 0;
+	size_t from = s->searched;
 	bool more = true;
 
 	buf_add(&s->pending, bytes);
 	while (more) {
-		str_t rest = {s->pending.p + used, s->pending.n - used};
-		long end = str_find(rest, STR("\n\n"));
-		long crlf = str_find(rest, STR("\n\r\n"));
-		size_t n;
+		size_t end = event_end(str_buf(&s->pending), from);
 
-		if (end < 0 && crlf < 0)
+		if (end == 0)
 			break;
-		n = crlf < 0 || (end >= 0 && end < crlf) ? (size_t)end + 2 : (size_t)crlf + 3;
-		more = give((str_t){rest.p, n}, event, ctx);
-		used += n;
+		more = give((str_t){s->pending.p + used, end - used}, event, ctx);
+		used = from = end;
 	}
 	buf_drop(&s->pending, used);
-	return more;
+	s->searched = s->pending.n > SEARCH_AGAIN ? s->pending.n - SEARCH_AGAIN : 0;
+	return more && s->pending.n <= SS_EVENT_MAX;
 }
 
 void ss_free(ss_t *s)
--- a/src/net/ss.h
+++ b/src/net/ss.h
@@ -4,8 +4,12 @@
 
 #include "base/str.h"
 
+/** A longer event is malformed, in bytes: events carry some tokens of text. */
+#define SS_EVENT_MAX (1U << 20)
+
 typedef struct {
 	buf_t pending; /* bytes behind the last whole event */
+	size_t searched; /* of these, in which no event ends */
 } ss_t;
 
 typedef struct {
@@ -20,7 +24,7 @@
 typedef bool (*ss_callback_t)(void *ctx, const ss_event_t *e);
 
 /** Takes bytes as they come and calls back for each whole event. False once the callback returned
- * false. */
+ * false, or when an event is too long. */
 bool ss_feed(ss_t *s, str_t bytes, ss_callback_t event, void *ctx);
 void ss_free(ss_t *s);
 
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -68,6 +68,7 @@
         self.state = "ready"
         self.born = 1000
         self.says_leaving = False
+        self.late_copy = None   # how the answer before comes again on a connection that is in use again
         self.events = 10
         self.full = False       # 503, not run
         self.fail_ids = {}      # item id: status
@@ -94,17 +95,32 @@
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
+        before = None
         try:
             while True:
                 m = await read_message(reader)
+                if m and before and self.late_copy:
+                    writer.write(self.copy_of(before))
                 if not m or not await self.answer(m, reader, writer):
                     break
+                before = m[1].get("request-id", "")
+                if self.late_copy == "at once":
+                    writer.write(self.copy_of(before))
         except (ConnectionError, asyncio.IncompleteReadError, OSError):
             pass
         finally:
             self.writers.discard(writer)
             writer.close()
 
+    def copy_of(self, rid):
+        body = "".join("id: %d\ndata: %s\n\n" % (n, event_text(rid, n)) for n in range(1, self.events + 1)).encode()
+        head = "HTTP/1.1 200 OK\r\nSignature: sig-%s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n" % (
+            rid, len(body))
+        if self.late_copy != "without id":
+            head += "Request-Id: %s\r\n" % rid
+        whole = head.encode() + b"\r\n" + body
+        return whole[:len(whole) // 2] if self.late_copy == "cut" else whole
+
     def marks(self):
         return [("Server-Leaving", "1")] if self.says_leaving else []
 
--- a/tests/proc/test_platform.py
+++ b/tests/proc/test_platform.py
@@ -406,6 +406,53 @@
             self.ask_all(6)
 
 
+class LateCopies(Platform):
+    """A replica sends its answer a second time on a connection that is in use again."""
+    kit_args = {"controls": 1, "fronts": 1, "replicas": 2}
+
+    def ask_in_turn(self, how, path):
+        for r in self.kit.replicas:
+            r.late_copy = how
+        served = 0
+        for _ in range(12):
+            rid = self.rid()
+            s, h, b = self.run_one(self.kit.stream(self.kit.fronts[0], path, rid))
+            if s == 200:
+                self.kit.check_stream(rid, b)
+                self.assertEqual(h["signature"], "sig-" + rid)
+                served += 1
+            else:
+                self.assertEqual(b, b"")
+            if s in (429, 503):
+                self.assertEqual(self.kit.runs_of(rid), [])
+        return served
+
+    def test_with_its_id(self):
+        self.assertEqual(self.ask_in_turn("with id", "/brief/1"), 12)
+
+    def test_without_an_id(self):
+        self.assertGreater(self.ask_in_turn("without id", "/brief/1"), 0)
+
+    def test_cut_in_the_middle(self):
+        self.assertGreater(self.ask_in_turn("cut", "/brief/1"), 0)
+
+    def test_before_the_next_request(self):
+        self.assertEqual(self.ask_in_turn("at once", "/brief/1"), 12)
+
+    def test_what_may_run_once_meets_none(self):
+        for how in ("with id", "without id", "cut", "at once"):
+            self.assertEqual(self.ask_in_turn(how, "/alert/1"), 12, how)
+
+    def test_items_get_their_own_text(self):
+        for how in ("with id", "without id", "cut", "at once"):
+            for r in self.kit.replicas:
+                r.late_copy = how
+            lot, items = self.kit.lot(12)
+            self.assertEqual(self.run_one(self.kit.open_lot(self.kit.fronts[0], lot, items)), 202)
+            for x in self.run_one(self.kit.read_whole(lot)):
+                self.assertEqual(x["output"], "\n".join("%s-%d" % (x["id"], n) for n in range(1, 11)))
+
+
 class LargeText(Platform):
     """A text of 2,000 routes, as large as the users' changes."""
     kit_args = {"controls": 3, "fronts": 10, "replicas": 2}
