Planned stops end when nothing is pending, behind the last connection taken

Cause, by tests of stops under load: a stopping entry ended when no online request was open, from 82% of its grace time on. Lots, requests still being read and answers not yet sent to their end weren't looked at; connections that waited to be accepted were reset; and with 0.8 s kept back of the grace time a stream that began at the end was cut. A control process ended as soon as its leadership was handed over, with operators' calls under way. Change: a stopping entry takes connections until callers have let go of its address (76% of the grace time), takes what has connected by then, closes its listener, and ends once nothing has been pending for 0.1 s; 250 ms of the grace time are kept back. A control process waits for operators' calls under way, at most 2.7 s. A stream that needs more than a fifth of the grace time from its last moment on is cut with the process.

--- a/src/control/cn.h
+++ b/src/control/cn.h
@@ -126,6 +126,8 @@
 void cn_hub_add_controls(cn_t *cn, const cf_strs_t *addrs);
 /** Control processes that are linked to this one while it leads; returns how many. */
 unsigned cn_hub_candidates(cn_t *cn, gr_peer_t out[CN_CANDIDATES_MAX]);
+/** True while calls of operators, or look-ups, are under way. */
+bool cn_hub_busy(const cn_t *cn);
 
 /* cn_status.c */
 void cn_status_json(cn_t *cn, buf_t *out);
--- a/src/control/cn_hub.c
+++ b/src/control/cn_hub.c
@@ -101,6 +101,11 @@
 	return n;
 }
 
+bool cn_hub_busy(const cn_t *cn)
+{
+	return cn->hub->busy;
+}
+
 /* ---- links ---- */
 
 static void peer_drop(hub_peer_t *p, const char *reason)
@@ -392,6 +397,8 @@
 	hub_t *h = w->data;
 	deadline_t now = clk_now_ms();
 
+	h->busy = (h->operators && hl_pending(h->operators)) ||
+		  (h->directory && hl_pending(h->directory));
 	check_role(h);
 	watch_links(h, now);
 	if (h->role != HUB_LEADS)
--- a/src/control/cn_hub.h
+++ b/src/control/cn_hub.h
@@ -154,6 +154,7 @@
 	hub_waiter_t *waiters;
 	hub_batch_t next;
 	bool committing;
+	_Atomic bool busy; /* calls of operators or look-ups are under way; for other threads */
 	deadline_t announce_at;
 	lk_t *announced[HUB_ANNOUNCE_MAX]; /* links that only tell who leads */
 	size_t nannounced;
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -13,6 +13,9 @@
 
 #define ROUND_MS     50
 #define STEP_DOWN_MS 2000
+/** Calls under way at a planned stop are waited for, in ms: they have an answer after 2,500. */
+#define CALLS_MS     2700
+#define STOP_POLL_MS 50 /* the hub looks every 25 */
 
 static int fail_with(int code)
 {
@@ -64,6 +67,14 @@
 	lg(LG_INFO, "stopping", LG_C("reason", "signal"));
 	for (unsigned n = 0; n < cn->ngroups; n++)
 		gr_step_down(cn->groups[n].gr, clk_now_ms() + STEP_DOWN_MS);
+	/* Operators' calls under way are answered, by the next leader if need be. */
+	if (cn->hub) {
+		deadline_t by = clk_now_ms() + CALLS_MS;
+
+		do
+			clk_sleep_ms(STOP_POLL_MS);
+		while (cn_hub_busy(cn) && clk_now_ms() < by);
+	}
 	lg(LG_INFO, "stopped", LG_C("name", cn->s.name));
 }
 
--- a/src/front/fr.h
+++ b/src/front/fr.h
@@ -62,6 +62,8 @@
 	ev_signal term;
 	ev_signal hup;
 	deadline_t exit_by; /* 0 while no stop is under way */
+	deadline_t accept_until; /* connections of callers, during a stop */
+	deadline_t quiet_since; /* no request since then; 0: connections are still accepted */
 	const char *settings_path;
 	ru_t *routes; /* NULL until a text is known */
 	uint64_t routes_version;
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -11,11 +11,16 @@
 
 #define TICK_MS 50
 /** Left of the grace time when the process ends by itself, in ms. */
-#define EXIT_MARGIN_MS 800
-/** A draining process ends early when it has been idle behind this part of the grace time, by when
- * callers have let go of its address. */
-#define EXIT_IDLE_PERCENT 82
-#define METRICS_BODY_MAX  1024
+#define EXIT_MARGIN_MS 250
+/** A stopping process takes connections for this part of the grace time, by when callers have let
+ * go of its address: they keep it 2 s, some three times as long. The rest is left for the last
+ * streams.
+ */
+#define ACCEPT_PERCENT	 76
+#define METRICS_BODY_MAX 1024
+/** Without a request for this long, in ms, behind its last accepted connection it ends: what was
+ * sent before that has come. */
+#define QUIET_MS 100
 
 /** Before a text is known: what its limits usually are. */
 #define HEADER_BYTES 16384
@@ -103,31 +108,45 @@
 	hl_reply(c, 200, STR("Content-Type: text/plain; version=0.0.4\r\n"), str_buf(&b));
 }
 
+/* Callers use the address until the process is gone: what has connected by then is served. */
+static void stop_when_idle(fr_t *f, deadline_t now)
+{
+	if (now < f->accept_until)
+		return;
+	if (!f->quiet_since) {
+		hl_stop_accepting(f->callers);
+		f->quiet_since = now;
+	} else if (hl_pending(f->callers)) {
+		f->quiet_since = now;
+	} else if (now - f->quiet_since >= QUIET_MS) {
+		ev_break(f->loop, EVBREAK_ALL);
+	}
+}
+
 static void on_tick(struct ev_loop *loop, ev_timer *w, int events)
 {
 	fr_t *f = w->data;
 	deadline_t now = clk_now_ms();
-	int64_t grace_ms = f->s.grace_s * 1000;
-	bool idle;
 
 	fr_link_tick(f, now);
 	fh_tick(f, now);
 	fb_tick(f, now);
 	if (!f->exit_by)
 		return;
-	idle = HASH_COUNT(f->requests) == 0 &&
-	       f->exit_by - now < grace_ms * (100 - EXIT_IDLE_PERCENT) / 100;
-	if (idle || now >= f->exit_by)
+	stop_when_idle(f, now);
+	if (now >= f->exit_by)
 		ev_break(loop, EVBREAK_ALL);
 }
 
 static void on_term(struct ev_loop *loop, ev_signal *w, int events)
 {
 	fr_t *f = w->data;
+	int64_t grace_ms = f->s.grace_s * 1000;
 
 	if (f->exit_by)
 		return;
-	f->exit_by = clk_now_ms() + f->s.grace_s * 1000 - EXIT_MARGIN_MS;
+	f->accept_until = clk_now_ms() + grace_ms * ACCEPT_PERCENT / 100;
+	f->exit_by = clk_now_ms() + grace_ms - EXIT_MARGIN_MS;
 	lg(LG_INFO, "stopping", LG_C("reason", "signal"), LG_I("requests", HASH_COUNT(f->requests)),
 	   LG_I("items", fb_count(f)));
 	hl_drain(f->callers);
@@ -223,6 +242,7 @@
 	ev_timer_start(f.loop, &f.tick);
 	lg(LG_INFO, "started", LG_C("listen", f.s.listen), LG_C("zone", f.s.zone));
 	ev_run(f.loop, 0);
-	lg(LG_INFO, "stopped", LG_I("requests", HASH_COUNT(f.requests)));
+	lg(LG_INFO, "stopped", LG_I("requests", HASH_COUNT(f.requests)),
+	   LG_I("pending", hl_pending(f.callers)));
 	return AR_OK;
 }
--- a/src/net/hl.c
+++ b/src/net/hl.c
@@ -318,6 +318,28 @@
 	return l;
 }
 
+void hl_stop_accepting(hl_t *l)
+{
+	int fd;
+
+	if (l->fd < 0)
+		return;
+	while ((fd = sk_accept(l->fd)) >= 0)
+		conn_new(l, fd);
+	ev_io_stop(l->o.loop, &l->accept);
+	close(l->fd);
+	l->fd = -1;
+}
+
+bool hl_pending(const hl_t *l)
+{
+	for (const hl_conn_t *c = l->conns; c; c = c->next) {
+		if (c->busy || c->begun || c->out.n > 0)
+			return true;
+	}
+	return false;
+}
+
 static void listener_free(int events, void *arg)
 {
 	free(arg);
@@ -326,7 +348,8 @@
 void hl_close(hl_t *l)
 {
 	ev_io_stop(l->o.loop, &l->accept);
-	close(l->fd);
+	if (l->fd >= 0)
+		close(l->fd);
 	while (l->conns)
 		conn_close(l->conns);
 	ev_once(l->o.loop, -1, 0, 0.0, listener_free, l);
--- a/src/net/hl.h
+++ b/src/net/hl.h
@@ -44,6 +44,10 @@
 void hl_drain(hl_t *l);
 /** Requests without a complete answer. */
 size_t hl_busy(const hl_t *l);
+/** Takes what has connected already, and refuses further connections. */
+void hl_stop_accepting(hl_t *l);
+/** True while a request is being read or answered, or an answer isn't sent to its end. */
+bool hl_pending(const hl_t *l);
 
 void hl_set_data(hl_conn_t *c, void *data);
 void *hl_data(const hl_conn_t *c);
--- a/tests/proc/link_kit.py
+++ b/tests/proc/link_kit.py
@@ -28,7 +28,7 @@
 
     def hello(self):
         return struct.pack(">I", HELLO) + opaque(self.name.encode()) + opaque(b"127.0.0.9:9") + opaque(b"za") + \
-            struct.pack(">I", 0) + opaque(b"") + struct.pack(">QQQ", 0, *self.holds) + struct.pack(">I", 0)
+            struct.pack(">I", 0) + opaque(b"") + struct.pack(">QQQ", 0, *self.holds) + struct.pack(">II", 0, 0)
 
     def send(self, m):
         self.writer.write(struct.pack(">I", len(m)) + m)
--- a/tests/proc/test_platform.py
+++ b/tests/proc/test_platform.py
@@ -453,6 +453,120 @@
                 self.assertEqual(x["output"], "\n".join("%s-%d" % (x["id"], n) for n in range(1, 11)))
 
 
+class PlannedStop(Platform):
+    """An entry is stopped while callers go on using it until the process is gone."""
+    kit_args = {"controls": 3, "fronts": 2, "replicas": 3, "slots": 8}
+
+    def setUp(self):
+        super().setUp()
+        self.front = self.kit.fronts[0]
+
+    async def post(self, path, rid, pause_at=None, pause_s=0, body=b"x" * 200):
+        """(connected, sent, answer): whether it stood, all was sent, and what came back."""
+        try:
+            reader, writer = await asyncio.open_connection(self.front.ip, self.kit.port)
+        except OSError:
+            return False, False, b""
+        head = "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 3000\r\nContent-Length: %d\r\n\r\n"
+        m = (head % (path, HOST, rid, len(body))).encode() + body
+        got, sent = b"", False
+        try:
+            writer.write(m[:pause_at])
+            if pause_at is not None:
+                await writer.drain()
+                await asyncio.sleep(pause_s)
+                writer.write(m[pause_at:])
+            await writer.drain()
+            sent = True
+            while not got.endswith(b"0\r\n\r\n") and b"Content-Length: 0" not in got:
+                piece = await asyncio.wait_for(reader.read(65536), 5)
+                if not piece:
+                    break
+                got += piece
+        except (OSError, asyncio.TimeoutError):
+            pass
+        writer.transport.abort()
+        return True, sent, got
+
+    def assert_answered(self, got):
+        self.assertRegex(got, rb"^HTTP/1.1 (200|503|504) ")
+        self.assertTrue(got.endswith(b"0\r\n\r\n") or b"Content-Length: 0" in got, got[-200:])
+
+    def test_requests_until_it_is_gone_are_answered_or_find_no_listener(self):
+        async def go():
+            tasks, begun = [], time.time()
+            while self.front.p.poll() is None and time.time() - begun < 8:
+                tasks.append(asyncio.ensure_future(self.post("/alert/1", self.rid())))
+                if len(tasks) == 50:
+                    self.front.signal(signal.SIGTERM)
+                await asyncio.sleep(0.01)  # some less than the replicas run
+            return await asyncio.gather(*tasks)
+        got = self.kit.loop.run(go(), 30)
+        self.assertIsNotNone(self.front.p.poll())
+        stood = [x for x in got if x[0]]
+        self.assertGreater(len(stood), 150)
+        for _, sent, answer in stood:
+            self.assertTrue(sent)
+            self.assert_answered(answer)
+
+    def test_a_body_that_comes_slowly_is_read_and_answered(self):
+        async def go():
+            slow = [asyncio.ensure_future(self.post("/brief/1", self.rid(), 150 + i, 2.6)) for i in range(20)]
+            await asyncio.sleep(0.1)
+            self.front.signal(signal.SIGTERM)
+            return await asyncio.gather(*slow)
+        for stood, _, answer in self.kit.loop.run(go(), 30):
+            self.assertTrue(stood)
+            self.assert_answered(answer)
+
+    def test_a_lot_that_waits_for_its_commit_is_answered(self):
+        async def go():
+            for c in self.kit.controls:
+                c.signal(signal.SIGSTOP)
+            lot, items = self.kit.lot(3)
+            waits = asyncio.ensure_future(self.kit.open_lot(self.front, lot, items))
+            await asyncio.sleep(0.05)
+            self.front.signal(signal.SIGTERM)
+            await asyncio.sleep(1)
+            for c in self.kit.controls:
+                c.signal(signal.SIGCONT)
+            return await waits
+        self.assertIn(self.kit.loop.run(go(), 30), (202, 503, 504))
+
+    def test_many_kept_connections_in_the_same_ms(self):
+        async def go():
+            conns = [await asyncio.open_connection(self.front.ip, self.kit.port) for _ in range(400)]
+            rids = [self.rid() for _ in conns]
+            head = "POST /nothing/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 3000\r\n\r\n"
+            for i, (_, w) in enumerate(conns):
+                if i == 200:
+                    self.front.signal(signal.SIGTERM)
+                m = (head % (HOST, rids[i])).encode()
+                w.write(m + m if i % 2 else m)  # half of them pipeline a second one
+            answers = []
+            for r, w in conns:
+                answers.append(await asyncio.wait_for(r.readline(), 5))
+                w.transport.abort()
+            return answers
+        for a in self.kit.loop.run(go(), 30):
+            self.assertTrue(a.startswith(b"HTTP/1.1 404"), a)
+
+    def test_an_operators_call_beside_a_stopped_control_process_is_answered(self):
+        leader = self.kit.leader()
+        other = next(c for c in self.kit.controls if c is not leader)
+
+        async def go():
+            leader.signal(signal.SIGSTOP)
+            self.kit.version += 1
+            put = asyncio.ensure_future(self.kit.put(other, self.kit.config(self.kit.version)))
+            await asyncio.sleep(0.02)
+            other.signal(signal.SIGTERM)
+            return await put
+        s = self.kit.loop.run(go(), 30)
+        leader.signal(signal.SIGCONT)
+        self.assertIn(s, (200, 503))
+
+
 class LargeText(Platform):
     """A text of 2,000 routes, as large as the users' changes."""
     kit_args = {"controls": 3, "fronts": 10, "replicas": 2}
