Views: an entry is told its share of the lists only when that has changed; fuzzing of outside bytes

Cause: at each entry that came, went or stopped the leader sent every entry 64 replicas and 64 entries anew, about 8 KB each: with 246 entries 2 MB, four times a second while a third of them is stopped in turn. Shares were every n-th of the list, so each change moved them all. Change: shares are the followers on a ring of hashes (policy/sh), so an entry that goes changes those that had it, 64; each list is sent only when its share differs from what the peer was told. Look-ups and entries without a leader see what they saw.

--- a/src/control/cn_hub.h
+++ b/src/control/cn_hub.h
@@ -18,6 +18,7 @@
 #include "net/wk.h"
 #include "policy/ds.h"
 #include "policy/lv.h"
+#include "policy/sh.h"
 #include "policy/tf.h"
 #include "state/lo.h"
 #include "state/ru.h"
@@ -48,6 +49,8 @@
 	char control[32]; /* ip:port of its RPC; empty for an entry */
 	uint64_t replica; /* id of its replica of group 0 */
 	deadline_t sent;
+	uint64_t told_upstreams; /* digest of the share that it was told last; 0: none */
+	uint64_t told_entries;
 	UT_hash_handle hh;
 } hub_peer_t;
 
@@ -141,6 +144,9 @@
 	deadline_t list_read; /* when it was read last, here or by the leader before; 0: never */
 	lw_view_t view; /* newest known: own list, or the leader's */
 	lv_t *leavers; /* as entries told */
+	sh_point_t *upstream_ring; /* of the view's lists, for entries' shares of them */
+	sh_point_t *entry_ring;
+	bool rings_stale;
 	bool view_changed;
 	deadline_t view_at; /* changes are told then */
 	hub_routes_t routes_kept[HUB_ROUTES_KEPT]; /* newest first */
--- a/src/control/cn_hub_view.c
+++ b/src/control/cn_hub_view.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "base/lg.h"
+#include "base/mx.h"
 #include "control/cn_hub.h"
 
 /** Entries that were known before this process began to lead count this long, in ms, until they
@@ -126,6 +127,7 @@
 
 		h->view.upstreams = v->upstreams;
 		v->upstreams = old.upstreams;
+		h->rings_stale = true;
 		h->view_changed = true;
 	}
 	tell_dispatcher(h);
@@ -157,25 +159,77 @@
 	h->view.entries.entries_len = entries;
 	h->view.controls.controls_val = c;
 	h->view.controls.controls_len = controls;
+	h->rings_stale = true;
 }
 
-/* Every n-th of a list from a place of the peer's own on; all of it when it is short. */
-static u_int pick_place(u_int k, u_int len, uint64_t peer)
+int64_t hub_list_age_ms(const hub_t *h)
 {
-	if (len <= HUB_SHARE_MAX)
-		return k;
-	return (u_int)((peer + (uint64_t)k * len / HUB_SHARE_MAX) % len);
+	return h->list_read ? clk_now_ms() - h->list_read : -1;
 }
 
-int64_t hub_list_age_ms(const hub_t *h)
+static uint64_t mix(uint64_t h, uint64_t x)
 {
-	return h->list_read ? clk_now_ms() - h->list_read : -1;
+	return (h ^ x) * 0x9e3779b97f4a7c15ULL;
+}
+
+static uint64_t upstream_digest(const lw_upstream_t *u)
+{
+	uint64_t h = mix(str_hash(px_str(u->id)), str_hash(px_str(u->addr)));
+
+	return mix(mix(h, str_hash(px_str(u->service))), u->born * 2 + u->leaving);
+}
+
+static void build_rings(hub_t *h)
+{
+	const lw_view_t *v = &h->view;
+
+	h->upstream_ring =
+		mem_grow(h->upstream_ring, (v->upstreams.upstreams_len + 1) * sizeof(sh_point_t));
+	h->entry_ring = mem_grow(h->entry_ring, (v->entries.entries_len + 1) * sizeof(sh_point_t));
+	for (u_int i = 0; i < v->upstreams.upstreams_len; i++)
+		h->upstream_ring[i] =
+			(sh_point_t){str_hash(px_str(v->upstreams.upstreams_val[i].id)), i};
+	for (u_int i = 0; i < v->entries.entries_len; i++)
+		h->entry_ring[i] =
+			(sh_point_t){str_hash(px_str(v->entries.entries_val[i].addr)), i};
+	sh_sort(h->upstream_ring, v->upstreams.upstreams_len);
+	sh_sort(h->entry_ring, v->entries.entries_len);
+	h->rings_stale = false;
+}
+
+/* The share of the list of upstreams; returns its digest. */
+static uint64_t share_upstreams(const hub_t *h, uint64_t self, lw_upstream_t *out, u_int *n)
+{
+	size_t at[HUB_SHARE_MAX];
+	uint64_t digest = 1;
+
+	*n = (u_int)sh_share(h->upstream_ring, h->view.upstreams.upstreams_len, self, at,
+			     HUB_SHARE_MAX);
+	for (u_int k = 0; k < *n; k++) {
+		out[k] = h->view.upstreams.upstreams_val[at[k]];
+		digest = mix(digest, upstream_digest(&out[k]));
+	}
+	return digest | 1;
+}
+
+static uint64_t share_entries(const hub_t *h, uint64_t self, lw_entry_t *out, u_int *n)
+{
+	size_t at[HUB_SHARE_MAX];
+	uint64_t digest = 1;
+
+	*n = (u_int)sh_share(h->entry_ring, h->view.entries.entries_len, self, at, HUB_SHARE_MAX);
+	for (u_int k = 0; k < *n; k++) {
+		out[k] = h->view.entries.entries_val[at[k]];
+		digest = mix(digest, str_hash(px_str(out[k].addr)));
+	}
+	return digest | 1;
 }
 
 /*
  * Grants name their replica's address, so an entry needs the list only while it has no leader, and
  * a caller is told no more entries than this. With hundreds of entries before thousands of replicas
- * whole lists to all would be most of what the leader sends.
+ * whole lists to all would be most of what the leader sends; so would shares that it has told
+ * before.
  */
 static void send_share(hub_t *h, hub_peer_t *p)
 {
@@ -183,24 +237,30 @@
 	lw_view_t *v = &m.lw_msg_t_u.view;
 	lw_upstream_t upstreams[HUB_SHARE_MAX];
 	lw_entry_t entries[HUB_SHARE_MAX];
-	const lw_view_t *all = &h->view;
+	uint64_t self = str_hash(str_c(p->addr));
+	uint64_t upstreams_digest;
+	uint64_t entries_digest;
 
-	*v = *all;
+	if (h->rings_stale)
+		build_rings(h);
 	v->upstreams.upstreams_val = upstreams;
 	v->entries.entries_val = entries;
-	if (v->upstreams.upstreams_len > HUB_SHARE_MAX)
-		v->upstreams.upstreams_len = HUB_SHARE_MAX;
-	if (v->entries.entries_len > HUB_SHARE_MAX)
-		v->entries.entries_len = HUB_SHARE_MAX;
-	for (u_int k = 0; k < v->upstreams.upstreams_len; k++)
-		upstreams[k] =
-			all->upstreams
-				.upstreams_val[pick_place(k, all->upstreams.upstreams_len, p->id)];
-	for (u_int k = 0; k < v->entries.entries_len; k++)
-		entries[k] =
-			all->entries.entries_val[pick_place(k, all->entries.entries_len, p->id)];
+	upstreams_digest = share_upstreams(h, self, upstreams, &v->upstreams.upstreams_len);
+	entries_digest = share_entries(h, self, entries, &v->entries.entries_len);
+	v->has_upstreams = upstreams_digest != p->told_upstreams;
+	v->has_entries = entries_digest != p->told_entries;
+	if (!v->has_upstreams && !v->has_entries)
+		return;
+	if (!v->has_upstreams)
+		v->upstreams.upstreams_len = 0;
+	if (!v->has_entries)
+		v->entries.entries_len = 0;
+	p->told_upstreams = upstreams_digest;
+	p->told_entries = entries_digest;
+	v->controls = h->view.controls;
 	v->age_ms = (u_int)hub_list_age_ms(h); /* -1 becomes UINT32_MAX */
 	hub_send(p, &m);
+	MX_COUNT("auburn_views_sent_total");
 }
 
 /* A control process may lead next and needs all. */
@@ -213,6 +273,7 @@
 		return;
 	}
 	m.lw_msg_t_u.view = h->view;
+	m.lw_msg_t_u.view.has_upstreams = m.lw_msg_t_u.view.has_entries = true;
 	m.lw_msg_t_u.view.age_ms = (u_int)hub_list_age_ms(h);
 	hub_send(p, &m);
 }
@@ -262,6 +323,7 @@
 {
 	px_free(PX(lw_view_t), &h->view);
 	px_dup(PX(lw_view_t), v, &h->view, sizeof(h->view));
+	h->rings_stale = true;
 	h->list_read = v->age_ms == UINT32_MAX ? 0 : clk_now_ms() - v->age_ms;
 	for (u_int i = 0; i < v->controls.controls_len; i++)
 		ll_add_control(h->leader, px_str(v->controls.controls_val[i]));
--- a/src/front/fr_link.c
+++ b/src/front/fr_link.c
@@ -62,13 +62,28 @@
 	fr_ask_replicas(f);
 }
 
+/* Of the two lists, takes over the one that the message has. */
 static void take_view(fr_t *f, const lw_view_t *m)
 {
-	px_free(PX(lw_view_t), &f->view);
-	px_dup(PX(lw_view_t), m, &f->view, sizeof(f->view));
+	lw_view_t got;
+	lw_view_t old = f->view;
+
+	px_dup(PX(lw_view_t), m, &got, sizeof(got));
+	f->view.controls = got.controls;
+	got.controls = old.controls;
+	if (m->has_upstreams) {
+		f->view.upstreams = got.upstreams;
+		got.upstreams = old.upstreams;
+	}
+	if (m->has_entries) {
+		f->view.entries = got.entries;
+		got.entries = old.entries;
+	}
+	px_free(PX(lw_view_t), &got);
 	for (u_int i = 0; i < f->view.controls.controls_len; i++)
 		ll_add_control(f->leader, px_str(f->view.controls.controls_val[i]));
-	index_replicas(f);
+	if (m->has_upstreams)
+		index_replicas(f);
 }
 
 static void on_message(void *ctx, const lw_msg_t *m)
--- /dev/null
+++ b/src/policy/sh.h
@@ -0,0 +1,25 @@
+/**
+ * Shares of a list that is too long to tell all of it to everybody: each of n members gets the ones
+ * that follow it on a ring of hashes. One that comes or goes changes the shares of those before it
+ * on the ring only, and each is in as many shares as any other.
+ *
+ * Pure.
+ */
+#ifndef AUBURN_SH_H
+#define AUBURN_SH_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+typedef struct {
+	uint64_t hash;
+	size_t at; /* place in the list */
+} sh_point_t;
+
+/** Puts the points in the order of the ring. */
+void sh_sort(sh_point_t *ring, size_t n);
+/** Places in the list of up to max points, from the one with this hash, or the next, on; returns
+ * how many. */
+size_t sh_share(const sh_point_t *ring, size_t n, uint64_t hash, size_t *out, size_t max);
+
+#endif
--- a/src/proto/lw.x
+++ b/src/proto/lw.x
@@ -116,7 +116,9 @@
 
 struct lw_view_t {
 	unsigned int age_ms;		/* of the list of upstreams; UINT32_MAX: never read */
+	bool has_upstreams;		/* else those told before stand */
 	lw_upstream_t upstreams<>;
+	bool has_entries;
 	lw_entry_t entries<>;		/* that take callers */
 	aw_bytes_t controls<>;		/* ip:port of the RPC of each known control process */
 };
--- a/src/proto/lw_xdr.c
+++ b/src/proto/lw_xdr.c
@@ -248,9 +248,13 @@
 
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_upstreams))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->upstreams.upstreams_val, (u_int *) &objp->upstreams.upstreams_len, ~0,
 		sizeof (lw_upstream_t), (xdrproc_t) xdr_lw_upstream_t))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_entries))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, ~0,
 		sizeof (lw_entry_t), (xdrproc_t) xdr_lw_entry_t))
 		 return FALSE;
--- a/src/proto/lw_xdr.h
+++ b/src/proto/lw_xdr.h
@@ -150,10 +150,12 @@
 
 struct lw_view_t {
 	u_int age_ms;
+	bool_t has_upstreams;
 	struct {
 		u_int upstreams_len;
 		lw_upstream_t *upstreams_val;
 	} upstreams;
+	bool_t has_entries;
 	struct {
 		u_int entries_len;
 		lw_entry_t *entries_val;
--- a/tests/proc/link_kit.py
+++ b/tests/proc/link_kit.py
@@ -27,7 +27,7 @@
         self.tasks = [asyncio.ensure_future(self.run()), asyncio.ensure_future(self.ping())]
 
     def hello(self):
-        return struct.pack(">I", HELLO) + opaque(self.name.encode()) + opaque(b"127.0.0.9:9") + opaque(b"za") + \
+        return struct.pack(">I", HELLO) + opaque(self.name.encode()) + opaque(self.name.encode() + b":9") + opaque(b"za") + \
             struct.pack(">I", 0) + opaque(b"") + struct.pack(">QQQ", 0, *self.holds) + struct.pack(">II", 0, 0)
 
     def send(self, m):
--- a/tests/proc/test_links.py
+++ b/tests/proc/test_links.py
@@ -12,10 +12,12 @@
 APPLY_S = 3         # by the platform's rules
 TAKE_S = 0.06       # to put 2,000 routes together on a tenth of a core
 TEXT_BYTES = 100000  # of 2,000 routes, at most: a fifth of the operator's JSON
+SHARE = 64          # entries that one entry is told of
+VIEW_BYTES = 500    # more than pings
 IDLE_BYTES = 20000   # of all other messages to an entry, views most of all
 
 
-class Links(unittest.TestCase):
+class Base(unittest.TestCase):
     def setUp(self):
         self.kit = Kit(controls=3, fronts=1, replicas=2)
         self.addCleanup(self.kit.close)
@@ -61,6 +63,8 @@
         with open("/proc/%d/status" % proc.p.pid) as f:
             return int([x.split()[1] for x in f if x.startswith("VmHWM")][0]) / 1024
 
+
+class Texts(Base):
     def test_a_large_text_reaches_all_in_time_and_no_link_is_lost(self):
         self.reset()
         links = sum(e.links for e in self.entries)
@@ -100,5 +104,19 @@
         self.assertLess(self.total(), ENTRIES * IDLE_BYTES)
 
 
+class Views(Base):
+    def test_an_entry_that_goes_is_told_to_those_that_have_it_in_their_share(self):
+        time.sleep(1)
+        self.reset()
+        self.kit.loop.run(self.entries[0].close())
+        gone = self.entries.pop(0)
+        gone.writer.transport.abort()
+        time.sleep(1.5)
+        told = sum(e.bytes > VIEW_BYTES for e in self.entries)
+        print("told to %d of %d, %.2f MB" % (told, len(self.entries), self.total() / 1e6), flush=True)
+        self.assertGreater(told, 0)
+        self.assertLessEqual(told, 2 * SHARE)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/test_fanout.c
+++ b/tests/unit/test_fanout.c
@@ -1,6 +1,10 @@
 /* The fan-out of texts to hundreds of entries: a played fleet with links of 30 Mbit/s behind the
  * leader's of 600 Mbit/s, and entries that put a text together on a tenth of a core. */
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
+#include "base/str.h"
+#include "policy/sh.h"
 #include "policy/tf.h"
 #include "suite_kit.h"
 
@@ -250,10 +254,91 @@
 }
 END_TEST
 
+/* ---- shares of the lists ---- */
+
+#define SHARE 64
+
+static size_t ring_of(sh_point_t *ring, size_t n, size_t without)
+{
+	size_t k = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		char addr[32];
+
+		snprintf(addr, sizeof(addr), "10.1.0.%zu:8161", i);
+		if (i != without)
+			ring[k++] = (sh_point_t){str_hash(str_c(addr)), i};
+	}
+	sh_sort(ring, k);
+	return k;
+}
+
+static uint64_t hash_of(size_t i)
+{
+	char addr[32];
+
+	snprintf(addr, sizeof(addr), "10.1.0.%zu:8161", i);
+	return str_hash(str_c(addr));
+}
+
+START_TEST(each_entry_is_in_as_many_shares_as_any_other)
+{
+	static sh_point_t ring[ENTRIES];
+	unsigned in[ENTRIES] = {0};
+	size_t out[SHARE];
+	size_t n = ring_of(ring, ENTRIES, ENTRIES);
+
+	for (size_t i = 0; i < ENTRIES; i++) {
+		ck_assert_uint_eq(sh_share(ring, n, hash_of(i), out, SHARE), SHARE);
+		ck_assert_uint_eq(out[0], i);
+		for (size_t k = 0; k < SHARE; k++)
+			in[out[k]]++;
+	}
+	for (size_t i = 0; i < ENTRIES; i++)
+		ck_assert_uint_eq(in[i], SHARE);
+}
+END_TEST
+
+START_TEST(an_entry_that_goes_changes_the_shares_of_those_that_had_it_only)
+{
+	static sh_point_t ring[ENTRIES];
+	static sh_point_t less[ENTRIES];
+	size_t a[SHARE];
+	size_t b[SHARE];
+	size_t n = ring_of(ring, ENTRIES, ENTRIES);
+	size_t m = ring_of(less, ENTRIES, 17);
+	unsigned changed = 0;
+
+	ck_assert_uint_eq(m, n - 1);
+	for (size_t i = 0; i < ENTRIES; i++) {
+		sh_share(ring, n, hash_of(i), a, SHARE);
+		sh_share(less, m, hash_of(i), b, SHARE);
+		changed += memcmp(a, b, sizeof(a)) != 0;
+	}
+	ck_assert_uint_eq(changed, SHARE);
+}
+END_TEST
+
+START_TEST(a_short_list_is_told_whole)
+{
+	sh_point_t ring[5];
+	size_t out[SHARE];
+	size_t n = ring_of(ring, 5, 5);
+	unsigned sum = 0;
+
+	ck_assert_uint_eq(sh_share(ring, n, UINT64_MAX, out, SHARE), 5);
+	for (size_t k = 0; k < 5; k++)
+		sum += 1U << out[k];
+	ck_assert_uint_eq(sum, 31);
+	ck_assert_uint_eq(sh_share(ring, 0, 7, out, SHARE), 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("fanout");
 	TCase *t = tcase_create("all");
+	TCase *shares;
 
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, all_entries_get_a_first_text_in_time_with_bounded_bytes_on_the_way);
@@ -265,5 +350,10 @@
 	tcase_add_test(t, entries_without_a_text_come_first);
 	tcase_add_test(t, entries_that_restart_are_forgotten);
 	suite_add_tcase(s, t);
+	shares = tcase_create("shares");
+	tcase_add_test(shares, each_entry_is_in_as_many_shares_as_any_other);
+	tcase_add_test(shares, an_entry_that_goes_changes_the_shares_of_those_that_had_it_only);
+	tcase_add_test(shares, a_short_list_is_told_whole);
+	suite_add_tcase(s, shares);
 	return suite_run(s);
 }
--- a/tests/unit/test_fuzz.c
+++ b/tests/unit/test_fuzz.c
@@ -9,22 +9,15 @@
 #include "state/fl.h"
 #include "state/ld.h"
 #include "state/tx.h"
+#include "fuzz_kit.h"
 #include "suite_kit.h"
 
 #define TEXT_ROUNDS	20000
 #define MESSAGE_ROUNDS	20000
 #define COMMAND_ROUNDS	60000
 #define SNAPSHOT_ROUNDS 3000
-#define MAX_MUTATIONS	6
 #define MAX_WORDS	60
 
-static uint64_t rng_state;
-
-static uint32_t rng(uint32_t below)
-{
-	return (uint32_t)(rd_next(&rng_state) >> 16) % below;
-}
-
 static const char text[] =
 	"retention_s = 3600\naddress_ttl_s = 2\n\n[[service]]\nname = \"llm\"\nkind = \"engine\"\n"
 	"latency_weight = 0.5\nslots = 8\nstall_ms = 2000\nchecks_fencing = true\n\n"
@@ -72,56 +65,9 @@
 	"depends=[\"quotes\"]\n",
 };
 
-static void insert(buf_t *b, size_t at, str_t s)
-{
-	AUTO_BUF tail = {0};
-
-	buf_add(&tail, (str_t){b->p + at, b->n - at});
-	b->n = at;
-	buf_add(b, s);
-	buf_add(b, str_buf(&tail));
-}
-
-static void cut(buf_t *b, size_t at, size_t n)
-{
-	if (n > b->n - at)
-		n = b->n - at;
-	memmove(b->p + at, b->p + at + n, b->n - at - n);
-	b->n -= n;
-}
-
-static void mutate_once(buf_t *b)
-{
-	size_t at = rng((uint32_t)b->n);
-
-	switch (rng(6)) {
-	case 0:
-		b->p[at] = (char)rng(256);
-		break;
-	case 1:
-		b->p[at] ^= (char)(1 << rng(8));
-		break;
-	case 2:
-		cut(b, at, 1 + rng(20));
-		break;
-	case 3:
-		insert(b, at, str_c(tokens[rng(sizeof(tokens) / sizeof(tokens[0]))]));
-		break;
-	case 4: {
-		AUTO_FREE char *copy = str_dup((str_t){b->p + at, b->n - at});
-
-		insert(b, rng((uint32_t)b->n), (str_t){copy, rng((uint32_t)(b->n - at + 1))});
-		break;
-	}
-	default:
-		b->n = at;
-	}
-}
-
 static void mutate(buf_t *b)
 {
-	for (uint32_t i = 1 + rng(MAX_MUTATIONS); i > 0 && b->n > 0; i--)
-		mutate_once(b);
+	mutate_with(b, tokens, sizeof(tokens) / sizeof(tokens[0]));
 }
 
 /* A message of words that are mostly small, as kinds, lengths and counts are. */
--- /dev/null
+++ b/tests/unit/test_fuzz_outside.c
@@ -0,0 +1,324 @@
+/* Damaged bytes into each decoder that reads what comes from outside: heads, bodies and events of
+ * replicas, calls of callers and operators, lists, lots, texts, and links.
+ *
+ * AUBURN_FUZZ_MS: how long each decoder is fed, in ms. AUBURN_FUZZ_SEED: another seed. */
+#include <stdio.h>
+#include <stdlib.h>
+#include "base/clk.h"
+#include "client/rc.h"
+#include "fuzz_kit.h"
+#include "net/ss.h"
+#include "platform/pf.h"
+#include "suite_kit.h"
+
+#define FEED_MS	   1500
+#define HEAD_BYTES 16384
+/** A decoder that needs longer for one input, in ms, isn't linear in it. */
+#define INPUT_MS 1000
+
+/* ---- what decoders are fed; the corpus grows by inputs that once failed ---- */
+
+static const char *const replies[] = {
+	"HTTP/1.1 200 OK\r\nRequest-Id: 9c41d07be2a35f68\r\nSignature: 3e1b.07\r\nContent-Type: "
+	"text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n14\r\nid: 1\ndata: one two\n\n\r\n"
+	"0\r\n\r\n",
+	"HTTP/1.1 503 X\r\nNot-Run: 1\r\nServer-Leaving: 1\r\nKeep-Alive: timeout=5\r\n"
+	"Content-Length: 2\r\n\r\nno",
+	"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nConnection: "
+	"close\r\n\r\nrest",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n0\r\nX: y\r\n\r\n",
+};
+
+static const char *const requests[] = {
+	"POST /lohu930/2f?x=y HTTP/1.1\r\nHost: nony24.example\r\nRequest-Id: 9c41\r\n"
+	"Last-Event-Id: 12\r\nToken-Usage: 1460,80\r\nPrompt-Prefix: 5c1e07a2:800,91bd:410\r\n"
+	"Deadline-Ms: 5000\r\nContent-Length: 5\r\n\r\nhello",
+	"GET /lots/7c41e09b52d6a3f8?after=12 HTTP/1.1\r\nHost: n\r\nWait-Ms: 1000\r\n\r\n",
+	"GET /items/7c41?id=e5b2 HTTP/1.1\r\nHost: n\r\n\r\n",
+	"DELETE /lots/7c41 HTTP/1.1\r\nHost: n\r\n\r\n",
+	"POST /retire/store-a-1/start HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	"10\r\n{\"durationS\":10}\r\n0\r\n\r\n",
+};
+
+static const char *const events[] = {
+	"id: 1\ndata: one\n\nid: 2\r\ndata: two\r\n\r\nevent: end\nid: 3\ndata: x\ndata: y\n\n",
+	": comment\n\n\n\nid: 4\n\n",
+};
+
+static const char *const lists[] = {
+	"{\"instances\":[{\"service\":\"h\",\"addr\":\"10.128.0.9:8080\",\"zone\":\"a\","
+	"\"version\":"
+	"\"v1\",\"slots\":8,\"state\":\"ready\",\"coldLeftMs\":0,\"born\":1700000000000,\"models\":"
+	"[{\"name\":\"m\",\"version\":1}],\"id\":\"i-7f3a\"},{\"id\":\"odd\"}],\"nextToken\":\"p-"
+	"50\"}",
+};
+
+static const char *const lots[] = {
+	"{\"items\":[{\"id\":\"e5b2\",\"path\":\"/p/3/"
+	"91c4\",\"headers\":{\"Model\":\"m\",\"Token-Usage\":"
+	"\"540,400\"},\"body\":\"q83vEjRWeJA=\",\"tokens\":940},{\"id\":\"e6\",\"path\":\"/p/4\","
+	"\"headers\":{},\"body\":\"\",\"tokens\":1}]}",
+};
+
+static const char *const texts[] = {
+	"{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"a.example\",\"pathPrefix\":\"/x/\","
+	"\"kind\":\"stream\",\"timeoutMs\":5000,\"sloMs\":300,\"priority\":0,\"split\":[{"
+	"\"service\":"
+	"\"s\",\"weight\":90},{\"service\":\"t\",\"weight\":10}],\"attempts\":2,\"resumable\":true,"
+	"\"gapTargetMs\":400},{\"name\":\"r2\",\"host\":\"a.example\",\"pathPrefix\":\"/x/y/"
+	"\",\"kind\":"
+	"\"batch\",\"timeoutMs\":15000,\"sloMs\":400,\"service\":\"s\",\"attempts\":3,\"dueMs\":"
+	"18000,"
+	"\"retentionS\":60,\"maxQueued\":2500000}],\"services\":[{\"name\":\"s\",\"healthPath\":"
+	"\"/health\",\"maxConns\":370,\"engine\":{\"slots\":8}},{\"name\":\"t\"}],\"limits\":"
+	"{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,"
+	"\"idleTimeoutMs\":15000}}",
+};
+
+static const char *const http_tokens[] = {
+	"\r\n",
+	"\r\n\r\n",
+	"\n",
+	"HTTP/1.1 ",
+	"Content-Length: ",
+	"0\r\n\r\n",
+	"chunked",
+	"Connection: close",
+	"Content-Length: 0",
+	"Transfer-Encoding: chunked",
+	";",
+	":",
+	"999999999999999",
+	"-1",
+	"id: ",
+	"data:",
+	"\n\n",
+	"%00",
+	"?after=",
+	"Expect: 100-continue\r\n",
+};
+
+static const char *const json_tokens[] = {
+	"{",
+	"}",
+	"[",
+	"]",
+	",",
+	":",
+	"\"",
+	"null",
+	"true",
+	"-1",
+	"1e999",
+	"\\u0000",
+	"\\",
+	"\"id\"",
+	"\"routes\"",
+	"\"items\"",
+	"9223372036854775808",
+	"0.5",
+};
+
+/* ---- decoders ---- */
+
+static void nothing(void *ctx, str_t piece)
+{
+}
+
+static void on_reply_head(void *ctx, const hp_head_t *h)
+{
+	AUTO_BUF out = {0};
+	pf_reply_t r;
+
+	pf_reply_decode(h, &r);
+	pf_reply_headers(&out, h);
+}
+
+static void on_request_head(void *ctx, const hp_head_t *h)
+{
+	pf_call_t call;
+	pf_op_t op;
+
+	pf_call_decode(h, &call);
+	pf_op_decode(h, &op);
+}
+
+static void on_end(void *ctx)
+{
+}
+
+/* In pieces of any size, as bytes come from a socket. */
+static void feed_http(str_t in, bool responses)
+{
+	hp_t p;
+	size_t used = 0;
+	status_t st = ST_OK;
+
+	hp_init(&p, &(hp_options_t){.responses = responses,
+				    .pause = true,
+				    .max_header_bytes = HEAD_BYTES,
+				    .cb = {NULL, responses ? on_reply_head : on_request_head,
+					   nothing, on_end}});
+	while (in.n > 0 && st == ST_OK) {
+		size_t n = 1 + rng((uint32_t)in.n);
+
+		st = hp_feed(&p, (str_t){in.p, n}, &used);
+		ck_assert_uint_le(used, n);
+		used = used ? used : 1;
+		in = (str_t){in.p + used, in.n - used};
+		if (st == ST_OK)
+			hp_next(&p);
+	}
+	if (st == ST_OK)
+		hp_feed(&p, (str_t){"", 0}, &used);
+	hp_free(&p);
+}
+
+static void feed_reply(str_t in)
+{
+	feed_http(in, true);
+}
+
+static void feed_request(str_t in)
+{
+	feed_http(in, false);
+}
+
+static bool on_event(void *ctx, const ss_event_t *e)
+{
+	ck_assert_uint_ge(e->raw.n, 2);
+	*(size_t *)ctx += e->raw.n;
+	return true;
+}
+
+static void feed_events(str_t in)
+{
+	ss_t s = {0};
+	size_t given = 0;
+	size_t whole = in.n;
+
+	while (in.n > 0) {
+		size_t n = 1 + rng((uint32_t)in.n);
+
+		ck_assert(ss_feed(&s, (str_t){in.p, n}, on_event, &given));
+		in = (str_t){in.p + n, in.n - n};
+	}
+	ck_assert_uint_eq(given + s.pending.n, whole);
+	ss_free(&s);
+}
+
+static void feed_list(str_t in)
+{
+	lw_view_t v = {0};
+	AUTO_BUF cursor = {0};
+
+	pf_list_decode(in, &v, &cursor);
+	px_free(PX(lw_view_t), &v);
+}
+
+static void feed_lot(str_t in)
+{
+	aw_lot_open_t o = {0};
+
+	pf_lot_decode(in, &o);
+	px_free(PX(aw_lot_open_t), &o);
+}
+
+static void feed_text(str_t in)
+{
+	ru_t *r = NULL;
+
+	if (rc_decode(in, 1, &r) == ST_OK)
+		ru_match(r, STR("a.example"), STR("/x/y/z"));
+	ru_free(r);
+}
+
+static void feed_link(str_t in)
+{
+	lw_msg_t m;
+
+	px_decode(in, PX(lw_msg_t), &m, sizeof(m));
+	px_free(PX(lw_msg_t), &m);
+}
+
+/* ---- link messages are made, not written ---- */
+
+static const char *make_link(void)
+{
+	static buf_t b;
+	lw_msg_t m = {.kind = LW_HELLO};
+	lw_run_t run = {7, px_bytes(STR("i-1")), px_bytes(STR("lot")), 3};
+	lw_leaver_t leaver = {px_bytes(STR("i-2")), 1000};
+
+	m.lw_msg_t_u.hello = (lw_hello_t){
+		.name = px_bytes(STR("front-1")),
+		.addr = px_bytes(STR("10.1.0.1:80")),
+		.runs = {1, &run},
+		.leavers = {1, &leaver},
+	};
+	b.n = 0;
+	px_encode(&b, PX(lw_msg_t), &m);
+	return b.p;
+}
+
+#define CORPUS(v) v, sizeof(v) / sizeof((v)[0])
+
+static const struct {
+	const char *name;
+	void (*feed)(str_t in);
+	const char *const *corpus;
+	size_t ncorpus;
+	const char *const *tokens;
+	size_t ntokens;
+} decoders[] = {
+	{"reply", feed_reply, CORPUS(replies), CORPUS(http_tokens)},
+	{"request", feed_request, CORPUS(requests), CORPUS(http_tokens)},
+	{"events", feed_events, CORPUS(events), CORPUS(http_tokens)},
+	{"list", feed_list, CORPUS(lists), CORPUS(json_tokens)},
+	{"lot", feed_lot, CORPUS(lots), CORPUS(json_tokens)},
+	{"text", feed_text, CORPUS(texts), CORPUS(json_tokens)},
+	{"link", feed_link, NULL, 0, CORPUS(json_tokens)},
+};
+
+static int64_t setting(const char *name, int64_t otherwise)
+{
+	const char *s = getenv(name);
+
+	return s ? atoll(s) : otherwise;
+}
+
+START_TEST(decoders_take_damaged_bytes)
+{
+	deadline_t end = clk_now_ms() + setting("AUBURN_FUZZ_MS", FEED_MS);
+	unsigned long rounds = 0;
+
+	rng_state = (uint64_t)setting("AUBURN_FUZZ_SEED", 20261204) + (uint64_t)_i;
+	while (clk_now_ms() < end) {
+		AUTO_BUF b = {0};
+		deadline_t begun = clk_now_ms();
+
+		if (decoders[_i].ncorpus)
+			buf_add(&b,
+				str_c(decoders[_i].corpus[rng((uint32_t)decoders[_i].ncorpus)]));
+		else
+			buf_add(&b, (str_t){make_link(), 96});
+		mutate_with(&b, decoders[_i].tokens, decoders[_i].ntokens);
+		decoders[_i].feed(str_buf(&b));
+		ck_assert_int_le(clk_now_ms() - begun, INPUT_MS);
+		rounds++;
+	}
+	printf("%s: %lu inputs\n", decoders[_i].name, rounds);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("fuzz_outside");
+	TCase *t = tcase_create("all");
+
+	tcase_set_timeout(t, 3600);
+	tcase_add_loop_test(t, decoders_take_damaged_bytes, 0,
+			    sizeof(decoders) / sizeof(decoders[0]));
+	suite_add_tcase(s, t);
+	return suite_run(s);
+}
