Silence is judged as of what has been read

Cause: after a pause of a process, by a stop or for want of its share of a core, its timers had run out though what they waited for lay unread. libev runs timers that are due before the reads found in the same turn, and after a stop signal it finds none at all in the first turn. So an entry that stood still for 0.25 s moved all its sound streams to other replicas, and one that stood still for 0.5 s gave up a leader that had gone on, with what follows from that (placing by itself, a hello, a new share of views). Change: timers that judge others (net/tm: silence of a run, a request's deadline, a connection's set-up, idle and header times, the list) look at the loop's sockets once more when they end late; the ticks of links count silence until the tick before, and run behind the reads of their turn. The soak has replicas that say they leave, and late copies, from random numbers of their own, so that old seeds play what they played. Tests: class Paused (two of three fail before; streams ran twice, a link was lost). An entry that stands still for longer than 0.7 s is given up by its leader, which can't tell; its items wait 1.5 s for it.

--- a/src/client/ll.c
+++ b/src/client/ll.c
@@ -42,6 +42,7 @@
 	uint64_t call_id;
 	call_t *calls;
 	ev_timer tick;
+	deadline_t ticked; /* when it ran last */
 };
 
 const char *ll_call_name(lw_call_kind_t kind)
@@ -266,16 +267,21 @@
 {
 	ll_t *l = w->data;
 	deadline_t now = clk_now_ms();
+	deadline_t seen;
 
+	/* What came during a pause of this process may not be read yet: it counts for no silence.
+	 */
+	seen = now < l->ticked + LL_TICK_MS ? now : l->ticked + LL_TICK_MS;
+	l->ticked = now;
 	end_calls(l, now);
 	if (l->idle)
 		return;
-	if (l->up && now - lk_heard(l->link) > LL_SILENT_MS)
+	if (l->up && seen - lk_heard(l->link) > LL_SILENT_MS)
 		drop(l, "silent");
-	else if (l->up && l->asked && now - l->asked > LL_ANSWER_MS &&
-		 now - lk_heard(l->link) > LL_ANSWER_MS)
+	else if (l->up && l->asked && seen - l->asked > LL_ANSWER_MS &&
+		 seen - lk_heard(l->link) > LL_ANSWER_MS)
 		drop(l, "no answer");
-	else if (l->link && !l->up && now - l->tried > HELLO_MS)
+	else if (l->link && !l->up && seen - l->tried > HELLO_MS)
 		drop(l, "no answer");
 	if (!l->link && now >= l->retry_at && l->n > 0)
 		try_next(l);
@@ -292,8 +298,7 @@
 	for (size_t i = 0; i < o->ncontrols; i++)
 		ll_add_control(l, str_c(o->controls[i]));
 	ev_timer_init(&l->tick, on_tick, 0.0, LL_TICK_MS / 1000.0);
-	/* After a pause of this process, what came meanwhile is read before silence is judged. */
-	ev_set_priority(&l->tick, EV_MINPRI);
+	ev_set_priority(&l->tick, EV_MINPRI); /* behind the reads of its turn */
 	l->tick.data = l;
 	ev_timer_start(o->loop, &l->tick);
 	return l;
--- a/src/client/ul.c
+++ b/src/client/ul.c
@@ -2,6 +2,7 @@
 
 #include "base/lg.h"
 #include "base/mx.h"
+#include "net/tm.h"
 #include "platform/pf.h"
 
 /** A read that takes longer, in ms, is given up: the next one follows a second later. */
@@ -15,7 +16,7 @@
 struct ul {
 	ul_options_t o;
 	hu_call_t *call;
-	ev_timer timer;
+	tm_t timer;
 	lw_view_t list;
 	buf_t cursor;
 	buf_t body;
@@ -25,7 +26,7 @@
 
 static void stop(ul_t *u)
 {
-	ev_timer_stop(u->o.loop, &u->timer);
+	tm_stop(&u->timer);
 	px_free(PX(lw_view_t), &u->list);
 	u->list = (lw_view_t){0};
 	u->call = NULL;
@@ -106,9 +107,9 @@
 				    });
 }
 
-static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
+static void on_timer(void *ctx)
 {
-	ul_t *u = w->data;
+	ul_t *u = ctx;
 
 	if (u->call)
 		hu_cancel(u->call);
@@ -120,8 +121,7 @@
 	ul_t *u = mem_new(sizeof(*u));
 
 	u->o = *o;
-	ev_timer_init(&u->timer, on_timer, 0.0, 0.0);
-	u->timer.data = u;
+	tm_init(&u->timer, o->loop, on_timer, u);
 	return u;
 }
 
@@ -130,7 +130,6 @@
 	if (u->call)
 		return;
 	u->cursor.n = 0;
-	ev_timer_set(&u->timer, READ_MS / 1000.0, 0.0);
-	ev_timer_start(u->o.loop, &u->timer);
+	tm_set(&u->timer, READ_MS);
 	read_page(u);
 }
--- a/src/control/cn_hub.c
+++ b/src/control/cn_hub.c
@@ -218,14 +218,15 @@
 	}
 }
 
-static void watch_links(hub_t *h, deadline_t now)
+/* seen: until when what has come is read; what came during a pause of this process may not be. */
+static void watch_links(hub_t *h, deadline_t now, deadline_t seen)
 {
 	hub_peer_t *p;
 	hub_peer_t *next;
 
 	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
 	HASH_ITER (hh, h->peers, p, next) {
-		if (now - lk_heard(p->link) > PEER_SILENT_MS) {
+		if (seen - lk_heard(p->link) > PEER_SILENT_MS) {
 			lk_t *l = p->link;
 
 			peer_drop(p, "silent");
@@ -400,7 +401,8 @@
 	h->busy = (h->operators && hl_pending(h->operators)) ||
 		  (h->directory && hl_pending(h->directory));
 	check_role(h);
-	watch_links(h, now);
+	watch_links(h, now, now < h->ticked + HUB_TICK_MS ? now : h->ticked + HUB_TICK_MS);
+	h->ticked = now;
 	if (h->role != HUB_LEADS)
 		return;
 	announce(h, now);
@@ -523,8 +525,7 @@
 	if (listen_links(h) != ST_OK || hub_http_start(h) != ST_OK)
 		return ST_IO;
 	ev_timer_init(&h->tick, on_tick, 0.0, HUB_TICK_MS / 1000.0);
-	/* After a pause of this process, what came meanwhile is read before silence is judged. */
-	ev_set_priority(&h->tick, EV_MINPRI);
+	ev_set_priority(&h->tick, EV_MINPRI); /* behind the reads of its turn */
 	h->tick.data = h;
 	ev_timer_start(h->loop, &h->tick);
 	cn->hub = h;
--- a/src/control/cn_hub.h
+++ b/src/control/cn_hub.h
@@ -126,6 +126,7 @@
 	cn_t *cn;
 	struct ev_loop *loop;
 	ev_timer tick;
+	deadline_t ticked; /* when it ran last */
 	int listener;
 	ev_io accept;
 	hl_t *operators;
--- a/src/front/fo.c
+++ b/src/front/fo.c
@@ -54,7 +54,7 @@
 	if (o->run)
 		fx_cancel(o->run);
 	drop_body(o);
-	ev_timer_stop(o->f->loop, &o->timer);
+	tm_stop(&o->timer);
 	HASH_DEL(o->f->requests, o);
 	buf_free(&o->headers);
 	free(o);
@@ -280,9 +280,9 @@
 	}
 }
 
-static void on_deadline(struct ev_loop *loop, ev_timer *w, int events)
+static void on_deadline(void *ctx)
 {
-	fo_t *o = w->data;
+	fo_t *o = ctx;
 
 	if (o->state == FO_ASKING)
 		fr_ask_drop(o->f, o);
@@ -396,8 +396,7 @@
 	HASH_ADD(hh, f->requests, number, sizeof(o->number), o);
 	*d = (fr_data_t){FR_ONLINE, o};
 	hl_set_data(c, d);
-	ev_timer_init(&o->timer, on_deadline, (double)clk_left_ms(o->deadline) / 1000.0, 0.0);
-	o->timer.data = o;
-	ev_timer_start(f->loop, &o->timer);
+	tm_init(&o->timer, f->loop, on_deadline, o);
+	tm_set(&o->timer, clk_left_ms(o->deadline));
 	ask(o);
 }
--- a/src/front/fr.h
+++ b/src/front/fr.h
@@ -11,6 +11,7 @@
 #include "net/hl.h"
 #include "net/hu.h"
 #include "net/ss.h"
+#include "net/tm.h"
 #include "net/wk.h"
 #include "platform/pf.h"
 #include "policy/ds.h"
@@ -171,7 +172,7 @@
 	deadline_t objective;
 	deadline_t deadline;
 	deadline_t leaves; /* when its caller leaves unless an event has come */
-	ev_timer timer; /* at the deadline */
+	tm_t timer; /* at the deadline */
 	fx_t *run;
 	pf_reply_t reply; /* its views don't outlive the head */
 	bool begun; /* the caller has got the head */
--- a/src/front/fx.c
+++ b/src/front/fx.c
@@ -16,7 +16,7 @@
 	fx_options_t o;
 	hu_call_t *call;
 	ss_t sse;
-	ev_timer silence;
+	tm_t silence;
 	bool events;
 	unsigned known_events; /* since the last that got the stream on */
 	bool bad;
@@ -26,7 +26,7 @@
 
 static void fx_free(fx_t *x)
 {
-	ev_timer_stop(x->o.f->loop, &x->silence);
+	tm_stop(&x->silence);
 	ss_free(&x->sse);
 	free(x);
 }
@@ -39,16 +39,15 @@
 
 static void arm(fx_t *x, int64_t ms)
 {
-	ev_timer_stop(x->o.f->loop, &x->silence);
-	if (ms <= 0)
-		return;
-	ev_timer_set(&x->silence, (double)ms / 1000.0, 0.0);
-	ev_timer_start(x->o.f->loop, &x->silence);
+	if (ms > 0)
+		tm_set(&x->silence, ms);
+	else
+		tm_stop(&x->silence);
 }
 
-static void on_silence(struct ev_loop *loop, ev_timer *w, int events)
+static void on_silence(void *ctx)
 {
-	fx_t *x = w->data;
+	fx_t *x = ctx;
 
 	hu_cancel(x->call);
 	end(x, x->bad ? FX_BROKEN : FX_SILENT);
@@ -58,7 +57,7 @@
 static void break_off(fx_t *x)
 {
 	x->bad = true;
-	ev_feed_event(x->o.f->loop, &x->silence, EV_TIMER);
+	tm_end_now(&x->silence);
 }
 
 static bool on_head(void *ctx, const hp_head_t *h)
@@ -114,7 +113,7 @@
 {
 	fx_t *x = ctx;
 
-	ev_clear_pending(x->o.f->loop, &x->silence);
+	tm_stop(&x->silence);
 	if (x->bad) {
 		end(x, FX_BROKEN);
 		return;
@@ -141,8 +140,7 @@
 	snprintf(x->id, sizeof(x->id), "%.*s", STR_ARG(o->id));
 	snprintf(x->replica, sizeof(x->replica), "%.*s", STR_ARG(o->replica.id));
 	x->o.replica.id = str_c(x->replica);
-	ev_timer_init(&x->silence, on_silence, 0.0, 0.0);
-	x->silence.data = x;
+	tm_init(&x->silence, o->f->loop, on_silence, x);
 	x->call = hu_start(o->f->http, &(hu_options_t){
 					       .request = o->request,
 					       .addr = o->addr,
--- a/src/net/hl.c
+++ b/src/net/hl.c
@@ -8,6 +8,7 @@
 #include <utlist.h>
 #include "base/lg.h"
 #include "net/sk.h"
+#include "net/tm.h"
 
 /** Bytes read ahead while a request is being answered. */
 #define READ_AHEAD_BYTES 65536
@@ -35,7 +36,7 @@
 	int fd;
 	ev_io rd;
 	ev_io wr;
-	ev_timer timer;
+	tm_t timer;
 	hp_t parser;
 	buf_t in;
 	buf_t body;
@@ -109,18 +110,11 @@
 		c->l->busy--;
 	ev_io_stop(c->l->o.loop, &c->rd);
 	ev_io_stop(c->l->o.loop, &c->wr);
-	ev_timer_stop(c->l->o.loop, &c->timer);
+	tm_stop(&c->timer);
 	close(c->fd);
 	ev_once(c->l->o.loop, -1, 0, 0.0, conn_free, c);
 }
 
-static void set_timer(hl_conn_t *c, int64_t ms)
-{
-	ev_timer_stop(c->l->o.loop, &c->timer);
-	ev_timer_set(&c->timer, (double)ms / 1000.0, 0.0);
-	ev_timer_start(c->l->o.loop, &c->timer);
-}
-
 static void flush(hl_conn_t *c)
 {
 	if (c->dead)
@@ -191,7 +185,7 @@
 {
 	hl_request_t r = {c->parser.head, str_buf(&c->body), c->begun};
 
-	ev_timer_stop(c->l->o.loop, &c->timer);
+	tm_stop(&c->timer);
 	c->keep = c->parser.head.keep_alive;
 	c->l->o.request(c->l->o.ctx, c, &r);
 }
@@ -211,7 +205,7 @@
 	while (!c->dead && !c->busy && !c->closing && c->in.n > 0) {
 		if (!c->begun) {
 			c->begun = clk_now_ms();
-			set_timer(c, m->header_ms);
+			tm_set(&c->timer, m->header_ms);
 		}
 		st = hp_feed(&c->parser, str_buf(&c->in), &used);
 		if (c->dead)
@@ -227,7 +221,7 @@
 			hand_over(c);
 	}
 	if (!c->dead && !c->busy && c->have_head)
-		set_timer(c, m->idle_ms);
+		tm_set(&c->timer, m->idle_ms);
 }
 
 static void on_readable(struct ev_loop *loop, ev_io *w, int events)
@@ -259,9 +253,9 @@
 	flush(c);
 }
 
-static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
+static void on_timer(void *ctx)
 {
-	hl_conn_t *c = w->data;
+	hl_conn_t *c = ctx;
 
 	if (c->begun && !c->busy && !c->closing)
 		refuse(c, 408, "request not read in time");
@@ -283,10 +277,10 @@
 			    });
 	ev_io_init(&c->rd, on_readable, fd, EV_READ);
 	ev_io_init(&c->wr, on_writable, fd, EV_WRITE);
-	ev_timer_init(&c->timer, on_timer, 0.0, 0.0);
-	c->rd.data = c->wr.data = c->timer.data = c;
+	tm_init(&c->timer, l->o.loop, on_timer, c);
+	c->rd.data = c->wr.data = c;
 	ev_io_start(l->o.loop, &c->rd);
-	set_timer(c, l->o.limits.idle_ms);
+	tm_set(&c->timer, l->o.limits.idle_ms);
 }
 
 static void on_accept(struct ev_loop *loop, ev_io *w, int events)
@@ -392,11 +386,11 @@
 	c->bytes = c->in.n;
 	if (!c->keep) {
 		c->closing = true;
-		set_timer(c, LINGER_MS);
+		tm_set(&c->timer, LINGER_MS);
 		flush(c);
 		return;
 	}
-	set_timer(c, c->l->o.limits.idle_ms);
+	tm_set(&c->timer, c->l->o.limits.idle_ms);
 	flush(c);
 	if (c->dead)
 		return;
--- a/src/net/hu.c
+++ b/src/net/hu.c
@@ -9,6 +9,7 @@
 #include <uthash.h>
 #include <utlist.h>
 #include "net/sk.h"
+#include "net/tm.h"
 
 #define READ_BYTES	 16384
 #define MAX_HEADER_BYTES 65536
@@ -44,7 +45,7 @@
 	int fd;
 	ev_io rd;
 	ev_io wr;
-	ev_timer timer;
+	tm_t timer;
 	hp_t parser;
 	buf_t out;
 	buf_t in;
@@ -99,18 +100,11 @@
 	DL_DELETE2(c->h->conns, c, all_prev, all_next);
 	ev_io_stop(c->h->loop, &c->rd);
 	ev_io_stop(c->h->loop, &c->wr);
-	ev_timer_stop(c->h->loop, &c->timer);
+	tm_stop(&c->timer);
 	close(c->fd);
 	ev_once(c->h->loop, -1, 0, 0.0, conn_free, c);
 }
 
-static void set_timer(conn_t *c, int64_t ms)
-{
-	ev_timer_stop(c->h->loop, &c->timer);
-	ev_timer_set(&c->timer, (double)ms / 1000.0, 0.0);
-	ev_timer_start(c->h->loop, &c->timer);
-}
-
 /* Ends the call; its connection is closed unless it may serve another. */
 static void end_call(conn_t *c, hu_end_t how)
 {
@@ -186,7 +180,7 @@
 	c->next = c->host->idle;
 	c->host->idle = c;
 	c->host->nidle++;
-	set_timer(c, c->idle_ms);
+	tm_set(&c->timer, c->idle_ms);
 }
 
 /* Parses what was read; the end of the stream is told by an empty input. */
@@ -272,15 +266,15 @@
 			return;
 		}
 		c->connected = true;
-		ev_timer_stop(loop, &c->timer);
+		tm_stop(&c->timer);
 		ev_io_start(loop, &c->rd);
 	}
 	flush(c);
 }
 
-static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
+static void on_timer(void *ctx)
 {
-	conn_t *c = w->data;
+	conn_t *c = ctx;
 
 	if (c->call)
 		fail(c, HU_UNSENT);
@@ -321,8 +315,8 @@
 			    });
 	ev_io_init(&c->rd, on_readable, fd, EV_READ);
 	ev_io_init(&c->wr, on_writable, fd, EV_WRITE);
-	ev_timer_init(&c->timer, on_timer, 0.0, 0.0);
-	c->rd.data = c->wr.data = c->timer.data = c;
+	tm_init(&c->timer, h->loop, on_timer, c);
+	c->rd.data = c->wr.data = c;
 	h->connects++;
 	return c;
 }
@@ -335,7 +329,7 @@
 		return NULL;
 	host->idle = c->next;
 	host->nidle--;
-	ev_timer_stop(c->h->loop, &c->timer);
+	tm_stop(&c->timer);
 	hp_next(&c->parser);
 	c->ended = false;
 	c->skip = false;
@@ -379,7 +373,7 @@
 			ev_once(h->loop, -1, 0, 0.0, on_unsent, call);
 			return call;
 		}
-		set_timer(c, clk_left_ms(o->connect_by));
+		tm_set(&c->timer, clk_left_ms(o->connect_by));
 	}
 	c->call = call;
 	call->conn = c;
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -21,6 +21,7 @@
 from platform_kit import HOST, Kit, event_text, read_message  # noqa: E402
 
 APPLY_S = 2.0       # a change is in force everywhere this long after its acknowledgement
+DRAIN_S = 3.0       # a replica gets nothing this long after an entry heard that it leaves
 SETTLE_S = 25.0     # after the last fault lots must be finished within this
 
 
@@ -76,6 +77,7 @@
 class Soak:
     def __init__(self, seed, seconds):
         self.r = random.Random(seed)
+        self.r2 = random.Random(seed + 0x5eed)  # of the faults that came later: old seeds play what they played
         random.seed(seed)
         self.seconds = seconds
         self.kit = Kit(controls=self.r.choice([3, 4]), fronts=3, replicas=4)
@@ -86,6 +88,7 @@
         self.refused = set()
         self.stop = False
         self.trouble = set()    # replicas that met a fault
+        self.left = []          # (replica, when an entry had passed on that it leaves)
         self.wiped = 0.0
         self.done = []
 
@@ -266,6 +269,32 @@
         await asyncio.sleep(self.r.uniform(0.5, 3))
         self.kit.list_down = False
 
+    async def leave_replica(self, i):
+        """Says in its answers that it leaves, while the list has it as ready; then goes."""
+        r = self.kit.replicas[i]
+        rid, begun, r.says_leaving = r.id, time.time(), True
+        await asyncio.sleep(6)
+        told = [x["ended"] for x in self.kit.runs if x["replica"] == rid and x["at"] > begun and x["end"] == "done"]
+        if told:
+            self.left.append((rid, min(told)))
+        r.says_leaving = False
+        await self.crash_replica(i)
+
+    async def copy_late(self, i):
+        r = self.kit.replicas[i]
+        self.trouble.add(r.id)
+        r.late_copy = self.r2.choice(["with id", "without id", "cut", "at once"])
+        await asyncio.sleep(self.r2.uniform(0.5, 3))
+        r.late_copy = None
+
+    async def replica_faults(self):
+        tasks, end = [], time.time() + self.seconds - 6
+        while time.time() < end:
+            await asyncio.sleep(self.r2.uniform(1, 4))
+            fault = self.r2.choice([self.leave_replica, self.copy_late])
+            tasks.append(asyncio.ensure_future(fault(self.r2.randrange(4))))
+        await asyncio.gather(*tasks)
+
     async def faults(self):
         k = self.kit
         control_lock = asyncio.Lock()
@@ -333,6 +362,12 @@
             if s in (400, 404, 413, 431):
                 self.fail("%s: answered %d" % (rid, s))
 
+    def check_left(self):
+        for rid, at in self.left:
+            late = [x["at"] - at for x in self.kit.runs if x["replica"] == rid and x["at"] > at + DRAIN_S]
+            if late:
+                self.fail("%s: got %d requests up to %.1f s after it said that it leaves" % (rid, len(late), max(late)))
+
     def check_lots(self):
         for lot, x in self.lots.items():
             ids = [i["id"] for i in x["items"]]
@@ -383,7 +418,7 @@
         await asyncio.sleep(1.5)
         load = [self.callers(), self.digests(), self.operator(), self.config_reader()]
         load = [asyncio.ensure_future(x) for x in load + [self.keeper(f) for f in k.fronts]]
-        await self.faults()
+        await asyncio.gather(self.faults(), self.replica_faults())
         self.deadline = time.time() + SETTLE_S
         await asyncio.sleep(2)
         self.stop = True
@@ -391,6 +426,7 @@
         await self.final()
         self.check_online()
         self.check_lots()
+        self.check_left()
         for name in k.unexpected_ends():
             self.fail("%s ended by itself" % name)
 
--- a/tests/proc/test_platform.py
+++ b/tests/proc/test_platform.py
@@ -567,6 +567,53 @@
         self.assertIn(s, (200, 503))
 
 
+class Paused(Platform):
+    """An entry stands still for a while; nothing else is wrong."""
+    kit_args = {"controls": 3, "fronts": 1, "replicas": 3, "slots": 8}
+
+    def pause(self, s):
+        self.kit.fronts[0].signal(signal.SIGSTOP)
+        time.sleep(s)
+        self.kit.fronts[0].signal(signal.SIGCONT)
+
+    def streams_over_a_pause(self, s):
+        for r in self.kit.replicas:
+            r.events = 60  # 1.2 s
+        rids = [self.rid() for _ in range(8)]
+
+        async def go():
+            tasks = [asyncio.ensure_future(self.kit.stream(self.kit.fronts[0], "/brief/1", r)) for r in rids]
+            await asyncio.sleep(0.3)
+            await asyncio.get_running_loop().run_in_executor(None, self.pause, s)
+            return await asyncio.gather(*tasks)
+        for rid, (st, _, b) in zip(rids, self.kit.loop.run(go(), 30)):
+            self.assertEqual(st, 200)
+            self.kit.check_stream(rid, b)
+        return rids
+
+    def test_sound_streams_are_not_moved_for_its_own_pause(self):
+        for s in (0.25, 0.6):
+            for rid in self.streams_over_a_pause(s):
+                self.assertEqual(len(self.kit.runs_of(rid)), 1)
+
+    def test_it_loses_no_link_whose_leader_goes_on(self):
+        lost = self.kit.fronts[0].text().count("event=leader_lost")
+        self.pause(0.5)  # with a ping before it less than after which the leader gives it up
+        time.sleep(0.5)
+        self.assertEqual(self.kit.fronts[0].text().count("event=leader_lost"), lost)
+
+    def test_its_items_run_on_after_a_second(self):
+        for r in self.kit.replicas:
+            r.events = 100  # 2 s
+        lot, items = self.kit.lot(6)
+        self.assertEqual(self.run_one(self.kit.open_lot(self.kit.fronts[0], lot, items)), 202)
+        time.sleep(0.5)
+        self.pause(1.0)
+        self.assertEqual(len(self.run_one(self.kit.read_whole(lot))), 6)
+        for it in items:
+            self.assertEqual(len(self.kit.runs_of(it["id"])), 1)
+
+
 class LargeText(Platform):
     """A text of 2,000 routes, as large as the users' changes."""
     kit_args = {"controls": 3, "fronts": 10, "replicas": 2}
