--- a/src/base/str.c
+++ b/src/base/str.c
@@ -72,6 +72,14 @@
 	b->p = mem_grow(b->p, b->cap);
 }
 
+void buf_room(buf_t *b, size_t more)
+{
+	if (b->n + more + 1 <= b->cap)
+		return;
+	b->cap = b->n + more + 1;
+	b->p = mem_grow(b->p, b->cap);
+}
+
 void buf_add(buf_t *b, str_t s)
 {
 	buf_reserve(b, s.n);
--- a/src/control/cn.h
+++ b/src/control/cn.h
@@ -37,6 +37,7 @@
 	int64_t link_port; /* where control processes take links; 0: no hub */
 	int64_t tolerate; /* VMs with a disk that may be lost at once; 0: one voter for each of
 			     `controls` */
+	int64_t memory_mib; /* that the process may use; 0: lots aren't bounded by it */
 	int64_t lot_ttl_ms; /* results of a lot are readable this long after its acceptance */
 	bool bootstrap;
 	int64_t ledger_groups;
--- a/src/control/cn_group.c
+++ b/src/control/cn_group.c
@@ -57,14 +57,16 @@
 
 static void snapshot_fleet(cn_group_t *g, buf_t *out)
 {
-	AUTO_BUF part = {0};
+	AUTO_BUF fleet = {0};
+	size_t lots;
 
 	sn_put(out, WITH_LOTS);
-	fl_snapshot(g->fl, &part);
-	sn_put_str(out, str_buf(&part));
-	part.n = 0;
-	lo_snapshot(g->lo, &part);
-	sn_put_str(out, str_buf(&part));
+	fl_snapshot(g->fl, &fleet);
+	sn_put_str(out, str_buf(&fleet));
+	/* Written in place: lots take most of the memory, and a copy of them as much again. */
+	lots = sn_begin_str(out);
+	lo_snapshot(g->lo, out);
+	sn_end_str(out, lots);
 }
 
 static status_t restore_fleet(cn_group_t *g, str_t snap)
--- a/src/control/cn_hub_lots.c
+++ b/src/control/cn_hub_lots.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <utlist.h>
 #include "base/lg.h"
+#include "base/mx.h"
 #include "control/cn_hub.h"
 
 /** A commit that takes longer, in ms, may still come to pass: its callers are told so. */
@@ -15,6 +16,10 @@
 /** Items are given up that long after their retention, in ms, so that no clock sees it early. */
 #define DROP_MARGIN_MS 5000
 #define BARRIER_MS     1000
+/** Part of the process's memory that lots may fill: a snapshot takes as much again while it is
+ * written, and log, links and messages take the rest. */
+#define LOTS_MEMORY_PERCENT 35
+#define MIB		    (1U << 20)
 
 typedef struct {
 	wk_job_t job;
@@ -375,6 +380,37 @@
 	wk_submit(h->commits, &c->job);
 }
 
+typedef struct {
+	str_t lot;
+	bool stands;
+	size_t bytes;
+} room_t;
+
+static void look_for_room(cn_group_t *g, void *arg)
+{
+	room_t *r = arg;
+
+	r->stands = lo_find(g->lo, r->lot) != NULL;
+	r->bytes = r->stands ? 0 : lo_bytes_expected(g->lo);
+}
+
+/* An accepted lot is kept whatever comes, so what doesn't fit isn't accepted. */
+static bool has_room(hub_t *h, str_t lot)
+{
+	size_t most = (size_t)h->cn->s.memory_mib * MIB / 100 * LOTS_MEMORY_PERCENT;
+	room_t r = {.lot = lot};
+
+	if (most == 0)
+		return true;
+	cn_group_read(&h->cn->groups[0], look_for_room, &r);
+	if (r.stands || r.bytes + h->next.bytes < most)
+		return true;
+	lg(LG_WARN, "lots_fill_memory", LG_S("lot", lot), LG_I("bytes", r.bytes),
+	   LG_I("most", most));
+	MX_COUNT("auburn_lots_refused_for_memory_total");
+	return false;
+}
+
 static void open_lot(hub_t *h, const hub_caller_t *from, const aw_lot_open_t *m)
 {
 	aw_lot_open_t o = *m;
@@ -391,6 +427,10 @@
 		hub_reply_status(h, from, st_fail(ST_UNAVAILABLE, "too much waits for the disk"));
 		return;
 	}
+	if (!has_room(h, px_str(o.lot))) {
+		hub_reply_status(h, from, st_fail(ST_LIMIT, "lots fill the memory"));
+		return;
+	}
 	o.quota = (uint64_t)r->waiting_tokens_max;
 	o.due_wall_ms = wall + r->due_ms;
 	o.drop_wall_ms = wall + r->retention_ms + DROP_MARGIN_MS;
--- a/src/control/cn_settings.c
+++ b/src/control/cn_settings.c
@@ -75,6 +75,7 @@
 		{"rpc_port", CF_INT, false, 1, PORT_MAX, &s->rpc_port},
 		{"link_port", CF_INT, false, 1, PORT_MAX, &s->link_port},
 		{"tolerate", CF_INT, false, 0, (GR_PEERS_MAX - 1) / 2, &s->tolerate},
+		{"memory_mib", CF_INT, false, 0, 1048576, &s->memory_mib},
 		{"lot_ttl_ms", CF_INT, false, 1000, 86400000, &s->lot_ttl_ms},
 		{"bootstrap", CF_BOOL, false, 0, 0, &s->bootstrap},
 		{"ledger_groups", CF_INT, false, 0, CN_GROUPS_MAX - 1, &s->ledger_groups},
--- a/src/state/lo.c
+++ b/src/state/lo.c
@@ -7,6 +7,11 @@
 
 #define SNAPSHOT_MAGIC	 0x4c4fU
 #define SNAPSHOT_VERSION 1U
+/** Most bytes that numbers and lengths take in a snapshot: of an item with its place among those
+ * listed, of a lot, and beside the lots. */
+#define ITEM_BYTES 64
+#define LOT_BYTES  96
+#define LOTS_BYTES 64
 
 /** Tokens that wait on one route. */
 typedef struct {
@@ -278,8 +283,43 @@
 
 /* ---- snapshots ---- */
 
+static size_t item_bytes(const lo_item_t *it)
+{
+	return strlen(it->id) + strlen(it->path) + it->headers_n + it->data_n + it->made_n +
+	       ITEM_BYTES;
+}
+
+size_t lo_bytes(const lo_t *l)
+{
+	size_t n = LOTS_BYTES;
+
+	for (const lo_lot_t *t = l->lots; t; t = t->hh.next) {
+		n += strlen(t->id) + strlen(t->route) + strlen(t->host) + LOT_BYTES;
+		for (uint32_t i = 0; i < t->nitems; i++)
+			n += item_bytes(&t->items[i]);
+	}
+	return n;
+}
+
+size_t lo_bytes_expected(const lo_t *l)
+{
+	size_t done = 0;
+	size_t texts = 0;
+	size_t open = 0;
+
+	for (const lo_lot_t *t = l->lots; t; t = t->hh.next) {
+		for (uint32_t i = 0; i < t->nitems; i++) {
+			open += t->items[i].state == LO_OPEN && !t->ended;
+			done += t->items[i].state == LO_DONE;
+			texts += t->items[i].state == LO_DONE ? t->items[i].data_n : 0;
+		}
+	}
+	return lo_bytes(l) + (done ? texts / done : 0) * open;
+}
+
 void lo_snapshot(const lo_t *l, buf_t *out)
 {
+	buf_room(out, lo_bytes(l));
 	sn_put(out, SNAPSHOT_MAGIC);
 	sn_put(out, SNAPSHOT_VERSION);
 	sn_put(out, l->serial);
--- a/src/state/lo.h
+++ b/src/state/lo.h
@@ -51,6 +51,10 @@
 /** res->opened gets a status for each open: ST_OK, or ST_LIMIT when the quota has no room. */
 void lo_apply(lo_t *l, const aw_lots_cmd_t *cmd, aw_fleet_res_t *res);
 void lo_snapshot(const lo_t *l, buf_t *out);
+/** Bytes of bodies, texts and what names them, about those of a snapshot. */
+size_t lo_bytes(const lo_t *l);
+/** What lo_bytes grows to when all open items are done, with texts as long as those so far. */
+size_t lo_bytes_expected(const lo_t *l);
 /** Replaces the state; ST_CORRUPT leaves it as it was. */
 status_t lo_restore(lo_t *l, str_t snap);
 
--- a/src/state/sn.c
+++ b/src/state/sn.c
@@ -30,6 +30,25 @@
 	buf_add(out, s);
 }
 
+/* The length gets the most bytes that one takes, as it isn't known yet; zeros fill them up. */
+size_t sn_begin_str(buf_t *out)
+{
+	static const char room[VARINT_BYTES_MAX];
+
+	buf_add(out, (str_t){room, sizeof(room)});
+	return out->n;
+}
+
+void sn_end_str(buf_t *out, size_t begun)
+{
+	uint64_t n = out->n - begun;
+	char *at = out->p + begun - VARINT_BYTES_MAX;
+
+	for (int i = 0; i < VARINT_BYTES_MAX - 1; i++, n >>= VARINT_BITS)
+		at[i] = (char)(n | VARINT_MORE);
+	at[VARINT_BYTES_MAX - 1] = (char)n;
+}
+
 uint64_t sn_get(sn_reader_t *r)
 {
 	uint64_t v = 0;
--- a/src/state/sn.h
+++ b/src/state/sn.h
@@ -10,6 +10,10 @@
 void sn_put_i64(buf_t *out, int64_t v);
 void sn_put_str(buf_t *out, str_t s);
 
+/** Begins a string that is written piece by piece behind it; returns what sn_end_str is given. */
+size_t sn_begin_str(buf_t *out);
+void sn_end_str(buf_t *out, size_t begun);
+
 /** Reads from the front; after a malformed value `bad` stays set and all further reads give 0. */
 typedef struct {
 	str_t left;
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -228,7 +228,8 @@
 
 
 class Kit:
-    def __init__(self, controls=3, fronts=2, replicas=3, slots=4, seed=None):
+    def __init__(self, controls=3, fronts=2, replicas=3, slots=4, seed=None, memory_mib=0):
+        self.memory_mib = memory_mib
         self.dir = tempfile.mkdtemp(prefix="auburn-platform-")
         self.net = "127.%d.%d" % (random.randint(1, 250), random.randint(1, 250))
         self.port = random.randint(20000, 28000)
@@ -264,7 +265,7 @@
             "data": os.path.join(self.dir, name), "controls": self.seeds, "rpc_port": self.port,
             "link_port": self.port + 1, "operators": "%s:%d" % (ip, self.port + 2),
             "upstream_list": self.list_addr, "tolerate": 1, "bootstrap": bootstrap, "ledger_groups": 0,
-            "replace_grace_ms": 1500, "election_ms": 300, "tick_ms": 10, "snapshot_entries": 100})
+            "replace_grace_ms": 1500, "election_ms": 300, "tick_ms": 10, "snapshot_entries": 100, "memory_mib": self.memory_mib})
 
     def front(self, name, zone):
         ip = self.next_ip()
--- a/tests/proc/test_platform.py
+++ b/tests/proc/test_platform.py
@@ -614,6 +614,36 @@
             self.assertEqual(len(self.kit.runs_of(it["id"])), 1)
 
 
+class Memory(Platform):
+    """Lots come faster than results may be forgotten."""
+    kit_args = {"controls": 3, "fronts": 2, "replicas": 2, "slots": 8, "memory_mib": 16}
+    BODY = b"x" * 40000
+
+    def peak_mb(self, c):
+        with open("/proc/%d/status" % c.p.pid) as f:
+            return int([x.split()[1] for x in f if x.startswith("VmHWM")][0]) / 1024
+
+    def test_what_does_not_fit_is_refused_before_it_is_accepted_and_the_rest_is_kept(self):
+        opened, refused = {}, 0
+        for _ in range(40):
+            lot, items = self.kit.lot(10, body=self.BODY)
+            s = self.run_one(self.kit.open_lot(self.kit.fronts[0], lot, items))
+            self.assertIn(s, (202, 429))
+            refused += s == 429
+            if s == 202:
+                opened[lot] = items
+        self.assertGreater(len(opened), 3)
+        self.assertGreater(refused, 3)
+        # One that stands is accepted again, however full it is.
+        lot = next(iter(opened))
+        self.assertEqual(self.run_one(self.kit.open_lot(self.kit.fronts[1], lot, opened[lot])), 202)
+        for lot in opened:
+            self.assertEqual(len(self.run_one(self.kit.read_whole(lot))), 10)
+        # Bodies are dropped as their items are done, which makes room.
+        lot, items = self.kit.lot(10, body=self.BODY)
+        self.assertEqual(self.run_one(self.kit.open_lot(self.kit.fronts[0], lot, items)), 202)
+
+
 class LargeText(Platform):
     """A text of 2,000 routes, as large as the users' changes."""
     kit_args = {"controls": 3, "fronts": 10, "replicas": 2}
--- a/tests/unit/test_lots.c
+++ b/tests/unit/test_lots.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "state/lo.h"
+#include "state/sn.h"
 #include "suite_kit.h"
 
 #define NOW 1000000
@@ -236,6 +237,58 @@
 }
 END_TEST
 
+START_TEST(bytes_are_those_of_a_snapshot_or_some_more)
+{
+	lo_t *l = lo_new();
+	static char text[20000];
+	AUTO_BUF snap = {0};
+
+	memset(text, 'x', sizeof(text) - 1);
+	begin();
+	add_open("a", 8, 10, 0);
+	add_open("b", 8, 10, 0);
+	apply(l);
+	begin();
+	add_result("a", 0, false, text);
+	add_result("a", 1, false, text);
+	add_result("b", 0, true, "");
+	apply(l);
+	lo_snapshot(l, &snap);
+	ck_assert_uint_ge(lo_bytes(l), snap.n);
+	ck_assert_uint_le(lo_bytes(l), snap.n + snap.n / 10);
+	/* 13 items are open, and texts are 19,999 bytes long. */
+	ck_assert_uint_eq(lo_bytes_expected(l), lo_bytes(l) + 13 * (sizeof(text) - 1));
+	begin();
+	add_end("a");
+	apply(l);
+	ck_assert_uint_eq(lo_bytes_expected(l), lo_bytes(l) + 7 * (sizeof(text) - 1));
+	lo_free(l);
+}
+END_TEST
+
+START_TEST(strings_written_piece_by_piece_are_read_whole)
+{
+	AUTO_BUF out = {0};
+	sn_reader_t in;
+	size_t begun;
+
+	sn_put(&out, 7);
+	begun = sn_begin_str(&out);
+	for (int i = 0; i < 300; i++)
+		buf_add(&out, STR("piece"));
+	sn_end_str(&out, begun);
+	begun = sn_begin_str(&out);
+	sn_end_str(&out, begun);
+	sn_put(&out, 8);
+	in = (sn_reader_t){str_buf(&out), false};
+	ck_assert_uint_eq(sn_get(&in), 7);
+	ck_assert_uint_eq(sn_get_str(&in).n, 1500);
+	ck_assert_uint_eq(sn_get_str(&in).n, 0);
+	ck_assert_uint_eq(sn_get(&in), 8);
+	ck_assert_int_eq(sn_end(&in, "test"), ST_OK);
+}
+END_TEST
+
 START_TEST(a_snapshot_restores_everything)
 {
 	lo_t *l = with_lot("a", 3);
@@ -349,6 +402,8 @@
 	tcase_add_test(t, an_ended_lot_frees_its_quota_and_keeps_what_is_listed);
 	tcase_add_test(t, items_are_given_up_and_lots_forgotten_in_time);
 	tcase_add_test(t, what_an_item_has_made_is_kept_until_it_is_listed);
+	tcase_add_test(t, bytes_are_those_of_a_snapshot_or_some_more);
+	tcase_add_test(t, strings_written_piece_by_piece_are_read_whole);
 	tcase_add_test(t, a_snapshot_restores_everything);
 	tcase_add_test(t, a_cut_snapshot_is_an_error_and_changes_nothing);
 	tcase_add_test(t, random_commands_keep_the_promises);
