--- a/tests/unit/test_fanout.c
+++ b/tests/unit/test_fanout.c
@@ -263,7 +263,7 @@
 	size_t k = 0;
 
 	for (size_t i = 0; i < n; i++) {
-		char addr[32];
+		char addr[48];
 
 		snprintf(addr, sizeof(addr), "10.1.0.%zu:8161", i);
 		if (i != without)
@@ -275,7 +275,7 @@
 
 static uint64_t hash_of(size_t i)
 {
-	char addr[32];
+	char addr[48];
 
 	snprintf(addr, sizeof(addr), "10.1.0.%zu:8161", i);
 	return str_hash(str_c(addr));
