Entries are told of control processes that come, whatever else is unchanged

Change: what control processes an entry was told of counts as a third share. Test: test_a_control_process_that_comes_is_told_to_all (fails before).

--- a/src/control/cn_hub.h
+++ b/src/control/cn_hub.h
@@ -51,6 +51,7 @@
 	deadline_t sent;
 	uint64_t told_upstreams; /* digest of the share that it was told last; 0: none */
 	uint64_t told_entries;
+	uint64_t told_controls;
 	UT_hash_handle hh;
 } hub_peer_t;
 
--- a/src/control/cn_hub_view.c
+++ b/src/control/cn_hub_view.c
@@ -225,6 +225,15 @@
 	return digest | 1;
 }
 
+static uint64_t controls_digest(const hub_t *h)
+{
+	uint64_t digest = 1;
+
+	for (u_int i = 0; i < h->view.controls.controls_len; i++)
+		digest = mix(digest, str_hash(px_str(h->view.controls.controls_val[i])));
+	return digest | 1;
+}
+
 /*
  * Grants name their replica's address, so an entry needs the list only while it has no leader, and
  * a caller is told no more entries than this. With hundreds of entries before thousands of replicas
@@ -240,6 +249,7 @@
 	uint64_t self = str_hash(str_c(p->addr));
 	uint64_t upstreams_digest;
 	uint64_t entries_digest;
+	uint64_t controls = controls_digest(h);
 
 	if (h->rings_stale)
 		build_rings(h);
@@ -249,7 +259,7 @@
 	entries_digest = share_entries(h, self, entries, &v->entries.entries_len);
 	v->has_upstreams = upstreams_digest != p->told_upstreams;
 	v->has_entries = entries_digest != p->told_entries;
-	if (!v->has_upstreams && !v->has_entries)
+	if (!v->has_upstreams && !v->has_entries && controls == p->told_controls)
 		return;
 	if (!v->has_upstreams)
 		v->upstreams.upstreams_len = 0;
@@ -257,6 +267,7 @@
 		v->entries.entries_len = 0;
 	p->told_upstreams = upstreams_digest;
 	p->told_entries = entries_digest;
+	p->told_controls = controls;
 	v->controls = h->view.controls;
 	v->age_ms = (u_int)hub_list_age_ms(h); /* -1 becomes UINT32_MAX */
 	hub_send(p, &m);
--- a/tests/proc/link_kit.py
+++ b/tests/proc/link_kit.py
@@ -2,7 +2,7 @@
 import asyncio
 import struct
 
-HELLO, WELCOME, CONF, PING, HOLDS = 1, 2, 3, 15, 17
+HELLO, WELCOME, CONF, VIEW, PING, HOLDS = 1, 2, 3, 4, 15, 17
 PING_S = 0.15
 RETRY_S = 0.05
 CONNECT_S = 0.5
@@ -20,6 +20,7 @@
         self.holds = (0, 0)
         self.bytes = 0          # received on links to leaders
         self.texts = 0
+        self.view = b""         # the last one, as it came
         self.links = 0          # to leaders, so far
         self.linked = False
         self.ended = False
@@ -69,6 +70,8 @@
                 self.linked = True
                 self.links += 1
             self.bytes += n
+            if kind == VIEW:
+                self.view = m
             if kind == CONF:
                 self.texts += 1
                 asyncio.ensure_future(self.take(struct.unpack(">QQ", m[4:20])))
--- a/tests/proc/test_links.py
+++ b/tests/proc/test_links.py
@@ -105,6 +105,13 @@
 
 
 class Views(Base):
+    def test_a_control_process_that_comes_is_told_to_all(self):
+        time.sleep(1)
+        late = self.kit.control("control-late", self.kit.next_ip(), "za", False)
+        self.kit.controls.append(late)
+        late.start()
+        self.wait(lambda e: late.ip.encode() in e.view)
+
     def test_an_entry_that_goes_is_told_to_those_that_have_it_in_their_share(self):
         time.sleep(1)
         self.reset()
