--- a/src/policy/ds.c
+++ b/src/policy/ds.c
@@ -430,8 +430,6 @@
 	it->entry = entry;
 	it->replica = replica_of(d, replica);
 	it->placed = now;
-	if (!it->begun)
-		it->begun = now;
 	it->replica->items++;
 	if (e)
 		e->items++;
@@ -485,9 +483,6 @@
 	if (ended && it->replica) {
 		judge(d, it->replica, DS_OK, now);
 		ds_item_count(it, now);
-		if (it->begun)
-			s->item_wait_ms +=
-				(now - it->begun - it->ran_ms - s->item_wait_ms) / ITEM_WEIGHT;
 		s->item_ms += s->item_ms ? (it->ran_ms - s->item_ms) / ITEM_WEIGHT : it->ran_ms;
 	}
 	if (!ended && it->state == ITEM_RUNNING && !it->lost_until)
--- a/src/policy/ds_core.h
+++ b/src/policy/ds_core.h
@@ -13,14 +13,10 @@
 	char *name;
 	int64_t hold_us; /* mean time that an online request holds its place, in us */
 	int64_t item_ms; /* mean time that an item needs a place in all; 0: none has ended yet */
-	int64_t item_wait_ms; /* mean time that an item waits between its runs, in all */
-	double left_over; /* mean number of places that online requests leave to items */
-	deadline_t averaged; /* when that was; 0: never */
-	double planned_ms; /* time at a place that items need to be done by their due times */
-	double excess_ms; /* of that, what can't be had */
+	unsigned keep; /* places that items leave free for online requests */
+	deadline_t shrink_at; /* fewer then */
 	uint64_t pass; /* that what follows was found out in */
 	unsigned places;
-	unsigned keep; /* places that items leave free for online requests */
 	unsigned ahead; /* waiting requests that go before */
 	bool full; /* a request that avoids no replica found no place */
 	bool no_place; /* nor did an item */
@@ -86,9 +82,7 @@
 	replica_t *replica; /* that it holds a place at; NULL otherwise */
 	uint64_t entry; /* that runs it or is to stop it */
 	deadline_t lost_until; /* its entry was lost: runs again then; 0: it wasn't */
-	deadline_t begun; /* when it got its first place; 0: it hasn't */
 	deadline_t placed; /* when it got the place that it holds */
-	bool passed_over; /* not begun for its due time: others go first */
 	int64_t ran_ms; /* held places before, with the events made then kept */
 	ds_item_t *prev; /* in waiting, by due; or in running */
 	ds_item_t *next;
@@ -112,7 +106,6 @@
 	ds_item_t *running; /* or stopping */
 	prefix_t *prefixes;
 	deadline_t hold_until;
-	deadline_t plan_at; /* the next plan */
 	service_t *services;
 	uint64_t pass; /* passes over what waits so far */
 	bool listed; /* replicas have been known */
@@ -138,17 +131,8 @@
 void ds_prefix_forget(ds_t *d, const replica_t *r);
 /** Places of the service's usable replicas. */
 unsigned ds_places(const ds_t *d, const service_t *s, deadline_t now);
-/** Online runs at the service's replicas. */
-unsigned ds_online(const ds_t *d, const service_t *s);
-/** Places that items leave free for online requests. */
-unsigned ds_keep(const ds_t *d, const service_t *s);
 unsigned ds_free_places(const ds_t *d, const service_t *s, deadline_t now);
 
-/* ds_plan.c */
-
-/** Marks the waiting items that others go before. */
-void ds_plan(ds_t *d, deadline_t now);
-
 /* ds_place.c */
 
 void ds_place(ds_t *d, deadline_t now);
@@ -160,6 +144,8 @@
 int64_t ds_item_left(const ds_item_t *it, deadline_t now);
 /** False when the item can't be done by its due time any more, as far as others tell. */
 bool ds_item_in_time(const ds_item_t *it, deadline_t now);
+/** True when it can wait out a peak of online requests and still be done by its due time. */
+bool ds_item_can_wait(const ds_item_t *it, deadline_t now);
 void ds_ask_free(ds_t *d, ask_t *q);
 
 #endif
--- a/src/policy/ds_pick.c
+++ b/src/policy/ds_pick.c
@@ -1,5 +1,4 @@
 /* Choices of a replica, of an item that gives way, and of the entry that runs an item. */
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include "base/rd.h"
@@ -11,8 +10,8 @@
 #define COST_OTHER_ZONE	  2
 #define COST_OTHER_PREFIX 1
 #define COST_SCALE	  4
-/** Places that items leave free, in standard deviations of the number of online runs. */
-#define KEEP_DEVIATIONS 0.5
+/** Peaks of online requests last about this long, in ms, on the users' sheets. */
+#define PEAK_MS 3000
 /** Prompts whose replica is remembered; a table of this size takes about 1 MB. */
 #define PREFIXES_MAX 8192
 
@@ -88,32 +87,26 @@
 	return best;
 }
 
-/* What becomes of an item that is stopped until a peak of online requests has passed. */
-typedef enum { LATE_ANYWAY, STAYS_IN_TIME, BECOMES_LATE } stop_cost_t;
-
-static stop_cost_t stop_cost(const ds_item_t *it, deadline_t now)
+bool ds_item_can_wait(const ds_item_t *it, deadline_t now)
 {
-	if (!ds_item_in_time(it, now))
-		return LATE_ANYWAY;
-	if (it->due > now + ds_item_left(it, now) + it->service->item_wait_ms)
-		return STAYS_IN_TIME;
-	return BECOMES_LATE;
+	return it->due - now - ds_item_left(it, now) > PEAK_MS;
 }
 
 /*
- * True when a gives way rather than b: the one that loses least by it. Of those that stay in time
- * that is the one due last; of others the one that would need its place longest.
+ * True when a gives way rather than b. One that can wait out a peak and still be done in time goes
+ * first, the one due last before others. When none can, one is given up for the others: that which
+ * would need its place longest.
  */
 static bool gives_way(const ds_item_t *a, const ds_item_t *b, str_t zone, deadline_t now)
 {
-	stop_cost_t of_a = stop_cost(a, now);
-	stop_cost_t of_b = stop_cost(b, now);
+	bool a_waits = ds_item_can_wait(a, now);
+	bool b_waits = ds_item_can_wait(b, now);
 	bool a_near = str_eq(str_c(a->replica->zone), zone);
 	bool b_near = str_eq(str_c(b->replica->zone), zone);
 
-	if (of_a != of_b)
-		return of_a < of_b;
-	if (of_a != STAYS_IN_TIME)
+	if (a_waits != b_waits)
+		return a_waits;
+	if (!a_waits)
 		return ds_item_left(a, now) > ds_item_left(b, now);
 	return a_near == b_near ? a->due > b->due : a_near;
 }
@@ -239,22 +232,3 @@
 	}
 	return n;
 }
-
-unsigned ds_online(const ds_t *d, const service_t *s)
-{
-	unsigned online = 0;
-
-	for (const replica_t *r = d->replicas; r; r = r->hh.next) {
-		if (r->service == s)
-			online += r->online;
-	}
-	return online;
-}
-
-/* Requests that come independently make the number of runs vary by about its root. An item that
- * took the last free place would be stopped by the next of them, and would only have read its
- * prompt again. */
-unsigned ds_keep(const ds_t *d, const service_t *s)
-{
-	return (unsigned)(KEEP_DEVIATIONS * sqrt(ds_online(d, s)));
-}
--- a/src/policy/ds_place.c
+++ b/src/policy/ds_place.c
@@ -14,6 +14,15 @@
 /** A stream's first event comes within this long of the grant, in ms: its prompt is read in a few
  * steps of the engine, each of some ms. */
 #define FIRST_EVENT_MS 50
+/** An item that is stopped sooner after it got its place, in ms, hasn't gained what the place cost:
+ * its prompt and the events made so far are read again within tens of ms. */
+#define YOUNG_MS 500
+/** In this time, in ms, the room kept for online requests shrinks by a place and by this part of
+ * it: between two peaks of 2 s most of it is gone, on fleets of any size. */
+#define KEEP_SHRINK_MS	 250
+#define KEEP_SHRINK_PART 4
+/** It is at most this part of the places, so that items have most of what online leaves. */
+#define KEEP_PART 4
 /** Requests wait so long for the first list of replicas, in ms: a leader reads it within tens of
  * ms, an entry without one after 1.5 s. */
 #define LIST_WAIT_MS 2000
@@ -39,7 +48,8 @@
 	s->no_place = false;
 	s->no_room = false;
 	s->ahead = 0;
-	s->keep = ds_keep(d, s);
+	for (; s->keep > 0 && now >= s->shrink_at; s->shrink_at += KEEP_SHRINK_MS)
+		s->keep -= 1 + s->keep / KEEP_SHRINK_PART;
 	return s;
 }
 
@@ -139,8 +149,21 @@
 	return it->due > now + ds_item_left(it, now);
 }
 
+/* In a peak a place that gets free is asked for again within ms. An item that takes it is stopped
+ * at once and has only read its prompt again; so each such stop keeps one more place free. */
+static void keep_more(ds_t *d, const ds_item_t *it, deadline_t now)
+{
+	service_t *s = look_at(d, it->replica->service, now);
+
+	if (now - it->placed >= YOUNG_MS || s->keep >= s->places / KEEP_PART)
+		return;
+	s->keep++;
+	s->shrink_at = now + KEEP_SHRINK_MS;
+}
+
 static void preempt(ds_t *d, ds_item_t *it, deadline_t now)
 {
+	keep_more(d, it, now);
 	ds_item_count(it, now);
 	it->replica->items--;
 	it->replica = NULL;
@@ -229,18 +252,20 @@
 static void place_item(ds_t *d, ds_item_t *it, deadline_t now)
 {
 	service_t *s = look_at(d, it->service, now);
+	bool can_wait = ds_item_can_wait(it, now);
 	ds_item_t *late = NULL;
 	replica_t *r = NULL;
 	entry_t *e;
 
 	/* Requests of its service that wait go first; those of others don't concern it. */
-	if (s->ahead > 0 || s->no_place || s->no_room)
+	if (s->ahead > 0 || s->no_place || (s->no_room && can_wait))
 		return;
+	/* One that can't wait out a peak takes the room kept for online requests as well. */
 	s->no_room = s->keep > 0 && ds_free_places(d, s, now) <= s->keep;
-	if (s->no_room)
+	if (s->no_room && can_wait)
 		return;
 	r = ds_pick_for_item(d, it, now);
-	if (!r && !it->passed_over && ds_item_in_time(it, now))
+	if (!r && ds_item_in_time(it, now))
 		late = ds_pick_late(d, it, now);
 	if (late)
 		r = late->replica;
@@ -252,11 +277,8 @@
 		preempt(d, late, now);
 	ds_item_unplace(d, it);
 	it->state = ITEM_RUNNING;
-	it->passed_over = false;
 	it->replica = r;
 	it->placed = now;
-	if (!it->begun)
-		it->begun = now;
 	it->entry = e->id;
 	r->items++;
 	e->items++;
@@ -270,14 +292,13 @@
 
 static turn_t turn_of(const ds_item_t *it, deadline_t now)
 {
-	if (it->passed_over || !ds_item_in_time(it, now))
+	if (!ds_item_in_time(it, now))
 		return TURN_LATE;
 	return it->ran_ms > 0 ? TURN_BEGUN : TURN_NEW;
 }
 
 static void place_items(ds_t *d, deadline_t now)
 {
-	ds_plan(d, now);
 	for (unsigned turn = 0; turn < TURNS; turn++) {
 		ds_item_t *it;
 		ds_item_t *next;
