--- a/src/state/lo.c
+++ b/src/state/lo.c
@@ -6,12 +6,21 @@
 #include "state/sn.h"
 
 #define SNAPSHOT_MAGIC	 0x4c4fU
-#define SNAPSHOT_VERSION 1U
+#define SNAPSHOT_VERSION 2U
+/** Versions from this on can be read; before version 2 ends of unknown lots weren't kept. */
+#define SNAPSHOT_OLDEST 1U
+/** An end of a lot that isn't known is kept this long, in ms: several times as long as a caller
+ * sends an opening again. */
+#define EARLY_END_MS 60000
+/** Most of them that are kept; the oldest are dropped first. */
+#define EARLY_ENDS_MAX 8192U
 /** Most bytes that numbers and lengths take in a snapshot: of an item with its place among those
  * listed, of a lot, and beside the lots. */
 #define ITEM_BYTES 64
 #define LOT_BYTES  96
 #define LOTS_BYTES 64
+/** Most bytes that an early end takes beside its id. */
+#define END_BYTES 16
 
 /** Tokens that wait on one route. */
 typedef struct {
@@ -20,9 +29,17 @@
 	UT_hash_handle hh;
 } route_t;
 
+/** An end that came before the opening of its lot. */
+typedef struct {
+	char *id;
+	int64_t forget_wall_ms;
+	UT_hash_handle hh; /* in the order in which they came */
+} early_end_t;
+
 struct lo {
 	lo_lot_t *lots;
 	route_t *routes;
+	early_end_t *early_ends;
 	uint64_t serial;
 };
 
@@ -49,10 +66,21 @@
 	free(t);
 }
 
+static void early_end_free(lo_t *l, early_end_t *e)
+{
+	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
+	HASH_DEL(l->early_ends, e);
+	free(e->id);
+	free(e);
+}
+
 static void clear(lo_t *l)
 {
 	route_t *r;
 
+	while (l->early_ends)
+		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
+		early_end_free(l, l->early_ends);
 	while (l->lots)
 		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
 		lot_free(l, l->lots);
@@ -148,8 +176,50 @@
 	set_data(it, px_str(c->body));
 }
 
+static void drop_made(lo_item_t *it)
+{
+	free(it->made);
+	it->made = NULL;
+	it->made_n = 0;
+	it->events = 0;
+}
+
+static void end_items(lo_lot_t *t)
+{
+	t->ended = true;
+	for (uint32_t i = 0; i < t->nitems; i++) {
+		if (t->items[i].state == LO_OPEN)
+			set_data(&t->items[i], (str_t){NULL, 0});
+		drop_made(&t->items[i]);
+	}
+}
+
+static early_end_t *find_early_end(const lo_t *l, str_t id)
+{
+	early_end_t *e;
+
+	HASH_FIND(hh, l->early_ends, id.p, id.n, e);
+	return e;
+}
+
+static void add_early_end(lo_t *l, str_t id, int64_t forget_wall_ms)
+{
+	early_end_t *e = find_early_end(l, id);
+
+	if (e)
+		return;
+	if (HASH_COUNT(l->early_ends) >= EARLY_ENDS_MAX)
+		early_end_free(l, l->early_ends);
+	e = mem_new(sizeof(*e));
+	e->id = str_dup(id);
+	e->forget_wall_ms = forget_wall_ms;
+	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
+	HASH_ADD_KEYPTR(hh, l->early_ends, e->id, id.n, e);
+}
+
 static status_t open_lot(lo_t *l, const aw_lot_open_t *c)
 {
+	early_end_t *ended = find_early_end(l, px_str(c->lot));
 	route_t *r = route_of(l, px_str(c->route));
 	uint64_t tokens = 0;
 	lo_lot_t *t;
@@ -158,7 +228,7 @@
 		return ST_OK;
 	for (u_int i = 0; i < c->items.items_len; i++)
 		tokens += c->items.items_val[i].tokens;
-	if (c->quota && r->waiting + tokens > c->quota)
+	if (!ended && c->quota && r->waiting + tokens > c->quota)
 		return st_fail(ST_LIMIT, "%llu tokens wait on the route",
 			       (unsigned long long)r->waiting);
 	t = mem_new(sizeof(*t));
@@ -175,18 +245,16 @@
 	for (uint32_t i = 0; i < t->nitems; i++)
 		item_init(&t->items[i], &c->items.items_val[i]);
 	HASH_ADD_KEYPTR(hh, l->lots, t->id, px_str(c->lot).n, t);
-	r->waiting += tokens;
+	if (ended) {
+		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): what is freed was unlinked */
+		early_end_free(l, ended);
+		end_items(t);
+	} else {
+		r->waiting += tokens;
+	}
 	return ST_OK;
 }
 
-static void drop_made(lo_item_t *it)
-{
-	free(it->made);
-	it->made = NULL;
-	it->made_n = 0;
-	it->events = 0;
-}
-
 static void set_made(lo_item_t *it, str_t text, uint32_t events)
 {
 	it->made = mem_grow(it->made, it->made_n + text.n + 1);
@@ -234,19 +302,16 @@
 	list_item(l, t, c->item, c->dead ? LO_DEAD : LO_DONE, px_str(c->text));
 }
 
-static void end_lot(lo_t *l, str_t id)
+static void end_lot(lo_t *l, str_t id, int64_t now)
 {
 	lo_lot_t *t = find(l, id);
 
+	if (!t)
+		add_early_end(l, id, now + EARLY_END_MS);
 	if (!t || t->ended)
 		return;
 	route_of(l, str_c(t->route))->waiting -= open_tokens(t);
-	t->ended = true;
-	for (uint32_t i = 0; i < t->nitems; i++) {
-		if (t->items[i].state == LO_OPEN)
-			set_data(&t->items[i], (str_t){NULL, 0});
-		drop_made(&t->items[i]);
-	}
+	end_items(t);
 }
 
 static void expire(lo_t *l, int64_t now)
@@ -262,6 +327,8 @@
 		if (now >= t->forget_wall_ms)
 			lot_free(l, t);
 	}
+	while (l->early_ends && now >= l->early_ends->forget_wall_ms)
+		early_end_free(l, l->early_ends);
 }
 
 void lo_apply(lo_t *l, const aw_lots_cmd_t *cmd, aw_fleet_res_t *res)
@@ -273,7 +340,7 @@
 	for (u_int i = 0; i < cmd->results.results_len; i++)
 		take_result(l, &cmd->results.results_val[i]);
 	for (u_int i = 0; i < cmd->ends.ends_len; i++)
-		end_lot(l, px_str(cmd->ends.ends_val[i]));
+		end_lot(l, px_str(cmd->ends.ends_val[i]), cmd->now_wall_ms);
 	expire(l, cmd->now_wall_ms);
 	res->opened.opened_val = n ? mem_new(n * sizeof(int)) : NULL;
 	res->opened.opened_len = n;
@@ -298,6 +365,8 @@
 		for (uint32_t i = 0; i < t->nitems; i++)
 			n += item_bytes(&t->items[i]);
 	}
+	for (const early_end_t *e = l->early_ends; e; e = e->hh.next)
+		n += strlen(e->id) + END_BYTES;
 	return n;
 }
 
@@ -350,6 +419,11 @@
 		for (uint32_t i = 0; i < t->nlisted; i++)
 			sn_put(out, t->listed[i]);
 	}
+	sn_put(out, HASH_COUNT(l->early_ends));
+	for (const early_end_t *e = l->early_ends; e; e = e->hh.next) {
+		sn_put_str(out, str_c(e->id));
+		sn_put_i64(out, e->forget_wall_ms);
+	}
 }
 
 static void get_item(sn_reader_t *in, lo_item_t *it)
@@ -400,16 +474,23 @@
 	sn_reader_t in = {snap, false};
 	lo_t *fresh = lo_new();
 	lo_t old = *l;
+	uint64_t magic = sn_get(&in);
+	uint64_t version = sn_get(&in);
 	status_t st;
 
-	if (sn_get(&in) != SNAPSHOT_MAGIC || sn_get(&in) != SNAPSHOT_VERSION) {
+	if (magic != SNAPSHOT_MAGIC || version < SNAPSHOT_OLDEST || version > SNAPSHOT_VERSION) {
 		lo_free(fresh);
-		return st_fail(ST_CORRUPT, "not a snapshot of lots of version %u",
-			       SNAPSHOT_VERSION);
+		return st_fail(ST_CORRUPT, "not a snapshot of lots of version %u to %u",
+			       SNAPSHOT_OLDEST, SNAPSHOT_VERSION);
 	}
 	fresh->serial = sn_get(&in);
 	for (uint64_t n = sn_get(&in); n > 0 && !in.bad; n--)
 		get_lot(&in, fresh);
+	for (uint64_t n = version > SNAPSHOT_OLDEST ? sn_get(&in) : 0; n > 0 && !in.bad; n--) {
+		str_t id = sn_get_str(&in);
+
+		add_early_end(fresh, id, sn_get_i64(&in));
+	}
 	st = sn_end(&in, "lots");
 	if (st == ST_OK) {
 		*l = *fresh;
--- a/src/state/lo.h
+++ b/src/state/lo.h
@@ -4,7 +4,9 @@
  *
  * What runs where isn't kept here: an item may run more than once, so its leases are soft state of
  * the leader. Opening a lot that stands is ST_OK and changes nothing. A result for an item that is
- * listed, or of a lot that has ended, is passed over: the first one stands.
+ * listed, or of a lot that has ended, is passed over: the first one stands. An end may come before
+ * the opening of its lot, which may be under way at a leader that was lost: it is kept for a while,
+ * and a lot that is opened then has ended already.
  */
 #ifndef AUBURN_LO_H
 #define AUBURN_LO_H
--- a/tests/unit/test_lots.c
+++ b/tests/unit/test_lots.c
@@ -175,6 +175,57 @@
 }
 END_TEST
 
+/* The opening may still be under way, at a leader that was lost, when the end of the lot comes. */
+START_TEST(a_lot_that_was_ended_before_it_was_opened_is_never_run)
+{
+	lo_t *l = lo_new();
+	lo_t *copy = lo_new();
+	AUTO_BUF snap = {0};
+	const lo_lot_t *t;
+
+	begin();
+	add_end("a");
+	add_end("a");
+	apply(l);
+	lo_snapshot(l, &snap);
+	ck_assert_uint_ge(lo_bytes(l), snap.n);
+	ck_assert_int_eq(lo_restore(copy, str_buf(&snap)), ST_OK);
+	begin();
+	add_open("a", 3, 100, 10);
+	apply(copy);
+	ck_assert_int_eq(res.opened.opened_val[0], ST_OK);
+	t = lo_find(copy, STR("a"));
+	ck_assert_ptr_nonnull(t);
+	ck_assert(t->ended);
+	ck_assert_uint_eq(t->nitems, 3);
+	ck_assert_ptr_null(t->items[0].data);
+	ck_assert_uint_eq(lo_waiting(copy, STR("h/p/")), 0);
+	lo_free(copy);
+	lo_free(l);
+}
+END_TEST
+
+START_TEST(ends_of_lots_that_never_come_are_forgotten_and_bounded)
+{
+	lo_t *l = lo_new();
+	size_t empty = lo_bytes(l);
+	char id[32];
+
+	for (int i = 0; i < 10000; i++) {
+		snprintf(id, sizeof(id), "unknown-%d", i);
+		begin();
+		add_end(id);
+		apply(l);
+	}
+	ck_assert_uint_le(lo_bytes(l), empty + 8192 * 40);
+	begin();
+	cmd.now_wall_ms = NOW + 60000;
+	apply(l);
+	ck_assert_uint_eq(lo_bytes(l), empty);
+	lo_free(l);
+}
+END_TEST
+
 START_TEST(items_are_given_up_and_lots_forgotten_in_time)
 {
 	lo_t *l = with_lot("a", 2);
@@ -400,6 +451,8 @@
 	tcase_add_test(t, the_first_result_of_an_item_stands);
 	tcase_add_test(t, the_quota_counts_what_waits);
 	tcase_add_test(t, an_ended_lot_frees_its_quota_and_keeps_what_is_listed);
+	tcase_add_test(t, a_lot_that_was_ended_before_it_was_opened_is_never_run);
+	tcase_add_test(t, ends_of_lots_that_never_come_are_forgotten_and_bounded);
 	tcase_add_test(t, items_are_given_up_and_lots_forgotten_in_time);
 	tcase_add_test(t, what_an_item_has_made_is_kept_until_it_is_listed);
 	tcase_add_test(t, bytes_are_those_of_a_snapshot_or_some_more);
