--- a/tests/unit/test_dispatch_load.c
+++ b/tests/unit/test_dispatch_load.c
@@ -39,7 +39,7 @@
 	deadline_t now;
 	request_t *r;
 	uint64_t n;
-	item_t items[1024];
+	item_t items[2048];
 	unsigned nitems;
 	unsigned in_time, late, lost;
 	unsigned too_late; /* granted after its caller had left */
@@ -140,8 +140,14 @@
 	}
 }
 
+/* Items of one length, or with lengths that differ by up to 45% from their mean. */
+static int64_t item_ms(unsigned n, bool differ)
+{
+	return differ ? PLAY_ITEM_MS * (550 + (int64_t)n * 7919 % 901) / 1000 : PLAY_ITEM_MS;
+}
+
 /* Steps of the users' sheets, times x, on 96 places. */
-static play_t *play(double x, double items)
+static play_t *play_lengths(double x, double items, bool differ)
 {
 	static ds_callbacks_t cb;
 	play_t *p = calloc(1, sizeof(*p));
@@ -180,7 +186,7 @@
 			item_t *it = &p->items[p->nitems++];
 
 			it->due = p->now + PLAY_DUE_MS;
-			it->left = PLAY_ITEM_MS;
+			it->left = item_ms(p->nitems, differ);
 			it->it = ds_item_add(p->d, STR("s"), it->due, it);
 			owed_items -= 1;
 		}
@@ -194,6 +200,11 @@
 	return p;
 }
 
+static play_t *play(double x, double items)
+{
+	return play_lengths(x, items, false);
+}
+
 static void play_free(play_t *p)
 {
 	ds_free(p->d);
@@ -229,6 +240,28 @@
 }
 END_TEST
 
+/* The same with items of different lengths, and with up to three times as many as the places carry.
+ * KNOWN-RED.txt: those due first are begun at the last moment, and most of them are late. */
+START_TEST(goodput_of_items_does_not_fall_in_overload)
+{
+	static const double loads[] = {1.8, 2.2, 3.0, 4.0};
+	play_t *fits = play_lengths(1.0, 1.4, true);
+
+	for (unsigned i = 0; i < sizeof(loads) / sizeof(loads[0]); i++) {
+		play_t *many = play_lengths(1.0, loads[i], true);
+
+		ck_assert_uint_eq(many->late, 0);
+		ck_assert_uint_ge(many->items_in_time, fits->items_in_time);
+		/* What is begun is mostly done in time, and gives way once in each of two peaks. */
+		ck_assert_uint_le(many->items_late * 10, many->items_in_time);
+		ck_assert_uint_le(many->stats.preempted,
+				  2 * (many->items_in_time + many->items_late));
+		play_free(many);
+	}
+	play_free(fits);
+}
+END_TEST
+
 /* 96 places of 0.7 s serve 137 requests a second; the goodput at overload must stay near that. */
 START_TEST(goodput_does_not_fall_at_twice_and_four_times_the_load)
 {
@@ -256,6 +289,7 @@
 	tcase_set_timeout(t, 60);
 	tcase_add_test(t, the_sheets_load_is_served_in_time_beside_batch);
 	tcase_add_test(t, too_many_items_do_not_make_all_of_them_late);
+	tcase_add_test(t, goodput_of_items_does_not_fall_in_overload);
 	tcase_add_test(t, goodput_does_not_fall_at_twice_and_four_times_the_load);
 	suite_add_tcase(s, t);
 	return suite_run(s);
