--- a/bench/days.py
+++ b/bench/days.py
@@ -62,7 +62,7 @@
         return sum(c["in_aim"] for c in classes) / owed if owed else 1.0
 
     return {
-        "worth": report["worth"] if "worth" in report else report["G"],
+        "worth": report["G"],
         "worst": min([c["worth"] for c in report["classes"]] or [0]),
         "online": share(online),
         "items": share(items),
@@ -102,19 +102,23 @@
         subprocess.run([bench, "build"], cwd=path, check=True, stdout=subprocess.DEVNULL)
     print(f"{'day':<12} {'tree':<14} {'worth':>6} {'worst':>6} {'online':>6} {'items':>6} {'cut':>7} {'conns':>7} {'broken':>6}")
     total = {}
+    missing = 0
     with concurrent.futures.ThreadPoolExecutor(a.jobs) as pool:
         runs = {(d, t[0], s): pool.submit(play, bench, t[0], site, d, s, a.cpu, f"{a.why}: {t[2] or t[0]}")
                 for d in days for t in trees for s in seeds}
         for d in days:
             for path, _, label in trees:
-                rows = [r.result() for k, r in runs.items() if k[:2] == (d, path)]
-                rows = [figures(r, batch) for r in rows if r]
+                reports = [r.result() for k, r in runs.items() if k[:2] == (d, path)]
+                rows = [figures(r, batch) for r in reports if r]
+                missing += len(reports) - len(rows)
                 if rows:
                     show(d, label or os.path.basename(path), mean(rows))
                     total.setdefault(path, []).append(mean(rows))
     for path, _, label in trees:
         if path in total:
             show("mean", label or os.path.basename(path), mean(total[path]))
+    if missing:
+        sys.exit(f"{missing} plays gave no report: the means don't compare the same plays")
 
 
 if __name__ == "__main__":
