Customers in the config: names, hashes of API keys, quotas, public routes

Cause: configs of the shifted deployment list customers with API keys, and say which routes need none. The code read neither, so every caller's request ran, with the caller's key.

Deltas of the routes carry the customers that changed, in a second message behind the routes, which a config without customers does not have: builds that don't know customers go on decoding those.

--- a/src/client/delta.c
+++ b/src/client/delta.c
@@ -2,6 +2,7 @@
 
 #include <isa-l/igzip_lib.h>
 #include <stdlib.h>
+#include <string.h>
 #include "proto/wire.h"
 
 /** Bytes by which n bytes of incompressible input can grow, with a margin. */
@@ -57,7 +58,7 @@
 		.name = wire_bytes(str_c(t->name)),
 		.host = wire_bytes(str_c(t->host)),
 		.prefix = wire_bytes(str_c(t->prefix)),
-		.kind = (u_int)t->kind,
+		.kind = (u_int)t->kind | (t->is_public ? LINK_ROUTE_PUBLIC : 0),
 		.shares = {(u_int)t->nshares, shares},
 		.timeout_ms = t->timeout_ms,
 		.objective_ms = t->objective_ms,
@@ -120,6 +121,39 @@
 	}
 }
 
+/* Appends the delta of the customers. A config without customers has none, as the builds that don't
+ * know customers expect. */
+static void encode_customers(const customers_t *base, const customers_t *t, buf_t *out)
+{
+	size_t nbase = base ? customers_count(base) : 0;
+	AUTO_FREE link_customer_t *put = mem_new((customers_count(t) + 1) * sizeof(*put));
+	AUTO_FREE wire_bytes_t *removed = mem_new((nbase + 1) * sizeof(*removed));
+	link_customers_t m = {.put = {0, put}, .removed = {0, removed}};
+
+	for (size_t i = 0; i < customers_count(t); i++) {
+		const customer_t *c = customers_at(t, i);
+		const customer_t *old = base ? customers_by_name(base, str_c(c->name)) : NULL;
+
+		if (old && customer_eq(old, c))
+			continue;
+		put[m.put.put_len++] = (link_customer_t){
+			.name = wire_bytes(str_c(c->name)),
+			.keys = wire_bytes(
+				(str_t){(const char *)c->keys, c->nkeys * sizeof(*c->keys)}),
+			.rate_per_s = c->rate_per_s,
+			.burst = c->burst,
+			.priority = c->priority,
+		};
+	}
+	for (size_t i = 0; i < nbase; i++) {
+		str_t name = str_c(customers_at(base, i)->name);
+
+		if (!customers_by_name(t, name))
+			removed[m.removed.removed_len++] = wire_bytes(name);
+	}
+	wire_encode(out, XDR_PROC(link_customers_t), &m);
+}
+
 status_t delta_pack(const route_table_t *base, const route_table_t *r, buf_t *out, uint32_t *size)
 {
 	AUTO_FREE link_share_t *shares = mem_new((count_shares(r) + 1) * sizeof(*shares));
@@ -143,6 +177,8 @@
 	encode_changed(base, r, &m, shares);
 	encode_removed(base, r, &m);
 	wire_encode(&plain, XDR_PROC(link_routes_t), &m);
+	if (r->customers)
+		encode_customers(base ? base->customers : NULL, r->customers, &plain);
 	if (plain.n > DELTA_SIZE_MAX)
 		return status_fail(STATUS_LIMIT, "route delta of %zu bytes exceeds the limit",
 				   plain.n);
@@ -170,7 +206,8 @@
 		.name = str_dup(wire_str(m->name)),
 		.host = str_dup(wire_str(m->host)),
 		.prefix = str_dup(wire_str(m->prefix)),
-		.kind = (route_kind_t)m->kind,
+		.kind = (route_kind_t)(m->kind & ~(u_int)LINK_ROUTE_PUBLIC),
+		.is_public = (m->kind & LINK_ROUTE_PUBLIC) != 0,
 		.shares = mem_new((m->shares.shares_len + 1) * sizeof(*to->shares)),
 		.nshares = m->shares.shares_len,
 		.timeout_ms = m->timeout_ms,
@@ -237,20 +274,87 @@
 	}
 }
 
+static status_t add_customer(customers_t *t, const link_customer_t *m)
+{
+	str_t keys = wire_str(m->keys);
+	customer_t c = {
+		.name = str_dup(wire_str(m->name)),
+		.keys = mem_new(keys.n + sizeof(*c.keys)),
+		.nkeys = keys.n / sizeof(*c.keys),
+		.rate_per_s = m->rate_per_s,
+		.burst = m->burst,
+		.priority = m->priority,
+	};
+
+	if (keys.n)
+		memcpy(c.keys, keys.p, c.nkeys * sizeof(*c.keys));
+	return customers_add(t, &c);
+}
+
+/* Adds the customers of base that the delta neither removes nor replaces. */
+static status_t add_kept_customers(const customers_t *base, const link_customers_t *m,
+				   customers_t *t)
+{
+	size_t n = customers_count(base);
+	AUTO_FREE bool *dropped = mem_new((n + 1) * sizeof(*dropped));
+	status_t st = STATUS_OK;
+	const customer_t *c;
+
+	for (u_int i = 0; i < m->put.put_len; i++) {
+		c = customers_by_name(base, wire_str(m->put.put_val[i].name));
+		if (c)
+			dropped[c - customers_at(base, 0)] = true;
+	}
+	for (u_int i = 0; i < m->removed.removed_len; i++) {
+		c = customers_by_name(base, wire_str(m->removed.removed_val[i]));
+		if (c)
+			dropped[c - customers_at(base, 0)] = true;
+	}
+	for (size_t i = 0; i < n && st == STATUS_OK; i++) {
+		customer_t copy;
+
+		if (dropped[i])
+			continue;
+		customer_copy(&copy, customers_at(base, i));
+		st = customers_add(t, &copy);
+	}
+	return st;
+}
+
+static status_t decode_customers(str_t plain, const customers_t *base, customers_t **out)
+{
+	customers_t *t = customers_new();
+	link_customers_t m;
+	status_t st = wire_decode(plain, XDR_PROC(link_customers_t), &m, sizeof(m));
+
+	if (st == STATUS_OK && base)
+		st = add_kept_customers(base, &m, t);
+	for (u_int i = 0; i < m.put.put_len && st == STATUS_OK; i++)
+		st = add_customer(t, &m.put.put_val[i]);
+	wire_free(XDR_PROC(link_customers_t), &m);
+	*out = t;
+	return st;
+}
+
 static status_t apply_delta(str_t plain, const route_table_t *base, route_table_t **out)
 {
 	route_table_t *r = route_table_new();
 	link_routes_t m;
-	status_t st = wire_decode(plain, XDR_PROC(link_routes_t), &m, sizeof(m));
+	str_t rest;
+	status_t st = wire_decode_first(plain, XDR_PROC(link_routes_t), &m, sizeof(m), &rest);
 
+	if (st == STATUS_OK && rest.n > 0)
+		st = decode_customers(rest, base ? base->customers : NULL, &r->customers);
 	if (st == STATUS_OK) {
 		r->version = m.label;
 		r->limits = (route_client_limits_t){m.header_bytes, m.body_bytes, m.header_ms,
 						    m.idle_ms};
 		decode_services(&m, r);
 		decode_routes(base, &m, r);
-		st = route_table_build(r) == STATUS_OK ? STATUS_OK : STATUS_CORRUPT;
+		st = route_table_build(r);
 	}
+	if (st == STATUS_INVALID)
+		st = STATUS_CORRUPT;
 	wire_free(XDR_PROC(link_routes_t), &m);
 	if (st != STATUS_OK) {
 		route_table_free(r);
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -162,12 +162,15 @@
 	http_parser_pause(&p->parser, 0);
 }
 
-str_t http_header(const http_head_t *h, const char *name)
+bool http_name_is(str_t s, const char *name)
 {
-	size_t n = strlen(name);
+	return s.n == strlen(name) && strncasecmp(s.p, name, s.n) == 0;
+}
 
+str_t http_header(const http_head_t *h, const char *name)
+{
 	for (size_t i = 0; i < h->nheaders; i++) {
-		if (h->headers[i].name.n == n && strncasecmp(h->headers[i].name.p, name, n) == 0)
+		if (http_name_is(h->headers[i].name, name))
 			return h->headers[i].value;
 	}
 	return (str_t){NULL, 0};
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -23,6 +23,8 @@
 	bool keep_alive;
 } http_head_t;
 
+/** True if s is this header name, ignoring case. */
+bool http_name_is(str_t s, const char *name);
 /** Value of the first header with this name, ignoring case; {NULL, 0} if there is none. */
 str_t http_header(const http_head_t *h, const char *name);
 /** Value of the first key=value with this key in the query of a target, still percent-encoded;
--- a/src/proto/link.x
+++ b/src/proto/link.x
@@ -81,6 +81,24 @@
 	hyper connections_max;
 };
 
+/* Bit of kind in link_route_t: requests need no key. */
+const LINK_ROUTE_PUBLIC = 0x100;
+
+/* Fields as in customer_t. */
+struct link_customer_t {
+	wire_bytes_t name;
+	wire_bytes_t keys;		/* hashes of its API keys, 16 bytes each */
+	hyper rate_per_s;
+	hyper burst;
+	hyper priority;
+};
+
+/* Delta of the customers; follows the link_routes_t of a config that has customers. */
+struct link_customers_t {
+	link_customer_t put<>;		/* added or changed */
+	wire_bytes_t removed<>;		/* names */
+};
+
 /* Delta from the routes of one config, or from none, to the routes of another. */
 struct link_routes_t {
 	unsigned hyper label;		/* the operators' version of the config */
@@ -166,6 +184,19 @@
 	LINK_OUTCOME_REPLICA_LEAVING = 7	/* the replica is leaving, so it was not called */
 };
 
+/* A slot request that counts against the quota of its customer. */
+struct link_customer_slot_request_t {
+	link_slot_request_t ask;
+	wire_bytes_t customer;
+};
+
+/* The leader refused a request because of the quota. */
+struct link_over_quota_t {
+	unsigned hyper request;		/* 0: a request of another entry */
+	wire_bytes_t customer;
+	int retry_ms;			/* time until a request fits */
+};
+
 struct link_ended_t {
 	unsigned hyper request;
 	wire_bytes_t replica;
@@ -300,7 +331,16 @@
 	LINK_PING = 15,
 	LINK_ITEM_PROGRESS = 16,
 	LINK_LEAVING = 18,
-	LINK_CONFIG_IN_FORCE = 17	/* the sender uses the routes of this config */
+	LINK_CONFIG_IN_FORCE = 17,	/* from an entry: it uses the routes of this config. The
+					   leader answers each with the newest config, confirmed by
+					   a majority after the message arrived; number 0: not
+					   confirmed. Leaders of older builds don't answer. */
+	LINK_CUSTOMER_SLOT_REQUEST = 19,
+	LINK_OVER_QUOTA = 20,
+	LINK_QUOTA_RETURN = 21,		/* a counted request of this customer has not run */
+	LINK_COUNTS_QUOTAS = 22,	/* from an entry, once the leader has answered its
+					   LINK_CONFIG_IN_FORCE: it knows the messages on quotas */
+	LINK_FLEET_ENTRIES = 23		/* number of entries that accept callers */
 };
 
 union link_msg_t switch (link_kind_t kind) {
@@ -334,6 +374,16 @@
 	link_leaving_t leaving_replica;
 case LINK_CONFIG_IN_FORCE:
 	link_config_id_t holds;
+case LINK_CUSTOMER_SLOT_REQUEST:
+	link_customer_slot_request_t customer_ask;
+case LINK_OVER_QUOTA:
+	link_over_quota_t over_quota;
+case LINK_QUOTA_RETURN:
+	wire_bytes_t customer;
+case LINK_COUNTS_QUOTAS:
+	void;
+case LINK_FLEET_ENTRIES:
+	unsigned int entries;
 case LINK_CALL:
 	link_call_t call;
 case LINK_REPLY:
--- a/src/proto/link_xdr.c
+++ b/src/proto/link_xdr.c
@@ -164,6 +164,38 @@
 	return TRUE;
 }
 
+bool_t
+xdr_link_customer_t (XDR *xdrs, link_customer_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_bytes_t (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_wire_bytes_t (xdrs, &objp->keys))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->rate_per_s))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->burst))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->priority))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_link_customers_t (XDR *xdrs, link_customers_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->put.put_val, (u_int *) &objp->put.put_len, ~0,
+		sizeof (link_customer_t), (xdrproc_t) xdr_link_customer_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->removed.removed_val, (u_int *) &objp->removed.removed_len, ~0,
+		sizeof (wire_bytes_t), (xdrproc_t) xdr_wire_bytes_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_link_routes_t (XDR *xdrs, link_routes_t *objp)
 {
@@ -402,6 +434,32 @@
 	return TRUE;
 }
 
+bool_t
+xdr_link_customer_slot_request_t (XDR *xdrs, link_customer_slot_request_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_link_slot_request_t (xdrs, &objp->ask))
+		 return FALSE;
+	 if (!xdr_wire_bytes_t (xdrs, &objp->customer))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_link_over_quota_t (XDR *xdrs, link_over_quota_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_wire_bytes_t (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->retry_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_link_ended_t (XDR *xdrs, link_ended_t *objp)
 {
@@ -761,6 +819,24 @@
 		 if (!xdr_link_config_id_t (xdrs, &objp->link_msg_t_u.holds))
 			 return FALSE;
 		break;
+	case LINK_CUSTOMER_SLOT_REQUEST:
+		 if (!xdr_link_customer_slot_request_t (xdrs, &objp->link_msg_t_u.customer_ask))
+			 return FALSE;
+		break;
+	case LINK_OVER_QUOTA:
+		 if (!xdr_link_over_quota_t (xdrs, &objp->link_msg_t_u.over_quota))
+			 return FALSE;
+		break;
+	case LINK_QUOTA_RETURN:
+		 if (!xdr_wire_bytes_t (xdrs, &objp->link_msg_t_u.customer))
+			 return FALSE;
+		break;
+	case LINK_COUNTS_QUOTAS:
+		break;
+	case LINK_FLEET_ENTRIES:
+		 if (!xdr_u_int (xdrs, &objp->link_msg_t_u.entries))
+			 return FALSE;
+		break;
 	case LINK_CALL:
 		 if (!xdr_link_call_t (xdrs, &objp->link_msg_t_u.call))
 			 return FALSE;
--- a/src/proto/link_xdr.h
+++ b/src/proto/link_xdr.h
@@ -101,6 +101,28 @@
 	quad_t connections_max;
 };
 typedef struct link_service_t link_service_t;
+#define LINK_ROUTE_PUBLIC 0x100
+
+struct link_customer_t {
+	wire_bytes_t name;
+	wire_bytes_t keys;
+	quad_t rate_per_s;
+	quad_t burst;
+	quad_t priority;
+};
+typedef struct link_customer_t link_customer_t;
+
+struct link_customers_t {
+	struct {
+		u_int put_len;
+		link_customer_t *put_val;
+	} put;
+	struct {
+		u_int removed_len;
+		wire_bytes_t *removed_val;
+	} removed;
+};
+typedef struct link_customers_t link_customers_t;
 
 struct link_routes_t {
 	u_quad_t label;
@@ -210,6 +232,19 @@
 };
 typedef enum link_outcome_t link_outcome_t;
 
+struct link_customer_slot_request_t {
+	link_slot_request_t ask;
+	wire_bytes_t customer;
+};
+typedef struct link_customer_slot_request_t link_customer_slot_request_t;
+
+struct link_over_quota_t {
+	u_quad_t request;
+	wire_bytes_t customer;
+	int retry_ms;
+};
+typedef struct link_over_quota_t link_over_quota_t;
+
 struct link_ended_t {
 	u_quad_t request;
 	wire_bytes_t replica;
@@ -353,6 +388,11 @@
 	LINK_ITEM_PROGRESS = 16,
 	LINK_LEAVING = 18,
 	LINK_CONFIG_IN_FORCE = 17,
+	LINK_CUSTOMER_SLOT_REQUEST = 19,
+	LINK_OVER_QUOTA = 20,
+	LINK_QUOTA_RETURN = 21,
+	LINK_COUNTS_QUOTAS = 22,
+	LINK_FLEET_ENTRIES = 23,
 };
 typedef enum link_kind_t link_kind_t;
 
@@ -374,6 +414,10 @@
 		link_item_progress_t progress;
 		link_leaving_t leaving_replica;
 		link_config_id_t holds;
+		link_customer_slot_request_t customer_ask;
+		link_over_quota_t over_quota;
+		wire_bytes_t customer;
+		u_int entries;
 		link_call_t call;
 		link_reply_t reply;
 	} link_msg_t_u;
@@ -392,6 +436,8 @@
 extern  bool_t xdr_link_route_t (XDR *, link_route_t*);
 extern  bool_t xdr_link_route_key_t (XDR *, link_route_key_t*);
 extern  bool_t xdr_link_service_t (XDR *, link_service_t*);
+extern  bool_t xdr_link_customer_t (XDR *, link_customer_t*);
+extern  bool_t xdr_link_customers_t (XDR *, link_customers_t*);
 extern  bool_t xdr_link_routes_t (XDR *, link_routes_t*);
 extern  bool_t xdr_link_config_t (XDR *, link_config_t*);
 extern  bool_t xdr_link_upstream_t (XDR *, link_upstream_t*);
@@ -401,6 +447,8 @@
 extern  bool_t xdr_link_grant_t (XDR *, link_grant_t*);
 extern  bool_t xdr_link_refuse_t (XDR *, link_refuse_t*);
 extern  bool_t xdr_link_outcome_t (XDR *, link_outcome_t*);
+extern  bool_t xdr_link_customer_slot_request_t (XDR *, link_customer_slot_request_t*);
+extern  bool_t xdr_link_over_quota_t (XDR *, link_over_quota_t*);
 extern  bool_t xdr_link_ended_t (XDR *, link_ended_t*);
 extern  bool_t xdr_link_item_run_t (XDR *, link_item_run_t*);
 extern  bool_t xdr_link_item_ref_t (XDR *, link_item_ref_t*);
@@ -427,6 +475,8 @@
 extern bool_t xdr_link_route_t ();
 extern bool_t xdr_link_route_key_t ();
 extern bool_t xdr_link_service_t ();
+extern bool_t xdr_link_customer_t ();
+extern bool_t xdr_link_customers_t ();
 extern bool_t xdr_link_routes_t ();
 extern bool_t xdr_link_config_t ();
 extern bool_t xdr_link_upstream_t ();
@@ -436,6 +486,8 @@
 extern bool_t xdr_link_grant_t ();
 extern bool_t xdr_link_refuse_t ();
 extern bool_t xdr_link_outcome_t ();
+extern bool_t xdr_link_customer_slot_request_t ();
+extern bool_t xdr_link_over_quota_t ();
 extern bool_t xdr_link_ended_t ();
 extern bool_t xdr_link_item_run_t ();
 extern bool_t xdr_link_item_ref_t ();
--- a/src/proto/wire.c
+++ b/src/proto/wire.c
@@ -34,7 +34,7 @@
 	str_cleanup_free(&tmp);
 }
 
-status_t wire_decode(str_t s, xdrproc_t proc, void *msg, size_t msg_size)
+status_t wire_decode_first(str_t s, xdrproc_t proc, void *msg, size_t msg_size, str_t *rest)
 {
 	XDR x;
 	bool_t ok;
@@ -45,11 +45,23 @@
 	ok = proc(&x, msg);
 	used = xdr_getpos(&x);
 	xdr_destroy(&x);
-	if (!ok || used != s.n)
+	*rest = (str_t){s.p + used, s.n - used};
+	if (!ok)
 		return status_fail(STATUS_CORRUPT, "malformed XDR message of %zu bytes", s.n);
 	return STATUS_OK;
 }
 
+status_t wire_decode(str_t s, xdrproc_t proc, void *msg, size_t msg_size)
+{
+	str_t rest;
+	status_t st = wire_decode_first(s, proc, msg, msg_size, &rest);
+
+	if (st == STATUS_OK && rest.n > 0)
+		return status_fail(STATUS_CORRUPT, "%zu bytes after an XDR message of %zu", rest.n,
+				   s.n - rest.n);
+	return st;
+}
+
 void wire_dup(xdrproc_t proc, const void *msg, void *out, size_t msg_size)
 {
 	AUTO_BUF copy = {0};
--- a/src/proto/wire.h
+++ b/src/proto/wire.h
@@ -18,6 +18,8 @@
 /** Decodes all of s into *msg, which is zeroed first. STATUS_CORRUPT: malformed, or s is longer
  * than the message. The caller frees with wire_free, also after an error. */
 status_t wire_decode(str_t s, xdrproc_t proc, void *msg, size_t msg_size);
+/** Decodes the first message in s like wire_decode. *rest: the bytes after it. */
+status_t wire_decode_first(str_t s, xdrproc_t proc, void *msg, size_t msg_size, str_t *rest);
 /** Makes *out a deep copy of msg, both of msg_size bytes; the caller frees it with wire_free. */
 void wire_dup(xdrproc_t proc, const void *msg, void *out, size_t msg_size);
 /** Frees what msg owns, not msg itself. */
--- a/src/state/config.c
+++ b/src/state/config.c
@@ -293,7 +293,7 @@
 		{"weight_loads_per_min", TOML_INT, false, 1, RATE_MAX, &cfg->weight_loads_per_min},
 		{0},
 	};
-	const char *const sub[] = {"service", "limit", "route", NULL};
+	const char *const sub[] = {"service", "limit", "route", "customer", NULL};
 	status_t st = toml_read(doc, toml_root(doc), keys, sub);
 
 	if (st == STATUS_OK)
--- a/src/state/config_routes.c
+++ b/src/state/config_routes.c
@@ -1,4 +1,4 @@
-/* Routes of the operators' config. */
+/* Routes and customers of the operators' config. */
 #include <stdlib.h>
 #include <string.h>
 #include "state/config_internal.h"
@@ -11,6 +11,8 @@
 #define ATTEMPTS_MAX	   16
 #define PRIORITY_MAX	   9
 #define TOKENS_MAX	   (1LL << 50)
+#define KEYS_MAX	   64
+#define RATE_MAX	   1000000000LL
 #define TIMEOUT_DEFAULT_MS 30000
 /** Limits on what clients send; this config format has no keys for them. Usual values of HTTP
  * servers. */
@@ -72,6 +74,7 @@
 		{"priority", TOML_INT, false, 0, PRIORITY_MAX, &r->priority},
 		{"waiting_tokens_max", TOML_INT, false, 0, TOKENS_MAX, &r->waiting_tokens_max},
 		{"resumable", TOML_BOOL, false, 0, 0, &r->resumable},
+		{"public", TOML_BOOL, false, 0, 0, &r->is_public},
 		{0},
 	};
 	status_t st;
@@ -89,6 +92,51 @@
 	return st;
 }
 
+static status_t read_customer(const toml_doc_t *doc, const toml_table_t *t, customers_t *out)
+{
+	toml_strs_t secrets = {0};
+	customer_t c = {.priority = CUSTOMER_NO_PRIORITY};
+	const toml_key_t keys[] = {
+		{"name", TOML_STR, true, 1, CUSTOMER_NAME_BYTES_MAX, &c.name},
+		{"keys", TOML_STRS, true, 0, KEYS_MAX, &secrets},
+		{"rate_per_s", TOML_INT, false, 0, RATE_MAX, &c.rate_per_s},
+		{"burst", TOML_INT, false, 0, RATE_MAX, &c.burst},
+		{"priority", TOML_INT, false, 0, PRIORITY_MAX, &c.priority},
+		{0},
+	};
+	status_t st = toml_read(doc, t, keys, NULL);
+
+	c.keys = mem_new((secrets.n + 1) * sizeof(*c.keys));
+	for (size_t i = 0; i < secrets.n && st == STATUS_OK; i++) {
+		str_t key = str_c(secrets.v[i]);
+
+		if (key.n == 0 || key.n > CUSTOMER_KEY_BYTES_MAX)
+			st = status_fail(STATUS_INVALID,
+					 "%s:%d: keys: key %zu is empty or longer than %d bytes",
+					 toml_name(doc), toml_line(t, "keys"), i + 1,
+					 CUSTOMER_KEY_BYTES_MAX);
+		else
+			c.keys[c.nkeys++] = customer_key_hash(key);
+	}
+	toml_strs_free(&secrets);
+	if (st == STATUS_OK)
+		return customers_add(out, &c);
+	customer_free_contents(&c);
+	return st;
+}
+
+static status_t read_customers(const toml_doc_t *doc, route_table_t *r)
+{
+	size_t n = toml_table_count(toml_root(doc), "customer");
+	status_t st = STATUS_OK;
+
+	if (n > 0)
+		r->customers = customers_new();
+	for (size_t i = 0; i < n && st == STATUS_OK; i++)
+		st = read_customer(doc, toml_table_at(toml_root(doc), "customer", i), r->customers);
+	return st;
+}
+
 static void copy_services(const config_t *cfg, route_table_t *r)
 {
 	r->services = mem_new((cfg->nservices + 1) * sizeof(*r->services));
@@ -111,6 +159,7 @@
 
 	r->limits = (route_client_limits_t){HEADER_BYTES, BODY_BYTES, HEADER_MS, IDLE_MS};
 	copy_services(cfg, r);
+	st = read_customers(doc, r);
 	r->routes = mem_new((n + 1) * sizeof(*r->routes));
 	for (size_t i = 0; i < n && st == STATUS_OK; i++) {
 		r->nroutes = i + 1;
--- a/src/state/lots.c
+++ b/src/state/lots.c
@@ -43,6 +43,34 @@
 	uint64_t serial;
 };
 
+/** Ends the owner in the id of a lot, and the route in an account. Neither ids, which come from
+ * headers and paths, nor names of customers contain it. */
+#define OWNER_SEPARATOR '\n'
+
+void lot_id_make(buf_t *out, str_t owner, str_t id)
+{
+	if (owner.n > 0) {
+		buf_add(out, owner);
+		buf_addc(out, OWNER_SEPARATOR);
+	}
+	buf_add(out, id);
+}
+
+str_t lot_id_owner(str_t id)
+{
+	const char *end = id.n ? memchr(id.p, OWNER_SEPARATOR, id.n) : NULL;
+
+	return (str_t){id.p, end ? (size_t)(end - id.p) : 0};
+}
+
+void lot_account_make(buf_t *route, str_t owner)
+{
+	if (owner.n == 0)
+		return;
+	buf_addc(route, OWNER_SEPARATOR);
+	buf_add(route, owner);
+}
+
 lots_t *lots_new(void)
 {
 	return mem_new(sizeof(lots_t));
--- a/src/state/lots.h
+++ b/src/state/lots.h
@@ -35,7 +35,7 @@
 
 typedef struct lot {
 	char *id;
-	char *route;
+	char *route; /* what it counts against: route and owner, see lot_account_make */
 	char *host;
 	uint64_t serial; /* grows with each lot accepted */
 	int64_t due_wall_ms; /* all results are due then */
@@ -49,6 +49,16 @@
 	UT_hash_handle hh; /* in order of acceptance */
 } lot_t;
 
+/** Appends the id under which a lot is stored: each owner has ids of its own, so that no customer
+ * can find or take the id of another's lot. owner: name of a customer; empty: the lot belongs to
+ * nobody. */
+void lot_id_make(buf_t *out, str_t owner, str_t id);
+/** Owner of the lot that is stored under this id; empty: none. */
+str_t lot_id_owner(str_t id);
+/** Appends the owner to the route that a lot counts against: each customer has its own quota of
+ * waiting tokens on a route. */
+void lot_account_make(buf_t *route, str_t owner);
+
 typedef struct lots lots_t;
 
 lots_t *lots_new(void);
--- a/src/state/route_table.c
+++ b/src/state/route_table.c
@@ -47,6 +47,7 @@
 		free(r->services[i].name);
 		free(r->services[i].health_path);
 	}
+	customers_free(r->customers);
 	free(r->routes);
 	free(r->services);
 	free(r);
@@ -66,6 +67,15 @@
 	return NULL;
 }
 
+bool route_table_has_public_lots(const route_table_t *r)
+{
+	for (size_t i = 0; i < r->nroutes; i++) {
+		if (r->routes[i].kind == ROUTE_BATCH && r->routes[i].is_public)
+			return true;
+	}
+	return false;
+}
+
 static status_t check_shares(const route_table_t *r, const route_spec_t *t)
 {
 	int64_t sum = 0;
@@ -184,7 +194,8 @@
 	       a->pause_ms == b->pause_ms && a->give_up_ms == b->give_up_ms &&
 	       a->due_ms == b->due_ms && a->retention_ms == b->retention_ms &&
 	       a->attempts == b->attempts && a->priority == b->priority &&
-	       a->waiting_tokens_max == b->waiting_tokens_max && a->resumable == b->resumable;
+	       a->waiting_tokens_max == b->waiting_tokens_max && a->resumable == b->resumable &&
+	       a->is_public == b->is_public;
 }
 
 /* Every prefix ends with a slash, so only prefixes of the path that end with one are looked up. */
--- a/src/state/route_table.h
+++ b/src/state/route_table.h
@@ -8,6 +8,7 @@
 #include <stdint.h>
 #include "base/status.h"
 #include "base/str.h"
+#include "state/customers.h"
 
 typedef enum {
 	ROUTE_REPEATABLE, /* may run more than once */
@@ -40,6 +41,7 @@
 	int64_t priority; /* 0 is the highest */
 	int64_t waiting_tokens_max; /* ROUTE_BATCH: quota for all callers together; 0: none */
 	bool resumable;
+	bool is_public; /* requests need no key although the table has customers */
 } route_spec_t;
 
 typedef struct {
@@ -64,6 +66,7 @@
 	route_service_t *services;
 	size_t nservices;
 	route_client_limits_t limits;
+	customers_t *customers; /* NULL: requests need no key */
 	struct route_index_node *nodes; /* one per route */
 	struct route_index_node *index; /* by host and prefix; NULL before route_table_build */
 	size_t prefix_max; /* bytes of the longest prefix */
@@ -86,6 +89,8 @@
 bool route_spec_eq(const route_spec_t *a, const route_spec_t *b);
 /** Picks a service by weight; equal random values give equal answers. */
 const char *route_pick_service(const route_spec_t *r, uint64_t rnd);
+/** True if a batch route needs no key. */
+bool route_table_has_public_lots(const route_table_t *r);
 /** Returns the service with this name, or NULL. */
 const route_service_t *route_table_service(const route_table_t *r, str_t name);
 
