--- a/src/policy/bucket.c
+++ b/src/policy/bucket.c
@@ -32,6 +32,10 @@
 	if (elapsed_ms <= 0)
 		return;
 	t->refilled_ms = now_ms;
+	if (t->millitokens > full_milli) {
+		t->millitokens = full_milli;
+		return;
+	}
 	/* 1 token/s is 1 millitoken/ms. The comparison avoids an overflow of the product below. */
 	if (rate_per_s > 0 && elapsed_ms >= (full_milli - t->millitokens) / rate_per_s + 1)
 		t->millitokens = full_milli;
@@ -39,21 +43,39 @@
 		t->millitokens += elapsed_ms * rate_per_s;
 }
 
-bool bucket_take(bucket_t *t, int64_t rate_per_s, int64_t burst, int64_t now_ms,
-		 int64_t *retry_after_ms)
+bool bucket_take_n(bucket_t *t, int64_t n, int64_t rate_per_s, int64_t burst, int64_t now_ms,
+		   int64_t max_wait_ms, int64_t *wait_ms)
 {
+	int64_t cost_milli = n * MILLI;
+
 	assert(rate_per_s >= 0 && burst >= 0);
 	refill(t, rate_per_s, burst, now_ms);
-	*retry_after_ms = 0;
-	if (t->millitokens >= MILLI) {
-		t->millitokens -= MILLI;
-		return true;
-	}
-	if (rate_per_s == 0 || burst == 0)
-		*retry_after_ms = INT64_MAX;
-	else
-		*retry_after_ms = (MILLI - t->millitokens + rate_per_s - 1) / rate_per_s;
-	return false;
+	*wait_ms = 0;
+	if (t->millitokens < cost_milli)
+		*wait_ms = rate_per_s == 0 || burst == 0
+				   ? INT64_MAX
+				   : (cost_milli - t->millitokens + rate_per_s - 1) / rate_per_s;
+	if (*wait_ms > max_wait_ms)
+		return false;
+	t->millitokens -= cost_milli;
+	return true;
+}
+
+bool bucket_take(bucket_t *t, int64_t rate_per_s, int64_t burst, int64_t now_ms,
+		 int64_t *retry_after_ms)
+{
+	return bucket_take_n(t, 1, rate_per_s, burst, now_ms, 0, retry_after_ms);
+}
+
+void bucket_init(bucket_t *t, int64_t tokens, int64_t now_ms)
+{
+	assert(now_ms != 0);
+	*t = (bucket_t){tokens * MILLI, now_ms};
+}
+
+void bucket_return(bucket_t *t, int64_t n)
+{
+	t->millitokens += n * MILLI;
 }
 
 bucket_map_t *bucket_map_new(size_t max)
--- a/src/policy/bucket.h
+++ b/src/policy/bucket.h
@@ -1,4 +1,4 @@
-/** Token buckets: the rate limit of each caller of an entry. Pure. */
+/** Token buckets: the rate limit of each caller of an entry, and quotas. Pure. */
 #ifndef AUBURN_BUCKET_H
 #define AUBURN_BUCKET_H
 
@@ -17,6 +17,15 @@
 bool bucket_take(bucket_t *t, int64_t rate_per_s, int64_t burst, int64_t now_ms,
 		 int64_t *retry_after_ms);
 
+/** Takes n tokens at once, like bucket_take; burst must be at least n. Tokens that will be there
+ * within max_wait_ms may be taken in advance: *wait_ms is the time until then. */
+bool bucket_take_n(bucket_t *t, int64_t n, int64_t rate_per_s, int64_t burst, int64_t now_ms,
+		   int64_t max_wait_ms, int64_t *wait_ms);
+/** Gives a bucket this many tokens as of now_ms, which must not be 0. */
+void bucket_init(bucket_t *t, int64_t tokens, int64_t now_ms);
+/** Puts tokens back that were taken; the next take cuts off what exceeds the burst. */
+void bucket_return(bucket_t *t, int64_t n);
+
 /** Buckets by caller; at the maximum size, the least recently used bucket is evicted. */
 typedef struct bucket_map bucket_map_t;
 bucket_map_t *bucket_map_new(size_t max);
