Entries identify customers, prove their config and count quotas

Change: front/front_customer decides who calls: route first, then the key (401 with a challenge), then the proof. Without a proof a request with a key is held for up to 0.5 s where one will come soon (a process that has just started or was frozen), else refused with 503 at once; public routes go on. The key is looked up once more when the request is first sent to a replica. Streams that run are finished. control/hub_proof answers the questions of all entries with one read barrier every 50 ms; control/hub_quota counts requests before the dispatcher gets them and delays those that fit in time. A customer's priority goes before the route's. Calls on lots need a key of the lot's owner.

New messages on links are sent only after the other end has shown that it knows them: an entry's report of its config is the question, and a leader of an older build does not answer it.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -58,6 +58,9 @@
 	int64_t tolerate; /* number of control processes whose disks may be lost at once, which
 			     gives the number of voters; 0: as many voters as `controls` */
 	int64_t memory_mib; /* memory of the process, of which lots may fill a part; 0: no limit */
+	int64_t quota_window_s; /* window in which quotas of customers are judged */
+	double quota_over; /* share of a quota by which a window may exceed it */
+	int64_t quota_slack; /* requests beyond that share */
 	int64_t lot_ttl_ms; /* how long results can be read after the lot was accepted, at least */
 	bool bootstrap; /* this process may found a fleet */
 	int64_t ledger_groups; /* number of ledger groups */
--- a/src/control/control_settings.c
+++ b/src/control/control_settings.c
@@ -15,6 +15,11 @@
 #define DEFAULT_LOT_TTL_MS	 120000
 #define ROUTES_MAX		 64
 #define PORT_MAX		 65535
+#define DEFAULT_QUOTA_WINDOW_S	 5
+#define DEFAULT_QUOTA_OVER	 0.1
+#define DEFAULT_QUOTA_SLACK	 20
+#define QUOTA_WINDOW_S_MAX	 3600
+#define QUOTA_SLACK_MAX		 1000000
 
 static status_t check_addrs(const toml_doc_t *c, const char *key, const toml_strs_t *s)
 {
@@ -80,6 +85,9 @@
 		{"tolerate", TOML_INT, false, 0, (GROUP_PEERS_MAX - 1) / 2, &s->tolerate},
 		{"memory_mib", TOML_INT, false, 0, 1048576, &s->memory_mib},
 		{"lot_ttl_ms", TOML_INT, false, 1000, 86400000, &s->lot_ttl_ms},
+		{"quota_window_s", TOML_INT, false, 1, QUOTA_WINDOW_S_MAX, &s->quota_window_s},
+		{"quota_over", TOML_REAL, false, 0, 1, &s->quota_over},
+		{"quota_slack", TOML_INT, false, 0, QUOTA_SLACK_MAX, &s->quota_slack},
 		{"bootstrap", TOML_BOOL, false, 0, 0, &s->bootstrap},
 		{"ledger_groups", TOML_INT, false, 0, CONTROL_GROUPS_MAX - 1, &s->ledger_groups},
 		{"tick_ms", TOML_INT, false, 5, 1000, &s->tick_ms},
@@ -104,6 +112,9 @@
 		.snapshot_entries = DEFAULT_SNAPSHOT_ENTRIES,
 		.snapshot_mib = DEFAULT_SNAPSHOT_MIB,
 		.lot_ttl_ms = DEFAULT_LOT_TTL_MS,
+		.quota_window_s = DEFAULT_QUOTA_WINDOW_S,
+		.quota_over = DEFAULT_QUOTA_OVER,
+		.quota_slack = DEFAULT_QUOTA_SLACK,
 	};
 	st = toml_load(path, &c);
 	if (st == STATUS_OK)
--- a/src/control/hub.c
+++ b/src/control/hub.c
@@ -199,6 +199,8 @@
 		hub_handle_call(h, &from, &m.link_msg_t_u.call.what);
 	} else if (m.kind == LINK_CONFIG_IN_FORCE) {
 		hub_routes_ack(h, p, &m.link_msg_t_u.holds);
+		if (h->role == HUB_LEADER && p->registered && p->addr[0])
+			hub_proof_question(h, p);
 	} else if (m.kind != LINK_PING && h->role == HUB_LEADER && p->registered) {
 		hub_dispatch_message(h, p, &m);
 	}
@@ -340,6 +342,7 @@
 	log_event(LOG_LEVEL_INFO, "dispatch_begins", LOG_INT("term", h->term));
 	leader_link_set_idle(h->leader_link, true);
 	hub_routes_start_leading(h);
+	hub_quota_start_leading(h);
 	hub_dispatch_start_leading(h);
 	hub_view_start_leading(h);
 }
@@ -355,6 +358,7 @@
 	close_announce_links(h);
 	hub_lots_stop_leading(h);
 	hub_dispatch_stop_leading(h);
+	hub_quota_stop_leading(h);
 	hub_routes_stop_leading(h);
 	close_links(h);
 	leader_link_set_idle(h->leader_link, false);
@@ -421,6 +425,8 @@
 	announce_leader(h, now);
 	hub_routes_tick(h, now);
 	hub_view_tick(h, now);
+	hub_proof_tick(h, now);
+	hub_quota_tick(h, now);
 	hub_lots_tick(h, now);
 	dispatch_tick(h->dispatch, now);
 }
--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -26,6 +26,7 @@
 #include "net/worker.h"
 #include "policy/dispatch.h"
 #include "policy/leaving.h"
+#include "policy/quota.h"
 #include "policy/ring.h"
 #include "policy/fanout.h"
 #include "state/lots.h"
@@ -51,6 +52,8 @@
 	msgconn_t *link;
 	bool registered; /* its hello arrived while this process leads */
 	bool draining;
+	bool counts_quotas; /* an entry that knows the messages on quotas */
+	u_int sent_fleet_entries; /* number of entries that it was last told */
 	char name[64];
 	char addr[32]; /* ip:port for callers; empty for a control process */
 	char zone[32];
@@ -107,6 +110,16 @@
 	struct hub_waiter *next;
 } hub_waiter_t;
 
+/** A request that is handed to the dispatcher when it fits into its customer's quota. */
+typedef struct hub_delayed {
+	uint64_t peer;
+	link_slot_request_t ask; /* owned */
+	deadline_t since;
+	deadline_t at;
+	struct hub_delayed *prev;
+	struct hub_delayed *next;
+} hub_delayed_t;
+
 /** Changes of lots gathered for the next commit, and the calls that wait for it. */
 typedef struct {
 	wire_lots_cmd_t cmd;
@@ -165,6 +178,13 @@
 	route_table_t *routes; /* in force: recent_routes[0]; NULL: none yet */
 	bool decoding; /* a worker is decoding a newer config */
 	uint64_t config_seen; /* number of the newest config that was decoded, or could not be */
+	uint64_t *questions; /* peers that ask which config is the newest, in order */
+	size_t nquestions;
+	size_t questions_cap;
+	bool confirming; /* a read barrier for earlier questions is in progress */
+	deadline_t next_confirmation; /* earliest time of the next one */
+	hub_delayed_t *delayed; /* requests that fit into a quota later */
+	quota_t *quota; /* NULL while this process does not lead */
 	fanout_t *fan_out; /* of route deltas; NULL while this process does not lead */
 	hub_lot_t *lots;
 	uint64_t last_lot_serial; /* of the newest lot added to the dispatcher */
@@ -228,6 +248,26 @@
 /** Handles an entry's report of the config whose routes it has. */
 void hub_routes_ack(hub_t *h, const hub_peer_t *p, const link_config_id_t *holds);
 
+/* hub_proof.c: tells entries which config is the newest */
+
+/** Queues the question of an entry. */
+void hub_proof_question(hub_t *h, const hub_peer_t *p);
+/** Starts to confirm the newest config for the queued questions. */
+void hub_proof_tick(hub_t *h, deadline_t now);
+
+/* hub_quota.c: quotas of customers */
+
+void hub_quota_start_leading(hub_t *h);
+void hub_quota_stop_leading(hub_t *h);
+/** Marks an entry as one that knows the messages on quotas, and tells it the number of entries. */
+void hub_quota_add_peer(hub_t *h, hub_peer_t *p);
+/** Tells the entries when their number has changed, and hands delayed requests to the dispatcher.
+ */
+void hub_quota_tick(hub_t *h, deadline_t now);
+/** Counts a request. Returns true if the dispatcher is to get it now; otherwise it gets it later,
+ * or the entry is told that the customer is over quota. */
+bool hub_quota_take(hub_t *h, hub_peer_t *p, const link_customer_slot_request_t *m);
+
 /* hub_dispatch.c: connects the dispatcher to entries and lots */
 
 void hub_dispatch_start_leading(hub_t *h);
@@ -235,6 +275,8 @@
 /** Handles a hello of an entry: adds or updates the entry in the dispatcher, records the leaving
  * replicas and adopts the runs that the hello lists. Ignores control processes. */
 void hub_dispatch_hello(hub_t *h, hub_peer_t *p, const link_hello_t *hello);
+/** Hands a request for a slot to the dispatcher. */
+void hub_dispatch_request(hub_t *h, hub_peer_t *p, const link_slot_request_t *m);
 void hub_dispatch_message(hub_t *h, hub_peer_t *p, const link_msg_t *m);
 /** Routes the items again after a change of the config. */
 void hub_dispatch_reroute(hub_t *h);
--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -364,7 +364,7 @@
 		adopt_run(h, p, &hello->runs.runs_val[i]);
 }
 
-static void on_slot_request(hub_t *h, hub_peer_t *p, const link_slot_request_t *m)
+void hub_dispatch_request(hub_t *h, hub_peer_t *p, const link_slot_request_t *m)
 {
 	deadline_t now = clock_now_ms();
 	dispatch_request_t a = {
@@ -455,7 +455,17 @@
 {
 	switch (m->kind) {
 	case LINK_SLOT_REQUEST:
-		on_slot_request(h, p, &m->link_msg_t_u.ask);
+		hub_dispatch_request(h, p, &m->link_msg_t_u.ask);
+		break;
+	case LINK_CUSTOMER_SLOT_REQUEST:
+		if (hub_quota_take(h, p, &m->link_msg_t_u.customer_ask))
+			hub_dispatch_request(h, p, &m->link_msg_t_u.customer_ask.ask);
+		break;
+	case LINK_QUOTA_RETURN:
+		quota_return(h->quota, wire_str(m->link_msg_t_u.customer), 1);
+		break;
+	case LINK_COUNTS_QUOTAS:
+		hub_quota_add_peer(h, p);
 		break;
 	case LINK_WITHDRAW:
 		dispatch_request_withdraw(h->dispatch, p->id, m->link_msg_t_u.request);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -23,6 +23,8 @@
 #include "platform/platform.h"
 #include "policy/dispatch.h"
 #include "policy/leaving.h"
+#include "policy/proof.h"
+#include "policy/quota.h"
 #include "state/route_table.h"
 
 typedef struct {
@@ -37,6 +39,8 @@
 	int64_t rpc_port; /* accepted but not used */
 	int64_t link_port; /* port on which all control processes accept links from entries */
 	int64_t grace_s; /* maximum duration of a planned stop */
+	int64_t revoke_ms; /* within which a revoked key stops working, also at an entry that is cut
+			      off; 0: only as configs arrive */
 } front_settings_t;
 
 /** Loads the settings file. *s is to be freed after a failure, too. */
@@ -77,6 +81,13 @@
 	route_table_t *routes; /* NULL until the first config is in force */
 	uint64_t routes_version;
 	link_config_id_t config_id; /* of the config that routes belongs to */
+	proof_t proof; /* that the config in force is the newest */
+	bool proof_valid; /* as of the last look */
+	deadline_t proof_lost_at; /* 0: never */
+	bool leader_counts; /* the linked leader counts requests against quotas */
+	deadline_t next_question; /* which config is the newest */
+	quota_t *quota; /* this entry's share of the quotas, for when there is no leader */
+	unsigned fleet_entries; /* as the last leader said; 0: unknown */
 	worker_pool_t *decoder; /* one thread: decodes one config at a time */
 	bool decoding; /* decoder is decoding a config */
 	link_config_t pending_config; /* the last that arrived during decoding; owned */
@@ -113,6 +124,42 @@
  * the config in force, only reports the id of the config in force. Of the configs that arrive
  * during decoding, only the last is decoded. */
 void front_routes_update(front_t *f, const link_config_t *m);
+/** Tells the leader that this config is in force here, which also asks it for the newest one. */
+void front_routes_report(front_t *f, link_config_id_t id);
+
+/* front_customer.c: customers, their API keys and their quotas */
+
+/** Who calls. */
+typedef struct {
+	const customer_t *customer; /* in the config in force; NULL: no key is needed */
+	customer_key_t key;
+} front_caller_t;
+
+void front_customer_start(front_t *f);
+/** Records that the leader was asked for the newest config. */
+void front_customer_asked(front_t *f);
+void front_customer_link_up(front_t *f);
+void front_customer_link_down(front_t *f);
+/** Asks for the newest config once in a period, and logs the loss of the proof. */
+void front_customer_tick(front_t *f, deadline_t now);
+/** Handles the leader's answer which config is the newest. */
+void front_customer_newest(front_t *f, const link_config_id_t *id);
+/** Identifies the caller of a request. Returns false if the request was answered, with 401, or is
+ * held or refused for want of a proof. */
+bool front_identify(front_t *f, http_conn_t *c, const http_request_t *r,
+		    const platform_call_t *call, bool key_needed, front_caller_t *out);
+/** False if the config in force no longer has the key with which the request was sent. */
+bool front_request_key_is_valid(const front_request_t *q);
+/** Counts a request against the quota of its customer, unless it is counted already: here, or by
+ * the leader, which refuses it later if it does not fit. If it does not fit here, returns false and
+ * sets *retry_ms. */
+bool front_quota_take(front_t *f, front_request_t *q, int64_t *retry_ms);
+/** Gives back the count of a request that has not run. */
+void front_quota_return(front_t *f, front_request_t *q);
+/** Handles the leader's refusal of a request, here or at another entry, because of a quota. */
+void front_quota_exceeded(front_t *f, const link_over_quota_t *m);
+/** Limits a time after which a request fits into a quota. */
+int64_t front_quota_retry_ms(int64_t retry_ms);
 
 /* front_slot.c: slot requests to the leader or, while there is none, to a local dispatcher */
 
@@ -179,6 +226,14 @@
 	FRONT_REQUEST_RUNNING /* on a replica */
 } front_request_state_t;
 
+/** Who counts a request against the quota of its customer. */
+typedef enum {
+	FRONT_NOT_COUNTED,
+	FRONT_COUNTED_HERE,
+	FRONT_ASKS_LEADER_TO_COUNT, /* with the next slot request */
+	FRONT_COUNTED_BY_LEADER
+} front_count_t;
+
 struct front_request {
 	front_t *f;
 	http_conn_t *conn;
@@ -188,6 +243,9 @@
 	front_request_state_t state;
 	char service[64];
 	char replica[64]; /* of the current or last attempt */
+	char *customer; /* name; NULL: the route needs no key */
+	customer_key_t key; /* with which it was sent, if customer is set */
+	front_count_t counted_by;
 	route_kind_t kind;
 	bool resumable;
 	bool returning; /* the caller has probably waited at another entry: the request counts as
@@ -223,7 +281,8 @@
 
 /** Begins an online request: requests its first slot. */
 void front_request_begin(front_t *f, http_conn_t *c, const http_request_t *r,
-			 const platform_call_t *call, const route_spec_t *route);
+			 const platform_call_t *call, const route_spec_t *route,
+			 const front_caller_t *caller);
 void front_request_caller_left(front_request_t *q);
 /** A slot was granted: starts an attempt on the replica. If the replica leaves or its address is
  * unknown (addr is empty), requests another slot instead; ends the request if an unknown address
@@ -231,6 +290,8 @@
 void front_request_granted(front_request_t *q, replica_ref_t replica, str_t addr);
 /** No slot was granted: ends the request. */
 void front_request_refused(front_request_t *q, int64_t retry_ms);
+/** The customer's quota is used up: ends the request. by: who counted, for the log. */
+void front_request_over_quota(front_request_t *q, int64_t retry_ms, const char *by);
 /** True while the request waits for a slot. */
 bool front_request_is_waiting(const front_request_t *q);
 front_request_t *front_request_find(front_t *f, uint64_t number);
@@ -252,11 +313,13 @@
 /** Number of items that run, or that ended and are not reported yet. */
 size_t front_item_count(const front_t *f);
 
-/* front_held.c: requests that arrive before the first config */
+/* front_held.c: requests that arrive before the first config, or before the first proof */
 
-/** Holds a request; refuses it if the process has run for some seconds without a config. */
-void front_held_add(front_t *f, http_conn_t *c, const http_request_t *r);
-/** Serves all held requests; called when a config is in force. */
+/** Holds a request. missing: what it waits for; since: when that was first missing, some seconds
+ * ago: the request is refused instead. */
+void front_held_add(front_t *f, http_conn_t *c, const http_request_t *r, const char *missing,
+		    deadline_t since);
+/** Serves all held requests; called when a config is in force, or proved to be the newest. */
 void front_held_release(front_t *f);
 /** Refuses the requests that were held for too long. */
 void front_held_expire(front_t *f, deadline_t now);
@@ -270,9 +333,11 @@
 
 /** A request to a batch route: opens a lot with the items in its body. */
 void front_lot_open(front_t *f, http_conn_t *c, const http_request_t *r,
-		    const platform_call_t *call, const route_spec_t *route);
+		    const platform_call_t *call, const route_spec_t *route,
+		    const front_caller_t *caller);
 /** Reads a lot's results or the body submitted for one of its open items, or ends the lot. */
-void front_lot_call(front_t *f, http_conn_t *c, const platform_call_t *call);
+void front_lot_call(front_t *f, http_conn_t *c, const platform_call_t *call,
+		    const front_caller_t *caller);
 
 /** The data of a caller's connection while a request is answered: this struct, or one that begins
  * with it. */
--- a/src/front/front_item.c
+++ b/src/front/front_item.c
@@ -5,6 +5,7 @@
 #include <utlist.h>
 #include "base/log.h"
 #include "front/front.h"
+#include "state/lots.h"
 
 /** Silence timeout of a run, after which the leader starts another one: many times the usual pause
  * between events, because no caller waits for the next event. */
@@ -179,7 +180,13 @@
 		end_item(it, LINK_ITEM_END_UNFINISHED, DISPATCH_REPLICA_LEAVING);
 		return;
 	}
-	s = (platform_send_t){wire_str(it->spec.replica), m->deadline_ms, it->events};
+	s = (platform_send_t){
+		.replica = wire_str(it->spec.replica),
+		.caller_timeout_ms = m->deadline_ms,
+		.last_event_id = it->events,
+		.identified = f->routes && f->routes->customers,
+		.customer = lot_id_owner(wire_str(it->spec.job)),
+	};
 	platform_item_encode(&req, &it->spec, &s);
 	it->attempt = front_attempt_start(&(front_attempt_options_t){
 		.f = f,
--- a/src/front/front_link.c
+++ b/src/front/front_link.c
@@ -124,6 +124,15 @@
 		if (q && front_request_is_waiting(q))
 			front_request_refused(q, m->link_msg_t_u.refuse.retry_ms);
 		break;
+	case LINK_CONFIG_IN_FORCE:
+		front_customer_newest(f, &m->link_msg_t_u.holds);
+		break;
+	case LINK_OVER_QUOTA:
+		front_quota_exceeded(f, &m->link_msg_t_u.over_quota);
+		break;
+	case LINK_FLEET_ENTRIES:
+		f->fleet_entries = m->link_msg_t_u.entries;
+		break;
 	case LINK_ITEM_RUN:
 		front_item_run(f, &m->link_msg_t_u.run);
 		break;
@@ -139,12 +148,14 @@
 {
 	front_t *f = ctx;
 
+	front_customer_link_up(f);
 	front_slot_leader_up(f);
 	front_item_report_ended(f);
 }
 
 static void on_down(void *ctx)
 {
+	front_customer_link_down(ctx);
 	front_slot_leader_down(ctx);
 }
 
@@ -212,6 +223,7 @@
 void front_link_start(front_t *f)
 {
 	f->leaving_replicas = leaving_new();
+	front_customer_start(f);
 	front_routes_start(f);
 	f->leader = leader_link_new(&(leader_link_options_t){
 		.loop = f->loop,
--- a/src/front/front_lot.c
+++ b/src/front/front_lot.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include "base/log.h"
 #include "front/front.h"
+#include "state/lots.h"
 
 /** Timeout of calls that open or end a lot: the leader's commit has failed by then. */
 #define CALL_TIMEOUT_MS 2500
@@ -14,13 +15,16 @@
  * then some items have finished. */
 #define RETRY_LIMIT_MS 1000
 
+/** Part of a lot's id that is kept for log lines, with its terminating zero. */
+#define LOT_ID_LOGGED_BYTES 192
+
 typedef struct {
 	front_conn_data_t data;
 	front_t *f; /* unused */
 	http_conn_t *conn; /* NULL after the caller left */
 	link_call_kind_t kind;
 	int64_t after; /* LINK_CALL_LOT_READ: position from which results are read */
-	char id[64];
+	char id[LOT_ID_LOGGED_BYTES];
 } lot_call_t;
 
 static void reply_error(lot_call_t *c, int status, int64_t retry_ms)
@@ -107,12 +111,20 @@
 	return c;
 }
 
+/* Name of the customer whose lots the caller may use; empty: those of public routes. */
+static str_t owner_of(const front_caller_t *caller)
+{
+	return str_c(caller->customer ? caller->customer->name : "");
+}
+
 void front_lot_open(front_t *f, http_conn_t *conn, const http_request_t *r,
-		    const platform_call_t *call, const route_spec_t *route)
+		    const platform_call_t *call, const route_spec_t *route,
+		    const front_caller_t *caller)
 {
 	link_call_arg_t what = {.kind = LINK_CALL_LOT_OPEN};
 	wire_lot_open_t *o = &what.link_call_arg_t_u.open;
-	AUTO_BUF key = {0};
+	AUTO_BUF account = {0};
+	AUTO_BUF lot = {0};
 
 	if (call->id.n == 0 || platform_lot_decode(r->body, o) != STATUS_OK) {
 		log_event(LOG_LEVEL_WARN, "lot_refused", LOG_STR("lot", call->id),
@@ -121,25 +133,30 @@
 		wire_free(XDR_PROC(wire_lot_open_t), o);
 		return;
 	}
-	buf_addf(&key, "%s%s", route->host, route->prefix);
-	o->lot = wire_copy(call->id);
-	o->route = wire_copy(str_buf(&key));
+	buf_addf(&account, "%s%s", route->host, route->prefix);
+	lot_id_make(&lot, owner_of(caller), call->id);
+	o->lot = wire_copy(str_buf(&lot));
+	lot_account_make(&account, owner_of(caller));
+	o->route = wire_copy(str_buf(&account));
 	o->host = wire_copy(call->host);
 	leader_link_call(f->leader, &what, clock_now_ms() + CALL_TIMEOUT_MS, on_reply,
-			 call_new(f, conn, LINK_CALL_LOT_OPEN, call->id));
+			 call_new(f, conn, LINK_CALL_LOT_OPEN, str_buf(&lot)));
 	wire_free(XDR_PROC(wire_lot_open_t), o);
 }
 
-void front_lot_call(front_t *f, http_conn_t *conn, const platform_call_t *call)
+void front_lot_call(front_t *f, http_conn_t *conn, const platform_call_t *call,
+		    const front_caller_t *caller)
 {
+	AUTO_BUF lot = {0};
 	link_call_arg_t what = {0};
 	int64_t timeout_ms = READ_TIMEOUT_MS;
 	lot_call_t *c;
 
+	lot_id_make(&lot, owner_of(caller), call->id);
 	switch (call->kind) {
 	case PLATFORM_CALL_LOT_READ:
 		what.kind = LINK_CALL_LOT_READ;
-		what.link_call_arg_t_u.read.job = wire_bytes(call->id);
+		what.link_call_arg_t_u.read.job = wire_bytes(str_buf(&lot));
 		what.link_call_arg_t_u.read.after = (u_int)call->after;
 		what.link_call_arg_t_u.read.wait_ms =
 			call->timeout_ms > 0 ? (int)call->timeout_ms : 0;
@@ -147,16 +164,16 @@
 		break;
 	case PLATFORM_CALL_ITEM_BODY:
 		what.kind = LINK_CALL_ITEM_BODY;
-		what.link_call_arg_t_u.body.job = wire_bytes(call->id);
+		what.link_call_arg_t_u.body.job = wire_bytes(str_buf(&lot));
 		what.link_call_arg_t_u.body.item = wire_bytes(call->item);
 		break;
 	default:
 		what.kind = LINK_CALL_LOT_END;
-		what.link_call_arg_t_u.job = wire_bytes(call->id);
+		what.link_call_arg_t_u.job = wire_bytes(str_buf(&lot));
 		timeout_ms = CALL_TIMEOUT_MS;
 		break;
 	}
-	c = call_new(f, conn, what.kind, call->id);
+	c = call_new(f, conn, what.kind, str_buf(&lot));
 	c->after = call->after;
 	leader_link_call(f->leader, &what, clock_now_ms() + timeout_ms, on_reply, c);
 }
--- a/src/front/front_request.c
+++ b/src/front/front_request.c
@@ -36,9 +36,10 @@
 static void record_end(const front_request_t *q, const char *outcome, int status)
 {
 	log_event(LOG_LEVEL_INFO, "request_end", LOG_STR("request", q->call.id),
-		  LOG_INT("number", q->number), LOG_CSTR("outcome", outcome),
-		  LOG_INT("status", status), LOG_CSTR("replica", q->replica),
-		  LOG_INT("ms", clock_now_ms() - q->req.received),
+		  LOG_INT("number", q->number),
+		  LOG_CSTR("customer", q->customer ? q->customer : ""),
+		  LOG_CSTR("outcome", outcome), LOG_INT("status", status),
+		  LOG_CSTR("replica", q->replica), LOG_INT("ms", clock_now_ms() - q->req.received),
 		  LOG_INT("first_ms", q->first_byte_ms),
 		  LOG_CSTR("placed_by", q->f->local_dispatch ? "entry" : "leader"),
 		  LOG_INT("wait_ms", q->slot_wait_ms), LOG_INT("tries", q->attempts),
@@ -62,10 +63,13 @@
 {
 	if (q->attempt)
 		front_attempt_cancel(q->attempt);
+	if (q->attempts == 0)
+		front_quota_return(q->f, q);
 	clear_body(q);
 	timeout_stop(&q->timer);
 	HASH_DEL(q->f->requests, q);
 	buf_free(&q->headers);
+	free(q->customer);
 	free(q);
 }
 
@@ -329,7 +333,13 @@
 	AUTO_FREE char *addr_cstr = str_dup(addr);
 	AUTO_BUF req = {0};
 	int64_t objective_ms = q->objective - q->req.received;
-	platform_send_t s = {replica.id, clock_left_ms(q->deadline), q->last_event};
+	platform_send_t s = {
+		.replica = replica.id,
+		.caller_timeout_ms = clock_left_ms(q->deadline),
+		.last_event_id = q->last_event,
+		.identified = q->f->routes->customers != NULL,
+		.customer = str_c(q->customer ? q->customer : ""),
+	};
 
 	snprintf(q->replica, sizeof(q->replica), "%.*s", STR_ARG(replica.id));
 	q->state = FRONT_REQUEST_RUNNING;
@@ -340,6 +350,12 @@
 		retry_elsewhere(q, addr.n ? DISPATCH_REPLICA_LEAVING : DISPATCH_UNREACHABLE);
 		return;
 	}
+	if (q->attempts == 1 && !q->may_have_run && !front_request_key_is_valid(q)) {
+		q->attempts = 0;
+		front_slot_release(q->f, q, DISPATCH_CANCELLED);
+		end_with_status(q, 401, 0, "key revoked");
+		return;
+	}
 	platform_request_encode(&req, &q->req.head, q->req.body, &s);
 	q->attempt = front_attempt_start(&(front_attempt_options_t){
 		.f = q->f,
@@ -358,6 +374,16 @@
 	});
 }
 
+void front_request_over_quota(front_request_t *q, int64_t retry_ms, const char *by)
+{
+	log_event(LOG_LEVEL_INFO, "over_quota", LOG_STR("request", q->call.id),
+		  LOG_CSTR("customer", q->customer), LOG_CSTR("counted_by", by),
+		  LOG_INT("retry_ms", retry_ms), LOG_INT("text", q->f->routes_version));
+	METRIC_INC("auburn_over_quota_total");
+	q->counted_by = FRONT_NOT_COUNTED;
+	end_with_status(q, 429, front_quota_retry_ms(retry_ms), "over quota");
+}
+
 void front_request_refused(front_request_t *q, int64_t retry_ms)
 {
 	if (q->head_sent)
@@ -392,7 +418,8 @@
 }
 
 void front_request_begin(front_t *f, http_conn_t *c, const http_request_t *r,
-			 const platform_call_t *call, const route_spec_t *route)
+			 const platform_call_t *call, const route_spec_t *route,
+			 const front_caller_t *caller)
 {
 	front_request_t *q = mem_new(sizeof(*q));
 	front_conn_data_t *d = mem_new(sizeof(*d));
@@ -409,6 +436,12 @@
 	q->resumable = route->resumable;
 	q->max_attempts = (unsigned)route->attempts;
 	q->priority = (unsigned)route->priority;
+	if (caller->customer) {
+		q->customer = str_dup(str_c(caller->customer->name));
+		q->key = caller->key;
+		if (caller->customer->priority >= 0)
+			q->priority = (unsigned)caller->customer->priority;
+	}
 	q->pause_ms = route->pause_ms;
 	q->give_up_ms = route->give_up_ms;
 	q->returning = caller_timeout_ms < route->timeout_ms * RETURNING_PERCENT / 100;
--- a/src/front/front_routes.c
+++ b/src/front/front_routes.c
@@ -19,11 +19,13 @@
 	return a.number == b.number && a.digest == b.digest;
 }
 
-/* Acknowledges a config that the leader sent, or reports the config that is in force here. */
-static void report_config(front_t *f, link_config_id_t id)
+void front_routes_report(front_t *f, link_config_id_t id)
 {
 	link_msg_t m = {.kind = LINK_CONFIG_IN_FORCE};
 
+	if (!leader_link_is_up(f->leader))
+		return;
+	front_customer_asked(f);
 	m.link_msg_t_u.holds = id;
 	leader_link_send(f->leader, &m);
 }
@@ -56,7 +58,8 @@
 	f->config_id = id;
 	set_limits(f, &routes->limits);
 	log_event(LOG_LEVEL_INFO, "text_in_force", LOG_INT("number", id.number),
-		  LOG_INT("version", routes->version), LOG_INT("routes", routes->nroutes));
+		  LOG_INT("version", routes->version), LOG_INT("routes", routes->nroutes),
+		  LOG_INT("customers", routes->customers ? customers_count(routes->customers) : 0));
 	front_held_release(f);
 }
 
@@ -81,7 +84,7 @@
 	} else {
 		install_routes(f, d->m.text, d->routes);
 	}
-	report_config(f, d->m.text);
+	front_routes_report(f, d->m.text);
 	wire_free(XDR_PROC(link_config_t), &d->m);
 	free(d);
 	if (next.text.number)
@@ -100,7 +103,7 @@
 	}
 	/* The delta is not based on the config in force here: requests another one. */
 	if (m->base.number && !config_id_eq(m->base, f->config_id)) {
-		report_config(f, f->config_id);
+		front_routes_report(f, f->config_id);
 		return;
 	}
 	d = mem_new(sizeof(*d));
--- a/src/front/front_slot.c
+++ b/src/front/front_slot.c
@@ -67,10 +67,11 @@
 	dispatch_request_add(f->local_dispatch, &a, clock_now_ms());
 }
 
-static void request_from_leader(front_t *f, const front_request_t *q)
+static void request_from_leader(front_t *f, front_request_t *q)
 {
-	link_msg_t m = {.kind = LINK_SLOT_REQUEST};
-	link_slot_request_t *a = &m.link_msg_t_u.ask;
+	bool counts = q->counted_by == FRONT_ASKS_LEADER_TO_COUNT;
+	link_msg_t m = {.kind = counts ? LINK_CUSTOMER_SLOT_REQUEST : LINK_SLOT_REQUEST};
+	link_slot_request_t *a = counts ? &m.link_msg_t_u.customer_ask.ask : &m.link_msg_t_u.ask;
 	wire_bytes_t avoid[DISPATCH_AVOID_MAX];
 	deadline_t now = clock_now_ms();
 
@@ -89,11 +90,21 @@
 		avoid[i] = wire_bytes(str_c(q->avoid[i]));
 	a->avoid.avoid_len = q->navoid;
 	a->avoid.avoid_val = avoid;
+	if (counts) {
+		m.link_msg_t_u.customer_ask.customer = wire_bytes(str_c(q->customer));
+		q->counted_by = FRONT_COUNTED_BY_LEADER;
+	}
 	leader_link_send_acked(f->leader, &m);
 }
 
 void front_slot_request(front_t *f, front_request_t *q)
 {
+	int64_t retry_ms;
+
+	if (!front_quota_take(f, q, &retry_ms)) {
+		front_request_over_quota(q, retry_ms, "entry");
+		return;
+	}
 	if (f->local_dispatch)
 		request_local(f, q);
 	else
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -30,10 +30,18 @@
 #define HEADER_MS    3000
 #define IDLE_MS	     15000
 
+/* A call on a lot names no route. Without a key it finds the lots of public routes. */
+static bool lot_call_needs_key(const front_t *f, const platform_call_t *call)
+{
+	return call->credentials != PLATFORM_CREDENTIALS_NONE ||
+	       !route_table_has_public_lots(f->routes);
+}
+
 void front_serve(front_t *f, http_conn_t *c, const http_request_t *r)
 {
 	const route_spec_t *route;
 	platform_call_t call;
+	front_caller_t caller;
 
 	if (platform_call_decode(&r->head, &call) != STATUS_OK) {
 		log_event(LOG_LEVEL_INFO, "request_refused", LOG_INT("status", 400),
@@ -42,7 +50,8 @@
 		return;
 	}
 	if (call.kind != PLATFORM_CALL_REQUEST && call.kind != PLATFORM_CALL_READY) {
-		front_lot_call(f, c, &call);
+		if (front_identify(f, c, r, &call, lot_call_needs_key(f, &call), &caller))
+			front_lot_call(f, c, &call, &caller);
 		return;
 	}
 	route = route_table_match(f->routes, call.host, call.path);
@@ -53,10 +62,12 @@
 		http_reply(c, 404, STR(""), STR("no such route"));
 		return;
 	}
+	if (!front_identify(f, c, r, &call, !route->is_public, &caller))
+		return;
 	if (route->kind == ROUTE_BATCH)
-		front_lot_open(f, c, r, &call, route);
+		front_lot_open(f, c, r, &call, route, &caller);
 	else
-		front_request_begin(f, c, r, &call, route);
+		front_request_begin(f, c, r, &call, route, &caller);
 }
 
 static void on_request(void *ctx, http_conn_t *c, const http_request_t *r)
@@ -66,7 +77,7 @@
 	if (f->routes)
 		front_serve(f, c, r);
 	else
-		front_held_add(f, c, r);
+		front_held_add(f, c, r, "no config", f->started);
 }
 
 static void on_caller_gone(void *ctx, http_conn_t *c)
@@ -138,6 +149,7 @@
 	deadline_t now = clock_now_ms();
 
 	front_link_tick(f, now);
+	front_customer_tick(f, now);
 	front_held_expire(f, now);
 	front_item_report_progress(f, now);
 	if (!f->exit_by)
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -148,7 +148,7 @@
             return await self.reply(writer, 503, [("Not-Run", "1")])
         run = {"id": rid, "replica": self.id, "after": int(h.get("last-event-id", 0)), "at": time.time(),
                "end": None, "ended": None, "target": target, "body": body, "method": method,
-               "wait": h.get("deadline-ms"), "model": h.get("model")}
+               "wait": h.get("deadline-ms"), "model": h.get("model"), "headers": h}
         self.kit.runs.append(run)
         signed = [("Request-Id", rid), ("Signature", "sig-" + rid)]
         status = self.item_statuses.get(rid)
@@ -237,8 +237,8 @@
 
 class Kit:
     def __init__(self, controls=3, fronts=2, replicas=3, slots=4, seed=None, memory_mib=0,
-                 bin_of=lambda name: BIN):
-        self.memory_mib, self.bin_of = memory_mib, bin_of
+                 bin_of=lambda name: BIN, revoke_ms=0):
+        self.memory_mib, self.bin_of, self.revoke_ms = memory_mib, bin_of, revoke_ms
         self.dir = tempfile.mkdtemp(prefix="auburn-platform-")
         self.net = "127.%d.%d" % (random.randint(1, 250), random.randint(1, 250))
         self.port = random.randint(20000, 28000)
@@ -278,11 +278,13 @@
 
     def make_front(self, name, zone):
         ip = self.next_ip()
+        revoke = {"revoke_ms": self.revoke_ms} if self.revoke_ms else {}
         return Proc(self, "auburn-front", name, zone, {
             "_ip": ip, "name": name, "zone": zone, "listen": "%s:%d" % (ip, self.port),
             "ready": "%s:%d" % (ip, self.port + 2), "directory": "%s:%d" % (ip, self.port + 3),
             "metrics": "%s:%d" % (ip, self.port + 4), "upstream_list": self.list_addr,
-            "controls": self.seeds, "rpc_port": self.port, "link_port": self.port + 1, "grace_s": 4})
+            "controls": self.seeds, "rpc_port": self.port, "link_port": self.port + 1, "grace_s": 4,
+            **revoke})
 
     async def start_upstream_list(self):
         """Serves the list of all replicas, with a malformed entry without address, which its readers must skip."""
@@ -348,15 +350,16 @@
                 writer.transport.abort()
         return status, answer_headers, got
 
-    async def stream(self, front, path, rid, wait_ms=5000, timeout=None, events=None):
+    async def stream(self, front, path, rid, wait_ms=5000, timeout=None, events=None, headers=()):
         """Sends an online request with id `rid` and a caller timeout of wait_ms; returns as call() does."""
         return await self.call(front.ip, self.port, "POST", path, [
             ("Host", HOST), ("Request-Id", rid), ("Deadline-Ms", wait_ms), ("Model", "m"),
-            ("Token-Usage", "450,200"), ("Prompt-Prefix", "aa:100,bb:100,%s:250" % rid)],
+            ("Token-Usage", "450,200"), ("Prompt-Prefix", "aa:100,bb:100,%s:250" % rid)] + list(headers),
             b"body of " + rid.encode(), timeout or wait_ms / 1000 + 1, events)
 
     def config(self, version, **changes):
-        """The operators' config. Changes: quota (batch tokens), extra (path of a route), more (number of routes)."""
+        """The operators' config. Changes: quota (batch tokens), extra (path of a route), more (number of routes),
+        tenants (list of customers; adds a public route)."""
         routes = [
             {"name": "brief", "host": HOST, "pathPrefix": "/brief/", "kind": "stream", "timeoutMs": 5000,
              "sloMs": 300, "priority": 0, "service": "llm", "attempts": 2, "sticky": True, "resumable": True,
@@ -371,7 +374,11 @@
             routes.append(dict(routes[0], name="extra", pathPrefix="/%s/" % changes["extra"]))
         for i in range(changes.get("more", 0)):
             routes.append(dict(routes[0], name="more-%d" % i, host="more%d.example" % i, pathPrefix="/more/"))
-        return {"version": version, "routes": routes, "services": [
+        tenants = {}
+        if "tenants" in changes:
+            routes.append(dict(routes[0], name="open", pathPrefix="/open/", public=True))
+            tenants = {"tenants": changes["tenants"]}
+        return {"version": version, "routes": routes, **tenants, "services": [
             {"name": "llm", "healthPath": "/health", "maxConns": 100, "proto": "h1", "tls": False,
              "engine": {"slots": 4}}],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
@@ -442,12 +449,12 @@
                   "body": base64.b64encode(body + b"%d" % i).decode(), "tokens": 550} for i in range(n)]
         return lot, items
 
-    async def open_lot(self, front, lot, items):
+    async def open_lot(self, front, lot, items, headers=()):
         return (await self.call(front.ip, self.port, "POST", "/digest/" + lot,
-                                [("Host", HOST), ("Request-Id", lot)], json.dumps({"items": items}).encode(), 4))[0]
+                                [("Host", HOST), ("Request-Id", lot)] + list(headers), json.dumps({"items": items}).encode(), 4))[0]
 
-    async def read_lot(self, front, lot, after=0, wait=0):
-        h = [("Host", HOST)] + ([("Wait-Ms", wait)] if wait else [])
+    async def read_lot(self, front, lot, after=0, wait=0, headers=()):
+        h = [("Host", HOST)] + ([("Wait-Ms", wait)] if wait else []) + list(headers)
         s, _, b = await self.call(front.ip, self.port, "GET", "/lots/%s?after=%d" % (lot, after), h, b"", 4)
         return s, json.loads(b) if s == 200 else None
 
@@ -466,8 +473,8 @@
                 await asyncio.sleep(0.1)
         return results
 
-    async def end_lot(self, front, lot):
-        return (await self.call(front.ip, self.port, "DELETE", "/lots/" + lot, [("Host", HOST)], b"", 4))[0]
+    async def end_lot(self, front, lot, headers=()):
+        return (await self.call(front.ip, self.port, "DELETE", "/lots/" + lot, [("Host", HOST)] + list(headers), b"", 4))[0]
 
     def whole_text(self, rid, events=None):
         """The text that replicas produce for the request or item `rid`."""
