auburnctl: keys of customers are masked in `config show` and `config diff`

Cause: the config in our own format now holds API keys, and both commands print its lines. Change: config_mask_keys replaces the strings in lists of keys, line by line, so that diff still names the lines that differ. What show prints can no longer be submitted as it is; the operators' own file is the source.

--- a/src/ctl/ctl_config.c
+++ b/src/ctl/ctl_config.c
@@ -3,6 +3,7 @@
 #include "base/args.h"
 #include "client/routes_decode.h"
 #include "ctl/ctl.h"
+#include "state/config.h"
 
 #define PATH_BYTES 128
 
@@ -82,12 +83,14 @@
 
 int ctl_config_show(ctl_t *ctl)
 {
+	AUTO_BUF with_keys = {0};
 	AUTO_BUF text = {0};
 	json_int_t number = 0;
-	int code = fetch_config(ctl, ctl->number, &text, &number);
+	int code = fetch_config(ctl, ctl->number, &with_keys, &number);
 
 	if (code != EXIT_OK)
 		return code;
+	config_mask_keys(str_buf(&with_keys), &text);
 	if (ctl->json) {
 		json_t *o = json_pack("{s:I,s:s}", "number", number, "text", text.p ? text.p : "");
 
@@ -121,14 +124,21 @@
 	return false;
 }
 
-/* Prints the non-empty lines of text that other does not have anywhere, each after mark. */
+/* Prints the non-empty lines of text that other does not have anywhere, each after mark, with the
+ * API keys masked. */
 static void print_only_in(char mark, str_t text, str_t other)
 {
+	AUTO_BUF masked = {0};
+	str_t shown;
+
+	config_mask_keys(text, &masked);
+	shown = str_buf(&masked);
 	while (text.n) {
 		str_t line = next_line(&text);
+		str_t shown_line = next_line(&shown);
 
 		if (line.n && !has_line(other, line))
-			printf("%c %.*s\n", mark, STR_ARG(line));
+			printf("%c %.*s\n", mark, STR_ARG(shown_line));
 	}
 }
 
--- a/src/state/config.h
+++ b/src/state/config.h
@@ -62,6 +62,9 @@
 const config_service_t *config_find_service(const config_t *cfg, str_t name);
 /** Returns the caller's limit, or the default limit. */
 const config_limit_t *config_limit_for(const config_t *cfg, str_t caller);
+/** Appends a config in TOML with the API keys of its customers masked, line by line, so that it can
+ * be shown. Comments inside the lists of keys are left out. */
+void config_mask_keys(str_t text, buf_t *out);
 /** Digest of a config's text, stored under the config's number. */
 uint64_t config_digest(str_t text);
 
--- a/tests/unit/test_config.c
+++ b/tests/unit/test_config.c
@@ -179,6 +179,27 @@
 }
 END_TEST
 
+START_TEST(keys_of_customers_are_masked_line_by_line)
+{
+	static const char text[] = "a = \"keys = x\" # keys = [\"k\"]\n"
+				   "monkeys = [\"k0\"]\n"
+				   "[[customer]]\nname = \"ada\"\n"
+				   "keys = [\"secret]1\", 'secret2', # secret3\n"
+				   "  \"sec\\\"ret4\" ]\nburst = 2\n"
+				   "customer2 = {\"keys\" = [\"secret5\"], burst = 3}\n";
+	AUTO_BUF out = {0};
+
+	config_mask_keys(str_c(text), &out);
+	buf_addc(&out, 0);
+	ck_assert_str_eq(out.p, "a = \"keys = x\" # keys = [\"k\"]\n"
+				"monkeys = [\"k0\"]\n"
+				"[[customer]]\nname = \"ada\"\n"
+				"keys = [\"***\", \"***\", \n"
+				"  \"***\" ]\nburst = 2\n"
+				"customer2 = {\"keys\" = [\"***\"], burst = 3}\n");
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("text");
@@ -193,5 +214,6 @@
 	tcase_add_test(t, routes_are_parsed);
 	tcase_add_loop_test(t, an_invalid_route_is_refused, 0,
 			    sizeof(route_faults) / sizeof(route_faults[0]));
+	tcase_add_test(t, keys_of_customers_are_masked_line_by_line);
 	return suite_run(s);
 }
