--- a/src/front/front_held.c
+++ b/src/front/front_held.c
@@ -1,6 +1,7 @@
 /* Requests that arrive before the first config is in force, or before it is proved to be the
  * newest, are held until then, for HOLD_MS at most. A process that has just started usually gets a
  * config within a few tenths of a second, sooner than refused callers would retry. */
+#include <stdio.h>
 #include <stdlib.h>
 #include <utlist.h>
 #include "base/log.h"
@@ -13,7 +14,8 @@
  * is unknown when it will get one. */
 #define START_UP_MS 3000
 /** Retry-After of a refusal: longer than the fleet takes to find a leader. */
-#define RETRY_MS 1200
+#define RETRY_MS     1200
+#define REASON_BYTES 96
 
 struct front_held {
 	front_conn_data_t data;
@@ -85,10 +87,12 @@
 {
 	while (f->held && now >= f->held->expires_at) {
 		front_held_t *h = f->held;
+		char reason[REASON_BYTES];
 
 		unlink_held(f, h);
+		snprintf(reason, sizeof(reason), "%s in time", h->missing);
 		if (h->conn)
-			refuse_request(h->conn, &h->req, h->missing);
+			refuse_request(h->conn, &h->req, reason);
 		free(h);
 	}
 }
