A leader without a list uses the replicas of its first pages

Change: client/upstream_list passes on the replicas read so far whenever their number has doubled; the hub uses them only while it has read or heard of no list. The dispatcher grants their slots, but goes on treating the list as missing: what finds no slot waits and is not refused by an estimate that knows one page. Ways: the list whole, as before, and its pages as they come. A list kept on disk was weighed: it names replicas that may be gone, and a 421 costs an attempt. Test: 40 requests, one page of 4 slots, then the list: 4 run at once, none is refused.

--- a/src/client/upstream_list.c
+++ b/src/client/upstream_list.c
@@ -23,6 +23,7 @@
 	buf_t cursor;
 	buf_t body;
 	int status;
+	u_int passed_on; /* number of replicas that first_pages has received */
 	bool failing; /* the last read failed, which was logged */
 };
 
@@ -46,6 +47,17 @@
 
 static void read_page(upstream_list_t *u);
 
+/* Only when the number has doubled, so that the receiver's work stays proportional to the list. */
+static void pass_on_first_pages(upstream_list_t *u)
+{
+	u_int n = u->list.upstreams.upstreams_len;
+
+	if (!u->o.first_pages || n < 2 * u->passed_on || n == 0)
+		return;
+	u->passed_on = n;
+	u->o.first_pages(u->o.ctx, &u->list);
+}
+
 static void on_page_end(void *ctx, http_call_end_t how)
 {
 	upstream_list_t *u = ctx;
@@ -66,6 +78,7 @@
 		return;
 	}
 	if (u->cursor.n) {
+		pass_on_first_pages(u);
 		read_page(u);
 		return;
 	}
@@ -133,6 +146,7 @@
 	if (u->call)
 		return;
 	u->cursor.n = 0;
+	u->passed_on = 0;
 	timeout_set(&u->timer, READ_TIMEOUT_MS);
 	read_page(u);
 }
--- a/src/client/upstream_list.h
+++ b/src/client/upstream_list.h
@@ -15,6 +15,9 @@
 	/** Receives a complete list, in v->upstreams. To keep the list, the callback moves it out
 	 * of *v; what is left in *v is freed. */
 	void (*list)(void *ctx, link_view_t *v);
+	/** Receives the replicas of the first pages while the list is read, whenever their number
+	 * has doubled. May be NULL. */
+	void (*first_pages)(void *ctx, const link_view_t *v);
 } upstream_list_options_t;
 
 upstream_list_t *upstream_list_new(const upstream_list_options_t *o);
--- a/src/control/hub_view.c
+++ b/src/control/hub_view.c
@@ -66,8 +66,8 @@
 	return changed;
 }
 
-/* Passes the replicas of the view to the dispatcher. */
-static void update_dispatcher(hub_t *h)
+/* Passes the replicas of the view to the dispatcher. whole: they are a whole list. */
+static void update_dispatcher(hub_t *h, bool whole)
 {
 	u_int n = h->view.upstreams.upstreams_len;
 	dispatch_replica_t *v = mem_new((n + 1) * sizeof(*v));
@@ -79,7 +79,10 @@
 					    wire_str(u->service), u->slots,
 					    u->leaving,		  u->start_time};
 	}
-	dispatch_set_replicas(h->dispatch, v, n, clock_now_ms());
+	if (whole)
+		dispatch_set_replicas(h->dispatch, v, n, clock_now_ms());
+	else
+		dispatch_set_first_replicas(h->dispatch, v, n, clock_now_ms());
 	free(v);
 }
 
@@ -115,7 +118,7 @@
 
 void hub_view_start_leading(hub_t *h)
 {
-	update_dispatcher(h);
+	update_dispatcher(h, true);
 	h->next_list_read = 0;
 	h->view_changed = true;
 }
@@ -137,7 +140,26 @@
 		h->rings_stale = true;
 		h->view_changed = true;
 	}
-	update_dispatcher(h);
+	update_dispatcher(h, true);
+}
+
+/* A leader that has no list, as after a restart of the whole fleet, uses the replicas of the first
+ * pages: a list of thousands takes a second to read. */
+static void on_first_pages(void *ctx, const link_view_t *v)
+{
+	hub_t *h = ctx;
+	link_view_t copy;
+
+	if (h->role != HUB_LEADER || h->last_list_read)
+		return;
+	wire_dup(XDR_PROC(link_view_t), v, &copy, sizeof(copy));
+	mark_leaving(h, &copy);
+	wire_free(XDR_PROC(link_view_t), &(link_view_t){.upstreams = h->view.upstreams});
+	h->view.upstreams = copy.upstreams;
+	h->rings_stale = true;
+	update_dispatcher(h, false);
+	log_event(LOG_LEVEL_INFO, "list_begun",
+		  LOG_INT("replicas", h->view.upstreams.upstreams_len));
 }
 
 /* Sets the entries and control processes of the view: the registered peers without draining
@@ -319,7 +341,8 @@
 						   .http = h->http,
 						   .addr = h->control->settings.upstream_list,
 						   .ctx = h,
-						   .list = on_list});
+						   .list = on_list,
+						   .first_pages = on_first_pages});
 }
 
 void hub_view_tick(hub_t *h, deadline_t now)
--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -184,7 +184,7 @@
 	r->full_until = 0;
 }
 
-void dispatch_set_replicas(dispatch_t *d, const dispatch_replica_t *v, size_t n, deadline_t now)
+static void replace_replicas(dispatch_t *d, const dispatch_replica_t *v, size_t n)
 {
 	for (replica_t *r = d->replicas; r; r = r->hh.next)
 		r->listed = false;
@@ -200,8 +200,20 @@
 			reset_replica(d, r);
 		r->start_time = v[i].start_time;
 	}
-	d->had_replicas |= n > 0;
 	free_unlisted_replicas(d);
+}
+
+void dispatch_set_replicas(dispatch_t *d, const dispatch_replica_t *v, size_t n, deadline_t now)
+{
+	replace_replicas(d, v, n);
+	d->had_replicas |= n > 0;
+	dispatch_place_all(d, now);
+}
+
+void dispatch_set_first_replicas(dispatch_t *d, const dispatch_replica_t *v, size_t n,
+				 deadline_t now)
+{
+	replace_replicas(d, v, n);
 	dispatch_place_all(d, now);
 }
 
--- a/src/policy/dispatch.h
+++ b/src/policy/dispatch.h
@@ -107,6 +107,11 @@
 /** Replaces the replica list. Replicas missing from the new list get no new work. */
 void dispatch_set_replicas(dispatch_t *d, const dispatch_replica_t *v, size_t n, deadline_t now);
 
+/** Replaces the replica list by the first part of one that is still being read. Its replicas get
+ * work, but requests that find no slot wait for the whole list, as if there were none. */
+void dispatch_set_first_replicas(dispatch_t *d, const dispatch_replica_t *v, size_t n,
+				 deadline_t now);
+
 /** Marks a replica as leaving: it gets no new work unless a later list clears the mark. */
 void dispatch_replica_leaving(dispatch_t *d, str_t replica);
 
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -344,6 +344,32 @@
 }
 END_TEST
 
+/* After a restart of the fleet hundreds of requests wait while a list of thousands of replicas is
+ * read. Those that fit on the replicas read so far run; the others must not be refused by an
+ * estimate that knows only these. */
+START_TEST(replicas_of_the_first_pages_get_work)
+{
+	dispatch_t *d = dispatch_new(&callbacks, 7);
+	dispatch_replica_t v[2] = {{STR("r0"), STR("a"), STR("s"), 4, false, 0},
+				   {STR("r1"), STR("a"), STR("s"), 4, false, 0}};
+
+	neffects = 0;
+	dispatch_entry_add(d, 1, STR("a"), true);
+	for (uint64_t i = 1; i <= 40; i++)
+		add_request(d, i, 0);
+	ck_assert_int_eq(neffects, 0);
+	dispatch_set_first_replicas(d, v, 1, 20);
+	ck_assert_int_eq(neffects, 4);
+	dispatch_tick(d, 250);
+	ck_assert_int_eq(neffects, 4);
+	dispatch_set_replicas(d, v, 2, 260);
+	ck_assert_int_ge(neffects, 8);
+	for (int i = 0; i < 8; i++)
+		ck_assert_int_eq(effects[i].kind, GRANTED);
+	dispatch_free(d);
+}
+END_TEST
+
 START_TEST(a_replica_listed_as_leaving_gets_no_new_work)
 {
 	dispatch_t *d = new_dispatcher(1, 4);
@@ -497,6 +523,7 @@
 	tcase_add_test(t, runs_that_break_together_count_as_one_failure);
 	tcase_add_test(t, a_request_avoids_the_replicas_that_failed_it);
 	tcase_add_test(t, a_request_waits_for_the_first_replica_list);
+	tcase_add_test(t, replicas_of_the_first_pages_get_work);
 	tcase_add_test(t, a_replica_listed_as_leaving_gets_no_new_work);
 	tcase_add_test(t, requests_with_the_same_prefix_go_to_the_same_replica);
 	tcase_add_test(t, a_replica_marked_as_leaving_gets_no_new_work);
