A request that waits for its quota is acknowledged at once

Cause: an entry drops its leader when nothing comes within 150 ms of a slot request; hub_dispatch_request sends a ping for that, but a request that waits for its quota did not get there. Found by reading. Change: the ping is sent where the request is delayed.

--- a/src/control/hub_quota.c
+++ b/src/control/hub_quota.c
@@ -15,9 +15,9 @@
  * so that none starts with a full share of the quota when it loses the leader. */
 #define NOTICE_MS 1000
 
-/* Hands a request to the dispatcher later, when it fits into the quota. */
-static void delay_request(hub_t *h, const hub_peer_t *p, const link_slot_request_t *m,
-			  deadline_t at)
+/* Hands a request to the dispatcher later, when it fits into the quota. The ping acknowledges it,
+ * see LEADER_LINK_ACK_MS. */
+static void delay_request(hub_t *h, hub_peer_t *p, const link_slot_request_t *m, deadline_t at)
 {
 	hub_delayed_t *d = mem_new(sizeof(*d));
 
@@ -26,6 +26,7 @@
 	d->at = at;
 	wire_dup(XDR_PROC(link_slot_request_t), m, &d->ask, sizeof(d->ask));
 	DL_APPEND(h->delayed, d);
+	hub_send(p, &(link_msg_t){.kind = LINK_PING});
 }
 
 static void free_delayed(hub_t *h, hub_delayed_t *d)
