Requests with a space in a header name are malformed

Cause: found by the fuzz test, with the check below, on its first run: http_parser takes a space as part of a header's name, so "Tenant : eve" or an indented first header passed an entry under a name that no rule of ours knows, and a replica that trims names would have read the caller's own customer name. Change: a request with a space in a header name ends with 400 (RFC 9112, 5.1). Answers of replicas are read as before. The fuzz test encodes each request for a replica, with lines that name a caller among its samples (folded, repeated, differently spelled, in trailers), and asserts that no line of the result names a caller or a key but the one that the entry sets. Ruled out: folded values, which http_parser joins into one line.

--- a/src/net/http.c
+++ b/src/net/http.c
@@ -75,10 +75,23 @@
 	return append_head(p, at, n) ? 0 : 1;
 }
 
+/* http_parser lets spaces stand in header names. A request with one could pass a header on that its
+ * receiver reads under another name (RFC 9112, 5.1), so it is malformed. */
+static bool has_valid_names(const http_reader_t *p)
+{
+	for (size_t i = 0; i < p->nspans; i++) {
+		if (memchr(p->text.p + p->spans[i].name, ' ', p->spans[i].name_n))
+			return false;
+	}
+	return true;
+}
+
 static int on_head(http_parser *hp)
 {
 	http_reader_t *p = hp->data;
 
+	if (!p->o.responses && !has_valid_names(p))
+		return -1;
 	for (size_t i = 0; i < p->nspans; i++) {
 		const http_span_t *s = &p->spans[i];
 
--- a/tests/unit/test_fuzz_network.c
+++ b/tests/unit/test_fuzz_network.c
@@ -36,6 +36,10 @@
 	"GET /lots/7c41e09b52d6a3f8?after=12 HTTP/1.1\r\nHost: n\r\nWait-Ms: 1000\r\n\r\n",
 	"GET /items/7c41?id=e5b2 HTTP/1.1\r\nHost: n\r\n\r\n",
 	"DELETE /lots/7c41 HTTP/1.1\r\nHost: n\r\n\r\n",
+	"POST /lohu930/2f HTTP/1.1\r\nHost: n\r\nAuthorization: Bearer k1-._~+/=\r\n"
+	"tenant: eve\r\nTENANT:eve\r\nX: a,\r\n Tenant: eve\r\nRequest-Id: 7\r\n"
+	"Transfer-Encoding: chunked\r\nTrailer: Tenant\r\n\r\n1\r\nx\r\n0\r\n"
+	"Tenant: eve\r\nAuthorization: Bearer k1\r\n\r\n",
 	"POST /retire/store-a-1/start HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 	"10\r\n{\"durationS\":10}\r\n0\r\n\r\n",
 };
@@ -96,6 +100,10 @@
 	"%00",
 	"?after=",
 	"Expect: 100-continue\r\n",
+	"Authorization: Bearer ",
+	"Tenant: eve\r\n",
+	"\r\n Tenant: eve",
+	" :",
 };
 
 static const char *const json_tokens[] = {
@@ -134,6 +142,43 @@
 	platform_reply_headers(&out, h);
 }
 
+/* True if a line of the head, however it is ended or indented, is a header with this name. */
+static bool has_line(str_t head, const char *name, const char *value)
+{
+	size_t n = strlen(name);
+
+	for (size_t i = 0; i < head.n; i++) {
+		size_t begin = i;
+		size_t end;
+
+		if (i > 0 && head.p[i - 1] != '\r' && head.p[i - 1] != '\n')
+			continue;
+		while (begin < head.n && (head.p[begin] == ' ' || head.p[begin] == '\t'))
+			begin++;
+		end = begin + n;
+		if (end > head.n || strncasecmp(head.p + begin, name, n) != 0)
+			continue;
+		while (end < head.n && (head.p[end] == ' ' || head.p[end] == '\t'))
+			end++;
+		if (end < head.n && head.p[end] == ':' &&
+		    (!value || strncmp(head.p + end + 1, value, strlen(value)) != 0))
+			return true;
+	}
+	return false;
+}
+
+/* Whatever a caller sends, a replica gets no credentials and no other customer than the one that
+ * the entry names. */
+static void check_identity(const http_head_t *h)
+{
+	platform_send_t s = {.replica = STR("i-1"), .identified = true, .customer = STR("ada")};
+	AUTO_BUF out = {0};
+
+	platform_request_encode(&out, h, (str_t){"", 0}, &s);
+	ck_assert_msg(!has_line(str_buf(&out), "Authorization", NULL), "%.*s", (int)out.n, out.p);
+	ck_assert_msg(!has_line(str_buf(&out), "Tenant", " ada\r\n"), "%.*s", (int)out.n, out.p);
+}
+
 static void on_request_head(void *ctx, const http_head_t *h)
 {
 	platform_call_t call;
@@ -141,6 +186,7 @@
 
 	platform_call_decode(h, &call);
 	platform_op_decode(h, &op);
+	check_identity(h);
 }
 
 static void ignore_end(void *ctx)
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -348,6 +348,8 @@
 		{"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", "HTTP/1.1 413 "},
 		{"POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\nx", "HTTP/1.1 408 "},
 		{"GET / HTTP/1.1\r\nHo", "HTTP/1.1 408 "},
+		{"GET / HTTP/1.1\r\nCaller : eve\r\n\r\n", "HTTP/1.1 400 "},
+		{"GET / HTTP/1.1\r\n Tenant: eve\r\nHost: a\r\n\r\n", "HTTP/1.1 400 "},
 	};
 	http_pair_t p;
 
