Soak with customers: keys added and revoked under faults, quotas, owners

Cause: the soak knew no customers, so cuts, freezes and restarts met only requests without keys. Change: seeds from 1000 on have three customers whose keys come and go with each config; callers use current and revoked keys, lots belong to one customer, another sends over its quota. Checked from what callers and replicas see: the replica's customer is the key's, the key stays with the entry, no request runs that was sent more than 2.5 s after its key was revoked, none with an older valid key is answered 401, no window has more runs than the quota allows. Entries are frozen for longer than that in these runs. Older seeds run as before.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -27,6 +27,10 @@
 APPLY_S = 2.0       # a config must be in force everywhere this long after its acknowledgement
 DRAIN_S = 3.0       # a leaving replica gets no request later than this after the first complete answer that says so
 SETTLE_S = 25.0     # lots must be finished this long after the last fault
+REVOKE_S = 2.5      # a request sent later than this after a key was revoked must not run
+CUSTOMER_SEEDS = 1000   # runs with seeds from here on have customers
+QUOTA = {"ratePerS": 3, "burst": 3}     # of one customer, which sends more
+QUOTA_WINDOW_S, QUOTA_MAX = 5.0, (3 * 5 + 3) * 1.1 + 20     # runs in any such window
 
 
 class Relay:
@@ -78,6 +82,71 @@
             b.transport.abort()
 
 
+class Customers:
+    """Customers whose keys are added and revoked during the run, and what was sent with which key."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed + 0xc0de)
+        self.keys = {"ada": [], "bob": [], "cyd": []}   # those that the next config holds
+        self.owner = {}         # key: customer
+        self.added_at = {}      # key: time of the first acknowledgement of a config that holds it
+        self.revoked_at = {}    # key: time of the first acknowledgement of a config that no longer holds it
+        self.sent = {}          # request id: (key, time)
+        for name in self.keys:
+            self.add_key(name)
+
+    def add_key(self, name):
+        k = "%s-%08x" % (name, self.rng.getrandbits(32))
+        self.keys[name].append(k)
+        self.owner[k] = name
+
+    def change(self):
+        """Adds a key or takes one away, in two of three cases; every customer keeps one."""
+        name = self.rng.choice(sorted(self.keys))
+        if self.rng.random() < 0.33:
+            self.add_key(name)
+        elif len(self.keys[name]) > 1:
+            self.keys[name].pop(0)
+
+    def config(self):
+        return [dict({"name": n, "apiKeys": list(ks)}, **(QUOTA if n == "cyd" else {})) for n, ks in self.keys.items()]
+
+    def acked(self, config):
+        """Records the acknowledgement of a config with these customers."""
+        now = time.time()
+        held = {k for c in config for k in c["apiKeys"]}
+        for k in self.owner:
+            if k in held:
+                self.added_at.setdefault(k, now)
+            elif k in self.added_at:
+                self.revoked_at.setdefault(k, now)
+
+    def headers(self, rid, name=None):
+        """Credentials for a request: mostly a key of the next config, sometimes one that was taken away."""
+        keys = [k for n in ([name] if name else sorted(self.keys)) for k in self.keys[n]]
+        if not name and self.revoked_at and self.rng.random() < 0.2:
+            keys = sorted(self.revoked_at)
+        k = self.rng.choice(keys)
+        self.sent[rid] = (k, time.time())
+        return [("Authorization", "Bearer " + k), ("Tenant", "eve")]
+
+
+class NoCustomers:
+    """Stands for Customers in runs without them."""
+
+    def change(self):
+        pass
+
+    def config(self):
+        return None
+
+    def acked(self, config):
+        pass
+
+    def headers(self, rid, name=None):
+        return []
+
+
 class Soak:
     """One run: the load, the faults, and the checks of what was observed."""
 
@@ -86,7 +155,9 @@
         self.replica_rng = random.Random(seed + 0x5eed)  # of replica_faults(): older seeds draw as before
         random.seed(seed)
         self.seconds = seconds
-        self.kit = Kit(controls=self.rng.choice([3, 4]), fronts=3, replicas=4)
+        self.kit = Kit(controls=self.rng.choice([3, 4]), fronts=3, replicas=4,
+                       revoke_ms=int(REVOKE_S * 1000) if seed >= CUSTOMER_SEEDS else 0)
+        self.customers = Customers(seed) if seed >= CUSTOMER_SEEDS else NoCustomers()
         self.failures = []
         self.online = []            # (route, request id, status, body)
         self.lots = {}              # lot id: {items, statuses, accepted, ended, seen}
@@ -108,7 +179,8 @@
 
     async def send_online(self, route):
         rid = self.rid()
-        s, _, b = await self.kit.stream(self.rng.choice(self.kit.fronts), "/%s/1" % route, rid)
+        s, _, b = await self.kit.stream(self.rng.choice(self.kit.fronts), "/%s/1" % route, rid,
+                                        headers=self.customers.headers(rid))
         self.online.append((route, rid, s, b))
 
     async def callers(self):
@@ -127,7 +199,8 @@
                 while not self.stop:
                     rid = self.rid()
                     writer.write(("POST /alert/k HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 5000\r\n"
-                                  "Content-Length: 0\r\n\r\n" % (HOST, rid)).encode())
+                                  "%sContent-Length: 0\r\n\r\n" % (HOST, rid, "".join(
+                                      "%s: %s\r\n" % h for h in self.customers.headers(rid)))).encode())
                     m = await asyncio.wait_for(read_message(reader), 7)
                     if not m:
                         break
@@ -151,7 +224,7 @@
     async def open_lot(self, lot, items):
         x = self.lots[lot]
         for _ in range(6):
-            s = await self.kit.open_lot(self.rng.choice(self.kit.fronts), lot, items)
+            s = await self.kit.open_lot(self.rng.choice(self.kit.fronts), lot, items, self.customers.headers(lot, "ada"))
             x["statuses"].append(s)
             if s == 202:
                 x["accepted"] = True
@@ -162,7 +235,8 @@
         """Reads the results repeatedly; a result must not change its position or content once it is listed."""
         x = self.lots[lot]
         while not self.stop or len(x["seen"]) < len(x["items"]) and not x["ended"]:
-            s, b = await self.kit.read_lot(self.rng.choice(self.kit.fronts), lot, 0, 500)
+            s, b = await self.kit.read_lot(self.rng.choice(self.kit.fronts), lot, 0, 500,
+                                           self.customers.headers(lot, "ada"))
             if s == 200:
                 got = b["results"]
                 if got[:len(x["seen"])] != x["seen"][:len(got)]:
@@ -191,15 +265,25 @@
     async def end_lot(self, lot):
         await asyncio.sleep(self.rng.uniform(0.2, 2))
         for _ in range(20):
-            if await self.kit.end_lot(self.rng.choice(self.kit.fronts), lot) == 200:
+            if await self.kit.end_lot(self.rng.choice(self.kit.fronts), lot, self.customers.headers(lot, "ada")) == 200:
                 self.lots[lot]["ended"] = time.time()
                 return
             await asyncio.sleep(0.2)
 
+    async def submit(self, tries, extra=None):
+        """Submits a config with the customers of now, if the run has any; returns its version, or 0."""
+        self.customers.change()
+        customers = self.customers.config()
+        with_customers = {"tenants": customers} if customers else {}
+        version = await self.kit.submit(tries=tries, extra=extra, **with_customers)
+        if version:
+            self.customers.acked(customers)
+        return version
+
     async def operator(self):
         """Submits new versions of the config."""
         while not self.stop:
-            if await self.kit.submit(tries=3, extra="v%d" % self.rng.randint(0, 99)):
+            if await self.submit(3, "v%d" % self.rng.randint(0, 99)):
                 self.acked_configs.append((time.time(), self.kit.acked_version))
             await asyncio.sleep(self.rng.uniform(0.3, 1.5))
 
@@ -335,6 +419,8 @@
                 sig = [signal.SIGKILL, signal.SIGSTOP, signal.SIGTERM][kind]
                 if not getattr(f, "busy", False):
                     f.busy = True
+                    if sig == signal.SIGSTOP and isinstance(self.customers, Customers):
+                        s += REVOKE_S   # wakes after keys of its config must have stopped working
 
                     async def stop_front(f=f, sig=sig, s=s):
                         await self.downtime([f], sig, s)
@@ -415,12 +501,43 @@
                 if late:
                     self.fail("lot %s: an item ran more than 3 s after the lot was ended" % lot)
 
+    def check_customers(self):
+        """Replicas get the customer of the key and not the key; revoked keys stop working, added ones work."""
+        c = self.customers
+        for x in self.kit.runs:
+            owner = "ada" if x["id"] not in c.sent else c.owner[c.sent[x["id"]][0]]     # items are ada's
+            if x["headers"].get("tenant") != owner or "authorization" in x["headers"]:
+                self.fail("%s: ran for %s instead of %s" % (x["id"], x["headers"].get("tenant"), owner))
+            if x["id"] not in c.sent:
+                continue
+            k, at = c.sent[x["id"]]
+            if at > c.revoked_at.get(k, at) + REVOKE_S:
+                self.fail("%s: ran %.2f s after its key was revoked" % (x["id"], at - c.revoked_at[k]))
+        for _, rid, s, _ in self.online:
+            k, at = c.sent[rid]
+            if s == 401 and at > c.added_at.get(k, at) + REVOKE_S and k in sum(c.keys.values(), []):
+                self.fail("%s: answered 401 %.2f s after its key was added" % (rid, at - c.added_at[k]))
+
+    def check_quota(self):
+        """In no window do more requests of the limited customer run than its quota and the tolerance allow."""
+        sent = self.customers.sent
+        first = {}
+        for x in self.kit.runs:
+            if x["id"] in sent and self.customers.owner[sent[x["id"]][0]] == "cyd":
+                first.setdefault(x["id"], x["at"])
+        times = sorted(first.values())
+        for i, t in enumerate(times):
+            n = sum(1 for u in times[i:] if u <= t + QUOTA_WINDOW_S)
+            if n > QUOTA_MAX:
+                self.fail("%d requests of a customer ran within %.0f s" % (n, QUOTA_WINDOW_S))
+                return
+
     async def check_final_state(self):
         """After the last fault all entries serve, and the config is not older than the last acknowledged one."""
         await self.kit.wait_ready(s=10)
         for f in self.kit.fronts:
             rid = self.rid()
-            s, _, b = await self.kit.stream(f, "/brief/1", rid)
+            s, _, b = await self.kit.stream(f, "/brief/1", rid, headers=self.customers.headers(rid, "bob"))
             if s != 200:
                 self.fail("%s answers %s although no fault is left" % (f.name, s))
         got = None
@@ -436,7 +553,7 @@
     async def run_load_and_faults(self):
         """Runs the load with the faults until all lots are finished, then checks what was observed."""
         k = self.kit
-        await k.submit()
+        await self.submit(40)
         await k.wait_ready()
         self.relays = [Relay(k, r) for r in k.replicas]
         for x in self.relays:
@@ -453,6 +570,9 @@
         self.check_online()
         self.check_lots()
         self.check_leaving()
+        if isinstance(self.customers, Customers):
+            self.check_customers()
+            self.check_quota()
         for name in k.unexpected_exits():
             self.fail("%s exited without being stopped" % name)
 
@@ -479,7 +599,7 @@
 
 def main():
     a = argparse.ArgumentParser()
-    a.add_argument("--seeds", default="1..3")
+    a.add_argument("--seeds", default="1..3", help="those from %d on have customers" % CUSTOMER_SEEDS)
     a.add_argument("--seconds", type=float, default=12)
     a.add_argument("--jobs", type=int, default=1)
     a.add_argument("--one", type=int)
--- a/tests/proc/test_soak.py
+++ b/tests/proc/test_soak.py
@@ -1,4 +1,4 @@
-"""A short run of tests/platform_soak.py with two fixed seeds, and with the seeds of tests/soak_seeds.txt.
+"""A short run of tests/platform_soak.py with fixed seeds, two of them with customers, and with the seeds of tests/soak_seeds.txt.
 
 Guards against defects that show only when several failures coincide, and against the return of the defects that these
 seeds found. Run more seeds by hand with tests/platform_soak.py --seeds.
@@ -14,9 +14,15 @@
 class Soak(unittest.TestCase):
     def test_two_seeds_and_those_that_failed_once(self):
         for args in (["--seeds", "1..2"], ["--regress"]):
-            p = subprocess.run([sys.executable, SOAK, "--seconds", "8", "--jobs", "2"] + args,
-                               capture_output=True, text=True, timeout=300)
-            self.assertEqual(p.returncode, 0, p.stdout + p.stderr[-2000:])
+            self.run_soak(args)
+
+    def test_two_seeds_with_customers(self):
+        self.run_soak(["--seeds", "1001..1002"])
+
+    def run_soak(self, args):
+        p = subprocess.run([sys.executable, SOAK, "--seconds", "8", "--jobs", "2"] + args,
+                           capture_output=True, text=True, timeout=300)
+        self.assertEqual(p.returncode, 0, p.stdout + p.stderr[-2000:])
 
 
 if __name__ == "__main__":
