A control process that does not lead remembers which replicas leave

Change: the view that linked control processes get says which replicas are leaving; they keep these with their start time, as a leader keeps what entries report. Test first: an announcement, all entries restarted, the leader killed: failed before, passes now. What is left: all control processes and the entries restarted within the list's lag. Conclusion: kept.

--- a/src/control/hub_view.c
+++ b/src/control/hub_view.c
@@ -372,8 +372,22 @@
 	}
 }
 
+/* Remembers which replicas the leader knows to be leaving. Should this process lead next, neither
+ * the list, which lags, nor an entry that was restarted would tell it. */
+static void remember_leaving(hub_t *h, const link_view_t *v)
+{
+	for (u_int i = 0; i < v->upstreams.upstreams_len; i++) {
+		const link_upstream_t *u = &v->upstreams.upstreams_val[i];
+
+		if (u->leaving && u->start_time)
+			leaving_add(h->leaving_replicas,
+				    (replica_ref_t){wire_str(u->id), u->start_time});
+	}
+}
+
 void hub_view_adopt(hub_t *h, const link_view_t *v)
 {
+	remember_leaving(h, v);
 	wire_free(XDR_PROC(link_view_t), &h->view);
 	wire_dup(XDR_PROC(link_view_t), v, &h->view, sizeof(h->view));
 	h->rings_stale = true;
--- a/tests/proc/test_platform.py
+++ b/tests/proc/test_platform.py
@@ -425,6 +425,22 @@
             self.send_all(6)
         self.assertEqual(self.runs_since(leaving, t), [])
 
+    def test_new_leader_knows_it_although_the_entries_were_restarted(self):
+        """No entry has the announcement any more when the leader is lost: the other control processes must have it."""
+        leaving = self.kit.replicas[0]
+        t = self.announce_leaving(leaving)
+        for f in self.kit.fronts:
+            f.stop()
+            f.start()
+            self.run_one(self.kit.wait_ready([f]))
+        leader = self.kit.leader()
+        leader.signal(signal.SIGKILL)
+        leader.p.wait()
+        time.sleep(2)
+        for _ in range(4):
+            self.send_all(6)
+        self.assertEqual(self.runs_since(leaving, t), [])
+
     def test_replica_restarted_under_its_id_is_used_again(self):
         """Its later start time shows that the announcement was made by the previous process."""
         leaving = self.kit.replicas[0]
