--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -270,7 +270,7 @@
 				   {STR("Model"), STR("m")}};
 	http_head_t h = make_head("POST", "/x/1?q=2", v, 10);
 	AUTO_BUF b = {0};
-	platform_send_t s = {STR("i-7"), 1200, 12};
+	platform_send_t s = {.replica = STR("i-7"), .caller_timeout_ms = 1200, .last_event_id = 12};
 
 	platform_request_encode(&b, &h, STR("body"), &s);
 	ck_assert_str_eq(b.p, "POST /x/1?q=2 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: 9c41\r\n"
@@ -287,7 +287,7 @@
 			      .headers = wire_bytes(STR("Model: m\r\n")),
 			      .body = wire_bytes(STR("abc"))};
 	AUTO_BUF b = {0};
-	platform_send_t s = {STR("i-7"), 60000, 0};
+	platform_send_t s = {.replica = STR("i-7"), .caller_timeout_ms = 60000};
 
 	platform_item_encode(&b, &it, &s);
 	ck_assert_str_eq(b.p, "POST /x/y/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: e5\r\n"
