Two runs of one soak seed on a machine take different addresses

Change: network and port are drawn apart from the seed; the draws of the seed stay as they were. Nothing is checked less.

--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -240,8 +240,12 @@
                  bin_of=lambda name: BIN, revoke_ms=0):
         self.memory_mib, self.bin_of, self.revoke_ms = memory_mib, bin_of, revoke_ms
         self.dir = tempfile.mkdtemp(prefix="auburn-platform-")
-        self.net = "127.%d.%d" % (random.randint(1, 250), random.randint(1, 250))
-        self.port = random.randint(20000, 28000)
+        for bound in (250, 250, 8000):
+            random.randint(1, bound)    # older seeds draw as before
+        # Not by the seed: two runs of one seed on a machine would take the same addresses.
+        fresh = random.SystemRandom()
+        self.net = "127.%d.%d" % (fresh.randint(1, 250), fresh.randint(1, 250))
+        self.port = fresh.randint(20000, 28000)
         self.last_host = 0
         self.runs = []
         self.loop = Loop()
