--- a/src/policy/quota.h
+++ b/src/policy/quota.h
@@ -52,7 +52,7 @@
 void quota_exhaust(quota_t *q, str_t customer, deadline_t now);
 /** True once in a period, for a customer whose requests are refused: the entries are to be told. */
 bool quota_notice_due(quota_t *q, str_t customer, deadline_t now, int64_t period_ms);
-/** Number of customers that have been counted; for metrics. */
+/** Number of customers that have been counted; for tests. */
 size_t quota_customers(const quota_t *q);
 
 #endif
--- a/tests/proc/test_platform.py
+++ b/tests/proc/test_platform.py
@@ -352,6 +352,13 @@
                 return time.time()
         self.fail("no request reached the leaving replica")
 
+    def restart_entries(self):
+        """Restarts one entry after the other, each once the one before is ready."""
+        for f in self.kit.fronts:
+            f.stop()
+            f.start()
+            self.run_one(self.kit.wait_ready([f]))
+
     def runs_since(self, replica, t):
         """The runs that the replica has begun after time t."""
         return [r for r in self.kit.runs if r["replica"] == replica.id and r["at"] > t]
@@ -417,10 +424,7 @@
         """Each entry loses the announcement with its restart, so the leader must still have it."""
         leaving = self.kit.replicas[0]
         t = self.announce_leaving(leaving)
-        for f in self.kit.fronts:
-            f.stop()
-            f.start()
-            self.run_one(self.kit.wait_ready([f]))
+        self.restart_entries()
         for _ in range(4):
             self.send_all(6)
         self.assertEqual(self.runs_since(leaving, t), [])
@@ -429,10 +433,7 @@
         """No entry has the announcement any more when the leader is lost: the other control processes must have it."""
         leaving = self.kit.replicas[0]
         t = self.announce_leaving(leaving)
-        for f in self.kit.fronts:
-            f.stop()
-            f.start()
-            self.run_one(self.kit.wait_ready([f]))
+        self.restart_entries()
         leader = self.kit.leader()
         leader.signal(signal.SIGKILL)
         leader.p.wait()
