--- a/src/raft/store_file.c
+++ b/src/raft/store_file.c
@@ -19,12 +19,23 @@
 	return at ? strtol(at + strlen(key), NULL, 10) : -1;
 }
 
+static void parse_fault_path(const char *env, const char *key, char *out, size_t size)
+{
+	const char *at = env ? strstr(env, key) : NULL;
+
+	if (at)
+		at += strlen(key);
+	snprintf(out, size, "%.*s", at ? (int)strcspn(at, ",") : 0, at ? at : "");
+}
+
 void store_disk_fault_from_env(store_disk_fault_t *f)
 {
 	const char *env = getenv("AUBURN_DISK_FAULT");
 
 	f->fsync_fail_after = parse_fault(env, "fsync_fail_after=");
 	f->full_after_bytes = parse_fault(env, "full_after_bytes=");
+	parse_fault_path(env, "full_while_exists=", f->full_while_exists,
+			 sizeof(f->full_while_exists));
 }
 
 static status_t io_error(const char *what, const char *name)
@@ -37,6 +48,8 @@
 {
 	long left = __atomic_load_n(&f->full_after_bytes, __ATOMIC_RELAXED);
 
+	if (f->full_while_exists[0] && access(f->full_while_exists, F_OK) == 0)
+		return false;
 	if (left < 0)
 		return true;
 	if ((long)n > left)
--- a/src/raft/store_file.h
+++ b/src/raft/store_file.h
@@ -8,10 +8,11 @@
 #include "base/str.h"
 
 /** Read from AUBURN_DISK_FAULT when a store is opened: "fsync_fail_after=100",
- * "full_after_bytes=65536", or both separated by a comma. */
+ * "full_after_bytes=65536", "full_while_exists=/path", or several separated by commas. */
 typedef struct {
 	long fsync_fail_after; /* syncs that still succeed; -1: all */
 	long full_after_bytes; /* bytes that can still be written; -1: no limit */
+	char full_while_exists[256]; /* writes are refused while this file exists; empty: never */
 } store_disk_fault_t;
 
 void store_disk_fault_from_env(store_disk_fault_t *f);
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -206,6 +206,7 @@
         self.bin = kit.bin_of(name)  # folder of the build that it is started from
         self.path = os.path.join(kit.dir, name + ".toml")
         self.log = os.path.join(kit.dir, name + ".log")
+        self.disk_full_flag = os.path.join(kit.dir, name + ".full")  # its disk refuses writes while this file exists
         with open(self.path, "w") as f:
             for k, v in settings.items():
                 f.write("%s = %s\n" % (k, json.dumps(v)))
@@ -216,7 +217,8 @@
         self.exit_expected = False
         with open(self.log, "a") as log:
             self.p = subprocess.Popen([os.path.join(self.bin, self.program), "--config", self.path],
-                                      stdout=log, stderr=subprocess.STDOUT)
+                                      stdout=log, stderr=subprocess.STDOUT,
+                                      env=dict(os.environ, AUBURN_DISK_FAULT="full_while_exists=" + self.disk_full_flag))
 
     def signal(self, sig):
         if self.p and self.p.poll() is None:
@@ -230,6 +232,13 @@
         if self.p:
             self.p.wait()
 
+    def fill_disk(self, full=True):
+        """Makes its disk refuse writes, or take them again."""
+        if full:
+            open(self.disk_full_flag, "w").close()
+        elif os.path.exists(self.disk_full_flag):
+            os.unlink(self.disk_full_flag)
+
     def log_text(self):
         with open(self.log, errors="replace") as f:
             return f.read()
--- a/tests/unit/test_group.c
+++ b/tests/unit/test_group.c
@@ -481,6 +481,48 @@
 }
 END_TEST
 
+/* Makes the disk of replica i refuse writes, and waits until the replica has failed to write. */
+static void fill_disk(unsigned i, const char *flag)
+{
+	int fd = open(flag, O_CREAT | O_WRONLY, 0600);
+	deadline_t d = wait_deadline();
+
+	ck_assert_int_ge(fd, 0);
+	close(fd);
+	do {
+		add_number((int)i, "1");
+		ck_assert(clock_left_ms(d) > 0);
+	} while (propose_number(i, "1") != STATUS_IO);
+}
+
+/* The group loses its majority at the next loss of a disk if the replica stays out. */
+START_TEST(a_replica_whose_disk_refused_writes_votes_again_once_the_disk_takes_them)
+{
+	char flag[128];
+	char fault[160];
+	status_t st;
+	deadline_t d;
+
+	snprintf(flag, sizeof(flag), "%s/disk-is-full", root_dir);
+	snprintf(fault, sizeof(fault), "full_while_exists=%s", flag);
+	setenv("AUBURN_DISK_FAULT", fault, 1);
+	start_replica(0, 3);
+	unsetenv("AUBURN_DISK_FAULT");
+	start_replica(1, 3);
+	start_replica(2, 3);
+	fill_disk(0, flag);
+	unlink(flag);
+	d = clock_now_ms() + 1000;
+	do {
+		clock_sleep_ms(5);
+		st = propose_number(0, "1");
+	} while (st == STATUS_IO && clock_left_ms(d) > 0);
+	ck_assert_int_ne(st, STATUS_IO);
+	stop_replica(wait_leader(0));
+	add_number(-1, "1");
+}
+END_TEST
+
 /* Proposes to each replica in turn until 50 commands are committed. */
 static void *propose_thread(void *arg)
 {
@@ -537,6 +579,7 @@
 	tcase_add_test(t, a_lost_disk_is_replaced_from_a_snapshot);
 	tcase_add_test(t, a_replica_with_a_damaged_directory_joins_again_under_a_new_id);
 	tcase_add_test(t, a_replica_with_a_failed_disk_acknowledges_nothing);
+	tcase_add_test(t, a_replica_whose_disk_refused_writes_votes_again_once_the_disk_takes_them);
 	tcase_add_test(t, concurrent_proposals_share_syncs);
 	return suite_run(s);
 }
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -193,7 +193,7 @@
 {
 	for (uint64_t i = 1; i <= 200; i++)
 		append_synced(i, 1, STR("some bytes that fill a segment"));
-	flip_bit(FIRST_SEGMENT, file_size(FIRST_SEGMENT) - 1);
+	flip_bit(FIRST_SEGMENT, file_size(FIRST_SEGMENT) - 8);
 	flip_bit(FIRST_SEGMENT, file_size(FIRST_SEGMENT) - 20);
 	ck_assert_int_eq(reopen(), STATUS_CORRUPT);
 }
@@ -339,6 +339,51 @@
 }
 END_TEST
 
+/* Queues one entry; its sync must fail. */
+static void append_refused(uint64_t index, uint64_t term, str_t data)
+{
+	raft_entry_t e = {.term = term, .kind = RAFT_ENTRY_COMMAND};
+	uint64_t seq;
+
+	e.data.data_val = (char *)data.p;
+	e.data.data_len = (u_int)data.n;
+	store_queue_entries(store, index, index, &e, 1);
+	ck_assert_int_eq(store_sync(store, &seq), STATUS_IO);
+}
+
+START_TEST(what_a_full_disk_refused_is_written_once_it_takes_writes)
+{
+	append_synced(1, 1, STR("a"));
+	store->fault.full_after_bytes = 0;
+	append_refused(2, 1, STR("b"));
+	append_refused(3, 1, STR("c"));
+	store->fault.full_after_bytes = -1;
+	append_synced(4, 1, STR("d"));
+	append_synced(5, 1, STR("e"));
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.nentries, 5);
+	for (size_t i = 0; i < 5; i++)
+		ck_assert_mem_eq(contents.entries[i].data.data_val, "abcde" + i, 1);
+}
+END_TEST
+
+/* A sync of the same file that succeeds after a failed one proves nothing about the data of the
+ * failed one, which must be written again elsewhere. */
+START_TEST(what_a_failed_sync_covered_is_written_again_to_a_new_segment)
+{
+	append_synced(1, 1, STR("a"));
+	store->fault.fsync_fail_after = 0;
+	append_refused(2, 1, STR("b"));
+	store->fault.fsync_fail_after = -1;
+	append_synced(3, 1, STR("c"));
+	/* The data of the failed sync may be torn on the disk. */
+	flip_bit(FIRST_SEGMENT, file_size(FIRST_SEGMENT) - 8);
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.nentries, 3);
+	ck_assert_mem_eq(contents.entries[1].data.data_val, "b", 1);
+}
+END_TEST
+
 /* The expected contents of a directory; entry base + 1 + i has term terms[i]. */
 typedef struct {
 	uint64_t base;
@@ -493,6 +538,8 @@
 	tcase_add_test(t, a_received_snapshot_resets_the_log);
 	tcase_add_test(t, a_full_disk_acknowledges_nothing);
 	tcase_add_test(t, a_store_whose_sync_failed_stays_failed);
+	tcase_add_test(t, what_a_full_disk_refused_is_written_once_it_takes_writes);
+	tcase_add_test(t, what_a_failed_sync_covered_is_written_again_to_a_new_segment);
 	tcase_add_loop_test(t, a_torn_write_leaves_a_prefix_of_the_records, 1, 9);
 	tcase_set_timeout(t, 60);
 	return suite_run(suite);
