A refused write is written to a new segment, and the replica takes part again

Cause: a passing failure was kept as a lasting state. After one refused write or sync store_sync failed for ever, the disk's thread ended, and the Raft core stayed failed: it ignored messages, so that the group of three bore no further loss. Ruled out: damaged lots (every read failed for want of a leader), survivors that don't find each other (both were linked; the one with the disk that had failed ignored them).

Change: what was refused stays queued and is written to a new segment every 100 ms, since a later sync of the same file proves nothing about the data of the failed one. The header of a segment records how much of the one before it was synced; bytes after that are no part of the log. Once the disk holds all, the replica takes part again; a vote or entry that it had queued is kept.

--- a/src/raft/group_disk.c
+++ b/src/raft/group_disk.c
@@ -3,16 +3,14 @@
 
 #include <assert.h>
 #include "base/log.h"
+#include "base/metric.h"
 
-void group_disk_set_failed(group_t *g)
-{
-	log_event(LOG_LEVEL_ERROR, "disk_failed", LOG_INT("group", g->options.group),
-		  LOG_CSTR("what", status_message()));
-	pthread_mutex_lock(&g->lock);
-	g->disk_failed = true;
-	pthread_cond_signal(&g->wake);
-	pthread_mutex_unlock(&g->lock);
-}
+/** Pause before a refused write is tried again, in ms. */
+#define RETRY_MS 100
+/** Pause after a snapshot that could not be written, in ms. */
+#define SNAPSHOT_RETRY_MS 1000
+/** Failed tries between two log lines. */
+#define TRIES_PER_LOG 50
 
 void group_disk_wake(group_t *g)
 {
@@ -35,6 +33,53 @@
 	return has;
 }
 
+/* Notifies the group's thread of what the disk holds, or that it refuses writes. */
+static void report_sync(group_t *g, bool failed, uint64_t seq)
+{
+	pthread_mutex_lock(&g->lock);
+	g->disk_failed = failed;
+	if (!failed)
+		g->synced_seq = seq;
+	pthread_cond_signal(&g->wake);
+	pthread_mutex_unlock(&g->lock);
+}
+
+/* Waits before the next try; false if the group is closing. */
+static bool wait_to_retry(group_t *g)
+{
+	deadline_t next = clock_now_ms() + RETRY_MS;
+	bool stop;
+
+	pthread_mutex_lock(&g->lock);
+	while (!g->disk_stop && clock_left_ms(next) > 0)
+		group_cond_wait(g, &g->disk_wake, clock_left_ms(next));
+	stop = g->disk_stop;
+	pthread_mutex_unlock(&g->lock);
+	return !stop;
+}
+
+/* Writes what the disk has refused until it takes it. Returns false if the group is closing. */
+static bool retry_until_synced(group_t *g, uint64_t *seq)
+{
+	deadline_t since = clock_now_ms();
+	unsigned tries = 0;
+
+	METRIC_INC("auburn_disk_failures_total");
+	do {
+		if (tries++ % TRIES_PER_LOG == 0)
+			log_event(LOG_LEVEL_ERROR, "disk_failed",
+				  LOG_INT("group", g->options.group),
+				  LOG_CSTR("what", status_message()), LOG_INT("tries", tries),
+				  LOG_INT("ms", clock_now_ms() - since));
+		report_sync(g, true, 0);
+		if (!wait_to_retry(g))
+			return false;
+	} while (store_sync(g->store, seq) != STATUS_OK);
+	log_event(LOG_LEVEL_WARN, "disk_back", LOG_INT("group", g->options.group),
+		  LOG_INT("tries", tries), LOG_INT("ms", clock_now_ms() - since));
+	return true;
+}
+
 void *group_disk_thread_main(void *arg)
 {
 	group_t *g = arg;
@@ -42,14 +87,9 @@
 	while (wait_for_records(g)) {
 		uint64_t seq = 0;
 
-		if (store_sync(g->store, &seq) != STATUS_OK) {
-			group_disk_set_failed(g);
-			return NULL;
-		}
-		pthread_mutex_lock(&g->lock);
-		g->synced_seq = seq;
-		pthread_cond_signal(&g->wake);
-		pthread_mutex_unlock(&g->lock);
+		if (store_sync(g->store, &seq) != STATUS_OK && !retry_until_synced(g, &seq))
+			break;
+		report_sync(g, false, seq);
 	}
 	return NULL;
 }
@@ -61,8 +101,10 @@
 					  str_buf(&g->snap_members), str_buf(&g->snap_state));
 
 	if (st != STATUS_OK)
-		group_disk_set_failed(g);
+		log_event(LOG_LEVEL_ERROR, "snapshot_failed", LOG_INT("group", g->options.group),
+			  LOG_INT("index", g->snap_index), LOG_CSTR("what", status_message()));
 	pthread_mutex_lock(&g->lock);
+	g->snap_failed = st != STATUS_OK;
 	g->snap_ended = true;
 	pthread_cond_signal(&g->wake);
 	pthread_mutex_unlock(&g->lock);
@@ -82,6 +124,7 @@
 	raft_members_encode(&members, &g->snap_members);
 	g->snap_state.n = 0;
 	g->options.snapshot(g->options.ctx, &g->snap_state);
+	g->snap_bytes = g->applied_bytes;
 	g->applied_bytes = 0;
 	g->snap_running = true;
 	if (pthread_create(&g->snap_thread, NULL, snapshot_thread_main, g) != 0)
@@ -89,10 +132,15 @@
 }
 
 /* Joins the snapshot thread, which has ended, and drops the entries that the older of the two
- * snapshots covers from the log in memory. */
+ * snapshots covers from the log in memory. A snapshot that failed is due again after a pause. */
 void group_snapshot_end(group_t *g)
 {
 	group_snapshot_join(g);
+	if (g->snap_failed) {
+		g->snap_index = store_newest_snapshot(g->store);
+		g->applied_bytes += g->snap_bytes;
+		g->next_snap = clock_now_ms() + SNAPSHOT_RETRY_MS;
+	}
 	raft_compact(g->raft, store_oldest_snapshot(g->store));
 }
 
--- a/src/raft/group_internal.h
+++ b/src/raft/group_internal.h
@@ -62,9 +62,10 @@
 	group_queue_t inbox;
 	bool stop;
 	bool disk_stop;
-	bool disk_failed;
+	bool disk_failed; /* the last write of the log was refused */
 	uint64_t synced_seq;
 	bool snap_ended; /* the snapshot thread has ended */
+	bool snap_failed; /* it has not written the snapshot */
 	group_status_t status;
 
 	/* used by the group's thread only */
@@ -75,7 +76,10 @@
 	group_sender_t senders[GROUP_SENDERS_MAX];
 	deadline_t leader_since;
 	uint64_t commands;
+	bool state_lost; /* a snapshot was restored only in part; a restart repairs that */
 	uint64_t applied_bytes; /* since the last snapshot */
+	uint64_t snap_bytes; /* applied_bytes when the running snapshot was begun */
+	deadline_t next_snap; /* no snapshot is begun before, as the last one failed */
 	uint64_t snap_index; /* of the newest snapshot that was begun or installed */
 	bool snap_running; /* the snapshot thread was started and is not joined yet */
 	buf_t snap_state;
@@ -115,9 +119,6 @@
 /** Main function of the thread that syncs the log. */
 void *group_disk_thread_main(void *arg);
 void group_disk_wake(group_t *g);
-/** Logs that the disk has failed, with the last error text of the calling thread, and notifies the
- * group's thread. */
-void group_disk_set_failed(group_t *g);
 void group_snapshot_begin(group_t *g);
 void group_snapshot_end(group_t *g);
 /** Waits for the snapshot thread, if one runs. */
--- a/src/raft/group_raft.c
+++ b/src/raft/group_raft.c
@@ -5,6 +5,7 @@
 #include <assert.h>
 #include <stdio.h>
 #include <string.h>
+#include "base/log.h"
 #include "proto/wire.h"
 
 static group_sender_t *find_sender(group_t *g, uint64_t id)
@@ -166,23 +167,39 @@
 			g, it, status_fail(STATUS_TIMEOUT, "outcome unknown: leadership was lost"));
 }
 
+/* Restores the state from a received snapshot. A state that was restored in part cannot be used. */
+static bool restore_received(group_t *g, uint64_t index)
+{
+	AUTO_BUF state = {0};
+	status_t st = store_load_snapshot(g->store, index, &state);
+
+	if (st == STATUS_OK) {
+		st = g->options.restore(g->options.ctx, str_buf(&state));
+		g->state_lost = st != STATUS_OK;
+	}
+	if (st != STATUS_OK)
+		log_event(LOG_LEVEL_ERROR, "snapshot_not_restored",
+			  LOG_INT("group", g->options.group), LOG_INT("index", index),
+			  LOG_CSTR("what", status_message()));
+	return st == STATUS_OK;
+}
+
 static bool on_snap_write(void *ctx, const raft_snap_chunk_t *c)
 {
 	group_t *g = ctx;
-	AUTO_BUF state = {0};
 	status_t st;
 
 	if (c->last)
 		group_snapshot_join(g);
 	st = store_receive_snapshot(g->store, c);
-	if (st == STATUS_OK && c->last)
-		st = store_load_snapshot(g->store, c->index, &state);
-	if (st == STATUS_OK && c->last)
-		st = g->options.restore(g->options.ctx, str_buf(&state));
 	if (st != STATUS_OK && st != STATUS_INVALID)
-		group_disk_set_failed(g);
+		log_event(LOG_LEVEL_ERROR, "snapshot_not_received",
+			  LOG_INT("group", g->options.group), LOG_INT("index", c->index),
+			  LOG_INT("offset", c->offset), LOG_CSTR("what", status_message()));
 	if (st != STATUS_OK || !c->last)
 		return st == STATUS_OK;
+	if (!restore_received(g, c->index))
+		return false;
 	g->snap_index = c->index;
 	g->applied_bytes = 0;
 	fail_with_unknown_outcome(g, &g->old_proposals);
--- a/src/raft/group_thread.c
+++ b/src/raft/group_thread.c
@@ -127,9 +127,10 @@
 } input_batch_t;
 
 /* Waits for inputs or the next tick and takes everything that has arrived. */
-static void collect_inputs(group_t *g, deadline_t next_tick, uint64_t handled_seq,
-			   bool handled_failure, input_batch_t *b)
+static void collect_inputs(group_t *g, deadline_t next_tick, uint64_t handled_seq, input_batch_t *b)
 {
+	bool handled_failure = b->disk_failed;
+
 	pthread_mutex_lock(&g->lock);
 	if (!g->inbox.first && !g->stop && g->synced_seq == handled_seq &&
 	    g->disk_failed == handled_failure && !g->snap_ended)
@@ -168,7 +169,7 @@
 	uint64_t factor = raft_sending_snapshot(g->raft) ? SNAPSHOT_POSTPONE_FACTOR : 1;
 	uint64_t entries = raft_applied_index(g->raft) - g->snap_index;
 
-	if (g->snap_running || entries == 0)
+	if (g->snap_running || entries == 0 || clock_left_ms(g->next_snap) > 0)
 		return false;
 	return entries >= g->options.snapshot_entries * factor ||
 	       g->applied_bytes >= g->options.snapshot_bytes * factor;
@@ -213,10 +214,15 @@
 	pthread_mutex_unlock(&g->lock);
 }
 
-static void handle_disk_failure(group_t *g)
+/* Takes the replica out of the group while its disk refuses writes, and back in afterwards. */
+static void handle_disk_state(group_t *g, bool failed)
 {
 	group_input_t *it;
 
+	if (!failed) {
+		raft_on_disk_back(g->raft);
+		return;
+	}
 	raft_on_disk_failed(g->raft);
 	while ((it = group_queue_pop(&g->old_proposals)))
 		group_input_finish(g, it,
@@ -241,16 +247,17 @@
 	group_t *g = arg;
 	deadline_t next_tick = clock_now_ms() + g->options.tick_ms;
 	uint64_t handled_seq = 0;
-	bool failed = false;
+	bool failed = false; /* the replica takes no part in the group */
 	input_batch_t b = {0};
 
 	while (!b.stop) {
 		group_input_t *it;
 
-		collect_inputs(g, next_tick, handled_seq, failed, &b);
-		if (b.disk_failed && !failed)
-			handle_disk_failure(g);
-		failed = b.disk_failed;
+		collect_inputs(g, next_tick, handled_seq, &b);
+		if ((b.disk_failed || g->state_lost) != failed) {
+			failed = !failed;
+			handle_disk_state(g, failed);
+		}
 		if (b.synced_seq > handled_seq)
 			raft_on_synced(g->raft, b.synced_seq);
 		handled_seq = b.synced_seq;
--- a/src/raft/raft.c
+++ b/src/raft/raft.c
@@ -190,6 +190,13 @@
 	r->nheld = 0;
 }
 
+void raft_on_disk_back(raft_t *r)
+{
+	assert(r->failed && r->role == RAFT_FOLLOWER);
+	r->failed = false;
+	raft_reset_election_timeout(r);
+}
+
 void raft_tick(raft_t *r)
 {
 	if (r->failed)
--- a/src/raft/raft.h
+++ b/src/raft/raft.h
@@ -49,7 +49,7 @@
 	bool (*snap_read)(void *ctx, raft_snap_chunk_t *c);
 	/** Writes one chunk; chunks come in order from offset 0. With c->last, true means that the
 	 * snapshot is durable and has replaced the state. After false the transfer starts again at
-	 * offset 0. */
+	 * offset 0, after a pause. */
 	bool (*snap_write)(void *ctx, const raft_snap_chunk_t *c);
 	/** ok: after raft_read_index this replica was confirmed as leader and has applied
 	 * everything that was committed at the time of the call. */
@@ -86,9 +86,12 @@
 /** Ends a batch of inputs: persists and sends the entries proposed in it and starts a round for
  * pending reads. */
 void raft_flush(raft_t *r);
-/** The disk has failed: a leader asks another voter to start an election and steps down. The
- * replica then ignores messages, ticks, proposals and reads. */
+/** The disk has refused a write: a leader asks another voter to start an election and steps down.
+ * The replica then ignores messages, ticks, proposals and reads. */
 void raft_on_disk_failed(raft_t *r);
+/** The disk holds everything that it had refused: the replica takes part again. To be followed by
+ * raft_on_synced. */
+void raft_on_disk_back(raft_t *r);
 
 /** Appends a command. Returns its index, or 0 if this replica does not lead or is transferring
  * leadership. */
--- a/src/raft/raft_follower.c
+++ b/src/raft/raft_follower.c
@@ -177,8 +177,9 @@
 	}
 	if (raft_members_decode(c.members, &members) != STATUS_OK ||
 	    !r->cb.snap_write(r->cb.ctx, &c)) {
+		/* Without an answer the leader sends again after an election timeout, so that a
+		 * full disk is not tried without pause. */
 		r->incoming_snap_offset = 0;
-		send_snapshot_resp(r, m, 0);
 		return;
 	}
 	r->incoming_snap_offset += c.data.n;
--- a/src/raft/store.h
+++ b/src/raft/store.h
@@ -51,8 +51,10 @@
 void store_queue_entries(store_t *s, uint64_t seq, uint64_t from, const raft_entry_t *e, size_t n);
 void store_queue_reset(store_t *s, uint64_t seq, uint64_t index, uint64_t term);
 /** Writes everything queued with one sync; *seq is the number up to which the disk holds the
- * records. After STATUS_IO every later call fails as well. */
+ * records. After STATUS_IO the records stay queued: the next call writes them to a new segment,
+ * because a later sync of the same file would not prove that they are on the disk. */
 status_t store_sync(store_t *s, uint64_t *seq);
+/** True if records are queued that no store_sync has written yet. */
 bool store_has_queued(store_t *s);
 /** Called by the syncing thread when nothing is queued. Appends a mark, without a sync, that says
  * how much of the segment was synced; with it the next start can distinguish damage to the newest
--- a/src/raft/store_file.c
+++ b/src/raft/store_file.c
@@ -175,6 +175,8 @@
 	close(fd);
 	if (st == STATUS_OK && rename(tmp, path) != 0)
 		st = io_error("rename", path);
+	if (st != STATUS_OK)
+		unlink(tmp); /* frees its space */
 	return st == STATUS_OK ? store_dir_sync(f, dir) : st;
 }
 
--- a/src/raft/store_internal.h
+++ b/src/raft/store_internal.h
@@ -43,7 +43,9 @@
 	uint64_t id;
 	uint64_t number;
 	uint32_t crc;
-	uint32_t zero;
+	/** Synced length of the segment before this one. Bytes after it are not part of the log: a
+	 * write that failed left them. 0: unknown, as in segments of older builds. */
+	uint32_t previous_len;
 } store_segment_header_t;
 
 /** Snapshot file: this header, the members, the state, then store_snap_footer_t. */
@@ -95,7 +97,7 @@
 	uint64_t queued_seq;
 	uint64_t queued_max; /* highest index among the queued entries */
 	store_record_t hard_state; /* newest term and vote, queued or written */
-	bool failed;
+	bool refused; /* the last write or sync failed; `writing` holds what is not on the disk */
 	store_segment_t *segments; /* the last one is being written */
 	size_t nsegments;
 	store_snap_t snaps[STORE_SNAPS_MAX + 1]; /* oldest first */
@@ -104,10 +106,12 @@
 
 	/* used by the syncing thread only */
 	buf_t writing;
-	int segment_fd;
+	uint64_t writing_max; /* highest index among the entries in `writing` */
+	int segment_fd; /* -1: the next write begins a segment */
 	uint64_t number; /* of the segment being written */
 	bool has_sync_mark; /* nothing was written after the newest STORE_RECORD_SYNC_MARK */
 	uint64_t size; /* bytes written to this segment */
+	uint64_t synced_size; /* bytes of it that are synced */
 
 	/* used by the group's thread only */
 	buf_t chunk;
@@ -118,8 +122,9 @@
 uint32_t store_crc(uint32_t crc, const void *p, size_t n);
 
 /* store_log.c */
-/** Creates the segment and continues the log in it. */
-status_t store_segment_begin(store_t *s, uint64_t number);
+/** Creates the segment and continues the log in it. previous_len: synced length of the segment
+ * before it; 0 if there is none. After an error the segment does not exist. */
+status_t store_segment_begin(store_t *s, uint64_t number, uint64_t previous_len);
 /** Opens the last segment, of which `size` bytes are valid, to append to it. */
 status_t store_segment_continue(store_t *s, uint64_t size);
 void store_segment_path(const store_t *s, uint64_t number, char path[STORE_PATH_BYTES]);
--- a/src/raft/store_replay.c
+++ b/src/raft/store_replay.c
@@ -115,15 +115,14 @@
 	return false;
 }
 
-static bool header_is_valid(const store_t *s, str_t file, uint64_t number)
+/* Reads the header of a segment; false if it is missing, incomplete or damaged. */
+static bool parse_header(const store_t *s, str_t file, uint64_t number, store_segment_header_t *h)
 {
-	store_segment_header_t h;
-
-	if (file.n < sizeof(h))
+	if (file.n < sizeof(*h))
 		return false;
-	memcpy(&h, file.p, sizeof(h));
-	return h.magic == STORE_SEGMENT_MAGIC && h.id == s->id && h.number == number &&
-	       h.crc == store_crc(0, &h, offsetof(store_segment_header_t, crc));
+	memcpy(h, file.p, sizeof(*h));
+	return h->magic == STORE_SEGMENT_MAGIC && h->id == s->id && h->number == number &&
+	       h->crc == store_crc(0, h, offsetof(store_segment_header_t, crc));
 }
 
 static status_t truncate_tail(store_t *s, const char *path, size_t at)
@@ -140,64 +139,110 @@
 	return st;
 }
 
-/* Reads one segment; *size is its valid length, 0 if the header is incomplete. Truncates an
- * incomplete last write in the last segment. */
-static status_t read_segment(replay_t *rp, uint64_t number, bool is_last, size_t *size)
+/* Where a segment ends. */
+typedef struct {
+	uint64_t len; /* as recorded by the next segment; 0: unknown */
+	bool may_be_torn; /* an incomplete last write is truncated */
+	bool is_last; /* the header may be incomplete, too */
+} segment_end_t;
+
+/* Reads the records of a segment up to its end; *at is where they end. */
+static status_t replay_records(replay_t *rp, str_t file, const char *path, uint64_t len, size_t *at)
 {
-	char path[STORE_PATH_BYTES];
-	AUTO_BUF b = {0};
 	store_record_t rec;
+	status_t st = STATUS_OK;
 	str_t data;
-	str_t file;
-	size_t at = sizeof(store_segment_header_t);
+
+	while (*at < file.n && (len == 0 || *at < len) && st == STATUS_OK) {
+		size_t n = parse_record(file, *at, &rec, &data);
+
+		if (n == 0)
+			break;
+		st = replay_record(rp, &rec, data, path, *at);
+		*at += n;
+	}
+	return st;
+}
+
+/* Reads one segment; *size is its valid length, 0 if the header is incomplete. */
+static status_t read_segment(replay_t *rp, uint64_t number, str_t file, segment_end_t end,
+			     size_t *size)
+{
+	char path[STORE_PATH_BYTES];
+	store_segment_header_t h;
+	size_t at = sizeof(h);
 	status_t st;
 
 	store_segment_path(rp->s, number, path);
-	st = store_file_read(path, &b);
-	if (st != STATUS_OK)
-		return st;
-	file = str_buf(&b);
 	*size = 0;
-	if (!header_is_valid(rp->s, file, number)) {
-		if (is_last && !was_synced(file, 0)) {
+	if (!parse_header(rp->s, file, number, &h)) {
+		if (end.is_last && !was_synced(file, 0)) {
 			rp->contents->cut_bytes = file.n;
 			return STATUS_OK;
 		}
 		return status_fail(STATUS_CORRUPT, "%s: offset 0: damaged header", path);
 	}
-	while (at < file.n) {
-		size_t n = parse_record(file, at, &rec, &data);
-
-		if (n == 0)
-			break;
-		st = replay_record(rp, &rec, data, path, at);
-		if (st != STATUS_OK)
-			return st;
-		at += n;
-	}
+	st = replay_records(rp, file, path, end.len, &at);
+	if (st != STATUS_OK)
+		return st;
 	*size = at;
-	if (at == file.n)
+	if (end.len ? at == end.len : at == file.n)
 		return STATUS_OK;
-	if (!is_last || was_synced(file, at))
+	if (!end.may_be_torn || was_synced(file, at))
 		return status_fail(STATUS_CORRUPT, "%s: offset %zu: damaged record", path, at);
 	rp->contents->cut_bytes = file.n - at;
 	return truncate_tail(rp->s, path, at);
 }
 
+static status_t read_file(const store_t *s, uint64_t number, buf_t *out)
+{
+	char path[STORE_PATH_BYTES];
+
+	out->n = 0;
+	store_segment_path(s, number, path);
+	return store_file_read(path, out);
+}
+
+/* Returns the end of a segment, given the segment after it. If that has no whole header, it was
+ * being created, maybe because the disk had refused the last write to this one. */
+static segment_end_t end_before(const store_t *s, uint64_t number, str_t next, bool next_is_last)
+{
+	store_segment_header_t h;
+
+	if (parse_header(s, next, number + 1, &h))
+		return (segment_end_t){.len = h.previous_len};
+	return (segment_end_t){.may_be_torn = next_is_last && !was_synced(next, 0)};
+}
+
 /* Reads all segments and opens the last one to continue the log in it. */
 static status_t read_segments(replay_t *rp)
 {
 	AUTO_FREE uint64_t *numbers = NULL;
 	size_t n = store_list_numbered_files(rp->s->dir, "log-", &numbers);
-	status_t st = STATUS_OK;
+	AUTO_BUF file = {0};
+	AUTO_BUF next = {0};
+	size_t previous_size = 0;
 	size_t size = 0;
+	status_t st = n ? read_file(rp->s, numbers[0], &next) : STATUS_OK;
 
 	for (size_t i = 0; i < n && st == STATUS_OK; i++) {
-		if (i > 0 && numbers[i] != numbers[i - 1] + 1)
+		segment_end_t end = {.may_be_torn = true, .is_last = true};
+		buf_t swap = file;
+
+		file = next;
+		next = swap;
+		if (i + 1 < n && numbers[i + 1] != numbers[i] + 1)
 			return status_fail(STATUS_CORRUPT, "%s: segment %lx is missing", rp->s->dir,
-					   (unsigned long)numbers[i - 1] + 1);
+					   (unsigned long)numbers[i] + 1);
+		if (i + 1 < n) {
+			st = read_file(rp->s, numbers[i + 1], &next);
+			if (st != STATUS_OK)
+				break;
+			end = end_before(rp->s, numbers[i], str_buf(&next), i + 2 == n);
+		}
 		rp->max_index = 0;
-		st = read_segment(rp, numbers[i], i + 1 == n, &size);
+		previous_size = size;
+		st = read_segment(rp, numbers[i], str_buf(&file), end, &size);
 		if (st == STATUS_OK && size > 0)
 			store_segment_add(rp->s, numbers[i], rp->max_index);
 	}
@@ -210,7 +255,7 @@
 		return status_fail(STATUS_CORRUPT, "%s: the only segment has an incomplete header",
 				   rp->s->dir);
 	if (size == 0)
-		return store_segment_begin(rp->s, numbers[n - 1]);
+		return store_segment_begin(rp->s, numbers[n - 1], previous_size);
 	return store_segment_continue(rp->s, size);
 }
 
--- a/src/raft/store_snapshot.c
+++ b/src/raft/store_snapshot.c
@@ -343,12 +343,10 @@
 	return st == STATUS_OK ? add_written_snap(s, c->index) : st;
 }
 
-status_t store_receive_snapshot(store_t *s, const raft_snap_chunk_t *c)
+static status_t write_incoming(store_t *s, const raft_snap_chunk_t *c, const char *path)
 {
-	char path[STORE_PATH_BYTES];
 	status_t st = STATUS_OK;
 
-	snprintf(path, sizeof(path), "%s/%s", s->dir, INCOMING_FILE_NAME);
 	if (c->offset == 0)
 		st = begin_incoming(s, c, path);
 	if (st == STATUS_OK &&
@@ -365,6 +363,23 @@
 	return c->last ? finish_incoming(s, c, path) : STATUS_OK;
 }
 
+status_t store_receive_snapshot(store_t *s, const raft_snap_chunk_t *c)
+{
+	char path[STORE_PATH_BYTES];
+	status_t st;
+
+	snprintf(path, sizeof(path), "%s/%s", s->dir, INCOMING_FILE_NAME);
+	st = write_incoming(s, c, path);
+	if (st == STATUS_IO) {
+		/* Frees the space of the part that was received. */
+		if (s->incoming.fd >= 0)
+			close(s->incoming.fd);
+		s->incoming.fd = -1;
+		unlink(path);
+	}
+	return st;
+}
+
 uint64_t store_oldest_snapshot(store_t *s)
 {
 	uint64_t index;
