A control process whose disk refuses writes at its start opens it later

A folder that couldn't be opened (a torn tail that can't be cut, a segment that can't be begun) ended the process with exit code 5. It is tried again every 200 ms (open_failed, every 5 s); SIGTERM ends the wait. A damaged folder that was set aside is never founded anew by a later try. The injected full disk refuses syncs, too.

Before: test_process_that_starts_while_its_disk_refuses_writes_opens_it_later: control-0 exits.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -99,7 +99,8 @@
 } control_t;
 
 /* control_group.c */
-/** Opens this process's replica of group n. bootstrap: as a first voter of a new fleet. */
+/** Opens this process's replica of group n. bootstrap: as a first voter of a new fleet. Tries again
+ * while the disk refuses reads or writes; STATUS_IO only if the process is to stop meanwhile. */
 status_t control_group_open(control_t *ctl, unsigned n, bool bootstrap);
 /** Runs fn under the read lock. The state may lag behind the leader's: for a current read, call
  * group_read_barrier first. */
--- a/src/control/control_group.c
+++ b/src/control/control_group.c
@@ -1,5 +1,6 @@
 /* Opens the replicated groups and supplies their state machines: commands and snapshots. */
 #include <assert.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include "base/log.h"
@@ -8,6 +9,10 @@
 #include "state/pack.h"
 
 #define MIB (1024 * 1024)
+/** Pause before a folder that could not be opened is tried again, in ms. */
+#define OPEN_RETRY_MS 200
+/** Failed tries between two log lines. */
+#define TRIES_PER_LOG 25
 
 /* Used by on_send, which gets only the group. */
 static control_t *this_process;
@@ -172,12 +177,9 @@
 	return STATUS_OK;
 }
 
-status_t control_group_open(control_t *ctl, unsigned n, bool bootstrap)
+static void init_group(control_t *ctl, unsigned n)
 {
 	control_group_t *g = &ctl->groups[n];
-	AUTO_BUF dir = {0};
-	group_options_t o;
-	status_t st;
 
 	this_process = ctl;
 	g->number = n;
@@ -188,20 +190,56 @@
 	} else {
 		g->ledger = ledger_new();
 	}
-	buf_addf(&dir, "%s/group-%u", ctl->settings.data, n);
-	o = make_options(ctl, g, dir.p, bootstrap);
+}
+
+/* Opens the replica's folder. A damaged one is set aside, and the replica joins again; it must not
+ * be founded anew, even if the next folder can't be created at once. */
+static status_t open_or_rejoin(control_t *ctl, control_group_t *g, bool *bootstrap)
+{
+	AUTO_BUF dir = {0};
+	group_options_t o;
+	status_t st;
+
+	buf_addf(&dir, "%s/group-%u", ctl->settings.data, g->number);
+	o = make_options(ctl, g, dir.p, *bootstrap);
 	st = group_open(&o, &g->raft);
 	if (st != STATUS_CORRUPT)
 		return st;
-	log_event(LOG_LEVEL_ERROR, "replica_damaged", LOG_INT("group", n),
+	log_event(LOG_LEVEL_ERROR, "replica_damaged", LOG_INT("group", g->number),
 		  LOG_CSTR("what", status_message()));
 	st = rename_damaged_folder(dir.p);
 	if (st != STATUS_OK)
 		return st;
-	o.bootstrap = false;
+	o.bootstrap = *bootstrap = false;
 	return group_open(&o, &g->raft);
 }
 
+static bool stop_is_pending(void)
+{
+	sigset_t set;
+
+	sigpending(&set);
+	return sigismember(&set, SIGTERM) || sigismember(&set, SIGINT);
+}
+
+status_t control_group_open(control_t *ctl, unsigned n, bool bootstrap)
+{
+	deadline_t since = clock_now_ms();
+	unsigned tries = 0;
+	status_t st;
+
+	init_group(ctl, n);
+	while ((st = open_or_rejoin(ctl, &ctl->groups[n], &bootstrap)) == STATUS_IO &&
+	       !stop_is_pending()) {
+		if (tries++ % TRIES_PER_LOG == 0)
+			log_event(LOG_LEVEL_ERROR, "open_failed", LOG_INT("group", n),
+				  LOG_CSTR("what", status_message()), LOG_INT("tries", tries),
+				  LOG_INT("ms", clock_now_ms() - since));
+		clock_sleep_ms(OPEN_RETRY_MS);
+	}
+	return st;
+}
+
 void control_group_read(control_group_t *g, void (*fn)(control_group_t *g, void *arg), void *arg)
 {
 	pthread_rwlock_rdlock(&g->lock);
--- a/src/raft/store_file.c
+++ b/src/raft/store_file.c
@@ -43,12 +43,17 @@
 	return status_fail(STATUS_IO, "%s: %s: %s", name, what, strerror(errno));
 }
 
+static bool fault_is_full(const store_disk_fault_t *f)
+{
+	return f->full_while_exists[0] && access(f->full_while_exists, F_OK) == 0;
+}
+
 /* Subtracts n bytes from the space left on a simulated full disk; false if there is not enough. */
 static bool fault_allows_write(store_disk_fault_t *f, size_t n)
 {
 	long left = __atomic_load_n(&f->full_after_bytes, __ATOMIC_RELAXED);
 
-	if (f->full_while_exists[0] && access(f->full_while_exists, F_OK) == 0)
+	if (fault_is_full(f))
 		return false;
 	if (left < 0)
 		return true;
@@ -86,7 +91,7 @@
 	if (left > 0)
 		__atomic_fetch_sub(&f->fsync_fail_after, 1, __ATOMIC_RELAXED);
 	errno = EIO;
-	return left != 0;
+	return left != 0 && !fault_is_full(f);
 }
 
 status_t store_file_sync(store_disk_fault_t *f, int fd, const char *name)
--- a/src/raft/store_file.h
+++ b/src/raft/store_file.h
@@ -12,7 +12,8 @@
 typedef struct {
 	long fsync_fail_after; /* syncs that still succeed; -1: all */
 	long full_after_bytes; /* bytes that can still be written; -1: no limit */
-	char full_while_exists[256]; /* writes are refused while this file exists; empty: never */
+	char full_while_exists[256]; /* writes and syncs fail while this file exists; empty: never
+				      */
 } store_disk_fault_t;
 
 void store_disk_fault_from_env(store_disk_fault_t *f);
--- a/tests/proc/test_disk.py
+++ b/tests/proc/test_disk.py
@@ -57,6 +57,23 @@
             self.assertEqual(len(self.kit.loop.run(self.kit.read_whole(lot, 15))), 4, lot)
         self.assertTrue(self.kit.loop.run(self.kit.submit()))
 
+    def test_process_that_starts_while_its_disk_refuses_writes_opens_it_later(self):
+        follower = self.follower()
+        follower.stop()
+        tail = os.path.join(self.kit.dir, follower.name, "group-0")
+        with open(os.path.join(tail, max(n for n in os.listdir(tail) if n.startswith("log-"))), "ab") as f:
+            f.write(b"torn")   # has to be cut, which the disk refuses
+        follower.fill_disk()
+        follower.start()
+        end = time.time() + 10
+        while "event=open_failed" not in follower.log_text():
+            self.assertLess(time.time(), end, follower.log_text()[-500:])
+            time.sleep(0.05)
+        follower.fill_disk(False)
+        time.sleep(BACK_S)
+        self.lose_disk(next(c for c in self.kit.controls if c is not follower))
+        self.assertTrue(self.kit.loop.run(self.kit.submit()))
+
 
 if __name__ == "__main__":
     unittest.main()
