A name removed before a start can come back after it: failing test

Guards against acknowledged entries that a loss of power takes. A refused write leaves a new segment whose header ends the segment before it; the attempt is removed, but its name only in memory. If the process then starts again, it continues in the older segment, past the recorded end, and acknowledges. A loss of power that brings the name back ends the older segment before these records. Seen: the start takes no notice of a directory that can't be synced. The loss itself was read from the code, not played.

--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -453,6 +453,17 @@
 }
 END_TEST
 
+/* Else a name that was removed could come back after a loss of power. */
+START_TEST(the_names_found_at_a_start_are_synced_before_the_log_continues)
+{
+	append_synced(1, 1, STR("a"));
+	setenv("AUBURN_DISK_FAULT", "fsync_fail_after=1", 1);
+	ck_assert_int_eq(reopen(), STATUS_IO);
+	unsetenv("AUBURN_DISK_FAULT");
+	ck_assert_int_eq(reopen(), STATUS_OK);
+}
+END_TEST
+
 /* The expected contents of a directory; entry base + 1 + i has term terms[i]. */
 typedef struct {
 	uint64_t base;
@@ -614,6 +625,7 @@
 	tcase_add_test(t, what_is_read_at_a_start_is_synced_before_it_is_used);
 	tcase_add_test(t, segments_of_builds_that_record_no_length_of_the_one_before_are_read);
 	tcase_add_test(t, an_older_segment_that_is_shorter_than_recorded_is_an_error);
+	tcase_add_test(t, the_names_found_at_a_start_are_synced_before_the_log_continues);
 	tcase_add_loop_test(t, a_torn_write_leaves_a_prefix_of_the_records, 1, 9);
 	tcase_set_timeout(t, 60);
 	return suite_run(suite);
