A start syncs the directory before the log continues

Cause: the start synced the last segment, not the directory, so that a name which a failed attempt had removed could come back after a loss of power and end the segment before it too early.

Before: the_names_found_at_a_start_are_synced_before_the_log_continues fails. After: passes (test_store 26 of 26, test_group 10 of 10). Not measured: one sync more at each start.

--- a/src/raft/store_log.c
+++ b/src/raft/store_log.c
@@ -187,6 +187,7 @@
 status_t store_segment_continue(store_t *s, uint64_t size)
 {
 	char path[STORE_PATH_BYTES];
+	status_t st;
 
 	s->number = s->segments[s->nsegments - 1].number;
 	store_segment_path(s, s->number, path);
@@ -194,8 +195,10 @@
 	if (s->segment_fd < 0)
 		return status_fail(STATUS_IO, "%s: open: %s", path, strerror(errno));
 	s->size = s->synced_size = size;
-	/* A process that was killed may have left records that it had not synced. */
-	return store_file_sync(&s->fault, s->segment_fd, path);
+	/* A process that was killed may have left records that it had not synced, and a name that
+	 * it removed may come back after a loss of power. */
+	st = store_file_sync(&s->fault, s->segment_fd, path);
+	return st == STATUS_OK ? store_dir_sync(&s->fault, s->dir) : st;
 }
 
 /* Continues the log in a new segment. The old one ends with what was synced of it. */
