The segment before an unfinished one isn't synced at a start: failing test

Guards against acknowledged entries that a loss of power takes: a process killed after its write and while a new segment had no header yet reads the records of the older segment from the page cache and counts them as durable, while only the new segment is synced. Seen: the start takes no notice of a segment that can't be synced.

--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -464,6 +464,22 @@
 }
 END_TEST
 
+/* The start continues in the segment without a header, with two syncs of its own. */
+START_TEST(the_segment_before_one_without_a_header_is_synced_before_it_is_used)
+{
+	char path[256];
+
+	append_synced(1, 1, STR("a"));
+	file_path("log-0000000000000002", path);
+	close(open(path, O_CREAT | O_WRONLY, 0600));
+	setenv("AUBURN_DISK_FAULT", "fsync_fail_after=2", 1);
+	ck_assert_int_eq(reopen(), STATUS_IO);
+	unsetenv("AUBURN_DISK_FAULT");
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.nentries, 1);
+}
+END_TEST
+
 /* The expected contents of a directory; entry base + 1 + i has term terms[i]. */
 typedef struct {
 	uint64_t base;
@@ -626,6 +642,7 @@
 	tcase_add_test(t, segments_of_builds_that_record_no_length_of_the_one_before_are_read);
 	tcase_add_test(t, an_older_segment_that_is_shorter_than_recorded_is_an_error);
 	tcase_add_test(t, the_names_found_at_a_start_are_synced_before_the_log_continues);
+	tcase_add_test(t, the_segment_before_one_without_a_header_is_synced_before_it_is_used);
 	tcase_add_loop_test(t, a_torn_write_leaves_a_prefix_of_the_records, 1, 9);
 	tcase_set_timeout(t, 60);
 	return suite_run(suite);
