The segment before an unfinished one is synced at a start

Cause: store_segment_begin syncs the new segment and the directory only. The segment before one without a whole header is now truncated at its end, which it may have anyway, and synced.

Before: the_segment_before_one_without_a_header_is_synced_before_it_is_used fails. After: passes (test_store 27 of 27, test_group 10 of 10).

--- a/src/raft/store_replay.c
+++ b/src/raft/store_replay.c
@@ -125,6 +125,7 @@
 	       h->crc == store_crc(0, h, offsetof(store_segment_header_t, crc));
 }
 
+/* Ends a segment at `at`, durably. */
 static status_t truncate_tail(store_t *s, const char *path, size_t at)
 {
 	int fd = open(path, O_RDWR | O_CLOEXEC);
@@ -142,7 +143,7 @@
 /* Where a segment ends. */
 typedef struct {
 	uint64_t len; /* as recorded by the next segment; 0: unknown */
-	bool may_be_torn; /* an incomplete last write is truncated */
+	bool may_be_torn; /* the last write may be incomplete, which is truncated, or not synced */
 	bool is_last; /* the header may be incomplete, too */
 } segment_end_t;
 
@@ -186,7 +187,7 @@
 	if (st != STATUS_OK)
 		return st;
 	*size = at;
-	if (end.len ? at == end.len : at == file.n)
+	if (end.len ? at == end.len : at == file.n && (end.is_last || !end.may_be_torn))
 		return STATUS_OK;
 	if (!end.may_be_torn || was_synced(file, at))
 		return status_fail(STATUS_CORRUPT, "%s: offset %zu: damaged record", path, at);
