A disk that refuses only large writes is filled with segments: failing test

Guards against a replica that takes what is left of a nearly full disk: a new segment's start fits, the refused write doesn't, so that each try (ten a second) leaves one more segment with what it could write. Space that others free is used up by tries that fail, a little at a time. Seen: 21 segments after 20 tries.

--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -480,6 +480,31 @@
 }
 END_TEST
 
+/* Number of segments in the directory. */
+static size_t count_segments(void)
+{
+	uint64_t *numbers;
+	size_t n = store_list_numbered_files(dir, "log-", &numbers);
+
+	free(numbers);
+	return n;
+}
+
+/* The disk has room for a segment's start, but not for the write. */
+START_TEST(a_disk_that_refuses_only_large_writes_is_not_filled_with_segments)
+{
+	char big[5000] = {0};
+	uint64_t seq;
+
+	append_synced(1, 1, STR("a"));
+	store->fault.full_after_bytes = 4000;
+	append_refused(2, 1, (str_t){big, sizeof(big)});
+	for (int i = 0; i < 20; i++)
+		ck_assert_int_eq(store_sync(store, &seq), STATUS_IO);
+	ck_assert_uint_le(count_segments(), 2);
+}
+END_TEST
+
 /* The expected contents of a directory; entry base + 1 + i has term terms[i]. */
 typedef struct {
 	uint64_t base;
@@ -643,6 +668,7 @@
 	tcase_add_test(t, an_older_segment_that_is_shorter_than_recorded_is_an_error);
 	tcase_add_test(t, the_names_found_at_a_start_are_synced_before_the_log_continues);
 	tcase_add_test(t, the_segment_before_one_without_a_header_is_synced_before_it_is_used);
+	tcase_add_test(t, a_disk_that_refuses_only_large_writes_is_not_filled_with_segments);
 	tcase_add_loop_test(t, a_torn_write_leaves_a_prefix_of_the_records, 1, 9);
 	tcase_set_timeout(t, 60);
 	return suite_run(suite);
