A new segment whose first write is refused is removed

Cause: a new segment stayed once its start was on the disk, and the next try began another one. Now start and first write succeed together or the segment is removed, and the next try uses its number.

Before: a_disk_that_refuses_only_large_writes_is_not_filled_with_segments finds 21 segments after 20 tries.

--- a/src/raft/store_internal.h
+++ b/src/raft/store_internal.h
@@ -123,7 +123,8 @@
 
 /* store_log.c */
 /** Creates the segment and continues the log in it. previous_len: synced length of the segment
- * before it; 0 if there is none. After an error the segment does not exist. */
+ * before it; 0 if there is none. After an error the segment does not exist. The caller adds it to
+ * the list of segments. */
 status_t store_segment_begin(store_t *s, uint64_t number, uint64_t previous_len);
 /** Opens the last segment, of which `size` bytes are valid, to append to it. */
 status_t store_segment_continue(store_t *s, uint64_t size);
--- a/src/raft/store_log.c
+++ b/src/raft/store_log.c
@@ -160,6 +160,18 @@
 	return st == STATUS_OK ? store_dir_sync(&s->fault, s->dir) : st;
 }
 
+/* Removes the segment that was begun last. */
+static void abandon_segment(store_t *s, uint64_t old_number)
+{
+	char path[STORE_PATH_BYTES];
+
+	store_segment_path(s, s->number, path);
+	close(s->segment_fd);
+	s->segment_fd = -1;
+	unlink(path);
+	s->number = old_number;
+}
+
 status_t store_segment_begin(store_t *s, uint64_t number, uint64_t previous_len)
 {
 	uint64_t old_number = s->number;
@@ -173,14 +185,8 @@
 		return status_fail(STATUS_IO, "%s: open: %s", path, strerror(errno));
 	s->number = number;
 	st = write_segment_start(s, path, previous_len);
-	if (st == STATUS_OK) {
-		store_segment_add(s, number, 0);
-		return STATUS_OK;
-	}
-	close(s->segment_fd);
-	s->segment_fd = -1;
-	unlink(path);
-	s->number = old_number;
+	if (st != STATUS_OK)
+		abandon_segment(s, old_number);
 	return st;
 }
 
@@ -201,17 +207,27 @@
 	return st == STATUS_OK ? store_dir_sync(&s->fault, s->dir) : st;
 }
 
-/* Continues the log in a new segment. The old one ends with what was synced of it. */
-static status_t rotate_segment(store_t *s)
+/* Continues the log in a new segment with what is to be written. The old one ends with what was
+ * synced of it. After an error the new segment does not exist, so that tries take no space; it is
+ * listed only afterwards, so that the old one isn't removed meanwhile. */
+static status_t write_to_new_segment(store_t *s)
 {
 	uint64_t synced_size = s->synced_size;
+	uint64_t old_number = s->number;
 	status_t st;
 
 	if (s->segment_fd >= 0)
 		close(s->segment_fd);
 	s->segment_fd = -1;
-	st = store_segment_begin(s, s->number + 1, synced_size);
-	if (st != STATUS_OK)
+	st = store_segment_begin(s, old_number + 1, synced_size);
+	if (st == STATUS_OK) {
+		st = write_and_sync(s, &s->writing);
+		if (st != STATUS_OK)
+			abandon_segment(s, old_number);
+	}
+	if (st == STATUS_OK)
+		store_segment_add(s, s->number, 0);
+	else
 		s->synced_size = synced_size;
 	return st;
 }
@@ -265,14 +281,14 @@
 {
 	int64_t start = clock_now_us();
 	bool refused = take_queued(s, seq);
-	status_t st = STATUS_OK;
+	status_t st;
 
 	if (s->writing.n == 0)
 		return STATUS_OK;
 	s->has_sync_mark = false;
 	if (refused || s->segment_fd < 0 || s->size >= s->segment_bytes)
-		st = rotate_segment(s);
-	if (st == STATUS_OK)
+		st = write_to_new_segment(s);
+	else
 		st = write_and_sync(s, &s->writing);
 	record_sync(s, st, clock_now_us() - start);
 	return st;
--- a/src/raft/store_open.c
+++ b/src/raft/store_open.c
@@ -91,6 +91,8 @@
 	s->id = o->new_id;
 	s->hard_state = (store_record_t){.type = STORE_RECORD_HARD_STATE};
 	st = store_segment_begin(s, 1, 0);
+	if (st == STATUS_OK)
+		store_segment_add(s, 1, 0);
 	if (st == STATUS_OK && o->first_members) {
 		raft_members_encode(o->first_members, &members);
 		e.data.data_val = members.p;
--- a/src/raft/store_replay.c
+++ b/src/raft/store_replay.c
@@ -255,8 +255,12 @@
 	if (size == 0 && n == 1)
 		return status_fail(STATUS_CORRUPT, "%s: the only segment has an incomplete header",
 				   rp->s->dir);
-	if (size == 0)
-		return store_segment_begin(rp->s, numbers[n - 1], previous_size);
+	if (size == 0) {
+		st = store_segment_begin(rp->s, numbers[n - 1], previous_size);
+		if (st == STATUS_OK)
+			store_segment_add(rp->s, numbers[n - 1], 0);
+		return st;
+	}
 	return store_segment_continue(rp->s, size);
 }
 
