A folder that can't be listed for a moment counts as damaged: failing test

With no file descriptor left (or a read error) the store finds no log segment, reports damage, and the control process sets its replica aside and joins again under a new id: the group is one log short. Seen: "no log segment".

--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 #include "raft/store_internal.h"
 #include "suite_kit.h"
@@ -505,6 +506,32 @@
 }
 END_TEST
 
+START_TEST(a_directory_that_cannot_be_listed_is_not_taken_for_damaged)
+{
+	struct rlimit old;
+	struct rlimit none;
+	raft_members_t nobody = {0};
+	AUTO_BUF members = {0};
+	int fd;
+
+	raft_members_encode(&nobody, &members);
+	append_synced(1, 1, STR("a"));
+	ck_assert_int_eq(store_save_snapshot(store, 1, 1, str_buf(&members), STR("s")), STATUS_OK);
+	append_synced(2, 1, STR("b"));
+	store_close(store);
+	store = NULL;
+	fd = dup(0);
+	close(fd);
+	getrlimit(RLIMIT_NOFILE, &old);
+	none = (struct rlimit){(rlim_t)fd + 1, old.rlim_max};
+	setrlimit(RLIMIT_NOFILE, &none);
+	ck_assert_msg(reopen() == STATUS_IO, "%s", status_message());
+	setrlimit(RLIMIT_NOFILE, &old);
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.nentries, 1);
+}
+END_TEST
+
 /* The expected contents of a directory; entry base + 1 + i has term terms[i]. */
 typedef struct {
 	uint64_t base;
@@ -669,6 +696,7 @@
 	tcase_add_test(t, the_names_found_at_a_start_are_synced_before_the_log_continues);
 	tcase_add_test(t, the_segment_before_one_without_a_header_is_synced_before_it_is_used);
 	tcase_add_test(t, a_disk_that_refuses_only_large_writes_is_not_filled_with_segments);
+	tcase_add_test(t, a_directory_that_cannot_be_listed_is_not_taken_for_damaged);
 	tcase_add_loop_test(t, a_torn_write_leaves_a_prefix_of_the_records, 1, 9);
 	tcase_set_timeout(t, 60);
 	return suite_run(suite);
