A folder that can't be listed is tried again, not taken for damaged

Cause: store_list_numbered_files returned no files when opendir failed, and those before the error when readdir failed. It now returns STATUS_IO, which control_group_open tries again.

--- a/src/raft/store_file.c
+++ b/src/raft/store_file.c
@@ -227,24 +227,26 @@
 	return *end == 0;
 }
 
-size_t store_list_numbered_files(const char *dir, const char *prefix, uint64_t **out)
+status_t store_list_numbered_files(const char *dir, const char *prefix, uint64_t **out, size_t *n)
 {
 	DIR *d = opendir(dir);
 	struct dirent *e;
-	uint64_t *v = NULL;
 	uint64_t number;
-	size_t n = 0;
+	status_t st;
 
-	while (d && (e = readdir(d))) {
+	*out = NULL;
+	*n = 0;
+	if (!d)
+		return io_error("list", dir);
+	while ((errno = 0, e = readdir(d))) {
 		if (!parse_numbered_name(e->d_name, prefix, &number))
 			continue;
-		v = mem_grow(v, (n + 1) * sizeof(*v));
-		v[n++] = number;
+		*out = mem_grow(*out, (*n + 1) * sizeof(**out));
+		(*out)[(*n)++] = number;
 	}
-	if (d)
-		closedir(d);
-	if (n)
-		qsort(v, n, sizeof(*v), compare_numbers);
-	*out = v;
-	return n;
+	st = errno ? io_error("list", dir) : STATUS_OK;
+	closedir(d);
+	if (*n)
+		qsort(*out, *n, sizeof(**out), compare_numbers);
+	return st;
 }
--- a/src/raft/store_file.h
+++ b/src/raft/store_file.h
@@ -32,8 +32,8 @@
 status_t store_dir_make(store_disk_fault_t *f, const char *dir);
 
 /** Lists the numbers, ascending, of the files named by the prefix and a hexadecimal number; the
- * caller frees *out. */
-size_t store_list_numbered_files(const char *dir, const char *prefix, uint64_t **out);
+ * caller frees *out, also after an error. */
+status_t store_list_numbered_files(const char *dir, const char *prefix, uint64_t **out, size_t *n);
 
 #define STORE_PATH_BYTES 512
 
--- a/src/raft/store_open.c
+++ b/src/raft/store_open.c
@@ -3,6 +3,7 @@
 #include "raft/store_internal.h"
 
 #include <dirent.h>
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -62,7 +63,9 @@
 	status_t st = STATUS_OK;
 	struct dirent *e;
 
-	while (d && (e = readdir(d))) {
+	if (!d)
+		return status_fail(STATUS_IO, "%s: list: %s", s->dir, strerror(errno));
+	while ((e = readdir(d))) {
 		char path[STORE_PATH_BYTES * 2];
 
 		if (strncmp(e->d_name, "snap-", 5) == 0)
@@ -72,8 +75,7 @@
 		if (st == STATUS_OK && strncmp(e->d_name, "log-", 4) == 0)
 			unlink(path);
 	}
-	if (d)
-		closedir(d);
+	closedir(d);
 	return st;
 }
 
--- a/src/raft/store_replay.c
+++ b/src/raft/store_replay.c
@@ -219,13 +219,15 @@
 static status_t read_segments(replay_t *rp)
 {
 	AUTO_FREE uint64_t *numbers = NULL;
-	size_t n = store_list_numbered_files(rp->s->dir, "log-", &numbers);
+	size_t n;
 	AUTO_BUF file = {0};
 	AUTO_BUF next = {0};
 	size_t previous_size = 0;
 	size_t size = 0;
-	status_t st = n ? read_file(rp->s, numbers[0], &next) : STATUS_OK;
+	status_t st = store_list_numbered_files(rp->s->dir, "log-", &numbers, &n);
 
+	if (st == STATUS_OK && n > 0)
+		st = read_file(rp->s, numbers[0], &next);
 	for (size_t i = 0; i < n && st == STATUS_OK; i++) {
 		segment_end_t end = {.may_be_torn = true, .is_last = true};
 		buf_t swap = file;
--- a/src/raft/store_snapshot.c
+++ b/src/raft/store_snapshot.c
@@ -220,15 +220,12 @@
 status_t store_snaps_open(store_t *s, store_contents_t *contents)
 {
 	AUTO_FREE uint64_t *v = NULL;
-	size_t n = store_list_numbered_files(s->dir, "snap-", &v);
-
-	for (size_t i = n; i > 0; i--) {
-		status_t st = load_snap(s, v[i - 1], contents);
+	size_t n;
+	status_t st = store_list_numbered_files(s->dir, "snap-", &v, &n);
 
-		if (st != STATUS_OK)
-			return st;
-	}
-	return STATUS_OK;
+	for (size_t i = n; i > 0 && st == STATUS_OK; i--)
+		st = load_snap(s, v[i - 1], contents);
+	return st;
 }
 
 status_t store_save_snapshot(store_t *s, uint64_t index, uint64_t term, str_t members, str_t state)
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -485,8 +485,9 @@
 static size_t count_segments(void)
 {
 	uint64_t *numbers;
-	size_t n = store_list_numbered_files(dir, "log-", &numbers);
+	size_t n;
 
+	ck_assert_int_eq(store_list_numbered_files(dir, "log-", &numbers, &n), STATUS_OK);
 	free(numbers);
 	return n;
 }
