A start takes a second sync of the same file for done: failing test

Guards against acknowledged entries that a loss of power takes. After a failed sync Linux may drop the dirty state of the pages: they can be read until the machine stops, and the next sync of the file succeeds without writing them. A process that is started again after a failed sync reads its newest records, syncs the same file and counts them as durable. The test plays the loss of power by cutting the file whose sync failed to what was synced before. Seen: the entry is lost.

--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -533,6 +533,30 @@
 }
 END_TEST
 
+/* After a failed sync the kernel may keep the data in memory and report the next one as done. */
+START_TEST(a_start_does_not_count_on_a_second_sync_of_what_a_failed_sync_covered)
+{
+	char path[256];
+	long synced;
+	int fd;
+
+	append_synced(1, 1, STR("a"));
+	synced = file_size(FIRST_SEGMENT);
+	file_path(FIRST_SEGMENT, path);
+	fd = open(path, O_RDWR);
+	store->fault.fsync_fail_after = 0;
+	append_refused(2, 1, STR("b"));
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.nentries, 2);
+	store_close(store);
+	store = NULL;
+	ck_assert_int_eq(ftruncate(fd, synced), 0); /* a loss of power takes what was not written */
+	close(fd);
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.nentries, 2);
+}
+END_TEST
+
 /* The expected contents of a directory; entry base + 1 + i has term terms[i]. */
 typedef struct {
 	uint64_t base;
@@ -698,6 +722,7 @@
 	tcase_add_test(t, the_segment_before_one_without_a_header_is_synced_before_it_is_used);
 	tcase_add_test(t, a_disk_that_refuses_only_large_writes_is_not_filled_with_segments);
 	tcase_add_test(t, a_directory_that_cannot_be_listed_is_not_taken_for_damaged);
+	tcase_add_test(t, a_start_does_not_count_on_a_second_sync_of_what_a_failed_sync_covered);
 	tcase_add_loop_test(t, a_torn_write_leaves_a_prefix_of_the_records, 1, 9);
 	tcase_set_timeout(t, 60);
 	return suite_run(suite);
