A start writes records of unknown state anew

Cause: the start synced the last segment as it was. After a failed sync that proves nothing, and the process that saw the failure is gone. Now the last segment is written anew, under its name, unless a mark at its end shows that all of it was synced; so is the segment before one without a header.

Cost: up to one segment (8 MiB) is written at a start after a stop under load; a full disk delays the start, as before.

Before: a_start_does_not_count_on_a_second_sync_of_what_a_failed_sync_covered fails. After: passes (test_store 30 of 30, test_group 10 of 10).

--- a/src/raft/store_replay.c
+++ b/src/raft/store_replay.c
@@ -125,30 +125,27 @@
 	       h->crc == store_crc(0, h, offsetof(store_segment_header_t, crc));
 }
 
-/* Ends a segment at `at`, durably. */
-static status_t truncate_tail(store_t *s, const char *path, size_t at)
+/* Writes the records of a segment anew. A sync of the file as it is would prove nothing: if an
+ * earlier one failed, what was read may be in memory only. */
+static status_t rewrite_segment(store_t *s, uint64_t number, str_t records)
 {
-	int fd = open(path, O_RDWR | O_CLOEXEC);
-	status_t st = STATUS_OK;
+	char name[64];
 
-	if (fd < 0 || ftruncate(fd, (off_t)at) != 0)
-		st = status_fail(STATUS_IO, "%s: truncate: %s", path, strerror(errno));
-	if (st == STATUS_OK)
-		st = store_file_sync(&s->fault, fd, path);
-	if (fd >= 0)
-		close(fd);
-	return st;
+	snprintf(name, sizeof(name), "log-%016lx", (unsigned long)number);
+	return store_file_replace(&s->fault, s->dir, name, &records, 1);
 }
 
 /* Where a segment ends. */
 typedef struct {
 	uint64_t len; /* as recorded by the next segment; 0: unknown */
-	bool may_be_torn; /* the last write may be incomplete, which is truncated, or not synced */
+	bool may_be_torn; /* the last write may be incomplete or not synced */
 	bool is_last; /* the header may be incomplete, too */
 } segment_end_t;
 
-/* Reads the records of a segment up to its end; *at is where they end. */
-static status_t replay_records(replay_t *rp, str_t file, const char *path, uint64_t len, size_t *at)
+/* Reads the records of a segment up to its end; *at is where they end. *marked: the last one is a
+ * mark, so that the others were synced. */
+static status_t replay_records(replay_t *rp, str_t file, const char *path, uint64_t len, size_t *at,
+			       bool *marked)
 {
 	store_record_t rec;
 	status_t st = STATUS_OK;
@@ -160,6 +157,7 @@
 		if (n == 0)
 			break;
 		st = replay_record(rp, &rec, data, path, *at);
+		*marked = rec.type == STORE_RECORD_SYNC_MARK;
 		*at += n;
 	}
 	return st;
@@ -172,6 +170,7 @@
 	char path[STORE_PATH_BYTES];
 	store_segment_header_t h;
 	size_t at = sizeof(h);
+	bool marked = false;
 	status_t st;
 
 	store_segment_path(rp->s, number, path);
@@ -183,16 +182,16 @@
 		}
 		return status_fail(STATUS_CORRUPT, "%s: offset 0: damaged header", path);
 	}
-	st = replay_records(rp, file, path, end.len, &at);
+	st = replay_records(rp, file, path, end.len, &at, &marked);
 	if (st != STATUS_OK)
 		return st;
 	*size = at;
-	if (end.len ? at == end.len : at == file.n && (end.is_last || !end.may_be_torn))
+	if (end.len ? at == end.len : at == file.n && (marked || !end.may_be_torn))
 		return STATUS_OK;
 	if (!end.may_be_torn || was_synced(file, at))
 		return status_fail(STATUS_CORRUPT, "%s: offset %zu: damaged record", path, at);
 	rp->contents->cut_bytes = file.n - at;
-	return truncate_tail(rp->s, path, at);
+	return rewrite_segment(rp->s, number, (str_t){file.p, at});
 }
 
 static status_t read_file(const store_t *s, uint64_t number, buf_t *out)
