The recorded end of a segment isn't covered by a checksum: failing tests

Guards against entries that are lost without an error, and against a sound replica that counts as damaged. A segment's header records where the one before it ends, after its checksum. With one bit flipped the end can fall on an earlier record: its entry is missing, and no error is reported (seen: byte 28, bit 6). If the header is torn between the checksum and the length, the length reads as unknown, and the torn end of the refused write as damage (seen: STATUS_CORRUPT).

--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -96,7 +96,7 @@
 	ck_assert_int_eq(truncate(path, size), 0);
 }
 
-static void flip_bit(const char *name, long offset)
+static void flip(const char *name, long offset, char bits)
 {
 	char path[256];
 	char c;
@@ -105,11 +105,16 @@
 	file_path(name, path);
 	fd = open(path, O_RDWR);
 	ck_assert_int_eq(pread(fd, &c, 1, offset), 1);
-	c ^= 0x40;
+	c ^= bits;
 	ck_assert_int_eq(pwrite(fd, &c, 1, offset), 1);
 	close(fd);
 }
 
+static void flip_bit(const char *name, long offset)
+{
+	flip(name, offset, 0x40);
+}
+
 #define FIRST_SEGMENT "log-0000000000000001"
 
 START_TEST(entries_and_votes_survive_a_restart)
@@ -557,6 +562,61 @@
 }
 END_TEST
 
+/* Bytes after those that reached the disk read as zeros. */
+START_TEST(a_torn_header_of_the_segment_after_a_refused_write_is_not_taken_for_damage)
+{
+	store_segment_header_t h = {STORE_SEGMENT_MAGIC, 77, 2, 0, 0};
+	long synced;
+	char path[256];
+	int fd;
+
+	append_synced(1, 1, STR("a"));
+	synced = file_size(FIRST_SEGMENT);
+	store->fault.fsync_fail_after = 0;
+	append_refused(2, 1, STR("b"));
+	truncate_file(FIRST_SEGMENT, synced + 9);
+	h.crc = store_crc(0, &h, offsetof(store_segment_header_t, crc));
+	file_path("log-0000000000000002", path);
+	fd = open(path, O_CREAT | O_WRONLY, 0600);
+	ck_assert_int_eq(write(fd, &h, sizeof(h)), sizeof(h));
+	ck_assert_int_eq(ftruncate(fd, 72), 0);
+	close(fd);
+	ck_assert_msg(reopen() == STATUS_OK, "%s", status_message());
+	ck_assert_uint_eq(contents.nentries, 1);
+	append_synced(2, 1, STR("c"));
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.nentries, 2);
+}
+END_TEST
+
+START_TEST(damage_to_the_recorded_end_of_a_segment_loses_no_entry)
+{
+	static const char data[24] = {0};
+	uint64_t seq;
+	long at = 0;
+	long end;
+
+	append_synced(1, 1, (str_t){data, sizeof(data)});
+	append_synced(2, 1, (str_t){data, sizeof(data)});
+	store->fault.fsync_fail_after = 0;
+	store_queue_hard_state(store, 3, 2, 0);
+	ck_assert_int_eq(store_sync(store, &seq), STATUS_IO);
+	store->fault.fsync_fail_after = -1;
+	ck_assert_int_eq(store_sync(store, &seq), STATUS_OK);
+	/* Flips each bit of the segment's start. */
+	for (end = file_size("log-0000000000000002") - 40; at < end; at++) {
+		for (int bit = 0; bit < 8; bit++) {
+			flip("log-0000000000000002", at, (char)(1 << bit));
+			ck_assert_msg(reopen() == STATUS_CORRUPT || contents.nentries == 2,
+				      "byte %ld bit %d", at, bit);
+			flip("log-0000000000000002", at, (char)(1 << bit));
+		}
+	}
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.nentries, 2);
+}
+END_TEST
+
 /* The expected contents of a directory; entry base + 1 + i has term terms[i]. */
 typedef struct {
 	uint64_t base;
@@ -723,6 +783,9 @@
 	tcase_add_test(t, a_disk_that_refuses_only_large_writes_is_not_filled_with_segments);
 	tcase_add_test(t, a_directory_that_cannot_be_listed_is_not_taken_for_damaged);
 	tcase_add_test(t, a_start_does_not_count_on_a_second_sync_of_what_a_failed_sync_covered);
+	tcase_add_test(t,
+		       a_torn_header_of_the_segment_after_a_refused_write_is_not_taken_for_damage);
+	tcase_add_test(t, damage_to_the_recorded_end_of_a_segment_loses_no_entry);
 	tcase_add_loop_test(t, a_torn_write_leaves_a_prefix_of_the_records, 1, 9);
 	tcase_set_timeout(t, 60);
 	return suite_run(suite);
