The recorded end of a segment is covered by a checksum

Cause: previous_len took the place of a field after the header's checksum, which older builds check, so that the checksum couldn't be extended. The length is now the data of the term and vote record that every segment starts with: its checksum covers it, and older builds ignore it. A segment without a whole start record was being created.

The test of segments of older builds makes such a segment by removing that data; its check is as before.

--- a/src/raft/store_internal.h
+++ b/src/raft/store_internal.h
@@ -38,14 +38,15 @@
 	uint64_t synced_len;
 } store_record_t;
 
+/** Header of a segment. A STORE_RECORD_HARD_STATE follows, whose data is the synced length of the
+ * segment before this one (uint64_t). Bytes after that are not part of the log: a write that failed
+ * left them. Older builds write no data: the length is unknown. */
 typedef struct {
 	uint64_t magic;
 	uint64_t id;
 	uint64_t number;
 	uint32_t crc;
-	/** Synced length of the segment before this one. Bytes after it are not part of the log: a
-	 * write that failed left them. 0: unknown, as in segments of older builds. */
-	uint32_t previous_len;
+	uint32_t zero;
 } store_segment_header_t;
 
 /** Snapshot file: this header, the members, the state, then store_snap_footer_t. */
--- a/src/raft/store_log.c
+++ b/src/raft/store_log.c
@@ -137,11 +137,10 @@
 }
 
 /* Writes the header of a new segment, and a record that repeats term and vote, so that older
- * segments can be removed. */
+ * segments can be removed, with the length of the segment before. */
 static status_t write_segment_start(store_t *s, const char *path, uint64_t previous_len)
 {
-	store_segment_header_t h = {STORE_SEGMENT_MAGIC, s->id, s->number, 0,
-				    (uint32_t)previous_len};
+	store_segment_header_t h = {STORE_SEGMENT_MAGIC, s->id, s->number, 0, 0};
 	AUTO_BUF b = {0};
 	store_record_t hard;
 	status_t st;
@@ -155,7 +154,7 @@
 	pthread_mutex_lock(&s->lock);
 	hard = s->hard_state;
 	pthread_mutex_unlock(&s->lock);
-	append_record(&b, hard, (str_t){0});
+	append_record(&b, hard, (str_t){(const char *)&previous_len, sizeof(previous_len)});
 	st = write_and_sync(s, &b);
 	return st == STATUS_OK ? store_dir_sync(&s->fault, s->dir) : st;
 }
--- a/src/raft/store_replay.c
+++ b/src/raft/store_replay.c
@@ -203,15 +203,21 @@
 	return store_file_read(path, out);
 }
 
-/* Returns the end of a segment, given the segment after it. If that has no whole header, it was
+/* Returns the end of a segment, given the segment after it. If that has no whole start, it was
  * being created, maybe because the disk had refused the last write to this one. */
 static segment_end_t end_before(const store_t *s, uint64_t number, str_t next, bool next_is_last)
 {
 	store_segment_header_t h;
+	store_record_t start;
+	str_t data;
+	segment_end_t end = {0};
 
-	if (parse_header(s, next, number + 1, &h))
-		return (segment_end_t){.len = h.previous_len};
-	return (segment_end_t){.may_be_torn = next_is_last && !was_synced(next, 0)};
+	if (!parse_header(s, next, number + 1, &h) ||
+	    parse_record(next, sizeof(h), &start, &data) == 0)
+		end.may_be_torn = next_is_last && !was_synced(next, 0);
+	else if (start.type == STORE_RECORD_HARD_STATE && data.n == sizeof(end.len))
+		memcpy(&end.len, data.p, sizeof(end.len));
+	return end;
 }
 
 /* Reads all segments and opens the last one to continue the log in it. */
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -424,22 +424,37 @@
 }
 END_TEST
 
-/* Older builds leave the length of the segment before at 0. */
-START_TEST(segments_of_builds_that_record_no_length_of_the_one_before_are_read)
+/* Removes the data of the record at the start of a segment, as older builds write it. */
+static void remove_start_data(const char *name)
 {
-	char big[5000] = {0};
-	uint32_t none = 0;
+	size_t at = sizeof(store_segment_header_t);
+	AUTO_BUF b = {0};
+	store_record_t rec;
 	char path[256];
 	int fd;
 
+	file_path(name, path);
+	ck_assert_int_eq(store_file_read(path, &b), STATUS_OK);
+	memcpy(&rec, b.p + at, sizeof(rec));
+	ck_assert_uint_eq(rec.len, sizeof(uint64_t));
+	rec.len = 0;
+	rec.crc = store_crc(0, &rec.len, sizeof(rec) - offsetof(store_record_t, len));
+	memcpy(b.p + at, &rec, sizeof(rec));
+	at += sizeof(rec);
+	fd = open(path, O_WRONLY | O_TRUNC);
+	ck_assert_int_eq(write(fd, b.p, at), at);
+	at += sizeof(uint64_t);
+	ck_assert_int_eq(write(fd, b.p + at, b.n - at), b.n - at);
+	close(fd);
+}
+
+START_TEST(segments_of_builds_that_record_no_length_of_the_one_before_are_read)
+{
+	char big[5000] = {0};
+
 	append_synced(1, 1, (str_t){big, sizeof(big)});
 	append_synced(2, 1, STR("b"));
-	file_path("log-0000000000000002", path);
-	fd = open(path, O_RDWR);
-	ck_assert_int_eq(
-		pwrite(fd, &none, sizeof(none), offsetof(store_segment_header_t, previous_len)),
-		sizeof(none));
-	close(fd);
+	remove_start_data("log-0000000000000002");
 	ck_assert_int_eq(reopen(), STATUS_OK);
 	ck_assert_uint_eq(contents.nentries, 2);
 }
@@ -604,7 +619,8 @@
 	store->fault.fsync_fail_after = -1;
 	ck_assert_int_eq(store_sync(store, &seq), STATUS_OK);
 	/* Flips each bit of the segment's start. */
-	for (end = file_size("log-0000000000000002") - 40; at < end; at++) {
+	for (end = file_size("log-0000000000000002") - (long)sizeof(store_record_t); at < end;
+	     at++) {
 		for (int bit = 0; bit < 8; bit++) {
 			flip("log-0000000000000002", at, (char)(1 << bit));
 			ck_assert_msg(reopen() == STATUS_CORRUPT || contents.nentries == 2,
