A vote is forgotten after a crash while a segment begins: failing test

Guards against two votes in a term, so two leaders. Each segment starts with a header and a record that repeats term and vote; the older ones may be removed then. Seen: term 0 after term 3 was synced.

--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -633,6 +633,37 @@
 }
 END_TEST
 
+/* The process was killed between the header and the record that repeats term and vote. */
+START_TEST(a_segment_without_term_and_vote_does_not_outlive_the_one_that_has_them)
+{
+	store_segment_header_t h = {STORE_SEGMENT_MAGIC, 77, 2, 0, 0};
+	raft_members_t nobody = {0};
+	AUTO_BUF members = {0};
+	char path[256];
+	int fd;
+
+	raft_members_encode(&nobody, &members);
+	append_hard_state(3, 99);
+	append_synced(1, 3, STR("a"));
+	append_synced(2, 3, STR("b"));
+	h.crc = store_crc(0, &h, offsetof(store_segment_header_t, crc));
+	file_path("log-0000000000000002", path);
+	fd = open(path, O_CREAT | O_WRONLY, 0600);
+	ck_assert_int_eq(write(fd, &h, sizeof(h)), sizeof(h));
+	close(fd);
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	append_synced(3, 3, STR("c"));
+	for (uint64_t i = 2; i <= 3; i++)
+		ck_assert_int_eq(store_save_snapshot(store, i, 3, str_buf(&members), STR("s")),
+				 STATUS_OK);
+	file_path(FIRST_SEGMENT, path);
+	ck_assert_int_ne(access(path, F_OK), 0);
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.term, 3);
+	ck_assert_uint_eq(contents.vote, 99);
+}
+END_TEST
+
 /* The expected contents of a directory; entry base + 1 + i has term terms[i]. */
 typedef struct {
 	uint64_t base;
@@ -802,6 +833,7 @@
 	tcase_add_test(t,
 		       a_torn_header_of_the_segment_after_a_refused_write_is_not_taken_for_damage);
 	tcase_add_test(t, damage_to_the_recorded_end_of_a_segment_loses_no_entry);
+	tcase_add_test(t, a_segment_without_term_and_vote_does_not_outlive_the_one_that_has_them);
 	tcase_add_loop_test(t, a_torn_write_leaves_a_prefix_of_the_records, 1, 9);
 	tcase_set_timeout(t, 60);
 	return suite_run(suite);
