A segment without term and vote is begun anew

Cause: a start took a last segment with a header for whole, whether or not the record that repeats term and vote followed. It now counts as begun only with that record; otherwise it is created again with term and vote, as one without a header was.

Before: a_segment_without_term_and_vote_does_not_outlive_the_one_that_has_them fails (term 0).

--- a/src/raft/store_replay.c
+++ b/src/raft/store_replay.c
@@ -115,14 +115,26 @@
 	return false;
 }
 
-/* Reads the header of a segment; false if it is missing, incomplete or damaged. */
-static bool parse_header(const store_t *s, str_t file, uint64_t number, store_segment_header_t *h)
+/* Reads the start of a segment; false if it is missing, incomplete or damaged. *previous_len is the
+ * length of the segment before as it records it; 0: unknown. */
+static bool parse_start(const store_t *s, str_t file, uint64_t number, uint64_t *previous_len)
 {
-	if (file.n < sizeof(*h))
+	store_segment_header_t h;
+	store_record_t rec;
+	str_t data;
+
+	if (file.n < sizeof(h))
+		return false;
+	memcpy(&h, file.p, sizeof(h));
+	if (h.magic != STORE_SEGMENT_MAGIC || h.id != s->id || h.number != number ||
+	    h.crc != store_crc(0, &h, offsetof(store_segment_header_t, crc)))
 		return false;
-	memcpy(h, file.p, sizeof(*h));
-	return h->magic == STORE_SEGMENT_MAGIC && h->id == s->id && h->number == number &&
-	       h->crc == store_crc(0, h, offsetof(store_segment_header_t, crc));
+	if (parse_record(file, sizeof(h), &rec, &data) == 0 || rec.type != STORE_RECORD_HARD_STATE)
+		return false;
+	*previous_len = 0;
+	if (data.n == sizeof(*previous_len))
+		memcpy(previous_len, data.p, sizeof(*previous_len));
+	return true;
 }
 
 /* Writes the records of a segment anew. A sync of the file as it is would prove nothing: if an
@@ -139,7 +151,7 @@
 typedef struct {
 	uint64_t len; /* as recorded by the next segment; 0: unknown */
 	bool may_be_torn; /* the last write may be incomplete or not synced */
-	bool is_last; /* the header may be incomplete, too */
+	bool is_last; /* its start may be incomplete, too */
 } segment_end_t;
 
 /* Reads the records of a segment up to its end; *at is where they end. *marked: the last one is a
@@ -163,24 +175,24 @@
 	return st;
 }
 
-/* Reads one segment; *size is its valid length, 0 if the header is incomplete. */
+/* Reads one segment; *size is its valid length, 0 if its start is incomplete. */
 static status_t read_segment(replay_t *rp, uint64_t number, str_t file, segment_end_t end,
 			     size_t *size)
 {
 	char path[STORE_PATH_BYTES];
-	store_segment_header_t h;
-	size_t at = sizeof(h);
+	size_t at = sizeof(store_segment_header_t);
+	uint64_t previous_len;
 	bool marked = false;
 	status_t st;
 
 	store_segment_path(rp->s, number, path);
 	*size = 0;
-	if (!parse_header(rp->s, file, number, &h)) {
+	if (!parse_start(rp->s, file, number, &previous_len)) {
 		if (end.is_last && !was_synced(file, 0)) {
 			rp->contents->cut_bytes = file.n;
 			return STATUS_OK;
 		}
-		return status_fail(STATUS_CORRUPT, "%s: offset 0: damaged header", path);
+		return status_fail(STATUS_CORRUPT, "%s: offset 0: damaged start", path);
 	}
 	st = replay_records(rp, file, path, end.len, &at, &marked);
 	if (st != STATUS_OK)
@@ -207,16 +219,10 @@
  * being created, maybe because the disk had refused the last write to this one. */
 static segment_end_t end_before(const store_t *s, uint64_t number, str_t next, bool next_is_last)
 {
-	store_segment_header_t h;
-	store_record_t start;
-	str_t data;
 	segment_end_t end = {0};
 
-	if (!parse_header(s, next, number + 1, &h) ||
-	    parse_record(next, sizeof(h), &start, &data) == 0)
+	if (!parse_start(s, next, number + 1, &end.len))
 		end.may_be_torn = next_is_last && !was_synced(next, 0);
-	else if (start.type == STORE_RECORD_HARD_STATE && data.n == sizeof(end.len))
-		memcpy(&end.len, data.p, sizeof(end.len));
 	return end;
 }
 
@@ -258,9 +264,9 @@
 		return st;
 	if (n == 0)
 		return status_fail(STATUS_CORRUPT, "%s: no log segment", rp->s->dir);
-	/* A segment with an incomplete header has no records yet; it is created again. */
+	/* A segment with an incomplete start has no records yet; it is created again. */
 	if (size == 0 && n == 1)
-		return status_fail(STATUS_CORRUPT, "%s: the only segment has an incomplete header",
+		return status_fail(STATUS_CORRUPT, "%s: the only segment has an incomplete start",
 				   rp->s->dir);
 	if (size == 0) {
 		st = store_segment_begin(rp->s, numbers[n - 1], previous_size);
