--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -664,6 +664,27 @@
 }
 END_TEST
 
+/* As after a received snapshot that could not be read back at once. */
+START_TEST(a_snapshot_that_is_received_twice_keeps_its_file)
+{
+	AUTO_BUF members = {0};
+	raft_members_t nobody = {0};
+	raft_snap_chunk_t c = {.index = 50, .term = 2, .data = STR("state"), .last = true};
+	char path[256];
+
+	raft_members_encode(&nobody, &members);
+	c.members = str_buf(&members);
+	c.crc = store_crc(0, c.data.p, c.data.n);
+	for (int i = 0; i < 2; i++)
+		ck_assert_int_eq(store_receive_snapshot(store, &c), STATUS_OK);
+	ck_assert_uint_eq(store_oldest_snapshot(store), 0);
+	ck_assert_int_eq(store_save_snapshot(store, 60, 2, c.members, STR("s")), STATUS_OK);
+	ck_assert_uint_eq(store_oldest_snapshot(store), 50);
+	file_path("snap-0000000000000032", path);
+	ck_assert_int_eq(access(path, F_OK), 0);
+}
+END_TEST
+
 /* The expected contents of a directory; entry base + 1 + i has term terms[i]. */
 typedef struct {
 	uint64_t base;
@@ -834,6 +855,7 @@
 		       a_torn_header_of_the_segment_after_a_refused_write_is_not_taken_for_damage);
 	tcase_add_test(t, damage_to_the_recorded_end_of_a_segment_loses_no_entry);
 	tcase_add_test(t, a_segment_without_term_and_vote_does_not_outlive_the_one_that_has_them);
+	tcase_add_test(t, a_snapshot_that_is_received_twice_keeps_its_file);
 	tcase_add_loop_test(t, a_torn_write_leaves_a_prefix_of_the_records, 1, 9);
 	tcase_set_timeout(t, 60);
 	return suite_run(suite);
