--- a/src/raft/store_snapshot.c
+++ b/src/raft/store_snapshot.c
@@ -127,8 +127,8 @@
 			   (unsigned long)sn->state_offset);
 }
 
-/* Inserts a snapshot into the list, oldest first. Returns the one that is dropped if there are more
- * than two, else one with fd -1. */
+/* Inserts a snapshot into the list, oldest first, in place of one at the same index. Returns the
+ * one that is replaced, or dropped if there are more than two, else one with fd -1. */
 static store_snap_t insert_snap(store_t *s, const store_snap_t *sn)
 {
 	store_snap_t old = {.fd = -1};
@@ -136,6 +136,11 @@
 
 	while (at > 0 && s->snaps[at - 1].index > sn->index)
 		at--;
+	if (at > 0 && s->snaps[at - 1].index == sn->index) {
+		old = s->snaps[at - 1];
+		s->snaps[at - 1] = *sn;
+		return old;
+	}
 	memmove(&s->snaps[at + 1], &s->snaps[at], (s->nsnaps - at) * sizeof(*sn));
 	s->snaps[at] = *sn;
 	s->nsnaps++;
@@ -156,7 +161,7 @@
 	pthread_mutex_lock(&s->lock);
 	old = insert_snap(s, sn);
 	pthread_mutex_unlock(&s->lock);
-	if (old.fd >= 0) {
+	if (old.fd >= 0 && old.index != sn->index) {
 		snap_path(s, old.index, path);
 		unlink(path);
 	}
