--- a/src/raft/store_log.c
+++ b/src/raft/store_log.c
@@ -137,11 +137,10 @@
 }
 
 /* Writes the header of a new segment, and a record that repeats term and vote, so that older
- * segments can be removed. */
+ * segments can be removed, with the length of the segment before. */
 static status_t write_segment_start(store_t *s, const char *path, uint64_t previous_len)
 {
-	store_segment_header_t h = {STORE_SEGMENT_MAGIC, s->id, s->number, 0,
-				    (uint32_t)previous_len};
+	store_segment_header_t h = {STORE_SEGMENT_MAGIC, s->id, s->number, 0, 0};
 	AUTO_BUF b = {0};
 	store_record_t hard;
 	status_t st;
@@ -155,11 +154,23 @@
 	pthread_mutex_lock(&s->lock);
 	hard = s->hard_state;
 	pthread_mutex_unlock(&s->lock);
-	append_record(&b, hard, (str_t){0});
+	append_record(&b, hard, (str_t){(const char *)&previous_len, sizeof(previous_len)});
 	st = write_and_sync(s, &b);
 	return st == STATUS_OK ? store_dir_sync(&s->fault, s->dir) : st;
 }
 
+/* Removes the segment that was begun last. */
+static void abandon_segment(store_t *s, uint64_t old_number)
+{
+	char path[STORE_PATH_BYTES];
+
+	store_segment_path(s, s->number, path);
+	close(s->segment_fd);
+	s->segment_fd = -1;
+	unlink(path);
+	s->number = old_number;
+}
+
 status_t store_segment_begin(store_t *s, uint64_t number, uint64_t previous_len)
 {
 	uint64_t old_number = s->number;
@@ -173,20 +184,15 @@
 		return status_fail(STATUS_IO, "%s: open: %s", path, strerror(errno));
 	s->number = number;
 	st = write_segment_start(s, path, previous_len);
-	if (st == STATUS_OK) {
-		store_segment_add(s, number, 0);
-		return STATUS_OK;
-	}
-	close(s->segment_fd);
-	s->segment_fd = -1;
-	unlink(path);
-	s->number = old_number;
+	if (st != STATUS_OK)
+		abandon_segment(s, old_number);
 	return st;
 }
 
 status_t store_segment_continue(store_t *s, uint64_t size)
 {
 	char path[STORE_PATH_BYTES];
+	status_t st;
 
 	s->number = s->segments[s->nsegments - 1].number;
 	store_segment_path(s, s->number, path);
@@ -194,21 +200,33 @@
 	if (s->segment_fd < 0)
 		return status_fail(STATUS_IO, "%s: open: %s", path, strerror(errno));
 	s->size = s->synced_size = size;
-	/* A process that was killed may have left records that it had not synced. */
-	return store_file_sync(&s->fault, s->segment_fd, path);
+	/* A process that was killed may have left records that it had not synced, and a name that
+	 * it removed may come back after a loss of power. */
+	st = store_file_sync(&s->fault, s->segment_fd, path);
+	return st == STATUS_OK ? store_dir_sync(&s->fault, s->dir) : st;
 }
 
-/* Continues the log in a new segment. The old one ends with what was synced of it. */
-static status_t rotate_segment(store_t *s)
+/* Continues the log in a new segment with what is to be written. The old one ends with what was
+ * synced of it. After an error the new segment does not exist, so that tries take no space; it is
+ * listed only afterwards, so that the old one isn't removed meanwhile. */
+static status_t write_to_new_segment(store_t *s)
 {
 	uint64_t synced_size = s->synced_size;
+	uint64_t old_number = s->number;
 	status_t st;
 
 	if (s->segment_fd >= 0)
 		close(s->segment_fd);
 	s->segment_fd = -1;
-	st = store_segment_begin(s, s->number + 1, synced_size);
-	if (st != STATUS_OK)
+	st = store_segment_begin(s, old_number + 1, synced_size);
+	if (st == STATUS_OK) {
+		st = write_and_sync(s, &s->writing);
+		if (st != STATUS_OK)
+			abandon_segment(s, old_number);
+	}
+	if (st == STATUS_OK)
+		store_segment_add(s, s->number, 0);
+	else
 		s->synced_size = synced_size;
 	return st;
 }
@@ -262,14 +280,14 @@
 {
 	int64_t start = clock_now_us();
 	bool refused = take_queued(s, seq);
-	status_t st = STATUS_OK;
+	status_t st;
 
 	if (s->writing.n == 0)
 		return STATUS_OK;
 	s->has_sync_mark = false;
 	if (refused || s->segment_fd < 0 || s->size >= s->segment_bytes)
-		st = rotate_segment(s);
-	if (st == STATUS_OK)
+		st = write_to_new_segment(s);
+	else
 		st = write_and_sync(s, &s->writing);
 	record_sync(s, st, clock_now_us() - start);
 	return st;
--- a/src/raft/store_open.c
+++ b/src/raft/store_open.c
@@ -3,6 +3,7 @@
 #include "raft/store_internal.h"
 
 #include <dirent.h>
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -62,7 +63,9 @@
 	status_t st = STATUS_OK;
 	struct dirent *e;
 
-	while (d && (e = readdir(d))) {
+	if (!d)
+		return status_fail(STATUS_IO, "%s: list: %s", s->dir, strerror(errno));
+	while ((e = readdir(d))) {
 		char path[STORE_PATH_BYTES * 2];
 
 		if (strncmp(e->d_name, "snap-", 5) == 0)
@@ -72,8 +75,7 @@
 		if (st == STATUS_OK && strncmp(e->d_name, "log-", 4) == 0)
 			unlink(path);
 	}
-	if (d)
-		closedir(d);
+	closedir(d);
 	return st;
 }
 
@@ -91,6 +93,8 @@
 	s->id = o->new_id;
 	s->hard_state = (store_record_t){.type = STORE_RECORD_HARD_STATE};
 	st = store_segment_begin(s, 1, 0);
+	if (st == STATUS_OK)
+		store_segment_add(s, 1, 0);
 	if (st == STATUS_OK && o->first_members) {
 		raft_members_encode(o->first_members, &members);
 		e.data.data_val = members.p;
--- a/src/raft/store_replay.c
+++ b/src/raft/store_replay.c
@@ -115,39 +115,49 @@
 	return false;
 }
 
-/* Reads the header of a segment; false if it is missing, incomplete or damaged. */
-static bool parse_header(const store_t *s, str_t file, uint64_t number, store_segment_header_t *h)
+/* Reads the start of a segment; false if it is missing, incomplete or damaged. *previous_len is the
+ * length of the segment before as it records it; 0: unknown. */
+static bool parse_start(const store_t *s, str_t file, uint64_t number, uint64_t *previous_len)
 {
-	if (file.n < sizeof(*h))
+	store_segment_header_t h;
+	store_record_t rec;
+	str_t data;
+
+	if (file.n < sizeof(h))
 		return false;
-	memcpy(h, file.p, sizeof(*h));
-	return h->magic == STORE_SEGMENT_MAGIC && h->id == s->id && h->number == number &&
-	       h->crc == store_crc(0, h, offsetof(store_segment_header_t, crc));
+	memcpy(&h, file.p, sizeof(h));
+	if (h.magic != STORE_SEGMENT_MAGIC || h.id != s->id || h.number != number ||
+	    h.crc != store_crc(0, &h, offsetof(store_segment_header_t, crc)))
+		return false;
+	if (parse_record(file, sizeof(h), &rec, &data) == 0 || rec.type != STORE_RECORD_HARD_STATE)
+		return false;
+	*previous_len = 0;
+	if (data.n == sizeof(*previous_len))
+		memcpy(previous_len, data.p, sizeof(*previous_len));
+	return true;
 }
 
-static status_t truncate_tail(store_t *s, const char *path, size_t at)
+/* Writes the records of a segment anew. A sync of the file as it is would prove nothing: if an
+ * earlier one failed, what was read may be in memory only. */
+static status_t rewrite_segment(store_t *s, uint64_t number, str_t records)
 {
-	int fd = open(path, O_RDWR | O_CLOEXEC);
-	status_t st = STATUS_OK;
+	char name[64];
 
-	if (fd < 0 || ftruncate(fd, (off_t)at) != 0)
-		st = status_fail(STATUS_IO, "%s: truncate: %s", path, strerror(errno));
-	if (st == STATUS_OK)
-		st = store_file_sync(&s->fault, fd, path);
-	if (fd >= 0)
-		close(fd);
-	return st;
+	snprintf(name, sizeof(name), "log-%016lx", (unsigned long)number);
+	return store_file_replace(&s->fault, s->dir, name, &records, 1);
 }
 
 /* Where a segment ends. */
 typedef struct {
 	uint64_t len; /* as recorded by the next segment; 0: unknown */
-	bool may_be_torn; /* an incomplete last write is truncated */
-	bool is_last; /* the header may be incomplete, too */
+	bool may_be_torn; /* the last write may be incomplete or not synced */
+	bool is_last; /* its start may be incomplete, too */
 } segment_end_t;
 
-/* Reads the records of a segment up to its end; *at is where they end. */
-static status_t replay_records(replay_t *rp, str_t file, const char *path, uint64_t len, size_t *at)
+/* Reads the records of a segment up to its end; *at is where they end. *marked: the last one is a
+ * mark, so that the others were synced. */
+static status_t replay_records(replay_t *rp, str_t file, const char *path, uint64_t len, size_t *at,
+			       bool *marked)
 {
 	store_record_t rec;
 	status_t st = STATUS_OK;
@@ -159,39 +169,41 @@
 		if (n == 0)
 			break;
 		st = replay_record(rp, &rec, data, path, *at);
+		*marked = rec.type == STORE_RECORD_SYNC_MARK;
 		*at += n;
 	}
 	return st;
 }
 
-/* Reads one segment; *size is its valid length, 0 if the header is incomplete. */
+/* Reads one segment; *size is its valid length, 0 if its start is incomplete. */
 static status_t read_segment(replay_t *rp, uint64_t number, str_t file, segment_end_t end,
 			     size_t *size)
 {
 	char path[STORE_PATH_BYTES];
-	store_segment_header_t h;
-	size_t at = sizeof(h);
+	size_t at = sizeof(store_segment_header_t);
+	uint64_t previous_len;
+	bool marked = false;
 	status_t st;
 
 	store_segment_path(rp->s, number, path);
 	*size = 0;
-	if (!parse_header(rp->s, file, number, &h)) {
+	if (!parse_start(rp->s, file, number, &previous_len)) {
 		if (end.is_last && !was_synced(file, 0)) {
 			rp->contents->cut_bytes = file.n;
 			return STATUS_OK;
 		}
-		return status_fail(STATUS_CORRUPT, "%s: offset 0: damaged header", path);
+		return status_fail(STATUS_CORRUPT, "%s: offset 0: damaged start", path);
 	}
-	st = replay_records(rp, file, path, end.len, &at);
+	st = replay_records(rp, file, path, end.len, &at, &marked);
 	if (st != STATUS_OK)
 		return st;
 	*size = at;
-	if (end.len ? at == end.len : at == file.n)
+	if (end.len ? at == end.len : at == file.n && (marked || !end.may_be_torn))
 		return STATUS_OK;
 	if (!end.may_be_torn || was_synced(file, at))
 		return status_fail(STATUS_CORRUPT, "%s: offset %zu: damaged record", path, at);
 	rp->contents->cut_bytes = file.n - at;
-	return truncate_tail(rp->s, path, at);
+	return rewrite_segment(rp->s, number, (str_t){file.p, at});
 }
 
 static status_t read_file(const store_t *s, uint64_t number, buf_t *out)
@@ -203,28 +215,30 @@
 	return store_file_read(path, out);
 }
 
-/* Returns the end of a segment, given the segment after it. If that has no whole header, it was
+/* Returns the end of a segment, given the segment after it. If that has no whole start, it was
  * being created, maybe because the disk had refused the last write to this one. */
 static segment_end_t end_before(const store_t *s, uint64_t number, str_t next, bool next_is_last)
 {
-	store_segment_header_t h;
+	segment_end_t end = {0};
 
-	if (parse_header(s, next, number + 1, &h))
-		return (segment_end_t){.len = h.previous_len};
-	return (segment_end_t){.may_be_torn = next_is_last && !was_synced(next, 0)};
+	if (!parse_start(s, next, number + 1, &end.len))
+		end.may_be_torn = next_is_last && !was_synced(next, 0);
+	return end;
 }
 
 /* Reads all segments and opens the last one to continue the log in it. */
 static status_t read_segments(replay_t *rp)
 {
 	AUTO_FREE uint64_t *numbers = NULL;
-	size_t n = store_list_numbered_files(rp->s->dir, "log-", &numbers);
+	size_t n;
 	AUTO_BUF file = {0};
 	AUTO_BUF next = {0};
 	size_t previous_size = 0;
 	size_t size = 0;
-	status_t st = n ? read_file(rp->s, numbers[0], &next) : STATUS_OK;
+	status_t st = store_list_numbered_files(rp->s->dir, "log-", &numbers, &n);
 
+	if (st == STATUS_OK && n > 0)
+		st = read_file(rp->s, numbers[0], &next);
 	for (size_t i = 0; i < n && st == STATUS_OK; i++) {
 		segment_end_t end = {.may_be_torn = true, .is_last = true};
 		buf_t swap = file;
@@ -250,12 +264,16 @@
 		return st;
 	if (n == 0)
 		return status_fail(STATUS_CORRUPT, "%s: no log segment", rp->s->dir);
-	/* A segment with an incomplete header has no records yet; it is created again. */
+	/* A segment with an incomplete start has no records yet; it is created again. */
 	if (size == 0 && n == 1)
-		return status_fail(STATUS_CORRUPT, "%s: the only segment has an incomplete header",
+		return status_fail(STATUS_CORRUPT, "%s: the only segment has an incomplete start",
 				   rp->s->dir);
-	if (size == 0)
-		return store_segment_begin(rp->s, numbers[n - 1], previous_size);
+	if (size == 0) {
+		st = store_segment_begin(rp->s, numbers[n - 1], previous_size);
+		if (st == STATUS_OK)
+			store_segment_add(rp->s, numbers[n - 1], 0);
+		return st;
+	}
 	return store_segment_continue(rp->s, size);
 }
 
