The leader says which voters acknowledge nothing

Change: the leader records when each member last acknowledged something new, or everything that is committed; answers without that don't count (group_acks). After replace_grace_ms it logs voter_silent (age, match, commit, whether the process is linked), then voter_acknowledges (length of the silence, entries behind) and voter_caught_up, once each.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -142,6 +142,10 @@
 /** Number of voters that a group should have. */
 unsigned control_voter_target(const control_t *ctl);
 
+/* control_voters.c */
+/** Logs which voters acknowledge nothing to this process as leader of g, and which do so again. */
+void control_voters_round(control_t *ctl, control_group_t *g, const group_status_t *st);
+
 /* control_platform.c: keeps the upstreams in group 0 up to date with the platform's VMs */
 void control_platform_round(control_t *ctl);
 
--- a/src/control/control_http.c
+++ b/src/control/control_http.c
@@ -29,6 +29,9 @@
 		set_group_gauge("auburn_group_commit", n, (int64_t)st.commit);
 		set_group_gauge("auburn_group_syncs", n, (int64_t)st.syncs);
 		set_group_gauge("auburn_group_sync_us", n, (int64_t)st.sync_us);
+		set_group_gauge("auburn_group_voters_acknowledging", n,
+				group_count_acknowledging(&st, clock_now_ms(),
+							  ctl->settings.replace_grace_ms));
 	}
 }
 
--- a/src/control/control_leader.c
+++ b/src/control/control_leader.c
@@ -163,8 +163,10 @@
 
 	for (unsigned n = 0; n < ctl->ngroups; n++) {
 		group_get_status(ctl->groups[n].raft, &st);
-		if (st.leader)
-			control_repair_round(ctl, &ctl->groups[n], &st);
+		if (!st.leader)
+			continue;
+		control_voters_round(ctl, &ctl->groups[n], &st);
+		control_repair_round(ctl, &ctl->groups[n], &st);
 	}
 	expire_round(ctl);
 	group_get_status(ctl->groups[0].raft, &st);
--- a/src/control/control_status.c
+++ b/src/control/control_status.c
@@ -7,7 +7,21 @@
  * another leader. */
 #define FOUNDING_ENTRIES 2
 
-static json_t *peers_json(const group_status_t *st)
+/* Adds what only the leader knows: whether the peer acknowledges, and for how long it has not. */
+static void add_acknowledgement(const control_t *ctl, json_t *peer, const group_status_t *st,
+				unsigned i)
+{
+	deadline_t now = clock_now_ms();
+	bool self = st->peers[i].id == st->self;
+
+	json_object_set_new(
+		peer, "acknowledges",
+		json_boolean(!group_peer_is_silent(st, i, now, ctl->settings.replace_grace_ms)));
+	json_object_set_new(peer, "unacknowledged_ms",
+			    json_integer(self ? 0 : (json_int_t)(now - st->ack_awaited[i])));
+}
+
+static json_t *peers_json(const control_t *ctl, const group_status_t *st)
 {
 	json_t *a = json_array();
 
@@ -23,11 +37,13 @@
 							  : -1)));
 		json_object_set_new(json_array_get(a, i), "id",
 				    json_sprintf("%016llx", (unsigned long long)p->id));
+		if (st->leader)
+			add_acknowledgement(ctl, json_array_get(a, i), st, i);
 	}
 	return a;
 }
 
-static json_t *group_json(control_group_t *g, const group_status_t *st)
+static json_t *group_json(const control_t *ctl, control_group_t *g, const group_status_t *st)
 {
 	return json_pack("{s:i,s:o,s:b,s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "group",
 			 (int)g->number, "id",
@@ -36,7 +52,7 @@
 			 "commit", (json_int_t)st->commit, "applied", (json_int_t)st->applied,
 			 "first", (json_int_t)st->first_index, "last", (json_int_t)st->last_index,
 			 "snapshot", (json_int_t)st->snapshot_index, "syncs", (json_int_t)st->syncs,
-			 "sync_us", (json_int_t)st->sync_us, "peers", peers_json(st));
+			 "sync_us", (json_int_t)st->sync_us, "peers", peers_json(ctl, st));
 }
 
 static void add_fleet(control_group_t *g, void *arg)
@@ -75,7 +91,7 @@
 		json_t *o;
 
 		group_get_status(g->raft, &st);
-		o = group_json(g, &st);
+		o = group_json(ctl, g, &st);
 		used = used || st.commit > FOUNDING_ENTRIES;
 		control_group_read(g, g->fleet ? add_fleet : add_ledger, g->fleet ? root : o);
 		json_array_append_new(groups, o);
--- a/src/ctl/ctl_status.c
+++ b/src/ctl/ctl_status.c
@@ -66,6 +66,23 @@
 	return (long long)json_integer_value(json_object_get(o, key));
 }
 
+/* Names the members that acknowledge nothing to the leader, and for how long. */
+static void print_silent_members(const json_t *peers)
+{
+	const json_t *p;
+	size_t i;
+
+	json_array_foreach(peers, i, p)
+	{
+		if (!json_is_false(json_object_get(p, "acknowledges")))
+			continue;
+		printf("    %s %s zone=%s acknowledges nothing for_ms=%lld match=%lld\n",
+		       json_is_true(json_object_get(p, "voter")) ? "voter" : "learner",
+		       get_str(p, "addr"), get_str(p, "zone"), get_int(p, "unacknowledged_ms"),
+		       get_int(p, "match"));
+	}
+}
+
 /* voters= is the number of all members of a group, those without a vote included. */
 static void print_controls(const json_t *all)
 {
@@ -86,6 +103,7 @@
 			       json_is_true(json_object_get(g, "leader")) ? "leader" : "follower",
 			       get_int(g, "term"), get_int(g, "applied"), get_int(g, "snapshot"),
 			       json_array_size(json_object_get(g, "peers")));
+			print_silent_members(json_object_get(g, "peers"));
 		}
 	}
 }
--- a/src/raft/group.h
+++ b/src/raft/group.h
@@ -105,12 +105,23 @@
 	group_peer_t peers[GROUP_PEERS_MAX];
 	uint64_t match[GROUP_PEERS_MAX]; /* leader only: highest index that each peer has synced */
 	deadline_t last_answer[GROUP_PEERS_MAX]; /* when each peer's last message came; 0: none */
+	deadline_t last_ack[GROUP_PEERS_MAX]; /* leader only: when each peer last acknowledged
+					       * something new or all that is committed; 0: not
+					       * since this replica leads */
+	deadline_t ack_awaited[GROUP_PEERS_MAX]; /* leader only: last_ack, else since when one is
+						  * expected */
 	uint64_t syncs; /* of the log */
 	uint64_t sync_us; /* time spent on them */
 	uint64_t commands; /* applied since the group was opened */
 } group_status_t;
 
 void group_get_status(group_t *g, group_status_t *out);
+/** True if peer i has acknowledged nothing to this leader for more than ms: neither anything new
+ * nor, with a message, all that is committed. A peer that only answers counts as silent. */
+bool group_peer_is_silent(const group_status_t *st, unsigned i, deadline_t now, int64_t ms);
+/** Number of voters, the leader itself included, that have acknowledged something to it within the
+ * last ms milliseconds. */
+unsigned group_count_acknowledging(const group_status_t *st, deadline_t now, int64_t ms);
 
 /** Membership changes, one at a time, on the leader only. Each call returns once the change is
  * committed or refused. STATUS_LIMIT: another change is in progress, the leader has not committed
--- a/src/raft/group_internal.h
+++ b/src/raft/group_internal.h
@@ -49,6 +49,20 @@
 	deadline_t last_message;
 } group_sender_t;
 
+/** What one member has acknowledged to this leader. */
+typedef struct {
+	uint64_t id;
+	raft_member_progress_t most; /* largest seen */
+	deadline_t since; /* when it became a member, or this replica the leader */
+	deadline_t last; /* 0: not since then */
+} group_ack_t;
+
+typedef struct {
+	deadline_t leader_since; /* the term of office that the records are from; 0: none */
+	unsigned n;
+	group_ack_t members[GROUP_PEERS_MAX];
+} group_acks_t;
+
 struct group {
 	group_options_t options;
 	char *addr;
@@ -74,6 +88,7 @@
 	group_queue_t old_proposals; /* from before leadership was lost; may still be applied */
 	group_queue_t step_downs; /* callers that wait until this replica no longer leads */
 	group_sender_t senders[GROUP_SENDERS_MAX];
+	group_acks_t acks;
 	deadline_t leader_since;
 	uint64_t commands;
 	bool state_lost; /* a snapshot was restored only in part; a restart repairs that */
@@ -115,6 +130,17 @@
 /** Records the sender's address, which m contains, and the time. */
 void group_remember_sender(group_t *g, const raft_msg_t *m);
 
+/* group_acks.c */
+/** Starts records for new members and drops those of former ones; all are new when the replica has
+ * become leader at another time than before. leader_since 0: it does not lead. */
+void group_acks_set_members(group_acks_t *a, const raft_members_t *members, deadline_t leader_since,
+			    deadline_t now);
+/** Records an acknowledgement of member id, which has got as far as p says. */
+void group_acks_record(group_acks_t *a, uint64_t id, const raft_member_progress_t *p,
+		       uint64_t commit, deadline_t now);
+/** Fills last_ack and ack_awaited, by position in st->peers. */
+void group_acks_publish(const group_acks_t *a, group_status_t *st);
+
 /* group_disk.c */
 /** Main function of the thread that syncs the log. */
 void *group_disk_thread_main(void *arg);
--- a/src/raft/group_thread.c
+++ b/src/raft/group_thread.c
@@ -10,6 +10,15 @@
  * this, so that the follower can finish. */
 #define SNAPSHOT_POSTPONE_FACTOR 4
 
+static void record_ack(group_t *g, const raft_msg_t *m)
+{
+	raft_member_progress_t p;
+
+	if (m->term == g->status.term && raft_get_progress(g->raft, m->from, &p))
+		group_acks_record(&g->acks, m->from, &p, raft_commit_index(g->raft),
+				  clock_now_ms());
+}
+
 static void handle_message(group_t *g, group_input_t *it)
 {
 	raft_msg_t m;
@@ -18,6 +27,8 @@
 	    m.to == g->status.self) {
 		group_remember_sender(g, &m);
 		raft_receive(g->raft, &m);
+		if (m.type == RAFT_APPEND_RESP || m.type == RAFT_SNAPSHOT_RESP)
+			record_ack(g, &m);
 	}
 	wire_free(XDR_PROC(raft_msg_t), &m);
 	group_input_unref(g, it);
@@ -209,6 +220,8 @@
 				s.last_answer[i] = g->senders[k].last_message;
 		}
 	}
+	group_acks_set_members(&g->acks, &v.members, g->leader_since, clock_now_ms());
+	group_acks_publish(&g->acks, &s);
 	pthread_mutex_lock(&g->lock);
 	g->status = s;
 	pthread_mutex_unlock(&g->lock);
--- a/src/raft/raft.c
+++ b/src/raft/raft.c
@@ -334,6 +334,26 @@
 	return r->role;
 }
 
+uint64_t raft_commit_index(const raft_t *r)
+{
+	return r->commit;
+}
+
+bool raft_get_progress(const raft_t *r, uint64_t id, raft_member_progress_t *out)
+{
+	int at = raft_members_find(&r->members, id);
+	const raft_progress_t *p = &r->progress[at < 0 ? 0 : at];
+
+	if (r->role != RAFT_LEADER || at < 0 || id == r->self)
+		return false;
+	*out = (raft_member_progress_t){.match = p->match};
+	if (p->mode == RAFT_MODE_SNAPSHOT) {
+		out->snap_index = p->snap_index;
+		out->snap_offset = p->snap_offset;
+	}
+	return true;
+}
+
 uint64_t raft_applied_index(const raft_t *r)
 {
 	return r->applied;
--- a/src/raft/raft.h
+++ b/src/raft/raft.h
@@ -136,6 +136,17 @@
 } raft_status_t;
 
 void raft_get_status(const raft_t *r, raft_status_t *out);
+
+/** How far another member has got, as known to the leader. */
+typedef struct {
+	uint64_t match; /* highest index that it has synced */
+	uint64_t snap_index; /* of the snapshot that it receives; 0: none */
+	uint64_t snap_offset; /* received so far */
+} raft_member_progress_t;
+
+/** False if this replica does not lead or id is no other member. */
+bool raft_get_progress(const raft_t *r, uint64_t id, raft_member_progress_t *out);
+uint64_t raft_commit_index(const raft_t *r);
 raft_role_t raft_role(const raft_t *r);
 uint64_t raft_applied_index(const raft_t *r);
 
--- /dev/null
+++ b/tests/proc/disk_kit.py
@@ -0,0 +1,59 @@
+"""Base class of tests that make the disk of a control process refuse writes, or lose it."""
+import os
+import re
+import shutil
+import time
+import unittest
+
+from platform_kit import Kit
+
+
+class DiskTest(unittest.TestCase):
+    kit_options = {}
+
+    def setUp(self):
+        self.kit = Kit(**self.kit_options)
+        self.kit.up()
+
+    def tearDown(self):
+        exits = self.kit.unexpected_exits()
+        self.kit.close()
+        self.assertEqual(exits, [])
+
+    def follower(self):
+        return next(c for c in self.kit.controls if c is not self.kit.leader())
+
+    def fill_disk(self, control):
+        """Makes the disk of a control process refuse writes, and changes the config until a write was refused."""
+        control.fill_disk()
+        end = time.time() + 10
+        while "event=disk_failed" not in control.log_text():
+            self.assertLess(time.time(), end, "no write was refused")
+            self.assertTrue(self.kit.loop.run(self.kit.submit()))
+
+    def lose_disk(self, control):
+        control.stop()
+        control.exit_expected = True
+        shutil.rmtree(os.path.join(self.kit.dir, control.name))
+
+    def open_lot(self):
+        lot, items = self.kit.lot(4)
+        self.assertEqual(self.kit.loop.run(self.kit.open_lot(self.kit.fronts[0], lot, items)), 202)
+        return lot
+
+    def log_lines(self, control, event, since=0):
+        """The fields of the lines of this event that were logged after `since` (Unix ms), oldest first."""
+        lines = []
+        for line in control.log_text().splitlines():
+            fields = {k: v.strip('"') for k, v in re.findall(r'(\w+)=("[^"]*"|\S+)', line)}
+            if fields.get("event") == event and float(fields["t"]) >= since:
+                lines.append(fields)
+        return lines
+
+    def wait_line(self, control, event, s, since=0):
+        """Waits until the process logs a line of this event; returns its fields."""
+        end = time.time() + s
+        while not self.log_lines(control, event, since):
+            self.assertLess(time.time(), end, "%s logs no %s" % (control.name, event))
+            time.sleep(0.02)
+        return self.log_lines(control, event, since)[0]
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -286,7 +286,7 @@
             "_ip": ip, "name": name, "zone": zone, "listen": "%s:%d" % (ip, self.port),
             "data": os.path.join(self.dir, name), "controls": self.seeds, "rpc_port": self.port,
             "link_port": self.port + 1, "operators": "%s:%d" % (ip, self.port + 2),
-            "upstream_list": self.list_addr, "tolerate": 1, "bootstrap": bootstrap, "ledger_groups": 0,
+            "http": "%s:%d" % (ip, self.port + 4), "upstream_list": self.list_addr, "tolerate": 1, "bootstrap": bootstrap, "ledger_groups": 0,
             "replace_grace_ms": 1500, "election_ms": 300, "tick_ms": 10, "snapshot_entries": 100, "memory_mib": self.memory_mib})
 
     def make_front(self, name, zone):
--- a/tests/proc/test_disk.py
+++ b/tests/proc/test_disk.py
@@ -4,46 +4,15 @@
 again stayed out of the group.
 """
 import os
-import shutil
 import time
 import unittest
 
-from platform_kit import Kit
+from disk_kit import DiskTest
 
 BACK_S = 1.0    # a replica votes and acknowledges again this long after its disk takes writes
 
 
-class RefusedWrites(unittest.TestCase):
-    def setUp(self):
-        self.kit = Kit()
-        self.kit.up()
-
-    def tearDown(self):
-        exits = self.kit.unexpected_exits()
-        self.kit.close()
-        self.assertEqual(exits, [])
-
-    def follower(self):
-        return next(c for c in self.kit.controls if c is not self.kit.leader())
-
-    def fill_disk(self, control):
-        """Makes the disk of a control process refuse writes, and changes the config until a write was refused."""
-        control.fill_disk()
-        end = time.time() + 10
-        while "event=disk_failed" not in control.log_text():
-            self.assertLess(time.time(), end, "no write was refused")
-            self.assertTrue(self.kit.loop.run(self.kit.submit()))
-
-    def lose_disk(self, control):
-        control.stop()
-        control.exit_expected = True
-        shutil.rmtree(os.path.join(self.kit.dir, control.name))
-
-    def open_lot(self):
-        lot, items = self.kit.lot(4)
-        self.assertEqual(self.kit.loop.run(self.kit.open_lot(self.kit.fronts[0], lot, items)), 202)
-        return lot
-
+class RefusedWrites(DiskTest):
     def test_lots_survive_the_loss_of_another_disk_after_the_first_takes_writes_again(self):
         follower = self.follower()
         lots = [self.open_lot()]
