Decisions on membership count only voters that acknowledge

Cause: "too few VMs would remain to vote" counted every linked process, also a voter whose disk refuses writes; a spare whose disk refuses writes was added, removed as silent and added again without end, while the next spare was never tried.

Change: decisions are in policy/membership (pure). A member counts if it has acknowledged something within replace_grace_ms, linked or not; a spare counts unless its disk refuses writes or it was removed as silent within 10 s. Such a replica isn't added again meanwhile. A process whose disk refuses writes says so in its hello by replica id 0, which older builds take for no candidate; at an older leader it can't be retired by name meanwhile. Once it says its id again (peer_disk_back) it may be added as itself. No promotion or removal leaves a minority of voters that acknowledge. auburnctl status shows such a replica as failed.

--- a/src/control/control_repair.c
+++ b/src/control/control_repair.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "base/metric.h"
 #include "control/control.h"
+#include "policy/membership.h"
 
 #define MEMBER_CHANGE_MS  3000
 #define STATUS_TIMEOUT_MS 500
@@ -35,31 +36,9 @@
 	return id;
 }
 
-static const group_peer_t *find_peer(const group_status_t *st, uint64_t id)
-{
-	for (unsigned i = 0; i < st->npeers; i++) {
-		if (st->peers[i].id == id)
-			return &st->peers[i];
-	}
-	return NULL;
-}
-
-static bool has_voter_at(const group_status_t *st, const char *addr)
-{
-	for (unsigned i = 0; i < st->npeers; i++) {
-		if (st->peers[i].voter && strcmp(st->peers[i].addr, addr) == 0)
-			return true;
-	}
-	return false;
-}
-
-/* True if the member has sent nothing for this long while this process has led the group. */
 static bool is_silent(const group_status_t *st, unsigned i, int64_t ms)
 {
-	deadline_t last_answer =
-		st->last_answer[i] > st->leader_since ? st->last_answer[i] : st->leader_since;
-
-	return clock_now_ms() - last_answer > ms;
+	return group_peer_is_silent(st, i, clock_now_ms(), ms);
 }
 
 typedef struct {
@@ -123,39 +102,94 @@
 	return 0;
 }
 
-static unsigned count_zone_voters(const group_status_t *st, const char *zone)
+/* ---- what decisions are based on ---- */
+
+/* Replicas removed as silent; read by the hub's thread, too. */
+static membership_bans_t bans;
+static pthread_mutex_t bans_lock = PTHREAD_MUTEX_INITIALIZER;
+
+static void ban(uint64_t id)
 {
-	unsigned n = 0;
+	pthread_mutex_lock(&bans_lock);
+	membership_ban(&bans, id, clock_now_ms());
+	pthread_mutex_unlock(&bans_lock);
+}
 
-	for (unsigned i = 0; i < st->npeers; i++)
-		n += st->peers[i].voter && strcmp(st->peers[i].zone, zone) == 0;
-	return n;
+void control_disk_is_back(uint64_t replica_id)
+{
+	pthread_mutex_lock(&bans_lock);
+	membership_unban(&bans, replica_id);
+	pthread_mutex_unlock(&bans_lock);
+}
+
+typedef struct {
+	membership_view_t view;
+	group_peer_t candidates[CONTROL_CANDIDATES_MAX];
+	membership_bans_t bans;
+} view_t;
+
+static bool is_retired(void *ctx, uint64_t id)
+{
+	return control_is_retired(ctx, id);
+}
+
+static void init_view(control_t *ctl, const group_status_t *st, view_t *v)
+{
+	pthread_mutex_lock(&bans_lock);
+	v->bans = bans;
+	pthread_mutex_unlock(&bans_lock);
+	v->view = (membership_view_t){.st = st,
+				      .candidates = v->candidates,
+				      .bans = &v->bans,
+				      .now = clock_now_ms(),
+				      .grace_ms = ctl->settings.replace_grace_ms,
+				      .is_retired = is_retired,
+				      .ctx = ctl};
+}
+
+unsigned control_count_able(control_t *ctl, uint64_t except)
+{
+	group_status_t st;
+	view_t v;
+
+	group_get_status(ctl->groups[0].raft, &st);
+	init_view(ctl, &st, &v);
+	v.view.ncandidates = list_candidates(ctl, &ctl->groups[0], v.candidates);
+	return membership_count_able(&v.view, except);
 }
 
-/* Finds a candidate that is neither a member nor retired. Prefers one in the given zone; with zone
- * NULL, one in the zone with the fewest voters. */
 static bool find_spare(control_t *ctl, control_group_t *g, const group_status_t *st,
 		       const char *zone, group_peer_t *out)
 {
-	group_peer_t v[CONTROL_CANDIDATES_MAX];
-	unsigned n = list_candidates(ctl, g, v);
-	bool found = false;
+	view_t v;
 
-	for (unsigned i = 0; i < n; i++) {
-		bool better;
+	init_view(ctl, st, &v);
+	v.view.ncandidates = list_candidates(ctl, g, v.candidates);
+	return membership_find_spare(&v.view, zone, out);
+}
 
-		if (has_voter_at(st, v[i].addr) || find_peer(st, v[i].id) ||
-		    control_is_retired(ctl, v[i].id))
-			continue;
-		better = zone ? strcmp(v[i].zone, zone) == 0
-			      : count_zone_voters(st, v[i].zone) < count_zone_voters(st, out->zone);
-		if (!found || better)
-			*out = v[i];
-		found = true;
-	}
-	return found;
+static bool is_eligible(control_t *ctl, const group_status_t *st, uint64_t id)
+{
+	view_t v;
+
+	init_view(ctl, st, &v);
+	return membership_is_eligible(&v.view, id);
 }
 
+/* STATUS_LIMIT if fewer than a majority of the voters after the change would acknowledge. */
+static status_t check_majority(control_t *ctl, const group_status_t *st, uint64_t added,
+			       uint64_t removed)
+{
+	view_t v;
+
+	init_view(ctl, st, &v);
+	if (membership_keeps_majority(&v.view, added, removed))
+		return STATUS_OK;
+	return status_fail(STATUS_LIMIT, "no majority of the new voters acknowledges");
+}
+
+/* ---- steps ---- */
+
 /* Prefers the process at the lost voter's address if it has a new replica id, then a spare in the
  * voter's zone, then any spare. */
 static bool find_replacement(control_t *ctl, control_group_t *g, const group_status_t *st,
@@ -166,7 +200,7 @@
 	*out = (group_peer_t){0};
 	snprintf(out->addr, sizeof(out->addr), "%s", lost->addr);
 	id = find_replica_id(ctl, g, lost->addr, out->zone);
-	if (id && id != lost->id && !find_peer(st, id)) {
+	if (id != lost->id && is_eligible(ctl, st, id)) {
 		out->id = id;
 		return true;
 	}
@@ -175,7 +209,7 @@
 
 /* Promotes the learner once it has caught up. Returns true while there is a learner: the group
  * changes one member at a time, so other changes wait. */
-static bool promote_learner(control_group_t *g, const group_status_t *st)
+static bool promote_learner(control_t *ctl, control_group_t *g, const group_status_t *st)
 {
 	for (unsigned i = 0; i < st->npeers; i++) {
 		status_t result;
@@ -184,7 +218,10 @@
 			continue;
 		if (st->match[i] < st->commit)
 			return true;
-		result = group_promote(g->raft, st->peers[i].id, clock_now_ms() + MEMBER_CHANGE_MS);
+		result = check_majority(ctl, st, st->peers[i].id, 0);
+		if (result == STATUS_OK)
+			result = group_promote(g->raft, st->peers[i].id,
+					       clock_now_ms() + MEMBER_CHANGE_MS);
 		log_event(LOG_LEVEL_INFO, "voter_promoted", LOG_INT("group", g->number),
 			  LOG_CSTR("addr", st->peers[i].addr),
 			  LOG_CSTR("status", status_name(result)));
@@ -202,8 +239,10 @@
 		if (st->peers[i].voter || !is_silent(st, i, ctl->settings.replace_grace_ms))
 			continue;
 		group_remove(g->raft, st->peers[i].id, clock_now_ms() + MEMBER_CHANGE_MS);
+		ban(st->peers[i].id);
 		log_event(LOG_LEVEL_WARN, "learner_removed", LOG_INT("group", g->number),
-			  LOG_CSTR("addr", st->peers[i].addr));
+			  LOG_CSTR("addr", st->peers[i].addr), LOG_CSTR("reason", "silent"),
+			  LOG_INT("not_again_ms", MEMBERSHIP_BAN_MS));
 		return true;
 	}
 	return false;
@@ -228,7 +267,11 @@
 	status_t result;
 
 	if (count_voters(st) > control_voter_target(ctl)) {
-		result = group_remove(g->raft, lost->id, clock_now_ms() + MEMBER_CHANGE_MS);
+		result = check_majority(ctl, st, 0, lost->id);
+		if (result == STATUS_OK)
+			result = group_remove(g->raft, lost->id, clock_now_ms() + MEMBER_CHANGE_MS);
+		if (result == STATUS_OK && is_silent(st, i, ctl->settings.replace_grace_ms))
+			ban(lost->id);
 		log_event(LOG_LEVEL_WARN, "voter_removed", LOG_INT("group", g->number),
 			  LOG_CSTR("addr", lost->addr), LOG_CSTR("status", status_name(result)),
 			  LOG_CSTR("reason", "lost or retired, replaced"));
@@ -301,7 +344,7 @@
 	if (clock_now_ms() < next[g->number])
 		return;
 	next[g->number] = clock_now_ms() + PERIOD_MS;
-	if (remove_silent_learner(ctl, g, st) || promote_learner(g, st))
+	if (remove_silent_learner(ctl, g, st) || promote_learner(ctl, g, st))
 		return;
 	for (unsigned i = 0; i < st->npeers; i++) {
 		if (!st->peers[i].voter || st->peers[i].id == st->self)
--- a/src/control/control_status.c
+++ b/src/control/control_status.c
@@ -45,14 +45,15 @@
 
 static json_t *group_json(const control_t *ctl, control_group_t *g, const group_status_t *st)
 {
-	return json_pack("{s:i,s:o,s:b,s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "group",
+	return json_pack("{s:i,s:o,s:b,s:b,s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "group",
 			 (int)g->number, "id",
 			 json_sprintf("%016llx", (unsigned long long)st->self), "leader",
-			 st->leader, "leader_addr", st->leader_addr, "term", (json_int_t)st->term,
-			 "commit", (json_int_t)st->commit, "applied", (json_int_t)st->applied,
-			 "first", (json_int_t)st->first_index, "last", (json_int_t)st->last_index,
-			 "snapshot", (json_int_t)st->snapshot_index, "syncs", (json_int_t)st->syncs,
-			 "sync_us", (json_int_t)st->sync_us, "peers", peers_json(ctl, st));
+			 st->leader, "failed", st->failed, "leader_addr", st->leader_addr, "term",
+			 (json_int_t)st->term, "commit", (json_int_t)st->commit, "applied",
+			 (json_int_t)st->applied, "first", (json_int_t)st->first_index, "last",
+			 (json_int_t)st->last_index, "snapshot", (json_int_t)st->snapshot_index,
+			 "syncs", (json_int_t)st->syncs, "sync_us", (json_int_t)st->sync_us,
+			 "peers", peers_json(ctl, st));
 }
 
 static void add_fleet(control_group_t *g, void *arg)
--- a/src/control/hub.c
+++ b/src/control/hub.c
@@ -80,9 +80,9 @@
 	for (hub_peer_t *p = h->peers; p; p = p->hh.next) {
 		group_peer_t *c = &h->candidates[h->ncandidates];
 
-		if (!p->rpc_addr[0] || !p->replica_id || h->ncandidates == CONTROL_CANDIDATES_MAX)
+		if (!p->rpc_addr[0] || h->ncandidates == CONTROL_CANDIDATES_MAX)
 			continue;
-		*c = (group_peer_t){.id = p->replica_id};
+		*c = (group_peer_t){.id = p->disk_failed ? 0 : p->replica_id};
 		snprintf(c->addr, sizeof(c->addr), "%s", p->rpc_addr);
 		snprintf(c->zone, sizeof(c->zone), "%s", p->zone);
 		h->ncandidates++;
@@ -150,6 +150,22 @@
 	hub_send(p, &m);
 }
 
+/* A control process whose disk refuses writes says so by id 0, which all builds understand as no
+ * candidate. */
+static void update_replica(hub_t *h, hub_peer_t *p, uint64_t id)
+{
+	bool failed = p->rpc_addr[0] && id == 0;
+
+	if (failed != p->disk_failed && h->role == HUB_LEADER)
+		log_event(LOG_LEVEL_WARN, failed ? "peer_disk_failed" : "peer_disk_back",
+			  LOG_CSTR("peer", p->name));
+	if (p->disk_failed && !failed)
+		control_disk_is_back(id);
+	p->disk_failed = failed;
+	if (!failed)
+		p->replica_id = id;
+}
+
 static void on_hello(hub_t *h, hub_peer_t *p, const link_hello_t *m)
 {
 	bool first = !p->registered;
@@ -158,7 +174,7 @@
 	copy_str(p->addr, sizeof(p->addr), m->addr);
 	copy_str(p->zone, sizeof(p->zone), m->zone);
 	copy_str(p->rpc_addr, sizeof(p->rpc_addr), m->control);
-	p->replica_id = m->replica;
+	update_replica(h, p, m->replica);
 	p->draining = m->draining;
 	if (first)
 		send_welcome(h, p);
@@ -410,6 +426,17 @@
 	worker_pool_submit(h->call_workers, &s->task);
 }
 
+/* Tells the leader when this process's disk begins or ends to refuse writes. */
+static void report_disk(hub_t *h)
+{
+	group_status_t st;
+
+	group_get_status(h->control->groups[0].raft, &st);
+	if (st.failed != h->disk_failed)
+		leader_link_resend_hello(h->leader_link);
+	h->disk_failed = st.failed;
+}
+
 static void on_tick(struct ev_loop *loop, ev_timer *w, int events)
 {
 	hub_t *h = w->data;
@@ -420,6 +447,7 @@
 	update_role(h);
 	check_links(h, now, now < h->last_tick + HUB_TICK_MS ? now : h->last_tick + HUB_TICK_MS);
 	h->last_tick = now;
+	report_disk(h);
 	if (h->role != HUB_LEADER)
 		return;
 	announce_leader(h, now);
@@ -476,11 +504,12 @@
 	group_status_t st;
 
 	group_get_status(h->control->groups[0].raft, &st);
+	h->disk_failed = st.failed;
 	*out = (link_hello_t){
 		.name = wire_bytes(str_c(h->control->settings.name)),
 		.zone = wire_bytes(str_c(h->control->settings.zone)),
 		.control = wire_bytes(str_c(h->control->settings.listen)),
-		.replica = st.self,
+		.replica = st.failed ? 0 : st.self,
 	};
 }
 
--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -58,7 +58,8 @@
 	char addr[32]; /* ip:port for callers; empty for a control process */
 	char zone[32];
 	char rpc_addr[32]; /* RPC address; empty for an entry */
-	uint64_t replica_id; /* of its Raft replica of group 0; 0 for an entry */
+	uint64_t replica_id; /* of its Raft replica of group 0; 0: an entry, or not known yet */
+	bool disk_failed; /* a control process whose disk refuses writes */
 	deadline_t last_sent;
 	uint64_t sent_upstreams; /* digests of the lists in the last share of the view; 0: none */
 	uint64_t sent_entries;
@@ -199,6 +200,7 @@
 	pthread_mutex_t lock; /* guards candidates */
 	group_peer_t candidates[CONTROL_CANDIDATES_MAX];
 	unsigned ncandidates;
+	bool disk_failed; /* as last told to the leader */
 };
 
 /* hub.c */
--- a/src/control/hub_retire.c
+++ b/src/control/hub_retire.c
@@ -91,6 +91,20 @@
 	free(o);
 }
 
+/* Returns the id of the member at this address; 0 if there is none. A process whose disk refuses
+ * writes links without an id. */
+static uint64_t find_member_at(hub_t *h, const char *addr)
+{
+	group_status_t st;
+
+	group_get_status(h->control->groups[0].raft, &st);
+	for (unsigned i = 0; i < st.npeers; i++) {
+		if (strcmp(st.peers[i].addr, addr) == 0)
+			return st.peers[i].id;
+	}
+	return 0;
+}
+
 /* Returns the replica id of the control process with this name; 0 if it is neither linked nor this
  * process. */
 static uint64_t find_replica_id(hub_t *h, str_t node)
@@ -103,25 +117,11 @@
 	}
 	for (hub_peer_t *p = h->peers; p; p = p->hh.next) {
 		if (p->rpc_addr[0] && str_eq(str_c(p->name), node))
-			return p->replica_id;
+			return p->replica_id ? p->replica_id : find_member_at(h, p->rpc_addr);
 	}
 	return 0;
 }
 
-/* Counts the control processes that could vote if this replica were retired. */
-static unsigned count_left_without(hub_t *h, uint64_t replica_id)
-{
-	group_status_t st;
-	unsigned n;
-
-	group_get_status(h->control->groups[0].raft, &st);
-	n = st.self != replica_id && !control_is_retired(h->control, st.self);
-	for (hub_peer_t *p = h->peers; p; p = p->hh.next)
-		n += p->rpc_addr[0] && p->replica_id != replica_id &&
-		     !control_is_retired(h->control, p->replica_id);
-	return n;
-}
-
 /* Before the other control processes have had time to link, a new leader cannot tell whether a VM
  * is unknown or too few VMs would remain. */
 static bool peers_had_time_to_link(hub_t *h)
@@ -158,7 +158,7 @@
 			return;
 		}
 		if (!control_is_retired(h->control, replica_id) &&
-		    count_left_without(h, replica_id) < control_voter_target(h->control)) {
+		    control_count_able(h->control, replica_id) < control_voter_target(h->control)) {
 			refuse_retire(
 				h, from, node,
 				status_fail(STATUS_CONFLICT, "too few VMs would remain to vote"));
--- a/src/ctl/ctl_status.c
+++ b/src/ctl/ctl_status.c
@@ -83,6 +83,13 @@
 	}
 }
 
+static const char *get_role(const json_t *group)
+{
+	if (json_is_true(json_object_get(group, "failed")))
+		return "failed";
+	return json_is_true(json_object_get(group, "leader")) ? "leader" : "follower";
+}
+
 /* voters= is the number of all members of a group, those without a vote included. */
 static void print_controls(const json_t *all)
 {
@@ -99,9 +106,8 @@
 		json_array_foreach(json_object_get(o, "groups"), k, g)
 		{
 			printf("  group %lld %s term=%lld applied=%lld snapshot=%lld voters=%zu\n",
-			       get_int(g, "group"),
-			       json_is_true(json_object_get(g, "leader")) ? "leader" : "follower",
-			       get_int(g, "term"), get_int(g, "applied"), get_int(g, "snapshot"),
+			       get_int(g, "group"), get_role(g), get_int(g, "term"),
+			       get_int(g, "applied"), get_int(g, "snapshot"),
 			       json_array_size(json_object_get(g, "peers")));
 			print_silent_members(json_object_get(g, "peers"));
 		}
--- /dev/null
+++ b/src/policy/membership.c
@@ -0,0 +1,136 @@
+/* Decisions on the members of a group. */
+#include "policy/membership.h"
+
+#include <string.h>
+
+void membership_ban(membership_bans_t *b, uint64_t id, deadline_t now)
+{
+	unsigned at = 0;
+
+	for (unsigned i = 0; i < MEMBERSHIP_BANS_MAX; i++) {
+		if (b->bans[i].id == id) {
+			at = i;
+			break;
+		}
+		if (b->bans[i].until < b->bans[at].until)
+			at = i;
+	}
+	b->bans[at].id = id;
+	b->bans[at].until = now + MEMBERSHIP_BAN_MS;
+}
+
+void membership_unban(membership_bans_t *b, uint64_t id)
+{
+	for (unsigned i = 0; i < MEMBERSHIP_BANS_MAX; i++) {
+		if (b->bans[i].id == id)
+			b->bans[i].until = 0;
+	}
+}
+
+bool membership_is_banned(const membership_bans_t *b, uint64_t id, deadline_t now)
+{
+	for (unsigned i = 0; i < MEMBERSHIP_BANS_MAX; i++) {
+		if (b->bans[i].id == id && now < b->bans[i].until)
+			return true;
+	}
+	return false;
+}
+
+static bool is_member(const group_status_t *st, uint64_t id)
+{
+	for (unsigned i = 0; i < st->npeers; i++) {
+		if (st->peers[i].id == id)
+			return true;
+	}
+	return false;
+}
+
+static bool has_voter_at(const group_status_t *st, const char *addr)
+{
+	for (unsigned i = 0; i < st->npeers; i++) {
+		if (st->peers[i].voter && strcmp(st->peers[i].addr, addr) == 0)
+			return true;
+	}
+	return false;
+}
+
+static unsigned count_zone_voters(const group_status_t *st, const char *zone)
+{
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < st->npeers; i++)
+		n += st->peers[i].voter && strcmp(st->peers[i].zone, zone) == 0;
+	return n;
+}
+
+bool membership_is_eligible(const membership_view_t *v, uint64_t id)
+{
+	return id != 0 && !is_member(v->st, id) && !v->is_retired(v->ctx, id) &&
+	       !membership_is_banned(v->bans, id, v->now);
+}
+
+bool membership_find_spare(const membership_view_t *v, const char *zone, group_peer_t *out)
+{
+	bool found = false;
+
+	for (unsigned i = 0; i < v->ncandidates; i++) {
+		const group_peer_t *c = &v->candidates[i];
+		bool better;
+
+		if (has_voter_at(v->st, c->addr) || !membership_is_eligible(v, c->id))
+			continue;
+		better = zone ? strcmp(c->zone, zone) == 0
+			      : count_zone_voters(v->st, c->zone) <
+					 count_zone_voters(v->st, out->zone);
+		if (!found || better)
+			*out = *c;
+		found = true;
+	}
+	return found;
+}
+
+/* True if another replica is at the address of this one, which has lost its disk then. */
+static bool has_successor(const membership_view_t *v, const group_peer_t *p)
+{
+	for (unsigned i = 0; i < v->ncandidates; i++) {
+		const group_peer_t *c = &v->candidates[i];
+
+		if (c->id != 0 && c->id != p->id && strcmp(c->addr, p->addr) == 0)
+			return true;
+	}
+	return false;
+}
+
+unsigned membership_count_able(const membership_view_t *v, uint64_t except)
+{
+	const group_status_t *st = v->st;
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < st->npeers; i++) {
+		const group_peer_t *p = &st->peers[i];
+
+		n += p->id != except && group_peer_acknowledges(st, i, v->now, v->grace_ms) &&
+		     !v->is_retired(v->ctx, p->id) && !has_successor(v, p);
+	}
+	for (unsigned i = 0; i < v->ncandidates; i++)
+		n += v->candidates[i].id != except &&
+		     membership_is_eligible(v, v->candidates[i].id);
+	return n;
+}
+
+bool membership_keeps_majority(const membership_view_t *v, uint64_t added, uint64_t removed)
+{
+	const group_status_t *st = v->st;
+	unsigned voters = 0;
+	unsigned acknowledging = 0;
+
+	for (unsigned i = 0; i < st->npeers; i++) {
+		const group_peer_t *p = &st->peers[i];
+
+		if ((!p->voter && p->id != added) || p->id == removed)
+			continue;
+		voters++;
+		acknowledging += group_peer_acknowledges(st, i, v->now, v->grace_ms);
+	}
+	return acknowledging > voters / 2;
+}
--- a/src/raft/group.h
+++ b/src/raft/group.h
@@ -99,6 +99,7 @@
 	uint64_t last_index;
 	uint64_t snapshot_index;
 	bool leader;
+	bool failed; /* takes no part in the group, for example while its disk refuses writes */
 	char leader_addr[64]; /* empty if unknown */
 	deadline_t leader_since; /* when this replica became leader; 0 if it does not lead */
 	unsigned npeers;
@@ -119,6 +120,9 @@
 /** True if peer i has acknowledged nothing to this leader for more than ms: neither anything new
  * nor, with a message, all that is committed. A peer that only answers counts as silent. */
 bool group_peer_is_silent(const group_status_t *st, unsigned i, deadline_t now, int64_t ms);
+/** True for this leader itself, and if peer i has acknowledged something to it within the last ms
+ * milliseconds. False for a peer that has not had the time to; see group_peer_is_silent. */
+bool group_peer_acknowledges(const group_status_t *st, unsigned i, deadline_t now, int64_t ms);
 /** Number of voters, the leader itself included, that have acknowledged something to it within the
  * last ms milliseconds. */
 unsigned group_count_acknowledging(const group_status_t *st, deadline_t now, int64_t ms);
--- a/src/raft/group_acks.c
+++ b/src/raft/group_acks.c
@@ -74,15 +74,18 @@
 	return st->leader && st->peers[i].id != st->self && now - st->ack_awaited[i] > ms;
 }
 
+bool group_peer_acknowledges(const group_status_t *st, unsigned i, deadline_t now, int64_t ms)
+{
+	if (!st->leader)
+		return false;
+	return st->peers[i].id == st->self || (st->last_ack[i] && now - st->last_ack[i] <= ms);
+}
+
 unsigned group_count_acknowledging(const group_status_t *st, deadline_t now, int64_t ms)
 {
 	unsigned n = 0;
 
-	for (unsigned i = 0; i < st->npeers && st->leader; i++) {
-		bool acknowledges = st->peers[i].id == st->self ||
-				    (st->last_ack[i] && now - st->last_ack[i] <= ms);
-
-		n += st->peers[i].voter && acknowledges;
-	}
+	for (unsigned i = 0; i < st->npeers; i++)
+		n += st->peers[i].voter && group_peer_acknowledges(st, i, now, ms);
 	return n;
 }
--- a/src/raft/group_thread.c
+++ b/src/raft/group_thread.c
@@ -205,6 +205,7 @@
 			     .last_index = v.last,
 			     .snapshot_index = store_newest_snapshot(g->store),
 			     .leader = v.role == RAFT_LEADER,
+			     .failed = v.failed,
 			     .leader_since = g->leader_since,
 			     .npeers = v.members.n,
 			     .syncs = c.syncs,
--- a/tests/proc/disk_kit.py
+++ b/tests/proc/disk_kit.py
@@ -57,3 +57,9 @@
             self.assertLess(time.time(), end, "%s logs no %s" % (control.name, event))
             time.sleep(0.02)
         return self.log_lines(control, event, since)[0]
+
+    def voters_acknowledging(self, control):
+        """Number of voters that acknowledge to this leader, from its metrics; 0 if it doesn't lead, None if it has none."""
+        _, _, b = self.kit.loop.run(self.kit.call(control.ip, self.kit.port + 4, "GET", "/metrics", [], b"", 2))
+        values = [x.split()[1] for x in b.decode().splitlines() if x.startswith("auburn_group_voters_acknowledging{")]
+        return int(float(values[0])) if values else None
