A request of which nothing was written ends as not run

Cause: the deadline ended every request with an attempt in progress with 504, also while the attempt was still connecting; the silence timeout, when shorter than the connect timeout, counted a connection that hung as a silent run; and a connection that broke before a byte was written counted as broken. Callers got 502 or 504 for requests that reached no replica and could not repeat unsafe ones.

--- a/src/front/front.h
+++ b/src/front/front.h
@@ -189,7 +189,7 @@
 
 typedef enum {
 	FRONT_ATTEMPT_DONE, /* the answer is complete */
-	FRONT_ATTEMPT_UNSENT, /* no connection was made: the replica did not get the request */
+	FRONT_ATTEMPT_UNSENT, /* no byte was written: the replica did not get the request */
 	FRONT_ATTEMPT_BROKEN, /* the answer ended early, was malformed or too long, had too many
 				 events in a row without progress, lacked the id on a reused
 				 connection, or was rejected by the callback event or bytes */
@@ -217,6 +217,8 @@
 } front_attempt_options_t;
 
 front_attempt_t *front_attempt_start(const front_attempt_options_t *o);
+/** True once a byte of the request was written: the replica may run it. */
+bool front_attempt_sent(const front_attempt_t *a);
 void front_attempt_cancel(front_attempt_t *a);
 
 /* front_request.c: an online request */
--- a/src/front/front_attempt.c
+++ b/src/front/front_attempt.c
@@ -51,9 +51,12 @@
 static void on_silence(void *ctx)
 {
 	front_attempt_t *a = ctx;
+	bool sent = http_call_sent(a->call);
 
 	http_call_cancel(a->call);
-	end_attempt(a, a->broken ? FRONT_ATTEMPT_BROKEN : FRONT_ATTEMPT_SILENT);
+	end_attempt(a, !sent	   ? FRONT_ATTEMPT_UNSENT
+		       : a->broken ? FRONT_ATTEMPT_BROKEN
+				   : FRONT_ATTEMPT_SILENT);
 }
 
 /* Ends the attempt as broken, but only once the running callback has returned to the event loop:
@@ -163,6 +166,11 @@
 	return a;
 }
 
+bool front_attempt_sent(const front_attempt_t *a)
+{
+	return http_call_sent(a->call);
+}
+
 void front_attempt_cancel(front_attempt_t *a)
 {
 	http_call_cancel(a->call);
--- a/src/front/front_request.c
+++ b/src/front/front_request.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "base/metric.h"
 #include "front/front.h"
+#include "policy/failure.h"
 
 /** A request fails after this number of attempts that a replica rejected or did not receive; each
  * costs a round trip. */
@@ -106,16 +107,17 @@
 	http_reply_abort(c);
 }
 
-/* Ends the request after its last attempt failed: aborts an answer that has begun. Otherwise,
- * status 502 says that the request may have run, 503 that it has not. */
-static void end_failed(front_request_t *q, const char *outcome)
+/* Ends a request that no replica has answered; aborts an answer that has begun. outcome is for the
+ * log, retry_ms for the status 503. */
+static void end_failed(front_request_t *q, failure_t why, int64_t retry_ms, const char *outcome)
 {
+	bool sent = q->attempt && front_attempt_sent(q->attempt);
+	int status = failure_status(why, q->may_have_run || sent);
+
 	if (q->head_sent)
 		end_with_abort(q, outcome);
-	else if (q->may_have_run)
-		end_with_status(q, 502, 0, outcome);
 	else
-		end_with_status(q, 503, RETRY_MS, outcome);
+		end_with_status(q, status, status == 503 ? retry_ms : 0, outcome);
 }
 
 static void add_avoided(front_request_t *q)
@@ -149,7 +151,7 @@
 static void retry_elsewhere(front_request_t *q, dispatch_outcome_t how)
 {
 	bool not_leaving = how != DISPATCH_REPLICA_LEAVING;
-	bool ran = not_leaving && how != DISPATCH_FULL && how != DISPATCH_UNREACHABLE;
+	bool ran = failure_may_have_run(how);
 
 	front_slot_release(q->f, q, how);
 	log_event(LOG_LEVEL_INFO, "try_failed", LOG_STR("request", q->call.id),
@@ -165,11 +167,11 @@
 	q->headers.n = 0;
 	clear_body(q);
 	if (ran && (!is_repeatable(q) || q->attempts >= q->max_attempts)) {
-		end_failed(q, dispatch_outcome_name(how));
+		end_failed(q, FAILURE_NO_ATTEMPT_LEFT, RETRY_MS, dispatch_outcome_name(how));
 		return;
 	}
 	if (!ran && q->not_run >= NOT_RUN_MAX) {
-		end_failed(q, dispatch_outcome_name(how));
+		end_failed(q, FAILURE_NO_ATTEMPT_LEFT, RETRY_MS, dispatch_outcome_name(how));
 		return;
 	}
 	request_slot(q);
@@ -313,12 +315,7 @@
 		front_slot_withdraw(q->f, q);
 	else
 		front_slot_release(q->f, q, DISPATCH_CANCELLED);
-	if (q->head_sent)
-		end_with_abort(q, "deadline");
-	else if (q->may_have_run || q->state == FRONT_REQUEST_RUNNING)
-		end_with_status(q, 504, 0, "deadline");
-	else
-		end_with_status(q, 503, RETRY_MS, "deadline");
+	end_failed(q, FAILURE_DEADLINE, RETRY_MS, "deadline");
 }
 
 /* True if the request may be retried or resumed even if the current attempt may have run. Only then
@@ -386,12 +383,7 @@
 
 void front_request_refused(front_request_t *q, int64_t retry_ms)
 {
-	if (q->head_sent)
-		end_with_abort(q, "refused");
-	else if (q->may_have_run)
-		end_with_status(q, 502, 0, "refused");
-	else
-		end_with_status(q, 503, retry_ms, "refused");
+	end_failed(q, FAILURE_REFUSED, retry_ms, "refused");
 }
 
 bool front_request_is_waiting(const front_request_t *q)
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -56,6 +56,7 @@
 	bool reused; /* has served an earlier call */
 	unsigned interim_heads; /* interim heads before the current response */
 	size_t received; /* bytes since the call began */
+	bool sent; /* a byte of the call's request was written to the socket */
 	int64_t idle_ms; /* longest idle time */
 	http_call_t *call;
 	conn_t *next; /* in the idle list of the host */
@@ -119,10 +120,11 @@
 	}
 }
 
+/* The connection is closed, so what was not written by now never will be. */
 static void fail_call(conn_t *c, http_call_end_t how)
 {
 	conn_close(c);
-	finish_call(c, how);
+	finish_call(c, c->sent ? how : HTTP_CALL_UNSENT);
 }
 
 static void read_keep_alive(conn_t *c, const http_head_t *h)
@@ -248,7 +250,11 @@
 
 static void flush_output(conn_t *c)
 {
-	if (!tcp_write(c->fd, &c->out)) {
+	size_t unwritten = c->out.n;
+	bool written = tcp_write(c->fd, &c->out);
+
+	c->sent |= c->out.n < unwritten;
+	if (!written) {
 		/* The server may have replied before it closed: the reply is still read. */
 		ev_io_stop(c->client->loop, &c->wr);
 		c->out.n = 0;
@@ -340,6 +346,7 @@
 	c->skip_response = false;
 	c->reused = true;
 	c->received = 0;
+	c->sent = false;
 	return c;
 }
 
@@ -365,6 +372,11 @@
 	return call->conn && call->conn->reused;
 }
 
+bool http_call_sent(const http_call_t *call)
+{
+	return call->conn && call->conn->sent;
+}
+
 http_call_t *http_call_start(http_client_t *h, const http_call_options_t *options)
 {
 	host_t *host = find_or_add_host(h, options->addr);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -11,7 +11,7 @@
 
 typedef enum {
 	HTTP_CALL_DONE, /* the response is complete */
-	HTTP_CALL_UNSENT, /* no connection was made: surely not received */
+	HTTP_CALL_UNSENT, /* no byte of the request was written: surely not received */
 	HTTP_CALL_BROKEN, /* the connection ended early; may have run */
 	HTTP_CALL_MALFORMED, /* the input is not a response, its head is too large, or there are
 			       too many interim heads; may have run */
@@ -40,6 +40,8 @@
 /** True if the connection has served an earlier call: bytes of the earlier call's response may
  * still arrive. */
 bool http_call_reused_conn(const http_call_t *c);
+/** True once a byte of the request was written to the socket: the server may have received it. */
+bool http_call_sent(const http_call_t *c);
 /** Ends a call and closes its connection; no callback follows. */
 void http_call_cancel(http_call_t *c);
 /** Ends all calls and closes all connections; memory is freed in the loop's next iteration. No
