An entry that is cut off from the replicas is left out of look-ups and refuses at once

Cause: callers went on being sent to entries that reach next to no replica, waited there for slots, and took the slots from entries that could use them.

Change: the entry says in its hello that it is cut off (draining, and the value LINK_ENTRY_CUT_OFF in a field that was 0 for entries, so that older leaders leave it out too); the leader leaves it out of look-ups and gives it no items, unless all entries are cut off. The entry ends what waits or connects, and refuses further requests at once as not run, with a Retry-After of 20 ms and Connection: close, or 500 ms if all are cut off. /ready answers 503 meanwhile. tests/proc/test_reach.py: 3 of 4 tests fail on the code before.

--- a/src/control/hub.c
+++ b/src/control/hub.c
@@ -159,7 +159,8 @@
 	copy_str(p->zone, sizeof(p->zone), m->zone);
 	copy_str(p->rpc_addr, sizeof(p->rpc_addr), m->control);
 	p->replica_id = m->replica;
-	p->draining = m->draining;
+	hub_view_note_reach(h, p, m->replica == LINK_ENTRY_CUT_OFF && p->addr[0]);
+	p->draining = m->draining && !p->cut_off;
 	if (first)
 		send_welcome(h, p);
 	if (h->role != HUB_LEADER)
--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -52,6 +52,7 @@
 	msgconn_t *link;
 	bool registered; /* its hello arrived while this process leads */
 	bool draining;
+	bool cut_off; /* an entry that reaches no replica; not set while it is draining */
 	bool counts_quotas; /* an entry that knows the messages on quotas */
 	u_int sent_fleet_entries; /* number of entries that it was last told */
 	char name[64];
@@ -167,6 +168,7 @@
 	dispatch_t *dispatch; /* NULL while this process does not lead */
 	deadline_t next_list_read;
 	deadline_t last_list_read; /* here or, as of the last view, by a leader; 0: never */
+	u_int fleet_entries; /* that are not draining, also those cut off from the replicas */
 	link_view_t view; /* made here while this process leads; else copied from the leader */
 	leaving_t *leaving_replicas; /* as reported by entries */
 	ring_point_t *upstream_ring; /* of the view's lists, to select the shares of entries */
@@ -223,6 +225,8 @@
 const link_upstream_t *hub_find_replica(const hub_t *h, str_t id);
 /** Handles an entry's report that a replica is leaving. */
 void hub_view_note_leaving(hub_t *h, const hub_peer_t *p, const link_leaving_t *m);
+/** Records whether an entry is cut off from the replicas. */
+void hub_view_note_reach(hub_t *h, hub_peer_t *p, bool cut_off);
 /** Reads the upstream list and sends a changed view when it is time to. */
 void hub_view_tick(hub_t *h, deadline_t now);
 /** Sends the view to one peer; an entry gets only its share. */
--- a/src/control/hub_quota.c
+++ b/src/control/hub_quota.c
@@ -59,7 +59,7 @@
 	link_msg_t m = {.kind = LINK_FLEET_ENTRIES};
 
 	p->counts_quotas = true;
-	p->sent_fleet_entries = h->view.entries.entries_len;
+	p->sent_fleet_entries = h->fleet_entries;
 	m.link_msg_t_u.entries = p->sent_fleet_entries;
 	hub_send(p, &m);
 }
@@ -68,7 +68,7 @@
 static void send_fleet_entries(hub_t *h)
 {
 	for (hub_peer_t *p = h->peers; p; p = p->hh.next) {
-		if (p->counts_quotas && p->sent_fleet_entries != h->view.entries.entries_len)
+		if (p->counts_quotas && p->sent_fleet_entries != h->fleet_entries)
 			hub_quota_add_peer(h, p);
 	}
 }
--- a/src/control/hub_view.c
+++ b/src/control/hub_view.c
@@ -119,6 +119,7 @@
 void hub_view_start_leading(hub_t *h)
 {
 	update_dispatcher(h, true);
+	h->fleet_entries = h->view.entries.entries_len;
 	h->next_list_read = 0;
 	h->view_changed = true;
 }
@@ -162,8 +163,40 @@
 		  LOG_INT("replicas", h->view.upstreams.upstreams_len));
 }
 
+/* Number of linked entries that are not draining; those that are cut off from the replicas count
+ * in *cut_off too. */
+static u_int count_entries(const hub_t *h, u_int *cut_off)
+{
+	u_int n = 0;
+
+	*cut_off = 0;
+	for (const hub_peer_t *p = h->peers; p; p = p->hh.next) {
+		if (!p->registered || !p->addr[0] || p->draining)
+			continue;
+		n++;
+		*cut_off += p->cut_off;
+	}
+	return n;
+}
+
+void hub_view_note_reach(hub_t *h, hub_peer_t *p, bool cut_off)
+{
+	u_int n;
+	u_int all_cut_off;
+
+	if (p->cut_off == cut_off)
+		return;
+	p->cut_off = cut_off;
+	n = count_entries(h, &all_cut_off);
+	log_event(cut_off ? LOG_LEVEL_WARN : LOG_LEVEL_INFO,
+		  cut_off ? "entry_cut_off" : "entry_reaches", LOG_CSTR("entry", p->name),
+		  LOG_INT("cut_off", all_cut_off), LOG_INT("entries", n));
+	metric_set(metric_get(METRIC_GAUGE, "auburn_entries_cut_off", NULL), all_cut_off);
+}
+
 /* Sets the entries and control processes of the view: the registered peers without draining
- * entries, and this process. */
+ * entries, and this process. Entries that are cut off from the replicas are left out as long as
+ * some are not. */
 static void rebuild_members(hub_t *h)
 {
 	size_t n = HASH_COUNT(h->peers);
@@ -171,12 +204,16 @@
 	wire_bytes_t *c = mem_new((n + 2) * sizeof(*c));
 	u_int entries = 0;
 	u_int controls = 0;
+	u_int cut_off;
+	bool all_cut_off;
 
+	h->fleet_entries = count_entries(h, &cut_off);
+	all_cut_off = cut_off == h->fleet_entries;
 	c[controls++] = wire_copy(str_c(h->control->settings.listen));
 	for (hub_peer_t *p = h->peers; p; p = p->hh.next) {
 		if (p->registered && p->rpc_addr[0])
 			c[controls++] = wire_copy(str_c(p->rpc_addr));
-		if (p->registered && p->addr[0] && !p->draining)
+		if (p->registered && p->addr[0] && !p->draining && (!p->cut_off || all_cut_off))
 			v[entries++] = (link_entry_t){wire_copy(str_c(p->addr)),
 						      wire_copy(str_c(p->zone))};
 	}
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -25,6 +25,7 @@
 #include "policy/leaving.h"
 #include "policy/proof.h"
 #include "policy/quota.h"
+#include "policy/reach.h"
 #include "state/route_table.h"
 
 typedef struct {
@@ -50,6 +51,7 @@
 typedef struct front_request front_request_t;
 typedef struct front_item front_item_t;
 typedef struct front_held front_held_t;
+typedef struct front_reach front_reach_t;
 
 /** A replica in this entry's view. */
 typedef struct {
@@ -94,6 +96,7 @@
 	link_view_t view; /* replicas, entries and control processes, as the leader last sent them;
 			     without a leader, the replicas may be from upstream_list */
 	front_replica_t *replicas; /* hash by id, from view */
+	front_reach_t *reach; /* whether this process reaches the replicas */
 	leaving_t *leaving_replicas; /* replicas that announced to this process that they leave */
 	dispatch_t *local_dispatch; /* used while no leader is connected, NULL otherwise */
 	uint64_t last_request; /* number of the latest online request */
@@ -176,6 +179,21 @@
 /** Passes the replicas in the view on to the local dispatcher, if there is one. */
 void front_slot_set_replicas(front_t *f);
 
+/* front_reach.c: whether this entry reaches the replicas */
+
+void front_reach_start(front_t *f);
+/** Probes while in doubt. */
+void front_reach_tick(front_t *f, deadline_t now);
+/** A connection to the replica was made. */
+void front_reach_connected(front_t *f, str_t replica);
+/** An answer of the replica has begun. */
+void front_reach_heard(front_t *f, str_t replica);
+void front_reach_failed(front_t *f, str_t replica, reach_failure_t how);
+/** True while this entry reaches no replica: it refuses online requests. */
+bool front_is_cut_off(const front_t *f);
+/** True if look-ups name this entry. The leader lists entries that are cut off only if all are. */
+bool front_is_listed(const front_t *f);
+
 /* front_attempt.c: one attempt to run a request or an item on a replica */
 
 typedef struct front_attempt front_attempt_t;
@@ -294,6 +312,8 @@
 void front_request_refused(front_request_t *q, int64_t retry_ms);
 /** The customer's quota is used up: ends the request. by: who counted, for the log. */
 void front_request_over_quota(front_request_t *q, int64_t retry_ms, const char *by);
+/** This entry is cut off from the replicas: ends the requests that wait for a slot or connect. */
+void front_request_end_unsent(front_t *f);
 /** True while the request waits for a slot. */
 bool front_request_is_waiting(const front_request_t *q);
 front_request_t *front_request_find(front_t *f, uint64_t number);
--- a/src/front/front_attempt.c
+++ b/src/front/front_attempt.c
@@ -7,6 +7,8 @@
 
 /** Connect timeout; handshakes take a few ms. */
 #define CONNECT_MS 250
+/** A connection is not given up sooner, whatever the silence timeout. */
+#define CONNECT_MIN_MS 100
 /** Maximum size in bytes of one answer and of everything received before it: several times the
  * largest body that callers may send. */
 #define ANSWER_BYTES_MAX (16U << 20)
@@ -20,6 +22,7 @@
 	http_call_t *call;
 	sse_parser_t sse;
 	timeout_t silence_timer;
+	deadline_t started;
 	bool is_stream; /* the answer is a signed event stream with status 200 */
 	unsigned no_progress_events; /* since the last new one */
 	bool broken; /* the answer is invalid; silence_timer is about to end the attempt */
@@ -36,6 +39,10 @@
 
 static void end_attempt(front_attempt_t *a, front_attempt_end_t how)
 {
+	if (how != FRONT_ATTEMPT_DONE)
+		front_reach_failed(a->options.f, a->options.replica.id,
+				   how == FRONT_ATTEMPT_UNSENT ? REACH_NO_CONNECTION
+							       : REACH_NO_ANSWER);
 	a->options.end(a->options.ctx, how);
 	attempt_free(a);
 }
@@ -52,7 +59,12 @@
 {
 	front_attempt_t *a = ctx;
 	bool sent = http_call_sent(a->call);
+	int64_t left_ms = a->started + CONNECT_MIN_MS - clock_now_ms();
 
+	if (!sent && left_ms > 0) {
+		timeout_set(&a->silence_timer, left_ms);
+		return;
+	}
 	http_call_cancel(a->call);
 	end_attempt(a, !sent	   ? FRONT_ATTEMPT_UNSENT
 		       : a->broken ? FRONT_ATTEMPT_BROKEN
@@ -67,6 +79,13 @@
 	timeout_expire_now(&a->silence_timer);
 }
 
+static void on_connected(void *ctx)
+{
+	front_attempt_t *a = ctx;
+
+	front_reach_connected(a->options.f, a->options.replica.id);
+}
+
 static bool on_head(void *ctx, const http_head_t *h)
 {
 	front_attempt_t *a = ctx;
@@ -85,6 +104,7 @@
 	}
 	if (r.leaving && !r.other_replica)
 		front_replica_leaving(a->options.f, a->options.replica);
+	front_reach_heard(a->options.f, a->options.replica.id);
 	a->is_stream = r.event_stream && r.status == 200 && r.has_signature;
 	a->options.head(a->options.ctx, h, &r);
 	return true;
@@ -146,6 +166,7 @@
 	front_attempt_t *a = mem_new(sizeof(*a));
 
 	a->options = *o;
+	a->started = clock_now_ms();
 	snprintf(a->id, sizeof(a->id), "%.*s", STR_ARG(o->id));
 	snprintf(a->replica, sizeof(a->replica), "%.*s", STR_ARG(o->replica.id));
 	a->options.replica.id = str_c(a->replica);
@@ -158,6 +179,7 @@
 						    .max_bytes = ANSWER_BYTES_MAX,
 						    .connect_deadline = clock_now_ms() + CONNECT_MS,
 						    .ctx = a,
+						    .connected = on_connected,
 						    .head = on_head,
 						    .body = on_body,
 						    .end = on_end,
--- a/src/front/front_link.c
+++ b/src/front/front_link.c
@@ -180,7 +180,8 @@
 		.name = wire_bytes(str_c(f->settings.name)),
 		.addr = wire_bytes(str_c(f->settings.listen)),
 		.zone = wire_bytes(str_c(f->settings.zone)),
-		.draining = f->exit_by != 0,
+		.draining = f->exit_by != 0 || front_is_cut_off(f),
+		.replica = !f->exit_by && front_is_cut_off(f) ? LINK_ENTRY_CUT_OFF : 0,
 		.text = f->config_id,
 	};
 	out->runs.runs_len = (u_int)n;
@@ -223,6 +224,7 @@
 void front_link_start(front_t *f)
 {
 	f->leaving_replicas = leaving_new();
+	front_reach_start(f);
 	front_customer_start(f);
 	front_routes_start(f);
 	f->leader = leader_link_new(&(leader_link_options_t){
--- a/src/front/front_request.c
+++ b/src/front/front_request.c
@@ -25,6 +25,11 @@
 #define BUFFERED_BYTES_MAX (48U << 20)
 /** Retry-After of a refusal for which there is no estimate. */
 #define RETRY_MS 200
+/** Retry-After of an entry that is cut off from the replicas while others are not: the caller only
+ * has to connect to another entry. */
+#define RETRY_ELSEWHERE_MS 20
+/** Retry-After if all entries are cut off. */
+#define RETRY_ALL_CUT_OFF_MS 500
 
 /* True if the request may be sent to another replica after it may have run on one. */
 static bool is_repeatable(const front_request_t *q)
@@ -138,12 +143,28 @@
 	return since + q->give_up_ms;
 }
 
+/* Ends a request because this entry reaches no replica. The connection closes, as the caller is to
+ * use another entry for its next requests. */
+static void end_cut_off(front_request_t *q)
+{
+	bool elsewhere = !front_is_listed(q->f);
+
+	METRIC_INC("auburn_refused_cut_off_total");
+	if (elsewhere)
+		http_conn_close_after_reply(q->conn);
+	end_failed(q, FAILURE_REFUSED, elsewhere ? RETRY_ELSEWHERE_MS : RETRY_ALL_CUT_OFF_MS,
+		   "cut off from the replicas");
+}
+
 static void request_slot(front_request_t *q)
 {
 	q->state = FRONT_REQUEST_WAITING;
 	q->requested_at = clock_now_ms();
 	q->give_up_at = give_up_time(q);
-	front_slot_request(q->f, q);
+	if (front_is_cut_off(q->f))
+		end_cut_off(q);
+	else
+		front_slot_request(q->f, q);
 }
 
 /* An attempt failed or could not be sent: requests a slot on another replica, or ends the request
@@ -386,6 +407,33 @@
 	end_failed(q, FAILURE_REFUSED, retry_ms, "refused");
 }
 
+/* True if the request waits for a slot, or its attempt still connects. */
+static bool is_unsent(const front_request_t *q)
+{
+	return q->state == FRONT_REQUEST_WAITING || (q->attempt && !front_attempt_sent(q->attempt));
+}
+
+void front_request_end_unsent(front_t *f)
+{
+	front_request_t *q = f->requests;
+
+	/* Starts again after each, as the released slot may go to any other request here. */
+	while (q) {
+		if (!is_unsent(q)) {
+			q = q->hh.next;
+			continue;
+		}
+		if (q->state == FRONT_REQUEST_WAITING) {
+			front_slot_withdraw(f, q);
+		} else {
+			front_slot_release(f, q, DISPATCH_UNREACHABLE);
+			q->attempts--;
+		}
+		end_cut_off(q);
+		q = f->requests;
+	}
+}
+
 bool front_request_is_waiting(const front_request_t *q)
 {
 	return q->state == FRONT_REQUEST_WAITING;
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -98,7 +98,7 @@
 {
 	front_t *f = ctx;
 
-	if (f->exit_by || !f->routes)
+	if (f->exit_by || !f->routes || front_is_cut_off(f))
 		http_reply(c, 503, STR(""), STR("not ready\n"));
 	else
 		http_reply(c, 200, STR(""), STR("ready\n"));
@@ -123,6 +123,7 @@
 		   (int64_t)http_client_connects(f->http));
 	metric_set(metric_get(METRIC_GAUGE, "auburn_leader_linked", NULL),
 		   leader_link_is_up(f->leader));
+	metric_set(metric_get(METRIC_GAUGE, "auburn_cut_off", NULL), front_is_cut_off(f));
 	metric_render_all(&b);
 	http_reply(c, 200, STR("Content-Type: text/plain; version=0.0.4\r\n"), str_buf(&b));
 }
@@ -149,6 +150,7 @@
 	deadline_t now = clock_now_ms();
 
 	front_link_tick(f, now);
+	front_reach_tick(f, now);
 	front_customer_tick(f, now);
 	front_held_expire(f, now);
 	front_item_report_progress(f, now);
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -279,6 +279,8 @@
 		c->connected = true;
 		timeout_stop(&c->timer);
 		ev_io_start(loop, &c->rd);
+		if (c->call && c->call->options.connected)
+			c->call->options.connected(c->call->options.ctx);
 	}
 	flush_output(c);
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -26,6 +26,7 @@
 	size_t max_bytes; /* limit on all input: interim heads, skipped responses, and the response
 			     with its framing */
 	void *ctx;
+	void (*connected)(void *ctx); /* a new connection was made; may be NULL */
 	/** False: this response belongs to another request and is skipped. */
 	bool (*head)(void *ctx, const http_head_t *h);
 	void (*body)(void *ctx, str_t chunk);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -410,6 +410,11 @@
 		ev_feed_event(c->server->options.loop, &c->rd, EV_READ);
 }
 
+void http_conn_close_after_reply(http_conn_t *c)
+{
+	c->keep_alive = false;
+}
+
 static void add_reply_head(http_conn_t *c, int status, str_t headers)
 {
 	if (c->server->draining)
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -58,6 +58,9 @@
 void http_conn_set_data(http_conn_t *c, void *data);
 void *http_conn_data(const http_conn_t *c);
 
+/** The reply to the current request closes the connection. */
+void http_conn_close_after_reply(http_conn_t *c);
+
 /** Sends a whole reply; headers are lines ending in CRLF, without Content-Length and Connection.
  * All http_reply functions do nothing if the connection is closed. */
 void http_reply(http_conn_t *c, int status, str_t headers, str_t body);
--- a/src/proto/link.x
+++ b/src/proto/link.x
@@ -28,13 +28,18 @@
 	unsigned hyper start_time;	/* Unix ms; 0: unknown */
 };
 
+/* Value of replica in the hello of an entry that is cut off from the replicas. It sets draining too,
+ * so that leaders that do not know this value leave it out of look-ups. */
+const LINK_ENTRY_CUT_OFF = 1;
+
 struct link_hello_t {
 	wire_bytes_t name;
 	wire_bytes_t addr;		/* ip:port for callers; empty for a control process */
 	wire_bytes_t zone;
 	bool draining;
 	wire_bytes_t control;		/* ip:port of its RPC; empty for an entry */
-	unsigned hyper replica;		/* id of its replica of group 0 */
+	unsigned hyper replica;		/* id of its replica of group 0; of an entry: 0 or
+					   LINK_ENTRY_CUT_OFF */
 	link_config_id_t text;		/* config whose routes it uses; number 0: none */
 	link_run_t runs<>;
 	link_leaving_t leaving_replicas<>;
--- a/src/proto/link_xdr.h
+++ b/src/proto/link_xdr.h
@@ -34,6 +34,7 @@
 	u_quad_t start_time;
 };
 typedef struct link_leaving_t link_leaving_t;
+#define LINK_ENTRY_CUT_OFF 1
 
 struct link_hello_t {
 	wire_bytes_t name;
--- a/tests/proc/test_failure.py
+++ b/tests/proc/test_failure.py
@@ -6,10 +6,10 @@
 import os
 import random
 import re
-import socket
 import time
 import unittest
 
+from path_kit import Paths
 from platform_kit import ROOT, Kit
 
 NOT_RUN, MAY_HAVE_RUN = "no attempt may have run", "an attempt may have run"
@@ -24,31 +24,13 @@
     return {(row[0], column): int(s) for row in cells[2:] for column, s in zip(cells[0][1:], row[1:])}
 
 
-class DarkPort:
-    """A listener that lets connections hang: its queue of connections is full, so the kernel drops further ones."""
-
-    def __init__(self, addr):
-        ip, port = addr.split(":")
-        self.sockets = [socket.socket()]
-        self.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sockets[0].bind((ip, int(port)))
-        self.sockets[0].listen(0)
-        for _ in range(3):
-            s = socket.socket()
-            s.setblocking(False)
-            s.connect_ex((ip, int(port)))
-            self.sockets.append(s)
-
-    def close(self):
-        for s in self.sockets:
-            s.close()
-
-
 class Answers(unittest.TestCase):
     def setUp(self):
         self.kit = Kit(replicas=6, slots=1)
         self.addCleanup(self.kit.close)
         self.kit.up()
+        self.paths = Paths(self.kit)
+        self.addCleanup(self.paths.close)
 
     def send(self, path="/alert/1", wait_ms=2000):
         rid = "%016x" % random.getrandbits(64)
@@ -58,23 +40,13 @@
             self.assertEqual(self.kit.runs_of(rid), [])
         return status
 
-    def darken(self):
-        for r in self.kit.replicas:
-            self.kit.loop.run(r.stop())
-            port = DarkPort(r.addr)
-            self.addCleanup(port.close)
-
-    def refuse_connections(self):
-        for r in self.kit.replicas:
-            self.kit.loop.run(r.stop())
-
     def deadline_while_connecting(self):
-        self.darken()
+        self.paths.darken()
         return self.send(wait_ms=150)
 
     def silence_timeout_while_connecting(self):
         """A resumable stream has a silence timeout, which is shorter than the connect timeout here."""
-        self.darken()
+        self.paths.darken()
         return self.send("/brief/1", wait_ms=600)
 
     def deadline_of_a_silent_run(self):
@@ -83,7 +55,7 @@
         return self.send(wait_ms=700)
 
     def connections_refused(self):
-        self.refuse_connections()
+        self.paths.refuse()
         return self.send()
 
     def run_broken_off(self):
--- /dev/null
+++ b/tests/proc/test_reach.py
@@ -0,0 +1,123 @@
+"""Entries that are cut off from all replicas while callers and the leader reach them.
+
+Guards against callers that are sent to an entry that can serve nothing, against requests that wait there, against
+look-ups without any entry, and against an entry that stays out after its path has healed.
+"""
+import asyncio
+import random
+import time
+import unittest
+
+from link_kit import LinkEntry
+from path_kit import Paths
+from platform_kit import Kit
+
+NOTICED_S = 2   # within which an entry with callers has noticed the cut
+BACK_S = 1      # within which it serves again after the cut
+
+
+class CutOff(unittest.TestCase):
+    def setUp(self):
+        self.kit = Kit(replicas=6)
+        self.addCleanup(self.kit.close)
+        self.kit.up()
+        self.paths = Paths(self.kit)
+        self.addCleanup(self.paths.close)
+
+    def run_one(self, coro):
+        return self.kit.loop.run(coro)
+
+    def send(self, front, path="/alert/1"):
+        """Returns (status, headers, seconds until the answer)."""
+        rid, began = "%016x" % random.getrandbits(64), time.time()
+        status, headers, _ = self.run_one(self.kit.stream(front, path, rid, wait_ms=3000))
+        return status, headers, time.time() - began
+
+    def load(self, seconds):
+        """Sends requests to all fronts, to each a few at a time; returns [(time sent, status)]."""
+        got = []
+
+        async def caller(front, until):
+            while time.time() < until:
+                began = time.time()
+                s, _, _ = await self.kit.stream(front, "/alert/1", "%016x" % random.getrandbits(64), wait_ms=3000)
+                got.append((began, s))
+                await asyncio.sleep(0.02)
+
+        async def go():
+            until = time.time() + seconds
+            await asyncio.gather(*[caller(f, until) for f in self.kit.fronts for _ in range(3)])
+        self.run_one(go())
+        return got
+
+    def addresses(self):
+        return set(self.run_one(self.kit.directory_addresses(self.kit.fronts[0])))
+
+    def own_addresses(self):
+        return {"%s:%d" % (f.ip, self.kit.port) for f in self.kit.fronts}
+
+    def wait_for(self, what, check, seconds):
+        end = time.time() + seconds
+        while not check():
+            if time.time() > end:
+                self.fail("no %s within %.1f s" % (what, seconds))
+            time.sleep(0.02)
+
+    def cut_off(self, front):
+        return self.run_one(self.kit.metric(front, "auburn_cut_off")) == 1
+
+    def check_cut_and_heal(self, cut):
+        cut()
+        self.load(NOTICED_S)
+        for f in self.kit.fronts:
+            self.assertTrue(self.cut_off(f))
+            status, headers, s = self.send(f)
+            self.assertEqual(status, 503)
+            self.assertGreater(float(headers["retry-after"]), 0)
+            self.assertLess(s, 0.1)
+        self.assertEqual(self.addresses(), self.own_addresses())
+        self.paths.heal()
+        time.sleep(BACK_S)
+        for f in self.kit.fronts:
+            self.assertEqual(self.send(f)[0], 200)
+        self.assertEqual(self.addresses(), self.own_addresses())
+
+    def test_entries_whose_connections_hang_refuse_at_once_and_serve_within_a_second_after(self):
+        self.check_cut_and_heal(self.paths.darken)
+
+    def test_entries_whose_connections_are_refused_refuse_at_once_and_serve_within_a_second_after(self):
+        self.check_cut_and_heal(self.paths.refuse)
+
+    def test_look_ups_leave_out_an_entry_that_is_cut_off_while_another_is_not(self):
+        async def link():
+            return LinkEntry("sound", [c.ip for c in self.kit.controls], self.kit.port + 1, 0.01)
+        other = self.run_one(link())
+        self.addCleanup(lambda: setattr(other, "closed", True))
+        self.wait_for("link of the other entry", lambda: "sound:9" in self.addresses(), 5)
+        self.paths.darken()
+        self.load(NOTICED_S)
+        self.wait_for("look-up without them", lambda: self.addresses() == {"sound:9"}, 1)
+        for f in self.kit.fronts:
+            self.assertFalse(self.run_one(self.kit.ready(f)))
+            status, headers, _ = self.send(f)
+            self.assertEqual(status, 503)
+            self.assertEqual(headers["connection"], "close")
+            self.assertLess(float(headers["retry-after"]), 0.1)
+        self.paths.heal()
+        self.wait_for("look-up with them", lambda: self.addresses() == self.own_addresses() | {"sound:9"}, BACK_S)
+        self.run_one(self.kit.wait_ready(s=1))
+
+    def test_replicas_that_are_silent_for_a_second_do_not_empty_an_entry(self):
+        for r in self.kit.replicas:
+            r.silent_after = 0
+        self.load(1)
+        for r in self.kit.replicas:
+            r.silent_after = None
+        self.load(1)
+        for f in self.kit.fronts:
+            self.assertEqual(self.run_one(self.kit.metric(f, "auburn_reach_lost_total")), 0)
+            self.assertEqual(self.send(f)[0], 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
