The dispatcher gives no slot to an entry for a replica that it does not reach

Cause: a connection that failed at one entry took the replica from all entries for up to 2 s, and the same entry was granted the same replica again afterwards.

Change: policy/dispatch_reach.c remembers pairs of entry and replica whose connections failed (4096 at most, back-off of 0.5 to 4 s, one try after it), and the last answers of each replica to two entries. A failed connection counts against the replica only if it has not answered another entry within 200 ms and the entry reaches most of the others. Items go to entries that reach the replica.

--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -43,6 +43,7 @@
 	static const char *const names[] = {[DISPATCH_NO_REPLICA_LIST] = "no list",
 					    [DISPATCH_PAST_DEADLINE] = "deadline",
 					    [DISPATCH_CALLER_GIVES_UP] = "caller leaves",
+					    [DISPATCH_ENTRY_CUT_OFF] = "entry cut off",
 					    [DISPATCH_PAST_OBJECTIVE] = "objective"};
 
 	return (size_t)why < sizeof(names) / sizeof(names[0]) ? names[why] : "unknown";
@@ -74,6 +75,7 @@
 static void replica_free(dispatch_t *d, replica_t *r)
 {
 	dispatch_prefix_forget(d, r);
+	dispatch_pairs_forget(d, 0, r);
 	HASH_DEL(d->replicas, r);
 	free(r->id);
 	free(r->zone);
@@ -111,6 +113,7 @@
 		HASH_DEL(d->runs, run);
 		free(run);
 	}
+	dispatch_pairs_free(d);
 	while ((e = d->entries)) {
 		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): unlinked before free() */
 		HASH_DEL(d->entries, e);
@@ -178,6 +181,7 @@
 static void reset_replica(dispatch_t *d, replica_t *r)
 {
 	dispatch_prefix_forget(d, r);
+	dispatch_pairs_forget(d, 0, r);
 	r->failures = 0;
 	r->suspect_until = 0;
 	r->ignore_silence_until = 0;
@@ -280,6 +284,7 @@
 		dispatch_item_add_run_time(it, now);
 		it->adopt_until = now + DISPATCH_ADOPT_MS;
 	}
+	dispatch_pairs_forget(d, id, NULL);
 	HASH_DEL(d->entries, e);
 	free(e->zone);
 	free(e);
@@ -377,12 +382,14 @@
 
 /* Updates back-off and `leaving` of a replica after a run ended there. Several runs that break
  * together count as one failure: during the back-off, further failures are ignored. */
-static void update_health(dispatch_t *d, replica_t *r, dispatch_outcome_t how, deadline_t now)
+static void update_health(dispatch_t *d, uint64_t entry, replica_t *r, dispatch_outcome_t how,
+			  deadline_t now)
 {
 	int64_t ms;
 
 	switch (how) {
 	case DISPATCH_OK:
+		dispatch_note_heard(d, entry, r, now);
 		r->failures = 0;
 		r->suspect_until = 0;
 		return;
@@ -392,6 +399,7 @@
 		r->leaving = true;
 		return;
 	case DISPATCH_FULL:
+		dispatch_note_heard(d, entry, r, now);
 		r->full_until = now + FULL_MS;
 		return;
 	case DISPATCH_SILENT:
@@ -402,6 +410,10 @@
 			return;
 		}
 		break;
+	case DISPATCH_UNREACHABLE:
+		if (dispatch_note_unreached(d, entry, r, now))
+			return;
+		break;
 	default:
 		break;
 	}
@@ -421,7 +433,7 @@
 
 	if (!run)
 		return;
-	update_health(d, run->replica, how, now);
+	update_health(d, entry, run->replica, how, now);
 	s = run->replica->service;
 	if (how == DISPATCH_OK)
 		s->mean_hold_us += ((now - run->since) * 1000 - s->mean_hold_us) / HOLD_DIVISOR;
@@ -506,7 +518,7 @@
 	if (it->state == ITEM_WAITING)
 		return;
 	if (it->replica)
-		update_health(d, it->replica, how, now);
+		update_health(d, it->entry, it->replica, how, now);
 	dispatch_item_add_run_time(it, now);
 	dispatch_item_detach(d, it);
 	dispatch_item_enqueue(d, it);
@@ -519,7 +531,7 @@
 	service_t *s = it->service;
 
 	if (ended && it->replica) {
-		update_health(d, it->replica, DISPATCH_OK, now);
+		update_health(d, it->entry, it->replica, DISPATCH_OK, now);
 		dispatch_item_add_run_time(it, now);
 		s->mean_item_ms += s->mean_item_ms ? (it->ran_ms - s->mean_item_ms) / ITEM_DIVISOR
 						   : it->ran_ms;
@@ -556,3 +568,15 @@
 		out->slots += r->slots;
 	}
 }
+
+void dispatch_entry_set_cut_off(dispatch_t *d, uint64_t id, bool cut_off, deadline_t now)
+{
+	entry_t *e = find_entry(d, id);
+
+	if (!e || e->cut_off == cut_off)
+		return;
+	e->cut_off = cut_off;
+	if (!cut_off)
+		dispatch_pairs_forget(d, id, NULL);
+	dispatch_place_all(d, now);
+}
--- a/src/policy/dispatch.h
+++ b/src/policy/dispatch.h
@@ -50,6 +50,7 @@
 	DISPATCH_NO_REPLICA_LIST, /* no list with a replica has arrived in time */
 	DISPATCH_PAST_DEADLINE, /* even if started now, it would not complete by its deadline */
 	DISPATCH_CALLER_GIVES_UP, /* the caller would give up before the next event */
+	DISPATCH_ENTRY_CUT_OFF, /* its entry reaches no replica */
 	DISPATCH_PAST_OBJECTIVE /* the first event would come after the objective; not used for a
 				   request that is resumed, returning or already past it */
 } dispatch_refusal_t;
@@ -118,6 +119,8 @@
 /** Adds an entry, or updates its zone and takes_items. Only an entry with takes_items set is given
  * batch items. */
 void dispatch_entry_add(dispatch_t *d, uint64_t entry, str_t zone, bool takes_items);
+/** Records whether an entry is cut off from the replicas. While it is, its requests are refused. */
+void dispatch_entry_set_cut_off(dispatch_t *d, uint64_t entry, bool cut_off, deadline_t now);
 /** Removes an entry and its requests, waiting or running. Its items stay assigned for
  * DISPATCH_ADOPT_MS, for the entry may reconnect; after that they are queued again. */
 void dispatch_entry_remove(dispatch_t *d, uint64_t entry, deadline_t now);
@@ -127,7 +130,8 @@
 void dispatch_request_add(dispatch_t *d, const dispatch_request_t *req, deadline_t now);
 /** Removes a waiting request whose caller left. */
 void dispatch_request_withdraw(dispatch_t *d, uint64_t entry, uint64_t request);
-/** Releases the slot of a granted request. how: updates the health of the replica. */
+/** Releases the slot of a granted request. how: updates the health of the replica. If only this
+ * entry does not reach the replica, it alone gets no slot there for a while. */
 void dispatch_request_ended(dispatch_t *d, uint64_t entry, uint64_t request, dispatch_outcome_t how,
 			    deadline_t now);
 /** Registers a running request that another dispatcher granted, such as that of a former leader.
--- a/src/policy/dispatch_internal.h
+++ b/src/policy/dispatch_internal.h
@@ -25,6 +25,12 @@
 	UT_hash_handle hh;
 } service_t;
 
+/** An answer of a replica to an entry. */
+typedef struct {
+	uint64_t entry;
+	deadline_t at; /* 0: none */
+} heard_t;
+
 struct replica {
 	char *id;
 	char *zone;
@@ -41,6 +47,7 @@
 	deadline_t full_until; /* back-off after it rejected a run: until then, its free slots are
 				  not used, but its items may be preempted, for requests and for
 				  other items */
+	heard_t heard[2]; /* the last answer, and the last to another entry than that */
 	UT_hash_handle hh;
 };
 
@@ -48,6 +55,8 @@
 	uint64_t id;
 	char *zone;
 	bool takes_items;
+	bool cut_off; /* it reaches no replica */
+	unsigned pairs; /* in d->pairs */
 	unsigned items; /* items that it runs or is stopping */
 	UT_hash_handle hh;
 } entry_t;
@@ -101,6 +110,19 @@
 	UT_hash_handle hh;
 } prefix_t;
 
+typedef struct {
+	uint64_t entry;
+	const replica_t *replica;
+} pair_key_t;
+
+/** An entry's connection to this replica has failed, with no answer since. */
+typedef struct {
+	pair_key_t key;
+	unsigned failures; /* consecutive, up to a maximum */
+	deadline_t until; /* the entry gets no slot of the replica until then */
+	UT_hash_handle hh;
+} pair_t;
+
 struct dispatch {
 	dispatch_callbacks_t cb;
 	uint64_t random; /* state of prng_next() */
@@ -111,6 +133,7 @@
 	dispatch_item_t *waiting_items; /* by due time */
 	dispatch_item_t *running_items; /* running or stopping */
 	prefix_t *prefixes;
+	pair_t *pairs;
 	deadline_t items_held_until; /* no item is started before */
 	service_t *services;
 	uint64_t pass; /* number of the current placement pass */
@@ -123,13 +146,32 @@
 	uint64_t preempted;
 };
 
+/* dispatch_reach.c */
+
+/** A replica has answered a run of this entry. */
+void dispatch_note_heard(dispatch_t *d, uint64_t entry, replica_t *r, deadline_t now);
+/** A connection of this entry failed. Returns true if that says nothing about the replica: it
+ * answers other entries, or the entry reaches few. */
+bool dispatch_note_unreached(dispatch_t *d, uint64_t entry, replica_t *r, deadline_t now);
+/** A slot was granted after the back-off of the pair: until its outcome is known, no further one
+ * is. */
+void dispatch_pair_tried(dispatch_t *d, uint64_t entry, const replica_t *r, deadline_t now);
+/** False if the entry, NULL for any, is known not to reach the replica. */
+bool dispatch_reaches(const dispatch_t *d, const entry_t *e, const replica_t *r, deadline_t now);
+/** False if a connection of the entry to some replica has failed, with no answer since. */
+bool dispatch_reaches_all(const dispatch_t *d, uint64_t entry);
+/** Forgets the failures of a replica or, if r is NULL, of an entry. */
+void dispatch_pairs_forget(dispatch_t *d, uint64_t entry, const replica_t *r);
+void dispatch_pairs_free(dispatch_t *d);
+
 /* dispatch_pick.c */
 
-/** Picks the replica with a free slot that costs a request least, or NULL. zone: that of the
- * request's entry. */
-replica_t *dispatch_pick_free(dispatch_t *d, const waiter_t *q, str_t zone, deadline_t now);
+/** Picks the replica with a free slot that costs a request least, or NULL. e: the request's entry;
+ * NULL if it is not registered. */
+replica_t *dispatch_pick_free(dispatch_t *d, const waiter_t *q, const entry_t *e, deadline_t now);
 /** Picks a running item to preempt for a request, or NULL. */
-dispatch_item_t *dispatch_pick_victim(dispatch_t *d, const waiter_t *q, str_t zone, deadline_t now);
+dispatch_item_t *dispatch_pick_victim(dispatch_t *d, const waiter_t *q, const entry_t *e,
+				      deadline_t now);
 /** Picks the least loaded replica with a free slot for an item, or NULL. The replica on which the
  * item itself last failed is picked only if there is no other. */
 replica_t *dispatch_pick_for_item(dispatch_t *d, const dispatch_item_t *it, deadline_t now);
@@ -137,9 +179,10 @@
  * NULL if there is none. */
 dispatch_item_t *dispatch_pick_late_victim(dispatch_t *d, const dispatch_item_t *it,
 					   deadline_t now);
-/** Picks the entry to run an item on this replica, or NULL: among those that take items, one in the
- * replica's zone if possible, then the one with the fewest items. */
-entry_t *dispatch_pick_entry(dispatch_t *d, const replica_t *r);
+/** Picks the entry to run an item on this replica, or NULL: among those that take items and are not
+ * known not to reach it, one in the replica's zone if possible, then the one with the fewest
+ * items. */
+entry_t *dispatch_pick_entry(dispatch_t *d, const replica_t *r, deadline_t now);
 /** Records that a prompt with this prefix was granted to the replica. */
 void dispatch_prefix_record(dispatch_t *d, uint64_t prefix, replica_t *r);
 /** Drops the recorded prefixes of a replica, or of all replicas if r is NULL. */
--- a/src/policy/dispatch_pick.c
+++ b/src/policy/dispatch_pick.c
@@ -65,7 +65,12 @@
 	return c;
 }
 
-replica_t *dispatch_pick_free(dispatch_t *d, const waiter_t *q, str_t zone, deadline_t now)
+static str_t zone_of(const entry_t *e)
+{
+	return e ? str_c(e->zone) : (str_t){"", 0};
+}
+
+replica_t *dispatch_pick_free(dispatch_t *d, const waiter_t *q, const entry_t *e, deadline_t now)
 {
 	replica_t *prefix_holder = find_prefix_holder(d, q->req.prefix);
 	replica_t *best = NULL;
@@ -76,9 +81,9 @@
 		unsigned c;
 
 		if (!is_usable(r, q->service, now) || now < r->full_until || is_avoided(q, r) ||
-		    slots_used(r) >= slots_allowed(r))
+		    slots_used(r) >= slots_allowed(r) || !dispatch_reaches(d, e, r, now))
 			continue;
-		c = placement_cost(r, prefix_holder, zone);
+		c = placement_cost(r, prefix_holder, zone_of(e));
 		if (best && c > best_cost)
 			continue;
 		if (!best || c < best_cost)
@@ -119,16 +124,17 @@
 	return a_same_zone == b_same_zone ? a->due > b->due : a_same_zone;
 }
 
-dispatch_item_t *dispatch_pick_victim(dispatch_t *d, const waiter_t *q, str_t zone, deadline_t now)
+dispatch_item_t *dispatch_pick_victim(dispatch_t *d, const waiter_t *q, const entry_t *e,
+				      deadline_t now)
 {
 	dispatch_item_t *best = NULL;
 
 	for (dispatch_item_t *it = d->running_items; it; it = it->next) {
 		if (it->state != ITEM_RUNNING || !it->replica || it->adopt_until ||
 		    !is_usable(it->replica, q->service, now) || is_avoided(q, it->replica) ||
-		    it->replica->failures > 0)
+		    it->replica->failures > 0 || !dispatch_reaches(d, e, it->replica, now))
 			continue;
-		if (!best || better_victim(it, best, zone, now))
+		if (!best || better_victim(it, best, zone_of(e), now))
 			best = it;
 	}
 	return best;
@@ -162,6 +168,8 @@
 		if (!is_usable(r, it->service, now) || now < r->full_until ||
 		    slots_used(r) >= slots_allowed(r))
 			continue;
+		if (d->pairs && !dispatch_pick_entry(d, r, now))
+			continue;
 		if (failed_on(it, r))
 			fallback = r;
 		else if (!best || slots_used(r) * best->slots < slots_used(best) * r->slots)
@@ -170,7 +178,7 @@
 	return best ? best : fallback;
 }
 
-entry_t *dispatch_pick_entry(dispatch_t *d, const replica_t *r)
+entry_t *dispatch_pick_entry(dispatch_t *d, const replica_t *r, deadline_t now)
 {
 	entry_t *best = NULL;
 	bool best_same_zone = false;
@@ -178,7 +186,7 @@
 	for (entry_t *e = d->entries; e; e = e->hh.next) {
 		bool same_zone = strcmp(e->zone, r->zone) == 0;
 
-		if (!e->takes_items)
+		if (!e->takes_items || !dispatch_reaches(d, e, r, now))
 			continue;
 		if (best && (same_zone < best_same_zone ||
 			     (same_zone == best_same_zone && e->items >= best->items)))
--- a/src/policy/dispatch_place.c
+++ b/src/policy/dispatch_place.c
@@ -31,12 +31,12 @@
  * there is no mean yet. */
 #define REMAINING_MIN_MS 500
 
-static str_t entry_zone(dispatch_t *d, uint64_t entry)
+static entry_t *find_entry(const dispatch_t *d, uint64_t entry)
 {
 	entry_t *e;
 
 	HASH_FIND(hh, d->entries, &entry, sizeof(entry), e);
-	return e ? str_c(e->zone) : (str_t){"", 0};
+	return e;
 }
 
 /* On the first use of a service in a pass, recomputes its per-pass fields and decays its reserve;
@@ -78,7 +78,7 @@
 		d->nwaiting_items--;
 		return;
 	}
-	HASH_FIND(hh, d->entries, &it->entry, sizeof(it->entry), e);
+	e = find_entry(d, it->entry);
 	if (e && e->items > 0)
 		e->items--;
 	DL_DELETE(d->running_items, it);
@@ -112,6 +112,7 @@
 	r->online++;
 	HASH_ADD(hh, d->runs, key, sizeof(run->key), run);
 	dispatch_prefix_record(d, q->req.prefix, r);
+	dispatch_pair_tried(d, entry, r, now);
 	dispatch_waiter_free(d, q);
 	d->cb.grant(d->cb.ctx, entry, request, str_c(r->id));
 }
@@ -179,12 +180,12 @@
  * possible. */
 static bool place_request(dispatch_t *d, waiter_t *q, deadline_t now)
 {
-	str_t zone = entry_zone(d, q->req.entry);
-	replica_t *r = dispatch_pick_free(d, q, zone, now);
+	const entry_t *e = find_entry(d, q->req.entry);
+	replica_t *r = dispatch_pick_free(d, q, e, now);
 	dispatch_item_t *victim;
 
 	if (!r) {
-		victim = dispatch_pick_victim(d, q, zone, now);
+		victim = dispatch_pick_victim(d, q, e, now);
 		if (!victim)
 			return false;
 		r = victim->replica;
@@ -222,6 +223,12 @@
 	int64_t hold_ms = s->mean_hold_us / 1000;
 	int64_t first_ms = hold_ms < FIRST_EVENT_MS ? hold_ms : FIRST_EVENT_MS;
 
+	const entry_t *e = find_entry(d, q->req.entry);
+
+	if (e && e->cut_off) {
+		refuse_request(d, q, RETRY_MIN_MS, DISPATCH_ENTRY_CUT_OFF);
+		return false;
+	}
 	if (!d->had_replicas && now < d->list_deadline && now + first_ms <= q->req.give_up_at)
 		return true;
 	if (!d->had_replicas)
@@ -254,7 +261,8 @@
 			s = refresh_service(d, q->service, now);
 			if (!s->no_slot_for_requests && place_request(d, q, now))
 				continue;
-			s->no_slot_for_requests |= q->req.navoid == 0;
+			s->no_slot_for_requests |=
+				q->req.navoid == 0 && dispatch_reaches_all(d, q->req.entry);
 			s->waiting_ahead += wait_or_refuse(d, q, (request_rank_t)rank, s, now);
 		}
 	}
@@ -283,7 +291,7 @@
 		late = dispatch_pick_late_victim(d, it, now);
 	if (late)
 		r = late->replica;
-	e = r ? dispatch_pick_entry(d, r) : NULL;
+	e = r ? dispatch_pick_entry(d, r, now) : NULL;
 	s->no_slot_for_items = !e;
 	if (!e)
 		return;
@@ -294,6 +302,7 @@
 	it->replica = r;
 	it->placed_at = now;
 	it->entry = e->id;
+	dispatch_pair_tried(d, e->id, r, now);
 	r->items++;
 	e->items++;
 	DL_APPEND(d->running_items, it);
