--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -386,6 +386,7 @@
 			  deadline_t now)
 {
 	int64_t ms;
+	const entry_t *e = find_entry(d, entry);
 
 	switch (how) {
 	case DISPATCH_OK:
@@ -417,7 +418,8 @@
 	default:
 		break;
 	}
-	if (now < r->suspect_until)
+	/* What breaks at an entry that is cut off says nothing about the replica. */
+	if (now < r->suspect_until || (e && e->cut_off))
 		return;
 	ms = (int64_t)SUSPECT_MS << (r->failures < SUSPECT_MAX_DOUBLES ? r->failures
 								       : SUSPECT_MAX_DOUBLES);
--- a/tests/unit/test_dispatch_reach.c
+++ b/tests/unit/test_dispatch_reach.c
@@ -149,6 +149,7 @@
 		n++;
 		ok += q->served;
 	}
+	ck_assert_uint_gt(n, 0);
 	return ok * 1000 / n;
 }
 
@@ -239,6 +240,28 @@
 }
 END_TEST
 
+/* An entry that is cut off ends its old runs one after the other. */
+START_TEST(runs_that_break_at_an_entry_that_is_cut_off_do_not_count_against_their_replicas)
+{
+	static const dispatch_outcome_t outcomes[] = {DISPATCH_BROKEN, DISPATCH_SILENT,
+						      DISPATCH_UNREACHABLE};
+
+	for (int i = 0; i < 3; i++) {
+		dispatch_t *d = new_dispatcher(1, 4);
+		dispatch_request_t other = make_request(2, 1000);
+
+		add_request(d, 1, 0);
+		dispatch_entry_set_cut_off(d, 1, true, 500);
+		dispatch_request_ended(d, 1, 1, outcomes[i], 1000);
+		other.entry = 2;
+		dispatch_request_add(d, &other, 1000);
+		ck_assert_int_eq(neffects, 2);
+		ck_assert_int_eq(effects[1].kind, GRANTED);
+		dispatch_free(d);
+	}
+}
+END_TEST
+
 START_TEST(an_item_moves_to_an_entry_that_reaches_the_replica)
 {
 	dispatch_t *d = new_dispatcher(1, 1);
@@ -290,6 +313,8 @@
 	tcase_add_test(t, a_replica_that_no_entry_reaches_is_left_by_all);
 	tcase_add_test(
 		t, a_failed_connection_of_one_entry_does_not_end_the_work_of_others_on_a_replica);
+	tcase_add_test(
+		t, runs_that_break_at_an_entry_that_is_cut_off_do_not_count_against_their_replicas);
 	tcase_add_test(t, an_item_moves_to_an_entry_that_reaches_the_replica);
 	tcase_add_test(t, an_entry_that_is_cut_off_gets_no_slot_and_no_item);
 	suite_add_tcase(s, t);
