Connections to servers have keep-alive, and old ones aren't used after a cut

Cause: a connection to a replica whose path died was found only when something was sent on it and stayed unacknowledged for 2 s; a run that waits for its answer, or an idle connection, could stay for as long as its own timeouts let it.

Change: outgoing connections are probed after 1 s of silence and break within 4 s at the latest, since TCP_USER_TIMEOUT, not the number of probes, decides. An entry that reaches the replicas again closes its idle connections. Two unit tests fail before (the option isn't set; no function). Not tested: a path that drops packets, which needs rights that tests don't have; a relay that holds acknowledges at TCP.

--- a/src/front/front_reach.c
+++ b/src/front/front_reach.c
@@ -58,6 +58,7 @@
 		METRIC_INC("auburn_reach_lost_total");
 	} else {
 		log_evidence(f, LOG_LEVEL_INFO, "reach_regained", now - r->cut_off_at);
+		http_client_close_idle(f->http);
 	}
 	leader_link_resend_hello(f->leader);
 	if (cut_off)
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -442,6 +442,14 @@
 	free(h);
 }
 
+void http_client_close_idle(http_client_t *h)
+{
+	for (host_t *x = h->hosts; x; x = x->hh.next) {
+		while (x->idle)
+			conn_close(x->idle);
+	}
+}
+
 void http_client_close(http_client_t *h)
 {
 	while (h->conns) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -45,6 +45,8 @@
 bool http_call_sent(const http_call_t *c);
 /** Ends a call and closes its connection; no callback follows. */
 void http_call_cancel(http_call_t *c);
+/** Closes the idle connections, as when the path to the servers was cut. */
+void http_client_close_idle(http_client_t *h);
 /** Ends all calls and closes all connections; memory is freed in the loop's next iteration. No
  * callback follows, except the end of a call whose connection could not be started. */
 void http_client_close(http_client_t *h);
--- a/src/net/tcp.c
+++ b/src/net/tcp.c
@@ -13,6 +13,10 @@
 /** A connection breaks when sent bytes stay unacknowledged for this long, in ms. The links between
  * processes notice a silent peer sooner. */
 #define UNACKED_MAX_MS 2000
+/** A connection to a server on which nothing was received for this long is probed each second; it
+ * breaks at the first probe after UNACKED_MAX_MS without any packet: a TCP_USER_TIMEOUT replaces
+ * the number of probes. */
+#define KEEPALIVE_S 1
 
 static bool parse_addr(const char *addr, struct sockaddr_in *sa)
 {
@@ -36,6 +40,17 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof(unacked));
 }
 
+/* The peer's kernel answers keep-alive probes, so a process that pauses keeps its connections. */
+static void set_keepalive(int fd)
+{
+	int one = 1;
+	int s = KEEPALIVE_S;
+
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &s, sizeof(s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &s, sizeof(s));
+}
+
 int tcp_listen(const char *addr)
 {
 	struct sockaddr_in sa;
@@ -75,6 +90,7 @@
 	if (fd < 0)
 		return -1;
 	set_socket_options(fd);
+	set_keepalive(fd);
 	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0 || errno == EINPROGRESS)
 		return fd;
 	close(fd);
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -2,6 +2,7 @@
  * (net/sse.h). Guard against messages that are misread when the network splits them, and against a
  * broken or cancelled call that is taken for a complete one. */
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,6 +11,7 @@
 #include "net/http_server.h"
 #include "net/http_client.h"
 #include "net/sse.h"
+#include "net/tcp.h"
 #include "http_kit.h"
 #include "suite_kit.h"
 
@@ -303,6 +305,47 @@
 }
 END_TEST
 
+START_TEST(a_dead_connection_to_a_server_is_noticed_while_it_is_idle)
+{
+	http_pair_t p;
+	int fd;
+	int on = 0;
+	int idle_s = 0;
+	int interval_s = 0;
+	unsigned unacked_ms = 0;
+	socklen_t n = sizeof(int);
+
+	pair_open(&p);
+	fd = tcp_connect(p.addr);
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_eq(getsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, &n), 0);
+	ck_assert_int_eq(getsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, &n), 0);
+	ck_assert_int_eq(getsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, &n), 0);
+	ck_assert_int_eq(getsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms, &n), 0);
+	ck_assert_int_eq(on, 1);
+	ck_assert_uint_gt(unacked_ms, 0);
+	ck_assert_int_le((idle_s + interval_s) * 1000 + (int)unacked_ms, 4000);
+	close(fd);
+	pair_close(&p);
+}
+END_TEST
+
+START_TEST(idle_connections_are_not_used_again_after_they_were_closed)
+{
+	http_pair_t p;
+
+	pair_open(&p);
+	for (int i = 0; i < 2; i++) {
+		start_call(&p, post_request);
+		run_loop(&p, 1.0);
+		ck_assert_int_eq(p.call_end, HTTP_CALL_DONE);
+		http_client_close_idle(p.client);
+	}
+	ck_assert_uint_eq(http_client_connects(p.client), 2);
+	pair_close(&p);
+}
+END_TEST
+
 START_TEST(a_draining_server_closes_the_connection_after_each_reply)
 {
 	http_pair_t p;
@@ -445,6 +488,8 @@
 	tcase_add_test(t, chunks_arrive_and_an_aborted_reply_is_broken);
 	tcase_add_test(t, the_server_notices_a_cancelled_call);
 	tcase_add_test(t, a_call_to_a_closed_port_is_unsent);
+	tcase_add_test(t, a_dead_connection_to_a_server_is_noticed_while_it_is_idle);
+	tcase_add_test(t, idle_connections_are_not_used_again_after_they_were_closed);
 	tcase_add_test(t, a_draining_server_closes_the_connection_after_each_reply);
 	tcase_add_test(t, bad_input_gets_one_error_reply);
 	tcase_add_test(t, a_body_over_the_limit_gets_413);
