--- a/tests/unit/sim.c
+++ b/tests/unit/sim.c
@@ -281,6 +281,20 @@
 	}
 }
 
+/* Disk faults, and the loss of a disk soon after another took writes again. */
+static void random_disk_fault(sim_t *s)
+{
+	sim_node_t *n;
+
+	sim_disk_random_fault(s);
+	if (s->next_loss == 0 || s->res->step < s->next_loss)
+		return;
+	s->next_loss = 0;
+	n = &s->nodes[sim_disk_random(s, SIM_ADDRS)];
+	if (s->nids < SIM_IDS_MAX && !is_stuck(s, n->id))
+		sim_lose_disk(s, n);
+}
+
 /* One step without new faults: messages, ticks, syncs, calls, a snapshot and a membership change,
  * each with its own chance. */
 static void step(sim_t *s)
@@ -338,6 +352,7 @@
 	for (unsigned i = 0; i < SIM_ADDRS; i++) {
 		s->nodes[i].partition = 0;
 		s->nodes[i].frozen_steps = 0;
+		s->nodes[i].disk.fault_until = 0;
 		if (!s->nodes[i].raft)
 			sim_node_start(&s->nodes[i]);
 	}
@@ -395,6 +410,7 @@
 	*res = (sim_result_t){0};
 	s->res = res;
 	s->random = (seed + 1) * 0x9e3779b97f4a7c15ull;
+	s->disk_random = s->random ^ 0xd15c;
 	bootstrap(s, voters ? voters : 3 + (unsigned)sim_random(s, 3));
 	return s;
 }
@@ -439,6 +455,8 @@
 	for (res->step = 0; res->step < o->steps && !res->violated; res->step++) {
 		step(s);
 		random_fault(s);
+		if (o->disk_faults)
+			random_disk_fault(s);
 	}
 	if (!res->violated)
 		run_calm_phase(s);
--- a/tests/unit/sim.h
+++ b/tests/unit/sim.h
@@ -1,8 +1,9 @@
 /**
  * Randomised simulation of the Raft core (raft/raft.h): replicas, their disks and a network in one
- * thread, with crashes, lost disks, partitions and lost messages. A reference model checks that all
- * replicas apply the same entries in the same order and that no acknowledged write is lost. A run
- * is a function of its seed. Used by test_raft and by the tool auburn-core-random.
+ * thread, with crashes, lost disks, partitions and lost messages, and on request with disks that
+ * hang or refuse writes for some time. A reference model checks that all replicas apply the same
+ * entries in the same order and that no acknowledged write is lost. A run is a function of its
+ * options. Used by test_raft and by the tool auburn-core-random.
  */
 #ifndef AUBURN_SIM_H
 #define AUBURN_SIM_H
@@ -47,6 +48,13 @@
 	size_t n;
 } sim_write_t;
 
+typedef enum {
+	SIM_DISK_HANGS, /* syncs do not return */
+	SIM_DISK_FULL,
+	SIM_DISK_SYNC_FAILS, /* a crash may then lose what the sync was to make durable */
+	SIM_DISK_FAULTS
+} sim_disk_fault_t;
+
 typedef struct {
 	uint64_t term;
 	uint64_t vote;
@@ -58,6 +66,10 @@
 	unsigned nsnaps;
 	sim_write_t *writes;
 	size_t nwrites;
+	sim_disk_fault_t fault;
+	unsigned fault_until; /* step at which the fault ends */
+	bool refused; /* the replica was told that its disk failed; `writes` wait for its return */
+	bool sync_failed; /* since the last successful sync */
 } sim_disk_t;
 
 typedef struct sim sim_t;
@@ -97,6 +109,7 @@
 typedef struct {
 	uint64_t seed;
 	unsigned steps;
+	bool disk_faults; /* disks hang, refuse writes or fail syncs for some time */
 } sim_options_t;
 
 typedef struct {
@@ -109,6 +122,8 @@
 	uint64_t installs; /* snapshots received whole */
 	uint64_t restarts;
 	uint64_t disks_lost;
+	uint64_t disk_failures; /* times a replica was told that its disk failed */
+	uint64_t disk_returns; /* of them, without a restart in between */
 	uint64_t changes; /* membership changes */
 	uint64_t stuck; /* runs that ended with the disks of a majority of voters lost, so that
 			   nothing could commit any more */
@@ -116,6 +131,8 @@
 
 struct sim {
 	uint64_t random;
+	uint64_t disk_random; /* of disk faults: runs without them draw as before */
+	unsigned next_loss; /* step at which a disk is lost because another came back; 0: none */
 	sim_node_t nodes[SIM_ADDRS];
 	sim_packet_t packets[SIM_PACKETS_MAX];
 	unsigned npackets;
@@ -164,13 +181,26 @@
 void sim_node_start(sim_node_t *n);
 /** Stops a replica as a crash does: a random number of its newest unsynced writes is lost. */
 void sim_node_stop(sim_node_t *n);
-/** Syncs up to this many of the oldest unsynced writes. */
+/** Syncs up to this many of the oldest unsynced writes. A faulty disk syncs none; all of them are
+ * synced when it comes back. */
 void sim_node_sync(sim_node_t *n, size_t writes);
 /** Saves a snapshot of the applied state and compacts the log up to the one before. */
 void sim_node_snapshot(sim_node_t *n);
 void sim_disk_clear(sim_disk_t *d);
 void sim_node_free(sim_node_t *n);
 
+/* sim_disk.c */
+
+/** Random number below n for disk faults. */
+uint64_t sim_disk_random(sim_t *s, uint64_t n);
+/** Begins a random fault of a random disk now and then. */
+void sim_disk_random_fault(sim_t *s);
+bool sim_disk_is_faulty(const sim_node_t *n);
+/** Tells the replica that its disk failed, unless it knows. */
+void sim_disk_refuse(sim_node_t *n);
+/** Lets the replica take part again; all that is queued must be synced next. */
+void sim_disk_return(sim_node_t *n);
+
 /* sim_check.c */
 
 /** Checks an entry that a replica applies against the reference, and answers its caller. */
--- a/tests/unit/sim_node.c
+++ b/tests/unit/sim_node.c
@@ -95,6 +95,15 @@
 		writes = n->disk.nwrites;
 	if (writes == 0)
 		return;
+	if (sim_disk_is_faulty(n)) {
+		if (n->disk.fault != SIM_DISK_HANGS)
+			sim_disk_refuse(n);
+		return;
+	}
+	if (n->disk.refused) {
+		sim_disk_return(n);
+		writes = n->disk.nwrites;
+	}
 	seq = n->disk.writes[writes - 1].seq;
 	sync_disk(&n->disk, writes);
 	raft_on_synced(n->raft, seq);
@@ -150,7 +159,8 @@
 {
 	sim_snap_t snap = {.index = raft_applied_index(n->raft), .state = n->state};
 
-	if (snap.index == 0 || (n->disk.nsnaps && n->disk.snaps[0].index >= snap.index))
+	if (sim_disk_is_faulty(n) || snap.index == 0 ||
+	    (n->disk.nsnaps && n->disk.snaps[0].index >= snap.index))
 		return;
 	snap.term = raft_term_at(n->raft, snap.index);
 	raft_members_at(n->raft, snap.index, &snap.members);
@@ -189,6 +199,8 @@
 	sim_node_t *n = ctx;
 	sim_snap_t snap = {.index = c->index, .term = c->term};
 
+	if (sim_disk_is_faulty(n) && n->disk.fault != SIM_DISK_HANGS)
+		return false;
 	if (c->offset == 0)
 		n->incoming.n = 0;
 	if (c->offset != n->incoming.n)
@@ -281,9 +293,15 @@
 
 void sim_node_stop(sim_node_t *n)
 {
+	size_t nkept;
+
 	if (!n->raft)
 		return;
-	sync_disk(&n->disk, sim_random(n->sim, n->disk.nwrites + 1));
+	nkept = sim_random(n->sim, n->disk.nwrites + 1);
+	if (n->disk.sync_failed && sim_disk_random(n->sim, 2))
+		nkept = 0;
+	sync_disk(&n->disk, nkept);
+	n->disk.refused = n->disk.sync_failed = false;
 	for (size_t i = 0; i < n->disk.nwrites; i++)
 		free_write(&n->disk.writes[i]);
 	n->disk.nwrites = 0;
--- a/tests/unit/test_raft.c
+++ b/tests/unit/test_raft.c
@@ -91,6 +91,16 @@
 }
 END_TEST
 
+START_TEST(random_runs_with_disk_faults_keep_the_invariants)
+{
+	sim_options_t o = {.steps = 2000, .disk_faults = true};
+	sim_result_t r;
+
+	for (o.seed = 1; o.seed <= FIXED_SEEDS; o.seed++)
+		ck_assert_msg(sim_run(&o, &r), "seed %lu: %s", (unsigned long)o.seed, r.what);
+}
+END_TEST
+
 /* With a higher term, the follower would depose the leader when it returns. */
 START_TEST(prevote_keeps_the_term_of_an_isolated_follower)
 {
@@ -480,6 +490,7 @@
 	suite_add_tcase(suite, seeds);
 	tcase_set_timeout(seeds, 300);
 	tcase_add_test(seeds, random_runs_keep_the_invariants);
+	tcase_add_test(seeds, random_runs_with_disk_faults_keep_the_invariants);
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, prevote_keeps_the_term_of_an_isolated_follower);
 	tcase_add_test(t, a_follower_of_a_live_leader_refuses_votes);
