A voter whose disk refuses writes doesn't count for a retirement, even within the grace time

What operators saw: with one of four disks refusing writes, another process could be retired (200), which leaves two that can vote. Cause: a voter counted as lost only after it had been silent for the grace time, though its process says at once that its disk refuses writes (replica 0 in its hello). Such a voter is counted out at once. The process test waits until the leader has been told, within 0.2 s: an order that comes before can't know; the check is as before.

Before: test_process_whose_disk_refuses_writes_is_not_counted_as_one_that_can_vote 200 for 409.

--- a/src/policy/membership.c
+++ b/src/policy/membership.c
@@ -89,13 +89,14 @@
 	return found;
 }
 
-/* True if another replica is at the address of this one, which has lost its disk then. */
-static bool has_successor(const membership_view_t *v, const group_peer_t *p)
+/* True if the process at the address of this replica reports another one, so that the disk is lost,
+ * or that its disk refuses writes. */
+static bool is_disowned(const membership_view_t *v, const group_peer_t *p)
 {
 	for (unsigned i = 0; i < v->ncandidates; i++) {
 		const group_peer_t *c = &v->candidates[i];
 
-		if (c->id != 0 && c->id != p->id && strcmp(c->addr, p->addr) == 0)
+		if (c->id != p->id && strcmp(c->addr, p->addr) == 0)
 			return true;
 	}
 	return false;
@@ -110,7 +111,7 @@
 		const group_peer_t *p = &st->peers[i];
 
 		n += p->id != except && group_peer_acknowledges(st, i, v->now, v->grace_ms) &&
-		     !v->is_retired(v->ctx, p->id) && !has_successor(v, p);
+		     !v->is_retired(v->ctx, p->id) && !is_disowned(v, p);
 	}
 	for (unsigned i = 0; i < v->ncandidates; i++)
 		n += v->candidates[i].id != except &&
--- a/tests/proc/test_disk.py
+++ b/tests/proc/test_disk.py
@@ -9,6 +9,7 @@
 
 from disk_kit import DiskTest
 
+TOLD_S = 0.2    # the leader knows this long after a write was refused
 BACK_S = 1.0    # a replica votes and acknowledges again this long after its disk takes writes
 
 
@@ -54,6 +55,7 @@
         time.sleep(3.5)     # a new leader refuses for another reason
         voters = [c for c in k.controls[:3] if c is not leader]
         self.fill_disk(voters[0])
+        self.wait_line(leader, "peer_disk_failed", TOLD_S)
         path = "/retire/%s/start" % voters[1].name
         got = k.loop.run(k.call(leader.ip, k.port + 2, "POST", path, [], b'{"durationS":5}'))
         self.assertEqual(got[0], 409, got)
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -125,6 +125,15 @@
 }
 END_TEST
 
+START_TEST(a_voter_whose_disk_refuses_writes_does_not_count_even_within_the_grace_time)
+{
+	ck_assert_uint_eq(count_able(0), 5);
+	candidates[0].id = 0;
+	ck_assert_uint_eq(count_able(0), 4);
+	ck_assert_uint_eq(count_able(3), 3);
+}
+END_TEST
+
 START_TEST(a_voter_that_has_lost_its_disk_counts_once)
 {
 	candidates[1].id = 33;
@@ -161,6 +170,8 @@
 	tcase_add_test(t, a_process_whose_disk_refuses_writes_is_no_spare);
 	tcase_add_test(t, more_bans_than_fit_replace_the_oldest);
 	tcase_add_test(t, a_linked_voter_that_acknowledges_nothing_does_not_count);
+	tcase_add_test(t,
+		       a_voter_whose_disk_refuses_writes_does_not_count_even_within_the_grace_time);
 	tcase_add_test(t, a_voter_that_has_lost_its_disk_counts_once);
 	tcase_add_test(t, no_change_leaves_a_minority_that_acknowledges);
 	return suite_run(s);
