--- a/src/control/control_repair.c
+++ b/src/control/control_repair.c
@@ -337,11 +337,17 @@
 	return false;
 }
 
+static bool has_learner(const group_status_t *st)
+{
+	return count_voters(st) < st->npeers;
+}
+
 void control_repair_round(control_t *ctl, control_group_t *g, const group_status_t *st)
 {
 	static deadline_t next[CONTROL_GROUPS_MAX];
 
-	if (clock_now_ms() < next[g->number])
+	/* The group bears no further loss until a learner votes. */
+	if (clock_now_ms() < next[g->number] && !has_learner(st))
 		return;
 	next[g->number] = clock_now_ms() + PERIOD_MS;
 	if (remove_silent_learner(ctl, g, st) || promote_learner(ctl, g, st))
--- a/src/raft/raft_leader.c
+++ b/src/raft/raft_leader.c
@@ -236,13 +236,29 @@
 		raft_send_msg(r, &m, p->id);
 }
 
+/* Sends a snapshot chunk again that was sent while the member took no part. A transfer that has not
+ * got anywhere begins with the newest snapshot. */
+static void resume_snapshot(raft_t *r, raft_progress_t *p)
+{
+	if (p->mode != RAFT_MODE_SNAPSHOT)
+		return;
+	if (p->snap_offset == 0)
+		p->snap_index = 0;
+	p->snap_sent = false;
+	raft_send_snap_chunk(r, p);
+}
+
 void raft_handle_append_resp(raft_t *r, const raft_msg_t *m)
 {
 	raft_progress_t *p = find_progress(r, m->from);
+	bool was_silent;
 
 	if (r->role != RAFT_LEADER || !p)
 		return;
+	was_silent = p->silent_ticks >= r->election_ticks;
 	p->silent_ticks = 0;
+	if (was_silent)
+		resume_snapshot(r, p);
 	p->round_acked = max_u64(p->round_acked, m->round);
 	if (m->reject) {
 		handle_append_reject(r, p, m);
--- a/tests/proc/disk_kit.py
+++ b/tests/proc/disk_kit.py
@@ -41,22 +41,23 @@
         self.assertEqual(self.kit.loop.run(self.kit.open_lot(self.kit.fronts[0], lot, items)), 202)
         return lot
 
-    def log_lines(self, control, event, since=0):
-        """The fields of the lines of this event that were logged after `since` (Unix ms), oldest first."""
+    def log_lines(self, control, event, since=0, **want):
+        """The fields of the lines of this event, logged after `since` (Unix ms), that have these values; oldest first."""
         lines = []
         for line in control.log_text().splitlines():
             fields = {k: v.strip('"') for k, v in re.findall(r'(\w+)=("[^"]*"|\S+)', line)}
-            if fields.get("event") == event and float(fields["t"]) >= since:
+            if (fields.get("event") == event and float(fields["t"]) >= since
+                    and all(fields.get(k) == v for k, v in want.items())):
                 lines.append(fields)
         return lines
 
-    def wait_line(self, control, event, s, since=0):
+    def wait_line(self, control, event, s, since=0, **want):
         """Waits until the process logs a line of this event; returns its fields."""
         end = time.time() + s
-        while not self.log_lines(control, event, since):
+        while not self.log_lines(control, event, since, **want):
             self.assertLess(time.time(), end, "%s logs no %s" % (control.name, event))
             time.sleep(0.02)
-        return self.log_lines(control, event, since)[0]
+        return self.log_lines(control, event, since, **want)[0]
 
     def voters_acknowledging(self, control):
         """Number of voters that acknowledge to this leader, from its metrics; 0 if it doesn't lead, None if it has none."""
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -246,8 +246,9 @@
 
 class Kit:
     def __init__(self, controls=3, fronts=2, replicas=3, slots=4, seed=None, memory_mib=0,
-                 bin_of=lambda name: BIN, revoke_ms=0):
+                 bin_of=lambda name: BIN, revoke_ms=0, snapshot_entries=100):
         self.memory_mib, self.bin_of, self.revoke_ms = memory_mib, bin_of, revoke_ms
+        self.snapshot_entries = snapshot_entries
         self.dir = tempfile.mkdtemp(prefix="auburn-platform-")
         for bound in (250, 250, 8000):
             random.randint(1, bound)    # older seeds draw as before
@@ -287,7 +288,7 @@
             "data": os.path.join(self.dir, name), "controls": self.seeds, "rpc_port": self.port,
             "link_port": self.port + 1, "operators": "%s:%d" % (ip, self.port + 2),
             "http": "%s:%d" % (ip, self.port + 4), "upstream_list": self.list_addr, "tolerate": 1, "bootstrap": bootstrap, "ledger_groups": 0,
-            "replace_grace_ms": 1500, "election_ms": 300, "tick_ms": 10, "snapshot_entries": 100, "memory_mib": self.memory_mib})
+            "replace_grace_ms": 1500, "election_ms": 300, "tick_ms": 10, "snapshot_entries": self.snapshot_entries, "memory_mib": self.memory_mib})
 
     def make_front(self, name, zone):
         ip = self.next_ip()
--- a/tests/proc/test_silent_voter.py
+++ b/tests/proc/test_silent_voter.py
@@ -97,9 +97,12 @@
             since = float(self.log_lines(leader, "learner_removed", since)[0]["t"]) + 1
         self.assertEqual(self.retire(other), 409)
         since = time.time() * 1000
-        for c in [silent] + spares:
-            c.fill_disk(False)
+        silent.fill_disk(False)
         self.wait_line(leader, "voter_acknowledges", MARGIN_S, since)
+        self.assertEqual(self.retire(other), 409)
+        since = time.time() * 1000
+        spares[0].fill_disk(False)
+        self.wait_line(leader, "peer_disk_back", MARGIN_S, since, peer=spares[0].name)
         self.assertEqual(self.retire(other), 200)
 
     def test_replaced_voter_is_added_again_as_itself_once_its_disk_takes_writes(self):
--- a/tests/unit/test_raft.c
+++ b/tests/unit/test_raft.c
@@ -6,8 +6,9 @@
 #include "sim.h"
 #include "suite_kit.h"
 
-#define ELECTION_TICKS 6 /* as set by sim_node_start */
-#define FIXED_SEEDS    140
+#define ELECTION_TICKS	6 /* as set by sim_node_start */
+#define HEARTBEAT_TICKS 2
+#define FIXED_SEEDS	140
 
 static sim_t *sim;
 static sim_result_t res;
@@ -322,6 +323,33 @@
 }
 END_TEST
 
+/* A voter whose disk refused writes stays behind for an election timeout otherwise. _i: ticks since
+ * the last unanswered chunk, up to a multiple of the timeout. */
+START_TEST(a_voter_that_was_silent_gets_the_snapshot_with_the_next_heartbeats)
+{
+	sim_node_t *leader = elect(0);
+	sim_node_t *follower = &sim->nodes[2];
+
+	raft_on_disk_failed(follower->raft);
+	for (int i = 0; i < 40; i++) { /* more than are sent without an answer */
+		start_write(leader);
+		sim_settle(sim);
+		sim_node_snapshot(leader);
+	}
+	for (unsigned i = 0; i < 3 * ELECTION_TICKS + (unsigned)_i; i++) {
+		tick(leader, 1);
+		sim_settle(sim);
+	}
+	raft_on_disk_back(follower->raft);
+	for (unsigned i = 0; i < 2 * HEARTBEAT_TICKS; i++) {
+		tick(leader, 1);
+		sim_settle(sim);
+	}
+	ck_assert_uint_eq(res.installs, 1);
+	ck_assert_uint_eq(status_of(follower).synced, status_of(leader).last);
+}
+END_TEST
+
 /* Two changes at a time can lead to majorities that do not overlap, and so to two leaders. The log
  * of a new leader may end with a pending change of its predecessor, so it must first commit an
  * entry of its own term. */
@@ -492,6 +520,8 @@
 	tcase_add_test(t, a_replica_with_a_new_disk_does_not_count_as_the_old_voter);
 	tcase_add_test(t, a_leadership_transfer_needs_no_election_timeout);
 	tcase_add_test(t, a_learner_catches_up_by_a_snapshot);
+	tcase_add_loop_test(t, a_voter_that_was_silent_gets_the_snapshot_with_the_next_heartbeats,
+			    0, ELECTION_TICKS);
 	tcase_add_test(t, members_change_one_at_a_time);
 	tcase_add_test(t, a_removal_that_leaves_no_live_majority_is_refused);
 	tcase_add_test(t, a_removed_leader_steps_down);
