--- a/src/policy/voter_watch.c
+++ b/src/policy/voter_watch.c
@@ -9,12 +9,12 @@
 	void *ctx;
 } update_t;
 
-static void report(const update_t *u, unsigned i, voter_change_t change, int64_t ms)
+static void report(const update_t *u, unsigned i, voter_change_t change, int64_t ms, uint64_t match)
 {
 	voter_event_t e = {.change = change,
 			   .voter = &u->st->peers[i],
 			   .ms = ms,
-			   .match = u->st->match[i],
+			   .match = match,
 			   .commit = u->st->commit};
 
 	u->on_event(u->ctx, &e);
@@ -26,20 +26,21 @@
 
 	if (group_peer_is_silent(st, i, u->now, u->grace_ms)) {
 		v->back_at = 0;
+		v->match = st->match[i];
 		if (v->silent_since)
 			return;
 		v->silent_since = st->ack_awaited[i];
-		report(u, i, VOTER_SILENT, u->now - v->silent_since);
+		report(u, i, VOTER_SILENT, u->now - v->silent_since, v->match);
 		return;
 	}
 	if (v->silent_since) {
 		v->back_at = st->last_ack[i];
 		v->target = st->commit;
-		report(u, i, VOTER_ACKNOWLEDGES, v->back_at - v->silent_since);
+		report(u, i, VOTER_ACKNOWLEDGES, v->back_at - v->silent_since, v->match);
 		v->silent_since = 0;
 	}
 	if (v->back_at && st->match[i] >= v->target) {
-		report(u, i, VOTER_CAUGHT_UP, u->now - v->back_at);
+		report(u, i, VOTER_CAUGHT_UP, u->now - v->back_at, st->match[i]);
 		v->back_at = 0;
 	}
 }
--- a/src/policy/voter_watch.h
+++ b/src/policy/voter_watch.h
@@ -19,13 +19,14 @@
 	voter_change_t change;
 	const group_peer_t *voter;
 	int64_t ms; /* length of the silence; for VOTER_CAUGHT_UP since it acknowledged again */
-	uint64_t match;
+	uint64_t match; /* for VOTER_ACKNOWLEDGES: during the silence */
 	uint64_t commit;
 } voter_event_t;
 
 typedef struct {
 	uint64_t id;
 	deadline_t silent_since; /* 0: acknowledges */
+	uint64_t match; /* when it was last seen silent */
 	deadline_t back_at; /* 0: is not catching up */
 	uint64_t target; /* commit index when it acknowledged again */
 } voter_watch_voter_t;
--- a/tests/unit/test_voters.c
+++ b/tests/unit/test_voters.c
@@ -49,8 +49,8 @@
 	static const char *const names[] = {"silent", "acknowledges", "caught-up"};
 	char *end = events + strlen(events);
 
-	snprintf(end, (size_t)(events + sizeof(events) - end), "%s %lu %ld;", names[e->change],
-		 (unsigned long)e->voter->id, (long)e->ms);
+	snprintf(end, (size_t)(events + sizeof(events) - end), "%s %lu %ld %lu;", names[e->change],
+		 (unsigned long)e->voter->id, (long)e->ms, (unsigned long)(e->commit - e->match));
 }
 
 static void update_watch(uint64_t commit, deadline_t now)
@@ -143,7 +143,7 @@
 		acknowledge(3, 1100, (uint64_t)t, t);
 		update_watch((uint64_t)t, t);
 	}
-	ck_assert_str_eq(events, "silent 3 1600;");
+	ck_assert_str_eq(events, "silent 3 1600 1600;");
 	acknowledge(2, 4100, 4100, 4100);
 	acknowledge(3, 1200, 4100, 4100);
 	update_watch(4100, 4100);
@@ -151,7 +151,8 @@
 	acknowledge(3, 4100, 4200, 4200);
 	update_watch(4200, 4250);
 	update_watch(4200, 4300);
-	ck_assert_str_eq(events, "silent 3 1600;acknowledges 3 3000;caught-up 3 150;");
+	ck_assert_str_eq(events,
+			 "silent 3 1600 1600;acknowledges 3 3000 3000;caught-up 3 150 100;");
 }
 END_TEST
 
