A stream that ends within an event has been broken off

Callers got the first bytes of an event as the end of a complete answer when a replica's stream had neither a length nor chunks and its connection was closed in the middle of an event. Cause: the parser's rest was passed on as the end of the answer, as the end of the connection completes an answer without a length. Such a rest now ends the attempt as broken, so that the stream is resumed where its route allows it, and is otherwise aborted. Before: the new test fails (the fourth event arrives cut, as a complete answer).

--- a/src/front/front.h
+++ b/src/front/front.h
@@ -190,9 +190,10 @@
 typedef enum {
 	FRONT_ATTEMPT_DONE, /* the answer is complete */
 	FRONT_ATTEMPT_UNSENT, /* no connection was made: the replica did not get the request */
-	FRONT_ATTEMPT_BROKEN, /* the answer ended early, was malformed or too long, had too many
-				 events in a row without progress, lacked the id on a reused
-				 connection, or was rejected by the callback event or bytes */
+	FRONT_ATTEMPT_BROKEN, /* the answer ended early or within an event, was malformed or too
+				 long, had too many events in a row without progress, lacked the id
+				 on a reused connection, or was rejected by the callback event or
+				 bytes */
 	FRONT_ATTEMPT_SILENT /* no event within the silence timeout */
 } front_attempt_end_t;
 
@@ -209,8 +210,8 @@
 	void (*head)(void *ctx, const http_head_t *h, const platform_reply_t *r);
 	/** FRONT_EVENT_INVALID ends the attempt as broken. */
 	front_attempt_event_t (*event)(void *ctx, const sse_event_t *e);
-	/** Body bytes of an answer that is not a signed event stream with status 200; of such a
-	 * stream, the bytes after the last complete event. False ends the attempt as broken. */
+	/** Body bytes of an answer that is not a signed event stream with status 200. False ends
+	 * the attempt as broken. */
 	bool (*bytes)(void *ctx, str_t piece);
 	/** Called once, unless the attempt is cancelled; the attempt is freed afterwards. */
 	void (*end)(void *ctx, front_attempt_end_t how);
--- a/src/front/front_attempt.c
+++ b/src/front/front_attempt.c
@@ -128,9 +128,11 @@
 			  LOG_CSTR("replica", a->replica), LOG_INT("most", ANSWER_BYTES_MAX));
 		METRIC_INC("auburn_answers_too_long_total");
 	}
-	if (how == HTTP_CALL_DONE && a->sse.pending.n > 0 &&
-	    !a->options.bytes(a->options.ctx, str_buf(&a->sse.pending)))
-		how = HTTP_CALL_MALFORMED;
+	if (how == HTTP_CALL_DONE && a->sse.pending.n > 0) {
+		log_event(LOG_LEVEL_INFO, "stream_ends_within_event", LOG_CSTR("request", a->id),
+			  LOG_CSTR("replica", a->replica), LOG_INT("bytes", a->sse.pending.n));
+		how = HTTP_CALL_BROKEN;
+	}
 	if (how == HTTP_CALL_DONE)
 		end_attempt(a, FRONT_ATTEMPT_DONE);
 	else
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -20,6 +20,7 @@
 BIN = os.path.join(ROOT, os.environ.get("AUBURN_BIN_DIR", "build/bin"))
 HOST = "desk.example"
 EVENT_S = 0.02  # between two events of a stream
+CRASH_S = 2.0   # after which a crashed replica is back
 
 
 class Loop:
@@ -75,6 +76,10 @@
         self.item_statuses = {}         # item id: error status to answer with
         self.break_after = None         # closes the connection within this event, once
         self.silent_after = None        # sends nothing after this event, on all runs while set
+        self.crash_part = None          # crashes before the first event of a request with this part in its prompt
+        self.crashes = []               # times
+        self.unframed = False           # its streams have neither a length nor chunks and end with the connection
+        self.end_within = None          # ends an unframed stream within this event, once, without a reset
         self.server = None
         self.writers = set()
 
@@ -90,6 +95,23 @@
         for w in list(self.writers):
             w.transport.abort()
 
+    async def crash(self):
+        """Resets all connections; comes back as a new incarnation after CRASH_S."""
+        if not self.server:
+            return
+        self.crashes.append(time.time())
+        self.state = "gone"
+        await self.stop()
+        await asyncio.sleep(CRASH_S)
+        self.id = "i-%s-%d" % (self.name, random.getrandbits(24))
+        self.start_time += 1000
+        await self.start()
+        self.state = "ready"
+
+    def has_crash_part(self, run):
+        parts = [x.split(":")[0] for x in run["headers"].get("prompt-prefix", "").split(",")]
+        return self.crash_part is not None and self.crash_part in parts[:-1]
+
     def list_entry(self):
         return {"id": self.id, "service": "llm", "addr": self.addr, "zone": self.zone, "version": "v1",
                 "slots": self.slots, "state": self.state, "coldLeftMs": 0, "born": self.start_time}
@@ -158,7 +180,13 @@
         return await self.stream(run, signed, reader, writer)
 
     async def stream(self, run, signed, reader, writer):
-        head = "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        if self.has_crash_part(run):
+            await asyncio.sleep(EVENT_S)
+            run["end"] = "crash"
+            asyncio.ensure_future(self.crash())
+            return False
+        head = "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n" + (
+            "\r\n" if self.unframed else "Transfer-Encoding: chunked\r\n\r\n")
         writer.write((head % "".join("%s: %s\r\n" % x for x in signed + self.leaving_headers())).encode())
         left = asyncio.ensure_future(reader.read(1))  # done when the entry closes the connection
         try:
@@ -180,11 +208,20 @@
                     await writer.drain()
                     writer.transport.abort()
                     return False
-                writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+                if self.end_within == n:
+                    self.end_within = None
+                    run["end"] = "cut"
+                    writer.write(data[:-5])
+                    await writer.drain()
+                    return False
+                writer.write(data if self.unframed else b"%x\r\n%s\r\n" % (len(data), data))
+                await writer.drain()
+            if not self.unframed:
+                writer.write(b"0\r\n\r\n")
                 await writer.drain()
-            writer.write(b"0\r\n\r\n")
-            await writer.drain()
             run["end"] = "done"
+            if self.unframed:
+                return False
             left.cancel()
             try:
                 await left
@@ -363,11 +400,12 @@
                 writer.transport.abort()
         return status, answer_headers, got
 
-    async def stream(self, front, path, rid, wait_ms=5000, timeout=None, events=None, headers=()):
-        """Sends an online request with id `rid` and a caller timeout of wait_ms; returns as call() does."""
+    async def stream(self, front, path, rid, wait_ms=5000, timeout=None, events=None, headers=(), parts="aa:100,bb:100"):
+        """Sends an online request with id `rid` and a caller timeout of wait_ms; returns as call() does. parts: the
+        parts of its prompt that come before its own."""
         return await self.call(front.ip, self.port, "POST", path, [
             ("Host", HOST), ("Request-Id", rid), ("Deadline-Ms", wait_ms), ("Model", "m"),
-            ("Token-Usage", "450,200"), ("Prompt-Prefix", "aa:100,bb:100,%s:250" % rid)] + list(headers),
+            ("Token-Usage", "450,200"), ("Prompt-Prefix", "%s,%s:250" % (parts, rid))] + list(headers),
             b"body of " + rid.encode(), timeout or wait_ms / 1000 + 1, events)
 
     def config(self, version, **changes):
--- a/tests/proc/test_platform.py
+++ b/tests/proc/test_platform.py
@@ -95,6 +95,25 @@
                 return
         self.fail("no request reached the replica that breaks off")
 
+    def test_stream_without_length_that_ends_within_an_event_is_resumed(self):
+        for r in self.kit.replicas:
+            r.unframed = True
+        rid = self.rid()
+        s, _, b = self.run_one(self.kit.stream(self.kit.fronts[0], "/brief/1", rid))
+        self.assertEqual(s, 200)
+        self.kit.check_stream(rid, b)
+        self.assertEqual(len(self.kit.runs_of(rid)), 1)
+        self.kit.replicas[0].end_within = 4
+        for _ in range(12):
+            rid = self.rid()
+            s, _, b = self.run_one(self.kit.stream(self.kit.fronts[0], "/brief/1", rid))
+            self.assertEqual(s, 200)
+            self.kit.check_stream(rid, b)
+            if len(self.kit.runs_of(rid)) == 2:
+                self.assertEqual(self.kit.runs_of(rid)[1]["after"], 3)
+                return
+        self.fail("no request reached the replica that ends within an event")
+
     def test_stream_moves_away_from_a_silent_replica_within_the_silence_timeout(self):
         silent = self.kit.replicas[0]
         silent.silent_after = 4
