Quarantine of prompt parts that crash replicas: pure core

Counts, for each part of prompts, the crashes of replicas at requests with it whose answers had not begun; exonerated by answers that begin, taken back by replicas that go on answering. Not used yet.

--- /dev/null
+++ b/src/policy/quarantine.c
@@ -0,0 +1,509 @@
+#include "policy/quarantine.h"
+
+#include <stdlib.h>
+#include <uthash.h>
+
+/** A crash counts after this long, in ms, within which other entries report answers of the replica.
+ */
+#define CONFIRM_MS 500
+/** An answer that ends this soon after a crash, in ms, may have been sent before it. */
+#define OVERTAKEN_MS 100
+/** All connections of a replica that crashes end within this time, in ms. */
+#define CRASH_MS 250
+/** Crashes count for this long, in ms. */
+#define WINDOW_MS 60000
+/** A part with which answers have begun within this time, in ms, is known as sound. */
+#define SOUND_MS 600000
+/** Number of crashes from which a part is blocked. */
+#define CRASHES_MIN 3
+/** The same if all crashes are under one request, such as an item that is run again. */
+#define CRASHES_ALONE_MIN 4
+/** The same for a part that is known as sound. */
+#define CRASHES_SOUND_MIN 6
+/** Maximum number of crashes that are recorded of one part. */
+#define CRASHES_MAX 32
+/** Duration of the first block, in ms; each further one is twice as long, up to LEVEL_MAX times. */
+#define BLOCK_MS  300000
+#define LEVEL_MAX 4
+/** A part is remembered for this long, in ms, after its block ran out. */
+#define REMEMBER_MS 7200000
+/** Maximum numbers of replicas and of sound parts; beyond them the oldest is dropped. */
+#define REPLICAS_MAX 1024
+#define SOUND_MAX    8192
+
+typedef struct {
+	uint64_t replica; /* hash of id and start time */
+	uint64_t request;
+	deadline_t at;
+} crash_t;
+
+typedef struct {
+	uint64_t part;
+	crash_t crashes[CRASHES_MAX];
+	unsigned ncrashes;
+	deadline_t since; /* as in quarantine_part_t, while blocked */
+	deadline_t until; /* 0: not blocked */
+	deadline_t forget_at; /* after a block */
+	unsigned level;
+	bool watched; /* suspected by another process */
+	UT_hash_handle hh;
+} part_t;
+
+/** A time by a hash; iterated in the order of the last change. */
+typedef struct {
+	uint64_t key;
+	deadline_t at;
+	UT_hash_handle hh;
+} stamp_t;
+
+struct quarantine {
+	quarantine_callbacks_t cb;
+	part_t *parts;
+	stamp_t *crashed; /* replica processes, and when they crashed */
+	stamp_t *sound; /* parts, and when an answer last began */
+	uint64_t version;
+};
+
+quarantine_t *quarantine_new(const quarantine_callbacks_t *cb)
+{
+	quarantine_t *q = mem_new(sizeof(*q));
+
+	q->cb = *cb;
+	return q;
+}
+
+static void free_part(quarantine_t *q, part_t *p)
+{
+	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): unlinked before free() */
+	HASH_DEL(q->parts, p);
+	free(p);
+}
+
+static stamp_t *find_stamp(stamp_t *stamps, uint64_t key)
+{
+	stamp_t *s;
+
+	HASH_FIND(hh, stamps, &key, sizeof(key), s);
+	return s;
+}
+
+static void remove_stamp(stamp_t **stamps, stamp_t *s)
+{
+	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): unlinked before free() */
+	HASH_DEL(*stamps, s);
+	free(s);
+}
+
+/* Sets the time of a key, which becomes the newest. */
+static void set_stamp(stamp_t **stamps, uint64_t key, deadline_t at, unsigned max)
+{
+	stamp_t *s = find_stamp(*stamps, key);
+
+	if (s)
+		HASH_DEL(*stamps, s);
+	else if (HASH_COUNT(*stamps) >= max)
+		remove_stamp(stamps, *stamps);
+	if (!s)
+		s = mem_new(sizeof(*s));
+	s->key = key;
+	s->at = at > s->at ? at : s->at;
+	HASH_ADD(hh, *stamps, key, sizeof(s->key), s);
+}
+
+void quarantine_free(quarantine_t *q)
+{
+	if (!q)
+		return;
+	while (q->parts)
+		free_part(q, q->parts);
+	while (q->crashed)
+		remove_stamp(&q->crashed, q->crashed);
+	while (q->sound)
+		remove_stamp(&q->sound, q->sound);
+	free(q);
+}
+
+static part_t *find_part(const quarantine_t *q, uint64_t part)
+{
+	part_t *p;
+
+	HASH_FIND(hh, q->parts, &part, sizeof(part), p);
+	return p;
+}
+
+static quarantine_part_t describe(const part_t *p)
+{
+	return (quarantine_part_t){
+		.part = p->part,
+		.blocked = p->until != 0,
+		.crashes = p->ncrashes,
+		.level = p->level,
+		.since = p->until      ? p->since
+			 : p->ncrashes ? p->crashes[0].at
+				       : 0,
+		.until = p->until,
+	};
+}
+
+static void report(quarantine_t *q, quarantine_event_t what, const part_t *p)
+{
+	quarantine_part_t x = describe(p);
+
+	q->version++;
+	q->cb.event(q->cb.ctx, what, &x);
+}
+
+/* Adds a part; drops the one that was added first and is not blocked, if there are too many. */
+static part_t *get_part(quarantine_t *q, uint64_t part)
+{
+	part_t *p = find_part(q, part);
+
+	if (p)
+		return p;
+	if (HASH_COUNT(q->parts) >= QUARANTINE_MAX) {
+		for (p = q->parts; p && p->until; p = p->hh.next)
+			;
+		free_part(q, p ? p : q->parts);
+	}
+	p = mem_new(sizeof(*p));
+	p->part = part;
+	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): unlinked before free() */
+	HASH_ADD(hh, q->parts, part, sizeof(p->part), p);
+	q->version++;
+	return p;
+}
+
+static uint64_t replica_key(replica_ref_t r)
+{
+	return str_hash(r.id) ^ (r.start_time * 0x9e3779b97f4a7c15ULL);
+}
+
+static void drop_crash(part_t *p, unsigned i)
+{
+	p->ncrashes--;
+	for (; i < p->ncrashes; i++)
+		p->crashes[i] = p->crashes[i + 1];
+}
+
+/* The first crashes matter, as they show how long there was no sound answer. */
+static void add_crash(part_t *p, const crash_t *c)
+{
+	for (unsigned i = 0; i < p->ncrashes; i++) {
+		if (p->crashes[i].replica == c->replica)
+			return;
+	}
+	if (p->ncrashes < CRASHES_MAX)
+		p->crashes[p->ncrashes++] = *c;
+}
+
+/* A part without crashes is kept only if it was blocked before, or is watched. */
+static void settle(quarantine_t *q, part_t *p)
+{
+	if (p->ncrashes > 0 || p->until || p->level || p->watched)
+		return;
+	q->version++;
+	free_part(q, p);
+}
+
+static bool has_crash(const part_t *p, uint64_t replica)
+{
+	for (unsigned i = 0; i < p->ncrashes; i++) {
+		if (p->crashes[i].replica == replica)
+			return true;
+	}
+	return false;
+}
+
+/* The crashes under a blocked part count for no other part. */
+static void attribute_crashes(quarantine_t *q, const part_t *blocked)
+{
+	part_t *p;
+	part_t *next;
+
+	HASH_ITER (hh, q->parts, p, next) {
+		if (p->until)
+			continue;
+		for (unsigned i = p->ncrashes; i > 0; i--) {
+			if (has_crash(blocked, p->crashes[i - 1].replica))
+				drop_crash(p, i - 1);
+		}
+		settle(q, p);
+	}
+}
+
+static bool is_attributed(const quarantine_t *q, uint64_t replica)
+{
+	for (const part_t *p = q->parts; p; p = p->hh.next) {
+		if (p->until && has_crash(p, replica))
+			return true;
+	}
+	return false;
+}
+
+static void clear_part(quarantine_t *q, part_t *p)
+{
+	bool blocked = p->until != 0;
+
+	p->ncrashes = 0;
+	p->level = 0;
+	if (blocked)
+		report(q, QUARANTINE_CLEARED, p);
+	p->until = 0;
+	settle(q, p);
+}
+
+/* The replica process hasn't crashed. */
+static void take_back(quarantine_t *q, uint64_t replica)
+{
+	part_t *p;
+	part_t *next;
+
+	HASH_ITER (hh, q->parts, p, next) {
+		unsigned i = 0;
+
+		while (i < p->ncrashes && p->crashes[i].replica != replica)
+			i++;
+		if (i == p->ncrashes)
+			continue;
+		drop_crash(p, i);
+		report(q, QUARANTINE_TAKEN_BACK, p);
+		if (p->until && p->level == 0 && p->ncrashes < CRASHES_MIN)
+			clear_part(q, p);
+		else
+			settle(q, p);
+	}
+}
+
+void quarantine_alive(quarantine_t *q, replica_ref_t replica, deadline_t now)
+{
+	uint64_t key = replica_key(replica);
+	stamp_t *s = find_stamp(q->crashed, key);
+
+	if (!s || now - s->at <= OVERTAKEN_MS)
+		return;
+	remove_stamp(&q->crashed, s);
+	take_back(q, key);
+}
+
+void quarantine_crash(quarantine_t *q, const quarantine_crash_t *c, deadline_t now)
+{
+	crash_t x = {replica_key(c->replica), c->request, now};
+	stamp_t *known = find_stamp(q->crashed, x.replica);
+	quarantine_part_t blocked;
+
+	if (known && now - known->at > CRASH_MS) {
+		/* It has accepted a connection since. */
+		take_back(q, x.replica);
+		return;
+	}
+	if (known)
+		x.at = known->at;
+	else
+		set_stamp(&q->crashed, x.replica, now, REPLICAS_MAX);
+	if (quarantine_blocks(q, c->parts, now, &blocked)) {
+		part_t *p = find_part(q, blocked.part);
+
+		add_crash(p, &x);
+		attribute_crashes(q, p);
+		return;
+	}
+	if (is_attributed(q, x.replica))
+		return;
+	for (unsigned i = 0; i < c->parts->n; i++) {
+		if (quarantine_sound_at(q, c->parts->v[i]) < x.at)
+			add_crash(get_part(q, c->parts->v[i]), &x);
+	}
+}
+
+void quarantine_sound(quarantine_t *q, uint64_t part, deadline_t at)
+{
+	part_t *p = find_part(q, part);
+
+	set_stamp(&q->sound, part, at, SOUND_MAX);
+	if (!p)
+		return;
+	if (p->until) {
+		if (at > p->since + OVERTAKEN_MS)
+			clear_part(q, p);
+		return;
+	}
+	for (unsigned i = p->ncrashes; i > 0; i--) {
+		if (p->crashes[i - 1].at <= at)
+			drop_crash(p, i - 1);
+	}
+	if (p->ncrashes == 0)
+		clear_part(q, p);
+}
+
+deadline_t quarantine_sound_at(const quarantine_t *q, uint64_t part)
+{
+	stamp_t *s = find_stamp(q->sound, part);
+
+	return s ? s->at : 0;
+}
+
+static void drop_old(quarantine_t *q, deadline_t now)
+{
+	part_t *p;
+	part_t *next;
+
+	while (q->crashed && q->crashed->at + WINDOW_MS < now)
+		remove_stamp(&q->crashed, q->crashed);
+	HASH_ITER (hh, q->parts, p, next) {
+		while (!p->until && p->ncrashes > 0 && p->crashes[0].at + WINDOW_MS < now)
+			drop_crash(p, 0);
+		if (p->until && p->until <= now) {
+			report(q, QUARANTINE_EXPIRED, p);
+			p->until = 0;
+			p->ncrashes = 0;
+			p->level += p->level < LEVEL_MAX;
+			p->forget_at = now + REMEMBER_MS;
+		}
+		if (p->level && !p->until && p->forget_at <= now)
+			p->level = 0;
+		settle(q, p);
+	}
+}
+
+static bool is_known_sound(const quarantine_t *q, const part_t *p, deadline_t now)
+{
+	deadline_t at = quarantine_sound_at(q, p->part);
+
+	return at && at + SOUND_MS > now;
+}
+
+/* Number of crashes that count; 0 if they are too few for a block. */
+static unsigned weigh(const quarantine_t *q, const part_t *p, deadline_t now)
+{
+	unsigned least = p->level ? 1 : is_known_sound(q, p, now) ? CRASHES_SOUND_MIN : CRASHES_MIN;
+	unsigned n = 0;
+	bool several = p->level > 0;
+
+	if (p->until)
+		return 0;
+	for (unsigned i = 0; i < p->ncrashes; i++) {
+		if (p->crashes[i].at + CONFIRM_MS > now)
+			continue;
+		several |= p->crashes[i].request != p->crashes[0].request;
+		n++;
+	}
+	if (!several && least < CRASHES_ALONE_MIN)
+		least = CRASHES_ALONE_MIN;
+	return n >= least ? n : 0;
+}
+
+static void block(quarantine_t *q, part_t *p, deadline_t now)
+{
+	p->since = p->crashes[0].at;
+	p->until = now + ((int64_t)BLOCK_MS << p->level);
+	report(q, QUARANTINE_BLOCKED, p);
+}
+
+/* Blocks the parts with the most crashes among those that are known as sound, or are not. Several
+ * have equally many if they were always together. */
+static bool block_most_suspected(quarantine_t *q, bool known_sound, deadline_t now)
+{
+	unsigned most = 0;
+	part_t *p;
+
+	for (p = q->parts; p; p = p->hh.next) {
+		unsigned n = is_known_sound(q, p, now) == known_sound ? weigh(q, p, now) : 0;
+
+		most = n > most ? n : most;
+	}
+	if (most == 0)
+		return false;
+	for (p = q->parts; p; p = p->hh.next) {
+		if (is_known_sound(q, p, now) == known_sound && weigh(q, p, now) == most)
+			block(q, p, now);
+	}
+	for (p = q->parts; p; p = p->hh.next) {
+		if (p->until)
+			attribute_crashes(q, p);
+	}
+	return true;
+}
+
+void quarantine_tick(quarantine_t *q, deadline_t now)
+{
+	drop_old(q, now);
+	while (block_most_suspected(q, false, now))
+		;
+	while (block_most_suspected(q, true, now))
+		;
+}
+
+void quarantine_adopt(quarantine_t *q, const quarantine_part_t *x)
+{
+	part_t *p = get_part(q, x->part);
+	bool was_blocked = p->until != 0;
+
+	if (!x->blocked) {
+		p->watched = true;
+		return;
+	}
+	p->since = x->since;
+	p->until = x->until > p->until ? x->until : p->until;
+	p->level = x->level > p->level ? x->level : p->level;
+	if (!was_blocked)
+		report(q, QUARANTINE_BLOCKED, p);
+}
+
+static bool contains(const quarantine_part_t *v, size_t n, const part_t *p)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (v[i].part == p->part)
+			return v[i].blocked || !p->until;
+	}
+	return false;
+}
+
+void quarantine_retain(quarantine_t *q, const quarantine_part_t *v, size_t n)
+{
+	part_t *p;
+	part_t *next;
+
+	HASH_ITER (hh, q->parts, p, next) {
+		if (contains(v, n, p))
+			continue;
+		p->watched = false;
+		clear_part(q, p);
+	}
+}
+
+bool quarantine_blocks(const quarantine_t *q, const prompt_parts_t *parts, deadline_t now,
+		       quarantine_part_t *out)
+{
+	bool found = false;
+
+	for (unsigned i = 0; q->parts && i < parts->n; i++) {
+		const part_t *p = find_part(q, parts->v[i]);
+
+		if (!p || p->until <= now || (found && p->until <= out->until))
+			continue;
+		found = true;
+		*out = describe(p);
+	}
+	return found;
+}
+
+bool quarantine_has(const quarantine_t *q, uint64_t part)
+{
+	return find_part(q, part) != NULL;
+}
+
+size_t quarantine_list(const quarantine_t *q, quarantine_part_t *out, size_t max)
+{
+	size_t n = 0;
+
+	for (const part_t *p = q->parts; p && n < max; p = p->hh.next) {
+		if (p->ncrashes > 0 || p->until || p->watched)
+			out[n++] = describe(p);
+	}
+	return n;
+}
+
+uint64_t quarantine_version(const quarantine_t *q)
+{
+	return q->version;
+}
