Requests with a prompt part that crashes replicas are refused

Cause: an attempt whose connection broke said something about the replica only; nothing was kept about the request, so each new one with the same part, and each repeat, went to the next replica.

Entries now report to the leader the parts of requests whose connection broke before the answer began, and the suspected parts with which answers begin. The leader counts (policy/quarantine.h), tells all entries which parts are blocked, and holds the items with such parts; entries refuse the requests at once, with 503 and what is left of the block as Retry-After, or 502 if an attempt may have run. Without a leader an entry counts by itself; a new leader learns the blocks from the entries. New messages go only to peers that have said that they know them; messages of kinds that only newer builds know are skipped from now on.

--- a/src/client/leader_link.c
+++ b/src/client/leader_link.c
@@ -1,5 +1,6 @@
 #include "client/leader_link.h"
 
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,6 +16,8 @@
 /** Minimum time between connection attempts, in ms: an attempt may fail at once. */
 #define RECONNECT_MS 20
 #define CONTROLS_MAX 32
+/** Newest kind of message that this build knows. */
+#define LINK_KIND_LAST LINK_SOUND_PART
 
 typedef struct {
 	uint64_t id;
@@ -35,6 +38,7 @@
 	msgconn_t *link;
 	bool up;
 	bool idle;
+	bool skipped_newer; /* a message of a newer build was skipped and logged */
 	deadline_t down_since;
 	deadline_t connect_started;
 	deadline_t retry_at;
@@ -220,12 +224,28 @@
 		end_call(l, c, r);
 }
 
+bool leader_link_kind_is_newer(str_t message, uint32_t *kind)
+{
+	if (message.n < sizeof(*kind))
+		return false;
+	memcpy(kind, message.p, sizeof(*kind));
+	*kind = ntohl(*kind);
+	return *kind > LINK_KIND_LAST;
+}
+
 static void on_message(void *ctx, msgconn_t *link, str_t s)
 {
 	leader_link_t *l = ctx;
 	link_msg_t m;
+	uint32_t kind;
 
 	l->unacked_since = 0;
+	if (leader_link_kind_is_newer(s, &kind)) {
+		if (!l->skipped_newer)
+			log_event(LOG_LEVEL_WARN, "link_message_skipped", LOG_INT("kind", kind));
+		l->skipped_newer = true;
+		return;
+	}
 	if (wire_decode(s, XDR_PROC(link_msg_t), &m, sizeof(m)) != STATUS_OK) {
 		log_event(LOG_LEVEL_ERROR, "link_message_malformed", LOG_INT("bytes", s.n));
 		drop_link(l, "malformed message");
--- a/src/client/leader_link.h
+++ b/src/client/leader_link.h
@@ -57,6 +57,8 @@
 
 leader_link_t *leader_link_new(const leader_link_options_t *o);
 bool leader_link_is_up(const leader_link_t *l);
+/** True if the encoded link_msg_t is of a kind that only newer builds know; *kind: its number. */
+bool leader_link_kind_is_newer(str_t message, uint32_t *kind);
 /** When the link went down or the first search began; 0 while it is up. */
 deadline_t leader_link_down_since(const leader_link_t *l);
 /** Sends a message; drops it while the link is down. */
--- a/src/control/hub.c
+++ b/src/control/hub.c
@@ -183,7 +183,15 @@
 	hub_t *h = ctx;
 	hub_peer_t *p = msgconn_data(l);
 	link_msg_t m;
+	uint32_t kind;
 
+	if (leader_link_kind_is_newer(s, &kind)) {
+		if (!p->skipped_newer)
+			log_event(LOG_LEVEL_WARN, "link_message_skipped", LOG_CSTR("peer", p->name),
+				  LOG_INT("kind", kind));
+		p->skipped_newer = true;
+		return;
+	}
 	if (wire_decode(s, XDR_PROC(link_msg_t), &m, sizeof(m)) != STATUS_OK) {
 		log_event(LOG_LEVEL_ERROR, "link_message_malformed", LOG_CSTR("peer", p->name),
 			  LOG_INT("bytes", s.n));
@@ -343,6 +351,7 @@
 	leader_link_set_idle(h->leader_link, true);
 	hub_routes_start_leading(h);
 	hub_quota_start_leading(h);
+	hub_quarantine_start_leading(h);
 	hub_dispatch_start_leading(h);
 	hub_view_start_leading(h);
 }
@@ -358,6 +367,7 @@
 	close_announce_links(h);
 	hub_lots_stop_leading(h);
 	hub_dispatch_stop_leading(h);
+	hub_quarantine_stop_leading(h);
 	hub_quota_stop_leading(h);
 	hub_routes_stop_leading(h);
 	close_links(h);
@@ -427,6 +437,7 @@
 	hub_view_tick(h, now);
 	hub_proof_tick(h, now);
 	hub_quota_tick(h, now);
+	hub_quarantine_tick(h, now);
 	hub_lots_tick(h, now);
 	dispatch_tick(h->dispatch, now);
 }
--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -26,6 +26,7 @@
 #include "net/worker.h"
 #include "policy/dispatch.h"
 #include "policy/leaving.h"
+#include "policy/quarantine.h"
 #include "policy/quota.h"
 #include "policy/ring.h"
 #include "policy/fanout.h"
@@ -53,6 +54,8 @@
 	bool registered; /* its hello arrived while this process leads */
 	bool draining;
 	bool counts_quotas; /* an entry that knows the messages on quotas */
+	bool knows_prompt_parts; /* an entry that knows the messages on prompt parts */
+	bool skipped_newer; /* a message of a newer build was skipped and logged */
 	u_int sent_fleet_entries; /* number of entries that it was last told */
 	char name[64];
 	char addr[32]; /* ip:port for callers; empty for a control process */
@@ -88,6 +91,9 @@
 	uint32_t saved_events; /* events in this part */
 	uint32_t failures; /* runs that ended in LINK_ITEM_END_FAILED */
 	uint32_t attempts_max; /* the item fails for good after this many failures */
+	uint64_t *parts; /* of its prompt, as in prompt_parts_t */
+	unsigned nparts;
+	bool held; /* a part of its prompt is blocked */
 } hub_item_t;
 
 /** A lot with unfinished items, in the dispatcher. */
@@ -185,6 +191,10 @@
 	deadline_t next_confirmation; /* earliest time of the next one */
 	hub_delayed_t *delayed; /* requests that fit into a quota later */
 	quota_t *quota; /* NULL while this process does not lead */
+	quarantine_t *quarantine; /* NULL while this process does not lead */
+	uint64_t sent_quarantine; /* version of the list that was last sent */
+	deadline_t next_quarantine_send;
+	bool holds_stale; /* the blocked parts have changed since the items were routed */
 	fanout_t *fan_out; /* of route deltas; NULL while this process does not lead */
 	hub_lot_t *lots;
 	uint64_t last_lot_serial; /* of the newest lot added to the dispatcher */
@@ -268,6 +278,23 @@
  * or the entry is told that the customer is over quota. */
 bool hub_quota_take(hub_t *h, hub_peer_t *p, const link_customer_slot_request_t *m);
 
+/* hub_quarantine.c: prompt parts that crash replicas */
+
+void hub_quarantine_start_leading(hub_t *h);
+void hub_quarantine_stop_leading(hub_t *h);
+/** Marks an entry as one that knows the messages on prompt parts, and sends it the list. */
+void hub_quarantine_add_peer(hub_t *h, hub_peer_t *p);
+/** Takes over the blocks that an entry knows. */
+void hub_quarantine_adopt(hub_t *h, const link_prompt_parts_t *m);
+void hub_quarantine_crash(hub_t *h, const hub_peer_t *p, const link_crash_t *m);
+void hub_quarantine_sound(hub_t *h, const link_sound_part_t *m);
+/** Records that a replica has answered. */
+void hub_quarantine_alive(hub_t *h, str_t replica);
+/** True if the item must not run now, as a part of its prompt is blocked. */
+bool hub_quarantine_holds(const hub_t *h, const hub_item_t *it);
+/** Blocks parts, ends blocks, and sends the list if it has changed. */
+void hub_quarantine_tick(hub_t *h, deadline_t now);
+
 /* hub_dispatch.c: connects the dispatcher to entries and lots */
 
 void hub_dispatch_start_leading(hub_t *h);
@@ -278,7 +305,7 @@
 /** Hands a request for a slot to the dispatcher. */
 void hub_dispatch_request(hub_t *h, hub_peer_t *p, const link_slot_request_t *m);
 void hub_dispatch_message(hub_t *h, hub_peer_t *p, const link_msg_t *m);
-/** Routes the items again after a change of the config. */
+/** Routes the items again after a change of the config or of the blocked prompt parts. */
 void hub_dispatch_reroute(hub_t *h);
 /** Brings the dispatcher in line with the lots in group 0: adds new lots, removes finished items
  * and the items of ended and expired lots. */
--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "base/metric.h"
 #include "control/hub.h"
+#include "platform/platform.h"
 
 /** A new leader starts no items for this long, in ms, so that entries can first report the items
  * that they run. Longer than an entry usually searches for the leader; shorter than the time after
@@ -138,18 +139,22 @@
 
 /* ---- lots ---- */
 
-/* Returns the service of an item by the routes in force, and sets its attempts_max. Empty if no
- * route matches, because its route was removed. */
+/* Returns the service of an item by the routes in force, and sets its attempts_max and held. Empty
+ * if it is held, or if no route matches because its route was removed. */
 static const char *find_item_service(hub_t *h, const lot_t *t, hub_item_t *it)
 {
 	const lot_item_t *item = &t->items[it->index];
 	const route_spec_t *r = NULL;
 
+	it->held = false;
 	if (h->routes)
 		r = route_table_match(h->routes, str_c(t->host), str_c(item->path));
 	if (!r)
 		return "";
 	it->attempts_max = (uint32_t)r->attempts;
+	it->held = hub_quarantine_holds(h, it);
+	if (it->held)
+		return "";
 	return route_pick_service(r, str_hash(str_c(item->id)));
 }
 
@@ -170,6 +175,17 @@
 	return lot;
 }
 
+static void set_parts(hub_item_t *it, str_t headers)
+{
+	prompt_parts_t p;
+
+	platform_item_prompt_decode(headers, &p);
+	it->nparts = p.n;
+	it->parts = p.n ? mem_new(p.n * sizeof(*it->parts)) : NULL;
+	for (unsigned i = 0; i < p.n; i++)
+		it->parts[i] = p.v[i];
+}
+
 /* Adds the lots accepted since the last call to the dispatcher, with their open items. */
 static void add_new_lots(control_group_t *g, void *arg)
 {
@@ -191,6 +207,7 @@
 
 			it->lot = lot;
 			it->index = i;
+			set_parts(it, (str_t){t->items[i].headers, t->items[i].headers_n});
 			if (t->items[i].state != LOT_ITEM_OPEN)
 				continue;
 			lot->unfinished++;
@@ -223,8 +240,10 @@
 static void lot_free(hub_t *h, hub_lot_t *lot)
 {
 	HASH_DEL(h->lots, lot);
-	for (uint32_t i = 0; i < lot->nitems; i++)
+	for (uint32_t i = 0; i < lot->nitems; i++) {
 		buf_free(&lot->items[i].text);
+		free(lot->items[i].parts);
+	}
 	free(lot->items);
 	free(lot->id);
 	free(lot);
@@ -304,7 +323,8 @@
 		for (uint32_t i = 0; i < lot->nitems; i++) {
 			hub_item_t *it = &lot->items[i];
 
-			if (it->dispatch_ref && dispatch_item_is_waiting(it->dispatch_ref) &&
+			if (it->dispatch_ref && !it->held &&
+			    dispatch_item_is_waiting(it->dispatch_ref) &&
 			    !dispatch_item_has_service(it->dispatch_ref)) {
 				log_event(LOG_LEVEL_WARN, "item_dead", LOG_CSTR("lot", lot->id),
 					  LOG_INT("item", i),
@@ -409,6 +429,7 @@
 		return;
 	switch (m->end) {
 	case LINK_ITEM_END_DONE:
+		hub_quarantine_alive(h, wire_str(m->replica));
 		it->events = m->events;
 		end_item(h, it, false, wire_str(m->text), "complete");
 		return;
@@ -471,10 +492,24 @@
 		dispatch_request_withdraw(h->dispatch, p->id, m->link_msg_t_u.request);
 		break;
 	case LINK_ENDED:
+		if (m->link_msg_t_u.ended.outcome == LINK_OUTCOME_OK)
+			hub_quarantine_alive(h, wire_str(m->link_msg_t_u.ended.replica));
 		dispatch_request_ended(h->dispatch, p->id, m->link_msg_t_u.ended.request,
 				       (dispatch_outcome_t)m->link_msg_t_u.ended.outcome,
 				       clock_now_ms());
 		break;
+	case LINK_FLEET_ENTRIES:
+		hub_quarantine_add_peer(h, p);
+		break;
+	case LINK_PROMPT_PARTS:
+		hub_quarantine_adopt(h, &m->link_msg_t_u.prompt_parts);
+		break;
+	case LINK_CRASH:
+		hub_quarantine_crash(h, p, &m->link_msg_t_u.crash);
+		break;
+	case LINK_SOUND_PART:
+		hub_quarantine_sound(h, &m->link_msg_t_u.sound);
+		break;
 	case LINK_LEAVING:
 		hub_view_note_leaving(h, p, &m->link_msg_t_u.leaving_replica);
 		break;
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -24,6 +24,7 @@
 #include "policy/dispatch.h"
 #include "policy/leaving.h"
 #include "policy/proof.h"
+#include "policy/quarantine.h"
 #include "policy/quota.h"
 #include "state/route_table.h"
 
@@ -95,6 +96,8 @@
 			     without a leader, the replicas may be from upstream_list */
 	front_replica_t *replicas; /* hash by id, from view */
 	leaving_t *leaving_replicas; /* replicas that announced to this process that they leave */
+	quarantine_t *quarantine; /* prompt parts that crash replicas */
+	bool leader_quarantines; /* the linked leader counts the crashes */
 	dispatch_t *local_dispatch; /* used while no leader is connected, NULL otherwise */
 	uint64_t last_request; /* number of the latest online request */
 	front_request_t *requests; /* hash by number */
@@ -176,6 +179,23 @@
 /** Passes the replicas in the view on to the local dispatcher, if there is one. */
 void front_slot_set_replicas(front_t *f);
 
+/* front_quarantine.c: prompt parts that crash replicas */
+
+void front_quarantine_start(front_t *f);
+/** Tells the leader that this process knows the messages on prompt parts. */
+void front_quarantine_offer(front_t *f);
+void front_quarantine_link_down(front_t *f);
+/** Handles the leader's list of suspected and blocked parts. */
+void front_quarantine_update(front_t *f, const link_prompt_parts_t *m);
+/** The answer to a prompt with these parts has begun. */
+void front_quarantine_began(front_t *f, replica_ref_t replica, const prompt_parts_t *parts);
+/** The replica has answered. */
+void front_quarantine_alive(front_t *f, replica_ref_t replica);
+/** The connection to the replica has ended before the answer to the request began. */
+void front_quarantine_broke(front_t *f, str_t request, replica_ref_t replica,
+			    const prompt_parts_t *parts);
+void front_quarantine_tick(front_t *f, deadline_t now);
+
 /* front_attempt.c: one attempt to run a request or an item on a replica */
 
 typedef struct front_attempt front_attempt_t;
@@ -202,6 +222,7 @@
 	str_t request; /* bytes to send; copied */
 	str_t id; /* of the request; answers with another id are skipped */
 	replica_ref_t replica; /* copied */
+	prompt_parts_t prompt; /* parts of the prompt of the request */
 	const char *addr;
 	bool new_connection; /* don't reuse an idle connection, which the replica may be closing */
 	int64_t first_event_ms; /* silence timeout until the first event; 0: none */
@@ -293,6 +314,8 @@
 void front_request_refused(front_request_t *q, int64_t retry_ms);
 /** The customer's quota is used up: ends the request. by: who counted, for the log. */
 void front_request_over_quota(front_request_t *q, int64_t retry_ms, const char *by);
+/** Ends a request that has had no event if a part of its prompt is blocked; returns true then. */
+bool front_request_check_quarantine(front_request_t *q);
 /** True while the request waits for a slot. */
 bool front_request_is_waiting(const front_request_t *q);
 front_request_t *front_request_find(front_t *f, uint64_t number);
--- a/src/front/front_attempt.c
+++ b/src/front/front_attempt.c
@@ -22,6 +22,8 @@
 	timeout_t silence_timer;
 	bool is_stream; /* the answer is a signed event stream with status 200 */
 	unsigned no_progress_events; /* since the last new one */
+	bool answered; /* the answer is that of a run */
+	bool began; /* the first event, or a byte of another answer, has arrived */
 	bool broken; /* the answer is invalid; silence_timer is about to end the attempt */
 	char id[64];
 	char replica[64];
@@ -82,6 +84,7 @@
 	}
 	if (r.leaving && !r.other_replica)
 		front_replica_leaving(a->options.f, a->options.replica);
+	a->answered = r.has_signature && !r.not_run && r.status < 500;
 	a->is_stream = r.event_stream && r.status == 200 && r.has_signature;
 	a->options.head(a->options.ctx, h, &r);
 	return true;
@@ -92,6 +95,10 @@
 	front_attempt_t *a = ctx;
 	front_attempt_event_t verdict = a->options.event(a->options.ctx, e);
 
+	if (verdict == FRONT_EVENT_NEW && !a->began) {
+		a->began = true;
+		front_quarantine_began(a->options.f, a->options.replica, &a->options.prompt);
+	}
 	/* Only new events restart the silence timeout. */
 	if (verdict == FRONT_EVENT_NEW)
 		restart_silence_timer(a, a->options.event_gap_ms);
@@ -106,14 +113,29 @@
 
 	if (a->broken)
 		return;
-	if (a->is_stream)
+	if (a->is_stream) {
 		valid = sse_feed(&a->sse, piece, on_event, a);
-	else
+	} else {
+		a->began = true;
 		valid = a->options.bytes(a->options.ctx, piece);
+	}
 	if (!valid)
 		mark_broken(a);
 }
 
+/* Tells the quarantine how the replica bore the prompt. */
+static void note_end(front_attempt_t *a, http_call_end_t how)
+{
+	const front_attempt_options_t *o = &a->options;
+
+	if (how == HTTP_CALL_BROKEN && !a->began)
+		front_quarantine_broke(o->f, str_c(a->id), o->replica, &o->prompt);
+	else if (how == HTTP_CALL_DONE && a->answered)
+		front_quarantine_began(o->f, o->replica, &o->prompt);
+	else if (how == HTTP_CALL_DONE)
+		front_quarantine_alive(o->f, o->replica);
+}
+
 static void on_end(void *ctx, http_call_end_t how)
 {
 	front_attempt_t *a = ctx;
@@ -123,16 +145,17 @@
 		end_attempt(a, FRONT_ATTEMPT_BROKEN);
 		return;
 	}
-	if (how == HTTP_CALL_TOO_LONG) {
-		log_event(LOG_LEVEL_WARN, "answer_too_long", LOG_CSTR("request", a->id),
-			  LOG_CSTR("replica", a->replica), LOG_INT("most", ANSWER_BYTES_MAX));
-		METRIC_INC("auburn_answers_too_long_total");
-	}
 	if (how == HTTP_CALL_DONE && a->sse.pending.n > 0) {
 		log_event(LOG_LEVEL_INFO, "stream_ends_within_event", LOG_CSTR("request", a->id),
 			  LOG_CSTR("replica", a->replica), LOG_INT("bytes", a->sse.pending.n));
 		how = HTTP_CALL_BROKEN;
 	}
+	note_end(a, how);
+	if (how == HTTP_CALL_TOO_LONG) {
+		log_event(LOG_LEVEL_WARN, "answer_too_long", LOG_CSTR("request", a->id),
+			  LOG_CSTR("replica", a->replica), LOG_INT("most", ANSWER_BYTES_MAX));
+		METRIC_INC("auburn_answers_too_long_total");
+	}
 	if (how == HTTP_CALL_DONE)
 		end_attempt(a, FRONT_ATTEMPT_DONE);
 	else
--- a/src/front/front_customer.c
+++ b/src/front/front_customer.c
@@ -77,6 +77,7 @@
 	if (!f->leader_counts) {
 		f->leader_counts = true;
 		leader_link_send(f->leader, &(link_msg_t){.kind = LINK_COUNTS_QUOTAS});
+		front_quarantine_offer(f);
 	}
 	if (!proof_answered(&f->proof, newest) || had_proof || !has_proof(f, clock_now_ms()))
 		return;
--- a/src/front/front_item.c
+++ b/src/front/front_item.c
@@ -160,6 +160,7 @@
 	AUTO_FREE char *addr = str_dup(wire_str(m->addr));
 	replica_ref_t replica = {wire_str(m->replica), m->start_time};
 	platform_send_t s;
+	prompt_parts_t prompt;
 
 	if (it)
 		item_free(it);
@@ -187,12 +188,14 @@
 		.identified = f->routes && f->routes->customers,
 		.customer = lot_id_owner(wire_str(it->spec.job)),
 	};
+	platform_item_prompt_decode(wire_str(it->spec.headers), &prompt);
 	platform_item_encode(&req, &it->spec, &s);
 	it->attempt = front_attempt_start(&(front_attempt_options_t){
 		.f = f,
 		.request = str_buf(&req),
 		.id = wire_str(it->spec.id),
 		.replica = replica,
+		.prompt = prompt,
 		.addr = addr,
 		.first_event_ms = SILENT_MS,
 		.event_gap_ms = SILENT_MS,
--- a/src/front/front_link.c
+++ b/src/front/front_link.c
@@ -133,6 +133,9 @@
 	case LINK_FLEET_ENTRIES:
 		f->fleet_entries = m->link_msg_t_u.entries;
 		break;
+	case LINK_PROMPT_PARTS:
+		front_quarantine_update(f, &m->link_msg_t_u.prompt_parts);
+		break;
 	case LINK_ITEM_RUN:
 		front_item_run(f, &m->link_msg_t_u.run);
 		break;
@@ -156,6 +159,7 @@
 static void on_down(void *ctx)
 {
 	front_customer_link_down(ctx);
+	front_quarantine_link_down(ctx);
 	front_slot_leader_down(ctx);
 }
 
@@ -224,6 +228,7 @@
 {
 	f->leaving_replicas = leaving_new();
 	front_customer_start(f);
+	front_quarantine_start(f);
 	front_routes_start(f);
 	f->leader = leader_link_new(&(leader_link_options_t){
 		.loop = f->loop,
--- a/src/front/front_request.c
+++ b/src/front/front_request.c
@@ -118,6 +118,29 @@
 		end_with_status(q, 503, RETRY_MS, outcome);
 }
 
+bool front_request_check_quarantine(front_request_t *q)
+{
+	deadline_t now = clock_now_ms();
+	quarantine_part_t by;
+	char part[QUARANTINE_NAME_BYTES];
+
+	if (q->head_sent || !quarantine_blocks(q->f->quarantine, &q->call.prompt, now, &by))
+		return false;
+	if (q->state == FRONT_REQUEST_WAITING && q->requested_at)
+		front_slot_withdraw(q->f, q);
+	log_event(LOG_LEVEL_INFO, "prompt_refused", LOG_STR("request", q->call.id),
+		  LOG_CSTR("part", quarantine_part_name(by.part, part)),
+		  LOG_CSTR("by", q->f->leader_quarantines ? "leader" : "entry"),
+		  LOG_INT("crashes", by.crashes), LOG_INT("since_ms", now - by.since),
+		  LOG_INT("left_ms", by.until - now), LOG_INT("tries", q->attempts));
+	METRIC_INC("auburn_prompts_refused_total");
+	if (q->may_have_run)
+		end_with_status(q, 502, 0, "prompt part blocked");
+	else
+		end_with_status(q, 503, by.until - now, "prompt part blocked");
+	return true;
+}
+
 static void add_avoided(front_request_t *q)
 {
 	if (q->navoid < DISPATCH_AVOID_MAX)
@@ -138,6 +161,8 @@
 
 static void request_slot(front_request_t *q)
 {
+	if (front_request_check_quarantine(q))
+		return;
 	q->state = FRONT_REQUEST_WAITING;
 	q->requested_at = clock_now_ms();
 	q->give_up_at = give_up_time(q);
@@ -362,6 +387,7 @@
 		.request = str_buf(&req),
 		.id = q->call.id,
 		.replica = replica,
+		.prompt = q->call.prompt,
 		.addr = addr_cstr,
 		.new_connection = !is_repeatable(q),
 		.first_event_ms = may_retry(q) ? objective_ms * FIRST_PERCENT / 100 : 0,
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -1,5 +1,6 @@
 #include "policy/quarantine.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <uthash.h>
 
@@ -186,7 +187,7 @@
 }
 
 /* The first crashes matter, as they show how long there was no sound answer. */
-static void add_crash(part_t *p, const crash_t *c)
+static void add_crash(quarantine_t *q, part_t *p, const crash_t *c)
 {
 	for (unsigned i = 0; i < p->ncrashes; i++) {
 		if (p->crashes[i].replica == c->replica)
@@ -194,6 +195,7 @@
 	}
 	if (p->ncrashes < CRASHES_MAX)
 		p->crashes[p->ncrashes++] = *c;
+	q->version++;
 }
 
 /* A part without crashes is kept only if it was blocked before, or is watched. */
@@ -303,7 +305,7 @@
 	if (quarantine_blocks(q, c->parts, now, &blocked)) {
 		part_t *p = find_part(q, blocked.part);
 
-		add_crash(p, &x);
+		add_crash(q, p, &x);
 		attribute_crashes(q, p);
 		return;
 	}
@@ -311,7 +313,7 @@
 		return;
 	for (unsigned i = 0; i < c->parts->n; i++) {
 		if (quarantine_sound_at(q, c->parts->v[i]) < x.at)
-			add_crash(get_part(q, c->parts->v[i]), &x);
+			add_crash(q, get_part(q, c->parts->v[i]), &x);
 	}
 }
 
@@ -347,6 +349,7 @@
 	part_t *p;
 	part_t *next;
 
+	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): nodes are unlinked first */
 	while (q->crashed && q->crashed->at + WINDOW_MS < now)
 		remove_stamp(&q->crashed, q->crashed);
 	HASH_ITER (hh, q->parts, p, next) {
@@ -507,3 +510,31 @@
 {
 	return q->version;
 }
+
+const char *quarantine_part_name(uint64_t part, char out[QUARANTINE_NAME_BYTES])
+{
+	snprintf(out, QUARANTINE_NAME_BYTES, "%016llx", (unsigned long long)part);
+	return out;
+}
+
+const char *quarantine_part_names(const prompt_parts_t *parts,
+				  char out[PROMPT_PARTS_MAX * QUARANTINE_NAME_BYTES])
+{
+	out[0] = 0;
+	for (unsigned i = 0; i < parts->n; i++) {
+		quarantine_part_name(parts->v[i], out + (size_t)i * QUARANTINE_NAME_BYTES);
+		if (i > 0)
+			out[(size_t)i * QUARANTINE_NAME_BYTES - 1] = ',';
+	}
+	return out;
+}
+
+const char *quarantine_event_name(quarantine_event_t what)
+{
+	static const char *const names[] = {[QUARANTINE_TAKEN_BACK] = "prompt_crash_taken_back",
+					    [QUARANTINE_BLOCKED] = "prompt_part_blocked",
+					    [QUARANTINE_CLEARED] = "prompt_part_released",
+					    [QUARANTINE_EXPIRED] = "prompt_part_expired"};
+
+	return names[what];
+}
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -89,6 +89,16 @@
 bool quarantine_has(const quarantine_t *q, uint64_t part);
 /** Lists the suspected and blocked parts, at most max; returns their number. */
 size_t quarantine_list(const quarantine_t *q, quarantine_part_t *out, size_t max);
+/** Name of an event in logs. */
+const char *quarantine_event_name(quarantine_event_t what);
+
+#define QUARANTINE_NAME_BYTES 17
+
+/** Formats the hash of a part for logs; returns out. */
+const char *quarantine_part_name(uint64_t part, char out[QUARANTINE_NAME_BYTES]);
+/** Formats the hashes of parts, separated by commas; returns out. */
+const char *quarantine_part_names(const prompt_parts_t *parts,
+				  char out[PROMPT_PARTS_MAX * QUARANTINE_NAME_BYTES]);
 /** Changes with each change of the list. */
 uint64_t quarantine_version(const quarantine_t *q);
 
--- a/src/proto/link.x
+++ b/src/proto/link.x
@@ -45,6 +45,34 @@
 	wire_bytes_t leader;		/* RPC ip:port of the leader if another process leads */
 };
 
+/* A part of prompts that is suspected of crashing replicas, or blocked; see policy/quarantine.h. */
+struct link_prompt_part_t {
+	unsigned hyper part;		/* its hash */
+	bool blocked;
+	unsigned int crashes;
+	unsigned int level;
+	int since_ms;			/* ago: the first of the crashes */
+	int left_ms;			/* until the block ends */
+};
+
+struct link_prompt_parts_t {
+	link_prompt_part_t parts<>;
+};
+
+/* The connection of a request ended before its answer began. */
+struct link_crash_t {
+	wire_bytes_t request;
+	wire_bytes_t replica;
+	unsigned hyper start_time;
+	unsigned hyper parts<>;		/* of its prompt */
+};
+
+/* An answer to a prompt with this part began. */
+struct link_sound_part_t {
+	unsigned hyper part;
+	int age_ms;
+};
+
 struct link_share_t {
 	wire_bytes_t service;
 	hyper weight;
@@ -340,7 +368,14 @@
 	LINK_QUOTA_RETURN = 21,		/* a counted request of this customer has not run */
 	LINK_COUNTS_QUOTAS = 22,	/* from an entry, once the leader has answered its
 					   LINK_CONFIG_IN_FORCE: it knows the messages on quotas */
-	LINK_FLEET_ENTRIES = 23		/* number of entries that accept callers */
+	LINK_FLEET_ENTRIES = 23,	/* number of entries that accept callers. From an entry, after
+					   LINK_COUNTS_QUOTAS: it knows the messages on prompt
+					   parts; leaders of older builds ignore it. */
+	LINK_PROMPT_PARTS = 24,		/* the suspected and blocked parts: all, from the leader, the
+					   first time in reply to LINK_FLEET_ENTRIES; from an entry,
+					   in reply to that: those that it knows as blocked */
+	LINK_CRASH = 25,
+	LINK_SOUND_PART = 26		/* a part that the leader suspects or blocks */
 };
 
 union link_msg_t switch (link_kind_t kind) {
@@ -384,6 +419,12 @@
 	void;
 case LINK_FLEET_ENTRIES:
 	unsigned int entries;
+case LINK_PROMPT_PARTS:
+	link_prompt_parts_t prompt_parts;
+case LINK_CRASH:
+	link_crash_t crash;
+case LINK_SOUND_PART:
+	link_sound_part_t sound;
 case LINK_CALL:
 	link_call_t call;
 case LINK_REPLY:
--- a/src/proto/link_xdr.c
+++ b/src/proto/link_xdr.c
@@ -85,6 +85,115 @@
 	return TRUE;
 }
 
+bool_t
+xdr_link_prompt_part_t (XDR *xdrs, link_prompt_part_t *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->part))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->blocked))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->crashes))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->level))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->since_ms))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->left_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_BOOL(buf, objp->blocked);
+			IXDR_PUT_U_LONG(buf, objp->crashes);
+			IXDR_PUT_U_LONG(buf, objp->level);
+			IXDR_PUT_LONG(buf, objp->since_ms);
+			IXDR_PUT_LONG(buf, objp->left_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->part))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->blocked))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->crashes))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->level))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->since_ms))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->left_ms))
+				 return FALSE;
+		} else {
+			objp->blocked = IXDR_GET_BOOL(buf);
+			objp->crashes = IXDR_GET_U_LONG(buf);
+			objp->level = IXDR_GET_U_LONG(buf);
+			objp->since_ms = IXDR_GET_LONG(buf);
+			objp->left_ms = IXDR_GET_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->part))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->blocked))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->crashes))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->level))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->since_ms))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_link_prompt_parts_t (XDR *xdrs, link_prompt_parts_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, ~0,
+		sizeof (link_prompt_part_t), (xdrproc_t) xdr_link_prompt_part_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_link_crash_t (XDR *xdrs, link_crash_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_bytes_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_wire_bytes_t (xdrs, &objp->replica))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->start_time))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, ~0,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_link_sound_part_t (XDR *xdrs, link_sound_part_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->part))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_link_share_t (XDR *xdrs, link_share_t *objp)
 {
@@ -837,6 +946,18 @@
 		 if (!xdr_u_int (xdrs, &objp->link_msg_t_u.entries))
 			 return FALSE;
 		break;
+	case LINK_PROMPT_PARTS:
+		 if (!xdr_link_prompt_parts_t (xdrs, &objp->link_msg_t_u.prompt_parts))
+			 return FALSE;
+		break;
+	case LINK_CRASH:
+		 if (!xdr_link_crash_t (xdrs, &objp->link_msg_t_u.crash))
+			 return FALSE;
+		break;
+	case LINK_SOUND_PART:
+		 if (!xdr_link_sound_part_t (xdrs, &objp->link_msg_t_u.sound))
+			 return FALSE;
+		break;
 	case LINK_CALL:
 		 if (!xdr_link_call_t (xdrs, &objp->link_msg_t_u.call))
 			 return FALSE;
--- a/src/proto/link_xdr.h
+++ b/src/proto/link_xdr.h
@@ -60,6 +60,41 @@
 };
 typedef struct link_welcome_t link_welcome_t;
 
+struct link_prompt_part_t {
+	u_quad_t part;
+	bool_t blocked;
+	u_int crashes;
+	u_int level;
+	int since_ms;
+	int left_ms;
+};
+typedef struct link_prompt_part_t link_prompt_part_t;
+
+struct link_prompt_parts_t {
+	struct {
+		u_int parts_len;
+		link_prompt_part_t *parts_val;
+	} parts;
+};
+typedef struct link_prompt_parts_t link_prompt_parts_t;
+
+struct link_crash_t {
+	wire_bytes_t request;
+	wire_bytes_t replica;
+	u_quad_t start_time;
+	struct {
+		u_int parts_len;
+		u_quad_t *parts_val;
+	} parts;
+};
+typedef struct link_crash_t link_crash_t;
+
+struct link_sound_part_t {
+	u_quad_t part;
+	int age_ms;
+};
+typedef struct link_sound_part_t link_sound_part_t;
+
 struct link_share_t {
 	wire_bytes_t service;
 	quad_t weight;
@@ -393,6 +428,9 @@
 	LINK_QUOTA_RETURN = 21,
 	LINK_COUNTS_QUOTAS = 22,
 	LINK_FLEET_ENTRIES = 23,
+	LINK_PROMPT_PARTS = 24,
+	LINK_CRASH = 25,
+	LINK_SOUND_PART = 26,
 };
 typedef enum link_kind_t link_kind_t;
 
@@ -418,6 +456,9 @@
 		link_over_quota_t over_quota;
 		wire_bytes_t customer;
 		u_int entries;
+		link_prompt_parts_t prompt_parts;
+		link_crash_t crash;
+		link_sound_part_t sound;
 		link_call_t call;
 		link_reply_t reply;
 	} link_msg_t_u;
@@ -432,6 +473,10 @@
 extern  bool_t xdr_link_leaving_t (XDR *, link_leaving_t*);
 extern  bool_t xdr_link_hello_t (XDR *, link_hello_t*);
 extern  bool_t xdr_link_welcome_t (XDR *, link_welcome_t*);
+extern  bool_t xdr_link_prompt_part_t (XDR *, link_prompt_part_t*);
+extern  bool_t xdr_link_prompt_parts_t (XDR *, link_prompt_parts_t*);
+extern  bool_t xdr_link_crash_t (XDR *, link_crash_t*);
+extern  bool_t xdr_link_sound_part_t (XDR *, link_sound_part_t*);
 extern  bool_t xdr_link_share_t (XDR *, link_share_t*);
 extern  bool_t xdr_link_route_t (XDR *, link_route_t*);
 extern  bool_t xdr_link_route_key_t (XDR *, link_route_key_t*);
@@ -471,6 +516,10 @@
 extern bool_t xdr_link_leaving_t ();
 extern bool_t xdr_link_hello_t ();
 extern bool_t xdr_link_welcome_t ();
+extern bool_t xdr_link_prompt_part_t ();
+extern bool_t xdr_link_prompt_parts_t ();
+extern bool_t xdr_link_crash_t ();
+extern bool_t xdr_link_sound_part_t ();
 extern bool_t xdr_link_share_t ();
 extern bool_t xdr_link_route_t ();
 extern bool_t xdr_link_route_key_t ();
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -200,6 +200,7 @@
 				   {STR("Prompt-Prefix"), STR("5c:800,91:410,e4:250")}};
 	http_head_t h = make_head("POST", "/x/1?q=2", v, 5);
 	platform_call_t c;
+	prompt_parts_t parts;
 	uint64_t shared;
 
 	ck_assert_int_eq(platform_call_decode(&h, &c), STATUS_OK);
@@ -210,6 +211,15 @@
 	ck_assert_int_eq(c.last_event_id, 12);
 	shared = c.prefix_hash;
 	ck_assert_uint_ne(shared, 0);
+	ck_assert_uint_eq(c.prompt.n, 2);
+	ck_assert_uint_eq(c.prompt.v[0], str_hash(STR("5c")));
+	ck_assert_uint_eq(c.prompt.v[1], str_hash(STR("91")));
+	platform_item_prompt_decode(
+		STR("Model: m\r\nprompt-prefix: 5c:800, 91:410,e4:250\r\nX: 1,2\r\n"), &parts);
+	ck_assert_uint_eq(parts.n, 2);
+	ck_assert_mem_eq(parts.v, c.prompt.v, 2 * sizeof(parts.v[0]));
+	platform_item_prompt_decode(STR("Model: m\r\nPrompt-Prefix: 5c:800"), &parts);
+	ck_assert_uint_eq(parts.n, 0);
 	h.headers = (const http_header_t[]){{STR("Prompt-Prefix"), STR("5c:800,91:410,ff:1")}};
 	h.nheaders = 1;
 	platform_call_decode(&h, &c);
