Prompt parts of the same first crashes are told apart before they are blocked

A blocked sound part is refused for minutes, as no answer with it can begin. Parts of the same crashes are now blocked from the fifth such crash; before, a further crash tells them apart, or an answer with one of them does.

--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -19,6 +19,8 @@
 #define CRASHES_MIN 3
 /** The same if all crashes are under one request, such as an item that is run again. */
 #define CRASHES_ALONE_MIN 4
+/** The same for parts that were in the same crashes: a further crash may tell them apart. */
+#define CRASHES_TIED_MIN 5
 /** The same for a part that is known as sound. */
 #define CRASHES_SOUND_MIN 6
 /** Maximum number of crashes that are recorded of one part. */
@@ -402,19 +404,23 @@
 	report(q, QUARANTINE_BLOCKED, p);
 }
 
-/* Blocks the parts with the most crashes among those that are known as sound, or are not. Several
- * have equally many if they were always together. */
+/* Blocks the part with the most crashes among those that are known as sound, or are not; several,
+ * if they have been together all the time. */
 static bool block_most_suspected(quarantine_t *q, bool known_sound, deadline_t now)
 {
 	unsigned most = 0;
+	unsigned tied = 0;
 	part_t *p;
 
 	for (p = q->parts; p; p = p->hh.next) {
 		unsigned n = is_known_sound(q, p, now) == known_sound ? weigh(q, p, now) : 0;
 
+		if (n > most)
+			tied = 0;
 		most = n > most ? n : most;
+		tied += n > 0 && n == most;
 	}
-	if (most == 0)
+	if (most == 0 || (tied > 1 && most < CRASHES_TIED_MIN))
 		return false;
 	for (p = q->parts; p; p = p->hh.next) {
 		if (is_known_sound(q, p, now) == known_sound && weigh(q, p, now) == most)
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -87,6 +87,39 @@
 }
 END_TEST
 
+START_TEST(sound_part_of_the_same_first_crashes_is_not_blocked)
+{
+	seen_t s;
+	quarantine_t *q = make_quarantine(&s);
+
+	crash(q, "a", 1, parts_of(1, CRASH_PART, 0), 1000);
+	crash(q, "b", 2, parts_of(1, CRASH_PART, 0), 1000);
+	crash(q, "c", 3, parts_of(1, CRASH_PART, 0), 1000);
+	quarantine_tick(q, 1600);
+	ck_assert(!blocks(q, CRASH_PART, 1600));
+	crash(q, "d", 4, parts_of(2, CRASH_PART, 0), 1700);
+	quarantine_tick(q, 2200);
+	ck_assert(blocks(q, CRASH_PART, 2200));
+	ck_assert(!blocks(q, 1, 2200));
+	quarantine_free(q);
+}
+END_TEST
+
+START_TEST(parts_of_the_same_five_crashes_are_blocked)
+{
+	seen_t s;
+	quarantine_t *q = make_quarantine(&s);
+
+	for (int i = 0; i < 5; i++)
+		crash(q, (const char *[]){"a", "b", "c", "d", "e"}[i], (uint64_t)i,
+		      parts_of(1, CRASH_PART, 0), 1000 + i);
+	quarantine_tick(q, 1600);
+	ck_assert(blocks(q, CRASH_PART, 1600));
+	ck_assert(blocks(q, 1, 1600));
+	quarantine_free(q);
+}
+END_TEST
+
 START_TEST(crash_of_a_replica_that_answers_later_is_taken_back)
 {
 	seen_t s;
@@ -488,6 +521,8 @@
 
 	tcase_set_timeout(t, 60);
 	tcase_add_test(t, part_of_three_crashes_is_blocked);
+	tcase_add_test(t, sound_part_of_the_same_first_crashes_is_not_blocked);
+	tcase_add_test(t, parts_of_the_same_five_crashes_are_blocked);
 	tcase_add_test(t, crash_of_a_replica_that_answers_later_is_taken_back);
 	tcase_add_test(t, answer_with_the_part_ends_its_block);
 	tcase_add_test(t, next_block_is_twice_as_long_and_needs_one_crash);
