--- a/tests/proc/test_links.py
+++ b/tests/proc/test_links.py
@@ -6,6 +6,7 @@
 """
 import asyncio
 import signal
+import struct
 import time
 import unittest
 
@@ -115,6 +116,23 @@
         self.assertLess(self.total_bytes(), ENTRIES * IDLE_BYTES)
 
 
+class Kinds(LinksCase):
+    """A peer of a newer build may send messages of kinds that this build doesn't know."""
+
+    def test_messages_of_newer_kinds_are_skipped(self):
+        links = [e.link_count for e in self.entries]
+
+        async def send():
+            for e in self.entries[:20]:
+                for kind in (1000, 1001):
+                    e.send(struct.pack(">IQ", kind, 7))
+        self.kit.loop.run(send())
+        time.sleep(1)
+        self.assertEqual([e.link_count for e in self.entries], links)
+        self.assertTrue(all(e.linked for e in self.entries))
+        self.assertEqual(sum(c.log_text().count("event=link_message_skipped") for c in self.kit.controls), 20)
+
+
 class Views(LinksCase):
     """Changes of membership must reach the entries concerned without a new view for every entry."""
 
