--- a/src/front/front.h
+++ b/src/front/front.h
@@ -24,6 +24,7 @@
 #include "policy/dispatch.h"
 #include "policy/leaving.h"
 #include "policy/proof.h"
+#include "policy/quarantine.h"
 #include "policy/quota.h"
 #include "policy/reach.h"
 #include "state/route_table.h"
@@ -100,6 +101,8 @@
 	uint64_t hop_random; /* state of prng_next() */
 	front_reach_t *reach; /* whether this process reaches the replicas */
 	leaving_t *leaving_replicas; /* replicas that announced to this process that they leave */
+	quarantine_t *quarantine; /* prompt parts that crash replicas */
+	bool leader_quarantines; /* the linked leader counts the crashes */
 	dispatch_t *local_dispatch; /* used while no leader is connected, NULL otherwise */
 	uint64_t last_request; /* number of the latest online request */
 	front_request_t *requests; /* hash by number */
@@ -203,6 +206,23 @@
 		     deadline_t deadline);
 void front_hop_caller_left(front_hop_t *p);
 
+/* front_quarantine.c: prompt parts that crash replicas */
+
+void front_quarantine_start(front_t *f);
+/** Tells the leader that this process knows the messages on prompt parts. */
+void front_quarantine_offer(front_t *f);
+void front_quarantine_link_down(front_t *f);
+/** Handles the leader's list of suspected and blocked parts. */
+void front_quarantine_update(front_t *f, const link_prompt_parts_t *m);
+/** The answer to a prompt with these parts has begun. */
+void front_quarantine_began(front_t *f, replica_ref_t replica, const prompt_parts_t *parts);
+/** The replica has answered. */
+void front_quarantine_alive(front_t *f, replica_ref_t replica);
+/** The connection to the replica has ended before the answer to the request began. */
+void front_quarantine_broke(front_t *f, str_t request, replica_ref_t replica,
+			    const prompt_parts_t *parts);
+void front_quarantine_tick(front_t *f, deadline_t now);
+
 /* front_attempt.c: one attempt to run a request or an item on a replica */
 
 typedef struct front_attempt front_attempt_t;
@@ -217,9 +237,10 @@
 typedef enum {
 	FRONT_ATTEMPT_DONE, /* the answer is complete */
 	FRONT_ATTEMPT_UNSENT, /* no byte was written: the replica did not get the request */
-	FRONT_ATTEMPT_BROKEN, /* the answer ended early, was malformed or too long, had too many
-				 events in a row without progress, lacked the id on a reused
-				 connection, or was rejected by the callback event or bytes */
+	FRONT_ATTEMPT_BROKEN, /* the answer ended early or within an event, was malformed or too
+				 long, had too many events in a row without progress, lacked the id
+				 on a reused connection, or was rejected by the callback event or
+				 bytes */
 	FRONT_ATTEMPT_SILENT /* no event within the silence timeout */
 } front_attempt_end_t;
 
@@ -228,6 +249,7 @@
 	str_t request; /* bytes to send; copied */
 	str_t id; /* of the request; answers with another id are skipped */
 	replica_ref_t replica; /* copied */
+	prompt_parts_t prompt; /* parts of the prompt of the request */
 	const char *addr;
 	bool new_connection; /* don't reuse an idle connection, which the replica may be closing */
 	int64_t first_event_ms; /* silence timeout until the first event; 0: none */
@@ -236,8 +258,8 @@
 	void (*head)(void *ctx, const http_head_t *h, const platform_reply_t *r);
 	/** FRONT_EVENT_INVALID ends the attempt as broken. */
 	front_attempt_event_t (*event)(void *ctx, const sse_event_t *e);
-	/** Body bytes of an answer that is not a signed event stream with status 200; of such a
-	 * stream, the bytes after the last complete event. False ends the attempt as broken. */
+	/** Body bytes of an answer that is not a signed event stream with status 200. False ends
+	 * the attempt as broken. */
 	bool (*bytes)(void *ctx, str_t piece);
 	/** Called once, unless the attempt is cancelled; the attempt is freed afterwards. */
 	void (*end)(void *ctx, front_attempt_end_t how);
@@ -323,6 +345,8 @@
 void front_request_over_quota(front_request_t *q, int64_t retry_ms, const char *by);
 /** This entry is cut off from the replicas: ends the requests that wait for a slot or connect. */
 void front_request_end_unsent(front_t *f);
+/** Ends a request that has had no event if a part of its prompt is blocked; returns true then. */
+bool front_request_check_quarantine(front_request_t *q);
 /** True while the request waits for a slot. */
 bool front_request_is_waiting(const front_request_t *q);
 front_request_t *front_request_find(front_t *f, uint64_t number);
