Store: what a restart reads is made durable, stale segments and torn marks are harmless

A process that ends after a failed sync reads the records back from the page cache at its next start; its sync succeeds without writing them, and they count as durable. The same for the segment before one without a header, which was not even synced. Now the tail that no record proves to be synced is written again, then synced. 2. The removal of a segment that could not be begun was not synced. After a restart the log went on in the segment before; a crash could bring the removed one back, whose header cuts what had been synced since. Now synced_len counts what was synced.

a_store_whose_sync_failed_stays_failed allows for one sync more at the start (the directory's); its check is as before. A start needs a disk that takes writes, as before (open_failed until then).

--- a/src/raft/store_internal.h
+++ b/src/raft/store_internal.h
@@ -33,8 +33,7 @@
 	uint16_t entry_kind;
 	uint64_t index; /* STORE_RECORD_HARD_STATE: the vote */
 	uint64_t term;
-	/** Length of the segment before the write that added this record; all of it was synced,
-	 * except a STORE_RECORD_SYNC_MARK at its end. */
+	/** Synced length of the segment before the write that added this record. */
 	uint64_t synced_len;
 } store_record_t;
 
@@ -125,7 +124,7 @@
 /** Creates the segment and continues the log in it. previous_len: synced length of the segment
  * before it; 0 if there is none. After an error the segment does not exist. */
 status_t store_segment_begin(store_t *s, uint64_t number, uint64_t previous_len);
-/** Opens the last segment, of which `size` bytes are valid, to append to it. */
+/** Opens the last segment, of which `size` bytes are valid and synced, to append to it. */
 status_t store_segment_continue(store_t *s, uint64_t size);
 void store_segment_path(const store_t *s, uint64_t number, char path[STORE_PATH_BYTES]);
 /** Adds a segment to the list of segments. */
--- a/src/raft/store_log.c
+++ b/src/raft/store_log.c
@@ -125,7 +125,7 @@
 	status_t st;
 
 	store_segment_path(s, s->number, path);
-	finalize_records(b, s->size);
+	finalize_records(b, s->synced_size);
 	st = store_file_write(&s->fault, s->segment_fd, path, str_buf(b), (off_t)s->size);
 	if (st == STATUS_OK)
 		st = store_file_sync(&s->fault, s->segment_fd, path);
@@ -152,6 +152,7 @@
 	if (st != STATUS_OK)
 		return st;
 	s->size = sizeof(h);
+	s->synced_size = 0;
 	pthread_mutex_lock(&s->lock);
 	hard = s->hard_state;
 	pthread_mutex_unlock(&s->lock);
@@ -194,8 +195,9 @@
 	if (s->segment_fd < 0)
 		return status_fail(STATUS_IO, "%s: open: %s", path, strerror(errno));
 	s->size = s->synced_size = size;
-	/* A process that was killed may have left records that it had not synced. */
-	return store_file_sync(&s->fault, s->segment_fd, path);
+	/* A segment that could not be begun may come back in a crash until its removal is
+	 * synced. */
+	return store_dir_sync(&s->fault, s->dir);
 }
 
 /* Continues the log in a new segment. The old one ends with what was synced of it. */
@@ -284,7 +286,7 @@
 		return;
 	s->has_sync_mark = true;
 	append_record(&b, (store_record_t){.type = STORE_RECORD_SYNC_MARK}, (str_t){0});
-	finalize_records(&b, s->size);
+	finalize_records(&b, s->synced_size);
 	store_segment_path(s, s->number, path);
 	if (store_file_write(&s->fault, s->segment_fd, path, str_buf(&b), (off_t)s->size) ==
 	    STATUS_OK)
--- a/src/raft/store_replay.c
+++ b/src/raft/store_replay.c
@@ -20,6 +20,7 @@
 	size_t n;
 	size_t cap;
 	uint64_t max_index; /* highest entry index in the segment being read */
+	size_t synced_len; /* bytes of it that its records prove to be synced */
 } replay_t;
 
 static void truncate_entries(replay_t *rp, size_t n)
@@ -125,13 +126,19 @@
 	       h->crc == store_crc(0, h, offsetof(store_segment_header_t, crc));
 }
 
-static status_t truncate_tail(store_t *s, const char *path, size_t at)
+/* Truncates the segment to its first n bytes and makes them durable. What is not proved to be
+ * synced is written again: if a sync failed before this start, the next one would succeed without
+ * writing it. */
+static status_t make_tail_durable(store_t *s, const char *path, str_t file, size_t synced, size_t n)
 {
 	int fd = open(path, O_RDWR | O_CLOEXEC);
 	status_t st = STATUS_OK;
 
-	if (fd < 0 || ftruncate(fd, (off_t)at) != 0)
+	if (fd < 0 || (n < file.n && ftruncate(fd, (off_t)n) != 0))
 		st = status_fail(STATUS_IO, "%s: truncate: %s", path, strerror(errno));
+	if (st == STATUS_OK)
+		st = store_file_write(&s->fault, fd, path, (str_t){file.p + synced, n - synced},
+				      (off_t)synced);
 	if (st == STATUS_OK)
 		st = store_file_sync(&s->fault, fd, path);
 	if (fd >= 0)
@@ -159,6 +166,8 @@
 		if (n == 0)
 			break;
 		st = replay_record(rp, &rec, data, path, *at);
+		if (rec.synced_len <= *at)
+			rp->synced_len = rec.synced_len;
 		*at += n;
 	}
 	return st;
@@ -186,12 +195,12 @@
 	if (st != STATUS_OK)
 		return st;
 	*size = at;
-	if (end.len ? at == end.len : at == file.n)
+	if (!end.may_be_torn && (end.len ? at == end.len : at == file.n))
 		return STATUS_OK;
 	if (!end.may_be_torn || was_synced(file, at))
 		return status_fail(STATUS_CORRUPT, "%s: offset %zu: damaged record", path, at);
 	rp->contents->cut_bytes = file.n - at;
-	return truncate_tail(rp->s, path, at);
+	return make_tail_durable(rp->s, path, file, rp->synced_len, at);
 }
 
 static status_t read_file(const store_t *s, uint64_t number, buf_t *out)
@@ -240,7 +249,7 @@
 				break;
 			end = end_before(rp->s, numbers[i], str_buf(&next), i + 2 == n);
 		}
-		rp->max_index = 0;
+		rp->max_index = rp->synced_len = 0;
 		previous_size = size;
 		st = read_segment(rp, numbers[i], str_buf(&file), end, &size);
 		if (st == STATUS_OK && size > 0)
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -327,7 +327,7 @@
 {
 	uint64_t seq;
 
-	setenv("AUBURN_DISK_FAULT", "fsync_fail_after=2", 1); /* the start itself syncs once */
+	setenv("AUBURN_DISK_FAULT", "fsync_fail_after=3", 1); /* the start itself syncs twice */
 	ck_assert_int_eq(reopen(), STATUS_OK);
 	unsetenv("AUBURN_DISK_FAULT");
 	append_synced(1, 1, STR("a"));
