--- a/src/raft/store_file.c
+++ b/src/raft/store_file.c
@@ -171,7 +171,10 @@
 
 	snprintf(path, sizeof(path), "%s/%s", dir, name);
 	snprintf(tmp, sizeof(tmp), "%s/%s.tmp", dir, name);
-	fd = open(tmp, O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, 0600);
+	/* Not the file of an earlier attempt: after a failed sync of it the next one proves
+	 * nothing. */
+	unlink(tmp);
+	fd = open(tmp, O_CREAT | O_EXCL | O_WRONLY | O_CLOEXEC, 0600);
 	if (fd < 0)
 		return io_error("open", tmp);
 	st = write_parts(f, fd, tmp, parts, n);
--- a/src/raft/store_replay.c
+++ b/src/raft/store_replay.c
@@ -154,10 +154,10 @@
 	bool is_last; /* its start may be incomplete, too */
 } segment_end_t;
 
-/* Reads the records of a segment up to its end; *at is where they end. *marked: the last one is a
- * mark, so that the others were synced. */
+/* Reads the records of a segment up to its end; *at is where they end. *mark_at: where the last one
+ * begins if it is a mark, so that those before it were synced; else 0. */
 static status_t replay_records(replay_t *rp, str_t file, const char *path, uint64_t len, size_t *at,
-			       bool *marked)
+			       size_t *mark_at)
 {
 	store_record_t rec;
 	status_t st = STATUS_OK;
@@ -169,7 +169,7 @@
 		if (n == 0)
 			break;
 		st = replay_record(rp, &rec, data, path, *at);
-		*marked = rec.type == STORE_RECORD_SYNC_MARK;
+		*mark_at = rec.type == STORE_RECORD_SYNC_MARK ? *at : 0;
 		*at += n;
 	}
 	return st;
@@ -182,7 +182,7 @@
 	char path[STORE_PATH_BYTES];
 	size_t at = sizeof(store_segment_header_t);
 	uint64_t previous_len;
-	bool marked = false;
+	size_t mark_at = 0;
 	status_t st;
 
 	store_segment_path(rp->s, number, path);
@@ -194,12 +194,17 @@
 		}
 		return status_fail(STATUS_CORRUPT, "%s: offset 0: damaged start", path);
 	}
-	st = replay_records(rp, file, path, end.len, &at, &marked);
+	st = replay_records(rp, file, path, end.len, &at, &mark_at);
 	if (st != STATUS_OK)
 		return st;
 	*size = at;
-	if (end.len ? at == end.len : at == file.n && (marked || !end.may_be_torn))
+	if (end.len ? at == end.len : at == file.n && !end.may_be_torn)
 		return STATUS_OK;
+	if (end.len == 0 && at == file.n && mark_at) {
+		/* The mark itself may not be synced: the log continues in its place. */
+		*size = mark_at;
+		return STATUS_OK;
+	}
 	if (!end.may_be_torn || was_synced(file, at))
 		return status_fail(STATUS_CORRUPT, "%s: offset %zu: damaged record", path, at);
 	rp->contents->cut_bytes = file.n - at;
