Soak: disks of control processes that refuse writes, followed by another lost disk

From seed 2000 on (older seeds draw as before) a control process's disk refuses writes for 0.3 to 6 s; in three of four cases another one loses its disk 1, 3 or 5 s after the first takes writes again, or as soon as the restart that is under way is over. Never two disks lost or refusing at a time, and 8 s between two losses, as before.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -29,6 +29,8 @@
 SETTLE_S = 25.0     # lots must be finished this long after the last fault
 REVOKE_S = 2.5      # a request sent later than this after a key was revoked must not run
 CUSTOMER_SEEDS = 1000   # runs with seeds from here on have customers
+DISK_SEEDS = 2000       # from here on also disks of control processes that refuse writes
+LOSS_GAP_S = 8.0        # between two losses of a disk
 QUOTA = {"ratePerS": 3, "burst": 3}     # of one customer, which sends more
 QUOTA_WINDOW_S, QUOTA_MAX = 5.0, (3 * 5 + 3) * 1.1 + 20     # runs in any such window
 
@@ -151,6 +153,7 @@
     """One run: the load, the faults, and the checks of what was observed."""
 
     def __init__(self, seed, seconds):
+        self.seed = seed
         self.rng = random.Random(seed)
         self.replica_rng = random.Random(seed + 0x5eed)  # of replica_faults(): older seeds draw as before
         random.seed(seed)
@@ -166,7 +169,10 @@
         self.stop = False
         self.faulted = set()        # ids of replicas that had a fault
         self.announcements = []     # (id of a leaving replica, time when the first answer that announces it ended)
+        self.disk_rng = random.Random(seed + 0xd15c)    # of disk_faults()
         self.last_wipe = 0.0
+        self.control_lock = asyncio.Lock()  # held by a fault that stops or restarts control processes
+        self.failing_disk = None    # control process whose disk refuses writes, or did until just before
         self.faults_begun = []
 
     def fail(self, message):
@@ -320,8 +326,8 @@
             p.start()
 
     async def wipe(self, c):
-        """Restarts a control process on an empty disk, at most one in 8 s."""
-        if time.time() - self.last_wipe < 8:
+        """Restarts a control process on an empty disk, unless another disk was lost or failed just before."""
+        if time.time() - self.last_wipe < LOSS_GAP_S or self.failing_disk:
             return
         self.last_wipe = time.time()
         c.stop()
@@ -333,6 +339,27 @@
         c.start()
         await asyncio.sleep(5)
 
+    async def disk_faults(self):
+        """Has disks refuse writes for some time; in some cases another one is lost 1, 3 or 5 s after the return."""
+        end = time.time() + self.seconds
+        while time.time() < end:
+            await asyncio.sleep(self.disk_rng.uniform(0.5, 3))
+            c = self.disk_rng.choice(self.kit.controls)
+            s, gap_s = self.disk_rng.uniform(0.3, 6), self.disk_rng.choice([0, 1, 3, 5])
+            other = self.disk_rng.choice([x for x in self.kit.controls if x is not c])
+            if time.time() - self.last_wipe < LOSS_GAP_S:
+                continue
+            self.failing_disk = c
+            c.fill_disk()
+            await asyncio.sleep(s)
+            c.fill_disk(False)
+            await asyncio.sleep(gap_s or 1)
+            self.failing_disk = None
+            self.faults_begun.append("disk")
+            if gap_s:
+                async with self.control_lock:
+                    await self.wipe(other)
+
     async def crash_replica(self, i):
         """Resets all connections of a replica and gives it a new id, as if another replica took over its address."""
         r = self.kit.replicas[i]
@@ -399,14 +426,13 @@
 
     async def faults(self):
         k = self.kit
-        control_lock = asyncio.Lock()
 
         async def exclusively(coro):
             """Runs a fault of control processes, unless another one is in progress."""
-            if control_lock.locked():
+            if self.control_lock.locked():
                 coro.close()
                 return
-            async with control_lock:
+            async with self.control_lock:
                 await coro
                 await asyncio.sleep(1.5)
         tasks = []
@@ -561,7 +587,8 @@
         await asyncio.sleep(1.5)
         load = [self.callers(), self.batch_load(), self.operator(), self.config_reader()]
         load = [asyncio.ensure_future(x) for x in load + [self.keep_alive_caller(f) for f in k.fronts]]
-        await asyncio.gather(self.faults(), self.replica_faults())
+        disk_faults = [self.disk_faults()] if self.seed >= DISK_SEEDS else []
+        await asyncio.gather(self.faults(), self.replica_faults(), *disk_faults)
         self.deadline = time.time() + SETTLE_S
         await asyncio.sleep(2)
         self.stop = True
@@ -599,7 +626,8 @@
 
 def main():
     a = argparse.ArgumentParser()
-    a.add_argument("--seeds", default="1..3", help="those from %d on have customers" % CUSTOMER_SEEDS)
+    a.add_argument("--seeds", default="1..3", help="from %d on with customers, from %d on also with full disks"
+                   % (CUSTOMER_SEEDS, DISK_SEEDS))
     a.add_argument("--seconds", type=float, default=12)
     a.add_argument("--jobs", type=int, default=1)
     a.add_argument("--one", type=int)
