--- a/src/raft/store_file.c
+++ b/src/raft/store_file.c
@@ -34,6 +34,7 @@
 
 	f->fsync_fail_after = parse_fault(env, "fsync_fail_after=");
 	f->full_after_bytes = parse_fault(env, "full_after_bytes=");
+	f->capacity_bytes = parse_fault(env, "capacity_bytes=");
 	parse_fault_path(env, "full_while_exists=", f->full_while_exists,
 			 sizeof(f->full_while_exists));
 }
@@ -48,13 +49,35 @@
 	return f->full_while_exists[0] && access(f->full_while_exists, F_OK) == 0;
 }
 
+/* Total size of the files in the folder of this one. */
+static long folder_bytes(const char *name)
+{
+	char dir[STORE_PATH_BYTES];
+	struct dirent *e;
+	struct stat sb;
+	long n = 0;
+	DIR *d;
+
+	snprintf(dir, sizeof(dir), "%.*s", (int)(strrchr(name, '/') - name), name);
+	d = opendir(dir);
+	while (d && (e = readdir(d))) {
+		if (fstatat(dirfd(d), e->d_name, &sb, 0) == 0 && S_ISREG(sb.st_mode))
+			n += sb.st_size;
+	}
+	if (d)
+		closedir(d);
+	return n;
+}
+
 /* Subtracts n bytes from the space left on a simulated full disk; false if there is not enough. */
-static bool fault_allows_write(store_disk_fault_t *f, size_t n)
+static bool fault_allows_write(store_disk_fault_t *f, const char *name, size_t n)
 {
 	long left = __atomic_load_n(&f->full_after_bytes, __ATOMIC_RELAXED);
 
 	if (fault_is_full(f))
 		return false;
+	if (f->capacity_bytes >= 0 && folder_bytes(name) + (long)n > f->capacity_bytes)
+		return false;
 	if (left < 0)
 		return true;
 	if ((long)n > left)
@@ -65,7 +88,7 @@
 
 status_t store_file_write(store_disk_fault_t *f, int fd, const char *name, str_t data, off_t at)
 {
-	if (!fault_allows_write(f, data.n)) {
+	if (!fault_allows_write(f, name, data.n)) {
 		errno = ENOSPC;
 		return io_error("write", name);
 	}
--- a/src/raft/store_file.h
+++ b/src/raft/store_file.h
@@ -8,10 +8,12 @@
 #include "base/str.h"
 
 /** Read from AUBURN_DISK_FAULT when a store is opened: "fsync_fail_after=100",
- * "full_after_bytes=65536", "full_while_exists=/path", or several separated by commas. */
+ * "full_after_bytes=65536", "capacity_bytes=65536", "full_while_exists=/path", or several separated
+ * by commas. */
 typedef struct {
 	long fsync_fail_after; /* syncs that still succeed; -1: all */
 	long full_after_bytes; /* bytes that can still be written; -1: no limit */
+	long capacity_bytes; /* size of the folder at which it is full; -1: no limit */
 	char full_while_exists[256]; /* writes and syncs fail while this file exists; empty: never
 				      */
 } store_disk_fault_t;
--- a/tests/unit/test_group.c
+++ b/tests/unit/test_group.c
@@ -523,6 +523,31 @@
 }
 END_TEST
 
+/* Three times as much as the disk holds is written to the log. */
+START_TEST(a_disk_that_is_full_of_old_log_entries_is_freed_by_a_snapshot)
+{
+	enum { CAPACITY = 4 << 20, ENTRY = 4096, ENTRIES = 3 * CAPACITY / ENTRY };
+	char fault[64];
+	char number[ENTRY];
+
+	memset(number, '0', sizeof(number));
+	number[ENTRY - 2] = '1';
+	number[ENTRY - 1] = 0;
+	snprintf(fault, sizeof(fault), "capacity_bytes=%d", CAPACITY);
+	setenv("AUBURN_DISK_FAULT", fault, 1);
+	start_replica(0, 1);
+	wait_leader(-1);
+	for (int i = 0; i < ENTRIES; i++)
+		ck_assert_int_eq(propose_number(0, number), STATUS_OK);
+	stop_replica(0);
+	start_replica(0, 1);
+	unsetenv("AUBURN_DISK_FAULT");
+	wait_leader(-1);
+	ck_assert_int_eq(propose_number(0, "1"), STATUS_OK);
+	ck_assert_uint_eq(nodes[0].sum, ENTRIES + 1);
+}
+END_TEST
+
 /* Proposes to each replica in turn until 50 commands are committed. */
 static void *propose_thread(void *arg)
 {
@@ -580,6 +605,7 @@
 	tcase_add_test(t, a_replica_with_a_damaged_directory_joins_again_under_a_new_id);
 	tcase_add_test(t, a_replica_with_a_failed_disk_acknowledges_nothing);
 	tcase_add_test(t, a_replica_whose_disk_refused_writes_votes_again_once_the_disk_takes_them);
+	tcase_add_test(t, a_disk_that_is_full_of_old_log_entries_is_freed_by_a_snapshot);
 	tcase_add_test(t, concurrent_proposals_share_syncs);
 	return suite_run(s);
 }
