An entry that is cut off hands its requests to another entry

Cause: callers keep a look-up for 2 to 6 s; those that came to a cut entry meanwhile were refused, some at several entries in turn until they gave up.

The header Auburn-Hop marks it, so the other entry, which identifies the caller and counts the request, never hands it on; it isn't forwarded to replicas. If it wasn't written: 503; if it broke or the deadline passed after that: 502 or 504. A caller that leaves ends it. tests/proc/test_reach.py HandOver (7 tests; none can pass before).

--- a/src/front/front.h
+++ b/src/front/front.h
@@ -52,6 +52,7 @@
 typedef struct front_item front_item_t;
 typedef struct front_held front_held_t;
 typedef struct front_reach front_reach_t;
+typedef struct front_hop front_hop_t;
 
 /** A replica in this entry's view. */
 typedef struct {
@@ -96,6 +97,7 @@
 	link_view_t view; /* replicas, entries and control processes, as the leader last sent them;
 			     without a leader, the replicas may be from upstream_list */
 	front_replica_t *replicas; /* hash by id, from view */
+	uint64_t hop_random; /* state of prng_next() */
 	front_reach_t *reach; /* whether this process reaches the replicas */
 	leaving_t *leaving_replicas; /* replicas that announced to this process that they leave */
 	dispatch_t *local_dispatch; /* used while no leader is connected, NULL otherwise */
@@ -191,8 +193,15 @@
 void front_reach_failed(front_t *f, str_t replica, reach_failure_t how);
 /** True while this entry reaches no replica: it refuses online requests. */
 bool front_is_cut_off(const front_t *f);
-/** True if look-ups name this entry. The leader lists entries that are cut off only if all are. */
-bool front_is_listed(const front_t *f);
+/** True if all entries are cut off, as far as this one knows. */
+bool front_all_cut_off(const front_t *f);
+
+/* front_hop.c: requests handed to another entry */
+
+/** Hands a request that has not run to an entry that reaches replicas; false if none is known. */
+bool front_hop_start(front_t *f, http_conn_t *c, const http_request_t *r, str_t id,
+		     deadline_t deadline);
+void front_hop_caller_left(front_hop_t *p);
 
 /* front_attempt.c: one attempt to run a request or an item on a replica */
 
@@ -364,9 +373,9 @@
 /** The data of a caller's connection while a request is answered: this struct, or one that begins
  * with it. */
 typedef struct {
-	enum { FRONT_CONN_REQUEST, FRONT_CONN_LOT, FRONT_CONN_HELD } kind;
-	void *target; /* FRONT_CONN_REQUEST: the front_request_t; otherwise the http_conn_t * to set
-			 to NULL when the caller leaves */
+	enum { FRONT_CONN_REQUEST, FRONT_CONN_LOT, FRONT_CONN_HELD, FRONT_CONN_HOP } kind;
+	void *target; /* FRONT_CONN_REQUEST: the front_request_t; FRONT_CONN_HOP: the front_hop_t;
+			 otherwise the http_conn_t * to set to NULL when the caller leaves */
 } front_conn_data_t;
 
 #endif
--- /dev/null
+++ b/src/front/front_hop.c
@@ -0,0 +1,171 @@
+/* Hands a request of an entry that is cut off from the replicas to an entry that is not, and relays
+ * the answer. The other entry identifies the caller, counts the request and runs it as if the
+ * caller had sent it; it never hands it on. */
+#include <stdlib.h>
+#include "base/log.h"
+#include "base/metric.h"
+#include "base/prng.h"
+#include "front/front.h"
+#include "policy/failure.h"
+
+/** Connect timeout; handshakes between entries take a few ms. */
+#define CONNECT_MS 250
+/** Maximum size of an answer in bytes. */
+#define ANSWER_BYTES_MAX (16U << 20)
+/** Retry-After if the other entry was not reached: the caller only has to connect to another. */
+#define RETRY_MS 20
+
+struct front_hop {
+	front_conn_data_t data; /* of the connection; first */
+	front_t *f;
+	http_conn_t *conn;
+	http_call_t *call;
+	timeout_t timer; /* expires at the deadline */
+	deadline_t received;
+	int status; /* of the answer; 0: none has begun */
+	char id[64];
+	char entry[64]; /* ip:port */
+};
+
+static void log_end(const front_hop_t *p, const char *outcome, int status)
+{
+	log_event(LOG_LEVEL_INFO, "hand_over_end", LOG_CSTR("request", p->id),
+		  LOG_CSTR("entry", p->entry), LOG_CSTR("outcome", outcome),
+		  LOG_INT("status", status), LOG_INT("ms", clock_now_ms() - p->received));
+}
+
+static void hop_free(front_hop_t *p)
+{
+	timeout_stop(&p->timer);
+	free(p);
+}
+
+/* Ends a request to which no whole answer came. */
+static void end_failed(front_hop_t *p, failure_t why, bool sent, const char *outcome)
+{
+	http_conn_t *c = p->conn;
+	int status = p->status ? 0 : failure_status(why, sent);
+	AUTO_BUF headers = {0};
+
+	log_end(p, outcome, status);
+	http_conn_set_data(c, NULL);
+	hop_free(p);
+	if (status == 0) {
+		http_reply_abort(c);
+		return;
+	}
+	if (status == 503)
+		platform_add_retry_after(&headers, RETRY_MS);
+	http_reply(c, status, str_buf(&headers), STR(""));
+}
+
+static bool on_head(void *ctx, const http_head_t *h)
+{
+	front_hop_t *p = ctx;
+	AUTO_BUF headers = {0};
+
+	p->status = h->status;
+	platform_reply_headers(&headers, h);
+	http_reply_begin(p->conn, h->status, str_buf(&headers));
+	return true;
+}
+
+static void on_body(void *ctx, str_t piece)
+{
+	front_hop_t *p = ctx;
+
+	http_reply_chunk(p->conn, piece);
+}
+
+static void on_end(void *ctx, http_call_end_t how)
+{
+	front_hop_t *p = ctx;
+	http_conn_t *c = p->conn;
+
+	p->call = NULL;
+	if (how != HTTP_CALL_DONE) {
+		end_failed(p, FAILURE_NO_ATTEMPT_LEFT, how != HTTP_CALL_UNSENT, "broken");
+		return;
+	}
+	log_end(p, "ok", p->status);
+	http_conn_set_data(c, NULL);
+	hop_free(p);
+	http_reply_end(c);
+}
+
+static void on_deadline(void *ctx)
+{
+	front_hop_t *p = ctx;
+	bool sent = http_call_sent(p->call);
+
+	http_call_cancel(p->call);
+	end_failed(p, FAILURE_DEADLINE, sent, "deadline");
+}
+
+void front_hop_caller_left(front_hop_t *p)
+{
+	log_end(p, "caller left", 0);
+	http_call_cancel(p->call);
+	hop_free(p);
+}
+
+/* Picks another one of the entries that look-ups name, in the own zone if there is one; NULL if
+ * there are none. */
+static const link_entry_t *pick_entry(front_t *f)
+{
+	const link_entry_t *best = NULL;
+	bool best_same_zone = false;
+	unsigned ties = 0;
+
+	for (u_int i = 0; i < f->view.entries.entries_len; i++) {
+		const link_entry_t *e = &f->view.entries.entries_val[i];
+		bool same_zone = str_eq(wire_str(e->zone), str_c(f->settings.zone));
+
+		if (str_eq(wire_str(e->addr), str_c(f->settings.listen)))
+			continue;
+		if (best && same_zone < best_same_zone)
+			continue;
+		if (!best || same_zone > best_same_zone)
+			ties = 0;
+		if (prng_next(&f->hop_random) % ++ties != 0)
+			continue;
+		best = e;
+		best_same_zone = same_zone;
+	}
+	return best;
+}
+
+bool front_hop_start(front_t *f, http_conn_t *c, const http_request_t *r, str_t id,
+		     deadline_t deadline)
+{
+	const link_entry_t *e = front_all_cut_off(f) ? NULL : pick_entry(f);
+	AUTO_BUF request = {0};
+	front_hop_t *p;
+
+	if (!e)
+		return false;
+	p = mem_new(sizeof(*p));
+	p->data = (front_conn_data_t){FRONT_CONN_HOP, p};
+	p->f = f;
+	p->conn = c;
+	p->received = r->received;
+	snprintf(p->id, sizeof(p->id), "%.*s", STR_ARG(id));
+	snprintf(p->entry, sizeof(p->entry), "%.*s", STR_ARG(wire_str(e->addr)));
+	METRIC_INC("auburn_handed_over_total");
+	platform_hop_encode(&request, &r->head, r->body, clock_left_ms(deadline));
+	http_conn_set_data(c, &p->data);
+	timeout_init(&p->timer, f->loop, on_deadline, p);
+	timeout_set(&p->timer, clock_left_ms(deadline));
+	p->call = http_call_start(f->http, &(http_call_options_t){
+						   .request = str_buf(&request),
+						   .addr = p->entry,
+						   .new_conn = true,
+						   .max_bytes = ANSWER_BYTES_MAX,
+						   .connect_deadline = clock_now_ms() + CONNECT_MS,
+						   .ctx = p,
+						   .head = on_head,
+						   .body = on_body,
+						   .end = on_end,
+					   });
+	return true;
+}
--- a/src/front/front_reach.c
+++ b/src/front/front_reach.c
@@ -10,6 +10,9 @@
 
 /** Timeout of a probe; handshakes take a few ms. */
 #define PROBE_MS 250
+/** An entry that look-ups still name this long after it was cut off, in ms, is not the only one:
+ * the leader lists entries that are cut off only if all are. */
+#define LISTED_MS 500
 /** Maximum number of open probes. */
 #define PROBES_MAX (2 * REACH_PROBES_MAX)
 
@@ -169,8 +172,10 @@
 	return f->reach->cut_off;
 }
 
-bool front_is_listed(const front_t *f)
+bool front_all_cut_off(const front_t *f)
 {
+	if (!f->reach->cut_off || clock_now_ms() - f->reach->cut_off_at < LISTED_MS)
+		return false;
 	for (u_int i = 0; i < f->view.entries.entries_len; i++) {
 		if (str_eq(wire_str(f->view.entries.entries_val[i].addr),
 			   str_c(f->settings.listen)))
@@ -181,6 +186,7 @@
 
 void front_reach_start(front_t *f)
 {
+	f->hop_random = ((uint64_t)clock_now_us() ^ str_hash(str_c(f->settings.name))) | 1;
 	f->reach = mem_new(sizeof(*f->reach));
 	f->reach->reach = reach_new();
 	f->reach->next_probe = (u_int)str_hash(str_c(f->settings.name)) & 0xffff;
--- a/src/front/front_request.c
+++ b/src/front/front_request.c
@@ -143,15 +143,37 @@
 	return since + q->give_up_ms;
 }
 
-/* Ends a request because this entry reaches no replica. The connection closes, as the caller is to
- * use another entry for its next requests. */
+/* Hands the request to an entry that reaches replicas, if it has not run and was not handed over
+ * before; returns whether it was. */
+static bool hand_over(front_request_t *q)
+{
+	front_t *f = q->f;
+	http_conn_t *c = q->conn;
+	http_request_t req = q->req;
+	str_t id = q->call.id;
+	deadline_t deadline = q->deadline;
+	void *data = http_conn_data(c);
+
+	if (q->may_have_run || q->head_sent || q->call.handed_over ||
+	    !front_hop_start(f, c, &req, id, deadline))
+		return false;
+	record_end(q, "handed over", 0);
+	free(data);
+	request_free(q);
+	return true;
+}
+
+/* Ends a request here because this entry reaches no replica. The connection closes, as the caller
+ * is to use another entry for its next requests. */
 static void end_cut_off(front_request_t *q)
 {
-	bool elsewhere = !front_is_listed(q->f);
+	bool elsewhere = !front_all_cut_off(q->f);
 
-	METRIC_INC("auburn_refused_cut_off_total");
 	if (elsewhere)
 		http_conn_close_after_reply(q->conn);
+	if (hand_over(q))
+		return;
+	METRIC_INC("auburn_refused_cut_off_total");
 	end_failed(q, FAILURE_REFUSED, elsewhere ? RETRY_ELSEWHERE_MS : RETRY_ALL_CUT_OFF_MS,
 		   "cut off from the replicas");
 }
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -86,6 +86,10 @@
 
 	if (!d)
 		return;
+	if (d->kind == FRONT_CONN_HOP) {
+		front_hop_caller_left(d->target);
+		return;
+	}
 	if (d->kind != FRONT_CONN_REQUEST) {
 		*(http_conn_t **)d->target = NULL;
 		return;
--- a/tests/proc/test_reach.py
+++ b/tests/proc/test_reach.py
@@ -8,15 +8,15 @@
 import time
 import unittest
 
-from link_kit import LinkEntry
+from link_kit import LinkEntry, opaque
 from path_kit import Paths
-from platform_kit import Kit
+from platform_kit import HOST, Kit, read_message
 
 NOTICED_S = 2   # within which an entry with callers has noticed the cut
 BACK_S = 1      # within which it serves again after the cut
 
 
-class CutOff(unittest.TestCase):
+class ReachCase(unittest.TestCase):
     def setUp(self):
         self.kit = Kit(replicas=6)
         self.addCleanup(self.kit.close)
@@ -66,6 +66,8 @@
     def cut_off(self, front):
         return self.run_one(self.kit.metric(front, "auburn_cut_off")) == 1
 
+
+class CutOff(ReachCase):
     def check_cut_and_heal(self, cut):
         cut()
         self.load(NOTICED_S)
@@ -119,5 +121,103 @@
             self.assertEqual(self.send(f)[0], 200)
 
 
+class SoundEntry(LinkEntry):
+    """A simulated entry that is listed, answers requests itself, and says in `fault` how it fails."""
+
+    def __init__(self, kit):
+        self.addr = kit.next_addr()
+        self.requests = []          # (request line, headers, body)
+        self.fault = None
+        self.left = 0               # requests whose sender closed the connection
+        super().__init__("sound", [c.ip for c in kit.controls], kit.port + 1, 0.01)
+
+    def hello(self):
+        return super().hello().replace(opaque(b"sound:9"), opaque(self.addr.encode()))
+
+    async def listen(self):
+        ip, port = self.addr.split(":")
+        self.server = await asyncio.start_server(self.answer, ip, int(port))
+
+    async def answer(self, reader, writer):
+        m = await read_message(reader)
+        self.requests.append(m)
+        if self.fault == "breaks":
+            writer.transport.abort()
+            return
+        if self.fault == "silent":
+            self.left += await reader.read(1) == b""
+            return
+        status = b"503 X\r\nRetry-After: 0.7" if self.fault == "refuses" else b"200 OK\r\nSignature: of-the-replica"
+        body = b"from the other entry"
+        writer.write(b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body))
+        await writer.drain()
+        writer.close()
+
+
+class HandOver(ReachCase):
+    """Guards against a request that runs twice or is lost on the way to another entry, and against one that is handed
+    on without end."""
+
+    def setUp(self):
+        super().setUp()
+
+        async def start():
+            other = SoundEntry(self.kit)
+            await other.listen()
+            return other
+        self.other = self.run_one(start())
+        self.addCleanup(lambda: setattr(self.other, "closed", True))
+        self.wait_for("link of the other entry", lambda: self.other.addr in self.addresses(), 5)
+        self.paths.darken()
+        self.load(NOTICED_S)
+        self.wait_for("look-up without them", lambda: self.addresses() == {self.other.addr}, 1)
+        self.other.requests.clear()
+
+    def send_with(self, headers=(), timeout=4, wait_ms=1500):
+        rid = "%016x" % random.getrandbits(64)
+        return self.run_one(self.kit.stream(self.kit.fronts[0], "/alert/1?q=2", rid, wait_ms, timeout=timeout,
+                                            headers=headers))
+
+    def test_the_answer_of_the_other_entry_is_relayed(self):
+        status, headers, body = self.send_with([("Authorization", "Bearer k")])
+        self.assertEqual((status, headers["signature"], body), (200, "of-the-replica", b"from the other entry"))
+        (line, sent, body), = self.other.requests
+        self.assertEqual((line[0], line[1], sent["host"], sent["authorization"]),
+                         ("POST", "/alert/1?q=2", HOST, "Bearer k"))
+        self.assertEqual(body, b"body of " + sent["request-id"].encode())
+        self.assertLessEqual(int(sent["deadline-ms"]), 1500)
+
+    def test_a_request_is_handed_over_once(self):
+        self.assertEqual(self.send_with([("Auburn-Hop", "1")])[0], 503)
+        self.assertEqual(self.other.requests, [])
+
+    def test_refusal_of_the_other_entry_is_passed_on(self):
+        self.other.fault = "refuses"
+        status, headers, _ = self.send_with()
+        self.assertEqual((status, headers["retry-after"]), (503, "0.7"))
+
+    def test_request_that_breaks_on_the_way_may_have_run(self):
+        self.other.fault = "breaks"
+        self.assertEqual(self.send_with()[0], 502)
+        self.assertEqual(len(self.other.requests), 1)
+
+    def test_request_that_does_not_reach_the_other_entry_has_not_run(self):
+        self.run_one(self.close_other())
+        self.assertEqual(self.send_with()[0], 503)
+
+    async def close_other(self):
+        self.other.server.close()
+
+    def test_deadline_ends_the_wait(self):
+        self.other.fault = "silent"
+        self.assertEqual(self.send_with(wait_ms=400)[0], 504)
+        self.wait_for("end of the connection", lambda: self.other.left == 1, 1)
+
+    def test_disconnect_of_the_caller_is_passed_on(self):
+        self.other.fault = "silent"
+        self.assertEqual(self.send_with(timeout=0.3)[0], 0)
+        self.wait_for("end of the connection", lambda: self.other.left == 1, 1)
+
+
 if __name__ == "__main__":
     unittest.main()
