Progress of an item shows that its replica is sound

Cause: after a failure a replica has one slot until a run succeeds. If an item takes that slot, the replica stays at one slot until the item ends, seconds later.

Change: a reported progress of an item ends the failure state of its replica, as the end of a run does. A unit test fails before.

--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -450,6 +450,7 @@
 	buf_add(&it->text, wire_str(m->text));
 	it->events = m->events;
 	hub_lots_add_progress(h, it);
+	dispatch_item_progressed(h->dispatch, it->dispatch_ref, clock_now_ms());
 }
 
 void hub_dispatch_message(hub_t *h, hub_peer_t *p, const link_msg_t *m)
--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -514,6 +514,17 @@
 	return it->state == ITEM_WAITING || it->adopt_until > now;
 }
 
+void dispatch_item_progressed(dispatch_t *d, dispatch_item_t *it, deadline_t now)
+{
+	bool had_failed = it->replica && it->replica->failures > 0;
+
+	if (it->state != ITEM_RUNNING || !it->replica)
+		return;
+	update_health(d, it->entry, it->replica, DISPATCH_OK, now);
+	if (had_failed)
+		dispatch_place_all(d, now);
+}
+
 void dispatch_item_requeue(dispatch_t *d, dispatch_item_t *it, dispatch_outcome_t how,
 			   deadline_t now)
 {
--- a/src/policy/dispatch.h
+++ b/src/policy/dispatch.h
@@ -145,6 +145,8 @@
 /** Registers that an entry is already running the item. */
 void dispatch_item_adopt(dispatch_t *d, dispatch_item_t *it, uint64_t entry, str_t replica,
 			 deadline_t now);
+/** Records that a running item has made progress, which shows that its replica is sound. */
+void dispatch_item_progressed(dispatch_t *d, dispatch_item_t *it, deadline_t now);
 /** Queues an item again after a run that ended without completing it, or was preempted. Does
  * nothing if the item is waiting. */
 void dispatch_item_requeue(dispatch_t *d, dispatch_item_t *it, dispatch_outcome_t how,
--- a/tests/unit/test_dispatch_items.c
+++ b/tests/unit/test_dispatch_items.c
@@ -285,6 +285,26 @@
 }
 END_TEST
 
+/* After a failure a replica has one slot until a run succeeds; an item may hold it for seconds. */
+START_TEST(a_replica_that_failed_is_used_again_once_an_item_on_it_makes_progress)
+{
+	dispatch_t *d = new_dispatcher(1, 4);
+	int data;
+	dispatch_item_t *it;
+
+	add_request(d, 1, 0);
+	dispatch_request_ended(d, 1, 1, DISPATCH_BROKEN, 100);
+	it = dispatch_item_add(d, STR("s"), 60000, &data);
+	dispatch_tick(d, 400);
+	ck_assert_int_eq(effects[1].kind, ITEM_STARTED);
+	dispatch_item_progressed(d, it, 600);
+	add_request(d, 2, 610);
+	ck_assert_int_eq(neffects, 3);
+	ck_assert_int_eq(effects[2].kind, GRANTED);
+	dispatch_free(d);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("dispatch_items");
@@ -304,6 +324,7 @@
 	tcase_add_test(t, an_entry_that_reconnects_keeps_its_item);
 	tcase_add_test(t, no_item_starts_before_entries_have_reported_the_items_they_run);
 	tcase_add_test(t, an_item_that_failed_on_a_replica_runs_on_another);
+	tcase_add_test(t, a_replica_that_failed_is_used_again_once_an_item_on_it_makes_progress);
 	suite_add_tcase(s, t);
 	return suite_run(s);
 }
