--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -256,6 +256,26 @@
 
 /* Headers of the connection, and those that this process sets itself, must not be passed on from
  * the client. */
+START_TEST(a_request_that_is_handed_over_keeps_its_credentials_and_is_marked_once)
+{
+	const http_header_t v[] = {
+		{STR("Host"), STR("a.example")},    {STR("Authorization"), STR("Bearer k")},
+		{STR("Auburn-Hop"), STR("forged")}, {STR("Transfer-Encoding"), STR("chunked")},
+		{STR("Deadline-Ms"), STR("5000")},  {STR("Last-Event-Id"), STR("3")}};
+	http_head_t h = make_head("POST", "/x/1?q=2", v, 6);
+	AUTO_BUF b = {0};
+	AUTO_BUF to_replica = {0};
+	platform_send_t s = {.replica = STR("i-7"), .caller_timeout_ms = 1200};
+
+	platform_hop_encode(&b, &h, STR("body"), 1200);
+	ck_assert_str_eq(b.p, "POST /x/1?q=2 HTTP/1.1\r\nHost: a.example\r\n"
+			      "Authorization: Bearer k\r\nLast-Event-Id: 3\r\nDeadline-Ms: 1200\r\n"
+			      "Auburn-Hop: 1\r\nContent-Length: 4\r\n\r\nbody");
+	platform_request_encode(&to_replica, &h, STR("body"), &s);
+	ck_assert_int_lt(str_find(str_buf(&to_replica), STR("Auburn-Hop")), 0);
+}
+END_TEST
+
 START_TEST(a_request_to_a_replica_keeps_the_end_to_end_headers)
 {
 	const http_header_t v[] = {{STR("Host"), STR("a.example")},
@@ -445,6 +465,7 @@
 	tcase_add_test(t, a_request_is_decoded);
 	tcase_add_test(t, a_header_that_is_not_a_number_is_refused);
 	tcase_add_test(t, calls_on_lots_are_decoded);
+	tcase_add_test(t, a_request_that_is_handed_over_keeps_its_credentials_and_is_marked_once);
 	tcase_add_test(t, a_request_to_a_replica_keeps_the_end_to_end_headers);
 	tcase_add_test(t, an_item_is_sent_as_a_request);
 	tcase_add_test(t, a_reply_says_whether_the_request_ran);
