--- a/tests/mixed_builds.py
+++ b/tests/mixed_builds.py
@@ -22,9 +22,7 @@
 import platform_kit as pk  # noqa: E402
 
 Build = collections.namedtuple("Build", "name folder")
-if len(sys.argv) != 3:
-    sys.exit(__doc__)
-OLD, NEW = [Build(n, os.path.abspath(x)) for n, x in zip(("old", "new"), sys.argv[1:])]
+OLD = NEW = None    # set by set_builds
 LONG_TOKENS = 1000  # takes the stand-in of an engine 5 s or more
 LONG_EVENTS = 300   # takes the platform's stand-in 6 s
 STEERINGS = 40      # stops until the wanted process leads all groups; a kill moves a group there with chance 1/2
@@ -32,6 +30,12 @@
 counts = {"passed": 0, "failed": 0}
 
 
+def set_builds(old, new):
+    """The folders of the two builds that all steps refer to."""
+    global OLD, NEW
+    OLD, NEW = (Build(n, os.path.abspath(x)) for n, x in (("old", old), ("new", new)))
+
+
 class Stop(Exception):
     """A step failed; the rest of its fleet isn't run."""
 
@@ -83,10 +87,10 @@
             raise ValueError("%s auburnctl %s: exit %d: %s" % (build.name, args, p.returncode, p.stderr + p.stdout))
         return p.stdout
 
-    def status(self, build=OLD):
-        return {c["name"]: c for c in json.loads(self.ctl(build, "status", "--json"))["controls"] if c.get("name")}
+    def status(self, build=None):
+        return {c["name"]: c for c in json.loads(self.ctl(build or OLD, "status", "--json"))["controls"] if c.get("name")}
 
-    def agreed(self, build=OLD):
+    def agreed(self, build=None):
         """Names of the groups' leaders once all processes are voters, agree on them and hold what is committed."""
         st, out = self.status(build), []
         if set(st) != {p.name for p in self.controls}:
@@ -513,6 +517,9 @@
 
 
 def main():
+    if len(sys.argv) != 3:
+        sys.exit(__doc__)
+    set_builds(*sys.argv[1:])
     print("old = %s, new = %s" % (OLD.folder, NEW.folder))
     run("Templates of settings", templates)
     kinds = ((Entries, "entries"), (Fronts, "fronts"))
