--- a/tests/rolling_builds.py
+++ b/tests/rolling_builds.py
@@ -1,12 +1,12 @@
 #!/usr/bin/env python3
 """Replaces the processes of a fleet one after the other by those of another build, under load.
 
-    tests/rolling_builds.py COMMIT [--new BIN] [--seed S] [--builds DIR]
+    tests/rolling_builds.py COMMIT [--new BIN] [--seed S] [--builds DIR] [--onward]
 
-Builds COMMIT of this repository's history in a git worktree (below DIR, kept there; else below a temporary folder) and rolls
-control processes and fronts from it to BIN (build/bin) and back, in both orders of the roles, with turns half-way, kill -9 of
-leaders of both builds, and a disk that refuses writes. Prints a line for each step and closes with `N passed, N failed`; logs
-of a failed play are kept.
+Builds COMMIT of this repository's history in a git worktree (below DIR, kept there; else below a temporary folder) and
+rolls control processes and fronts from it to BIN (build/bin) and back, in both orders of the roles, with turns half-way,
+kill -9 of leaders of both builds, and a disk that refuses writes. Prints a line for each step and closes with
+`N passed, N failed`; logs of a failed play are kept.
 Guards against an upgrade that loses accepted lots or an acknowledged config, cuts streams, runs work twice, or in which one
 build ends a link for a message of the other.
 """
@@ -160,7 +160,8 @@
 
     def elections(self):
         """Times at which a process became leader."""
-        lines = [x for p in self.controls for x in p.log_text().splitlines() if "event=role " in x and "role=leader" in x]
+        lines = [x for p in self.controls for x in p.log_text().splitlines()
+                 if "event=role " in x and "role=leader" in x]
         return [int(re.match(r"t=(\d+)", x).group(1)) / 1000 for x in lines]
 
     def followers(self):
@@ -289,8 +290,8 @@
     return step("  who leads", m.followers) + [m.leader()]
 
 
-def control_first(m):
-    """Control processes, then fronts, onward and back; kill -9 of a leader of each build."""
+def onward(m):
+    """Control processes, then fronts; kill -9 of a leader of each build."""
     old, new = mb.OLD, mb.NEW
     step("  snapshots by the old build", m.snapshots)
     order = leader_last(m)
@@ -303,10 +304,15 @@
     step("  kill -9 of the leader", m.kill_leader)
     roll_all(m, m.shuffled_fronts(), new)
     step("  snapshots by the new build", m.snapshots)
+
+
+def control_first(m):
+    """Control processes, then fronts, onward and back; kill -9 of a leader of each build."""
+    onward(m)
     step("  links hold", m.links_hold)
-    roll_all(m, leader_last(m)[::-1], old)
+    roll_all(m, leader_last(m)[::-1], mb.OLD)
     step("  links hold", m.links_hold)
-    roll_all(m, m.shuffled_fronts(), old)
+    roll_all(m, m.shuffled_fronts(), mb.OLD)
 
 
 def fronts_first(m):
@@ -374,6 +380,8 @@
     a.add_argument("--new", default=pk.BIN)
     a.add_argument("--seed", type=int, default=1)
     a.add_argument("--builds")
+    a.add_argument("--onward", action="store_true",
+                   help="don't go back: for a build that can't read the new one's snapshots")
     o = a.parse_args()
     random.seed(o.seed)
     with tempfile.TemporaryDirectory(prefix="auburn-rolling-") as scratch:
@@ -384,7 +392,7 @@
             print("old = %s, new = %s, seed %d, customers: %s" % (o.commit, mb.NEW.folder, o.seed, customers), flush=True)
             if not os.path.exists(os.path.join(mb.OLD.folder, "auburn-front")):
                 sys.exit("%s has no auburn-front" % o.commit)
-            for how in (control_first, fronts_first):
+            for how in (onward,) if o.onward else (control_first, fronts_first):
                 play(how, customers)
         finally:
             if not o.builds:
