--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -53,6 +53,7 @@
 	msgconn_t *link;
 	bool registered; /* its hello arrived while this process leads */
 	bool draining;
+	bool cut_off; /* an entry that reaches no replica; not set while it is draining */
 	bool counts_quotas; /* an entry that knows the messages on quotas */
 	bool knows_prompt_parts; /* an entry that knows the messages on prompt parts */
 	bool skipped_newer; /* a message of a newer build was skipped and logged */
@@ -61,7 +62,8 @@
 	char addr[32]; /* ip:port for callers; empty for a control process */
 	char zone[32];
 	char rpc_addr[32]; /* RPC address; empty for an entry */
-	uint64_t replica_id; /* of its Raft replica of group 0; 0 for an entry */
+	uint64_t replica_id; /* of its Raft replica of group 0; 0: an entry, or not known yet */
+	bool disk_failed; /* a control process whose disk refuses writes */
 	deadline_t last_sent;
 	uint64_t sent_upstreams; /* digests of the lists in the last share of the view; 0: none */
 	uint64_t sent_entries;
@@ -173,6 +175,7 @@
 	dispatch_t *dispatch; /* NULL while this process does not lead */
 	deadline_t next_list_read;
 	deadline_t last_list_read; /* here or, as of the last view, by a leader; 0: never */
+	u_int fleet_entries; /* that are not draining, also those cut off from the replicas */
 	link_view_t view; /* made here while this process leads; else copied from the leader */
 	leaving_t *leaving_replicas; /* as reported by entries */
 	ring_point_t *upstream_ring; /* of the view's lists, to select the shares of entries */
@@ -209,6 +212,7 @@
 	pthread_mutex_t lock; /* guards candidates */
 	group_peer_t candidates[CONTROL_CANDIDATES_MAX];
 	unsigned ncandidates;
+	bool disk_failed; /* as last told to the leader */
 };
 
 /* hub.c */
@@ -233,6 +237,8 @@
 const link_upstream_t *hub_find_replica(const hub_t *h, str_t id);
 /** Handles an entry's report that a replica is leaving. */
 void hub_view_note_leaving(hub_t *h, const hub_peer_t *p, const link_leaving_t *m);
+/** Records whether an entry is cut off from the replicas. */
+void hub_view_note_reach(hub_t *h, hub_peer_t *p, bool cut_off);
 /** Reads the upstream list and sends a changed view when it is time to. */
 void hub_view_tick(hub_t *h, deadline_t now);
 /** Sends the view to one peer; an entry gets only its share. */
--- a/src/front/front_request.c
+++ b/src/front/front_request.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "base/metric.h"
 #include "front/front.h"
+#include "policy/failure.h"
 
 /** A request fails after this number of attempts that a replica rejected or did not receive; each
  * costs a round trip. */
@@ -24,6 +25,11 @@
 #define BUFFERED_BYTES_MAX (48U << 20)
 /** Retry-After of a refusal for which there is no estimate. */
 #define RETRY_MS 200
+/** Retry-After of an entry that is cut off from the replicas while others are not: the caller only
+ * has to connect to another entry. */
+#define RETRY_ELSEWHERE_MS 20
+/** Retry-After if all entries are cut off. */
+#define RETRY_ALL_CUT_OFF_MS 500
 
 /* True if the request may be sent to another replica after it may have run on one. */
 static bool is_repeatable(const front_request_t *q)
@@ -106,16 +112,17 @@
 	http_reply_abort(c);
 }
 
-/* Ends the request after its last attempt failed: aborts an answer that has begun. Otherwise,
- * status 502 says that the request may have run, 503 that it has not. */
-static void end_failed(front_request_t *q, const char *outcome)
+/* Ends a request that no replica has answered; aborts an answer that has begun. outcome is for the
+ * log, retry_ms for the status 503. */
+static void end_failed(front_request_t *q, failure_t why, int64_t retry_ms, const char *outcome)
 {
+	bool sent = q->attempt && front_attempt_sent(q->attempt);
+	int status = failure_status(why, q->may_have_run || sent);
+
 	if (q->head_sent)
 		end_with_abort(q, outcome);
-	else if (q->may_have_run)
-		end_with_status(q, 502, 0, outcome);
 	else
-		end_with_status(q, 503, RETRY_MS, outcome);
+		end_with_status(q, status, status == 503 ? retry_ms : 0, outcome);
 }
 
 bool front_request_check_quarantine(front_request_t *q)
@@ -159,6 +166,19 @@
 	return since + q->give_up_ms;
 }
 
+/* Ends a request because this entry reaches no replica. The connection closes, as the caller is to
+ * use another entry for its next requests. */
+static void end_cut_off(front_request_t *q)
+{
+	bool elsewhere = !front_is_listed(q->f);
+
+	METRIC_INC("auburn_refused_cut_off_total");
+	if (elsewhere)
+		http_conn_close_after_reply(q->conn);
+	end_failed(q, FAILURE_REFUSED, elsewhere ? RETRY_ELSEWHERE_MS : RETRY_ALL_CUT_OFF_MS,
+		   "cut off from the replicas");
+}
+
 static void request_slot(front_request_t *q)
 {
 	if (front_request_check_quarantine(q))
@@ -166,7 +186,10 @@
 	q->state = FRONT_REQUEST_WAITING;
 	q->requested_at = clock_now_ms();
 	q->give_up_at = give_up_time(q);
-	front_slot_request(q->f, q);
+	if (front_is_cut_off(q->f))
+		end_cut_off(q);
+	else
+		front_slot_request(q->f, q);
 }
 
 /* An attempt failed or could not be sent: requests a slot on another replica, or ends the request
@@ -174,7 +197,7 @@
 static void retry_elsewhere(front_request_t *q, dispatch_outcome_t how)
 {
 	bool not_leaving = how != DISPATCH_REPLICA_LEAVING;
-	bool ran = not_leaving && how != DISPATCH_FULL && how != DISPATCH_UNREACHABLE;
+	bool ran = failure_may_have_run(how);
 
 	front_slot_release(q->f, q, how);
 	log_event(LOG_LEVEL_INFO, "try_failed", LOG_STR("request", q->call.id),
@@ -190,11 +213,11 @@
 	q->headers.n = 0;
 	clear_body(q);
 	if (ran && (!is_repeatable(q) || q->attempts >= q->max_attempts)) {
-		end_failed(q, dispatch_outcome_name(how));
+		end_failed(q, FAILURE_NO_ATTEMPT_LEFT, RETRY_MS, dispatch_outcome_name(how));
 		return;
 	}
 	if (!ran && q->not_run >= NOT_RUN_MAX) {
-		end_failed(q, dispatch_outcome_name(how));
+		end_failed(q, FAILURE_NO_ATTEMPT_LEFT, RETRY_MS, dispatch_outcome_name(how));
 		return;
 	}
 	request_slot(q);
@@ -338,12 +361,7 @@
 		front_slot_withdraw(q->f, q);
 	else
 		front_slot_release(q->f, q, DISPATCH_CANCELLED);
-	if (q->head_sent)
-		end_with_abort(q, "deadline");
-	else if (q->may_have_run || q->state == FRONT_REQUEST_RUNNING)
-		end_with_status(q, 504, 0, "deadline");
-	else
-		end_with_status(q, 503, RETRY_MS, "deadline");
+	end_failed(q, FAILURE_DEADLINE, RETRY_MS, "deadline");
 }
 
 /* True if the request may be retried or resumed even if the current attempt may have run. Only then
@@ -412,12 +430,34 @@
 
 void front_request_refused(front_request_t *q, int64_t retry_ms)
 {
-	if (q->head_sent)
-		end_with_abort(q, "refused");
-	else if (q->may_have_run)
-		end_with_status(q, 502, 0, "refused");
-	else
-		end_with_status(q, 503, retry_ms, "refused");
+	end_failed(q, FAILURE_REFUSED, retry_ms, "refused");
+}
+
+/* True if the request waits for a slot, or its attempt still connects. */
+static bool is_unsent(const front_request_t *q)
+{
+	return q->state == FRONT_REQUEST_WAITING || (q->attempt && !front_attempt_sent(q->attempt));
+}
+
+void front_request_end_unsent(front_t *f)
+{
+	front_request_t *q = f->requests;
+
+	/* Starts again after each, as the released slot may go to any other request here. */
+	while (q) {
+		if (!is_unsent(q)) {
+			q = q->hh.next;
+			continue;
+		}
+		if (q->state == FRONT_REQUEST_WAITING) {
+			front_slot_withdraw(f, q);
+		} else {
+			front_slot_release(f, q, DISPATCH_UNREACHABLE);
+			q->attempts--;
+		}
+		end_cut_off(q);
+		q = f->requests;
+	}
 }
 
 bool front_request_is_waiting(const front_request_t *q)
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 #include "raft/store_internal.h"
 #include "suite_kit.h"
@@ -95,7 +96,7 @@
 	ck_assert_int_eq(truncate(path, size), 0);
 }
 
-static void flip_bit(const char *name, long offset)
+static void flip(const char *name, long offset, char bits)
 {
 	char path[256];
 	char c;
@@ -104,11 +105,16 @@
 	file_path(name, path);
 	fd = open(path, O_RDWR);
 	ck_assert_int_eq(pread(fd, &c, 1, offset), 1);
-	c ^= 0x40;
+	c ^= bits;
 	ck_assert_int_eq(pwrite(fd, &c, 1, offset), 1);
 	close(fd);
 }
 
+static void flip_bit(const char *name, long offset)
+{
+	flip(name, offset, 0x40);
+}
+
 #define FIRST_SEGMENT "log-0000000000000001"
 
 START_TEST(entries_and_votes_survive_a_restart)
@@ -327,7 +333,7 @@
 {
 	uint64_t seq;
 
-	setenv("AUBURN_DISK_FAULT", "fsync_fail_after=2", 1); /* the start itself syncs once */
+	setenv("AUBURN_DISK_FAULT", "fsync_fail_after=5", 1); /* the start syncs four times */
 	ck_assert_int_eq(reopen(), STATUS_OK);
 	unsetenv("AUBURN_DISK_FAULT");
 	append_synced(1, 1, STR("a"));
@@ -418,22 +424,37 @@
 }
 END_TEST
 
-/* Older builds leave the length of the segment before at 0. */
-START_TEST(segments_of_builds_that_record_no_length_of_the_one_before_are_read)
+/* Removes the data of the record at the start of a segment, as older builds write it. */
+static void remove_start_data(const char *name)
 {
-	char big[5000] = {0};
-	uint32_t none = 0;
+	size_t at = sizeof(store_segment_header_t);
+	AUTO_BUF b = {0};
+	store_record_t rec;
 	char path[256];
 	int fd;
 
+	file_path(name, path);
+	ck_assert_int_eq(store_file_read(path, &b), STATUS_OK);
+	memcpy(&rec, b.p + at, sizeof(rec));
+	ck_assert_uint_eq(rec.len, sizeof(uint64_t));
+	rec.len = 0;
+	rec.crc = store_crc(0, &rec.len, sizeof(rec) - offsetof(store_record_t, len));
+	memcpy(b.p + at, &rec, sizeof(rec));
+	at += sizeof(rec);
+	fd = open(path, O_WRONLY | O_TRUNC);
+	ck_assert_int_eq(write(fd, b.p, at), at);
+	at += sizeof(uint64_t);
+	ck_assert_int_eq(write(fd, b.p + at, b.n - at), b.n - at);
+	close(fd);
+}
+
+START_TEST(segments_of_builds_that_record_no_length_of_the_one_before_are_read)
+{
+	char big[5000] = {0};
+
 	append_synced(1, 1, (str_t){big, sizeof(big)});
 	append_synced(2, 1, STR("b"));
-	file_path("log-0000000000000002", path);
-	fd = open(path, O_RDWR);
-	ck_assert_int_eq(
-		pwrite(fd, &none, sizeof(none), offsetof(store_segment_header_t, previous_len)),
-		sizeof(none));
-	close(fd);
+	remove_start_data("log-0000000000000002");
 	ck_assert_int_eq(reopen(), STATUS_OK);
 	ck_assert_uint_eq(contents.nentries, 2);
 }
@@ -453,6 +474,217 @@
 }
 END_TEST
 
+/* Else a name that was removed could come back after a loss of power. */
+START_TEST(the_names_found_at_a_start_are_synced_before_the_log_continues)
+{
+	append_synced(1, 1, STR("a"));
+	setenv("AUBURN_DISK_FAULT", "fsync_fail_after=1", 1);
+	ck_assert_int_eq(reopen(), STATUS_IO);
+	unsetenv("AUBURN_DISK_FAULT");
+	ck_assert_int_eq(reopen(), STATUS_OK);
+}
+END_TEST
+
+/* The start continues in the segment without a header, with two syncs of its own. */
+START_TEST(the_segment_before_one_without_a_header_is_synced_before_it_is_used)
+{
+	char path[256];
+
+	append_synced(1, 1, STR("a"));
+	file_path("log-0000000000000002", path);
+	close(open(path, O_CREAT | O_WRONLY, 0600));
+	setenv("AUBURN_DISK_FAULT", "fsync_fail_after=2", 1);
+	ck_assert_int_eq(reopen(), STATUS_IO);
+	unsetenv("AUBURN_DISK_FAULT");
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.nentries, 1);
+}
+END_TEST
+
+/* Number of segments in the directory. */
+static size_t count_segments(void)
+{
+	uint64_t *numbers;
+	size_t n;
+
+	ck_assert_int_eq(store_list_numbered_files(dir, "log-", &numbers, &n), STATUS_OK);
+	free(numbers);
+	return n;
+}
+
+/* The disk has room for a segment's start, but not for the write. */
+START_TEST(a_disk_that_refuses_only_large_writes_is_not_filled_with_segments)
+{
+	char big[5000] = {0};
+	uint64_t seq;
+
+	append_synced(1, 1, STR("a"));
+	store->fault.full_after_bytes = 4000;
+	append_refused(2, 1, (str_t){big, sizeof(big)});
+	for (int i = 0; i < 20; i++)
+		ck_assert_int_eq(store_sync(store, &seq), STATUS_IO);
+	ck_assert_uint_le(count_segments(), 2);
+}
+END_TEST
+
+START_TEST(a_directory_that_cannot_be_listed_is_not_taken_for_damaged)
+{
+	struct rlimit old;
+	struct rlimit none;
+	raft_members_t nobody = {0};
+	AUTO_BUF members = {0};
+	int fd;
+
+	raft_members_encode(&nobody, &members);
+	append_synced(1, 1, STR("a"));
+	ck_assert_int_eq(store_save_snapshot(store, 1, 1, str_buf(&members), STR("s")), STATUS_OK);
+	append_synced(2, 1, STR("b"));
+	store_close(store);
+	store = NULL;
+	fd = dup(0);
+	close(fd);
+	getrlimit(RLIMIT_NOFILE, &old);
+	none = (struct rlimit){(rlim_t)fd + 1, old.rlim_max};
+	setrlimit(RLIMIT_NOFILE, &none);
+	ck_assert_msg(reopen() == STATUS_IO, "%s", status_message());
+	setrlimit(RLIMIT_NOFILE, &old);
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.nentries, 1);
+}
+END_TEST
+
+/* After a failed sync the kernel may keep the data in memory and report the next one as done. */
+START_TEST(a_start_does_not_count_on_a_second_sync_of_what_a_failed_sync_covered)
+{
+	char path[256];
+	long synced;
+	int fd;
+
+	append_synced(1, 1, STR("a"));
+	synced = file_size(FIRST_SEGMENT);
+	file_path(FIRST_SEGMENT, path);
+	fd = open(path, O_RDWR);
+	store->fault.fsync_fail_after = 0;
+	append_refused(2, 1, STR("b"));
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.nentries, 2);
+	store_close(store);
+	store = NULL;
+	ck_assert_int_eq(ftruncate(fd, synced), 0); /* a loss of power takes what was not written */
+	close(fd);
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.nentries, 2);
+}
+END_TEST
+
+/* Bytes after those that reached the disk read as zeros. */
+START_TEST(a_torn_header_of_the_segment_after_a_refused_write_is_not_taken_for_damage)
+{
+	store_segment_header_t h = {STORE_SEGMENT_MAGIC, 77, 2, 0, 0};
+	long synced;
+	char path[256];
+	int fd;
+
+	append_synced(1, 1, STR("a"));
+	synced = file_size(FIRST_SEGMENT);
+	store->fault.fsync_fail_after = 0;
+	append_refused(2, 1, STR("b"));
+	truncate_file(FIRST_SEGMENT, synced + 9);
+	h.crc = store_crc(0, &h, offsetof(store_segment_header_t, crc));
+	file_path("log-0000000000000002", path);
+	fd = open(path, O_CREAT | O_WRONLY, 0600);
+	ck_assert_int_eq(write(fd, &h, sizeof(h)), sizeof(h));
+	ck_assert_int_eq(ftruncate(fd, 72), 0);
+	close(fd);
+	ck_assert_msg(reopen() == STATUS_OK, "%s", status_message());
+	ck_assert_uint_eq(contents.nentries, 1);
+	append_synced(2, 1, STR("c"));
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.nentries, 2);
+}
+END_TEST
+
+START_TEST(damage_to_the_recorded_end_of_a_segment_loses_no_entry)
+{
+	static const char data[24] = {0};
+	uint64_t seq;
+	long at = 0;
+	long end;
+
+	append_synced(1, 1, (str_t){data, sizeof(data)});
+	append_synced(2, 1, (str_t){data, sizeof(data)});
+	store->fault.fsync_fail_after = 0;
+	store_queue_hard_state(store, 3, 2, 0);
+	ck_assert_int_eq(store_sync(store, &seq), STATUS_IO);
+	store->fault.fsync_fail_after = -1;
+	ck_assert_int_eq(store_sync(store, &seq), STATUS_OK);
+	/* Flips each bit of the segment's start. */
+	for (end = file_size("log-0000000000000002") - (long)sizeof(store_record_t); at < end;
+	     at++) {
+		for (int bit = 0; bit < 8; bit++) {
+			flip("log-0000000000000002", at, (char)(1 << bit));
+			ck_assert_msg(reopen() == STATUS_CORRUPT || contents.nentries == 2,
+				      "byte %ld bit %d", at, bit);
+			flip("log-0000000000000002", at, (char)(1 << bit));
+		}
+	}
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.nentries, 2);
+}
+END_TEST
+
+/* The process was killed between the header and the record that repeats term and vote. */
+START_TEST(a_segment_without_term_and_vote_does_not_outlive_the_one_that_has_them)
+{
+	store_segment_header_t h = {STORE_SEGMENT_MAGIC, 77, 2, 0, 0};
+	raft_members_t nobody = {0};
+	AUTO_BUF members = {0};
+	char path[256];
+	int fd;
+
+	raft_members_encode(&nobody, &members);
+	append_hard_state(3, 99);
+	append_synced(1, 3, STR("a"));
+	append_synced(2, 3, STR("b"));
+	h.crc = store_crc(0, &h, offsetof(store_segment_header_t, crc));
+	file_path("log-0000000000000002", path);
+	fd = open(path, O_CREAT | O_WRONLY, 0600);
+	ck_assert_int_eq(write(fd, &h, sizeof(h)), sizeof(h));
+	close(fd);
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	append_synced(3, 3, STR("c"));
+	for (uint64_t i = 2; i <= 3; i++)
+		ck_assert_int_eq(store_save_snapshot(store, i, 3, str_buf(&members), STR("s")),
+				 STATUS_OK);
+	file_path(FIRST_SEGMENT, path);
+	ck_assert_int_ne(access(path, F_OK), 0);
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.term, 3);
+	ck_assert_uint_eq(contents.vote, 99);
+}
+END_TEST
+
+/* As after a received snapshot that could not be read back at once. */
+START_TEST(a_snapshot_that_is_received_twice_keeps_its_file)
+{
+	AUTO_BUF members = {0};
+	raft_members_t nobody = {0};
+	raft_snap_chunk_t c = {.index = 50, .term = 2, .data = STR("state"), .last = true};
+	char path[256];
+
+	raft_members_encode(&nobody, &members);
+	c.members = str_buf(&members);
+	c.crc = store_crc(0, c.data.p, c.data.n);
+	for (int i = 0; i < 2; i++)
+		ck_assert_int_eq(store_receive_snapshot(store, &c), STATUS_OK);
+	ck_assert_uint_eq(store_oldest_snapshot(store), 0);
+	ck_assert_int_eq(store_save_snapshot(store, 60, 2, c.members, STR("s")), STATUS_OK);
+	ck_assert_uint_eq(store_oldest_snapshot(store), 50);
+	file_path("snap-0000000000000032", path);
+	ck_assert_int_eq(access(path, F_OK), 0);
+}
+END_TEST
+
 /* The expected contents of a directory; entry base + 1 + i has term terms[i]. */
 typedef struct {
 	uint64_t base;
@@ -614,6 +846,16 @@
 	tcase_add_test(t, what_is_read_at_a_start_is_synced_before_it_is_used);
 	tcase_add_test(t, segments_of_builds_that_record_no_length_of_the_one_before_are_read);
 	tcase_add_test(t, an_older_segment_that_is_shorter_than_recorded_is_an_error);
+	tcase_add_test(t, the_names_found_at_a_start_are_synced_before_the_log_continues);
+	tcase_add_test(t, the_segment_before_one_without_a_header_is_synced_before_it_is_used);
+	tcase_add_test(t, a_disk_that_refuses_only_large_writes_is_not_filled_with_segments);
+	tcase_add_test(t, a_directory_that_cannot_be_listed_is_not_taken_for_damaged);
+	tcase_add_test(t, a_start_does_not_count_on_a_second_sync_of_what_a_failed_sync_covered);
+	tcase_add_test(t,
+		       a_torn_header_of_the_segment_after_a_refused_write_is_not_taken_for_damage);
+	tcase_add_test(t, damage_to_the_recorded_end_of_a_segment_loses_no_entry);
+	tcase_add_test(t, a_segment_without_term_and_vote_does_not_outlive_the_one_that_has_them);
+	tcase_add_test(t, a_snapshot_that_is_received_twice_keeps_its_file);
 	tcase_add_loop_test(t, a_torn_write_leaves_a_prefix_of_the_records, 1, 9);
 	tcase_set_timeout(t, 60);
 	return suite_run(suite);
