Prompt parts that can't be told apart are blocked together

Such parts are now a group: only prompts with all of them are refused; an answer that begins with some of them clears these, and a crash with some of them clears the others.

--- a/src/control/hub_quarantine.c
+++ b/src/control/hub_quarantine.c
@@ -64,6 +64,8 @@
 				.level = p->level,
 				.since_ms = p->since ? (int)(now - p->since) : 0,
 				.left_ms = p->blocked ? (int)(p->until - now) : 0,
+				.group = p->group,
+				.group_size = p->group_size,
 			};
 		}
 	}
@@ -108,6 +110,8 @@
 								.level = x->level,
 								.since = now - x->since_ms,
 								.until = now + x->left_ms,
+								.group = x->group,
+								.group_size = x->group_size,
 							});
 	}
 }
--- a/src/front/front_quarantine.c
+++ b/src/front/front_quarantine.c
@@ -54,6 +54,8 @@
 		.level = p->level,
 		.since_ms = (int)(now - p->since),
 		.left_ms = p->blocked ? (int)(p->until - now) : 0,
+		.group = p->group,
+		.group_size = p->group_size,
 	};
 }
 
@@ -116,6 +118,8 @@
 			.level = x->level,
 			.since = now - x->since_ms,
 			.until = x->blocked ? now + x->left_ms : 0,
+			.group = x->group,
+			.group_size = x->group_size,
 		};
 		quarantine_adopt(f->quarantine, &parts[i]);
 		if (sound_at && (!known || first))
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -1,6 +1,5 @@
 #include "policy/quarantine.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <uthash.h>
 
@@ -48,6 +47,8 @@
 	deadline_t until; /* 0: not blocked */
 	deadline_t forget_at; /* after a block */
 	unsigned level;
+	uint64_t group; /* as in quarantine_part_t, while blocked */
+	unsigned group_size;
 	bool watched; /* suspected by another process */
 	UT_hash_handle hh;
 } part_t;
@@ -145,6 +146,8 @@
 			 : p->ncrashes ? p->crashes[0].at
 				       : 0,
 		.until = p->until,
+		.group = p->group,
+		.group_size = p->group_size,
 	};
 }
 
@@ -244,10 +247,29 @@
 	return false;
 }
 
+/* The part is no longer in its group. */
+static void leave_group(quarantine_t *q, part_t *leaver)
+{
+	uint64_t group = leaver->group;
+
+	leaver->group = 0;
+	leaver->group_size = 0;
+	for (part_t *p = q->parts; group && p; p = p->hh.next) {
+		if (p->group != group)
+			continue;
+		p->group_size--;
+		if (p->group_size == 1)
+			p->group = p->group_size = 0;
+		q->version++;
+	}
+}
+
 static void clear_part(quarantine_t *q, part_t *p)
 {
 	bool blocked = p->until != 0;
 
+	leave_group(q, p);
+
 	p->ncrashes = 0;
 	p->level = 0;
 	if (blocked)
@@ -305,10 +327,15 @@
 	else
 		set_stamp(&q->crashed, x.replica, now, REPLICAS_MAX);
 	if (quarantine_blocks(q, c->parts, now, &blocked)) {
-		part_t *p = find_part(q, blocked.part);
+		for (unsigned i = 0; i < c->parts->n; i++) {
+			part_t *p = find_part(q, c->parts->v[i]);
 
-		add_crash(q, p, &x);
-		attribute_crashes(q, p);
+			if (!p ||
+			    (p->part != blocked.part && (!p->group || p->group != blocked.group)))
+				continue;
+			add_crash(q, p, &x);
+			attribute_crashes(q, p);
+		}
 		return;
 	}
 	if (is_attributed(q, x.replica))
@@ -359,6 +386,7 @@
 			drop_crash(p, 0);
 		if (p->until && p->until <= now) {
 			report(q, QUARANTINE_EXPIRED, p);
+			leave_group(q, p);
 			p->until = 0;
 			p->ncrashes = 0;
 			p->level += p->level < LEVEL_MAX;
@@ -410,21 +438,26 @@
 {
 	unsigned most = 0;
 	unsigned tied = 0;
+	uint64_t group = 0;
 	part_t *p;
 
 	for (p = q->parts; p; p = p->hh.next) {
 		unsigned n = is_known_sound(q, p, now) == known_sound ? weigh(q, p, now) : 0;
 
 		if (n > most)
-			tied = 0;
+			tied = group = 0;
 		most = n > most ? n : most;
 		tied += n > 0 && n == most;
+		group ^= n > 0 && n == most ? p->part : 0;
 	}
 	if (most == 0 || (tied > 1 && most < CRASHES_TIED_MIN))
 		return false;
 	for (p = q->parts; p; p = p->hh.next) {
-		if (is_known_sound(q, p, now) == known_sound && weigh(q, p, now) == most)
-			block(q, p, now);
+		if (is_known_sound(q, p, now) != known_sound || weigh(q, p, now) != most)
+			continue;
+		p->group = tied > 1 ? group : 0;
+		p->group_size = tied > 1 ? tied : 0;
+		block(q, p, now);
 	}
 	for (p = q->parts; p; p = p->hh.next) {
 		if (p->until)
@@ -433,9 +466,38 @@
 	return true;
 }
 
+static unsigned count_settled(const part_t *p, deadline_t now)
+{
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < p->ncrashes; i++)
+		n += p->crashes[i].at + CONFIRM_MS <= now;
+	return n;
+}
+
+/* A crash under some parts of a group clears the others. */
+static void narrow_groups(quarantine_t *q, deadline_t now)
+{
+	part_t *p;
+	part_t *next;
+
+	HASH_ITER (hh, q->parts, p, next) {
+		unsigned most = 0;
+
+		for (const part_t *x = q->parts; p->group && x; x = x->hh.next) {
+			unsigned n = x->group == p->group ? count_settled(x, now) : 0;
+
+			most = n > most ? n : most;
+		}
+		if (p->group && count_settled(p, now) < most)
+			clear_part(q, p);
+	}
+}
+
 void quarantine_tick(quarantine_t *q, deadline_t now)
 {
 	drop_old(q, now);
+	narrow_groups(q, now);
 	while (block_most_suspected(q, false, now))
 		;
 	while (block_most_suspected(q, true, now))
@@ -454,6 +516,8 @@
 	p->since = x->since;
 	p->until = x->until > p->until ? x->until : p->until;
 	p->level = x->level > p->level ? x->level : p->level;
+	p->group = x->group;
+	p->group_size = x->group_size;
 	if (!was_blocked)
 		report(q, QUARANTINE_BLOCKED, p);
 }
@@ -480,6 +544,20 @@
 	}
 }
 
+/* True if the prompt has all parts of the group. */
+static bool has_group(const quarantine_t *q, const prompt_parts_t *parts, uint64_t group,
+		      unsigned size)
+{
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < parts->n; i++) {
+		const part_t *p = find_part(q, parts->v[i]);
+
+		n += p && p->group == group;
+	}
+	return n >= size;
+}
+
 bool quarantine_blocks(const quarantine_t *q, const prompt_parts_t *parts, deadline_t now,
 		       quarantine_part_t *out)
 {
@@ -488,7 +566,8 @@
 	for (unsigned i = 0; q->parts && i < parts->n; i++) {
 		const part_t *p = find_part(q, parts->v[i]);
 
-		if (!p || p->until <= now || (found && p->until <= out->until))
+		if (!p || p->until <= now || (found && p->until <= out->until) ||
+		    (p->group && !has_group(q, parts, p->group, p->group_size)))
 			continue;
 		found = true;
 		*out = describe(p);
@@ -516,31 +595,3 @@
 {
 	return q->version;
 }
-
-const char *quarantine_part_name(uint64_t part, char out[QUARANTINE_NAME_BYTES])
-{
-	snprintf(out, QUARANTINE_NAME_BYTES, "%016llx", (unsigned long long)part);
-	return out;
-}
-
-const char *quarantine_part_names(const prompt_parts_t *parts,
-				  char out[PROMPT_PARTS_MAX * QUARANTINE_NAME_BYTES])
-{
-	out[0] = 0;
-	for (unsigned i = 0; i < parts->n; i++) {
-		quarantine_part_name(parts->v[i], out + (size_t)i * QUARANTINE_NAME_BYTES);
-		if (i > 0)
-			out[(size_t)i * QUARANTINE_NAME_BYTES - 1] = ',';
-	}
-	return out;
-}
-
-const char *quarantine_event_name(quarantine_event_t what)
-{
-	static const char *const names[] = {[QUARANTINE_TAKEN_BACK] = "prompt_crash_taken_back",
-					    [QUARANTINE_BLOCKED] = "prompt_part_blocked",
-					    [QUARANTINE_CLEARED] = "prompt_part_released",
-					    [QUARANTINE_EXPIRED] = "prompt_part_expired"};
-
-	return names[what];
-}
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -9,7 +9,8 @@
  * when several replicas crashed, and no answer to any prompt with it has begun since the first of
  * these crashes. A crash does not count before other processes have had time to report answers of
  * the replica, and no longer once that replica process brings an answer or breaks connections
- * again: then it has not crashed. The crashes under a blocked part count for no other part. A part
+ * again: then it has not crashed. The crashes under a blocked part count for no other part. Of
+ * parts that can't be told apart, only prompts with all of them are blocked. A part
  * with which answers have begun before needs more crashes. A block ends after minutes; the next one
  * of the same part is twice as long and needs one crash.
  *
@@ -44,6 +45,9 @@
 	unsigned level; /* number of earlier blocks that ran out */
 	deadline_t since; /* first of these crashes */
 	deadline_t until; /* end of the block; 0 if suspected */
+	uint64_t group; /* of parts that can't be told apart: only prompts with all of them are
+			   blocked; 0: none */
+	unsigned group_size;
 } quarantine_part_t;
 
 typedef enum {
--- a/src/proto/link.x
+++ b/src/proto/link.x
@@ -58,6 +58,8 @@
 	unsigned int level;
 	int since_ms;			/* ago: the first of the crashes */
 	int left_ms;			/* until the block ends */
+	unsigned hyper group;		/* as in quarantine_part_t */
+	unsigned int group_size;
 };
 
 struct link_prompt_parts_t {
--- a/src/proto/link_xdr.c
+++ b/src/proto/link_xdr.c
@@ -106,13 +106,18 @@
 				 return FALSE;
 			 if (!xdr_int (xdrs, &objp->left_ms))
 				 return FALSE;
+
 		} else {
-			IXDR_PUT_BOOL(buf, objp->blocked);
-			IXDR_PUT_U_LONG(buf, objp->crashes);
-			IXDR_PUT_U_LONG(buf, objp->level);
-			IXDR_PUT_LONG(buf, objp->since_ms);
-			IXDR_PUT_LONG(buf, objp->left_ms);
+		IXDR_PUT_BOOL(buf, objp->blocked);
+		IXDR_PUT_U_LONG(buf, objp->crashes);
+		IXDR_PUT_U_LONG(buf, objp->level);
+		IXDR_PUT_LONG(buf, objp->since_ms);
+		IXDR_PUT_LONG(buf, objp->left_ms);
 		}
+		 if (!xdr_u_quad_t (xdrs, &objp->group))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->group_size))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->part))
@@ -129,13 +134,18 @@
 				 return FALSE;
 			 if (!xdr_int (xdrs, &objp->left_ms))
 				 return FALSE;
+
 		} else {
-			objp->blocked = IXDR_GET_BOOL(buf);
-			objp->crashes = IXDR_GET_U_LONG(buf);
-			objp->level = IXDR_GET_U_LONG(buf);
-			objp->since_ms = IXDR_GET_LONG(buf);
-			objp->left_ms = IXDR_GET_LONG(buf);
+		objp->blocked = IXDR_GET_BOOL(buf);
+		objp->crashes = IXDR_GET_U_LONG(buf);
+		objp->level = IXDR_GET_U_LONG(buf);
+		objp->since_ms = IXDR_GET_LONG(buf);
+		objp->left_ms = IXDR_GET_LONG(buf);
 		}
+		 if (!xdr_u_quad_t (xdrs, &objp->group))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->group_size))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -151,6 +161,10 @@
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->left_ms))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->group))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->group_size))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/proto/link_xdr.h
+++ b/src/proto/link_xdr.h
@@ -68,6 +68,8 @@
 	u_int level;
 	int since_ms;
 	int left_ms;
+	u_quad_t group;
+	u_int group_size;
 };
 typedef struct link_prompt_part_t link_prompt_part_t;
 
