--- a/src/front/front.h
+++ b/src/front/front.h
@@ -53,6 +53,7 @@
 typedef struct front_item front_item_t;
 typedef struct front_held front_held_t;
 typedef struct front_reach front_reach_t;
+typedef struct front_hop front_hop_t;
 
 /** A replica in this entry's view. */
 typedef struct {
@@ -97,6 +98,7 @@
 	link_view_t view; /* replicas, entries and control processes, as the leader last sent them;
 			     without a leader, the replicas may be from upstream_list */
 	front_replica_t *replicas; /* hash by id, from view */
+	uint64_t hop_random; /* state of prng_next() */
 	front_reach_t *reach; /* whether this process reaches the replicas */
 	leaving_t *leaving_replicas; /* replicas that announced to this process that they leave */
 	quarantine_t *quarantine; /* prompt parts that crash replicas */
@@ -182,6 +184,28 @@
 /** Passes the replicas in the view on to the local dispatcher, if there is one. */
 void front_slot_set_replicas(front_t *f);
 
+/* front_reach.c: whether this entry reaches the replicas */
+
+void front_reach_start(front_t *f);
+/** Probes while in doubt. */
+void front_reach_tick(front_t *f, deadline_t now);
+/** A connection to the replica was made. */
+void front_reach_connected(front_t *f, str_t replica);
+/** An answer of the replica has begun. */
+void front_reach_heard(front_t *f, str_t replica);
+void front_reach_failed(front_t *f, str_t replica, reach_failure_t how);
+/** True while this entry reaches no replica: it refuses online requests. */
+bool front_is_cut_off(const front_t *f);
+/** True if all entries are cut off, as far as this one knows. */
+bool front_all_cut_off(const front_t *f);
+
+/* front_hop.c: requests handed to another entry */
+
+/** Hands a request that has not run to an entry that reaches replicas; false if none is known. */
+bool front_hop_start(front_t *f, http_conn_t *c, const http_request_t *r, str_t id,
+		     deadline_t deadline);
+void front_hop_caller_left(front_hop_t *p);
+
 /* front_quarantine.c: prompt parts that crash replicas */
 
 void front_quarantine_start(front_t *f);
@@ -199,21 +223,6 @@
 			    const prompt_parts_t *parts);
 void front_quarantine_tick(front_t *f, deadline_t now);
 
-/* front_reach.c: whether this entry reaches the replicas */
-
-void front_reach_start(front_t *f);
-/** Probes while in doubt. */
-void front_reach_tick(front_t *f, deadline_t now);
-/** A connection to the replica was made. */
-void front_reach_connected(front_t *f, str_t replica);
-/** An answer of the replica has begun. */
-void front_reach_heard(front_t *f, str_t replica);
-void front_reach_failed(front_t *f, str_t replica, reach_failure_t how);
-/** True while this entry reaches no replica: it refuses online requests. */
-bool front_is_cut_off(const front_t *f);
-/** True if look-ups name this entry. The leader lists entries that are cut off only if all are. */
-bool front_is_listed(const front_t *f);
-
 /* front_attempt.c: one attempt to run a request or an item on a replica */
 
 typedef struct front_attempt front_attempt_t;
@@ -334,10 +343,10 @@
 void front_request_refused(front_request_t *q, int64_t retry_ms);
 /** The customer's quota is used up: ends the request. by: who counted, for the log. */
 void front_request_over_quota(front_request_t *q, int64_t retry_ms, const char *by);
-/** Ends a request that has had no event if a part of its prompt is blocked; returns true then. */
-bool front_request_check_quarantine(front_request_t *q);
 /** This entry is cut off from the replicas: ends the requests that wait for a slot or connect. */
 void front_request_end_unsent(front_t *f);
+/** Ends a request that has had no event if a part of its prompt is blocked; returns true then. */
+bool front_request_check_quarantine(front_request_t *q);
 /** True while the request waits for a slot. */
 bool front_request_is_waiting(const front_request_t *q);
 front_request_t *front_request_find(front_t *f, uint64_t number);
@@ -388,9 +397,9 @@
 /** The data of a caller's connection while a request is answered: this struct, or one that begins
  * with it. */
 typedef struct {
-	enum { FRONT_CONN_REQUEST, FRONT_CONN_LOT, FRONT_CONN_HELD } kind;
-	void *target; /* FRONT_CONN_REQUEST: the front_request_t; otherwise the http_conn_t * to set
-			 to NULL when the caller leaves */
+	enum { FRONT_CONN_REQUEST, FRONT_CONN_LOT, FRONT_CONN_HELD, FRONT_CONN_HOP } kind;
+	void *target; /* FRONT_CONN_REQUEST: the front_request_t; FRONT_CONN_HOP: the front_hop_t;
+			 otherwise the http_conn_t * to set to NULL when the caller leaves */
 } front_conn_data_t;
 
 #endif
--- a/src/front/front_attempt.c
+++ b/src/front/front_attempt.c
@@ -106,8 +106,8 @@
 	}
 	if (r.leaving && !r.other_replica)
 		front_replica_leaving(a->options.f, a->options.replica);
-	a->answered = r.has_signature && !r.not_run && r.status < 500;
 	front_reach_heard(a->options.f, a->options.replica.id);
+	a->answered = r.has_signature && !r.not_run && r.status < 500;
 	a->is_stream = r.event_stream && r.status == 200 && r.has_signature;
 	a->options.head(a->options.ctx, h, &r);
 	return true;
