--- a/src/raft/group_disk.c
+++ b/src/raft/group_disk.c
@@ -80,38 +80,6 @@
 	return true;
 }
 
-/* Gives up the reserve for a write that the disk has refused; logs it. False if there is none. */
-static bool give_up_reserve(group_t *g)
-{
-	if (!store_reserve_give_up(g->store))
-		return false;
-	log_event(LOG_LEVEL_WARN, "reserve_given_up", LOG_INT("group", g->options.group),
-		  LOG_CSTR("what", status_message()));
-	return true;
-}
-
-static void take_reserve(group_t *g)
-{
-	bool had = store_has_reserve(g->store);
-
-	store_reserve_take(g->store);
-	if (!had && store_has_reserve(g->store))
-		log_event(LOG_LEVEL_INFO, "reserve_taken", LOG_INT("group", g->options.group));
-}
-
-static status_t sync_log(group_t *g, uint64_t *seq)
-{
-	status_t st = store_sync(g->store, seq);
-
-	return st != STATUS_OK && give_up_reserve(g) ? store_sync(g->store, seq) : st;
-}
-
-static status_t save_snapshot(group_t *g)
-{
-	return store_save_snapshot(g->store, g->snap_index, g->snap_term, str_buf(&g->snap_members),
-				   str_buf(&g->snap_state));
-}
-
 void *group_disk_thread_main(void *arg)
 {
 	group_t *g = arg;
@@ -119,7 +87,7 @@
 	while (wait_for_records(g)) {
 		uint64_t seq = 0;
 
-		if (sync_log(g, &seq) != STATUS_OK && !retry_until_synced(g, &seq))
+		if (store_sync(g->store, &seq) != STATUS_OK && !retry_until_synced(g, &seq))
 			break;
 		report_sync(g, false, seq);
 	}
@@ -129,12 +97,9 @@
 static void *snapshot_thread_main(void *arg)
 {
 	group_t *g = arg;
-	status_t st = save_snapshot(g);
+	status_t st = store_save_snapshot(g->store, g->snap_index, g->snap_term,
+					  str_buf(&g->snap_members), str_buf(&g->snap_state));
 
-	if (st != STATUS_OK && give_up_reserve(g))
-		st = save_snapshot(g);
-	if (st == STATUS_OK)
-		take_reserve(g);
 	if (st != STATUS_OK)
 		log_event(LOG_LEVEL_ERROR, "snapshot_failed", LOG_INT("group", g->options.group),
 			  LOG_INT("index", g->snap_index), LOG_CSTR("what", status_message()));
@@ -175,8 +140,6 @@
 		g->snap_index = store_newest_snapshot(g->store);
 		g->applied_bytes += g->snap_bytes;
 		g->next_snap = clock_now_ms() + SNAPSHOT_RETRY_MS;
-	} else if (store_has_reserve(g->store)) {
-		g->next_snap = 0;
 	}
 	raft_compact(g->raft, store_oldest_snapshot(g->store));
 }
--- a/src/raft/group_internal.h
+++ b/src/raft/group_internal.h
@@ -94,8 +94,7 @@
 	bool state_lost; /* a snapshot was restored only in part; a restart repairs that */
 	uint64_t applied_bytes; /* since the last snapshot */
 	uint64_t snap_bytes; /* applied_bytes when the running snapshot was begun */
-	deadline_t next_snap; /* no snapshot is begun before: the last one failed or freed too
-				 little */
+	deadline_t next_snap; /* no snapshot is begun before, as the last one failed */
 	uint64_t snap_index; /* of the newest snapshot that was begun or installed */
 	bool snap_running; /* the snapshot thread was started and is not joined yet */
 	buf_t snap_state;
--- a/src/raft/group_thread.c
+++ b/src/raft/group_thread.c
@@ -9,8 +9,6 @@
 /* While a follower receives a snapshot, the thresholds for taking the next one are multiplied by
  * this, so that the follower can finish. */
 #define SNAPSHOT_POSTPONE_FACTOR 4
-/** Period of snapshots while the reserve of disk space is given up, in ms. */
-#define LOW_SPACE_SNAPSHOT_MS 1000
 
 static void record_ack(group_t *g, const raft_msg_t *m)
 {
@@ -184,11 +182,6 @@
 
 	if (g->snap_running || entries == 0 || clock_left_ms(g->next_snap) > 0)
 		return false;
-	if (!store_has_reserve(g->store)) {
-		/* The disk is nearly full: cuts the log, at a bounded rate. */
-		g->next_snap = clock_now_ms() + LOW_SPACE_SNAPSHOT_MS;
-		return true;
-	}
 	return entries >= g->options.snapshot_entries * factor ||
 	       g->applied_bytes >= g->options.snapshot_bytes * factor;
 }
--- a/src/raft/store.h
+++ b/src/raft/store.h
@@ -79,17 +79,6 @@
 uint64_t store_oldest_snapshot(store_t *s);
 uint64_t store_newest_snapshot(store_t *s);
 
-/** Sets space aside for a snapshot of twice the size of the newest, 1 MiB at least, unless the disk
- * has no room or enough for the newest is set aside already. store_open does this, too; afterwards
- * only the thread that saves snapshots may. */
-void store_reserve_take(store_t *s);
-/** Frees the space that is set aside, for a write that the disk has refused; false if there is
- * none. */
-bool store_reserve_give_up(store_t *s);
-/** False: the disk is full or was so a moment ago. store_save_snapshot then keeps one snapshot only
- * and cuts the log up to it. */
-bool store_has_reserve(store_t *s);
-
 typedef struct {
 	uint64_t syncs;
 	uint64_t sync_us; /* time spent on writing and syncing */
--- a/src/raft/store_internal.h
+++ b/src/raft/store_internal.h
@@ -92,8 +92,6 @@
 	uint64_t id;
 	uint64_t segment_bytes;
 	store_disk_fault_t fault;
-	_Atomic bool has_reserve; /* see store_reserve_take */
-	uint64_t reserve_bytes; /* its size; used by one thread at a time */
 	pthread_mutex_t lock; /* guards the fields down to counters */
 	buf_t queued;
 	uint64_t queued_seq;
--- a/src/raft/store_log.c
+++ b/src/raft/store_log.c
@@ -11,8 +11,7 @@
 #include <isa-l.h>
 #include "base/clock.h"
 
-#define CRC_CALL_BYTES_MAX   (1 << 30) /* crc32_iscsi takes the length as an int */
-#define SCARCE_SEGMENT_BYTES (256 * 1024)
+#define CRC_CALL_BYTES_MAX (1 << 30) /* crc32_iscsi takes the length as an int */
 
 uint32_t store_crc(uint32_t crc, const void *p, size_t n)
 {
@@ -259,15 +258,6 @@
 	pthread_mutex_unlock(&s->lock);
 }
 
-/* Size at which a segment ends. While space is scarce segments are short, as only whole ones can be
- * removed. */
-static uint64_t segment_limit(const store_t *s)
-{
-	if (s->has_reserve || s->segment_bytes < SCARCE_SEGMENT_BYTES)
-		return s->segment_bytes;
-	return SCARCE_SEGMENT_BYTES;
-}
-
 status_t store_sync(store_t *s, uint64_t *seq)
 {
 	int64_t start = clock_now_us();
@@ -277,7 +267,7 @@
 	if (s->writing.n == 0)
 		return STATUS_OK;
 	s->has_sync_mark = false;
-	if (refused || s->segment_fd < 0 || s->size >= segment_limit(s))
+	if (refused || s->segment_fd < 0 || s->size >= s->segment_bytes)
 		st = rotate_segment(s);
 	if (st == STATUS_OK)
 		st = write_and_sync(s, &s->writing);
--- a/src/raft/store_open.c
+++ b/src/raft/store_open.c
@@ -142,7 +142,6 @@
 		store_contents_free(contents);
 		return st;
 	}
-	store_reserve_take(s);
 	*out = s;
 	return STATUS_OK;
 }
--- a/src/raft/store_snapshot.c
+++ b/src/raft/store_snapshot.c
@@ -163,28 +163,6 @@
 	close_snap(&old);
 }
 
-/* Removes all snapshots but the newest. */
-static void keep_newest_snap(store_t *s)
-{
-	char path[STORE_PATH_BYTES];
-	store_snap_t old;
-
-	for (;;) {
-		pthread_mutex_lock(&s->lock);
-		if (s->nsnaps < 2) {
-			pthread_mutex_unlock(&s->lock);
-			return;
-		}
-		old = s->snaps[0];
-		s->nsnaps--;
-		memmove(s->snaps, s->snaps + 1, s->nsnaps * sizeof(s->snaps[0]));
-		pthread_mutex_unlock(&s->lock);
-		snap_path(s, old.index, path);
-		unlink(path);
-		close_snap(&old);
-	}
-}
-
 /* Opens the snapshot file just written and adds it to the list. */
 static status_t add_written_snap(store_t *s, uint64_t index)
 {
@@ -269,13 +247,9 @@
 	if (st != STATUS_OK)
 		return st;
 	st = add_written_snap(s, index);
-	if (st != STATUS_OK)
-		return st;
-	if (!s->has_reserve)
-		keep_newest_snap(s);
-	store_segments_remove(s,
-			      s->has_reserve ? store_oldest_snapshot(s) : store_newest_snapshot(s));
-	return STATUS_OK;
+	if (st == STATUS_OK)
+		store_segments_remove(s, store_oldest_snapshot(s));
+	return st;
 }
 
 static store_snap_t *find_snap(store_t *s, uint64_t index)
