--- a/tests/unit/test_rpc.c
+++ b/tests/unit/test_rpc.c
@@ -148,6 +148,23 @@
 }
 END_TEST
 
+/* The library's check for white space had undefined behaviour on U+00A1 to U+0499. */
+START_TEST(letters_outside_ascii_in_a_toml_file_cause_no_undefined_behaviour)
+{
+	static const char *const refused[] = {"port = 7\n\u00e9 = 7\n", "\u00f8\n",
+					      "port = 7 \u0394\n", "[\u00e5]\n",
+					      "port\u00e9 = 7\n"};
+	AUTO_TOML *c = NULL;
+
+	for (size_t i = 0; i < sizeof(refused) / sizeof(refused[0]); i++)
+		ck_assert_int_eq(toml_parse(str_c(refused[i]), "s.toml", &c), STATUS_INVALID);
+	ck_assert_int_eq(
+		toml_parse(STR("name = \"\u00e9\" # \u00e9\ntext = \"\"\"a\\\n\u00e9\"\"\"\n"),
+			   "s.toml", &c),
+		STATUS_OK);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("rpc");
@@ -159,5 +176,6 @@
 	tcase_add_test(t, an_unreachable_server_is_unavailable_not_a_timeout);
 	tcase_add_test(t, histogram_quantiles_are_within_4_percent);
 	tcase_add_test(t, errors_in_settings_name_line_and_key);
+	tcase_add_test(t, letters_outside_ascii_in_a_toml_file_cause_no_undefined_behaviour);
 	return suite_run(s);
 }
