--- a/src/raft/group_disk.c
+++ b/src/raft/group_disk.c
@@ -58,8 +58,48 @@
 	return !stop;
 }
 
+static void log_space(group_t *g, const char *event, const disk_space_t *d)
+{
+	log_event(LOG_LEVEL_WARN, event, LOG_INT("group", g->options.group),
+		  LOG_INT("free_bytes", (int64_t)d->free),
+		  LOG_INT("reserve_bytes", (int64_t)disk_space_reserve(d->state)),
+		  LOG_INT("removable_bytes", (int64_t)d->removable));
+}
+
+/* Has the group's thread cut the log; with `wait` returns once it has done so or cannot. */
+static void request_cut(group_t *g, bool wait)
+{
+	pthread_mutex_lock(&g->lock);
+	g->cut_due = true;
+	pthread_cond_signal(&g->wake);
+	while (wait && g->cut_due && !g->disk_stop)
+		pthread_cond_wait(&g->disk_wake, &g->lock);
+	pthread_mutex_unlock(&g->lock);
+}
+
+/* Keeps the space that a snapshot needs from being used up by the log. */
+static void make_room(group_t *g, bool *is_short)
+{
+	disk_space_verdict_t verdict;
+	disk_space_t d;
+	uint64_t applied;
+
+	pthread_mutex_lock(&g->lock);
+	applied = g->status.applied;
+	pthread_mutex_unlock(&g->lock);
+	store_measure_space(g->store, applied, &d);
+	verdict = disk_space_decide(&d);
+	if (*is_short != (verdict != DISK_SPACE_AMPLE)) {
+		*is_short = !*is_short;
+		log_space(g, *is_short ? "disk_space_short" : "disk_space_freed", &d);
+	}
+	store_set_short_segments(g->store, *is_short);
+	if (*is_short)
+		request_cut(g, verdict == DISK_SPACE_WAIT);
+}
+
 /* Writes what the disk has refused until it takes it. Returns false if the group is closing. */
-static bool retry_until_synced(group_t *g, uint64_t *seq)
+static bool retry_until_synced(group_t *g, uint64_t *seq, bool *is_short)
 {
 	deadline_t since = clock_now_ms();
 	unsigned tries = 0;
@@ -74,6 +114,7 @@
 		report_sync(g, true, 0);
 		if (!wait_to_retry(g))
 			return false;
+		make_room(g, is_short);
 	} while (store_sync(g->store, seq) != STATUS_OK);
 	log_event(LOG_LEVEL_WARN, "disk_back", LOG_INT("group", g->options.group),
 		  LOG_INT("tries", tries), LOG_INT("ms", clock_now_ms() - since));
@@ -83,11 +124,14 @@
 void *group_disk_thread_main(void *arg)
 {
 	group_t *g = arg;
+	bool is_short = false;
 
 	while (wait_for_records(g)) {
 		uint64_t seq = 0;
 
-		if (store_sync(g->store, &seq) != STATUS_OK && !retry_until_synced(g, &seq))
+		make_room(g, &is_short);
+		if (store_sync(g->store, &seq) != STATUS_OK &&
+		    !retry_until_synced(g, &seq, &is_short))
 			break;
 		report_sync(g, false, seq);
 	}
@@ -97,9 +141,14 @@
 static void *snapshot_thread_main(void *arg)
 {
 	group_t *g = arg;
-	status_t st = store_save_snapshot(g->store, g->snap_index, g->snap_term,
-					  str_buf(&g->snap_members), str_buf(&g->snap_state));
-
+	status_t st;
+
+	if (g->snap_cuts)
+		store_cut_log(g->store);
+	st = store_save_snapshot(g->store, g->snap_index, g->snap_term, str_buf(&g->snap_members),
+				 str_buf(&g->snap_state));
+	if (st == STATUS_OK && g->snap_cuts)
+		store_cut_log(g->store);
 	if (st != STATUS_OK)
 		log_event(LOG_LEVEL_ERROR, "snapshot_failed", LOG_INT("group", g->options.group),
 			  LOG_INT("index", g->snap_index), LOG_CSTR("what", status_message()));
@@ -112,7 +161,7 @@
 }
 
 /* Serializes the state as of the last applied entry and starts the thread that writes it. */
-void group_snapshot_begin(group_t *g)
+void group_snapshot_begin(group_t *g, bool cut)
 {
 	raft_members_t members;
 
@@ -126,13 +175,23 @@
 	g->options.snapshot(g->options.ctx, &g->snap_state);
 	g->snap_bytes = g->applied_bytes;
 	g->applied_bytes = 0;
+	g->snap_cuts = cut;
 	g->snap_running = true;
 	if (pthread_create(&g->snap_thread, NULL, snapshot_thread_main, g) != 0)
 		g->snap_running = false;
 }
 
+void group_cut_done(group_t *g)
+{
+	pthread_mutex_lock(&g->lock);
+	g->cut_due = false;
+	pthread_cond_signal(&g->disk_wake);
+	pthread_mutex_unlock(&g->lock);
+}
+
 /* Joins the snapshot thread, which has ended, and drops the entries that the older of the two
- * snapshots covers from the log in memory. A snapshot that failed is due again after a pause. */
+ * snapshots covers, or the only one, from the log in memory. A snapshot that failed is due again
+ * after a pause. */
 void group_snapshot_end(group_t *g)
 {
 	group_snapshot_join(g);
@@ -141,7 +200,10 @@
 		g->applied_bytes += g->snap_bytes;
 		g->next_snap = clock_now_ms() + SNAPSHOT_RETRY_MS;
 	}
-	raft_compact(g->raft, store_oldest_snapshot(g->store));
+	raft_compact(g->raft, g->snap_cuts ? store_newest_snapshot(g->store)
+					   : store_oldest_snapshot(g->store));
+	if (g->snap_cuts)
+		group_cut_done(g);
 }
 
 void group_snapshot_join(group_t *g)
--- a/src/raft/group_internal.h
+++ b/src/raft/group_internal.h
@@ -77,6 +77,7 @@
 	bool stop;
 	bool disk_stop;
 	bool disk_failed; /* the last write of the log was refused */
+	bool cut_due; /* space on the disk is short: a snapshot is to cut the log */
 	uint64_t synced_seq;
 	bool snap_ended; /* the snapshot thread has ended */
 	bool snap_failed; /* it has not written the snapshot */
@@ -96,6 +97,7 @@
 	uint64_t snap_bytes; /* applied_bytes when the running snapshot was begun */
 	deadline_t next_snap; /* no snapshot is begun before, as the last one failed */
 	uint64_t snap_index; /* of the newest snapshot that was begun or installed */
+	bool snap_cuts; /* the running snapshot is to make room on the disk */
 	bool snap_running; /* the snapshot thread was started and is not joined yet */
 	buf_t snap_state;
 	buf_t snap_members;
@@ -145,7 +147,10 @@
 /** Main function of the thread that syncs the log. */
 void *group_disk_thread_main(void *arg);
 void group_disk_wake(group_t *g);
-void group_snapshot_begin(group_t *g);
+/** cut: to make room on the disk. */
+void group_snapshot_begin(group_t *g, bool cut);
+/** Lets the disk thread go on that waits for the log to be cut. */
+void group_cut_done(group_t *g);
 void group_snapshot_end(group_t *g);
 /** Waits for the snapshot thread, if one runs. */
 void group_snapshot_join(group_t *g);
--- a/src/raft/group_thread.c
+++ b/src/raft/group_thread.c
@@ -134,6 +134,7 @@
 	uint64_t synced_seq;
 	bool disk_failed;
 	bool snap_ended;
+	bool cut_due;
 	bool stop;
 } input_batch_t;
 
@@ -144,13 +145,14 @@
 
 	pthread_mutex_lock(&g->lock);
 	if (!g->inbox.first && !g->stop && g->synced_seq == handled_seq &&
-	    g->disk_failed == handled_failure && !g->snap_ended)
+	    g->disk_failed == handled_failure && !g->snap_ended && (!g->cut_due || g->snap_running))
 		wait_until_tick(g, next_tick);
 	b->inputs = g->inbox;
 	g->inbox = (group_queue_t){0};
 	b->synced_seq = g->synced_seq;
 	b->disk_failed = g->disk_failed;
 	b->snap_ended = g->snap_ended;
+	b->cut_due = g->cut_due;
 	b->stop = g->stop;
 	pthread_mutex_unlock(&g->lock);
 }
@@ -175,17 +177,35 @@
 		raft_tick(g->raft);
 }
 
+static bool snapshot_is_possible(group_t *g)
+{
+	return !g->snap_running && !g->state_lost && raft_applied_index(g->raft) > g->snap_index &&
+	       clock_left_ms(g->next_snap) == 0;
+}
+
 static bool snapshot_is_due(group_t *g)
 {
 	uint64_t factor = raft_sending_snapshot(g->raft) ? SNAPSHOT_POSTPONE_FACTOR : 1;
 	uint64_t entries = raft_applied_index(g->raft) - g->snap_index;
 
-	if (g->snap_running || entries == 0 || clock_left_ms(g->next_snap) > 0)
-		return false;
 	return entries >= g->options.snapshot_entries * factor ||
 	       g->applied_bytes >= g->options.snapshot_bytes * factor;
 }
 
+/* Begins a snapshot if one is due. One that makes room is written even while the disk refuses the
+ * log; if it cannot be begun now, the log is written without it. */
+static void begin_due_snapshot(group_t *g, bool cut_due, bool failed)
+{
+	bool possible = snapshot_is_possible(g);
+
+	if (cut_due && possible)
+		group_snapshot_begin(g, true);
+	else if (cut_due && !g->snap_running)
+		group_cut_done(g);
+	else if (possible && !failed && snapshot_is_due(g))
+		group_snapshot_begin(g, false);
+}
+
 /* Updates the status that group_get_status returns. */
 static void publish_status(group_t *g)
 {
@@ -281,8 +301,7 @@
 		raft_flush(g->raft);
 		if (b.snap_ended)
 			group_snapshot_end(g);
-		if (!failed && snapshot_is_due(g))
-			group_snapshot_begin(g);
+		begin_due_snapshot(g, b.cut_due && !b.snap_ended, failed);
 		publish_status(g);
 	}
 	finish_on_close(g);
--- a/src/raft/store.h
+++ b/src/raft/store.h
@@ -10,6 +10,7 @@
 #ifndef AUBURN_STORE_H
 #define AUBURN_STORE_H
 
+#include "policy/disk_space.h"
 #include "raft/raft.h"
 
 typedef struct store store_t;
@@ -56,6 +57,12 @@
 status_t store_sync(store_t *s, uint64_t *seq);
 /** True if records are queued that no store_sync has written yet. */
 bool store_has_queued(store_t *s);
+/** Called by the syncing thread. Fills in the space on the disk; `removable` counts the segments
+ * without entries after index, and the one being written if short segments would end it. */
+void store_measure_space(store_t *s, uint64_t index, disk_space_t *out);
+/** Called by the syncing thread. While set, segments are short, as only whole ones can be removed.
+ */
+void store_set_short_segments(store_t *s, bool on);
 /** Called by the syncing thread when nothing is queued. Appends a mark, without a sync, that says
  * how much of the segment was synced; with it the next start can distinguish damage to the newest
  * records from an incomplete last write. */
@@ -65,6 +72,9 @@
  * hold entries covered by the older of the two. Does nothing if a snapshot at index or later
  * exists. */
 status_t store_save_snapshot(store_t *s, uint64_t index, uint64_t term, str_t members, str_t state);
+/** Makes room: removes all snapshots but the newest, and the segments that only hold entries
+ * covered by it. */
+void store_cut_log(store_t *s);
 /** Reads a chunk at c->offset of the snapshot at c->index (0: the newest), which stays valid until
  * the next call. Returns false if there is no such snapshot or it cannot be read. */
 bool store_read_snapshot(store_t *s, raft_snap_chunk_t *c);
--- a/src/raft/store_file.c
+++ b/src/raft/store_file.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
+#include <sys/statvfs.h>
 #include <unistd.h>
 
 #define READ_BYTES	    (1024 * 1024)
@@ -49,17 +50,14 @@
 	return f->full_while_exists[0] && access(f->full_while_exists, F_OK) == 0;
 }
 
-/* Total size of the files in the folder of this one. */
-static long folder_bytes(const char *name)
+/* Total size of the files in a folder. */
+static long folder_bytes(const char *dir)
 {
-	char dir[STORE_PATH_BYTES];
+	DIR *d = opendir(dir);
 	struct dirent *e;
 	struct stat sb;
 	long n = 0;
-	DIR *d;
 
-	snprintf(dir, sizeof(dir), "%.*s", (int)(strrchr(name, '/') - name), name);
-	d = opendir(dir);
 	while (d && (e = readdir(d))) {
 		if (fstatat(dirfd(d), e->d_name, &sb, 0) == 0 && S_ISREG(sb.st_mode))
 			n += sb.st_size;
@@ -69,6 +67,37 @@
 	return n;
 }
 
+static bool fault_has_room(const store_disk_fault_t *f, const char *name, size_t n)
+{
+	char dir[STORE_PATH_BYTES];
+
+	if (f->capacity_bytes < 0)
+		return true;
+	snprintf(dir, sizeof(dir), "%.*s", (int)(strrchr(name, '/') - name), name);
+	return folder_bytes(dir) + (long)n <= f->capacity_bytes;
+}
+
+uint64_t store_file_free_bytes(const store_disk_fault_t *f, const char *dir)
+{
+	struct statvfs v;
+
+	if (f->capacity_bytes >= 0) {
+		long left = f->capacity_bytes - folder_bytes(dir);
+
+		return left > 0 ? (uint64_t)left : 0;
+	}
+	if (statvfs(dir, &v) != 0)
+		return UINT64_MAX;
+	return (uint64_t)v.f_bavail * v.f_frsize;
+}
+
+uint64_t store_file_bytes(const char *path)
+{
+	struct stat sb;
+
+	return stat(path, &sb) == 0 ? (uint64_t)sb.st_size : 0;
+}
+
 /* Subtracts n bytes from the space left on a simulated full disk; false if there is not enough. */
 static bool fault_allows_write(store_disk_fault_t *f, const char *name, size_t n)
 {
@@ -76,7 +105,7 @@
 
 	if (fault_is_full(f))
 		return false;
-	if (f->capacity_bytes >= 0 && folder_bytes(name) + (long)n > f->capacity_bytes)
+	if (!fault_has_room(f, name, n))
 		return false;
 	if (left < 0)
 		return true;
--- a/src/raft/store_file.h
+++ b/src/raft/store_file.h
@@ -20,6 +20,11 @@
 
 void store_disk_fault_from_env(store_disk_fault_t *f);
 
+/** Returns the bytes that can still be written to files in this folder; UINT64_MAX if unknown. */
+uint64_t store_file_free_bytes(const store_disk_fault_t *f, const char *dir);
+/** Returns the file's size in bytes; 0 if it cannot be read. */
+uint64_t store_file_bytes(const char *path);
+
 /** Each fails with STATUS_IO and a message that names the file. */
 status_t store_file_write(store_disk_fault_t *f, int fd, const char *name, str_t data, off_t at);
 status_t store_file_sync(store_disk_fault_t *f, int fd, const char *name);
--- a/src/raft/store_internal.h
+++ b/src/raft/store_internal.h
@@ -107,6 +107,7 @@
 	/* used by the syncing thread only */
 	buf_t writing;
 	uint64_t writing_max; /* highest index among the entries in `writing` */
+	bool short_segments;
 	int segment_fd; /* -1: the next write begins a segment */
 	uint64_t number; /* of the segment being written */
 	bool has_sync_mark; /* nothing was written after the newest STORE_RECORD_SYNC_MARK */
--- a/src/raft/store_log.c
+++ b/src/raft/store_log.c
@@ -11,7 +11,8 @@
 #include <isa-l.h>
 #include "base/clock.h"
 
-#define CRC_CALL_BYTES_MAX (1 << 30) /* crc32_iscsi takes the length as an int */
+#define CRC_CALL_BYTES_MAX  (1 << 30) /* crc32_iscsi takes the length as an int */
+#define SHORT_SEGMENT_BYTES (256 * 1024)
 
 uint32_t store_crc(uint32_t crc, const void *p, size_t n)
 {
@@ -274,6 +275,53 @@
 	pthread_mutex_unlock(&s->lock);
 }
 
+/* Size at which a segment ends. */
+static uint64_t segment_limit(const store_t *s)
+{
+	if (s->short_segments && s->segment_bytes > SHORT_SEGMENT_BYTES)
+		return SHORT_SEGMENT_BYTES;
+	return s->segment_bytes;
+}
+
+void store_set_short_segments(store_t *s, bool on)
+{
+	s->short_segments = on;
+}
+
+/* Fills v with the numbers of the oldest segments that hold no entries after index, except for the
+ * one being written; returns how many there are. */
+static size_t covered_segments(store_t *s, uint64_t index, uint64_t *v, size_t max)
+{
+	size_t n = 0;
+
+	pthread_mutex_lock(&s->lock);
+	while (n < max && n + 1 < s->nsegments && s->segments[n].max_index <= index) {
+		v[n] = s->segments[n].number;
+		n++;
+	}
+	pthread_mutex_unlock(&s->lock);
+	return n;
+}
+
+void store_measure_space(store_t *s, uint64_t index, disk_space_t *out)
+{
+	uint64_t numbers[16]; /* enough to decide whether to cut */
+	size_t n = covered_segments(s, index, numbers, sizeof(numbers) / sizeof(numbers[0]));
+	char path[STORE_PATH_BYTES];
+
+	*out = (disk_space_t){.free = store_file_free_bytes(&s->fault, s->dir)};
+	if (s->segment_fd >= 0 && s->size >= SHORT_SEGMENT_BYTES)
+		out->removable = s->size;
+	for (size_t i = 0; i < n; i++) {
+		store_segment_path(s, numbers[i], path);
+		out->removable += store_file_bytes(path);
+	}
+	pthread_mutex_lock(&s->lock);
+	out->state = s->nsnaps ? s->snaps[s->nsnaps - 1].len : 0;
+	out->queued = s->queued.n + (s->refused ? s->writing.n : 0);
+	pthread_mutex_unlock(&s->lock);
+}
+
 status_t store_sync(store_t *s, uint64_t *seq)
 {
 	int64_t start = clock_now_us();
@@ -283,7 +331,7 @@
 	if (s->writing.n == 0)
 		return STATUS_OK;
 	s->has_sync_mark = false;
-	if (refused || s->segment_fd < 0 || s->size >= s->segment_bytes)
+	if (refused || s->segment_fd < 0 || s->size >= segment_limit(s))
 		st = write_to_new_segment(s);
 	else
 		st = write_and_sync(s, &s->writing);
--- a/src/raft/store_snapshot.c
+++ b/src/raft/store_snapshot.c
@@ -168,6 +168,35 @@
 	close_snap(&old);
 }
 
+/* Takes the oldest snapshot off the list if it is not the only one. */
+static bool pop_older_snap(store_t *s, store_snap_t *old)
+{
+	bool take;
+
+	pthread_mutex_lock(&s->lock);
+	take = s->nsnaps > 1;
+	if (take) {
+		*old = s->snaps[0];
+		s->nsnaps--;
+		memmove(s->snaps, s->snaps + 1, s->nsnaps * sizeof(s->snaps[0]));
+	}
+	pthread_mutex_unlock(&s->lock);
+	return take;
+}
+
+void store_cut_log(store_t *s)
+{
+	char path[STORE_PATH_BYTES];
+	store_snap_t old;
+
+	while (pop_older_snap(s, &old)) {
+		snap_path(s, old.index, path);
+		unlink(path);
+		close_snap(&old);
+	}
+	store_segments_remove(s, store_newest_snapshot(s));
+}
+
 /* Opens the snapshot file just written and adds it to the list. */
 static status_t add_written_snap(store_t *s, uint64_t index)
 {
--- a/tests/unit/test_group.c
+++ b/tests/unit/test_group.c
@@ -548,6 +548,44 @@
 }
 END_TEST
 
+enum { FULL_CAPACITY = 4 << 20, FULL_THREADS = 16, FULL_ENTRIES = 200, FULL_ENTRY = 4096 };
+
+/* Proposes 1 in entries of 4 KiB. */
+static void *propose_large_thread(void *arg)
+{
+	unsigned *done = arg;
+	char number[FULL_ENTRY];
+
+	memset(number, '0', sizeof(number));
+	number[FULL_ENTRY - 2] = '1';
+	number[FULL_ENTRY - 1] = 0;
+	while (*done < FULL_ENTRIES && propose_number(0, number) == STATUS_OK)
+		++*done;
+	return NULL;
+}
+
+/* Many callers fill the disk while the snapshot that is to free it is written. */
+START_TEST(the_log_leaves_the_last_space_on_the_disk_to_the_snapshot)
+{
+	unsigned done[FULL_THREADS] = {0};
+	pthread_t t[FULL_THREADS];
+	char fault[64];
+
+	snprintf(fault, sizeof(fault), "capacity_bytes=%d", FULL_CAPACITY);
+	setenv("AUBURN_DISK_FAULT", fault, 1);
+	start_replica(0, 1);
+	unsetenv("AUBURN_DISK_FAULT");
+	wait_leader(-1);
+	for (int i = 0; i < FULL_THREADS; i++)
+		pthread_create(&t[i], NULL, propose_large_thread, &done[i]);
+	for (int i = 0; i < FULL_THREADS; i++)
+		pthread_join(t[i], NULL);
+	for (int i = 0; i < FULL_THREADS; i++)
+		ck_assert_uint_eq(done[i], FULL_ENTRIES);
+	ck_assert_uint_eq(nodes[0].sum, FULL_THREADS * FULL_ENTRIES);
+}
+END_TEST
+
 /* Proposes to each replica in turn until 50 commands are committed. */
 static void *propose_thread(void *arg)
 {
@@ -606,6 +644,7 @@
 	tcase_add_test(t, a_replica_with_a_failed_disk_acknowledges_nothing);
 	tcase_add_test(t, a_replica_whose_disk_refused_writes_votes_again_once_the_disk_takes_them);
 	tcase_add_test(t, a_disk_that_is_full_of_old_log_entries_is_freed_by_a_snapshot);
+	tcase_add_test(t, the_log_leaves_the_last_space_on_the_disk_to_the_snapshot);
 	tcase_add_test(t, concurrent_proposals_share_syncs);
 	return suite_run(s);
 }
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -262,6 +262,35 @@
 }
 END_TEST
 
+START_TEST(a_log_that_is_cut_to_make_room_keeps_what_the_newest_snapshot_lacks)
+{
+	AUTO_BUF conf = {0};
+	raft_members_t none = {0};
+	disk_space_t before;
+	disk_space_t after;
+	char path[256];
+
+	raft_members_encode(&none, &conf);
+	append_hard_state(4, 5);
+	for (uint64_t i = 1; i <= 300; i++)
+		append_synced(i, 4, STR("some bytes that fill a segment"));
+	ck_assert_int_eq(store_save_snapshot(store, 100, 4, str_buf(&conf), STR("a")), STATUS_OK);
+	ck_assert_int_eq(store_save_snapshot(store, 250, 4, str_buf(&conf), STR("b")), STATUS_OK);
+	store_measure_space(store, 250, &before);
+	ck_assert_uint_gt(before.removable, 0);
+	store_cut_log(store);
+	store_measure_space(store, 250, &after);
+	ck_assert_uint_eq(after.removable, 0);
+	file_path("snap-0000000000000064", path);
+	ck_assert_int_ne(access(path, F_OK), 0);
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.term, 4);
+	ck_assert_uint_eq(contents.vote, 5);
+	ck_assert_uint_eq(contents.snap_index, 250);
+	ck_assert_uint_eq(contents.nentries, 50);
+}
+END_TEST
+
 /* The snapshot of a leader replaces a log that ends before it. Chunks in the wrong order and a
  * missing checksum are refused; a log without the snapshot that it continues is an error. */
 START_TEST(a_received_snapshot_resets_the_log)
@@ -836,6 +865,7 @@
 	tcase_add_test(t, damage_at_the_end_of_an_older_segment_is_an_error);
 	tcase_add_test(t, a_damaged_snapshot_is_skipped_for_the_one_before);
 	tcase_add_test(t, segments_are_removed_once_two_snapshots_cover_them);
+	tcase_add_test(t, a_log_that_is_cut_to_make_room_keeps_what_the_newest_snapshot_lacks);
 	tcase_add_test(t, a_received_snapshot_resets_the_log);
 	tcase_add_test(t, a_full_disk_acknowledges_nothing);
 	tcase_add_test(t, a_store_whose_sync_failed_stays_failed);
