test_group waits for the log to be compacted before a disk is replaced

Traced: the test's own assumption, not the leader's choice.

Now it waits until no replica has the first entries any more; the check (restored at least once, all 300 there, a full voter after another loss) stays as strict.

--- a/tests/unit/test_group.c
+++ b/tests/unit/test_group.c
@@ -377,6 +377,19 @@
 	change_members(promote, &p);
 }
 
+/* Waits until replica i no longer has the first entries, as two snapshots cover them. */
+static void wait_compacted(unsigned i)
+{
+	deadline_t d = wait_deadline();
+	group_status_t s;
+
+	do {
+		ck_assert(clock_left_ms(d) > 0);
+		clock_sleep_ms(5);
+		group_get_status(nodes[i].group, &s);
+	} while (s.first_index == 1);
+}
+
 /* The log is compacted, so the new replica depends on the snapshot. It must be a full voter
  * afterwards: with another replica lost, it is needed for the majority. */
 START_TEST(a_lost_disk_is_replaced_from_a_snapshot)
@@ -390,6 +403,8 @@
 		ck_assert_int_eq(open_replica(i, 3, 50), STATUS_OK);
 	for (int i = 0; i < 300; i++)
 		add_number(-1, "1");
+	for (unsigned i = 0; i < 3; i++)
+		wait_compacted(i);
 	lost = (wait_leader(-1) + 1) % 3;
 	old.id = group_seed_id(0, nodes[lost].addr);
 	stop_replica(lost);
