--- a/src/raft/store_snapshot.c
+++ b/src/raft/store_snapshot.c
@@ -43,6 +43,7 @@
 	s->incoming.fd = -1;
 }
 
+/* errno is 0 if the file is too short. */
 static bool read_at(int fd, uint64_t at, void *out, size_t n)
 {
 	size_t done = 0;
@@ -52,10 +53,13 @@
 
 		if (got < 0 && errno == EINTR)
 			continue;
+		if (got == 0)
+			errno = 0;
 		if (got <= 0)
 			return false;
 		done += (size_t)got;
 	}
+	errno = 0; /* an interrupted read sets it */
 	return true;
 }
 
@@ -74,12 +78,13 @@
 }
 
 /* Reads and checks the header, members and footer. Returns false if the file is truncated or is not
- * a snapshot. */
+ * a snapshot, with errno 0, and if it cannot be read. */
 static bool read_header_and_footer(store_snap_t *sn, uint64_t size)
 {
 	store_snap_header_t h;
 	store_snap_footer_t f;
 
+	errno = 0;
 	if (size < sizeof(h) + sizeof(f) || !read_at(sn->fd, 0, &h, sizeof(h)) ||
 	    !read_at(sn->fd, size - sizeof(f), &f, sizeof(f)))
 		return false;
@@ -105,10 +110,11 @@
 	sn->fd = open(path, O_RDONLY | O_CLOEXEC);
 	if (sn->fd < 0 || fstat(sn->fd, &sb) != 0)
 		return status_fail(STATUS_IO, "%s: open: %s", path, strerror(errno));
-	if (!read_header_and_footer(sn, (uint64_t)sb.st_size))
-		return status_fail(STATUS_CORRUPT, "%s: offset 0: truncated or not a snapshot",
-				   path);
-	return STATUS_OK;
+	if (read_header_and_footer(sn, (uint64_t)sb.st_size))
+		return STATUS_OK;
+	if (errno)
+		return status_fail(STATUS_IO, "%s: read: %s", path, strerror(errno));
+	return status_fail(STATUS_CORRUPT, "%s: offset 0: truncated or not a snapshot", path);
 }
 
 /* Appends the state to out if its checksum is right. */
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -239,6 +239,30 @@
 END_TEST
 
 /* Terms and votes of removed segments must be kept. */
+/* A file that cannot be read for a moment is not given up. */
+START_TEST(a_snapshot_that_cannot_be_read_is_not_taken_for_damaged)
+{
+	AUTO_BUF conf = {0};
+	raft_members_t none = {0};
+	char path[256];
+	char saved[256];
+
+	raft_members_encode(&none, &conf);
+	append_synced(1, 1, STR("x"));
+	ck_assert_int_eq(store_save_snapshot(store, 1, 1, str_buf(&conf), STR("state")), STATUS_OK);
+	file_path("snap-0000000000000001", path);
+	file_path("saved", saved);
+	ck_assert_int_eq(rename(path, saved), 0);
+	ck_assert_int_eq(mkdir(path, 0700), 0); /* can be opened; reads fail */
+	ck_assert_int_eq(reopen(), STATUS_IO);
+	ck_assert_int_eq(rmdir(path), 0);
+	ck_assert_int_eq(rename(saved, path), 0);
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert(!contents.snap_broken);
+	ck_assert_str_eq(contents.snap.p, "state");
+}
+END_TEST
+
 START_TEST(segments_are_removed_once_two_snapshots_cover_them)
 {
 	AUTO_BUF conf = {0};
@@ -864,6 +888,7 @@
 	tcase_add_test(t, a_damaged_segment_header_is_an_error);
 	tcase_add_test(t, damage_at_the_end_of_an_older_segment_is_an_error);
 	tcase_add_test(t, a_damaged_snapshot_is_skipped_for_the_one_before);
+	tcase_add_test(t, a_snapshot_that_cannot_be_read_is_not_taken_for_damaged);
 	tcase_add_test(t, segments_are_removed_once_two_snapshots_cover_them);
 	tcase_add_test(t, a_log_that_is_cut_to_make_room_keeps_what_the_newest_snapshot_lacks);
 	tcase_add_test(t, a_received_snapshot_resets_the_log);
