--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -238,7 +238,6 @@
 }
 END_TEST
 
-/* Terms and votes of removed segments must be kept. */
 /* A file that cannot be read for a moment is not given up. */
 START_TEST(a_snapshot_that_cannot_be_read_is_not_taken_for_damaged)
 {
@@ -263,6 +262,7 @@
 }
 END_TEST
 
+/* Terms and votes of removed segments must be kept. */
 START_TEST(segments_are_removed_once_two_snapshots_cover_them)
 {
 	AUTO_BUF conf = {0};
