failure: one table decides all answers to requests that no replica answered; test walks docs/API.md

The status for a blocked prompt, a used-up quota and a revoked key was chosen in front_request.c, beside policy/failure, and no test compared docs/API.md with the code.

Change: failure_t has these three ends as well; front_request.c takes every status from failure_status(). tests/unit/test_failure.c reads the tables of docs/API.md and compares each row with the code; the table of attempts is new. The test can't be built on the code before, which lacks the ends.

--- a/src/front/front_request.c
+++ b/src/front/front_request.c
@@ -113,7 +113,7 @@
 }
 
 /* Ends a request that no replica has answered; aborts an answer that has begun. outcome is for the
- * log, retry_ms for the status 503. */
+ * log, retry_ms for an answer that says that the request has not run. */
 static void end_failed(front_request_t *q, failure_t why, int64_t retry_ms, const char *outcome)
 {
 	bool sent = q->attempt && front_attempt_sent(q->attempt);
@@ -122,7 +122,7 @@
 	if (q->head_sent)
 		end_with_abort(q, outcome);
 	else
-		end_with_status(q, status, status == 503 ? retry_ms : 0, outcome);
+		end_with_status(q, status, status < 500 || status == 503 ? retry_ms : 0, outcome);
 }
 
 bool front_request_check_quarantine(front_request_t *q)
@@ -141,10 +141,7 @@
 		  LOG_INT("crashes", by.crashes), LOG_INT("since_ms", now - by.since),
 		  LOG_INT("left_ms", by.until - now), LOG_INT("tries", q->attempts));
 	METRIC_INC("auburn_prompts_refused_total");
-	if (q->may_have_run)
-		end_with_status(q, 502, 0, "prompt part blocked");
-	else
-		end_with_status(q, 503, by.until - now, "prompt part blocked");
+	end_failed(q, FAILURE_BLOCKED, by.until - now, "prompt part blocked");
 	return true;
 }
 
@@ -418,7 +415,7 @@
 	if (q->attempts == 1 && !q->may_have_run && !front_request_key_is_valid(q)) {
 		q->attempts = 0;
 		front_slot_release(q->f, q, DISPATCH_CANCELLED);
-		end_with_status(q, 401, 0, "key revoked");
+		end_failed(q, FAILURE_KEY_REVOKED, 0, "key revoked");
 		return;
 	}
 	platform_request_encode(&req, &q->req.head, q->req.body, &s);
@@ -447,7 +444,7 @@
 		  LOG_INT("retry_ms", retry_ms), LOG_INT("text", q->f->routes_version));
 	METRIC_INC("auburn_over_quota_total");
 	q->counted_by = FRONT_NOT_COUNTED;
-	end_with_status(q, 429, front_quota_retry_ms(retry_ms), "over quota");
+	end_failed(q, FAILURE_OVER_QUOTA, front_quota_retry_ms(retry_ms), "over quota");
 }
 
 void front_request_refused(front_request_t *q, int64_t retry_ms)
--- a/src/policy/failure.c
+++ b/src/policy/failure.c
@@ -4,14 +4,17 @@
 
 int failure_status(failure_t why, bool may_have_run)
 {
-	static const int status_if_it_may_have_run[FAILURE_COUNT] = {
-		[FAILURE_DEADLINE] = 504,
-		[FAILURE_NO_ATTEMPT_LEFT] = 502,
-		[FAILURE_REFUSED] = 502,
+	static const struct {
+		int not_run;
+		int may_have_run;
+	} status[FAILURE_COUNT] = {
+		[FAILURE_DEADLINE] = {503, 504},   [FAILURE_NO_ATTEMPT_LEFT] = {503, 502},
+		[FAILURE_REFUSED] = {503, 502},	   [FAILURE_BLOCKED] = {503, 502},
+		[FAILURE_OVER_QUOTA] = {429, 502}, [FAILURE_KEY_REVOKED] = {401, 502},
 	};
 
 	assert(why < FAILURE_COUNT);
-	return may_have_run ? status_if_it_may_have_run[why] : 503;
+	return may_have_run ? status[why].may_have_run : status[why].not_run;
 }
 
 bool failure_may_have_run(dispatch_outcome_t how)
--- a/src/policy/failure.h
+++ b/src/policy/failure.h
@@ -1,7 +1,7 @@
 /**
- * Status of the answer to a request that no replica has answered. 503 promises that the request has
- * not run and will not; 502 and 504 promise nothing, so the caller may not repeat an unsafe
- * request. docs/API.md has the table.
+ * Status of the answer to a request that no replica has answered. 401, 429 and 503 promise that the
+ * request has not run and will not; 502 and 504 promise nothing, so the caller may not repeat an
+ * unsafe request. docs/API.md has the tables, which test_failure.c compares with the code.
  *
  * Pure.
  */
@@ -16,6 +16,9 @@
 	FAILURE_DEADLINE, /* its deadline passed */
 	FAILURE_NO_ATTEMPT_LEFT, /* its last attempt failed */
 	FAILURE_REFUSED, /* it got no slot, or this entry reaches no replica */
+	FAILURE_BLOCKED, /* a part of its prompt crashes replicas */
+	FAILURE_OVER_QUOTA, /* its customer's quota is used up */
+	FAILURE_KEY_REVOKED, /* its API key is no longer in the config */
 	FAILURE_COUNT
 } failure_t;
 
