Store: a removed segment can't come back without the one after it

A loss of power keeps or undoes each unsynced change of a directory by itself, so the first of two removed segments may come back alone. The start then finds a gap ("segment 17 is missing"), counts it as damage and sets the replica's log aside. If all VMs lose power at that moment, a majority may go, with what was acknowledged.

Change: the directory is synced between two removals; what can't be removed for want of a sync stays and is removed by a later call.

Test: the simulated disk of test_store_disk undid only the newest changes; now each unsynced name is kept or lost by itself, changes of one name newest first.

--- a/src/raft/store_internal.h
+++ b/src/raft/store_internal.h
@@ -133,7 +133,8 @@
 /** Adds a segment to the list of segments. */
 void store_segment_add(store_t *s, uint64_t number, uint64_t max_index);
 /** Removes the oldest segments as long as they hold no entries after index; the segment being
- * written stays. */
+ * written stays. The directory has been synced since the last removal. Segments that stay because
+ * it can't be synced are removed by a later call. */
 void store_segments_remove(store_t *s, uint64_t index);
 
 /* store_replay.c */
--- a/src/raft/store_log.c
+++ b/src/raft/store_log.c
@@ -355,32 +355,43 @@
 		s->size += b.n;
 }
 
-/* Removes the oldest segment from the list if it holds no entries after index and is not the one
- * being written. */
-static bool pop_oldest_segment(store_t *s, uint64_t index, uint64_t *number)
+/* True if the oldest segment holds no entries after index and is not the one being written. */
+static bool oldest_is_removable(store_t *s, uint64_t index)
 {
-	bool take;
+	bool is;
 
 	pthread_mutex_lock(&s->lock);
-	take = s->nsegments > 1 && s->segments[0].max_index <= index;
-	if (take) {
-		*number = s->segments[0].number;
-		s->nsegments--;
-		memmove(s->segments, s->segments + 1, s->nsegments * sizeof(*s->segments));
-	}
+	is = s->nsegments > 1 && s->segments[0].max_index <= index;
 	pthread_mutex_unlock(&s->lock);
-	return take;
+	return is;
+}
+
+static uint64_t pop_oldest_segment(store_t *s)
+{
+	uint64_t number;
+
+	pthread_mutex_lock(&s->lock);
+	number = s->segments[0].number;
+	s->nsegments--;
+	memmove(s->segments, s->segments + 1, s->nsegments * sizeof(*s->segments));
+	pthread_mutex_unlock(&s->lock);
+	return number;
 }
 
 void store_segments_remove(store_t *s, uint64_t index)
 {
 	char path[STORE_PATH_BYTES];
-	uint64_t number;
+	bool unsynced = false;
 
 	/* Without the lock: unlink may wait for a sync of another file. */
-	while (pop_oldest_segment(s, index, &number)) {
-		store_segment_path(s, number, path);
+	while (oldest_is_removable(s, index)) {
+		/* Of two unsynced removals, a loss of power may undo the first alone, which leaves
+		 * a gap. */
+		if (unsynced && store_dir_sync(&s->fault, s->dir) != STATUS_OK)
+			return;
+		store_segment_path(s, pop_oldest_segment(s), path);
 		unlink(path);
+		unsynced = true;
 	}
 }
 
--- a/tests/unit/test_store_disk.c
+++ b/tests/unit/test_store_disk.c
@@ -28,7 +28,8 @@
 	long lost_to; /* them unless they are written again */
 } file_t;
 
-/* A change of the directory that is not synced; a power failure undoes the newest of them. */
+/* A change of the directory that is not synced; a power failure undoes any of them, but of the
+ * changes of one name the newest first. */
 typedef struct {
 	bool removed; /* or replaced; else created */
 	char name[64];
@@ -285,14 +286,34 @@
 	}
 }
 
+/* True if a change after change i has the same name and is not undone. */
+static bool is_superseded(unsigned i, const bool *undone)
+{
+	for (unsigned k = i + 1; k < disk.nchanges; k++) {
+		if (!undone[k] && strcmp(disk.changes[k].name, disk.changes[i].name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Undoes each change of the directory or keeps it, independently of the others. */
+static void lose_names(void)
+{
+	bool undone[CHANGES_MAX] = {false};
+
+	for (unsigned i = disk.nchanges; i > 0; i--) {
+		undone[i - 1] = rand() % 2 && !is_superseded(i - 1, undone);
+		if (undone[i - 1])
+			undo_change(&disk.changes[i - 1]);
+	}
+	forget_changes();
+}
+
 static void fail_power(void)
 {
-	unsigned nkept = (unsigned)rand() % (disk.nchanges + 1);
 	char path[256];
 
-	while (disk.nchanges > nkept)
-		undo_change(&disk.changes[--disk.nchanges]);
-	forget_changes();
+	lose_names();
 	for (unsigned i = 0; i < disk.nfiles; i++) {
 		file_path(disk.files[i].name, path);
 		tear(path, &disk.files[i]);
@@ -607,6 +628,27 @@
 }
 END_TEST
 
+START_TEST(a_removed_segment_that_comes_back_alone_is_no_damage)
+{
+	AUTO_BUF conf = {0};
+	raft_members_t none = {0};
+
+	raft_members_encode(&none, &conf);
+	for (uint64_t i = 1; i <= 300; i++)
+		ck_assert_int_eq(append(i), STATUS_OK);
+	ck_assert_uint_ge(store->nsegments, 4);
+	for (uint64_t i = 299; i <= 300; i++)
+		ck_assert_int_eq(store_save_snapshot(store, i, 1, str_buf(&conf), STR("state")),
+				 STATUS_OK);
+	ck_assert_uint_eq(store->nsegments, 1);
+	store_close(store);
+	if (disk.nchanges)
+		undo_change(&disk.changes[0]);
+	ck_assert_msg(reopen() == STATUS_OK, "%s", status_message());
+	ck_assert_uint_eq(contents.snap_index, 300);
+}
+END_TEST
+
 int main(void)
 {
 	const char *seeds = getenv("AUBURN_STORE_SEEDS");
@@ -619,6 +661,7 @@
 	tcase_add_test(
 		t, a_segment_that_could_not_be_begun_does_not_come_back_in_place_of_later_records);
 	tcase_add_test(t, a_sync_mark_that_a_crash_tore_before_later_records_is_no_damage);
+	tcase_add_test(t, a_removed_segment_that_comes_back_alone_is_no_damage);
 	tcase_add_loop_test(t, what_was_synced_survives_refused_writes_failed_syncs_and_crashes, 1,
 			    1 + (seeds ? atoi(seeds) : FIXED_SEEDS));
 	tcase_set_timeout(t, 120);
