Store: a directory whose id file can't be looked up isn't taken for new

A start would then create the store anew over what is there: its log and vote lost (read, not played).

Change: only ENOENT and ENOTDIR mean that there is no store; otherwise the open fails with STATUS_IO and is tried again, as for a directory that can't be listed.

--- a/src/raft/store_open.c
+++ b/src/raft/store_open.c
@@ -23,7 +23,8 @@
 	char path[STORE_PATH_BYTES];
 
 	snprintf(path, sizeof(path), "%s/" ID_FILE_NAME, dir);
-	return access(path, F_OK) == 0;
+	/* After another error the file may be there: the store must not be created over it. */
+	return access(path, F_OK) == 0 || (errno != ENOENT && errno != ENOTDIR);
 }
 
 static status_t read_id(store_t *s)
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -606,6 +606,26 @@
 }
 END_TEST
 
+START_TEST(a_directory_whose_id_cannot_be_looked_up_is_not_taken_for_new)
+{
+	char path[256];
+	char saved[256];
+
+	append_hard_state(3, 8);
+	append_synced(1, 3, STR("x"));
+	file_path("id", path);
+	file_path("saved", saved);
+	ck_assert_int_eq(rename(path, saved), 0);
+	ck_assert_int_eq(symlink("id", path), 0); /* a look-up fails with ELOOP */
+	ck_assert(store_exists(dir));
+	ck_assert_int_eq(reopen(), STATUS_IO);
+	ck_assert_int_eq(rename(saved, path), 0);
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.nentries, 1);
+	ck_assert_uint_eq(contents.vote, 8);
+}
+END_TEST
+
 /* After a failed sync the kernel may keep the data in memory and report the next one as done. */
 START_TEST(a_start_does_not_count_on_a_second_sync_of_what_a_failed_sync_covered)
 {
@@ -905,6 +925,7 @@
 	tcase_add_test(t, the_segment_before_one_without_a_header_is_synced_before_it_is_used);
 	tcase_add_test(t, a_disk_that_refuses_only_large_writes_is_not_filled_with_segments);
 	tcase_add_test(t, a_directory_that_cannot_be_listed_is_not_taken_for_damaged);
+	tcase_add_test(t, a_directory_whose_id_cannot_be_looked_up_is_not_taken_for_new);
 	tcase_add_test(t, a_start_does_not_count_on_a_second_sync_of_what_a_failed_sync_covered);
 	tcase_add_test(t,
 		       a_torn_header_of_the_segment_after_a_refused_write_is_not_taken_for_damage);
