The dispatcher does not walk over all items for each link and request

Cause: an overload that feeds itself. Each lost link and each adopted item placed everything again, with a walk over all waiting and all running items for each of the ranks; each waiting item that could start searched all running ones for one to preempt. With thousands of items the leader has no processor time left for its links, entries give them up, and each new link costs more walks.

Change: a service that can start no item is told before the walk; the walk, in order of due times, ends where no later item can start in its rank; the search for an item that will be late is made at most every 20 ms while it finds none; items of removed entries are looked for when the first of them is due; the loss of an entry and the adoption of its items place nothing themselves, as the next tick does.

--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -54,6 +54,7 @@
 	dispatch_t *d = mem_new(sizeof(*d));
 
 	d->cb = *cb;
+	d->next_orphan = DEADLINE_NEVER;
 	d->random = random_seed | 1; /* prng_next() needs a state other than 0 */
 	return d;
 }
@@ -283,13 +284,14 @@
 			continue;
 		dispatch_item_add_run_time(it, now);
 		it->adopt_until = now + DISPATCH_ADOPT_MS;
+		if (it->adopt_until < d->next_orphan)
+			d->next_orphan = it->adopt_until;
 	}
 	dispatch_pairs_forget(d, id, NULL);
 	HASH_DEL(d->entries, e);
 	free(e->zone);
 	free(e);
 	free_unlisted_replicas(d);
-	dispatch_place_all(d, now);
 }
 
 static run_t *find_run(const dispatch_t *d, uint64_t entry, uint64_t request)
@@ -485,12 +487,15 @@
 	if (e)
 		e->items++;
 	DL_APPEND(d->running_items, it);
-	dispatch_place_all(d, now);
 }
 
 void dispatch_item_set_service(dispatch_t *d, dispatch_item_t *it, str_t service)
 {
+	bool waits = it->state == ITEM_WAITING;
+
+	it->service->items_waiting -= waits;
 	it->service = get_service(d, service);
+	it->service->items_waiting += waits;
 }
 
 void dispatch_item_avoid(dispatch_item_t *it, str_t replica)
@@ -571,7 +576,8 @@
 {
 	*out = (dispatch_stats_t){.requests_waiting = d->nwaiters,
 				  .items_waiting = d->nwaiting_items,
-				  .preempted = d->preempted};
+				  .preempted = d->preempted,
+				  .items_examined = d->items_examined};
 	for (const replica_t *r = d->replicas; r; r = r->hh.next) {
 		out->online += r->online;
 		out->items += r->items;
--- a/src/policy/dispatch.h
+++ b/src/policy/dispatch.h
@@ -122,7 +122,8 @@
 /** Records whether an entry is cut off from the replicas. While it is, its requests are refused. */
 void dispatch_entry_set_cut_off(dispatch_t *d, uint64_t entry, bool cut_off, deadline_t now);
 /** Removes an entry and its requests, waiting or running. Its items stay assigned for
- * DISPATCH_ADOPT_MS, for the entry may reconnect; after that they are queued again. */
+ * DISPATCH_ADOPT_MS, for the entry may reconnect; after that they are queued again. Slots that
+ * become free are given at the next dispatch_tick, or before. */
 void dispatch_entry_remove(dispatch_t *d, uint64_t entry, deadline_t now);
 
 /** Queues an online request. The callback grant or refuse follows, maybe before the return, unless
@@ -168,8 +169,8 @@
 void dispatch_hold_items(dispatch_t *d, deadline_t until);
 /** Assigns waiting requests and items to slots. To be called periodically and after
  * dispatch_item_add. These functions do the same before they return: dispatch_set_replicas,
- * dispatch_entry_remove, dispatch_request_add, dispatch_request_ended, dispatch_item_adopt,
- * dispatch_item_requeue and dispatch_item_remove. */
+ * dispatch_request_add, dispatch_request_ended, dispatch_item_requeue and dispatch_item_remove. The
+ * loss of an entry and the adoption of its items don't, as hundreds may come at once. */
 void dispatch_tick(dispatch_t *d, deadline_t now);
 
 /** How long the items of a disconnected entry stay assigned to it, in ms. An entry that loses the
@@ -184,6 +185,7 @@
 	unsigned requests_waiting; /* online requests */
 	unsigned items_waiting;
 	uint64_t preempted; /* preemptions of items so far */
+	uint64_t items_examined; /* waiting and running items that placement has looked at so far */
 } dispatch_stats_t;
 void dispatch_stats(const dispatch_t *d, dispatch_stats_t *out);
 
--- a/src/policy/dispatch_internal.h
+++ b/src/policy/dispatch_internal.h
@@ -15,6 +15,9 @@
 	int64_t mean_item_ms; /* mean slot time of a whole item; 0 until the first one ends */
 	unsigned reserved_slots; /* free slots that items with slack leave to online requests */
 	deadline_t reserve_decay_at; /* when reserved_slots is next reduced */
+	unsigned items_waiting; /* in d->waiting_items */
+	deadline_t next_late_check; /* no running item is preempted for an item before; see
+				       LATE_CHECK_MS */
 	/* The fields below are recomputed in each placement pass. */
 	uint64_t pass; /* the pass in which they were computed */
 	unsigned slots; /* slots of its usable replicas */
@@ -22,6 +25,7 @@
 	bool no_slot_for_requests; /* a request with an empty avoid list found no slot */
 	bool no_slot_for_items; /* an item found no slot, or no entry to run it */
 	bool only_reserved_left; /* all free slots are reserved for online requests */
+	bool rank_done; /* no further item of the rank in turn can start */
 	UT_hash_handle hh;
 } service_t;
 
@@ -135,6 +139,7 @@
 	prefix_t *prefixes;
 	pair_t *pairs;
 	deadline_t items_held_until; /* no item is started before */
+	deadline_t next_orphan; /* no item of a removed entry is to be queued again before */
 	service_t *services;
 	uint64_t pass; /* number of the current placement pass */
 	bool had_replicas; /* a replica list that was not empty has arrived */
@@ -144,6 +149,7 @@
 	unsigned nwaiters;
 	unsigned nwaiting_items;
 	uint64_t preempted;
+	uint64_t items_examined;
 };
 
 /* dispatch_reach.c */
@@ -175,10 +181,9 @@
 /** Picks the least loaded replica with a free slot for an item, or NULL. The replica on which the
  * item itself last failed is picked only if there is no other. */
 replica_t *dispatch_pick_for_item(dispatch_t *d, const dispatch_item_t *it, deadline_t now);
-/** Picks a running item to preempt for this item, one that is expected to miss its due time anyway;
- * NULL if there is none. */
-dispatch_item_t *dispatch_pick_late_victim(dispatch_t *d, const dispatch_item_t *it,
-					   deadline_t now);
+/** Picks a running item of the service to preempt for another item: one that is expected to miss
+ * its due time anyway; NULL if there is none. */
+dispatch_item_t *dispatch_pick_late_victim(dispatch_t *d, const service_t *s, deadline_t now);
 /** Picks the entry to run an item on this replica, or NULL: among those that take items and are not
  * known not to reach it, one in the replica's zone if possible, then the one with the fewest
  * items. */
@@ -193,6 +198,8 @@
 /** Counts the free ones of these slots, without those of replicas in back-off after they rejected a
  * run. */
 unsigned dispatch_count_free_slots(const dispatch_t *d, const service_t *s, deadline_t now);
+/** An item of the service that is due later than this has slack, whatever it ran already. */
+deadline_t dispatch_slack_from(const service_t *s, deadline_t now);
 /** True if the item could wait out a peak of online requests and still finish by its due time. */
 bool dispatch_item_has_slack(const dispatch_item_t *it, deadline_t now);
 
@@ -208,6 +215,9 @@
 void dispatch_item_add_run_time(dispatch_item_t *it, deadline_t now);
 /** Estimates how much longer the item needs a slot, in ms. */
 int64_t dispatch_item_remaining_ms(const dispatch_item_t *it, deadline_t now);
+/** An item of the service that is due later than this meets its due time, whatever it ran already.
+ */
+deadline_t dispatch_in_time_from(const service_t *s, deadline_t now);
 /** True if the item, run from now on, is expected to finish by its due time. */
 bool dispatch_item_meets_due(const dispatch_item_t *it, deadline_t now);
 void dispatch_waiter_free(dispatch_t *d, waiter_t *q);
--- a/src/policy/dispatch_pick.c
+++ b/src/policy/dispatch_pick.c
@@ -103,6 +103,11 @@
 	return it->due - now - dispatch_item_remaining_ms(it, now) > PEAK_MS;
 }
 
+deadline_t dispatch_slack_from(const service_t *s, deadline_t now)
+{
+	return dispatch_in_time_from(s, now) + PEAK_MS;
+}
+
 /*
  * True if item a is a better victim for preemption than b. Items with slack (able to wait out a
  * peak and still finish by their due time) are preempted first; among them those on replicas in the
@@ -140,12 +145,12 @@
 	return best;
 }
 
-dispatch_item_t *dispatch_pick_late_victim(dispatch_t *d, const dispatch_item_t *for_item,
-					   deadline_t now)
+dispatch_item_t *dispatch_pick_late_victim(dispatch_t *d, const service_t *s, deadline_t now)
 {
 	for (dispatch_item_t *it = d->running_items; it; it = it->next) {
+		d->items_examined++;
 		if (it->state == ITEM_RUNNING && it->replica && !it->adopt_until &&
-		    it->replica->failures == 0 && is_usable(it->replica, for_item->service, now) &&
+		    it->replica->failures == 0 && is_usable(it->replica, s, now) &&
 		    !dispatch_item_meets_due(it, now))
 			return it;
 	}
--- a/src/policy/dispatch_place.c
+++ b/src/policy/dispatch_place.c
@@ -30,6 +30,9 @@
 /** Minimum estimate of an item's remaining time, for items that ran longer than the mean and while
  * there is no mean yet. */
 #define REMAINING_MIN_MS 500
+/** Period in which running items are searched for one to preempt for another item: time alone makes
+ * an item late, so a search after each event finds none for as long. */
+#define LATE_CHECK_MS 20
 
 static entry_t *find_entry(const dispatch_t *d, uint64_t entry)
 {
@@ -76,6 +79,7 @@
 	if (it->state == ITEM_WAITING) {
 		DL_DELETE(d->waiting_items, it);
 		d->nwaiting_items--;
+		it->service->items_waiting--;
 		return;
 	}
 	e = find_entry(d, it->entry);
@@ -91,6 +95,7 @@
 	it->state = ITEM_WAITING;
 	it->adopt_until = 0;
 	d->nwaiting_items++;
+	it->service->items_waiting++;
 	/* Searches from the tail because new items usually have the latest due time. */
 	while (before && before->due > it->due)
 		before = before == d->waiting_items ? NULL : before->prev;
@@ -144,6 +149,11 @@
 	return left_ms > REMAINING_MIN_MS ? left_ms : REMAINING_MIN_MS;
 }
 
+deadline_t dispatch_in_time_from(const service_t *s, deadline_t now)
+{
+	return now + (s->mean_item_ms > REMAINING_MIN_MS ? s->mean_item_ms : REMAINING_MIN_MS);
+}
+
 bool dispatch_item_meets_due(const dispatch_item_t *it, deadline_t now)
 {
 	return it->due > now + dispatch_item_remaining_ms(it, now);
@@ -288,7 +298,7 @@
 		return;
 	r = dispatch_pick_for_item(d, it, now);
 	if (!r && dispatch_item_meets_due(it, now))
-		late = dispatch_pick_late_victim(d, it, now);
+		late = dispatch_pick_late_victim(d, s, now);
 	if (late)
 		r = late->replica;
 	e = r ? dispatch_pick_entry(d, r, now) : NULL;
@@ -324,33 +334,74 @@
 	return it->ran_ms > 0 ? ITEM_RANK_RESUMED : ITEM_RANK_NEW;
 }
 
-static void place_items(dispatch_t *d, deadline_t now)
+/* False if no item of the service can start: none waits, requests wait, or there is neither a free
+ * slot nor a running item to preempt. */
+static bool can_start_items(dispatch_t *d, service_t *s, deadline_t now)
 {
-	for (unsigned rank = 0; rank < ITEM_RANKS; rank++) {
-		dispatch_item_t *it;
-		dispatch_item_t *next;
-
-		for (it = d->waiting_items; it; it = next) {
-			next = it->next;
-			if (item_rank_of(it, now) == rank)
-				place_item(d, it, now);
-		}
-	}
+	unsigned free;
+
+	refresh_service(d, s, now);
+	if (s->items_waiting == 0 || s->waiting_ahead > 0 || s->no_slot_for_items)
+		return false;
+	free = dispatch_count_free_slots(d, s, now);
+	s->only_reserved_left = free > 0 && free <= s->reserved_slots;
+	if (free > 0)
+		return true;
+	if (now < s->next_late_check)
+		return false;
+	if (dispatch_pick_late_victim(d, s, now))
+		return true;
+	s->next_late_check = now + LATE_CHECK_MS;
+	return false;
 }
 
-/* False if each service that has slots has waiting requests: then no item can start, and the walk
- * over all waiting items is saved. */
-static bool items_can_start(dispatch_t *d, deadline_t now)
+/* True if neither this waiting item nor one of its service that is due later can start in this
+ * rank. */
+static bool ends_rank(const dispatch_item_t *it, item_rank_t rank, deadline_t now)
 {
-	if (!d->waiters)
+	const service_t *s = it->service;
+
+	if (s->no_slot_for_items)
 		return true;
+	if (rank == ITEM_RANK_LATE)
+		return it->due > dispatch_in_time_from(s, now);
+	return s->only_reserved_left && it->due > dispatch_slack_from(s, now);
+}
+
+/* Starts the waiting items of a rank that can start. The walk ends when no service has more. */
+static void place_rank(dispatch_t *d, item_rank_t rank, deadline_t now)
+{
+	unsigned left = 0; /* services whose items can start */
+	dispatch_item_t *it;
+	dispatch_item_t *next;
+
 	for (service_t *s = d->services; s; s = s->hh.next) {
-		const service_t *fresh = refresh_service(d, s, now);
+		s->rank_done = s->no_slot_for_items;
+		left += !s->rank_done;
+	}
+	for (it = d->waiting_items; it && left > 0; it = next) {
+		service_t *s = it->service;
 
-		if (fresh->waiting_ahead == 0 && fresh->slots > 0)
-			return true;
+		next = it->next;
+		d->items_examined++;
+		if (s->rank_done)
+			continue;
+		s->rank_done = ends_rank(it, rank, now);
+		if (!s->rank_done && item_rank_of(it, now) == rank) {
+			place_item(d, it, now);
+			s->no_slot_for_items |= s->items_waiting == 0;
+			s->rank_done = s->no_slot_for_items;
+		}
+		left -= s->rank_done;
 	}
-	return false;
+}
+
+static void place_items(dispatch_t *d, deadline_t now)
+{
+	for (service_t *s = d->services; s; s = s->hh.next)
+		s->no_slot_for_items = !can_start_items(d, s, now);
+	for (unsigned rank = 0; rank < ITEM_RANKS; rank++)
+		place_rank(d, (item_rank_t)rank, now);
 }
 
 /* Queues the items again whose entry disconnected and which no entry reported in time. */
@@ -359,8 +410,14 @@
 	dispatch_item_t *it;
 	dispatch_item_t *next;
 
+	if (now < d->next_orphan)
+		return;
+	d->next_orphan = DEADLINE_NEVER;
 	for (it = d->running_items; it; it = next) {
 		next = it->next;
+		d->items_examined++;
+		if (it->adopt_until > now && it->adopt_until < d->next_orphan)
+			d->next_orphan = it->adopt_until;
 		if (!it->adopt_until || now < it->adopt_until)
 			continue;
 		dispatch_item_detach(d, it);
@@ -383,7 +440,7 @@
 		d->pass++;
 		requeue_orphaned_items(d, now);
 		place_requests(d, now);
-		if (now >= d->items_held_until && items_can_start(d, now))
+		if (now >= d->items_held_until)
 			place_items(d, now);
 	} while (d->place_again);
 	d->placing = false;
