The leader skips hellos of closed links, and membership work is for control processes

A hello whose sender had given up and closed the link again was served in full, which took the time that the next hellos needed.

Change: candidates are computed when a control process comes or goes; the fan-out ticks for a peer that is behind; a link that never said hello changes no view; a hello is skipped if the peer has closed its end (`hello_skipped`, auburn_hellos_skipped_total).

--- a/src/control/hub.c
+++ b/src/control/hub.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <utlist.h>
 #include "base/log.h"
+#include "base/metric.h"
 #include "net/tcp.h"
 
 /** Silence timeout of a linked process, in ms. */
@@ -113,6 +114,7 @@
 static void remove_peer(hub_peer_t *p, const char *reason)
 {
 	hub_t *h = p->hub;
+	bool is_control;
 
 	HASH_DEL(h->peers, p);
 	if (p->registered)
@@ -121,9 +123,11 @@
 	hub_routes_remove_peer(h, p);
 	if (h->dispatch)
 		dispatch_entry_remove(h->dispatch, p->id, clock_now_ms());
-	h->view_changed = true;
+	h->view_changed |= p->registered;
+	is_control = p->rpc_addr[0] != 0;
 	free(p);
-	update_candidates(h);
+	if (is_control)
+		update_candidates(h);
 }
 
 static void on_closed(void *ctx, msgconn_t *l)
@@ -166,11 +170,28 @@
 		p->replica_id = id;
 }
 
+/* The hello of a process that has closed the link again, as it got no welcome in time. To serve it
+ * would delay the links that are waited for. */
+static void skip_hello(hub_t *h, hub_peer_t *p)
+{
+	msgconn_t *l = p->link;
+
+	log_event(LOG_LEVEL_INFO, "hello_skipped", LOG_CSTR("peer", p->name),
+		  LOG_CSTR("reason", "link closed"));
+	METRIC_INC("auburn_hellos_skipped_total");
+	remove_peer(p, "closed");
+	msgconn_close(l);
+}
+
 static void on_hello(hub_t *h, hub_peer_t *p, const link_hello_t *m)
 {
 	bool first = !p->registered;
 
 	copy_str(p->name, sizeof(p->name), m->name);
+	if (first && msgconn_is_ended(p->link)) {
+		skip_hello(h, p);
+		return;
+	}
 	copy_str(p->addr, sizeof(p->addr), m->addr);
 	copy_str(p->zone, sizeof(p->zone), m->zone);
 	copy_str(p->rpc_addr, sizeof(p->rpc_addr), m->control);
@@ -188,7 +209,8 @@
 		log_event(LOG_LEVEL_INFO, "peer_draining", LOG_CSTR("peer", p->name));
 	p->registered = true;
 	h->view_changed = true;
-	update_candidates(h);
+	if (p->rpc_addr[0])
+		update_candidates(h);
 	hub_dispatch_hello(h, p, m);
 	hub_routes_add_peer(h, p, &m->text);
 	if (first)
--- a/src/policy/fanout.c
+++ b/src/policy/fanout.c
@@ -156,7 +156,8 @@
 		HASH_ADD(hh, f->peers, id, sizeof(p->id), p);
 	}
 	set_peer_config(f, p, config);
-	fanout_tick(f, now);
+	if (is_behind(f, p))
+		fanout_tick(f, now);
 }
 
 void fanout_peer_remove(fanout_t *f, uint64_t peer)
