--- a/src/control/hub.c
+++ b/src/control/hub.c
@@ -5,7 +5,6 @@
 #include <string.h>
 #include <utlist.h>
 #include "base/log.h"
-#include "base/metric.h"
 #include "net/tcp.h"
 
 /** Silence timeout of a linked process, in ms. */
@@ -170,28 +169,11 @@
 		p->replica_id = id;
 }
 
-/* The hello of a process that has closed the link again, as it got no welcome in time. To serve it
- * would delay the links that are waited for. */
-static void skip_hello(hub_t *h, hub_peer_t *p)
-{
-	msgconn_t *l = p->link;
-
-	log_event(LOG_LEVEL_INFO, "hello_skipped", LOG_CSTR("peer", p->name),
-		  LOG_CSTR("reason", "link closed"));
-	METRIC_INC("auburn_hellos_skipped_total");
-	remove_peer(p, "closed");
-	msgconn_close(l);
-}
-
 static void on_hello(hub_t *h, hub_peer_t *p, const link_hello_t *m)
 {
 	bool first = !p->registered;
 
 	copy_str(p->name, sizeof(p->name), m->name);
-	if (first && msgconn_is_ended(p->link)) {
-		skip_hello(h, p);
-		return;
-	}
 	copy_str(p->addr, sizeof(p->addr), m->addr);
 	copy_str(p->zone, sizeof(p->zone), m->zone);
 	copy_str(p->rpc_addr, sizeof(p->rpc_addr), m->control);
--- a/src/net/msgconn.c
+++ b/src/net/msgconn.c
@@ -183,11 +183,6 @@
 	return c->data;
 }
 
-bool msgconn_is_ended(const msgconn_t *c)
-{
-	return c->is_closed || tcp_is_ended(c->fd);
-}
-
 deadline_t msgconn_last_received(const msgconn_t *c)
 {
 	return c->last_received;
--- a/src/net/msgconn.h
+++ b/src/net/msgconn.h
@@ -33,8 +33,6 @@
 void msgconn_close(msgconn_t *c);
 void msgconn_set_data(msgconn_t *c, void *data);
 void *msgconn_data(const msgconn_t *c);
-/** True if the peer has closed the connection and all of its input has been read. */
-bool msgconn_is_ended(const msgconn_t *c);
 /** Time of the last input from the peer; before the first input, the time when the connection was
  * created or, later, established. */
 deadline_t msgconn_last_received(const msgconn_t *c);
--- a/src/net/tcp.c
+++ b/src/net/tcp.c
@@ -121,14 +121,6 @@
 	return n == 0 ? TCP_READ_CLOSED : TCP_READ_BROKEN;
 }
 
-bool tcp_is_ended(int fd)
-{
-	char c;
-	ssize_t n = recv(fd, &c, 1, MSG_PEEK);
-
-	return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
-}
-
 bool tcp_write(int fd, buf_t *out)
 {
 	size_t done = 0;
