disk_space.h: says which writes do not wait

A vote that is written together with entries waits with them; the comment said that votes never do. Found on rereading; a comment only, the formatter's check passed, nothing else was run.

--- a/src/policy/disk_space.h
+++ b/src/policy/disk_space.h
@@ -28,8 +28,8 @@
 
 /** What the log leaves free for a snapshot of this state. */
 uint64_t disk_space_reserve(uint64_t state);
-/** DISK_SPACE_AMPLE if a snapshot would free too little to be worth its writing. Small writes never
- * wait: terms and votes. */
+/** DISK_SPACE_AMPLE if a snapshot would free too little to be worth its writing. Small writes, such
+ * as a vote by itself, never wait. */
 disk_space_verdict_t disk_space_decide(const disk_space_t *d);
 
 #endif
