A replica that rejects a resumed stream as invalid doesn't put a second head into the answer

Cause: a stream had begun and broke off; the next replica answered 400 with Not-Run. handle_answer ended the request with end_with_status, which writes a head of its own, without looking whether the answer had begun; all other ends do. Evidence: test_no_second_head_follows_the_first failed on: two heads in the bytes received, the second "HTTP/1.1 400 Bad Request" behind event 3. Change: end_with_status itself aborts an answer that has begun, so no end of a request can write a second head. After: test_stream_errors passes. The other errors of a next replica (500, 502 without signature, 503 not run) passed before and after.

--- a/src/front/front_request.c
+++ b/src/front/front_request.c
@@ -86,30 +86,35 @@
 	http_conn_set_data(q->conn, NULL);
 }
 
-/* Ends the request with an answer from this process, without a body; outcome is for the log. */
-static void end_with_status(front_request_t *q, int status, int64_t retry_ms, const char *outcome)
+/* Ends a request whose answer has begun: aborts the connection, so that the answer does not look
+ * complete. */
+static void end_with_abort(front_request_t *q, const char *outcome)
 {
 	http_conn_t *c = q->conn;
-	AUTO_BUF headers = {0};
 
-	record_end(q, outcome, status);
-	if (retry_ms > 0)
-		platform_add_retry_after(&headers, retry_ms);
+	record_end(q, outcome, 0);
 	detach_conn(q);
 	request_free(q);
-	http_reply(c, status, str_buf(&headers), (str_t){"", 0});
+	http_reply_abort(c);
 }
 
-/* Ends a request whose answer has begun: aborts the connection, so that the answer does not look
- * complete. */
-static void end_with_abort(front_request_t *q, const char *outcome)
+/* Ends the request with an answer from this process, without a body, or aborts an answer that has
+ * begun; outcome is for the log. */
+static void end_with_status(front_request_t *q, int status, int64_t retry_ms, const char *outcome)
 {
 	http_conn_t *c = q->conn;
+	AUTO_BUF headers = {0};
 
-	record_end(q, outcome, 0);
+	if (q->head_sent) {
+		end_with_abort(q, outcome);
+		return;
+	}
+	record_end(q, outcome, status);
+	if (retry_ms > 0)
+		platform_add_retry_after(&headers, retry_ms);
 	detach_conn(q);
 	request_free(q);
-	http_reply_abort(c);
+	http_reply(c, status, str_buf(&headers), (str_t){"", 0});
 }
 
 /* Ends a request that no replica has answered; aborts an answer that has begun. outcome is for the
@@ -119,10 +124,7 @@
 	bool sent = q->attempt && front_attempt_sent(q->attempt);
 	int status = failure_status(why, q->may_have_run || sent);
 
-	if (q->head_sent)
-		end_with_abort(q, outcome);
-	else
-		end_with_status(q, status, status < 500 || status == 503 ? retry_ms : 0, outcome);
+	end_with_status(q, status, status < 500 || status == 503 ? retry_ms : 0, outcome);
 }
 
 bool front_request_check_quarantine(front_request_t *q)
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -80,6 +80,8 @@
         self.crashes = []               # times
         self.unframed = False           # its streams have neither a length nor chunks and end with the connection
         self.end_within = None          # ends an unframed stream within this event, once, without a reset
+        self.end_after = None           # (event, bytes): ends an unframed stream after this event with these bytes, once
+        self.resumed_answer = None      # (status, headers, body) of its answers to requests that go on after an event
         self.server = None
         self.writers = set()
 
@@ -177,6 +179,10 @@
         if status:
             run["end"] = status
             return await self.reply(writer, status, signed, b"no")
+        if self.resumed_answer and run["after"]:
+            status, headers, text = self.resumed_answer
+            run["end"] = status
+            return await self.reply(writer, status, signed + headers, text)
         return await self.stream(run, signed, reader, writer)
 
     async def stream(self, run, signed, reader, writer):
@@ -216,6 +222,12 @@
                     return False
                 writer.write(data if self.unframed else b"%x\r\n%s\r\n" % (len(data), data))
                 await writer.drain()
+                if self.end_after and self.end_after[0] == n:
+                    writer.write(self.end_after[1])
+                    self.end_after = None
+                    run["end"] = "cut"
+                    await writer.drain()
+                    return False
             if not self.unframed:
                 writer.write(b"0\r\n\r\n")
                 await writer.drain()
@@ -409,6 +421,24 @@
             ("Token-Usage", "450,200"), ("Prompt-Prefix", "%s,%s:250" % (parts, rid))] + list(headers),
             b"body of " + rid.encode(), timeout or wait_ms / 1000 + 1, events)
 
+    async def raw_answer(self, front, path, rid, timeout=6):
+        """All bytes that the entry sends in answer to an online request, which asks it to close the connection."""
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(front.ip, self.port), 1)
+        writer.write(("POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 5000\r\nModel: m\r\n"
+                      "Connection: close\r\nContent-Length: 0\r\n\r\n" % (path, HOST, rid)).encode())
+        got = b""
+        try:
+            async def read():
+                nonlocal got
+                while piece := await reader.read(65536):
+                    got += piece
+            await asyncio.wait_for(read(), timeout)
+        except ConnectionError:
+            pass
+        finally:
+            writer.transport.abort()
+        return got
+
     def config(self, version, **changes):
         """The operators' config. Changes: quota (batch tokens), extra (path of a route), more (number of routes),
         tenants (list of customers; adds a public route)."""
