A success that is no event stream doesn't continue a stream that has begun

Cause: only the status of the next replica's answer was looked at. A 200 with signature and another type than text/event-stream was buffered as a body and sent as the rest of the stream. Evidence: test_success_of_another_type_is_not_passed_on failed: status 200, "upstream failed" behind event 3. Change: only an event stream continues one; anything else counts as a failed attempt. After: the test passes.

--- a/src/front/front_request.c
+++ b/src/front/front_request.c
@@ -344,7 +344,7 @@
 		retry_elsewhere(q, r->other_replica ? DISPATCH_UNREACHABLE : DISPATCH_FULL);
 	} else if (!r->has_signature) {
 		retry_elsewhere(q, DISPATCH_BROKEN);
-	} else if (q->head_sent && r->status != 200) {
+	} else if (q->head_sent && (r->status != 200 || !r->event_stream)) {
 		retry_elsewhere(q, DISPATCH_FAILED);
 	} else if (r->status >= 500 && is_repeatable(q) && q->attempts < q->max_attempts) {
 		retry_elsewhere(q, DISPATCH_FAILED);
--- a/tests/proc/test_stream_errors.py
+++ b/tests/proc/test_stream_errors.py
@@ -69,6 +69,9 @@
     def test_refusal_of_the_next_replica_as_full_is_not_passed_on(self):
         self.check_resumed_answer(503, [("Not-Run", "1")])
 
+    def test_success_of_another_type_is_not_passed_on(self):
+        self.check_resumed_answer(200, [("Content-Type", "text/plain")])
+
     def test_refusal_before_the_first_event_is_an_answer_of_its_own(self):
         for r in self.kit.replicas:
             r.full = True
