An error's head or text in a stream without length isn't passed on as an event

Cause: in a stream that ends with its connection, anything up to an empty line was an event. One without an id was buffered and sent with the next event or at the end of the answer. Change: the parser tells blocks that have lines but neither a field of an event nor a comment; such a block breaks the attempt, so that the stream is resumed elsewhere or broken off. Both for online requests and for items.

--- a/src/front/front_attempt.c
+++ b/src/front/front_attempt.c
@@ -116,8 +116,15 @@
 static bool on_event(void *ctx, const sse_event_t *e)
 {
 	front_attempt_t *a = ctx;
-	front_attempt_event_t verdict = a->options.event(a->options.ctx, e);
+	front_attempt_event_t verdict;
 
+	/* Most likely the head or the text of an error in a stream that states no length. */
+	if (e->is_malformed) {
+		log_event(LOG_LEVEL_WARN, "event_malformed", LOG_CSTR("request", a->id),
+			  LOG_CSTR("replica", a->replica), LOG_INT("bytes", e->raw.n));
+		return false;
+	}
+	verdict = a->options.event(a->options.ctx, e);
 	if (verdict == FRONT_EVENT_NEW && !a->began) {
 		a->began = true;
 		front_quarantine_began(a->options.f, a->options.replica, &a->options.prompt);
--- a/src/net/sse.c
+++ b/src/net/sse.c
@@ -13,7 +13,8 @@
 	return rest;
 }
 
-static void parse_line(sse_event_t *e, str_t line)
+/* Returns whether the line is a comment or a field that the format of events defines. */
+static bool parse_line(sse_event_t *e, str_t line)
 {
 	if (str_starts(line, STR("event:"))) {
 		e->name = field_value(line, STR("event:"));
@@ -22,13 +23,18 @@
 	} else if (str_starts(line, STR("data:"))) {
 		e->data = field_value(line, STR("data:"));
 		e->has_data = true;
+	} else {
+		return str_starts(line, STR(":")) || str_starts(line, STR("retry:"));
 	}
+	return true;
 }
 
 static bool deliver_event(str_t raw, sse_callback_t event, void *ctx)
 {
 	sse_event_t e = {.raw = raw, .name = {"", 0}, .data = {"", 0}, .id = -1};
 	str_t left = raw;
+	bool has_lines = false;
+	bool has_fields = false;
 
 	while (left.n) {
 		long nl = str_find(left, STR("\n"));
@@ -37,10 +43,12 @@
 
 		if (line.n && line.p[line.n - 1] == '\r')
 			line.n--;
-		parse_line(&e, line);
+		has_lines |= line.n > 0;
+		has_fields |= parse_line(&e, line);
 		n += nl < 0 ? 0 : 1;
 		left = (str_t){left.p + n, left.n - n};
 	}
+	e.is_malformed = has_lines && !has_fields;
 	return event(ctx, &e);
 }
 
--- a/src/net/sse.h
+++ b/src/net/sse.h
@@ -18,6 +18,7 @@
 	str_t data; /* of its last data line */
 	long long id; /* of its last id line; -1: none, or not a number */
 	bool has_data;
+	bool is_malformed; /* has lines, but neither a field of an event nor a comment */
 } sse_event_t;
 
 /** Returns false to stop the parser. */
--- a/tests/proc/test_stream_errors.py
+++ b/tests/proc/test_stream_errors.py
@@ -9,6 +9,7 @@
 from platform_kit import Kit
 
 ERROR_TEXT = b"upstream failed"
+ERROR_HEAD = b"HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n"
 
 
 class ErrorAfterBegin(unittest.TestCase):
@@ -72,6 +73,17 @@
     def test_success_of_another_type_is_not_passed_on(self):
         self.check_resumed_answer(200, [("Content-Type", "text/plain")])
 
+    def test_stream_without_events_does_not_complete_the_answer(self):
+        self.check_resumed_answer(200, [("Content-Type", "text/event-stream")], ERROR_TEXT + b"\n\n")
+
+    def test_error_head_within_a_stream_is_not_passed_on(self):
+        for r in self.kit.replicas:
+            r.unframed = True
+            r.end_after = 3, ERROR_HEAD
+        rid, (s, _, b) = self.send()
+        self.check_prefix(rid, b)
+        self.assertEqual([r["after"] for r in self.kit.runs_of(rid)], [0, 3])
+
     def test_refusal_before_the_first_event_is_an_answer_of_its_own(self):
         for r in self.kit.replicas:
             r.full = True
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -231,6 +231,38 @@
 }
 END_TEST
 
+static bool count_malformed(void *ctx, const sse_event_t *e)
+{
+	*(int *)ctx += e->is_malformed;
+	return true;
+}
+
+START_TEST(text_of_another_kind_between_events_is_malformed)
+{
+	static const struct {
+		const char *in;
+		int malformed;
+	} cases[] = {
+		{"id: 1\ndata: one\n\n", 0},
+		{"weight-versions: 2\nid: 2\ndata: two\n\n", 0},
+		{": ping\n\n", 0},
+		{"retry: 100\n\n", 0},
+		{"\n\n\n\n", 0},
+		{"HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n", 1},
+		{"upstream failed\n\n", 1},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		sse_parser_t s = {0};
+		int malformed = 0;
+
+		ck_assert(sse_feed(&s, str_c(cases[i].in), count_malformed, &malformed));
+		ck_assert_int_eq(malformed, cases[i].malformed);
+		sse_free(&s);
+	}
+}
+END_TEST
+
 /* ---- server and client ---- */
 
 START_TEST(a_call_is_answered_and_its_connection_reused)
@@ -484,6 +516,7 @@
 	tcase_add_test(t, trailers_do_not_change_the_head);
 	tcase_add_test(t, query_parameters_and_numbers_are_parsed);
 	tcase_add_test(t, events_are_found_wherever_the_bytes_are_split);
+	tcase_add_test(t, text_of_another_kind_between_events_is_malformed);
 	tcase_add_test(t, a_call_is_answered_and_its_connection_reused);
 	tcase_add_test(t, chunks_arrive_and_an_aborted_reply_is_broken);
 	tcase_add_test(t, the_server_notices_a_cancelled_call);
