A replica's repeated refusal isn't taken for the answer to the next try

Cause: the request's id tells a late copy of an answer from the next answer on a kept connection, but a request that was refused comes to the same replica under the same id. An online request doesn't (it avoids replicas that it has tried, and one that may not be repeated gets a new connection); an item of a lot does, and a request after 421, when a replica with another id has the address. Evidence: test_items_run_once_after_a_refusal failed: runs of the item ended 'left', 'done' instead of 'done', the entry's log has two item_end with outcome=full 50 ms apart and the replica refused once. The cases for online requests passed. Change: a connection is kept only after an answer that ends the request; after a refusal or a failure it is closed.

--- a/src/front/front_attempt.c
+++ b/src/front/front_attempt.c
@@ -108,6 +108,10 @@
 		front_replica_leaving(a->options.f, a->options.replica);
 	front_reach_heard(a->options.f, a->options.replica.id);
 	a->answered = r.has_signature && !r.not_run && r.status < 500;
+	/* The request may come to this replica again, and a copy of this answer, which has its id,
+	 * would be taken for the next one. */
+	if (!a->answered)
+		http_call_close_conn_after(a->call);
 	a->is_stream = r.event_stream && r.status == 200 && r.has_signature;
 	a->options.head(a->options.ctx, h, &r);
 	return true;
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -379,6 +379,12 @@
 	return call->conn && call->conn->sent;
 }
 
+void http_call_close_conn_after(http_call_t *call)
+{
+	if (call->conn)
+		call->conn->keep_alive = false;
+}
+
 http_call_t *http_call_start(http_client_t *h, const http_call_options_t *options)
 {
 	host_t *host = find_or_add_host(h, options->addr);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -43,6 +43,9 @@
 bool http_call_reused_conn(const http_call_t *c);
 /** True once a byte of the request was written to the socket: the server may have received it. */
 bool http_call_sent(const http_call_t *c);
+/** Closes the connection after this call's response instead of reusing it. From the head callback
+ * on. */
+void http_call_close_conn_after(http_call_t *c);
 /** Ends a call and closes its connection; no callback follows. */
 void http_call_cancel(http_call_t *c);
 /** Closes the idle connections, as when the path to the servers was cut. */
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -73,6 +73,8 @@
         self.duplicate_answer = None    # how it repeats the previous answer on the same connection, see copy_of
         self.events = 10
         self.full = False               # rejects requests unrun with 503
+        self.refuses_first = None       # set: rejects the first request with each id unrun, and adds the id
+        self.repeats_refusals = False   # writes a refusal once more before the next answer on the same connection
         self.item_statuses = {}         # item id: error status to answer with
         self.break_after = None         # closes the connection within this event, once
         self.silent_after = None        # sends nothing after this event, on all runs while set
@@ -84,6 +86,7 @@
         self.resumed_answer = None      # (status, headers, body) of its answers to requests that go on after an event
         self.server = None
         self.writers = set()
+        self.refused_now = set()        # ids whose refusal was just written
 
     async def start(self):
         self.addr = self.kit.next_addr()
@@ -120,15 +123,19 @@
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
-        before = None
+        before = refusal = None
         try:
             while True:
                 m = await read_message(reader)
                 if m and before and self.duplicate_answer:
                     writer.write(self.copy_of(before))
+                if m and refusal and self.repeats_refusals:
+                    writer.write(refusal)
                 if not m or not await self.answer(m, reader, writer):
                     break
                 before = m[1].get("request-id", "")
+                refusal = self.refusal_of(before) if before in self.refused_now else refusal
+                self.refused_now.discard(before)
                 if self.duplicate_answer == "at once":
                     writer.write(self.copy_of(before))
         except (ConnectionError, asyncio.IncompleteReadError, OSError):
@@ -150,6 +157,9 @@
         full_answer = head.encode() + b"\r\n" + body
         return full_answer[:len(full_answer) // 2] if self.duplicate_answer == "cut" else full_answer
 
+    def refusal_of(self, rid):
+        return b"HTTP/1.1 503 X\r\nNot-Run: 1\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n" % rid.encode()
+
     def leaving_headers(self):
         return [("Server-Leaving", "1")] if self.announces_leaving else []
 
@@ -170,6 +180,12 @@
             return await self.reply(writer, 400, [("Not-Run", "1")])
         if self.full:
             return await self.reply(writer, 503, [("Not-Run", "1")])
+        if self.refuses_first is not None and rid not in self.refuses_first:
+            self.refuses_first.add(rid)
+            self.refused_now.add(rid)
+            writer.write(self.refusal_of(rid))
+            await writer.drain()
+            return True
         run = {"id": rid, "replica": self.id, "after": int(h.get("last-event-id", 0)), "at": time.time(),
                "end": None, "ended": None, "target": target, "body": body, "method": method,
                "wait": h.get("deadline-ms"), "model": h.get("model"), "headers": h}
