An entry isn't cut off for good when the replicas come back under new ids

Callers saw: an entry that reaches all replicas isn't ready any more, hands each request to another entry and runs no item. It stays so until it is restarted. Cause: an entry that counts as cut off becomes sound again with the first connection to a replica whose connection had failed, by id. A replica that starts again has a new id; when all that had failed are gone, no connection counts. Class: a belief whose end depends on evidence that may never come again. Change: it also ends when as many replicas are reached as an entry that is not cut off reaches.

--- a/src/policy/reach.c
+++ b/src/policy/reach.c
@@ -28,6 +28,7 @@
 	record_t *records; /* hash by id; iterated in the order of adding */
 	unsigned known;
 	bool cut_off;
+	deadline_t cut_off_at;
 	unsigned probes_failed; /* since the doubt began */
 	unsigned probes_connected;
 	deadline_t next_probe;
@@ -183,6 +184,18 @@
 	return now - n->since >= (n->answering ? REACH_OLD_CONNS_MS : ANSWER_MS);
 }
 
+/* True if as many replicas are reached again as an entry that is not cut off reaches. Replicas that
+ * start again get new ids, under which no connection has failed. */
+static bool is_reached_again(const reach_t *r, const counts_t *n, deadline_t now)
+{
+	unsigned reached = 0;
+
+	for (const record_t *x = r->records; x; x = x->hh.next)
+		reached += x->connected_at > r->cut_off_at && !has_failed(x, now) &&
+			   now - x->connected_at < REACH_FAILURE_MS;
+	return reached > 0 && n->failed <= reached * FAILED_PER_REACHED;
+}
+
 reach_state_t reach_state(reach_t *r, deadline_t now)
 {
 	counts_t n = count(r, now);
@@ -192,9 +205,12 @@
 		end_cut(r);
 		return REACH_FINE;
 	}
+	if (r->cut_off && is_reached_again(r, &n, now))
+		end_cut(r);
 	if (r->cut_off)
 		return REACH_CUT_OFF;
 	r->cut_off = is_cut_off(r, &n, now);
+	r->cut_off_at = now;
 	if (r->cut_off)
 		return REACH_CUT_OFF;
 	if (!doubted)
--- a/src/policy/reach.h
+++ b/src/policy/reach.h
@@ -5,7 +5,7 @@
  * doubt, as a replica may pause and go on while its kernel still accepts connections. In doubt the
  * entry probes: it connects to other replicas, and closes the connections. It counts as cut off
  * once connections to several replicas and nearly all probes have failed, and no longer as soon as
- * a connection to a replica is made that had failed.
+ * a connection to a replica is made that had failed, or as many others are reached.
  *
  * Connections that were made before may live on while new ones fail. An entry that still gets
  * answers through them counts as cut off only after REACH_OLD_CONNS_MS.
--- a/tests/unit/test_reach.c
+++ b/tests/unit/test_reach.c
@@ -42,6 +42,8 @@
 	unsigned period_ms; /* between two attempts */
 	deadline_t next_attempt;
 	unsigned next_probe;
+	unsigned first_replica; /* number in the id of replica 0: of those started again it differs
+				 */
 	unsigned probes;
 	deadline_t cut_at; /* when the entry first counted as cut off; 0: never */
 	deadline_t back_at; /* when it last counted so no more */
@@ -59,11 +61,11 @@
 	reach_set_known(p->reach, REPLICAS);
 }
 
-static str_t replica_id(unsigned i)
+static str_t replica_id(const play_t *p, unsigned i)
 {
-	static char ids[REPLICAS][8];
+	static char ids[REPLICAS][16];
 
-	snprintf(ids[i], sizeof(ids[i]), "r%u", i);
+	snprintf(ids[i], sizeof(ids[i]), "r%u", p->first_replica + i);
 	return str_c(ids[i]);
 }
 
@@ -82,7 +84,7 @@
 	} else if (p->silent[replica] && !probe) {
 		c.fails = c.old = true;
 		c.ends = p->now + SILENCE_MS;
-		reach_connected(p->reach, replica_id(replica), false, p->now);
+		reach_connected(p->reach, replica_id(p, replica), false, p->now);
 	}
 	if (old && c.fails)
 		p->pool[replica] = 0;
@@ -97,7 +99,7 @@
 
 static void end_call(play_t *p, call_t *c)
 {
-	str_t id = replica_id(c->replica);
+	str_t id = replica_id(p, c->replica);
 
 	c->ends = 0;
 	if (c->fails) {
@@ -217,6 +219,27 @@
 }
 END_TEST
 
+START_TEST(an_entry_is_not_cut_off_for_good_when_all_replicas_come_back_under_new_ids)
+{
+	play_t p;
+	deadline_t healed;
+
+	play_init(&p, 20);
+	play_ms(&p, 3000);
+	set_path(&p, 0, REPLICAS, PATH_RESETS);
+	play_ms(&p, 2000);
+	ck_assert(p.was_cut);
+	healed = p.now;
+	p.first_replica = REPLICAS;
+	set_path(&p, 0, REPLICAS, PATH_OPEN);
+	play_ms(&p, 4000);
+	ck_assert(!p.was_cut);
+	ck_assert_uint_eq(p.cuts, 1);
+	ck_assert_int_le(p.back_at - healed, 1000);
+	reach_free(p.reach);
+}
+END_TEST
+
 START_TEST(an_entry_with_few_callers_notices_a_cut_too)
 {
 	ck_assert_int_le(play_cut(PATH_HANGS, 300), 2500);
@@ -361,6 +384,8 @@
 		t, an_entry_that_reaches_no_replica_is_cut_off_within_a_second_and_back_within_one);
 	tcase_add_test(
 		t, an_entry_that_reaches_one_replica_of_nine_is_cut_off_until_it_reaches_others);
+	tcase_add_test(t,
+		       an_entry_is_not_cut_off_for_good_when_all_replicas_come_back_under_new_ids);
 	tcase_add_test(t, an_entry_with_few_callers_notices_a_cut_too);
 	tcase_add_test(t,
 		       an_entry_whose_old_connections_live_is_cut_off_once_new_ones_fail_for_long);
