A request that the other entry refuses or doesn't get is handed to one more

Cause: a hand-over was tried at one entry only, which may be cut off itself or gone; look-ups name it until the leader knows. Change: after a refusal (503 promises that nothing ran) or a connection that wasn't made, one more entry is asked, never the same one and never a third; what may have run goes nowhere else. Evidence: test_request_that_the_other_entry_refuses_is_served_by_a_third, ..._that_does_not_reach_... and test_two_entries_are_asked_at_most failed before (503 instead of 200, [1, 0] instead of [1, 1]); test_reach 15 of 15 after.

--- a/src/front/front_hop.c
+++ b/src/front/front_hop.c
@@ -20,18 +20,24 @@
 	front_t *f;
 	http_conn_t *conn;
 	http_call_t *call;
+	http_request_t req; /* of the connection, which keeps it until the reply */
 	timeout_t timer; /* expires at the deadline */
-	deadline_t received;
-	int status; /* of the answer; 0: none has begun */
+	deadline_t deadline;
+	int status; /* of the answer that is relayed; 0: none has begun */
+	bool refused; /* by the first entry; another one is asked next */
 	char id[64];
+	char first_entry[64]; /* ip:port of the first entry if another one was asked next */
 	char entry[64]; /* ip:port */
 };
 
+static const link_entry_t *pick_entry(front_t *f, const char *except);
+static void start_call(front_hop_t *p, const link_entry_t *e);
+
 static void log_end(const front_hop_t *p, const char *outcome, int status)
 {
 	log_event(LOG_LEVEL_INFO, "hand_over_end", LOG_CSTR("request", p->id),
 		  LOG_CSTR("entry", p->entry), LOG_CSTR("outcome", outcome),
-		  LOG_INT("status", status), LOG_INT("ms", clock_now_ms() - p->received));
+		  LOG_INT("status", status), LOG_INT("ms", clock_now_ms() - p->req.received));
 }
 
 static void hop_free(front_hop_t *p)
@@ -59,11 +65,28 @@
 	http_reply(c, status, str_buf(&headers), STR(""));
 }
 
+/* Asks another entry, once, after an end that says that the request has not run. */
+static bool ask_another(front_hop_t *p, const char *outcome)
+{
+	const link_entry_t *e = p->first_entry[0] ? NULL : pick_entry(p->f, p->entry);
+
+	if (!e)
+		return false;
+	log_end(p, outcome, 0);
+	snprintf(p->first_entry, sizeof(p->first_entry), "%s", p->entry);
+	p->refused = false;
+	start_call(p, e);
+	return true;
+}
+
 static bool on_head(void *ctx, const http_head_t *h)
 {
 	front_hop_t *p = ctx;
 	AUTO_BUF headers = {0};
 
+	p->refused = h->status == 503 && !p->first_entry[0] && pick_entry(p->f, p->entry);
+	if (p->refused)
+		return true;
 	p->status = h->status;
 	platform_reply_headers(&headers, h);
 	http_reply_begin(p->conn, h->status, str_buf(&headers));
@@ -74,7 +97,8 @@
 {
 	front_hop_t *p = ctx;
 
-	http_reply_chunk(p->conn, piece);
+	if (!p->refused)
+		http_reply_chunk(p->conn, piece);
 }
 
 static void on_end(void *ctx, http_call_end_t how)
@@ -83,8 +107,12 @@
 	http_conn_t *c = p->conn;
 
 	p->call = NULL;
-	if (how != HTTP_CALL_DONE) {
-		end_failed(p, FAILURE_NO_ATTEMPT_LEFT, how != HTTP_CALL_UNSENT, "broken");
+	if ((p->refused || how == HTTP_CALL_UNSENT) &&
+	    ask_another(p, p->refused ? "refused" : "not reached"))
+		return;
+	if (p->refused || how != HTTP_CALL_DONE) {
+		end_failed(p, FAILURE_NO_ATTEMPT_LEFT, !p->refused && how != HTTP_CALL_UNSENT,
+			   "broken");
 		return;
 	}
 	log_end(p, "ok", p->status);
@@ -96,7 +124,7 @@
 static void on_deadline(void *ctx)
 {
 	front_hop_t *p = ctx;
-	bool sent = http_call_sent(p->call);
+	bool sent = !p->refused && http_call_sent(p->call);
 
 	http_call_cancel(p->call);
 	end_failed(p, FAILURE_DEADLINE, sent, "deadline");
@@ -110,8 +138,8 @@
 }
 
 /* Picks another one of the entries that look-ups name, in the own zone if there is one; NULL if
- * there are none. */
-static const link_entry_t *pick_entry(front_t *f)
+ * there are none. except: ip:port of an entry that is not picked, or empty. */
+static const link_entry_t *pick_entry(front_t *f, const char *except)
 {
 	const link_entry_t *best = NULL;
 	bool best_same_zone = false;
@@ -121,7 +149,8 @@
 		const link_entry_t *e = &f->view.entries.entries_val[i];
 		bool same_zone = str_eq(wire_str(e->zone), str_c(f->settings.zone));
 
-		if (str_eq(wire_str(e->addr), str_c(f->settings.listen)))
+		if (str_eq(wire_str(e->addr), str_c(f->settings.listen)) ||
+		    str_eq(wire_str(e->addr), str_c(except)))
 			continue;
 		if (best && same_zone < best_same_zone)
 			continue;
@@ -135,11 +164,30 @@
 	return best;
 }
 
+static void start_call(front_hop_t *p, const link_entry_t *e)
+{
+	AUTO_BUF request = {0};
+
+	snprintf(p->entry, sizeof(p->entry), "%.*s", STR_ARG(wire_str(e->addr)));
+	platform_hop_encode(&request, &p->req.head, p->req.body, clock_left_ms(p->deadline));
+	p->call =
+		http_call_start(p->f->http, &(http_call_options_t){
+						    .request = str_buf(&request),
+						    .addr = p->entry,
+						    .new_conn = true,
+						    .max_bytes = ANSWER_BYTES_MAX,
+						    .connect_deadline = clock_now_ms() + CONNECT_MS,
+						    .ctx = p,
+						    .head = on_head,
+						    .body = on_body,
+						    .end = on_end,
+					    });
+}
+
 bool front_hop_start(front_t *f, http_conn_t *c, const http_request_t *r, str_t id,
 		     deadline_t deadline)
 {
-	const link_entry_t *e = front_all_cut_off(f) ? NULL : pick_entry(f);
-	AUTO_BUF request = {0};
+	const link_entry_t *e = front_all_cut_off(f) ? NULL : pick_entry(f, "");
 	front_hop_t *p;
 
 	if (!e)
@@ -148,24 +196,13 @@
 	p->data = (front_conn_data_t){FRONT_CONN_HOP, p};
 	p->f = f;
 	p->conn = c;
-	p->received = r->received;
+	p->req = *r;
+	p->deadline = deadline;
 	snprintf(p->id, sizeof(p->id), "%.*s", STR_ARG(id));
-	snprintf(p->entry, sizeof(p->entry), "%.*s", STR_ARG(wire_str(e->addr)));
 	METRIC_INC("auburn_handed_over_total");
-	platform_hop_encode(&request, &r->head, r->body, clock_left_ms(deadline));
 	http_conn_set_data(c, &p->data);
 	timeout_init(&p->timer, f->loop, on_deadline, p);
 	timeout_set(&p->timer, clock_left_ms(deadline));
-	p->call = http_call_start(f->http, &(http_call_options_t){
-						   .request = str_buf(&request),
-						   .addr = p->entry,
-						   .new_conn = true,
-						   .max_bytes = ANSWER_BYTES_MAX,
-						   .connect_deadline = clock_now_ms() + CONNECT_MS,
-						   .ctx = p,
-						   .head = on_head,
-						   .body = on_body,
-						   .end = on_end,
-					   });
+	start_call(p, e);
 	return true;
 }
--- a/tests/proc/test_reach.py
+++ b/tests/proc/test_reach.py
@@ -124,15 +124,15 @@
 class SoundEntry(LinkEntry):
     """A simulated entry that is listed, answers requests itself, and says in `fault` how it fails."""
 
-    def __init__(self, kit):
+    def __init__(self, kit, name="sound"):
         self.addr = kit.next_addr()
         self.requests = []          # (request line, headers, body)
         self.fault = None
         self.left = 0               # requests whose sender closed the connection
-        super().__init__("sound", [c.ip for c in kit.controls], kit.port + 1, 0.01)
+        super().__init__(name, [c.ip for c in kit.controls], kit.port + 1, 0.01)
 
     def hello(self):
-        return super().hello().replace(opaque(b"sound:9"), opaque(self.addr.encode()))
+        return super().hello().replace(opaque(self.name.encode() + b":9"), opaque(self.addr.encode()))
 
     async def listen(self):
         ip, port = self.addr.split(":")
@@ -161,18 +161,22 @@
     def setUp(self):
         super().setUp()
 
-        async def start():
-            other = SoundEntry(self.kit)
-            await other.listen()
-            return other
-        self.other = self.run_one(start())
-        self.addCleanup(lambda: setattr(self.other, "closed", True))
+        self.other = self.add_entry("sound")
         self.wait_for("link of the other entry", lambda: self.other.addr in self.addresses(), 5)
         self.paths.darken()
         self.load(NOTICED_S)
         self.wait_for("look-up without them", lambda: self.addresses() == {self.other.addr}, 1)
         self.other.requests.clear()
 
+    def add_entry(self, name):
+        async def start():
+            other = SoundEntry(self.kit, name)
+            await other.listen()
+            return other
+        other = self.run_one(start())
+        self.addCleanup(lambda: setattr(other, "closed", True))
+        return other
+
     def send_with(self, headers=(), timeout=4, wait_ms=1500):
         rid = "%016x" % random.getrandbits(64)
         return self.run_one(self.kit.stream(self.kit.fronts[0], "/alert/1?q=2", rid, wait_ms, timeout=timeout,
@@ -196,6 +200,42 @@
         status, headers, _ = self.send_with()
         self.assertEqual((status, headers["retry-after"]), (503, "0.7"))
 
+    def add_second_entry(self):
+        second = self.add_entry("second")
+        self.wait_for("look-up with both", lambda: self.addresses() == {self.other.addr, second.addr}, 5)
+        time.sleep(0.5)     # the view reaches the entry too
+        return second
+
+    def test_request_that_the_other_entry_refuses_is_served_by_a_third(self):
+        second = self.add_second_entry()
+        self.other.fault = "refuses"
+        for _ in range(6):
+            self.assertEqual(self.send_with()[0], 200)
+        self.assertEqual(len(second.requests), 6)
+        self.assertGreater(len(self.other.requests), 0)
+
+    def test_request_that_does_not_reach_the_other_entry_is_served_by_a_third(self):
+        second = self.add_second_entry()
+        self.run_one(self.close_other())
+        for _ in range(6):
+            self.assertEqual(self.send_with()[0], 200)
+        self.assertEqual(len(second.requests), 6)
+
+    def test_two_entries_are_asked_at_most(self):
+        others = [self.other, self.add_second_entry()]
+        for x in others:
+            x.fault = "refuses"
+        status, headers, _ = self.send_with()
+        self.assertEqual((status, headers["retry-after"]), (503, "0.7"))
+        self.assertEqual([len(x.requests) for x in others], [1, 1])
+
+    def test_request_that_may_have_run_goes_to_no_third_entry(self):
+        others = [self.other, self.add_second_entry()]
+        for x in others:
+            x.fault = "breaks"
+        self.assertEqual(self.send_with()[0], 502)
+        self.assertEqual(sum(len(x.requests) for x in others), 1)
+
     def test_request_that_breaks_on_the_way_may_have_run(self):
         self.other.fault = "breaks"
         self.assertEqual(self.send_with()[0], 502)
