Silent replicas stay in back-off while others of the service answer

Cause: once more than half of a service's replicas were in back-off, the dispatcher ended the back-off of all and ignored silence for 700 ms. That is meant for a loss of power of all entries, when no replica answers; it also threw away what was known when some answer. Change: silence is ignored only if fewer than a fifth of the replicas have answered some entry within 200 ms. Evidence: replicas_that_are_silent_get_no_new_work_while_others_answer failed before (a request was placed at r4, one of the silent ones); test_dispatch 25 of 25 after.

--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -20,6 +20,8 @@
 /** Once most replicas of a service are in back-off when another one is silent, silence does not
  * count as a failure for this long: about the time that a request holds its slot. */
 #define IGNORE_SILENCE_MS 700
+/** Silence counts as a failure while at least 1/ANSWERING_PART of the replicas answer. */
+#define ANSWERING_PART 5
 /** Back-off of a replica that rejected a run as full: its engine produces a few tokens in this
  * time. */
 #define FULL_MS 40
@@ -350,14 +352,16 @@
 }
 
 /*
- * True if the service has several replicas and more than half of them are in back-off, counting
- * the one that has just been silent. This happens after all VMs of the entries lost power: the old
- * runs occupy the replicas until the replicas notice that the entries are gone, and new runs get no
- * answer. A back-off from all replicas would leave no slot for new work.
+ * True if most replicas of a service are in back-off, counting the one that has just been silent,
+ * and few of the others answer. This happens after all VMs of the entries lost power: the old runs
+ * occupy the replicas until the replicas notice that the entries are gone, and new runs get no
+ * answer. A back-off from all replicas would leave no slot for new work. Where others answer, the
+ * silent ones stay in back-off.
  */
-static bool most_replicas_suspect(const dispatch_t *d, const replica_t *silent, deadline_t now)
+static bool silence_is_common(const dispatch_t *d, const replica_t *silent, deadline_t now)
 {
 	unsigned suspects = 1;
+	unsigned answering = 0;
 	unsigned all = 0;
 
 	for (const replica_t *r = d->replicas; r; r = r->hh.next) {
@@ -365,8 +369,9 @@
 			continue;
 		all++;
 		suspects += r != silent && now < r->suspect_until;
+		answering += r != silent && dispatch_answers(r, now);
 	}
-	return suspects * 2 > all && all > 1;
+	return suspects * 2 > all && all > 1 && answering * ANSWERING_PART < all;
 }
 
 /* Ends the failure back-off of all replicas of the service, whatever caused it, and ignores silence
@@ -408,7 +413,7 @@
 	case DISPATCH_SILENT:
 		if (now < r->ignore_silence_until)
 			return;
-		if (now >= r->suspect_until && most_replicas_suspect(d, r, now)) {
+		if (now >= r->suspect_until && silence_is_common(d, r, now)) {
 			reset_service_health(d, r->service, now);
 			return;
 		}
--- a/src/policy/dispatch_internal.h
+++ b/src/policy/dispatch_internal.h
@@ -156,6 +156,8 @@
 
 /** A replica has answered a run of this entry. */
 void dispatch_note_heard(dispatch_t *d, uint64_t entry, replica_t *r, deadline_t now);
+/** True if the replica has answered some entry lately, with no failure since. */
+bool dispatch_answers(const replica_t *r, deadline_t now);
 /** A connection of this entry failed. Returns true if that says nothing about the replica: it
  * answers other entries, or the entry reaches few. */
 bool dispatch_note_unreached(dispatch_t *d, uint64_t entry, replica_t *r, deadline_t now);
--- a/src/policy/dispatch_reach.c
+++ b/src/policy/dispatch_reach.c
@@ -78,6 +78,11 @@
 	r->heard[0] = (heard_t){entry, now};
 }
 
+bool dispatch_answers(const replica_t *r, deadline_t now)
+{
+	return now >= r->suspect_until && r->heard[0].at && now - r->heard[0].at < HEARD_MS;
+}
+
 bool dispatch_note_unreached(dispatch_t *d, uint64_t entry, replica_t *r, deadline_t now)
 {
 	pair_t *p = find_pair(d, entry, r);
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -261,6 +261,28 @@
 }
 END_TEST
 
+START_TEST(replicas_that_are_silent_get_no_new_work_while_others_answer)
+{
+	dispatch_t *d = new_dispatcher(10, 2);
+
+	for (uint64_t i = 1; i <= 20; i++)
+		add_request(d, i, 0);
+	for (uint64_t i = 1; i <= 20; i++) {
+		bool silent = effects[i - 1].replica[1] < '6';
+
+		dispatch_request_ended(d, 1, i, silent ? DISPATCH_SILENT : DISPATCH_OK, 180);
+	}
+	for (uint64_t i = 21; i <= 28; i++)
+		add_request(d, i, 185);
+	ck_assert_int_eq(neffects, 28);
+	for (int i = 20; i < neffects; i++) {
+		ck_assert_int_eq(effects[i].kind, GRANTED);
+		ck_assert_int_ge(effects[i].replica[1], '6');
+	}
+	dispatch_free(d);
+}
+END_TEST
+
 /* The exception for replicas that are all silent must not cover a single one that hangs. */
 START_TEST(one_silent_replica_of_many_gets_no_new_work)
 {
@@ -519,6 +541,7 @@
 	tcase_add_test(t, the_queue_of_one_service_does_not_count_for_another);
 	tcase_add_test(t, a_failed_replica_gets_no_work_for_a_while_then_one_request);
 	tcase_add_test(t, replicas_that_are_all_silent_at_once_do_not_count_as_failed);
+	tcase_add_test(t, replicas_that_are_silent_get_no_new_work_while_others_answer);
 	tcase_add_test(t, one_silent_replica_of_many_gets_no_new_work);
 	tcase_add_test(t, runs_that_break_together_count_as_one_failure);
 	tcase_add_test(t, a_request_avoids_the_replicas_that_failed_it);
