One odd entry in the list of replicas doesn't hide the others

What callers saw: while an entry of another writer stood in the list of replicas that is nested more than 2,048 deep, has a number over 64 bits, 1e999, \u0000, a lone surrogate or bytes that are no UTF-8, the whole page was refused ("not a page of the list of replicas"). The leader, and entries without a leader, kept the replicas of before: replicas that came got no requests, and once all of the old ones had left every request was refused (503). No process ended.

Cause: the page was decoded as one JSON value, and the library refuses the whole of it for any value that it can't represent.

From the first entry on that is not JSON, entries are also looked for from the end of the page, so that unbalanced quotes or brackets in one entry cost only this one; what is between two unbalanced entries is lost. A page that is cut is refused as before, as replicas that it leaves out would count as gone. A nextToken that is neither a string nor null is refused (it was taken for the last page); in the request for the next page it is encoded, so that it can't end the request line. `slots` that don't fit into 32 bits were cut to their lower half, and `born` of another type or negative was taken for missing: such entries are left out.

Skipped entries are counted (auburn_list_entries_skipped_total), with a log line when their number changes.

--- a/src/client/upstream_list.c
+++ b/src/client/upstream_list.c
@@ -24,6 +24,9 @@
 	buf_t body;
 	int status;
 	u_int passed_on; /* number of replicas that first_pages has received */
+	unsigned skipped; /* entries of this read that describe no usable replica */
+	unsigned skipped_logged; /* as last logged */
+	buf_t reason; /* why the last of them was skipped */
 	bool failing; /* the last read failed, which was logged */
 };
 
@@ -47,6 +50,28 @@
 
 static void read_page(upstream_list_t *u);
 
+static void note_skipped(upstream_list_t *u, unsigned n)
+{
+	if (n == 0)
+		return;
+	u->skipped += n;
+	u->reason.n = 0;
+	buf_add(&u->reason, str_c(status_message()));
+}
+
+static void report_skipped(upstream_list_t *u)
+{
+	metric_add(metric_get(METRIC_COUNTER, "auburn_list_entries_skipped_total", NULL),
+		   u->skipped);
+	if (u->skipped == u->skipped_logged)
+		return;
+	log_event(u->skipped ? LOG_LEVEL_WARN : LOG_LEVEL_INFO, "list_entries_skipped",
+		  LOG_CSTR("addr", u->o.addr), LOG_INT("entries", u->skipped),
+		  LOG_INT("replicas", u->list.upstreams.upstreams_len),
+		  LOG_STR("reason", str_buf(&u->reason)));
+	u->skipped_logged = u->skipped;
+}
+
 /* Only when the number has doubled, so that the receiver's work stays proportional to the list. */
 static void pass_on_first_pages(upstream_list_t *u)
 {
@@ -61,6 +86,7 @@
 static void on_page_end(void *ctx, http_call_end_t how)
 {
 	upstream_list_t *u = ctx;
+	unsigned skipped;
 
 	u->call = NULL;
 	if (how != HTTP_CALL_DONE || u->status != 200) {
@@ -69,10 +95,11 @@
 						       : "connection broken");
 		return;
 	}
-	if (platform_list_decode(str_buf(&u->body), &u->list, &u->cursor) != STATUS_OK) {
+	if (platform_list_decode(str_buf(&u->body), &u->list, &u->cursor, &skipped) != STATUS_OK) {
 		fail_read(u, status_message());
 		return;
 	}
+	note_skipped(u, skipped);
 	if (u->list.upstreams.upstreams_len > REPLICAS_MAX) {
 		fail_read(u, "too many replicas");
 		return;
@@ -85,6 +112,7 @@
 	if (u->failing)
 		log_event(LOG_LEVEL_INFO, "list_regained", LOG_CSTR("addr", u->o.addr));
 	u->failing = false;
+	report_skipped(u);
 	u->o.list(u->o.ctx, &u->list);
 	end_read(u);
 }
@@ -147,6 +175,8 @@
 		return;
 	u->cursor.n = 0;
 	u->passed_on = 0;
+	u->skipped = 0;
+	u->reason.n = 0;
 	timeout_set(&u->timer, READ_TIMEOUT_MS);
 	read_page(u);
 }
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -325,6 +325,7 @@
         self.runs = []
         self.loop = Loop()
         self.upstream_list_down = False
+        self.odd_entries = []           # bytes of further entries of the upstream list, in its middle
         self.zones = ["za", "zb", "zc"]
         self.list_addr = self.next_addr()
         self.loop.run(self.start_upstream_list())
@@ -373,8 +374,10 @@
                     if self.upstream_list_down:
                         await asyncio.sleep(5)
                         break
-                    body = json.dumps({"instances": [r.list_entry() for r in self.replicas if r.state != "gone"]
-                                       + [{"id": "odd"}], "nextToken": None}).encode()
+                    entries = [json.dumps(r.list_entry()).encode() for r in self.replicas if r.state != "gone"]
+                    entries[1:1] = self.odd_entries
+                    entries.append(b'{"id": "odd"}')
+                    body = b'{"instances": [%s], "nextToken": null}' % b", ".join(entries)
                     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
                     await writer.drain()
             except (ConnectionError, asyncio.IncompleteReadError):
--- a/tests/unit/test_fuzz_network.c
+++ b/tests/unit/test_fuzz_network.c
@@ -258,8 +258,9 @@
 {
 	link_view_t v = {0};
 	AUTO_BUF cursor = {0};
+	unsigned skipped;
 
-	platform_list_decode(in, &v, &cursor);
+	platform_list_decode(in, &v, &cursor, &skipped);
 	wire_free(XDR_PROC(link_view_t), &v);
 }
 
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -165,23 +165,201 @@
 		"[1],null,7],\"nextToken\":\"p-50\"}";
 	link_view_t v = {0};
 	AUTO_BUF cursor = {0};
+	unsigned skipped;
 
-	ck_assert_int_eq(platform_list_decode(str_c(page), &v, &cursor), STATUS_OK);
+	ck_assert_int_eq(platform_list_decode(str_c(page), &v, &cursor, &skipped), STATUS_OK);
 	ck_assert_uint_eq(v.upstreams.upstreams_len, 2);
+	ck_assert_uint_eq(skipped, 6);
 	ck_assert(!v.upstreams.upstreams_val[0].leaving);
 	ck_assert_uint_eq(v.upstreams.upstreams_val[0].slots, 8);
 	ck_assert(v.upstreams.upstreams_val[1].leaving);
 	ck_assert(str_eq(str_buf(&cursor), STR("p-50")));
-	ck_assert_int_eq(
-		platform_list_decode(STR("{\"instances\":[],\"nextToken\":null}"), &v, &cursor),
-		STATUS_OK);
+	ck_assert_int_eq(platform_list_decode(STR("{\"instances\":[],\"nextToken\":null}"), &v,
+					      &cursor, &skipped),
+			 STATUS_OK);
 	ck_assert_uint_eq(cursor.n, 0);
-	ck_assert_int_eq(platform_list_decode(STR("nonsense"), &v, &cursor), STATUS_INVALID);
+	ck_assert_uint_eq(skipped, 0);
+	ck_assert_int_eq(platform_list_decode(STR("nonsense"), &v, &cursor, &skipped),
+			 STATUS_INVALID);
 	ck_assert_uint_eq(v.upstreams.upstreams_len, 2);
 	wire_free(XDR_PROC(link_view_t), &v);
 }
 END_TEST
 
+#define SOUND_ENTRY(id)                                                                            \
+	"{\"service\":\"s\",\"addr\":\"10.0.0.9:8080\",\"zone\":\"a\",\"slots\":8,"                \
+	"\"state\":\"ready\",\"models\":[{\"name\":\"[{\\\"]\"}],\"id\":\"" id "\"}"
+#define ODD_ENTRY_WITH(member)                                                                     \
+	"{\"id\":\"i-9\",\"service\":\"s\",\"addr\":\"10.0.0.7:8080\",\"zone\":\"a\",\"slots\":8," \
+	"\"state\":\"ready\"," member "}"
+
+/* Entries that make a reader of the whole page fail, or that are of another type. */
+static const char *const odd_entries[] = {
+	ODD_ENTRY_WITH("\"x\":99999999999999999999"),
+	ODD_ENTRY_WITH("\"x\":-99999999999999999999"),
+	ODD_ENTRY_WITH("\"x\":1e999"),
+	ODD_ENTRY_WITH("\"x\":01"),
+	ODD_ENTRY_WITH("\"x\":NaN"),
+	ODD_ENTRY_WITH("\"x\":\"\\u0000\""),
+	ODD_ENTRY_WITH("\"x\":\"\\ud800\""),
+	ODD_ENTRY_WITH("\"x\":\"\\q\""),
+	ODD_ENTRY_WITH("\"x\":\"\xff\xfe\""),
+	ODD_ENTRY_WITH("\"x\":\"\x01\n\""),
+	ODD_ENTRY_WITH("\"x\""),
+	ODD_ENTRY_WITH("\"x\":[1}"),
+	ODD_ENTRY_WITH("\"slots\":4294967304"),
+	ODD_ENTRY_WITH("\"slots\":-1"),
+	ODD_ENTRY_WITH("\"slots\":8.0"),
+	ODD_ENTRY_WITH("\"born\":-1"),
+	ODD_ENTRY_WITH("\"born\":1.5"),
+	ODD_ENTRY_WITH("\"born\":\"1\""),
+	ODD_ENTRY_WITH("\"id\":7"),
+	"[[{}]]",
+	"\"{\"",
+	"1e5",
+	"nul",
+	/* unbalanced */
+	ODD_ENTRY_WITH("\"x\":\"y"),
+	ODD_ENTRY_WITH("\"x\":{"),
+	ODD_ENTRY_WITH("\"x\":[[[{}"),
+	ODD_ENTRY_WITH("\"x\":1}"),
+	ODD_ENTRY_WITH("\"x\":1]}]"),
+	ODD_ENTRY_WITH("\"x\":\"y\\\""),
+	"{\"id\":\"i-9",
+	"{\"id\":\"i-9\\",
+	"{",
+	"]",
+	"}",
+	"\"",
+	"\\",
+	"",
+};
+
+/* Decodes a page with two sound entries on each side of these bytes. */
+static void check_page_with(str_t odd)
+{
+	AUTO_BUF page = {0};
+	AUTO_BUF cursor = {0};
+	AUTO_BUF ids = {0};
+	link_view_t v = {0};
+	unsigned skipped;
+
+	buf_add(&page, STR("{\"instances\": [" SOUND_ENTRY("i-1") " , " SOUND_ENTRY("i-2") ","));
+	buf_add(&page, odd);
+	buf_add(&page, STR(", " SOUND_ENTRY("i-3") "," SOUND_ENTRY("i-4") " ] ,\n\"nextToken\" : "
+									  "\"p-50\"} "));
+	ck_assert_msg(platform_list_decode(str_buf(&page), &v, &cursor, &skipped) == STATUS_OK,
+		      "%.80s: %s", odd.p, status_message());
+	for (u_int i = 0; i < v.upstreams.upstreams_len; i++) {
+		buf_add(&ids, STR(" "));
+		buf_add(&ids, wire_str(v.upstreams.upstreams_val[i].id));
+	}
+	ck_assert_msg(v.upstreams.upstreams_len == 4 && str_find(str_buf(&ids), STR("i-9")) < 0 &&
+			      skipped > 0,
+		      "%.80s:%s, %u skipped", odd.p, ids.p, skipped);
+	for (const char *const *id = (const char *const[]){"i-1", "i-2", "i-3", "i-4", NULL}; *id;
+	     id++)
+		ck_assert_msg(str_find(str_buf(&ids), str_c(*id)) >= 0, "%.80s:%s", odd.p, ids.p);
+	ck_assert(str_eq(str_buf(&cursor), STR("p-50")));
+	wire_free(XDR_PROC(link_view_t), &v);
+}
+
+START_TEST(an_odd_entry_of_the_list_costs_no_other_replica)
+{
+	check_page_with(str_c(odd_entries[_i]));
+}
+END_TEST
+
+/* Nested too deeply for a recursive reader, closed or not. */
+START_TEST(a_deeply_nested_entry_costs_no_other_replica)
+{
+	static const char *const brackets[] = {"[", "]", "{\"a\":", "}", "[{\"a\":", "}]"};
+
+	for (size_t i = 0; i < sizeof(brackets) / sizeof(brackets[0]); i += 2) {
+		for (size_t closed = 0; closed <= 1; closed++) {
+			AUTO_BUF b = {0};
+
+			buf_add(&b, STR("{\"id\":\"i-9\",\"x\":"));
+			for (unsigned k = 0; k < 300000; k++)
+				buf_add(&b, str_c(brackets[i]));
+			buf_addc(&b, '1');
+			for (unsigned k = 0; k < 300000 && closed; k++)
+				buf_add(&b, str_c(brackets[i + 1]));
+			buf_addc(&b, '}');
+			check_page_with(str_buf(&b));
+		}
+	}
+}
+END_TEST
+
+/* Replicas that a cut page leaves out would count as gone. */
+START_TEST(a_cut_page_of_the_list_is_refused)
+{
+	static const char *const pages[] = {
+		"{\"instances\":[" SOUND_ENTRY("i-1") "," SOUND_ENTRY(
+			"i-2") "],\"nextToken\":null}",
+		"{\"instances\":[{\"x\":[}," SOUND_ENTRY("i-2") "],\"nextToken\":null}",
+		"{\"instances\":[" SOUND_ENTRY("i-1") ",{\"x\":[]],\"nextToken\":null}"};
+
+	for (size_t i = 0; i < sizeof(pages) / sizeof(pages[0]); i++) {
+		for (size_t n = 0; n < strlen(pages[i]); n++) {
+			link_view_t v = {0};
+			AUTO_BUF cursor = {0};
+			unsigned skipped;
+
+			ck_assert_msg(platform_list_decode((str_t){pages[i], n}, &v, &cursor,
+							   &skipped) == STATUS_INVALID,
+				      "%.*s", (int)n, pages[i]);
+			ck_assert_uint_eq(v.upstreams.upstreams_len, 0);
+			wire_free(XDR_PROC(link_view_t), &v);
+		}
+	}
+}
+END_TEST
+
+START_TEST(a_page_without_a_list_or_with_an_odd_token_is_refused)
+{
+	static const char *const pages[] = {
+		"{\"instances\":{},\"nextToken\":null}",
+		"{\"instances\":null,\"nextToken\":null}",
+		"{\"instances\":\"[]\",\"nextToken\":null}",
+		"{\"entries\":[],\"nextToken\":null}",
+		"{\"instances\":[" SOUND_ENTRY("i-1") "],\"nextToken\":7}",
+		"{\"instances\":[" SOUND_ENTRY("i-1") "],\"nextToken\":[\"p\"]}",
+		"{\"instances\":[" SOUND_ENTRY("i-1") "],\"nextToken\":99999999999999999999}",
+		"{\"instances\":[" SOUND_ENTRY("i-1") "],\"nextToken\":\"\\u0000\"}",
+		"[" SOUND_ENTRY("i-1") "]",
+		"{}",
+		"",
+		"null"};
+
+	for (size_t i = 0; i < sizeof(pages) / sizeof(pages[0]); i++) {
+		link_view_t v = {0};
+		AUTO_BUF cursor = {0};
+		unsigned skipped;
+
+		ck_assert_msg(platform_list_decode(str_c(pages[i]), &v, &cursor, &skipped) ==
+				      STATUS_INVALID,
+			      "%s", pages[i]);
+		ck_assert_uint_eq(v.upstreams.upstreams_len, 0);
+		wire_free(XDR_PROC(link_view_t), &v);
+	}
+}
+END_TEST
+
+START_TEST(a_token_ends_no_header_of_the_request_for_a_page)
+{
+	AUTO_BUF b = {0};
+
+	platform_list_request(&b, STR("h"), STR("p-50"));
+	ck_assert_str_eq(b.p, "GET /instances?pageToken=p-50 HTTP/1.1\r\nHost: h\r\n\r\n");
+	b.n = 0;
+	platform_list_request(&b, STR("h"), STR("a b\r\nX: &%"));
+	ck_assert_str_eq(b.p, "GET /instances?pageToken=a%20b%0D%0AX%3A%20%26%25 HTTP/1.1\r\n"
+			      "Host: h\r\n\r\n");
+}
+END_TEST
+
 static http_head_t make_head(const char *method, const char *target, const http_header_t *headers,
 			     size_t n)
 {
@@ -472,6 +650,12 @@
 	tcase_add_test(t, a_truncated_config_is_refused);
 	tcase_add_test(t, routes_match_by_host_and_longest_prefix);
 	tcase_add_test(t, list_entries_that_cannot_be_decoded_are_skipped);
+	tcase_add_loop_test(t, an_odd_entry_of_the_list_costs_no_other_replica, 0,
+			    sizeof(odd_entries) / sizeof(odd_entries[0]));
+	tcase_add_test(t, a_deeply_nested_entry_costs_no_other_replica);
+	tcase_add_test(t, a_cut_page_of_the_list_is_refused);
+	tcase_add_test(t, a_page_without_a_list_or_with_an_odd_token_is_refused);
+	tcase_add_test(t, a_token_ends_no_header_of_the_request_for_a_page);
 	tcase_add_test(t, a_request_is_decoded);
 	tcase_add_test(t, a_header_that_is_not_a_number_is_refused);
 	tcase_add_test(t, calls_on_lots_are_decoded);
