Entries of the list with values that can't be used are no replicas

What callers saw: an entry of another writer with a port of 0 or 99999, no port, a host name or an IPv6 address was taken for a replica. The leader placed requests there, each of which failed first and went to another replica after it. By reading: 2^32 - 1 slots made it the replica with the most free slots, and the sum of a service's slots wrapped. An id with a line break wrote further header lines into requests. A second entry with a replica's id gave it that entry's slots and service, but the address of the first: a replica whose copy named another service got nothing more (503). Ids that agree in their first 63 bytes were one replica to an entry. An address of 32 bytes or more (leading zeros of the port) was cut in the table of hosts, so that each request left a host behind.

Cause: nothing checked the values of the list.

--- a/src/base/rpc.c
+++ b/src/base/rpc.c
@@ -26,6 +26,7 @@
 #define PROGRAMS_MAX	   4
 #define LISTEN_BACKLOG	   1024
 #define REDIRECTS_MAX	   64
+#define PORT_DIGITS_MAX	   5
 /* A send to a peer that does not read fails after this, and the connection is dropped. */
 #define SEND_TIMEOUT_MS 10000
 
@@ -67,7 +68,8 @@
 	memcpy(ip, addr, (size_t)(colon - addr));
 	ip[colon - addr] = 0;
 	v = strtoul(colon + 1, &end, 10);
-	if (inet_pton(AF_INET, ip, &ignored) != 1 || *end || end == colon + 1 || v == 0 ||
+	if (inet_pton(AF_INET, ip, &ignored) != 1 || *end || end == colon + 1 ||
+	    end > colon + 1 + PORT_DIGITS_MAX || colon[1] < '0' || colon[1] > '9' || v == 0 ||
 	    v > 65535)
 		return status_fail(STATUS_INVALID, "%s is not ip:port", addr);
 	*port = (unsigned)v;
--- a/src/client/upstream_list.h
+++ b/src/client/upstream_list.h
@@ -1,10 +1,14 @@
-/** Reads the platform's list of replicas, page by page. */
+/** Reads the platform's list of replicas, page by page. Entries that describe no usable replica are
+ * skipped. */
 #ifndef AUBURN_UPSTREAM_LIST_H
 #define AUBURN_UPSTREAM_LIST_H
 
 #include "net/http_client.h"
 #include "proto/link_xdr.h"
 
+/** Maximum size of the id, zone and service of a replica, in bytes. */
+#define UPSTREAM_TEXT_BYTES_MAX 63
+
 typedef struct upstream_list upstream_list_t;
 
 typedef struct {
--- a/tests/proc/test_odd_entries.py
+++ b/tests/proc/test_odd_entries.py
@@ -1,6 +1,6 @@
 """Another program writes entries into the list of replicas that describe no replica that can be used.
 
-Guards against an odd entry that ends a process or stops it from following the list.
+Guards against an odd entry that ends a process, stops it from following the list, or gets requests.
 """
 import json
 import random
@@ -23,6 +23,12 @@
     return odd()[:-1] + b', "more": ' + text + b"}"
 
 
+ADDRS = ["127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:8e3", "127.0.0.1", "127.0.0.1:",
+         ":8080", "", "localhost:8080", "[::1]:8080", "127.0.0.1:" + "0" * 40 + "80", "1" * 100000]
+UNUSABLE = ([odd(addr=a) for a in ADDRS] +
+            [odd(slots=n) for n in (-1, 2 ** 32 - 1, 2 ** 32 + 4, 2 ** 40, 2 ** 62)] +
+            [odd(born=-1), odd(born=0.5), odd(id=""), odd(id="x" * 100000), odd(id="i\r\nX-More: 1"),
+             odd(service="y" * 64), odd(zone="z" * 64)])
 UNREADABLE = [
     with_member(b"[" * DEPTH + b"]" * DEPTH),
     with_member(b'{"a":' * DEPTH + b"1" + b"}" * DEPTH),
@@ -60,6 +66,8 @@
                     break
                 self.assertLess(time.time(), end, "%s: %d" % (front.name, s))
             self.kit.check_stream(rid, b)
+        for front in self.kit.fronts:
+            self.assertNotIn("i-odd-", front.log_text())
         self.assertEqual(self.kit.unexpected_exits(), [])
 
     def check_with(self, entries):
@@ -71,6 +79,9 @@
         lines = [x for x in self.kit.leader().log_text().splitlines() if "event=list_entries_skipped" in x]
         return len(lines), lines[-1]
 
+    def test_replicas_are_followed_beside_unusable_entries(self):
+        self.check_with(UNUSABLE)
+
     def test_replicas_are_followed_beside_unreadable_entries(self):
         self.check_with(UNREADABLE)
         before = self.skipped()
@@ -83,12 +94,19 @@
                 self.check_with([x])
 
     def test_an_entry_without_a_leader_follows_the_list_beside_odd_entries(self):
-        self.kit.odd_entries = UNREADABLE + UNBALANCED[:1]
+        self.kit.odd_entries = UNUSABLE + UNREADABLE + UNBALANCED[:1]
         for c in self.kit.controls:
             c.stop()
         self.replace_replicas()
         self.check_followed()
 
+    def test_a_second_entry_with_the_id_of_a_replica_does_not_replace_it(self):
+        replica, other = self.kit.replicas
+        other.state = "gone"
+        self.kit.odd_entries = [odd(id=replica.id, slots=64), odd(id=replica.id, service="other")]
+        time.sleep(2.5)     # two reads of the list
+        self.check_followed()
+
 
 if __name__ == "__main__":
     unittest.main()
