An entry that swallows those behind it as valid JSON costs only itself

The split of a page looked for entries from its end only from the first one on that is no JSON. `[1` as an entry takes the rest of the array in and is JSON, so that the entries behind it were lost and the page refused. The first entry that is no replica counts now. A cut page that names its token before its entries was taken as whole if it was cut behind a "]}"; the token must be found behind the entries now.

Failed before: test_platform, an_odd_entry_of_the_list_costs_no_other_replica 29 and 30 ("[1", "[[]": "not a page of the list of replicas"), a_cut_page_of_the_list_is_refused.

--- a/src/base/json_scan.c
+++ b/src/base/json_scan.c
@@ -10,9 +10,9 @@
 	const json_scan_options_t *o;
 	size_t at; /* begin of the element or member that is read */
 	bool found; /* the array was found */
+	bool found_behind; /* the member behind the array was found from the end of the text */
 	size_t array_end; /* offset of its closing bracket */
-	size_t *passed; /* begins of the elements from the first one on that is not JSON, ascending
-			 */
+	size_t *passed; /* begins of the elements from the first odd one on, ascending */
 	size_t npassed;
 } scan_t;
 
@@ -26,10 +26,10 @@
 
 static void pass_element(scan_t *j, size_t begin, size_t end)
 {
-	bool is_json = j->o->element(j->o->ctx, (str_t){j->text.p + begin, end - begin});
+	bool is_sound = j->o->element(j->o->ctx, (str_t){j->text.p + begin, end - begin});
 	size_t n = j->npassed;
 
-	if (is_json && n == 0)
+	if (is_sound && n == 0)
 		return;
 	if ((n & (n - 1)) == 0) /* the capacity is a power of two */
 		j->passed = mem_grow(j->passed, (n ? 2 * n : 1) * sizeof(*j->passed));
@@ -282,7 +282,7 @@
 }
 
 /* Reads a member that ends at this offset. Returns the offset of the comma before it. */
-static size_t scan_member_back(const scan_t *j, size_t end)
+static size_t scan_member_back(scan_t *j, size_t end)
 {
 	str_t s = j->text;
 	size_t value = value_begin(s, end, j->at);
@@ -290,6 +290,7 @@
 	size_t name_end;
 	size_t name;
 	size_t comma;
+	str_t key;
 
 	if (!is_before(s, colon, j->at, ':'))
 		return NOT_FOUND;
@@ -298,12 +299,13 @@
 	comma = name == NOT_FOUND ? j->at : skip_space_back(s, name, j->at);
 	if (!is_before(s, comma, j->at, ','))
 		return NOT_FOUND;
-	j->o->member(j->o->ctx, (str_t){s.p + name + 1, name_end - name - 2},
-		     (str_t){s.p + value, end - value});
+	key = (str_t){s.p + name + 1, name_end - name - 2};
+	j->found_behind |= str_eq(key, j->o->behind);
+	j->o->member(j->o->ctx, key, (str_t){s.p + value, end - value});
 	return comma - 1;
 }
 
-static bool scan_object_back(const scan_t *j)
+static bool scan_object_back(scan_t *j)
 {
 	str_t s = j->text;
 	size_t end = skip_space_back(s, s.n, j->at);
@@ -320,7 +322,7 @@
 			return false;
 	}
 	scan_elements_back(j, end - 1);
-	return true;
+	return j->found_behind;
 }
 
 json_scan_result_t json_scan_array(str_t text, const json_scan_options_t *o)
--- a/src/base/json_scan.h
+++ b/src/base/json_scan.h
@@ -9,8 +9,10 @@
 
 typedef struct {
 	str_t array; /* name of the member that is an array */
+	str_t behind; /* name of a member behind the array; without it, a text with an element whose
+			 end is not found counts as cut */
 	void *ctx;
-	/** Receives each element of the array; returns false if it is not JSON. */
+	/** Receives each element of the array, not checked; returns false if it is odd. */
 	bool (*element)(void *ctx, str_t text);
 	/** Receives each other member of the object, not checked. */
 	void (*member)(void *ctx, str_t name, str_t text);
@@ -24,8 +26,8 @@
 
 /**
  * Splits an object into the elements of one of its arrays and its other members. An element with
- * unbalanced quotes or brackets hides the borders of those behind it. Therefore, from the first
- * element on that is not JSON, elements are also looked for from the end of the text, last first;
+ * unbalanced quotes or brackets hides the borders of those behind it. Therefore, from the first odd
+ * element on, elements are also looked for from the end of the text, last first;
  * members as well, on the assumption that no other array is behind this one. What is between two
  * unbalanced elements is lost. The callbacks may have been called before JSON_SCAN_INVALID is
  * returned.
--- a/tests/unit/fuzz_kit.h
+++ b/tests/unit/fuzz_kit.h
@@ -7,6 +7,8 @@
 #include "base/str.h"
 
 #define MUTATIONS_MAX 6
+/** Deepest nesting that is generated, in levels; twice what jansson decodes. */
+#define NESTING_MAX 4096
 
 static uint64_t prng_state;
 
@@ -70,4 +72,57 @@
 		mutate_once(b, tokens, ntokens);
 }
 
+/* Appends nested arrays and objects, sometimes with a bracket too few or too many. */
+static inline void add_nesting(buf_t *b)
+{
+	uint32_t depth = 1 + random_below(NESTING_MAX);
+	uint32_t closed = depth - 1 + (random_below(2) ? 1 : random_below(3));
+	bool objects = random_below(2);
+
+	for (uint32_t i = 0; i < depth; i++)
+		buf_add(b, objects ? STR("{\"a\":") : STR("["));
+	buf_addc(b, '1');
+	for (uint32_t i = 0; i < closed; i++)
+		buf_addc(b, objects ? '}' : ']');
+}
+
+/* Appends a JSON object with one further member of a random kind, then damages some of them. */
+static inline void add_odd_object(buf_t *b, str_t object, const char *const *tokens, size_t ntokens)
+{
+	static const char *const values[] = {"99999999999999999999",
+					     "-1",
+					     "4294967296",
+					     "1e999",
+					     "0.5",
+					     "\"x\"",
+					     "null",
+					     "[]",
+					     "\"10.0.0.1:99999\"",
+					     "\"\\u0000\"",
+					     "\"\xff\"",
+					     "{\"[\":\"}\"}",
+					     "tru",
+					     "",
+					     "\"",
+					     "}"};
+	static const char *const names[] = {"id", "addr", "slots", "born", "state", "x"};
+	size_t from = b->n;
+
+	buf_add(b, (str_t){object.p, object.n - 1});
+	buf_addf(b, ",\"%s\":", names[random_below(sizeof(names) / sizeof(names[0]))]);
+	if (random_below(8) == 0)
+		add_nesting(b);
+	else
+		buf_add(b, str_c(values[random_below(sizeof(values) / sizeof(values[0]))]));
+	buf_addc(b, '}');
+	if (random_below(2)) {
+		AUTO_BUF damaged = {0};
+
+		buf_add(&damaged, (str_t){b->p + from, b->n - from});
+		mutate_bytes(&damaged, tokens, ntokens);
+		b->n = from;
+		buf_add(b, str_buf(&damaged));
+	}
+}
+
 #endif
--- a/tests/unit/test_fuzz_network.c
+++ b/tests/unit/test_fuzz_network.c
@@ -15,6 +15,8 @@
 #define HEAD_BYTES_MAX 16384
 /** Time limit for one input: a slower decoder does not take time in proportion to the input. */
 #define INPUT_MS_MAX 1000
+/** Size of the largest page of the list that is read. */
+#define PAGE_BYTES (4U << 20)
 
 /* ---- corpus: valid inputs, and inputs that failed once ---- */
 
@@ -359,6 +361,95 @@
 }
 END_TEST
 
+#define LIST_ENTRY(id)                                                                             \
+	"{\"service\":\"h\",\"addr\":\"10.128.0.9:8080\",\"zone\":\"a\",\"version\":\"v1\","       \
+	"\"slots\":8,"                                                                             \
+	"\"state\":\"ready\",\"models\":[{\"name\":\"{\\\"m\\\\\",\"version\":1}],\"id\":\"" id    \
+	"\"}"
+
+static bool contains_replica(const link_view_t *v, str_t id)
+{
+	for (u_int i = 0; i < v->upstreams.upstreams_len; i++) {
+		if (str_eq(wire_str(v->upstreams.upstreams_val[i].id), id))
+			return true;
+	}
+	return false;
+}
+
+/* Whatever the bytes of an entry are, those before it hold. Those behind it hold too, unless it
+ * ends the array and begins another one. */
+START_TEST(sound_entries_hold_beside_an_odd_one)
+{
+	deadline_t end = clock_now_ms() + env_number("AUBURN_FUZZ_MS", DECODER_MS);
+	unsigned long inputs = 0;
+
+	prng_state = (uint64_t)env_number("AUBURN_FUZZ_SEED", 20261205);
+	while (clock_now_ms() < end) {
+		AUTO_BUF page = {0};
+		AUTO_BUF odd = {0};
+		AUTO_BUF cursor = {0};
+		link_view_t v = {0};
+		deadline_t started_at = clock_now_ms();
+		unsigned skipped;
+		status_t st;
+
+		add_odd_object(&odd, STR(LIST_ENTRY("odd")), CORPUS(json_tokens));
+		buf_add(&page, STR("{\"instances\":[" LIST_ENTRY("i-1") "," LIST_ENTRY("i-2") ","));
+		buf_add(&page, str_buf(&odd));
+		buf_add(&page,
+			STR("," LIST_ENTRY("i-3") "," LIST_ENTRY("i-4") "],\"nextToken\":null}"));
+		st = platform_list_decode(str_buf(&page), &v, &cursor, &skipped);
+		ck_assert_msg(st == STATUS_OK, "%s: %s", page.p, status_message());
+		ck_assert_msg(contains_replica(&v, STR("i-1")) && contains_replica(&v, STR("i-2")),
+			      "%s", page.p);
+		if (str_find(str_buf(&odd), STR("],\"")) < 0)
+			ck_assert_msg(contains_replica(&v, STR("i-3")) &&
+					      contains_replica(&v, STR("i-4")),
+				      "%s", page.p);
+		ck_assert_int_le(clock_now_ms() - started_at, INPUT_MS_MAX);
+		wire_free(XDR_PROC(link_view_t), &v);
+		inputs++;
+	}
+	printf("odd entries: %lu inputs\n", inputs);
+}
+END_TEST
+
+/* Repeated up to the size of the largest page. */
+static const char *const pieces[] = {
+	"[",
+	"{\"a\":",
+	"{},",
+	"0,",
+	"\"",
+	"\\\"",
+	"]",
+	"\\",
+	",",
+	"[],\"",
+	"{\"a\":[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]},",
+	LIST_ENTRY("i-1") ",",
+};
+
+START_TEST(the_time_to_decode_a_page_is_bounded)
+{
+	AUTO_BUF page = {0};
+	AUTO_BUF cursor = {0};
+	link_view_t v = {0};
+	deadline_t started_at;
+	unsigned skipped;
+
+	buf_add(&page, STR("{\"instances\":["));
+	while (page.n < PAGE_BYTES)
+		buf_add(&page, str_c(pieces[_i]));
+	buf_add(&page, STR("0],\"nextToken\":null}"));
+	started_at = clock_now_ms();
+	platform_list_decode(str_buf(&page), &v, &cursor, &skipped);
+	printf("%.40s: %lld ms\n", pieces[_i], (long long)(clock_now_ms() - started_at));
+	ck_assert_int_le(clock_now_ms() - started_at, INPUT_MS_MAX);
+	wire_free(XDR_PROC(link_view_t), &v);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("fuzz_network");
@@ -367,6 +458,9 @@
 	tcase_set_timeout(t, 3600);
 	tcase_add_loop_test(t, decoders_survive_damaged_bytes, 0,
 			    sizeof(decoders) / sizeof(decoders[0]));
+	tcase_add_test(t, sound_entries_hold_beside_an_odd_one);
+	tcase_add_loop_test(t, the_time_to_decode_a_page_is_bounded, 0,
+			    sizeof(pieces) / sizeof(pieces[0]));
 	suite_add_tcase(s, t);
 	return suite_run(s);
 }
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -225,6 +225,8 @@
 	ODD_ENTRY_WITH("\"x\":1}"),
 	ODD_ENTRY_WITH("\"x\":1]}]"),
 	ODD_ENTRY_WITH("\"x\":\"y\\\""),
+	"[1",
+	"[[]",
 	"{\"id\":\"i-9",
 	"{\"id\":\"i-9\\",
 	"{",
@@ -299,7 +301,9 @@
 		"{\"instances\":[" SOUND_ENTRY("i-1") "," SOUND_ENTRY(
 			"i-2") "],\"nextToken\":null}",
 		"{\"instances\":[{\"x\":[}," SOUND_ENTRY("i-2") "],\"nextToken\":null}",
-		"{\"instances\":[" SOUND_ENTRY("i-1") ",{\"x\":[]],\"nextToken\":null}"};
+		"{\"instances\":[" SOUND_ENTRY("i-1") ",{\"x\":[]],\"nextToken\":null}",
+		"{\"nextToken\":null,\"instances\":[" SOUND_ENTRY("i-1") "," SOUND_ENTRY(
+			"i-2") "]}"};
 
 	for (size_t i = 0; i < sizeof(pages) / sizeof(pages[0]); i++) {
 		for (size_t n = 0; n < strlen(pages[i]); n++) {
