--- a/tests/unit/test_fuzz_network.c
+++ b/tests/unit/test_fuzz_network.c
@@ -4,6 +4,7 @@
  * AUBURN_FUZZ_MS: how long each decoder is fed, in ms. AUBURN_FUZZ_SEED: another seed. */
 #include <stdio.h>
 #include <stdlib.h>
+#include <time.h>
 #include "base/clock.h"
 #include "client/routes_decode.h"
 #include "fuzz_kit.h"
@@ -414,7 +415,7 @@
 }
 END_TEST
 
-/* Repeated up to the size of the largest page. */
+/* Repeated up to the size of the largest page; the time of the processor counts. */
 static const char *const pieces[] = {
 	"[",
 	"{\"a\":",
@@ -435,17 +436,19 @@
 	AUTO_BUF page = {0};
 	AUTO_BUF cursor = {0};
 	link_view_t v = {0};
-	deadline_t started_at;
+	clock_t started_at;
+	long ms;
 	unsigned skipped;
 
 	buf_add(&page, STR("{\"instances\":["));
 	while (page.n < PAGE_BYTES)
 		buf_add(&page, str_c(pieces[_i]));
 	buf_add(&page, STR("0],\"nextToken\":null}"));
-	started_at = clock_now_ms();
+	started_at = clock();
 	platform_list_decode(str_buf(&page), &v, &cursor, &skipped);
-	printf("%.40s: %lld ms\n", pieces[_i], (long long)(clock_now_ms() - started_at));
-	ck_assert_int_le(clock_now_ms() - started_at, INPUT_MS_MAX);
+	ms = (long)((clock() - started_at) / (CLOCKS_PER_SEC / 1000));
+	printf("%.40s: %ld ms\n", pieces[_i], ms);
+	ck_assert_int_le(ms, INPUT_MS_MAX);
 	wire_free(XDR_PROC(link_view_t), &v);
 }
 END_TEST
