One odd VM in the platform's list doesn't hide the others from control processes

What callers saw: one entry of auburn-entry's list of VMs without a field, or one that can't be decoded (nested too deeply, a number too large, bytes that are no UTF-8), and the list counted as unreadable (platform_read_failed): upstreams that came got no requests. An address with a port of 99999 was taken.

The list is split into its entries first (base/json_scan.h). Entries that can't be decoded, lack a field, have one above 63 bytes or an address that isn't ip:port are left out, counted, and logged when their number changes. A list with unbalanced quotes or brackets is refused as before: it has no member behind the array by which a cut one could be told.

Failed before: tests/proc/test_odd_vms.py with the programs of (`AUBURN_BIN`), "no upstreams engine-2 within 10 s"; now it passes (4 s), and so does test_bad_upstream.

--- a/src/control/control_platform.c
+++ b/src/control/control_platform.c
@@ -3,14 +3,18 @@
 #include <curl/curl.h>
 #include <jansson.h>
 #include <string.h>
+#include "base/json_scan.h"
 #include "base/log.h"
 #include "base/metric.h"
+#include "base/rpc.h"
 #include "control/control.h"
 
 #define FETCH_MS	 1000
 #define PROPOSE_MS	 2000
 #define ANSWER_MAX_BYTES (8 << 20)
 #define UPSTREAMS_MAX	 10000
+/** Maximum size of the id, zone and service of a VM, in bytes. */
+#define TEXT_BYTES_MAX 63
 
 static size_t on_body(char *p, size_t size, size_t n, void *ctx)
 {
@@ -47,44 +51,84 @@
 {
 	const char *v = json_string_value(json_object_get(o, key));
 
-	if (v && *v)
-		*out = wire_copy(str_c(v));
-	return v && *v;
+	if (!v || !*v || strlen(v) > TEXT_BYTES_MAX)
+		return false;
+	*out = wire_copy(str_c(v));
+	return true;
 }
 
 static bool parse_vm(const json_t *o, wire_upstream_t *u)
 {
 	const char *state = json_string_value(json_object_get(o, "state"));
+	const char *addr = json_string_value(json_object_get(o, "addr"));
+	char ip[64];
+	unsigned port;
 
 	u->state =
 		state && strcmp(state, "leaving") == 0 ? WIRE_UPSTREAM_LEAVING : WIRE_UPSTREAM_LIVE;
-	return copy_text_field(o, "id", &u->id) && copy_text_field(o, "addr", &u->addr) &&
+	return addr && rpc_parse_addr(addr, ip, &port) == STATUS_OK &&
+	       copy_text_field(o, "id", &u->id) && copy_text_field(o, "addr", &u->addr) &&
 	       copy_text_field(o, "zone", &u->zone) && copy_text_field(o, "service", &u->service);
 }
 
+typedef struct {
+	wire_fleet_cmd_t *cmd;
+	unsigned skipped;
+} vm_list_t;
+
+/* A VM that can't be decoded is left out, and does not hide the others. */
+static bool on_vm(void *ctx, str_t text)
+{
+	vm_list_t *list = ctx;
+	u_int n = list->cmd->wire_fleet_cmd_t_u.upstreams.upstreams_len;
+	json_t *o = json_loadb(text.p, text.n, 0, NULL);
+	wire_upstream_t u = {0};
+	bool usable = n < UPSTREAMS_MAX && parse_vm(o, &u);
+
+	json_decref(o);
+	if (usable) {
+		list->cmd->wire_fleet_cmd_t_u.upstreams.upstreams_val[n] = u;
+		list->cmd->wire_fleet_cmd_t_u.upstreams.upstreams_len++;
+	} else {
+		wire_free(XDR_PROC(wire_upstream_t), &u);
+		list->skipped++;
+	}
+	return usable;
+}
+
+static void ignore_member(void *ctx, str_t name, str_t text)
+{
+}
+
+static void report_skipped(const vm_list_t *list)
+{
+	static unsigned logged;
+
+	metric_add(metric_get(METRIC_COUNTER, "auburn_platform_vms_skipped_total", NULL),
+		   list->skipped);
+	if (list->skipped == logged)
+		return;
+	logged = list->skipped;
+	log_event(logged ? LOG_LEVEL_WARN : LOG_LEVEL_INFO, "platform_vms_skipped",
+		  LOG_INT("vms", logged),
+		  LOG_INT("upstreams", list->cmd->wire_fleet_cmd_t_u.upstreams.upstreams_len));
+}
+
+/* A list with unbalanced quotes or brackets counts as cut. */
 static status_t parse_list(str_t body, wire_fleet_cmd_t *cmd)
 {
-	json_t *root = json_loadb(body.p, body.n, 0, NULL);
-	json_t *vms = json_object_get(root, "vms");
-	size_t n = json_array_size(vms);
-	status_t st = STATUS_OK;
+	vm_list_t list = {.cmd = cmd};
 
 	cmd->kind = WIRE_FLEET_UPSTREAMS;
-	if (!json_is_array(vms) || n > UPSTREAMS_MAX) {
-		json_decref(root);
-		return status_fail(STATUS_INVALID, "malformed VM list from the platform");
-	}
 	cmd->wire_fleet_cmd_t_u.upstreams.upstreams_val =
-		mem_new((n + 1) * sizeof(wire_upstream_t));
-	cmd->wire_fleet_cmd_t_u.upstreams.upstreams_len = (u_int)n;
-	for (size_t i = 0; i < n && st == STATUS_OK; i++) {
-		if (!parse_vm(json_array_get(vms, i),
-			      &cmd->wire_fleet_cmd_t_u.upstreams.upstreams_val[i]))
-			st = status_fail(STATUS_INVALID,
-					 "VM %zu in the platform's list lacks a field", i);
-	}
-	json_decref(root);
-	return st;
+		mem_new(UPSTREAMS_MAX * sizeof(wire_upstream_t));
+	if (json_scan_array(body, &(json_scan_options_t){.array = STR("vms"),
+							 .ctx = &list,
+							 .element = on_vm,
+							 .member = ignore_member}) != JSON_SCAN_OK)
+		return status_fail(STATUS_INVALID, "malformed VM list from the platform");
+	report_skipped(&list);
+	return STATUS_OK;
 }
 
 typedef struct {
