Numbers of a config beyond 64 bits mean the same on each machine

What happens: the users' configs may carry any JSON number. A sloMs of 1e300 was accepted and gave a time until callers give up of 3,200 ms, as the product with the objective overflowed; whether a timeoutMs of 1e300 is refused depended on the machine (the conversion to 64 bits is undefined; arm64 takes the largest number).

Numbers beyond 10^15 count as 10^15.

--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -118,6 +118,36 @@
 }
 END_TEST
 
+/* Beyond 64 bits, the value would depend on the machine, and products would overflow. */
+START_TEST(a_number_of_a_config_that_is_too_large_counts_as_the_largest)
+{
+	static const char *const numbers[] = {"1e300", "9223372036854775807", "1e15"};
+
+	for (size_t i = 0; i < sizeof(numbers) / sizeof(numbers[0]); i++) {
+		static const char *const keys[] = {"sloMs\":300", "gapTargetMs\":400",
+						   "retentionS\":60", "timeoutMs\":5000"};
+		route_table_t *r[4] = {NULL};
+
+		for (size_t k = 0; k < 4; k++) {
+			AUTO_BUF b = {0};
+			AUTO_BUF is = {0};
+
+			buf_add(&is,
+				(str_t){keys[k], (size_t)(strchr(keys[k], ':') - keys[k]) + 1});
+			buf_add(&is, str_c(numbers[i]));
+			replace_in_config(&b, keys[k], is.p);
+			ck_assert_int_eq(platform_config_decode(str_buf(&b), &r[k]), STATUS_OK);
+		}
+		ck_assert_int_eq(r[0]->routes[0].give_up_ms, 4000000000000000);
+		ck_assert_int_eq(r[1]->routes[0].give_up_ms, 8000000000000000);
+		ck_assert_int_eq(r[2]->routes[1].retention_ms, 1000000000000000000);
+		ck_assert_int_eq(r[3]->routes[0].timeout_ms, 1000000000000000);
+		for (size_t k = 0; k < 4; k++)
+			route_table_free(r[k]);
+	}
+}
+END_TEST
+
 /* A config of which only a part arrived would remove routes. */
 START_TEST(a_truncated_config_is_refused)
 {
@@ -651,6 +681,7 @@
 	tcase_add_test(t, a_config_is_decoded);
 	tcase_add_test(t, the_give_up_time_follows_from_objective_and_gap_target);
 	tcase_add_test(t, an_invalid_config_is_refused);
+	tcase_add_test(t, a_number_of_a_config_that_is_too_large_counts_as_the_largest);
 	tcase_add_test(t, a_truncated_config_is_refused);
 	tcase_add_test(t, routes_match_by_host_and_longest_prefix);
 	tcase_add_test(t, list_entries_that_cannot_be_decoded_are_skipped);
