A huge idle timeout of a server keeps its connection

Keep-Alive: timeout= of a replica overflowed 64 bits, and the connection was closed at once instead of being kept: each request connected anew. The number is read no further than the longest time that counts.

Failed before: test_http, a_huge_idle_timeout_of_a_server_keeps_its_connection (2 connections instead of 1).

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -137,7 +137,8 @@
 	c->idle_ms = IDLE_MS;
 	if (at < 0)
 		return;
-	for (size_t i = (size_t)at + 8; i < ka.n && ka.p[i] >= '0' && ka.p[i] <= '9'; i++)
+	for (size_t i = (size_t)at + 8; i < ka.n && ka.p[i] >= '0' && ka.p[i] <= '9' && s < IDLE_MS;
+	     i++)
 		s = s * 10 + (ka.p[i] - '0');
 	/* IDLE_USE_PERCENT of s seconds, in ms */
 	if (s * 10 * IDLE_USE_PERCENT < IDLE_MS)
--- a/tests/unit/http_kit.h
+++ b/tests/unit/http_kit.h
@@ -25,6 +25,7 @@
 	http_call_end_t call_end; /* of the last call that ended */
 	int status; /* of the last response */
 	buf_t body; /* of all responses, unless the test resets it */
+	const char *headers; /* of replies in REPLY_WHOLE; NULL: one of no meaning */
 	bool skip_first;
 	/* How the server replies; REPLY_WHOLE echoes the request's body. */
 	enum { REPLY_WHOLE, REPLY_CHUNKS, REPLY_ABORTED, REPLY_NONE } reply_mode;
@@ -38,7 +39,7 @@
 	p->last_conn = c;
 	switch (p->reply_mode) {
 	case REPLY_WHOLE:
-		http_reply(c, 200, STR("X: y\r\n"), r->body);
+		http_reply(c, 200, str_c(p->headers ? p->headers : "X: y\r\n"), r->body);
 		break;
 	case REPLY_CHUNKS:
 		http_reply_begin(c, 200, STR(""));
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -378,6 +378,31 @@
 }
 END_TEST
 
+/* A number beyond 64 bits would end the connection at once, or never. */
+START_TEST(a_huge_idle_timeout_of_a_server_keeps_its_connection)
+{
+	static const char *const values[] = {"18446744073709551616", "9223372036854775807",
+					     "99999999999999999999999999999999"};
+
+	for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++) {
+		http_pair_t p;
+		AUTO_BUF headers = {0};
+
+		buf_addf(&headers, "Keep-Alive: timeout=%s\r\n", values[i]);
+		pair_open(&p);
+		p.headers = headers.p;
+		for (int k = 0; k < 2; k++) {
+			start_call(&p, post_request);
+			run_loop(&p, 1.0);
+			ck_assert_int_eq(p.call_end, HTTP_CALL_DONE);
+			run_loop(&p, 0.02);
+		}
+		ck_assert_uint_eq(http_client_connects(p.client), 1);
+		pair_close(&p);
+	}
+}
+END_TEST
+
 START_TEST(a_draining_server_closes_the_connection_after_each_reply)
 {
 	http_pair_t p;
@@ -518,6 +543,7 @@
 	tcase_add_test(t, events_are_found_wherever_the_bytes_are_split);
 	tcase_add_test(t, text_of_another_kind_between_events_is_malformed);
 	tcase_add_test(t, a_call_is_answered_and_its_connection_reused);
+	tcase_add_test(t, a_huge_idle_timeout_of_a_server_keeps_its_connection);
 	tcase_add_test(t, chunks_arrive_and_an_aborted_reply_is_broken);
 	tcase_add_test(t, the_server_notices_a_cancelled_call);
 	tcase_add_test(t, a_call_to_a_closed_port_is_unsent);
