A config with a key of very many parts doesn't end the process that reads it

What callers saw: an operator's config in auburnwing's own format with a dotted key of 200,000 parts ended the control process that got it (SIGSEGV), without an answer. Callers of `control` send an order without an answer to the next node, so that all of them end one after another. The same in a file of settings ended any program at its start (exit 139 of auburn-control). 20,000 parts were refused as they should.

Cause: toml++ limits nested values (256) but not the parts of a key, each of which is a table within a table, and frees tables recursively.

Before the text is parsed, keys of more than 16 parts are refused, with their line; strings and comments are left out. Values may nest 32 deep, so that 16 parts at each level stay few hundred in all, also on threads with stacks of 512 KiB. Configs and settings nest at most four deep.

--- a/src/base/toml.cpp
+++ b/src/base/toml.cpp
@@ -3,7 +3,9 @@
 // toml++ has assertions that bad input can trigger, such as "[[[", and that would abort the
 // process. Without them it reports a parse error.
 #define TOML_ASSERT(expr) static_cast<void>(0)
-// Its tests for character classes take U+00A1 to U+0499 for unreachable; these are in no such class.
+// Its tests for character classes take U+00A1 to U+0499 for unreachable; these are in no such
+// class. Nested values are parsed and freed recursively.
+#define TOML_MAX_NESTED_VALUES 32
 #include <toml++/impl/preprocessor.h>
 #include <toml++/impl/forward_declarations.h>
 #pragma push_macro("TOML_UNREACHABLE")
@@ -13,6 +15,7 @@
 #pragma pop_macro("TOML_UNREACHABLE")
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstring>
 #include <fstream>
@@ -43,9 +46,65 @@
 	return n.source().begin.line;
 }
 
+/** Maximum number of parts of a dotted key: toml++ doesn't limit it, and frees the tables of the
+ * parts recursively. */
+#define KEY_PARTS_MAX 16
+
+/* The offset behind the string that begins at this offset; a string of one line ends with it. */
+static size_t skip_string(std::string_view s, size_t at)
+{
+	char quote = s[at];
+	std::string three(3, quote);
+	bool multi = s.substr(at, 3) == three;
+
+	for (at += multi ? 3 : 1; at < s.size(); at++) {
+		if (!multi && (s[at] == quote || s[at] == '\n'))
+			return s[at] == quote ? at + 1 : at;
+		if (quote == '"' && s[at] == '\\' && (multi || s.substr(at + 1, 1) != "\n")) {
+			at++;
+		} else if (multi && s.substr(at, 3) == three) {
+			/* The string may end in one or two quotes of its own. */
+			at += 3;
+			for (int i = 0; i < 2 && s.substr(at, 1) == three.substr(0, 1); i++)
+				at++;
+			return at;
+		}
+	}
+	return s.size();
+}
+
+/* The line of the first key with too many parts; 0 if there is none. */
+static unsigned find_long_key(std::string_view s)
+{
+	unsigned line = 1;
+	size_t parts = 1;
+	size_t at = 0;
+
+	while (at < s.size()) {
+		size_t next = at + 1;
+
+		if (s[at] == '"' || s[at] == '\'')
+			next = skip_string(s, at);
+		else if (s[at] == '#')
+			next = std::min(s.find('\n', at), s.size());
+		else if (s[at] == '.' && ++parts > KEY_PARTS_MAX)
+			return line;
+		else if (strchr("\n=,[]{}", s[at]))
+			parts = 1;
+		line += (unsigned)std::count(s.begin() + at, s.begin() + std::min(next, s.size()),
+					     '\n');
+		at = next;
+	}
+	return 0;
+}
+
 extern "C" status_t toml_parse(str_t text, const char *name, toml_doc_t **out)
 {
 	*out = nullptr;
+	unsigned line = find_long_key(std::string_view(text.p, text.n));
+	if (line)
+		return status_fail(STATUS_INVALID, "%s:%u: syntax: a key of more than %d parts",
+				   name, line, KEY_PARTS_MAX);
 	toml::parse_result r = toml::parse(std::string_view(text.p, text.n));
 	if (!r) {
 		std::string reason(r.error().description());
--- a/tests/proc/test_odd_entries.py
+++ b/tests/proc/test_odd_entries.py
@@ -1,6 +1,7 @@
-"""Another program writes entries into the list of replicas that describe no replica that can be used.
+"""Another program writes entries into the list of replicas that describe no replica that can be used; odd configs.
 
-Guards against an odd entry that ends a process, stops it from following the list, or gets requests.
+Guards against an odd entry that ends a process, stops it from following the list, or gets requests, and against a config
+that ends the process which reads it.
 """
 import json
 import random
@@ -107,6 +108,17 @@
         time.sleep(2.5)     # two reads of the list
         self.check_followed()
 
+    def test_an_odd_config_is_refused_and_ends_no_process(self):
+        good = json.dumps(self.kit.config(10 ** 6)).encode()
+        odd = [good[:-1] + b', "more": ' + x + b"}" for x in (
+            b"[" * DEPTH + b"]" * DEPTH, b'{"a":' * DEPTH + b"1" + b"}" * DEPTH, b"9" * 40, b"1e999", b'"\\u0000"', b'"\xff"')]
+        odd += [x + b"a." * DEPTH + b"a = 1" for x in (b"", b"[", b"x = {")] + [b"x = " + b"[" * DEPTH + b"]" * DEPTH]
+        for body in odd:
+            for c in self.kit.controls:
+                s, _, _ = self.kit.loop.run(self.kit.call(c.ip, self.kit.port + 2, "POST", "/config/put", [], body, 3))
+                self.assertEqual((s, self.kit.unexpected_exits()), (400, []), (body[:20], body[-20:]))
+        self.check_followed()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/test_rpc.c
+++ b/tests/unit/test_rpc.c
@@ -165,6 +165,39 @@
 }
 END_TEST
 
+/* The library frees the tables of a dotted key recursively: 200,000 parts ended the process. */
+START_TEST(a_key_with_too_many_parts_is_refused)
+{
+	static const char *const begins[] = {"",
+					     "[",
+					     "x = {",
+					     "x = [{\"a.b\" . ",
+					     "# don't\n",
+					     "x = \"\"\"a\"\"\"\" # \\\n",
+					     "x = \"a\\\"\"\n",
+					     "x = 'a\\'\n",
+					     "x = '''\\''''\n"};
+	AUTO_TOML *c = NULL;
+
+	for (size_t i = 0; i < sizeof(begins) / sizeof(begins[0]); i++) {
+		AUTO_BUF b = {0};
+
+		buf_add(&b, str_c(begins[i]));
+		for (int k = 0; k < 200000; k++)
+			buf_add(&b, STR("a . "));
+		buf_add(&b, STR("a = 1"));
+		ck_assert_int_eq(toml_parse(str_buf(&b), "s.toml", &c), STATUS_INVALID);
+	}
+	ck_assert_int_eq(toml_parse(STR("a.b.c.d.e.f.g.h.i.j.k.l.m.n.o.p = "
+					"\"1.2.3.4.5.6.7.8.9.10.11.12.13.14.15.16.17\" "
+					"# 1.2.3.4.5.6.7.8.9.10.11.12.13.14.15.16.17\n"
+					"[q.r]\ns = [0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, "
+					"0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9]\n"),
+				    "s.toml", &c),
+			 STATUS_OK);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("rpc");
@@ -177,5 +210,6 @@
 	tcase_add_test(t, histogram_quantiles_are_within_4_percent);
 	tcase_add_test(t, errors_in_settings_name_line_and_key);
 	tcase_add_test(t, letters_outside_ascii_in_a_toml_file_cause_no_undefined_behaviour);
+	tcase_add_test(t, a_key_with_too_many_parts_is_refused);
 	return suite_run(s);
 }
