Test: the text of an item joins a run with one that was not asked with its last event (known red)

The replicas of the process kit give the same text for each run, so a wrong join couldn't be seen. With names_runs the text of an event names its run and the Last-Event-Id of that run; run_order.py says where a text or stream breaks the order, without sockets.

The test: an entry that runs an item is frozen until the leader gives the item to another entry; that run's progress is committed. The leader and the other entry are killed and the first one wakes: the new leader adopts its run. The run is cut, all processes are started again, and the item ends.

--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -16,6 +16,8 @@
 import threading
 import time
 
+import run_order
+
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 BIN = os.path.join(ROOT, os.environ.get("AUBURN_BIN_DIR", "build/bin"))
 HOST = "desk.example"
@@ -147,6 +149,11 @@
     def events_of(self, run):
         return self.events
 
+    def cut_runs(self):
+        """Resets all connections in the middle of their answers and goes on serving."""
+        for w in list(self.writers):
+            w.transport.abort()
+
     def copy_of(self, rid):
         """A second copy of the answer to request `rid`, in the form that `duplicate_answer` selects."""
         body = "".join("id: %d\ndata: %s\n\n" % (n, event_text(rid, n)) for n in range(1, self.events + 1)).encode()
@@ -186,7 +193,7 @@
             writer.write(self.refusal_of(rid))
             await writer.drain()
             return True
-        run = {"id": rid, "replica": self.id, "after": int(h.get("last-event-id", 0)), "at": time.time(),
+        run = {"id": rid, "serial": len(self.kit.runs), "replica": self.id, "after": int(h.get("last-event-id", 0)), "at": time.time(),
                "end": None, "ended": None, "target": target, "body": body, "method": method,
                "wait": h.get("deadline-ms"), "model": h.get("model"), "headers": h}
         self.kit.runs.append(run)
@@ -222,7 +229,7 @@
                     if done:
                         run["end"] = "left"
                         return False
-                data = ("id: %d\ndata: %s\n\n" % (n, event_text(run["id"], n))).encode()
+                data = ("id: %d\ndata: %s\n\n" % (n, self.kit.text_of(run, n))).encode()
                 if self.break_after == n:
                     self.break_after = None
                     run["end"] = "cut"
@@ -311,9 +318,10 @@
 
 class Kit:
     def __init__(self, controls=3, fronts=2, replicas=3, slots=4, seed=None, memory_mib=0,
-                 bin_of=lambda name: BIN, revoke_ms=0, snapshot_entries=100):
+                 bin_of=lambda name: BIN, revoke_ms=0, snapshot_entries=100, names_runs=False):
         self.memory_mib, self.bin_of, self.revoke_ms = memory_mib, bin_of, revoke_ms
         self.snapshot_entries = snapshot_entries
+        self.names_runs = names_runs    # the text of an event names its run, see run_order
         self.dir = tempfile.mkdtemp(prefix="auburn-platform-")
         for bound in (250, 250, 8000):
             random.randint(1, bound)    # older seeds draw as before
@@ -574,6 +582,12 @@
     async def end_lot(self, front, lot, headers=()):
         return (await self.call(front.ip, self.port, "DELETE", "/lots/" + lot, [("Host", HOST)] + list(headers), b"", 4))[0]
 
+    def text_of(self, run, n):
+        """The text of event `n` of a run."""
+        if self.names_runs:
+            return run_order.event_text(run["id"], n, run["serial"], run["after"])
+        return event_text(run["id"], n)
+
     def whole_text(self, rid, events=None):
         """The text that replicas produce for the request or item `rid`."""
         n = events or self.replicas[0].events
--- /dev/null
+++ b/tests/proc/test_run_order.py
@@ -0,0 +1,94 @@
+"""Texts of items that several runs produced; the text of an event names its run, see run_order."""
+import re
+import signal
+import time
+import unittest
+
+import run_order
+from test_platform import PlatformCase
+
+
+class RunOrder(unittest.TestCase):
+    """The check itself finds what breaks the order."""
+
+    RUNS = [{"id": "x", "serial": 0, "after": 0}, {"id": "x", "serial": 1, "after": 2},
+            {"id": "x", "serial": 2, "after": 1}]
+
+    def text(self, *pieces):
+        return "\n".join(run_order.event_text("x", n, run, self.RUNS[run]["after"]) for n, run in pieces)
+
+    def test_change_of_run_at_its_last_event_id_is_sound(self):
+        sound = self.text((1, 0), (2, 0), (3, 1), (4, 1))
+        self.assertEqual(run_order.text_problems("x", sound, self.RUNS, 4), [])
+
+    def test_each_way_to_break_the_order_is_found(self):
+        for pieces in (((1, 0), (2, 0), (3, 2)),            # joined after another event than the run was asked with
+                       ((1, 0), (2, 2), (3, 0)),            # back to an earlier run
+                       ((1, 0), (3, 0)), ((1, 0), (1, 0)),  # missing, twice
+                       ((2, 2), (3, 2)), ((3, 1),)):        # the first events are missing
+            self.assertTrue(run_order.text_problems("x", self.text(*pieces), self.RUNS), pieces)
+        sound = self.text((1, 0), (2, 0))
+        self.assertTrue(run_order.text_problems("y", sound, self.RUNS))
+        self.assertTrue(run_order.text_problems("x", sound, self.RUNS[1:]))
+        self.assertTrue(run_order.text_problems("x", sound, self.RUNS, 3))
+        self.assertTrue(run_order.text_problems("x", sound + "\nx-3", self.RUNS))
+
+    def test_bytes_between_events_of_a_stream_are_found(self):
+        event = "id: 1\ndata: %s\n\n" % self.text((1, 0))
+        self.assertEqual(run_order.stream_problems("x", event, self.RUNS, 0, 1), [])
+        for body in ("no" + event, event + "no", event.replace("id: 1", "id: 2")):
+            self.assertTrue(run_order.stream_problems("x", body, self.RUNS))
+
+
+class AdoptedRun(PlatformCase):
+    """A run that another one overtook while its entry stood still is not joined to the other run's text."""
+    kit_args = {"controls": 3, "fronts": 2, "replicas": 2, "slots": 2, "names_runs": True}
+    EVENTS = 420  # 8.4 s
+
+    def wait(self, what, condition, s=8):
+        end = time.time() + s
+        while not condition():
+            self.assertLess(time.time(), end, what)
+            time.sleep(0.02)
+
+    def item_runs(self):
+        """The entries to which leaders have given the item, in order."""
+        lines = [x for c in self.kit.controls for x in c.log_text().splitlines() if "event=item_run " in x]
+        lines.sort(key=lambda x: int(re.search(r"\bt=(\d+)", x).group(1)))
+        return [re.search(r"\bentry=(\S+)", x).group(1) for x in lines]
+
+    def test_text_of_an_overtaken_run_is_not_joined_to_that_of_the_other(self):
+        k = self.kit
+        for r in k.replicas:
+            r.events = self.EVENTS
+        lot, items = k.lot(1)
+        item = items[0]["id"]
+        self.assertEqual(self.run_one(k.open_lot(k.fronts[0], lot, items)), 202)
+        self.wait("no run", self.item_runs)
+        frozen = next(f for f in k.fronts if f.name == self.item_runs()[0])
+        other = next(f for f in k.fronts if f is not frozen)
+        time.sleep(1.3)     # longer than the period of reports
+        frozen.signal(signal.SIGSTOP)
+        self.wait("no second run", lambda: len(self.item_runs()) > 1)
+        self.assertEqual(self.item_runs()[1], other.name)
+        time.sleep(1.3)
+        k.leader().stop()
+        other.stop()
+        frozen.signal(signal.SIGCONT)
+        time.sleep(1.6)     # a new leader takes over the run of the entry that stood still
+        for r in k.replicas:
+            k.loop.loop.call_soon_threadsafe(r.cut_runs)
+        time.sleep(0.4)
+        for p in k.controls + k.fronts:
+            p.stop()
+        for p in k.controls + k.fronts:
+            p.start()
+        results = self.run_one(k.read_whole(lot, 25))
+        self.assertEqual([r["state"] for r in results], ["completed"])
+        self.assertEqual(run_order.text_problems(item, results[0]["output"], k.runs, self.EVENTS), [])
+        serials = {run_order.parse(x).serial for x in run_order.pieces_of_text(results[0]["output"])}
+        self.assertGreater(len(serials), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
