An item's text goes on only with a run that it is the beginning of

Cause: reports of an item don't name the run, and the leader told runs apart by entry and number of events only. An entry that was paused goes on with its run while another entry runs the item; a new leader adopts whichever is reported first. (a) A progress report counted if its first number fitted by chance. (b) At the end of a run its whole text replaced the leader's, and what lay behind the same number of bytes was committed behind the text of the other run: that is what the next leader, or all processes after a loss of power, went on from. (c) The end of a run that the hello hadn't listed, as it had ended without a leader, and the end of a run that the entry was told to stop, counted as the end of a run that the leader had started there meanwhile, whose later reports then met the text of the former.

Now the text decides (state/item_output.h): the output changes only to a longer text of a run that begins with it, byte for byte, so it is the whole text of one run at all times, and that text has its joints where its runs were asked to go on. An entry reports a run to a new leader from its first event; until such a report has fitted, later ones are ignored (a run that differs goes on, its complete result counts, one log line item_run_differs). A hello lists the runs whose end is still to be reported, and the end of a refused run is awaited before reports from there count again.

--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -30,6 +30,7 @@
 #include "policy/quota.h"
 #include "policy/ring.h"
 #include "policy/fanout.h"
+#include "state/item_output.h"
 #include "state/lots.h"
 #include "state/route_table.h"
 
@@ -86,11 +87,8 @@
 	hub_lot_t *lot;
 	uint32_t index;
 	dispatch_item_t *dispatch_ref; /* NULL once the item is finished */
-	uint64_t entry; /* id of the peer that runs it, or ran it last */
-	buf_t text; /* output of all runs so far */
-	uint32_t events; /* number of events in text */
-	uint32_t saved_bytes; /* part of text that was handed to a commit */
-	uint32_t saved_events; /* events in this part */
+	item_output_t output; /* its entries are ids of peers */
+	bool in_batch; /* the next commit saves its output */
 	uint32_t failures; /* runs that ended in LINK_ITEM_END_FAILED */
 	uint32_t attempts_max; /* the item fails for good after this many failures */
 	uint64_t *parts; /* of its prompt, as in prompt_parts_t */
@@ -137,7 +135,8 @@
 	size_t progress_cap;
 	hub_origin_t *open_origins; /* of the calls in cmd.opens */
 	hub_origin_t *end_origins; /* of the calls in cmd.ends */
-	size_t bytes; /* of the opens, results and progress in cmd */
+	size_t bytes; /* of the opens and results in cmd, and about as many as of the progress; the
+			 progress has its text only once the commit starts */
 } hub_batch_t;
 
 /** Number of route tables in memory: the newest, and those that deltas can be based on. */
@@ -311,6 +310,8 @@
 /** Hands a request for a slot to the dispatcher. */
 void hub_dispatch_request(hub_t *h, hub_peer_t *p, const link_slot_request_t *m);
 void hub_dispatch_message(hub_t *h, hub_peer_t *p, const link_msg_t *m);
+/** Finds an item of a lot by its index; NULL if it is unknown here or finished. */
+hub_item_t *hub_find_item(hub_t *h, wire_bytes_t lot, u_int index);
 /** Routes the items again after a change of the config or of the blocked prompt parts. */
 void hub_dispatch_reroute(hub_t *h);
 /** Brings the dispatcher in line with the lots in group 0: adds new lots, removes finished items
@@ -322,10 +323,10 @@
 void hub_lots_handle_call(hub_t *h, const hub_origin_t *from, const link_call_arg_t *arg);
 /** Adds an item's result to the next commit. dead: the item failed for good. */
 void hub_lots_add_result(hub_t *h, hub_item_t *it, bool dead, str_t text);
-/** Adds the item's output since the last call to the next commit, so that a later leader can resume
- * the item there. If that commit fails, later progress of the item is ignored while this process
- * leads. */
-void hub_lots_add_progress(hub_t *h, hub_item_t *it);
+/** Adds the part of the item's output that isn't committed to the next commit, so that a later
+ * leader can resume the item there. If that commit fails, the one after it has it. bytes: that were
+ * added to the output. */
+void hub_lots_add_progress(hub_t *h, hub_item_t *it, size_t bytes);
 /** Starts the next commit unless one is in progress or nothing was gathered. */
 void hub_lots_commit(hub_t *h);
 void hub_lots_tick(hub_t *h, deadline_t now);
--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -92,8 +92,8 @@
 		.replica = wire_bytes(r->replica),
 		.addr = u ? u->addr : (wire_bytes_t){0},
 		.start_time = u ? u->start_time : 0,
-		.text = wire_bytes(str_buf(&r->it->text)),
-		.events = r->it->events,
+		.text = wire_bytes(str_buf(&r->it->output.text)),
+		.events = r->it->output.events,
 		.deadline_ms = (int)(t->drop_wall_ms - clock_wall_ms()),
 	};
 	hub_send(r->p, &m);
@@ -105,7 +105,7 @@
 	hub_t *h = ctx;
 	item_start_t r = {h, data, hub_find_peer(h, entry), replica, false};
 
-	r.it->entry = entry;
+	item_output_start(&r.it->output, entry);
 	if (r.p)
 		control_group_read(&h->control->groups[0], send_item_run, &r);
 	if (!r.sent) {
@@ -115,7 +115,7 @@
 	}
 	log_event(LOG_LEVEL_INFO, "item_run", LOG_CSTR("lot", r.it->lot->id),
 		  LOG_INT("item", r.it->index), LOG_STR("replica", replica),
-		  LOG_CSTR("entry", r.p->name), LOG_INT("events", r.it->events),
+		  LOG_CSTR("entry", r.p->name), LOG_INT("events", r.it->output.events),
 		  LOG_INT("failures", r.it->failures));
 	METRIC_INC("auburn_item_runs_total");
 }
@@ -211,10 +211,9 @@
 			if (t->items[i].state != LOT_ITEM_OPEN)
 				continue;
 			lot->unfinished++;
-			buf_add(&it->text,
-				(str_t){t->items[i].partial_text, t->items[i].partial_n});
-			it->events = it->saved_events = t->items[i].partial_events;
-			it->saved_bytes = t->items[i].partial_n;
+			item_output_init(&it->output,
+					 (str_t){t->items[i].partial_text, t->items[i].partial_n},
+					 t->items[i].partial_events);
 			it->dispatch_ref =
 				dispatch_item_add(h->dispatch, str_c(find_item_service(h, t, it)),
 						  s->now + t->due_wall_ms - wall, it);
@@ -231,8 +230,7 @@
 	if (!ref)
 		return;
 	it->dispatch_ref = NULL;
-	buf_free(&it->text);
-	it->text = (buf_t){0};
+	item_output_free(&it->output);
 	lot->unfinished--;
 	dispatch_item_remove(lot->hub->dispatch, ref, ended, clock_now_ms());
 }
@@ -241,7 +239,7 @@
 {
 	HASH_DEL(h->lots, lot);
 	for (uint32_t i = 0; i < lot->nitems; i++) {
-		buf_free(&lot->items[i].text);
+		item_output_free(&lot->items[i].output);
 		free(lot->items[i].parts);
 	}
 	free(lot->items);
@@ -339,7 +337,7 @@
 
 /* ---- messages from entries ---- */
 
-static hub_item_t *find_unfinished_item(hub_t *h, wire_bytes_t lot_id, u_int index)
+hub_item_t *hub_find_item(hub_t *h, wire_bytes_t lot_id, u_int index)
 {
 	str_t id = wire_str(lot_id);
 	hub_lot_t *lot;
@@ -361,13 +359,17 @@
 				       clock_now_ms());
 		return;
 	}
-	it = find_unfinished_item(h, r->job, r->item);
+	it = hub_find_item(h, r->job, r->item);
+	if (it && item_output_is_refused(&it->output, p->id))
+		return;
 	if (it && dispatch_item_is_adoptable(it->dispatch_ref, clock_now_ms())) {
-		it->entry = p->id;
+		item_output_adopt(&it->output, p->id);
 		dispatch_item_adopt(h->dispatch, it->dispatch_ref, p->id, wire_str(r->replica),
 				    clock_now_ms());
 		return;
 	}
+	if (it && it->output.entry != p->id)
+		item_output_refuse(&it->output, p->id);
 	stop.link_msg_t_u.stop.job = r->job;
 	stop.link_msg_t_u.stop.item = r->item;
 	hub_send(p, &stop);
@@ -409,37 +411,49 @@
 		hub_send(p, &(link_msg_t){.kind = LINK_PING});
 }
 
-static void end_item(hub_t *h, hub_item_t *it, bool dead, str_t text, const char *reason)
+static void end_item(hub_t *h, hub_item_t *it, bool dead, uint32_t events, str_t text,
+		     const char *reason)
 {
 	log_event(dead ? LOG_LEVEL_WARN : LOG_LEVEL_INFO, dead ? "item_dead" : "item_done",
 		  LOG_CSTR("lot", it->lot->id), LOG_INT("item", it->index),
-		  LOG_INT("events", it->events), LOG_INT("failures", it->failures),
+		  LOG_INT("events", events), LOG_INT("failures", it->failures),
 		  LOG_CSTR("reason", reason));
 	hub_lots_add_result(h, it, dead, text);
 	finish_item(it, true);
 	hub_lots_commit(h);
 }
 
+/* The run goes on, and its result counts if it is complete; its partial text is dropped. */
+static void log_differing_run(const hub_item_t *it, const hub_peer_t *p, uint32_t events)
+{
+	log_event(LOG_LEVEL_WARN, "item_run_differs", LOG_CSTR("lot", it->lot->id),
+		  LOG_INT("item", it->index), LOG_CSTR("entry", p->name),
+		  LOG_INT("events", it->output.events), LOG_INT("run_events", events));
+	METRIC_INC("auburn_item_runs_differing_total");
+}
+
 static void on_item_ended(hub_t *h, hub_peer_t *p, const link_item_ended_t *m)
 {
-	hub_item_t *it = find_unfinished_item(h, m->job, m->item);
+	hub_item_t *it = hub_find_item(h, m->job, m->item);
+	uint32_t had;
+	size_t bytes;
 
-	/* A complete result counts from any entry, any other end only from the entry of the latest
-	 * run. */
-	if (!it || (it->entry != p->id && m->end != LINK_ITEM_END_DONE))
+	/* A complete result counts from any run, any other end only from the current one. */
+	if (!it || (!item_output_end(&it->output, p->id) && m->end != LINK_ITEM_END_DONE))
 		return;
+	had = it->output.events;
 	switch (m->end) {
 	case LINK_ITEM_END_DONE:
 		hub_quarantine_alive(h, wire_str(m->replica));
-		it->events = m->events;
-		end_item(h, it, false, wire_str(m->text), "complete");
+		end_item(h, it, false, m->events, wire_str(m->text), "complete");
 		return;
 	case LINK_ITEM_END_IMPOSSIBLE:
-		end_item(h, it, true, (str_t){"", 0}, "replica reports the item as impossible");
+		end_item(h, it, true, had, (str_t){"", 0},
+			 "replica reports the item as impossible");
 		return;
 	case LINK_ITEM_END_FAILED:
 		if (++it->failures >= it->attempts_max) {
-			end_item(h, it, true, (str_t){"", 0}, "failed at every attempt");
+			end_item(h, it, true, had, (str_t){"", 0}, "failed at every attempt");
 			return;
 		}
 		dispatch_item_avoid(it->dispatch_ref, wire_str(m->replica));
@@ -447,16 +461,15 @@
 	default:
 		break;
 	}
-	if (m->events > it->events) {
-		it->events = m->events;
-		it->text.n = 0;
-		buf_add(&it->text, wire_str(m->text));
-		hub_lots_add_progress(h, it);
-	}
+	bytes = it->output.text.n;
+	if (!item_output_take(&it->output, m->events, wire_str(m->text)))
+		log_differing_run(it, p, m->events);
+	else if (it->output.events > had)
+		hub_lots_add_progress(h, it, it->output.text.n - bytes);
 	log_event(LOG_LEVEL_INFO, "item_requeued", LOG_CSTR("lot", it->lot->id),
 		  LOG_INT("item", it->index),
 		  LOG_CSTR("outcome", dispatch_outcome_name((dispatch_outcome_t)m->outcome)),
-		  LOG_STR("replica", wire_str(m->replica)), LOG_INT("events", it->events),
+		  LOG_STR("replica", wire_str(m->replica)), LOG_INT("events", it->output.events),
 		  LOG_INT("failures", it->failures));
 	dispatch_item_requeue(h->dispatch, it->dispatch_ref, (dispatch_outcome_t)m->outcome,
 			      clock_now_ms());
@@ -464,13 +477,22 @@
 
 static void on_item_progress(hub_t *h, hub_peer_t *p, const link_item_progress_t *m)
 {
-	hub_item_t *it = find_unfinished_item(h, m->job, m->item);
+	hub_item_t *it = hub_find_item(h, m->job, m->item);
+	size_t bytes;
 
-	if (!it || it->entry != p->id || m->from != it->events || m->events <= m->from)
+	if (!it)
 		return;
-	buf_add(&it->text, wire_str(m->text));
-	it->events = m->events;
-	hub_lots_add_progress(h, it);
+	bytes = it->output.text.n;
+	switch (item_output_progress(&it->output, p->id, m->from, m->events, wire_str(m->text))) {
+	case ITEM_REPORT_TAKEN:
+		break;
+	case ITEM_REPORT_DIFFERS:
+		log_differing_run(it, p, m->events);
+		return;
+	case ITEM_REPORT_IGNORED:
+		return;
+	}
+	hub_lots_add_progress(h, it, it->output.text.n - bytes);
 	dispatch_item_progressed(h->dispatch, it->dispatch_ref, clock_now_ms());
 }
 
--- a/src/control/hub_lots.c
+++ b/src/control/hub_lots.c
@@ -91,23 +91,65 @@
 	add_result(h, str_c(it->lot->id), it->index, dead, text);
 }
 
-void hub_lots_add_progress(hub_t *h, hub_item_t *it)
+void hub_lots_add_progress(hub_t *h, hub_item_t *it, size_t bytes)
 {
 	hub_batch_t *b = &h->batch;
 	u_int n = b->cmd.progress.progress_len;
-	str_t text = {it->text.p + it->saved_bytes, it->text.n - it->saved_bytes};
 
-	if (it->events <= it->saved_events)
+	b->bytes += bytes;
+	if (it->in_batch)
 		return;
+	it->in_batch = true;
 	b->cmd.progress.progress_val = grow_array(b->cmd.progress.progress_val, n, &b->progress_cap,
 						  sizeof(wire_lot_progress_t));
 	b->cmd.progress.progress_val[n] =
-		(wire_lot_progress_t){wire_copy(str_c(it->lot->id)), it->index, it->saved_events,
-				      it->events, wire_copy(text)};
+		(wire_lot_progress_t){.lot = wire_copy(str_c(it->lot->id)), .item = it->index};
 	b->cmd.progress.progress_len++;
-	b->bytes += text.n;
-	it->saved_bytes = (uint32_t)it->text.n;
-	it->saved_events = it->events;
+}
+
+/* Fills in what an item's output adds to the committed one. Returns false if that is nothing. */
+static bool fill_progress(hub_t *h, const lots_t *lots, wire_lot_progress_t *p)
+{
+	hub_item_t *it = hub_find_item(h, p->lot, p->item);
+	const lot_t *t = lots_find(lots, wire_str(p->lot));
+	const lot_item_t *saved;
+	str_t rest;
+
+	if (it)
+		it->in_batch = false;
+	if (!it || !t || t->ended || p->item >= t->nitems ||
+	    t->items[p->item].state != LOT_ITEM_OPEN)
+		return false;
+	saved = &t->items[p->item];
+	if (!item_output_unsaved(&it->output, (str_t){saved->partial_text, saved->partial_n},
+				 saved->partial_events, &rest)) {
+		log_event(LOG_LEVEL_WARN, "item_output_differs", LOG_STR("lot", wire_str(p->lot)),
+			  LOG_INT("item", p->item), LOG_INT("events", it->output.events),
+			  LOG_INT("committed", saved->partial_events));
+		return false;
+	}
+	p->from = saved->partial_events;
+	p->events = it->output.events;
+	p->text = wire_copy(rest);
+	return p->events > p->from;
+}
+
+/* Fills in the progress of the batch and removes that without new events. */
+static void fill_batch(control_group_t *g, void *arg)
+{
+	hub_t *h = arg;
+	wire_lots_cmd_t *c = &h->batch.cmd;
+	u_int kept = 0;
+
+	for (u_int i = 0; i < c->progress.progress_len; i++) {
+		wire_lot_progress_t *p = &c->progress.progress_val[i];
+
+		if (fill_progress(h, g->lots, p))
+			c->progress.progress_val[kept++] = *p;
+		else
+			wire_free(XDR_PROC(wire_lot_progress_t), p);
+	}
+	c->progress.progress_len = kept;
 }
 
 static void batch_free(hub_batch_t *b)
@@ -341,10 +383,18 @@
 	}
 }
 
-/* Adds the results of a failed commit to the next one; its progress is dropped. The results may
- * have been committed after all, which does no harm: the first result of an item counts. */
-static void requeue_results(hub_t *h, commit_t *c)
+/* Adds the results and the progress of a failed commit to the next one. They may have been
+ * committed after all, which does no harm: the first result of an item counts, and progress only
+ * where the item holds exactly the events before it. */
+static void requeue_changes(hub_t *h, commit_t *c)
 {
+	for (u_int i = 0; i < c->batch.cmd.progress.progress_len; i++) {
+		const wire_lot_progress_t *p = &c->batch.cmd.progress.progress_val[i];
+		hub_item_t *it = hub_find_item(h, p->lot, p->item);
+
+		if (it)
+			hub_lots_add_progress(h, it, p->text.wire_bytes_t_len);
+	}
 	for (u_int i = 0; i < c->batch.cmd.results.results_len; i++) {
 		const wire_lot_result_t *r = &c->batch.cmd.results.results_val[i];
 
@@ -367,7 +417,7 @@
 	reply_ends(h, c);
 	if (leads) {
 		if (c->st != STATUS_OK)
-			requeue_results(h, c);
+			requeue_changes(h, c);
 		hub_lots_sync(h);
 		wake_waiters(h, clock_now_ms());
 		hub_lots_commit(h);
@@ -384,9 +434,13 @@
 	wire_lots_cmd_t *l = &h->batch.cmd;
 	commit_t *c;
 
-	if (h->committing || l->opens.opens_len + l->results.results_len + l->ends.ends_len +
-					     l->progress.progress_len ==
-				     0)
+	if (h->committing)
+		return;
+	if (l->progress.progress_len > 0)
+		control_group_read(&h->control->groups[0], fill_batch, h);
+	if (l->opens.opens_len + l->results.results_len + l->ends.ends_len +
+		    l->progress.progress_len ==
+	    0)
 		return;
 	h->committing = true;
 	c = mem_new(sizeof(*c));
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -358,12 +358,14 @@
 void front_item_stop(front_t *f, const link_item_ref_t *m);
 /** Stops all items, so that the leader can run them elsewhere. */
 void front_item_stop_all(front_t *f);
-/** Reports the items that ended while no leader was connected. */
-void front_item_report_ended(front_t *f);
+/** A leader has connected: reports the items that ended before, and lets the next report of each
+ * other item begin with its first event. */
+void front_item_leader_up(front_t *f);
 /** Reports the new events of each running item, at most once in a period; does nothing without a
  * leader. */
 void front_item_report_progress(front_t *f, deadline_t now);
-/** Lists the running items; returns their number, at most max. */
+/** Lists the items that run, and those whose end is still to be reported; returns their number, at
+ * most max. */
 size_t front_item_runs(const front_t *f, link_run_t *out, size_t max);
 /** Number of items that run, or that ended and are not reported yet. */
 size_t front_item_count(const front_t *f);
--- a/src/front/front_item.c
+++ b/src/front/front_item.c
@@ -18,8 +18,8 @@
 	link_item_run_t spec; /* owned */
 	buf_t text; /* events so far, including those of earlier runs */
 	unsigned events;
-	size_t reported_bytes; /* bytes of text already sent to a leader */
-	unsigned reported_events; /* number of events already sent to a leader */
+	size_t reported_bytes; /* bytes of text that the leader has already */
+	unsigned reported_events; /* number of events that the leader has already */
 	deadline_t next_report;
 	front_attempt_t *attempt;
 	platform_reply_t reply; /* decoded head of the answer, without the id */
@@ -261,25 +261,30 @@
 	}
 }
 
-void front_item_report_ended(front_t *f)
+void front_item_leader_up(front_t *f)
 {
 	front_item_t *it;
 	front_item_t *next;
 
 	DL_FOREACH_SAFE(f->items, it, next)
 	{
+		/* What an earlier leader was told may not have reached this one. */
+		it->reported_bytes = 0;
+		it->reported_events = 0;
 		if (it->ended)
 			report_end(it);
 	}
 }
 
+/* With the ended ones: the leader must not take their ends for those of runs that it starts here.
+ */
 size_t front_item_runs(const front_t *f, link_run_t *out, size_t max)
 {
 	size_t n = 0;
 	front_item_t *it;
 
 	DL_FOREACH (f->items, it) {
-		if (!it->ended && n < max)
+		if (n < max)
 			out[n++] = (link_run_t){.replica = it->spec.replica,
 						.job = it->spec.job,
 						.item = it->spec.item};
--- a/src/front/front_link.c
+++ b/src/front/front_link.c
@@ -153,7 +153,7 @@
 
 	front_customer_link_up(f);
 	front_slot_leader_up(f);
-	front_item_report_ended(f);
+	front_item_leader_up(f);
 }
 
 static void on_down(void *ctx)
--- a/src/proto/link.x
+++ b/src/proto/link.x
@@ -14,7 +14,8 @@
 	unsigned hyper digest;		/* of the config: numbers start again on empty disks */
 };
 
-/* A request or an item that the sender of a hello runs at a replica. */
+/* A request or an item that the sender of a hello runs at a replica, or an item whose end it reports
+ * next. */
 struct link_run_t {
 	unsigned hyper request;		/* the entry's id of an online request; 0 for an item */
 	wire_bytes_t replica;
@@ -278,7 +279,9 @@
 	unsigned int events;
 };
 
-/* New events of a running item since the last report. */
+/* New events of a running item since the last report, or since the run was started over this link.
+ * Of a run that the hello listed, the first report has all events, also those of earlier runs, and
+ * from is 0; builds of before left out what they had reported over other links. */
 struct link_item_progress_t {
 	wire_bytes_t job;
 	unsigned int item;
