--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -80,6 +80,7 @@
         self.item_statuses = {}         # item id: error status to answer with
         self.break_after = None         # closes the connection within this event, once
         self.silent_after = None        # sends nothing after this event, on all runs while set
+        self.paused = False             # as by SIGSTOP: neither reads nor writes; then writes at once what piled up
         self.crash_part = None          # crashes before the first event of a request with this part in its prompt
         self.crashes = []               # times
         self.unframed = False           # its streams have neither a length nor chunks and end with the connection
@@ -123,12 +124,22 @@
         return {"id": self.id, "service": "llm", "addr": self.addr, "zone": self.zone, "version": "v1",
                 "slots": self.slots, "state": self.state, "coldLeftMs": 0, "born": self.start_time}
 
+    async def while_paused(self):
+        """Waits until it isn't paused; returns the number of events that piled up."""
+        since = time.time()
+        if not self.paused:
+            return 0
+        while self.paused:
+            await asyncio.sleep(0.01)
+        return int((time.time() - since) / EVENT_S)
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         before = refusal = None
         try:
             while True:
                 m = await read_message(reader)
+                await self.while_paused()
                 if m and before and self.duplicate_answer:
                     writer.write(self.copy_of(before))
                 if m and refusal and self.repeats_refusals:
@@ -218,9 +229,11 @@
             "\r\n" if self.unframed else "Transfer-Encoding: chunked\r\n\r\n")
         writer.write((head % "".join("%s: %s\r\n" % x for x in signed + self.leaving_headers())).encode())
         left = asyncio.ensure_future(reader.read(1))  # done when the entry closes the connection
+        piled_up = 0
         try:
             for n in range(run["after"] + 1, self.events_of(run) + 1):
-                done, _ = await asyncio.wait([left], timeout=EVENT_S)
+                piled_up = max(piled_up - 1, 0) + await self.while_paused()
+                done, _ = await asyncio.wait([left], timeout=EVENT_S) if not piled_up else ((), ())
                 if done:
                     run["end"] = "left"
                     return False
@@ -264,6 +277,8 @@
                 pass
             return True
         finally:
+            if left.done() and not left.cancelled():
+                left.exception()    # else asyncio reports it
             run["ended"] = time.time()
             if run["end"] is None:
                 run["end"] = "broken"
--- a/tests/proc/run_order.py
+++ b/tests/proc/run_order.py
@@ -77,6 +77,12 @@
     return problems(request, pieces_of_text(text), runs, 0, events)
 
 
+def last_event(body, after=0):
+    """Number of the last whole event in the body of a stream that began after event `after`."""
+    ids = [int(m.group(1)) for m in EVENT.finditer(body)]
+    return ids[-1] if ids else after
+
+
 def stream_problems(request, body, runs=None, after=0, events=None):
     """What breaks the order in the body of a stream that began after event `after`."""
     texts, found = pieces_of_stream(body)
--- a/tests/proc/test_run_order.py
+++ b/tests/proc/test_run_order.py
@@ -1,4 +1,6 @@
 """Texts of items that several runs produced; the text of an event names its run, see run_order."""
+import asyncio
+import random
 import re
 import signal
 import time
@@ -90,5 +92,93 @@
         self.assertGreater(len(serials), 1)
 
 
+class Pauses(PlatformCase):
+    """Replicas, entries and leaders stand still for a second or more, and go on where they were.
+
+    Guards against streams and texts that go on with a run that was not asked with the last event, as when bytes that
+    piled up are taken for those of another run.
+    """
+    kit_args = {"controls": 3, "fronts": 3, "replicas": 6, "slots": 8, "names_runs": True}
+    EVENTS = 40
+    PLAY_S = 13
+
+    async def caller(self, seen):
+        """Reads a stream to its end; resumes it at another entry, under another id, when it breaks off."""
+        k, after = self.kit, 0
+        for n in range(6):
+            rid = self.rid()
+            headers = [("Last-Event-Id", after)] if after else []
+            timeout = random.choice((0.9, None))    # the impatient ones leave and resume
+            st, _, body = await k.stream(random.choice(k.fronts), "/brief/1", rid, 5000, timeout, headers=headers)
+            body = body.decode()
+            whole = body[:body.rfind("\n\n") + 2] if "\n\n" in body else ""
+            if st in (0, -200, 200):
+                seen.append((rid, body if st == 200 else whole, after, st == 200))
+                after = run_order.last_event(whole, after)
+            if st == 200 or after == self.EVENTS:
+                return
+            await asyncio.sleep(0.2)
+
+    async def pause_replicas(self, share, s):
+        paused = random.sample(self.kit.replicas, round(share * len(self.kit.replicas)))
+        for r in paused:
+            r.paused = True
+        await asyncio.sleep(s)
+        for r in paused:
+            r.paused = False
+
+    async def pause_process(self, p, s):
+        p.signal(signal.SIGSTOP)
+        await asyncio.sleep(s)
+        p.signal(signal.SIGCONT)
+
+    async def trouble(self):
+        k = self.kit
+        for s, share in ((1.2, 1.0), (1.1, 0.6), (1.3, 1.0), (1.0, 0.6)):
+            await asyncio.sleep(0.6)
+            pause = asyncio.ensure_future(self.pause_replicas(share, s))
+            await asyncio.sleep(0.3)
+            put = asyncio.ensure_future(k.submit())
+            leader = k.leader()
+            if share < 1.0:
+                await self.pause_process(random.choice(k.fronts), 1.0)
+            elif leader:
+                await self.pause_process(leader, 1.5)
+            if share < 1.0:
+                front = random.choice(k.fronts)
+                front.stop()
+                front.start()
+            await pause
+            await put
+
+    def test_streams_and_texts_go_on_where_their_runs_were_asked_to(self):
+        k, seen = self.kit, []
+        for r in k.replicas:
+            r.events = self.EVENTS
+        lot, items = k.lot(24)
+
+        async def go():
+            self.assertEqual(await k.open_lot(k.fronts[0], lot, items), 202)
+            trouble, callers, end = asyncio.ensure_future(self.trouble()), [], time.time() + self.PLAY_S
+            while time.time() < end:
+                callers.append(asyncio.ensure_future(self.caller(seen)))
+                await asyncio.sleep(0.08)
+            await asyncio.gather(trouble, *callers)
+            return await k.read_whole(lot, 20)
+        results = k.loop.run(go(), 90)
+        for rid, body, after, complete in seen:
+            self.assertEqual(run_order.stream_problems(rid, body, k.runs, after, self.EVENTS if complete else None), [])
+        self.assertEqual(len(results), len(items))
+        for r in results:
+            self.assertEqual(run_order.text_problems(r["id"], r["output"], k.runs, self.EVENTS), [])
+        resumed = sum(len(k.runs_of(rid)) > 1 for rid, *_ in seen)
+        by_callers = sum(x[2] > 0 for x in seen)
+        print("%d streams, %d complete, %d with more than one run, %d resumed by callers, %d of %d items with more than one "
+              "run" % (len(seen), sum(x[3] for x in seen), resumed, by_callers,
+                       sum(len(k.runs_of(i["id"])) > 1 for i in items), len(items)))
+        self.assertGreater(by_callers, 0)
+        self.assertGreater(resumed, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
