Test: an item goes on after the last event of a run that was stopped without a leader

An entry stops its items when it has been without a leader for 1.1 s; their ends, reported to the next leader, were ignored, as the hello hadn't listed them, so what came after the last committed progress was run again.

--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -205,7 +205,7 @@
             await writer.drain()
             return True
         run = {"id": rid, "serial": len(self.kit.runs), "replica": self.id, "after": int(h.get("last-event-id", 0)), "at": time.time(),
-               "end": None, "ended": None, "target": target, "body": body, "method": method,
+               "sent": 0, "end": None, "ended": None, "target": target, "body": body, "method": method,
                "wait": h.get("deadline-ms"), "model": h.get("model"), "headers": h}
         self.kit.runs.append(run)
         signed = [("Request-Id", rid), ("Signature", "sig-" + rid)]
@@ -257,6 +257,7 @@
                     await writer.drain()
                     return False
                 writer.write(data if self.unframed else b"%x\r\n%s\r\n" % (len(data), data))
+                run["sent"] = n
                 await writer.drain()
                 if self.end_after and self.end_after[0] == n:
                     writer.write(self.end_after[1])
--- a/tests/proc/test_run_order.py
+++ b/tests/proc/test_run_order.py
@@ -92,6 +92,34 @@
         self.assertGreater(len(serials), 1)
 
 
+class NoLeader(PlatformCase):
+    """Guards against the loss of what a run produced before its entry stopped it for want of a leader."""
+    kit_args = {"controls": 3, "fronts": 2, "replicas": 2, "slots": 2, "names_runs": True}
+    EVENTS = 220  # 4.4 s
+
+    def test_item_goes_on_after_the_last_event_of_a_run_that_was_stopped_without_a_leader(self):
+        k = self.kit
+        for r in k.replicas:
+            r.events = self.EVENTS
+        lot, items = k.lot(2)
+        self.assertEqual(self.run_one(k.open_lot(k.fronts[0], lot, items)), 202)
+        time.sleep(1.9)     # the second reports are due soon
+        for c in k.controls:
+            c.stop()
+        time.sleep(1.5)     # longer than entries let items run without a leader
+        first = {i["id"]: k.runs_of(i["id"])[0] for i in items}
+        self.assertEqual([r["end"] for r in first.values()], ["left"] * 2)
+        for c in k.controls:
+            c.start()
+        results = self.run_one(k.read_whole(lot, 20))
+        self.assertEqual(len(results), 2)
+        for r in results:
+            self.assertEqual(run_order.text_problems(r["id"], r["output"], k.runs, self.EVENTS), [])
+            asked = k.runs_of(r["id"])[1]["after"]
+            print("sent %d events, asked to go on after %d" % (first[r["id"]]["sent"], asked))
+            self.assertGreaterEqual(asked, first[r["id"]]["sent"] - 2)  # written while the connection was being closed
+
+
 class Pauses(PlatformCase):
     """Replicas, entries and leaders stand still for a second or more, and go on where they were.
 
