A leader that answers later than 150 ms is found

Cause: a try to link had 150 ms for connection and welcome together and was then closed and begun anew, for ever. With a round trip of 200 ms no try can succeed, and the leader handled every hello in full. Class: a fixed timeout below a slow peer's answer, tried again for ever. The same at two more places of the link: an acknowledgement had 150 ms whatever the path, and the leader took a process for silent (700 ms without a message) that was still waiting for its welcome.

Evidence, on: 4 control processes killed with -9 at once, 100 ms of delay each way between all: a leader in 1.99 s, and in 12 s none of the three others nor an entry had found it; its log has peer_linked and peer_lost by turns, 175 ms apart. Now (policy/leader_search): a try may last 2 s and the next process is tried beside it after 150 ms, so a dark process costs no more than before; each process has one hello at a time; a process that doesn't accept the connection is tried again at growing intervals, as the packet that opens a connection may be lost. The time for an acknowledgement follows the round trip of the hello (RFC 6298's first value, 150 to 500 ms). A process pings while it waits for the welcome. As a hello may now be older: it is sent again with the link, and the ends of runs that it may have listed follow it; otherwise such a run would keep its slot at the leader.

--- a/src/client/leader_link.h
+++ b/src/client/leader_link.h
@@ -1,7 +1,8 @@
 /**
- * Link to the leader of group 0 among the control processes: tries the known control processes in
- * turn until one says that it leads, holds the connection to it, and searches again once the
- * connection is lost or the leader is silent for too long. Runs on an event loop's thread.
+ * Link to the leader of group 0 among the control processes: tries the known control processes (see
+ * policy/leader_search.h) until one says that it leads, holds the connection to it, and searches
+ * again once the connection is lost or the leader is silent for too long. Runs on an event loop's
+ * thread.
  */
 #ifndef AUBURN_LEADER_LINK_H
 #define AUBURN_LEADER_LINK_H
@@ -24,10 +25,6 @@
  * that streams allow between events. */
 #define LEADER_LINK_SILENCE_MS 500
 
-/** Silence timeout of the leader while an acknowledgement is due, in ms. A round trip takes a few
- * ms, but a process that has used up its CPU quota is paused for up to 100 ms. */
-#define LEADER_LINK_ACK_MS 150
-
 typedef struct {
 	struct ev_loop *loop;
 	const char *const *controls; /* RPC addresses of the known control processes */
@@ -64,8 +61,11 @@
 /** Sends a message; drops it while the link is down. */
 void leader_link_send(leader_link_t *l, const link_msg_t *m);
 /** Sends a message to which the leader responds at once with some message. If none arrives within
- * LEADER_LINK_ACK_MS, the link is dropped. */
+ * the time limit of an acknowledgement, see leader_search_ack_ms, the link is dropped. */
 void leader_link_send_acked(leader_link_t *l, const link_msg_t *m);
+/** Sends a message about something that a hello may have listed; while the link is down, once the
+ * leader has answered a hello that is on its way. Drops it if there is none. */
+void leader_link_send_deferred(leader_link_t *l, const link_msg_t *m);
 /** Sends the hello again, after a change of its contents; only while the link is up. */
 void leader_link_resend_hello(leader_link_t *l);
 /** Adds a control process to those that are tried as the leader. */
--- a/src/control/hub_quota.c
+++ b/src/control/hub_quota.c
@@ -16,7 +16,7 @@
 #define NOTICE_MS 1000
 
 /* Hands a request to the dispatcher later, when it fits into the quota. The ping acknowledges it,
- * see LEADER_LINK_ACK_MS. */
+ * see leader_search_ack_ms. */
 static void delay_request(hub_t *h, hub_peer_t *p, const link_slot_request_t *m, deadline_t at)
 {
 	hub_delayed_t *d = mem_new(sizeof(*d));
--- a/src/front/front_slot.c
+++ b/src/front/front_slot.c
@@ -132,8 +132,8 @@
 	if (f->local_dispatch)
 		dispatch_request_ended(f->local_dispatch, LOCAL_ENTRY, q->number, how,
 				       clock_now_ms());
-	else
-		leader_link_send(f->leader, &m);
+	/* Without a link, a hello on its way may list the request as running. */
+	leader_link_send_deferred(f->leader, &m);
 }
 
 void front_slot_set_replicas(front_t *f)
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -272,12 +272,16 @@
         self.path = os.path.join(kit.dir, name + ".toml")
         self.log = os.path.join(kit.dir, name + ".log")
         self.disk_full_flag = os.path.join(kit.dir, name + ".full")  # its disk refuses writes while this file exists
-        with open(self.path, "w") as f:
-            for k, v in settings.items():
-                f.write("%s = %s\n" % (k, json.dumps(v)))
+        self.settings = settings
+        self.write_settings()
         self.p = None
         self.exit_expected = False
 
+    def write_settings(self):
+        with open(self.path, "w") as f:
+            for k, v in self.settings.items():
+                f.write("%s = %s\n" % (k, json.dumps(v)))
+
     def start(self):
         self.exit_expected = False
         with open(self.log, "a") as log:
@@ -337,9 +341,13 @@
         self.fronts = [self.make_front("front-%d" % i, self.zones[i % 3]) for i in range(fronts)]
         self.version = 0
         self.acked_version = 0
+        self.before_start()
         for p in self.controls + self.fronts:
             p.start()
 
+    def before_start(self):
+        """Changes settings of the processes before their first start."""
+
     def next_ip(self):
         self.last_host += 1
         return "%s.%d" % (self.net, self.last_host)
--- /dev/null
+++ b/tests/proc/test_slow_links.py
@@ -0,0 +1,69 @@
+"""Links with delays between the processes and the leader.
+
+Guards against a search for the leader that can never end, because a try lasts shorter than the leader's answer takes,
+and against links over slow paths that don't stay up.
+"""
+import asyncio
+import signal
+import time
+import unittest
+
+from slow_kit import SlowKit
+
+RECOVERY_S = 12     # the platform requires service this long after a fault
+DELAY_S = 0.1       # in each direction: an answer takes longer than the search waits with the next try
+
+
+class SlowLinks(unittest.TestCase):
+    def start(self, **options):
+        self.kit = SlowKit(**options)
+        self.addCleanup(self.kit.close)
+        self.kit.up()
+        self.leader = self.kit.leader()
+
+    def stream(self, front, rid, **options):
+        status, _, body = self.kit.loop.run(self.kit.stream(front, "/brief/" + rid, rid, **options))
+        return status, body
+
+    def test_every_process_finds_a_new_leader_over_slow_links_and_keeps_it(self):
+        self.start(controls=3, fronts=1)
+        self.kit.delay(DELAY_S, kind="link")
+        self.leader.signal(signal.SIGKILL)
+        self.leader.p.wait()
+        self.leader.start()
+        killed = time.time()
+        for c in self.kit.controls:
+            self.assertTrue(self.kit.loop.run(self.kit.read_config(c, killed + RECOVERY_S - time.time())))
+        front = self.kit.fronts[0]
+        while front.log_text().count("event=leader_found") < 2:
+            self.assertLess(time.time(), killed + RECOVERY_S, "the entry has no leader")
+            time.sleep(0.02)
+        lost = [p.log_text().count("event=leader_lost") for p in self.kit.controls + self.kit.fronts]
+        end = time.time() + 3
+        served = 0
+        while time.time() < end:
+            served += self.stream(front, "slow-%d" % served)[0] == 200
+        self.assertGreater(served, 3)
+        self.assertEqual([p.log_text().count("event=leader_lost") for p in self.kit.controls + self.kit.fronts], lost)
+
+    def test_run_that_ends_while_the_hello_travels_frees_its_slot(self):
+        self.start(controls=3, fronts=1, replicas=1, slots=1)
+        self.kit.replicas[0].events = 25
+        front, loop = self.kit.fronts[0], self.kit.loop
+        self.kit.delay(0.4, source=front.name, kind="link")
+        first = asyncio.run_coroutine_threadsafe(self.kit.stream(front, "/brief/one", "one"), loop.loop)
+        while not self.kit.runs_of("one"):
+            time.sleep(0.01)
+        for path in self.kit.select_paths(source=front.name):
+            loop.run(path.reset())
+        self.assertEqual(first.result(10)[0], 200)
+        end = time.time() + RECOVERY_S
+        while front.log_text().count("event=leader_found") < 2:
+            self.assertLess(time.time(), end, "the entry has no leader")
+            time.sleep(0.02)
+        time.sleep(1)   # what the entry sends with the link has arrived
+        self.assertEqual(self.stream(front, "two")[0], 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
