An operator's call waits half a second for a leader

While a process searches, it doesn't know that the call can't be served. A call now waits up to 500 ms for the link, or for this process to lead, and is refused after that; the operator asks another process after 1 s without an answer. A refusal says "no leader" where no leader was asked, and "no answer from the leader" where one was.

--- a/src/control/hub.c
+++ b/src/control/hub.c
@@ -375,6 +375,7 @@
 	hub_quarantine_start_leading(h);
 	hub_dispatch_start_leading(h);
 	hub_view_start_leading(h);
+	hub_http_retry(h);
 }
 
 static void stop_leading(hub_t *h)
@@ -463,6 +464,7 @@
 	check_links(h, now, now < h->last_tick + HUB_TICK_MS ? now : h->last_tick + HUB_TICK_MS);
 	h->last_tick = now;
 	report_disk(h);
+	hub_http_tick(h, now);
 	if (h->role != HUB_LEADER)
 		return;
 	announce_leader(h, now);
@@ -537,7 +539,12 @@
 		hub_view_adopt(h, &m->link_msg_t_u.view);
 }
 
-static void ignore_link_change(void *ctx)
+static void on_leader_up(void *ctx)
+{
+	hub_http_retry(ctx);
+}
+
+static void on_leader_down(void *ctx)
 {
 }
 
@@ -584,8 +591,8 @@
 		.ctx = h,
 		.hello = fill_hello,
 		.message = on_leader_message,
-		.up = ignore_link_change,
-		.down = ignore_link_change,
+		.up = on_leader_up,
+		.down = on_leader_down,
 	});
 	hub_view_init(h);
 	if (listen_links(h) != STATUS_OK || hub_http_start(h) != STATUS_OK)
--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -80,6 +80,7 @@
 } hub_origin_t;
 
 typedef struct hub_lot hub_lot_t;
+typedef struct hub_operator_call hub_operator_call_t;
 
 /** An item of a lot in the dispatcher. */
 typedef struct {
@@ -168,6 +169,7 @@
 	leader_link_t *leader_link;
 	worker_pool_t *commit_worker; /* one thread: commits are sequential */
 	worker_pool_t *call_workers; /* for work that would block the loop */
+	hub_operator_call_t *unsent_calls; /* that wait for a leader; oldest first */
 	hub_role_t role;
 	uint64_t term; /* Raft term in which this process leads or last led */
 	hub_peer_t *peers;
@@ -343,5 +345,9 @@
 /* hub_http.c: HTTP calls of operators and of callers that look up entries */
 
 status_t hub_http_start(hub_t *h);
+/** Executes the operators' calls that have waited for a leader. */
+void hub_http_retry(hub_t *h);
+/** Refuses the operators' calls that have waited for a leader for too long. */
+void hub_http_tick(hub_t *h, deadline_t now);
 
 #endif
--- a/src/control/hub_http.c
+++ b/src/control/hub_http.c
@@ -1,5 +1,6 @@
 /* HTTP servers of the hub: one for operators, one for callers that look up entries. */
 #include <stdlib.h>
+#include <utlist.h>
 #include "base/log.h"
 #include "base/metric.h"
 #include "client/directory.h"
@@ -14,15 +15,24 @@
 #define IDLE_MS		 15000 /* limit for an idle connection */
 /** Time limit of a call that is forwarded to the leader, in ms. After it the outcome is unclear. */
 #define CALL_MS 2500
+/** Time for which a call waits for a leader, in ms. An operator asks another control process after
+ * 1 s without an answer. */
+#define LEADER_WAIT_MS 500
 
-typedef struct {
+struct hub_operator_call {
 	hub_t *h;
 	http_conn_t *conn; /* NULL once the operator has disconnected */
 	link_call_kind_t kind;
-} operator_call_t;
+	char *text; /* config or name of a VM; owned */
+	size_t text_bytes;
+	deadline_t deadline;
+	deadline_t leader_by; /* is refused if there is no leader by then */
+	struct hub_operator_call *prev;
+	struct hub_operator_call *next;
+};
 
 /* Replies to the operator of a successful call. */
-static void reply_ok(const operator_call_t *c, const link_reply_t *r)
+static void reply_ok(const hub_operator_call_t *c, const link_reply_t *r)
 {
 	AUTO_BUF body = {0};
 
@@ -57,12 +67,13 @@
 	}
 }
 
-/* Replies to the operator and frees the call. r: NULL if the leader did not reply. */
-static void finish_call(operator_call_t *c, const link_reply_t *r)
+/* Replies to the operator and frees the call. r: NULL if the leader did not reply, for the reason
+ * no_reply. */
+static void finish_call(hub_operator_call_t *c, const link_reply_t *r, const char *no_reply)
 {
 	status_t st = r ? (status_t)r->status : STATUS_UNAVAILABLE;
 	http_conn_t *conn = c->conn;
-	str_t message = r ? wire_str(r->message) : STR("no answer from the leader");
+	str_t message = r ? wire_str(r->message) : str_c(no_reply);
 
 	if (conn) {
 		http_conn_set_data(conn, NULL);
@@ -75,45 +86,96 @@
 		  LOG_CSTR("call", leader_link_call_name(c->kind)),
 		  LOG_CSTR("status", status_name(st)), LOG_STR("message", message),
 		  LOG_INT("left", conn == NULL));
+	free(c->text);
 	free(c);
 }
 
 static void on_local_reply(void *ctx, const link_reply_t *r)
 {
-	finish_call(ctx, r);
+	finish_call(ctx, r, "");
 }
 
 static void on_leader_reply(void *ctx, const link_reply_t *r, bool sent)
 {
-	finish_call(ctx, r);
+	finish_call(ctx, r, "no answer from the leader");
 }
 
-static operator_call_t *new_call(hub_t *h, http_conn_t *conn, link_call_kind_t kind)
+static hub_operator_call_t *new_call(hub_t *h, http_conn_t *conn, link_call_kind_t kind, str_t text)
 {
-	operator_call_t *c = mem_new(sizeof(*c));
+	hub_operator_call_t *c = mem_new(sizeof(*c));
+	deadline_t now = clock_now_ms();
 
-	*c = (operator_call_t){h, conn, kind};
+	*c = (hub_operator_call_t){
+		.h = h,
+		.conn = conn,
+		.kind = kind,
+		.text = str_dup(text),
+		.text_bytes = text.n,
+		.deadline = now + CALL_MS,
+		.leader_by = now + LEADER_WAIT_MS,
+	};
 	http_conn_set_data(conn, c);
 	return c;
 }
 
+static bool has_leader(const hub_t *h)
+{
+	return h->role == HUB_LEADER || leader_link_is_up(h->leader_link);
+}
+
 /* Executes a call here if this process leads, else forwards it to the leader. */
-static void execute_call(operator_call_t *c, link_call_arg_t *arg)
+static void send_call(hub_operator_call_t *c)
 {
 	hub_origin_t from = {.reply = on_local_reply, .ctx = c};
+	wire_bytes_t text = wire_bytes((str_t){c->text, c->text_bytes});
+	link_call_arg_t arg = {.kind = c->kind};
 
+	if (c->kind == LINK_CALL_CONFIG_SUBMIT)
+		arg.link_call_arg_t_u.text = text;
+	else if (c->kind != LINK_CALL_CONFIG_GET)
+		arg.link_call_arg_t_u.node = text;
 	if (c->h->role == HUB_LEADER)
-		hub_handle_call(c->h, &from, arg);
+		hub_handle_call(c->h, &from, &arg);
+	else
+		leader_link_call(c->h->leader_link, &arg, c->deadline, on_leader_reply, c);
+}
+
+/* Executes a call at once or, while there is no leader, when there is one: the search for it often
+ * ends sooner than an operator comes back after a refusal. */
+static void execute_call(hub_operator_call_t *c)
+{
+	if (has_leader(c->h))
+		send_call(c);
 	else
-		leader_link_call(c->h->leader_link, arg, clock_now_ms() + CALL_MS, on_leader_reply,
-				 c);
+		DL_APPEND(c->h->unsent_calls, c);
+}
+
+void hub_http_retry(hub_t *h)
+{
+	while (h->unsent_calls && has_leader(h)) {
+		hub_operator_call_t *c = h->unsent_calls;
+
+		DL_DELETE(h->unsent_calls, c);
+		if (c->conn)
+			send_call(c);
+		else
+			finish_call(c, NULL, "no leader");
+	}
+}
+
+void hub_http_tick(hub_t *h, deadline_t now)
+{
+	while (h->unsent_calls && h->unsent_calls->leader_by <= now) {
+		hub_operator_call_t *c = h->unsent_calls;
+
+		DL_DELETE(h->unsent_calls, c);
+		finish_call(c, NULL, "no leader");
+	}
 }
 
 typedef struct {
 	worker_task_t task;
-	operator_call_t *call;
-	char *config;
-	size_t config_bytes;
+	hub_operator_call_t *call;
 	status_t st;
 	char message[256];
 } config_check_t;
@@ -123,7 +185,7 @@
 	config_check_t *k = (config_check_t *)task;
 	route_table_t *routes = NULL;
 
-	k->st = routes_decode((str_t){k->config, k->config_bytes}, 0, &routes);
+	k->st = routes_decode((str_t){k->call->text, k->call->text_bytes}, 0, &routes);
 	route_table_free(routes);
 	if (k->st != STATUS_OK)
 		snprintf(k->message, sizeof(k->message), "%s", status_message());
@@ -132,19 +194,18 @@
 static void config_check_done(worker_task_t *task)
 {
 	config_check_t *k = (config_check_t *)task;
-	link_call_arg_t arg = {.kind = LINK_CALL_CONFIG_SUBMIT};
 
 	if (k->st == STATUS_OK) {
-		arg.link_call_arg_t_u.text = wire_bytes((str_t){k->config, k->config_bytes});
-		execute_call(k->call, &arg);
+		execute_call(k->call);
 	} else {
-		log_event(LOG_LEVEL_WARN, "text_refused", LOG_INT("bytes", k->config_bytes),
+		log_event(LOG_LEVEL_WARN, "text_refused", LOG_INT("bytes", k->call->text_bytes),
 			  LOG_CSTR("reason", k->message));
 		METRIC_INC("auburn_texts_refused_total");
-		finish_call(k->call, &(link_reply_t){.status = (int)k->st,
-						     .message = wire_bytes(str_c(k->message))});
+		finish_call(k->call,
+			    &(link_reply_t){.status = (int)k->st,
+					    .message = wire_bytes(str_c(k->message))},
+			    "");
 	}
-	free(k->config);
 	free(k);
 }
 
@@ -155,16 +216,13 @@
 	config_check_t *k = mem_new(sizeof(*k));
 
 	k->task = (worker_task_t){config_check_work, config_check_done, NULL};
-	k->call = new_call(h, conn, LINK_CALL_CONFIG_SUBMIT);
-	k->config = str_dup(body);
-	k->config_bytes = body.n;
+	k->call = new_call(h, conn, LINK_CALL_CONFIG_SUBMIT, body);
 	worker_pool_submit(h->call_workers, &k->task);
 }
 
 static void on_operator_request(void *ctx, http_conn_t *conn, const http_request_t *r)
 {
 	hub_t *h = ctx;
-	link_call_arg_t arg = {0};
 	platform_op_t op;
 
 	platform_op_decode(&r->head, &op);
@@ -173,15 +231,13 @@
 		submit_config(h, conn, r->body);
 		break;
 	case PLATFORM_OP_CONFIG_GET:
-		arg.kind = LINK_CALL_CONFIG_GET;
-		execute_call(new_call(h, conn, arg.kind), &arg);
+		execute_call(new_call(h, conn, LINK_CALL_CONFIG_GET, STR("")));
 		break;
 	case PLATFORM_OP_RETIRE:
+		execute_call(new_call(h, conn, LINK_CALL_RETIRE, op.node));
+		break;
 	case PLATFORM_OP_RETIRE_STATUS:
-		arg.kind =
-			op.kind == PLATFORM_OP_RETIRE ? LINK_CALL_RETIRE : LINK_CALL_RETIRE_STATUS;
-		arg.link_call_arg_t_u.node = wire_bytes(op.node);
-		execute_call(new_call(h, conn, arg.kind), &arg);
+		execute_call(new_call(h, conn, LINK_CALL_RETIRE_STATUS, op.node));
 		break;
 	default:
 		log_event(LOG_LEVEL_INFO, "operator_call_unknown",
@@ -198,7 +254,7 @@
 
 static void on_conn_gone(void *ctx, http_conn_t *conn)
 {
-	operator_call_t *c = http_conn_data(conn);
+	hub_operator_call_t *c = http_conn_data(conn);
 
 	if (c)
 		c->conn = NULL;
--- a/tests/proc/test_slow_links.py
+++ b/tests/proc/test_slow_links.py
@@ -12,6 +12,7 @@
 
 RECOVERY_S = 12     # the platform requires service this long after a fault
 DELAY_S = 0.1       # in each direction: an answer takes longer than the search waits with the next try
+OPERATOR_S = 1      # after which an operator asks another control process
 
 
 class SlowLinks(unittest.TestCase):
@@ -46,6 +47,20 @@
         self.assertGreater(served, 3)
         self.assertEqual([p.log_text().count("event=leader_lost") for p in self.kit.controls + self.kit.fronts], lost)
 
+    def test_operator_call_waits_for_a_leader_that_is_about_to_be_found(self):
+        self.start(controls=3, fronts=1)
+        follower = next(c for c in self.kit.controls if c is not self.leader)
+        self.kit.delay(DELAY_S, source=follower.name, target=self.leader.name, kind="link")
+        follower.signal(signal.SIGKILL)
+        follower.p.wait()
+        follower.start()
+        status = 0
+        end = time.time() + RECOVERY_S
+        while status == 0 and time.time() < end:    # until its server listens
+            status, _, _ = self.kit.loop.run(self.kit.call(
+                follower.ip, self.kit.port + 2, "GET", "/config/get", timeout=OPERATOR_S))
+        self.assertEqual(status, 200)
+
     def test_run_that_ends_while_the_hello_travels_frees_its_slot(self):
         self.start(controls=3, fronts=1, replicas=1, slots=1)
         self.kit.replicas[0].events = 25
