A new leader's read barrier has a worker of its own; a process without a leader says so

The barrier with which an elected process begins to lead waited in the queue of the workers that serve operators' calls, each of which may take 2.5 s.

--- a/src/control/hub.c
+++ b/src/control/hub.c
@@ -12,6 +12,8 @@
 /** Time limit of the read barrier of a new leader, in ms. */
 #define BARRIER_MS   2000
 #define CALL_THREADS 3
+/** A process without a leader logs this once in this period, in ms. */
+#define NO_LEADER_LOG_MS 1000
 /** Period of the leader's announcements, in ms; see announce_leader. */
 #define ANNOUNCE_MS 500
 
@@ -400,6 +402,7 @@
 	worker_task_t task;
 	hub_t *h;
 	uint64_t term;
+	deadline_t since;
 	status_t st;
 } barrier_task_t;
 
@@ -415,6 +418,10 @@
 	barrier_task_t *s = (barrier_task_t *)task;
 	hub_t *h = s->h;
 
+	if (s->st != STATUS_OK)
+		log_event(LOG_LEVEL_WARN, "dispatch_delayed", LOG_INT("term", s->term),
+			  LOG_INT("ms", clock_now_ms() - s->since),
+			  LOG_CSTR("status", status_name(s->st)));
 	if (h->role == HUB_STARTING && h->term == s->term) {
 		h->role = s->st == STATUS_OK ? HUB_LEADER : HUB_FOLLOWER;
 		if (h->role == HUB_LEADER)
@@ -423,6 +430,20 @@
 	free(s);
 }
 
+/* Logs that this process knows of no leader, by its replica and by its link. */
+static void log_no_leader(hub_t *h, const group_status_t *st, deadline_t now)
+{
+	deadline_t down_since = leader_link_down_since(h->leader_link);
+
+	if (h->role != HUB_FOLLOWER || !down_since || now - down_since < NO_LEADER_LOG_MS ||
+	    now < h->next_no_leader_log)
+		return;
+	h->next_no_leader_log = now + NO_LEADER_LOG_MS;
+	log_event(LOG_LEVEL_WARN, "no_leader", LOG_INT("ms", now - down_since),
+		  LOG_INT("term", st->term), LOG_CSTR("elected", st->leader_addr),
+		  LOG_INT("disk_failed", st->failed));
+}
+
 /* Follows the Raft role. A new leader starts to dispatch after a read barrier, when it has applied
  * all commands that former leaders committed. */
 static void update_role(hub_t *h)
@@ -433,13 +454,17 @@
 	group_get_status(h->control->groups[0].raft, &st);
 	if (h->role != HUB_FOLLOWER && (!st.leader || st.term != h->term))
 		stop_leading(h);
+	log_no_leader(h, &st, clock_now_ms());
 	if (h->role != HUB_FOLLOWER || !st.leader)
 		return;
 	h->role = HUB_STARTING;
 	h->term = st.term;
 	s = mem_new(sizeof(*s));
-	*s = (barrier_task_t){.task = {barrier_work, barrier_done, NULL}, .h = h, .term = st.term};
-	worker_pool_submit(h->call_workers, &s->task);
+	*s = (barrier_task_t){.task = {barrier_work, barrier_done, NULL},
+			      .h = h,
+			      .term = st.term,
+			      .since = clock_now_ms()};
+	worker_pool_submit(h->role_worker, &s->task);
 }
 
 /* Tells the leader when this process's disk begins or ends to refuse writes. */
@@ -583,6 +608,7 @@
 	h->http = http_client_new(h->loop);
 	h->commit_worker = worker_pool_new(h->loop, 1);
 	h->call_workers = worker_pool_new(h->loop, CALL_THREADS);
+	h->role_worker = worker_pool_new(h->loop, 1);
 	h->leader_link = leader_link_new(&(leader_link_options_t){
 		.loop = h->loop,
 		.controls = (const char *const *)ctl->settings.controls.v,
--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -169,6 +169,9 @@
 	leader_link_t *leader_link;
 	worker_pool_t *commit_worker; /* one thread: commits are sequential */
 	worker_pool_t *call_workers; /* for work that would block the loop */
+	worker_pool_t *role_worker; /* one thread, for the read barrier of a new leader: calls may
+				     * wait for seconds */
+	deadline_t next_no_leader_log;
 	hub_operator_call_t *unsent_calls; /* that wait for a leader; oldest first */
 	hub_role_t role;
 	uint64_t term; /* Raft term in which this process leads or last led */
