A leader is elected where a round trip or a sync takes longer than the election timeout

Cause, at three places: Raft messages to a process went in one batch per round trip, so that a leader's heartbeats and the answers were up to three round trips apart; a new leader gave up 250 ms after its election without an answer, before the first could come; and a candidate's timeout never grew, so that votes came after it every time. Now a batch follows 25 ms after the one before, four at most on their way (a fast path keeps one at a time); a new leader has twice the timeout for the answers to its first entry; and the timeout doubles, up to eight times, with each election in a row that this replica has taken part in without hearing of a leader. Safety doesn't hang on timeouts.

Failed before, against: test_raft: a_leader_is_elected_over_paths_and_disks_slower_than_the_timeout: no leader: path 4 ticks, sync 3 test_slow_links: test_control_processes_that_restart_at_once_elect_a_leader_over_slow_paths: AssertionError: control-0 did not return the config within 11 s

--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -40,3 +40,17 @@
 	while (nanosleep(&ts, &ts) != 0 && errno == EINTR)
 		;
 }
+
+void clock_cond_wait(pthread_cond_t *cond, pthread_mutex_t *lock, int64_t ms)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	ts.tv_sec += ms / 1000;
+	ts.tv_nsec += (ms % 1000) * 1000000;
+	if (ts.tv_nsec >= 1000000000) {
+		ts.tv_sec++;
+		ts.tv_nsec -= 1000000000;
+	}
+	pthread_cond_clockwait(cond, lock, CLOCK_MONOTONIC, &ts);
+}
--- a/src/control/control_peer.c
+++ b/src/control/control_peer.c
@@ -1,5 +1,6 @@
-/* Sends Raft messages to the other control processes: a queue and a thread for each process. Raft
- * repeats messages that are lost. */
+/* Sends Raft messages to the other control processes: a queue and a few threads for each process.
+ * While a batch is on its way, the next one follows after a pause, so that messages over a slow
+ * path are not a round trip apart. Raft repeats messages that are lost. */
 #include <stdlib.h>
 #include <string.h>
 #include "base/metric.h"
@@ -12,17 +13,22 @@
 #define BATCH_MAX_BYTES	     (8 << 20)
 #define SEND_TIMEOUT_MS	     1000
 #define RECONNECT_BACKOFF_MS 50
+/** Batches that are on their way to a process at the same time. */
+#define SENDERS 4
+/** Pause between two batches of which the first is still on its way, in ms. */
+#define BATCH_PAUSE_MS 25
 
 typedef struct {
 	unsigned group;
 	buf_t msg;
 } queued_msg_t;
 
-/* Ring buffer of messages to one process, and the connection on which its thread sends them. */
+/* Ring buffer of messages to one process. */
 typedef struct {
 	char addr[64];
 	control_t *ctl;
-	rpc_client_t *client;
+	unsigned sending; /* batches on their way */
+	deadline_t next_batch; /* while a batch is on its way */
 	pthread_mutex_t lock;
 	pthread_cond_t wake;
 	queued_msg_t queue[QUEUE_MAX];
@@ -44,15 +50,19 @@
 	return p;
 }
 
-/* Waits until messages are queued, and takes those for one call. */
+/* Waits until messages are queued and may be sent, and takes those for one call. */
 static size_t take_batch(peer_queue_t *p, queued_msg_t out[BATCH_MAX])
 {
 	size_t n = 0;
 	size_t bytes = 0;
 
 	pthread_mutex_lock(&p->lock);
-	while (p->n == 0)
-		pthread_cond_wait(&p->wake, &p->lock);
+	while (p->n == 0 || (p->sending && clock_now_ms() < p->next_batch)) {
+		if (p->n == 0)
+			pthread_cond_wait(&p->wake, &p->lock);
+		else
+			clock_cond_wait(&p->wake, &p->lock, clock_left_ms(p->next_batch));
+	}
 	while (p->n > 0 && n < BATCH_MAX && bytes < BATCH_MAX_BYTES) {
 		out[n] = p->queue[p->head];
 		p->queue[p->head] = (queued_msg_t){0};
@@ -60,11 +70,13 @@
 		p->head = (p->head + 1) % QUEUE_MAX;
 		p->n--;
 	}
+	p->sending++;
+	p->next_batch = clock_now_ms() + BATCH_PAUSE_MS;
 	pthread_mutex_unlock(&p->lock);
 	return n;
 }
 
-static void send_batch(peer_queue_t *p, queued_msg_t *batch, size_t n)
+static void send_batch(peer_queue_t *p, rpc_client_t *client, queued_msg_t *batch, size_t n)
 {
 	wire_raft_msg_t msgs[BATCH_MAX];
 	wire_raft_arg_t arg = {wire_bytes(str_c(p->ctl->settings.listen)), {(u_int)n, msgs}};
@@ -75,7 +87,7 @@
 		msgs[i].group = batch[i].group;
 		msgs[i].payload = wire_bytes(str_buf(&batch[i].msg));
 	}
-	st = rpc_client_call(p->client, AUBURN_RAFT, XDR_PROC(wire_raft_arg_t), &arg, rpc_xdr_void,
+	st = rpc_client_call(client, AUBURN_RAFT, XDR_PROC(wire_raft_arg_t), &arg, rpc_xdr_void,
 			     &none, clock_now_ms() + SEND_TIMEOUT_MS);
 	if (st != STATUS_OK) {
 		METRIC_INC("auburn_log_send_failures_total");
@@ -86,14 +98,19 @@
 static void *send_loop(void *arg)
 {
 	peer_queue_t *p = arg;
+	rpc_client_t *client = rpc_client_new(p->addr, AUBURN_CONTROL, AUBURN_CONTROL_V1);
 	queued_msg_t *batch = mem_new(BATCH_MAX * sizeof(*batch));
 
 	for (;;) {
 		size_t n = take_batch(p, batch);
 
-		send_batch(p, batch, n);
+		send_batch(p, client, batch, n);
 		for (size_t i = 0; i < n; i++)
 			buf_free(&batch[i].msg);
+		pthread_mutex_lock(&p->lock);
+		p->sending--;
+		pthread_cond_signal(&p->wake);
+		pthread_mutex_unlock(&p->lock);
 	}
 	return NULL;
 }
@@ -105,12 +122,13 @@
 
 	snprintf(p->addr, sizeof(p->addr), "%s", addr);
 	p->ctl = ctl;
-	p->client = rpc_client_new(addr, AUBURN_CONTROL, AUBURN_CONTROL_V1);
 	pthread_mutex_init(&p->lock, NULL);
 	pthread_cond_init(&p->wake, NULL);
-	if (pthread_create(&t, NULL, send_loop, p) != 0)
-		abort();
-	pthread_detach(t);
+	for (unsigned i = 0; i < SENDERS; i++) {
+		if (pthread_create(&t, NULL, send_loop, p) != 0)
+			abort();
+		pthread_detach(t);
+	}
 	return p;
 }
 
--- a/src/raft/group_calls.c
+++ b/src/raft/group_calls.c
@@ -77,16 +77,7 @@
 
 void group_cond_wait(group_t *g, pthread_cond_t *cond, int64_t ms)
 {
-	struct timespec ts;
-
-	clock_gettime(CLOCK_MONOTONIC, &ts);
-	ts.tv_sec += ms / 1000;
-	ts.tv_nsec += (ms % 1000) * 1000000;
-	if (ts.tv_nsec >= 1000000000) {
-		ts.tv_sec++;
-		ts.tv_nsec -= 1000000000;
-	}
-	pthread_cond_timedwait(cond, &g->lock, &ts);
+	clock_cond_wait(cond, &g->lock, ms);
 }
 
 #define WAIT_MAX_MS 1000 /* long waits are split: the condition's clock stops during suspend */
--- a/src/raft/raft.c
+++ b/src/raft/raft.c
@@ -6,11 +6,22 @@
 #include <string.h>
 #include "base/prng.h"
 
+/** The election timeout doubles at most this often. */
+#define DOUBLINGS_MAX 3
+
+unsigned raft_election_ticks(const raft_t *r)
+{
+	unsigned doublings = r->elections > 1 ? r->elections - 1 : 0;
+
+	return r->election_ticks << (doublings < DOUBLINGS_MAX ? doublings : DOUBLINGS_MAX);
+}
+
 void raft_reset_election_timeout(raft_t *r)
 {
+	unsigned ticks = raft_election_ticks(r);
+
 	r->election_elapsed = 0;
-	r->election_timeout =
-		r->election_ticks + (unsigned)(prng_next(&r->prng_state) % r->election_ticks);
+	r->election_timeout = ticks + (unsigned)(prng_next(&r->prng_state) % ticks);
 }
 
 /* A snapshot may be durable before the term that it arrived in. No vote of that term can have been
--- a/src/raft/raft_follower.c
+++ b/src/raft/raft_follower.c
@@ -19,6 +19,7 @@
 	r->leader = m->from;
 	r->role = RAFT_FOLLOWER;
 	r->counted_as_voter = false;
+	r->elections = 0;
 	raft_reset_election_timeout(r);
 }
 
--- a/src/raft/raft_internal.h
+++ b/src/raft/raft_internal.h
@@ -59,6 +59,7 @@
 	unsigned election_elapsed; /* ticks since the last reset */
 	unsigned election_timeout;
 	unsigned heartbeat_elapsed;
+	unsigned elections; /* that this replica has taken part in since it last knew of a leader */
 
 	uint64_t next_seq;
 	uint64_t synced_seq;
@@ -131,6 +132,9 @@
 void raft_send_msg(raft_t *r, raft_msg_t *m, uint64_t to);
 void raft_become_follower(raft_t *r, uint64_t term, uint64_t leader);
 void raft_reset_election_timeout(raft_t *r);
+/** The minimum election timeout in ticks. It doubles with each election in a row that has led to no
+ * leader: the answers, or the disks, may take longer than the timeout. */
+unsigned raft_election_ticks(const raft_t *r);
 
 /* raft_vote.c */
 /** Starts an election if this replica may campaign. force: the voters ignore the leader lease. */
--- a/src/raft/raft_leader.c
+++ b/src/raft/raft_leader.c
@@ -117,12 +117,20 @@
 	}
 }
 
+/* True while a new leader cannot have an answer from a majority yet, over a slow path or from slow
+ * disks. */
+static bool awaits_first_answers(const raft_t *r)
+{
+	return r->commit < r->term_start && r->election_elapsed < 2 * raft_election_ticks(r);
+}
+
 void raft_leader_tick(raft_t *r)
 {
 	bool heartbeat = ++r->heartbeat_elapsed >= r->heartbeat_ticks;
 
+	r->election_elapsed++;
 	/* Check-quorum: if no majority answers, another leader may have been elected. */
-	if (!raft_leader_has_live_majority(r, &r->members)) {
+	if (!raft_leader_has_live_majority(r, &r->members) && !awaits_first_answers(r)) {
 		raft_become_follower(r, r->term, 0);
 		return;
 	}
@@ -192,6 +200,7 @@
 	 * holding an old entry does not prevent another leader from overwriting it. */
 	if (index <= r->commit || index < r->term_start)
 		return;
+	r->elections = 0;
 	raft_log_commit(r, index);
 	if (r->members_index <= r->commit && !is_self_voter(r)) {
 		raft_become_follower(r, r->term, 0);
--- a/src/raft/raft_vote.c
+++ b/src/raft/raft_vote.c
@@ -68,6 +68,7 @@
 	r->leader = 0;
 	r->nvotes = 0;
 	r->self_vote = false;
+	r->elections++;
 	raft_reset_election_timeout(r);
 	request_votes(r, RAFT_VOTE, r->term, force);
 }
@@ -108,6 +109,7 @@
 	resp.reject = (r->vote != 0 && r->vote != m->from) || r->role == RAFT_LEADER ||
 		      r->term_leader != 0 || !candidate_log_is_up_to_date(r, m);
 	if (!resp.reject) {
+		r->elections += r->vote == 0;
 		raft_set_hard_state(r, r->term, m->from);
 		raft_reset_election_timeout(r);
 	}
--- a/tests/proc/test_slow_links.py
+++ b/tests/proc/test_slow_links.py
@@ -47,6 +47,18 @@
         self.assertGreater(served, 3)
         self.assertEqual([p.log_text().count("event=leader_lost") for p in self.kit.controls + self.kit.fronts], lost)
 
+    def test_control_processes_that_restart_at_once_elect_a_leader_over_slow_paths(self):
+        self.start(controls=3, fronts=1)
+        self.kit.delay(1.5 * DELAY_S)   # a round trip is as long as an election timeout
+        for c in self.kit.controls:
+            c.signal(signal.SIGKILL)
+        for c in self.kit.controls:
+            c.p.wait()
+            c.start()
+        restarted = time.time()
+        for c in self.kit.controls:
+            self.assertTrue(self.kit.loop.run(self.kit.read_config(c, restarted + RECOVERY_S - time.time())))
+
     def test_operator_call_waits_for_a_leader_that_is_about_to_be_found(self):
         self.start(controls=3, fronts=1)
         follower = next(c for c in self.kit.controls if c is not self.leader)
--- a/tests/unit/test_raft.c
+++ b/tests/unit/test_raft.c
@@ -3,6 +3,8 @@
  * a stale read, or a group that cannot elect a leader. */
 #include <stdlib.h>
 #include <string.h>
+#include "proto/wire.h"
+#include "raft/raft_internal.h"
 #include "sim.h"
 #include "suite_kit.h"
 
@@ -179,6 +181,131 @@
 }
 END_TEST
 
+#define SLOW_PACKETS_MAX 4096
+
+/* A network and disks with a fixed delay, in ticks. */
+typedef struct {
+	unsigned path_ticks;
+	unsigned sync_ticks;
+	unsigned now;
+	struct {
+		unsigned due;
+		unsigned to;
+		buf_t bytes;
+	} packets[SLOW_PACKETS_MAX]; /* in order of sending */
+	size_t first;
+	size_t n;
+} slow_net_t;
+
+static void deliver_slowly(slow_net_t *net)
+{
+	while (net->first < net->n && net->packets[net->first].due <= net->now) {
+		raft_t *to = sim->nodes[net->packets[net->first].to].raft;
+		buf_t *b = &net->packets[net->first++].bytes;
+		raft_msg_t m;
+
+		if (wire_decode(str_buf(b), XDR_PROC(raft_msg_t), &m, sizeof(m)) == STATUS_OK)
+			raft_receive(to, &m);
+		wire_free(XDR_PROC(raft_msg_t), &m);
+		buf_free(b);
+	}
+}
+
+static void slow_tick(slow_net_t *net)
+{
+	net->now++;
+	deliver_slowly(net);
+	for (unsigned i = 0; i < 3; i++) {
+		raft_tick(sim->nodes[i].raft);
+		raft_flush(sim->nodes[i].raft);
+		if (net->now % net->sync_ticks == 0)
+			sim_node_sync(&sim->nodes[i], SIZE_MAX);
+	}
+	for (unsigned i = 0; i < sim->npackets; i++) {
+		ck_assert_uint_lt(net->n, SLOW_PACKETS_MAX);
+		net->packets[net->n].due = net->now + net->path_ticks;
+		net->packets[net->n].to = sim->packets[i].to;
+		net->packets[net->n++].bytes = sim->packets[i].bytes;
+	}
+	sim->npackets = 0;
+}
+
+/* Ticks until a leader has committed an entry of its term; then it must keep the lead. */
+static unsigned ticks_to_a_lasting_leader(unsigned path_ticks, unsigned sync_ticks)
+{
+	slow_net_t *net = calloc(1, sizeof(*net));
+	unsigned took;
+	sim_node_t *leader = NULL;
+
+	net->path_ticks = path_ticks;
+	net->sync_ticks = sync_ticks;
+	while (!leader && net->now < 100 * ELECTION_TICKS) {
+		slow_tick(net);
+		leader = find_leader();
+		if (leader && status_of(leader).commit < status_of(leader).last)
+			leader = NULL;
+	}
+	took = net->now;
+	for (unsigned i = 0; i < 20 * ELECTION_TICKS && leader; i++) {
+		slow_tick(net);
+		ck_assert_ptr_eq(find_leader(), leader);
+	}
+	while (net->first < net->n)
+		buf_free(&net->packets[net->first++].bytes);
+	free(net);
+	return leader ? took : 0;
+}
+
+/* With a fixed timeout below the round trip no election ends, and a new leader gives up before the
+ * first answers. */
+START_TEST(a_leader_is_elected_over_paths_and_disks_slower_than_the_timeout)
+{
+	static const struct {
+		unsigned path_ticks;
+		unsigned sync_ticks;
+	} slow[] = {{1, 1}, {3, 1}, {4, 3}, {5, 1}, {5, 6}, {7, 3}, {1, 12}};
+
+	for (size_t i = 0; i < sizeof(slow) / sizeof(slow[0]); i++) {
+		unsigned took;
+
+		teardown();
+		sim = sim_new(20 + i, 3, &res);
+		took = ticks_to_a_lasting_leader(slow[i].path_ticks, slow[i].sync_ticks);
+		ck_assert_msg(took > 0, "no leader: path %u ticks, sync %u", slow[i].path_ticks,
+			      slow[i].sync_ticks);
+		ck_assert_msg(took <= 40 * ELECTION_TICKS, "%u ticks: path %u ticks, sync %u", took,
+			      slow[i].path_ticks, slow[i].sync_ticks);
+	}
+}
+END_TEST
+
+/* The longer timeout is for elections that fail; a group with a leader finds the next one as soon
+ * as ever. */
+START_TEST(the_election_timeout_is_short_again_once_there_is_a_leader)
+{
+	slow_net_t *net = calloc(1, sizeof(*net));
+	sim_node_t *leader;
+	unsigned lost_at;
+
+	ck_assert_uint_gt(ticks_to_a_lasting_leader(7, 3), 0);
+	leader = find_leader();
+	net->path_ticks = net->sync_ticks = 1;
+	for (unsigned i = 0; i < ELECTION_TICKS; i++)
+		slow_tick(net);
+	lost_at = net->now;
+	leader->partition = 1;
+	raft_step_down(leader->raft);
+	for (unsigned i = 0; i < 3; i++)
+		ck_assert_uint_le(raft_election_ticks(sim->nodes[i].raft), ELECTION_TICKS);
+	while (!find_leader())
+		slow_tick(net);
+	ck_assert_uint_le(net->now - lost_at, 6 * ELECTION_TICKS);
+	while (net->first < net->n)
+		buf_free(&net->packets[net->first++].bytes);
+	free(net);
+}
+END_TEST
+
 /* After a crash, a replica whose vote was not durable could vote for another candidate in the same
  * term. */
 START_TEST(a_vote_is_sent_only_after_its_sync)
@@ -524,6 +651,8 @@
 	tcase_add_test(t, a_follower_of_a_live_leader_refuses_votes);
 	tcase_add_test(t, an_isolated_leader_steps_down);
 	tcase_add_test(t, a_learner_is_promoted_only_once_it_has_caught_up);
+	tcase_add_test(t, a_leader_is_elected_over_paths_and_disks_slower_than_the_timeout);
+	tcase_add_test(t, the_election_timeout_is_short_again_once_there_is_a_leader);
 	tcase_add_test(t, a_vote_is_sent_only_after_its_sync);
 	tcase_add_test(t, nothing_commits_before_a_majority_has_synced);
 	tcase_add_test(t, a_majority_of_followers_commits_before_the_leader_has_synced);
