--- a/src/raft/store_file.c
+++ b/src/raft/store_file.c
@@ -9,6 +9,7 @@
 #include <sys/stat.h>
 #include <sys/statvfs.h>
 #include <unistd.h>
+#include "base/clock.h"
 
 #define READ_BYTES	    (1024 * 1024)
 #define SYNC_INTERVAL_BYTES (1024 * 1024)
@@ -35,6 +36,7 @@
 
 	f->fsync_fail_after = parse_fault(env, "fsync_fail_after=");
 	f->full_after_bytes = parse_fault(env, "full_after_bytes=");
+	f->sync_ms = parse_fault(env, "sync_ms=");
 	f->capacity_bytes = parse_fault(env, "capacity_bytes=");
 	parse_fault_path(env, "full_while_exists=", f->full_while_exists,
 			 sizeof(f->full_while_exists));
@@ -140,6 +142,8 @@
 {
 	long left = __atomic_load_n(&f->fsync_fail_after, __ATOMIC_RELAXED);
 
+	if (f->sync_ms > 0)
+		clock_sleep_ms(f->sync_ms);
 	if (left > 0)
 		__atomic_fetch_sub(&f->fsync_fail_after, 1, __ATOMIC_RELAXED);
 	errno = EIO;
--- a/src/raft/store_file.h
+++ b/src/raft/store_file.h
@@ -8,14 +8,15 @@
 #include "base/str.h"
 
 /** Read from AUBURN_DISK_FAULT when a store is opened: "fsync_fail_after=100",
- * "full_after_bytes=65536", "capacity_bytes=65536", "full_while_exists=/path", or several separated
- * by commas. */
+ * "full_after_bytes=65536", "capacity_bytes=65536", "full_while_exists=/path", "sync_ms=200", or
+ * several separated by commas. */
 typedef struct {
 	long fsync_fail_after; /* syncs that still succeed; -1: all */
 	long full_after_bytes; /* bytes that can still be written; -1: no limit */
 	long capacity_bytes; /* size of the folder at which it is full; -1: no limit */
 	char full_while_exists[256]; /* writes and syncs fail while this file exists; empty: never
 				      */
+	long sync_ms; /* that a sync takes longer; -1: none */
 } store_disk_fault_t;
 
 void store_disk_fault_from_env(store_disk_fault_t *f);
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -272,6 +272,7 @@
         self.path = os.path.join(kit.dir, name + ".toml")
         self.log = os.path.join(kit.dir, name + ".log")
         self.disk_full_flag = os.path.join(kit.dir, name + ".full")  # its disk refuses writes while this file exists
+        self.sync_ms = 0    # that a sync of its disk takes longer, from its next start on
         self.settings = settings
         self.write_settings()
         self.p = None
@@ -287,7 +288,8 @@
         with open(self.log, "a") as log:
             self.p = subprocess.Popen([os.path.join(self.bin, self.program), "--config", self.path],
                                       stdout=log, stderr=subprocess.STDOUT,
-                                      env=dict(os.environ, AUBURN_DISK_FAULT="full_while_exists=" + self.disk_full_flag))
+                                      env=dict(os.environ, AUBURN_DISK_FAULT="sync_ms=%d,full_while_exists=%s" % (
+                                          self.sync_ms, self.disk_full_flag)))
 
     def signal(self, sig):
         if self.p and self.p.poll() is None:
--- a/tests/proc/test_slow_links.py
+++ b/tests/proc/test_slow_links.py
@@ -1,7 +1,7 @@
-"""Links with delays between the processes and the leader.
+"""Slow paths between the processes, and slow disks.
 
-Guards against a search for the leader that can never end, because a try lasts shorter than the leader's answer takes,
-and against links over slow paths that don't stay up.
+Guards against a search for the leader and elections that can never end, because a try lasts shorter than the answer
+takes, and against links over slow paths that don't stay up.
 """
 import asyncio
 import signal
@@ -12,6 +12,7 @@
 
 RECOVERY_S = 12     # the platform requires service this long after a fault
 DELAY_S = 0.1       # in each direction: an answer takes longer than the search waits with the next try
+SYNC_MS = 400       # longer than an election timeout
 OPERATOR_S = 1      # after which an operator asks another control process
 
 
@@ -47,9 +48,8 @@
         self.assertGreater(served, 3)
         self.assertEqual([p.log_text().count("event=leader_lost") for p in self.kit.controls + self.kit.fronts], lost)
 
-    def test_control_processes_that_restart_at_once_elect_a_leader_over_slow_paths(self):
-        self.start(controls=3, fronts=1)
-        self.kit.delay(1.5 * DELAY_S)   # a round trip is as long as an election timeout
+    def restart_controls(self):
+        """Kills all control processes at once and starts them again; each must return the config in time."""
         for c in self.kit.controls:
             c.signal(signal.SIGKILL)
         for c in self.kit.controls:
@@ -59,6 +59,17 @@
         for c in self.kit.controls:
             self.assertTrue(self.kit.loop.run(self.kit.read_config(c, restarted + RECOVERY_S - time.time())))
 
+    def test_control_processes_that_restart_at_once_elect_a_leader_over_slow_paths(self):
+        self.start(controls=3, fronts=1)
+        self.kit.delay(1.5 * DELAY_S)   # a round trip is as long as an election timeout
+        self.restart_controls()
+
+    def test_control_processes_that_restart_at_once_elect_a_leader_on_slow_disks(self):
+        self.start(controls=3, fronts=1)
+        for c in self.kit.controls:
+            c.sync_ms = SYNC_MS
+        self.restart_controls()
+
     def test_operator_call_waits_for_a_leader_that_is_about_to_be_found(self):
         self.start(controls=3, fronts=1)
         follower = next(c for c in self.kit.controls if c is not self.leader)
