--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -295,18 +295,24 @@
         self.path = os.path.join(kit.dir, name + ".toml")
         self.log = os.path.join(kit.dir, name + ".log")
         self.disk_full_flag = os.path.join(kit.dir, name + ".full")  # its disk refuses writes while this file exists
-        with open(self.path, "w") as f:
-            for k, v in settings.items():
-                f.write("%s = %s\n" % (k, json.dumps(v)))
+        self.sync_ms = 0    # that a sync of its disk takes longer, from its next start on
+        self.settings = settings
+        self.write_settings()
         self.p = None
         self.exit_expected = False
 
+    def write_settings(self):
+        with open(self.path, "w") as f:
+            for k, v in self.settings.items():
+                f.write("%s = %s\n" % (k, json.dumps(v)))
+
     def start(self):
         self.exit_expected = False
         with open(self.log, "a") as log:
             self.p = subprocess.Popen([os.path.join(self.bin, self.program), "--config", self.path],
                                       stdout=log, stderr=subprocess.STDOUT,
-                                      env=dict(os.environ, AUBURN_DISK_FAULT="full_while_exists=" + self.disk_full_flag))
+                                      env=dict(os.environ, AUBURN_DISK_FAULT="sync_ms=%d,full_while_exists=%s" % (
+                                          self.sync_ms, self.disk_full_flag)))
 
     def signal(self, sig):
         if self.p and self.p.poll() is None:
@@ -362,9 +368,13 @@
         self.fronts = [self.make_front("front-%d" % i, self.zones[i % 3]) for i in range(fronts)]
         self.version = 0
         self.acked_version = 0
+        self.before_start()
         for p in self.controls + self.fronts:
             p.start()
 
+    def before_start(self):
+        """Changes settings of the processes before their first start."""
+
     def next_ip(self):
         self.last_host += 1
         return "%s.%d" % (self.net, self.last_host)
