What a replica announced outlives the entry and the leader that heard it

Callers saw: none of their answers was wrong; a replica that had announced that it leaves got new requests for up to 5.4 s more, which its stop may cut. Cause: an entry reported to a new leader only what it had heard itself; what the leader had told it, by the flag in the view, was used for nothing but the local dispatcher. When the entry that had heard it was killed or frozen, and the leader that knew it was lost or stepped down, the next leader took the replica as ready from the list. An entry that read the list itself, without a leader, did so too, and a former leader told its successor nothing. Change: one mechanism. The leader tells all linked processes by the message that entries send to it (LINK_LEAVING; builds of before ignore it there), and each process that links later. All keep it, and entries and control processes that don't lead report it in their hello (the field exists). Followers no longer take `leaving` in the view for an announcement: the list's `draining` was kept for good by each that led later, although it may be taken back.

--- a/src/client/leader_link.c
+++ b/src/client/leader_link.c
@@ -156,6 +156,18 @@
 		send_hello(l);
 }
 
+void leader_link_report_leaving(link_hello_t *out, const leaving_t *l)
+{
+	static link_leaving_t reported[LEAVING_MAX];
+	replica_ref_t v[LEAVING_MAX];
+	size_t n = leaving_list(l, clock_now_ms() - LEAVING_TOLD_MS, v, LEAVING_MAX);
+
+	for (size_t i = 0; i < n; i++)
+		reported[i] = (link_leaving_t){wire_bytes(v[i].id), v[i].start_time};
+	out->leaving_replicas.leaving_replicas_len = (u_int)n;
+	out->leaving_replicas.leaving_replicas_val = reported;
+}
+
 static void end_call(leader_link_t *l, pending_call_t *c, const link_reply_t *r)
 {
 	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): nodes are unlinked first */
--- a/src/client/leader_link.h
+++ b/src/client/leader_link.h
@@ -8,6 +8,7 @@
 
 #include <ev.h>
 #include "base/clock.h"
+#include "policy/leaving.h"
 #include "proto/link_xdr.h"
 #include "proto/wire.h"
 
@@ -68,6 +69,8 @@
 void leader_link_send_acked(leader_link_t *l, const link_msg_t *m);
 /** Sends the hello again, after a change of its contents; only while the link is up. */
 void leader_link_resend_hello(leader_link_t *l);
+/** Sets the leaving replicas of a hello. They are valid until the next call. */
+void leader_link_report_leaving(link_hello_t *out, const leaving_t *l);
 /** Adds a control process to those that are tried as the leader. */
 void leader_link_add_control(leader_link_t *l, str_t rpc_addr);
 /** Tries this control process next, as another process has named it as the leader. Ignored while
--- a/src/control/hub.c
+++ b/src/control/hub.c
@@ -196,7 +196,7 @@
 	hub_dispatch_hello(h, p, m);
 	hub_routes_add_peer(h, p, &m->text);
 	if (first)
-		hub_view_send(h, p);
+		hub_view_send_first(h, p);
 }
 
 static void on_message(void *ctx, msgconn_t *l, str_t s)
@@ -527,6 +527,7 @@
 		.control = wire_bytes(str_c(h->control->settings.listen)),
 		.replica = st.failed ? 0 : st.self,
 	};
+	leader_link_report_leaving(out, h->leaving_replicas);
 }
 
 static void on_leader_message(void *ctx, const link_msg_t *m)
@@ -535,6 +536,8 @@
 
 	if (m->kind == LINK_VIEW)
 		hub_view_adopt(h, &m->link_msg_t_u.view);
+	else if (m->kind == LINK_LEAVING)
+		hub_view_adopt_leaving(h, &m->link_msg_t_u.leaving_replica);
 }
 
 static void ignore_link_change(void *ctx)
--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -177,7 +177,7 @@
 	deadline_t last_list_read; /* here or, as of the last view, by a leader; 0: never */
 	u_int fleet_entries; /* that are not draining, also those cut off from the replicas */
 	link_view_t view; /* made here while this process leads; else copied from the leader */
-	leaving_t *leaving_replicas; /* as reported by entries */
+	leaving_t *leaving_replicas; /* as linked processes or the leader told it */
 	ring_point_t *upstream_ring; /* of the view's lists, to select the shares of entries */
 	ring_point_t *entry_ring;
 	bool rings_stale; /* the lists have changed since the rings were built */
@@ -235,14 +235,19 @@
 void hub_view_start_leading(hub_t *h);
 /** Finds a replica in the view; NULL if it is not listed. */
 const link_upstream_t *hub_find_replica(const hub_t *h, str_t id);
-/** Handles an entry's report that a replica is leaving. */
+/** Handles the report of a linked process that a replica has announced that it leaves: tells the
+ * others unless it was known. */
 void hub_view_note_leaving(hub_t *h, const hub_peer_t *p, const link_leaving_t *m);
+/** Handles the same from the leader: should this process lead next, neither the list, which lags,
+ * nor a process that was restarted would tell it. */
+void hub_view_adopt_leaving(hub_t *h, const link_leaving_t *m);
 /** Records whether an entry is cut off from the replicas. */
 void hub_view_note_reach(hub_t *h, hub_peer_t *p, bool cut_off);
 /** Reads the upstream list and sends a changed view when it is time to. */
 void hub_view_tick(hub_t *h, deadline_t now);
-/** Sends the view to one peer; an entry gets only its share. */
-void hub_view_send(hub_t *h, hub_peer_t *p);
+/** Sends the leaving replicas and the view to a new peer; an entry gets only its share of the view.
+ */
+void hub_view_send_first(hub_t *h, hub_peer_t *p);
 /** Age of the upstream list: time since this process read it or, if later, since the read that the
  * last view from a leader reported. Reads of an unchanged list by another leader do not show here.
  * -1: never read. */
@@ -305,8 +310,8 @@
 
 void hub_dispatch_start_leading(hub_t *h);
 void hub_dispatch_stop_leading(hub_t *h);
-/** Handles a hello of an entry: adds or updates the entry in the dispatcher, records the leaving
- * replicas and adopts the runs that the hello lists. Ignores control processes. */
+/** Handles a hello: records the leaving replicas. Adds or updates an entry in the dispatcher, and
+ * adopts the runs that its hello lists. */
 void hub_dispatch_hello(hub_t *h, hub_peer_t *p, const link_hello_t *hello);
 /** Hands a request for a slot to the dispatcher. */
 void hub_dispatch_request(hub_t *h, hub_peer_t *p, const link_slot_request_t *m);
--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -375,12 +375,12 @@
 
 void hub_dispatch_hello(hub_t *h, hub_peer_t *p, const link_hello_t *hello)
 {
+	for (u_int i = 0; i < hello->leaving_replicas.leaving_replicas_len; i++)
+		hub_view_note_leaving(h, p, &hello->leaving_replicas.leaving_replicas_val[i]);
 	if (!p->addr[0])
 		return;
 	dispatch_entry_add(h->dispatch, p->id, str_c(p->zone), !p->draining && !p->cut_off);
 	dispatch_entry_set_cut_off(h->dispatch, p->id, p->cut_off, clock_now_ms());
-	for (u_int i = 0; i < hello->leaving_replicas.leaving_replicas_len; i++)
-		hub_view_note_leaving(h, p, &hello->leaving_replicas.leaving_replicas_val[i]);
 	for (u_int i = 0; i < hello->runs.runs_len; i++)
 		adopt_run(h, p, &hello->runs.runs_val[i]);
 }
--- a/src/control/hub_view.c
+++ b/src/control/hub_view.c
@@ -12,6 +12,8 @@
 /** Minimum time between two sends of the view, in ms for each linked process: the view then costs
  * the leader less than a tenth of a core. */
 #define VIEW_PERIOD_PER_PEER_MS 1
+/** A leaving replica is forgotten once it has not been listed for this long, in ms. */
+#define LEAVING_UNLISTED_MS 60000
 
 static bool same_upstream(const link_upstream_t *a, const link_upstream_t *b)
 {
@@ -94,30 +96,50 @@
 		link_upstream_t *u = &v->upstreams.upstreams_val[i];
 
 		if (leaving_contains(h->leaving_replicas,
-				     (replica_ref_t){wire_str(u->id), u->start_time}))
+				     (replica_ref_t){wire_str(u->id), u->start_time},
+				     clock_now_ms()))
 			u->leaving = true;
 	}
 }
 
-void hub_view_note_leaving(hub_t *h, const hub_peer_t *p, const link_leaving_t *m)
+/* False if it was known, or the replica has restarted since its announcement. */
+static bool note_leaving(hub_t *h, const link_leaving_t *m, const char *told_by)
 {
 	str_t id = wire_str(m->replica);
 	const link_upstream_t *u = hub_find_replica(h, id);
 
-	/* A replica that has restarted since its announcement is not leaving. */
 	if ((u && m->start_time && u->start_time > m->start_time) ||
-	    !leaving_add(h->leaving_replicas, (replica_ref_t){id, m->start_time}))
-		return;
+	    !leaving_add(h->leaving_replicas, (replica_ref_t){id, m->start_time}, clock_now_ms()))
+		return false;
 	log_event(LOG_LEVEL_INFO, "replica_leaves", LOG_STR("replica", id),
-		  LOG_INT("born", m->start_time), LOG_CSTR("entry", p->name));
+		  LOG_INT("born", m->start_time), LOG_CSTR("told_by", told_by));
+	return true;
+}
+
+void hub_view_adopt_leaving(hub_t *h, const link_leaving_t *m)
+{
+	note_leaving(h, m, "leader");
+}
+
+void hub_view_note_leaving(hub_t *h, const hub_peer_t *p, const link_leaving_t *m)
+{
+	link_msg_t told = {.kind = LINK_LEAVING};
+
+	if (!note_leaving(h, m, p->name))
+		return;
 	mark_leaving(h, &h->view);
 	h->view_changed = true;
-	if (h->dispatch)
-		dispatch_replica_leaving(h->dispatch, id);
+	dispatch_replica_leaving(h->dispatch, wire_str(m->replica));
+	told.link_msg_t_u.leaving_replica = *m;
+	for (hub_peer_t *to = h->peers; to; to = to->hh.next) {
+		if (to->registered && to != p)
+			hub_send(to, &told);
+	}
 }
 
 void hub_view_start_leading(hub_t *h)
 {
+	mark_leaving(h, &h->view);
 	update_dispatcher(h, true);
 	h->fleet_entries = h->view.entries.entries_len;
 	h->next_list_read = 0;
@@ -133,6 +155,7 @@
 		return;
 	h->last_list_read = clock_now_ms();
 	mark_leaving(h, v);
+	leaving_forget(h->leaving_replicas, h->last_list_read - LEAVING_UNLISTED_MS);
 	if (log_list_changes(&h->view, v)) {
 		link_view_t old = {.upstreams = h->view.upstreams};
 
@@ -363,9 +386,18 @@
 	hub_send(p, &m);
 }
 
-/* send_view for the other files of the hub. */
-void hub_view_send(hub_t *h, hub_peer_t *p)
+void hub_view_send_first(hub_t *h, hub_peer_t *p)
 {
+	replica_ref_t v[LEAVING_MAX];
+	size_t n = leaving_list(h->leaving_replicas, 0, v, LEAVING_MAX);
+
+	for (size_t i = 0; i < n; i++) {
+		link_msg_t m = {.kind = LINK_LEAVING};
+
+		m.link_msg_t_u.leaving_replica =
+			(link_leaving_t){wire_bytes(v[i].id), v[i].start_time};
+		hub_send(p, &m);
+	}
 	send_view(h, p);
 }
 
@@ -409,22 +441,8 @@
 	}
 }
 
-/* Remembers which replicas the leader knows to be leaving. Should this process lead next, neither
- * the list, which lags, nor an entry that was restarted would tell it. */
-static void remember_leaving(hub_t *h, const link_view_t *v)
-{
-	for (u_int i = 0; i < v->upstreams.upstreams_len; i++) {
-		const link_upstream_t *u = &v->upstreams.upstreams_val[i];
-
-		if (u->leaving && u->start_time)
-			leaving_add(h->leaving_replicas,
-				    (replica_ref_t){wire_str(u->id), u->start_time});
-	}
-}
-
 void hub_view_adopt(hub_t *h, const link_view_t *v)
 {
-	remember_leaving(h, v);
 	wire_free(XDR_PROC(link_view_t), &h->view);
 	wire_dup(XDR_PROC(link_view_t), v, &h->view, sizeof(h->view));
 	h->rings_stale = true;
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -100,7 +100,7 @@
 	front_replica_t *replicas; /* hash by id, from view */
 	uint64_t hop_random; /* state of prng_next() */
 	front_reach_t *reach; /* whether this process reaches the replicas */
-	leaving_t *leaving_replicas; /* replicas that announced to this process that they leave */
+	leaving_t *leaving_replicas; /* as they announced to this process, or the leader told it */
 	quarantine_t *quarantine; /* prompt parts that crash replicas */
 	bool leader_quarantines; /* the linked leader counts the crashes */
 	dispatch_t *local_dispatch; /* used while no leader is connected, NULL otherwise */
@@ -123,6 +123,8 @@
 /** Records that a replica announced that it leaves; reports this to the leader and to the local
  * dispatcher unless it was known. */
 void front_replica_leaving(front_t *f, replica_ref_t r);
+/** True if the replica has announced, to any entry, that it leaves. */
+bool front_replica_leaves(const front_t *f, replica_ref_t r);
 
 /* front_routes.c: the route table in force */
 
--- a/src/front/front_item.c
+++ b/src/front/front_item.c
@@ -177,7 +177,7 @@
 			 addr[0] ? DISPATCH_CANCELLED : DISPATCH_UNREACHABLE);
 		return;
 	}
-	if (leaving_contains(f->leaving_replicas, replica)) {
+	if (front_replica_leaves(f, replica)) {
 		end_item(it, LINK_ITEM_END_UNFINISHED, DISPATCH_REPLICA_LEAVING);
 		return;
 	}
--- a/src/front/front_link.c
+++ b/src/front/front_link.c
@@ -23,19 +23,32 @@
 	return r;
 }
 
+/* False if it was known. */
+static bool note_leaving(front_t *f, replica_ref_t r, const char *told_by)
+{
+	if (!leaving_add(f->leaving_replicas, r, clock_now_ms()))
+		return false;
+	log_event(LOG_LEVEL_INFO, "replica_leaves", LOG_STR("replica", r.id),
+		  LOG_INT("born", r.start_time), LOG_CSTR("told_by", told_by));
+	if (f->local_dispatch)
+		dispatch_replica_leaving(f->local_dispatch, r.id);
+	return true;
+}
+
 void front_replica_leaving(front_t *f, replica_ref_t r)
 {
 	link_msg_t m = {.kind = LINK_LEAVING};
 
-	if (!leaving_add(f->leaving_replicas, r))
+	if (!note_leaving(f, r, "replica"))
 		return;
-	log_event(LOG_LEVEL_INFO, "replica_leaves", LOG_STR("replica", r.id),
-		  LOG_INT("born", r.start_time));
 	METRIC_INC("auburn_replicas_leaving_total");
 	m.link_msg_t_u.leaving_replica = (link_leaving_t){wire_bytes(r.id), r.start_time};
 	leader_link_send(f->leader, &m);
-	if (f->local_dispatch)
-		dispatch_replica_leaving(f->local_dispatch, r.id);
+}
+
+bool front_replica_leaves(const front_t *f, replica_ref_t r)
+{
+	return leaving_contains(f->leaving_replicas, r, clock_now_ms());
 }
 
 /* Rebuilds the hash of replicas from the view, and updates the local dispatcher. */
@@ -127,6 +140,12 @@
 	case LINK_CONFIG_IN_FORCE:
 		front_customer_newest(f, &m->link_msg_t_u.holds);
 		break;
+	case LINK_LEAVING:
+		note_leaving(f,
+			     (replica_ref_t){wire_str(m->link_msg_t_u.leaving_replica.replica),
+					     m->link_msg_t_u.leaving_replica.start_time},
+			     "leader");
+		break;
 	case LINK_OVER_QUOTA:
 		front_quota_exceeded(f, &m->link_msg_t_u.over_quota);
 		break;
@@ -168,11 +187,8 @@
 static void fill_hello(void *ctx, link_hello_t *out)
 {
 	static link_run_t runs[RUNS_MAX];
-	static link_leaving_t leaving_replicas[LEAVING_MAX];
-	replica_ref_t leaving[LEAVING_MAX];
 	front_t *f = ctx;
 	size_t n = 0;
-	size_t nleaving = leaving_list(f->leaving_replicas, leaving, LEAVING_MAX);
 
 	for (front_request_t *q = f->requests; q && n < RUNS_MAX; q = q->hh.next) {
 		if (!front_request_is_waiting(q))
@@ -190,11 +206,7 @@
 	};
 	out->runs.runs_len = (u_int)n;
 	out->runs.runs_val = runs;
-	for (size_t i = 0; i < nleaving; i++)
-		leaving_replicas[i] =
-			(link_leaving_t){wire_bytes(leaving[i].id), leaving[i].start_time};
-	out->leaving_replicas.leaving_replicas_len = (u_int)nleaving;
-	out->leaving_replicas.leaving_replicas_val = leaving_replicas;
+	leader_link_report_leaving(out, f->leaving_replicas);
 }
 
 /* This process has read the replica list; ignored if a leader has connected meanwhile. */
--- a/src/front/front_request.c
+++ b/src/front/front_request.c
@@ -410,7 +410,7 @@
 	q->granted_at = clock_now_ms();
 	q->slot_wait_ms += q->granted_at - q->requested_at;
 	q->attempts++;
-	if (addr.n == 0 || leaving_contains(q->f->leaving_replicas, replica)) {
+	if (addr.n == 0 || front_replica_leaves(q->f, replica)) {
 		retry_elsewhere(q, addr.n ? DISPATCH_REPLICA_LEAVING : DISPATCH_UNREACHABLE);
 		return;
 	}
--- a/src/front/front_slot.c
+++ b/src/front/front_slot.c
@@ -154,9 +154,9 @@
 			.zone = str_c(f->settings.zone),
 			.service = wire_str(u->service),
 			.slots = u->slots,
-			.leaving = u->leaving || leaving_contains(f->leaving_replicas,
-								  (replica_ref_t){wire_str(u->id),
-										  u->start_time}),
+			.leaving = u->leaving ||
+				   front_replica_leaves(
+					   f, (replica_ref_t){wire_str(u->id), u->start_time}),
 			.start_time = u->start_time,
 		};
 	}
--- a/src/proto/link.x
+++ b/src/proto/link.x
@@ -365,7 +365,8 @@
 	LINK_REPLY = 14,
 	LINK_PING = 15,
 	LINK_ITEM_PROGRESS = 16,
-	LINK_LEAVING = 18,
+	LINK_LEAVING = 18,		/* to the leader, and from it to all others; entries and
+					   control processes of older builds ignore it */
 	LINK_CONFIG_IN_FORCE = 17,	/* from an entry: it uses the routes of this config. The
 					   leader answers each with the newest config, confirmed by
 					   a majority after the message arrived; number 0: not
