An entry that wakes from a pause reads what the leader sent before it acts on what came first

The users' rules excuse a machine that was frozen; the work is wasted all the same. Cause: messages are handled one by one. A grant or an order to run an item writes to an idle connection to the replica at once, before the message that takes it back, which lies behind it in the same socket, or the end of the link is read. Then grants and orders to run items are held until a turn of the loop has brought no message; an order to stop gives the held item back, the loss of the link drops what is held (the leader has given it up), an announcement that a replica leaves counts when the grant is carried out. Without a pause nothing is held. What is left: a connection to a replica that was being made when the pause began is used on waking; and an entry whose link was dropped knows nothing that the leader learned after that until it is linked again, about 50 ms, in which it places waiting requests itself by the list of before.

--- a/src/front/front.h
+++ b/src/front/front.h
@@ -100,6 +100,7 @@
 	front_replica_t *replicas; /* hash by id, from view */
 	uint64_t hop_random; /* state of prng_next() */
 	front_reach_t *reach; /* whether this process reaches the replicas */
+	struct front_pause *pause;
 	leaving_t *leaving_replicas; /* as they announced to this process, or the leader told it */
 	quarantine_t *quarantine; /* prompt parts that crash replicas */
 	bool leader_quarantines; /* the linked leader counts the crashes */
@@ -126,6 +127,19 @@
 /** True if the replica has announced, to any entry, that it leaves. */
 bool front_replica_leaves(const front_t *f, replica_ref_t r);
 
+/** Carries out a grant or an order to run an item. */
+void front_link_carry_out(front_t *f, const link_msg_t *m);
+
+/* front_pause.c: what the leader sent before and during a pause of this process */
+
+typedef struct front_pause front_pause_t;
+
+void front_pause_start(front_t *f);
+/** True if the message is held until the link has been read. One that stops a held item ends it. */
+bool front_pause_holds(front_t *f, const link_msg_t *m);
+/** Drops the held messages: the leader has given them up. */
+void front_pause_link_down(front_t *f);
+
 /* front_routes.c: the route table in force */
 
 void front_routes_start(front_t *f);
@@ -357,6 +371,8 @@
 
 /** Runs an item on the replica that the leader chose. Cancels an earlier run of the item here. */
 void front_item_run(front_t *f, const link_item_run_t *m);
+/** Reports an item as unfinished that has not been run. */
+void front_item_give_back(front_t *f, const link_item_run_t *m);
 void front_item_stop(front_t *f, const link_item_ref_t *m);
 /** Stops all items, so that the leader can run them elsewhere. */
 void front_item_stop_all(front_t *f);
--- a/src/front/front_item.c
+++ b/src/front/front_item.c
@@ -63,6 +63,25 @@
 	item_free(it);
 }
 
+void front_item_give_back(front_t *f, const link_item_run_t *m)
+{
+	link_msg_t end = {.kind = LINK_ITEM_ENDED};
+
+	end.link_msg_t_u.item_ended = (link_item_ended_t){
+		.job = m->job,
+		.item = m->item,
+		.replica = m->replica,
+		.end = LINK_ITEM_END_UNFINISHED,
+		.outcome = LINK_OUTCOME_CANCELLED,
+		.text = m->text,
+		.events = m->events,
+	};
+	log_event(LOG_LEVEL_INFO, "item_given_back", LOG_STR("lot", wire_str(m->job)),
+		  LOG_INT("item", m->item), LOG_STR("request", wire_str(m->id)),
+		  LOG_STR("replica", wire_str(m->replica)), LOG_INT("events", m->events));
+	leader_link_send(f->leader, &end);
+}
+
 /* Records how the run ended; reports it now or when a leader connects. */
 static void end_item(front_item_t *it, link_item_end_t end, dispatch_outcome_t outcome)
 {
--- a/src/front/front_link.c
+++ b/src/front/front_link.c
@@ -104,11 +104,37 @@
 		index_replicas(f);
 }
 
+static void carry_out_grant(front_t *f, const link_grant_t *m)
+{
+	front_request_t *q = front_request_find(f, m->request);
+	replica_ref_t r = {wire_str(m->replica), m->start_time};
+	link_msg_t end = {.kind = LINK_ENDED};
+
+	if (q && front_request_is_waiting(q)) {
+		front_request_granted(q, r, wire_str(m->addr));
+	} else if (!q) {
+		/* The request ended while the grant was in transit: releases the slot. */
+		end.link_msg_t_u.ended.request = m->request;
+		end.link_msg_t_u.ended.outcome = LINK_OUTCOME_CANCELLED;
+		leader_link_send(f->leader, &end);
+	}
+}
+
+void front_link_carry_out(front_t *f, const link_msg_t *m)
+{
+	if (m->kind == LINK_GRANT)
+		carry_out_grant(f, &m->link_msg_t_u.grant);
+	else
+		front_item_run(f, &m->link_msg_t_u.run);
+}
+
 static void on_message(void *ctx, const link_msg_t *m)
 {
 	front_t *f = ctx;
 	front_request_t *q;
 
+	if (front_pause_holds(f, m))
+		return;
 	switch (m->kind) {
 	case LINK_CONFIG:
 		front_routes_update(f, &m->link_msg_t_u.conf);
@@ -117,20 +143,8 @@
 		update_view(f, &m->link_msg_t_u.view);
 		break;
 	case LINK_GRANT:
-		q = front_request_find(f, m->link_msg_t_u.grant.request);
-		if (q && front_request_is_waiting(q)) {
-			replica_ref_t r = {wire_str(m->link_msg_t_u.grant.replica),
-					   m->link_msg_t_u.grant.start_time};
-
-			front_request_granted(q, r, wire_str(m->link_msg_t_u.grant.addr));
-		} else if (!q) {
-			link_msg_t end = {.kind = LINK_ENDED};
-
-			/* The request ended while the grant was in transit: releases the slot. */
-			end.link_msg_t_u.ended.request = m->link_msg_t_u.grant.request;
-			end.link_msg_t_u.ended.outcome = LINK_OUTCOME_CANCELLED;
-			leader_link_send(f->leader, &end);
-		}
+	case LINK_ITEM_RUN:
+		front_link_carry_out(f, m);
 		break;
 	case LINK_REFUSE:
 		q = front_request_find(f, m->link_msg_t_u.refuse.request);
@@ -155,9 +169,6 @@
 	case LINK_PROMPT_PARTS:
 		front_quarantine_update(f, &m->link_msg_t_u.prompt_parts);
 		break;
-	case LINK_ITEM_RUN:
-		front_item_run(f, &m->link_msg_t_u.run);
-		break;
 	case LINK_ITEM_STOP:
 		front_item_stop(f, &m->link_msg_t_u.stop);
 		break;
@@ -177,6 +188,7 @@
 
 static void on_down(void *ctx)
 {
+	front_pause_link_down(ctx);
 	front_customer_link_down(ctx);
 	front_quarantine_link_down(ctx);
 	front_slot_leader_down(ctx);
@@ -240,6 +252,7 @@
 void front_link_start(front_t *f)
 {
 	f->leaving_replicas = leaving_new();
+	front_pause_start(f);
 	front_reach_start(f);
 	front_customer_start(f);
 	front_quarantine_start(f);
--- /dev/null
+++ b/tests/proc/test_frozen_entry.py
@@ -0,0 +1,86 @@
+"""An entry that was frozen reads what the leader has sent meanwhile before it carries out what came before that.
+
+Guards against runs that begin after the pause although their end, or what forbids them, lies unread behind them.
+"""
+import asyncio
+import random
+import signal
+import time
+import unittest
+
+from disk_kit import DiskTest
+
+FROZEN_S = 3.0      # the leader has dropped the link by then
+TOLD_S = 0.15       # what the leader sends is in the frozen entry's socket after this
+SETTLED_S = 1.0
+HOLD_S = 1.5        # a new leader places items, and has read a list, after this
+
+
+class FrozenEntryTest(DiskTest):
+    def setUp(self):
+        super().setUp()
+        self.frozen, self.other = self.kit.fronts
+
+    async def stream(self, front):
+        rid = "%016x" % random.getrandbits(64)
+        return rid, asyncio.ensure_future(self.kit.stream(front, "/brief/1", rid))
+
+    async def open_connections(self):
+        """Leaves idle connections from the entry to the replicas: what is sent on them can't be taken back."""
+        await asyncio.gather(*[(await self.stream(self.frozen))[1] for _ in range(8)])
+
+
+class FrozenEntryWithItems(FrozenEntryTest):
+    kit_options = {"controls": 3, "fronts": 2, "replicas": 2, "slots": 4}
+
+    def test_items_of_a_lot_that_was_ended_during_the_pause_do_not_run_after_it(self):
+        lot, items = self.kit.lot(8)
+
+        async def go():
+            await asyncio.sleep(HOLD_S)
+            await self.open_connections()
+            self.frozen.signal(signal.SIGSTOP)
+            frozen_at = time.time()
+            self.assertEqual(await self.kit.open_lot(self.other, lot, items), 202)
+            await asyncio.sleep(TOLD_S)
+            self.assertEqual(await self.kit.end_lot(self.other, lot), 200)
+            await asyncio.sleep(frozen_at + FROZEN_S - time.time())
+            woken_at = time.time()
+            self.frozen.signal(signal.SIGCONT)
+            await asyncio.sleep(SETTLED_S)
+            return woken_at
+        woken_at = self.kit.loop.run(go())
+        late = [r["id"] for r in self.kit.runs if r["at"] >= woken_at and r["id"].startswith(lot)]
+        self.assertEqual(late, [])
+
+
+class FrozenEntryWithRequests(FrozenEntryTest):
+    kit_options = {"controls": 3, "fronts": 2, "replicas": 1, "slots": 4}
+
+    def test_request_that_was_granted_a_replica_which_left_during_the_pause_does_not_reach_it(self):
+        replica, = self.kit.replicas
+        leader = self.kit.leader()
+
+        async def go():
+            await asyncio.sleep(HOLD_S)
+            await self.open_connections()
+            leader.signal(signal.SIGSTOP)   # the grant comes once the entry is frozen
+            waits, answer = await self.stream(self.frozen)
+            await asyncio.sleep(0.05)
+            self.frozen.signal(signal.SIGSTOP)
+            frozen_at = time.time()
+            leader.signal(signal.SIGCONT)
+            await asyncio.sleep(0.05)
+            replica.announces_leaving = True
+            _, announced = await self.stream(self.other)
+            await asyncio.sleep(frozen_at + FROZEN_S - time.time())
+            woken_at = time.time()
+            self.frozen.signal(signal.SIGCONT)
+            await asyncio.gather(answer, announced)
+            return waits, woken_at
+        waits, woken_at = self.kit.loop.run(go())
+        self.assertEqual([(r["replica"], r["at"] >= woken_at) for r in self.kit.runs_of(waits)], [])
+
+
+if __name__ == "__main__":
+    unittest.main()
