Connections that failed long ago don't hide that a replica has crashed

Callers saw, after a short disturbance of the network: first tries that fail at a replica that has crashed, at one entry after the other, as none of them counts against the replica. Cause: the dispatcher takes an entry that doesn't reach more than three replicas for one whose failures say nothing about them. A pair of entry and replica ended only with an answer of that replica to that entry, or with one of both. An entry isn't sent to a replica again for long if there are others in its zone or many; then the pair stays. Change: a pair that isn't tried again within 10 s after its back-off (at most 4 s) is forgotten.

--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -569,6 +569,7 @@
 
 void dispatch_tick(dispatch_t *d, deadline_t now)
 {
+	dispatch_pairs_tick(d, now);
 	dispatch_place_all(d, now);
 }
 
--- a/src/policy/dispatch_internal.h
+++ b/src/policy/dispatch_internal.h
@@ -169,6 +169,8 @@
 /** Forgets the failures of a replica or, if r is NULL, of an entry. */
 void dispatch_pairs_forget(dispatch_t *d, uint64_t entry, const replica_t *r);
 void dispatch_pairs_free(dispatch_t *d);
+/** Forgets the pairs that have not been tried for long. */
+void dispatch_pairs_tick(dispatch_t *d, deadline_t now);
 
 /* dispatch_pick.c */
 
--- a/src/policy/dispatch_reach.c
+++ b/src/policy/dispatch_reach.c
@@ -7,6 +7,8 @@
  */
 #define PAIR_MS		 500
 #define PAIR_MAX_DOUBLES 3
+/** A pair that isn't tried again for this long after its back-off, in ms, is forgotten. */
+#define PAIR_UNTRIED_MS 10000
 /** Maximum number of pairs; beyond it the one that was added first is dropped. */
 #define PAIRS_MAX 4096
 /** An answer to another entry within this time shows that the replica is sound, in ms: shorter than
@@ -44,6 +46,7 @@
 
 	if (e)
 		e->pairs--;
+	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): unlinked before free() */
 	HASH_DEL(d->pairs, p);
 	free(p);
 }
@@ -55,7 +58,6 @@
 
 	HASH_ITER (hh, d->pairs, p, next) {
 		if ((r && p->key.replica == r) || (!r && p->key.entry == entry))
-			/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): unlinked before free() */
 			pair_free(d, p);
 	}
 }
@@ -63,10 +65,20 @@
 void dispatch_pairs_free(dispatch_t *d)
 {
 	while (d->pairs)
-		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): unlinked before free() */
 		pair_free(d, d->pairs);
 }
 
+void dispatch_pairs_tick(dispatch_t *d, deadline_t now)
+{
+	pair_t *p;
+	pair_t *next;
+
+	HASH_ITER (hh, d->pairs, p, next) {
+		if (now - p->until > PAIR_UNTRIED_MS)
+			pair_free(d, p);
+	}
+}
+
 void dispatch_note_heard(dispatch_t *d, uint64_t entry, replica_t *r, deadline_t now)
 {
 	pair_t *p = find_pair(d, entry, r);
--- a/tests/unit/test_dispatch_reach.c
+++ b/tests/unit/test_dispatch_reach.c
@@ -262,6 +262,39 @@
 }
 END_TEST
 
+static void end_run(dispatch_t *d, uint64_t entry, uint64_t request, const char *replica,
+		    dispatch_outcome_t how, deadline_t now)
+{
+	dispatch_request_adopt(d, entry, request, str_c(replica), now);
+	dispatch_request_ended(d, entry, request, how, now);
+}
+
+/* An entry may not be sent to a replica again for long that it once didn't reach: there are others
+ * in its zone, or many. */
+START_TEST(connections_that_failed_long_ago_do_not_hide_that_a_replica_has_crashed)
+{
+	static const char *const others[] = {"r1", "r2", "r3", "r4"};
+	dispatch_t *d = new_dispatcher(5, 2);
+
+	for (uint64_t i = 0; i < 4; i++) {
+		end_run(d, 1, 1 + i, others[i], DISPATCH_UNREACHABLE, 1000);
+		end_run(d, 2, 1 + i, others[i], DISPATCH_OK, 1400);
+	}
+	for (deadline_t now = 1000; now < 60000; now += 25)
+		dispatch_tick(d, now);
+	end_run(d, 1, 10, "r0", DISPATCH_UNREACHABLE, 60000);
+	for (uint64_t i = 0; i < 10; i++) {
+		dispatch_request_t q = make_request(20 + i, 60010);
+
+		q.entry = 2;
+		dispatch_request_add(d, &q, 60010);
+	}
+	for (int i = 0; i < neffects; i++)
+		ck_assert_str_ne(effects[i].replica, "r0");
+	dispatch_free(d);
+}
+END_TEST
+
 START_TEST(an_item_moves_to_an_entry_that_reaches_the_replica)
 {
 	dispatch_t *d = new_dispatcher(1, 1);
@@ -315,6 +348,7 @@
 		t, a_failed_connection_of_one_entry_does_not_end_the_work_of_others_on_a_replica);
 	tcase_add_test(
 		t, runs_that_break_at_an_entry_that_is_cut_off_do_not_count_against_their_replicas);
+	tcase_add_test(t, connections_that_failed_long_ago_do_not_hide_that_a_replica_has_crashed);
 	tcase_add_test(t, an_item_moves_to_an_entry_that_reaches_the_replica);
 	tcase_add_test(t, an_entry_that_is_cut_off_gets_no_slot_and_no_item);
 	suite_add_tcase(s, t);
