A process that has seen many control processes still learns of new ones

Callers would see, at an entry that lives on while more than about 29 control VMs are replaced one after the other: no leader any more once those that it knows are gone, until it is restarted. Cause: the list of control processes that are tried as the leader has 32 places; an address was never dropped, and later ones were ignored. Found by reading; not seen in a run. Change: beyond 32 the address that was named the longest ago is dropped; those of the settings stay. Test first, test_leader_link: "a_new_control_process_is_known_however_many_there_were_before: 10.0.0.28:1" failed before, passes now.

--- a/src/client/leader_link.c
+++ b/src/client/leader_link.c
@@ -31,6 +31,8 @@
 	leader_link_options_t o;
 	char controls[CONTROLS_MAX][LEADER_LINK_ADDR_BYTES];
 	size_t ncontrols;
+	size_t nconfigured; /* the first of them; the others are in the order in which they were
+			       last named */
 	size_t next_control;
 	char hint[LEADER_LINK_ADDR_BYTES]; /* is tried next; empty: none */
 	char rpc_addr[LEADER_LINK_ADDR_BYTES]; /* of the process being tried or linked */
@@ -77,13 +79,20 @@
 
 void leader_link_add_control(leader_link_t *l, str_t addr)
 {
-	for (size_t i = 0; i < l->ncontrols; i++) {
-		if (str_eq(str_c(l->controls[i]), addr))
-			return;
-	}
-	if (l->ncontrols < CONTROLS_MAX && addr.n < sizeof(l->controls[0]))
-		snprintf(l->controls[l->ncontrols++], sizeof(l->controls[0]), "%.*s",
-			 STR_ARG(addr));
+	size_t at = 0;
+
+	while (at < l->ncontrols && !str_eq(str_c(l->controls[at]), addr))
+		at++;
+	if (at < l->nconfigured || addr.n >= sizeof(l->controls[0]))
+		return;
+	if (at == CONTROLS_MAX)
+		at = l->nconfigured;
+	if (at == CONTROLS_MAX)
+		return;
+	if (at < l->ncontrols)
+		memmove(l->controls[at], l->controls[at + 1],
+			(--l->ncontrols - at) * sizeof(l->controls[0]));
+	snprintf(l->controls[l->ncontrols++], sizeof(l->controls[0]), "%.*s", STR_ARG(addr));
 }
 
 void leader_link_hint(leader_link_t *l, str_t addr)
@@ -336,6 +345,7 @@
 	l->down_since = clock_now_ms();
 	for (size_t i = 0; i < o->ncontrols; i++)
 		leader_link_add_control(l, str_c(o->controls[i]));
+	l->nconfigured = l->ncontrols;
 	ev_timer_init(&l->tick, on_tick, 0.0, LEADER_LINK_TICK_MS / 1000.0);
 	ev_set_priority(&l->tick, EV_MINPRI); /* after the reads of the same loop iteration */
 	l->tick.data = l;
--- a/src/client/leader_link.h
+++ b/src/client/leader_link.h
@@ -71,7 +71,8 @@
 void leader_link_resend_hello(leader_link_t *l);
 /** Sets the leaving replicas of a hello. They are valid until the next call. */
 void leader_link_report_leaving(link_hello_t *out, const leaving_t *l);
-/** Adds a control process to those that are tried as the leader. */
+/** Adds a control process to those that are tried as the leader. If there are too many, the one is
+ * dropped that was added last the longest ago, and is not in the settings. */
 void leader_link_add_control(leader_link_t *l, str_t rpc_addr);
 /** Tries this control process next, as another process has named it as the leader. Ignored while
  * the link is up. */
