A suspicion that the former leader listed ends without a further list

Callers saw nothing; an entry went on reporting each fifth of a second that answers with a prompt part begin, to a leader that doesn't suspect the part, and counted the part among the suspected ones. Cause: what the leader lists as suspected stayed until a later list lacks it. A new leader that knows of no crash sends an empty first list, which entries don't take as an end (they may know blocks that it doesn't), and no other until something changes. Class: a belief whose end depends on evidence that may never come. Change: it ends 60 s after the list, by when the crashes behind it count no more; each list makes it last anew. Test first, test_quarantine: "suspicion_of_another_process_ends_without_a_further_list: Assertion '!quarantine_has(q, 7)' failed" before; 16 of 16 after.

--- a/src/control/hub_quarantine.c
+++ b/src/control/hub_quarantine.c
@@ -104,15 +104,17 @@
 		const link_prompt_part_t *x = &m->parts.parts_val[i];
 
 		if (x->blocked)
-			quarantine_adopt(h->quarantine, &(quarantine_part_t){
-								.part = x->part,
-								.blocked = true,
-								.level = x->level,
-								.since = now - x->since_ms,
-								.until = now + x->left_ms,
-								.group = x->group,
-								.group_size = x->group_size,
-							});
+			quarantine_adopt(h->quarantine,
+					 &(quarantine_part_t){
+						 .part = x->part,
+						 .blocked = true,
+						 .level = x->level,
+						 .since = now - x->since_ms,
+						 .until = now + x->left_ms,
+						 .group = x->group,
+						 .group_size = x->group_size,
+					 },
+					 now);
 	}
 }
 
--- a/src/front/front_quarantine.c
+++ b/src/front/front_quarantine.c
@@ -121,7 +121,7 @@
 			.group = x->group,
 			.group_size = x->group_size,
 		};
-		quarantine_adopt(f->quarantine, &parts[i]);
+		quarantine_adopt(f->quarantine, &parts[i], now);
 		if (sound_at && (!known || first))
 			send_sound(f, x->part, sound_at);
 	}
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -49,7 +49,7 @@
 	unsigned level;
 	uint64_t group; /* as in quarantine_part_t, while blocked */
 	unsigned group_size;
-	bool watched; /* suspected by another process */
+	deadline_t watched_until; /* suspected by another process; 0: not */
 	UT_hash_handle hh;
 } part_t;
 
@@ -206,7 +206,7 @@
 /* A part without crashes is kept only if it was blocked before, or is watched. */
 static void settle(quarantine_t *q, part_t *p)
 {
-	if (p->ncrashes > 0 || p->until || p->level || p->watched)
+	if (p->ncrashes > 0 || p->until || p->level || p->watched_until)
 		return;
 	q->version++;
 	free_part(q, p);
@@ -392,6 +392,8 @@
 			p->level += p->level < LEVEL_MAX;
 			p->forget_at = now + REMEMBER_MS;
 		}
+		if (p->watched_until <= now)
+			p->watched_until = 0;
 		if (p->level && !p->until && p->forget_at <= now)
 			p->level = 0;
 		settle(q, p);
@@ -504,13 +506,13 @@
 		;
 }
 
-void quarantine_adopt(quarantine_t *q, const quarantine_part_t *x)
+void quarantine_adopt(quarantine_t *q, const quarantine_part_t *x, deadline_t now)
 {
 	part_t *p = get_part(q, x->part);
 	bool was_blocked = p->until != 0;
 
 	if (!x->blocked) {
-		p->watched = true;
+		p->watched_until = now + WINDOW_MS;
 		return;
 	}
 	p->since = x->since;
@@ -539,7 +541,7 @@
 	HASH_ITER (hh, q->parts, p, next) {
 		if (contains(v, n, p))
 			continue;
-		p->watched = false;
+		p->watched_until = 0;
 		clear_part(q, p);
 	}
 }
@@ -585,7 +587,7 @@
 	size_t n = 0;
 
 	for (const part_t *p = q->parts; p && n < max; p = p->hh.next) {
-		if (p->ncrashes > 0 || p->until || p->watched)
+		if (p->ncrashes > 0 || p->until || p->watched_until)
 			out[n++] = describe(p);
 	}
 	return n;
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -82,8 +82,9 @@
 deadline_t quarantine_sound_at(const quarantine_t *q, uint64_t part);
 /** Blocks the parts for which enough crashes count, and ends blocks; to be called periodically. */
 void quarantine_tick(quarantine_t *q, deadline_t now);
-/** Takes over a block of another process. */
-void quarantine_adopt(quarantine_t *q, const quarantine_part_t *p);
+/** Takes over a block or a suspicion of another process. A suspicion ends as its crashes do,
+ * without a further list. */
+void quarantine_adopt(quarantine_t *q, const quarantine_part_t *p, deadline_t now);
 /** Ends all blocks, and drops all suspicions, that are not in a list. */
 void quarantine_retain(quarantine_t *q, const quarantine_part_t *v, size_t n);
 /** True if one of the parts is blocked; *out: the one whose block ends last. */
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -246,7 +246,7 @@
 	n = quarantine_list(q, list, QUARANTINE_MAX);
 	ck_assert_uint_eq(n, 2);
 	for (size_t i = 0; i < n; i++)
-		quarantine_adopt(other, &list[i]);
+		quarantine_adopt(other, &list[i], 1600);
 	quarantine_tick(other, 1700);
 	ck_assert(blocks(other, CRASH_PART, 1700));
 	ck_assert(!blocks(other, 9, 1700));
@@ -259,6 +259,22 @@
 }
 END_TEST
 
+/* The leader that listed it may be lost, and the next one know of no crash. */
+START_TEST(suspicion_of_another_process_ends_without_a_further_list)
+{
+	seen_t s;
+	quarantine_t *q = make_quarantine(&s);
+	quarantine_part_t x = {.part = 7, .crashes = 2, .since = 1000};
+
+	quarantine_adopt(q, &x, 1500);
+	quarantine_tick(q, 61000);
+	ck_assert(quarantine_has(q, 7));
+	quarantine_tick(q, 62000);
+	ck_assert(!quarantine_has(q, 7));
+	quarantine_free(q);
+}
+END_TEST
+
 START_TEST(tables_are_bounded)
 {
 	seen_t s;
@@ -568,6 +584,7 @@
 	tcase_add_test(t, answer_with_the_part_ends_its_block);
 	tcase_add_test(t, next_block_is_twice_as_long_and_needs_one_crash);
 	tcase_add_test(t, blocks_are_taken_over_and_ended_by_the_list_of_another_process);
+	tcase_add_test(t, suspicion_of_another_process_ends_without_a_further_list);
 	tcase_add_test(t, tables_are_bounded);
 	tcase_add_test(t, part_that_crashes_replicas_is_blocked_in_time);
 	tcase_add_test(t, replicas_cut_from_one_entry_block_nothing);
