A control process that waits for its disk stops as asked, not as failed

The operator saw: a planned stop of a control process whose disk refused writes at its start ended with status 5 (data folder damaged or not writable), which looks like a failure to whoever started it. Cause: the wait for the disk ends when a signal to stop arrives, and its status was taken for one that no wait would mend. Test first, test_disk: "AssertionError: 5 != 0" before; test_disk 4 of 4 in three plays after.

--- a/src/control/main.c
+++ b/src/control/main.c
@@ -44,6 +44,7 @@
 	signal(SIGPIPE, SIG_IGN);
 }
 
+/* STATUS_IO if this process is to stop while its disk refuses reads or writes. */
 static status_t open_groups(control_t *ctl, bool bootstrap)
 {
 	control_boot_t boot = control_boot_decide(ctl, bootstrap);
@@ -136,6 +137,7 @@
 	static control_t ctl;
 	sigset_t set;
 	args_parsed_t args;
+	status_t opened;
 	int code = args_parse(&o, argc, argv, &args);
 
 	if (code >= 0)
@@ -158,7 +160,13 @@
 	ctl.sessions = control_sessions_new();
 	if (control_rpc_start(&ctl) != STATUS_OK || control_http_start(&ctl) != STATUS_OK)
 		return fail_with(EXIT_LISTEN);
-	if (open_groups(&ctl, args.flag || ctl.settings.bootstrap) != STATUS_OK)
+	opened = open_groups(&ctl, args.flag || ctl.settings.bootstrap);
+	if (opened == STATUS_IO) {
+		log_event(LOG_LEVEL_INFO, "stopped", LOG_CSTR("name", ctl.settings.name));
+		fflush(NULL);
+		_exit(EXIT_OK);
+	}
+	if (opened != STATUS_OK)
 		return fail_with(EXIT_DATA);
 	if (ctl.settings.link_port && hub_start(&ctl) != STATUS_OK)
 		return fail_with(EXIT_LISTEN);
--- a/tests/proc/test_disk.py
+++ b/tests/proc/test_disk.py
@@ -4,6 +4,7 @@
 again stayed out of the group.
 """
 import os
+import signal
 import time
 import unittest
 
@@ -45,6 +46,17 @@
         self.assertTrue(self.kit.loop.run(self.kit.submit()))
 
 
+    def test_process_that_waits_for_its_disk_stops_as_asked(self):
+        """Guards against a planned stop that looks like a failure to whoever started the process."""
+        follower = self.follower()
+        follower.stop()
+        follower.fill_disk()
+        follower.start()
+        self.wait_line(follower, "open_failed", 10)
+        follower.signal(signal.SIGTERM)
+        self.assertEqual(follower.p.wait(5), 0)
+
+
 class RefusedWritesAndRetire(DiskTest):
     """Guards against a retirement that leaves too few processes that can vote, one of them only in name."""
     kit_options = {"controls": 4}
