A hello that is sent again doesn't stop the items that its entry runs

Callers of lots saw later results: each running item of an entry was stopped and run on elsewhere. Cause: the leader adopts the runs that a hello lists, and tells the entry to stop those of items that run already, without asking whether they run at this entry.

--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -347,8 +347,8 @@
 									    : NULL;
 }
 
-/* Adopts a run that an entry reports. The entry is told to stop an item that is finished or that a
- * connected entry runs already. */
+/* Adopts a run that an entry reports. The entry is told to stop an item that is finished or that
+ * another connected entry runs already. */
 static void adopt_run(hub_t *h, hub_peer_t *p, const link_run_t *r)
 {
 	link_msg_t stop = {.kind = LINK_ITEM_STOP};
@@ -368,7 +368,10 @@
 				    clock_now_ms());
 		return;
 	}
-	if (it && it->output.entry != p->id)
+	/* A hello that is sent again lists the runs that this link has already. */
+	if (it && it->output.entry == p->id)
+		return;
+	if (it)
 		item_output_refuse(&it->output, p->id);
 	stop.link_msg_t_u.stop.job = r->job;
 	stop.link_msg_t_u.stop.item = r->item;
--- a/tests/proc/test_slow_links.py
+++ b/tests/proc/test_slow_links.py
@@ -102,6 +102,20 @@
         time.sleep(1)   # what the entry sends with the link has arrived
         self.assertEqual(self.stream(front, "two")[0], 200)
 
+    def test_items_run_on_when_a_slow_link_is_made_again(self):
+        self.start(controls=3, fronts=1, replicas=1)
+        self.kit.replicas[0].events = 100
+        front, loop = self.kit.fronts[0], self.kit.loop
+        self.kit.delay(DELAY_S, source=front.name, kind="link")
+        lot, items = self.kit.lot(3)
+        self.assertEqual(loop.run(self.kit.open_lot(front, lot, items)), 202)
+        while len(self.kit.runs) < 3:
+            time.sleep(0.01)
+        for path in self.kit.select_paths(source=front.name):
+            loop.run(path.reset())
+        self.assertEqual(len(loop.run(self.kit.read_whole(lot))), 3)
+        self.assertEqual([r["end"] for r in self.kit.runs], ["done"] * 3)
+
 
 if __name__ == "__main__":
     unittest.main()
