--- a/src/front/front_slot.c
+++ b/src/front/front_slot.c
@@ -132,8 +132,8 @@
 	if (f->local_dispatch)
 		dispatch_request_ended(f->local_dispatch, LOCAL_ENTRY, q->number, how,
 				       clock_now_ms());
-	else
-		leader_link_send(f->leader, &m);
+	/* Without a link, a hello on its way may list the request as running. */
+	leader_link_send_deferred(f->leader, &m);
 }
 
 void front_slot_set_replicas(front_t *f)
@@ -154,9 +154,9 @@
 			.zone = str_c(f->settings.zone),
 			.service = wire_str(u->service),
 			.slots = u->slots,
-			.leaving = u->leaving || leaving_contains(f->leaving_replicas,
-								  (replica_ref_t){wire_str(u->id),
-										  u->start_time}),
+			.leaving = u->leaving ||
+				   front_replica_leaves(
+					   f, (replica_ref_t){wire_str(u->id), u->start_time}),
 			.start_time = u->start_time,
 		};
 	}
