--- a/src/client/leader_link.c
+++ b/src/client/leader_link.c
@@ -34,6 +34,7 @@
 
 typedef struct {
 	char rpc_addr[LEADER_LINK_ADDR_BYTES];
+	uint64_t named; /* when it was last named, as a count of names */
 	unsigned failed; /* tries since the last line about it */
 	deadline_t next_log;
 } link_control_t;
@@ -51,6 +52,8 @@
 struct leader_link {
 	leader_link_options_t o;
 	link_control_t controls[CONTROLS_MAX];
+	size_t nconfigured; /* the first of them */
+	uint64_t names; /* number of times that one was named */
 	leader_search_t search;
 	link_try_t tries[TRIES_MAX];
 	char rpc_addr[LEADER_LINK_ADDR_BYTES]; /* of the linked process */
@@ -94,25 +97,56 @@
 	return STATUS_OK;
 }
 
-/* Index of the control process, which is added if it is new. Once the list is full, its last
- * element holds the process that was added last. */
+/* Closes the try's connection. */
+static void end_try(link_try_t *t)
+{
+	if (t->conn)
+		msgconn_close(t->conn);
+	t->conn = NULL;
+}
+
+/* Makes room in a full list: drops the control process that was named last the longest ago, and is
+ * not in the settings. Returns its index, CONTROLS_MAX if all are in the settings. */
+static size_t drop_control(leader_link_t *l)
+{
+	size_t oldest = l->nconfigured;
+
+	for (size_t i = l->nconfigured; i < CONTROLS_MAX; i++) {
+		if (l->controls[i].named < l->controls[oldest].named)
+			oldest = i;
+	}
+	if (oldest == CONTROLS_MAX)
+		return CONTROLS_MAX;
+	for (size_t i = 0; i < TRIES_MAX; i++) {
+		if (l->tries[i].conn && l->tries[i].control == oldest)
+			end_try(&l->tries[i]);
+	}
+	leader_search_replace(&l->search, oldest);
+	return oldest;
+}
+
+/* Index of the control process, which is added if it is new; CONTROLS_MAX if there is no room. */
 static size_t find_or_add(leader_link_t *l, str_t addr)
 {
 	size_t i = 0;
 
 	while (i < l->search.ncontrols && !str_eq(str_c(l->controls[i].rpc_addr), addr))
 		i++;
-	if (i < l->search.ncontrols)
-		return i;
-	i = i < CONTROLS_MAX ? leader_search_add(&l->search) : CONTROLS_MAX - 1;
-	l->controls[i] = (link_control_t){0};
-	snprintf(l->controls[i].rpc_addr, sizeof(l->controls[i].rpc_addr), "%.*s", STR_ARG(addr));
+	if (i == l->search.ncontrols) {
+		i = i < CONTROLS_MAX ? leader_search_add(&l->search) : drop_control(l);
+		if (i == CONTROLS_MAX)
+			return i;
+		l->controls[i] = (link_control_t){0};
+		snprintf(l->controls[i].rpc_addr, sizeof(l->controls[i].rpc_addr), "%.*s",
+			 STR_ARG(addr));
+	}
+	l->controls[i].named = ++l->names;
 	return i;
 }
 
 void leader_link_add_control(leader_link_t *l, str_t addr)
 {
-	if (addr.n > 0 && addr.n < LEADER_LINK_ADDR_BYTES && l->search.ncontrols < CONTROLS_MAX)
+	if (addr.n > 0 && addr.n < LEADER_LINK_ADDR_BYTES)
 		find_or_add(l, addr);
 }
 
@@ -185,6 +219,18 @@
 		send_hello(l, l->link);
 }
 
+void leader_link_report_leaving(link_hello_t *out, const leaving_t *l)
+{
+	static link_leaving_t reported[LEAVING_MAX];
+	replica_ref_t v[LEAVING_MAX];
+	size_t n = leaving_list(l, clock_now_ms() - LEAVING_TOLD_MS, v, LEAVING_MAX);
+
+	for (size_t i = 0; i < n; i++)
+		reported[i] = (link_leaving_t){wire_bytes(v[i].id), v[i].start_time};
+	out->leaving_replicas.leaving_replicas_len = (u_int)n;
+	out->leaving_replicas.leaving_replicas_val = reported;
+}
+
 static void end_call(leader_link_t *l, pending_call_t *c, const link_reply_t *r)
 {
 	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): nodes are unlinked first */
@@ -245,14 +291,6 @@
 	buf_free(&l->deferred);
 }
 
-/* Closes the try's connection. */
-static void end_try(link_try_t *t)
-{
-	if (t->conn)
-		msgconn_close(t->conn);
-	t->conn = NULL;
-}
-
 static void end_tries(leader_link_t *l)
 {
 	for (size_t i = 0; i < TRIES_MAX; i++)
@@ -524,6 +562,7 @@
 	leader_search_restart(&l->search, 0);
 	for (size_t i = 0; i < o->ncontrols; i++)
 		leader_link_add_control(l, str_c(o->controls[i]));
+	l->nconfigured = l->search.ncontrols;
 	ev_timer_init(&l->tick, on_tick, 0.0, LEADER_LINK_TICK_MS / 1000.0);
 	ev_set_priority(&l->tick, EV_MINPRI); /* after the reads of the same loop iteration */
 	l->tick.data = l;
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -100,7 +100,8 @@
 	front_replica_t *replicas; /* hash by id, from view */
 	uint64_t hop_random; /* state of prng_next() */
 	front_reach_t *reach; /* whether this process reaches the replicas */
-	leaving_t *leaving_replicas; /* replicas that announced to this process that they leave */
+	struct front_pause *pause;
+	leaving_t *leaving_replicas; /* as they announced to this process, or the leader told it */
 	quarantine_t *quarantine; /* prompt parts that crash replicas */
 	bool leader_quarantines; /* the linked leader counts the crashes */
 	dispatch_t *local_dispatch; /* used while no leader is connected, NULL otherwise */
@@ -123,6 +124,21 @@
 /** Records that a replica announced that it leaves; reports this to the leader and to the local
  * dispatcher unless it was known. */
 void front_replica_leaving(front_t *f, replica_ref_t r);
+/** True if the replica has announced, to any entry, that it leaves. */
+bool front_replica_leaves(const front_t *f, replica_ref_t r);
+
+/** Carries out a grant or an order to run an item. */
+void front_link_carry_out(front_t *f, const link_msg_t *m);
+
+/* front_pause.c: what the leader sent before and during a pause of this process */
+
+typedef struct front_pause front_pause_t;
+
+void front_pause_start(front_t *f);
+/** True if the message is held until the link has been read. One that stops a held item ends it. */
+bool front_pause_holds(front_t *f, const link_msg_t *m);
+/** Drops the held messages: the leader has given them up. */
+void front_pause_link_down(front_t *f);
 
 /* front_routes.c: the route table in force */
 
@@ -355,15 +371,19 @@
 
 /** Runs an item on the replica that the leader chose. Cancels an earlier run of the item here. */
 void front_item_run(front_t *f, const link_item_run_t *m);
+/** Reports an item as unfinished that has not been run. */
+void front_item_give_back(front_t *f, const link_item_run_t *m);
 void front_item_stop(front_t *f, const link_item_ref_t *m);
 /** Stops all items, so that the leader can run them elsewhere. */
 void front_item_stop_all(front_t *f);
-/** Reports the items that ended while no leader was connected. */
-void front_item_report_ended(front_t *f);
+/** A leader has connected: reports the items that ended before, and lets the next report of each
+ * other item begin with its first event. */
+void front_item_leader_up(front_t *f);
 /** Reports the new events of each running item, at most once in a period; does nothing without a
  * leader. */
 void front_item_report_progress(front_t *f, deadline_t now);
-/** Lists the running items; returns their number, at most max. */
+/** Lists the items that run, and those whose end is still to be reported; returns their number, at
+ * most max. */
 size_t front_item_runs(const front_t *f, link_run_t *out, size_t max);
 /** Number of items that run, or that ended and are not reported yet. */
 size_t front_item_count(const front_t *f);
--- a/src/policy/leader_search.c
+++ b/src/policy/leader_search.c
@@ -17,6 +17,13 @@
 	return s->ncontrols++;
 }
 
+void leader_search_replace(leader_search_t *s, size_t i)
+{
+	s->controls[i] = (leader_search_control_t){0};
+	if (s->hint == i)
+		s->hint = LEADER_SEARCH_CONTROLS_MAX;
+}
+
 void leader_search_hint(leader_search_t *s, size_t i)
 {
 	s->hint = i;
--- a/src/policy/leader_search.h
+++ b/src/policy/leader_search.h
@@ -49,6 +49,8 @@
 void leader_search_restart(leader_search_t *s, deadline_t now);
 /** Adds a control process; returns its index. There must be room. */
 size_t leader_search_add(leader_search_t *s);
+/** Control process i is another one from now on, of which nothing is known yet. */
+void leader_search_replace(leader_search_t *s, size_t i);
 /** Another process has named control process i as the leader. */
 void leader_search_hint(leader_search_t *s, size_t i);
 /** True if a control process is to be tried now, *i; the try counts as begun. */
