--- a/tests/proc/test_frozen_entry.py
+++ b/tests/proc/test_frozen_entry.py
@@ -10,9 +10,10 @@
 
 from disk_kit import DiskTest
 
-FROZEN_S = 3.0      # the leader has dropped the link by then
+FROZEN_S = 1.5      # the leader has dropped the link by then
+WAIT_MS = 2500      # longer than the pause
 TOLD_S = 0.15       # what the leader sends is in the frozen entry's socket after this
-SETTLED_S = 1.0
+SETTLED_S = 0.5
 HOLD_S = 1.5        # a new leader places items, and has read a list, after this
 
 
@@ -23,7 +24,7 @@
 
     async def stream(self, front):
         rid = "%016x" % random.getrandbits(64)
-        return rid, asyncio.ensure_future(self.kit.stream(front, "/brief/1", rid))
+        return rid, asyncio.ensure_future(self.kit.stream(front, "/brief/1", rid, WAIT_MS))
 
     async def open_connections(self):
         """Leaves idle connections from the entry to the replicas: what is sent on them can't be taken back."""
--- a/tests/proc/test_leaving.py
+++ b/tests/proc/test_leaving.py
@@ -11,7 +11,7 @@
 
 from disk_kit import DiskTest
 
-TOLD_S = 0.5    # all linked processes know an announcement this long after the answer that carried it
+TOLD_S = 0.3    # all linked processes know an announcement this long after the answer that carried it
 
 
 class LeavingReplica(DiskTest):
@@ -19,8 +19,10 @@
 
     def setUp(self):
         super().setUp()
-        self.replica, self.others = self.kit.replicas[0], self.kit.replicas[1:]
-        self.heard_by, self.told = self.kit.fronts[0], self.kit.fronts[1:]
+        self.heard_by, *self.told = self.kit.fronts
+        # In the zone of an entry that is told, which would use it first.
+        self.replica = next(r for r in self.kit.replicas if r.zone == self.told[0].zone)
+        self.others = [r for r in self.kit.replicas if r is not self.replica]
 
     def send(self, n, fronts):
         """Sends n concurrent requests to the entries in turn, which must be served."""
@@ -49,7 +51,7 @@
 
     def assert_unused(self, fronts):
         """The entries are served by the other replicas, though all at once need more than one."""
-        for _ in range(4):
+        for _ in range(3):
             self.send(6, fronts)
         self.assertEqual(self.runs_since(self.announced_at), [])
 
@@ -156,10 +158,9 @@
         self.wait_line(leader, "replica_listed", 5, replica=self.replica.id, leaving="1")
         time.sleep(TOLD_S)
         self.replica.state = "ready"
-        time.sleep(1.5)
+        self.wait_line(leader, "replica_listed", 5, time.time() * 1000, replica=self.replica.id, leaving="0")
         self.kill(leader)
         self.start([], self.kit.fronts)
-        time.sleep(1.5)     # the next leader has read the list
         t = time.time()
         end = t + 5
         while not self.runs_since(t):
