--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -16,6 +16,8 @@
 import threading
 import time
 
+import run_order
+
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 BIN = os.path.join(ROOT, os.environ.get("AUBURN_BIN_DIR", "build/bin"))
 HOST = "desk.example"
@@ -78,6 +80,7 @@
         self.item_statuses = {}         # item id: error status to answer with
         self.break_after = None         # closes the connection within this event, once
         self.silent_after = None        # sends nothing after this event, on all runs while set
+        self.paused = False             # as by SIGSTOP: neither reads nor writes; then writes at once what piled up
         self.crash_part = None          # crashes before the first event of a request with this part in its prompt
         self.crashes = []               # times
         self.unframed = False           # its streams have neither a length nor chunks and end with the connection
@@ -121,12 +124,22 @@
         return {"id": self.id, "service": "llm", "addr": self.addr, "zone": self.zone, "version": "v1",
                 "slots": self.slots, "state": self.state, "coldLeftMs": 0, "born": self.start_time}
 
+    async def while_paused(self):
+        """Waits until it isn't paused; returns the number of events that piled up."""
+        since = time.time()
+        if not self.paused:
+            return 0
+        while self.paused:
+            await asyncio.sleep(0.01)
+        return int((time.time() - since) / EVENT_S)
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         before = refusal = None
         try:
             while True:
                 m = await read_message(reader)
+                await self.while_paused()
                 if m and before and self.duplicate_answer:
                     writer.write(self.copy_of(before))
                 if m and refusal and self.repeats_refusals:
@@ -147,6 +160,11 @@
     def events_of(self, run):
         return self.events
 
+    def cut_runs(self):
+        """Resets all connections in the middle of their answers and goes on serving."""
+        for w in list(self.writers):
+            w.transport.abort()
+
     def copy_of(self, rid):
         """A second copy of the answer to request `rid`, in the form that `duplicate_answer` selects."""
         body = "".join("id: %d\ndata: %s\n\n" % (n, event_text(rid, n)) for n in range(1, self.events + 1)).encode()
@@ -186,8 +204,8 @@
             writer.write(self.refusal_of(rid))
             await writer.drain()
             return True
-        run = {"id": rid, "replica": self.id, "after": int(h.get("last-event-id", 0)), "at": time.time(),
-               "end": None, "ended": None, "target": target, "body": body, "method": method,
+        run = {"id": rid, "serial": len(self.kit.runs), "replica": self.id, "after": int(h.get("last-event-id", 0)), "at": time.time(),
+               "sent": 0, "end": None, "ended": None, "target": target, "body": body, "method": method,
                "wait": h.get("deadline-ms"), "model": h.get("model"), "headers": h}
         self.kit.runs.append(run)
         signed = [("Request-Id", rid), ("Signature", "sig-" + rid)]
@@ -211,9 +229,11 @@
             "\r\n" if self.unframed else "Transfer-Encoding: chunked\r\n\r\n")
         writer.write((head % "".join("%s: %s\r\n" % x for x in signed + self.leaving_headers())).encode())
         left = asyncio.ensure_future(reader.read(1))  # done when the entry closes the connection
+        piled_up = 0
         try:
             for n in range(run["after"] + 1, self.events_of(run) + 1):
-                done, _ = await asyncio.wait([left], timeout=EVENT_S)
+                piled_up = max(piled_up - 1, 0) + await self.while_paused()
+                done, _ = await asyncio.wait([left], timeout=EVENT_S) if not piled_up else ((), ())
                 if done:
                     run["end"] = "left"
                     return False
@@ -222,7 +242,7 @@
                     if done:
                         run["end"] = "left"
                         return False
-                data = ("id: %d\ndata: %s\n\n" % (n, event_text(run["id"], n))).encode()
+                data = ("id: %d\ndata: %s\n\n" % (n, self.kit.text_of(run, n))).encode()
                 if self.break_after == n:
                     self.break_after = None
                     run["end"] = "cut"
@@ -237,6 +257,7 @@
                     await writer.drain()
                     return False
                 writer.write(data if self.unframed else b"%x\r\n%s\r\n" % (len(data), data))
+                run["sent"] = n
                 await writer.drain()
                 if self.end_after and self.end_after[0] == n:
                     writer.write(self.end_after[1])
@@ -257,6 +278,8 @@
                 pass
             return True
         finally:
+            if left.done() and not left.cancelled():
+                left.exception()    # else asyncio reports it
             run["ended"] = time.time()
             if run["end"] is None:
                 run["end"] = "broken"
@@ -272,18 +295,24 @@
         self.path = os.path.join(kit.dir, name + ".toml")
         self.log = os.path.join(kit.dir, name + ".log")
         self.disk_full_flag = os.path.join(kit.dir, name + ".full")  # its disk refuses writes while this file exists
-        with open(self.path, "w") as f:
-            for k, v in settings.items():
-                f.write("%s = %s\n" % (k, json.dumps(v)))
+        self.sync_ms = 0    # that a sync of its disk takes longer, from its next start on
+        self.settings = settings
+        self.write_settings()
         self.p = None
         self.exit_expected = False
 
+    def write_settings(self):
+        with open(self.path, "w") as f:
+            for k, v in self.settings.items():
+                f.write("%s = %s\n" % (k, json.dumps(v)))
+
     def start(self):
         self.exit_expected = False
         with open(self.log, "a") as log:
             self.p = subprocess.Popen([os.path.join(self.bin, self.program), "--config", self.path],
                                       stdout=log, stderr=subprocess.STDOUT,
-                                      env=dict(os.environ, AUBURN_DISK_FAULT="full_while_exists=" + self.disk_full_flag))
+                                      env=dict(os.environ, AUBURN_DISK_FAULT="sync_ms=%d,full_while_exists=%s" % (
+                                          self.sync_ms, self.disk_full_flag)))
 
     def signal(self, sig):
         if self.p and self.p.poll() is None:
@@ -311,9 +340,10 @@
 
 class Kit:
     def __init__(self, controls=3, fronts=2, replicas=3, slots=4, seed=None, memory_mib=0,
-                 bin_of=lambda name: BIN, revoke_ms=0, snapshot_entries=100):
+                 bin_of=lambda name: BIN, revoke_ms=0, snapshot_entries=100, names_runs=False):
         self.memory_mib, self.bin_of, self.revoke_ms = memory_mib, bin_of, revoke_ms
         self.snapshot_entries = snapshot_entries
+        self.names_runs = names_runs    # the text of an event names its run, see run_order
         self.dir = tempfile.mkdtemp(prefix="auburn-platform-")
         for bound in (250, 250, 8000):
             random.randint(1, bound)    # older seeds draw as before
@@ -325,6 +355,7 @@
         self.runs = []
         self.loop = Loop()
         self.upstream_list_down = False
+        self.odd_entries = []           # bytes of further entries of the upstream list, in its middle
         self.zones = ["za", "zb", "zc"]
         self.list_addr = self.next_addr()
         self.loop.run(self.start_upstream_list())
@@ -337,9 +368,13 @@
         self.fronts = [self.make_front("front-%d" % i, self.zones[i % 3]) for i in range(fronts)]
         self.version = 0
         self.acked_version = 0
+        self.before_start()
         for p in self.controls + self.fronts:
             p.start()
 
+    def before_start(self):
+        """Changes settings of the processes before their first start."""
+
     def next_ip(self):
         self.last_host += 1
         return "%s.%d" % (self.net, self.last_host)
@@ -373,8 +408,10 @@
                     if self.upstream_list_down:
                         await asyncio.sleep(5)
                         break
-                    body = json.dumps({"instances": [r.list_entry() for r in self.replicas if r.state != "gone"]
-                                       + [{"id": "odd"}], "nextToken": None}).encode()
+                    entries = [json.dumps(r.list_entry()).encode() for r in self.replicas if r.state != "gone"]
+                    entries[1:1] = self.odd_entries
+                    entries.append(b'{"id": "odd"}')
+                    body = b'{"instances": [%s], "nextToken": null}' % b", ".join(entries)
                     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
                     await writer.drain()
             except (ConnectionError, asyncio.IncompleteReadError):
@@ -574,6 +611,12 @@
     async def end_lot(self, front, lot, headers=()):
         return (await self.call(front.ip, self.port, "DELETE", "/lots/" + lot, [("Host", HOST)] + list(headers), b"", 4))[0]
 
+    def text_of(self, run, n):
+        """The text of event `n` of a run."""
+        if self.names_runs:
+            return run_order.event_text(run["id"], n, run["serial"], run["after"])
+        return event_text(run["id"], n)
+
     def whole_text(self, rid, events=None):
         """The text that replicas produce for the request or item `rid`."""
         n = events or self.replicas[0].events
