An entry that wakes reads large messages whole before it acts on what came before them

What callers saw: items of a lot that had been ended while their entry stood still ran after it woke, if the items were larger than one read of the link (16 KiB).

Cause: front_pause.c took a turn of the loop without a whole message for the end of what lies unread; a larger message takes several turns to read, and the orders behind it were still unread.

Evidence: tests/proc/test_frozen_entry.py with three items of 30,000 bytes failed before: AssertionError: Lists differ: ['41da74cb00', '41da74cb02'] != [] and passes now, as do the other two tests of the file. What is compared is the number of bytes received over the link.

--- a/src/client/leader_link.c
+++ b/src/client/leader_link.c
@@ -181,6 +181,11 @@
 	return l->link ? 0 : l->down_since;
 }
 
+uint64_t leader_link_received_bytes(const leader_link_t *l)
+{
+	return l->link ? msgconn_received_bytes(l->link) : 0;
+}
+
 static void send_msg(leader_link_t *l, msgconn_t *to, const link_msg_t *m)
 {
 	AUTO_BUF b = {0};
--- a/src/client/leader_link.h
+++ b/src/client/leader_link.h
@@ -59,6 +59,8 @@
 bool leader_link_kind_is_newer(str_t message, uint32_t *kind);
 /** When the link went down or the first search began; 0 while it is up. */
 deadline_t leader_link_down_since(const leader_link_t *l);
+/** Number of bytes received over the link so far; 0 while it is down. */
+uint64_t leader_link_received_bytes(const leader_link_t *l);
 /** Sends a message; drops it while the link is down. */
 void leader_link_send(leader_link_t *l, const link_msg_t *m);
 /** Sends a message to which the leader responds at once with some message. If none arrives within
--- a/src/front/front_pause.c
+++ b/src/front/front_pause.c
@@ -23,7 +23,7 @@
 	ev_timer after_reads;
 	deadline_t last_turn;
 	bool reading; /* the link has not been read since the last pause */
-	bool got_message; /* since after_reads was started */
+	uint64_t received_bytes; /* over the link when after_reads was started */
 	held_t *held; /* in the order of arrival */
 };
 
@@ -37,7 +37,7 @@
 /* Fires in the next turn of the loop, after its reads. */
 static void start_after_reads(front_pause_t *p)
 {
-	p->got_message = false;
+	p->received_bytes = leader_link_received_bytes(p->f->leader);
 	ev_timer_stop(p->f->loop, &p->after_reads);
 	ev_timer_set(&p->after_reads, 0.0, 0.0);
 	ev_timer_start(p->f->loop, &p->after_reads);
@@ -64,7 +64,7 @@
 {
 	front_pause_t *p = w->data;
 
-	if (p->got_message) {
+	if (leader_link_received_bytes(p->f->leader) != p->received_bytes) {
 		start_after_reads(p);
 		return;
 	}
@@ -100,7 +100,6 @@
 	front_pause_t *p = f->pause;
 	held_t *x;
 
-	p->got_message = true;
 	if (!p->reading)
 		return false;
 	if (m->kind == LINK_ITEM_STOP)
--- a/src/net/msgconn.c
+++ b/src/net/msgconn.c
@@ -27,6 +27,7 @@
 	bool connected;
 	bool is_closed;
 	deadline_t last_received;
+	uint64_t received_bytes;
 	void *data;
 };
 
@@ -90,6 +91,7 @@
 
 	if (n > 0) {
 		c->last_received = clock_now_ms();
+		c->received_bytes += (uint64_t)n;
 		deliver_frames(c);
 	} else if (n < 0) {
 		close_and_notify(c);
@@ -187,3 +189,8 @@
 {
 	return c->last_received;
 }
+
+uint64_t msgconn_received_bytes(const msgconn_t *c)
+{
+	return c->received_bytes;
+}
--- a/src/net/msgconn.h
+++ b/src/net/msgconn.h
@@ -36,5 +36,7 @@
 /** Time of the last input from the peer; before the first input, the time when the connection was
  * created or, later, established. */
 deadline_t msgconn_last_received(const msgconn_t *c);
+/** Number of bytes received from the peer so far, also of messages that aren't whole yet. */
+uint64_t msgconn_received_bytes(const msgconn_t *c);
 
 #endif
--- a/tests/proc/test_frozen_entry.py
+++ b/tests/proc/test_frozen_entry.py
@@ -34,8 +34,12 @@
     kit_options = {"controls": 3, "fronts": 2, "replicas": 2, "slots": 4}
 
     def test_items_of_a_lot_that_was_ended_during_the_pause_do_not_run_after_it(self):
-        lot, items = self.kit.lot(8)
+        self.check_ended_lot(*self.kit.lot(8))
 
+    def test_items_larger_than_one_read_of_a_lot_that_was_ended_during_the_pause_do_not_run_after_it(self):
+        self.check_ended_lot(*self.kit.lot(3, body=b"x" * 30000))
+
+    def check_ended_lot(self, lot, items):
         async def go():
             await asyncio.sleep(HOLD_S)
             await self.open_connections()
