The late end of a run doesn't end the next run of its request

What callers saw: requests placed at a replica that had no free slot (a 503 of the replica and another try), and a replica blamed for what another one did. Since ends of runs are kept while a hello is unanswered, an end can reach a leader after the hello that lists the request's next run at another replica: the leader ended that one. An end that came with the second hello of a slow link, too, arrived behind it, so that the second hello's run wasn't adopted.

The leader takes an end only from the replica where the run is, and deferred ends precede the second hello. No message changes: LINK_ENDED has always named the replica.

--- a/src/client/leader_link.c
+++ b/src/client/leader_link.c
@@ -354,9 +354,10 @@
 	log_event(LOG_LEVEL_INFO, "leader_found", LOG_CSTR("addr", l->link_addr),
 		  LOG_INT("after_ms", now - l->down_since), LOG_INT("try_ms", now - t->started),
 		  LOG_INT("answer_ms", rtt_ms));
+	/* In this order: the hello lists the next runs of requests whose runs have ended. */
+	send_deferred(l);
 	if (rtt_ms > HELLO_FRESH_MS)
 		send_hello(l, l->link);
-	send_deferred(l);
 	l->o.up(l->o.ctx);
 }
 
--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -414,6 +414,19 @@
 		hub_send(p, &(link_msg_t){.kind = LINK_PING});
 }
 
+static void on_request_ended(hub_t *h, hub_peer_t *p, const link_ended_t *m)
+{
+	str_t replica = wire_str(m->replica);
+
+	if (m->outcome == LINK_OUTCOME_OK)
+		hub_quarantine_alive(h, replica);
+	/* The end of a run before this link may come after the hello that lists the next run. */
+	if (replica.n > 0 && !dispatch_request_runs_at(h->dispatch, p->id, m->request, replica))
+		return;
+	dispatch_request_ended(h->dispatch, p->id, m->request, (dispatch_outcome_t)m->outcome,
+			       clock_now_ms());
+}
+
 static void end_item(hub_t *h, hub_item_t *it, bool dead, uint32_t events, str_t text,
 		     const char *reason)
 {
@@ -519,11 +532,7 @@
 		dispatch_request_withdraw(h->dispatch, p->id, m->link_msg_t_u.request);
 		break;
 	case LINK_ENDED:
-		if (m->link_msg_t_u.ended.outcome == LINK_OUTCOME_OK)
-			hub_quarantine_alive(h, wire_str(m->link_msg_t_u.ended.replica));
-		dispatch_request_ended(h->dispatch, p->id, m->link_msg_t_u.ended.request,
-				       (dispatch_outcome_t)m->link_msg_t_u.ended.outcome,
-				       clock_now_ms());
+		on_request_ended(h, p, &m->link_msg_t_u.ended);
 		break;
 	case LINK_FLEET_ENTRIES:
 		hub_quarantine_add_peer(h, p);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -309,7 +309,7 @@
 	uint64_t number; /* identifies the request in messages to the leader */
 	front_request_state_t state;
 	char service[64];
-	char replica[64]; /* of the current or last attempt */
+	char replica[DISPATCH_ID_KEPT + 1]; /* of the current or last attempt */
 	char *customer; /* name; NULL: the route needs no key */
 	customer_key_t key; /* with which it was sent, if customer is set */
 	front_count_t counted_by;
--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -434,6 +434,16 @@
 	r->failures++;
 }
 
+bool dispatch_request_runs_at(const dispatch_t *d, uint64_t entry, uint64_t request, str_t replica)
+{
+	const run_t *run = find_run(d, entry, request);
+
+	if (!run)
+		return false;
+	return replica.n == DISPATCH_ID_KEPT ? str_starts(str_c(run->replica->id), replica)
+					     : str_eq(str_c(run->replica->id), replica);
+}
+
 void dispatch_request_ended(dispatch_t *d, uint64_t entry, uint64_t request, dispatch_outcome_t how,
 			    deadline_t now)
 {
--- a/src/policy/dispatch.h
+++ b/src/policy/dispatch.h
@@ -84,6 +84,8 @@
 
 /** Maximum number of replicas that a request can exclude. */
 #define DISPATCH_AVOID_MAX 8
+/** Bytes of a replica's id that an entry keeps for a running request. */
+#define DISPATCH_ID_KEPT 63
 
 typedef struct {
 	uint64_t entry;
@@ -131,6 +133,9 @@
 void dispatch_request_add(dispatch_t *d, const dispatch_request_t *req, deadline_t now);
 /** Removes a waiting request whose caller left. */
 void dispatch_request_withdraw(dispatch_t *d, uint64_t entry, uint64_t request);
+/** True if the request holds a slot of a replica whose id is this one, or begins with it if it has
+ * as many bytes as entries keep of an id. */
+bool dispatch_request_runs_at(const dispatch_t *d, uint64_t entry, uint64_t request, str_t replica);
 /** Releases the slot of a granted request. how: updates the health of the replica. If only this
  * entry does not reach the replica, it alone gets no slot there for a while. */
 void dispatch_request_ended(dispatch_t *d, uint64_t entry, uint64_t request, dispatch_outcome_t how,
--- a/tests/proc/test_slow_links.py
+++ b/tests/proc/test_slow_links.py
@@ -102,6 +102,63 @@
         time.sleep(1)   # what the entry sends with the link has arrived
         self.assertEqual(self.stream(front, "two")[0], 200)
 
+    def start_with_request(self):
+        """Starts a request that takes 3.4 s, with one free replica besides that which runs it."""
+        self.start(controls=3, fronts=1, replicas=2, slots=1)
+        for r in self.kit.replicas:
+            r.events = 170
+        self.first = asyncio.run_coroutine_threadsafe(
+            self.kit.stream(self.kit.fronts[0], "/brief/one", "one"), self.kit.loop.loop)
+        while not self.kit.runs_of("one"):
+            time.sleep(0.01)
+
+    def lose_replica_of_request(self):
+        lost, = [r for r in self.kit.replicas if r.id == self.kit.runs_of("one")[0]["replica"]]
+        lost.state = "gone"
+        self.kit.loop.run(lost.stop())
+        while len(self.kit.runs_of("one")) < 2:
+            time.sleep(0.01)
+
+    def wait_found(self, n):
+        end = time.time() + RECOVERY_S
+        while self.kit.fronts[0].log_text().count("event=leader_found") < n:
+            self.assertLess(time.time(), end, "the entry has no leader")
+            time.sleep(0.02)
+
+    def check_request_holds_its_slot(self):
+        time.sleep(1.2)   # what the entry sends with the link has arrived, and the list has been read
+        self.assertEqual(len(self.kit.runs_of("one")), 2)
+        self.assertIsNone(self.kit.runs_of("one")[1]["ended"])
+        self.stream(self.kit.fronts[0], "two")
+        self.assertEqual(self.first.result(10)[0], 200)
+        ended = self.kit.runs_of("one")[1]["ended"]
+        self.assertEqual([r for r in self.kit.runs_of("two") if r["at"] < ended], [])
+
+    def test_request_that_moves_to_another_replica_while_the_hello_travels_holds_its_slot_there(self):
+        self.start_with_request()
+        self.kit.delay(0.4, source=self.kit.fronts[0].name, kind="link")
+        for path in self.kit.select_paths(source=self.kit.fronts[0].name):
+            self.kit.loop.run(path.reset())
+        time.sleep(0.3)
+        self.lose_replica_of_request()
+        self.wait_found(2)
+        self.check_request_holds_its_slot()
+
+    def test_end_of_a_run_that_another_leader_was_told_of_does_not_end_the_next_run_of_its_request(self):
+        self.start_with_request()
+        for c in self.kit.controls:
+            c.signal(signal.SIGSTOP)
+        while "event=leader_lost" not in self.kit.fronts[0].log_text():
+            time.sleep(0.01)
+        time.sleep(0.2)     # the frozen leader has a hello
+        self.lose_replica_of_request()
+        for c in self.kit.controls:
+            if c is not self.leader:
+                c.signal(signal.SIGCONT)
+        self.wait_found(2)
+        self.check_request_holds_its_slot()
+        self.leader.signal(signal.SIGCONT)
+
     def test_items_run_on_when_a_slow_link_is_made_again(self):
         self.start(controls=3, fronts=1, replicas=1)
         self.kit.replicas[0].events = 100
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -239,6 +239,27 @@
 }
 END_TEST
 
+/* The end of a run that came late must not free the slot of the request's next run. */
+START_TEST(a_request_runs_at_the_replica_that_it_was_granted_only)
+{
+	dispatch_t *d = new_dispatcher(1, 4);
+	char id[101];
+
+	memset(id, 'x', sizeof(id) - 1);
+	id[100] = 0;
+	dispatch_request_adopt(d, 1, 1, STR("r0"), 0);
+	dispatch_request_adopt(d, 1, 2, str_c(id), 0);
+	ck_assert(dispatch_request_runs_at(d, 1, 1, STR("r0")));
+	ck_assert(!dispatch_request_runs_at(d, 1, 1, STR("r")));
+	ck_assert(!dispatch_request_runs_at(d, 1, 1, STR("r1")));
+	ck_assert(!dispatch_request_runs_at(d, 1, 3, STR("r0")));
+	ck_assert(!dispatch_request_runs_at(d, 2, 1, STR("r0")));
+	ck_assert(dispatch_request_runs_at(d, 1, 2, (str_t){id, DISPATCH_ID_KEPT}));
+	ck_assert(!dispatch_request_runs_at(d, 1, 2, (str_t){id, DISPATCH_ID_KEPT - 1}));
+	dispatch_free(d);
+}
+END_TEST
+
 /* After a loss of power of all VMs, the old runs occupy the replicas for a while, and all are
  * silent. Backing off from all of them would leave no slot for new work. */
 START_TEST(replicas_that_are_all_silent_at_once_do_not_count_as_failed)
@@ -510,6 +531,7 @@
 	tcase_add_test(t, a_replica_marked_as_leaving_gets_no_new_work);
 	tcase_add_test(t, a_replica_that_an_entry_reports_as_leaving_gets_no_new_work);
 	tcase_add_test(t, a_restarted_replica_has_no_failures);
+	tcase_add_test(t, a_request_runs_at_the_replica_that_it_was_granted_only);
 	suite_add_tcase(s, t);
 	return suite_run(s);
 }
