A run that another one's result overtakes is stopped

What callers saw: nothing wrong, but a place at a replica that the leader took for free stayed occupied until the run's own end, and the replica refused what was placed there; the replica of the overtaken run also counted as having answered.

Cause: a complete result counts from any run, and the leader took it for the end of the current one.

Evidence: tests/proc/test_slow_links.py test_second_run_of_an_item_stops_once_the_result_of_the_first_arrives, before: AssertionError: 'done' != 'left' and passes now.

--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -427,7 +427,8 @@
 			       clock_now_ms());
 }
 
-static void end_item(hub_t *h, hub_item_t *it, bool dead, uint32_t events, str_t text,
+/* The item has a result. current: from its current run; otherwise that is stopped. */
+static void end_item(hub_t *h, hub_item_t *it, bool current, bool dead, uint32_t events, str_t text,
 		     const char *reason)
 {
 	log_event(dead ? LOG_LEVEL_WARN : LOG_LEVEL_INFO, dead ? "item_dead" : "item_done",
@@ -435,7 +436,7 @@
 		  LOG_INT("events", events), LOG_INT("failures", it->failures),
 		  LOG_CSTR("reason", reason));
 	hub_lots_add_result(h, it, dead, text);
-	finish_item(it, true);
+	finish_item(it, current);
 	hub_lots_commit(h);
 }
 
@@ -453,23 +454,27 @@
 	hub_item_t *it = hub_find_item(h, m->job, m->item);
 	uint32_t had;
 	size_t bytes;
+	bool current;
 
+	if (!it)
+		return;
+	current = item_output_end(&it->output, p->id);
 	/* A complete result counts from any run, any other end only from the current one. */
-	if (!it || (!item_output_end(&it->output, p->id) && m->end != LINK_ITEM_END_DONE))
+	if (!current && m->end != LINK_ITEM_END_DONE)
 		return;
 	had = it->output.events;
 	switch (m->end) {
 	case LINK_ITEM_END_DONE:
 		hub_quarantine_alive(h, wire_str(m->replica));
-		end_item(h, it, false, m->events, wire_str(m->text), "complete");
+		end_item(h, it, current, false, m->events, wire_str(m->text), "complete");
 		return;
 	case LINK_ITEM_END_IMPOSSIBLE:
-		end_item(h, it, true, had, (str_t){"", 0},
+		end_item(h, it, true, true, had, (str_t){"", 0},
 			 "replica reports the item as impossible");
 		return;
 	case LINK_ITEM_END_FAILED:
 		if (++it->failures >= it->attempts_max) {
-			end_item(h, it, true, had, (str_t){"", 0}, "failed at every attempt");
+			end_item(h, it, true, true, had, (str_t){"", 0}, "failed at every attempt");
 			return;
 		}
 		dispatch_item_avoid(it->dispatch_ref, wire_str(m->replica));
--- a/tests/proc/test_slow_links.py
+++ b/tests/proc/test_slow_links.py
@@ -4,6 +4,7 @@
 takes, and against links over slow paths that don't stay up.
 """
 import asyncio
+import re
 import signal
 import time
 import unittest
@@ -173,6 +174,33 @@
         self.assertEqual(len(loop.run(self.kit.read_whole(lot))), 3)
         self.assertEqual([r["end"] for r in self.kit.runs], ["done"] * 3)
 
+    def wait(self, what, condition, s=8):
+        end = time.time() + s
+        while not condition():
+            self.assertLess(time.time(), end, what)
+            time.sleep(0.01)
+
+    def test_second_run_of_an_item_stops_once_the_result_of_the_first_arrives(self):
+        self.start(controls=3, fronts=2, replicas=2)
+        loop, runs = self.kit.loop, self.kit.runs
+        for r in self.kit.replicas:
+            r.events = 130
+        lot, items = self.kit.lot(1)
+        self.assertEqual(loop.run(self.kit.open_lot(self.kit.fronts[0], lot, items)), 202)
+        self.wait("no run", lambda: runs)
+        name = re.search(r"event=item_run .*\bentry=(\S+)", self.leader.log_text()).group(1)
+        self.wait("the run doesn't go on", lambda: runs[0]["sent"] >= 85)
+        paths = self.kit.select_paths(source=name)
+        for path in paths:
+            loop.run(path.close())
+        self.wait("no second run", lambda: len(runs) > 1)
+        self.assertEqual(runs[0]["end"], "done")
+        for path in paths:
+            loop.run(path.start())
+        self.wait("the second run doesn't end", lambda: runs[1]["end"])
+        self.assertEqual(runs[1]["end"], "left")
+        self.assertEqual(len(loop.run(self.kit.read_whole(lot))), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
