A result that was complete in a pause isn't lost with the link that was dropped meanwhile

What callers saw: an item whose run had ended while its entry stood still was run once more from its last report.

Cause: the entry that woke read the replica's answer first and reported the end on a link that the leader had closed; the end, and with it the text, was freed as reported. Ends are kept like grants and orders now until the link has been read; if it is lost, they go to the leader that is found next, as the ends of runs without a leader do.

Evidence: tests/proc/test_frozen_entry.py test_result_that_was_complete_in_the_pause_is_not_lost_with_the_link, before: AssertionError: 0 != 1 (no result 1.5 s after the entry woke) and passes now, with the three others of the file.

--- a/src/front/front.h
+++ b/src/front/front.h
@@ -137,6 +137,8 @@
 void front_pause_start(front_t *f);
 /** True if the message is held until the link has been read. One that stops a held item ends it. */
 bool front_pause_holds(front_t *f, const link_msg_t *m);
+/** True after a pause until the link has been read: the leader may have dropped it. */
+bool front_pause_is_reading(const front_t *f);
 /** Drops the held messages: the leader has given them up. */
 void front_pause_link_down(front_t *f);
 
@@ -376,6 +378,8 @@
 void front_item_stop(front_t *f, const link_item_ref_t *m);
 /** Stops all items, so that the leader can run them elsewhere. */
 void front_item_stop_all(front_t *f);
+/** Reports the items that ended but were not reported. */
+void front_item_report_ends(front_t *f);
 /** A leader has connected: reports the items that ended before, and lets the next report of each
  * other item begin with its first event. */
 void front_item_leader_up(front_t *f);
--- a/src/front/front_item.c
+++ b/src/front/front_item.c
@@ -63,26 +63,8 @@
 	item_free(it);
 }
 
-void front_item_give_back(front_t *f, const link_item_run_t *m)
-{
-	link_msg_t end = {.kind = LINK_ITEM_ENDED};
-
-	end.link_msg_t_u.item_ended = (link_item_ended_t){
-		.job = m->job,
-		.item = m->item,
-		.replica = m->replica,
-		.end = LINK_ITEM_END_UNFINISHED,
-		.outcome = LINK_OUTCOME_CANCELLED,
-		.text = m->text,
-		.events = m->events,
-	};
-	log_event(LOG_LEVEL_INFO, "item_given_back", LOG_STR("lot", wire_str(m->job)),
-		  LOG_INT("item", m->item), LOG_STR("request", wire_str(m->id)),
-		  LOG_STR("replica", wire_str(m->replica)), LOG_INT("events", m->events));
-	leader_link_send(f->leader, &end);
-}
-
-/* Records how the run ended; reports it now or when a leader connects. */
+/* Records how the run ended; reports it now or, if there is no link or it may be one that the
+ * leader has dropped, when the link has been read or a leader connects. */
 static void end_item(front_item_t *it, link_item_end_t end, dispatch_outcome_t outcome)
 {
 	it->ended = true;
@@ -93,10 +75,22 @@
 		  LOG_STR("replica", wire_str(it->spec.replica)), LOG_CSTR("end", end_names[end]),
 		  LOG_CSTR("outcome", dispatch_outcome_name(outcome)),
 		  LOG_INT("events", it->events));
-	if (leader_link_is_up(it->f->leader))
+	if (leader_link_is_up(it->f->leader) && !front_pause_is_reading(it->f))
 		report_end(it);
 }
 
+void front_item_report_ends(front_t *f)
+{
+	front_item_t *it;
+	front_item_t *next;
+
+	DL_FOREACH_SAFE(f->items, it, next)
+	{
+		if (it->ended)
+			report_end(it);
+	}
+}
+
 static void on_head(void *ctx, const http_head_t *h, const platform_reply_t *r)
 {
 	front_item_t *it = ctx;
@@ -172,6 +166,29 @@
 	return NULL;
 }
 
+void front_item_give_back(front_t *f, const link_item_run_t *m)
+{
+	link_msg_t end = {.kind = LINK_ITEM_ENDED};
+	front_item_t *it = find_item(f, m->job, m->item);
+
+	/* The leader expects the end of an earlier run first. */
+	if (it && it->ended)
+		report_end(it);
+	end.link_msg_t_u.item_ended = (link_item_ended_t){
+		.job = m->job,
+		.item = m->item,
+		.replica = m->replica,
+		.end = LINK_ITEM_END_UNFINISHED,
+		.outcome = LINK_OUTCOME_CANCELLED,
+		.text = m->text,
+		.events = m->events,
+	};
+	log_event(LOG_LEVEL_INFO, "item_given_back", LOG_STR("lot", wire_str(m->job)),
+		  LOG_INT("item", m->item), LOG_STR("request", wire_str(m->id)),
+		  LOG_STR("replica", wire_str(m->replica)), LOG_INT("events", m->events));
+	leader_link_send(f->leader, &end);
+}
+
 void front_item_run(front_t *f, const link_item_run_t *m)
 {
 	front_item_t *it = find_item(f, m->job, m->item);
@@ -283,16 +300,13 @@
 void front_item_leader_up(front_t *f)
 {
 	front_item_t *it;
-	front_item_t *next;
 
-	DL_FOREACH_SAFE(f->items, it, next)
-	{
+	DL_FOREACH (f->items, it) {
 		/* What an earlier leader was told may not have reached this one. */
 		it->reported_bytes = 0;
 		it->reported_events = 0;
-		if (it->ended)
-			report_end(it);
 	}
+	front_item_report_ends(f);
 }
 
 /* With the ended ones: the leader must not take their ends for those of runs that it starts here.
--- a/src/front/front_pause.c
+++ b/src/front/front_pause.c
@@ -69,6 +69,7 @@
 		return;
 	}
 	p->reading = false;
+	front_item_report_ends(p->f);
 	while (p->held) {
 		held_t *x = p->held;
 
@@ -112,6 +113,11 @@
 	return true;
 }
 
+bool front_pause_is_reading(const front_t *f)
+{
+	return f->pause->reading;
+}
+
 void front_pause_link_down(front_t *f)
 {
 	front_pause_t *p = f->pause;
--- a/tests/proc/test_frozen_entry.py
+++ b/tests/proc/test_frozen_entry.py
@@ -4,6 +4,7 @@
 """
 import asyncio
 import random
+import re
 import signal
 import time
 import unittest
@@ -58,6 +59,31 @@
         self.assertEqual(late, [])
 
 
+    def wait(self, what, condition, s=8):
+        end = time.time() + s
+        while not condition():
+            self.assertLess(time.time(), end, what)
+            time.sleep(0.02)
+
+    def test_result_that_was_complete_in_the_pause_is_not_lost_with_the_link(self):
+        for r in self.kit.replicas:
+            r.events = 250
+        runs = self.kit.runs
+        lot, items = self.kit.lot(1)
+        self.assertEqual(self.kit.loop.run(self.kit.open_lot(self.other, lot, items)), 202)
+        self.wait("no run", lambda: runs)
+        name = re.search(r"event=item_run .*\bentry=(\S+)", self.kit.leader().log_text()).group(1)
+        first = next(f for f in self.kit.fronts if f.name == name)
+        first.signal(signal.SIGSTOP)
+        self.wait("no second run", lambda: len(runs) > 1)
+        self.wait("the first run doesn't end", lambda: runs[0]["end"] == "done")
+        self.assertIsNone(runs[1]["end"])
+        first.signal(signal.SIGCONT)
+        self.assertEqual(len(self.kit.loop.run(self.kit.read_whole(lot, 1.5))), 1)
+        self.wait("the second run doesn't end", lambda: runs[1]["end"])
+        self.assertEqual(runs[1]["end"], "left")
+
+
 class FrozenEntryWithRequests(FrozenEntryTest):
     kit_options = {"controls": 3, "fronts": 2, "replicas": 1, "slots": 4}
 
