A request whose run failed with 503 isn't handed to a third entry

Cause: since a refused hand-over is tried at one more entry, any 503 counted as a refusal by the other entry, also one that it relayed from a replica. Those are signed.

--- a/src/front/front_hop.c
+++ b/src/front/front_hop.c
@@ -83,8 +83,12 @@
 {
 	front_hop_t *p = ctx;
 	AUTO_BUF headers = {0};
+	platform_reply_t r;
 
-	p->refused = h->status == 503 && !p->first_entry[0] && pick_entry(p->f, p->entry);
+	platform_reply_decode(h, &r);
+	/* A signed answer is that of a replica: the request has run. */
+	p->refused = r.status == 503 && !r.has_signature && !p->first_entry[0] &&
+		     pick_entry(p->f, p->entry);
 	if (p->refused)
 		return true;
 	p->status = h->status;
--- a/tests/proc/test_reach.py
+++ b/tests/proc/test_reach.py
@@ -147,7 +147,8 @@
         if self.fault == "silent":
             self.left += await reader.read(1) == b""
             return
-        status = b"503 X\r\nRetry-After: 0.7" if self.fault == "refuses" else b"200 OK\r\nSignature: of-the-replica"
+        status = {"refuses": b"503 X\r\nRetry-After: 0.7", "failed run": b"503 X\r\nSignature: of-the-replica"}.get(
+            self.fault, b"200 OK\r\nSignature: of-the-replica")
         body = b"from the other entry"
         writer.write(b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body))
         await writer.drain()
@@ -236,6 +237,14 @@
         self.assertEqual(self.send_with()[0], 502)
         self.assertEqual(sum(len(x.requests) for x in others), 1)
 
+    def test_request_whose_run_failed_with_503_goes_to_no_third_entry(self):
+        others = [self.other, self.add_second_entry()]
+        for x in others:
+            x.fault = "failed run"
+        status, headers, _ = self.send_with()
+        self.assertEqual((status, headers["signature"]), (503, "of-the-replica"))
+        self.assertEqual(sum(len(x.requests) for x in others), 1)
+
     def test_request_that_breaks_on_the_way_may_have_run(self):
         self.other.fault = "breaks"
         self.assertEqual(self.send_with()[0], 502)
