An entry's new link takes the place of its former one at the leader

What callers saw: all items of an entry were stopped and run again, and its requests counted twice, after a leader had stood still for less than a second: the entry had dropped its link and linked again, but the leader read the new link's hello before the end of the old one, took the runs for a second set, and had them stopped. The same holds while a link is half-open at the leader, for up to 700 ms.

Cause: runs were told apart by link only. An entry has one link; the newest of its name and address is it.

--- a/src/control/hub.c
+++ b/src/control/hub.c
@@ -171,10 +171,42 @@
 		p->replica_id = id;
 }
 
+static void drop_peer(hub_peer_t *p, const char *reason)
+{
+	msgconn_t *l = p->link;
+
+	remove_peer(p, reason);
+	msgconn_close(l);
+}
+
+/* Drops all links but the newest of the entry that sends this hello: it has one link, and has given
+ * up the others, although their ends may not have been read yet. Returns false if p was dropped. */
+static bool drop_former_links(hub_t *h, hub_peer_t *p, const link_hello_t *m)
+{
+	hub_peer_t *x;
+	hub_peer_t *next;
+
+	if (m->addr.wire_bytes_t_len == 0)
+		return true;
+	HASH_ITER (hh, h->peers, x, next) {
+		if (x == p || !x->registered || !str_eq(str_c(x->addr), wire_str(m->addr)) ||
+		    !str_eq(str_c(x->name), wire_str(m->name)))
+			continue;
+		if (x->id > p->id) {
+			drop_peer(p, "linked again");
+			return false;
+		}
+		drop_peer(x, "linked again");
+	}
+	return true;
+}
+
 static void on_hello(hub_t *h, hub_peer_t *p, const link_hello_t *m)
 {
 	bool first = !p->registered;
 
+	if (first && h->role == HUB_LEADER && !drop_former_links(h, p, m))
+		return;
 	copy_str(p->name, sizeof(p->name), m->name);
 	copy_str(p->addr, sizeof(p->addr), m->addr);
 	copy_str(p->zone, sizeof(p->zone), m->zone);
@@ -218,8 +250,7 @@
 	if (wire_decode(s, XDR_PROC(link_msg_t), &m, sizeof(m)) != STATUS_OK) {
 		log_event(LOG_LEVEL_ERROR, "link_message_malformed", LOG_CSTR("peer", p->name),
 			  LOG_INT("bytes", s.n));
-		remove_peer(p, "malformed message");
-		msgconn_close(l);
+		drop_peer(p, "malformed message");
 	} else if (m.kind == LINK_HELLO) {
 		on_hello(h, p, &m.link_msg_t_u.hello);
 	} else if (m.kind == LINK_WELCOME) {
@@ -266,10 +297,7 @@
 	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): nodes are unlinked first */
 	HASH_ITER (hh, h->peers, p, next) {
 		if (read_until - msgconn_last_received(p->link) > PEER_SILENCE_MS) {
-			msgconn_t *l = p->link;
-
-			remove_peer(p, "silent");
-			msgconn_close(l);
+			drop_peer(p, "silent");
 		} else if (now - p->last_sent >= LEADER_LINK_PING_MS) {
 			hub_send(p, &(link_msg_t){.kind = LINK_PING});
 		}
@@ -282,10 +310,7 @@
 	hub_peer_t *next;
 
 	HASH_ITER (hh, h->peers, p, next) {
-		msgconn_t *l = p->link;
-
-		remove_peer(p, "leadership lost");
-		msgconn_close(l);
+		drop_peer(p, "leadership lost");
 	}
 }
 
