--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -414,7 +414,21 @@
 		hub_send(p, &(link_msg_t){.kind = LINK_PING});
 }
 
-static void end_item(hub_t *h, hub_item_t *it, bool dead, uint32_t events, str_t text,
+static void on_request_ended(hub_t *h, hub_peer_t *p, const link_ended_t *m)
+{
+	str_t replica = wire_str(m->replica);
+
+	if (m->outcome == LINK_OUTCOME_OK)
+		hub_quarantine_alive(h, replica);
+	/* The end of a run before this link may come after the hello that lists the next run. */
+	if (replica.n > 0 && !dispatch_request_runs_at(h->dispatch, p->id, m->request, replica))
+		return;
+	dispatch_request_ended(h->dispatch, p->id, m->request, (dispatch_outcome_t)m->outcome,
+			       clock_now_ms());
+}
+
+/* The item has a result. current: from its current run; otherwise that is stopped. */
+static void end_item(hub_t *h, hub_item_t *it, bool current, bool dead, uint32_t events, str_t text,
 		     const char *reason)
 {
 	log_event(dead ? LOG_LEVEL_WARN : LOG_LEVEL_INFO, dead ? "item_dead" : "item_done",
@@ -422,7 +436,7 @@
 		  LOG_INT("events", events), LOG_INT("failures", it->failures),
 		  LOG_CSTR("reason", reason));
 	hub_lots_add_result(h, it, dead, text);
-	finish_item(it, true);
+	finish_item(it, current);
 	hub_lots_commit(h);
 }
 
@@ -440,23 +454,27 @@
 	hub_item_t *it = hub_find_item(h, m->job, m->item);
 	uint32_t had;
 	size_t bytes;
+	bool current;
 
+	if (!it)
+		return;
+	current = item_output_end(&it->output, p->id);
 	/* A complete result counts from any run, any other end only from the current one. */
-	if (!it || (!item_output_end(&it->output, p->id) && m->end != LINK_ITEM_END_DONE))
+	if (!current && m->end != LINK_ITEM_END_DONE)
 		return;
 	had = it->output.events;
 	switch (m->end) {
 	case LINK_ITEM_END_DONE:
 		hub_quarantine_alive(h, wire_str(m->replica));
-		end_item(h, it, false, m->events, wire_str(m->text), "complete");
+		end_item(h, it, current, false, m->events, wire_str(m->text), "complete");
 		return;
 	case LINK_ITEM_END_IMPOSSIBLE:
-		end_item(h, it, true, had, (str_t){"", 0},
+		end_item(h, it, true, true, had, (str_t){"", 0},
 			 "replica reports the item as impossible");
 		return;
 	case LINK_ITEM_END_FAILED:
 		if (++it->failures >= it->attempts_max) {
-			end_item(h, it, true, had, (str_t){"", 0}, "failed at every attempt");
+			end_item(h, it, true, true, had, (str_t){"", 0}, "failed at every attempt");
 			return;
 		}
 		dispatch_item_avoid(it->dispatch_ref, wire_str(m->replica));
@@ -519,11 +537,7 @@
 		dispatch_request_withdraw(h->dispatch, p->id, m->link_msg_t_u.request);
 		break;
 	case LINK_ENDED:
-		if (m->link_msg_t_u.ended.outcome == LINK_OUTCOME_OK)
-			hub_quarantine_alive(h, wire_str(m->link_msg_t_u.ended.replica));
-		dispatch_request_ended(h->dispatch, p->id, m->link_msg_t_u.ended.request,
-				       (dispatch_outcome_t)m->link_msg_t_u.ended.outcome,
-				       clock_now_ms());
+		on_request_ended(h, p, &m->link_msg_t_u.ended);
 		break;
 	case LINK_FLEET_ENTRIES:
 		hub_quarantine_add_peer(h, p);
