Store: a folder's name is synced before anything is acknowledged from it

A replica whose folder was made by a start that ended before its sync, or whose sync failed, acknowledged votes and entries while the folder's name was on no disk. A loss of power then took the folder: callers would lose what the replica had acknowledged, and it could vote again in a term it had voted in. The same held for the data folder, whose name was never synced at all (auburn-control makes it before the groups are opened).

Cause: store_dir_make took a folder that exists for one that is synced.

The tests of the store on a simulated disk model only names in the store's own folder; they now model directories in their parents as well, and fsync settles only the names of the directory it is called for.

The fix: while a folder has no id file, its name and those of the folders above it are synced, also if they existed; the id file is written after that, so it proves that the names are synced. A start of a complete folder therefore does no sync more than before, and no test that counts syncs changes. A folder above that this process can't write to, or on another filesystem, isn't synced: its entry wasn't made here.

--- a/src/raft/store_file.c
+++ b/src/raft/store_file.c
@@ -244,17 +244,13 @@
 	return st == STATUS_OK ? store_dir_sync(f, dir) : st;
 }
 
-status_t store_dir_make(store_disk_fault_t *f, const char *dir)
+static status_t make_missing(const char *dir)
 {
 	char up[STORE_PATH_BYTES];
 	char *slash;
 	status_t st;
 
-	if (mkdir(dir, 0700) == 0) {
-		snprintf(up, sizeof(up), "%s/..", dir);
-		return store_dir_sync(f, up);
-	}
-	if (errno == EEXIST)
+	if (mkdir(dir, 0700) == 0 || errno == EEXIST)
 		return STATUS_OK;
 	if (errno != ENOENT)
 		return io_error("mkdir", dir);
@@ -263,8 +259,37 @@
 	if (!slash || slash == up)
 		return io_error("mkdir", dir);
 	*slash = 0;
-	st = store_dir_make(f, up);
-	return st == STATUS_OK ? store_dir_make(f, dir) : st;
+	st = make_missing(up);
+	return st == STATUS_OK ? make_missing(dir) : st;
+}
+
+/* False if this process can't have made `dir` in `up`, or if that is the root or another
+ * filesystem, whose mount point needs no sync. */
+static bool may_be_made_here(const char *dir, const char *up)
+{
+	struct stat a;
+	struct stat b;
+
+	return access(up, W_OK) == 0 && stat(dir, &a) == 0 && stat(up, &b) == 0 &&
+	       a.st_dev == b.st_dev && a.st_ino != b.st_ino;
+}
+
+status_t store_dir_make(store_disk_fault_t *f, const char *dir)
+{
+	char path[STORE_PATH_BYTES];
+	char up[STORE_PATH_BYTES + 3];
+	status_t st = make_missing(dir);
+
+	/* Also the names that exist: whoever made them may have been killed before the sync. */
+	snprintf(path, sizeof(path), "%s", dir);
+	while (st == STATUS_OK) {
+		snprintf(up, sizeof(up), "%s/..", path);
+		if (strlen(up) >= sizeof(path) || !may_be_made_here(path, up))
+			break;
+		st = store_dir_sync(f, up);
+		memcpy(path, up, strlen(up) + 1);
+	}
+	return st;
 }
 
 static int compare_numbers(const void *a, const void *b)
--- a/src/raft/store_file.h
+++ b/src/raft/store_file.h
@@ -36,7 +36,7 @@
 /** Writes the parts to a temporary file, syncs it, renames it and syncs the directory. */
 status_t store_file_replace(store_disk_fault_t *f, const char *dir, const char *name,
 			    const str_t *parts, size_t n);
-/** Creates a directory and its parents. */
+/** Creates a directory and its parents if they are missing, and syncs their names. */
 status_t store_dir_make(store_disk_fault_t *f, const char *dir);
 
 /** Lists the numbers, ascending, of the files named by the prefix and a hexadecimal number; the
--- a/src/raft/store_open.c
+++ b/src/raft/store_open.c
@@ -80,15 +80,17 @@
 	return st;
 }
 
-/* Creates the first segment. The id file is written last: its presence marks a complete
- * directory. */
+/* Creates the directory and the first segment. The id file is written last: its presence marks a
+ * complete directory whose name is synced. */
 static status_t create_dir(store_t *s, const store_options_t *o)
 {
 	AUTO_BUF members = {0};
 	raft_entry_t e = {.kind = RAFT_ENTRY_MEMBERS};
 	uint64_t seq;
-	status_t st = remove_partial_files(s);
+	status_t st = store_dir_make(&s->fault, s->dir);
 
+	if (st == STATUS_OK)
+		st = remove_partial_files(s);
 	if (st != STATUS_OK)
 		return st;
 	s->id = o->new_id;
@@ -113,10 +115,10 @@
 
 static status_t open_dir(store_t *s, const store_options_t *o, store_contents_t *contents)
 {
-	status_t st = store_dir_make(&s->fault, s->dir);
+	status_t st = STATUS_OK;
 
 	contents->created = !store_exists(s->dir);
-	if (st == STATUS_OK && contents->created)
+	if (contents->created)
 		st = create_dir(s, o);
 	if (st == STATUS_OK)
 		st = read_id(s);
--- a/tests/unit/test_store_disk.c
+++ b/tests/unit/test_store_disk.c
@@ -5,6 +5,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <ftw.h>
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -28,9 +29,11 @@
 	long lost_to; /* them unless they are written again */
 } file_t;
 
-/* A change of the directory that is not synced; a power failure undoes any of them, but of the
+/* A change of a directory that is not synced; a power failure undoes any of them, but of the
  * changes of one name the newest first. */
 typedef struct {
+	char parent[192]; /* the directory */
+	bool is_dir; /* a directory was created */
 	bool removed; /* or replaced; else created */
 	char name[64];
 	buf_t content; /* of a removed or replaced file */
@@ -56,6 +59,7 @@
 } model_t;
 
 static char root_dir[64];
+static char data_dir[80];
 static char dir[96];
 static store_t *store;
 static store_contents_t contents;
@@ -81,10 +85,16 @@
 	return slash ? slash + 1 : path;
 }
 
-static void add_change(const change_t *c)
+static void add_change_in(const char *parent, const change_t *c)
 {
 	ck_assert_uint_lt(disk.nchanges, CHANGES_MAX);
-	disk.changes[disk.nchanges++] = *c;
+	disk.changes[disk.nchanges] = *c;
+	snprintf(disk.changes[disk.nchanges++].parent, sizeof(c->parent), "%s", parent);
+}
+
+static void add_change(const change_t *c)
+{
+	add_change_in(dir, c);
 }
 
 static file_t *find_file(const char *name)
@@ -126,14 +136,23 @@
 	return add_file(name, 0);
 }
 
-/* Returns the segment that fd is open for, or NULL. */
-static file_t *segment_of(int fd)
+static bool path_of(int fd, char path[256])
 {
 	char link[64];
-	char path[256] = {0};
+	ssize_t n;
 
 	snprintf(link, sizeof(link), "/proc/self/fd/%d", fd);
-	if (readlink(link, path, sizeof(path) - 1) < 0 || !is_segment(base_name(path)))
+	n = readlink(link, path, 255);
+	path[n < 0 ? 0 : n] = 0;
+	return n >= 0;
+}
+
+/* Returns the segment that fd is open for, or NULL. */
+static file_t *segment_of(int fd)
+{
+	char path[256];
+
+	if (!path_of(fd, path) || !is_segment(base_name(path)))
 		return NULL;
 	return find_or_create(base_name(path));
 }
@@ -186,11 +205,26 @@
 		buf_free(&disk.changes[--disk.nchanges].content);
 }
 
+static void forget_changes_in(const char *parent)
+{
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < disk.nchanges; i++) {
+		if (strcmp(disk.changes[i].parent, parent) == 0)
+			buf_free(&disk.changes[i].content);
+		else
+			disk.changes[n++] = disk.changes[i];
+	}
+	disk.nchanges = n;
+}
+
 /* Only directories are synced by fsync. */
 int fsync(int fd)
 {
-	if (!disk.syncs_fail)
-		forget_changes();
+	char path[256];
+
+	if (!disk.syncs_fail && path_of(fd, path))
+		forget_changes_in(path);
 	errno = EIO;
 	return disk.syncs_fail ? -1 : 0;
 }
@@ -227,11 +261,43 @@
 	return renameat(AT_FDCWD, from, AT_FDCWD, to);
 }
 
+int mkdir(const char *path, mode_t mode)
+{
+	change_t c = {.is_dir = true};
+	char parent[192];
+
+	if (mkdirat(AT_FDCWD, path, mode) != 0)
+		return -1;
+	snprintf(c.name, sizeof(c.name), "%s", base_name(path));
+	snprintf(parent, sizeof(parent), "%.*s", (int)(base_name(path) - path) - 1, path);
+	add_change_in(parent, &c);
+	return 0;
+}
+
+static int remove_file(const char *path, const struct stat *sb, int type, struct FTW *f)
+{
+	return remove(path);
+}
+
+/* All segments are in the directories below. */
+static void undo_mkdir(const change_t *c)
+{
+	char path[260];
+
+	snprintf(path, sizeof(path), "%s/%s", c->parent, c->name);
+	nftw(path, remove_file, 16, FTW_DEPTH | FTW_PHYS);
+	disk.nfiles = 0;
+}
+
 static void undo_change(change_t *c)
 {
 	char path[256];
 	int fd;
 
+	if (c->is_dir) {
+		undo_mkdir(c);
+		return;
+	}
 	file_path(c->name, path);
 	if (!c->removed) {
 		drop_file(c->name);
@@ -344,19 +410,19 @@
 	return store_open(&o, &store, &contents);
 }
 
-static int remove_file(const char *path, const struct stat *sb, int type, struct FTW *f)
-{
-	return remove(path);
-}
-
 static void setup(void)
 {
 	const char *tmp = getenv("TMPDIR");
+	char resolved[PATH_MAX];
 
 	repair_disk();
 	snprintf(root_dir, sizeof(root_dir), "%s/auburn-rr-XXXXXX", tmp ? tmp : "/tmp");
 	ck_assert_ptr_nonnull(mkdtemp(root_dir));
-	snprintf(dir, sizeof(dir), "%s/a", root_dir);
+	ck_assert_ptr_nonnull(realpath(root_dir, resolved));
+	ck_assert_uint_lt(strlen(resolved), sizeof(root_dir));
+	memcpy(root_dir, resolved, strlen(resolved) + 1);
+	snprintf(data_dir, sizeof(data_dir), "%s/data", root_dir);
+	snprintf(dir, sizeof(dir), "%s/a", data_dir);
 	ck_assert_int_eq(reopen(), STATUS_OK);
 	forget_changes();
 }
@@ -534,8 +600,39 @@
 	return disk.space < 0 && !disk.syncs_fail;
 }
 
+/* Ends the store and takes its directory and the one above away. */
+static void remove_data(void)
+{
+	store_close(store);
+	store = NULL;
+	nftw(data_dir, remove_file, 16, FTW_DEPTH | FTW_PHYS);
+	disk.nfiles = 0;
+	forget_changes();
+}
+
+/* Starts in a new directory, at first a few times on a disk that refuses or with a kill. */
+static void begin_in_new_folder(void)
+{
+	remove_data();
+	for (int i = rand() % 3; i > 0; i--) {
+		break_disk();
+		if (reopen() == STATUS_OK)
+			store_close(store);
+		if (rand() % 2)
+			fail_power();
+		repair_disk();
+		if (rand() % 2)
+			mkdir(data_dir, 0700);
+		if (rand() % 2)
+			mkdir(dir, 0700);
+	}
+	ck_assert_msg(reopen() == STATUS_OK, "%s", status_message());
+}
+
 START_TEST(what_was_synced_survives_refused_writes_failed_syncs_and_crashes)
 {
+	srand((unsigned)_i);
+	begin_in_new_folder();
 	srand((unsigned)_i);
 	for (int round = 0; round < 400; round++) {
 		for (int i = rand() % 12; i > 0; i--)
@@ -649,6 +746,51 @@
 }
 END_TEST
 
+/* Appends an entry under a term and a vote; both must survive a loss of power. */
+static void check_that_a_vote_lasts(void)
+{
+	store_queue_hard_state(store, 1, 1, 8);
+	ck_assert_int_eq(append(1), STATUS_OK);
+	store_close(store);
+	lose_unsynced();
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	ck_assert_uint_eq(contents.nentries, 1);
+	ck_assert_uint_eq(contents.vote, 8);
+}
+
+START_TEST(a_folder_that_a_killed_start_left_unsynced_is_lasting_before_a_vote)
+{
+	remove_data();
+	ck_assert_int_eq(mkdir(data_dir, 0700), 0);
+	forget_changes();
+	ck_assert_int_eq(mkdir(dir, 0700), 0); /* the start is killed here */
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	check_that_a_vote_lasts();
+}
+END_TEST
+
+START_TEST(a_folder_whose_sync_failed_is_lasting_before_a_vote)
+{
+	remove_data();
+	ck_assert_int_eq(mkdir(data_dir, 0700), 0);
+	forget_changes();
+	disk.syncs_fail = true;
+	ck_assert_int_eq(reopen(), STATUS_IO);
+	repair_disk();
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	check_that_a_vote_lasts();
+}
+END_TEST
+
+START_TEST(the_folder_above_is_lasting_before_a_vote)
+{
+	remove_data();
+	ck_assert_int_eq(mkdir(data_dir, 0700), 0);
+	ck_assert_int_eq(reopen(), STATUS_OK);
+	check_that_a_vote_lasts();
+}
+END_TEST
+
 int main(void)
 {
 	const char *seeds = getenv("AUBURN_STORE_SEEDS");
@@ -662,6 +804,9 @@
 		t, a_segment_that_could_not_be_begun_does_not_come_back_in_place_of_later_records);
 	tcase_add_test(t, a_sync_mark_that_a_crash_tore_before_later_records_is_no_damage);
 	tcase_add_test(t, a_removed_segment_that_comes_back_alone_is_no_damage);
+	tcase_add_test(t, a_folder_that_a_killed_start_left_unsynced_is_lasting_before_a_vote);
+	tcase_add_test(t, a_folder_whose_sync_failed_is_lasting_before_a_vote);
+	tcase_add_test(t, the_folder_above_is_lasting_before_a_vote);
 	tcase_add_loop_test(t, what_was_synced_survives_refused_writes_failed_syncs_and_crashes, 1,
 			    1 + (seeds ? atoi(seeds) : FIXED_SEEDS));
 	tcase_set_timeout(t, 120);
