--- a/src/raft/store_snapshot.c
+++ b/src/raft/store_snapshot.c
@@ -203,6 +203,30 @@
 	store_segments_remove(s, store_newest_snapshot(s));
 }
 
+static store_snap_t *find_snap(store_t *s, uint64_t index)
+{
+	for (unsigned i = s->nsnaps; i > 0; i--) {
+		if (index == 0 || s->snaps[i - 1].index == index)
+			return &s->snaps[i - 1];
+	}
+	return NULL;
+}
+
+/* Removes a file that was written and could not be listed: it would keep its space to the next
+ * start. */
+static void remove_unlisted(store_t *s, uint64_t index)
+{
+	char path[STORE_PATH_BYTES];
+	bool listed;
+
+	pthread_mutex_lock(&s->lock);
+	listed = find_snap(s, index) != NULL;
+	pthread_mutex_unlock(&s->lock);
+	snap_path(s, index, path);
+	if (!listed)
+		unlink(path);
+}
+
 /* Opens the snapshot file just written and adds it to the list. */
 static status_t add_written_snap(store_t *s, uint64_t index)
 {
@@ -281,23 +305,15 @@
 		return STATUS_OK;
 	snprintf(name, sizeof(name), "snap-%016lx", (unsigned long)index);
 	st = store_file_replace(&s->fault, s->dir, name, parts, sizeof(parts) / sizeof(parts[0]));
-	if (st != STATUS_OK)
-		return st;
-	st = add_written_snap(s, index);
+	if (st == STATUS_OK)
+		st = add_written_snap(s, index);
 	if (st == STATUS_OK)
 		store_segments_remove(s, store_oldest_snapshot(s));
+	else
+		remove_unlisted(s, index);
 	return st;
 }
 
-static store_snap_t *find_snap(store_t *s, uint64_t index)
-{
-	for (unsigned i = s->nsnaps; i > 0; i--) {
-		if (index == 0 || s->snaps[i - 1].index == index)
-			return &s->snaps[i - 1];
-	}
-	return NULL;
-}
-
 bool store_read_snapshot(store_t *s, raft_snap_chunk_t *c)
 {
 	store_snap_t *sn;
@@ -377,7 +393,11 @@
 		st = status_fail(STATUS_IO, "%s: rename: %s", path, strerror(errno));
 	if (st == STATUS_OK)
 		st = store_dir_sync(&s->fault, s->dir);
-	return st == STATUS_OK ? add_written_snap(s, c->index) : st;
+	if (st == STATUS_OK)
+		st = add_written_snap(s, c->index);
+	if (st != STATUS_OK)
+		remove_unlisted(s, c->index);
+	return st;
 }
 
 static status_t write_incoming(store_t *s, const raft_snap_chunk_t *c, const char *path)
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -737,6 +737,43 @@
 }
 END_TEST
 
+static bool has_snapshot_file(uint64_t index)
+{
+	AUTO_FREE uint64_t *numbers = NULL;
+	bool has = false;
+	size_t n;
+
+	ck_assert_int_eq(store_list_numbered_files(dir, "snap-", &numbers, &n), STATUS_OK);
+	for (size_t i = 0; i < n; i++)
+		has |= numbers[i] == index;
+	return has;
+}
+
+START_TEST(a_snapshot_whose_name_could_not_be_synced_keeps_no_space)
+{
+	AUTO_BUF members = {0};
+	raft_members_t nobody = {0};
+	raft_snap_chunk_t c = {.index = 50, .term = 2, .data = STR("state"), .last = true};
+
+	raft_members_encode(&nobody, &members);
+	c.members = str_buf(&members);
+	c.crc = store_crc(0, c.data.p, c.data.n);
+	append_synced(1, 1, STR("a"));
+	store->fault.fsync_fail_after = 1;
+	ck_assert_int_eq(store_save_snapshot(store, 1, 1, c.members, STR("s")), STATUS_IO);
+	ck_assert(!has_snapshot_file(1));
+	store->fault.fsync_fail_after = 1;
+	ck_assert_int_eq(store_receive_snapshot(store, &c), STATUS_IO);
+	ck_assert(!has_snapshot_file(50));
+	store->fault.fsync_fail_after = -1;
+	ck_assert_int_eq(store_receive_snapshot(store, &c), STATUS_OK);
+	/* The listed snapshot is needed. */
+	store->fault.fsync_fail_after = 1;
+	ck_assert_int_eq(store_receive_snapshot(store, &c), STATUS_IO);
+	ck_assert(has_snapshot_file(50));
+}
+END_TEST
+
 /* As after a received snapshot that could not be read back at once. */
 START_TEST(a_snapshot_that_is_received_twice_keeps_its_file)
 {
@@ -931,6 +968,7 @@
 		       a_torn_header_of_the_segment_after_a_refused_write_is_not_taken_for_damage);
 	tcase_add_test(t, damage_to_the_recorded_end_of_a_segment_loses_no_entry);
 	tcase_add_test(t, a_segment_without_term_and_vote_does_not_outlive_the_one_that_has_them);
+	tcase_add_test(t, a_snapshot_whose_name_could_not_be_synced_keeps_no_space);
 	tcase_add_test(t, a_snapshot_that_is_received_twice_keeps_its_file);
 	tcase_add_loop_test(t, a_torn_write_leaves_a_prefix_of_the_records, 1, 9);
 	tcase_set_timeout(t, 60);
