--- a/tests/unit/test_store_disk.c
+++ b/tests/unit/test_store_disk.c
@@ -2,6 +2,8 @@
  * failure what was not synced. The system calls of the store are replaced in this program.
  * Guards against records that count as durable and are not.
  * The random test runs FIXED_SEEDS seeds, or as many as AUBURN_STORE_SEEDS says. */
+#include <dirent.h>
+#include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <ftw.h>
@@ -274,6 +276,35 @@
 	return 0;
 }
 
+static struct dirent held[FILES_MAX]; /* listed when the others have been */
+static unsigned nheld;
+
+static struct dirent *read_real(DIR *d)
+{
+	return ((struct dirent * (*)(DIR *)) dlsym(RTLD_NEXT, "readdir"))(d);
+}
+
+/* Lists snapshots last. */
+struct dirent *readdir(DIR *d)
+{
+	struct dirent *e = read_real(d);
+
+	while (e && strncmp(e->d_name, "snap-", 5) == 0) {
+		ck_assert_uint_lt(nheld, FILES_MAX);
+		held[nheld++] = *e;
+		e = read_real(d);
+	}
+	if (e || nheld == 0)
+		return e;
+	return &held[--nheld];
+}
+
+int closedir(DIR *d)
+{
+	nheld = 0;
+	return ((int (*)(DIR *))dlsym(RTLD_NEXT, "closedir"))(d);
+}
+
 static int remove_file(const char *path, const struct stat *sb, int type, struct FTW *f)
 {
 	return remove(path);
@@ -791,6 +822,37 @@
 }
 END_TEST
 
+/* Makes a directory with one entry and a snapshot that has lost its id file. */
+static void lose_id(void)
+{
+	AUTO_BUF conf = {0};
+	raft_members_t none = {0};
+	char path[256];
+
+	raft_members_encode(&none, &conf);
+	ck_assert_int_eq(append(1), STATUS_OK);
+	ck_assert_int_eq(store_save_snapshot(store, 1, 1, str_buf(&conf), STR("s")), STATUS_OK);
+	store_close(store);
+	file_path("id", path);
+	ck_assert_int_eq(unlink(path), 0);
+}
+
+static void check_log_is_kept(void)
+{
+	char path[256];
+
+	file_path("log-0000000000000001", path);
+	ck_assert_int_eq(access(path, F_OK), 0);
+}
+
+START_TEST(a_directory_that_has_lost_its_id_keeps_its_log)
+{
+	lose_id();
+	ck_assert_int_eq(reopen(), STATUS_CORRUPT);
+	check_log_is_kept();
+}
+END_TEST
+
 int main(void)
 {
 	const char *seeds = getenv("AUBURN_STORE_SEEDS");
@@ -807,6 +869,7 @@
 	tcase_add_test(t, a_folder_that_a_killed_start_left_unsynced_is_lasting_before_a_vote);
 	tcase_add_test(t, a_folder_whose_sync_failed_is_lasting_before_a_vote);
 	tcase_add_test(t, the_folder_above_is_lasting_before_a_vote);
+	tcase_add_test(t, a_directory_that_has_lost_its_id_keeps_its_log);
 	tcase_add_loop_test(t, what_was_synced_survives_refused_writes_failed_syncs_and_crashes, 1,
 			    1 + (seeds ? atoi(seeds) : FIXED_SEEDS));
 	tcase_set_timeout(t, 120);
