Store: a folder without an id that can't be listed whole isn't created anew

An error of readdir counted as the end of the list.

The damage was reported nowhere.

Both passes over the list now return STATUS_IO for such an error, which the process tries again; nothing is removed before the list was read whole.

--- a/src/raft/store_open.c
+++ b/src/raft/store_open.c
@@ -56,44 +56,49 @@
 				  &(str_t){(const char *)&f, sizeof(f)}, 1);
 }
 
-static bool lists_snapshot(DIR *d)
+static status_t list_error(const store_t *s)
+{
+	return status_fail(STATUS_IO, "%s: list: %s", s->dir, strerror(errno));
+}
+
+/* A directory with a snapshot was complete, so its missing id is damage. */
+static status_t check_no_snapshot(const store_t *s, DIR *d)
 {
 	const struct dirent *e;
 
-	while ((e = readdir(d))) {
+	while ((errno = 0, e = readdir(d))) {
 		if (strncmp(e->d_name, "snap-", 5) == 0)
-			return true;
+			return status_fail(STATUS_CORRUPT, "%s/%s: offset 0: the file is missing",
+					   s->dir, ID_FILE_NAME);
 	}
-	return false;
+	return errno ? list_error(s) : STATUS_OK;
 }
 
-static void remove_listed_segments(const store_t *s, DIR *d)
+static status_t remove_listed_segments(const store_t *s, DIR *d)
 {
 	char path[STORE_PATH_BYTES * 2];
 	const struct dirent *e;
 
-	while ((e = readdir(d))) {
+	while ((errno = 0, e = readdir(d))) {
 		snprintf(path, sizeof(path), "%s/%s", s->dir, e->d_name);
 		if (strncmp(e->d_name, "log-", 4) == 0)
 			unlink(path);
 	}
+	return errno ? list_error(s) : STATUS_OK;
 }
 
-/* Removes the files of an interrupted creation. A directory with a snapshot was complete, so its
- * missing id is damage. */
+/* Removes the files of an interrupted creation. */
 static status_t remove_partial_files(const store_t *s)
 {
 	DIR *d = opendir(s->dir);
-	status_t st = STATUS_OK;
+	status_t st;
 
 	if (!d)
-		return status_fail(STATUS_IO, "%s: list: %s", s->dir, strerror(errno));
-	if (lists_snapshot(d))
-		st = status_fail(STATUS_CORRUPT, "%s/%s: offset 0: the file is missing", s->dir,
-				 ID_FILE_NAME);
+		return list_error(s);
+	st = check_no_snapshot(s, d);
 	rewinddir(d);
 	if (st == STATUS_OK)
-		remove_listed_segments(s, d);
+		st = remove_listed_segments(s, d);
 	closedir(d);
 	return st;
 }
--- a/tests/unit/test_store_disk.c
+++ b/tests/unit/test_store_disk.c
@@ -45,6 +45,7 @@
 static struct {
 	long space; /* bytes that can be written; -1: no limit */
 	bool syncs_fail;
+	bool lists_fail; /* a directory's list ends with an error before its first snapshot */
 	file_t files[FILES_MAX];
 	unsigned nfiles;
 	change_t changes[CHANGES_MAX];
@@ -296,6 +297,10 @@
 	}
 	if (e || nheld == 0)
 		return e;
+	if (disk.lists_fail) {
+		errno = EIO;
+		return NULL;
+	}
 	return &held[--nheld];
 }
 
@@ -421,6 +426,7 @@
 {
 	disk.space = -1;
 	disk.syncs_fail = false;
+	disk.lists_fail = false;
 }
 
 static void break_disk(void)
@@ -853,6 +859,17 @@
 }
 END_TEST
 
+START_TEST(a_directory_without_an_id_that_can_be_listed_in_part_keeps_its_log)
+{
+	lose_id();
+	disk.lists_fail = true;
+	ck_assert_int_eq(reopen(), STATUS_IO);
+	check_log_is_kept();
+	repair_disk();
+	ck_assert_int_eq(reopen(), STATUS_CORRUPT);
+}
+END_TEST
+
 int main(void)
 {
 	const char *seeds = getenv("AUBURN_STORE_SEEDS");
@@ -870,6 +887,7 @@
 	tcase_add_test(t, a_folder_whose_sync_failed_is_lasting_before_a_vote);
 	tcase_add_test(t, the_folder_above_is_lasting_before_a_vote);
 	tcase_add_test(t, a_directory_that_has_lost_its_id_keeps_its_log);
+	tcase_add_test(t, a_directory_without_an_id_that_can_be_listed_in_part_keeps_its_log);
 	tcase_add_loop_test(t, what_was_synced_survives_refused_writes_failed_syncs_and_crashes, 1,
 			    1 + (seeds ? atoi(seeds) : FIXED_SEEDS));
 	tcase_set_timeout(t, 120);
