--- a/src/raft/group_disk.c
+++ b/src/raft/group_disk.c
@@ -2,6 +2,7 @@
 #include "raft/group_internal.h"
 
 #include <assert.h>
+#include <string.h>
 #include "base/log.h"
 #include "base/metric.h"
 
@@ -138,6 +139,12 @@
 	return NULL;
 }
 
+static void log_snapshot_failed(const group_t *g, const char *what)
+{
+	log_event(LOG_LEVEL_ERROR, "snapshot_failed", LOG_INT("group", g->options.group),
+		  LOG_INT("index", g->snap_index), LOG_CSTR("what", what));
+}
+
 static void *snapshot_thread_main(void *arg)
 {
 	group_t *g = arg;
@@ -150,8 +157,7 @@
 	if (st == STATUS_OK && g->snap_cuts)
 		store_cut_log(g->store);
 	if (st != STATUS_OK)
-		log_event(LOG_LEVEL_ERROR, "snapshot_failed", LOG_INT("group", g->options.group),
-			  LOG_INT("index", g->snap_index), LOG_CSTR("what", status_message()));
+		log_snapshot_failed(g, status_message());
 	pthread_mutex_lock(&g->lock);
 	g->snap_failed = st != STATUS_OK;
 	g->snap_ended = true;
@@ -160,10 +166,19 @@
 	return NULL;
 }
 
+/* Makes a snapshot that failed due again after a pause. */
+static void postpone_snapshot(group_t *g)
+{
+	g->snap_index = store_newest_snapshot(g->store);
+	g->applied_bytes += g->snap_bytes;
+	g->next_snap = clock_now_ms() + SNAPSHOT_RETRY_MS;
+}
+
 /* Serializes the state as of the last applied entry and starts the thread that writes it. */
 void group_snapshot_begin(group_t *g, bool cut)
 {
 	raft_members_t members;
+	int err;
 
 	assert(!g->snap_running);
 	g->snap_index = raft_applied_index(g->raft);
@@ -176,9 +191,13 @@
 	g->snap_bytes = g->applied_bytes;
 	g->applied_bytes = 0;
 	g->snap_cuts = cut;
-	g->snap_running = true;
-	if (pthread_create(&g->snap_thread, NULL, snapshot_thread_main, g) != 0)
-		g->snap_running = false;
+	err = pthread_create(&g->snap_thread, NULL, snapshot_thread_main, g);
+	g->snap_running = err == 0;
+	if (g->snap_running)
+		return;
+	log_snapshot_failed(g, strerror(err));
+	buf_free(&g->snap_state);
+	postpone_snapshot(g);
 }
 
 void group_cut_done(group_t *g)
@@ -195,11 +214,8 @@
 void group_snapshot_end(group_t *g)
 {
 	group_snapshot_join(g);
-	if (g->snap_failed) {
-		g->snap_index = store_newest_snapshot(g->store);
-		g->applied_bytes += g->snap_bytes;
-		g->next_snap = clock_now_ms() + SNAPSHOT_RETRY_MS;
-	}
+	if (g->snap_failed)
+		postpone_snapshot(g);
 	raft_compact(g->raft, g->snap_cuts ? store_newest_snapshot(g->store)
 					   : store_oldest_snapshot(g->store));
 	if (g->snap_cuts)
--- a/tests/unit/test_group.c
+++ b/tests/unit/test_group.c
@@ -1,6 +1,8 @@
 /* Tests of a replicated group at run time (raft/group.h): up to five replicas in one process,
  * which send messages by function calls and use real files. Guard against acknowledged commands
  * that are lost, and stale reads, when a leader or a disk fails. */
+#include <dlfcn.h>
+#include <errno.h>
 #include <fcntl.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -8,11 +10,14 @@
 #include <string.h>
 #include <unistd.h>
 #include <ftw.h>
+#include <glob.h>
+#include "base/log.h"
 #include "raft/group.h"
 #include "suite_kit.h"
 
-#define REPLICAS_MAX 5
-#define WAIT_MS	     30000
+#define REPLICAS_MAX	 5
+#define WAIT_MS		 30000
+#define SNAPSHOT_WAIT_MS 3000 /* a failed one is tried again after 1 s */
 
 /* A replica. Its state machine adds up the numbers in the commands. */
 typedef struct {
@@ -27,6 +32,19 @@
 
 static node_t nodes[REPLICAS_MAX];
 static char root_dir[64];
+static _Atomic int threads_refused; /* threads that still can't be created */
+
+int pthread_create(pthread_t *t, const pthread_attr_t *attr, void *(*fn)(void *), void *arg)
+{
+	typedef int create_fn_t(pthread_t *, const pthread_attr_t *, void *(*)(void *), void *);
+
+	if (threads_refused > 0) {
+		threads_refused--;
+		*t = 0;
+		return EAGAIN;
+	}
+	return ((create_fn_t *)dlsym(RTLD_NEXT, "pthread_create"))(t, attr, fn, arg);
+}
 
 static uint64_t parse_number(str_t cmd)
 {
@@ -563,6 +581,39 @@
 }
 END_TEST
 
+/* True if the folder of replica i holds a snapshot. */
+static bool has_snapshot(unsigned i)
+{
+	char pattern[128];
+	glob_t found;
+	bool has;
+
+	snprintf(pattern, sizeof(pattern), "%s/%u/snap-*", root_dir, i);
+	has = glob(pattern, 0, NULL, &found) == 0;
+	globfree(&found);
+	return has;
+}
+
+START_TEST(a_snapshot_whose_thread_could_not_be_created_is_logged_and_tried_again)
+{
+	AUTO_BUF lines = {0};
+	deadline_t d = wait_deadline();
+
+	ck_assert_int_eq(open_replica(0, 1, 20), STATUS_OK);
+	wait_leader(-1);
+	threads_refused = 1;
+	while (threads_refused && clock_left_ms(d) > 0)
+		ck_assert_int_eq(propose_number(0, "1"), STATUS_OK);
+	ck_assert_int_eq(threads_refused, 0);
+	d = clock_now_ms() + SNAPSHOT_WAIT_MS;
+	while (!has_snapshot(0) && clock_left_ms(d) > 0)
+		clock_sleep_ms(5);
+	log_find(&lines, STR("event=snapshot_failed"), 10);
+	ck_assert_uint_gt(lines.n, 0);
+	ck_assert(has_snapshot(0));
+}
+END_TEST
+
 enum { FULL_CAPACITY = 4 << 20, FULL_THREADS = 16, FULL_ENTRIES = 200, FULL_ENTRY = 4096 };
 
 /* Proposes 1 in entries of 4 KiB. */
@@ -659,6 +710,7 @@
 	tcase_add_test(t, a_replica_with_a_failed_disk_acknowledges_nothing);
 	tcase_add_test(t, a_replica_whose_disk_refused_writes_votes_again_once_the_disk_takes_them);
 	tcase_add_test(t, a_disk_that_is_full_of_old_log_entries_is_freed_by_a_snapshot);
+	tcase_add_test(t, a_snapshot_whose_thread_could_not_be_created_is_logged_and_tried_again);
 	tcase_add_test(t, the_log_leaves_the_last_space_on_the_disk_to_the_snapshot);
 	tcase_add_test(t, concurrent_proposals_share_syncs);
 	return suite_run(s);
