--- a/src/raft/store_open.c
+++ b/src/raft/store_open.c
@@ -56,39 +56,64 @@
 				  &(str_t){(const char *)&f, sizeof(f)}, 1);
 }
 
-/* Removes the files of an interrupted creation. A directory with a snapshot was complete, so its
- * missing id is damage. */
-static status_t remove_partial_files(const store_t *s)
+static status_t list_error(const store_t *s)
 {
-	DIR *d = opendir(s->dir);
-	status_t st = STATUS_OK;
-	struct dirent *e;
+	return status_fail(STATUS_IO, "%s: list: %s", s->dir, strerror(errno));
+}
 
-	if (!d)
-		return status_fail(STATUS_IO, "%s: list: %s", s->dir, strerror(errno));
-	while ((e = readdir(d))) {
-		char path[STORE_PATH_BYTES * 2];
+/* A directory with a snapshot was complete, so its missing id is damage. */
+static status_t check_no_snapshot(const store_t *s, DIR *d)
+{
+	const struct dirent *e;
 
+	while ((errno = 0, e = readdir(d))) {
 		if (strncmp(e->d_name, "snap-", 5) == 0)
-			st = status_fail(STATUS_CORRUPT, "%s/%s: offset 0: the file is missing",
-					 s->dir, ID_FILE_NAME);
+			return status_fail(STATUS_CORRUPT, "%s/%s: offset 0: the file is missing",
+					   s->dir, ID_FILE_NAME);
+	}
+	return errno ? list_error(s) : STATUS_OK;
+}
+
+static status_t remove_listed_segments(const store_t *s, DIR *d)
+{
+	char path[STORE_PATH_BYTES * 2];
+	const struct dirent *e;
+
+	while ((errno = 0, e = readdir(d))) {
 		snprintf(path, sizeof(path), "%s/%s", s->dir, e->d_name);
-		if (st == STATUS_OK && strncmp(e->d_name, "log-", 4) == 0)
+		if (strncmp(e->d_name, "log-", 4) == 0)
 			unlink(path);
 	}
+	return errno ? list_error(s) : STATUS_OK;
+}
+
+/* Removes the files of an interrupted creation. */
+static status_t remove_partial_files(const store_t *s)
+{
+	DIR *d = opendir(s->dir);
+	status_t st;
+
+	if (!d)
+		return list_error(s);
+	st = check_no_snapshot(s, d);
+	rewinddir(d);
+	if (st == STATUS_OK)
+		st = remove_listed_segments(s, d);
 	closedir(d);
 	return st;
 }
 
-/* Creates the first segment. The id file is written last: its presence marks a complete
- * directory. */
+/* Creates the directory and the first segment. The id file is written last: its presence marks a
+ * complete directory whose name is synced. */
 static status_t create_dir(store_t *s, const store_options_t *o)
 {
 	AUTO_BUF members = {0};
 	raft_entry_t e = {.kind = RAFT_ENTRY_MEMBERS};
 	uint64_t seq;
-	status_t st = remove_partial_files(s);
+	status_t st = store_dir_make(&s->fault, s->dir);
 
+	if (st == STATUS_OK)
+		st = remove_partial_files(s);
 	if (st != STATUS_OK)
 		return st;
 	s->id = o->new_id;
@@ -113,10 +138,10 @@
 
 static status_t open_dir(store_t *s, const store_options_t *o, store_contents_t *contents)
 {
-	status_t st = store_dir_make(&s->fault, s->dir);
+	status_t st = STATUS_OK;
 
 	contents->created = !store_exists(s->dir);
-	if (st == STATUS_OK && contents->created)
+	if (contents->created)
 		st = create_dir(s, o);
 	if (st == STATUS_OK)
 		st = read_id(s);
