The soak's checks move into a judge of written histories, and check more rules

A finding keeps its folder with findings.txt, which has the timeline of the first finding of each rule.

A replica's stream keeps the form that its head announced.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -1,9 +1,10 @@
 #!/usr/bin/env python3
-"""Randomised faults against real processes; checks the guarantees by what callers and replicas observe.
+"""Randomised faults against real processes; tests/proc/judge.py checks what callers, replicas and operators saw.
 
     tests/platform_soak.py [--seeds FIRST..LAST | --regress] [--seconds S] [--jobs N]
 
-Prints a line for each seed and `N passed, N failed` last. Logs of a failed seed are kept.
+Prints a line for each seed and `N passed, N failed` last. The folder of a failed seed is kept, with the findings and a
+timeline of each in findings.txt.
 
 Guards against defects that show only when several things fail at once: callers, operators and batch lots go on while
 control processes, entries, replicas, their connections and the upstream list fail. A seed doesn't repeat a run exactly,
@@ -12,29 +13,45 @@
 import argparse
 import asyncio
 import concurrent.futures
+import contextlib
 import json
 import os
 import random
+import re
 import shutil
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "proc"))
-from platform_kit import HOST, Kit, event_text, read_message  # noqa: E402
+from judge import (Bounds, BodyRead, Call, Change, ConfigRead, Disruption, History, Key, Lot, LotRead,  # noqa: E402
+                   Request, judge)
+from platform_kit import HOST  # noqa: E402
+from soak_kit import ERROR_HEAD, EVENTS, ODD_ENTRIES, SoakKit, connect, send  # noqa: E402
 
-APPLY_S = 2.0       # a config must be in force everywhere this long after its acknowledgement
-DRAIN_S = 3.0       # a leaving replica gets no request later than this after the first complete answer that says so
 SETTLE_S = 25.0     # lots must be finished this long after the last fault
-REVOKE_S = 2.5      # a request sent later than this after a key was revoked must not run
+REVOKE_S = Bounds().revoke_s
 CUSTOMER_SEEDS = 1000   # runs with seeds from here on have customers
 DISK_SEEDS = 2000       # from here on also disks of control processes that refuse writes
+MACHINE_SEEDS = 3000    # from here on also replicas that stand still, odd upstream lists, more routes and operators
+MAX_QUEUED = 22000      # batch tokens that may wait, from MACHINE_SEEDS on
+OPEN_TRIES = 6          # to open a lot
 LOSS_GAP_S = 8.0        # between two losses of a disk
 QUOTA = {"ratePerS": 3, "burst": 3}     # of one customer, which sends more
 QUOTA_WINDOW_S, QUOTA_MAX = 5.0, (3 * 5 + 3) * 1.1 + 20     # runs in any such window
 
 
+def reset(writer):
+    """Resets a connection; abort() alone ends it like a complete answer without a length."""
+    sock = writer.get_extra_info("socket")
+    if not writer.transport.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Relay:
     """A TCP relay in front of a replica: delays bytes, holds them in one or both directions, or resets connections."""
 
@@ -75,13 +92,13 @@
                 writer.write(data)
                 await writer.drain()
         except (OSError, ConnectionError):
-            pass
+            reset(writer)
         writer.transport.abort()
 
     def reset(self):
-        for a, b in list(self.pairs):
-            a.transport.abort()
-            b.transport.abort()
+        for pair in list(self.pairs):
+            for writer in pair:
+                reset(writer)
 
 
 class Customers:
@@ -158,22 +175,23 @@
         self.replica_rng = random.Random(seed + 0x5eed)  # of replica_faults(): older seeds draw as before
         random.seed(seed)
         self.seconds = seconds
-        self.kit = Kit(controls=self.rng.choice([3, 4]), fronts=3, replicas=4,
-                       revoke_ms=int(REVOKE_S * 1000) if seed >= CUSTOMER_SEEDS else 0)
+        self.machines = seed >= MACHINE_SEEDS
+        self.kit = SoakKit(controls=self.rng.choice([3, 4]), fronts=3, replicas=6 if self.machines else 4,
+                           revoke_ms=int(REVOKE_S * 1000) if seed >= CUSTOMER_SEEDS else 0, names_runs=True)
         self.customers = Customers(seed) if seed >= CUSTOMER_SEEDS else NoCustomers()
         self.failures = []
-        self.online = []            # (route, request id, status, body)
-        self.lots = {}              # lot id: {items, statuses, accepted, ended, seen}
-        self.acked_configs = []     # (time of the acknowledgement, version)
-        self.refused = set()
+        self.history = History(runs=self.kit.runs, events=EVENTS, services={r.id: r.service for r in self.kit.replicas},
+                               starts={p.name: [time.time()] for p in self.kit.fronts + self.kit.controls})
+        self.by_version = {}        # version: last Change sent under it
+        self.last_key_change = None
         self.stop = False
-        self.faulted = set()        # ids of replicas that had a fault
-        self.announcements = []     # (id of a leaving replica, time when the first answer that announces it ended)
         self.disk_rng = random.Random(seed + 0xd15c)    # of disk_faults()
         self.last_wipe = 0.0
         self.control_lock = asyncio.Lock()  # held by a fault that stops or restarts control processes
         self.failing_disk = None    # control process whose disk refuses writes, or did until just before
+        self.machine_rng = random.Random(seed + 0x3ac)  # of what runs from MACHINE_SEEDS on have besides
         self.faults_begun = []
+        self.fault_s = seconds * 0.45 if self.machines else seconds     # of faults(), then only machine_faults() go on
 
     def fail(self, message):
         self.failures.append(message)
@@ -183,11 +201,32 @@
 
     # ---- load ----
 
+    @contextlib.contextmanager
+    def disruption(self, kind, *targets):
+        """Records a disruption of processes, replicas (by id), the core or the list."""
+        started, n = time.time(), len(self.history.disruptions)
+        self.history.disruptions += [Disruption(t, kind, started, float("inf")) for t in targets]
+        try:
+            yield
+        finally:
+            for i in range(n, n + len(targets)):
+                self.history.disruptions[i] = self.history.disruptions[i]._replace(end=time.time())
+
+    def request(self, front, route, path, rid, name=None, **more):
+        """A request as callers send it; it belongs to the history from now on."""
+        headers = {"host": HOST, "request-id": rid, "deadline-ms": str(int(more.get("wait_s", 5) * 1000)), "model": "m",
+                   "token-usage": "450,200", "prompt-prefix": "aa:100,bb:100,%s:250" % rid}
+        headers.update(more.pop("headers", {}))
+        headers.update((k.lower(), v) for k, v in self.customers.headers(rid, name))
+        q = Request(rid, route, path, front.name, time.time(), headers=headers, **more)
+        self.history.requests.append(q)
+        return q
+
     async def send_online(self, route):
         rid = self.rid()
-        s, _, b = await self.kit.stream(self.rng.choice(self.kit.fronts), "/%s/1" % route, rid,
-                                        headers=self.customers.headers(rid))
-        self.online.append((route, rid, s, b))
+        front = self.rng.choice(self.kit.fronts)
+        q = self.request(front, route, "/%s/1" % route, rid, sent_body=b"body of " + rid.encode())
+        await send(q, front.ip, self.kit.port)
 
     async def callers(self):
         """Sends online requests at random entries, each on a new connection, 25 a second on average."""
@@ -201,66 +240,85 @@
         """Sends requests on one connection until it is closed, then opens the next."""
         while not self.stop:
             try:
-                reader, writer = await asyncio.wait_for(asyncio.open_connection(front.ip, self.kit.port), 1)
-                while not self.stop:
-                    rid = self.rid()
-                    writer.write(("POST /alert/k HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 5000\r\n"
-                                  "%sContent-Length: 0\r\n\r\n" % (HOST, rid, "".join(
-                                      "%s: %s\r\n" % h for h in self.customers.headers(rid)))).encode())
-                    m = await asyncio.wait_for(read_message(reader), 7)
-                    if not m:
-                        break
-                    body = m[2]
-                    if m[1].get("transfer-encoding") == "chunked":
-                        while True:
-                            size = int(await asyncio.wait_for(reader.readline(), 7) or b"", 16)
-                            body += (await reader.readexactly(size + 2))[:-2]
-                            if size == 0:
-                                break
-                    self.online.append(("alert", rid, int(m[0][1]), body))
-                    if m[1].get("connection") == "close":
-                        break
-                    await asyncio.sleep(0.1)
-            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+                connection = await connect(front.ip, self.kit.port)
+            except (OSError, asyncio.TimeoutError):
                 await asyncio.sleep(0.1)
-            finally:
-                if "writer" in locals():
-                    writer.transport.abort()
+                continue
+            reader, writer = connection
+            kept = False
+            while not self.stop:
+                route = self.machine_rng.choice(["alert", "lookup", "write", "brief"]) if self.machines else "alert"
+                q = self.request(front, route, "/%s/k" % route, self.rid(), kept=kept)
+                stray = bytes(reader._buffer)
+                if stray:
+                    self.history.strays.append((front.name, time.time(), stray))
+                await send(q, front.ip, self.kit.port, connection)
+                if q.end != "complete" or q.answer_headers.get("connection") == "close":
+                    break
+                kept = True
+                await asyncio.sleep(0.1)
+            writer.transport.abort()
+
+    async def more_callers(self):
+        """Sends requests of all kinds, some of whose callers leave, to routes that stay and to those that change."""
+        rng, tasks = self.machine_rng, []
+        while not self.stop:
+            front, rid, leave_s, wait_s = rng.choice(self.kit.fronts), "%016x" % rng.getrandbits(64), None, 5
+            route = rng.choice(["lookup", "write", "brisk", "brisk", "long", "long", "moved", "probe", "probe", "probe"])
+            if route == "long":
+                leave_s, wait_s = rng.choice([None, rng.uniform(0.1, 1)]), 8
+            path = "/%s/1" % (rng.choice(self.recent_routes) if route == "probe" else route)
+            q = self.request(front, route, path, rid, "bob", sent_body=b"body of " + rid.encode(), wait_s=wait_s,
+                             probe=route == "probe")
+            tasks.append(asyncio.ensure_future(send(q, front.ip, self.kit.port, leave_s=leave_s)))
+            await asyncio.sleep(rng.expovariate(20))
+        await asyncio.gather(*tasks)
 
     async def open_lot(self, lot, items):
-        x = self.lots[lot]
-        for _ in range(6):
-            s = await self.kit.open_lot(self.rng.choice(self.kit.fronts), lot, items, self.customers.headers(lot, "ada"))
-            x["statuses"].append(s)
+        x = self.history.lots[lot]
+        for _ in range(OPEN_TRIES):
+            front, sent = self.rng.choice(self.kit.fronts), time.time()
+            s = await self.kit.open_lot(front, lot, items, self.customers.headers(lot, "ada"))
+            x.opens.append(Call(front.name, sent, time.time(), s))
             if s == 202:
-                x["accepted"] = True
                 return
             await asyncio.sleep(0.3)
 
     async def read_lot(self, lot):
-        """Reads the results repeatedly; a result must not change its position or content once it is listed."""
-        x = self.lots[lot]
-        while not self.stop or len(x["seen"]) < len(x["items"]) and not x["ended"]:
-            s, b = await self.kit.read_lot(self.rng.choice(self.kit.fronts), lot, 0, 500,
-                                           self.customers.headers(lot, "ada"))
+        """Reads the results repeatedly until all are listed, and after the last fault once more."""
+        x = self.history.lots[lot]
+        listed, last_read = 0, False
+        while not last_read:
+            refused = x.accepted is None and len(x.opens) == OPEN_TRIES
+            last_read = self.stop and (listed >= len(x.items) or refused or x.ended is not None
+                                       or time.time() > self.deadline)
+            front, sent = self.rng.choice(self.kit.fronts), time.time()
+            after = self.machine_rng.randrange(listed) if listed and self.machines else 0
+            s, b = await self.kit.read_lot(front, lot, after, 500, self.customers.headers(lot, "ada"))
+            x.reads.append(LotRead(front.name, sent, time.time(), s, after, b["results"] if b else None,
+                                   b["total"] if b else None, self.stop))
             if s == 200:
-                got = b["results"]
-                if got[:len(x["seen"])] != x["seen"][:len(got)]:
-                    self.fail("lot %s: a listed result changed its position or content" % lot)
-                if len(got) > len(x["seen"]):
-                    x["seen"] = got
-            elif s == 404 and x["accepted"] and self.stop:
-                self.fail("lot %s: read answered 404 after the lot was accepted" % lot)
-            if self.stop and time.time() > self.deadline:
-                return
+                listed = max(listed, after + len(b["results"]))
+            if self.machines and not self.stop and listed < len(x.items) and x.accepted:
+                await self.read_body(x)
             await asyncio.sleep(0.3)
 
+    async def read_body(self, lot):
+        front, sent = self.machine_rng.choice(self.kit.fronts), time.time()
+        item = self.machine_rng.choice(lot.items)["id"]
+        s, _, b = await self.kit.call(front.ip, self.kit.port, "GET", "/items/%s?id=%s" % (lot.id, item),
+                                      [("Host", HOST)] + list(self.customers.headers(lot.id, "ada")), b"", 4)
+        lot.bodies.append(BodyRead(front.name, sent, time.time(), s, item, b, self.stop))
+
     async def batch_load(self):
         """Opens lots, reads their results, and ends some of them early."""
         tasks = []
         while not self.stop:
             lot, items = self.kit.lot(self.rng.randint(1, 8), "%08x" % self.rng.getrandbits(32))
-            self.lots[lot] = {"items": items, "statuses": [], "accepted": False, "ended": None, "seen": []}
+            if self.machines and self.machine_rng.random() < 0.15:
+                for r in self.kit.replicas:
+                    r.item_statuses[items[0]["id"]] = 422 if items[0]["id"] < "8" else 500
+            self.history.lots[lot] = Lot(lot, items)
             tasks.append(asyncio.ensure_future(self.open_lot(lot, items)))
             tasks.append(asyncio.ensure_future(self.read_lot(lot)))
             if self.rng.random() < 0.15:
@@ -271,42 +329,100 @@
     async def end_lot(self, lot):
         await asyncio.sleep(self.rng.uniform(0.2, 2))
         for _ in range(20):
-            if await self.kit.end_lot(self.rng.choice(self.kit.fronts), lot, self.customers.headers(lot, "ada")) == 200:
-                self.lots[lot]["ended"] = time.time()
+            front, sent = self.rng.choice(self.kit.fronts), time.time()
+            s = await self.kit.end_lot(front, lot, self.customers.headers(lot, "ada"))
+            self.history.lots[lot].ends.append(Call(front.name, sent, time.time(), s))
+            if s == 200:
                 return
             await asyncio.sleep(0.2)
 
+    async def put(self, control, change):
+        """Sends a config to one control process; returns the status."""
+        sent = time.time()
+        change.tries.append((sent, float("inf"), 0))
+        n = len(change.tries) - 1
+        s = await self.kit.put(control, change.content)
+        change.tries[n] = (sent, time.time(), s)
+        return s
+
     async def submit(self, tries, extra=None):
         """Submits a config with the customers of now, if the run has any; returns its version, or 0."""
+        k = self.kit
         self.customers.change()
         customers = self.customers.config()
         with_customers = {"tenants": customers} if customers else {}
-        version = await self.kit.submit(tries=tries, extra=extra, **with_customers)
-        if version:
-            self.customers.acked(customers)
-        return version
+        if self.machines:
+            with_customers["quota"] = MAX_QUEUED
+        k.version += random.randint(1, 5)
+        change = Change(k.config(k.version, extra=extra, **with_customers))
+        self.history.changes.append(change)
+        for i in range(tries):
+            if await self.put(k.controls[i % len(k.controls)], change) == 200:
+                self.customers.acked(customers)
+                return change.version
+            await asyncio.sleep(0.1)
+        return 0
 
     async def operator(self):
         """Submits new versions of the config."""
         while not self.stop:
-            if await self.submit(3, "v%d" % self.rng.randint(0, 99)):
-                self.acked_configs.append((time.time(), self.kit.acked_version))
+            await self.submit(3, "v%d" % self.rng.randint(0, 99))
             await asyncio.sleep(self.rng.uniform(0.3, 1.5))
 
+    async def second_operator(self):
+        """Adds, moves and removes routes, sends invalid configs, other content under a version, and old changes again."""
+        k, rng = self.kit, self.machine_rng
+        while not self.stop:
+            await asyncio.sleep(rng.uniform(0.2, 1))
+            kind = rng.choice(["routes", "routes", "invalid", "race", "again"])
+            if kind == "routes":
+                name = "x%d" % rng.getrandbits(24)
+                added = sorted(r for r in k.routes if r != "moved")
+                if len(added) > 2:
+                    del k.routes[rng.choice(added)]
+                k.routes[name] = rng.choice(["llm", "aux"])
+                k.routes["moved"] = rng.choice(["llm", "aux"])
+                self.recent_routes = (self.recent_routes + [name])[-6:]
+                await self.submit(3)
+                continue
+            if kind == "again":
+                await self.put(rng.choice(k.controls), rng.choice(self.history.changes[-4:]))
+                continue
+            k.version += 1
+            contents = [k.config(k.version, quota=MAX_QUEUED, tenants=self.customers.config()) for _ in range(2)]
+            for n, content in enumerate(contents):
+                name = "y%d" % rng.getrandbits(24)
+                content["routes"].append(dict(content["routes"][0], name=name, pathPrefix="/%s/" % name))
+                self.recent_routes = (self.recent_routes + [name])[-6:]
+                if kind == "invalid":
+                    content["routes"][-1].update(rng.choice([{"service": "nobody"}, {"timeoutMs": 0},
+                                                             {"pathPrefix": "/brief/"}]))
+            changes = [Change(c, kind != "invalid") for c in contents[:1 if kind == "invalid" else 2]]
+            self.history.changes += changes
+            await asyncio.gather(*[self.put(rng.choice(k.controls), c) for c in changes])
+
+    async def read_config(self, control, final=False):
+        sent = time.time()
+        got = await self.kit.get(control)
+        self.history.config_reads.append(ConfigRead(control.name, sent, 200 if got else 0, got, final))
+        return got
+
     async def config_reader(self):
-        """Reads the config from random control processes; none may answer with an outdated version."""
+        """Reads the config from random control processes."""
         while not self.stop:
-            sent = time.time()
-            got = await self.kit.get(self.rng.choice(self.kit.controls))
-            due = max([v for t, v in self.acked_configs if t + APPLY_S < sent], default=0)
-            if got and got["version"] < due:
-                self.fail("read version %d of the config after %d was acknowledged" % (got["version"], due))
+            await self.read_config(self.rng.choice(self.kit.controls))
             await asyncio.sleep(0.3)
 
     # ---- faults ----
 
     async def downtime(self, procs, sig, s):
         """Sends a signal to the processes, and after s seconds continues or restarts them."""
+        core = ["core"] if any(p in self.kit.controls for p in procs) else []
+        with self.disruption({signal.SIGTERM: "term", signal.SIGSTOP: "stop"}.get(sig, "kill"),
+                             *[p.name for p in procs] + core):
+            await self.signal_and_restart(procs, sig, s)
+
+    async def signal_and_restart(self, procs, sig, s):
         for p in procs:
             p.signal(sig)
         await asyncio.sleep(s)
@@ -324,12 +440,17 @@
             if sig == signal.SIGTERM and p.p.returncode != 0:
                 self.fail("%s exited with status %s after SIGTERM" % (p.name, p.p.returncode))
             p.start()
+            self.history.starts[p.name].append(time.time())
 
     async def wipe(self, c):
         """Restarts a control process on an empty disk, unless another disk was lost or failed just before."""
         if time.time() - self.last_wipe < LOSS_GAP_S or self.failing_disk:
             return
         self.last_wipe = time.time()
+        with self.disruption("wipe", c.name, "core"):
+            await self.restart_empty(c)
+
+    async def restart_empty(self, c):
         c.stop()
         shutil.rmtree(os.path.join(self.kit.dir, c.name), ignore_errors=True)
         with open(c.path) as f:
@@ -341,7 +462,7 @@
 
     async def disk_faults(self):
         """Has disks refuse writes for some time; in some cases another one is lost 1, 3 or 5 s after the return."""
-        end = time.time() + self.seconds
+        end = time.time() + self.fault_s
         while time.time() < end:
             await asyncio.sleep(self.disk_rng.uniform(0.5, 3))
             c = self.disk_rng.choice(self.kit.controls)
@@ -350,9 +471,10 @@
             if time.time() - self.last_wipe < LOSS_GAP_S:
                 continue
             self.failing_disk = c
-            c.fill_disk()
-            await asyncio.sleep(s)
-            c.fill_disk(False)
+            with self.disruption("disk", c.name, "core"):
+                c.fill_disk()
+                await asyncio.sleep(s)
+                c.fill_disk(False)
             await asyncio.sleep(gap_s or 1)
             self.failing_disk = None
             self.faults_begun.append("disk")
@@ -363,16 +485,19 @@
     async def crash_replica(self, i):
         """Resets all connections of a replica and gives it a new id, as if another replica took over its address."""
         r = self.kit.replicas[i]
-        self.faulted.add(r.id)
+        self.history.faulted.add(r.id)
+        self.history.disruptions.append(Disruption(r.id, "crash", time.time(), float("inf")))
         self.relays[i].reset()
         for w in list(r.writers):
             w.transport.abort()
         r.id = "i-new-%d" % self.rng.getrandbits(30)
+        self.history.services[r.id] = r.service
 
     async def drain_replica(self, i):
         """Lists a replica as draining, then replaces it."""
         r = self.kit.replicas[i]
         r.state = "draining"
+        self.history.draining.append((r.id, time.time()))
         await asyncio.sleep(3.5)
         await self.crash_replica(i)
         r.state = "ready"
@@ -380,20 +505,22 @@
     async def relay_fault(self, i):
         """Disturbs the connections to a replica: reset, delay, or silence in one or both directions."""
         x = self.relays[i]
-        self.faulted.add(self.kit.replicas[i].id)
+        self.history.faulted.add(self.kit.replicas[i].id)
         kind = self.rng.choice(["reset", "delay", "up", "down", "both"])
-        if kind == "reset":
+        with self.disruption("link " + kind, self.kit.replicas[i].id):
+            if kind == "reset":
+                x.reset()
+                return
+            x.delay = 0.05 if kind == "delay" else 0
+            x.hold = {"up": {"up"}, "down": {"down"}, "both": {"up", "down"}}.get(kind, set())
+            await asyncio.sleep(self.rng.uniform(0.3, 2))
+            x.hold, x.delay = set(), 0
             x.reset()
-            return
-        x.delay = 0.05 if kind == "delay" else 0
-        x.hold = {"up": {"up"}, "down": {"down"}, "both": {"up", "down"}}.get(kind, set())
-        await asyncio.sleep(self.rng.uniform(0.3, 2))
-        x.hold, x.delay = set(), 0
-        x.reset()
 
     async def upstream_list_outage(self):
         self.kit.upstream_list_down = True
-        await asyncio.sleep(self.rng.uniform(0.5, 3))
+        with self.disruption("down", "list"):
+            await asyncio.sleep(self.rng.uniform(0.5, 3))
         self.kit.upstream_list_down = False
 
     async def leave_replica(self, i):
@@ -404,18 +531,87 @@
         announced = [x["ended"] for x in self.kit.runs
                      if x["replica"] == rid and x["at"] > started and x["end"] == "done"]
         if announced:
-            self.announcements.append((rid, min(announced)))
+            self.history.announcements.append((rid, min(announced)))
         r.announces_leaving = False
         await self.crash_replica(i)
 
     async def duplicate_answers(self, i):
         """Has a replica send answers twice on the same connection for some time."""
         r = self.kit.replicas[i]
-        self.faulted.add(r.id)
+        self.history.faulted.add(r.id)
         r.duplicate_answer = self.replica_rng.choice(["with id", "without id", "cut", "at once"])
-        await asyncio.sleep(self.replica_rng.uniform(0.5, 3))
+        with self.disruption("answers twice", r.id):
+            await asyncio.sleep(self.replica_rng.uniform(0.5, 3))
         r.duplicate_answer = None
 
+    async def misbehave(self, replicas, kind, s):
+        """Has replicas stand still, write slowly or answer wrongly for some time."""
+        rng = self.machine_rng
+        self.history.faulted.update(r.id for r in replicas)
+        with self.disruption(kind, *[r.id for r in replicas]):
+            for r in replicas:
+                if kind in ("stopped", "silent", "full"):
+                    setattr(r, kind, True)
+                elif kind == "drips":
+                    r.drip_s = 0.01
+                elif kind == "refuses":
+                    r.refuses_first, r.repeats_refusals = set(), True
+                elif kind == "resumes wrongly":
+                    r.resumed_answer = rng.choice([(500, [], b"no"), (200, [("Content-Type", "text/plain")], b"no"),
+                                                   (503, [("Content-Type", "text/event-stream")], b"id: 4\ndata: no\n\n")])
+                else:
+                    r.unframed = True
+                    if kind == "error head":
+                        r.end_after = (rng.randint(1, 9), rng.choice([ERROR_HEAD, b"id: 3\n"]))
+                    elif kind == "ends within":
+                        r.end_within = rng.randint(1, 10)
+            await asyncio.sleep(s)
+            for r in replicas:
+                r.stopped = r.silent = r.full = r.unframed = r.repeats_refusals = False
+                r.drip_s = 0
+                r.refuses_first = r.resumed_answer = r.end_after = r.end_within = None
+
+    async def stop_beside_change(self, process, leader_killed):
+        """Stops a process for a second while the config or the leader changes."""
+        if getattr(process, "busy", False) or self.control_lock.locked():
+            return
+        async with self.control_lock:
+            process.busy = True
+            stopped = asyncio.ensure_future(self.downtime([process], signal.SIGSTOP, 1))
+            leader = self.kit.leader()
+            if leader_killed and leader and leader is not process:
+                await self.downtime([leader], signal.SIGKILL, 0.2)
+            else:
+                await self.submit(3)
+            await stopped
+            process.busy = False
+
+    async def odd_list(self, s):
+        rng = self.machine_rng
+        self.kit.odd_entries = rng.sample(ODD_ENTRIES, rng.randint(1, len(ODD_ENTRIES)))
+        await asyncio.sleep(s)
+        self.kit.odd_entries = ()
+
+    async def machine_faults(self):
+        """Faults of runs from MACHINE_SEEDS on. Processes are stopped only as long as faults() go on."""
+        rng, tasks, started = self.machine_rng, [], time.time()
+        while time.time() < started + self.seconds:
+            await asyncio.sleep(rng.uniform(0.1, 0.8))
+            kind = rng.choice(["stopped", "silent", "silent", "drips", "full", "refuses", "resumes wrongly", "unframed",
+                               "error head", "ends within", "odd list", "process stopped"])
+            s = rng.uniform(0.3, 2)
+            self.faults_begun.append(kind)
+            if kind == "process stopped":
+                if time.time() < started + self.fault_s:
+                    process = rng.choice(self.kit.fronts + self.kit.controls)
+                    tasks.append(asyncio.ensure_future(self.stop_beside_change(process, rng.random() < 0.5)))
+            elif kind == "odd list":
+                tasks.append(asyncio.ensure_future(self.odd_list(s)))
+            else:
+                n = rng.choice([1, 1, 2, len(self.kit.replicas)])
+                tasks.append(asyncio.ensure_future(self.misbehave(rng.sample(self.kit.replicas, n), kind, s)))
+        await asyncio.gather(*tasks)
+
     async def replica_faults(self):
         tasks, end = [], time.time() + self.seconds - 6
         while time.time() < end:
@@ -436,7 +632,7 @@
                 await coro
                 await asyncio.sleep(1.5)
         tasks = []
-        end = time.time() + self.seconds
+        end = time.time() + self.fault_s
         while time.time() < end:
             kind = self.rng.randrange(12)
             f, c, i = self.rng.choice(k.fronts), self.rng.choice(k.controls), self.rng.randrange(4)
@@ -471,114 +667,26 @@
             await asyncio.sleep(self.rng.uniform(0.2, 1.5))
         await asyncio.gather(*tasks)
 
-    # ---- checks ----
-
-    def check_online(self):
-        """Answers are complete and the caller's own, refused requests never ran, and retries are limited."""
-        runs = {}
-        for x in self.kit.runs:
-            runs.setdefault(x["id"], []).append(x)
-        for route, rid, s, b in self.online:
-            own_runs = runs.get(rid, [])
-            if s == 200:
-                want = "".join("id: %d\ndata: %s\n\n" % (n, event_text(rid, n)) for n in range(1, 11))
-                if b.decode() != want:
-                    self.fail("%s: incomplete or wrong stream, it ends with %r" % (rid, b[-80:]))
-            if s in (429, 503, 408, 421) and own_runs:
-                self.fail("%s: refused with %d, but it has run" % (rid, s))
-            if route == "alert" and len(own_runs) > 1:
-                self.fail("%s: ran %d times although it may not be resumed" % (rid, len(own_runs)))
-            healthy = {x["replica"] for x in own_runs if x["replica"] not in self.faulted}
-            if len(healthy) > 2:
-                self.fail("%s: ran on %d healthy replicas" % (rid, len(healthy)))
-            if s in (400, 404, 413, 431):
-                self.fail("%s: answered %d" % (rid, s))
-
-    def check_leaving(self):
-        """Leaving replicas got no requests once their announcement had time to reach all entries."""
-        for rid, at in self.announcements:
-            late = [x["at"] - at for x in self.kit.runs if x["replica"] == rid and x["at"] > at + DRAIN_S]
-            if late:
-                self.fail("%s: got %d requests up to %.1f s after it announced that it leaves" % (
-                    rid, len(late), max(late)))
-
-    def check_lots(self):
-        """Accepted lots list each item once with its own text; refused and ended lots don't run."""
-        for lot, x in self.lots.items():
-            ids = [i["id"] for i in x["items"]]
-            if not x["accepted"]:
-                if x["statuses"] and set(x["statuses"]) <= {429, 503}:
-                    ran = [i for i in ids if self.kit.runs_of(i)]
-                    if ran:
-                        self.fail("lot %s: refused, but items have run" % lot)
-                continue
-            listed = [r["id"] for r in x["seen"]]
-            if len(set(listed)) != len(listed) or not set(listed) <= set(ids):
-                self.fail("lot %s: an item is listed twice or belongs to another lot" % lot)
-            if not x["ended"] and len(listed) < len(ids):
-                self.fail("lot %s: only %d of %d items are listed" % (lot, len(listed), len(ids)))
-            for r in x["seen"]:
-                if r["state"] == "completed" and r["output"] != self.kit.whole_text(r["id"]):
-                    self.fail("lot %s: wrong text of %s: %r" % (lot, r["id"], r["output"]))
-                if r["state"] == "dead":
-                    self.fail("lot %s: %s is dead" % (lot, r["id"]))
-            if x["ended"]:
-                late = [y for i in ids for y in self.kit.runs_of(i) if y["at"] > x["ended"] + 3]
-                if late:
-                    self.fail("lot %s: an item ran more than 3 s after the lot was ended" % lot)
-
-    def check_customers(self):
-        """Replicas get the customer of the key and not the key; revoked keys stop working, added ones work."""
-        c = self.customers
-        for x in self.kit.runs:
-            owner = "ada" if x["id"] not in c.sent else c.owner[c.sent[x["id"]][0]]     # items are ada's
-            if x["headers"].get("tenant") != owner or "authorization" in x["headers"]:
-                self.fail("%s: ran for %s instead of %s" % (x["id"], x["headers"].get("tenant"), owner))
-            if x["id"] not in c.sent:
-                continue
-            k, at = c.sent[x["id"]]
-            if at > c.revoked_at.get(k, at) + REVOKE_S:
-                self.fail("%s: ran %.2f s after its key was revoked" % (x["id"], at - c.revoked_at[k]))
-        for _, rid, s, _ in self.online:
-            k, at = c.sent[rid]
-            if s == 401 and at > c.added_at.get(k, at) + REVOKE_S and k in sum(c.keys.values(), []):
-                self.fail("%s: answered 401 %.2f s after its key was added" % (rid, at - c.added_at[k]))
-
-    def check_quota(self):
-        """In no window do more requests of the limited customer run than its quota and the tolerance allow."""
-        sent = self.customers.sent
-        first = {}
-        for x in self.kit.runs:
-            if x["id"] in sent and self.customers.owner[sent[x["id"]][0]] == "cyd":
-                first.setdefault(x["id"], x["at"])
-        times = sorted(first.values())
-        for i, t in enumerate(times):
-            n = sum(1 for u in times[i:] if u <= t + QUOTA_WINDOW_S)
-            if n > QUOTA_MAX:
-                self.fail("%d requests of a customer ran within %.0f s" % (n, QUOTA_WINDOW_S))
-                return
+    # ---- the run ----
 
-    async def check_final_state(self):
-        """After the last fault all entries serve, and the config is not older than the last acknowledged one."""
+    async def read_final_state(self):
+        """Sends a request to each entry and reads the config, after the last fault."""
         await self.kit.wait_ready(s=10)
         for f in self.kit.fronts:
             rid = self.rid()
-            s, _, b = await self.kit.stream(f, "/brief/1", rid, headers=self.customers.headers(rid, "bob"))
-            if s != 200:
-                self.fail("%s answers %s although no fault is left" % (f.name, s))
-        got = None
+            q = self.request(f, "brief", "/brief/1", rid, "bob", sent_body=b"body of " + rid.encode(), final=True)
+            await send(q, f.ip, self.kit.port)
         for i in range(40):
-            got = await self.kit.get(self.kit.controls[i % len(self.kit.controls)])
-            if got:
+            if await self.read_config(self.kit.controls[i % len(self.kit.controls)], final=True):
                 break
             await asyncio.sleep(0.1)
-        if not got or got["version"] < self.kit.acked_version:
-            self.fail("read config %s at the end after version %d was acknowledged" % (
-                got and got["version"], self.kit.acked_version))
 
     async def run_load_and_faults(self):
-        """Runs the load with the faults until all lots are finished, then checks what was observed."""
+        """Runs the load with the faults until all lots are finished, then judges what was observed."""
         k = self.kit
+        if self.machines:
+            k.routes = {"moved": "llm"}
+            self.recent_routes = ["nothing"]
         await self.submit(40)
         await k.wait_ready()
         self.relays = [Relay(k, r) for r in k.replicas]
@@ -586,48 +694,82 @@
             await x.start()
         await asyncio.sleep(1.5)
         load = [self.callers(), self.batch_load(), self.operator(), self.config_reader()]
+        if self.machines:
+            load += [self.more_callers(), self.second_operator()]
         load = [asyncio.ensure_future(x) for x in load + [self.keep_alive_caller(f) for f in k.fronts]]
-        disk_faults = [self.disk_faults()] if self.seed >= DISK_SEEDS else []
-        await asyncio.gather(self.faults(), self.replica_faults(), *disk_faults)
+        more_faults = [self.disk_faults()] if self.seed >= DISK_SEEDS else []
+        more_faults += [self.machine_faults()] if self.machines else []
+        await asyncio.gather(self.faults(), self.replica_faults(), *more_faults)
+        if self.machines:
+            await self.downtime(k.controls + k.fronts, signal.SIGKILL, 0.2)
         self.deadline = time.time() + SETTLE_S
         await asyncio.sleep(2)
         self.stop = True
         await asyncio.wait_for(asyncio.gather(*load), SETTLE_S + 20)
-        await self.check_final_state()
-        self.check_online()
-        self.check_lots()
-        self.check_leaving()
-        if isinstance(self.customers, Customers):
-            self.check_customers()
-            self.check_quota()
-        for name in k.unexpected_exits():
-            self.fail("%s exited without being stopped" % name)
+        await self.read_final_state()
+        self.history.exits = k.unexpected_exits()
+        c = self.customers
+        if isinstance(c, Customers):
+            held = set(sum(c.keys.values(), []))
+            self.history.keys = {x: Key(c.owner[x], c.added_at.get(x), c.revoked_at.get(x), x in held) for x in c.owner}
+            self.history.sent_keys, self.history.limited = c.sent, ("cyd", QUOTA_WINDOW_S, QUOTA_MAX)
 
     def run(self):
+        findings = []
         try:
             self.kit.loop.run(self.run_load_and_faults(), self.seconds + 120)
+            findings = judge(self.history)
         except Exception as e:  # a run that hangs is a failure of this seed
             self.fail("run did not finish: %s %s" % (type(e).__name__, e))
+        self.failures += [str(f) for f in findings]
         if self.failures:
             os.environ["AUBURN_KEEP"] = "1"
+            self.write_findings(findings)
         self.kit.close()
         return self.failures
 
+    def write_findings(self, findings):
+        """Writes the findings and, for the first of each rule, the timeline of its subject over all processes."""
+        with open(os.path.join(self.kit.dir, "findings.txt"), "w") as out:
+            out.write("seed %d, %g s\n%s\n" % (self.seed, self.seconds, "\n".join(self.failures)))
+            for f in {f.rule: f for f in reversed(findings)}.values():
+                out.write("\n== %s %s\n" % (f.rule, f.subject))
+                out.writelines("%.3f %s: %s\n" % x for x in self.timeline(str(f.subject)))
+
+    def timeline(self, subject):
+        """(seconds since the start, where, what) of log lines, calls and runs that name a subject, leaders and faults."""
+        lines = []
+        for p in self.kit.controls + self.kit.fronts:
+            for line in p.log_text().splitlines():
+                t = re.search(r"\bt=(\d+)", line)
+                if t and re.search(r"\b%s|event=dispatch_(begins|ends)|event=leader_" % re.escape(subject), line):
+                    lines.append((int(t.group(1)) / 1000, p.name, line[:400]))
+        lines += [(r["at"], "replica " + r["replica"], "%s run %d after %d, ended %s: %s" % (
+            r["id"], r["serial"], r["after"], r["ended"], r["end"])) for r in self.kit.runs
+                  if r["id"].startswith(subject) or r["replica"] == subject]
+        lines += [(q.sent, "caller", "%s at %s: %s %d after %.3f s" % (q.path, q.front, q.end, q.head, q.ended - q.sent))
+                  for q in self.history.requests if q.id == subject]
+        lines += [(d.start, "fault", "%s %s for %.2f s" % (d.kind, d.target, d.end - d.start))
+                  for d in self.history.disruptions]
+        lines += [(t[0], "operator", "version %d: %s" % (c.version, t[2])) for c in self.history.changes for t in c.tries]
+        start = min(self.history.starts["control-0"])
+        return sorted((t - start, where, what) for t, where, what in lines)
+
 
 def run_seed(seed, seconds):
     s = Soak(seed, seconds)
     failures = s.run()
     counts = {}
-    for _, _, st, _ in s.online:
-        counts[st] = counts.get(st, 0) + 1
+    for q in s.history.requests:
+        counts[q.status] = counts.get(q.status, 0) + 1
     return {"seed": seed, "bad": failures[:5], "dir": s.kit.dir if failures else "", "online": counts,
-            "lots": sum(x["accepted"] for x in s.lots.values()), "faults": len(s.faults_begun)}
+            "lots": sum(x.accepted is not None for x in s.history.lots.values()), "faults": len(s.faults_begun)}
 
 
 def main():
     a = argparse.ArgumentParser()
-    a.add_argument("--seeds", default="1..3", help="from %d on with customers, from %d on also with full disks"
-                   % (CUSTOMER_SEEDS, DISK_SEEDS))
+    a.add_argument("--seeds", default="1..3", help="from %d on with customers, from %d on also with full "
+                   "disks, from %d on also with faults of replicas and lists" % (CUSTOMER_SEEDS, DISK_SEEDS, MACHINE_SEEDS))
     a.add_argument("--seconds", type=float, default=12)
     a.add_argument("--jobs", type=int, default=1)
     a.add_argument("--one", type=int)
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -214,8 +214,9 @@
             run["end"] = "crash"
             asyncio.ensure_future(self.crash())
             return False
+        unframed = self.unframed
         head = "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n" + (
-            "\r\n" if self.unframed else "Transfer-Encoding: chunked\r\n\r\n")
+            "\r\n" if unframed else "Transfer-Encoding: chunked\r\n\r\n")
         writer.write((head % "".join("%s: %s\r\n" % x for x in signed + self.leaving_headers())).encode())
         left = asyncio.ensure_future(reader.read(1))  # done when the entry closes the connection
         try:
@@ -243,7 +244,7 @@
                     writer.write(data[:-5])
                     await writer.drain()
                     return False
-                writer.write(data if self.unframed else b"%x\r\n%s\r\n" % (len(data), data))
+                writer.write(data if unframed else b"%x\r\n%s\r\n" % (len(data), data))
                 await writer.drain()
                 if self.end_after and self.end_after[0] == n:
                     writer.write(self.end_after[1])
@@ -251,11 +252,11 @@
                     run["end"] = "cut"
                     await writer.drain()
                     return False
-            if not self.unframed:
+            if not unframed:
                 writer.write(b"0\r\n\r\n")
                 await writer.drain()
             run["end"] = "done"
-            if self.unframed:
+            if unframed:
                 return False
             left.cancel()
             try:
@@ -317,6 +318,8 @@
 
 
 class Kit:
+    replica_class = Replica
+
     def __init__(self, controls=3, fronts=2, replicas=3, slots=4, seed=None, memory_mib=0,
                  bin_of=lambda name: BIN, revoke_ms=0, snapshot_entries=100, names_runs=False):
         self.memory_mib, self.bin_of, self.revoke_ms = memory_mib, bin_of, revoke_ms
@@ -336,7 +339,7 @@
         self.zones = ["za", "zb", "zc"]
         self.list_addr = self.next_addr()
         self.loop.run(self.start_upstream_list())
-        self.replicas = [Replica(self, "r%d" % i, self.zones[i % 3], slots) for i in range(replicas)]
+        self.replicas = [self.replica_class(self, "r%d" % i, self.zones[i % 3], slots) for i in range(replicas)]
         for r in self.replicas:
             self.loop.run(r.start())
         ips = [self.next_ip() for _ in range(controls)]
