--- a/tests/proc/test_judge.py
+++ b/tests/proc/test_judge.py
@@ -512,6 +512,16 @@
         self.broken("QUOTA", "1200 tokens")
         self.w.run("ab00", "/digest/0", at=T + 1, body=b"body 0")
         self.sound()
+        self.w.run("ab00", "/digest/0", at=T + 5, body=b"body 0")   # once more after it was finished
+        self.sound()
+
+    def test_quota_of_items_that_were_given_up(self):
+        self.w.lot("ab", 10, run=False)
+        for _ in range(3):
+            self.w.run("ab00", "/digest/0", at=T + 1, end=500, body=b"body 0")
+            self.w.run("ab01", "/digest/1", at=T + 1, end=422, body=b"body 1")
+        self.w.lot("cd", 3, at=T + 2, run=False)
+        self.sound()
 
 
 class CustomersOfRuns(JudgeCase):
