The judge counts replicas that stood still among a request's attempts

Now only those don't count that crashed or lost connections while the request lasted, as the users' rule says; every replica that counted before still does.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -196,7 +196,7 @@
         self.failing_disk = None    # control process whose disk refuses writes, or did until just before
         self.machine_rng = random.Random(seed + 0x3ac)  # of what runs from MACHINE_SEEDS on have besides
         self.faults_begun = []
-        # From MACHINE_SEEDS on, faults of processes end early, so that processes are in touch; even seeds have few of them.
+        # From MACHINE_SEEDS on, faults of processes end early, so that processes are in touch; even seeds have few.
         self.calm = self.machines and seed % 2 == 0
         self.fault_s = seconds * (0.15 if self.calm else 0.45 if self.machines else 1)
 
@@ -495,7 +495,6 @@
     async def crash_replica(self, i):
         """Resets all connections of a replica and gives it a new id, as if another replica took over its address."""
         r = self.kit.replicas[i]
-        self.history.faulted.add(r.id)
         self.history.disruptions.append(Disruption(r.id, "crash", time.time(), float("inf")))
         self.relays[i].reset()
         for w in list(r.writers):
@@ -515,7 +514,6 @@
     async def relay_fault(self, i):
         """Disturbs the connections to a replica: reset, delay, or silence in one or both directions."""
         x = self.relays[i]
-        self.history.faulted.add(self.kit.replicas[i].id)
         kind = self.rng.choice(["reset", "delay", "up", "down", "both"])
         with self.disruption("link " + kind, self.kit.replicas[i].id):
             if kind == "reset":
@@ -548,7 +546,6 @@
     async def duplicate_answers(self, i):
         """Has a replica send answers twice on the same connection for some time."""
         r = self.kit.replicas[i]
-        self.history.faulted.add(r.id)
         r.duplicate_answer = self.replica_rng.choice(["with id", "without id", "cut", "at once"])
         with self.disruption("answers twice", r.id):
             await asyncio.sleep(self.replica_rng.uniform(0.5, 3))
@@ -557,7 +554,6 @@
     async def misbehave(self, replicas, kind, s):
         """Has replicas stand still, write slowly or answer wrongly for some time."""
         rng = self.machine_rng
-        self.history.faulted.update(r.id for r in replicas)
         with self.disruption(kind, *[r.id for r in replicas]):
             for r in replicas:
                 if kind in ("stopped", "silent", "full"):
@@ -568,6 +564,8 @@
                     self.relays[self.kit.replicas.index(r)].reset()
                 elif kind == "refuses":
                     r.refuses_first, r.repeats_refusals = set(), True
+                elif kind == "answers twice":
+                    r.duplicate_answer = rng.choice(["with id", "without id", "cut", "at once"])
                 elif kind == "resumes wrongly":
                     r.resumed_answer = rng.choice(WRONG_ANSWERS)
                 else:
@@ -580,7 +578,7 @@
             for r in replicas:
                 r.stopped = r.silent = r.full = r.unframed = r.repeats_refusals = False
                 r.drip_s = 0
-                r.refuses_first = r.resumed_answer = r.end_after = r.end_within = None
+                r.duplicate_answer = r.refuses_first = r.resumed_answer = r.end_after = r.end_within = None
 
     async def stop_beside_change(self, process, leader_killed):
         """Stops a process for a second while the config or the leader changes."""
@@ -608,8 +606,9 @@
         rng, tasks, started = self.machine_rng, [], time.time()
         while time.time() < started + self.seconds:
             await asyncio.sleep(rng.uniform(0.1, 0.8))
-            kind = rng.choice(["stopped", "silent", "silent", "drips", "reset", "full", "refuses", "resumes wrongly",
-                               "unframed", "error head", "ends within", "odd list", "process stopped"])
+            kind = rng.choice(["stopped", "silent", "silent", "drips", "reset", "full", "refuses", "refuses",
+                               "answers twice", "resumes wrongly", "unframed", "error head", "ends within", "odd list",
+                               "process stopped"])
             s = rng.uniform(0.3, 2)
             self.faults_begun.append(kind)
             if kind == "process stopped":
--- a/tests/proc/judge.py
+++ b/tests/proc/judge.py
@@ -116,7 +116,6 @@
     announcements: list = field(default_factory=list)   # (id of a leaving replica, end of the answer that says so)
     draining: list = field(default_factory=list)    # (id of a replica, time from which the list shows it as draining)
     services: dict = field(default_factory=dict)    # replica id: service; not listed: not judged
-    faulted: set = field(default_factory=set)       # replicas that had a fault at any time
     starts: dict = field(default_factory=dict)      # process: times of its starts
     strays: list = field(default_factory=list)      # (front, time, bytes read with no request waiting)
     exits: list = field(default_factory=list)       # processes that ended by themselves
@@ -128,6 +127,11 @@
     def disrupted(self, target, start, end):
         return any(d.target == target and d.start <= end and d.end >= start for d in self.disruptions)
 
+    def cut_off(self, replica, start, end):
+        """A replica ended or lost connections meanwhile."""
+        return any(d.target == replica and d.kind.startswith(("crash", "reset", "link")) and d.start <= end
+                   and d.end >= start for d in self.disruptions)
+
     def in_touch(self, process, start, end):
         since = start - self.bounds.contact_s
         return not self.disrupted(process, since, end) and not self.disrupted("core", since, end)
@@ -250,9 +254,9 @@
             once = route.get("kind") == "unsafe" or route.get("kind") == "stream" and not route.get("resumable")
             if once and len(runs) > 1:
                 self.find("TWICE", q.id, "ran %d times although it may not be repeated", len(runs))
-            healthy = {r["replica"] for r in runs if r["replica"] not in self.h.faulted}
-            if len(healthy) > route.get("attempts", 2):
-                self.find("BUDGET", q.id, "ran on %d healthy replicas", len(healthy))
+            there = {r["replica"] for r in runs if not self.h.cut_off(r["replica"], q.sent, q.ended)}
+            if len(there) > route.get("attempts", 2):
+                self.find("BUDGET", q.id, "ran on %d replicas", len(there))
             for a, b in zip(runs, runs[1:]):
                 until = b["at"] + self.b.handover_s
                 if a["replica"] != b["replica"] and (a["ended"] or float("inf")) > until \
--- a/tests/proc/test_judge.py
+++ b/tests/proc/test_judge.py
@@ -212,7 +212,10 @@
         self.resumed(4)
         self.sound()
         self.w.run("a", "/brief/1", after=9, at=T + 0.3, replica="r2")
-        self.broken("BUDGET", "3 healthy replicas")
+        self.w.disrupt("r1", T, T + 1, "silent")
+        self.broken("BUDGET", "3 replicas")
+        self.w.disrupt("r1", T, T + 1, "crash")
+        self.sound()
 
     def test_budget_of_time(self):
         for wait, kept in (("5400", True), ("5600", False), (None, False)):
