The judge finds two unanswered requests; the soak lets all replicas stand still for longer

A healthy entry answers at its route's time, and while replicas stand still most requests are refused at once, so that few are left unanswered.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -606,7 +606,7 @@
         rng, tasks, started = self.machine_rng, [], time.time()
         while time.time() < started + self.seconds:
             await asyncio.sleep(rng.uniform(0.1, 2 if self.calm else 0.8))
-            kind = rng.choice(["stopped", "silent", "silent", "drips", "reset", "full", "refuses", "refuses",
+            kind = rng.choice(["stopped", "stopped", "silent", "silent", "drips", "reset", "full", "refuses", "refuses",
                                "answers twice", "resumes wrongly", "unframed", "error head", "ends within", "odd list",
                                "process stopped"])
             s = rng.uniform(0.3, 2)
@@ -620,6 +620,7 @@
                 tasks.append(asyncio.ensure_future(self.odd_list(s)))
             else:
                 n = rng.choice([1, 2] + [len(self.kit.replicas)] * 2)
+                s = rng.choice([s, 2]) if kind in ("stopped", "silent") else s
                 tasks.append(asyncio.ensure_future(self.misbehave(rng.sample(self.kit.replicas, n), kind, s)))
         await asyncio.gather(*tasks)
 
--- a/tests/proc/judge.py
+++ b/tests/proc/judge.py
@@ -330,7 +330,7 @@
                     continue
                 due += 1
                 late += min(begun, q.ended) > at + self.b.late_s
-            if late > self.b.few and late > due / (2 if name == "unanswered" else 4):
+            if late > 1 and late > due / (2 if name == "unanswered" else 4):
                 self.find("CONFIG", "all", "%d of %d requests were %s %.1f s after their route's time", late, due, name,
                           self.b.late_s)
 
--- a/tests/proc/test_judge.py
+++ b/tests/proc/test_judge.py
@@ -261,7 +261,7 @@
     def test_config_times(self):
         for ended, kept in ((T + 1.4, True), (T + 1.6, False)):
             self.setUp()
-            for i in range(4):
+            for i in range(2):
                 q = self.w.ask("a%d" % i, "brisk", status=504, runs=False)
                 q.ended = q.head_at = ended
             self.sound() if kept else self.broken("CONFIG", "unanswered")
