--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -417,10 +417,10 @@
         self.history.config_reads.append(ConfigRead(control.name, sent, 200 if got else 0, got, final))
         return got
 
-    async def config_reader(self):
-        """Reads the config from random control processes."""
+    async def config_reader(self, control=None):
+        """Reads the config from one control process, or from random ones."""
         while not self.stop:
-            await self.read_config(self.rng.choice(self.kit.controls))
+            await self.read_config(control or self.rng.choice(self.kit.controls))
             await asyncio.sleep(0.3)
 
     # ---- faults ----
@@ -707,7 +707,7 @@
         await asyncio.sleep(1.5)
         load = [self.callers(), self.batch_load(), self.operator(), self.config_reader()]
         if self.machines:
-            load += [self.more_callers(), self.second_operator()]
+            load += [self.more_callers(), self.second_operator()] + [self.config_reader(c) for c in k.controls]
         load = [asyncio.ensure_future(x) for x in load + [self.keep_alive_caller(f) for f in k.fronts]]
         more_faults = [self.disk_faults()] if self.seed >= DISK_SEEDS and not self.calm else []
         more_faults += [self.machine_faults()] if self.machines else []
