--- a/src/front/front_link.c
+++ b/src/front/front_link.c
@@ -23,19 +23,32 @@
 	return r;
 }
 
+/* False if it was known. */
+static bool note_leaving(front_t *f, replica_ref_t r, const char *told_by)
+{
+	if (!leaving_add(f->leaving_replicas, r, clock_now_ms()))
+		return false;
+	log_event(LOG_LEVEL_INFO, "replica_leaves", LOG_STR("replica", r.id),
+		  LOG_INT("born", r.start_time), LOG_CSTR("told_by", told_by));
+	if (f->local_dispatch)
+		dispatch_replica_leaving(f->local_dispatch, r.id);
+	return true;
+}
+
 void front_replica_leaving(front_t *f, replica_ref_t r)
 {
 	link_msg_t m = {.kind = LINK_LEAVING};
 
-	if (!leaving_add(f->leaving_replicas, r))
+	if (!note_leaving(f, r, "replica"))
 		return;
-	log_event(LOG_LEVEL_INFO, "replica_leaves", LOG_STR("replica", r.id),
-		  LOG_INT("born", r.start_time));
 	METRIC_INC("auburn_replicas_leaving_total");
 	m.link_msg_t_u.leaving_replica = (link_leaving_t){wire_bytes(r.id), r.start_time};
 	leader_link_send(f->leader, &m);
-	if (f->local_dispatch)
-		dispatch_replica_leaving(f->local_dispatch, r.id);
+}
+
+bool front_replica_leaves(const front_t *f, replica_ref_t r)
+{
+	return leaving_contains(f->leaving_replicas, r, clock_now_ms());
 }
 
 /* Rebuilds the hash of replicas from the view, and updates the local dispatcher. */
@@ -91,11 +104,37 @@
 		index_replicas(f);
 }
 
+static void carry_out_grant(front_t *f, const link_grant_t *m)
+{
+	front_request_t *q = front_request_find(f, m->request);
+	replica_ref_t r = {wire_str(m->replica), m->start_time};
+	link_msg_t end = {.kind = LINK_ENDED};
+
+	if (q && front_request_is_waiting(q)) {
+		front_request_granted(q, r, wire_str(m->addr));
+	} else if (!q) {
+		/* The request ended while the grant was in transit: releases the slot. */
+		end.link_msg_t_u.ended.request = m->request;
+		end.link_msg_t_u.ended.outcome = LINK_OUTCOME_CANCELLED;
+		leader_link_send(f->leader, &end);
+	}
+}
+
+void front_link_carry_out(front_t *f, const link_msg_t *m)
+{
+	if (m->kind == LINK_GRANT)
+		carry_out_grant(f, &m->link_msg_t_u.grant);
+	else
+		front_item_run(f, &m->link_msg_t_u.run);
+}
+
 static void on_message(void *ctx, const link_msg_t *m)
 {
 	front_t *f = ctx;
 	front_request_t *q;
 
+	if (front_pause_holds(f, m))
+		return;
 	switch (m->kind) {
 	case LINK_CONFIG:
 		front_routes_update(f, &m->link_msg_t_u.conf);
@@ -104,20 +143,8 @@
 		update_view(f, &m->link_msg_t_u.view);
 		break;
 	case LINK_GRANT:
-		q = front_request_find(f, m->link_msg_t_u.grant.request);
-		if (q && front_request_is_waiting(q)) {
-			replica_ref_t r = {wire_str(m->link_msg_t_u.grant.replica),
-					   m->link_msg_t_u.grant.start_time};
-
-			front_request_granted(q, r, wire_str(m->link_msg_t_u.grant.addr));
-		} else if (!q) {
-			link_msg_t end = {.kind = LINK_ENDED};
-
-			/* The request ended while the grant was in transit: releases the slot. */
-			end.link_msg_t_u.ended.request = m->link_msg_t_u.grant.request;
-			end.link_msg_t_u.ended.outcome = LINK_OUTCOME_CANCELLED;
-			leader_link_send(f->leader, &end);
-		}
+	case LINK_ITEM_RUN:
+		front_link_carry_out(f, m);
 		break;
 	case LINK_REFUSE:
 		q = front_request_find(f, m->link_msg_t_u.refuse.request);
@@ -127,6 +154,12 @@
 	case LINK_CONFIG_IN_FORCE:
 		front_customer_newest(f, &m->link_msg_t_u.holds);
 		break;
+	case LINK_LEAVING:
+		note_leaving(f,
+			     (replica_ref_t){wire_str(m->link_msg_t_u.leaving_replica.replica),
+					     m->link_msg_t_u.leaving_replica.start_time},
+			     "leader");
+		break;
 	case LINK_OVER_QUOTA:
 		front_quota_exceeded(f, &m->link_msg_t_u.over_quota);
 		break;
@@ -136,9 +169,6 @@
 	case LINK_PROMPT_PARTS:
 		front_quarantine_update(f, &m->link_msg_t_u.prompt_parts);
 		break;
-	case LINK_ITEM_RUN:
-		front_item_run(f, &m->link_msg_t_u.run);
-		break;
 	case LINK_ITEM_STOP:
 		front_item_stop(f, &m->link_msg_t_u.stop);
 		break;
@@ -153,11 +183,12 @@
 
 	front_customer_link_up(f);
 	front_slot_leader_up(f);
-	front_item_report_ended(f);
+	front_item_leader_up(f);
 }
 
 static void on_down(void *ctx)
 {
+	front_pause_link_down(ctx);
 	front_customer_link_down(ctx);
 	front_quarantine_link_down(ctx);
 	front_slot_leader_down(ctx);
@@ -168,11 +199,8 @@
 static void fill_hello(void *ctx, link_hello_t *out)
 {
 	static link_run_t runs[RUNS_MAX];
-	static link_leaving_t leaving_replicas[LEAVING_MAX];
-	replica_ref_t leaving[LEAVING_MAX];
 	front_t *f = ctx;
 	size_t n = 0;
-	size_t nleaving = leaving_list(f->leaving_replicas, leaving, LEAVING_MAX);
 
 	for (front_request_t *q = f->requests; q && n < RUNS_MAX; q = q->hh.next) {
 		if (!front_request_is_waiting(q))
@@ -190,11 +218,7 @@
 	};
 	out->runs.runs_len = (u_int)n;
 	out->runs.runs_val = runs;
-	for (size_t i = 0; i < nleaving; i++)
-		leaving_replicas[i] =
-			(link_leaving_t){wire_bytes(leaving[i].id), leaving[i].start_time};
-	out->leaving_replicas.leaving_replicas_len = (u_int)nleaving;
-	out->leaving_replicas.leaving_replicas_val = leaving_replicas;
+	leader_link_report_leaving(out, f->leaving_replicas);
 }
 
 /* This process has read the replica list; ignored if a leader has connected meanwhile. */
@@ -228,6 +252,7 @@
 void front_link_start(front_t *f)
 {
 	f->leaving_replicas = leaving_new();
+	front_pause_start(f);
 	front_reach_start(f);
 	front_customer_start(f);
 	front_quarantine_start(f);
--- a/src/policy/dispatch_internal.h
+++ b/src/policy/dispatch_internal.h
@@ -156,6 +156,8 @@
 
 /** A replica has answered a run of this entry. */
 void dispatch_note_heard(dispatch_t *d, uint64_t entry, replica_t *r, deadline_t now);
+/** True if the replica has answered some entry lately, with no failure since. */
+bool dispatch_answers(const replica_t *r, deadline_t now);
 /** A connection of this entry failed. Returns true if that says nothing about the replica: it
  * answers other entries, or the entry reaches few. */
 bool dispatch_note_unreached(dispatch_t *d, uint64_t entry, replica_t *r, deadline_t now);
@@ -169,6 +171,8 @@
 /** Forgets the failures of a replica or, if r is NULL, of an entry. */
 void dispatch_pairs_forget(dispatch_t *d, uint64_t entry, const replica_t *r);
 void dispatch_pairs_free(dispatch_t *d);
+/** Forgets the pairs that have not been tried for long. */
+void dispatch_pairs_tick(dispatch_t *d, deadline_t now);
 
 /* dispatch_pick.c */
 
