--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -556,7 +556,7 @@
         rng = self.machine_rng
         with self.disruption(kind, *[r.id for r in replicas]):
             for r in replicas:
-                if kind in ("stopped", "silent", "full"):
+                if kind in ("paused", "silent", "full"):
                     setattr(r, kind, True)
                 elif kind == "drips":
                     r.drip_s = 0.01
@@ -576,7 +576,7 @@
                         r.end_within = rng.randint(1, 10)
             await asyncio.sleep(s)
             for r in replicas:
-                r.stopped = r.silent = r.full = r.unframed = r.repeats_refusals = False
+                r.paused = r.silent = r.full = r.unframed = r.repeats_refusals = False
                 r.drip_s = 0
                 r.duplicate_answer = r.refuses_first = r.resumed_answer = r.end_after = r.end_within = None
 
@@ -606,7 +606,7 @@
         rng, tasks, started = self.machine_rng, [], time.time()
         while time.time() < started + self.seconds:
             await asyncio.sleep(rng.uniform(0.1, 2 if self.calm else 0.8))
-            kind = rng.choice(["stopped", "stopped", "silent", "silent", "drips", "reset", "full", "refuses", "refuses",
+            kind = rng.choice(["paused", "paused", "silent", "silent", "drips", "reset", "full", "refuses", "refuses",
                                "answers twice", "resumes wrongly", "unframed", "error head", "ends within", "odd list",
                                "process stopped"])
             s = rng.uniform(0.3, 2)
@@ -620,7 +620,7 @@
                 tasks.append(asyncio.ensure_future(self.odd_list(s)))
             else:
                 n = rng.choice([1, 2] + [len(self.kit.replicas)] * 2)
-                s = rng.choice([s, 2]) if kind in ("stopped", "silent") else s
+                s = rng.choice([s, 2]) if kind in ("paused", "silent") else s
                 tasks.append(asyncio.ensure_future(self.misbehave(rng.sample(self.kit.replicas, n), kind, s)))
         await asyncio.gather(*tasks)
 
--- a/tests/proc/soak_kit.py
+++ b/tests/proc/soak_kit.py
@@ -1,9 +1,8 @@
 """Parts of tests/platform_soak.py: a kit whose replicas and upstream list fail as real machines do, and its callers."""
 import asyncio
-import json
 import time
 
-from platform_kit import Kit, Replica, read_message
+from platform_kit import Kit, Replica
 
 PLAIN = ("lookup", "write", "brisk")    # routes with a plain answer
 # How a stream without a length ends that its replica gives up.
@@ -50,8 +49,6 @@
             self.writer.close()
 
     async def drain(self):
-        while self.replica.stopped:
-            await asyncio.sleep(0.02)
         await self.writer.drain()
 
     def close(self):
@@ -61,12 +58,12 @@
 
 
 class SoakReplica(Replica):
-    """stopped: does nothing at all; silent: works, but nothing leaves it; drip_s: between 7 bytes and the next 7."""
+    """silent: works, but nothing leaves it until it is over; drip_s: between 7 bytes and the next 7."""
 
     def __init__(self, kit, name, zone, slots=4):
         super().__init__(kit, name, zone, slots)
         self.service = "aux" if int(name[1:]) >= 4 else "llm"
-        self.stopped = self.silent = False
+        self.silent = False
         self.drip_s = 0
 
     def list_entry(self):
@@ -78,11 +75,6 @@
     async def serve(self, reader, writer):
         await super().serve(reader, HeldWriter(self, writer))
 
-    async def answer(self, m, reader, writer):
-        while self.stopped:
-            await asyncio.sleep(0.02)
-        return await super().answer(m, reader, writer)
-
     async def stream(self, run, signed, reader, writer):
         if run["target"].split("/")[1] not in PLAIN:
             return await super().stream(run, signed, reader, writer)
@@ -94,28 +86,9 @@
 
 class SoakKit(Kit):
     replica_class = SoakReplica
-    odd_entries = ()        # raw entries of the upstream list besides the replicas
     routes = None           # set: more routes than the base class has, as {name: service}
     events = {}             # events of the streams of a route; 10 if not listed
 
-    async def start_upstream_list(self):
-        async def serve(reader, writer):
-            try:
-                while await read_message(reader):
-                    if self.upstream_list_down:
-                        await asyncio.sleep(5)
-                        break
-                    entries = [json.dumps(r.list_entry()).encode() for r in self.replicas if r.state != "gone"]
-                    entries[1:1] = self.odd_entries
-                    body = b'{"instances":[%s],"nextToken":null}' % b",".join(entries + [b'{"id":"odd"}'])
-                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
-                    await writer.drain()
-            except (ConnectionError, asyncio.IncompleteReadError):
-                pass
-            writer.close()
-        ip, port = self.list_addr.split(":")
-        self.list_server = await asyncio.start_server(serve, ip, int(port))
-
     def config(self, version, **changes):
         conf = super().config(version, **changes)
         if self.routes is None:
