--- a/src/control/hub.c
+++ b/src/control/hub.c
@@ -14,8 +14,6 @@
 #define CALL_THREADS 3
 /** A process without a leader logs this once in this period, in ms. */
 #define NO_LEADER_LOG_MS 1000
-/** Period of the leader's announcements, in ms; see announce_leader. */
-#define ANNOUNCE_MS 500
 
 hub_peer_t *hub_find_peer(hub_t *h, uint64_t id)
 {
@@ -314,83 +312,6 @@
 	}
 }
 
-/* ---- announcements of the leader ---- */
-
-static void on_announce_closed(void *ctx, msgconn_t *l)
-{
-	hub_t *h = ctx;
-
-	for (size_t i = 0; i < h->nannounce_links; i++) {
-		if (h->announce_links[i] == l)
-			h->announce_links[i] = NULL;
-	}
-}
-
-/* Ignores what the other end of an announcement link sends, such as pings. */
-static void on_announce_message(void *ctx, msgconn_t *l, str_t s)
-{
-}
-
-static void on_announce_open(void *ctx, msgconn_t *l)
-{
-	hub_t *h = ctx;
-	link_msg_t m = {.kind = LINK_WELCOME};
-	AUTO_BUF b = {0};
-
-	m.link_msg_t_u.welcome.leads = true;
-	m.link_msg_t_u.welcome.leader = wire_bytes(str_c(h->control->settings.listen));
-	wire_encode(&b, XDR_PROC(link_msg_t), &m);
-	msgconn_send(l, str_buf(&b));
-}
-
-static bool is_linked_or_self(hub_t *h, str_t control)
-{
-	for (hub_peer_t *p = h->peers; p; p = p->hh.next) {
-		if (str_eq(str_c(p->rpc_addr), control))
-			return true;
-	}
-	return str_eq(str_c(h->control->settings.listen), control);
-}
-
-static void close_announce_links(hub_t *h)
-{
-	for (size_t i = 0; i < h->nannounce_links; i++) {
-		if (h->announce_links[i])
-			msgconn_close(h->announce_links[i]);
-	}
-	h->nannounce_links = 0;
-}
-
-/*
- * An entry that has restarted asks only the control processes in its settings for the leader. If
- * none of these is a member any more, because they were replaced or lost their disks, none can name
- * the leader. The leader therefore connects to the control processes that are not linked to it and
- * sends them its address.
- */
-static void announce_leader(hub_t *h, deadline_t now)
-{
-	msgconn_options_t o = {h->loop, h, on_announce_message, on_announce_closed,
-			       on_announce_open};
-	str_t controls[HUB_ANNOUNCE_MAX];
-	size_t n;
-
-	if (now < h->next_announce)
-		return;
-	h->next_announce = now + ANNOUNCE_MS;
-	close_announce_links(h);
-	n = leader_link_controls(h->leader_link, controls, HUB_ANNOUNCE_MAX);
-	for (size_t i = 0; i < n; i++) {
-		char addr[LEADER_LINK_ADDR_BYTES];
-
-		if (is_linked_or_self(h, controls[i]) ||
-		    leader_link_make_addr(controls[i], (unsigned)h->control->settings.link_port,
-					  addr) != STATUS_OK)
-			continue;
-		h->announce_links[h->nannounce_links] = msgconn_connect(addr, &o);
-		h->nannounce_links += h->announce_links[h->nannounce_links] != NULL;
-	}
-}
-
 /* ---- roles ---- */
 
 static void start_leading(hub_t *h)
@@ -413,7 +334,7 @@
 	if (!led)
 		return;
 	log_event(LOG_LEVEL_WARN, "dispatch_ends", LOG_INT("term", h->term));
-	close_announce_links(h);
+	hub_announce_stop(h);
 	hub_lots_stop_leading(h);
 	hub_dispatch_stop_leading(h);
 	hub_quarantine_stop_leading(h);
@@ -517,7 +438,7 @@
 	hub_http_tick(h, now);
 	if (h->role != HUB_LEADER)
 		return;
-	announce_leader(h, now);
+	hub_announce_tick(h, now);
 	hub_routes_tick(h, now);
 	hub_view_tick(h, now);
 	hub_proof_tick(h, now);
--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -351,6 +351,13 @@
 
 void hub_retire_handle_call(hub_t *h, const hub_origin_t *from, const link_call_arg_t *arg);
 
+/* hub_announce.c: the leader's address for control processes that are not linked */
+
+/** Sends the address once in a period; while this process leads. */
+void hub_announce_tick(hub_t *h, deadline_t now);
+/** Closes the connections of the announcements. */
+void hub_announce_stop(hub_t *h);
+
 /* hub_http.c: HTTP calls of operators and of callers that look up entries */
 
 status_t hub_http_start(hub_t *h);
