--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -211,7 +211,7 @@
 	bool committing; /* a commit of lots is in progress */
 	_Atomic bool busy; /* see hub_is_busy */
 	deadline_t next_announce;
-	msgconn_t *announce_links[HUB_ANNOUNCE_MAX]; /* see announce_leader */
+	msgconn_t *announce_links[HUB_ANNOUNCE_MAX]; /* see hub_announce.c */
 	size_t nannounce_links;
 	pthread_mutex_t lock; /* guards candidates */
 	group_peer_t candidates[CONTROL_CANDIDATES_MAX];
