Judge: the items of a lot whose end had no clear answer need not be listed

The check for bodies made this difference already. Equally strict otherwise: an end that was refused with 4xx excuses nothing (test_items_of_a_lot_whose_end_had_no_clear_answer: broken with 401 alone, sound with 503).

--- a/tests/proc/test_judge.py
+++ b/tests/proc/test_judge.py
@@ -411,6 +411,14 @@
         lot.reads = [r._replace(results=r.results[:1]) for r in lot.reads]
         self.broken("LOST", "only 1 of 2")
 
+    def test_items_of_a_lot_whose_end_had_no_clear_answer(self):
+        lot = self.w.lot()
+        lot.reads = [r._replace(results=r.results[:1]) for r in lot.reads]
+        lot.ends.append(Call("front", T + 0.2, T + 0.3, 401))
+        self.broken("LOST", "only 1 of 2")
+        lot.ends.append(Call("front", T + 0.2, T + 0.8, 503))
+        self.sound()
+
     def test_lost_lot(self):
         lot = self.w.lot()
         self.w.read(lot, None, at=T + 0.5, status=404)
