A call that is cancelled as its connection is made isn't written to the connection that takes its descriptor

Cause: http_client told the caller of a call that its connection was made, and then wrote the request without asking whether the call had been cancelled there. The first connection to a replica can be what makes an entry count as cut off (front_reach_connected): it then hands over all requests that aren't sent, this one among them. The closed connection's descriptor number goes to the first hand-over's connection, and the cancelled request was written onto it, as if another caller had sent it there. Class: a callback that frees what its caller goes on using.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -282,6 +282,8 @@
 		ev_io_start(loop, &c->rd);
 		if (c->call && c->call->options.connected)
 			c->call->options.connected(c->call->options.ctx);
+		if (c->closed)
+			return;
 	}
 	flush_output(c);
 }
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -323,6 +323,43 @@
 END_TEST
 
 /* A call that was surely not received may be retried in any case. */
+typedef struct {
+	http_pair_t *pair;
+	http_call_t *call;
+} replaced_call_t;
+
+/* Cancels the call whose connection was made, and starts another one: it gets the same descriptor.
+ */
+static void replace_call(void *ctx)
+{
+	replaced_call_t *r = ctx;
+
+	http_call_cancel(r->call);
+	start_call(r->pair, STR("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nnew"));
+}
+
+START_TEST(a_call_cancelled_as_it_connects_is_not_sent_on_the_connection_of_another)
+{
+	http_pair_t p;
+	replaced_call_t r = {.pair = &p};
+
+	pair_open(&p);
+	r.call = http_call_start(p.client,
+				 &(http_call_options_t){.request = post_request,
+							.addr = p.addr,
+							.connect_deadline = clock_now_ms() + 500,
+							.max_bytes = RESPONSE_BYTES_MAX,
+							.ctx = &r,
+							.connected = replace_call});
+	run_loop(&p, 1.0);
+	ck_assert_int_eq(p.calls_ended, 1);
+	run_loop(&p, 0.1);
+	ck_assert_int_eq(p.requests, 1);
+	ck_assert(str_eq(str_buf(&p.body), STR("new")));
+	pair_close(&p);
+}
+END_TEST
+
 START_TEST(a_call_to_a_closed_port_is_unsent)
 {
 	http_pair_t p;
@@ -546,6 +583,7 @@
 	tcase_add_test(t, a_huge_idle_timeout_of_a_server_keeps_its_connection);
 	tcase_add_test(t, chunks_arrive_and_an_aborted_reply_is_broken);
 	tcase_add_test(t, the_server_notices_a_cancelled_call);
+	tcase_add_test(t, a_call_cancelled_as_it_connects_is_not_sent_on_the_connection_of_another);
 	tcase_add_test(t, a_call_to_a_closed_port_is_unsent);
 	tcase_add_test(t, a_dead_connection_to_a_server_is_noticed_while_it_is_idle);
 	tcase_add_test(t, idle_connections_are_not_used_again_after_they_were_closed);
