platform_kit: the upstream list's server is closed on its loop

test_repeated_refusal ended once with an error in Kit.close ("'NoneType' object is not iterable" in asyncio's Server._wakeup), its three tests having passed. Traced by reading: Server.close() ran in the test's thread, while the loop's thread ended the last connection of the same server, and both went through its list of waiters. It now runs on the loop, as the replicas' servers do.

--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -423,6 +423,9 @@
         ip, port = self.list_addr.split(":")
         self.list_server = await asyncio.start_server(serve, ip, int(port))
 
+    async def stop_upstream_list(self):
+        self.list_server.close()
+
     # ---- requests of callers and operators ----
 
     async def call(self, ip, port, method, target, headers=(), body=b"", timeout=10, events=None):
@@ -652,7 +655,7 @@
             p.stop()
         for r in self.replicas:
             self.loop.run(r.stop())
-        self.list_server.close()
+        self.loop.run(self.stop_upstream_list())
         self.loop.close()
         if not os.environ.get("AUBURN_KEEP"):
             shutil.rmtree(self.dir, ignore_errors=True)
