review: scripts end their processes at their time limit

Cause: a script that was stopped by its time limit left its processes, and an error of Python ended with 1, which stands for a broken rule. Change: run.sh gives 1 only for a broken rule, and 2 for all else.

--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -1,5 +1,6 @@
 """What the scripts share: the kit of tests/proc with the build of the deploy file, the record, and the verdict."""
 import os
+import signal
 import sys
 import time
 import traceback
@@ -10,7 +11,7 @@
 import platform_kit as pk  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+HELD, BROKEN, COULD_NOT_RUN = 0, 10, 2    # 10, as Python ends with 1 by itself; run.sh turns it into 1
 GRACE_S = 8     # graceS of the small sites
 ELECTION_MS = 250   # as in deploy/control.tmpl
 
@@ -28,6 +29,14 @@
             c.write_settings()
 
 
+class OutOfTime(Exception):
+    pass
+
+
+def end_early(sig, frame):
+    raise OutOfTime("the time limit of run.sh was reached")
+
+
 class Record:
     """record.txt: what was sent, answered and run, with the time since the start."""
 
@@ -49,6 +58,7 @@
     """Runs body(kit, record), which returns True if the rule was broken; exits with the verdict."""
     record = Record(folder)
     record.line("trouble=%d" % TROUBLE)
+    signal.signal(signal.SIGTERM, end_early)
     kit, code = None, COULD_NOT_RUN
     try:
         kit = Kit(**options)
