review: only case folders stand in review/

Cause: the folder of what the scripts share looked like a sixth case without a claim. Change: review/lib/case.py is review/case_kit.py now; the scripts and build.sh follow.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,8 +9,8 @@
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "lib"))
-import case  # noqa: E402
+sys.path.insert(0, os.path.join(HERE, ".."))
+import case_kit as case  # noqa: E402
 from platform_kit import Replica  # noqa: E402
 import platform_kit  # noqa: E402
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,8 +7,8 @@
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "lib"))
-import case  # noqa: E402
+sys.path.insert(0, os.path.join(HERE, ".."))
+import case_kit as case  # noqa: E402
 from platform_kit import HOST, Replica, event_text  # noqa: E402
 
 LONG_EVENTS = 190       # of 20 ms: about 4 s, below timeoutMs and Deadline-Ms of 5 s
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/.."
 python3 - <<'P'
 import ast, glob
-for path in glob.glob("review/*/*.py") + ["tests/proc/platform_kit.py", "tests/proc/run_order.py"]:
+for path in glob.glob("review/*.py") + glob.glob("review/*/*.py") + ["tests/proc/platform_kit.py", "tests/proc/run_order.py"]:
     ast.parse(open(path).read(), path)
 P
--- a/review/lib/case.py
+++ b/review/case_kit.py
@@ -5,7 +5,7 @@
 import time
 import traceback
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 os.environ["AUBURN_BIN_DIR"] = "target/bin"
 sys.path.insert(0, os.path.join(ROOT, "tests", "proc"))
 import platform_kit as pk  # noqa: E402
