--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -96,7 +96,9 @@
 	uint32_t attempts_max; /* the item fails for good after this many failures */
 	uint64_t *parts; /* of its prompt, as in prompt_parts_t */
 	unsigned nparts;
-	bool held; /* a part of its prompt is blocked */
+	bool held; /* a part of its prompt is blocked, or in doubt while another item probes it */
+	bool probes; /* runs, or runs next, of those with a part in doubt */
+	deadline_t probed_at; /* when it last became that one; 0: never */
 } hub_item_t;
 
 /** A lot with unfinished items, in the dispatcher. */
@@ -208,6 +210,8 @@
 	deadline_t next_poisons_send;
 	uint64_t prober_random; /* state of prng_next() */
 	bool holds_stale; /* the blocked parts have changed since the items were routed */
+	quarantine_doubt_t doubts[QUARANTINE_MAX]; /* parts of which one item at a time runs */
+	size_t ndoubts;
 	fanout_t *fan_out; /* of route deltas; NULL while this process does not lead */
 	hub_lot_t *lots;
 	uint64_t last_lot_serial; /* of the newest lot added to the dispatcher */
@@ -307,14 +311,17 @@
 void hub_quarantine_add_peer(hub_t *h, hub_peer_t *p);
 /** Takes over the blocks that an entry knows. */
 void hub_quarantine_adopt(hub_t *h, const link_prompt_parts_t *m);
-/** A crash under a request; content: hash of its content, NULL: not known. */
+/** A crash under a request; content: hash of its content, NULL: not known; began: its run, 0: not
+ * known. */
 void hub_quarantine_crash(hub_t *h, const hub_peer_t *p, const link_crash_t *m,
-			  const uint64_t *content);
+			  const uint64_t *content, deadline_t began);
 void hub_quarantine_sound(hub_t *h, const link_sound_part_t *m);
 /** Records that a replica has answered. */
 void hub_quarantine_alive(hub_t *h, str_t replica);
-/** True if the item must not run now, as a part of its prompt is blocked. */
+/** True if the item must not run now, as a part of its prompt is blocked, or in doubt. */
 bool hub_quarantine_holds(const hub_t *h, const hub_item_t *it);
+/** Notes that the run of an item has ended without a result: another item may be tried. */
+void hub_quarantine_item_ended(hub_t *h, hub_item_t *it);
 /** Blocks parts, ends blocks, and sends the list if it has changed. */
 void hub_quarantine_tick(hub_t *h, deadline_t now);
 
@@ -343,6 +350,8 @@
 hub_item_t *hub_find_item(hub_t *h, wire_bytes_t lot, u_int index);
 /** Routes the items again after a change of the config or of the blocked prompt parts. */
 void hub_dispatch_reroute(hub_t *h);
+/** The same for one item; it does not fail. */
+void hub_dispatch_reroute_item(hub_t *h, hub_item_t *it);
 /** Brings the dispatcher in line with the lots in group 0: adds new lots, removes finished items
  * and the items of ended and expired lots. */
 void hub_lots_sync(hub_t *h);
--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -293,30 +293,35 @@
 	dispatch_tick(h->dispatch, clock_now_ms());
 }
 
-typedef struct {
-	hub_t *h;
-	hub_lot_t *lot;
-} reroute_t;
+static void update_service(control_group_t *g, void *arg)
+{
+	hub_item_t *it = arg;
+	hub_t *h = it->lot->hub;
+	const lot_t *t = lots_find(g->lots, str_c(it->lot->id));
 
-static void update_services(control_group_t *g, void *arg)
+	if (t && it->dispatch_ref)
+		dispatch_item_set_service(h->dispatch, it->dispatch_ref,
+					  str_c(find_item_service(h, t, it)));
+}
+
+void hub_dispatch_reroute_item(hub_t *h, hub_item_t *it)
 {
-	reroute_t *r = arg;
-	const lot_t *t = lots_find(g->lots, str_c(r->lot->id));
+	control_group_read(&h->control->groups[0], update_service, it);
+}
 
-	for (uint32_t i = 0; t && i < t->nitems; i++) {
-		hub_item_t *it = &r->lot->items[i];
+static void update_services(control_group_t *g, void *arg)
+{
+	hub_lot_t *lot = arg;
 
-		if (it->dispatch_ref)
-			dispatch_item_set_service(r->h->dispatch, it->dispatch_ref,
-						  str_c(find_item_service(r->h, t, it)));
-	}
+	for (uint32_t i = 0; i < lot->nitems; i++)
+		update_service(g, &lot->items[i]);
 }
 
 /* Updates the service of the unfinished items; those that wait and have no route any more fail. */
 void hub_dispatch_reroute(hub_t *h)
 {
 	for (hub_lot_t *lot = h->lots; lot; lot = lot->hh.next)
-		control_group_read(&h->control->groups[0], update_services, &(reroute_t){h, lot});
+		control_group_read(&h->control->groups[0], update_services, lot);
 	for (hub_lot_t *lot = h->lots; lot; lot = lot->hh.next) {
 		for (uint32_t i = 0; i < lot->nitems; i++) {
 			hub_item_t *it = &lot->items[i];
@@ -492,6 +497,7 @@
 		  LOG_CSTR("outcome", dispatch_outcome_name((dispatch_outcome_t)m->outcome)),
 		  LOG_STR("replica", wire_str(m->replica)), LOG_INT("events", it->output.events),
 		  LOG_INT("failures", it->failures));
+	hub_quarantine_item_ended(h, it);
 	dispatch_item_requeue(h->dispatch, it->dispatch_ref, (dispatch_outcome_t)m->outcome,
 			      clock_now_ms());
 }
@@ -546,7 +552,7 @@
 		hub_quarantine_adopt(h, &m->link_msg_t_u.prompt_parts);
 		break;
 	case LINK_CRASH:
-		hub_quarantine_crash(h, p, &m->link_msg_t_u.crash, NULL);
+		hub_quarantine_crash(h, p, &m->link_msg_t_u.crash, NULL, 0);
 		break;
 	case LINK_SOUND_PART:
 		hub_quarantine_sound(h, &m->link_msg_t_u.sound);
--- a/src/control/hub_poison.c
+++ b/src/control/hub_poison.c
@@ -92,7 +92,7 @@
 		  LOG_INT("born", m->crash.start_time), LOG_INT("run_ms", m->run_ms),
 		  LOG_CSTR("key", poison_key_name(&key, name)));
 	if (m->crash.parts.parts_len > 0 && !poison_holds(h->poison, &key, 0, now, &why))
-		hub_quarantine_crash(h, p, &m->crash, &content);
+		hub_quarantine_crash(h, p, &m->crash, &content, now - m->run_ms);
 	poison_crash(h->poison, &key,
 		     (replica_ref_t){wire_str(m->crash.replica), m->crash.start_time},
 		     now - m->run_ms, now);
--- a/src/control/hub_quarantine.c
+++ b/src/control/hub_quarantine.c
@@ -2,6 +2,7 @@
  * answers that begin, tells the entries which parts are blocked, and holds the items with such
  * parts. */
 #include <stdlib.h>
+#include <string.h>
 #include "base/log.h"
 #include "base/metric.h"
 #include "control/hub.h"
@@ -34,6 +35,7 @@
 	h->quarantine = quarantine_new(&(quarantine_callbacks_t){h, on_event});
 	h->sent_quarantine = 0;
 	h->holds_stale = false;
+	h->ndoubts = 0;
 }
 
 void hub_quarantine_stop_leading(hub_t *h)
@@ -118,11 +120,28 @@
 	}
 }
 
+/* The items with a part that has come into doubt are held at once: those that crashed with their
+ * replicas are queued again right after. */
+static void update_doubts(hub_t *h, deadline_t now)
+{
+	static quarantine_doubt_t doubts[QUARANTINE_MAX];
+	size_t n = quarantine_list_doubted(h->quarantine, now, doubts, QUARANTINE_MAX);
+	bool same = n == h->ndoubts;
+
+	for (size_t i = 0; i < n && same; i++)
+		same = doubts[i].part == h->doubts[i].part;
+	memcpy(h->doubts, doubts, n * sizeof(*doubts));
+	h->ndoubts = n;
+	if (!same)
+		hub_dispatch_reroute(h);
+}
+
 void hub_quarantine_crash(hub_t *h, const hub_peer_t *p, const link_crash_t *m,
-			  const uint64_t *content)
+			  const uint64_t *content, deadline_t began)
 {
 	char names[PROMPT_PARTS_MAX * QUARANTINE_NAME_BYTES];
 	prompt_parts_t parts = {.n = 0};
+	deadline_t now = clock_now_ms();
 
 	for (u_int i = 0; i < m->parts.parts_len && i < PROMPT_PARTS_MAX; i++)
 		parts.v[parts.n++] = m->parts.parts_val[i];
@@ -136,9 +155,11 @@
 				 {wire_str(m->replica), m->start_time},
 				 content ? *content : str_hash(wire_str(m->request)),
 				 content != NULL,
+				 began,
 				 &parts,
 			 },
-			 clock_now_ms());
+			 now);
+	update_doubts(h, now);
 }
 
 void hub_quarantine_sound(hub_t *h, const link_sound_part_t *m)
@@ -158,23 +179,96 @@
 	poison_alive(h->poison, r, clock_now_ms());
 }
 
-bool hub_quarantine_holds(const hub_t *h, const hub_item_t *it)
+static prompt_parts_t parts_of(const hub_item_t *it)
 {
-	quarantine_part_t by;
 	prompt_parts_t parts = {.n = it->nparts};
 
 	for (unsigned i = 0; i < it->nparts; i++)
 		parts.v[i] = it->parts[i];
-	return quarantine_blocks(h->quarantine, &parts, clock_now_ms(), &by);
+	return parts;
+}
+
+bool hub_quarantine_holds(const hub_t *h, const hub_item_t *it)
+{
+	quarantine_part_t by;
+	prompt_parts_t parts = parts_of(it);
+	deadline_t now = clock_now_ms();
+
+	return quarantine_blocks(h->quarantine, &parts, now, &by) ||
+	       (!it->probes && quarantine_doubts(h->quarantine, &parts, now));
+}
+
+static bool has_part(const hub_item_t *it, uint64_t part)
+{
+	for (unsigned i = 0; i < it->nparts; i++) {
+		if (it->parts[i] == part)
+			return true;
+	}
+	return false;
+}
+
+/* The held item with this part that is to run next, the one that was tried longest ago; NULL if
+ * there is none or one runs already. */
+static hub_item_t *pick_prober(hub_t *h, uint64_t part, deadline_t now)
+{
+	hub_item_t *best = NULL;
+	quarantine_part_t by;
+
+	for (hub_lot_t *lot = h->lots; lot; lot = lot->hh.next) {
+		for (uint32_t i = 0; i < lot->nitems; i++) {
+			hub_item_t *it = &lot->items[i];
+			prompt_parts_t parts = parts_of(it);
+
+			if (!it->dispatch_ref || !has_part(it, part))
+				continue;
+			if (it->probes)
+				return NULL;
+			if (it->held && dispatch_item_is_waiting(it->dispatch_ref) &&
+			    (!best || it->probed_at < best->probed_at) &&
+			    !quarantine_blocks(h->quarantine, &parts, now, &by))
+				best = it;
+		}
+	}
+	return best;
+}
+
+static void start_probes(hub_t *h, deadline_t now)
+{
+	char part[QUARANTINE_NAME_BYTES];
+
+	for (size_t i = 0; i < h->ndoubts; i++) {
+		const quarantine_doubt_t *d = &h->doubts[i];
+		hub_item_t *it = d->probe_at <= now ? pick_prober(h, d->part, now) : NULL;
+
+		if (!it)
+			continue;
+		it->probes = true;
+		it->probed_at = now;
+		log_event(LOG_LEVEL_INFO, "prompt_part_probed",
+			  LOG_CSTR("part", quarantine_part_name(d->part, part)),
+			  LOG_CSTR("lot", it->lot->id), LOG_INT("item", it->index));
+		METRIC_INC("auburn_prompt_parts_probed_total");
+		hub_dispatch_reroute_item(h, it);
+	}
+}
+
+void hub_quarantine_item_ended(hub_t *h, hub_item_t *it)
+{
+	if (!it->probes)
+		return;
+	it->probes = false;
+	hub_dispatch_reroute_item(h, it);
 }
 
 void hub_quarantine_tick(hub_t *h, deadline_t now)
 {
 	quarantine_tick(h->quarantine, now);
+	update_doubts(h, now);
 	if (h->holds_stale) {
 		h->holds_stale = false;
 		hub_dispatch_reroute(h);
 	}
+	start_probes(h, now);
 	if (now < h->next_quarantine_send ||
 	    h->sent_quarantine == quarantine_version(h->quarantine))
 		return;
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -244,10 +244,10 @@
 void front_quarantine_alive(front_t *f, replica_ref_t replica);
 /** The parts that may have crashed a replica: those with which no answer has just begun. */
 void front_quarantine_suspects(const front_t *f, const prompt_parts_t *parts, prompt_parts_t *out);
-/** The connection to the replica has ended before the answer to the request began. key: of an
- * online request; NULL: an item. */
+/** The connection to the replica has ended before the answer to the request began. began: the run;
+ * key: of an online request; NULL: an item. */
 void front_quarantine_broke(front_t *f, str_t request, replica_ref_t replica,
-			    const prompt_parts_t *parts, const poison_key_t *key);
+			    const prompt_parts_t *parts, deadline_t began, const poison_key_t *key);
 void front_quarantine_tick(front_t *f, deadline_t now);
 
 /* front_poison.c: requests that crash replicas */
--- a/src/front/front_attempt.c
+++ b/src/front/front_attempt.c
@@ -191,7 +191,8 @@
 	if (o->cut && (how == HTTP_CALL_BROKEN || how == HTTP_CALL_MALFORMED))
 		o->cut(o->ctx, o->replica, a->began, a->started);
 	else if (how == HTTP_CALL_BROKEN && !a->began)
-		front_quarantine_broke(o->f, str_c(a->id), o->replica, &o->prompt, NULL);
+		front_quarantine_broke(o->f, str_c(a->id), o->replica, &o->prompt, a->started,
+				       NULL);
 	else if (how == HTTP_CALL_DONE && a->answered)
 		front_quarantine_began(o->f, o->replica, &o->prompt);
 	else if (how == HTTP_CALL_DONE)
--- a/src/front/front_poison.c
+++ b/src/front/front_poison.c
@@ -91,7 +91,8 @@
 	poison_crash(f->poison, &c->key, c->replica, c->began_at, now);
 	if (!f->leader_holds) {
 		if (!c->answer_began)
-			front_quarantine_broke(f, c->request, c->replica, c->parts, &c->key);
+			front_quarantine_broke(f, c->request, c->replica, c->parts, c->began_at,
+					       &c->key);
 		return;
 	}
 	if (!c->answer_began)
--- a/src/front/front_quarantine.c
+++ b/src/front/front_quarantine.c
@@ -168,7 +168,7 @@
 }
 
 void front_quarantine_broke(front_t *f, str_t request, replica_ref_t replica,
-			    const prompt_parts_t *parts, const poison_key_t *key)
+			    const prompt_parts_t *parts, deadline_t began, const poison_key_t *key)
 {
 	deadline_t now = clock_now_ms();
 	link_msg_t m = {.kind = LINK_CRASH};
@@ -192,6 +192,7 @@
 					 replica,
 					 key ? content : str_hash(request),
 					 key != NULL,
+					 began,
 					 &suspects,
 				 },
 				 now);
--- a/src/policy/poison.c
+++ b/src/policy/poison.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
+#include "policy/crash_series.h"
 
 /** Number of crashes from which a request is held. */
 #define CRASHES_MIN 3
@@ -10,10 +11,6 @@
 #define CRASHES_MAX 8
 /** An answer that ends this soon after a crash, in ms, may have been sent before it. */
 #define OVERTAKEN_MS 100
-/** All connections of a replica that crashes end within this time, in ms. */
-#define CRASH_MS 250
-/** Times of different entries may differ by this, in ms, as their reports travel. */
-#define SKEW_MS 50
 /** Crashes count for this long, in ms. */
 #define WINDOW_MS 600000
 /** A hold that the deciding process does not confirm ends after this long, in ms. */
@@ -152,21 +149,14 @@
 	return x;
 }
 
-/* Number of crashes that came one after the other: each under a run that began after the one before
- * it, or some time after that. */
+/* Number of crashes that came one after the other. */
 static unsigned count_serial(const request_t *r)
 {
-	deadline_t last = 0;
-	unsigned n = 0;
+	crash_series_t series = {0};
 
-	for (unsigned i = 0; i < r->ncrashes; i++) {
-		if (n > 0 && r->crashes[i].began + SKEW_MS < last &&
-		    r->crashes[i].at <= last + CRASH_MS)
-			continue;
-		last = r->crashes[i].at;
-		n++;
-	}
-	return n;
+	for (unsigned i = 0; i < r->ncrashes; i++)
+		crash_series_add(&series, r->crashes[i].began, r->crashes[i].at);
+	return series.n;
 }
 
 static unsigned count_crashes(const request_t *r)
@@ -316,7 +306,7 @@
 	process_t *x = find_process(p, process);
 	request_t *r;
 
-	if (x && now - x->at > CRASH_MS) {
+	if (x && now - x->at > CRASH_TOGETHER_MS) {
 		/* It has accepted a connection since. */
 		take_back(p, x);
 		return;
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -2,14 +2,13 @@
 
 #include <stdlib.h>
 #include <uthash.h>
+#include "policy/crash_series.h"
 
 /** A crash counts after this long, in ms, within which other entries report answers of the replica.
  */
 #define CONFIRM_MS 500
 /** An answer that ends this soon after a crash, in ms, may have been sent before it. */
 #define OVERTAKEN_MS 100
-/** All connections of a replica that crashes end within this time, in ms. */
-#define CRASH_MS 250
 /** Crashes count for this long, in ms. */
 #define WINDOW_MS 60000
 /** A part with which answers have begun within this time, in ms, is known as sound. */
@@ -38,6 +37,7 @@
 	uint64_t replica; /* hash of id and start time */
 	uint64_t request;
 	bool is_content;
+	deadline_t began; /* the run; 0: unknown */
 	deadline_t at;
 } crash_t;
 
@@ -197,14 +197,30 @@
 static void add_crash(quarantine_t *q, part_t *p, const crash_t *c)
 {
 	for (unsigned i = 0; i < p->ncrashes; i++) {
-		if (p->crashes[i].replica == c->replica)
-			return;
+		crash_t *known = &p->crashes[i];
+
+		if (known->replica != c->replica)
+			continue;
+		known->began = c->began > known->began ? c->began : known->began;
+		return;
 	}
 	if (p->ncrashes < CRASHES_MAX)
 		p->crashes[p->ncrashes++] = *c;
 	q->version++;
 }
 
+/* Number of crashes that came one after the other until this time. */
+static unsigned count_serial(const part_t *p, deadline_t until)
+{
+	crash_series_t series = {0};
+
+	for (unsigned i = 0; i < p->ncrashes; i++) {
+		if (p->crashes[i].at <= until)
+			crash_series_add(&series, p->crashes[i].began, p->crashes[i].at);
+	}
+	return series.n;
+}
+
 /* A part without crashes is kept only if it was blocked before, or is watched. */
 static void settle(quarantine_t *q, part_t *p)
 {
@@ -295,7 +311,7 @@
 			continue;
 		drop_crash(p, i);
 		report(q, QUARANTINE_TAKEN_BACK, p);
-		if (p->until && p->level == 0 && p->ncrashes < CRASHES_MIN)
+		if (p->until && p->level == 0 && count_serial(p, INT64_MAX) < CRASHES_MIN)
 			clear_part(q, p);
 		else
 			settle(q, p);
@@ -315,11 +331,11 @@
 
 void quarantine_crash(quarantine_t *q, const quarantine_crash_t *c, deadline_t now)
 {
-	crash_t x = {replica_key(c->replica), c->request, c->is_content, now};
+	crash_t x = {replica_key(c->replica), c->request, c->is_content, c->began, now};
 	stamp_t *known = find_stamp(q->crashed, x.replica);
 	quarantine_part_t blocked;
 
-	if (known && now - known->at > CRASH_MS) {
+	if (known && now - known->at > CRASH_TOGETHER_MS) {
 		/* It has accepted a connection since. */
 		take_back(q, x.replica);
 		return;
@@ -467,11 +483,17 @@
 	return at && at + SOUND_MS > now;
 }
 
+/* Number of crashes from which the part is blocked. */
+static unsigned least_crashes(const quarantine_t *q, const part_t *p, deadline_t now)
+{
+	return p->level ? 1 : is_known_sound(q, p, now) ? CRASHES_SOUND_MIN : CRASHES_MIN;
+}
+
 /* Number of crashes that count; 0 if they are too few for a block. */
 static unsigned weigh(const quarantine_t *q, const part_t *p, deadline_t now)
 {
-	unsigned least = p->level ? 1 : is_known_sound(q, p, now) ? CRASHES_SOUND_MIN : CRASHES_MIN;
-	unsigned n = 0;
+	unsigned least = least_crashes(q, p, now);
+	unsigned n = count_serial(p, now - CONFIRM_MS);
 	bool several = p->level > 0;
 
 	if (p->until)
@@ -480,7 +502,6 @@
 		if (p->crashes[i].at + CONFIRM_MS > now)
 			continue;
 		several |= p->crashes[i].request != p->crashes[0].request;
-		n++;
 	}
 	if (!several && p->ncrashes > 0 && p->crashes[0].is_content)
 		return 0;
@@ -530,6 +551,38 @@
 	return true;
 }
 
+static bool is_doubted(const quarantine_t *q, const part_t *p, deadline_t now)
+{
+	return !p->until && (p->level || p->ncrashes >= least_crashes(q, p, now));
+}
+
+bool quarantine_doubts(const quarantine_t *q, const prompt_parts_t *parts, deadline_t now)
+{
+	for (unsigned i = 0; q->parts && i < parts->n; i++) {
+		const part_t *p = find_part(q, parts->v[i]);
+
+		if (p && is_doubted(q, p, now))
+			return true;
+	}
+	return false;
+}
+
+size_t quarantine_list_doubted(const quarantine_t *q, deadline_t now, quarantine_doubt_t *out,
+			       size_t max)
+{
+	size_t n = 0;
+
+	for (const part_t *p = q->parts; p && n < max; p = p->hh.next) {
+		if (!is_doubted(q, p, now))
+			continue;
+		out[n++] = (quarantine_doubt_t){
+			.part = p->part,
+			.probe_at = p->ncrashes ? p->crashes[p->ncrashes - 1].at + CONFIRM_MS : now,
+		};
+	}
+	return n;
+}
+
 static unsigned count_settled(const part_t *p, deadline_t now)
 {
 	unsigned n = 0;
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -9,11 +9,16 @@
  * when several replicas crashed, and no answer to any prompt with it has begun since the first of
  * these crashes. A crash does not count before other processes have had time to report answers of
  * the replica, and no longer once that replica process brings an answer or breaks connections
- * again: then it has not crashed. The crashes under a blocked part count for no other part. Of
+ * again: then it has not crashed. Of replicas that crash together one counts, as for policy/poison.
+ * The crashes under a blocked part count for no other part. Of
  * parts that can't be told apart, only prompts with all of them are blocked. A part
  * with which answers have begun before needs more crashes. A block ends after minutes; the next one
  * of the same part is twice as long and needs one crash.
  *
+ * A part is in doubt while enough replicas have crashed under it for a block, but together, or its
+ * block has run out and nothing is known of it since. Work that can wait then runs one at a time,
+ * until an answer begins or the part is blocked.
+ *
  * The expected load: some thousand requests a second with up to a thousand parts in use, of which
  * one comes with up to a fifth of the requests of its route, at any of 1 to 400 entries; besides,
  * connections and replicas that fail by the dozen for other reasons.
@@ -67,9 +72,15 @@
 	uint64_t request; /* hash of its id or, if the process that reports it sends that, of its
 			     content */
 	bool is_content; /* request is a hash of the content: the same for each repeat */
+	deadline_t began; /* the run; 0: unknown */
 	const prompt_parts_t *parts;
 } quarantine_crash_t;
 
+typedef struct {
+	uint64_t part;
+	deadline_t probe_at; /* when the next prompt with it may run */
+} quarantine_doubt_t;
+
 typedef struct quarantine quarantine_t;
 
 quarantine_t *quarantine_new(const quarantine_callbacks_t *cb);
@@ -96,6 +107,11 @@
 /** True if one of the parts is blocked; *out: the one whose block ends last. */
 bool quarantine_blocks(const quarantine_t *q, const prompt_parts_t *parts, deadline_t now,
 		       quarantine_part_t *out);
+/** True if one of the parts is in doubt. */
+bool quarantine_doubts(const quarantine_t *q, const prompt_parts_t *parts, deadline_t now);
+/** Lists the parts in doubt, at most max; returns their number. */
+size_t quarantine_list_doubted(const quarantine_t *q, deadline_t now, quarantine_doubt_t *out,
+			       size_t max);
 /** True if the part is suspected or blocked. */
 bool quarantine_has(const quarantine_t *q, uint64_t part);
 /** Lists the suspected and blocked parts, at most max; returns their number. */
--- a/tests/proc/test_quarantine.py
+++ b/tests/proc/test_quarantine.py
@@ -99,6 +99,52 @@
         self.kit.loop.run(self.play(10, fronts=self.kit.fronts[:1]))
         self.check_budget()
 
+    def test_items_with_the_part_run_one_at_a_time_after_the_first_crashes(self):
+        self.make_replicas_crash()
+        lot, items = self.kit.lot(9)
+        for it in items[:6]:
+            it["headers"]["Prompt-Prefix"] = "dead:100,%s:250" % it["id"]
+
+        async def go():
+            self.assertEqual(await self.kit.open_lot(self.kit.fronts[0], lot, items), 202)
+            await asyncio.sleep(8)
+            return await self.kit.read_whole(lot, 1)
+        results = self.kit.loop.run(go())
+        self.check_budget()
+        self.assertEqual({x["id"] for x in results}, {it["id"] for it in items[6:]})
+        starts = sorted(r["at"] for r in self.kit.runs if r["id"] in {it["id"] for it in items[:6]})
+        first = [t for t in starts if t < starts[0] + 0.25]
+        later = starts[len(first):]
+        for a, b in zip(later, later[1:]):
+            self.assertGreater(b - a, 0.25, starts)
+
+
+class CommonCrash(unittest.TestCase):
+    def test_items_are_run_again_after_a_crash_of_all_replicas_under_a_new_part(self):
+        """Guards against accepted items that wait for minutes although all replicas are back and idle."""
+        kit = Kit(replicas=6)
+        self.addCleanup(kit.close)
+        kit.up()
+        lot, items = kit.lot(6)
+        for it in items:
+            it["headers"]["Prompt-Prefix"] = "5c1e07a2:100,%s:250" % it["id"]
+        for r in kit.replicas:
+            r.silent_after = 0      # an item's prompt is read when its replica crashes
+
+        async def go():
+            self.assertEqual(await kit.open_lot(kit.fronts[0], lot, items), 202)
+            end = time.time() + 3
+            while len({r["id"] for r in kit.runs}) < len(items) and time.time() < end:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            for r in kit.replicas:
+                r.silent_after = None
+            await asyncio.gather(*[r.crash() for r in kit.replicas])
+            return await kit.read_whole(lot, 10)
+        results = kit.loop.run(go())
+        self.assertEqual(sorted(x["id"] for x in results), [it["id"] for it in items])
+        self.assertEqual({x["state"] for x in results}, {"completed"})
+
 
 if __name__ == "__main__":
     unittest.main()
