--- a/src/front/front.h
+++ b/src/front/front.h
@@ -80,7 +80,7 @@
 	ev_timer tick;
 	ev_signal term;
 	ev_signal hup;
-	deadline_t exit_by; /* latest end of the stop that is in progress; 0 if there is none */
+	drain_stop_t stop; /* in progress; its times are 0 if there is none */
 	deadline_t accept_until; /* during a stop: new connections are accepted until then */
 	deadline_t idle_since; /* 0 while connections are accepted; then the last time at which a
 				  request was open, at first the time when accepting stopped */
@@ -446,6 +446,12 @@
 
 /* main.c */
 
+/** True from the signal to stop on. */
+static inline bool front_is_stopping(const front_t *f)
+{
+	return f->stop.exit_by != 0;
+}
+
 /** Begins to answer a request: as a lot call, or by the route that it matches. */
 void front_serve(front_t *f, http_conn_t *c, const http_request_t *r);
 
--- a/src/front/front_item.c
+++ b/src/front/front_item.c
@@ -208,7 +208,7 @@
 	it->reported_bytes = it->text.n;
 	it->next_report = clock_now_ms() + REPORT_MS;
 	DL_APPEND(f->items, it);
-	if (!addr[0] || f->exit_by) {
+	if (!addr[0] || front_is_stopping(f)) {
 		end_item(it, LINK_ITEM_END_UNFINISHED,
 			 addr[0] ? DISPATCH_CANCELLED : DISPATCH_UNREACHABLE);
 		return;
--- a/src/front/front_link.c
+++ b/src/front/front_link.c
@@ -216,8 +216,8 @@
 		.name = wire_bytes(str_c(f->settings.name)),
 		.addr = wire_bytes(str_c(f->settings.listen)),
 		.zone = wire_bytes(str_c(f->settings.zone)),
-		.draining = f->exit_by != 0 || front_is_cut_off(f),
-		.replica = !f->exit_by && front_is_cut_off(f) ? LINK_ENTRY_CUT_OFF : 0,
+		.draining = front_is_stopping(f) || front_is_cut_off(f),
+		.replica = !front_is_stopping(f) && front_is_cut_off(f) ? LINK_ENTRY_CUT_OFF : 0,
 		.text = f->config_id,
 	};
 	out->runs.runs_len = (u_int)n;
--- a/src/front/front_lot.c
+++ b/src/front/front_lot.c
@@ -121,19 +121,20 @@
 	return c;
 }
 
-/* Refuses a call that can't be answered before this process ends; returns whether it did. */
+/* Refuses a call that may not be answered before this process ends; returns whether it did. */
 static bool refuse_late(front_t *f, http_conn_t *conn, link_call_kind_t kind, str_t id,
-			int64_t unknown_ms)
+			int64_t most_ms)
 {
 	AUTO_BUF headers = {0};
 	deadline_t now = clock_now_ms();
+	drain_request_t r = {(uint64_t)kind, now, now + most_ms};
 
-	if (!f->exit_by || drain_fits(f->drain, (uint64_t)kind, now, f->exit_by, unknown_ms))
+	if (!front_is_stopping(f) || drain_fits(f->drain, &r, now, &f->stop))
 		return false;
 	log_event(LOG_LEVEL_INFO, "stop_refused", LOG_STR("lot", id),
 		  LOG_CSTR("call", leader_link_call_name(kind)),
-		  LOG_INT("left_ms", f->exit_by - now),
-		  LOG_INT("expected_ms", drain_expected_ms(f->drain, (uint64_t)kind, unknown_ms)));
+		  LOG_INT("left_ms", f->stop.exit_by - now),
+		  LOG_INT("expected_ms", drain_expected_ms(f->drain, r.kind, most_ms)));
 	METRIC_INC("auburn_refused_stopping_total");
 	platform_add_retry_after(&headers, RETRY_ELSEWHERE_MS);
 	http_reply(conn, 503, str_buf(&headers), STR(""));
@@ -178,7 +179,8 @@
 /* How long a read may wait for results. */
 static int64_t read_wait_ms(const front_t *f, int64_t asked_ms)
 {
-	int64_t left_ms = f->exit_by ? clock_left_ms(f->exit_by) - READ_ANSWER_MS : asked_ms;
+	int64_t left_ms =
+		front_is_stopping(f) ? clock_left_ms(f->stop.exit_by) - READ_ANSWER_MS : asked_ms;
 	int64_t ms = asked_ms < left_ms ? asked_ms : left_ms;
 
 	return ms > 0 ? ms : 0;
--- a/src/front/front_request.c
+++ b/src/front/front_request.c
@@ -39,13 +39,14 @@
 	return q->kind == ROUTE_REPEATABLE || (q->kind == ROUTE_STREAM && q->resumable);
 }
 
-/* True if the request can't end before this process does. */
+/* True if the request may not end before this process does. */
 static bool is_late(const front_request_t *q)
 {
 	front_t *f = q->f;
 
-	return f->exit_by && !drain_fits(f->drain, q->drain_kind, clock_now_ms(), f->exit_by,
-					 clock_left_ms(q->deadline));
+	drain_request_t r = {q->drain_kind, q->req.received, q->deadline};
+
+	return front_is_stopping(f) && !drain_fits(f->drain, &r, clock_now_ms(), &f->stop);
 }
 
 /* Logs the end of a request and records its times in the metrics. placed_by names the dispatcher in
@@ -239,7 +240,7 @@
 	return since + q->give_up_ms;
 }
 
-/* Ends a request that can't end before this process does, unless its answer has begun; its caller
+/* Ends a request that may not end before this process does, unless its answer has begun; its caller
  * is to use another entry. Returns whether it did. */
 static bool end_if_late(front_request_t *q)
 {
@@ -249,9 +250,11 @@
 	if (q->head_sent || !is_late(q))
 		return false;
 	log_event(LOG_LEVEL_INFO, "stop_refused", LOG_STR("request", q->call.id),
-		  LOG_INT("left_ms", f->exit_by - now),
+		  LOG_INT("left_ms", f->stop.exit_by - now),
+		  LOG_INT("deadline_ms", q->deadline - now),
+		  LOG_INT("known_ms", now - f->stop.known_by),
 		  LOG_INT("expected_ms",
-			  drain_expected_ms(f->drain, q->drain_kind, clock_left_ms(q->deadline))),
+			  drain_expected_ms(f->drain, q->drain_kind, q->deadline - now)),
 		  LOG_INT("ms", now - q->req.received), LOG_INT("tries", q->attempts));
 	METRIC_INC("auburn_refused_stopping_total");
 	end_failed(q, FAILURE_STOPPING, RETRY_ELSEWHERE_MS, "entry stops");
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -102,7 +102,7 @@
 {
 	front_t *f = ctx;
 
-	if (f->exit_by || !f->routes || front_is_cut_off(f))
+	if (front_is_stopping(f) || !f->routes || front_is_cut_off(f))
 		http_reply(c, 503, STR(""), STR("not ready\n"));
 	else
 		http_reply(c, 200, STR(""), STR("ready\n"));
@@ -160,11 +160,11 @@
 	front_poison_tick(f, now);
 	front_held_expire(f, now);
 	front_item_report_progress(f, now);
-	if (!f->exit_by)
+	if (!front_is_stopping(f))
 		return;
 	front_request_refuse_late(f);
 	exit_when_idle(f, now);
-	if (now >= f->exit_by)
+	if (now >= f->stop.exit_by)
 		ev_break(loop, EVBREAK_ALL);
 }
 
@@ -173,10 +173,11 @@
 	front_t *f = w->data;
 	int64_t grace_ms = f->settings.grace_s * 1000;
 
-	if (f->exit_by)
+	if (front_is_stopping(f))
 		return;
 	f->accept_until = clock_now_ms() + grace_ms * ACCEPT_PERCENT / 100;
-	f->exit_by = clock_now_ms() + grace_ms - EXIT_MARGIN_MS;
+	f->stop.known_by = clock_now_ms() + DIRECTORY_TTL_MS;
+	f->stop.exit_by = clock_now_ms() + grace_ms - EXIT_MARGIN_MS;
 	log_event(LOG_LEVEL_INFO, "stopping", LOG_CSTR("reason", "signal"),
 		  LOG_INT("requests", HASH_COUNT(f->requests)),
 		  LOG_INT("items", front_item_count(f)));
--- a/src/policy/drain.c
+++ b/src/policy/drain.c
@@ -73,8 +73,11 @@
 	return longest + longest * MARGIN_PERCENT / 100;
 }
 
-bool drain_fits(const drain_t *d, uint64_t kind, deadline_t now, deadline_t exit_by,
-		int64_t unknown_ms)
+bool drain_fits(const drain_t *d, const drain_request_t *r, deadline_t now,
+		const drain_stop_t *stop)
 {
-	return now + drain_expected_ms(d, kind, unknown_ms) <= exit_by;
+	if (r->deadline <= stop->exit_by)
+		return true;
+	return r->received <= stop->known_by &&
+	       now + drain_expected_ms(d, r->kind, r->deadline - now) <= stop->exit_by;
 }
--- a/tests/proc/test_late_requests.py
+++ b/tests/proc/test_late_requests.py
@@ -66,10 +66,12 @@
     async def warm_up(self, path):
         await asyncio.gather(*[self.kit.stream(self.front, path, "%016x" % random.getrandbits(64)) for _ in range(6)])
 
-    async def play(self, path):
-        """Returns the connections, and when the signal was sent."""
+    async def play(self, path, grace_s=GRACE_S, events=EVENTS):
+        """Returns the connections, and when the signal was sent. events: of the streams after it."""
         await self.warm_up(path)
-        conns = [Connection(self.kit, self.front) for _ in range(int(GRACE_S / STEP_S))]
+        for r in self.kit.replicas:
+            r.events = events
+        conns = [Connection(self.kit, self.front) for _ in range(int(grace_s / STEP_S))]
         await asyncio.gather(*[c.open() for c in conns])
         self.front.signal(signal.SIGTERM)
         at, tasks = time.time(), []
@@ -100,6 +102,28 @@
     def test_late_requests_that_may_be_resumed_are_refused_and_none_is_cut(self):
         self.check("/brief/1")
 
+    def check_longer_than_before(self, path):
+        """Streams of 3.9 s after short ones of their route, in a stop of 8 s; their deadlines are 5 s."""
+        self.front.stop()
+        self.front.settings["grace_s"] = 8
+        self.front.write_settings()
+        self.front.start()
+        self.kit.loop.run(self.kit.wait_ready())
+        for r in self.kit.replicas:
+            r.events, r.slots = 10, 64
+        conns, at = self.kit.loop.run(self.play(path, 8, 195))
+        for c in conns:
+            whole = c.status == 200 and c.complete
+            self.assertTrue(whole or not self.kit.runs_of(c.rid), "%.2f s: %d" % (c.sent_at - at, c.status))
+        self.assertGreater(len([c for c in conns if c.status == 200]), 20)
+        self.assertGreater(len([c for c in conns if c.status == 503]), 20)
+
+    def test_late_requests_that_last_longer_than_those_before_and_may_not_be_repeated_are_not_cut(self):
+        self.check_longer_than_before("/alert/1")
+
+    def test_late_requests_that_last_longer_than_those_before_and_may_be_resumed_are_not_cut(self):
+        self.check_longer_than_before("/brief/1")
+
     def test_reads_of_a_lot_are_answered_before_the_entry_ends(self):
         for r in self.kit.replicas:
             r.events = 1000
