--- a/src/net/sse.c
+++ b/src/net/sse.c
@@ -1,98 +1,113 @@
 #include "net/sse.h"
 
-#include <string.h>
-
 #include "net/http.h"
 
-static str_t field_value(str_t line, str_t prefix)
+/* Finds the end of the line that begins at `from`, at `*at` or later: its length without the line
+ * end, and where the next line begins. A line ends with LF, CR or CRLF. False if the end has not
+ * come yet, which it can only from `*at` on; a CR at the end of the input may be the first half of
+ * a CRLF, unless the line before ended with a CR too. */
+static bool next_line(str_t s, size_t from, size_t *at, size_t *n, size_t *next)
 {
-	str_t rest = {line.p + prefix.n, line.n - prefix.n};
-
-	if (rest.n && rest.p[0] == ' ')
-		rest = (str_t){rest.p + 1, rest.n - 1};
-	return rest;
+	size_t i = *at;
+	bool cr_lines = from > 0 && s.p[from - 1] == '\r';
+
+	while (i < s.n && s.p[i] != '\n' && s.p[i] != '\r')
+		i++;
+	*at = i;
+	if (i == s.n || (s.p[i] == '\r' && i + 1 == s.n && !(i == from && cr_lines)))
+		return false;
+	*n = i - from;
+	*next = i + 1;
+	if (s.p[i] == '\r' && i + 1 < s.n && s.p[i + 1] == '\n')
+		(*next)++;
+	return true;
 }
 
-/* Returns whether the line is a comment or a field that the format of events defines. */
-static bool parse_line(sse_event_t *e, str_t line)
+/* The lines of data of an event are joined by line feeds. */
+static void add_data(sse_parser_t *s, sse_event_t *e, str_t value)
 {
-	if (str_starts(line, STR("event:"))) {
-		e->name = field_value(line, STR("event:"));
-	} else if (str_starts(line, STR("id:"))) {
-		e->id = http_parse_number(field_value(line, STR("id:")));
-	} else if (str_starts(line, STR("data:"))) {
-		e->data = field_value(line, STR("data:"));
+	if (!e->has_data) {
 		e->has_data = true;
-	} else {
-		return str_starts(line, STR(":")) || str_starts(line, STR("retry:"));
+		e->data = value;
+		return;
 	}
+	if (s->data.n == 0)
+		buf_add(&s->data, e->data);
+	buf_addc(&s->data, '\n');
+	buf_add(&s->data, value);
+	e->data = str_buf(&s->data);
+}
+
+/* Returns whether the line is a comment or a field that the format of events defines. */
+static bool parse_line(sse_parser_t *s, sse_event_t *e, str_t line)
+{
+	long colon = str_find(line, STR(":"));
+	str_t name = {line.p, colon < 0 ? line.n : (size_t)colon};
+	str_t value = {line.p + line.n, 0};
+
+	if (colon >= 0)
+		value = (str_t){line.p + colon + 1, line.n - (size_t)colon - 1};
+	if (value.n && value.p[0] == ' ')
+		value = (str_t){value.p + 1, value.n - 1};
+	if (str_eq(name, STR("event")))
+		e->name = value;
+	else if (str_eq(name, STR("id")))
+		e->id = http_parse_number(value);
+	else if (str_eq(name, STR("data")))
+		add_data(s, e, value);
+	else
+		return name.n == 0 || str_eq(name, STR("retry"));
 	return true;
 }
 
-static bool deliver_event(str_t raw, sse_callback_t event, void *ctx)
+static bool deliver_event(sse_parser_t *s, str_t raw, sse_callback_t event, void *ctx)
 {
 	sse_event_t e = {.raw = raw, .name = {"", 0}, .data = {"", 0}, .id = -1};
-	str_t left = raw;
 	bool has_lines = false;
 	bool has_fields = false;
-
-	while (left.n) {
-		long nl = str_find(left, STR("\n"));
-		size_t n = nl < 0 ? left.n : (size_t)nl;
-		str_t line = {left.p, n};
-
-		if (line.n && line.p[line.n - 1] == '\r')
-			line.n--;
-		has_lines |= line.n > 0;
-		has_fields |= parse_line(&e, line);
-		n += nl < 0 ? 0 : 1;
-		left = (str_t){left.p + n, left.n - n};
+	size_t from = 0;
+	size_t at = 0;
+	size_t n;
+	size_t next;
+
+	s->data.n = 0;
+	for (; next_line(raw, from, &at, &n, &next); from = at = next) {
+		if (n == 0)
+			continue;
+		has_lines = true;
+		has_fields |= parse_line(s, &e, (str_t){raw.p + from, n});
 	}
 	e.is_malformed = has_lines && !has_fields;
 	return event(ctx, &e);
 }
 
-/* Offset after the first event that ends at or after `from`; 0 if none ends. */
-static size_t find_event_end(str_t s, size_t from)
-{
-	const char *nl;
-
-	while (from < s.n && (nl = memchr(s.p + from, '\n', s.n - from))) {
-		size_t i = (size_t)(nl - s.p);
-
-		if (i + 1 < s.n && s.p[i + 1] == '\n')
-			return i + 2;
-		if (i + 2 < s.n && s.p[i + 1] == '\r' && s.p[i + 2] == '\n')
-			return i + 3;
-		from = i + 1;
-	}
-	return 0;
-}
-
-/* Bytes searched again with the next input: they may be the start of an empty line. */
-#define SEARCH_OVERLAP 2
-
 bool sse_feed(sse_parser_t *s, str_t bytes, sse_callback_t event, void *ctx)
 {
 	size_t used = 0;
-	size_t from = s->searched;
+	size_t from = s->line;
+	size_t at = s->searched;
 	bool more = true;
+	size_t n;
+	size_t next;
 
 	buf_add(&s->pending, bytes);
-	while (more) {
-		size_t end = find_event_end(str_buf(&s->pending), from);
-
-		if (end == 0)
-			break;
-		more = deliver_event((str_t){s->pending.p + used, end - used}, event, ctx);
-		used = from = end;
+	while (more && next_line(str_buf(&s->pending), from, &at, &n, &next)) {
+		bool ends_event = n == 0 && from > used;
+
+		from = at = next;
+		if (!ends_event)
+			continue;
+		more = deliver_event(s, (str_t){s->pending.p + used, next - used}, event, ctx);
+		used = next;
 	}
 	buf_drop_front(&s->pending, used);
-	s->searched = s->pending.n > SEARCH_OVERLAP ? s->pending.n - SEARCH_OVERLAP : 0;
+	s->line = from - used;
+	s->searched = at - used;
 	return more && s->pending.n <= SSE_EVENT_MAX_BYTES;
 }
 
 void sse_free(sse_parser_t *s)
 {
 	buf_free(&s->pending);
+	buf_free(&s->data);
 }
--- a/src/net/sse.h
+++ b/src/net/sse.h
@@ -1,4 +1,4 @@
-/** Parser of server-sent events. */
+/** Parser of server-sent events (WHATWG HTML, section 9.2). */
 #ifndef AUBURN_SSE_H
 #define AUBURN_SSE_H
 
@@ -9,13 +9,15 @@
 
 typedef struct {
 	buf_t pending; /* bytes after the last complete event */
-	size_t searched; /* leading bytes of pending in which no event ends */
+	size_t line; /* where its last line begins */
+	size_t searched; /* leading bytes of pending in which no further line ends */
+	buf_t data; /* of the last event, if it had several lines of data */
 } sse_parser_t;
 
 typedef struct {
 	str_t raw; /* with the empty line that ends it */
 	str_t name; /* of its last event line; empty if there is none */
-	str_t data; /* of its last data line */
+	str_t data; /* of its data lines, joined by line feeds; valid during the callback */
 	long long id; /* of its last id line; -1: none, or not a number */
 	bool has_data;
 	bool is_malformed; /* has lines, but neither a field of an event nor a comment */
--- a/tests/proc/test_whole_answers.py
+++ b/tests/proc/test_whole_answers.py
@@ -7,7 +7,7 @@
 import time
 import unittest
 
-from platform_kit import HOST, Kit
+from platform_kit import HOST, Kit, event_text
 
 ENDS = [b"", b": keep-alive\n\n", b"retry: 100\n\n"]
 
@@ -74,6 +74,28 @@
         self.assertEqual({r["id"]: r["output"] for r in results},
                          {x["id"]: self.kit.whole_text(x["id"]) for x in items})
 
+    def play_lines_of_data(self, line_end):
+        """Events of two lines of data and an empty one; the first runs break off within their fourth event."""
+        self.kit.text_of = lambda run, n: (line_end + "data: ").join((event_text(run["id"], n), "second line", ""))
+        for r in self.kit.replicas:
+            r.break_after = 4
+        lot, items = self.kit.lot(3)
+        run = self.kit.loop.run
+        self.assertEqual(run(self.kit.open_lot(self.kit.fronts[0], lot, items)), 202)
+        results = run(self.kit.read_whole(lot, 20))
+        self.assertEqual({r["id"]: r["output"] for r in results},
+                         {x["id"]: "\n".join(event_text(x["id"], n) + "\nsecond line\n" for n in range(1, 11)) for x in items})
+        rid, (s, _, b) = self.send("/brief/1")
+        self.assertEqual((s, b.decode()), (200, "".join("id: %d\ndata: %s%sdata: second line%sdata: \n\n" % (
+            n, event_text(rid, n), line_end, line_end) for n in range(1, 11))))
+
+    def test_text_of_an_item_has_all_lines_of_data_of_its_events(self):
+        """Guards against a completed item whose output lacks all lines of an event but the last."""
+        self.play_lines_of_data("\n")
+
+    def test_text_of_an_item_has_all_lines_of_data_of_events_with_carriage_returns(self):
+        self.play_lines_of_data("\r\n")
+
     def test_head_that_is_cut_is_no_answer(self):
         for unframed in (False, True):
             for cut in (0, 5, 12, 17, 40, 60, 90):
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -231,6 +231,52 @@
 }
 END_TEST
 
+static bool add_bracketed(void *ctx, const sse_event_t *e)
+{
+	buf_add(ctx, STR("["));
+	buf_add(ctx, e->data);
+	buf_add(ctx, STR("]"));
+	return true;
+}
+
+/* Guards against lines of data that get lost, as in the texts of items. */
+START_TEST(lines_of_data_are_joined)
+{
+	static const struct {
+		const char *in;
+		const char *data; /* of all events, each in brackets */
+	} cases[] = {
+		{"id: 1\ndata: one\ndata: two\n\n", "[one\ntwo]"},
+		{"data: a\nid: 1\ndata:b\ndata:  c\n\ndata: d\n\n", "[a\nb\n c][d]"},
+		{"data: a\ndata:\ndata\n\n", "[a\n\n]"},
+		{"data:\n\ndata\n\n", "[][]"},
+		{"data: a\r\ndata: b\r\n\r\ndata: c\r\n\r\n", "[a\nb][c]"},
+		{"data: a\rdata: b\r\rdata: c\r\r", "[a\nb][c]"},
+		{"data: a: b\ndatax: c\nDATA: d\n\n", "[a: b]"},
+		{": data: a\ndata: b\n\n", "[b]"},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		size_t n = strlen(cases[i].in);
+
+		for (size_t step = 1; step <= n; step++) {
+			sse_parser_t s = {0};
+			AUTO_BUF got = {0};
+
+			for (size_t at = 0; at < n; at += step) {
+				str_t part = {cases[i].in + at, n - at < step ? n - at : step};
+
+				ck_assert(sse_feed(&s, part, add_bracketed, &got));
+			}
+			ck_assert_msg(str_eq(str_buf(&got), str_c(cases[i].data)),
+				      "case %zu, step %zu: %.*s", i, step, STR_ARG(str_buf(&got)));
+			ck_assert_uint_eq(s.pending.n, 0);
+			sse_free(&s);
+		}
+	}
+}
+END_TEST
+
 static bool count_malformed(void *ctx, const sse_event_t *e)
 {
 	*(int *)ctx += e->is_malformed;
@@ -578,6 +624,7 @@
 	tcase_add_test(t, trailers_do_not_change_the_head);
 	tcase_add_test(t, query_parameters_and_numbers_are_parsed);
 	tcase_add_test(t, events_are_found_wherever_the_bytes_are_split);
+	tcase_add_test(t, lines_of_data_are_joined);
 	tcase_add_test(t, text_of_another_kind_between_events_is_malformed);
 	tcase_add_test(t, a_call_is_answered_and_its_connection_reused);
 	tcase_add_test(t, a_huge_idle_timeout_of_a_server_keeps_its_connection);
