--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -192,7 +192,7 @@
 
 static void deliver_request(http_conn_t *c)
 {
-	http_request_t r = {c->reader.head, str_buf(&c->body), c->parse_started};
+	http_request_t r = {c->reader.head, str_buf(&c->body), clock_now_ms()};
 
 	timeout_stop(&c->timer);
 	c->keep_alive = c->reader.head.keep_alive;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -14,8 +14,7 @@
 typedef struct {
 	http_head_t head;
 	str_t body;
-	deadline_t received; /* when its first byte was parsed; a pipelined request is parsed only
-			       after the reply before it */
+	deadline_t received; /* when it was read whole */
 } http_request_t;
 
 /** Limits on the size and the duration of a request. */
--- a/tests/proc/test_late_requests.py
+++ b/tests/proc/test_late_requests.py
@@ -102,6 +102,39 @@
     def test_late_requests_that_may_be_resumed_are_refused_and_none_is_cut(self):
         self.check("/brief/1")
 
+    def check_slow_body(self, stop):
+        """A stream that lasts longer than its request's 2 s; the body comes in chunks for 1 s."""
+        for r in self.kit.replicas:
+            r.events = 1000
+
+        async def go():
+            reader, writer = await asyncio.open_connection(self.front.ip, self.kit.port)
+            rid = "%016x" % random.getrandbits(64)
+            if stop:
+                self.front.signal(signal.SIGTERM)
+            writer.write(("POST /alert/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 2000\r\nModel: m\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n" % (HOST, rid)).encode())
+            for _ in range(10):
+                writer.write(b"4\r\nbody\r\n")
+                await asyncio.sleep(0.1)
+            writer.write(b"0\r\n\r\n")
+            sent_at = time.time()
+            while await reader.read(65536):
+                pass
+            writer.close()
+            return rid, time.time() - sent_at
+        rid, seconds = self.kit.loop.run(go())
+        self.assertEqual(len(self.kit.runs_of(rid)), 1)
+        self.assertGreaterEqual(seconds, 1.99)
+        self.assertLess(seconds, 2.5)
+
+    def test_request_whose_body_comes_slowly_is_not_cut_before_its_deadline(self):
+        """Guards against a stream that is cut as much too early as the body of its request took to come."""
+        self.check_slow_body(False)
+
+    def test_request_whose_body_comes_slowly_in_a_stop_is_not_cut_before_its_deadline(self):
+        self.check_slow_body(True)
+
     def check_longer_than_before(self, path):
         """Streams of 3.9 s after short ones of their route, in a stop of 8 s; their deadlines are 5 s."""
         self.front.stop()
