--- a/src/front/front.h
+++ b/src/front/front.h
@@ -102,6 +102,7 @@
 	link_view_t view; /* replicas, entries and control processes, as the leader last sent them;
 			     without a leader, the replicas may be from upstream_list */
 	front_replica_t *replicas; /* hash by id, from view */
+	front_hop_t *hops;
 	uint64_t hop_random; /* state of prng_next() */
 	front_reach_t *reach; /* whether this process reaches the replicas */
 	struct front_pause *pause;
@@ -229,6 +230,8 @@
 bool front_hop_start(front_t *f, http_conn_t *c, const http_request_t *r, str_t id,
 		     deadline_t deadline);
 void front_hop_caller_left(front_hop_t *p);
+/** Ends all handed-over requests with an answer, as the process ends. */
+void front_hop_end_all(front_t *f);
 
 /* front_quarantine.c: prompt parts that crash replicas */
 
--- a/src/front/front_hop.c
+++ b/src/front/front_hop.c
@@ -2,6 +2,7 @@
  * the answer. The other entry identifies the caller, counts the request and runs it as if the
  * caller had sent it; it never hands it on. */
 #include <stdlib.h>
+#include <utlist.h>
 #include "base/log.h"
 #include "base/metric.h"
 #include "base/prng.h"
@@ -17,6 +18,8 @@
 
 struct front_hop {
 	front_conn_data_t data; /* of the connection; first */
+	front_hop_t *prev;
+	front_hop_t *next;
 	front_t *f;
 	http_conn_t *conn;
 	http_call_t *call;
@@ -44,6 +47,7 @@
 static void hop_free(front_hop_t *p)
 {
 	timeout_stop(&p->timer);
+	DL_DELETE(p->f->hops, p);
 	free(p);
 }
 
@@ -137,13 +141,23 @@
 	http_reply_end(c);
 }
 
-static void on_deadline(void *ctx)
+static void give_up(front_hop_t *p, failure_t why, const char *outcome)
 {
-	front_hop_t *p = ctx;
 	bool sent = !p->refused && http_call_sent(p->call);
 
 	http_call_cancel(p->call);
-	end_failed(p, FAILURE_DEADLINE, sent, "deadline");
+	end_failed(p, why, sent, outcome);
+}
+
+static void on_deadline(void *ctx)
+{
+	give_up(ctx, FAILURE_DEADLINE, "deadline");
+}
+
+void front_hop_end_all(front_t *f)
+{
+	while (f->hops)
+		give_up(f->hops, FAILURE_STOPPING, "entry ends");
 }
 
 void front_hop_caller_left(front_hop_t *p)
@@ -216,6 +230,7 @@
 	p->deadline = deadline;
 	snprintf(p->id, sizeof(p->id), "%.*s", STR_ARG(id));
 	METRIC_INC("auburn_handed_over_total");
+	DL_APPEND(f->hops, p);
 	http_conn_set_data(c, &p->data);
 	timeout_init(&p->timer, f->loop, on_deadline, p);
 	timeout_set(&p->timer, clock_left_ms(deadline));
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -281,6 +281,7 @@
 		  LOG_CSTR("zone", f.settings.zone));
 	ev_run(f.loop, 0);
 	front_request_end_all(&f);
+	front_hop_end_all(&f);
 	front_held_expire(&f, INT64_MAX);
 	log_event(LOG_LEVEL_INFO, "stopped", LOG_INT("requests", HASH_COUNT(f.requests)),
 		  LOG_INT("pending", http_server_pending(f.callers)));
--- a/tests/proc/test_reach.py
+++ b/tests/proc/test_reach.py
@@ -5,6 +5,7 @@
 """
 import asyncio
 import random
+import signal
 import time
 import unittest
 
@@ -245,6 +246,20 @@
         self.assertEqual((status, headers["signature"]), (503, "of-the-replica"))
         self.assertEqual(sum(len(x.requests) for x in others), 1)
 
+    def test_request_that_another_entry_still_runs_is_answered_when_the_entry_ends(self):
+        """Guards against a handed-over request whose connection is closed without an answer in a stop."""
+        self.other.fault = "silent"
+        front = self.kit.fronts[0]
+        rid = "%016x" % random.getrandbits(64)
+
+        async def go():
+            task = asyncio.ensure_future(self.kit.stream(front, "/alert/1", rid, 8000, timeout=10))
+            await asyncio.sleep(0.3)
+            front.signal(signal.SIGTERM)
+            return await task
+        self.assertEqual(self.run_one(go())[0], 502)
+        self.assertEqual([m[1]["request-id"] for m in self.other.requests], [rid])
+
     def test_request_that_breaks_on_the_way_may_have_run(self):
         self.other.fault = "breaks"
         self.assertEqual(self.send_with()[0], 502)
