Texts of items are bounded (a replica that sends without end)

Online answers are bounded here (test_endless); the texts of items were not, beyond 16 MiB a run.

Change: the text of an item has at most 64 bytes for each token that its output may have by its header, 1 MiB if it states none, and all texts at an entry 32 MiB together. A run beyond that ends as broken, with a line item_text_too_long, and what it sent is dropped unless the leader has a part of it already.

Test: test_items_whose_answers_never_end_fill_no_memory_and_run_elsewhere.

Left: an online stream of sound events that a slow caller does not read is buffered up to 16 MiB.

--- a/src/front/front.h
+++ b/src/front/front.h
@@ -103,6 +103,7 @@
 			     without a leader, the replicas may be from upstream_list */
 	front_replica_t *replicas; /* hash by id, from view */
 	front_hop_t *hops;
+	size_t item_text_bytes; /* of all items */
 	uint64_t hop_random; /* state of prng_next() */
 	front_reach_t *reach; /* whether this process reaches the replicas */
 	struct front_pause *pause;
--- a/src/front/front_item.c
+++ b/src/front/front_item.c
@@ -4,12 +4,20 @@
 #include <string.h>
 #include <utlist.h>
 #include "base/log.h"
+#include "base/metric.h"
 #include "front/front.h"
 #include "state/lots.h"
 
 /** Silence timeout of a run, after which the leader starts another one: many times the usual pause
  * between events, because no caller waits for the next event. */
 #define SILENT_MS 1500
+/** Limit of the text of an item, in bytes: per token that its output may have, and in all. */
+#define TOKEN_BYTES_MAX 64
+#define TEXT_BYTES_MAX	(1U << 20)
+/** Limit of the texts of all items at this entry together: an eighth of the memory of an entry's
+ * VM.
+ */
+#define TEXTS_BYTES_MAX (32U << 20)
 /** Period of progress reports: a fault usually loses at most the work of one period. */
 #define REPORT_MS 1000
 
@@ -18,6 +26,7 @@
 	link_item_run_t spec; /* owned */
 	buf_t text; /* events so far, including those of earlier runs */
 	unsigned events;
+	size_t text_max; /* bytes */
 	size_t reported_bytes; /* bytes of text that the leader has already */
 	unsigned reported_events; /* number of events that the leader has already */
 	deadline_t next_report;
@@ -41,6 +50,7 @@
 	if (it->attempt)
 		front_attempt_cancel(it->attempt);
 	DL_DELETE(it->f->items, it);
+	it->f->item_text_bytes -= it->text.n;
 	wire_free(XDR_PROC(link_item_run_t), &it->spec);
 	buf_free(&it->text);
 	free(it);
@@ -99,6 +109,40 @@
 	it->reply.id = (str_t){"", 0};
 }
 
+/* Adds to the text of an item; false, with a log line, if it gets too long. */
+static bool add_text(front_item_t *it, str_t data)
+{
+	size_t n = data.n + (it->events > 0);
+
+	if (it->text.n + n > it->text_max || it->f->item_text_bytes + n > TEXTS_BYTES_MAX) {
+		log_event(LOG_LEVEL_WARN, "item_text_too_long",
+			  LOG_STR("request", wire_str(it->spec.id)),
+			  LOG_STR("replica", wire_str(it->spec.replica)),
+			  LOG_INT("events", it->events), LOG_INT("bytes", it->text.n + n),
+			  LOG_INT("most", it->text_max),
+			  LOG_INT("bytes_of_all", it->f->item_text_bytes + n),
+			  LOG_INT("most_of_all", TEXTS_BYTES_MAX));
+		METRIC_INC("auburn_answers_too_long_total");
+		return false;
+	}
+	if (it->events > 0)
+		buf_addc(&it->text, '\n');
+	buf_add(&it->text, data);
+	it->f->item_text_bytes += n;
+	return true;
+}
+
+/* Drops the text of this run, unless the leader has a part of it: what comes from a replica that
+ * sends without end is no output. */
+static void drop_text(front_item_t *it)
+{
+	if (it->reported_events != it->spec.events)
+		return;
+	it->f->item_text_bytes -= it->text.n - it->spec.text.wire_bytes_t_len;
+	it->text.n = it->spec.text.wire_bytes_t_len;
+	it->events = it->spec.events;
+}
+
 static front_attempt_event_t on_event(void *ctx, const sse_event_t *e)
 {
 	front_item_t *it = ctx;
@@ -107,9 +151,10 @@
 		return FRONT_EVENT_NO_PROGRESS;
 	if ((unsigned long long)e->id != it->events + 1ULL)
 		return FRONT_EVENT_INVALID;
-	if (it->events > 0)
-		buf_addc(&it->text, '\n');
-	buf_add(&it->text, e->data);
+	if (!add_text(it, e->data)) {
+		drop_text(it);
+		return FRONT_EVENT_INVALID;
+	}
 	it->events++;
 	return FRONT_EVENT_NEW;
 }
@@ -189,6 +234,15 @@
 	leader_link_send(f->leader, &end);
 }
 
+static size_t text_max(str_t headers)
+{
+	int64_t tokens = platform_item_tokens_max(headers);
+
+	return tokens > 0 && tokens < TEXT_BYTES_MAX / TOKEN_BYTES_MAX
+		       ? (size_t)tokens * TOKEN_BYTES_MAX
+		       : TEXT_BYTES_MAX;
+}
+
 void front_item_run(front_t *f, const link_item_run_t *m)
 {
 	front_item_t *it = find_item(f, m->job, m->item);
@@ -204,6 +258,8 @@
 	it->f = f;
 	wire_dup(XDR_PROC(link_item_run_t), m, &it->spec, sizeof(it->spec));
 	buf_add(&it->text, wire_str(m->text));
+	f->item_text_bytes += it->text.n;
+	it->text_max = text_max(wire_str(m->headers));
 	it->events = it->reported_events = m->events;
 	it->reported_bytes = it->text.n;
 	it->next_report = clock_now_ms() + REPORT_MS;
--- a/tests/proc/test_endless.py
+++ b/tests/proc/test_endless.py
@@ -43,12 +43,23 @@
     kind = None
 
     async def answer(self, m, reader, writer):
+        if self.kind == "events":
+            return await self.send_events(m, writer)
         begin, piece = KINDS[self.kind]
         writer.write((begin % m[1].get("request-id") if "%s" in begin else begin).encode())
         while True:
             writer.write(piece)
             await writer.drain()
 
+    async def send_events(self, m, writer):
+        """Sound events, each with the next id, without end."""
+        writer.write((STREAM % m[1].get("request-id") + "\r\n").encode())
+        n = int(m[1].get("last-event-id", 0))
+        while True:
+            n += 1
+            writer.write(b"id: %d\ndata: %s\n\n" % (n, b"x" * PIECE))
+            await writer.drain()
+
 
 class Endless(unittest.TestCase):
     def setUp(self):
@@ -61,15 +72,16 @@
         self.addCleanup(self.stop_endless)
         self.kit.up()
         self.front = self.kit.fronts[0]
+        self.healthy = list(self.kit.replicas)
 
     def stop_endless(self):
         for r in self.endless:
             self.loop.run(r.stop())
         self.loop.close()
 
-    def peak_mb(self):
-        """Peak resident memory of the front."""
-        with open("/proc/%d/status" % self.front.p.pid) as f:
+    def peak_mb(self, proc=None):
+        """Peak resident memory of a process, the front by default."""
+        with open("/proc/%d/status" % (proc or self.front).p.pid) as f:
             return int([x.split()[1] for x in f if x.startswith("VmHWM")][0]) / 1024
 
     async def send(self, i, got):
@@ -108,6 +120,22 @@
             self.assertLess(first_s[len(first_s) * 95 // 100], FIRST_EVENT_S, kind)
             time.sleep(1.2)
 
+    def test_items_whose_answers_never_end_fill_no_memory_and_run_elsewhere(self):
+        """Guards against texts of items that fill an entry and, by its reports, the control processes."""
+        for r in self.endless:
+            r.kind = "events"
+        self.kit.replicas[:] = self.endless
+        time.sleep(1.2)
+        lot, items = self.kit.lot(32)
+        self.assertEqual(self.kit.loop.run(self.kit.open_lot(self.front, lot, items)), 202)
+        time.sleep(KIND_S)
+        self.kit.replicas[:] = self.healthy
+        results = self.kit.loop.run(self.kit.read_whole(lot, 30))
+        self.assertEqual({r["id"]: r["output"] for r in results}, {x["id"]: self.kit.whole_text(x["id"]) for x in items})
+        self.assertLess(self.peak_mb(), MEMORY_MB)
+        self.assertLess(self.peak_mb(self.kit.controls[0]), MEMORY_MB)
+        self.assertIn("event=item_text_too_long", self.front.log_text())
+
 
 if __name__ == "__main__":
     unittest.main()
