Test: disks that are full in turn, for a few seconds each

Change: two process tests fill each disk in turn, and the leader's again and again, with pauses of 0 and 1 s; then configs and lots must be accepted, also with any one of the processes lost. Conclusion: no change of a program.

--- a/tests/proc/test_disk.py
+++ b/tests/proc/test_disk.py
@@ -57,6 +57,42 @@
         self.assertEqual(follower.p.wait(5), 0)
 
 
+class DisksFullInTurn(DiskTest):
+    """Guards against changes that are refused or stay unanswered long after the last full disk has room again."""
+    FULL_S = 2.5
+    PAUSES_S = (0.0, 1.0)  # between two full disks
+
+    def change(self):
+        """Returns whether a config and a lot are accepted, each within 4 s."""
+        return self.kit.loop.run(self.kit.submit(tries=20)) and bool(self.open_lot())
+
+    def play(self, order):
+        for pause in self.PAUSES_S:
+            for c in order():
+                c.fill_disk()
+                self.kit.loop.run(self.kit.submit(tries=1))
+                time.sleep(self.FULL_S)
+                c.fill_disk(False)
+                time.sleep(pause)
+            time.sleep(BACK_S)
+            self.assertTrue(self.change(), pause)
+        for c in self.kit.controls:
+            self.assertIsNone(c.p.poll(), c.name)
+        # Each of them still counts: the loss of any one is borne.
+        for c in self.kit.controls:
+            c.stop()
+            time.sleep(BACK_S)
+            self.assertTrue(self.change(), c.name)
+            c.start()
+            time.sleep(2 * BACK_S)
+
+    def test_each_disk_is_full_in_turn(self):
+        self.play(lambda: list(self.kit.controls))
+
+    def test_the_disk_of_the_leader_is_full_again_and_again(self):
+        self.play(lambda: (self.kit.leader() or self.kit.controls[0] for _ in range(4)))
+
+
 class RefusedWritesAndRetire(DiskTest):
     """Guards against a retirement that leaves too few processes that can vote, one of them only in name."""
     kit_options = {"controls": 4}
