--- a/src/net/http.c
+++ b/src/net/http.c
@@ -1,5 +1,6 @@
 #include "net/http.h"
 
+#include <ctype.h>
 #include <limits.h>
 #include <string.h>
 #include <strings.h>
@@ -238,3 +239,41 @@
 	}
 	return v;
 }
+
+static bool is_control(char c)
+{
+	return (unsigned char)c < ' ' || c == 0x7f;
+}
+
+static bool is_blank(char c)
+{
+	return c == ' ' || c == '\t';
+}
+
+bool http_is_token(str_t s)
+{
+	for (size_t i = 0; i < s.n; i++) {
+		if (!isalnum((unsigned char)s.p[i]) &&
+		    (!s.p[i] || !strchr("!#$%&'*+-.^_`|~", s.p[i])))
+			return false;
+	}
+	return s.n > 0;
+}
+
+bool http_is_field_value(str_t s)
+{
+	for (size_t i = 0; i < s.n; i++) {
+		if (is_control(s.p[i]) && s.p[i] != '\t')
+			return false;
+	}
+	return s.n > 0 && !is_blank(s.p[0]) && !is_blank(s.p[s.n - 1]);
+}
+
+bool http_is_target(str_t s)
+{
+	for (size_t i = 0; i < s.n; i++) {
+		if (is_control(s.p[i]) || s.p[i] == ' ')
+			return false;
+	}
+	return s.n > 0 && s.p[0] == '/';
+}
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -34,6 +34,13 @@
 str_t http_query(str_t target, const char *key);
 /** The target without its query. */
 str_t http_path(str_t target);
+/** True if the text is a token (RFC 9110, section 5.6.2), as the name of a field is. */
+bool http_is_token(str_t s);
+/** True if the text can be the value of a field (RFC 9110, section 5.5): not empty, without
+ * controls but tabs, and without blanks at its ends. */
+bool http_is_field_value(str_t s);
+/** True if the text can be the target of a request in origin form (RFC 9112, section 3.2.1). */
+bool http_is_target(str_t s);
 /** Parses a decimal number of at most 15 digits, without sign; -1 if s is anything else. */
 long long http_parse_number(str_t s);
 
