Requests and items with ids of 64 bytes and more are answered

Callers saw: a request whose Request-Id has 64 bytes or more got 504 at its deadline, and an item with such an id was never listed, though replicas ran them.

Cause: an attempt kept 63 bytes of the id and took the answer, which bears the whole id, for one to another request. Found by a test on item ids.

Change: an attempt keeps the whole id.

Tests: test_requests_with_long_ids_are_answered, test_unusual_ids_are_run. Before: 504 != 200 for 64 bytes; the item was not listed. After: passed.

--- a/src/front/front_attempt.c
+++ b/src/front/front_attempt.c
@@ -28,7 +28,7 @@
 	bool answered; /* the answer is that of a run */
 	bool began; /* the first event, or a byte of another answer, has arrived */
 	bool broken; /* the answer is rejected; silence_timer is about to end the attempt */
-	char id[64];
+	char *id; /* of the request */
 	char replica[64];
 };
 
@@ -36,6 +36,7 @@
 {
 	timeout_stop(&a->silence_timer);
 	sse_free(&a->sse);
+	free(a->id);
 	free(a);
 }
 
@@ -236,7 +237,7 @@
 
 	a->options = *o;
 	a->started = clock_now_ms();
-	snprintf(a->id, sizeof(a->id), "%.*s", STR_ARG(o->id));
+	a->id = str_dup(o->id);
 	snprintf(a->replica, sizeof(a->replica), "%.*s", STR_ARG(o->replica.id));
 	a->options.replica.id = str_c(a->replica);
 	timeout_init(&a->silence_timer, o->f->loop, on_silence, a);
--- a/tests/proc/test_item_heads.py
+++ b/tests/proc/test_item_heads.py
@@ -50,6 +50,21 @@
         run, = self.kit.runs_of(items[1]["id"])
         self.assertEqual((run["body"], run["headers"]["host"], run["model"], run["after"]), (b"item body1", HOST, "m", 0))
 
+    def test_unusual_ids_are_run(self):
+        """Guards against an answer that is taken for another request's, as only a part of a long id was kept."""
+        for rid in ("i" * 64, "i" * 300, "a:b/c?d=e%20f", "a \"b\" <c>, d;e"):
+            status, lot, items = self.open(lambda it, rid=rid: it.update(id=rid))
+            self.assertEqual(status, 202, rid)
+            results = self.kit.loop.run(self.kit.read_whole(lot, 5))
+            self.assertEqual(sorted(r["id"] for r in results), sorted(x["id"] for x in items), rid)
+
+    def test_requests_with_long_ids_are_answered(self):
+        for n in (63, 64, 300):
+            rid = "r" * n
+            s, _, b = self.kit.loop.run(self.kit.stream(self.kit.fronts[0], "/alert/1", rid))
+            self.assertEqual(s, 200, n)
+            self.kit.check_stream(rid, b)
+
 
 if __name__ == "__main__":
     unittest.main()
