A blocked prompt part is probed by one item at a time

Change: 15 s after a block began, then after 45 s and 135 s, one item with the part is run; an answer that begins lets all others go. The search for such an item reads all items, so it is made at most every 500 ms while it finds none.

--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -212,6 +212,7 @@
 	bool holds_stale; /* the blocked parts have changed since the items were routed */
 	quarantine_doubt_t doubts[QUARANTINE_MAX]; /* parts of which one item at a time runs */
 	size_t ndoubts;
+	deadline_t next_probe_search; /* earliest time of the next search for an item to run */
 	fanout_t *fan_out; /* of route deltas; NULL while this process does not lead */
 	hub_lot_t *lots;
 	uint64_t last_lot_serial; /* of the newest lot added to the dispatcher */
--- a/src/control/hub_quarantine.c
+++ b/src/control/hub_quarantine.c
@@ -11,6 +11,8 @@
 #define SEND_MS 50
 /** Suspected parts are listed from this number of crashes. */
 #define LISTED_CRASHES_MIN 2
+/** Period in which an item for a probe is searched again, in ms: the search reads all items. */
+#define PROBE_SEARCH_MS 500
 /** Maximum number of parts that are listed. */
 #define LISTED_MAX 256
 
@@ -132,8 +134,10 @@
 		same = doubts[i].part == h->doubts[i].part;
 	memcpy(h->doubts, doubts, n * sizeof(*doubts));
 	h->ndoubts = n;
-	if (!same)
-		hub_dispatch_reroute(h);
+	if (same)
+		return;
+	h->next_probe_search = 0;
+	hub_dispatch_reroute(h);
 }
 
 void hub_quarantine_crash(hub_t *h, const hub_peer_t *p, const link_crash_t *m,
@@ -194,8 +198,8 @@
 	prompt_parts_t parts = parts_of(it);
 	deadline_t now = clock_now_ms();
 
-	return quarantine_blocks(h->quarantine, &parts, now, &by) ||
-	       (!it->probes && quarantine_doubts(h->quarantine, &parts, now));
+	return !it->probes && (quarantine_blocks(h->quarantine, &parts, now, &by) ||
+			       quarantine_doubts(h->quarantine, &parts, now));
 }
 
 static bool has_part(const hub_item_t *it, uint64_t part)
@@ -212,7 +216,6 @@
 static hub_item_t *pick_prober(hub_t *h, uint64_t part, deadline_t now)
 {
 	hub_item_t *best = NULL;
-	quarantine_part_t by;
 
 	for (hub_lot_t *lot = h->lots; lot; lot = lot->hh.next) {
 		for (uint32_t i = 0; i < lot->nitems; i++) {
@@ -225,7 +228,7 @@
 				return NULL;
 			if (it->held && dispatch_item_is_waiting(it->dispatch_ref) &&
 			    (!best || it->probed_at < best->probed_at) &&
-			    !quarantine_blocks(h->quarantine, &parts, now, &by))
+			    !quarantine_forbids(h->quarantine, &parts, now))
 				best = it;
 		}
 	}
@@ -236,14 +239,23 @@
 {
 	char part[QUARANTINE_NAME_BYTES];
 
+	if (now < h->next_probe_search)
+		return;
 	for (size_t i = 0; i < h->ndoubts; i++) {
 		const quarantine_doubt_t *d = &h->doubts[i];
 		hub_item_t *it = d->probe_at <= now ? pick_prober(h, d->part, now) : NULL;
 
-		if (!it)
+		if (!it) {
+			if (d->probe_at <= now)
+				h->next_probe_search = now + PROBE_SEARCH_MS;
 			continue;
+		}
 		it->probes = true;
 		it->probed_at = now;
+		for (size_t j = 0; j < h->ndoubts; j++) {
+			if (has_part(it, h->doubts[j].part))
+				quarantine_probe(h->quarantine, h->doubts[j].part, now);
+		}
 		log_event(LOG_LEVEL_INFO, "prompt_part_probed",
 			  LOG_CSTR("part", quarantine_part_name(d->part, part)),
 			  LOG_CSTR("lot", it->lot->id), LOG_INT("item", it->index));
@@ -257,6 +269,7 @@
 	if (!it->probes)
 		return;
 	it->probes = false;
+	h->next_probe_search = 0;
 	hub_dispatch_reroute_item(h, it);
 }
 
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -27,6 +27,10 @@
 /** Duration of the first block, in ms; each further one is twice as long, up to LEVEL_MAX times. */
 #define BLOCK_MS  300000
 #define LEVEL_MAX 4
+/** One prompt with a blocked part may run this long after the block began, in ms; each further one
+ * after PROBE_TIMES the time before. */
+#define PROBE_MS    15000
+#define PROBE_TIMES 3
 /** A part is remembered for this long, in ms, after its block ran out. */
 #define REMEMBER_MS 7200000
 /** Maximum numbers of replicas and of sound parts; beyond them the oldest is dropped. */
@@ -49,6 +53,8 @@
 	deadline_t until; /* 0: not blocked */
 	deadline_t forget_at; /* after a block */
 	unsigned level;
+	deadline_t probe_at; /* while blocked: when a prompt with it may run */
+	int64_t probe_ms; /* until the probe after that */
 	uint64_t group; /* as in quarantine_part_t, while blocked */
 	unsigned group_size;
 	deadline_t watched_until; /* suspected by another process; 0: not */
@@ -514,6 +520,8 @@
 {
 	p->since = p->crashes[0].at;
 	p->until = now + ((int64_t)BLOCK_MS << p->level);
+	p->probe_ms = PROBE_MS;
+	p->probe_at = now + PROBE_MS;
 	report(q, QUARANTINE_BLOCKED, p);
 }
 
@@ -553,7 +561,9 @@
 
 static bool is_doubted(const quarantine_t *q, const part_t *p, deadline_t now)
 {
-	return !p->until && (p->level || p->ncrashes >= least_crashes(q, p, now));
+	if (p->until)
+		return p->probe_at <= now;
+	return p->level || p->ncrashes >= least_crashes(q, p, now);
 }
 
 bool quarantine_doubts(const quarantine_t *q, const prompt_parts_t *parts, deadline_t now)
@@ -567,18 +577,46 @@
 	return false;
 }
 
+bool quarantine_forbids(const quarantine_t *q, const prompt_parts_t *parts, deadline_t now)
+{
+	quarantine_part_t by;
+
+	if (!quarantine_blocks(q, parts, now, &by))
+		return false;
+	for (unsigned i = 0; i < parts->n; i++) {
+		const part_t *p = find_part(q, parts->v[i]);
+
+		if (p && p->until > now && p->probe_at > now)
+			return true;
+	}
+	return false;
+}
+
+void quarantine_probe(quarantine_t *q, uint64_t part, deadline_t now)
+{
+	part_t *p = find_part(q, part);
+
+	if (!p || !p->until)
+		return;
+	p->probe_ms *= PROBE_TIMES;
+	p->probe_at = now + p->probe_ms;
+}
+
+static deadline_t next_probe(const part_t *p, deadline_t now)
+{
+	if (p->until)
+		return p->probe_at;
+	return p->ncrashes ? p->crashes[p->ncrashes - 1].at + CONFIRM_MS : now;
+}
+
 size_t quarantine_list_doubted(const quarantine_t *q, deadline_t now, quarantine_doubt_t *out,
 			       size_t max)
 {
 	size_t n = 0;
 
 	for (const part_t *p = q->parts; p && n < max; p = p->hh.next) {
-		if (!is_doubted(q, p, now))
-			continue;
-		out[n++] = (quarantine_doubt_t){
-			.part = p->part,
-			.probe_at = p->ncrashes ? p->crashes[p->ncrashes - 1].at + CONFIRM_MS : now,
-		};
+		if (is_doubted(q, p, now))
+			out[n++] = (quarantine_doubt_t){p->part, next_probe(p, now)};
 	}
 	return n;
 }
@@ -632,6 +670,10 @@
 	}
 	p->since = x->since;
 	p->until = x->until > p->until ? x->until : p->until;
+	if (!was_blocked) {
+		p->probe_ms = PROBE_MS;
+		p->probe_at = now + PROBE_MS;
+	}
 	p->level = x->level > p->level ? x->level : p->level;
 	p->group = x->group;
 	p->group_size = x->group_size;
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -17,7 +17,8 @@
  *
  * A part is in doubt while enough replicas have crashed under it for a block, but together, or its
  * block has run out and nothing is known of it since. Work that can wait then runs one at a time,
- * until an answer begins or the part is blocked.
+ * until an answer begins or the part is blocked. So does, after some seconds and then ever longer
+ * pauses, one piece of work with a blocked part: nothing else could show that it has become sound.
  *
  * The expected load: some thousand requests a second with up to a thousand parts in use, of which
  * one comes with up to a fifth of the requests of its route, at any of 1 to 400 entries; besides,
@@ -109,6 +110,10 @@
 		       quarantine_part_t *out);
 /** True if one of the parts is in doubt. */
 bool quarantine_doubts(const quarantine_t *q, const prompt_parts_t *parts, deadline_t now);
+/** True if one of the parts is blocked and not to be probed now. */
+bool quarantine_forbids(const quarantine_t *q, const prompt_parts_t *parts, deadline_t now);
+/** Records that a prompt with this part is run to probe it. */
+void quarantine_probe(quarantine_t *q, uint64_t part, deadline_t now);
 /** Lists the parts in doubt, at most max; returns their number. */
 size_t quarantine_list_doubted(const quarantine_t *q, deadline_t now, quarantine_doubt_t *out,
 			       size_t max);
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -347,6 +347,46 @@
 }
 END_TEST
 
+/* Guards against items that wait for minutes with a part that crashes nothing any more. */
+START_TEST(blocked_part_is_probed_after_ever_longer_pauses)
+{
+	seen_t s;
+	quarantine_t *q = make_quarantine(&s);
+	prompt_parts_t p = parts_of(CRASH_PART, 0, 0);
+	quarantine_part_t x;
+	deadline_t now = 1500;
+	unsigned probes = 0;
+
+	crash(q, "a", 1, p, 400);
+	crash(q, "b", 2, p, 700);
+	crash(q, "c", 3, p, 1000);
+	quarantine_tick(q, now);
+	ck_assert(quarantine_blocks(q, &p, now, &x));
+	ck_assert(quarantine_forbids(q, &p, now + 5000));
+	for (; now < 91500; now += 25) {
+		char name[16];
+
+		quarantine_tick(q, now);
+		if (!quarantine_doubts(q, &p, now))
+			continue;
+		ck_assert(!quarantine_forbids(q, &p, now));
+		quarantine_probe(q, CRASH_PART, now);
+		ck_assert(quarantine_forbids(q, &p, now));
+		snprintf(name, sizeof(name), "p%u", probes++);
+		crash(q, name, 10 + probes, p, now + 20);
+	}
+	/* More than three requests with a blocked part in a day of 90 s would be too many. */
+	ck_assert_uint_ge(probes, 2);
+	ck_assert_uint_le(probes, 3);
+	ck_assert(quarantine_blocks(q, &p, now, &x));
+	ck_assert_int_eq(x.until, 301500);
+	quarantine_sound(q, CRASH_PART, now);
+	ck_assert(!quarantine_blocks(q, &p, now, &x));
+	ck_assert(!quarantine_doubts(q, &p, now));
+	quarantine_free(q);
+}
+END_TEST
+
 START_TEST(answer_with_the_part_ends_its_block)
 {
 	seen_t s;
@@ -755,6 +795,7 @@
 	tcase_add_test(t, part_that_crashes_replicas_together_and_one_by_one_is_blocked);
 	tcase_add_test(t, crash_under_a_run_that_began_after_the_crash_before_counts);
 	tcase_add_test(t, part_whose_block_ran_out_is_in_doubt);
+	tcase_add_test(t, blocked_part_is_probed_after_ever_longer_pauses);
 	tcase_add_test(t, answer_with_the_part_ends_its_block);
 	tcase_add_test(t, next_block_is_twice_as_long_and_needs_one_crash);
 	tcase_add_test(t, blocks_are_taken_over_and_ended_by_the_list_of_another_process);
