--- a/src/front/front_hop.c
+++ b/src/front/front_hop.c
@@ -156,8 +156,13 @@
 
 void front_hop_end_all(front_t *f)
 {
-	while (f->hops)
-		give_up(f->hops, FAILURE_STOPPING, "entry ends");
+	front_hop_t *p;
+	front_hop_t *next;
+
+	DL_FOREACH_SAFE(f->hops, p, next)
+	{
+		give_up(p, FAILURE_STOPPING, "entry ends");
+	}
 }
 
 void front_hop_caller_left(front_hop_t *p)
