Items whose callers state too few tokens still end

A run that makes more events than stated, as the stand-in of test_run_order does (420 events, 200 stated, 16.8 KB), was ended each time, and the item was never listed. Found by test_text_of_an_overtaken_run_is_not_joined_to_that_of_the_other, which failed in its first run on: [] != ['completed'].

Change: the limit is 64 KiB at least.

Test: that one: failed before, passed after; test_items_whose_answers_never_end_fill_no_memory_and_run_elsewhere passed.

--- a/src/front/front_item.c
+++ b/src/front/front_item.c
@@ -11,12 +11,12 @@
 /** Silence timeout of a run, after which the leader starts another one: many times the usual pause
  * between events, because no caller waits for the next event. */
 #define SILENT_MS 1500
-/** Limit of the text of an item, in bytes: per token that its output may have, and in all. */
+/** Limit of the text of an item, in bytes: per token that its output may have, but not below
+ * TEXT_BYTES_MIN, as callers may state too few, nor above TEXT_BYTES_MAX. */
 #define TOKEN_BYTES_MAX 64
+#define TEXT_BYTES_MIN	(64U << 10)
 #define TEXT_BYTES_MAX	(1U << 20)
-/** Limit of the texts of all items at this entry together: an eighth of the memory of an entry's
- * VM.
- */
+/** Limit of the texts of all items at this entry: an eighth of the memory of its VM. */
 #define TEXTS_BYTES_MAX (32U << 20)
 /** Period of progress reports: a fault usually loses at most the work of one period. */
 #define REPORT_MS 1000
@@ -238,9 +238,10 @@
 {
 	int64_t tokens = platform_item_tokens_max(headers);
 
-	return tokens > 0 && tokens < TEXT_BYTES_MAX / TOKEN_BYTES_MAX
-		       ? (size_t)tokens * TOKEN_BYTES_MAX
-		       : TEXT_BYTES_MAX;
+	if (tokens <= 0 || tokens >= TEXT_BYTES_MAX / TOKEN_BYTES_MAX)
+		return TEXT_BYTES_MAX;
+	return tokens * TOKEN_BYTES_MAX < TEXT_BYTES_MIN ? TEXT_BYTES_MIN
+							 : (size_t)tokens * TOKEN_BYTES_MAX;
 }
 
 void front_item_run(front_t *f, const link_item_run_t *m)
