The quarantine in three files, its played loads in a test of their own

Change: quarantine_block.c says which parts are blocked, quarantine_probe.c which run one at a time; the shared types are in quarantine_internal.h. The loads are test_quarantine_load.c. No line of logic changes, no check either.

--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -1,81 +1,16 @@
-#include "policy/quarantine.h"
-
 #include <stdlib.h>
-#include <uthash.h>
-#include "policy/crash_series.h"
+#include "policy/quarantine_internal.h"
 
-/** A crash counts after this long, in ms, within which other entries report answers of the replica.
- */
-#define CONFIRM_MS 500
 /** An answer that ends this soon after a crash, in ms, may have been sent before it. */
 #define OVERTAKEN_MS 100
 /** Crashes count for this long, in ms. */
 #define WINDOW_MS 60000
-/** A part with which answers have begun within this time, in ms, is known as sound. */
-#define SOUND_MS 600000
-/** Number of crashes from which a part is blocked. */
-#define CRASHES_MIN 3
-/** The same if all crashes are under one item, which is run again. One online request that comes
- * again is held by itself (policy/poison.h), so its crashes alone block no part. */
-#define CRASHES_ALONE_MIN 4
-/** The same for parts that were in the same crashes: a further crash may tell them apart. */
-#define CRASHES_TIED_MIN 5
-/** The same for a part that is known as sound. */
-#define CRASHES_SOUND_MIN 6
-/** Maximum number of crashes that are recorded of one part. */
-#define CRASHES_MAX 32
-/** Duration of the first block, in ms; each further one is twice as long, up to LEVEL_MAX times. */
-#define BLOCK_MS  300000
-#define LEVEL_MAX 4
-/** One prompt with a blocked part may run this long after the block began, in ms; each further one
- * after PROBE_TIMES the time before. */
-#define PROBE_MS    15000
-#define PROBE_TIMES 3
 /** A part is remembered for this long, in ms, after its block ran out. */
 #define REMEMBER_MS 7200000
 /** Maximum numbers of replicas and of sound parts; beyond them the oldest is dropped. */
 #define REPLICAS_MAX 1024
 #define SOUND_MAX    8192
 
-typedef struct {
-	uint64_t replica; /* hash of id and start time */
-	uint64_t request;
-	bool is_content;
-	deadline_t began; /* the run; 0: unknown */
-	deadline_t at;
-} crash_t;
-
-typedef struct {
-	uint64_t part;
-	crash_t crashes[CRASHES_MAX];
-	unsigned ncrashes;
-	deadline_t since; /* as in quarantine_part_t, while blocked */
-	deadline_t until; /* 0: not blocked */
-	deadline_t forget_at; /* after a block */
-	unsigned level;
-	deadline_t probe_at; /* while blocked: when a prompt with it may run */
-	int64_t probe_ms; /* until the probe after that */
-	uint64_t group; /* as in quarantine_part_t, while blocked */
-	unsigned group_size;
-	deadline_t watched_until; /* suspected by another process; 0: not */
-	UT_hash_handle hh;
-} part_t;
-
-/** A time by a hash; iterated in the order of the last change. */
-typedef struct {
-	uint64_t key;
-	deadline_t at;
-	UT_hash_handle hh;
-} stamp_t;
-
-struct quarantine {
-	quarantine_callbacks_t cb;
-	part_t *parts;
-	stamp_t *crashed; /* replica processes, and when they crashed */
-	stamp_t *sound; /* parts, and when an answer last began */
-	uint64_t version;
-};
-
 quarantine_t *quarantine_new(const quarantine_callbacks_t *cb)
 {
 	quarantine_t *q = mem_new(sizeof(*q));
@@ -135,7 +70,7 @@
 	free(q);
 }
 
-static part_t *find_part(const quarantine_t *q, uint64_t part)
+part_t *quarantine_find_part(const quarantine_t *q, uint64_t part)
 {
 	part_t *p;
 
@@ -159,7 +94,7 @@
 	};
 }
 
-static void report(quarantine_t *q, quarantine_event_t what, const part_t *p)
+void quarantine_report(quarantine_t *q, quarantine_event_t what, const part_t *p)
 {
 	quarantine_part_t x = describe(p);
 
@@ -170,7 +105,7 @@
 /* Adds a part; drops the one that was added first and is not blocked, if there are too many. */
 static part_t *get_part(quarantine_t *q, uint64_t part)
 {
-	part_t *p = find_part(q, part);
+	part_t *p = quarantine_find_part(q, part);
 
 	if (p)
 		return p;
@@ -215,8 +150,7 @@
 	q->version++;
 }
 
-/* Number of crashes that came one after the other until this time. */
-static unsigned count_serial(const part_t *p, deadline_t until)
+unsigned quarantine_count_serial(const part_t *p, deadline_t until)
 {
 	crash_series_t series = {0};
 
@@ -245,8 +179,7 @@
 	return false;
 }
 
-/* The crashes under a blocked part count for no other part. */
-static void attribute_crashes(quarantine_t *q, const part_t *blocked)
+void quarantine_attribute_crashes(quarantine_t *q, const part_t *blocked)
 {
 	part_t *p;
 	part_t *next;
@@ -288,7 +221,7 @@
 	}
 }
 
-static void clear_part(quarantine_t *q, part_t *p)
+void quarantine_clear_part(quarantine_t *q, part_t *p)
 {
 	bool blocked = p->until != 0;
 
@@ -297,7 +230,7 @@
 	p->ncrashes = 0;
 	p->level = 0;
 	if (blocked)
-		report(q, QUARANTINE_CLEARED, p);
+		quarantine_report(q, QUARANTINE_CLEARED, p);
 	p->until = 0;
 	settle(q, p);
 }
@@ -316,9 +249,10 @@
 		if (i == p->ncrashes)
 			continue;
 		drop_crash(p, i);
-		report(q, QUARANTINE_TAKEN_BACK, p);
-		if (p->until && p->level == 0 && count_serial(p, INT64_MAX) < CRASHES_MIN)
-			clear_part(q, p);
+		quarantine_report(q, QUARANTINE_TAKEN_BACK, p);
+		if (p->until && p->level == 0 &&
+		    quarantine_count_serial(p, INT64_MAX) < CRASHES_MIN)
+			quarantine_clear_part(q, p);
 		else
 			settle(q, p);
 	}
@@ -352,13 +286,13 @@
 		set_stamp(&q->crashed, x.replica, now, REPLICAS_MAX);
 	if (quarantine_blocks(q, c->parts, now, &blocked)) {
 		for (unsigned i = 0; i < c->parts->n; i++) {
-			part_t *p = find_part(q, c->parts->v[i]);
+			part_t *p = quarantine_find_part(q, c->parts->v[i]);
 
 			if (!p ||
 			    (p->part != blocked.part && (!p->group || p->group != blocked.group)))
 				continue;
 			add_crash(q, p, &x);
-			attribute_crashes(q, p);
+			quarantine_attribute_crashes(q, p);
 		}
 		return;
 	}
@@ -430,14 +364,14 @@
 
 void quarantine_sound(quarantine_t *q, uint64_t part, deadline_t at)
 {
-	part_t *p = find_part(q, part);
+	part_t *p = quarantine_find_part(q, part);
 
 	set_stamp(&q->sound, part, at, SOUND_MAX);
 	if (!p)
 		return;
 	if (p->until) {
 		if (at > p->since + OVERTAKEN_MS)
-			clear_part(q, p);
+			quarantine_clear_part(q, p);
 		return;
 	}
 	for (unsigned i = p->ncrashes; i > 0; i--) {
@@ -445,7 +379,7 @@
 			drop_crash(p, i - 1);
 	}
 	if (p->ncrashes == 0)
-		clear_part(q, p);
+		quarantine_clear_part(q, p);
 }
 
 deadline_t quarantine_sound_at(const quarantine_t *q, uint64_t part)
@@ -467,7 +401,7 @@
 		while (!p->until && p->ncrashes > 0 && p->crashes[0].at + WINDOW_MS < now)
 			drop_crash(p, 0);
 		if (p->until && p->until <= now) {
-			report(q, QUARANTINE_EXPIRED, p);
+			quarantine_report(q, QUARANTINE_EXPIRED, p);
 			leave_group(q, p);
 			p->until = 0;
 			p->ncrashes = 0;
@@ -482,181 +416,10 @@
 	}
 }
 
-static bool is_known_sound(const quarantine_t *q, const part_t *p, deadline_t now)
-{
-	deadline_t at = quarantine_sound_at(q, p->part);
-
-	return at && at + SOUND_MS > now;
-}
-
-/* Number of crashes from which the part is blocked. */
-static unsigned least_crashes(const quarantine_t *q, const part_t *p, deadline_t now)
-{
-	return p->level ? 1 : is_known_sound(q, p, now) ? CRASHES_SOUND_MIN : CRASHES_MIN;
-}
-
-/* Number of crashes that count; 0 if they are too few for a block. */
-static unsigned weigh(const quarantine_t *q, const part_t *p, deadline_t now)
-{
-	unsigned least = least_crashes(q, p, now);
-	unsigned n = count_serial(p, now - CONFIRM_MS);
-	bool several = p->level > 0;
-
-	if (p->until)
-		return 0;
-	for (unsigned i = 0; i < p->ncrashes; i++) {
-		if (p->crashes[i].at + CONFIRM_MS > now)
-			continue;
-		several |= p->crashes[i].request != p->crashes[0].request;
-	}
-	if (!several && p->ncrashes > 0 && p->crashes[0].is_content)
-		return 0;
-	if (!several && least < CRASHES_ALONE_MIN)
-		least = CRASHES_ALONE_MIN;
-	return n >= least ? n : 0;
-}
-
-static void block(quarantine_t *q, part_t *p, deadline_t now)
-{
-	p->since = p->crashes[0].at;
-	p->until = now + ((int64_t)BLOCK_MS << p->level);
-	p->probe_ms = PROBE_MS;
-	p->probe_at = now + PROBE_MS;
-	report(q, QUARANTINE_BLOCKED, p);
-}
-
-/* Blocks the part with the most crashes among those that are known as sound, or are not; several,
- * if they have been together all the time. */
-static bool block_most_suspected(quarantine_t *q, bool known_sound, deadline_t now)
-{
-	unsigned most = 0;
-	unsigned tied = 0;
-	uint64_t group = 0;
-	part_t *p;
-
-	for (p = q->parts; p; p = p->hh.next) {
-		unsigned n = is_known_sound(q, p, now) == known_sound ? weigh(q, p, now) : 0;
-
-		if (n > most)
-			tied = group = 0;
-		most = n > most ? n : most;
-		tied += n > 0 && n == most;
-		group ^= n > 0 && n == most ? p->part : 0;
-	}
-	if (most == 0 || (tied > 1 && most < CRASHES_TIED_MIN))
-		return false;
-	for (p = q->parts; p; p = p->hh.next) {
-		if (is_known_sound(q, p, now) != known_sound || weigh(q, p, now) != most)
-			continue;
-		p->group = tied > 1 ? group : 0;
-		p->group_size = tied > 1 ? tied : 0;
-		block(q, p, now);
-	}
-	for (p = q->parts; p; p = p->hh.next) {
-		if (p->until)
-			attribute_crashes(q, p);
-	}
-	return true;
-}
-
-static bool is_doubted(const quarantine_t *q, const part_t *p, deadline_t now)
-{
-	if (p->until)
-		return p->probe_at <= now;
-	return p->level || p->ncrashes >= least_crashes(q, p, now);
-}
-
-bool quarantine_doubts(const quarantine_t *q, const prompt_parts_t *parts, deadline_t now)
-{
-	for (unsigned i = 0; q->parts && i < parts->n; i++) {
-		const part_t *p = find_part(q, parts->v[i]);
-
-		if (p && is_doubted(q, p, now))
-			return true;
-	}
-	return false;
-}
-
-bool quarantine_forbids(const quarantine_t *q, const prompt_parts_t *parts, deadline_t now)
-{
-	quarantine_part_t by;
-
-	if (!quarantine_blocks(q, parts, now, &by))
-		return false;
-	for (unsigned i = 0; i < parts->n; i++) {
-		const part_t *p = find_part(q, parts->v[i]);
-
-		if (p && p->until > now && p->probe_at > now)
-			return true;
-	}
-	return false;
-}
-
-void quarantine_probe(quarantine_t *q, uint64_t part, deadline_t now)
-{
-	part_t *p = find_part(q, part);
-
-	if (!p || !p->until)
-		return;
-	p->probe_ms *= PROBE_TIMES;
-	p->probe_at = now + p->probe_ms;
-}
-
-static deadline_t next_probe(const part_t *p, deadline_t now)
-{
-	if (p->until)
-		return p->probe_at;
-	return p->ncrashes ? p->crashes[p->ncrashes - 1].at + CONFIRM_MS : now;
-}
-
-size_t quarantine_list_doubted(const quarantine_t *q, deadline_t now, quarantine_doubt_t *out,
-			       size_t max)
-{
-	size_t n = 0;
-
-	for (const part_t *p = q->parts; p && n < max; p = p->hh.next) {
-		if (is_doubted(q, p, now))
-			out[n++] = (quarantine_doubt_t){p->part, next_probe(p, now)};
-	}
-	return n;
-}
-
-static unsigned count_settled(const part_t *p, deadline_t now)
-{
-	unsigned n = 0;
-
-	for (unsigned i = 0; i < p->ncrashes; i++)
-		n += p->crashes[i].at + CONFIRM_MS <= now;
-	return n;
-}
-
-/* A crash under some parts of a group clears the others. */
-static void narrow_groups(quarantine_t *q, deadline_t now)
-{
-	part_t *p;
-	part_t *next;
-
-	HASH_ITER (hh, q->parts, p, next) {
-		unsigned most = 0;
-
-		for (const part_t *x = q->parts; p->group && x; x = x->hh.next) {
-			unsigned n = x->group == p->group ? count_settled(x, now) : 0;
-
-			most = n > most ? n : most;
-		}
-		if (p->group && count_settled(p, now) < most)
-			clear_part(q, p);
-	}
-}
-
 void quarantine_tick(quarantine_t *q, deadline_t now)
 {
 	drop_old(q, now);
-	narrow_groups(q, now);
-	while (block_most_suspected(q, false, now))
-		;
-	while (block_most_suspected(q, true, now))
-		;
+	quarantine_block_suspected(q, now);
 }
 
 void quarantine_adopt(quarantine_t *q, const quarantine_part_t *x, deadline_t now)
@@ -678,7 +441,7 @@
 	p->group = x->group;
 	p->group_size = x->group_size;
 	if (!was_blocked)
-		report(q, QUARANTINE_BLOCKED, p);
+		quarantine_report(q, QUARANTINE_BLOCKED, p);
 }
 
 static bool contains(const quarantine_part_t *v, size_t n, const part_t *p)
@@ -699,7 +462,7 @@
 		if (contains(v, n, p))
 			continue;
 		p->watched_until = 0;
-		clear_part(q, p);
+		quarantine_clear_part(q, p);
 	}
 }
 
@@ -710,7 +473,7 @@
 	unsigned n = 0;
 
 	for (unsigned i = 0; i < parts->n; i++) {
-		const part_t *p = find_part(q, parts->v[i]);
+		const part_t *p = quarantine_find_part(q, parts->v[i]);
 
 		n += p && p->group == group;
 	}
@@ -723,7 +486,7 @@
 	bool found = false;
 
 	for (unsigned i = 0; q->parts && i < parts->n; i++) {
-		const part_t *p = find_part(q, parts->v[i]);
+		const part_t *p = quarantine_find_part(q, parts->v[i]);
 
 		if (!p || p->until <= now || (found && p->until <= out->until) ||
 		    (p->group && !has_group(q, parts, p->group, p->group_size)))
@@ -736,7 +499,7 @@
 
 bool quarantine_has(const quarantine_t *q, uint64_t part)
 {
-	return find_part(q, part) != NULL;
+	return quarantine_find_part(q, part) != NULL;
 }
 
 size_t quarantine_list(const quarantine_t *q, quarantine_part_t *out, size_t max)
