--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -48,6 +48,13 @@
 
 typedef struct hub hub_t;
 
+/** What an entry says of a request before it requests a slot for it. */
+typedef struct {
+	uint64_t request; /* 0: nothing was said */
+	char customer[128]; /* empty: none; names are compared by this many bytes */
+	dispatch_tokens_t tokens;
+} hub_facts_t;
+
 /** A linked process: an entry, or a control process that does not lead. */
 typedef struct hub_peer {
 	hub_t *hub;
@@ -71,6 +78,7 @@
 	uint64_t sent_upstreams; /* digests of the lists in the last share of the view; 0: none */
 	uint64_t sent_entries;
 	uint64_t sent_controls;
+	hub_facts_t facts; /* of the next slot request */
 	UT_hash_handle hh;
 } hub_peer_t;
 
@@ -125,6 +133,7 @@
 typedef struct hub_delayed {
 	uint64_t peer;
 	link_slot_request_t ask; /* owned */
+	hub_facts_t facts;
 	deadline_t since;
 	deadline_t at;
 	struct hub_delayed *prev;
@@ -344,8 +353,9 @@
 /** Handles a hello: records the leaving replicas. Adds or updates an entry in the dispatcher, and
  * adopts the runs that its hello lists. */
 void hub_dispatch_hello(hub_t *h, hub_peer_t *p, const link_hello_t *hello);
-/** Hands a request for a slot to the dispatcher. */
-void hub_dispatch_request(hub_t *h, hub_peer_t *p, const link_slot_request_t *m);
+/** Hands a request for a slot to the dispatcher. facts: of this request, or of another one. */
+void hub_dispatch_request(hub_t *h, hub_peer_t *p, const link_slot_request_t *m,
+			  const hub_facts_t *facts);
 void hub_dispatch_message(hub_t *h, hub_peer_t *p, const link_msg_t *m);
 /** Finds an item of a lot by its index; NULL if it is unknown here or finished. */
 hub_item_t *hub_find_item(hub_t *h, wire_bytes_t lot, u_int index);
--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -395,7 +395,22 @@
 		adopt_run(h, p, &hello->runs.runs_val[i]);
 }
 
-void hub_dispatch_request(hub_t *h, hub_peer_t *p, const link_slot_request_t *m)
+static void note_facts(hub_peer_t *p, const link_request_facts_t *m)
+{
+	dispatch_tokens_t *t = &p->facts.tokens;
+
+	p->facts.request = m->request;
+	snprintf(p->facts.customer, sizeof(p->facts.customer), "%.*s",
+		 STR_ARG(wire_str(m->customer)));
+	*t = (dispatch_tokens_t){
+		.in = m->tokens_in, .out = m->tokens_out, .out_max = m->tokens_out_max};
+	for (u_int i = 0; i < m->parts.parts_len && i < DISPATCH_PARTS_MAX; i++)
+		t->parts[t->nparts++] =
+			(dispatch_part_t){m->parts.parts_val[i].part, m->parts.parts_val[i].tokens};
+}
+
+void hub_dispatch_request(hub_t *h, hub_peer_t *p, const link_slot_request_t *m,
+			  const hub_facts_t *facts)
 {
 	deadline_t now = clock_now_ms();
 	dispatch_request_t a = {
@@ -411,6 +426,10 @@
 		.prefix = m->prefix,
 	};
 
+	if (facts->request == m->request) {
+		a.customer = str_c(facts->customer);
+		a.tokens = facts->tokens;
+	}
 	for (u_int i = 0; i < m->avoid.avoid_len && i < DISPATCH_AVOID_MAX; i++)
 		a.avoid[a.navoid++] = wire_str(m->avoid.avoid_val[i]);
 	dispatch_request_add(h->dispatch, &a, now);
@@ -527,11 +546,14 @@
 {
 	switch (m->kind) {
 	case LINK_SLOT_REQUEST:
-		hub_dispatch_request(h, p, &m->link_msg_t_u.ask);
+		hub_dispatch_request(h, p, &m->link_msg_t_u.ask, &p->facts);
 		break;
 	case LINK_CUSTOMER_SLOT_REQUEST:
 		if (hub_quota_take(h, p, &m->link_msg_t_u.customer_ask))
-			hub_dispatch_request(h, p, &m->link_msg_t_u.customer_ask.ask);
+			hub_dispatch_request(h, p, &m->link_msg_t_u.customer_ask.ask, &p->facts);
+		break;
+	case LINK_REQUEST_FACTS:
+		note_facts(p, &m->link_msg_t_u.facts);
 		break;
 	case LINK_QUOTA_RETURN:
 		quota_return(h->quota, wire_str(m->link_msg_t_u.customer), 1);
--- a/src/control/hub_quota.c
+++ b/src/control/hub_quota.c
@@ -24,6 +24,7 @@
 	d->peer = p->id;
 	d->since = clock_now_ms();
 	d->at = at;
+	d->facts = p->facts;
 	wire_dup(XDR_PROC(link_slot_request_t), m, &d->ask, sizeof(d->ask));
 	DL_APPEND(h->delayed, d);
 	hub_send(p, &(link_msg_t){.kind = LINK_PING});
@@ -109,7 +110,7 @@
 		d->ask.deadline_ms -= waited_ms;
 		d->ask.give_up_left_ms -= waited_ms;
 		if (p)
-			hub_dispatch_request(h, p, &d->ask);
+			hub_dispatch_request(h, p, &d->ask, &d->facts);
 		free_delayed(h, d);
 	}
 }
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -118,6 +118,7 @@
 	front_item_t *items; /* running, or ended and not reported yet */
 	front_held_t *held; /* requests that wait for the first config */
 	deadline_t started;
+	bool speeds_stated; /* a replica has stated how long work takes */
 	size_t buffered_bytes; /* total size of the `body` buffers of all online requests */
 } front_t;
 
--- a/src/front/front_slot.c
+++ b/src/front/front_slot.c
@@ -60,6 +60,8 @@
 		.deadline = q->deadline,
 		.give_up_at = q->give_up_at,
 		.prefix = q->call.prefix_hash,
+		.customer = str_c(q->customer ? q->customer : ""),
+		.tokens = q->call.tokens,
 	};
 
 	for (unsigned i = 0; i < q->navoid; i++)
@@ -67,6 +69,31 @@
 	dispatch_request_add(f->local_dispatch, &a, clock_now_ms());
 }
 
+/* Tells the leader what the request takes, where that bears on its place: the config has customers,
+ * or a replica of the service states how long work takes. */
+static void send_facts(front_t *f, const front_request_t *q)
+{
+	const dispatch_tokens_t *t = &q->call.tokens;
+	link_msg_t m = {.kind = LINK_REQUEST_FACTS};
+	link_prompt_tokens_t parts[DISPATCH_PARTS_MAX];
+
+	if (!q->customer && !f->speeds_stated)
+		return;
+	m.link_msg_t_u.facts = (link_request_facts_t){
+		.request = q->number,
+		.customer = wire_bytes(str_c(q->customer ? q->customer : "")),
+		.tokens_in = t->in,
+		.tokens_out = t->out,
+		.tokens_out_max = t->out_max,
+	};
+	for (unsigned i = 0; i < t->nparts; i++)
+		parts[i] = (link_prompt_tokens_t){t->parts[i].part, t->parts[i].tokens};
+	if (f->speeds_stated)
+		m.link_msg_t_u.facts.parts.parts_len = t->nparts;
+	m.link_msg_t_u.facts.parts.parts_val = parts;
+	leader_link_send(f->leader, &m);
+}
+
 static void request_from_leader(front_t *f, front_request_t *q)
 {
 	bool counts = q->counted_by == FRONT_ASKS_LEADER_TO_COUNT;
@@ -94,6 +121,7 @@
 		m.link_msg_t_u.customer_ask.customer = wire_bytes(str_c(q->customer));
 		q->counted_by = FRONT_COUNTED_BY_LEADER;
 	}
+	send_facts(f, q);
 	leader_link_send_acked(f->leader, &m);
 }
 
--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -232,6 +232,16 @@
 		r->leaving = true;
 }
 
+void dispatch_replica_loads(dispatch_t *d, const dispatch_load_t *v, size_t n, deadline_t now)
+{
+	for (size_t i = 0; i < n; i++) {
+		const replica_t *r = find_replica(d, v[i].replica);
+
+		if (r && v[i].percent > 0)
+			r->service->states_speed = true;
+	}
+}
+
 static entry_t *find_entry(const dispatch_t *d, uint64_t id)
 {
 	entry_t *e;
@@ -327,6 +337,8 @@
 	q->service = get_service(d, req->service);
 	for (unsigned i = 0; i < req->navoid; i++)
 		q->avoid[i] = str_dup(req->avoid[i]);
+	q->customer = str_dup(req->customer);
+	q->req.customer = (str_t){q->customer, req->customer.n};
 	d->nwaiters++;
 	DL_FOREACH (d->waiters, at) {
 		if (queued_before(q, at))
--- a/src/policy/dispatch.h
+++ b/src/policy/dispatch.h
@@ -82,6 +82,35 @@
 				replica restarted */
 } dispatch_replica_t;
 
+/** Maximum number of parts of a prompt that are considered. */
+#define DISPATCH_PARTS_MAX 16
+
+/** A part of a prompt. Requests share the parts but the last, which is a request's own. */
+typedef struct {
+	uint64_t part; /* its hash */
+	uint32_t tokens;
+} dispatch_part_t;
+
+/** The tokens of a request or an item; figures that its caller does not state are 0. */
+typedef struct {
+	uint32_t in; /* of the prompt */
+	uint32_t out; /* expected output; at most out_max */
+	uint32_t out_max;
+	dispatch_part_t parts[DISPATCH_PARTS_MAX]; /* of the prompt, in order */
+	unsigned nparts;
+} dispatch_tokens_t;
+
+/** What a replica has said of its load. */
+typedef struct {
+	str_t replica;
+	uint64_t start_time; /* as in dispatch_replica_t */
+	unsigned running;
+	unsigned waiting;
+	unsigned slots;
+	unsigned percent; /* time that work takes now, 100 as usual; 0: not stated */
+	deadline_t at; /* when it said so */
+} dispatch_load_t;
+
 /** Maximum number of replicas that a request can exclude. */
 #define DISPATCH_AVOID_MAX 8
 /** Bytes of a replica's id that an entry keeps for a running request. */
@@ -100,6 +129,8 @@
 	deadline_t deadline; /* when the whole answer is due */
 	deadline_t give_up_at; /* when the caller leaves unless it gets another event first */
 	uint64_t prefix; /* hash of the prompt's shared prefix, 0 if none */
+	str_t customer; /* copied; empty if none */
+	dispatch_tokens_t tokens;
 	str_t avoid[DISPATCH_AVOID_MAX]; /* never chosen: earlier attempts failed on them */
 	unsigned navoid;
 } dispatch_request_t;
@@ -118,6 +149,10 @@
 /** Marks a replica as leaving: it gets no new work unless a later list clears the mark. */
 void dispatch_replica_leaving(dispatch_t *d, str_t replica);
 
+/** Records what replicas have said of their load. Services of which a replica states how long work
+ * takes are placed by estimates, see dispatch_cost.c. */
+void dispatch_replica_loads(dispatch_t *d, const dispatch_load_t *v, size_t n, deadline_t now);
+
 /** Adds an entry, or updates its zone and takes_items. Only an entry with takes_items set is given
  * batch items. */
 void dispatch_entry_add(dispatch_t *d, uint64_t entry, str_t zone, bool takes_items);
--- a/src/policy/dispatch_internal.h
+++ b/src/policy/dispatch_internal.h
@@ -15,6 +15,7 @@
 	int64_t mean_item_ms; /* mean slot time of a whole item; 0 until the first one ends */
 	unsigned reserved_slots; /* free slots that items with slack leave to online requests */
 	deadline_t reserve_decay_at; /* when reserved_slots is next reduced */
+	bool states_speed; /* a replica has stated how long work takes */
 	unsigned items_waiting; /* in d->waiting_items */
 	deadline_t next_late_check; /* no running item is preempted for an item before; see
 				       LATE_CHECK_MS */
@@ -83,6 +84,7 @@
 	dispatch_request_t req;
 	service_t *service;
 	char *avoid[DISPATCH_AVOID_MAX]; /* copies of req.avoid */
+	char *customer; /* copy of req.customer */
 	struct waiter *prev;
 	struct waiter *next;
 } waiter_t;
@@ -207,6 +209,13 @@
 /** True if the item could wait out a peak of online requests and still finish by its due time. */
 bool dispatch_item_has_slack(const dispatch_item_t *it, deadline_t now);
 
+/* dispatch_cost.c */
+
+/** Estimates what it costs to run the request on the replica, in microseconds of its caller's time.
+ * zone: of the request's entry. */
+int64_t dispatch_cost_us(const dispatch_t *d, const waiter_t *q, const replica_t *r,
+			 const replica_t *prefix_holder, str_t zone, deadline_t now);
+
 /* dispatch_place.c */
 
 /** Assigns waiting requests, then waiting items, to slots. */
--- a/src/policy/dispatch_pick.c
+++ b/src/policy/dispatch_pick.c
@@ -74,16 +74,18 @@
 {
 	replica_t *prefix_holder = find_prefix_holder(d, q->req.prefix);
 	replica_t *best = NULL;
-	unsigned best_cost = 0;
+	int64_t best_cost = 0;
 	unsigned ties = 0;
 
 	for (replica_t *r = d->replicas; r; r = r->hh.next) {
-		unsigned c;
+		int64_t c;
 
 		if (!is_usable(r, q->service, now) || now < r->full_until || is_avoided(q, r) ||
 		    slots_used(r) >= slots_allowed(r) || !dispatch_reaches(d, e, r, now))
 			continue;
-		c = placement_cost(r, prefix_holder, zone_of(e));
+		c = q->service->states_speed
+			    ? dispatch_cost_us(d, q, r, prefix_holder, zone_of(e), now)
+			    : placement_cost(r, prefix_holder, zone_of(e));
 		if (best && c > best_cost)
 			continue;
 		if (!best || c < best_cost)
--- a/src/policy/dispatch_place.c
+++ b/src/policy/dispatch_place.c
@@ -66,6 +66,7 @@
 	d->nwaiters--;
 	for (unsigned i = 0; i < q->req.navoid; i++)
 		free(q->avoid[i]);
+	free(q->customer);
 	free(q);
 }
 
--- a/src/proto/link.x
+++ b/src/proto/link.x
@@ -223,6 +223,48 @@
 	wire_bytes_t avoid<>;		/* replicas that failed this request */
 };
 
+/* A part of a prompt and its tokens. */
+struct link_prompt_tokens_t {
+	unsigned hyper part;		/* its hash */
+	unsigned int tokens;
+};
+
+/* What a request takes of a replica; goes before its slot request. Figures that its caller does not
+ * state are 0. Leaders of older builds skip it. */
+struct link_request_facts_t {
+	unsigned hyper request;
+	wire_bytes_t customer;		/* empty: none */
+	unsigned int tokens_in;		/* of the prompt */
+	unsigned int tokens_out;	/* expected; at most tokens_out_max */
+	unsigned int tokens_out_max;
+	link_prompt_tokens_t parts<>;	/* of the prompt, in order; the last is the request's own */
+};
+
+/* What a replica has said of its load. */
+struct link_replica_load_t {
+	wire_bytes_t replica;
+	unsigned hyper start_time;
+	unsigned int running;
+	unsigned int waiting;
+	unsigned int slots;
+	unsigned int percent;		/* time that work takes now, 100 as usual; 0: not stated */
+	int age_ms;
+};
+
+struct link_replica_loads_t {
+	link_replica_load_t loads<>;
+};
+
+/* How much an entry can carry, against others. */
+struct link_entry_capacity_t {
+	wire_bytes_t addr;		/* ip:port for callers */
+	unsigned int capacity;		/* thousandths; 0: unknown */
+};
+
+struct link_entry_capacities_t {
+	link_entry_capacity_t entries<>;
+};
+
 struct link_grant_t {
 	unsigned hyper request;
 	wire_bytes_t replica;
@@ -419,8 +461,11 @@
 					   the leader, in reply to that and at each change, all */
 	LINK_REQUEST_CRASH = 28,	/* in place of LINK_CRASH, to a leader that has sent
 					   LINK_POISONS */
-	LINK_REQUEST_SOUND = 29		/* a run of a request that the leader suspects, or that has
+	LINK_REQUEST_SOUND = 29,	/* a run of a request that the leader suspects, or that has
 					   crashed replicas at this entry, has ended whole */
+	LINK_REQUEST_FACTS = 30,
+	LINK_REPLICA_LOADS = 31,	/* from an entry */
+	LINK_ENTRY_CAPACITIES = 32	/* from an entry: its own; from the leader: of all entries */
 };
 
 union link_msg_t switch (link_kind_t kind) {
@@ -476,6 +521,12 @@
 	link_request_crash_t request_crash;
 case LINK_REQUEST_SOUND:
 	link_request_sound_t request_sound;
+case LINK_REQUEST_FACTS:
+	link_request_facts_t facts;
+case LINK_REPLICA_LOADS:
+	link_replica_loads_t replica_loads;
+case LINK_ENTRY_CAPACITIES:
+	link_entry_capacities_t capacities;
 case LINK_CALL:
 	link_call_t call;
 case LINK_REPLY:
--- a/src/proto/link_xdr.c
+++ b/src/proto/link_xdr.c
@@ -640,6 +640,197 @@
 	return TRUE;
 }
 
+bool_t
+xdr_link_prompt_tokens_t (XDR *xdrs, link_prompt_tokens_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->part))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_link_request_facts_t (XDR *xdrs, link_request_facts_t *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->request))
+			 return FALSE;
+		 if (!xdr_wire_bytes_t (xdrs, &objp->customer))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->tokens_in))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->tokens_out))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->tokens_out_max))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->tokens_in);
+		IXDR_PUT_U_LONG(buf, objp->tokens_out);
+		IXDR_PUT_U_LONG(buf, objp->tokens_out_max);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, ~0,
+			sizeof (link_prompt_tokens_t), (xdrproc_t) xdr_link_prompt_tokens_t))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->request))
+			 return FALSE;
+		 if (!xdr_wire_bytes_t (xdrs, &objp->customer))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->tokens_in))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->tokens_out))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->tokens_out_max))
+				 return FALSE;
+
+		} else {
+		objp->tokens_in = IXDR_GET_U_LONG(buf);
+		objp->tokens_out = IXDR_GET_U_LONG(buf);
+		objp->tokens_out_max = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, ~0,
+			sizeof (link_prompt_tokens_t), (xdrproc_t) xdr_link_prompt_tokens_t))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_wire_bytes_t (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens_in))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens_out))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens_out_max))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, ~0,
+		sizeof (link_prompt_tokens_t), (xdrproc_t) xdr_link_prompt_tokens_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_link_replica_load_t (XDR *xdrs, link_replica_load_t *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_wire_bytes_t (xdrs, &objp->replica))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->start_time))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->percent))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->age_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->running);
+			IXDR_PUT_U_LONG(buf, objp->waiting);
+			IXDR_PUT_U_LONG(buf, objp->slots);
+			IXDR_PUT_U_LONG(buf, objp->percent);
+			IXDR_PUT_LONG(buf, objp->age_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_wire_bytes_t (xdrs, &objp->replica))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->start_time))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->percent))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->age_ms))
+				 return FALSE;
+		} else {
+			objp->running = IXDR_GET_U_LONG(buf);
+			objp->waiting = IXDR_GET_U_LONG(buf);
+			objp->slots = IXDR_GET_U_LONG(buf);
+			objp->percent = IXDR_GET_U_LONG(buf);
+			objp->age_ms = IXDR_GET_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_wire_bytes_t (xdrs, &objp->replica))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->start_time))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->percent))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_link_replica_loads_t (XDR *xdrs, link_replica_loads_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, ~0,
+		sizeof (link_replica_load_t), (xdrproc_t) xdr_link_replica_load_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_link_entry_capacity_t (XDR *xdrs, link_entry_capacity_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_bytes_t (xdrs, &objp->addr))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->capacity))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_link_entry_capacities_t (XDR *xdrs, link_entry_capacities_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, ~0,
+		sizeof (link_entry_capacity_t), (xdrproc_t) xdr_link_entry_capacity_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_link_grant_t (XDR *xdrs, link_grant_t *objp)
 {
@@ -1105,6 +1296,18 @@
 		 if (!xdr_link_request_sound_t (xdrs, &objp->link_msg_t_u.request_sound))
 			 return FALSE;
 		break;
+	case LINK_REQUEST_FACTS:
+		 if (!xdr_link_request_facts_t (xdrs, &objp->link_msg_t_u.facts))
+			 return FALSE;
+		break;
+	case LINK_REPLICA_LOADS:
+		 if (!xdr_link_replica_loads_t (xdrs, &objp->link_msg_t_u.replica_loads))
+			 return FALSE;
+		break;
+	case LINK_ENTRY_CAPACITIES:
+		 if (!xdr_link_entry_capacities_t (xdrs, &objp->link_msg_t_u.capacities))
+			 return FALSE;
+		break;
 	case LINK_CALL:
 		 if (!xdr_link_call_t (xdrs, &objp->link_msg_t_u.call))
 			 return FALSE;
--- a/src/proto/link_xdr.h
+++ b/src/proto/link_xdr.h
@@ -276,6 +276,58 @@
 };
 typedef struct link_slot_request_t link_slot_request_t;
 
+struct link_prompt_tokens_t {
+	u_quad_t part;
+	u_int tokens;
+};
+typedef struct link_prompt_tokens_t link_prompt_tokens_t;
+
+struct link_request_facts_t {
+	u_quad_t request;
+	wire_bytes_t customer;
+	u_int tokens_in;
+	u_int tokens_out;
+	u_int tokens_out_max;
+	struct {
+		u_int parts_len;
+		link_prompt_tokens_t *parts_val;
+	} parts;
+};
+typedef struct link_request_facts_t link_request_facts_t;
+
+struct link_replica_load_t {
+	wire_bytes_t replica;
+	u_quad_t start_time;
+	u_int running;
+	u_int waiting;
+	u_int slots;
+	u_int percent;
+	int age_ms;
+};
+typedef struct link_replica_load_t link_replica_load_t;
+
+struct link_replica_loads_t {
+	struct {
+		u_int loads_len;
+		link_replica_load_t *loads_val;
+	} loads;
+};
+typedef struct link_replica_loads_t link_replica_loads_t;
+
+struct link_entry_capacity_t {
+	wire_bytes_t addr;
+	u_int capacity;
+};
+typedef struct link_entry_capacity_t link_entry_capacity_t;
+
+struct link_entry_capacities_t {
+	struct {
+		u_int entries_len;
+		link_entry_capacity_t *entries_val;
+	} entries;
+};
+typedef struct link_entry_capacities_t link_entry_capacities_t;
+
 struct link_grant_t {
 	u_quad_t request;
 	wire_bytes_t replica;
@@ -469,6 +521,9 @@
 	LINK_POISONS = 27,
 	LINK_REQUEST_CRASH = 28,
 	LINK_REQUEST_SOUND = 29,
+	LINK_REQUEST_FACTS = 30,
+	LINK_REPLICA_LOADS = 31,
+	LINK_ENTRY_CAPACITIES = 32,
 };
 typedef enum link_kind_t link_kind_t;
 
@@ -500,6 +555,9 @@
 		link_poisons_t poisons;
 		link_request_crash_t request_crash;
 		link_request_sound_t request_sound;
+		link_request_facts_t facts;
+		link_replica_loads_t replica_loads;
+		link_entry_capacities_t capacities;
 		link_call_t call;
 		link_reply_t reply;
 	} link_msg_t_u;
@@ -534,6 +592,12 @@
 extern  bool_t xdr_link_entry_t (XDR *, link_entry_t*);
 extern  bool_t xdr_link_view_t (XDR *, link_view_t*);
 extern  bool_t xdr_link_slot_request_t (XDR *, link_slot_request_t*);
+extern  bool_t xdr_link_prompt_tokens_t (XDR *, link_prompt_tokens_t*);
+extern  bool_t xdr_link_request_facts_t (XDR *, link_request_facts_t*);
+extern  bool_t xdr_link_replica_load_t (XDR *, link_replica_load_t*);
+extern  bool_t xdr_link_replica_loads_t (XDR *, link_replica_loads_t*);
+extern  bool_t xdr_link_entry_capacity_t (XDR *, link_entry_capacity_t*);
+extern  bool_t xdr_link_entry_capacities_t (XDR *, link_entry_capacities_t*);
 extern  bool_t xdr_link_grant_t (XDR *, link_grant_t*);
 extern  bool_t xdr_link_refuse_t (XDR *, link_refuse_t*);
 extern  bool_t xdr_link_outcome_t (XDR *, link_outcome_t*);
@@ -581,6 +645,12 @@
 extern bool_t xdr_link_entry_t ();
 extern bool_t xdr_link_view_t ();
 extern bool_t xdr_link_slot_request_t ();
+extern bool_t xdr_link_prompt_tokens_t ();
+extern bool_t xdr_link_request_facts_t ();
+extern bool_t xdr_link_replica_load_t ();
+extern bool_t xdr_link_replica_loads_t ();
+extern bool_t xdr_link_entry_capacity_t ();
+extern bool_t xdr_link_entry_capacities_t ();
 extern bool_t xdr_link_grant_t ();
 extern bool_t xdr_link_refuse_t ();
 extern bool_t xdr_link_outcome_t ();
