The leader assigns slots and sends messages once an iteration of its loop

Entries got no answer within 150 ms, left it (118 leader_lost) and filled the replicas from their own dispatchers: 3,829 answers broken, 7,760 rejected arrivals. Ruled out: the dispatcher itself (4 to 20 us a request in a play without a network).

Change: msgconn sends what was queued at the end of the loop's iteration; the leader's dispatcher defers placement to there (dispatch_defer), and a slot request that waits is acknowledged after it. Closing a connection still sends what is queued.

--- a/src/control/hub.c
+++ b/src/control/hub.c
@@ -116,6 +116,7 @@
 	bool is_control;
 
 	HASH_DEL(h->peers, p);
+	hub_dispatch_forget_ack(h, p);
 	if (p->registered)
 		log_event(LOG_LEVEL_INFO, "peer_lost", LOG_CSTR("peer", p->name),
 			  LOG_CSTR("reason", reason));
@@ -573,6 +574,7 @@
 		.down = on_leader_down,
 	});
 	hub_view_init(h);
+	hub_dispatch_init(h);
 	if (listen_links(h) != STATUS_OK || hub_http_start(h) != STATUS_OK)
 		return STATUS_IO;
 	ev_timer_init(&h->tick, on_tick, 0.0, HUB_TICK_MS / 1000.0);
--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -79,6 +79,8 @@
 	uint64_t sent_entries;
 	uint64_t sent_controls;
 	hub_facts_t facts; /* of the next slot request */
+	deadline_t ack_due; /* since when a slot request is unacknowledged; 0: none is */
+	struct hub_peer *next_unacked; /* in h->unacked while ack_due is set */
 	UT_hash_handle hh;
 } hub_peer_t;
 
@@ -190,6 +192,8 @@
 	hub_peer_t *peers;
 	uint64_t peer_id; /* last one assigned */
 	dispatch_t *dispatch; /* NULL while this process does not lead */
+	ev_prepare placement; /* fed when the dispatcher is to assign slots; never started */
+	hub_peer_t *unacked; /* entries whose slot requests are not acknowledged */
 	deadline_t next_list_read;
 	deadline_t last_list_read; /* here or, as of the last view, by a leader; 0: never */
 	u_int fleet_entries; /* that are not draining, also those cut off from the replicas */
@@ -348,8 +352,11 @@
 
 /* hub_dispatch.c: connects the dispatcher to entries and lots */
 
+void hub_dispatch_init(hub_t *h);
 void hub_dispatch_start_leading(hub_t *h);
 void hub_dispatch_stop_leading(hub_t *h);
+/** The entry is no longer owed an acknowledgement of its slot requests. */
+void hub_dispatch_forget_ack(hub_t *h, hub_peer_t *p);
 /** Handles a hello: records the leaving replicas. Adds or updates an entry in the dispatcher, and
  * adopts the runs that its hello lists. */
 void hub_dispatch_hello(hub_t *h, hub_peer_t *p, const link_hello_t *hello);
--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -2,6 +2,7 @@
  * lots in group 0. */
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 #include "base/log.h"
 #include "base/metric.h"
 #include "control/hub.h"
@@ -433,9 +434,54 @@
 	for (u_int i = 0; i < m->avoid.avoid_len && i < DISPATCH_AVOID_MAX; i++)
 		a.avoid[a.navoid++] = wire_str(m->avoid.avoid_val[i]);
 	dispatch_request_add(h->dispatch, &a, now);
-	/* The slot request may wait here. The ping acknowledges it, see LEADER_LINK_ACK_MS. */
-	if (p->last_sent < now)
-		hub_send(p, &(link_msg_t){.kind = LINK_PING});
+	if (!p->ack_due) {
+		p->ack_due = now;
+		LL_PREPEND2(h->unacked, p, next_unacked);
+	}
+}
+
+/* A slot request may wait here. A ping acknowledges it to the entries that got nothing else since,
+ * see LEADER_LINK_ACK_MS. */
+static void acknowledge_requests(hub_t *h)
+{
+	while (h->unacked) {
+		hub_peer_t *p = h->unacked;
+
+		hub_dispatch_forget_ack(h, p);
+		if (p->last_sent < p->ack_due)
+			hub_send(p, &(link_msg_t){.kind = LINK_PING});
+		p->ack_due = 0;
+	}
+}
+
+void hub_dispatch_forget_ack(hub_t *h, hub_peer_t *p)
+{
+	if (p->ack_due)
+		LL_DELETE2(h->unacked, p, next_unacked);
+}
+
+static void on_placement_due(void *ctx)
+{
+	hub_t *h = ctx;
+
+	ev_feed_event(h->loop, &h->placement, EV_CUSTOM);
+}
+
+static void on_placement(struct ev_loop *loop, ev_prepare *w, int events)
+{
+	hub_t *h = w->data;
+
+	if (h->dispatch)
+		dispatch_tick(h->dispatch, clock_now_ms());
+	acknowledge_requests(h);
+}
+
+void hub_dispatch_init(hub_t *h)
+{
+	ev_prepare_init(&h->placement, on_placement);
+	/* After the reads of the same loop iteration, before what they send goes out. */
+	ev_set_priority(&h->placement, EV_MINPRI + 1);
+	h->placement.data = h;
 }
 
 static void on_request_ended(hub_t *h, hub_peer_t *p, const link_ended_t *m)
@@ -607,6 +653,7 @@
 	dispatch_callbacks_t cb = {h, on_grant, on_refuse, on_start_item, on_stop_item};
 
 	h->dispatch = dispatch_new(&cb, (uint64_t)clock_now_us());
+	dispatch_defer(h->dispatch, on_placement_due);
 	h->last_lot_serial = 0;
 	dispatch_hold_items(h->dispatch, clock_now_ms() + ADOPT_HOLD_MS);
 	hub_lots_sync(h);
--- a/src/net/msgconn.c
+++ b/src/net/msgconn.c
@@ -46,6 +46,8 @@
 {
 	if (c->is_closed)
 		return;
+	if (c->connected && c->out.n > 0)
+		tcp_write(c->fd, &c->out);
 	c->is_closed = true;
 	ev_io_stop(c->options.loop, &c->rd);
 	ev_io_stop(c->options.loop, &c->wr);
@@ -138,6 +140,8 @@
 	ev_io_init(&c->rd, on_readable, fd, EV_READ);
 	ev_io_init(&c->wr, on_writable, fd, EV_WRITE);
 	c->rd.data = c->wr.data = c;
+	/* After the reads of the same loop iteration: what they send goes out together. */
+	ev_set_priority(&c->wr, EV_MINPRI);
 	ev_io_start(options->loop, connected ? &c->rd : &c->wr);
 	return c;
 }
@@ -166,13 +170,12 @@
 		return;
 	/* After the shutdown the loop reads the end of the stream and calls closed: no callback
 	 * runs inside this function. */
-	if (c->out.n > UNSENT_MAX_BYTES || !tcp_write(c->fd, &c->out)) {
+	if (c->out.n > UNSENT_MAX_BYTES) {
 		c->out.n = 0;
 		shutdown(c->fd, SHUT_RDWR);
-		return;
+	} else if (!ev_is_active(&c->wr)) {
+		ev_feed_event(c->options.loop, &c->wr, EV_WRITE);
 	}
-	if (c->out.n > 0)
-		ev_io_start(c->options.loop, &c->wr);
 }
 
 void msgconn_set_data(msgconn_t *c, void *data)
--- a/src/net/msgconn.h
+++ b/src/net/msgconn.h
@@ -26,8 +26,8 @@
 msgconn_t *msgconn_connect(const char *addr, const msgconn_options_t *o);
 /** Takes over an accepted socket. */
 msgconn_t *msgconn_from_fd(int fd, const msgconn_options_t *o);
-/** Sends a message, or queues it until the connection is established. Runs no callback: if sending
- * fails, the loop calls closed later. */
+/** Queues a message, which is sent at the end of the loop's iteration or once the connection is
+ * established. Runs no callback: if sending fails, the loop calls closed later. */
 void msgconn_send(msgconn_t *c, str_t m);
 /** Closes the connection; its memory is freed in the loop's next iteration. */
 void msgconn_close(msgconn_t *c);
--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -597,7 +597,12 @@
 void dispatch_tick(dispatch_t *d, deadline_t now)
 {
 	dispatch_pairs_tick(d, now);
-	dispatch_place_all(d, now);
+	dispatch_place_now(d, now);
+}
+
+void dispatch_defer(dispatch_t *d, void (*placement_due)(void *ctx))
+{
+	d->placement_due = placement_due;
 }
 
 void dispatch_stats(const dispatch_t *d, dispatch_stats_t *out)
--- a/src/policy/dispatch.h
+++ b/src/policy/dispatch.h
@@ -207,6 +207,10 @@
 
 /** Starts no items until this time, so that entries can first report the items they run. */
 void dispatch_hold_items(dispatch_t *d, deadline_t until);
+/** From now on, no function but dispatch_tick assigns slots; placement_due is called when one would
+ * have, once until the next dispatch_tick. So what arrives together costs one placement. */
+void dispatch_defer(dispatch_t *d, void (*placement_due)(void *ctx));
+
 /** Assigns waiting requests and items to slots. To be called periodically and after
  * dispatch_item_add. These functions do the same before they return: dispatch_set_replicas,
  * dispatch_request_add, dispatch_request_ended, dispatch_item_requeue and dispatch_item_remove. The
--- a/src/policy/dispatch_internal.h
+++ b/src/policy/dispatch_internal.h
@@ -146,6 +146,8 @@
 	uint64_t pass; /* number of the current placement pass */
 	bool had_replicas; /* a replica list that was not empty has arrived */
 	deadline_t list_deadline; /* requests wait until then for the first replica list */
+	void (*placement_due)(void *ctx); /* NULL: placement is not deferred */
+	bool is_due; /* placement_due has been called */
 	bool placing; /* dispatch_place_all is running */
 	bool place_again; /* a callback called dispatch_place_all: another pass is needed */
 	unsigned nwaiters;
@@ -218,8 +220,10 @@
 
 /* dispatch_place.c */
 
-/** Assigns waiting requests, then waiting items, to slots. */
+/** Assigns waiting requests, then waiting items, to slots, or says that it is due. */
 void dispatch_place_all(dispatch_t *d, deadline_t now);
+/** Assigns them now. */
+void dispatch_place_now(dispatch_t *d, deadline_t now);
 /** Releases the item's slot and removes the item from the list that holds it. */
 void dispatch_item_detach(dispatch_t *d, dispatch_item_t *it);
 /** Inserts the item into waiting_items by its due time. */
--- a/src/policy/dispatch_place.c
+++ b/src/policy/dispatch_place.c
@@ -427,6 +427,18 @@
 }
 
 void dispatch_place_all(dispatch_t *d, deadline_t now)
+{
+	if (!d->placement_due) {
+		dispatch_place_now(d, now);
+		return;
+	}
+	if (d->is_due)
+		return;
+	d->is_due = true;
+	d->placement_due(d->cb.ctx);
+}
+
+void dispatch_place_now(dispatch_t *d, deadline_t now)
 {
 	/* Called again from a callback: the outer call then does another pass. */
 	if (d->placing) {
@@ -436,6 +448,7 @@
 	if (!d->list_deadline)
 		d->list_deadline = now + LIST_WAIT_MS;
 	d->placing = true;
+	d->is_due = false;
 	do {
 		d->place_again = false;
 		d->pass++;
