Overload: callers are admitted by an estimate, and refused ones return where slots are spare

Change: dispatch_admit.c, for services of which a replica states how long work takes. A request is refused on arrival if it would miss its objective, and not because of load later; a returning caller is admitted while slots are spare beyond the rate of new requests, and then in rank; each refused caller gets a time of its own in what is spare, or a late and random one.

--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -396,6 +396,26 @@
 		adopt_run(h, p, &hello->runs.runs_val[i]);
 }
 
+static void note_loads(hub_t *h, const link_replica_loads_t *m)
+{
+	deadline_t now = clock_now_ms();
+
+	for (u_int i = 0; i < m->loads.loads_len; i++) {
+		const link_replica_load_t *x = &m->loads.loads_val[i];
+		dispatch_load_t load = {
+			.replica = wire_str(x->replica),
+			.start_time = x->start_time,
+			.running = x->running,
+			.waiting = x->waiting,
+			.slots = x->slots,
+			.percent = x->percent,
+			.at = now - x->age_ms,
+		};
+
+		dispatch_replica_loads(h->dispatch, &load, 1, now);
+	}
+}
+
 static void note_facts(hub_peer_t *p, const link_request_facts_t *m)
 {
 	dispatch_tokens_t *t = &p->facts.tokens;
@@ -601,6 +621,9 @@
 	case LINK_REQUEST_FACTS:
 		note_facts(p, &m->link_msg_t_u.facts);
 		break;
+	case LINK_REPLICA_LOADS:
+		note_loads(h, &m->link_msg_t_u.replica_loads);
+		break;
 	case LINK_QUOTA_RETURN:
 		quota_return(h->quota, wire_str(m->link_msg_t_u.customer), 1);
 		break;
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -57,6 +57,7 @@
 typedef struct front_held front_held_t;
 typedef struct front_reach front_reach_t;
 typedef struct front_hop front_hop_t;
+typedef struct front_load front_load_t;
 
 /** A replica in this entry's view. */
 typedef struct {
@@ -119,6 +120,8 @@
 	front_held_t *held; /* requests that wait for the first config */
 	deadline_t started;
 	bool speeds_stated; /* a replica has stated how long work takes */
+	front_load_t *loads; /* hash by id: what replicas have said since the last report */
+	deadline_t next_load_report;
 	size_t buffered_bytes; /* total size of the `body` buffers of all online requests */
 } front_t;
 
@@ -278,6 +281,12 @@
 void front_poison_sound(front_t *f, const poison_key_t *key);
 void front_poison_tick(front_t *f, deadline_t now);
 
+/* front_load.c: what replicas say of their load */
+
+void front_load_note(front_t *f, replica_ref_t replica, const platform_load_t *load);
+/** Passes the figures on once in a period. */
+void front_load_tick(front_t *f, deadline_t now);
+
 /* front_attempt.c: one attempt to run a request or an item on a replica */
 
 typedef struct front_attempt front_attempt_t;
--- a/src/front/front_attempt.c
+++ b/src/front/front_attempt.c
@@ -130,6 +130,8 @@
 	if (r.leaving && !r.other_replica)
 		front_replica_leaving(a->options.f, a->options.replica);
 	front_reach_heard(a->options.f, a->options.replica.id);
+	if (r.has_load)
+		front_load_note(a->options.f, a->options.replica, &r.load);
 	a->answered = r.has_signature && !r.not_run && r.status < 500;
 	/* The request may come to this replica again, and a copy of this answer, which has its id,
 	 * would be taken for the next one. */
--- a/src/front/front_request.c
+++ b/src/front/front_request.c
@@ -680,6 +680,9 @@
 	q->give_up_ms = route->give_up_ms;
 	q->returning = caller_timeout_ms < route->timeout_ms * RETURNING_PERCENT / 100;
 	q->objective = r->received + route->objective_ms;
+	/* A caller that has spent less than the objective elsewhere can still be in time. */
+	if (f->speeds_stated && route->timeout_ms - caller_timeout_ms < route->objective_ms)
+		q->returning = false;
 	q->deadline = r->received + (caller_timeout_ms < route->timeout_ms ? caller_timeout_ms
 									   : route->timeout_ms);
 	q->last_event = call->last_event_id;
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -160,6 +160,7 @@
 	front_poison_tick(f, now);
 	front_held_expire(f, now);
 	front_item_report_progress(f, now);
+	front_load_tick(f, now);
 	if (!front_is_stopping(f))
 		return;
 	front_request_refuse_late(f);
--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -335,6 +335,7 @@
 	assert(req->navoid <= DISPATCH_AVOID_MAX);
 	q->req = *req;
 	q->service = get_service(d, req->service);
+	dispatch_note_arrival(q->service, req, now);
 	for (unsigned i = 0; i < req->navoid; i++)
 		q->avoid[i] = str_dup(req->avoid[i]);
 	q->customer = str_dup(req->customer);
--- a/src/policy/dispatch_internal.h
+++ b/src/policy/dispatch_internal.h
@@ -16,6 +16,11 @@
 	unsigned reserved_slots; /* free slots that items with slack leave to online requests */
 	deadline_t reserve_decay_at; /* when reserved_slots is next reduced */
 	bool states_speed; /* a replica has stated how long work takes */
+	unsigned arrivals; /* new requests since rate_since */
+	deadline_t rate_since;
+	int64_t rate_per_s; /* of new requests, lately */
+	int64_t returns_until; /* us on the clock of deadlines: until then, the returns of refused
+				  callers take all slots */
 	unsigned items_waiting; /* in d->waiting_items */
 	deadline_t next_late_check; /* no running item is preempted for an item before; see
 				       LATE_CHECK_MS */
@@ -85,6 +90,7 @@
 	service_t *service;
 	char *avoid[DISPATCH_AVOID_MAX]; /* copies of req.avoid */
 	char *customer; /* copy of req.customer */
+	bool admitted; /* it waits by an estimate that it will be served */
 	struct waiter *prev;
 	struct waiter *next;
 } waiter_t;
@@ -211,6 +217,31 @@
 /** True if the item could wait out a peak of online requests and still finish by its due time. */
 bool dispatch_item_has_slack(const dispatch_item_t *it, deadline_t now);
 
+/* dispatch_admit.c */
+
+/**
+ * Order in which waiting requests are served. Resumed requests are first, as their callers already
+ * read the stream. Requests in time go before late ones: a fault causes a reconnect storm that
+ * takes seconds to serve, and a caller past its objective loses nothing more by waiting until
+ * shortly before it gives up. So the same number of requests is served in all, and more of them in
+ * time. Returning callers that can still be served soon are in between, for services with
+ * estimates.
+ */
+typedef enum {
+	DISPATCH_RANK_RESUMED,
+	DISPATCH_RANK_IN_TIME,
+	DISPATCH_RANK_RETURNED,
+	DISPATCH_RANK_LATE,
+	DISPATCH_RANKS
+} dispatch_rank_t;
+
+dispatch_rank_t dispatch_rank_of(const waiter_t *q, deadline_t now);
+/** Counts an arriving request toward the rate of new ones. */
+void dispatch_note_arrival(service_t *s, const dispatch_request_t *req, deadline_t now);
+/** Decides about a request that found no slot: true if it goes on waiting, false if it was refused
+ * for one of the reasons of dispatch_refusal_t. */
+bool dispatch_admit(dispatch_t *d, waiter_t *q, dispatch_rank_t rank, service_t *s, deadline_t now);
+
 /* dispatch_cost.c */
 
 /** Estimates what it costs to run the request on the replica, in microseconds of its caller's time.
--- a/src/policy/dispatch_place.c
+++ b/src/policy/dispatch_place.c
@@ -4,16 +4,6 @@
 #include <string.h>
 #include "policy/dispatch_internal.h"
 
-/** Lower bound of Retry-After: on a busy fleet a slot takes about this long to become free. */
-#define RETRY_MIN_MS 50
-/** Upper bound of Retry-After: the callers' deadlines are a few seconds. */
-#define RETRY_MAX_MS 1500
-/** Retry-After when the service has no usable replica: about the time until the replica list shows
- * one. */
-#define RETRY_NO_REPLICA_MS 500
-/** Estimated time from the grant to a stream's first event, unless requests are shorter: the engine
- * processes the prompt in a few steps of some ms each. */
-#define FIRST_EVENT_MS 50
 /** An item preempted sooner than this after it got its slot has not made up for the cost of the
  * start: processing its prompt and its earlier events again takes tens of ms. */
 #define EARLY_PREEMPT_MS 500
@@ -123,18 +113,6 @@
 	d->cb.grant(d->cb.ctx, entry, request, str_c(r->id));
 }
 
-static void refuse_request(dispatch_t *d, waiter_t *q, int64_t retry_ms, dispatch_refusal_t why)
-{
-	uint64_t entry = q->req.entry;
-	uint64_t request = q->req.request;
-
-	dispatch_waiter_free(d, q);
-	if (retry_ms < RETRY_MIN_MS)
-		retry_ms = RETRY_MIN_MS;
-	d->cb.refuse(d->cb.ctx, entry, request, retry_ms > RETRY_MAX_MS ? RETRY_MAX_MS : retry_ms,
-		     why);
-}
-
 void dispatch_item_add_run_time(dispatch_item_t *it, deadline_t now)
 {
 	if (it->replica)
@@ -206,60 +184,11 @@
 	return true;
 }
 
-/*
- * Order in which waiting requests are served. Resumed requests are first, as their callers already
- * read the stream. Requests in time go before late ones: a fault causes a reconnect storm that
- * takes seconds to serve, and a caller past its objective loses nothing more by waiting until
- * shortly before it gives up. So the same number of requests is served in all, and more of them in
- * time.
- */
-typedef enum { RANK_RESUMED, RANK_IN_TIME, RANK_LATE, RANKS } request_rank_t;
-
-static request_rank_t request_rank_of(const waiter_t *q, deadline_t now)
-{
-	if (q->req.resumed)
-		return RANK_RESUMED;
-	return !q->req.returning && now <= q->req.objective ? RANK_IN_TIME : RANK_LATE;
-}
-
-/* Decides about a request that found no slot: true if it goes on waiting, false if it was refused
- * for one of the reasons of dispatch_refusal_t. wait_ms, also the retry time of a refusal, is the
- * estimated time until the request gets a slot: from the mean hold time, as if all slots served
- * only the requests ahead of it; RETRY_NO_REPLICA_MS if there are no slots. */
-static bool wait_or_refuse(dispatch_t *d, waiter_t *q, request_rank_t rank, const service_t *s,
-			   deadline_t now)
-{
-	int64_t wait_ms = s->slots ? s->mean_hold_us * (s->waiting_ahead + 1) / s->slots / 1000
-				   : RETRY_NO_REPLICA_MS;
-	int64_t hold_ms = s->mean_hold_us / 1000;
-	int64_t first_ms = hold_ms < FIRST_EVENT_MS ? hold_ms : FIRST_EVENT_MS;
-
-	const entry_t *e = find_entry(d, q->req.entry);
-
-	if (e && e->cut_off) {
-		refuse_request(d, q, RETRY_MIN_MS, DISPATCH_ENTRY_CUT_OFF);
-		return false;
-	}
-	if (!d->had_replicas && now < d->list_deadline && now + first_ms <= q->req.give_up_at)
-		return true;
-	if (!d->had_replicas)
-		refuse_request(d, q, wait_ms, DISPATCH_NO_REPLICA_LIST);
-	else if (now + hold_ms > q->req.deadline)
-		refuse_request(d, q, wait_ms, DISPATCH_PAST_DEADLINE);
-	else if (now + first_ms + (s->slots ? wait_ms : 0) > q->req.give_up_at)
-		refuse_request(d, q, wait_ms, DISPATCH_CALLER_GIVES_UP);
-	else if (rank == RANK_IN_TIME && now + wait_ms + first_ms > q->req.objective)
-		refuse_request(d, q, wait_ms, DISPATCH_PAST_OBJECTIVE);
-	else
-		return true;
-	return false;
-}
-
 /* Goes through the waiting requests rank by rank: each is granted a slot, goes on waiting or is
  * refused. */
 static void place_requests(dispatch_t *d, deadline_t now)
 {
-	for (unsigned rank = 0; rank < RANKS; rank++) {
+	for (unsigned rank = 0; rank < DISPATCH_RANKS; rank++) {
 		waiter_t *q;
 		waiter_t *next;
 
@@ -267,14 +196,14 @@
 			service_t *s;
 
 			next = q->next;
-			if (request_rank_of(q, now) != rank)
+			if (dispatch_rank_of(q, now) != rank)
 				continue;
 			s = refresh_service(d, q->service, now);
 			if (!s->no_slot_for_requests && place_request(d, q, now))
 				continue;
 			s->no_slot_for_requests |=
 				q->req.navoid == 0 && dispatch_reaches_all(d, q->req.entry);
-			s->waiting_ahead += wait_or_refuse(d, q, (request_rank_t)rank, s, now);
+			s->waiting_ahead += dispatch_admit(d, q, (dispatch_rank_t)rank, s, now);
 		}
 	}
 }
