--- a/src/policy/dispatch_admit.c
+++ b/src/policy/dispatch_admit.c
@@ -43,7 +43,7 @@
 		return DISPATCH_RANK_IN_TIME;
 	if (now > q->req.objective)
 		return DISPATCH_RANK_LATE;
-	if (!q->req.returning || q->admitted)
+	if (!q->req.returning)
 		return DISPATCH_RANK_IN_TIME;
 	return q->service->states_speed ? DISPATCH_RANK_RETURNED : DISPATCH_RANK_LATE;
 }
