Look-ups name entries by capacity

Cause: callers pick an entry of the answer at random, so entries with 0.09 and with 0.3 cores got the same load. Change: auburn-front has a setting capacity, the VM's share of cores in the deploy template. An entry reports it to the leader when the link comes up and on a reload that changes it; the leader sends each process the capacities of the entries in its view, before the view, when they change. A new leader starts with the capacities that the previous one sent; the view waits up to 100 ms for the report of a new entry if others have a capacity. Without the setting no message is sent.

--- a/src/control/hub.c
+++ b/src/control/hub.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <utlist.h>
 #include "base/log.h"
+#include "client/directory.h"
 #include "net/tcp.h"
 
 /** Silence timeout of a linked process, in ms. */
@@ -228,8 +229,10 @@
 		update_candidates(h);
 	hub_dispatch_hello(h, p, m);
 	hub_routes_add_peer(h, p, &m->text);
-	if (first)
+	if (first) {
+		hub_capacity_await(p, clock_now_ms());
 		hub_view_send_first(h, p);
+	}
 }
 
 static void on_message(void *ctx, msgconn_t *l, str_t s)
@@ -262,6 +265,8 @@
 		hub_routes_ack(h, p, &m.link_msg_t_u.holds);
 		if (h->role == HUB_LEADER && p->registered && p->addr[0])
 			hub_proof_question(h, p);
+	} else if (m.kind == LINK_ENTRY_CAPACITIES) {
+		hub_capacity_note(h, p, &m.link_msg_t_u.capacities);
 	} else if (m.kind != LINK_PING && h->role == HUB_LEADER && p->registered) {
 		hub_dispatch_message(h, p, &m);
 	}
@@ -515,6 +520,8 @@
 		hub_view_adopt(h, &m->link_msg_t_u.view);
 	else if (m->kind == LINK_LEAVING)
 		hub_view_adopt_leaving(h, &m->link_msg_t_u.leaving_replica);
+	else if (m->kind == LINK_ENTRY_CAPACITIES)
+		directory_set_capacities(&h->capacities, &m->link_msg_t_u.capacities);
 }
 
 static void on_leader_up(void *ctx)
--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -78,6 +78,10 @@
 	uint64_t sent_upstreams; /* digests of the lists in the last share of the view; 0: none */
 	uint64_t sent_entries;
 	uint64_t sent_controls;
+	uint64_t sent_capacities; /* like sent_entries, of the capacities */
+	bool reported_capacity;
+	unsigned capacity; /* in thousandths, as the entry reported it; 0: unknown */
+	deadline_t capacity_due; /* a new entry reports its capacity by then */
 	hub_facts_t facts; /* of the next slot request */
 	deadline_t ack_due; /* since when a slot request is unacknowledged; 0: none is */
 	struct hub_peer *next_unacked; /* in h->unacked while ack_due is set */
@@ -198,6 +202,8 @@
 	deadline_t last_list_read; /* here or, as of the last view, by a leader; 0: never */
 	u_int fleet_entries; /* that are not draining, also those cut off from the replicas */
 	link_view_t view; /* made here while this process leads; else copied from the leader */
+	link_entry_capacities_t capacities; /* of the view's entries; made here while this process
+					       leads; else copied from the leader */
 	leaving_t *leaving_replicas; /* as linked processes or the leader told it */
 	ring_point_t *upstream_ring; /* of the view's lists, to select the shares of entries */
 	ring_point_t *entry_ring;
@@ -284,6 +290,22 @@
  * as the leader. */
 void hub_view_adopt(hub_t *h, const link_view_t *v);
 
+/* hub_capacity.c: capacities of the entries, for answers to look-ups */
+
+/** Handles an entry's report of its own capacity. */
+void hub_capacity_note(hub_t *h, hub_peer_t *p, const link_entry_capacities_t *m);
+/** Sets how long the view waits for the report of a new entry. */
+void hub_capacity_await(hub_peer_t *p, deadline_t now);
+/** True while a new entry is to report its capacity soon: until then its capacity is unknown, and
+ * with the view look-ups would name all entries alike for a moment. */
+bool hub_capacity_is_awaited(const hub_t *h, deadline_t now);
+/** Makes the list for the entries of the view, which come from these peers in the same order. */
+void hub_capacity_rebuild(hub_t *h, const hub_peer_t *const *peers, u_int n);
+/** Sends a peer the known capacities of these entries unless it has them. To be called before the
+ * view with new entries is sent: an entry in the view whose capacity the receiver does not have
+ * counts as unknown. */
+void hub_capacity_send(hub_t *h, hub_peer_t *p, const link_entry_t *entries, u_int n);
+
 /* hub_routes.c: decodes the routes in force and sends them to the entries */
 
 void hub_routes_start_leading(hub_t *h);
--- a/src/control/hub_http.c
+++ b/src/control/hub_http.c
@@ -249,7 +249,9 @@
 
 static void on_lookup_request(void *ctx, http_conn_t *conn, const http_request_t *r)
 {
-	directory_answer(conn, r, &((hub_t *)ctx)->view);
+	hub_t *h = ctx;
+
+	directory_answer(conn, r, &h->view, &h->capacities);
 }
 
 static void on_conn_gone(void *ctx, http_conn_t *conn)
--- a/src/control/hub_view.c
+++ b/src/control/hub_view.c
@@ -225,6 +225,7 @@
 	size_t n = HASH_COUNT(h->peers);
 	link_entry_t *v = mem_new((n + 1) * sizeof(*v));
 	wire_bytes_t *c = mem_new((n + 2) * sizeof(*c));
+	const hub_peer_t **from = mem_new((n + 1) * sizeof(hub_peer_t *));
 	u_int entries = 0;
 	u_int controls = 0;
 	u_int cut_off;
@@ -236,9 +237,10 @@
 	for (hub_peer_t *p = h->peers; p; p = p->hh.next) {
 		if (p->registered && p->rpc_addr[0])
 			c[controls++] = wire_copy(str_c(p->rpc_addr));
-		if (p->registered && p->addr[0] && !p->draining && (!p->cut_off || all_cut_off))
-			v[entries++] = (link_entry_t){wire_copy(str_c(p->addr)),
-						      wire_copy(str_c(p->zone))};
+		if (!p->registered || !p->addr[0] || p->draining || (p->cut_off && !all_cut_off))
+			continue;
+		from[entries] = p;
+		v[entries++] = (link_entry_t){wire_copy(str_c(p->addr)), wire_copy(str_c(p->zone))};
 	}
 	for (u_int i = 0; i < h->view.entries.entries_len; i++)
 		wire_free(XDR_PROC(link_entry_t), &h->view.entries.entries_val[i]);
@@ -251,6 +253,8 @@
 	h->view.controls.controls_val = c;
 	h->view.controls.controls_len = controls;
 	h->rings_stale = true;
+	hub_capacity_rebuild(h, from, entries);
+	free(from);
 }
 
 int64_t hub_list_age_ms(const hub_t *h)
@@ -354,6 +358,7 @@
 	v->entries.entries_val = entries;
 	upstreams_digest = select_upstreams(h, self, upstreams, &v->upstreams.upstreams_len);
 	entries_digest = select_entries(h, self, entries, &v->entries.entries_len);
+	hub_capacity_send(h, p, entries, v->entries.entries_len);
 	v->has_upstreams = upstreams_digest != p->sent_upstreams;
 	v->has_entries = entries_digest != p->sent_entries;
 	if (!v->has_upstreams && !v->has_entries && controls == p->sent_controls)
@@ -380,6 +385,7 @@
 		send_share(h, p);
 		return;
 	}
+	hub_capacity_send(h, p, h->view.entries.entries_val, h->view.entries.entries_len);
 	m.link_msg_t_u.view = h->view;
 	m.link_msg_t_u.view.has_upstreams = m.link_msg_t_u.view.has_entries = true;
 	m.link_msg_t_u.view.age_ms = (u_int)hub_list_age_ms(h);
@@ -430,7 +436,7 @@
 	if (now - st.leader_since < INHERITED_ENTRIES_MS &&
 	    h->view.entries.entries_len > HASH_COUNT(h->peers))
 		return;
-	if (now < h->next_view)
+	if (now < h->next_view || hub_capacity_is_awaited(h, now))
 		return;
 	h->next_view = now + (deadline_t)HASH_COUNT(h->peers) * VIEW_PERIOD_PER_PEER_MS;
 	h->view_changed = false;
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -46,6 +46,7 @@
 	int64_t grace_s; /* maximum duration of a planned stop */
 	int64_t revoke_ms; /* within which a revoked key stops working, also at an entry that is cut
 			      off; 0: only as configs arrive */
+	double capacity; /* relative to other entries, e.g. a number of cores; 0: unknown */
 } front_settings_t;
 
 /** Loads the settings file. *s is to be freed after a failure, too. */
@@ -102,6 +103,7 @@
 	link_config_t pending_config; /* the last that arrived during decoding; owned */
 	link_view_t view; /* replicas, entries and control processes, as the leader last sent them;
 			     without a leader, the replicas may be from upstream_list */
+	link_entry_capacities_t capacities; /* of the entries in the view */
 	front_replica_t *replicas; /* hash by id, from view */
 	front_hop_t *hops;
 	size_t item_text_bytes; /* of all items */
@@ -131,6 +133,8 @@
 /** While there is no leader: runs the local dispatcher and, after a while, stops the items and
  * reads the replica list. */
 void front_link_tick(front_t *f, deadline_t now);
+/** Tells the leader the capacity in the settings. */
+void front_link_report_capacity(front_t *f);
 /** Finds a replica in the view, or NULL. */
 const front_replica_t *front_find_replica(const front_t *f, str_t id);
 /** Records that a replica announced that it leaves; reports this to the leader and to the local
--- a/src/front/front_link.c
+++ b/src/front/front_link.c
@@ -1,9 +1,11 @@
 /* The link to the leader: handles the leader's messages. While there is no leader, reads the
  * replica list and stops items. */
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include "base/log.h"
 #include "base/metric.h"
+#include "client/directory.h"
 #include "front/front.h"
 
 /** After this long without a leader, this process reads the replica list itself, once in each
@@ -166,6 +168,9 @@
 	case LINK_FLEET_ENTRIES:
 		f->fleet_entries = m->link_msg_t_u.entries;
 		break;
+	case LINK_ENTRY_CAPACITIES:
+		directory_set_capacities(&f->capacities, &m->link_msg_t_u.capacities);
+		break;
 	case LINK_PROMPT_PARTS:
 		front_quarantine_update(f, &m->link_msg_t_u.prompt_parts);
 		break;
@@ -180,10 +185,26 @@
 	}
 }
 
+void front_link_report_capacity(front_t *f)
+{
+	double thousandths = f->settings.capacity * 1000;
+	link_entry_capacity_t own = {.addr = wire_bytes(str_c(f->settings.listen))};
+	link_msg_t m = {.kind = LINK_ENTRY_CAPACITIES};
+
+	/* 0 would say that the capacity is unknown. */
+	if (thousandths > 0)
+		own.capacity = thousandths < 1 ? 1 : (u_int)lround(thousandths);
+	m.link_msg_t_u.capacities.entries.entries_len = 1;
+	m.link_msg_t_u.capacities.entries.entries_val = &own;
+	leader_link_send(f->leader, &m);
+}
+
 static void on_up(void *ctx)
 {
 	front_t *f = ctx;
 
+	if (f->settings.capacity > 0)
+		front_link_report_capacity(f);
 	front_customer_link_up(f);
 	front_slot_leader_up(f);
 	front_item_leader_up(f);
--- a/src/front/front_settings.c
+++ b/src/front/front_settings.c
@@ -10,6 +10,7 @@
 #define GRACE_MAX_S	3600
 #define REVOKE_MIN_MS	2000
 #define REVOKE_MAX_MS	86400000
+#define CAPACITY_MAX	100000
 
 /* Checks a setting that holds an ip:port; NULL: it is not set. */
 static status_t check_addr(const toml_doc_t *c, const char *key, const char *addr)
@@ -32,6 +33,7 @@
 		{"link_port", TOML_INT, true, 1, PORT_MAX, &s->link_port},
 		{"grace_s", TOML_INT, false, 1, GRACE_MAX_S, &s->grace_s},
 		{"revoke_ms", TOML_INT, false, REVOKE_MIN_MS, REVOKE_MAX_MS, &s->revoke_ms},
+		{"capacity", TOML_REAL, false, 0, CAPACITY_MAX, &s->capacity},
 		{0},
 	};
 	AUTO_TOML *c = NULL;
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -110,7 +110,9 @@
 
 static void on_directory(void *ctx, http_conn_t *c, const http_request_t *r)
 {
-	directory_answer(c, r, &((front_t *)ctx)->view);
+	front_t *f = ctx;
+
+	directory_answer(c, r, &f->view, &f->capacities);
 }
 
 static void on_metrics(void *ctx, http_conn_t *c, const http_request_t *r)
@@ -187,8 +189,8 @@
 	front_item_stop_all(f);
 }
 
-/* SIGHUP reloads the settings but only adds control processes. All other changes, also the removal
- * of a control process, need a restart. */
+/* SIGHUP reloads the settings but only adds control processes and sets the capacity. All other
+ * changes, also the removal of a control process, need a restart. */
 static void on_hup(struct ev_loop *loop, ev_signal *w, int events)
 {
 	front_t *f = w->data;
@@ -201,6 +203,10 @@
 	}
 	for (size_t i = 0; i < s.controls.n; i++)
 		leader_link_add_control(f->leader, str_c(s.controls.v[i]));
+	if (s.capacity != f->settings.capacity) {
+		f->settings.capacity = s.capacity;
+		front_link_report_capacity(f);
+	}
 	log_event(LOG_LEVEL_INFO, "reloaded", LOG_INT("controls", s.controls.n));
 	front_settings_free(&s);
 }
