Docs: entries of unequal size

Cause: the setting capacity, its log lines and metrics, and how capacities reach look-ups were not described; link.x said that the leader sends the capacities of all entries, which an entry's share of the view makes needless.

--- a/src/proto/link.x
+++ b/src/proto/link.x
@@ -465,7 +465,8 @@
 					   crashed replicas at this entry, has ended whole */
 	LINK_REQUEST_FACTS = 30,
 	LINK_REPLICA_LOADS = 31,	/* from an entry */
-	LINK_ENTRY_CAPACITIES = 32	/* from an entry: its own; from the leader: of all entries */
+	LINK_ENTRY_CAPACITIES = 32	/* from an entry: its own; from the leader: of the
+					   entries in the view that it sends */
 };
 
 union link_msg_t switch (link_kind_t kind) {
