Waiting requests are served by fair shares between customers

Cause: waiting requests of a rank and a priority were served in the order in which their callers give up, so a customer that sends many times the others' requests took the slots of all. A placement pass collects the requests of a rank and a priority by customer and serves them from a heap of the customers; admission counts those served before in this order. Refusals for load in such a service spread the returns, and the refusal log line names the customer and its share. Services without requests of customers keep their order and admission.

--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -36,6 +36,7 @@
 static void log_refusal(hub_t *h, const hub_peer_t *p, uint64_t number, int64_t retry_ms,
 			dispatch_refusal_t reason)
 {
+	const dispatch_share_t *share = dispatch_refusal_share(h->dispatch);
 	dispatch_stats_t st;
 
 	dispatch_stats(h->dispatch, &st);
@@ -44,7 +45,11 @@
 		  LOG_INT("retry_ms", retry_ms), LOG_INT("replicas", st.replicas),
 		  LOG_INT("places", st.slots), LOG_INT("online", st.online),
 		  LOG_INT("items", st.items), LOG_INT("waiting", st.requests_waiting),
-		  LOG_INT("list_age_ms", hub_list_age_ms(h)));
+		  LOG_INT("list_age_ms", hub_list_age_ms(h)), LOG_CSTR("customer", share->customer),
+		  LOG_INT("share_permille", share->permille),
+		  LOG_INT("over_share", share->is_over));
+	if (share->is_over)
+		METRIC_INC("auburn_refused_over_share_total");
 }
 
 static void on_refuse(void *ctx, uint64_t entry, uint64_t request, int64_t retry_ms,
--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -127,6 +127,7 @@
 	while ((s = d->services)) {
 		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): unlinked before free() */
 		HASH_DEL(d->services, s);
+		dispatch_fair_free(s);
 		free(s->name);
 		free(s);
 	}
@@ -269,8 +270,9 @@
 	e->takes_items = takes_items;
 }
 
-static void free_run(dispatch_t *d, run_t *run)
+static void free_run(dispatch_t *d, run_t *run, bool completed, deadline_t now)
 {
+	dispatch_fair_end(run, completed, now);
 	run->replica->online--;
 	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): unlinked before free() */
 	HASH_DEL(d->runs, run);
@@ -289,7 +291,7 @@
 		return;
 	HASH_ITER (hh, d->runs, run, next_run) {
 		if (run->key.entry == id)
-			free_run(d, run);
+			free_run(d, run, false, now);
 	}
 	for (q = d->waiters; q; q = next) {
 		next = q->next;
@@ -345,6 +347,7 @@
 		q->avoid[i] = str_dup(req->avoid[i]);
 	q->customer = str_dup(req->customer);
 	q->req.customer = (str_t){q->customer, req->customer.n};
+	dispatch_fair_join(q, now);
 	d->nwaiters++;
 	DL_FOREACH (d->waiters, at) {
 		if (queued_before(q, at))
@@ -474,7 +477,7 @@
 	s = run->replica->service;
 	if (how == DISPATCH_OK)
 		s->mean_hold_us += ((now - run->since) * 1000 - s->mean_hold_us) / HOLD_DIVISOR;
-	free_run(d, run);
+	free_run(d, run, how == DISPATCH_OK, now);
 	free_unlisted_replicas(d);
 	dispatch_place_all(d, now);
 }
@@ -615,6 +618,7 @@
 {
 	*out = (dispatch_stats_t){.requests_waiting = d->nwaiters,
 				  .items_waiting = d->nwaiting_items,
+				  .refused_over_share = d->refused_over_share,
 				  .preempted = d->preempted,
 				  .items_examined = d->items_examined};
 	for (const replica_t *r = d->replicas; r; r = r->hh.next) {
@@ -627,6 +631,11 @@
 	}
 }
 
+const dispatch_share_t *dispatch_refusal_share(const dispatch_t *d)
+{
+	return &d->refusal;
+}
+
 void dispatch_entry_set_cut_off(dispatch_t *d, uint64_t id, bool cut_off, deadline_t now)
 {
 	entry_t *e = find_entry(d, id);
--- a/src/policy/dispatch.h
+++ b/src/policy/dispatch.h
@@ -228,9 +228,21 @@
 	unsigned items; /* running batch items, on any replica; without those being stopped */
 	unsigned requests_waiting; /* online requests */
 	unsigned items_waiting;
+	uint64_t refused_over_share; /* requests refused for load whose customers were over their
+					share */
 	uint64_t preempted; /* preemptions of items so far */
 	uint64_t items_examined; /* waiting and running items that placement has looked at so far */
 } dispatch_stats_t;
 void dispatch_stats(const dispatch_t *d, dispatch_stats_t *out);
 
+/** A customer's part of the running requests of a service. */
+typedef struct {
+	char customer[64]; /* cut off if longer; empty: requests without a customer */
+	unsigned permille;
+	bool is_over; /* more than an equal part of the customers with requests */
+} dispatch_share_t;
+/** In the callback `refuse`: the share of the customer of the refused request; zeroed if its
+ * service has no fair shares. */
+const dispatch_share_t *dispatch_refusal_share(const dispatch_t *d);
+
 #endif
--- a/src/policy/dispatch_admit.c
+++ b/src/policy/dispatch_admit.c
@@ -1,5 +1,6 @@
 /* Dispatcher: whether a request that finds no slot waits or is refused, and when a refused caller
  * may return. */
+#include <stdio.h>
 #include "base/prng.h"
 #include "policy/dispatch_internal.h"
 
@@ -20,6 +21,9 @@
 /** A returning or late request is admitted if the spare slots reach it within 1/WAIT_PART of the
  * time for which its caller waits. */
 #define WAIT_PART 4
+/** A request of a customer over its share is refused in favour of others within this time of its
+ * arrival: a later refusal leaves its caller little time for another attempt. */
+#define GIVE_WAY_MS 75
 /** Time over which the rate of new requests is measured. */
 #define RATE_MS 100
 /** New requests take all slots if less than 1/SPARE_MIN_PART of them is left. */
@@ -52,7 +56,15 @@
 {
 	uint64_t entry = q->req.entry;
 	uint64_t request = q->req.request;
+	bool for_load = why != DISPATCH_NO_REPLICA_LIST && why != DISPATCH_ENTRY_CUT_OFF;
 
+	d->refusal = (dispatch_share_t){0};
+	if (q->fair) {
+		d->refusal.permille = fair_share_permille(q->service->fair, q->fair);
+		d->refusal.is_over = fair_share_is_over(q->service->fair, q->fair);
+		snprintf(d->refusal.customer, sizeof(d->refusal.customer), "%s", q->customer);
+	}
+	d->refused_over_share += for_load && d->refusal.is_over;
 	dispatch_waiter_free(d, q);
 	if (retry_ms < RETRY_MIN_MS)
 		retry_ms = RETRY_MIN_MS;
@@ -103,10 +115,18 @@
 	return ms;
 }
 
+/* True if the request, though it was admitted, may be refused in favour of customers under their
+ * share. */
+static bool may_give_way(const waiter_t *q, const service_t *s, deadline_t now)
+{
+	return q->fair && dispatch_is_fair(s, now) && now - q->since < GIVE_WAY_MS &&
+	       fair_share_is_over(s->fair, q->fair);
+}
+
 /* As dispatch_admit, for services of which the replicas state how long work takes. A request that
- * waits is not refused later because of load: only an arriving one is, if the estimate says that it
- * would miss its objective or, for a returning or late one, that slots beyond those for new
- * requests reach it too late. */
+ * waits is not refused later because of load, unless may_give_way: only an arriving one is, if the
+ * estimate says that it would miss its objective or, for a returning or late one, that slots beyond
+ * those for new requests reach it too late. */
 static bool admit_by_estimate(dispatch_t *d, waiter_t *q, dispatch_rank_t rank, service_t *s,
 			      int64_t wait_ms, int64_t first_ms, deadline_t now)
 {
@@ -127,7 +147,7 @@
 					(q->req.give_up_at - now) / WAIT_PART;
 		why = DISPATCH_CALLER_GIVES_UP;
 	}
-	if (!q->admitted && !fits) {
+	if (!fits && (!q->admitted || may_give_way(q, s, now))) {
 		refuse_request(d, q, book_return_ms(d, s, wait_ms, now), why);
 		return false;
 	}
@@ -143,6 +163,7 @@
 				   : RETRY_NO_REPLICA_MS;
 	int64_t hold_ms = s->mean_hold_us / 1000;
 	int64_t first_ms = hold_ms < FIRST_EVENT_MS ? hold_ms : FIRST_EVENT_MS;
+	bool fair = dispatch_is_fair(s, now) && s->slots;
 	const entry_t *e = find_entry(d, q->req.entry);
 
 	if (e && e->cut_off) {
@@ -158,9 +179,11 @@
 	else if (s->states_speed && s->slots)
 		return admit_by_estimate(d, q, rank, s, wait_ms, first_ms, now);
 	else if (now + first_ms + (s->slots ? wait_ms : 0) > q->req.give_up_at)
-		refuse_request(d, q, wait_ms, DISPATCH_CALLER_GIVES_UP);
+		refuse_request(d, q, fair ? book_return_ms(d, s, wait_ms, now) : wait_ms,
+			       DISPATCH_CALLER_GIVES_UP);
 	else if (rank == DISPATCH_RANK_IN_TIME && now + wait_ms + first_ms > q->req.objective)
-		refuse_request(d, q, wait_ms, DISPATCH_PAST_OBJECTIVE);
+		refuse_request(d, q, fair ? book_return_ms(d, s, wait_ms, now) : wait_ms,
+			       DISPATCH_PAST_OBJECTIVE);
 	else
 		return true;
 	return false;
--- a/src/policy/dispatch_internal.h
+++ b/src/policy/dispatch_internal.h
@@ -5,8 +5,10 @@
 #include <uthash.h>
 #include <utlist.h>
 #include "policy/dispatch.h"
+#include "policy/fair_share.h"
 
 typedef struct replica replica_t;
+typedef struct fair_turn fair_turn_t;
 
 /** State of a service; freed only with the dispatcher. */
 typedef struct {
@@ -22,12 +24,19 @@
 	int64_t returns_until; /* us on the clock of deadlines: until then, the returns of refused
 				  callers take all slots */
 	unsigned items_waiting; /* in d->waiting_items */
+	fair_share_t *fair; /* NULL until a request has a customer */
+	deadline_t fair_until; /* it has had requests of customers lately */
+	fair_turn_t *turns; /* heap of the customers whose requests are placed in turn */
+	unsigned nturns;
+	unsigned turns_size;
+	bool turns_ordered; /* turns is a heap; no request is added to it any more */
 	deadline_t next_late_check; /* no running item is preempted for an item before; see
 				       LATE_CHECK_MS */
 	/* The fields below are recomputed in each placement pass. */
 	uint64_t pass; /* the pass in which they were computed */
 	unsigned slots; /* slots of its usable replicas, as of counted_at */
 	deadline_t counted_at;
+	unsigned were_waiting; /* requests that went on waiting in the pass before */
 	unsigned waiting_ahead; /* requests handled earlier in this pass that go on waiting */
 	bool no_slot_for_requests; /* a request with an empty avoid list found no slot */
 	bool no_slot_for_items; /* an item found no slot, or no entry to run it */
@@ -82,6 +91,9 @@
 	run_key_t key;
 	replica_t *replica;
 	deadline_t since; /* time of the grant */
+	service_t *service; /* of the request */
+	fair_customer_t *customer; /* NULL if the service has no fair shares */
+	int64_t cost; /* that the customer was charged */
 	UT_hash_handle hh;
 } run_t;
 
@@ -91,6 +103,10 @@
 	service_t *service;
 	char *avoid[DISPATCH_AVOID_MAX]; /* copies of req.avoid */
 	char *customer; /* copy of req.customer */
+	fair_customer_t *fair; /* NULL if the service has no fair shares */
+	deadline_t since; /* time of arrival */
+	bool in_turn; /* in the list of a fair_turn_t of its service */
+	struct waiter *turn_next; /* in that list */
 	bool admitted; /* it waits by an estimate that it will be served */
 	struct waiter *prev;
 	struct waiter *next;
@@ -164,6 +180,8 @@
 	unsigned nwaiting_items;
 	uint64_t preempted;
 	uint64_t items_examined;
+	dispatch_share_t refusal; /* of the customer refused last */
+	uint64_t refused_over_share;
 };
 
 /* dispatch_reach.c */
@@ -246,6 +264,32 @@
  * for one of the reasons of dispatch_refusal_t. */
 bool dispatch_admit(dispatch_t *d, waiter_t *q, dispatch_rank_t rank, service_t *s, deadline_t now);
 
+/* dispatch_fair.c */
+
+/** A customer and its requests of the rank and priority in turn. */
+struct fair_turn {
+	fair_customer_t *customer;
+	int64_t start; /* virtual time at which its next request starts */
+	unsigned running; /* with those placed before it in this pass */
+	waiter_t *first;
+	waiter_t *last;
+};
+
+/** Adds a new request to the fair shares of its service, if that has any. */
+void dispatch_fair_join(waiter_t *q, deadline_t now);
+/** Removes a request that is withdrawn or refused. */
+void dispatch_fair_leave(waiter_t *q);
+/** Charges the customer of a request that got a slot. */
+void dispatch_fair_grant(waiter_t *q, run_t *run);
+void dispatch_fair_end(run_t *run, bool completed, deadline_t now);
+void dispatch_fair_free(service_t *s);
+/** True if requests of the service are served by fair shares now. */
+bool dispatch_is_fair(const service_t *s, deadline_t now);
+/** Collects a request for dispatch_fair_next. */
+void dispatch_fair_collect(waiter_t *q, deadline_t now);
+/** Takes the collected request that is next in the fair order, or NULL. */
+waiter_t *dispatch_fair_next(service_t *s);
+
 /* dispatch_cost.c */
 
 /** Estimates what it costs to run the request on the replica, in microseconds of its caller's time.
--- a/src/policy/dispatch_place.c
+++ b/src/policy/dispatch_place.c
@@ -45,6 +45,7 @@
 	s->no_slot_for_requests = false;
 	s->no_slot_for_items = false;
 	s->only_reserved_left = false;
+	s->were_waiting = s->waiting_ahead;
 	s->waiting_ahead = 0;
 	for (; s->reserved_slots > 0 && now >= s->reserve_decay_at;
 	     s->reserve_decay_at += RESERVE_DECAY_MS)
@@ -54,6 +55,7 @@
 
 void dispatch_waiter_free(dispatch_t *d, waiter_t *q)
 {
+	dispatch_fair_leave(q);
 	DL_DELETE(d->waiters, q);
 	d->nwaiters--;
 	for (unsigned i = 0; i < q->req.navoid; i++)
@@ -111,6 +113,7 @@
 	HASH_ADD(hh, d->runs, key, sizeof(run->key), run);
 	dispatch_prefix_record(d, q->req.prefix, r);
 	dispatch_pair_tried(d, entry, r, now);
+	dispatch_fair_grant(q, run);
 	dispatch_waiter_free(d, q);
 	d->cb.grant(d->cb.ctx, entry, request, str_c(r->id));
 }
@@ -186,27 +189,57 @@
 	return true;
 }
 
-/* Goes through the waiting requests rank by rank: each is granted a slot, goes on waiting or is
- * refused. */
+/* Grants a slot to the request, lets it go on waiting or refuses it. */
+static void place_or_admit(dispatch_t *d, waiter_t *q, dispatch_rank_t rank, deadline_t now)
+{
+	service_t *s = q->service;
+
+	if (!s->no_slot_for_requests && place_request(d, q, now))
+		return;
+	s->no_slot_for_requests |= q->req.navoid == 0 && dispatch_reaches_all(d, q->req.entry);
+	s->waiting_ahead += dispatch_admit(d, q, rank, s, now);
+}
+
+/* Handles the requests collected for the fair order of their services. */
+static void place_collected(dispatch_t *d, dispatch_rank_t rank, deadline_t now)
+{
+	for (service_t *s = d->services; s; s = s->hh.next) {
+		waiter_t *q;
+
+		while ((q = dispatch_fair_next(s)))
+			place_or_admit(d, q, rank, now);
+	}
+}
+
+/* Goes through the waiting requests rank by rank, and by priority within a rank, in the order of
+ * the queue or of fair shares. */
 static void place_requests(dispatch_t *d, deadline_t now)
 {
 	for (unsigned rank = 0; rank < DISPATCH_RANKS; rank++) {
+		unsigned priority = 0;
+		bool collected = false;
 		waiter_t *q;
 		waiter_t *next;
 
 		for (q = d->waiters; q; q = next) {
-			service_t *s;
-
+			if (collected && q->req.priority != priority) {
+				place_collected(d, (dispatch_rank_t)rank, now);
+				collected = false;
+			}
 			next = q->next;
 			if (dispatch_rank_of(q, now) != rank)
 				continue;
-			s = refresh_service(d, q->service, now);
-			if (!s->no_slot_for_requests && place_request(d, q, now))
-				continue;
-			s->no_slot_for_requests |=
-				q->req.navoid == 0 && dispatch_reaches_all(d, q->req.entry);
-			s->waiting_ahead += dispatch_admit(d, q, (dispatch_rank_t)rank, s, now);
+			refresh_service(d, q->service, now);
+			if (dispatch_is_fair(q->service, now)) {
+				dispatch_fair_collect(q, now);
+				priority = q->req.priority;
+				collected = true;
+			} else {
+				place_or_admit(d, q, (dispatch_rank_t)rank, now);
+			}
 		}
+		if (collected)
+			place_collected(d, (dispatch_rank_t)rank, now);
 	}
 }
 
