Customers over their share are admitted by the slots that their own share frees

Cause: in the fair order, requests of others that come later go before those of a customer over its share.

--- a/src/policy/dispatch_admit.c
+++ b/src/policy/dispatch_admit.c
@@ -24,6 +24,10 @@
 /** A request of a customer over its share is refused in favour of others within this time of its
  * arrival: a later refusal leaves its caller little time for another attempt. */
 #define GIVE_WAY_MS 75
+/** Factor on the wait that a customer's own queue lets expect: others who come later reduce its
+ * share. In the play of test_fair_share, requests that are admitted by an estimate and then late
+ * are 3.5% at 100, 2% at 150 and 1.5% at 200; the total served falls by 0.5%, 1% and 1.6%. */
+#define OWN_WAIT_PERCENT 150
 /** Time over which the rate of new requests is measured. */
 #define RATE_MS 100
 /** New requests take all slots if less than 1/SPARE_MIN_PART of them is left. */
@@ -155,6 +159,17 @@
 	return true;
 }
 
+/* The estimated time until a request of a customer over its share gets a slot: its customer gets as
+ * many slots as those that it holds become free, as later requests of others go before it. */
+static int64_t own_wait_ms(const waiter_t *q, const service_t *s)
+{
+	unsigned running = fair_share_running(q->fair);
+
+	if (running == 0 || !fair_share_is_over(s->fair, q->fair))
+		return 0;
+	return s->mean_hold_us * (q->own_ahead + 1) / running / 1000 * OWN_WAIT_PERCENT / 100;
+}
+
 bool dispatch_admit(dispatch_t *d, waiter_t *q, dispatch_rank_t rank, service_t *s, deadline_t now)
 {
 	/* The estimated time until the request gets a slot, also the retry time of a refusal: from
@@ -166,6 +181,8 @@
 	bool fair = dispatch_is_fair(s, now) && s->slots;
 	const entry_t *e = find_entry(d, q->req.entry);
 
+	if (fair && q->fair && rank == DISPATCH_RANK_IN_TIME && own_wait_ms(q, s) > wait_ms)
+		wait_ms = own_wait_ms(q, s);
 	if (e && e->cut_off) {
 		refuse_request(d, q, RETRY_MIN_MS, DISPATCH_ENTRY_CUT_OFF);
 		return false;
--- a/src/policy/dispatch_fair.c
+++ b/src/policy/dispatch_fair.c
@@ -110,6 +110,7 @@
 		if (q) {
 			t->first = q->turn_next;
 			t->start += fair_share_step(t->customer, cost_of(q));
+			q->own_ahead = t->running - fair_share_running(q->fair);
 			t->running++;
 			q->in_turn = false;
 		}
--- a/src/policy/dispatch_internal.h
+++ b/src/policy/dispatch_internal.h
@@ -107,6 +107,7 @@
 	deadline_t since; /* time of arrival */
 	bool in_turn; /* in the list of a fair_turn_t of its service */
 	struct waiter *turn_next; /* in that list */
+	unsigned own_ahead; /* requests of its customer ahead of it in this pass that got no slot */
 	bool admitted; /* it waits by an estimate that it will be served */
 	struct waiter *prev;
 	struct waiter *next;
