Fair shares: requests without a slot are judged every 5 ms, not in each placement

Cause: each placement ordered all waiting requests of a service with fair shares: 19.4 us with 200 waiting, 43 us with 400 (order of arrival: 6.4 and 13.0 us). Change: between two judgements 5 ms apart, a placement takes only the requests that get a slot from the heap of customers. A refusal comes at most 5 ms, or one tick of the dispatcher, later.

--- a/src/policy/dispatch_fair.c
+++ b/src/policy/dispatch_fair.c
@@ -71,6 +71,7 @@
 	mark = fair_share_mark(q->fair);
 	q->in_turn = true;
 	q->turn_next = NULL;
+	s->ncollected++;
 	if (*mark) {
 		t = &s->turns[*mark - 1];
 		t->last->turn_next = q;
@@ -90,10 +91,17 @@
 	*mark = s->nturns;
 }
 
+static void clear_marks(service_t *s)
+{
+	for (unsigned i = 0; i < s->nturns; i++) {
+		if (s->turns[i].customer)
+			*fair_share_mark(s->turns[i].customer) = 0;
+	}
+}
+
 static void order_turns(service_t *s)
 {
-	for (unsigned i = 0; i < s->nturns; i++)
-		*fair_share_mark(s->turns[i].customer) = 0;
+	clear_marks(s);
 	for (unsigned i = s->nturns / 2; i-- > 0;)
 		sift_down(s, i);
 	s->turns_ordered = true;
@@ -113,6 +121,7 @@
 			q->own_ahead = t->running - fair_share_running(q->fair);
 			t->running++;
 			q->in_turn = false;
+			s->ncollected--;
 		}
 		if (!t->first)
 			*t = s->turns[--s->nturns];
@@ -123,6 +132,14 @@
 	return NULL;
 }
 
+void dispatch_fair_drop(service_t *s)
+{
+	if (!s->turns_ordered)
+		clear_marks(s);
+	s->nturns = 0;
+	s->ncollected = 0;
+}
+
 /* Removes a request that a callback withdraws in the middle of a pass. */
 static void remove_from_turn(service_t *s, const waiter_t *q)
 {
@@ -136,11 +153,17 @@
 		while (*at) {
 			if (*at == q) {
 				*at = q->turn_next;
+				s->ncollected--;
 				continue;
 			}
 			t->last = *at;
 			at = &(*at)->turn_next;
 		}
+		/* The customer may be dropped now. */
+		if (!t->first) {
+			*fair_share_mark(t->customer) = 0;
+			t->customer = NULL;
+		}
 	}
 }
 
--- a/src/policy/dispatch_internal.h
+++ b/src/policy/dispatch_internal.h
@@ -29,6 +29,8 @@
 	fair_turn_t *turns; /* heap of the customers whose requests are placed in turn */
 	unsigned nturns;
 	unsigned turns_size;
+	unsigned ncollected; /* requests in turns */
+	deadline_t judge_at; /* requests without a slot are not judged before; see JUDGE_MS */
 	bool turns_ordered; /* turns is a heap; no request is added to it any more */
 	deadline_t next_late_check; /* no running item is preempted for an item before; see
 				       LATE_CHECK_MS */
@@ -39,6 +41,7 @@
 	unsigned were_waiting; /* requests that went on waiting in the pass before */
 	unsigned waiting_ahead; /* requests handled earlier in this pass that go on waiting */
 	bool no_slot_for_requests; /* a request with an empty avoid list found no slot */
+	bool judging; /* requests without a slot are judged in this pass */
 	bool no_slot_for_items; /* an item found no slot, or no entry to run it */
 	bool only_reserved_left; /* all free slots are reserved for online requests */
 	bool rank_done; /* no further item of the rank in turn can start */
@@ -290,6 +293,8 @@
 void dispatch_fair_collect(waiter_t *q, deadline_t now);
 /** Takes the collected request that is next in the fair order, or NULL. */
 waiter_t *dispatch_fair_next(service_t *s);
+/** Drops the collected requests that have not been taken. */
+void dispatch_fair_drop(service_t *s);
 
 /* dispatch_cost.c */
 
--- a/src/policy/dispatch_place.c
+++ b/src/policy/dispatch_place.c
@@ -24,6 +24,11 @@
  * an item late, so a search after each event finds none for as long. */
 #define LATE_CHECK_MS 20
 
+/** Period in which the requests without a slot of a service with fair shares are judged: to order
+ * all of them in each placement took 43 us with 400 waiting. Short against the 75 ms within which
+ * a refusal leaves its caller time for another attempt. */
+#define JUDGE_MS 5
+
 static entry_t *find_entry(const dispatch_t *d, uint64_t entry)
 {
 	entry_t *e;
@@ -45,6 +50,7 @@
 	s->no_slot_for_requests = false;
 	s->no_slot_for_items = false;
 	s->only_reserved_left = false;
+	s->judging = now >= s->judge_at;
 	s->were_waiting = s->waiting_ahead;
 	s->waiting_ahead = 0;
 	for (; s->reserved_slots > 0 && now >= s->reserve_decay_at;
@@ -206,8 +212,12 @@
 	for (service_t *s = d->services; s; s = s->hh.next) {
 		waiter_t *q;
 
-		while ((q = dispatch_fair_next(s)))
+		if (s->nturns > 0 && s->judging)
+			s->judge_at = now + JUDGE_MS;
+		while ((s->judging || !s->no_slot_for_requests) && (q = dispatch_fair_next(s)))
 			place_or_admit(d, q, rank, now);
+		s->waiting_ahead += s->ncollected;
+		dispatch_fair_drop(s);
 	}
 }
 
