--- a/src/front/front_slot.c
+++ b/src/front/front_slot.c
@@ -4,6 +4,7 @@
  * on another one. */
 #include <stdlib.h>
 #include "base/log.h"
+#include "base/metric.h"
 #include "front/front.h"
 
 /** Id of this process, the only entry of its local dispatcher. */
@@ -25,6 +26,7 @@
 {
 	front_t *f = ctx;
 	front_request_t *q = front_request_find(f, request);
+	const dispatch_share_t *share = dispatch_refusal_share(f->local_dispatch);
 	dispatch_stats_t st;
 
 	if (!q || !front_request_is_waiting(q))
@@ -34,7 +36,11 @@
 		  LOG_INT("number", request), LOG_CSTR("reason", dispatch_refusal_name(why)),
 		  LOG_INT("retry_ms", retry_ms), LOG_INT("replicas", st.replicas),
 		  LOG_INT("places", st.slots), LOG_INT("online", st.online),
-		  LOG_INT("waiting", st.requests_waiting));
+		  LOG_INT("waiting", st.requests_waiting), LOG_CSTR("customer", share->customer),
+		  LOG_INT("share_permille", share->permille),
+		  LOG_INT("over_share", share->is_over));
+	if (share->is_over)
+		METRIC_INC("auburn_refused_over_share_total");
 	front_request_refused(q, retry_ms);
 }
 
--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -618,7 +618,6 @@
 {
 	*out = (dispatch_stats_t){.requests_waiting = d->nwaiters,
 				  .items_waiting = d->nwaiting_items,
-				  .refused_over_share = d->refused_over_share,
 				  .preempted = d->preempted,
 				  .items_examined = d->items_examined};
 	for (const replica_t *r = d->replicas; r; r = r->hh.next) {
--- a/src/policy/dispatch.h
+++ b/src/policy/dispatch.h
@@ -228,8 +228,6 @@
 	unsigned items; /* running batch items, on any replica; without those being stopped */
 	unsigned requests_waiting; /* online requests */
 	unsigned items_waiting;
-	uint64_t refused_over_share; /* requests refused for load whose customers were over their
-					share */
 	uint64_t preempted; /* preemptions of items so far */
 	uint64_t items_examined; /* waiting and running items that placement has looked at so far */
 } dispatch_stats_t;
--- a/src/policy/dispatch_admit.c
+++ b/src/policy/dispatch_admit.c
@@ -63,12 +63,11 @@
 	bool for_load = why != DISPATCH_NO_REPLICA_LIST && why != DISPATCH_ENTRY_CUT_OFF;
 
 	d->refusal = (dispatch_share_t){0};
-	if (q->fair) {
+	if (q->fair && for_load) {
 		d->refusal.permille = fair_share_permille(q->service->fair, q->fair);
 		d->refusal.is_over = fair_share_is_over(q->service->fair, q->fair);
 		snprintf(d->refusal.customer, sizeof(d->refusal.customer), "%s", q->customer);
 	}
-	d->refused_over_share += for_load && d->refusal.is_over;
 	dispatch_waiter_free(d, q);
 	if (retry_ms < RETRY_MIN_MS)
 		retry_ms = RETRY_MIN_MS;
--- a/src/policy/dispatch_internal.h
+++ b/src/policy/dispatch_internal.h
@@ -185,7 +185,6 @@
 	uint64_t preempted;
 	uint64_t items_examined;
 	dispatch_share_t refusal; /* of the customer refused last */
-	uint64_t refused_over_share;
 };
 
 /* dispatch_reach.c */
