--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -127,6 +127,7 @@
 	while ((s = d->services)) {
 		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): unlinked before free() */
 		HASH_DEL(d->services, s);
+		dispatch_fair_free(s);
 		free(s->name);
 		free(s);
 	}
@@ -272,7 +273,7 @@
 static void free_run(dispatch_t *d, run_t *run)
 {
 	run->replica->online--;
-	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): unlinked before free() */
+	/* The run is in the table. NOLINTNEXTLINE(clang-analyzer-*) */
 	HASH_DEL(d->runs, run);
 	free(run);
 }
@@ -288,8 +289,10 @@
 	if (!e)
 		return;
 	HASH_ITER (hh, d->runs, run, next_run) {
-		if (run->key.entry == id)
-			free_run(d, run);
+		if (run->key.entry != id)
+			continue;
+		dispatch_fair_end(run, false, now);
+		free_run(d, run);
 	}
 	for (q = d->waiters; q; q = next) {
 		next = q->next;
@@ -345,6 +348,7 @@
 		q->avoid[i] = str_dup(req->avoid[i]);
 	q->customer = str_dup(req->customer);
 	q->req.customer = (str_t){q->customer, req->customer.n};
+	dispatch_fair_join(q, now);
 	d->nwaiters++;
 	DL_FOREACH (d->waiters, at) {
 		if (queued_before(q, at))
@@ -474,6 +478,7 @@
 	s = run->replica->service;
 	if (how == DISPATCH_OK)
 		s->mean_hold_us += ((now - run->since) * 1000 - s->mean_hold_us) / HOLD_DIVISOR;
+	dispatch_fair_end(run, how == DISPATCH_OK, now);
 	free_run(d, run);
 	free_unlisted_replicas(d);
 	dispatch_place_all(d, now);
@@ -627,6 +632,11 @@
 	}
 }
 
+const dispatch_share_t *dispatch_refusal_share(const dispatch_t *d)
+{
+	return &d->refusal;
+}
+
 void dispatch_entry_set_cut_off(dispatch_t *d, uint64_t id, bool cut_off, deadline_t now)
 {
 	entry_t *e = find_entry(d, id);
--- a/src/policy/dispatch.h
+++ b/src/policy/dispatch.h
@@ -233,4 +233,14 @@
 } dispatch_stats_t;
 void dispatch_stats(const dispatch_t *d, dispatch_stats_t *out);
 
+/** A customer's part of the running requests of a service. */
+typedef struct {
+	char customer[64]; /* cut off if longer; empty: requests without a customer */
+	unsigned permille;
+	bool is_over; /* more than an equal part of the customers with requests */
+} dispatch_share_t;
+/** In the callback `refuse`: the share of the customer of the refused request; zeroed if its
+ * service has no fair shares. */
+const dispatch_share_t *dispatch_refusal_share(const dispatch_t *d);
+
 #endif
--- a/src/policy/dispatch_admit.c
+++ b/src/policy/dispatch_admit.c
@@ -1,5 +1,6 @@
 /* Dispatcher: whether a request that finds no slot waits or is refused, and when a refused caller
  * may return. */
+#include <stdio.h>
 #include "base/prng.h"
 #include "policy/dispatch_internal.h"
 
@@ -20,6 +21,13 @@
 /** A returning or late request is admitted if the spare slots reach it within 1/WAIT_PART of the
  * time for which its caller waits. */
 #define WAIT_PART 4
+/** A request of a customer over its share is refused in favour of others within this time of its
+ * arrival: a later refusal leaves its caller little time for another attempt. */
+#define GIVE_WAY_MS 75
+/** Factor on the wait that a customer's own queue lets expect: others who come later reduce its
+ * share. In the play of test_fair_share, requests that are admitted by an estimate and then late
+ * are 3.5% at 100, 2% at 150 and 1.5% at 200; the total served falls by 0.5%, 1% and 1.6%. */
+#define OWN_WAIT_PERCENT 150
 /** Time over which the rate of new requests is measured. */
 #define RATE_MS 100
 /** New requests take all slots if less than 1/SPARE_MIN_PART of them is left. */
@@ -52,7 +60,14 @@
 {
 	uint64_t entry = q->req.entry;
 	uint64_t request = q->req.request;
+	bool for_load = why != DISPATCH_NO_REPLICA_LIST && why != DISPATCH_ENTRY_CUT_OFF;
 
+	d->refusal = (dispatch_share_t){0};
+	if (q->fair && for_load) {
+		d->refusal.permille = fair_share_permille(q->service->fair, q->fair);
+		d->refusal.is_over = fair_share_is_over(q->service->fair, q->fair);
+		snprintf(d->refusal.customer, sizeof(d->refusal.customer), "%s", q->customer);
+	}
 	dispatch_waiter_free(d, q);
 	if (retry_ms < RETRY_MIN_MS)
 		retry_ms = RETRY_MIN_MS;
@@ -103,10 +118,18 @@
 	return ms;
 }
 
+/* True if the request, though it was admitted, may be refused in favour of customers under their
+ * share. */
+static bool may_give_way(const waiter_t *q, const service_t *s, deadline_t now)
+{
+	return q->fair && dispatch_is_fair(s, now) && now - q->since < GIVE_WAY_MS &&
+	       fair_share_is_over(s->fair, q->fair);
+}
+
 /* As dispatch_admit, for services of which the replicas state how long work takes. A request that
- * waits is not refused later because of load: only an arriving one is, if the estimate says that it
- * would miss its objective or, for a returning or late one, that slots beyond those for new
- * requests reach it too late. */
+ * waits is not refused later because of load, unless may_give_way: only an arriving one is, if the
+ * estimate says that it would miss its objective or, for a returning or late one, that slots beyond
+ * those for new requests reach it too late. */
 static bool admit_by_estimate(dispatch_t *d, waiter_t *q, dispatch_rank_t rank, service_t *s,
 			      int64_t wait_ms, int64_t first_ms, deadline_t now)
 {
@@ -127,7 +150,7 @@
 					(q->req.give_up_at - now) / WAIT_PART;
 		why = DISPATCH_CALLER_GIVES_UP;
 	}
-	if (!q->admitted && !fits) {
+	if (!fits && (!q->admitted || may_give_way(q, s, now))) {
 		refuse_request(d, q, book_return_ms(d, s, wait_ms, now), why);
 		return false;
 	}
@@ -135,6 +158,17 @@
 	return true;
 }
 
+/* The estimated time until a request of a customer over its share gets a slot: its customer gets as
+ * many slots as those that it holds become free, as later requests of others go before it. */
+static int64_t own_wait_ms(const waiter_t *q, const service_t *s)
+{
+	unsigned running = fair_share_running(q->fair);
+
+	if (running == 0 || !fair_share_is_over(s->fair, q->fair))
+		return 0;
+	return s->mean_hold_us * (q->own_ahead + 1) / running / 1000 * OWN_WAIT_PERCENT / 100;
+}
+
 bool dispatch_admit(dispatch_t *d, waiter_t *q, dispatch_rank_t rank, service_t *s, deadline_t now)
 {
 	/* The estimated time until the request gets a slot, also the retry time of a refusal: from
@@ -143,8 +177,11 @@
 				   : RETRY_NO_REPLICA_MS;
 	int64_t hold_ms = s->mean_hold_us / 1000;
 	int64_t first_ms = hold_ms < FIRST_EVENT_MS ? hold_ms : FIRST_EVENT_MS;
+	bool fair = dispatch_is_fair(s, now) && s->slots;
 	const entry_t *e = find_entry(d, q->req.entry);
 
+	if (fair && q->fair && rank == DISPATCH_RANK_IN_TIME && own_wait_ms(q, s) > wait_ms)
+		wait_ms = own_wait_ms(q, s);
 	if (e && e->cut_off) {
 		refuse_request(d, q, RETRY_MIN_MS, DISPATCH_ENTRY_CUT_OFF);
 		return false;
@@ -158,9 +195,11 @@
 	else if (s->states_speed && s->slots)
 		return admit_by_estimate(d, q, rank, s, wait_ms, first_ms, now);
 	else if (now + first_ms + (s->slots ? wait_ms : 0) > q->req.give_up_at)
-		refuse_request(d, q, wait_ms, DISPATCH_CALLER_GIVES_UP);
+		refuse_request(d, q, fair ? book_return_ms(d, s, wait_ms, now) : wait_ms,
+			       DISPATCH_CALLER_GIVES_UP);
 	else if (rank == DISPATCH_RANK_IN_TIME && now + wait_ms + first_ms > q->req.objective)
-		refuse_request(d, q, wait_ms, DISPATCH_PAST_OBJECTIVE);
+		refuse_request(d, q, fair ? book_return_ms(d, s, wait_ms, now) : wait_ms,
+			       DISPATCH_PAST_OBJECTIVE);
 	else
 		return true;
 	return false;
