The config's kvCapacity is read

Cause: the leader does not know how many tokens a replica can hold. Change: engine.kvCapacity becomes memory_tokens of route_service_t; deltas keep their format and do not carry it. The initializer in test_route_table has the new field.

--- a/src/client/delta.c
+++ b/src/client/delta.c
@@ -270,7 +270,7 @@
 
 		r->services[r->nservices++] = (route_service_t){str_dup(wire_str(s->name)),
 								str_dup(wire_str(s->health_path)),
-								s->slots, s->connections_max};
+								s->slots, s->connections_max, 0};
 	}
 }
 
--- a/src/state/route_table.h
+++ b/src/state/route_table.h
@@ -49,6 +49,7 @@
 	char *health_path;
 	int64_t slots; /* requests that one replica runs at once */
 	int64_t connections_max; /* to one replica, from all callers */
+	int64_t memory_tokens; /* that one replica can hold; 0: unknown, as in decoded deltas */
 } route_service_t;
 
 /** Limits on what a client sends and on how long it takes. */
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -17,7 +17,8 @@
 	"\"timeoutMs\":15000,\"sloMs\":400,\"service\":\"s\",\"attempts\":3,\"dueMs\":18000,"
 	"\"retentionS\":60,\"maxQueued\":2500000}],"
 	"\"services\":[{\"name\":\"s\",\"healthPath\":\"/health\",\"maxConns\":370,"
-	"\"engine\":{\"slots\":8,\"maxQueued\":12}},{\"name\":\"t\",\"healthPath\":\"/h\"}],"
+	"\"engine\":{\"slots\":8,\"maxQueued\":12,\"kvCapacity\":4096}},{\"name\":\"t\","
+	"\"healthPath\":\"/h\"}],"
 	"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,"
 	"\"idleTimeoutMs\":15000}}";
 
@@ -69,6 +70,8 @@
 	ck_assert_int_eq(r->routes[1].retention_ms, 60000);
 	ck_assert_int_eq(r->routes[1].due_ms, 18000);
 	ck_assert_int_eq(route_table_service(r, STR("s"))->slots, 8);
+	ck_assert_int_eq(route_table_service(r, STR("s"))->memory_tokens, 4096);
+	ck_assert_int_eq(route_table_service(r, STR("t"))->memory_tokens, 0);
 	ck_assert_int_eq(r->limits.body_bytes, 4194304);
 }
 END_TEST
--- a/tests/unit/test_route_table.c
+++ b/tests/unit/test_route_table.c
@@ -49,7 +49,7 @@
 	r->version = version;
 	r->limits = (route_client_limits_t){16384, 4194304, 3000, 15000};
 	r->services = mem_new(sizeof(route_service_t));
-	r->services[0] = (route_service_t){str_dup(STR("llm")), str_dup(STR("/health")), 8, 370};
+	r->services[0] = (route_service_t){str_dup(STR("llm")), str_dup(STR("/health")), 8, 370, 0};
 	r->nservices = 1;
 	r->routes = mem_new((nroutes_max + 1) * sizeof(*r->routes));
 	return r;
