The leader passes kvCapacity and items' tokens to its dispatcher

Cause: the dispatcher limits tokens only where it knows them. Change: hub_dispatch_set_services at each config and change of leader; tokens of items from their headers; gauges of the fastest and slowest replica; a log line and a counter for contradicted figures.

--- a/src/control/hub.c
+++ b/src/control/hub.c
@@ -443,6 +443,7 @@
 		return;
 	hub_announce_tick(h, now);
 	hub_routes_tick(h, now);
+	hub_dispatch_speeds_tick(h, now);
 	hub_view_tick(h, now);
 	hub_proof_tick(h, now);
 	hub_quota_tick(h, now);
--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -192,6 +192,7 @@
 	hub_peer_t *peers;
 	uint64_t peer_id; /* last one assigned */
 	dispatch_t *dispatch; /* NULL while this process does not lead */
+	deadline_t next_speeds; /* when the gauges of speeds are next set */
 	ev_prepare placement; /* fed when the dispatcher is to assign slots; never started */
 	hub_peer_t *unacked; /* entries whose slot requests are not acknowledged */
 	deadline_t next_list_read;
@@ -355,6 +356,9 @@
 void hub_dispatch_init(hub_t *h);
 void hub_dispatch_start_leading(hub_t *h);
 void hub_dispatch_stop_leading(hub_t *h);
+/** Passes what the config says of the services to the dispatcher. */
+void hub_dispatch_set_services(hub_t *h);
+void hub_dispatch_speeds_tick(hub_t *h, deadline_t now);
 /** The entry is no longer owed an acknowledgement of its slot requests. */
 void hub_dispatch_forget_ack(hub_t *h, hub_peer_t *p);
 /** Handles a hello: records the leaving replicas. Adds or updates an entry in the dispatcher, and
--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -13,6 +13,8 @@
  * which an entry without a leader stops its items (STOP_ITEMS_AFTER_MS), as then it has none to
  * report. */
 #define ADOPT_HOLD_MS 800
+/** Period of the gauges of replica speeds. */
+#define SPEEDS_PERIOD_MS 500
 
 /* ---- callbacks of the dispatcher ---- */
 
@@ -159,6 +161,15 @@
 	return route_pick_service(r, str_hash(str_c(item->id)));
 }
 
+/* The tokens that a run of the item holds at most; 0 if its caller does not state them. */
+static uint64_t item_tokens(const lot_item_t *item)
+{
+	dispatch_tokens_t t;
+
+	platform_item_tokens_decode((str_t){item->headers, item->headers_n}, &t);
+	return (uint64_t)t.in + t.out_max;
+}
+
 typedef struct {
 	hub_t *h;
 	deadline_t now;
@@ -218,6 +229,7 @@
 			it->dispatch_ref =
 				dispatch_item_add(h->dispatch, str_c(find_item_service(h, t, it)),
 						  s->now + t->due_wall_ms - wall, it);
+			dispatch_item_set_tokens(it->dispatch_ref, item_tokens(&t->items[i]));
 		}
 	}
 }
@@ -671,12 +683,43 @@
 	}
 }
 
+void hub_dispatch_set_services(hub_t *h)
+{
+	for (size_t i = 0; h->routes && i < h->routes->nservices; i++) {
+		const route_service_t *s = &h->routes->services[i];
+		dispatch_service_options_t opts = {.memory_tokens = s->memory_tokens};
+
+		dispatch_set_service(h->dispatch, str_c(s->name), &opts);
+	}
+}
+
+static void on_contradicted(void *ctx, str_t replica)
+{
+	METRIC_INC("auburn_speeds_contradicted_total");
+	log_event(LOG_LEVEL_INFO, "speed_contradicted", LOG_STR("replica", replica));
+}
+
+void hub_dispatch_speeds_tick(hub_t *h, deadline_t now)
+{
+	int64_t fastest;
+	int64_t slowest;
+
+	if (now < h->next_speeds)
+		return;
+	h->next_speeds = now + SPEEDS_PERIOD_MS;
+	dispatch_speed_range(h->dispatch, &fastest, &slowest, now);
+	metric_set(metric_get(METRIC_GAUGE, "auburn_speed_fastest", NULL), fastest);
+	metric_set(metric_get(METRIC_GAUGE, "auburn_speed_slowest", NULL), slowest);
+}
+
 void hub_dispatch_start_leading(hub_t *h)
 {
 	dispatch_callbacks_t cb = {h, on_grant, on_refuse, on_start_item, on_stop_item};
 
 	h->dispatch = dispatch_new(&cb, (uint64_t)clock_now_us());
 	dispatch_defer(h->dispatch, on_placement_due);
+	dispatch_on_contradicted(h->dispatch, on_contradicted);
+	hub_dispatch_set_services(h);
 	h->last_lot_serial = 0;
 	dispatch_hold_items(h->dispatch, clock_now_ms() + ADOPT_HOLD_MS);
 	hub_lots_sync(h);
--- a/src/control/hub_routes.c
+++ b/src/control/hub_routes.c
@@ -128,8 +128,10 @@
 			  LOG_INT("routes", d->routes->nroutes));
 		if (h->fan_out)
 			fanout_set_config(h->fan_out, config, clock_now_ms());
-		if (h->dispatch)
+		if (h->dispatch) {
+			hub_dispatch_set_services(h);
 			hub_dispatch_reroute(h);
+		}
 	} else {
 		/* Unexpected, as a config is checked before it is committed. */
 		log_event(LOG_LEVEL_ERROR, "text_unreadable", LOG_INT("number", config.number),
