Placement weighs the time to prefill what a replica has not cached

Cause: where replicas state their speed, any replica but the last holder of a prefix cost a constant 4 ms, whether 10 or 11,000 tokens were at stake. Change: requests that state the tokens of their parts cost the prefill of the tokens that the replica is not believed to hold; savings under 2 ms count for nothing and shrink when less than half of the replica's slots are free. In large fleets, up to 8 holders are considered beside the sample; for items, beside the least loaded replica. Metrics of the tokens granted and of those expected to be held.

--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -187,6 +187,14 @@
 		it->parts[i] = p.v[i];
 }
 
+static void set_tokens(const hub_item_t *it, str_t headers)
+{
+	dispatch_tokens_t tokens;
+
+	platform_item_tokens_decode(headers, &tokens);
+	dispatch_item_set_tokens(it->dispatch_ref, &tokens);
+}
+
 /* Adds the lots accepted since the last call to the dispatcher, with their open items. */
 static void add_new_lots(control_group_t *g, void *arg)
 {
@@ -218,6 +226,7 @@
 			it->dispatch_ref =
 				dispatch_item_add(h->dispatch, str_c(find_item_service(h, t, it)),
 						  s->now + t->due_wall_ms - wall, it);
+			set_tokens(it, (str_t){t->items[i].headers, t->items[i].headers_n});
 		}
 	}
 }
@@ -487,12 +496,30 @@
 	ev_feed_event(h->loop, &h->placement, EV_CUSTOM);
 }
 
+/* The figures start again with each leader, like other counters with a process. */
+static void set_prompt_metrics(const hub_t *h)
+{
+	static _Atomic(metric_t *) m[2];
+	uint64_t granted;
+	uint64_t held;
+
+	if (!m[0]) {
+		m[0] = metric_get(METRIC_COUNTER, "auburn_prompt_tokens_granted_total", NULL);
+		m[1] = metric_get(METRIC_COUNTER, "auburn_prompt_tokens_held_total", NULL);
+	}
+	dispatch_prompt_tokens(h->dispatch, &granted, &held);
+	metric_set(m[0], (int64_t)granted);
+	metric_set(m[1], (int64_t)held);
+}
+
 static void on_placement(struct ev_loop *loop, ev_prepare *w, int events)
 {
 	hub_t *h = w->data;
 
 	if (h->dispatch)
 		dispatch_tick(h->dispatch, clock_now_ms());
+	if (h->dispatch)
+		set_prompt_metrics(h);
 	acknowledge_requests(h);
 }
 
--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -25,6 +25,8 @@
 /** Back-off of a replica that rejected a run as full: its engine produces a few tokens in this
  * time. */
 #define FULL_MS 40
+/** Time to prefill a token of a prompt, unless it is set. */
+#define PREFILL_NS 15000
 
 const char *dispatch_outcome_name(dispatch_outcome_t how)
 {
@@ -57,6 +59,7 @@
 
 	d->cb = *cb;
 	d->next_orphan = DEADLINE_NEVER;
+	d->prefill_ns = PREFILL_NS;
 	d->random = random_seed | 1; /* prng_next() needs a state other than 0 */
 	return d;
 }
@@ -78,6 +81,8 @@
 static void replica_free(dispatch_t *d, replica_t *r)
 {
 	dispatch_prefix_forget(d, r);
+	if (r->prompts)
+		prompt_cache_remove(d->prompts, r->prompts);
 	dispatch_pairs_forget(d, 0, r);
 	d->sample_stale = true;
 	HASH_DEL(d->replicas, r);
@@ -89,6 +94,7 @@
 static void item_free(dispatch_item_t *it)
 {
 	free(it->avoid);
+	free(it->prompt);
 	free(it);
 }
 
@@ -133,6 +139,7 @@
 	dispatch_prefix_forget(d, NULL);
 	while (d->replicas)
 		replica_free(d, d->replicas);
+	prompt_cache_free(d->prompts);
 	free(d->sample);
 	free(d);
 }
@@ -187,6 +194,7 @@
 static void reset_replica(dispatch_t *d, replica_t *r)
 {
 	dispatch_prefix_forget(d, r);
+	dispatch_prompts_forget(d, r);
 	dispatch_pairs_forget(d, 0, r);
 	r->failures = 0;
 	r->suspect_until = 0;
@@ -205,6 +213,8 @@
 		r->service = get_service(d, v[i].service);
 		r->slots = v[i].slots ? v[i].slots : 1;
 		r->leaving = v[i].leaving;
+		if (r->leaving)
+			dispatch_prompts_forget(d, r);
 		r->listed = true;
 		if (r->start_time && v[i].start_time > r->start_time)
 			reset_replica(d, r);
@@ -233,8 +243,10 @@
 {
 	replica_t *r = find_replica(d, replica);
 
-	if (r)
-		r->leaving = true;
+	if (!r)
+		return;
+	r->leaving = true;
+	dispatch_prompts_forget(d, r);
 }
 
 void dispatch_replica_loads(dispatch_t *d, const dispatch_load_t *v, size_t n, deadline_t now)
@@ -272,6 +284,7 @@
 static void free_run(dispatch_t *d, run_t *run)
 {
 	run->replica->online--;
+	dispatch_prompt_release(d, run->replica, run->reserved_tokens);
 	/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): unlinked before free() */
 	HASH_DEL(d->runs, run);
 	free(run);
@@ -340,6 +353,7 @@
 	assert(req->navoid <= DISPATCH_AVOID_MAX);
 	q->req = *req;
 	q->service = get_service(d, req->service);
+	prompt_chain_init(&q->prompt, &req->tokens);
 	dispatch_note_arrival(q->service, req, now);
 	for (unsigned i = 0; i < req->navoid; i++)
 		q->avoid[i] = str_dup(req->avoid[i]);
@@ -423,6 +437,7 @@
 		return;
 	case DISPATCH_REPLICA_LEAVING:
 		r->leaving = true;
+		dispatch_prompts_forget(d, r);
 		return;
 	case DISPATCH_FULL:
 		dispatch_note_heard(d, entry, r, now);
@@ -446,6 +461,9 @@
 	/* What breaks at an entry that is cut off says nothing about the replica. */
 	if (now < r->suspect_until || (e && e->cut_off))
 		return;
+	/* Both may mean that its process ended. */
+	if (how == DISPATCH_BROKEN || how == DISPATCH_UNREACHABLE)
+		dispatch_prompts_forget(d, r);
 	ms = (int64_t)SUSPECT_MS << (r->failures < SUSPECT_MAX_DOUBLES ? r->failures
 								       : SUSPECT_MAX_DOUBLES);
 	r->suspect_until = now + (ms < SUSPECT_MAX_MS ? ms : SUSPECT_MAX_MS);
@@ -505,6 +523,17 @@
 	return it;
 }
 
+void dispatch_item_set_tokens(dispatch_item_t *it, const dispatch_tokens_t *tokens)
+{
+	free(it->prompt);
+	it->prompt = NULL;
+	it->tokens = (int64_t)tokens->in + tokens->out;
+	if (tokens->nparts == 0)
+		return;
+	it->prompt = mem_new(sizeof(*it->prompt));
+	prompt_chain_init(it->prompt, tokens);
+}
+
 void dispatch_item_adopt(dispatch_t *d, dispatch_item_t *it, uint64_t entry, str_t replica,
 			 deadline_t now)
 {
@@ -611,6 +640,17 @@
 	d->placement_due = placement_due;
 }
 
+void dispatch_set_prefill_ns(dispatch_t *d, int64_t ns_per_token)
+{
+	d->prefill_ns = ns_per_token;
+}
+
+void dispatch_prompt_tokens(const dispatch_t *d, uint64_t *granted, uint64_t *held)
+{
+	*granted = d->prompt_tokens;
+	*held = d->prompt_tokens_held;
+}
+
 void dispatch_stats(const dispatch_t *d, dispatch_stats_t *out)
 {
 	*out = (dispatch_stats_t){.requests_waiting = d->nwaiters,
--- a/src/policy/dispatch.h
+++ b/src/policy/dispatch.h
@@ -153,6 +153,12 @@
  * takes are placed by estimates, see dispatch_cost.c. */
 void dispatch_replica_loads(dispatch_t *d, const dispatch_load_t *v, size_t n, deadline_t now);
 
+/** Sets the time that the replicas take to prefill a token of a prompt. */
+void dispatch_set_prefill_ns(dispatch_t *d, int64_t ns_per_token);
+/** The tokens of the prompts granted so far whose parts were stated, and of these, those expected
+ * to be cached on the replica. */
+void dispatch_prompt_tokens(const dispatch_t *d, uint64_t *granted, uint64_t *held);
+
 /** Adds an entry, or updates its zone and takes_items. Only an entry with takes_items set is given
  * batch items. */
 void dispatch_entry_add(dispatch_t *d, uint64_t entry, str_t zone, bool takes_items);
@@ -183,6 +189,9 @@
 /** Queues a batch item without starting it yet. due: when it should be finished, on the clock of
  * the `now` arguments. */
 dispatch_item_t *dispatch_item_add(dispatch_t *d, str_t service, deadline_t due, void *data);
+/** Sets the tokens of an item. Where its service's replicas state their speed, a replica that has
+ * the beginning of its prompt cached may be preferred. */
+void dispatch_item_set_tokens(dispatch_item_t *it, const dispatch_tokens_t *tokens);
 /** Registers that an entry is already running the item. */
 void dispatch_item_adopt(dispatch_t *d, dispatch_item_t *it, uint64_t entry, str_t replica,
 			 deadline_t now);
--- a/src/policy/dispatch_cost.c
+++ b/src/policy/dispatch_cost.c
@@ -9,9 +9,70 @@
 /** Cost of a replica whose slots are all in use: each further run makes the steps of all longer. */
 #define FULL_US 16000
 /** Cost of reading a prompt's shared beginning again on a replica that was not the last to be
- * granted it. */
+ * granted it, for requests that do not state the tokens of their parts. */
 #define OTHER_PREFIX_US 4000
 
+/** A saving of less time changes nothing: the estimate of the wait is no better, as another run on
+ * the replica costs as much. */
+#define SAVING_MIN_US 2000
+/** With less than 1/SPREAD_PART of a replica's slots free, savings there count less, down to
+ * 1/SAVING_LEAST_PART at the last slot: so that a prompt that many requests share is cached by
+ * another replica before all slots of the first are in use. */
+#define SPREAD_PART	  2
+#define SAVING_LEAST_PART 16
+
+int64_t dispatch_prefill_us(const dispatch_t *d, const prompt_chain_t *prompt, const replica_t *r,
+			    deadline_t now)
+{
+	int64_t all = prompt->tokens * d->prefill_ns / 1000;
+	int64_t saved =
+		prompt_cache_held(d->prompts, r->prompts, prompt, now) * d->prefill_ns / 1000;
+	unsigned used = r->online + r->items + 1;
+	unsigned free = used < r->slots ? r->slots - used : 0; /* after the grant */
+
+	if (saved < SAVING_MIN_US)
+		return all;
+	if (free * SPREAD_PART < r->slots) {
+		int64_t counted = saved * free * SPREAD_PART / r->slots;
+
+		saved = counted > saved / SAVING_LEAST_PART ? counted : saved / SAVING_LEAST_PART;
+	}
+	return all - saved;
+}
+
+int64_t dispatch_prompt_granted(dispatch_t *d, const prompt_chain_t *prompt, int64_t tokens,
+				replica_t *r, deadline_t now)
+{
+	if (!r->service->states_speed || tokens <= 0)
+		return 0;
+	if (!d->prompts)
+		d->prompts = prompt_cache_new(PROMPT_CACHE_PARTS_MAX);
+	if (!r->prompts)
+		r->prompts = prompt_cache_add(d->prompts, r, 0);
+	if (prompt && prompt->n > 0) {
+		d->prompt_tokens += prompt->tokens;
+		d->prompt_tokens_held += prompt_cache_held(d->prompts, r->prompts, prompt, now);
+		prompt_cache_record(d->prompts, r->prompts, prompt, now);
+		tokens -= (int64_t)prompt->tokens + prompt->out;
+	}
+	if (tokens <= 0)
+		return 0;
+	prompt_cache_reserve(d->prompts, r->prompts, tokens);
+	return tokens;
+}
+
+void dispatch_prompt_release(dispatch_t *d, replica_t *r, int64_t tokens)
+{
+	if (tokens > 0)
+		prompt_cache_reserve(d->prompts, r->prompts, -tokens);
+}
+
+void dispatch_prompts_forget(dispatch_t *d, replica_t *r)
+{
+	if (r->prompts)
+		prompt_cache_forget(d->prompts, r->prompts);
+}
+
 static int64_t load_cost_us(const replica_t *r)
 {
 	return (int64_t)FULL_US * (r->online + r->items) / r->slots;
@@ -24,7 +85,15 @@
 
 	if (!str_eq(str_c(r->zone), zone))
 		us += OTHER_ZONE_US;
-	if (prefix_holder && prefix_holder != r)
+	if (q->prompt.n > 0)
+		us += dispatch_prefill_us(d, &q->prompt, r, now);
+	else if (prefix_holder && prefix_holder != r)
 		us += OTHER_PREFIX_US;
 	return us;
 }
+
+int64_t dispatch_item_cost_us(const dispatch_t *d, const dispatch_item_t *it, const replica_t *r,
+			      deadline_t now)
+{
+	return load_cost_us(r) + dispatch_prefill_us(d, it->prompt, r, now);
+}
--- a/src/policy/dispatch_internal.h
+++ b/src/policy/dispatch_internal.h
@@ -5,6 +5,7 @@
 #include <uthash.h>
 #include <utlist.h>
 #include "policy/dispatch.h"
+#include "policy/prompt_cache.h"
 
 typedef struct replica replica_t;
 
@@ -58,6 +59,7 @@
 	deadline_t full_until; /* back-off after it rejected a run: until then, its free slots are
 				  not used, but its items may be preempted, for requests and for
 				  other items */
+	prompt_store_t *prompts; /* what it has cached; NULL: nothing known */
 	heard_t heard[2]; /* the last answer, and the last to another entry than that */
 	UT_hash_handle hh;
 };
@@ -82,6 +84,7 @@
 	run_key_t key;
 	replica_t *replica;
 	deadline_t since; /* time of the grant */
+	int64_t reserved_tokens; /* in replica->prompts */
 	UT_hash_handle hh;
 } run_t;
 
@@ -91,6 +94,7 @@
 	service_t *service;
 	char *avoid[DISPATCH_AVOID_MAX]; /* copies of req.avoid */
 	char *customer; /* copy of req.customer */
+	prompt_chain_t prompt; /* of req.tokens */
 	bool admitted; /* it waits by an estimate that it will be served */
 	struct waiter *prev;
 	struct waiter *next;
@@ -101,6 +105,9 @@
 struct dispatch_item {
 	service_t *service;
 	char *avoid; /* replica last passed to dispatch_item_avoid, or NULL */
+	prompt_chain_t *prompt; /* NULL: the tokens of its parts are not stated */
+	int64_t tokens; /* of the prompt and the expected output */
+	int64_t reserved_tokens; /* in replica->prompts */
 	deadline_t due;
 	void *data;
 	item_state_t state;
@@ -149,6 +156,10 @@
 	dispatch_item_t *waiting_items; /* by due time */
 	dispatch_item_t *running_items; /* running or stopping */
 	prefix_t *prefixes;
+	prompt_cache_t *prompts; /* NULL: no request has stated the tokens of its parts */
+	int64_t prefill_ns; /* time to prefill a token */
+	uint64_t prompt_tokens; /* granted with stated parts */
+	uint64_t prompt_tokens_held; /* of these, expected to be cached */
 	pair_t *pairs;
 	deadline_t items_held_until; /* no item is started before */
 	deadline_t next_orphan; /* no item of a removed entry is to be queued again before */
@@ -248,6 +259,23 @@
 
 /* dispatch_cost.c */
 
+/** Maximum number of replicas with a matching prompt that are considered for a request or item. */
+#define DISPATCH_HOLDERS_MAX 8
+/** Estimates the time to prefill what the replica does not have cached of the prompt, in us. A
+ * saving is not counted if it is small, and counts less on a replica with few free slots. */
+int64_t dispatch_prefill_us(const dispatch_t *d, const prompt_chain_t *prompt, const replica_t *r,
+			    deadline_t now);
+/** Like dispatch_cost_us, for an item with a prompt. */
+int64_t dispatch_item_cost_us(const dispatch_t *d, const dispatch_item_t *it, const replica_t *r,
+			      deadline_t now);
+/** Records that a run with this prompt was granted to the replica. tokens: of its prompt and
+ * expected output. Returns the tokens to release when the run ends. */
+int64_t dispatch_prompt_granted(dispatch_t *d, const prompt_chain_t *prompt, int64_t tokens,
+				replica_t *r, deadline_t now);
+void dispatch_prompt_release(dispatch_t *d, replica_t *r, int64_t tokens);
+/** Ends the belief of what the replica has cached. */
+void dispatch_prompts_forget(dispatch_t *d, replica_t *r);
+
 /** Estimates what it costs to run the request on the replica, in microseconds of its caller's time.
  * zone: of the request's entry. */
 int64_t dispatch_cost_us(const dispatch_t *d, const waiter_t *q, const replica_t *r,
--- a/src/policy/dispatch_pick.c
+++ b/src/policy/dispatch_pick.c
@@ -117,7 +117,8 @@
 	d->sample_stale = false;
 }
 
-/* Considers SAMPLE_SIZE replicas drawn at random, and the one that holds the prefix. */
+/* Considers SAMPLE_SIZE replicas drawn at random, and those that hold the beginning of the prompt.
+ */
 static void consider_sample(dispatch_t *d, choice_t *best, const waiter_t *q, const entry_t *e,
 			    replica_t *prefix_holder, deadline_t now)
 {
@@ -132,6 +133,14 @@
 	}
 	if (prefix_holder)
 		consider(d, best, q, e, prefix_holder, prefix_holder, now);
+	if (q->service->states_speed && d->prompts && q->prompt.n > 0) {
+		void *holders[DISPATCH_HOLDERS_MAX];
+		unsigned n = prompt_cache_find(d->prompts, &q->prompt, now, holders,
+					       DISPATCH_HOLDERS_MAX);
+
+		for (unsigned i = 0; i < n; i++)
+			consider(d, best, q, e, holders[i], prefix_holder, now);
+	}
 }
 
 replica_t *dispatch_pick_free(dispatch_t *d, const waiter_t *q, const entry_t *e, deadline_t now)
@@ -214,22 +223,53 @@
 	return it->avoid && strcmp(it->avoid, r->id) == 0;
 }
 
+static bool can_take_item(dispatch_t *d, const dispatch_item_t *it, const replica_t *r,
+			  deadline_t now)
+{
+	return is_usable(r, it->service, now) && now >= r->full_until &&
+	       slots_used(r) < slots_allowed(r) && (!d->pairs || dispatch_pick_entry(d, r, now));
+}
+
+/* Returns the least loaded replica, or one that has the beginning of the item's prompt cached if
+ * that saves more time than its load costs. */
+static replica_t *prefer_holder(dispatch_t *d, const dispatch_item_t *it, replica_t *least_loaded,
+				deadline_t now)
+{
+	replica_t *best = least_loaded;
+	int64_t best_us = dispatch_item_cost_us(d, it, best, now);
+	void *holders[DISPATCH_HOLDERS_MAX];
+	unsigned n = prompt_cache_find(d->prompts, it->prompt, now, holders, DISPATCH_HOLDERS_MAX);
+
+	for (unsigned i = 0; i < n; i++) {
+		replica_t *r = holders[i];
+		int64_t us;
+
+		if (!can_take_item(d, it, r, now) || failed_on(it, r))
+			continue;
+		us = dispatch_item_cost_us(d, it, r, now);
+		if (us >= best_us)
+			continue;
+		best = r;
+		best_us = us;
+	}
+	return best;
+}
+
 replica_t *dispatch_pick_for_item(dispatch_t *d, const dispatch_item_t *it, deadline_t now)
 {
 	replica_t *best = NULL;
 	replica_t *fallback = NULL;
 
 	for (replica_t *r = d->replicas; r; r = r->hh.next) {
-		if (!is_usable(r, it->service, now) || now < r->full_until ||
-		    slots_used(r) >= slots_allowed(r))
-			continue;
-		if (d->pairs && !dispatch_pick_entry(d, r, now))
+		if (!can_take_item(d, it, r, now))
 			continue;
 		if (failed_on(it, r))
 			fallback = r;
 		else if (!best || slots_used(r) * best->slots < slots_used(best) * r->slots)
 			best = r;
 	}
+	if (best && it->prompt && d->prompts && it->service->states_speed)
+		best = prefer_holder(d, it, best, now);
 	return best ? best : fallback;
 }
 
--- a/src/policy/dispatch_place.c
+++ b/src/policy/dispatch_place.c
@@ -62,13 +62,22 @@
 	free(q);
 }
 
+/* Releases the item's slot and memory if it holds a slot. */
+static void release_slot(dispatch_t *d, dispatch_item_t *it)
+{
+	if (!it->replica)
+		return;
+	it->replica->items--;
+	dispatch_prompt_release(d, it->replica, it->reserved_tokens);
+	it->reserved_tokens = 0;
+	it->replica = NULL;
+}
+
 void dispatch_item_detach(dispatch_t *d, dispatch_item_t *it)
 {
 	entry_t *e;
 
-	if (it->replica)
-		it->replica->items--;
-	it->replica = NULL;
+	release_slot(d, it);
 	if (it->state == ITEM_WAITING) {
 		DL_DELETE(d->waiting_items, it);
 		d->nwaiting_items--;
@@ -110,6 +119,8 @@
 	r->online++;
 	HASH_ADD(hh, d->runs, key, sizeof(run->key), run);
 	dispatch_prefix_record(d, q->req.prefix, r);
+	run->reserved_tokens = dispatch_prompt_granted(
+		d, &q->prompt, (int64_t)q->req.tokens.in + q->req.tokens.out, r, now);
 	dispatch_pair_tried(d, entry, r, now);
 	dispatch_waiter_free(d, q);
 	d->cb.grant(d->cb.ctx, entry, request, str_c(r->id));
@@ -160,8 +171,7 @@
 {
 	grow_reserve(d, it, now);
 	dispatch_item_add_run_time(it, now);
-	it->replica->items--;
-	it->replica = NULL;
+	release_slot(d, it);
 	it->state = ITEM_STOPPING;
 	d->preempted++;
 	d->cb.stop_item(d->cb.ctx, it->data, it->entry);
@@ -243,6 +253,7 @@
 	it->state = ITEM_RUNNING;
 	it->replica = r;
 	it->placed_at = now;
+	it->reserved_tokens = dispatch_prompt_granted(d, it->prompt, it->tokens, r, now);
 	it->entry = e->id;
 	dispatch_pair_tried(d, e->id, r, now);
 	r->items++;
