Placement counts the expected wait for prefills granted before

Cause: long prompts granted within milliseconds to the same replica wait for one another's prefill; the estimate took only the prompt itself. Change: each replica has the time when the granted prefills are expected to end; the wait, at most 500 ms, is part of the cost.

--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -198,6 +198,7 @@
 	dispatch_pairs_forget(d, 0, r);
 	r->failures = 0;
 	r->suspect_until = 0;
+	r->prefill_until_us = 0;
 	r->ignore_silence_until = 0;
 	r->full_until = 0;
 }
--- a/src/policy/dispatch_cost.c
+++ b/src/policy/dispatch_cost.c
@@ -21,10 +21,23 @@
 #define SPREAD_PART	  2
 #define SAVING_LEAST_PART 16
 
+/** Upper bound of the expected wait for earlier prefills, so that a wrong estimate keeps no replica
+ * from work. */
+#define BACKLOG_MAX_US 500000
+
+static int64_t backlog_us(const replica_t *r, deadline_t now)
+{
+	int64_t us = r->prefill_until_us - now * 1000;
+
+	if (us < 0)
+		return 0;
+	return us < BACKLOG_MAX_US ? us : BACKLOG_MAX_US;
+}
+
 int64_t dispatch_prefill_us(const dispatch_t *d, const prompt_chain_t *prompt, const replica_t *r,
 			    deadline_t now)
 {
-	int64_t all = prompt->tokens * d->prefill_ns / 1000;
+	int64_t all = prompt->tokens * d->prefill_ns / 1000 + backlog_us(r, now);
 	int64_t saved =
 		prompt_cache_held(d->prompts, r->prompts, prompt, now) * d->prefill_ns / 1000;
 	unsigned used = r->online + r->items + 1;
@@ -43,6 +56,8 @@
 int64_t dispatch_prompt_granted(dispatch_t *d, const prompt_chain_t *prompt, int64_t tokens,
 				replica_t *r, deadline_t now)
 {
+	uint32_t held;
+
 	if (!r->service->states_speed || tokens <= 0)
 		return 0;
 	if (!d->prompts)
@@ -51,7 +66,10 @@
 		r->prompts = prompt_cache_add(d->prompts, r, 0);
 	if (prompt && prompt->n > 0) {
 		d->prompt_tokens += prompt->tokens;
-		d->prompt_tokens_held += prompt_cache_held(d->prompts, r->prompts, prompt, now);
+		held = prompt_cache_held(d->prompts, r->prompts, prompt, now);
+		d->prompt_tokens_held += held;
+		r->prefill_until_us = now * 1000 + backlog_us(r, now) +
+				      (prompt->tokens - held) * d->prefill_ns / 1000;
 		prompt_cache_record(d->prompts, r->prompts, prompt, now);
 		tokens -= (int64_t)prompt->tokens + prompt->out;
 	}
--- a/src/policy/dispatch_internal.h
+++ b/src/policy/dispatch_internal.h
@@ -59,6 +59,7 @@
 	deadline_t full_until; /* back-off after it rejected a run: until then, its free slots are
 				  not used, but its items may be preempted, for requests and for
 				  other items */
+	int64_t prefill_until_us; /* when the prefill of all granted prompts is expected to end */
 	prompt_store_t *prompts; /* what it has cached; NULL: nothing known */
 	heard_t heard[2]; /* the last answer, and the last to another entry than that */
 	UT_hash_handle hh;
@@ -261,7 +262,8 @@
 
 /** Maximum number of replicas with a matching prompt that are considered for a request or item. */
 #define DISPATCH_HOLDERS_MAX 8
-/** Estimates the time to prefill what the replica does not have cached of the prompt, in us. A
+/** Estimates the time until the replica has prefilled what it does not have cached of the prompt,
+ * in us; it prefills the prompts granted before first. A
  * saving is not counted if it is small, and counts less on a replica with few free slots. */
 int64_t dispatch_prefill_us(const dispatch_t *d, const prompt_chain_t *prompt, const replica_t *r,
 			    deadline_t now);
