Prompt cache: lint findings

Cause: clang-tidy named a key whose bytes it takes for uninitialized, and a loop over a double. Change: the key is cleared first, as in find_run(); the loop counts down outside of its head.

--- a/src/policy/prompt_cache.c
+++ b/src/policy/prompt_cache.c
@@ -3,6 +3,7 @@
 
 #include <assert.h>
 #include <stdlib.h>
+#include <string.h>
 #include <uthash.h>
 #include <utlist.h>
 
@@ -99,9 +100,12 @@
 
 static held_t *find_held(const prompt_cache_t *c, const prompt_store_t *s, uint64_t chain)
 {
-	held_key_t key = {chain, s};
+	held_key_t key;
 	held_t *h;
 
+	memset(&key, 0, sizeof(key));
+	key.chain = chain;
+	key.store = s;
 	HASH_FIND(hh, c->by_key, &key, sizeof(key), h);
 	return h;
 }
--- a/tests/unit/test_prompt_cache.c
+++ b/tests/unit/test_prompt_cache.c
@@ -87,7 +87,7 @@
 
 static char ids[3000][8];
 
-/* Sets replicas r0, r1, ... in three zones; the one with index restarted has a later start time. */
+/* Sets replicas r0, r1, ... in three zones. starts: their start times, NULL: all 1. */
 static void set_fleet(dispatch_t *d, unsigned n, const uint64_t *starts, deadline_t now)
 {
 	dispatch_replica_t *v = mem_new(n * sizeof(*v));
@@ -389,8 +389,11 @@
 		end_runs(p, restarts ? (int)victim : -1);
 		if (p->now % RESTARTS_MS == LIST_MS)
 			set_fleet(p->d, FLEET, starts, p->now);
-		for (due += rate / 1000 * (p->now % 5200 < 2200 ? 1.85 : 0.378); due >= 1; due--)
+		due += rate / 1000 * (p->now % 5200 < 2200 ? 1.85 : 0.378);
+		while (due >= 1) {
+			due--;
 			arrive(p, policy);
+		}
 	}
 	qsort(p->first_us, p->nfirst, sizeof(p->first_us[0]), compare);
 	x = (result_t){p->first_us[p->nfirst / 2], p->first_us[p->nfirst * 99 / 100], p->prefilled,
