--- a/src/policy/dispatch_internal.h
+++ b/src/policy/dispatch_internal.h
@@ -7,6 +7,7 @@
 #include "policy/dispatch.h"
 #include "policy/fair_share.h"
 #include "policy/replica_speed.h"
+#include "policy/prompt_cache.h"
 
 typedef struct replica replica_t;
 typedef struct fair_turn fair_turn_t;
@@ -78,6 +79,9 @@
 	deadline_t full_until; /* back-off after it rejected a run: until then, its free slots are
 				  not used, but its items may be preempted, for requests and for
 				  other items */
+	int64_t prefill_until_us; /* when the prefill of all granted prompts is expected to end */
+	uint64_t match_number; /* of the last decision that found it to hold the prompt */
+	prompt_store_t *prompts; /* what it has cached; NULL: nothing known */
 	heard_t heard[2]; /* the last answer, and the last to another entry than that */
 	UT_hash_handle hh;
 };
@@ -109,6 +113,7 @@
 	uint32_t tokens_in;
 	uint32_t tokens_out;
 	unsigned percent; /* stated by the replica at the grant */
+	int64_t reserved_tokens; /* in replica->prompts */
 	UT_hash_handle hh;
 } run_t;
 
@@ -123,6 +128,7 @@
 	bool in_turn; /* in the list of a fair_turn_t of its service */
 	struct waiter *turn_next; /* in that list */
 	unsigned own_ahead; /* requests of its customer ahead of it in this pass that got no slot */
+	prompt_chain_t prompt; /* of req.tokens */
 	bool admitted; /* it waits by an estimate that it will be served */
 	bool unfit; /* it was left waiting although slots are free: a slow replica would miss its
 		       times, or the memory is used up */
@@ -136,6 +142,9 @@
 struct dispatch_item {
 	service_t *service;
 	char *avoid; /* replica last passed to dispatch_item_avoid, or NULL */
+	prompt_chain_t *prompt; /* NULL: the tokens of its parts are not stated */
+	int64_t expected_tokens; /* of the prompt and the expected output */
+	int64_t reserved_tokens; /* in replica->prompts */
 	deadline_t due;
 	void *data;
 	uint64_t tokens; /* that a run holds at most */
@@ -186,6 +195,11 @@
 	dispatch_item_t *waiting_items; /* by due time */
 	dispatch_item_t *running_items; /* running or stopping */
 	prefix_t *prefixes;
+	prompt_cache_t *prompts; /* NULL: no request has stated the tokens of its parts */
+	uint64_t match_number; /* of the decision in turn */
+	int64_t prefill_ns; /* time to prefill a token */
+	uint64_t prompt_tokens; /* granted with stated parts */
+	uint64_t prompt_tokens_held; /* of these, expected to be cached */
 	pair_t *pairs;
 	deadline_t items_held_until; /* no item is started before */
 	deadline_t next_orphan; /* no item of a removed entry is to be queued again before */
@@ -315,6 +329,19 @@
 
 /* dispatch_cost.c */
 
+/** Maximum number of replicas with a matching prompt that are considered for a request or item. */
+#define DISPATCH_HOLDERS_MAX 4
+/** Like dispatch_cost_us, for an item with a prompt. */
+int64_t dispatch_item_cost_us(const dispatch_t *d, const dispatch_item_t *it, const replica_t *r,
+			      deadline_t now);
+/** Records that a run with this prompt was granted to the replica. tokens: of its prompt and
+ * expected output. Returns the tokens to release when the run ends. */
+int64_t dispatch_prompt_granted(dispatch_t *d, const prompt_chain_t *prompt, int64_t tokens,
+				replica_t *r, deadline_t now);
+void dispatch_prompt_release(dispatch_t *d, replica_t *r, int64_t tokens);
+/** Ends the belief of what the replica has cached. */
+void dispatch_prompts_forget(dispatch_t *d, replica_t *r);
+
 /** Estimates what it costs to run the request on the replica, in microseconds of its caller's time.
  * zone: of the request's entry. */
 int64_t dispatch_cost_us(const dispatch_t *d, const waiter_t *q, const replica_t *r,
--- a/src/policy/dispatch_pick.c
+++ b/src/policy/dispatch_pick.c
@@ -124,9 +124,29 @@
 	d->sample_stale = false;
 }
 
-/* Considers SAMPLE_SIZE replicas drawn at random, and the one that holds the prefix. */
+/** Replicas that have the beginning of a request's prompt cached. */
+typedef struct {
+	void *holders[DISPATCH_HOLDERS_MAX];
+	unsigned n;
+} match_t;
+
+static match_t find_match(dispatch_t *d, const waiter_t *q, deadline_t now)
+{
+	match_t m = {.n = 0};
+
+	d->match_number++;
+	if (!q->service->states_speed || !d->prompts || q->prompt.n == 0)
+		return m;
+	m.n = prompt_cache_find(d->prompts, &q->prompt, now, m.holders, DISPATCH_HOLDERS_MAX);
+	for (unsigned i = 0; i < m.n; i++)
+		((replica_t *)m.holders[i])->match_number = d->match_number;
+	return m;
+}
+
+/* Considers SAMPLE_SIZE replicas drawn at random, and those that hold the beginning of the prompt.
+ */
 static void consider_sample(dispatch_t *d, choice_t *best, waiter_t *q, const entry_t *e,
-			    replica_t *prefix_holder, deadline_t now)
+			    replica_t *prefix_holder, const match_t *m, deadline_t now)
 {
 	build_sample(d);
 	for (unsigned i = 0; i < SAMPLE_SIZE; i++) {
@@ -139,16 +159,19 @@
 	}
 	if (prefix_holder)
 		consider(d, best, q, e, prefix_holder, prefix_holder, now);
+	for (unsigned i = 0; i < m->n; i++)
+		consider(d, best, q, e, m->holders[i], prefix_holder, now);
 }
 
 replica_t *dispatch_pick_free(dispatch_t *d, waiter_t *q, const entry_t *e, deadline_t now)
 {
 	replica_t *prefix_holder = find_prefix_holder(d, q->req.prefix);
+	match_t m = find_match(d, q, now);
 	choice_t best = {0};
 
 	q->unfit = false;
 	if (HASH_COUNT(d->replicas) >= SAMPLE_FROM)
-		consider_sample(d, &best, q, e, prefix_holder, now);
+		consider_sample(d, &best, q, e, prefix_holder, &m, now);
 	if (best.replica)
 		return best.replica;
 	for (replica_t *r = d->replicas; r; r = r->hh.next)
@@ -254,6 +277,40 @@
 	return now + ms + PEAK_MS < it->due ? -speed_class(r, now) : speed_class(r, now);
 }
 
+static bool can_take_item(dispatch_t *d, const dispatch_item_t *it, const replica_t *r,
+			  deadline_t now)
+{
+	return is_usable(r, it->service, now) && now >= r->full_until &&
+	       slots_used(r) < slots_allowed(r) && (!d->pairs || dispatch_pick_entry(d, r, now));
+}
+
+/* Returns the least loaded replica, or one that has the beginning of the item's prompt cached if
+ * that saves more time than its load costs. */
+static replica_t *prefer_holder(dispatch_t *d, const dispatch_item_t *it, replica_t *least_loaded,
+				deadline_t now)
+{
+	replica_t *best = least_loaded;
+	int64_t best_us = dispatch_item_cost_us(d, it, best, now);
+	void *holders[DISPATCH_HOLDERS_MAX];
+	unsigned n = prompt_cache_find(d->prompts, it->prompt, now, holders, DISPATCH_HOLDERS_MAX);
+
+	for (unsigned i = 0; i < n; i++) {
+		replica_t *r = holders[i];
+		int64_t us;
+
+		if (!can_take_item(d, it, r, now) || failed_on(it, r) ||
+		    !dispatch_has_memory(r, it->tokens) ||
+		    item_class(it, r, now) > item_class(it, least_loaded, now))
+			continue;
+		us = dispatch_item_cost_us(d, it, r, now);
+		if (us >= best_us)
+			continue;
+		best = r;
+		best_us = us;
+	}
+	return best;
+}
+
 replica_t *dispatch_pick_for_item(dispatch_t *d, const dispatch_item_t *it, deadline_t now)
 {
 	replica_t *best = NULL;
@@ -264,10 +321,7 @@
 	for (replica_t *r = d->replicas; r; r = r->hh.next) {
 		int64_t class;
 
-		if (!is_usable(r, it->service, now) || now < r->full_until ||
-		    slots_used(r) >= slots_allowed(r))
-			continue;
-		if (d->pairs && !dispatch_pick_entry(d, r, now))
+		if (!can_take_item(d, it, r, now))
 			continue;
 		if (!dispatch_has_memory(r, it->tokens)) {
 			no_memory = true;
@@ -287,6 +341,8 @@
 	}
 	if (no_memory && !best && !fallback)
 		it->service->no_memory_for = it->tokens;
+	if (best && it->prompt && d->prompts && it->service->states_speed)
+		best = prefer_holder(d, it, best, now);
 	return best ? best : fallback;
 }
 
--- a/src/policy/dispatch_place.c
+++ b/src/policy/dispatch_place.c
@@ -77,13 +77,22 @@
 	free(q);
 }
 
+/* Releases the item's slot and memory if it holds a slot. */
+static void release_slot(dispatch_t *d, dispatch_item_t *it)
+{
+	if (!it->replica)
+		return;
+	it->replica->items--;
+	dispatch_prompt_release(d, it->replica, it->reserved_tokens);
+	it->reserved_tokens = 0;
+	it->replica = NULL;
+}
+
 void dispatch_item_detach(dispatch_t *d, dispatch_item_t *it)
 {
 	entry_t *e;
 
-	if (it->replica)
-		it->replica->items--;
-	it->replica = NULL;
+	release_slot(d, it);
 	dispatch_item_hold_memory(it, NULL);
 	if (it->state == ITEM_WAITING) {
 		DL_DELETE(d->waiting_items, it);
@@ -131,6 +140,8 @@
 	r->tokens += run->tokens;
 	HASH_ADD(hh, d->runs, key, sizeof(run->key), run);
 	dispatch_prefix_record(d, q->req.prefix, r);
+	run->reserved_tokens = dispatch_prompt_granted(
+		d, &q->prompt, (int64_t)q->req.tokens.in + q->req.tokens.out, r, now);
 	dispatch_pair_tried(d, entry, r, now);
 	dispatch_fair_grant(q, run);
 	dispatch_waiter_free(d, q);
@@ -182,8 +193,7 @@
 {
 	grow_reserve(d, it, now);
 	dispatch_item_add_run_time(it, now);
-	it->replica->items--;
-	it->replica = NULL;
+	release_slot(d, it);
 	it->state = ITEM_STOPPING;
 	d->preempted++;
 	d->cb.stop_item(d->cb.ctx, it->data, it->entry);
@@ -328,6 +338,7 @@
 	it->replica = r;
 	dispatch_item_hold_memory(it, r);
 	it->placed_at = now;
+	it->reserved_tokens = dispatch_prompt_granted(d, it->prompt, it->expected_tokens, r, now);
 	it->entry = e->id;
 	dispatch_pair_tried(d, e->id, r, now);
 	r->items++;
--- a/tests/unit/test_replica_speed.c
+++ b/tests/unit/test_replica_speed.c
@@ -159,7 +159,7 @@
 
 	for (unsigned i = 0; i < 2; i++) {
 		items[i] = dispatch_item_add(d, STR("s"), 100000, &items[i]);
-		dispatch_item_set_tokens(items[i], 600);
+		dispatch_item_set_tokens(items[i], &(dispatch_tokens_t){.in = 600});
 	}
 	dispatch_tick(d, 0);
 	ck_assert_int_eq(neffects, 2);
