A module that bounds what the clients of a process hold

Cause: nothing decides which connections may grow when many clients send much (docs/LOAD.md, section E).

Change: src/policy/intake keeps the bytes and the connections of all listeners of a process, decides which connection is given up for memory or descriptors, leaves a quarter of the budget to small requests, and states the minimum rate of a body.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -58,6 +58,8 @@
 	int64_t tolerate; /* number of control processes whose disks may be lost at once, which
 			     gives the number of voters; 0: as many voters as `controls` */
 	int64_t memory_mib; /* memory of the process, of which lots may fill a part; 0: no limit */
+	int64_t client_memory_mib; /* bound on buffers of clients; 0: a part of memory_mib */
+	int64_t client_connections; /* bound on connections of clients; 0: by the descriptors */
 	int64_t quota_window_s; /* window in which quotas of customers are judged */
 	double quota_over; /* share of a quota by which a window may exceed it */
 	int64_t quota_slack; /* requests beyond that share */
--- a/src/control/control_settings.c
+++ b/src/control/control_settings.c
@@ -84,6 +84,8 @@
 		{"link_port", TOML_INT, false, 1, PORT_MAX, &s->link_port},
 		{"tolerate", TOML_INT, false, 0, (GROUP_PEERS_MAX - 1) / 2, &s->tolerate},
 		{"memory_mib", TOML_INT, false, 0, 1048576, &s->memory_mib},
+		{"client_memory_mib", TOML_INT, false, 0, 1048576, &s->client_memory_mib},
+		{"client_connections", TOML_INT, false, 0, 1048576, &s->client_connections},
 		{"lot_ttl_ms", TOML_INT, false, 1000, 86400000, &s->lot_ttl_ms},
 		{"quota_window_s", TOML_INT, false, 1, QUOTA_WINDOW_S_MAX, &s->quota_window_s},
 		{"quota_over", TOML_REAL, false, 0, 1, &s->quota_over},
--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -176,6 +176,7 @@
 	deadline_t last_tick;
 	int listener;
 	ev_io accept_watcher;
+	intake_t *intake; /* bounds on what clients of both servers hold */
 	http_server_t *operators; /* NULL if not configured */
 	http_server_t *directory; /* NULL if not configured */
 	http_client_t *http;
--- a/src/control/hub_http.c
+++ b/src/control/hub_http.c
@@ -171,6 +171,7 @@
 		DL_DELETE(h->unsent_calls, c);
 		finish_call(c, NULL, "no leader");
 	}
+	http_intake_report(h->intake);
 }
 
 typedef struct {
@@ -268,6 +269,7 @@
 		.loop = h->loop,
 		.addr = addr,
 		.limits = {HEADER_MAX_BYTES, BODY_MAX_BYTES, HEADER_MS, IDLE_MS},
+		.intake = h->intake,
 		.ctx = h,
 		.request = request,
 		.client_gone = on_conn_gone,
@@ -278,6 +280,8 @@
 {
 	const control_settings_t *s = &h->control->settings;
 
+	h->intake = http_intake_new(&(http_intake_settings_t){
+		s->memory_mib, s->client_memory_mib, s->client_connections});
 	if (s->operators && !(h->operators = new_server(h, s->operators, on_operator_request)))
 		return STATUS_IO;
 	if (s->directory && !(h->directory = new_server(h, s->directory, on_lookup_request)))
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -24,6 +24,7 @@
 #include "policy/answer.h"
 #include "policy/dispatch.h"
 #include "policy/drain.h"
+#include "policy/intake.h"
 #include "policy/leaving.h"
 #include "policy/poison.h"
 #include "policy/proof.h"
@@ -46,6 +47,9 @@
 	int64_t grace_s; /* maximum duration of a planned stop */
 	int64_t revoke_ms; /* within which a revoked key stops working, also at an entry that is cut
 			      off; 0: only as configs arrive */
+	int64_t memory_mib; /* memory of the machine; 0: unknown */
+	int64_t client_memory_mib; /* bound on buffers of clients; 0: a part of memory_mib */
+	int64_t client_connections; /* bound on connections of clients; 0: by the descriptors */
 } front_settings_t;
 
 /** Loads the settings file. *s is to be freed after a failure, too. */
@@ -70,6 +74,7 @@
 typedef struct {
 	front_settings_t settings;
 	struct ev_loop *loop;
+	intake_t *intake; /* bounds on what the clients of all listeners hold */
 	http_server_t *callers;
 	http_server_t *directory;
 	http_server_t *ready;
--- a/src/front/front_settings.c
+++ b/src/front/front_settings.c
@@ -32,6 +32,9 @@
 		{"link_port", TOML_INT, true, 1, PORT_MAX, &s->link_port},
 		{"grace_s", TOML_INT, false, 1, GRACE_MAX_S, &s->grace_s},
 		{"revoke_ms", TOML_INT, false, REVOKE_MIN_MS, REVOKE_MAX_MS, &s->revoke_ms},
+		{"memory_mib", TOML_INT, false, 0, 1048576, &s->memory_mib},
+		{"client_memory_mib", TOML_INT, false, 0, 1048576, &s->client_memory_mib},
+		{"client_connections", TOML_INT, false, 0, 1048576, &s->client_connections},
 		{0},
 	};
 	AUTO_TOML *c = NULL;
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -128,6 +128,7 @@
 	metric_set(metric_get(METRIC_GAUGE, "auburn_leader_linked", NULL),
 		   leader_link_is_up(f->leader));
 	metric_set(metric_get(METRIC_GAUGE, "auburn_cut_off", NULL), front_is_cut_off(f));
+	http_intake_report(f->intake);
 	metric_render_all(&b);
 	http_reply(c, 200, STR("Content-Type: text/plain; version=0.0.4\r\n"), str_buf(&b));
 }
@@ -213,6 +214,7 @@
 		.loop = f->loop,
 		.addr = addr,
 		.limits = {HEADER_BYTES, body_bytes, HEADER_MS, IDLE_MS},
+		.intake = f->intake,
 		.ctx = f,
 		.request = request,
 		.client_gone = on_caller_gone,
@@ -223,6 +225,8 @@
 {
 	const front_settings_t *s = &f->settings;
 
+	f->intake = http_intake_new(&(http_intake_settings_t){
+		s->memory_mib, s->client_memory_mib, s->client_connections});
 	f->callers = start_listener(f, s->listen, BODY_BYTES, on_request);
 	if (!f->callers)
 		return false;
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -3,10 +3,12 @@
 #include <limits.h>
 #include <stdlib.h>
 #include <strings.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utlist.h>
 #include "base/log.h"
+#include "base/metric.h"
 #include "net/tcp.h"
 #include "net/timeout.h"
 
@@ -22,12 +24,27 @@
 /** Connections accepted in one iteration of the loop, so that open connections are served as well.
  */
 #define ACCEPTS_MAX 32
+/** A client that leaves more than this of a reply in chunks unread loses its connection, in bytes.
+ * The longest streams of well-behaved clients are shorter. */
+#define UNREAD_MAX_BYTES (1U << 20)
+/** Buffers that have grown beyond this are freed after a request, in bytes. */
+#define KEEP_BYTES 32768
+/** Retry-After of a refusal for lack of memory, in seconds. */
+#define RETRY_MEMORY "Retry-After: 1\r\n"
+/** Defaults of the bounds. A machine of 120 MB has 45 MB for its clients: seven bodies of 4 MB with
+ * spare room, and a quarter in reserve for small requests. */
+#define MEMORY_PERCENT	   38
+#define MEMORY_DEFAULT_MIB 64
+/** Part of the descriptors that is left for links, files and replicas. */
+#define DESCRIPTORS_KEPT_DIVISOR 3
+#define CONNECTIONS_MAX		 65536
 
 struct http_server {
 	http_server_options_t options;
 	int fd;
 	ev_io accept;
 	bool draining;
+	bool owns_intake;
 	size_t open_requests;
 	http_conn_t *conns;
 };
@@ -45,6 +62,7 @@
 	deadline_t parse_started; /* of the current request; 0 between requests */
 	size_t request_bytes; /* of this request so far, with framing and read-ahead */
 	bool have_head; /* the head of the current request is complete */
+	bool in_body; /* the body's period has begun */
 	bool body_too_long; /* Content-Length is over the limit */
 	bool busy; /* a request is being answered */
 	bool chunked;
@@ -52,7 +70,9 @@
 	bool keep_alive;
 	bool closing; /* the last reply has been made; input is discarded */
 	bool write_failed;
+	bool given_up; /* closed for the sake of other connections, or because it is stalled */
 	bool closed;
+	intake_client_t client;
 	void *data;
 	http_conn_t *prev;
 	http_conn_t *next;
@@ -109,6 +129,7 @@
 		return;
 	c->closed = true;
 	DL_DELETE(c->server->conns, c);
+	intake_remove(c->server->options.intake, &c->client);
 	if (c->busy)
 		c->server->open_requests--;
 	ev_io_stop(c->server->options.loop, &c->rd);
@@ -118,24 +139,69 @@
 	ev_once(c->server->options.loop, -1, 0, 0.0, conn_free, c);
 }
 
+static intake_state_t conn_state(const http_conn_t *c)
+{
+	if (c->given_up || c->write_failed)
+		return INTAKE_CLOSING;
+	if (c->out.n > 0)
+		return INTAKE_UNREAD;
+	if (c->busy)
+		return INTAKE_SERVED;
+	return c->parse_started ? INTAKE_READING : INTAKE_IDLE;
+}
+
+/* Tells the intake what the connection holds now. */
+static void conn_account(http_conn_t *c)
+{
+	if (c->closed)
+		return;
+	c->client.state = conn_state(c);
+	intake_set_held(c->server->options.intake, &c->client,
+			sizeof(*c) + c->in.cap + c->body.cap + c->out.cap + c->reader.text.cap);
+}
+
+static void shrink(buf_t *b)
+{
+	if (b->n == 0 && b->cap > KEEP_BYTES)
+		buf_free(b);
+}
+
+/* Closes the connection from the loop: client_gone must not run inside the user's call of
+ * http_reply. on_readable runs it. */
+static void break_conn(http_conn_t *c)
+{
+	buf_free(&c->out);
+	c->write_failed = true;
+	ev_io_stop(c->server->options.loop, &c->wr);
+	ev_feed_event(c->server->options.loop, &c->rd, EV_READ);
+	conn_account(c);
+}
+
 static void flush_output(http_conn_t *c)
 {
+	size_t before = c->out.n;
+
 	if (c->closed)
 		return;
-	if (!tcp_write(c->fd, &c->out)) {
-		/* client_gone must not run inside the user's call of http_reply: on_readable,
-		 * called from the loop, runs it and closes the connection. */
-		c->out.n = 0;
-		c->write_failed = true;
-		ev_io_stop(c->server->options.loop, &c->wr);
-		ev_feed_event(c->server->options.loop, &c->rd, EV_READ);
+	if (c->write_failed || !tcp_write(c->fd, &c->out)) {
+		break_conn(c);
 		return;
 	}
+	intake_advance(c->server->options.intake, &c->client, before - c->out.n, clock_now_ms());
 	if (c->out.n > 0) {
 		ev_io_start(c->server->options.loop, &c->wr);
+		conn_account(c);
 		return;
 	}
+	shrink(&c->out);
+	conn_account(c);
 	ev_io_stop(c->server->options.loop, &c->wr);
+	/* Requests that were read ahead wait until the answers before them have been read. */
+	if (!c->busy && !c->closing) {
+		ev_io_start(c->server->options.loop, &c->rd);
+		if (c->in.n > 0)
+			ev_feed_event(c->server->options.loop, &c->rd, EV_READ);
+	}
 	if (c->closing && !c->busy) {
 		tcp_reset_on_close(c->fd, false);
 		shutdown(c->fd, SHUT_WR);
@@ -187,7 +253,75 @@
 	c->closing = true;
 	log_event(LOG_LEVEL_INFO, "request_refused", LOG_INT("status", status),
 		  LOG_CSTR("reason", reason));
-	http_reply(c, status, STR(""), STR(""));
+	http_reply(c, status, status == 503 ? STR(RETRY_MEMORY) : STR(""), STR(""));
+}
+
+static void log_given_up(const http_conn_t *c, const char *reason)
+{
+	AUTO_BUF label = {0};
+
+	buf_addf(&label, "reason=\"%s\"", reason);
+	metric_add(metric_get(METRIC_COUNTER, "auburn_clients_given_up_total", label.p), 1);
+	log_event(LOG_LEVEL_WARN, "client_given_up", LOG_CSTR("reason", reason),
+		  LOG_INT("bytes", c->client.held),
+		  LOG_INT("age_ms", clock_now_ms() - c->client.opened),
+		  LOG_INT("silent_ms", clock_now_ms() - c->client.progress),
+		  LOG_INT("request", c->busy));
+}
+
+/* Closes a connection that the intake has selected, and frees its buffers. A request that was not
+ * read whole is answered with the status: it has not run. status 0: without an answer. */
+static void give_up(http_conn_t *c, int status, const char *reason)
+{
+	log_given_up(c, reason);
+	c->given_up = true;
+	if (c->busy) {
+		break_conn(c);
+		return;
+	}
+	if (!status || !c->parse_started || c->closing || c->out.n > 0) {
+		conn_close(c);
+		return;
+	}
+	refuse_request(c, status, reason);
+	buf_free(&c->in);
+	buf_free(&c->body);
+	conn_account(c);
+}
+
+/* Gives up connections until c's buffers may grow to this size. False if c itself is the one to
+ * give up. */
+static bool make_room(http_conn_t *c, size_t bytes)
+{
+	intake_t *in = c->server->options.intake;
+	deadline_t now = clock_now_ms();
+	intake_client_t *excess;
+
+	while ((excess = intake_excess(in, &c->client, bytes, now))) {
+		if (excess == &c->client)
+			return false;
+		give_up(excess->conn, 503, "memory");
+	}
+	return true;
+}
+
+/* The capacity that the buffer has once this much has been added to it. */
+static size_t grown_cap(const buf_t *b, size_t more)
+{
+	size_t need = b->n + more + 1;
+
+	return need <= b->cap ? b->cap : need + need / 2;
+}
+
+/* Makes room for a part of a reply. A small one is never dropped. */
+static bool make_reply_room(http_conn_t *c, size_t more)
+{
+	size_t held = c->client.held - c->out.cap + c->out.n + more;
+
+	if (c->given_up || held <= INTAKE_SMALL_BYTES || make_room(c, held))
+		return true;
+	give_up(c, 0, "memory");
+	return false;
 }
 
 static void deliver_request(http_conn_t *c)
@@ -210,10 +344,11 @@
 static void parse_input(http_conn_t *c)
 {
 	const http_limits_t *m = &c->server->options.limits;
+	deadline_t now;
 	status_t st;
 	size_t used;
 
-	while (!c->closed && !c->busy && !c->closing && c->in.n > 0) {
+	while (!c->closed && !c->busy && !c->closing && c->in.n > 0 && c->out.n == 0) {
 		if (!c->parse_started) {
 			c->parse_started = clock_now_ms();
 			timeout_set(&c->timer, m->header_timeout_ms);
@@ -232,8 +367,38 @@
 		else if (c->busy)
 			deliver_request(c);
 	}
-	if (!c->closed && !c->busy && c->have_head)
-		timeout_set(&c->timer, m->idle_timeout_ms);
+	if (c->closed || c->busy || !c->have_head)
+		return;
+	now = clock_now_ms();
+	if (!c->in_body)
+		intake_begin_period(&c->client, m->idle_timeout_ms, now);
+	c->in_body = true;
+	/* A stalled body is refused by the timer, which reads the socket once more after a pause of
+	 * this process. */
+	if (!intake_is_stalled(&c->client, m->idle_timeout_ms, now))
+		timeout_set(&c->timer, c->client.period_end - now);
+}
+
+/* True if there is room for another read. While a request is being answered, its client waits. */
+static bool may_read(http_conn_t *c)
+{
+	size_t bytes = sizeof(*c) + c->out.cap + grown_cap(&c->in, READ_BYTES) +
+		       grown_cap(&c->reader.text, c->have_head ? 0 : READ_BYTES) +
+		       (c->busy ? c->body.cap : grown_cap(&c->body, READ_BYTES));
+
+	if (c->write_failed || c->closing)
+		return true;
+	if ((c->busy || c->out.n > 0) &&
+	    (c->in.n >= READ_AHEAD_BYTES ||
+	     !intake_fits(c->server->options.intake, &c->client, bytes))) {
+		ev_io_stop(c->server->options.loop, &c->rd);
+		return false;
+	}
+	if (c->busy || c->out.n > 0 || make_room(c, bytes))
+		return true;
+	c->parse_started = c->parse_started ? c->parse_started : clock_now_ms();
+	give_up(c, 503, "memory");
+	return false;
 }
 
 static void on_readable(struct ev_loop *loop, ev_io *w, int events)
@@ -241,12 +406,17 @@
 	http_conn_t *c = w->data;
 	long n;
 
-	if (!c->write_failed && c->busy && c->in.n >= READ_AHEAD_BYTES) {
-		ev_io_stop(loop, &c->rd);
-		return;
+	if (!c->busy && !c->parse_started) {
+		shrink(&c->body);
+		shrink(&c->in);
+		shrink(&c->out);
+		conn_account(c);
 	}
+	if (!may_read(c))
+		return;
 	n = c->write_failed ? TCP_READ_BROKEN : tcp_read(c->fd, &c->in, READ_BYTES);
 	c->request_bytes += n > 0 ? (size_t)n : 0;
+	intake_advance(c->server->options.intake, &c->client, n > 0 ? (size_t)n : 0, clock_now_ms());
 	if (n < 0) {
 		if (c->busy && !c->closed && c->server->options.client_gone)
 			c->server->options.client_gone(c->server->options.ctx, c);
@@ -256,6 +426,7 @@
 	} else {
 		parse_input(c);
 	}
+	conn_account(c);
 }
 
 static void on_writable(struct ev_loop *loop, ev_io *w, int events)
@@ -270,7 +441,7 @@
 	http_conn_t *c = ctx;
 
 	if (c->parse_started && !c->busy && !c->closing)
-		refuse_request(c, 408, "request not received in time");
+		give_up(c, 408, "request not received in time");
 	else
 		conn_close(c);
 }
@@ -278,6 +449,8 @@
 static void conn_new(http_server_t *s, int fd)
 {
 	http_conn_t *c = mem_new(sizeof(*c));
+	deadline_t now = clock_now_ms();
+	intake_client_t *surplus;
 
 	c->server = s;
 	c->fd = fd;
@@ -293,6 +466,11 @@
 	c->rd.data = c->wr.data = c;
 	ev_io_start(s->options.loop, &c->rd);
 	timeout_set(&c->timer, s->options.limits.idle_timeout_ms);
+	c->client.conn = c;
+	intake_add(s->options.intake, &c->client, now);
+	conn_account(c);
+	while ((surplus = intake_surplus(s->options.intake, now)))
+		give_up(surplus->conn, 408, "connections");
 }
 
 static void on_accept(struct ev_loop *loop, ev_io *w, int events)
@@ -308,6 +486,32 @@
 	}
 }
 
+intake_t *http_intake_new(const http_intake_settings_t *s)
+{
+	struct rlimit files = {CONNECTIONS_MAX, CONNECTIONS_MAX};
+	size_t mib = s->memory_mib ? (size_t)s->memory_mib * MEMORY_PERCENT / 100
+				   : MEMORY_DEFAULT_MIB;
+	size_t connections;
+
+	getrlimit(RLIMIT_NOFILE, &files);
+	connections = files.rlim_cur < CONNECTIONS_MAX ? files.rlim_cur : CONNECTIONS_MAX;
+	connections -= connections / DESCRIPTORS_KEPT_DIVISOR;
+	if (s->client_memory_mib)
+		mib = (size_t)s->client_memory_mib;
+	if (s->client_connections && (size_t)s->client_connections < connections)
+		connections = (size_t)s->client_connections;
+	log_event(LOG_LEVEL_INFO, "client_bounds", LOG_INT("mib", mib),
+		  LOG_INT("connections", connections));
+	return intake_new(&(intake_options_t){mib << 20, connections});
+}
+
+void http_intake_report(const intake_t *in)
+{
+	metric_set(metric_get(METRIC_GAUGE, "auburn_client_bytes", NULL), (int64_t)intake_held(in));
+	metric_set(metric_get(METRIC_GAUGE, "auburn_client_connections", NULL),
+		   (int64_t)intake_connections(in));
+}
+
 http_server_t *http_server_new(const http_server_options_t *options)
 {
 	int fd = tcp_listen(options->addr);
@@ -317,6 +521,9 @@
 		return NULL;
 	s = mem_new(sizeof(*s));
 	s->options = *options;
+	s->owns_intake = !options->intake;
+	if (s->owns_intake)
+		s->options.intake = intake_new(&(intake_options_t){SIZE_MAX, SIZE_MAX});
 	s->fd = fd;
 	ev_io_init(&s->accept, on_accept, fd, EV_READ);
 	s->accept.data = s;
@@ -348,7 +555,11 @@
 
 static void server_free(int events, void *arg)
 {
-	free(arg);
+	http_server_t *s = arg;
+
+	if (s->owns_intake)
+		intake_free(s->options.intake);
+	free(s);
 }
 
 void http_server_close(http_server_t *s)
@@ -395,6 +606,7 @@
 	c->data = NULL;
 	c->parse_started = 0;
 	c->have_head = false;
+	c->in_body = false;
 	c->body.n = 0;
 	c->request_bytes = c->in.n;
 	if (!c->keep_alive) {
@@ -410,8 +622,9 @@
 	http_reader_resume(&c->reader);
 	c->reader.o.max_header_bytes = c->server->options.limits.max_header_bytes;
 	ev_io_start(c->server->options.loop, &c->rd);
-	/* A pipelined request is parsed from the loop, not inside the call that sent the reply. */
-	if (c->in.n > 0)
+	/* A pipelined request is parsed from the loop, not inside the call that sent the reply.
+	 * Large buffers are freed there, too: the caller may still use the request. */
+	if (c->in.n > 0 || c->body.cap > KEEP_BYTES || c->in.cap > KEEP_BYTES)
 		ev_feed_event(c->server->options.loop, &c->rd, EV_READ);
 }
 
@@ -432,10 +645,11 @@
 
 void http_reply(http_conn_t *c, int status, str_t headers, str_t body)
 {
-	if (c->closed)
+	if (c->closed || !make_reply_room(c, body.n))
 		return;
 	add_reply_head(c, status, headers);
 	buf_addf(&c->out, "Content-Length: %zu\r\n\r\n", body.n);
+	buf_reserve_exact(&c->out, body.n);
 	buf_add(&c->out, body);
 	finish_reply(c);
 }
@@ -458,7 +672,13 @@
 
 void http_reply_chunk(http_conn_t *c, str_t chunk)
 {
-	if (c->closed || chunk.n == 0)
+	if (c->closed || c->write_failed || chunk.n == 0)
+		return;
+	if (c->out.n > UNREAD_MAX_BYTES) {
+		give_up(c, 0, "answer not read");
+		return;
+	}
+	if (!make_reply_room(c, chunk.n))
 		return;
 	if (c->chunked)
 		buf_addf(&c->out, "%zx\r\n", chunk.n);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -6,6 +6,7 @@
 #include <ev.h>
 #include "base/clock.h"
 #include "net/http.h"
+#include "policy/intake.h"
 
 typedef struct http_server http_server_t;
 typedef struct http_conn http_conn_t;
@@ -22,13 +23,15 @@
 	size_t max_header_bytes;
 	size_t max_body_bytes;
 	int64_t header_timeout_ms; /* from the first byte to the end of the head */
-	int64_t idle_timeout_ms; /* between requests, and between two reads of a body */
+	int64_t idle_timeout_ms; /* between requests; within it a body ends or advances by
+				    INTAKE_PERIOD_BYTES */
 } http_limits_t;
 
 typedef struct {
 	struct ev_loop *loop;
 	const char *addr;
 	http_limits_t limits;
+	intake_t *intake; /* shared by the listeners of the process; NULL: no bounds */
 	void *ctx;
 	void (*request)(void *ctx, http_conn_t *c, const http_request_t *r);
 	/** The client closed the connection, or only its sending side, or the connection broke,
@@ -36,6 +39,17 @@
 	void (*client_gone)(void *ctx, http_conn_t *c);
 } http_server_options_t;
 
+typedef struct {
+	int64_t memory_mib; /* of the machine; 0: unknown */
+	int64_t client_memory_mib; /* 0: a part of memory_mib */
+	int64_t client_connections; /* 0: a part of the process's limit on descriptors */
+} http_intake_settings_t;
+
+/** The bounds for all listeners of a process. */
+intake_t *http_intake_new(const http_intake_settings_t *s);
+/** Sets the gauges of bytes and connections. */
+void http_intake_report(const intake_t *in);
+
 /** NULL with a message if the address cannot be listened on. */
 http_server_t *http_server_new(const http_server_options_t *o);
 /** Closes the server and all its connections, without client_gone; memory is freed in the loop's
