What clients may hold of a process is bounded over all its listeners

Room is asked for before each read and each part of an answer; a body that does not fit is answered 503 and has not run. A body must advance by 16 KB within the idle timeout, else 408. Requests read ahead wait for the answers before them to be read. Handlers state copies that they hold (http_conn_hold). An entry stops reading a replica's stream while its caller has more than 256 KB of it unread.

--- a/src/control/hub_http.c
+++ b/src/control/hub_http.c
@@ -115,6 +115,7 @@
 		.leader_by = now + LEADER_WAIT_MS,
 	};
 	http_conn_set_data(conn, c);
+	http_conn_hold(conn, 2 * text.n); /* the copy and the message to the leader */
 	return c;
 }
 
@@ -280,8 +281,8 @@
 {
 	const control_settings_t *s = &h->control->settings;
 
-	h->intake = http_intake_new(&(http_intake_settings_t){
-		s->memory_mib, s->client_memory_mib, s->client_connections});
+	h->intake = http_intake_new(&(http_intake_settings_t){s->memory_mib, s->client_memory_mib,
+							      s->client_connections});
 	if (s->operators && !(h->operators = new_server(h, s->operators, on_operator_request)))
 		return STATUS_IO;
 	if (s->directory && !(h->directory = new_server(h, s->directory, on_lookup_request)))
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -239,6 +239,8 @@
 /** Hands a request that has not run to an entry that reaches replicas; false if none is known. */
 bool front_hop_start(front_t *f, http_conn_t *c, const http_request_t *r, str_t id,
 		     deadline_t deadline);
+/** The caller has read what was written of the answer. */
+void front_hop_caller_read(front_hop_t *p);
 void front_hop_caller_left(front_hop_t *p);
 /** Ends all handed-over requests with an answer, as the process ends. */
 void front_hop_end_all(front_t *f);
@@ -339,6 +341,9 @@
 front_attempt_t *front_attempt_start(const front_attempt_options_t *o);
 /** True once a byte of the request was written: the replica may run it. */
 bool front_attempt_sent(const front_attempt_t *a);
+/** Stops reading the answer, without a silence timeout, or goes on. */
+void front_attempt_pause(front_attempt_t *a, bool paused);
+bool front_attempt_is_paused(const front_attempt_t *a);
 void front_attempt_cancel(front_attempt_t *a);
 
 /* front_request.c: an online request */
@@ -406,6 +411,11 @@
 void front_request_begin(front_t *f, http_conn_t *c, const http_request_t *r,
 			 const platform_call_t *call, const route_spec_t *route,
 			 const front_caller_t *caller);
+/** An entry stops reading a replica's answer once its caller has left this many bytes unread, and
+ * goes on when the caller has read them. */
+#define FRONT_UNREAD_BYTES 262144
+/** The caller has read what was written of the answer. */
+void front_request_caller_read(front_request_t *q);
 void front_request_caller_left(front_request_t *q);
 /** A slot was granted: starts an attempt on the replica. If the replica leaves or its address is
  * unknown (addr is empty), requests another slot instead; ends the request if an unknown address
--- a/src/front/front_attempt.c
+++ b/src/front/front_attempt.c
@@ -27,6 +27,7 @@
 	answer_end_t answer; /* what came of it so far */
 	bool answered; /* the answer is that of a run */
 	bool began; /* the first event, or a byte of another answer, has arrived */
+	bool paused; /* the caller reads slowly */
 	bool broken; /* the answer is rejected; silence_timer is about to end the attempt */
 	char *id; /* of the request */
 	char replica[64];
@@ -161,7 +162,7 @@
 		front_quarantine_began(a->options.f, a->options.replica, &a->options.prompt);
 	}
 	/* Only new events restart the silence timeout. */
-	if (verdict == FRONT_EVENT_NEW)
+	if (verdict == FRONT_EVENT_NEW && !a->paused)
 		restart_silence_timer(a, a->options.event_gap_ms);
 	a->no_progress_events = verdict == FRONT_EVENT_NEW ? 0 : a->no_progress_events + 1;
 	a->answer.events += verdict == FRONT_EVENT_NEW || (e->id < 0 && e->has_data);
@@ -265,6 +266,20 @@
 	return http_call_sent(a->call);
 }
 
+void front_attempt_pause(front_attempt_t *a, bool paused)
+{
+	if (a->paused == paused || a->broken)
+		return;
+	a->paused = paused;
+	http_call_pause(a->call, paused);
+	restart_silence_timer(a, paused ? 0 : a->options.event_gap_ms);
+}
+
+bool front_attempt_is_paused(const front_attempt_t *a)
+{
+	return a->paused;
+}
+
 void front_attempt_cancel(front_attempt_t *a)
 {
 	http_call_cancel(a->call);
--- a/src/front/front_hop.c
+++ b/src/front/front_hop.c
@@ -107,8 +107,17 @@
 {
 	front_hop_t *p = ctx;
 
-	if (!p->refused)
-		http_reply_chunk(p->conn, piece);
+	if (p->refused)
+		return;
+	http_reply_chunk(p->conn, piece);
+	if (http_conn_unread(p->conn) > FRONT_UNREAD_BYTES)
+		http_call_pause(p->call, true);
+}
+
+void front_hop_caller_read(front_hop_t *p)
+{
+	if (p->call)
+		http_call_pause(p->call, false);
 }
 
 static void on_end(void *ctx, http_call_end_t how)
@@ -232,6 +241,7 @@
 	p->f = f;
 	p->conn = c;
 	p->req = *r;
+	http_conn_hold(c, r->body.n); /* in the message to the other entry */
 	p->deadline = deadline;
 	snprintf(p->id, sizeof(p->id), "%.*s", STR_ARG(id));
 	METRIC_INC("auburn_handed_over_total");
--- a/src/front/front_lot.c
+++ b/src/front/front_lot.c
@@ -171,6 +171,7 @@
 	lot_account_make(&account, owner_of(caller));
 	o->route = wire_copy(str_buf(&account));
 	o->host = wire_copy(call->host);
+	http_conn_hold(conn, r->body.n); /* in the message to the leader */
 	leader_link_call(f->leader, &what, clock_now_ms() + CALL_TIMEOUT_MS, on_reply,
 			 call_new(f, conn, LINK_CALL_LOT_OPEN, str_buf(&lot)));
 	wire_free(XDR_PROC(wire_lot_open_t), o);
--- a/src/front/front_request.c
+++ b/src/front/front_request.c
@@ -391,6 +391,14 @@
 		clear_body(q);
 	}
 	http_reply_chunk(q->conn, e->raw);
+	if (http_conn_unread(q->conn) > FRONT_UNREAD_BYTES &&
+	    !front_attempt_is_paused(q->attempt)) {
+		log_event(LOG_LEVEL_INFO, "caller_reads_slowly", LOG_STR("request", q->call.id),
+			  LOG_INT("unread_bytes", http_conn_unread(q->conn)),
+			  LOG_INT("events", q->last_event));
+		METRIC_INC("auburn_callers_slow_total");
+		front_attempt_pause(q->attempt, true);
+	}
 	return FRONT_EVENT_NEW;
 }
 
@@ -476,12 +484,13 @@
 static void on_deadline(void *ctx)
 {
 	front_request_t *q = ctx;
+	bool slow = q->attempt && front_attempt_is_paused(q->attempt);
 
 	if (q->state == FRONT_REQUEST_WAITING)
 		front_slot_withdraw(q->f, q);
 	else
 		front_slot_release(q->f, q, DISPATCH_CANCELLED);
-	end_failed(q, FAILURE_DEADLINE, RETRY_MS, "deadline");
+	end_failed(q, FAILURE_DEADLINE, RETRY_MS, slow ? "caller reads slowly" : "deadline");
 }
 
 /* True if the request may be retried or resumed even if the current attempt may have run. Only then
@@ -640,6 +649,12 @@
 	return q;
 }
 
+void front_request_caller_read(front_request_t *q)
+{
+	if (q->attempt)
+		front_attempt_pause(q->attempt, false);
+}
+
 void front_request_caller_left(front_request_t *q)
 {
 	if (q->state == FRONT_REQUEST_WAITING)
@@ -690,6 +705,7 @@
 	HASH_ADD(hh, f->requests, number, sizeof(q->number), q);
 	*d = (front_conn_data_t){FRONT_CONN_REQUEST, q};
 	http_conn_set_data(c, d);
+	http_conn_hold(c, r->body.n); /* in the message to the replica */
 	timeout_init(&q->timer, f->loop, on_deadline, q);
 	timeout_set(&q->timer, clock_left_ms(q->deadline));
 	request_slot(q);
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -98,6 +98,16 @@
 	free(d);
 }
 
+static void on_caller_read(void *ctx, http_conn_t *c)
+{
+	front_conn_data_t *d = http_conn_data(c);
+
+	if (d && d->kind == FRONT_CONN_REQUEST)
+		front_request_caller_read(d->target);
+	else if (d && d->kind == FRONT_CONN_HOP)
+		front_hop_caller_read(d->target);
+}
+
 static void on_ready(void *ctx, http_conn_t *c, const http_request_t *r)
 {
 	front_t *f = ctx;
@@ -218,6 +228,7 @@
 		.ctx = f,
 		.request = request,
 		.client_gone = on_caller_gone,
+		.drained = on_caller_read,
 	});
 }
 
@@ -225,8 +236,8 @@
 {
 	const front_settings_t *s = &f->settings;
 
-	f->intake = http_intake_new(&(http_intake_settings_t){
-		s->memory_mib, s->client_memory_mib, s->client_connections});
+	f->intake = http_intake_new(&(http_intake_settings_t){s->memory_mib, s->client_memory_mib,
+							      s->client_connections});
 	f->callers = start_listener(f, s->listen, BODY_BYTES, on_request);
 	if (!f->callers)
 		return false;
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -184,6 +184,7 @@
 		conn_close(c);
 		return;
 	}
+	ev_io_start(c->client->loop, &c->rd); /* the call may have been paused */
 	c->next = c->host->idle;
 	c->host->idle = c;
 	c->host->nidle++;
@@ -372,6 +373,18 @@
 	free(call);
 }
 
+void http_call_pause(http_call_t *call, bool paused)
+{
+	conn_t *c = call->conn;
+
+	if (!c || !c->connected)
+		return;
+	if (paused)
+		ev_io_stop(c->client->loop, &c->rd);
+	else
+		ev_io_start(c->client->loop, &c->rd);
+}
+
 bool http_call_reused_conn(const http_call_t *call)
 {
 	return call->conn && call->conn->reused;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -43,6 +43,9 @@
 bool http_call_reused_conn(const http_call_t *c);
 /** True once a byte of the request was written to the socket: the server may have received it. */
 bool http_call_sent(const http_call_t *c);
+/** Stops reading the response, or goes on: for a reader of it that is slower than the server. While
+ * it is stopped, the end of the connection goes unnoticed. */
+void http_call_pause(http_call_t *c, bool paused);
 /** Closes the connection after this call's response instead of reusing it. From the head callback
  * on. */
 void http_call_close_conn_after(http_call_t *c);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -24,9 +24,9 @@
 /** Connections accepted in one iteration of the loop, so that open connections are served as well.
  */
 #define ACCEPTS_MAX 32
-/** A client that leaves more than this of a reply in chunks unread loses its connection, in bytes.
- * The longest streams of well-behaved clients are shorter. */
-#define UNREAD_MAX_BYTES (1U << 20)
+/** A client that leaves more than this of a reply in chunks unread loses its connection, in bytes:
+ * as much as the largest body that clients may send. */
+#define UNREAD_MAX_BYTES (4U << 20)
 /** Buffers that have grown beyond this are freed after a request, in bytes. */
 #define KEEP_BYTES 32768
 /** Retry-After of a refusal for lack of memory, in seconds. */
@@ -73,6 +73,7 @@
 	bool given_up; /* closed for the sake of other connections, or because it is stalled */
 	bool closed;
 	intake_client_t client;
+	size_t user_held; /* see http_conn_hold */
 	void *data;
 	http_conn_t *prev;
 	http_conn_t *next;
@@ -157,7 +158,8 @@
 		return;
 	c->client.state = conn_state(c);
 	intake_set_held(c->server->options.intake, &c->client,
-			sizeof(*c) + c->in.cap + c->body.cap + c->out.cap + c->reader.text.cap);
+			sizeof(*c) + c->in.cap + c->body.cap + c->out.cap + c->reader.text.cap +
+				c->user_held);
 }
 
 static void shrink(buf_t *b)
@@ -382,7 +384,7 @@
 /* True if there is room for another read. While a request is being answered, its client waits. */
 static bool may_read(http_conn_t *c)
 {
-	size_t bytes = sizeof(*c) + c->out.cap + grown_cap(&c->in, READ_BYTES) +
+	size_t bytes = sizeof(*c) + c->user_held + c->out.cap + grown_cap(&c->in, READ_BYTES) +
 		       grown_cap(&c->reader.text, c->have_head ? 0 : READ_BYTES) +
 		       (c->busy ? c->body.cap : grown_cap(&c->body, READ_BYTES));
 
@@ -416,7 +418,8 @@
 		return;
 	n = c->write_failed ? TCP_READ_BROKEN : tcp_read(c->fd, &c->in, READ_BYTES);
 	c->request_bytes += n > 0 ? (size_t)n : 0;
-	intake_advance(c->server->options.intake, &c->client, n > 0 ? (size_t)n : 0, clock_now_ms());
+	intake_advance(c->server->options.intake, &c->client, n > 0 ? (size_t)n : 0,
+		       clock_now_ms());
 	if (n < 0) {
 		if (c->busy && !c->closed && c->server->options.client_gone)
 			c->server->options.client_gone(c->server->options.ctx, c);
@@ -434,6 +437,9 @@
 	http_conn_t *c = w->data;
 
 	flush_output(c);
+	if (!c->closed && c->busy && !c->write_failed && c->out.n == 0 &&
+	    c->server->options.drained)
+		c->server->options.drained(c->server->options.ctx, c);
 }
 
 static void on_timer(void *ctx)
@@ -489,8 +495,8 @@
 intake_t *http_intake_new(const http_intake_settings_t *s)
 {
 	struct rlimit files = {CONNECTIONS_MAX, CONNECTIONS_MAX};
-	size_t mib = s->memory_mib ? (size_t)s->memory_mib * MEMORY_PERCENT / 100
-				   : MEMORY_DEFAULT_MIB;
+	size_t mib =
+		s->memory_mib ? (size_t)s->memory_mib * MEMORY_PERCENT / 100 : MEMORY_DEFAULT_MIB;
 	size_t connections;
 
 	getrlimit(RLIMIT_NOFILE, &files);
@@ -604,6 +610,7 @@
 	c->busy = false;
 	c->server->open_requests--;
 	c->data = NULL;
+	c->user_held = 0;
 	c->parse_started = 0;
 	c->have_head = false;
 	c->in_body = false;
@@ -628,6 +635,12 @@
 		ev_feed_event(c->server->options.loop, &c->rd, EV_READ);
 }
 
+void http_conn_hold(http_conn_t *c, size_t bytes)
+{
+	c->user_held = bytes;
+	conn_account(c);
+}
+
 void http_conn_close_after_reply(http_conn_t *c)
 {
 	c->keep_alive = false;
@@ -645,8 +658,12 @@
 
 void http_reply(http_conn_t *c, int status, str_t headers, str_t body)
 {
-	if (c->closed || !make_reply_room(c, body.n))
+	if (c->closed)
 		return;
+	if (!make_reply_room(c, body.n)) {
+		c->data = NULL;
+		return;
+	}
 	add_reply_head(c, status, headers);
 	buf_addf(&c->out, "Content-Length: %zu\r\n\r\n", body.n);
 	buf_reserve_exact(&c->out, body.n);
@@ -688,6 +705,11 @@
 	flush_output(c);
 }
 
+size_t http_conn_unread(const http_conn_t *c)
+{
+	return c->out.n;
+}
+
 void http_reply_end(http_conn_t *c)
 {
 	if (c->closed)
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -37,6 +37,9 @@
 	/** The client closed the connection, or only its sending side, or the connection broke,
 	 * before the reply was complete; c is closed after the call. May be NULL. */
 	void (*client_gone)(void *ctx, http_conn_t *c);
+	/** The client has read all that was written of a reply that is not complete. May be NULL.
+	 */
+	void (*drained)(void *ctx, http_conn_t *c);
 } http_server_options_t;
 
 typedef struct {
@@ -71,9 +74,16 @@
 void http_conn_set_data(http_conn_t *c, void *data);
 void *http_conn_data(const http_conn_t *c);
 
+/** States that the user holds copies of this size for the current request, until its reply is
+ * complete; they count toward the connection. */
+void http_conn_hold(http_conn_t *c, size_t bytes);
+
 /** The reply to the current request closes the connection. */
 void http_conn_close_after_reply(http_conn_t *c);
 
+/* A client that leaves a reply unread while memory is short, or more than 4 MiB of a reply in
+ * chunks, loses its connection; client_gone follows. */
+
 /** Sends a whole reply; headers are lines ending in CRLF, without Content-Length and Connection.
  * All http_reply functions do nothing if the connection is closed. */
 void http_reply(http_conn_t *c, int status, str_t headers, str_t body);
@@ -81,6 +91,8 @@
  * the connection, which is reset if the reply is not ended. */
 void http_reply_begin(http_conn_t *c, int status, str_t headers);
 void http_reply_chunk(http_conn_t *c, str_t chunk);
+/** Bytes of replies that the client has not read. */
+size_t http_conn_unread(const http_conn_t *c);
 void http_reply_end(http_conn_t *c);
 /** Closes the connection at once, so that a begun reply cannot look complete. */
 void http_reply_abort(http_conn_t *c);
--- a/tests/unit/http_kit.h
+++ b/tests/unit/http_kit.h
@@ -110,13 +110,15 @@
 	return ntohs(sa.sin_port);
 }
 
-static inline void pair_open(http_pair_t *p)
+/* intake: of the server, or NULL */
+static inline void pair_open_limited(http_pair_t *p, http_limits_t limits, intake_t *intake)
 {
 	*p = (http_pair_t){.loop = ev_loop_new(EVFLAG_AUTO)};
 	snprintf(p->addr, sizeof(p->addr), "127.0.0.1:%u", pick_port());
 	p->server = http_server_new(&(http_server_options_t){.loop = p->loop,
 							     .addr = p->addr,
-							     .limits = {1024, 1024, 200, 400},
+							     .limits = limits,
+							     .intake = intake,
 							     .ctx = p,
 							     .request = on_request,
 							     .client_gone = on_client_gone});
@@ -124,6 +126,11 @@
 	p->client = http_client_new(p->loop);
 }
 
+static inline void pair_open(http_pair_t *p)
+{
+	pair_open_limited(p, (http_limits_t){1024, 1024, 200, 400}, NULL);
+}
+
 static inline void pair_close(http_pair_t *p)
 {
 	http_server_close(p->server);
--- a/tests/unit/test_http_limits.c
+++ b/tests/unit/test_http_limits.c
@@ -184,6 +184,162 @@
 }
 END_TEST
 
+/* ---- clients that hold too much of the server ---- */
+
+static const http_limits_t large_limits = {1024, 1U << 20, 200, 400};
+
+static int connect_to(const http_pair_t *p)
+{
+	struct sockaddr_in sa = {.sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sa.sin_port = htons((uint16_t)strtoul(strchr(p->addr, ':') + 1, NULL, 10));
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	return fd;
+}
+
+static void send_some(int fd, str_t s)
+{
+	send(fd, s.p, s.n, MSG_NOSIGNAL | MSG_DONTWAIT);
+}
+
+/* The status of the reply that has arrived; 0 if none has. */
+static int status_arrived(int fd)
+{
+	char answer[64] = "";
+
+	recv(fd, answer, sizeof(answer) - 1, MSG_DONTWAIT);
+	return strncmp(answer, "HTTP/1.1 ", 9) == 0 ? (int)strtol(answer + 9, NULL, 10) : 0;
+}
+
+/* 503 says that the request has not run, so that its caller may repeat it. */
+START_TEST(body_that_does_not_fit_the_budget_is_answered_503_and_not_run)
+{
+	intake_t *in = intake_new(&(intake_options_t){200000, 100});
+	AUTO_BUF request = {0};
+	http_pair_t p;
+	int fd;
+
+	pair_open_limited(&p, large_limits, in);
+	buf_add(&request, STR("POST /a HTTP/1.1\r\nContent-Length: 900000\r\n\r\n"));
+	while (request.n < 50000)
+		buf_add(&request, STR("yyyyyyyy"));
+	fd = connect_to(&p);
+	for (int i = 0; i < 10; i++) {
+		send_some(fd, str_buf(&request));
+		run_loop(&p, 0.02);
+	}
+	ck_assert_int_eq(status_arrived(fd), 503);
+	ck_assert_int_eq(p.requests, 0);
+	ck_assert_uint_le(intake_held(in), 200000);
+	/* An ordinary request is served while that client stays connected. */
+	start_call(&p, post_request);
+	run_loop(&p, 1.0);
+	ck_assert_int_eq(p.status, 200);
+	close(fd);
+	pair_close(&p);
+	ck_assert_uint_eq(intake_held(in), 0);
+	intake_free(in);
+}
+END_TEST
+
+/* Guards against a body that holds its buffers for as long as a byte comes now and then. */
+START_TEST(body_below_the_minimum_rate_is_answered_408)
+{
+	http_pair_t p;
+	int status = 0;
+	int fd;
+
+	pair_open_limited(&p, large_limits, NULL);
+	fd = connect_to(&p);
+	send_some(fd, STR("POST /a HTTP/1.1\r\nContent-Length: 100000\r\n\r\n"));
+	for (int i = 0; i < 40 && !status; i++) {
+		send_some(fd, STR("y"));
+		run_loop(&p, 0.05);
+		status = status_arrived(fd);
+	}
+	ck_assert_int_eq(status, 408);
+	close(fd);
+	pair_close(&p);
+}
+END_TEST
+
+/* Guards against answers without limit to a client that sends requests and reads nothing. */
+START_TEST(answers_that_are_not_read_hold_back_the_requests_after_them)
+{
+	intake_t *in = intake_new(&(intake_options_t){64U << 20, 100});
+	AUTO_BUF request = {0};
+	http_pair_t p;
+	int fd;
+
+	pair_open_limited(&p, large_limits, in);
+	buf_add(&request, STR("POST /a HTTP/1.1\r\nContent-Length: 65536\r\n\r\n"));
+	for (int i = 0; i < 8192; i++)
+		buf_add(&request, STR("yyyyyyyy"));
+	fd = connect_to(&p);
+	/* Cut at the socket's buffer: the server sees whole requests and parts of them. */
+	for (int i = 0; i < 400; i++) {
+		send_some(fd, str_buf(&request));
+		run_loop(&p, 0.001);
+		ck_assert_uint_le(intake_held(in), 1U << 20);
+	}
+	ck_assert_int_gt(p.requests, 0);
+	ck_assert_int_lt(p.requests, 400);
+	close(fd);
+	pair_close(&p);
+	intake_free(in);
+}
+END_TEST
+
+START_TEST(idle_connections_beyond_the_bound_are_closed_and_a_new_one_is_served)
+{
+	intake_t *in = intake_new(&(intake_options_t){64U << 20, 4});
+	int fds[12];
+	http_pair_t p;
+
+	pair_open_limited(&p, large_limits, in);
+	for (int i = 0; i < 12; i++) {
+		fds[i] = connect_to(&p);
+		run_loop(&p, 0.005);
+		ck_assert_uint_le(intake_connections(in), 4);
+	}
+	start_call(&p, post_request);
+	run_loop(&p, 1.0);
+	ck_assert_int_eq(p.status, 200);
+	for (int i = 0; i < 12; i++)
+		close(fds[i]);
+	pair_close(&p);
+	intake_free(in);
+}
+END_TEST
+
+/* A stream to a client that does not read ends with its connection, and the user learns of it. */
+START_TEST(client_that_does_not_read_a_stream_is_given_up)
+{
+	intake_t *in = intake_new(&(intake_options_t){2U << 20, 4});
+	static char piece[65536];
+	http_pair_t p;
+	int fd;
+
+	pair_open_limited(&p, large_limits, in);
+	p.reply_mode = REPLY_NONE;
+	fd = connect_to(&p);
+	send_some(fd, post_request);
+	run_loop(&p, 0.05);
+	ck_assert_int_eq(p.requests, 1);
+	http_reply_begin(p.last_conn, 200, STR(""));
+	for (int i = 0; i < 1000 && !p.clients_gone; i++) {
+		http_reply_chunk(p.last_conn, (str_t){piece, sizeof(piece)});
+		ck_assert_uint_le(intake_held(in), 2U << 20);
+		run_loop(&p, 0.001);
+	}
+	ck_assert_int_eq(p.clients_gone, 1);
+	close(fd);
+	pair_close(&p);
+	intake_free(in);
+}
+END_TEST
+
 /* The server's limits must cover the framing of a request as well as its body. */
 START_TEST(a_callers_endless_chunk_extension_is_refused)
 {
@@ -230,6 +386,11 @@
 			    sizeof(replies) / sizeof(replies[0]));
 	tcase_add_loop_test(t, endless_chunk_extensions_and_trailers_are_given_up, 0, 2);
 	tcase_add_test(t, a_callers_endless_chunk_extension_is_refused);
+	tcase_add_test(t, body_that_does_not_fit_the_budget_is_answered_503_and_not_run);
+	tcase_add_test(t, body_below_the_minimum_rate_is_answered_408);
+	tcase_add_test(t, answers_that_are_not_read_hold_back_the_requests_after_them);
+	tcase_add_test(t, idle_connections_beyond_the_bound_are_closed_and_a_new_one_is_served);
+	tcase_add_test(t, client_that_does_not_read_a_stream_is_given_up);
 	tcase_add_test(t, parsing_events_takes_time_in_proportion_to_their_bytes);
 	tcase_add_test(t, an_endless_event_is_an_error);
 	suite_add_tcase(s, t);
