Connections to the metrics listener of a control process are bounded

Cause: it had a thread and a descriptor for each connection, without an idle timeout.

Change: at most 64 connections, 32 KB of request each, closed after 5 s of silence; a case in test_crowds.py.

Measured: the new case fails on the programs of before (416 descriptors, bound 260) and passes (79).

--- a/src/control/control_http.c
+++ b/src/control/control_http.c
@@ -8,6 +8,12 @@
 
 /* No endpoint reads a request body. */
 #define BODY_MAX_BYTES 1024
+/** Bounds on connections, which have a thread each. The platform and a monitor use a few; others
+ * that are idle make room within IDLE_TIMEOUT_S. */
+#define CONNECTIONS_MAX	   64
+#define HEADER_MAX_BYTES   (32 << 10)
+#define IDLE_TIMEOUT_S	   5
+#define THREAD_STACK_BYTES (256 << 10)
 
 static void set_group_gauge(const char *name, unsigned group, int64_t v)
 {
@@ -78,6 +84,18 @@
 	struct sockaddr_in sa = {.sin_family = AF_INET};
 	char ip[64];
 	unsigned port = 0;
+	unsigned flags = MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD |
+			 MHD_USE_POLL | MHD_USE_ITC;
+	struct MHD_OptionItem options[] = {
+		{MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)mhd_request_completed, NULL},
+		{MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)ulfius_uri_logger, NULL},
+		{MHD_OPTION_SOCK_ADDR, 0, &sa},
+		{MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, NULL},
+		{MHD_OPTION_CONNECTION_MEMORY_LIMIT, HEADER_MAX_BYTES, NULL},
+		{MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S, NULL},
+		{MHD_OPTION_THREAD_STACK_SIZE, THREAD_STACK_BYTES, NULL},
+		{MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, NULL},
+		{MHD_OPTION_END, 0, NULL}};
 
 	if (!ctl->settings.http)
 		return STATUS_OK;
@@ -92,7 +110,7 @@
 	ulfius_add_endpoint_by_val(&instance, "GET", "/metrics", NULL, 0, on_metrics, ctl);
 	ulfius_add_endpoint_by_val(&instance, "GET", "/healthz", NULL, 0, on_health, ctl);
 	ulfius_add_endpoint_by_val(&instance, "GET", "/readyz", NULL, 0, on_ready, ctl);
-	if (ulfius_start_framework(&instance) != U_OK)
+	if (ulfius_start_framework_with_mhd_options(&instance, flags, options) != U_OK)
 		return status_fail(STATUS_IO, "can't listen on %s", ctl->settings.http);
 	return STATUS_OK;
 }
--- a/tests/proc/test_crowds.py
+++ b/tests/proc/test_crowds.py
@@ -203,6 +203,10 @@
             with self.subTest(program=proc.program):
                 self.check(proc, "idle", port, [], IDLE_CLIENTS)
 
+    def test_idle_connections_to_the_metrics_of_a_control_process(self):
+        """Guards against a thread and a descriptor for each of them."""
+        self.check(self.control, "idle, metrics", self.kit.port + 4, [], IDLE_CLIENTS)
+
 
 if __name__ == "__main__":
     unittest.main()
