One connection is closed for each beyond the bound

Cause: a connection that was answered 408 to make room still counted while its client could read the answer, so the next ones were closed as well, the new one included.

Change: it is closed at once after the answer has been written.

Measured: the new test in test_http_limits fails without the change (a new connection is closed), 18 of 18 pass with it.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -475,8 +475,12 @@
 	c->client.conn = c;
 	intake_add(s->options.intake, &c->client, now);
 	conn_account(c);
-	while ((surplus = intake_surplus(s->options.intake, now)))
-		give_up(surplus->conn, 408, "connections");
+	while ((surplus = intake_surplus(s->options.intake, now))) {
+		http_conn_t *other = surplus->conn;
+
+		give_up(other, 408, "connections");
+		conn_close(other); /* without time to read the answer, as it would still count */
+	}
 }
 
 static void on_accept(struct ev_loop *loop, ev_io *w, int events)
--- a/tests/unit/test_http_limits.c
+++ b/tests/unit/test_http_limits.c
@@ -313,6 +313,32 @@
 }
 END_TEST
 
+/* Guards against closing many connections to make room for one. */
+START_TEST(one_connection_is_closed_for_each_beyond_the_bound)
+{
+	intake_t *in = intake_new(&(intake_options_t){64U << 20, 4});
+	int fds[8];
+	http_pair_t p;
+
+	pair_open_limited(&p, large_limits, in);
+	for (int i = 0; i < 8; i++) {
+		fds[i] = connect_to(&p);
+		send_some(fds[i], STR("GET /a HT"));
+		run_loop(&p, 0.005);
+		ck_assert_uint_le(intake_connections(in), 4);
+	}
+	for (int i = 4; i < 8; i++)
+		send_some(fds[i], STR("TP/1.1\r\n\r\n"));
+	run_loop(&p, 0.05);
+	for (int i = 0; i < 8; i++) {
+		ck_assert_int_eq(status_arrived(fds[i]), i < 4 ? 408 : 200);
+		close(fds[i]);
+	}
+	pair_close(&p);
+	intake_free(in);
+}
+END_TEST
+
 /* A stream to a client that does not read ends with its connection, and the user learns of it. */
 START_TEST(client_that_does_not_read_a_stream_is_given_up)
 {
@@ -391,6 +417,7 @@
 	tcase_add_test(t, answers_that_are_not_read_hold_back_the_requests_after_them);
 	tcase_add_test(t, idle_connections_beyond_the_bound_are_closed_and_a_new_one_is_served);
 	tcase_add_test(t, client_that_does_not_read_a_stream_is_given_up);
+	tcase_add_test(t, one_connection_is_closed_for_each_beyond_the_bound);
 	tcase_add_test(t, parsing_events_takes_time_in_proportion_to_their_bytes);
 	tcase_add_test(t, an_endless_event_is_an_error);
 	suite_add_tcase(s, t);
