Collected answers are bounded by the VM's memory; a busy connection's end is always noticed

Cause: the bound on collected answers (48 MB) was a third of a VM of 160 MB, and too much beside the 45 MB of clients' buffers on one of 120 MB. While the budget was used up, a connection whose request was being answered was not read, so that its end went unnoticed.

Change: 30% of memory_mib, at most 48 MB. A connection with nothing read ahead may always read once.

--- a/src/front/front_request.c
+++ b/src/front/front_request.c
@@ -20,9 +20,10 @@
 #define RETURNING_PERCENT 95
 /** Timeout of a caller that does not state one. */
 #define WAIT_DEFAULT_MS 30000
-/** Limit of the buffered answers of all online requests together: a third of the memory of an
- * entry's VM. */
+/** Limit of the buffered answers of all online requests together: 30% of the memory of the entry's
+ * VM, at most this much. The buffers of callers have 38%. */
 #define BUFFERED_BYTES_MAX (48U << 20)
+#define BUFFERED_PERCENT   30
 /** Retry-After of a refusal for which there is no estimate. */
 #define RETRY_MS 200
 /** Retry-After of an entry that stops, or is cut off from the replicas while others are not: the
@@ -354,13 +355,20 @@
 	platform_reply_headers(&q->headers, h);
 }
 
+static size_t buffered_max(const front_t *f)
+{
+	size_t max = ((size_t)f->settings.memory_mib << 20) * BUFFERED_PERCENT / 100;
+
+	return max > 0 && max < BUFFERED_BYTES_MAX ? max : BUFFERED_BYTES_MAX;
+}
+
 /* Buffers bytes of the answer; false if all buffers together would exceed their limit. */
 static bool buffer_bytes(front_request_t *q, str_t piece)
 {
-	if (q->f->buffered_bytes + piece.n > BUFFERED_BYTES_MAX) {
+	if (q->f->buffered_bytes + piece.n > buffered_max(q->f)) {
 		log_event(LOG_LEVEL_WARN, "answers_fill_memory", LOG_STR("request", q->call.id),
 			  LOG_CSTR("replica", q->replica), LOG_INT("bytes", q->body.n),
-			  LOG_INT("most", BUFFERED_BYTES_MAX));
+			  LOG_INT("most", buffered_max(q->f)));
 		return false;
 	}
 	buf_add(&q->body, piece);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -381,7 +381,8 @@
 		timeout_set(&c->timer, c->client.period_end - now);
 }
 
-/* True if there is room for another read. While a request is being answered, its client waits. */
+/* True if there is room for another read. While a request is being answered, its client waits, but
+ * one read is always allowed: it shows whether the client has closed the connection. */
 static bool may_read(http_conn_t *c)
 {
 	size_t bytes = sizeof(*c) + c->user_held + c->out.cap + grown_cap(&c->in, READ_BYTES) +
@@ -392,7 +393,7 @@
 		return true;
 	if ((c->busy || c->out.n > 0) &&
 	    (c->in.n >= READ_AHEAD_BYTES ||
-	     !intake_fits(c->server->options.intake, &c->client, bytes))) {
+	     (c->in.n > 0 && !intake_fits(c->server->options.intake, &c->client, bytes)))) {
 		ev_io_stop(c->server->options.loop, &c->rd);
 		return false;
 	}
