--- a/src/front/main.c
+++ b/src/front/main.c
@@ -98,6 +98,16 @@
 	free(d);
 }
 
+static void on_caller_read(void *ctx, http_conn_t *c)
+{
+	front_conn_data_t *d = http_conn_data(c);
+
+	if (d && d->kind == FRONT_CONN_REQUEST)
+		front_request_caller_read(d->target);
+	else if (d && d->kind == FRONT_CONN_HOP)
+		front_hop_caller_read(d->target);
+}
+
 static void on_ready(void *ctx, http_conn_t *c, const http_request_t *r)
 {
 	front_t *f = ctx;
@@ -130,6 +140,7 @@
 	metric_set(metric_get(METRIC_GAUGE, "auburn_leader_linked", NULL),
 		   leader_link_is_up(f->leader));
 	metric_set(metric_get(METRIC_GAUGE, "auburn_cut_off", NULL), front_is_cut_off(f));
+	http_intake_report(f->intake);
 	metric_render_all(&b);
 	http_reply(c, 200, STR("Content-Type: text/plain; version=0.0.4\r\n"), str_buf(&b));
 }
@@ -219,9 +230,11 @@
 		.loop = f->loop,
 		.addr = addr,
 		.limits = {HEADER_BYTES, body_bytes, HEADER_MS, IDLE_MS},
+		.intake = f->intake,
 		.ctx = f,
 		.request = request,
 		.client_gone = on_caller_gone,
+		.drained = on_caller_read,
 	});
 }
 
@@ -229,6 +242,8 @@
 {
 	const front_settings_t *s = &f->settings;
 
+	f->intake = http_intake_new(&(http_intake_settings_t){s->memory_mib, s->client_memory_mib,
+							      s->client_connections});
 	f->callers = start_listener(f, s->listen, BODY_BYTES, on_request);
 	if (!f->callers)
 		return false;
