Plays count owed arrivals in a loop that the linter accepts

Cause: clang-tidy refuses floating-point loop counters (test_dispatch_admit, test_replica_speed). Change: while loops, as in test_dispatch_load.

--- a/tests/unit/test_dispatch_admit.c
+++ b/tests/unit/test_dispatch_admit.c
@@ -134,8 +134,10 @@
 	for (p->now = 1; p->now < RUN_MS; p->now++) {
 		owed += mean_per_s * (p->now % PERIOD_MS < PEAK_MS ? 1.85 : 0.378) / 1000.0;
 		step(p);
-		for (; owed >= 1; owed -= 1)
+		while (owed >= 1) {
 			ask(p, p->n++);
+			owed -= 1;
+		}
 		dispatch_tick(p->dispatch, p->now);
 	}
 	for (unsigned i = 0; i < RUN_MS / 100; i++) {
--- a/tests/unit/test_replica_speed.c
+++ b/tests/unit/test_replica_speed.c
@@ -430,8 +430,10 @@
 			state_loads(p);
 		owed += 0.330 * opts.load / 100 * (p->now % 5200 < 2200 ? 1.85 : 0.378);
 		work(p);
-		for (; owed >= 1; owed -= 1)
+		while (owed >= 1) {
 			arrive(p);
+			owed -= 1;
+		}
 		dispatch_tick(p->dispatch, p->now);
 		p->idle_ms += has_idle_slots(p);
 	}
