Names of replicas in a play fit their buffer for any number

Cause: the sanitized build refuses test_prompt_cache.c (format-truncation). Change: 16 bytes a name.

--- a/tests/unit/test_prompt_cache.c
+++ b/tests/unit/test_prompt_cache.c
@@ -85,7 +85,7 @@
 
 /* ---- placement ---- */
 
-static char ids[3000][8];
+static char ids[3000][16];
 
 /* Sets replicas r0, r1, ... in three zones. starts: their start times, NULL: all 1. */
 static void set_fleet(dispatch_t *d, unsigned n, const uint64_t *starts, deadline_t now)
