--- a/review/kit2.py
+++ b/review/kit2.py
@@ -54,6 +54,7 @@
         self.id = "i-%s-%06x" % (name, random.getrandbits(24))
         self.born = int(time.time() * 1000)
         self.state = "ready"
+        self.version = 1                    # of its weights
         self.events_of = lambda h: 10       # number of events of a run
         self.gap_s = 0.02                   # between two events
         self.status_of = lambda h: None     # (status, seconds of work) of a run that fails; None: it streams
@@ -69,7 +70,7 @@
     def entry(self):
         return {"id": self.id, "service": self.service, "addr": self.addr, "zone": self.zone, "version": "v1",
                 "slots": self.slots, "state": self.state, "coldLeftMs": 0, "stage": "mixed",
-                "models": [{"name": "m", "version": 1, "adapters": []}], "born": self.born}
+                "models": [{"name": "m", "version": self.version, "adapters": []}], "born": self.born}
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -101,6 +102,9 @@
             return await self.reply(writer, 200, [("Instance-Id", self.id)])
         if h.get("expect-instance", self.id) != self.id:
             return await self.reply(writer, 421, echo + [("Not-Run", "1")])
+        if h.get("expect-version", str(self.version)) != str(self.version):
+            self.kit.record("replica", self.name, "has version", self.version, "and refuses", rid)
+            return await self.reply(writer, 421, echo + [("Not-Run", "1")])
         if not rid:
             return await self.reply(writer, 400, [("Not-Run", "1")])
         deadline = time.time() + int(h["deadline-ms"]) / 1000 if "deadline-ms" in h else None
