--- a/review/kit3.py
+++ b/review/kit3.py
@@ -1,4 +1,4 @@
-"""Common parts of the scripts of cases 11 to 15: a small deployment with the settings of the deploy templates, a record
+"""Common parts of the scripts of case 7: a small deployment with the settings of the deploy templates, a record
 of what was sent, answered and run, and the exit code.
 
 Replicas, the upstream list, callers and the operator are those of tests/proc/platform_kit.py.
