--- a/src/control/control.h
+++ b/src/control/control.h
@@ -23,6 +23,7 @@
 #include "base/toml.h"
 #include "base/clock.h"
 #include "client/control_client.h"
+#include "policy/membership.h"
 #include "raft/group.h"
 #include "state/fleet.h"
 #include "state/ledger.h"
@@ -143,6 +144,8 @@
 void control_repair_round(control_t *ctl, control_group_t *g, const group_status_t *st);
 /** True if operators have retired the control process that has this replica of group 0. */
 bool control_is_retired(control_t *ctl, uint64_t replica_id);
+/** True if operators have retired the control process of the VM with this name and RPC address. */
+bool control_is_retired_vm(control_t *ctl, const char *name, const char *addr);
 /** Counts the control processes other than `except` (id of a replica of group 0) that vote and
  * acknowledge, or could be made voters. Thread-safe. */
 unsigned control_count_able(control_t *ctl, uint64_t except);
@@ -173,9 +176,8 @@
 /** Adds control processes to those that the hub tries as the leader. Thread-safe. */
 void hub_add_controls(control_t *ctl, const toml_strs_t *addrs);
 /** Lists the control processes that are linked to the hub of the leader, as candidates for voters;
- * returns their number. id: of the replica of group 0, 0 while its disk refuses writes.
- * Thread-safe. */
-unsigned hub_candidates(control_t *ctl, group_peer_t out[CONTROL_CANDIDATES_MAX]);
+ * returns their number. Their replicas are those of group 0. Thread-safe. */
+unsigned hub_candidates(control_t *ctl, membership_candidate_t out[CONTROL_CANDIDATES_MAX]);
 /** True if HTTP calls of operators or look-ups of callers were in progress at the hub's last tick.
  * Thread-safe. */
 bool hub_is_busy(const control_t *ctl);
--- a/src/control/control_repair.c
+++ b/src/control/control_repair.c
@@ -61,20 +61,41 @@
 	return r.retired;
 }
 
-/* Lists the processes that could become voters, with the ids of their replicas: those linked to the
- * hub or, without a hub, the spares of the settings that answer. With a hub, the ids are those of
- * group 0 even if g is another group. */
+typedef struct {
+	str_t name;
+	str_t addr;
+	bool retired;
+} retired_vm_query_t;
+
+static void read_retired_vm(control_group_t *g, void *arg)
+{
+	retired_vm_query_t *r = arg;
+
+	r->retired = fleet_is_retired_vm(g->fleet, r->name, r->addr);
+}
+
+bool control_is_retired_vm(control_t *ctl, const char *name, const char *addr)
+{
+	retired_vm_query_t r = {.name = str_c(name), .addr = str_c(addr)};
+
+	control_group_read(&ctl->groups[0], read_retired_vm, &r);
+	return r.retired;
+}
+
+/* Lists the processes that could become voters: those linked to the hub or, without a hub, the
+ * spares of the settings that answer. With a hub, their replicas are those of group 0 even if g is
+ * another group. */
 static unsigned list_candidates(control_t *ctl, control_group_t *g,
-				group_peer_t out[CONTROL_CANDIDATES_MAX])
+				membership_candidate_t out[CONTROL_CANDIDATES_MAX])
 {
 	unsigned n = 0;
 
 	if (ctl->hub)
 		return hub_candidates(ctl, out);
 	for (size_t i = 0; i < ctl->settings.spares.n && n < CONTROL_CANDIDATES_MAX; i++) {
-		group_peer_t *p = &out[n];
+		group_peer_t *p = &out[n].replica;
 
-		*p = (group_peer_t){0};
+		out[n] = (membership_candidate_t){0};
 		snprintf(p->addr, sizeof(p->addr), "%s", ctl->settings.spares.v[i]);
 		p->id = fetch_replica_id(p->addr, g->number, p->zone);
 		n += p->id != 0;
@@ -82,24 +103,26 @@
 	return n;
 }
 
-/* Returns the id of the replica that is now at a voter's address; 0 if unknown. An id other than
- * the voter's means that the process has lost the voter's disk or set its damaged folder aside.
- * With a hub, the id is that of group 0 even if g is another group. */
-static uint64_t find_replica_id(control_t *ctl, control_group_t *g, const char *addr, char zone[32])
+/* Finds the process that is now at a voter's address. Its replica id is 0 if none answers there;
+ * one other than the voter's means that the process has lost the voter's disk or set its damaged
+ * folder aside. With a hub, the replica is that of group 0 even if g is another group. */
+static membership_candidate_t find_candidate(control_t *ctl, control_group_t *g, const char *addr)
 {
-	group_peer_t v[CONTROL_CANDIDATES_MAX];
+	membership_candidate_t v[CONTROL_CANDIDATES_MAX];
+	membership_candidate_t c = {0};
 	unsigned n;
 
-	if (!ctl->hub)
-		return fetch_replica_id(addr, g->number, zone);
+	if (!ctl->hub) {
+		snprintf(c.replica.addr, sizeof(c.replica.addr), "%s", addr);
+		c.replica.id = fetch_replica_id(addr, g->number, c.replica.zone);
+		return c;
+	}
 	n = hub_candidates(ctl, v);
 	for (unsigned i = 0; i < n; i++) {
-		if (strcmp(v[i].addr, addr) != 0)
-			continue;
-		snprintf(zone, 32, "%s", v[i].zone);
-		return v[i].id;
+		if (strcmp(v[i].replica.addr, addr) == 0)
+			return v[i];
 	}
-	return 0;
+	return c;
 }
 
 /* ---- what decisions are based on ---- */
@@ -124,7 +147,7 @@
 
 typedef struct {
 	membership_view_t view;
-	group_peer_t candidates[CONTROL_CANDIDATES_MAX];
+	membership_candidate_t candidates[CONTROL_CANDIDATES_MAX];
 	membership_bans_t bans;
 } view_t;
 
@@ -133,6 +156,12 @@
 	return control_is_retired(ctx, id);
 }
 
+static bool is_retired_vm(void *ctx, const char *name, const char *addr)
+{
+	return control_is_retired_vm(ctx, name, addr);
+}
+
+/* Without candidates. */
 static void init_view(control_t *ctl, const group_status_t *st, view_t *v)
 {
 	pthread_mutex_lock(&bans_lock);
@@ -144,6 +173,7 @@
 				      .now = clock_now_ms(),
 				      .grace_ms = ctl->settings.replace_grace_ms,
 				      .is_retired = is_retired,
+				      .is_retired_vm = is_retired_vm,
 				      .ctx = ctl};
 }
 
@@ -168,12 +198,12 @@
 	return membership_find_spare(&v.view, zone, out);
 }
 
-static bool is_eligible(control_t *ctl, const group_status_t *st, uint64_t id)
+static bool is_eligible(control_t *ctl, const group_status_t *st, const membership_candidate_t *c)
 {
 	view_t v;
 
 	init_view(ctl, st, &v);
-	return membership_is_eligible(&v.view, id);
+	return membership_is_eligible(&v.view, c);
 }
 
 /* STATUS_LIMIT if fewer than a majority of the voters after the change would acknowledge. */
@@ -190,33 +220,56 @@
 
 /* ---- steps ---- */
 
-/* Prefers the process at the lost voter's address if it has a new replica id, then a spare in the
- * voter's zone, then any spare. */
+/* Prefers the process at the lost voter's address if it has a new replica id and isn't retired,
+ * then a spare in the voter's zone, then any spare. */
 static bool find_replacement(control_t *ctl, control_group_t *g, const group_status_t *st,
 			     const group_peer_t *lost, group_peer_t *out)
 {
-	uint64_t id;
+	membership_candidate_t c = find_candidate(ctl, g, lost->addr);
 
-	*out = (group_peer_t){0};
-	snprintf(out->addr, sizeof(out->addr), "%s", lost->addr);
-	id = find_replica_id(ctl, g, lost->addr, out->zone);
-	if (id != lost->id && is_eligible(ctl, st, id)) {
-		out->id = id;
+	if (c.replica.id != lost->id && is_eligible(ctl, st, &c)) {
+		*out = c.replica;
 		return true;
 	}
+	*out = (group_peer_t){0};
 	return find_spare(ctl, g, st, lost->zone, out);
 }
 
-/* Promotes the learner once it has caught up. Returns true while there is a learner: the group
- * changes one member at a time, so other changes wait. */
+static void remove_learner(control_group_t *g, const group_peer_t *learner, const char *reason)
+{
+	status_t result = group_remove(g->raft, learner->id, clock_now_ms() + MEMBER_CHANGE_MS);
+
+	log_event(LOG_LEVEL_WARN, "learner_removed", LOG_INT("group", g->number),
+		  LOG_CSTR("addr", learner->addr), LOG_CSTR("reason", reason),
+		  LOG_CSTR("status", status_name(result)));
+}
+
+/* False if this process, as a new leader of group 0, may not have applied an acknowledged order to
+ * retire a VM yet. */
+static bool knows_all_retired(control_group_t *g)
+{
+	return g->number != 0 ||
+	       group_read_barrier(g->raft, clock_now_ms() + MEMBER_CHANGE_MS) == STATUS_OK;
+}
+
+/* Promotes the learner once it has caught up, or removes it if it is retired: an order may come
+ * after it was added. Returns true while there is a learner: the group changes one member at a
+ * time, so other changes wait. */
 static bool promote_learner(control_t *ctl, control_group_t *g, const group_status_t *st)
 {
 	for (unsigned i = 0; i < st->npeers; i++) {
+		bool caught_up = st->match[i] >= st->commit;
 		status_t result;
 
 		if (st->peers[i].voter)
 			continue;
-		if (st->match[i] < st->commit)
+		if (caught_up && !knows_all_retired(g))
+			return true;
+		if (control_is_retired(ctl, st->peers[i].id)) {
+			remove_learner(g, &st->peers[i], "retired");
+			return true;
+		}
+		if (!caught_up)
 			return true;
 		result = check_majority(ctl, st, st->peers[i].id, 0);
 		if (result == STATUS_OK)
@@ -238,11 +291,8 @@
 	for (unsigned i = 0; i < st->npeers; i++) {
 		if (st->peers[i].voter || !is_silent(st, i, ctl->settings.replace_grace_ms))
 			continue;
-		group_remove(g->raft, st->peers[i].id, clock_now_ms() + MEMBER_CHANGE_MS);
+		remove_learner(g, &st->peers[i], "silent");
 		ban(st->peers[i].id);
-		log_event(LOG_LEVEL_WARN, "learner_removed", LOG_INT("group", g->number),
-			  LOG_CSTR("addr", st->peers[i].addr), LOG_CSTR("reason", "silent"),
-			  LOG_INT("not_again_ms", MEMBERSHIP_BAN_MS));
 		return true;
 	}
 	return false;
@@ -289,8 +339,7 @@
  * replaced without waiting for the grace time. */
 static bool has_new_id(control_t *ctl, control_group_t *g, const group_status_t *st, unsigned i)
 {
-	char zone[32];
-	uint64_t id = find_replica_id(ctl, g, st->peers[i].addr, zone);
+	uint64_t id = find_candidate(ctl, g, st->peers[i].addr).replica.id;
 
 	return id != 0 && id != st->peers[i].id;
 }
@@ -316,19 +365,16 @@
 		  LOG_CSTR("status", status_name(result)));
 }
 
-/* Takes the next step to remove a member that operators have retired: removes a learner, replaces a
- * voter. If the voter is this leader, it hands over its leadership once the replacement votes, and
- * the next leader removes it. Returns true if a member is retired: if its id is that of a retired
- * process's replica of group 0, even if g is another group. */
+/* Takes the next step to replace a voter that operators have retired. If it is this leader, it
+ * hands over its leadership once the replacement votes, and the next leader removes it. Returns
+ * true if a voter is retired: if its id is that of a retired process's replica of group 0, even if
+ * g is another group. */
 static bool replace_retired(control_t *ctl, control_group_t *g, const group_status_t *st)
 {
 	for (unsigned i = 0; i < st->npeers; i++) {
-		if (!control_is_retired(ctl, st->peers[i].id))
+		if (!st->peers[i].voter || !control_is_retired(ctl, st->peers[i].id))
 			continue;
-		if (!st->peers[i].voter)
-			group_remove(g->raft, st->peers[i].id, clock_now_ms() + MEMBER_CHANGE_MS);
-		else if (st->peers[i].id == st->self &&
-			 count_voters(st) > control_voter_target(ctl))
+		if (st->peers[i].id == st->self && count_voters(st) > control_voter_target(ctl))
 			group_step_down(g->raft, clock_now_ms() + MEMBER_CHANGE_MS);
 		else
 			replace_voter(ctl, g, st, i);
--- a/src/control/control_voters.c
+++ b/src/control/control_voters.c
@@ -14,11 +14,11 @@
 /* True if the process at addr is linked to this leader's hub. */
 static bool is_linked(control_t *ctl, const char *addr)
 {
-	group_peer_t v[CONTROL_CANDIDATES_MAX];
+	membership_candidate_t v[CONTROL_CANDIDATES_MAX];
 	unsigned n = ctl->hub ? hub_candidates(ctl, v) : 0;
 
 	for (unsigned i = 0; i < n; i++) {
-		if (strcmp(v[i].addr, addr) == 0)
+		if (strcmp(v[i].replica.addr, addr) == 0)
 			return true;
 	}
 	return false;
--- a/src/control/hub.c
+++ b/src/control/hub.c
@@ -79,19 +79,20 @@
 	pthread_mutex_lock(&h->lock);
 	h->ncandidates = 0;
 	for (hub_peer_t *p = h->peers; p; p = p->hh.next) {
-		group_peer_t *c = &h->candidates[h->ncandidates];
+		membership_candidate_t *c = &h->candidates[h->ncandidates];
 
 		if (!p->rpc_addr[0] || h->ncandidates == CONTROL_CANDIDATES_MAX)
 			continue;
-		*c = (group_peer_t){.id = p->disk_failed ? 0 : p->replica_id};
-		snprintf(c->addr, sizeof(c->addr), "%s", p->rpc_addr);
-		snprintf(c->zone, sizeof(c->zone), "%s", p->zone);
+		*c = (membership_candidate_t){.replica.id = p->disk_failed ? 0 : p->replica_id};
+		snprintf(c->replica.addr, sizeof(c->replica.addr), "%s", p->rpc_addr);
+		snprintf(c->replica.zone, sizeof(c->replica.zone), "%s", p->zone);
+		snprintf(c->name, sizeof(c->name), "%s", p->name);
 		h->ncandidates++;
 	}
 	pthread_mutex_unlock(&h->lock);
 }
 
-unsigned hub_candidates(control_t *ctl, group_peer_t out[CONTROL_CANDIDATES_MAX])
+unsigned hub_candidates(control_t *ctl, membership_candidate_t out[CONTROL_CANDIDATES_MAX])
 {
 	hub_t *h = ctl->hub;
 	unsigned n;
@@ -220,7 +221,9 @@
 		return;
 	if (first)
 		log_event(LOG_LEVEL_INFO, "peer_linked", LOG_CSTR("peer", p->name),
-			  LOG_CSTR("zone", p->zone), LOG_INT("runs", m->runs.runs_len));
+			  LOG_CSTR("zone", p->zone), LOG_INT("runs", m->runs.runs_len),
+			  LOG_INT("retired",
+				  control_is_retired_vm(h->control, p->name, p->rpc_addr)));
 	else if (p->draining)
 		log_event(LOG_LEVEL_INFO, "peer_draining", LOG_CSTR("peer", p->name));
 	p->registered = true;
--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -246,7 +246,7 @@
 	msgconn_t *announce_links[HUB_ANNOUNCE_MAX]; /* see hub_announce.c */
 	size_t nannounce_links;
 	pthread_mutex_t lock; /* guards candidates */
-	group_peer_t candidates[CONTROL_CANDIDATES_MAX];
+	membership_candidate_t candidates[CONTROL_CANDIDATES_MAX];
 	unsigned ncandidates;
 	bool disk_failed; /* as last told to the leader */
 };
--- a/src/control/hub_retire.c
+++ b/src/control/hub_retire.c
@@ -1,6 +1,6 @@
-/* Retires control processes for operators: group 0 records the process's Raft replica as retired,
- * and the repair (control_repair.c) replaces it in the group. Calls name the process by its "node"
- * (VM). */
+/* Retires control processes for operators: group 0 records the VM and its Raft replicas as retired,
+ * and the repair (control_repair.c) replaces them in the group. Calls name the process by its
+ * "node" (VM). */
 #include <stdlib.h>
 #include <string.h>
 #include "base/log.h"
@@ -17,7 +17,9 @@
 	hub_t *h;
 	hub_origin_t from;
 	char *node; /* name of the control process */
-	uint64_t replica_id; /* to retire; 0: the call asks whether the retired process is empty */
+	char addr[64]; /* its RPC address */
+	uint64_t replica_ids[GROUP_PEERS_MAX + 1]; /* to retire */
+	unsigned nreplicas; /* 0: the call asks whether the retired process is empty */
 	status_t st;
 	char message[128];
 	bool empty; /* see check_empty */
@@ -25,55 +27,74 @@
 
 typedef struct {
 	str_t node;
-	uint64_t replica_id;
+	group_status_t st;
+	bool retired;
+	unsigned members; /* that are replicas of the retired process */
 } retired_lookup_t;
 
-static void find_retired_replica(control_group_t *g, void *arg)
+static void count_retired_members(control_group_t *g, void *arg)
 {
 	retired_lookup_t *f = arg;
 
-	f->replica_id = fleet_retired_replica(g->fleet, f->node);
+	f->retired = fleet_has_retired(g->fleet, f->node);
+	for (unsigned i = 0; i < f->st.npeers; i++)
+		f->members += fleet_is_retired_as(g->fleet, f->node, f->st.peers[i].id);
 }
 
-/* Checks whether a retired process is empty: its replica is no longer a member of group 0. The VM
- * can be removed then, as the members hold all of its data, synced. Checks no ledger group. */
+/* Checks whether a retired process is empty: no replica of it is a member of group 0 any more. The
+ * VM can be removed then, as the members hold all of its data, synced, and the repair adds none of
+ * its replicas again. Checks no ledger group. */
 static void check_empty(retire_task_t *o)
 {
 	control_group_t *g = &o->h->control->groups[0];
 	retired_lookup_t f = {.node = str_c(o->node)};
-	group_status_t st;
 
 	o->st = group_read_barrier(g->raft, clock_now_ms() + RETIRE_MS);
 	if (o->st != STATUS_OK)
 		return;
-	control_group_read(g, find_retired_replica, &f);
-	if (!f.replica_id) {
+	group_get_status(g->raft, &f.st);
+	control_group_read(g, count_retired_members, &f);
+	if (!f.retired)
 		o->st = status_fail(STATUS_NOT_FOUND, "%s is not retired", o->node);
-		return;
-	}
-	group_get_status(g->raft, &st);
-	o->empty = true;
-	for (unsigned i = 0; i < st.npeers; i++)
-		o->empty &= st.peers[i].id != f.replica_id;
+	o->empty = f.retired && f.members == 0;
 }
 
-static void retire_work(worker_task_t *task)
+/* Commits that the replica is retired, under the name or the address of its VM. */
+static status_t commit_retired(hub_t *h, const char *key, uint64_t replica_id, deadline_t deadline)
 {
-	retire_task_t *o = (retire_task_t *)task;
 	wire_fleet_cmd_t cmd = {.kind = WIRE_FLEET_RETIRE};
 	wire_fleet_res_t res;
+	status_t st;
+
+	cmd.wire_fleet_cmd_t_u.retire.key = wire_bytes(str_c(key));
+	cmd.wire_fleet_cmd_t_u.retire.replica = replica_id;
+	st = control_fleet_propose(h->control, &cmd, &res, deadline);
+	if (st == STATUS_OK)
+		st = (status_t)res.status;
+	wire_free(XDR_PROC(wire_fleet_res_t), &res);
+	return st;
+}
+
+/* An order whose commands were committed in part only is unclear to its operator, who repeats it.
+ */
+static void retire_replicas(retire_task_t *o)
+{
+	deadline_t deadline = clock_now_ms() + RETIRE_MS;
+
+	for (unsigned i = 0; i < o->nreplicas && o->st == STATUS_OK; i++)
+		o->st = commit_retired(o->h, o->node, o->replica_ids[i], deadline);
+	if (o->st == STATUS_OK)
+		o->st = commit_retired(o->h, o->addr, o->replica_ids[0], deadline);
+}
+
+static void retire_work(worker_task_t *task)
+{
+	retire_task_t *o = (retire_task_t *)task;
 
-	if (!o->replica_id) {
+	if (o->nreplicas > 0)
+		retire_replicas(o);
+	else
 		check_empty(o);
-	} else {
-		cmd.wire_fleet_cmd_t_u.retire.name = wire_bytes(str_c(o->node));
-		cmd.wire_fleet_cmd_t_u.retire.replica = o->replica_id;
-		o->st = control_fleet_propose(o->h->control, &cmd, &res,
-					      clock_now_ms() + RETIRE_MS);
-		if (o->st == STATUS_OK)
-			o->st = (status_t)res.status;
-		wire_free(XDR_PROC(wire_fleet_res_t), &res);
-	}
 	snprintf(o->message, sizeof(o->message), "%s", o->st == STATUS_OK ? "" : status_message());
 }
 
@@ -83,43 +104,59 @@
 	link_reply_t r = {
 		.status = (int)o->st, .message = wire_bytes(str_c(o->message)), .empty = o->empty};
 
-	log_event(LOG_LEVEL_INFO, o->replica_id ? "retire_ordered" : "retire_asked",
-		  LOG_CSTR("node", o->node), LOG_CSTR("status", status_name(o->st)),
+	log_event(LOG_LEVEL_INFO, o->nreplicas > 0 ? "retire_ordered" : "retire_asked",
+		  LOG_CSTR("node", o->node), LOG_CSTR("addr", o->addr),
+		  LOG_INT("replicas", o->nreplicas), LOG_CSTR("status", status_name(o->st)),
 		  LOG_INT("empty", o->empty));
 	hub_reply(o->h, &o->from, &r);
 	free(o->node);
 	free(o);
 }
 
-/* Returns the id of the member at this address; 0 if there is none. A process whose disk refuses
- * writes links without an id. */
-static uint64_t find_member_at(hub_t *h, const char *addr)
+/* Finds the process with this name, its address and the ids of its replicas: of the linked one, and
+ * of members that had this address before its disk was lost. Returns STATUS_NOT_FOUND if it is
+ * neither linked nor this process. A process whose disk refuses writes links without an id. */
+static status_t find_process(hub_t *h, retire_task_t *o)
 {
+	str_t node = str_c(o->node);
+	uint64_t current = 0;
 	group_status_t st;
 
 	group_get_status(h->control->groups[0].raft, &st);
-	for (unsigned i = 0; i < st.npeers; i++) {
-		if (strcmp(st.peers[i].addr, addr) == 0)
-			return st.peers[i].id;
+	if (str_eq(str_c(h->control->settings.name), node)) {
+		current = st.self;
+		for (unsigned i = 0; i < st.npeers; i++) {
+			if (st.peers[i].id == st.self)
+				snprintf(o->addr, sizeof(o->addr), "%s", st.peers[i].addr);
+		}
+	}
+	for (hub_peer_t *p = h->peers; p && !o->addr[0]; p = p->hh.next) {
+		if (!p->rpc_addr[0] || !str_eq(str_c(p->name), node))
+			continue;
+		current = p->replica_id;
+		snprintf(o->addr, sizeof(o->addr), "%s", p->rpc_addr);
 	}
-	return 0;
+	if (!o->addr[0])
+		return status_fail(STATUS_NOT_FOUND, "no VM with this name is linked");
+	o->nreplicas = membership_ids_at(&st, o->addr, current, o->replica_ids);
+	if (o->nreplicas == 0)
+		return status_fail(STATUS_UNAVAILABLE,
+				   "the disk of %s refuses writes, its replica is unknown",
+				   o->node);
+	return STATUS_OK;
 }
 
-/* Returns the replica id of the control process with this name; 0 if it is neither linked nor this
- * process. */
-static uint64_t find_replica_id(hub_t *h, str_t node)
+/* Refuses to retire a VM if too few would remain to vote, unless it was ordered before: an order
+ * that was accepted is accepted again, also if the VM has lost its disk since. */
+static status_t check_order(hub_t *h, const retire_task_t *o)
 {
-	group_status_t st;
+	control_t *ctl = h->control;
 
-	if (str_eq(str_c(h->control->settings.name), node)) {
-		group_get_status(h->control->groups[0].raft, &st);
-		return st.self;
-	}
-	for (hub_peer_t *p = h->peers; p; p = p->hh.next) {
-		if (p->rpc_addr[0] && str_eq(str_c(p->name), node))
-			return p->replica_id ? p->replica_id : find_member_at(h, p->rpc_addr);
-	}
-	return 0;
+	if (control_is_retired(ctl, o->replica_ids[0]) ||
+	    control_is_retired_vm(ctl, o->node, o->addr) ||
+	    control_count_able(ctl, o->replica_ids[0]) >= control_voter_target(ctl))
+		return STATUS_OK;
+	return status_fail(STATUS_CONFLICT, "too few VMs would remain to vote");
 }
 
 /* Before the other control processes have had time to link, a new leader cannot tell whether a VM
@@ -134,42 +171,34 @@
 
 /* Refuses to retire a control process: with status st, or as "unavailable" while st may be wrong
  * because others have not linked yet. */
-static void refuse_retire(hub_t *h, const hub_origin_t *from, str_t node, status_t st)
+static void refuse_retire(hub_t *h, const hub_origin_t *from, const char *node, status_t st)
 {
 	if (!peers_had_time_to_link(h))
 		st = status_fail(STATUS_UNAVAILABLE, "this process became leader only moments ago");
-	log_event(LOG_LEVEL_INFO, "retire_refused", LOG_STR("node", node),
+	log_event(LOG_LEVEL_INFO, "retire_refused", LOG_CSTR("node", node),
 		  LOG_CSTR("status", status_name(st)), LOG_CSTR("message", status_message()));
 	hub_reply_status(h, from, st);
 }
 
 void hub_retire_handle_call(hub_t *h, const hub_origin_t *from, const link_call_arg_t *arg)
 {
-	str_t node = wire_str(arg->link_call_arg_t_u.node);
-	uint64_t replica_id = 0;
-	retire_task_t *o;
+	retire_task_t *o = mem_new(sizeof(*o));
+	status_t st = STATUS_OK;
 
-	if (arg->kind == LINK_CALL_RETIRE) {
-		replica_id = find_replica_id(h, node);
-		if (!replica_id) {
-			refuse_retire(
-				h, from, node,
-				status_fail(STATUS_NOT_FOUND, "no VM with this name is linked"));
-			return;
-		}
-		if (!control_is_retired(h->control, replica_id) &&
-		    control_count_able(h->control, replica_id) < control_voter_target(h->control)) {
-			refuse_retire(
-				h, from, node,
-				status_fail(STATUS_CONFLICT, "too few VMs would remain to vote"));
-			return;
-		}
-	}
-	o = mem_new(sizeof(*o));
 	o->task = (worker_task_t){retire_work, retire_done, NULL};
 	o->h = h;
 	o->from = *from;
-	o->node = str_dup(node);
-	o->replica_id = replica_id;
+	o->node = str_dup(wire_str(arg->link_call_arg_t_u.node));
+	if (arg->kind == LINK_CALL_RETIRE) {
+		st = find_process(h, o);
+		if (st == STATUS_OK)
+			st = check_order(h, o);
+	}
+	if (st != STATUS_OK) {
+		refuse_retire(h, from, o->node, st);
+		free(o->node);
+		free(o);
+		return;
+	}
 	worker_pool_submit(h->call_workers, &o->task);
 }
--- a/src/policy/membership.c
+++ b/src/policy/membership.c
@@ -63,9 +63,12 @@
 	return n;
 }
 
-bool membership_is_eligible(const membership_view_t *v, uint64_t id)
+bool membership_is_eligible(const membership_view_t *v, const membership_candidate_t *c)
 {
+	uint64_t id = c->replica.id;
+
 	return id != 0 && !is_member(v->st, id) && !v->is_retired(v->ctx, id) &&
+	       !v->is_retired_vm(v->ctx, c->name, c->replica.addr) &&
 	       !membership_is_banned(v->bans, id, v->now);
 }
 
@@ -74,10 +77,10 @@
 	bool found = false;
 
 	for (unsigned i = 0; i < v->ncandidates; i++) {
-		const group_peer_t *c = &v->candidates[i];
+		const group_peer_t *c = &v->candidates[i].replica;
 		bool better;
 
-		if (has_voter_at(v->st, c->addr) || !membership_is_eligible(v, c->id))
+		if (has_voter_at(v->st, c->addr) || !membership_is_eligible(v, &v->candidates[i]))
 			continue;
 		better = zone ? strcmp(c->zone, zone) == 0
 			      : count_zone_voters(v->st, c->zone) <
@@ -94,7 +97,7 @@
 static bool is_disowned(const membership_view_t *v, const group_peer_t *p)
 {
 	for (unsigned i = 0; i < v->ncandidates; i++) {
-		const group_peer_t *c = &v->candidates[i];
+		const group_peer_t *c = &v->candidates[i].replica;
 
 		if (c->id != p->id && strcmp(c->addr, p->addr) == 0)
 			return true;
@@ -114,8 +117,22 @@
 		     !v->is_retired(v->ctx, p->id) && !is_disowned(v, p);
 	}
 	for (unsigned i = 0; i < v->ncandidates; i++)
-		n += v->candidates[i].id != except &&
-		     membership_is_eligible(v, v->candidates[i].id);
+		n += v->candidates[i].replica.id != except &&
+		     membership_is_eligible(v, &v->candidates[i]);
+	return n;
+}
+
+unsigned membership_ids_at(const group_status_t *st, const char *addr, uint64_t current,
+			   uint64_t out[GROUP_PEERS_MAX + 1])
+{
+	unsigned n = 0;
+
+	if (current != 0)
+		out[n++] = current;
+	for (unsigned i = 0; i < st->npeers; i++) {
+		if (st->peers[i].id != current && strcmp(st->peers[i].addr, addr) == 0)
+			out[n++] = st->peers[i].id;
+	}
 	return n;
 }
 
--- a/src/proto/wire.x
+++ b/src/proto/wire.x
@@ -109,9 +109,12 @@
 	wire_lot_open_t opens<>;
 };
 
-/* A control process that an operator retires: it must hold no replica of any group any more. */
+/* A control process that an operator retires: it must hold no replica of any group any more. A
+ * command for each of its replica ids gives the name of its VM; a last one gives its RPC address, so
+ * that the VM is recognized once its process has lost its disk and has a new id. Older builds ignore
+ * the last one. */
 struct wire_retire_t {
-	wire_bytes_t name;
+	wire_bytes_t key;		/* name or address */
 	unsigned hyper replica;		/* id of its replica of group 0 */
 };
 
--- a/src/proto/wire_xdr.c
+++ b/src/proto/wire_xdr.c
@@ -256,7 +256,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_wire_bytes_t (xdrs, &objp->name))
+	 if (!xdr_wire_bytes_t (xdrs, &objp->key))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->replica))
 		 return FALSE;
--- a/src/proto/wire_xdr.h
+++ b/src/proto/wire_xdr.h
@@ -131,7 +131,7 @@
 typedef struct wire_lots_cmd_t wire_lots_cmd_t;
 
 struct wire_retire_t {
-	wire_bytes_t name;
+	wire_bytes_t key;
 	u_quad_t replica;
 };
 typedef struct wire_retire_t wire_retire_t;
--- a/src/state/fleet.c
+++ b/src/state/fleet.c
@@ -84,7 +84,7 @@
 		fleet_upstream_free(f, f->upstreams);
 	free(f->configs);
 	for (size_t i = 0; i < f->nretired; i++)
-		free(f->retired[i].name);
+		free(f->retired[i].key);
 	free(f->retired);
 	free(f->closed);
 	free(f);
@@ -239,22 +239,22 @@
 
 /* ---- retired control processes ---- */
 
-void fleet_retired_add(fleet_state_t *f, str_t name, uint64_t replica)
+void fleet_retired_add(fleet_state_t *f, str_t key, uint64_t replica)
 {
 	if (f->nretired == f->retired_cap) {
 		f->retired_cap = f->retired_cap ? f->retired_cap * 2 : LIST_CAP_MIN;
 		f->retired = mem_grow(f->retired, f->retired_cap * sizeof(*f->retired));
 	}
-	f->retired[f->nretired++] = (fleet_retired_t){str_dup(name), replica};
+	f->retired[f->nretired++] = (fleet_retired_t){str_dup(key), replica};
 }
 
 /** Records that a control process must no longer hold replicas. */
 static status_t retire_control(fleet_state_t *f, const wire_retire_t *c)
 {
-	if (c->name.wire_bytes_t_len == 0 || c->replica == 0)
+	if (c->key.wire_bytes_t_len == 0 || c->replica == 0)
 		return status_fail(STATUS_INVALID, "control process has no name or replica");
-	if (!fleet_is_retired(f, c->replica))
-		fleet_retired_add(f, wire_str(c->name), c->replica);
+	if (!fleet_is_retired_as(f, wire_str(c->key), c->replica))
+		fleet_retired_add(f, wire_str(c->key), c->replica);
 	return STATUS_OK;
 }
 
--- a/src/state/fleet.h
+++ b/src/state/fleet.h
@@ -26,12 +26,18 @@
 void fleet_snapshot(const fleet_state_t *f, buf_t *out);
 status_t fleet_restore(fleet_state_t *f, str_t snap);
 
-/** A control process is retired (WIRE_FLEET_RETIRE) when an operator removes it for good. Returns
- * the replica of group 0 of the process last retired under this name, or 0. */
-uint64_t fleet_retired_replica(const fleet_state_t *f, str_t name);
+/** A control process is retired (WIRE_FLEET_RETIRE) when an operator removes its VM for good.
+ * Returns true if one is under this key: the name of its VM or its RPC address. */
+bool fleet_has_retired(const fleet_state_t *f, str_t key);
 /** Returns true if the control process with this replica of group 0 is retired: it must no longer
  * hold a replica of any group. */
 bool fleet_is_retired(const fleet_state_t *f, uint64_t replica);
+/** Returns true if this replica is one that the process retired under this key had. */
+bool fleet_is_retired_as(const fleet_state_t *f, str_t key, uint64_t replica);
+/** Returns true if the control process of the VM with this name and RPC address is retired,
+ * whatever replica it has now: the loss of its disk gives it another one. A new VM that has only
+ * the name or only the address of a retired one is not. */
+bool fleet_is_retired_vm(const fleet_state_t *f, str_t name, str_t addr);
 
 /** Returns the number of the newest config; 0: there is none. */
 uint64_t fleet_config_number(const fleet_state_t *f);
--- a/src/state/fleet_internal.h
+++ b/src/state/fleet_internal.h
@@ -43,9 +43,10 @@
 	UT_hash_handle hh; /* by id */
 } fleet_upstream_t;
 
-/** A control process that must no longer hold replicas. */
+/** A control process that must no longer hold replicas; it has a record for each key and replica.
+ */
 typedef struct {
-	char *name;
+	char *key; /* name of its VM, or its RPC address */
 	uint64_t replica; /* id of its replica of group 0 */
 } fleet_retired_t;
 
@@ -75,7 +76,7 @@
 void fleet_member_add(fleet_state_t *f, fleet_member_t *m);
 void fleet_upstream_add(fleet_state_t *f, fleet_upstream_t *u);
 void fleet_upstream_free(fleet_state_t *f, fleet_upstream_t *u);
-void fleet_retired_add(fleet_state_t *f, str_t name, uint64_t replica);
+void fleet_retired_add(fleet_state_t *f, str_t key, uint64_t replica);
 /** Adds a closed session that must be reported to the ledgers. */
 void fleet_closed_add(fleet_state_t *f, uint64_t session);
 
--- a/src/state/fleet_query.c
+++ b/src/state/fleet_query.c
@@ -2,12 +2,12 @@
 #include <string.h>
 #include "state/fleet_internal.h"
 
-uint64_t fleet_retired_replica(const fleet_state_t *f, str_t name)
+bool fleet_has_retired(const fleet_state_t *f, str_t key)
 {
-	for (size_t i = f->nretired; i > 0; i--)
-		if (str_eq(str_c(f->retired[i - 1].name), name))
-			return f->retired[i - 1].replica;
-	return 0;
+	for (size_t i = 0; i < f->nretired; i++)
+		if (str_eq(str_c(f->retired[i].key), key))
+			return true;
+	return false;
 }
 
 bool fleet_is_retired(const fleet_state_t *f, uint64_t replica)
@@ -18,6 +18,23 @@
 	return false;
 }
 
+bool fleet_is_retired_as(const fleet_state_t *f, str_t key, uint64_t replica)
+{
+	for (size_t i = 0; i < f->nretired; i++)
+		if (f->retired[i].replica == replica && str_eq(str_c(f->retired[i].key), key))
+			return true;
+	return false;
+}
+
+bool fleet_is_retired_vm(const fleet_state_t *f, str_t name, str_t addr)
+{
+	for (size_t i = 0; i < f->nretired; i++)
+		if (str_eq(str_c(f->retired[i].key), name) &&
+		    fleet_is_retired_as(f, addr, f->retired[i].replica))
+			return true;
+	return false;
+}
+
 uint64_t fleet_config_number(const fleet_state_t *f)
 {
 	return f->nconfigs;
--- a/src/state/fleet_snapshot.c
+++ b/src/state/fleet_snapshot.c
@@ -61,7 +61,7 @@
 		pack_upstream(out, u);
 	pack_u64(out, f->nretired);
 	for (size_t i = 0; i < f->nretired; i++) {
-		pack_str(out, str_c(f->retired[i].name));
+		pack_str(out, str_c(f->retired[i].key));
 		pack_u64(out, f->retired[i].replica);
 	}
 }
@@ -133,9 +133,9 @@
 		unpack_upstream(&in, f);
 	if (version >= SNAPSHOT_VERSION) {
 		for (n = unpack_u64(&in); n > 0 && !in.bad; n--) {
-			str_t name = unpack_str(&in);
+			str_t key = unpack_str(&in);
 
-			fleet_retired_add(f, name, unpack_u64(&in));
+			fleet_retired_add(f, key, unpack_u64(&in));
 		}
 	}
 	return unpack_end(&in, "fleet");
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -197,6 +197,52 @@
 }
 END_TEST
 
+static void retire(const char *key, uint64_t replica)
+{
+	wire_fleet_cmd_t cmd = {.kind = WIRE_FLEET_RETIRE};
+	AUTO_RES res;
+
+	cmd.wire_fleet_cmd_t_u.retire = (wire_retire_t){bytes_of(key), replica};
+	res = apply_cmd(&cmd);
+	ck_assert_int_eq(res.status, STATUS_OK);
+}
+
+/* Guards against a retired VM that may vote again once it has lost its disk and has a new id. */
+START_TEST(a_retired_vm_is_known_by_its_name_and_address)
+{
+	retire("store-1", 7);
+	ck_assert(!fleet_is_retired_vm(fleet, STR("store-1"), STR("10.0.0.1:1")));
+	retire("10.0.0.1:1", 7);
+	retire("store-2", 8);
+	retire("10.0.0.2:1", 8);
+	restore_from_snapshot();
+	ck_assert(fleet_is_retired(fleet, 7) && !fleet_is_retired(fleet, 9));
+	ck_assert(fleet_has_retired(fleet, STR("store-1")));
+	ck_assert(!fleet_has_retired(fleet, STR("store-3")));
+	ck_assert(fleet_is_retired_as(fleet, STR("store-1"), 7));
+	ck_assert(!fleet_is_retired_as(fleet, STR("store-1"), 8));
+	ck_assert(fleet_is_retired_vm(fleet, STR("store-1"), STR("10.0.0.1:1")));
+	ck_assert(!fleet_is_retired_vm(fleet, STR("store-1"), STR("10.0.0.2:1")));
+	ck_assert(!fleet_is_retired_vm(fleet, STR("store-3"), STR("10.0.0.1:1")));
+}
+END_TEST
+
+/* Guards against a list that grows with each repetition of an order. */
+START_TEST(a_repeated_order_adds_nothing)
+{
+	AUTO_BUF once = {0};
+	AUTO_BUF twice = {0};
+
+	retire("store-1", 7);
+	retire("10.0.0.1:1", 7);
+	fleet_snapshot(fleet, &once);
+	retire("store-1", 7);
+	retire("10.0.0.1:1", 7);
+	fleet_snapshot(fleet, &twice);
+	ck_assert_uint_eq(once.n, twice.n);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("fleet");
@@ -211,5 +257,7 @@
 	tcase_add_test(t, an_owner_change_needs_the_current_fence_and_raises_it);
 	tcase_add_test(t, an_upstream_off_the_list_is_kept_until_it_is_released);
 	tcase_add_test(t, an_upstream_listed_again_keeps_its_owner);
+	tcase_add_test(t, a_retired_vm_is_known_by_its_name_and_address);
+	tcase_add_test(t, a_repeated_order_adds_nothing);
 	return suite_run(s);
 }
