--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -238,6 +238,7 @@
 	hub_lot_t *lots;
 	uint64_t last_lot_serial; /* of the newest lot added to the dispatcher */
 	deadline_t next_lots_sync; /* time of the next hub_lots_sync */
+	deadline_t items_known_from; /* entries have reported the items that they run by then */
 	hub_waiter_t *waiters;
 	hub_batch_t batch;
 	bool committing; /* a commit of lots is in progress */
@@ -318,6 +319,11 @@
  * routes the entry has. */
 void hub_routes_add_peer(hub_t *h, const hub_peer_t *p, const link_config_id_t *holds);
 void hub_routes_remove_peer(hub_t *h, const hub_peer_t *p);
+/** Number of the newest config in group 0 as applied here, decoded or not; 0: there is none. */
+uint64_t hub_routes_newest_number(const hub_t *h);
+/** True if the routes in force are those of the newest config; false while that is being decoded.
+ */
+bool hub_routes_are_newest(const hub_t *h);
 /** Handles an entry's report of the config whose routes it has. */
 void hub_routes_ack(hub_t *h, const hub_peer_t *p, const link_config_id_t *holds);
 
@@ -393,12 +399,13 @@
 void hub_dispatch_message(hub_t *h, hub_peer_t *p, const link_msg_t *m);
 /** Finds an item of a lot by its index; NULL if it is unknown here or finished. */
 hub_item_t *hub_find_item(hub_t *h, wire_bytes_t lot, u_int index);
-/** Routes the items again after a change of the config or of the blocked prompt parts. */
+/** Routes the items again after a change of the config or of the blocked prompt parts; gives up
+ * those that wait and have no route any more. */
 void hub_dispatch_reroute(hub_t *h);
 /** The same for one item; it does not fail. */
 void hub_dispatch_reroute_item(hub_t *h, hub_item_t *it);
 /** Brings the dispatcher in line with the lots in group 0: adds new lots, removes finished items
- * and the items of ended and expired lots. */
+ * and the items of ended and expired lots; gives up those that wait and have no route any more. */
 void hub_lots_sync(hub_t *h);
 
 /* hub_lots.c: calls on lots, and their commits */
--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -264,6 +264,41 @@
 	free(lot);
 }
 
+/* True if the item waits and has no route to run by, which means that its route was removed. */
+static bool lost_its_route(const hub_item_t *it)
+{
+	return it->dispatch_ref && !it->held && dispatch_item_is_waiting(it->dispatch_ref) &&
+	       !dispatch_item_has_service(it->dispatch_ref);
+}
+
+/* Gives up the items that wait without a route, however they came to wait: their runs may have
+ * ended after the change of the config. A new leader has to know first which items have a route, by
+ * the newest config, and which ones run. */
+static void give_up_unrouted(hub_t *h)
+{
+	unsigned given_up = 0;
+
+	if (clock_now_ms() < h->items_known_from || !hub_routes_are_newest(h))
+		return;
+	for (hub_lot_t *lot = h->lots; lot; lot = lot->hh.next) {
+		for (uint32_t i = 0; i < lot->nitems; i++) {
+			hub_item_t *it = &lot->items[i];
+
+			if (!lost_its_route(it))
+				continue;
+			log_event(LOG_LEVEL_WARN, "item_dead", LOG_CSTR("lot", lot->id),
+				  LOG_INT("item", i), LOG_INT("events", it->output.events),
+				  LOG_INT("failures", it->failures),
+				  LOG_CSTR("reason", "route removed from the config"));
+			hub_lots_add_result(h, it, true, (str_t){"", 0});
+			finish_item(it, false);
+			given_up++;
+		}
+	}
+	if (given_up > 0)
+		hub_lots_commit(h);
+}
+
 typedef struct {
 	const hub_lot_t *lot;
 	bool over; /* ended, or removed from group 0 */
@@ -307,6 +342,7 @@
 
 	control_group_read(&h->control->groups[0], add_new_lots, &s);
 	drop_finished(h);
+	give_up_unrouted(h);
 	dispatch_tick(h->dispatch, clock_now_ms());
 }
 
@@ -334,27 +370,11 @@
 		update_service(g, &lot->items[i]);
 }
 
-/* Updates the service of the unfinished items; those that wait and have no route any more fail. */
 void hub_dispatch_reroute(hub_t *h)
 {
 	for (hub_lot_t *lot = h->lots; lot; lot = lot->hh.next)
 		control_group_read(&h->control->groups[0], update_services, lot);
-	for (hub_lot_t *lot = h->lots; lot; lot = lot->hh.next) {
-		for (uint32_t i = 0; i < lot->nitems; i++) {
-			hub_item_t *it = &lot->items[i];
-
-			if (it->dispatch_ref && !it->held &&
-			    dispatch_item_is_waiting(it->dispatch_ref) &&
-			    !dispatch_item_has_service(it->dispatch_ref)) {
-				log_event(LOG_LEVEL_WARN, "item_dead", LOG_CSTR("lot", lot->id),
-					  LOG_INT("item", i),
-					  LOG_CSTR("reason", "route removed from the config"));
-				hub_lots_add_result(h, it, true, (str_t){"", 0});
-				finish_item(it, false);
-			}
-		}
-	}
-	hub_lots_commit(h);
+	give_up_unrouted(h);
 }
 
 /* ---- messages from entries ---- */
@@ -746,7 +766,8 @@
 	dispatch_on_contradicted(h->dispatch, on_contradicted);
 	hub_dispatch_set_services(h);
 	h->last_lot_serial = 0;
-	dispatch_hold_items(h->dispatch, clock_now_ms() + ADOPT_HOLD_MS);
+	h->items_known_from = clock_now_ms() + ADOPT_HOLD_MS;
+	dispatch_hold_items(h->dispatch, h->items_known_from);
 	hub_lots_sync(h);
 }
 
--- a/src/control/hub_proof.c
+++ b/src/control/hub_proof.c
@@ -34,19 +34,13 @@
 	r->st = group_read_barrier(r->h->control->groups[0].raft, clock_now_ms() + BARRIER_MS);
 }
 
-static void read_number(control_group_t *g, void *arg)
-{
-	*(uint64_t *)arg = fleet_config_number(g->fleet);
-}
-
 /* The newest config that is committed. Its digest is unknown until it is decoded here; no entry
  * can hold it before. */
 static link_config_id_t newest_config(hub_t *h)
 {
-	link_config_id_t id = {0};
+	link_config_id_t id = {.number = hub_routes_newest_number(h)};
 	fanout_config_id_t decoded = h->recent_routes[0].config;
 
-	control_group_read(&h->control->groups[0], read_number, &id.number);
 	if (h->routes && decoded.number == id.number)
 		id.digest = decoded.digest;
 	return id;
--- a/src/control/hub_routes.c
+++ b/src/control/hub_routes.c
@@ -161,6 +161,24 @@
 	worker_pool_submit(h->call_workers, &d->task);
 }
 
+static void read_number(control_group_t *g, void *arg)
+{
+	*(uint64_t *)arg = fleet_config_number(g->fleet);
+}
+
+uint64_t hub_routes_newest_number(const hub_t *h)
+{
+	uint64_t number;
+
+	control_group_read(&h->control->groups[0], read_number, &number);
+	return number;
+}
+
+bool hub_routes_are_newest(const hub_t *h)
+{
+	return h->routes && h->config_seen >= hub_routes_newest_number(h);
+}
+
 /* ---- entries ---- */
 
 void hub_routes_start_leading(hub_t *h)
