--- a/src/control/hub.c
+++ b/src/control/hub.c
@@ -266,6 +266,7 @@
 		hub_handle_call(h, &from, &m.link_msg_t_u.call.what);
 	} else if (m.kind == LINK_CONFIG_IN_FORCE) {
 		hub_routes_ack(h, p, &m.link_msg_t_u.holds);
+		hub_dispatch_note_config(h, p, &m.link_msg_t_u.holds);
 		if (h->role == HUB_LEADER && p->registered && p->addr[0])
 			hub_proof_question(h, p);
 	} else if (m.kind == LINK_ENTRY_CAPACITIES) {
--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -63,6 +63,7 @@
 	bool registered; /* its hello arrived while this process leads */
 	bool draining;
 	bool cut_off; /* an entry that reaches no replica; not set while it is draining */
+	bool has_config; /* an entry that uses the routes of some config */
 	bool counts_quotas; /* an entry that knows the messages on quotas */
 	bool knows_prompt_parts; /* an entry that knows the messages on prompt parts */
 	bool knows_poisons; /* an entry that knows the messages on poison requests */
@@ -393,6 +394,9 @@
 /** Handles a hello: records the leaving replicas. Adds or updates an entry in the dispatcher, and
  * adopts the runs that its hello lists. */
 void hub_dispatch_hello(hub_t *h, hub_peer_t *p, const link_hello_t *hello);
+/** Handles an entry's report of the config whose routes it has: before it has one, it is given no
+ * items. */
+void hub_dispatch_note_config(hub_t *h, hub_peer_t *p, const link_config_id_t *holds);
 /** Hands a request for a slot to the dispatcher. facts: of this request, or of another one. */
 void hub_dispatch_request(hub_t *h, hub_peer_t *p, const link_slot_request_t *m,
 			  const hub_facts_t *facts);
--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -420,13 +420,29 @@
 	hub_send(p, &stop);
 }
 
+static void update_entry(hub_t *h, const hub_peer_t *p)
+{
+	dispatch_entry_add(h->dispatch, p->id, str_c(p->zone),
+			   p->has_config && !p->draining && !p->cut_off);
+}
+
+void hub_dispatch_note_config(hub_t *h, hub_peer_t *p, const link_config_id_t *holds)
+{
+	if (p->has_config || holds->number == 0)
+		return;
+	p->has_config = true;
+	if (h->dispatch && p->registered && p->addr[0])
+		update_entry(h, p);
+}
+
 void hub_dispatch_hello(hub_t *h, hub_peer_t *p, const link_hello_t *hello)
 {
 	for (u_int i = 0; i < hello->leaving_replicas.leaving_replicas_len; i++)
 		hub_view_note_leaving(h, p, &hello->leaving_replicas.leaving_replicas_val[i]);
 	if (!p->addr[0])
 		return;
-	dispatch_entry_add(h->dispatch, p->id, str_c(p->zone), !p->draining && !p->cut_off);
+	p->has_config |= hello->text.number != 0;
+	update_entry(h, p);
 	dispatch_entry_set_cut_off(h->dispatch, p->id, p->cut_off, clock_now_ms());
 	for (u_int i = 0; i < hello->runs.runs_len; i++)
 		adopt_run(h, p, &hello->runs.runs_val[i]);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -445,10 +445,11 @@
 
 /* front_item.c: runs of batch items */
 
-/** Runs an item on the replica that the leader chose. Cancels an earlier run of the item here. */
+/** Runs an item on the replica that the leader chose; gives it back before the first config.
+ * Cancels an earlier run of the item here. */
 void front_item_run(front_t *f, const link_item_run_t *m);
-/** Reports an item as unfinished that has not been run. */
-void front_item_give_back(front_t *f, const link_item_run_t *m);
+/** Reports an item as unfinished that has not been run. reason: for the log; a literal. */
+void front_item_give_back(front_t *f, const link_item_run_t *m, const char *reason);
 void front_item_stop(front_t *f, const link_item_ref_t *m);
 /** Stops all items, so that the leader can run them elsewhere. */
 void front_item_stop_all(front_t *f);
--- a/src/front/front_item.c
+++ b/src/front/front_item.c
@@ -211,7 +211,7 @@
 	return NULL;
 }
 
-void front_item_give_back(front_t *f, const link_item_run_t *m)
+void front_item_give_back(front_t *f, const link_item_run_t *m, const char *reason)
 {
 	link_msg_t end = {.kind = LINK_ITEM_ENDED};
 	front_item_t *it = find_item(f, m->job, m->item);
@@ -230,7 +230,8 @@
 	};
 	log_event(LOG_LEVEL_INFO, "item_given_back", LOG_STR("lot", wire_str(m->job)),
 		  LOG_INT("item", m->item), LOG_STR("request", wire_str(m->id)),
-		  LOG_STR("replica", wire_str(m->replica)), LOG_INT("events", m->events));
+		  LOG_STR("replica", wire_str(m->replica)), LOG_INT("events", m->events),
+		  LOG_CSTR("reason", reason));
 	leader_link_send(f->leader, &end);
 }
 
@@ -250,9 +251,15 @@
 	AUTO_BUF req = {0};
 	AUTO_FREE char *addr = str_dup(wire_str(m->addr));
 	replica_ref_t replica = {wire_str(m->replica), m->start_time};
+	str_t owner = lot_id_owner(wire_str(m->job));
 	platform_send_t s;
 	prompt_parts_t prompt;
 
+	/* Whether the item's own headers may name a customer is not known yet. */
+	if (!f->routes) {
+		front_item_give_back(f, m, "no config yet");
+		return;
+	}
 	if (it)
 		item_free(it);
 	it = mem_new(sizeof(*it));
@@ -278,8 +285,9 @@
 		.replica = wire_str(it->spec.replica),
 		.caller_timeout_ms = m->deadline_ms,
 		.last_event_id = it->events,
-		.identified = f->routes && f->routes->customers,
-		.customer = lot_id_owner(wire_str(it->spec.job)),
+		/* The config that the lot was opened under may be newer than the one here. */
+		.identified = owner.n > 0 || f->routes->customers,
+		.customer = owner,
 	};
 	platform_item_prompt_decode(wire_str(it->spec.headers), &prompt);
 	platform_item_encode(&req, &it->spec, &s);
--- a/src/front/front_pause.c
+++ b/src/front/front_pause.c
@@ -91,7 +91,7 @@
 		if (x->m.kind != LINK_ITEM_RUN || run->item != m->item ||
 		    !str_eq(wire_str(run->job), wire_str(m->job)))
 			continue;
-		front_item_give_back(p->f, run);
+		front_item_give_back(p->f, run, "stopped by the leader");
 		held_free(p, x);
 	}
 }
--- a/tests/proc/link_kit.py
+++ b/tests/proc/link_kit.py
@@ -75,6 +75,10 @@
             if kind == CONFIG:
                 self.configs_received += 1
                 asyncio.ensure_future(self.apply(struct.unpack(">QQ", m[4:20])))
+            self.on_message(kind, m)
+
+    def on_message(self, kind, m):
+        """Called with each message from the leader."""
 
     async def apply(self, config_id):
         await asyncio.sleep(self.apply_s)
