Bytes that were written before a write failed count as sent

What callers could see: a request that may run once is tried again at another replica, or refused as not run, though a part of it was sent.

Cause: tcp_write left what it had written in the buffer when a later send of the same call failed. http_client takes a call whose buffer has not shrunk for one of which nothing was sent (HTTP_CALL_UNSENT).

Change: the written bytes are removed in any case.

--- a/src/net/tcp.c
+++ b/src/net/tcp.c
@@ -130,9 +130,10 @@
 
 bool tcp_write(int fd, buf_t *out)
 {
+	bool intact = true;
 	size_t done = 0;
 
-	while (done < out->n) {
+	while (done < out->n && intact) {
 		ssize_t n = send(fd, out->p + done, out->n - done, MSG_NOSIGNAL);
 
 		if (n > 0) {
@@ -141,10 +142,10 @@
 		}
 		if (n < 0 && errno == EINTR)
 			continue;
-		if (n < 0 && errno != EAGAIN)
-			return false;
-		break;
+		if (n < 0 && errno == EAGAIN)
+			break;
+		intact = false;
 	}
 	buf_drop_front(out, done);
-	return true;
+	return intact;
 }
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -21,8 +21,8 @@
 /** Appends up to max bytes of pending input to in, at most 16384. Returns their number, 0 if none
  * is pending, TCP_READ_CLOSED or TCP_READ_BROKEN. */
 long tcp_read(int fd, buf_t *in, size_t max);
-/** Writes from the front of out and removes the written bytes. False if the connection is broken.
- */
+/** Writes from the front of out and removes the written bytes, also if the connection then breaks.
+ * False if it is broken. */
 bool tcp_write(int fd, buf_t *out);
 
 #endif
