--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -57,6 +57,7 @@
 	unsigned interim_heads; /* interim heads before the current response */
 	size_t received; /* bytes since the call began */
 	bool sent; /* a byte of the call's request was written to the socket */
+	bool reset; /* a write has failed; the end of the stream then shows nothing */
 	int64_t idle_ms; /* longest idle time */
 	http_call_t *call;
 	conn_t *next; /* in the idle list of the host */
@@ -242,8 +243,8 @@
 		fail_call(c, HTTP_CALL_TOO_LONG);
 	} else if (n < 0) {
 		c->keep_alive = false;
-		parse_input(c, n == TCP_READ_CLOSED);
-		if (n == TCP_READ_BROKEN && !c->closed)
+		parse_input(c, n == TCP_READ_CLOSED && !c->reset);
+		if (!c->closed)
 			fail_call(c, HTTP_CALL_BROKEN);
 	} else if (n > 0) {
 		parse_input(c, false);
@@ -253,14 +254,15 @@
 static void flush_output(conn_t *c)
 {
 	size_t unwritten = c->out.n;
-	bool written = tcp_write(c->fd, &c->out);
+	tcp_write_t result = tcp_write(c->fd, &c->out);
 
 	c->sent |= c->out.n < unwritten;
-	if (!written) {
+	if (result != TCP_WRITE_OK) {
 		/* The server may have replied before it closed: the reply is still read. */
 		ev_io_stop(c->client->loop, &c->wr);
 		c->out.n = 0;
 		c->keep_alive = false;
+		c->reset = result == TCP_WRITE_RESET;
 		return;
 	}
 	if (c->out.n > 0)
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -185,7 +185,7 @@
 
 	if (c->closed)
 		return;
-	if (c->write_failed || !tcp_write(c->fd, &c->out)) {
+	if (c->write_failed || tcp_write(c->fd, &c->out) != TCP_WRITE_OK) {
 		break_conn(c);
 		return;
 	}
--- a/src/net/msgconn.c
+++ b/src/net/msgconn.c
@@ -102,7 +102,7 @@
 
 static void flush_output(msgconn_t *c)
 {
-	if (!tcp_write(c->fd, &c->out))
+	if (tcp_write(c->fd, &c->out) != TCP_WRITE_OK)
 		close_and_notify(c);
 	else if (c->out.n > 0)
 		ev_io_start(c->options.loop, &c->wr);
--- a/src/net/tcp.c
+++ b/src/net/tcp.c
@@ -128,12 +128,12 @@
 	return n == 0 ? TCP_READ_CLOSED : TCP_READ_BROKEN;
 }
 
-bool tcp_write(int fd, buf_t *out)
+tcp_write_t tcp_write(int fd, buf_t *out)
 {
-	bool intact = true;
+	tcp_write_t result = TCP_WRITE_OK;
 	size_t done = 0;
 
-	while (done < out->n && intact) {
+	while (done < out->n) {
 		ssize_t n = send(fd, out->p + done, out->n - done, MSG_NOSIGNAL);
 
 		if (n > 0) {
@@ -142,10 +142,11 @@
 		}
 		if (n < 0 && errno == EINTR)
 			continue;
-		if (n < 0 && errno == EAGAIN)
-			break;
-		intact = false;
+		/* Linux reports a reset that follows the peer's orderly end as EPIPE. */
+		if (n < 0 && errno != EAGAIN)
+			result = errno == EPIPE ? TCP_WRITE_CLOSED : TCP_WRITE_RESET;
+		break;
 	}
 	buf_drop_front(out, done);
-	return intact;
+	return result;
 }
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -21,8 +21,16 @@
 /** Appends up to max bytes of pending input to in, at most 16384. Returns their number, 0 if none
  * is pending, TCP_READ_CLOSED or TCP_READ_BROKEN. */
 long tcp_read(int fd, buf_t *in, size_t max);
-/** Writes from the front of out and removes the written bytes, also if the connection then breaks.
- * False if it is broken. */
-bool tcp_write(int fd, buf_t *out);
+typedef enum {
+	TCP_WRITE_OK, /* all was written, or the rest waits until the socket is writable */
+	TCP_WRITE_CLOSED, /* the peer has closed the connection after the end of its own bytes */
+	TCP_WRITE_RESET /* the connection was reset or has failed: the peer's bytes may lack some at
+			   their end, though the next tcp_read does not show it, as a socket reports
+			   an error only once */
+} tcp_write_t;
+
+/** Writes from the front of out and removes the written bytes, also if the connection then fails.
+ */
+tcp_write_t tcp_write(int fd, buf_t *out);
 
 #endif
