A status outside 100 to 599 is a malformed answer

What callers saw: behind a replica that answered 000 or 099, 504 when their time was over; behind one that answered 600 or 999 with its signature, that status.

Cause: a status below 200 was taken for an interim answer, and nothing checked an upper bound.

Change: the reader of responses refuses such a head, so the attempt ends at once as with other malformed answers and goes on elsewhere where the route allows it.

--- a/src/net/http.c
+++ b/src/net/http.c
@@ -88,6 +88,12 @@
 	return true;
 }
 
+/* RFC 9110, section 15: no answer has another status. */
+static bool is_status(unsigned code)
+{
+	return code >= 100 && code <= 599;
+}
+
 /* As http_parser itself decides where a response ends. */
 static bool is_framed(const http_parser *hp)
 {
@@ -101,7 +107,7 @@
 {
 	http_reader_t *p = hp->data;
 
-	if (!p->o.responses && !has_valid_names(p))
+	if (p->o.responses ? !is_status(hp->status_code) : !has_valid_names(p))
 		return -1;
 	for (size_t i = 0; i < p->nspans; i++) {
 		const http_span_t *s = &p->spans[i];
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -80,7 +80,7 @@
 void http_reader_free(http_reader_t *p);
 /** Feeds bytes; an empty input marks the end of the stream. *used: number of bytes consumed, all of
  * them unless the reader pauses or fails. STATUS_LIMIT: the head is too large. STATUS_INVALID:
- * malformed, or a protocol upgrade. */
+ * malformed, a response with a status outside 100 to 599, or a protocol upgrade. */
 status_t http_reader_feed(http_reader_t *p, str_t in, size_t *used);
 /** Ends a pause: the next http_reader_feed reads the next message. */
 void http_reader_resume(http_reader_t *p);
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -187,7 +187,7 @@
 
     async def reply(self, writer, status, headers, body=b""):
         headers = headers + self.leaving_headers()
-        head = "HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n" % (
+        head = "HTTP/1.1 %03d X\r\n%sContent-Length: %d\r\n\r\n" % (
             status, "".join("%s: %s\r\n" % h for h in headers), len(body))
         writer.write(head.encode() + body)
         await writer.drain()
@@ -214,7 +214,7 @@
         self.kit.runs.append(run)
         signed = [("Request-Id", rid), ("Signature", "sig-" + rid)]
         status = self.item_statuses.get(rid)
-        if status:
+        if status is not None:
             run["end"] = status
             return await self.reply(writer, status, signed, b"no")
         if self.resumed_answer and run["after"]:
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -147,6 +147,33 @@
 }
 END_TEST
 
+/* Guards against an answer that is passed on, or skipped like an interim one, though its status is
+ * none. */
+START_TEST(a_response_with_an_unknown_status_is_malformed)
+{
+	static const struct {
+		const char *status;
+		status_t result;
+	} cases[] = {{"000", STATUS_INVALID}, {"099", STATUS_INVALID}, {"100", STATUS_OK},
+		     {"200", STATUS_OK},      {"599", STATUS_OK},      {"600", STATUS_INVALID},
+		     {"999", STATUS_INVALID}};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		http_reader_t p;
+		parsed_t s;
+		size_t used;
+		char head[64];
+
+		snprintf(head, sizeof(head), "HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n",
+			 cases[i].status);
+		init_reader(&p, &s, true);
+		ck_assert_int_eq(http_reader_feed(&p, str_c(head), &used), cases[i].result);
+		ck_assert_int_eq(s.heads, cases[i].result == STATUS_OK);
+		http_reader_free(&p);
+	}
+}
+END_TEST
+
 /* The head is used when the whole message has arrived, so trailers must not move it in memory. */
 START_TEST(trailers_do_not_change_the_head)
 {
@@ -621,6 +648,7 @@
 	tcase_add_test(t, malformed_and_oversized_heads_are_distinct_errors);
 	tcase_add_test(t, a_response_without_length_ends_with_its_connection);
 	tcase_add_test(t, a_truncated_response_does_not_end);
+	tcase_add_test(t, a_response_with_an_unknown_status_is_malformed);
 	tcase_add_test(t, trailers_do_not_change_the_head);
 	tcase_add_test(t, query_parameters_and_numbers_are_parsed);
 	tcase_add_test(t, events_are_found_wherever_the_bytes_are_split);
