An entry stores no result of a service whose status HTTP doesn't know

What callers saw: a plain service behind auburn-entry that answers 600 has its answer stored as the result of the call, verdict ran, and passed on with that status.

Cause: fetch took any answer that libcurl finishes for one; libcurl refuses 000 and 099, not 600.

Change: such an answer counts as broken, so the call ends with 502 and verdict may_have_run. The range is http_is_status, as for the reader of responses.

Tests: test_bad_service.py: test_status_600_is_no_result failed before (600 in place of 502), passes now; 000, 099 and a part of an answer before a reset passed before and now.

--- a/src/entry/fetch.c
+++ b/src/entry/fetch.c
@@ -8,6 +8,7 @@
 #include <uthash.h>
 #include <utlist.h>
 #include "base/metric.h"
+#include "net/http.h"
 #include "net/sse.h"
 
 #define CONNECT_TIMEOUT_MS   1000
@@ -174,6 +175,8 @@
 
 	curl_easy_getinfo(c->curl, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_getinfo(c->curl, CURLINFO_CONTENT_TYPE, &type);
+	if (result == FETCH_FINISHED && !http_is_status(status))
+		result = FETCH_BROKEN;
 	end = (fetch_end_t){result, (int)status, str_buf(&c->response), type};
 	HASH_DEL(client->running, c);
 	c->options.on_end(c->options.ctx, &end);
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -88,12 +88,6 @@
 	return true;
 }
 
-/* RFC 9110, section 15: no answer has another status. */
-static bool is_status(unsigned code)
-{
-	return code >= 100 && code <= 599;
-}
-
 /* As http_parser itself decides where a response ends. */
 static bool is_framed(const http_parser *hp)
 {
@@ -107,7 +101,7 @@
 {
 	http_reader_t *p = hp->data;
 
-	if (p->o.responses ? !is_status(hp->status_code) : !has_valid_names(p))
+	if (p->o.responses ? !http_is_status(hp->status_code) : !has_valid_names(p))
 		return -1;
 	for (size_t i = 0; i < p->nspans; i++) {
 		const http_span_t *s = &p->spans[i];
@@ -193,6 +187,11 @@
 	http_parser_pause(&p->parser, 0);
 }
 
+bool http_is_status(long code)
+{
+	return code >= 100 && code <= 599;
+}
+
 bool http_name_is(str_t s, const char *name)
 {
 	return s.n == strlen(name) && strncasecmp(s.p, name, s.n) == 0;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -25,6 +25,8 @@
 			connection */
 } http_head_t;
 
+/** True if a response can have this status (RFC 9110, section 15). */
+bool http_is_status(long code);
 /** True if s is this header name, ignoring case. */
 bool http_name_is(str_t s, const char *name);
 /** Value of the first header with this name, ignoring case; {NULL, 0} if there is none. */
