No failure is an item's last while its route isn't known (MIXED, review/8)

What callers saw: after a restart of all control processes with 4,200 routes configured, items were listed as dead after one answer of 500, though their route allows three.

Cause: a new leader has attempts_max 0 for each item until it has decoded the config, and took the first reported failure for the last: item_dead "failed at every attempt" failures=1 before text_in_force.

Change: without a known number no failure is the last; the items that have failed as often as they may are given up with those whose route is gone, by the routes of the newest config.

--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -108,7 +108,8 @@
 	item_output_t output; /* its entries are ids of peers */
 	bool in_batch; /* the next commit saves its output */
 	uint32_t failures; /* runs that ended in LINK_ITEM_END_FAILED */
-	uint32_t attempts_max; /* the item fails for good after this many failures */
+	uint32_t attempts_max; /* the item fails for good after this many failures; 0: its route is
+				  not known yet */
 	uint64_t *parts; /* of its prompt, as in prompt_parts_t */
 	unsigned nparts;
 	bool held; /* a part of its prompt is blocked, or in doubt while another item probes it */
--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -159,7 +159,7 @@
 		r = route_table_match(h->routes, str_c(t->host), str_c(item->path));
 	if (!r)
 		return "";
-	it->attempts_max = (uint32_t)r->attempts;
+	it->attempts_max = r->attempts > 1 ? (uint32_t)r->attempts : 1;
 	it->held = hub_quarantine_holds(h, it);
 	if (it->held)
 		return "";
@@ -264,17 +264,27 @@
 	free(lot);
 }
 
-/* True if the item waits and has no route to run by, which means that its route was removed. */
-static bool lost_its_route(const hub_item_t *it)
+static bool has_failed_for_good(const hub_item_t *it)
 {
-	return it->dispatch_ref && !it->held && dispatch_item_is_waiting(it->dispatch_ref) &&
-	       !dispatch_item_has_service(it->dispatch_ref);
+	return it->attempts_max > 0 && it->failures >= it->attempts_max;
 }
 
-/* Gives up the items that wait without a route, however they came to wait: their runs may have
- * ended after the change of the config. A new leader has to know first which items have a route, by
- * the newest config, and which ones run. */
-static void give_up_unrouted(hub_t *h)
+/* Returns why a waiting item is not to be run any more; NULL if it is. */
+static const char *reason_to_give_up(const hub_item_t *it)
+{
+	if (!it->dispatch_ref || !dispatch_item_is_waiting(it->dispatch_ref))
+		return NULL;
+	if (has_failed_for_good(it))
+		return "failed at every attempt";
+	if (!it->held && !dispatch_item_has_service(it->dispatch_ref))
+		return "route removed from the config";
+	return NULL;
+}
+
+/* Gives up the items that wait and are not to be run any more, however they came to wait: their
+ * runs may have ended after the change of the config, or before this leader knew their routes. It
+ * has to know first which items have a route, by the newest config, and which ones run. */
+static void give_up_items(hub_t *h)
 {
 	unsigned given_up = 0;
 
@@ -283,13 +293,13 @@
 	for (hub_lot_t *lot = h->lots; lot; lot = lot->hh.next) {
 		for (uint32_t i = 0; i < lot->nitems; i++) {
 			hub_item_t *it = &lot->items[i];
+			const char *reason = reason_to_give_up(it);
 
-			if (!lost_its_route(it))
+			if (!reason)
 				continue;
 			log_event(LOG_LEVEL_WARN, "item_dead", LOG_CSTR("lot", lot->id),
 				  LOG_INT("item", i), LOG_INT("events", it->output.events),
-				  LOG_INT("failures", it->failures),
-				  LOG_CSTR("reason", "route removed from the config"));
+				  LOG_INT("failures", it->failures), LOG_CSTR("reason", reason));
 			hub_lots_add_result(h, it, true, (str_t){"", 0});
 			finish_item(it, false);
 			given_up++;
@@ -342,7 +352,7 @@
 
 	control_group_read(&h->control->groups[0], add_new_lots, &s);
 	drop_finished(h);
-	give_up_unrouted(h);
+	give_up_items(h);
 	dispatch_tick(h->dispatch, clock_now_ms());
 }
 
@@ -374,7 +384,7 @@
 {
 	for (hub_lot_t *lot = h->lots; lot; lot = lot->hh.next)
 		control_group_read(&h->control->groups[0], update_services, lot);
-	give_up_unrouted(h);
+	give_up_items(h);
 }
 
 /* ---- messages from entries ---- */
@@ -633,7 +643,8 @@
 			 "replica reports the item as impossible");
 		return;
 	case LINK_ITEM_END_FAILED:
-		if (++it->failures >= it->attempts_max) {
+		it->failures++;
+		if (has_failed_for_good(it)) {
 			end_item(h, it, true, true, had, (str_t){"", 0}, "failed at every attempt");
 			return;
 		}
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -78,6 +78,7 @@
         self.refuses_first = None       # set: rejects the first request with each id unrun, and adds the id
         self.repeats_refusals = False   # writes a refusal once more before the next answer on the same connection
         self.item_statuses = {}         # item id: error status to answer with
+        self.status_delay_s = 0         # between a request and such an answer
         self.break_after = None         # closes the connection within this event, once
         self.silent_after = None        # sends nothing after this event, on all runs while set
         self.paused = False             # as by SIGSTOP: neither reads nor writes; then writes at once what piled up
@@ -215,6 +216,7 @@
         signed = [("Request-Id", rid), ("Signature", "sig-" + rid)]
         status = self.item_statuses.get(rid)
         if status is not None:
+            await asyncio.sleep(self.status_delay_s)
             run["end"] = status
             return await self.reply(writer, status, signed, b"no")
         if self.resumed_answer and run["after"]:
