Items past their retention are given up also when nothing else is committed

Cause: items expire with each command on lots, and the leader proposed one only if it had something else to commit.

Tests: test_retention.py: failed on (no result 8 s after a retention of 1 s began), passes now; two tests of lots_next_expiry in test_lots.

--- a/src/control/hub_lots.c
+++ b/src/control/hub_lots.c
@@ -428,19 +428,24 @@
 	free(c);
 }
 
-void hub_lots_commit(hub_t *h)
+static bool batch_is_empty(const hub_batch_t *b)
+{
+	return b->cmd.opens.opens_len + b->cmd.results.results_len + b->cmd.ends.ends_len +
+		       b->cmd.progress.progress_len ==
+	       0;
+}
+
+/* expires: also if nothing was gathered, as each command gives up what is past its time. */
+static void commit_batch(hub_t *h, bool expires)
 {
 	wire_fleet_cmd_t cmd = {.kind = WIRE_FLEET_LOTS};
-	wire_lots_cmd_t *l = &h->batch.cmd;
 	commit_t *c;
 
 	if (h->committing)
 		return;
-	if (l->progress.progress_len > 0)
+	if (h->batch.cmd.progress.progress_len > 0)
 		control_group_read(&h->control->groups[0], fill_batch, h);
-	if (l->opens.opens_len + l->results.results_len + l->ends.ends_len +
-		    l->progress.progress_len ==
-	    0)
+	if (!expires && batch_is_empty(&h->batch))
 		return;
 	h->committing = true;
 	c = mem_new(sizeof(*c));
@@ -455,6 +460,24 @@
 	worker_pool_submit(h->commit_worker, &c->task);
 }
 
+void hub_lots_commit(hub_t *h)
+{
+	commit_batch(h, false);
+}
+
+static void read_next_expiry(control_group_t *g, void *arg)
+{
+	*(int64_t *)arg = lots_next_expiry(g->lots);
+}
+
+static bool has_expired_lots(hub_t *h)
+{
+	int64_t next;
+
+	control_group_read(&h->control->groups[0], read_next_expiry, &next);
+	return next <= clock_wall_ms();
+}
+
 typedef struct {
 	str_t lot;
 	bool exists;
@@ -547,6 +570,7 @@
 	if (now < h->next_lots_sync)
 		return;
 	h->next_lots_sync = now + SYNC_MS;
+	commit_batch(h, has_expired_lots(h));
 	hub_lots_sync(h);
 }
 
--- a/src/state/lots.c
+++ b/src/state/lots.c
@@ -373,6 +373,19 @@
 		early_end_free(l, l->early_ends);
 }
 
+int64_t lots_next_expiry(const lots_t *l)
+{
+	int64_t next = l->early_ends ? l->early_ends->forget_wall_ms : INT64_MAX;
+
+	for (const lot_t *t = l->lots; t; t = t->hh.next) {
+		if (!t->ended && t->nfinished < t->nitems && t->drop_wall_ms < next)
+			next = t->drop_wall_ms;
+		if (t->forget_wall_ms < next)
+			next = t->forget_wall_ms;
+	}
+	return next;
+}
+
 void lots_apply_cmd(lots_t *l, const wire_lots_cmd_t *cmd, wire_fleet_res_t *res)
 {
 	u_int n = cmd->opens.opens_len;
--- a/src/state/lots.h
+++ b/src/state/lots.h
@@ -66,6 +66,9 @@
 /** Applies one command. Sets res->opened to a status for each opening: STATUS_OK, or STATUS_LIMIT
  * if the quota is exceeded. */
 void lots_apply_cmd(lots_t *l, const wire_lots_cmd_t *cmd, wire_fleet_res_t *res);
+/** The earliest wall-clock time at which a command gives up items, or removes a lot or an early
+ * end, because its time has come; INT64_MAX if there is none. */
+int64_t lots_next_expiry(const lots_t *l);
 void lots_snapshot(const lots_t *l, buf_t *out);
 /** Size of all contents in bytes, an upper bound of the size of a snapshot. */
 size_t lots_bytes(const lots_t *l);
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -536,7 +536,8 @@
 
     def config(self, version, **changes):
         """The operators' config. Changes: quota (batch tokens), extra (path of a route), more (number of routes),
-        tenants (list of customers; adds a public route), without (name of a route that is left out)."""
+        tenants (list of customers; adds a public route), without (name of a route that is left out), retention (of
+        items, in s)."""
         routes = [
             {"name": "brief", "host": HOST, "pathPrefix": "/brief/", "kind": "stream", "timeoutMs": 5000,
              "sloMs": 300, "priority": 0, "service": "llm", "attempts": 2, "sticky": True, "resumable": True,
@@ -545,7 +546,7 @@
              "sloMs": 300, "priority": 0, "service": "llm", "attempts": 1, "sticky": True, "resumable": False,
              "gapTargetMs": 400},
             {"name": "digest", "host": HOST, "pathPrefix": "/digest/", "kind": "batch", "timeoutMs": 15000,
-             "sloMs": 400, "priority": 2, "service": "llm", "attempts": 3, "dueMs": 18000, "retentionS": 60,
+             "sloMs": 400, "priority": 2, "service": "llm", "attempts": 3, "dueMs": 18000, "retentionS": changes.get("retention", 60),
              "maxQueued": changes.get("quota", 0)}]
         routes = [r for r in routes if r["name"] != changes.get("without")]
         if changes.get("extra"):
--- /dev/null
+++ b/tests/proc/test_retention.py
@@ -0,0 +1,36 @@
+"""Items whose retention is over.
+
+Guards against items that are never listed because nothing else is committed when their time is over.
+"""
+import time
+import unittest
+
+from platform_kit import Kit
+
+RETENTION_S = 1
+GIVEN_UP_S = RETENTION_S + 5 + 2    # with DROP_MARGIN_MS of the leader, and time for the commit
+
+
+class Retention(unittest.TestCase):
+    def start(self, retention):
+        self.kit = Kit(fronts=1, replicas=1)
+        self.addCleanup(self.kit.close)
+        self.kit.up(retention=retention)
+
+    def open_lot(self):
+        lot, items = self.kit.lot(2)
+        self.assertEqual(self.kit.loop.run(self.kit.open_lot(self.kit.fronts[0], lot, items)), 202)
+        return lot, items
+
+    def test_items_past_their_retention_are_listed_though_nothing_else_happens(self):
+        self.start(RETENTION_S)
+        self.kit.replicas[0].full = True
+        lot, items = self.open_lot()
+        time.sleep(GIVEN_UP_S)
+        status, r = self.kit.loop.run(self.kit.read_lot(self.kit.fronts[0], lot))
+        self.assertEqual(status, 200)
+        self.assertEqual({x["id"]: x["state"] for x in r["results"]}, {x["id"]: "dead" for x in items})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/unit/test_lots.c
+++ b/tests/unit/test_lots.c
@@ -258,6 +258,51 @@
 }
 END_TEST
 
+/* Guards against items and lots that outlive their time because no command comes. A command at the
+ * next expiry makes it later. */
+START_TEST(the_next_expiry_is_that_of_open_items_then_of_the_lot)
+{
+	lots_t *l = lots_new();
+
+	ck_assert_int_eq(lots_next_expiry(l), INT64_MAX);
+	begin_cmd();
+	add_open("a", 2, 100, 0);
+	apply_cmd(l);
+	ck_assert_int_eq(lots_next_expiry(l), NOW_MS + 60000);
+	begin_cmd();
+	cmd.now_wall_ms = NOW_MS + 60000;
+	apply_cmd(l);
+	ck_assert_int_eq(lots_next_expiry(l), NOW_MS + 120000);
+	begin_cmd();
+	cmd.now_wall_ms = NOW_MS + 120000;
+	apply_cmd(l);
+	ck_assert_int_eq(lots_next_expiry(l), INT64_MAX);
+	lots_free(l);
+}
+END_TEST
+
+START_TEST(an_ended_lot_and_an_early_end_expire)
+{
+	lots_t *l = new_lots_with("a", 2);
+	int64_t early;
+
+	begin_cmd();
+	add_end("a");
+	apply_cmd(l);
+	ck_assert_int_eq(lots_next_expiry(l), NOW_MS + 120000);
+	begin_cmd();
+	add_end("unknown");
+	apply_cmd(l);
+	early = lots_next_expiry(l);
+	ck_assert_int_lt(early, NOW_MS + 120000);
+	begin_cmd();
+	cmd.now_wall_ms = early;
+	apply_cmd(l);
+	ck_assert_int_eq(lots_next_expiry(l), NOW_MS + 120000);
+	lots_free(l);
+}
+END_TEST
+
 static void add_progress(const char *id, unsigned item, unsigned from, unsigned events,
 			 const char *text)
 {
@@ -470,6 +515,8 @@
 	tcase_add_test(t, a_lot_ended_before_its_opening_is_never_run);
 	tcase_add_test(t, ends_of_unknown_lots_are_bounded_and_expire);
 	tcase_add_test(t, items_are_given_up_and_lots_removed_in_time);
+	tcase_add_test(t, the_next_expiry_is_that_of_open_items_then_of_the_lot);
+	tcase_add_test(t, an_ended_lot_and_an_early_end_expire);
 	tcase_add_test(t, the_partial_text_of_an_item_is_kept_until_its_result);
 	tcase_add_test(t, the_byte_count_is_at_least_the_size_of_a_snapshot);
 	tcase_add_test(t, strings_packed_in_pieces_are_read_whole);
