Items that are kept for 25 days or more are run

Cause: the order to run an item carries the time left in 32 bits of ms; more than 24.8 days became a negative Deadline-Ms, which replicas take for passed.

Change: the order states at most what fits.

Tests: test_items_that_are_kept_for_long_are_run failed on the commit before (a wait of -2,134,962,299 ms) for 25 and 30 days and ten years, passes now.

--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -1,5 +1,6 @@
 /* Connects the leader's dispatcher to the entries, which request slots and run items, and to the
  * lots in group 0. */
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
@@ -77,6 +78,14 @@
 	bool sent;
 } item_start_t;
 
+/* The message has 32 bits for it: 24 days at most. */
+static int ms_left(int64_t wall_ms)
+{
+	int64_t left = wall_ms - clock_wall_ms();
+
+	return left > INT_MAX ? INT_MAX : (int)left;
+}
+
 static void send_item_run(control_group_t *g, void *arg)
 {
 	item_start_t *r = arg;
@@ -102,7 +111,7 @@
 		.start_time = u ? u->start_time : 0,
 		.text = wire_bytes(str_buf(&r->it->output.text)),
 		.events = r->it->output.events,
-		.deadline_ms = (int)(t->drop_wall_ms - clock_wall_ms()),
+		.deadline_ms = ms_left(t->drop_wall_ms),
 	};
 	hub_send(r->p, &m);
 	r->sent = true;
--- a/tests/proc/test_retention.py
+++ b/tests/proc/test_retention.py
@@ -1,6 +1,7 @@
-"""Items whose retention is over.
+"""Items whose retention is over, and items that are kept for very long.
 
-Guards against items that are never listed because nothing else is committed when their time is over.
+Guards against items that are never listed because nothing else is committed when their time is over, and against times
+that don't fit the fields that carry them.
 """
 import time
 import unittest
@@ -9,6 +10,7 @@
 
 RETENTION_S = 1
 GIVEN_UP_S = RETENTION_S + 5 + 2    # with DROP_MARGIN_MS of the leader, and time for the commit
+LONG_S = [24 * 86400, 25 * 86400, 30 * 86400, 3650 * 86400]
 
 
 class Retention(unittest.TestCase):
@@ -31,6 +33,17 @@
         self.assertEqual(status, 200)
         self.assertEqual({x["id"]: x["state"] for x in r["results"]}, {x["id"]: "dead" for x in items})
 
+    def test_items_that_are_kept_for_long_are_run(self):
+        self.start(60)
+        for retention in LONG_S:
+            self.assertTrue(self.kit.loop.run(self.kit.submit(retention=retention)))
+            time.sleep(1)
+            lot, items = self.open_lot()
+            results = self.kit.loop.run(self.kit.read_whole(lot, 5))
+            self.assertEqual({x["id"]: x["state"] for x in results}, {x["id"]: "completed" for x in items}, retention)
+            for x in items:
+                self.assertGreater(int(self.kit.runs_of(x["id"])[0]["wait"]), 23 * 86400 * 1000)
+
 
 if __name__ == "__main__":
     unittest.main()
