Lots of public routes are found by whoever opened them (LOST)

What callers saw: a lot opened with a key on a public batch route answered 404 to that key; one opened without a key answered 401 once its route was gone.

Cause: the opening ignored the key while reads search among the customer's lots, and whether a call needs a key hung on the routes in force when it came.

Change: a known key tells the customer on public batch routes, too; a call without a key looks for lots that were opened without one and gets 401 only if there is none. A lot that comes again after its route became public is the same lot now; it was accepted and run twice before. The end of an unknown lot is not stored for a caller without a key unless a route is public.

--- a/src/front/front.h
+++ b/src/front/front.h
@@ -178,10 +178,17 @@
 
 /** Who calls. */
 typedef struct {
-	const customer_t *customer; /* in the config in force; NULL: no key is needed */
+	const customer_t *customer; /* in the config in force; NULL: none is known */
 	customer_key_t key;
 } front_caller_t;
 
+/** What a call does with the key of its caller, if the config has customers. */
+typedef enum {
+	FRONT_KEY_IGNORED,
+	FRONT_KEY_OPTIONAL, /* a known key tells the customer; a caller without one is nobody */
+	FRONT_KEY_NEEDED
+} front_key_use_t;
+
 void front_customer_start(front_t *f);
 /** Records that the leader was asked for the newest config. */
 void front_customer_asked(front_t *f);
@@ -194,7 +201,9 @@
 /** Identifies the caller of a request. Returns false if the request was answered, with 401, or is
  * held or refused for want of a proof. */
 bool front_identify(front_t *f, http_conn_t *c, const http_request_t *r,
-		    const platform_call_t *call, bool key_needed, front_caller_t *out);
+		    const platform_call_t *call, front_key_use_t use, front_caller_t *out);
+/** Answers a request with 401. id: its own; reason: for the log. */
+void front_refuse_key(front_t *f, http_conn_t *c, str_t id, const char *reason);
 /** False if the config in force no longer has the key with which the request was sent. */
 bool front_request_key_is_valid(const front_request_t *q);
 /** Counts a request against the quota of its customer, unless it is counted already: here, or by
@@ -495,7 +504,8 @@
 void front_lot_open(front_t *f, http_conn_t *c, const http_request_t *r,
 		    const platform_call_t *call, const route_spec_t *route,
 		    const front_caller_t *caller);
-/** Reads a lot's results or the body submitted for one of its open items, or ends the lot. */
+/** Reads a lot's results or the body submitted for one of its open items, or ends the lot. A caller
+ * without a key finds the lots that were opened without one, and gets 401 if there is none. */
 void front_lot_call(front_t *f, http_conn_t *c, const platform_call_t *call,
 		    const front_caller_t *caller);
 
--- a/src/front/front_customer.c
+++ b/src/front/front_customer.c
@@ -88,11 +88,10 @@
 
 /* ---- the caller ---- */
 
-static void refuse_key(http_conn_t *c, const platform_call_t *call, uint64_t version,
-		       const char *reason)
+void front_refuse_key(front_t *f, http_conn_t *c, str_t id, const char *reason)
 {
-	log_event(LOG_LEVEL_INFO, "request_refused", LOG_STR("request", call->id),
-		  LOG_INT("status", 401), LOG_CSTR("reason", reason), LOG_INT("text", version));
+	log_event(LOG_LEVEL_INFO, "request_refused", LOG_STR("request", id), LOG_INT("status", 401),
+		  LOG_CSTR("reason", reason), LOG_INT("text", f->routes_version));
 	METRIC_INC("auburn_refused_keys_total");
 	http_reply(c, 401, PLATFORM_CHALLENGE, STR("no valid API key\n"));
 }
@@ -109,18 +108,30 @@
 	return f->proof_lost_at ? f->proof_lost_at : f->started;
 }
 
+static bool has_known_key(const customers_t *customers, const platform_call_t *call)
+{
+	customer_key_t key;
+
+	if (call->credentials != PLATFORM_CREDENTIALS_KEY)
+		return false;
+	key = customer_key_hash(call->key);
+	return customers_by_key(customers, &key) != NULL;
+}
+
 bool front_identify(front_t *f, http_conn_t *c, const http_request_t *r,
-		    const platform_call_t *call, bool key_needed, front_caller_t *out)
+		    const platform_call_t *call, front_key_use_t use, front_caller_t *out)
 {
 	const customers_t *customers = f->routes->customers;
 
 	*out = (front_caller_t){0};
-	if (!customers || !key_needed)
+	if (!customers || use == FRONT_KEY_IGNORED)
+		return true;
+	if (use == FRONT_KEY_OPTIONAL && !has_known_key(customers, call))
 		return true;
 	if (call->credentials != PLATFORM_CREDENTIALS_KEY) {
-		refuse_key(c, call, f->routes_version,
-			   call->credentials == PLATFORM_CREDENTIALS_NONE ? "no key"
-									  : "malformed key");
+		front_refuse_key(f, c, call->id,
+				 call->credentials == PLATFORM_CREDENTIALS_NONE ? "no key"
+										: "malformed key");
 		return false;
 	}
 	if (!has_proof(f, clock_now_ms())) {
@@ -131,7 +142,7 @@
 	out->key = customer_key_hash(call->key);
 	out->customer = customers_by_key(customers, &out->key);
 	if (!out->customer)
-		refuse_key(c, call, f->routes_version, "unknown key");
+		front_refuse_key(f, c, call->id, "unknown key");
 	return out->customer != NULL;
 }
 
--- a/src/front/front_lot.c
+++ b/src/front/front_lot.c
@@ -31,6 +31,8 @@
 	http_conn_t *conn; /* NULL after the caller left */
 	link_call_kind_t kind;
 	int64_t after; /* LINK_CALL_LOT_READ: position from which results are read */
+	bool without_key; /* though the config has customers: it may find only lots of nobody */
+	char *ends; /* LINK_CALL_LOT_READ: a lot to end if it exists; NULL: the caller reads */
 	char id[LOT_ID_LOGGED_BYTES];
 } lot_call_t;
 
@@ -67,6 +69,10 @@
 
 static int reply_failure(lot_call_t *c, status_t st)
 {
+	if (st == STATUS_NOT_FOUND && c->without_key) {
+		front_refuse_key(c->f, c->conn, str_c(c->id), "no key");
+		return 401;
+	}
 	switch (st) {
 	case STATUS_LIMIT:
 		reply_error(c, 429, RETRY_LIMIT_MS);
@@ -87,12 +93,29 @@
 	}
 }
 
+static void on_reply(void *ctx, const link_reply_t *r, bool sent);
+
+static void end_lot(lot_call_t *c, str_t lot)
+{
+	link_call_arg_t what = {.kind = LINK_CALL_LOT_END};
+
+	c->kind = what.kind;
+	what.link_call_arg_t_u.job = wire_bytes(lot);
+	leader_link_call(c->f->leader, &what, clock_now_ms() + CALL_TIMEOUT_MS, on_reply, c);
+}
+
 static void on_reply(void *ctx, const link_reply_t *r, bool sent)
 {
 	lot_call_t *c = ctx;
 	status_t st = r ? (status_t)r->status : sent ? STATUS_TIMEOUT : STATUS_UNAVAILABLE;
+	AUTO_FREE char *ends = c->ends;
 	int status = 0;
 
+	c->ends = NULL;
+	if (ends && st == STATUS_OK) {
+		end_lot(c, str_c(ends));
+		return;
+	}
 	if (c->conn) {
 		http_conn_set_data(c->conn, NULL);
 		status = st == STATUS_OK ? reply_ok(c, r) : reply_failure(c, st);
@@ -192,7 +215,9 @@
 {
 	AUTO_BUF lot = {0};
 	link_call_arg_t what = {0};
+	bool without_key = f->routes->customers && !caller->customer;
 	int64_t timeout_ms = READ_TIMEOUT_MS;
+	AUTO_FREE char *ends = NULL;
 	lot_call_t *c;
 
 	lot_id_make(&lot, owner_of(caller), call->id);
@@ -210,6 +235,15 @@
 		what.link_call_arg_t_u.body.item = wire_bytes(call->item);
 		break;
 	default:
+		/* The end of an unknown lot is stored, which nobody may ask for without a key
+		 * unless there is a route on which the lot may be opened without one. */
+		if (without_key && !route_table_has_public_lots(f->routes)) {
+			what.kind = LINK_CALL_LOT_READ;
+			what.link_call_arg_t_u.read.job = wire_bytes(str_buf(&lot));
+			what.link_call_arg_t_u.read.after = UINT32_MAX;
+			ends = str_dup(str_buf(&lot));
+			break;
+		}
 		what.kind = LINK_CALL_LOT_END;
 		what.link_call_arg_t_u.job = wire_bytes(str_buf(&lot));
 		timeout_ms = CALL_TIMEOUT_MS;
@@ -220,5 +254,8 @@
 		return;
 	c = call_new(f, conn, what.kind, str_buf(&lot));
 	c->after = call->after;
+	c->without_key = without_key;
+	c->ends = ends;
+	ends = NULL;
 	leader_link_call(f->leader, &what, clock_now_ms() + timeout_ms, on_reply, c);
 }
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -30,11 +30,20 @@
 #define HEADER_MS    3000
 #define IDLE_MS	     15000
 
-/* A call on a lot names no route. Without a key it finds the lots of public routes. */
-static bool lot_call_needs_key(const front_t *f, const platform_call_t *call)
+/* A lot that is opened on a public route belongs to the customer whose key the caller has, as on
+ * any other, so that calls on it find it by the same key. */
+static front_key_use_t key_use(const route_spec_t *route)
 {
-	return call->credentials != PLATFORM_CREDENTIALS_NONE ||
-	       !route_table_has_public_lots(f->routes);
+	if (!route->is_public)
+		return FRONT_KEY_NEEDED;
+	return route->kind == ROUTE_BATCH ? FRONT_KEY_OPTIONAL : FRONT_KEY_IGNORED;
+}
+
+/* A call on a lot names no route. */
+static front_key_use_t key_use_of_lot_call(const platform_call_t *call)
+{
+	return call->credentials == PLATFORM_CREDENTIALS_NONE ? FRONT_KEY_IGNORED
+							      : FRONT_KEY_NEEDED;
 }
 
 void front_serve(front_t *f, http_conn_t *c, const http_request_t *r)
@@ -50,7 +59,7 @@
 		return;
 	}
 	if (call.kind != PLATFORM_CALL_REQUEST && call.kind != PLATFORM_CALL_READY) {
-		if (front_identify(f, c, r, &call, lot_call_needs_key(f, &call), &caller))
+		if (front_identify(f, c, r, &call, key_use_of_lot_call(&call), &caller))
 			front_lot_call(f, c, &call, &caller);
 		return;
 	}
@@ -62,7 +71,7 @@
 		http_reply(c, 404, STR(""), STR("no such route"));
 		return;
 	}
-	if (!front_identify(f, c, r, &call, !route->is_public, &caller))
+	if (!front_identify(f, c, r, &call, key_use(route), &caller))
 		return;
 	if (route->kind == ROUTE_BATCH)
 		front_lot_open(f, c, r, &call, route, &caller);
