--- a/src/client/leader_link.c
+++ b/src/client/leader_link.c
@@ -22,7 +22,7 @@
 /** Period in which at most one failed try at a control process is logged, in ms. */
 #define TRY_LOG_MS 1000
 /** Newest kind of message that this build knows. */
-#define LINK_KIND_LAST LINK_ENTRY_CAPACITIES
+#define LINK_KIND_LAST LINK_ITEM_FAILURES
 
 typedef struct {
 	uint64_t id;
--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -107,7 +107,8 @@
 	dispatch_item_t *dispatch_ref; /* NULL once the item is finished */
 	item_output_t output; /* its entries are ids of peers */
 	bool in_batch; /* the next commit saves its output */
-	uint32_t failures; /* runs that ended in LINK_ITEM_END_FAILED */
+	uint32_t failures; /* runs that ended in LINK_ITEM_END_FAILED, also those of which entries
+			      had told earlier leaders */
 	uint32_t attempts_max; /* the item fails for good after this many failures; 0: its route is
 				  not known yet */
 	uint64_t *parts; /* of its prompt, as in prompt_parts_t */
@@ -172,6 +173,12 @@
 	uint32_t delta_size; /* bytes before compression; 0: not made yet */
 } hub_routes_t;
 
+/** An entry that was asked once for the failures of items, while this process leads. */
+typedef struct {
+	char addr[32];
+	UT_hash_handle hh;
+} hub_asked_t;
+
 /** HUB_STARTING: this process leads group 0, but its first read barrier has not ended. */
 typedef enum { HUB_FOLLOWER, HUB_STARTING, HUB_LEADER } hub_role_t;
 
@@ -238,6 +245,7 @@
 	deadline_t next_probe_search; /* earliest time of the next search for an item to run */
 	fanout_t *fan_out; /* of route deltas; NULL while this process does not lead */
 	hub_lot_t *lots;
+	hub_asked_t *asked; /* entries that were asked for the failures of items */
 	uint64_t last_lot_serial; /* of the newest lot added to the dispatcher */
 	deadline_t next_lots_sync; /* time of the next hub_lots_sync */
 	deadline_t items_known_from; /* entries have reported the items that they run by then */
--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -156,8 +156,13 @@
 
 /* ---- lots ---- */
 
+static bool has_failed_for_good(const hub_item_t *it)
+{
+	return it->attempts_max > 0 && it->failures >= it->attempts_max;
+}
+
 /* Returns the service of an item by the routes in force, and sets its attempts_max and held. Empty
- * if it is held, or if no route matches because its route was removed. */
+ * if it is held or has failed for good, or if no route matches because its route was removed. */
 static const char *find_item_service(hub_t *h, const lot_t *t, hub_item_t *it)
 {
 	const lot_item_t *item = &t->items[it->index];
@@ -170,7 +175,7 @@
 		return "";
 	it->attempts_max = r->attempts > 1 ? (uint32_t)r->attempts : 1;
 	it->held = hub_quarantine_holds(h, it);
-	if (it->held)
+	if (it->held || has_failed_for_good(it))
 		return "";
 	return route_pick_service(r, str_hash(str_c(item->id)));
 }
@@ -273,11 +278,6 @@
 	free(lot);
 }
 
-static bool has_failed_for_good(const hub_item_t *it)
-{
-	return it->attempts_max > 0 && it->failures >= it->attempts_max;
-}
-
 /* Returns why a waiting item is not to be run any more; NULL if it is. */
 static const char *reason_to_give_up(const hub_item_t *it)
 {
@@ -454,12 +454,46 @@
 		update_entry(h, p);
 }
 
+/* Asks an entry once for what it has reported to earlier leaders: at its first link to this one, as
+ * later answers would count again what this process has counted itself. */
+static void ask_for_failures(hub_t *h, hub_peer_t *p)
+{
+	hub_asked_t *x;
+
+	HASH_FIND_STR(h->asked, p->addr, x);
+	if (x)
+		return;
+	x = mem_new(sizeof(*x));
+	snprintf(x->addr, sizeof(x->addr), "%s", p->addr);
+	HASH_ADD_STR(h->asked, addr, x);
+	hub_send(p, &(link_msg_t){.kind = LINK_ASK_ITEM_FAILURES});
+}
+
+/* Items that have failed as often as they may are given up with the next hub_lots_sync. */
+static void add_failures(hub_t *h, const hub_peer_t *p, const link_failures_t *m)
+{
+	for (u_int i = 0; i < m->items.items_len; i++) {
+		const link_item_failures_t *x = &m->items.items_val[i];
+		hub_item_t *it = hub_find_item(h, x->job, x->item);
+
+		if (!it || x->failures > UINT32_MAX - it->failures)
+			continue;
+		it->failures += x->failures;
+		hub_dispatch_reroute_item(h, it);
+		log_event(LOG_LEVEL_INFO, "item_failures_known", LOG_CSTR("lot", it->lot->id),
+			  LOG_INT("item", it->index), LOG_CSTR("entry", p->name),
+			  LOG_INT("failures", it->failures));
+	}
+}
+
 void hub_dispatch_hello(hub_t *h, hub_peer_t *p, const link_hello_t *hello)
 {
 	for (u_int i = 0; i < hello->leaving_replicas.leaving_replicas_len; i++)
 		hub_view_note_leaving(h, p, &hello->leaving_replicas.leaving_replicas_val[i]);
 	if (!p->addr[0])
 		return;
+	if (hello->replica == LINK_ENTRY_KNOWS_FAILURES)
+		ask_for_failures(h, p);
 	p->has_config |= hello->text.number != 0;
 	update_entry(h, p);
 	dispatch_entry_set_cut_off(h->dispatch, p->id, p->cut_off, clock_now_ms());
@@ -750,6 +784,9 @@
 	case LINK_LEAVING:
 		hub_view_note_leaving(h, p, &m->link_msg_t_u.leaving_replica);
 		break;
+	case LINK_ITEM_FAILURES:
+		add_failures(h, p, &m->link_msg_t_u.item_failures);
+		break;
 	case LINK_ITEM_PROGRESS:
 		on_item_progress(h, p, &m->link_msg_t_u.progress);
 		break;
@@ -807,8 +844,21 @@
 	hub_lots_sync(h);
 }
 
+static void forget_asked(hub_t *h)
+{
+	hub_asked_t *x;
+	hub_asked_t *next;
+
+	HASH_ITER (hh, h->asked, x, next) {
+		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): unlinked before free() */
+		HASH_DEL(h->asked, x);
+		free(x);
+	}
+}
+
 void hub_dispatch_stop_leading(hub_t *h)
 {
+	forget_asked(h);
 	while (h->lots)
 		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): nodes are unlinked first */
 		lot_free(h, h->lots);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -25,6 +25,7 @@
 #include "policy/dispatch.h"
 #include "policy/drain.h"
 #include "policy/intake.h"
+#include "policy/item_failures.h"
 #include "policy/leaving.h"
 #include "policy/poison.h"
 #include "policy/proof.h"
@@ -112,6 +113,7 @@
 	front_replica_t *replicas; /* hash by id, from view */
 	front_hop_t *hops;
 	size_t item_text_bytes; /* of all items */
+	item_failures_t *item_failures;
 	uint64_t hop_random; /* state of prng_next() */
 	front_reach_t *reach; /* whether this process reaches the replicas */
 	struct front_pause *pause;
@@ -464,6 +466,9 @@
 void front_item_stop_all(front_t *f);
 /** Reports the items that ended but were not reported. */
 void front_item_report_ends(front_t *f);
+void front_item_start(front_t *f);
+/** Answers a new leader's question for the failures reported to earlier ones. */
+void front_item_report_failures(front_t *f);
 /** A leader has connected: reports the items that ended before, and lets the next report of each
  * other item begin with its first event. */
 void front_item_leader_up(front_t *f);
--- a/src/front/front_item.c
+++ b/src/front/front_item.c
@@ -30,6 +30,7 @@
 	size_t reported_bytes; /* bytes of text that the leader has already */
 	unsigned reported_events; /* number of events that the leader has already */
 	deadline_t next_report;
+	deadline_t given_up_at; /* by the leader */
 	front_attempt_t *attempt;
 	platform_reply_t reply; /* decoded head of the answer, without the id */
 	bool ended; /* ended, but not reported to a leader yet */
@@ -56,10 +57,22 @@
 	free(it);
 }
 
+static void count_failure(const front_item_t *it)
+{
+	str_t lot = wire_str(it->spec.job);
+
+	if (it->end == LINK_ITEM_END_FAILED)
+		item_failures_add(it->f->item_failures, lot, it->spec.item, it->given_up_at);
+	else if (it->end != LINK_ITEM_END_UNFINISHED)
+		item_failures_forget(it->f->item_failures, lot, it->spec.item);
+}
+
 static void report_end(front_item_t *it)
 {
 	link_msg_t m = {.kind = LINK_ITEM_ENDED};
 
+	count_failure(it);
+
 	m.link_msg_t_u.item_ended = (link_item_ended_t){
 		.job = it->spec.job,
 		.item = it->spec.item,
@@ -271,6 +284,7 @@
 	it->events = it->reported_events = m->events;
 	it->reported_bytes = it->text.n;
 	it->next_report = clock_now_ms() + REPORT_MS;
+	it->given_up_at = clock_now_ms() + m->deadline_ms;
 	DL_APPEND(f->items, it);
 	if (!addr[0] || front_is_stopping(f)) {
 		end_item(it, LINK_ITEM_END_UNFINISHED,
@@ -362,10 +376,34 @@
 	}
 }
 
+void front_item_start(front_t *f)
+{
+	f->item_failures = item_failures_new();
+}
+
+void front_item_report_failures(front_t *f)
+{
+	static item_failures_entry_t list[ITEM_FAILURES_MAX];
+	static link_item_failures_t out[ITEM_FAILURES_MAX];
+	size_t n = item_failures_list(f->item_failures, clock_now_ms(), list, ITEM_FAILURES_MAX);
+	link_msg_t m = {.kind = LINK_ITEM_FAILURES};
+
+	if (n == 0)
+		return;
+	for (size_t i = 0; i < n; i++)
+		out[i] = (link_item_failures_t){wire_bytes(list[i].lot), list[i].item,
+						list[i].failures};
+	m.link_msg_t_u.item_failures.items.items_len = (u_int)n;
+	m.link_msg_t_u.item_failures.items.items_val = out;
+	leader_link_send(f->leader, &m);
+	log_event(LOG_LEVEL_INFO, "item_failures_reported", LOG_INT("items", n));
+}
+
 void front_item_leader_up(front_t *f)
 {
 	front_item_t *it;
 
+	item_failures_new_link(f->item_failures);
 	DL_FOREACH (f->items, it) {
 		/* What an earlier leader was told may not have reached this one. */
 		it->reported_bytes = 0;
--- a/src/front/front_link.c
+++ b/src/front/front_link.c
@@ -177,6 +177,9 @@
 	case LINK_POISONS:
 		front_poison_update(f, &m->link_msg_t_u.poisons);
 		break;
+	case LINK_ASK_ITEM_FAILURES:
+		front_item_report_failures(f);
+		break;
 	case LINK_ITEM_STOP:
 		front_item_stop(f, &m->link_msg_t_u.stop);
 		break;
@@ -219,6 +222,14 @@
 	front_slot_leader_down(ctx);
 }
 
+/* Value of replica in the hello: what the leader is to know of this entry. Leaders of older builds
+ * compare it with LINK_ENTRY_CUT_OFF only. */
+static uint64_t entry_flags(const front_t *f)
+{
+	return !front_is_stopping(f) && front_is_cut_off(f) ? LINK_ENTRY_CUT_OFF
+							    : LINK_ENTRY_KNOWS_FAILURES;
+}
+
 /* Fills the hello that opens a link: this entry, its running requests and items (RUNS_MAX at most),
  * its config, and the leaving replicas. */
 static void fill_hello(void *ctx, link_hello_t *out)
@@ -238,7 +249,7 @@
 		.addr = wire_bytes(str_c(f->settings.listen)),
 		.zone = wire_bytes(str_c(f->settings.zone)),
 		.draining = front_is_stopping(f) || front_is_cut_off(f),
-		.replica = !front_is_stopping(f) && front_is_cut_off(f) ? LINK_ENTRY_CUT_OFF : 0,
+		.replica = entry_flags(f),
 		.text = f->config_id,
 	};
 	out->runs.runs_len = (u_int)n;
@@ -283,6 +294,7 @@
 	front_quarantine_start(f);
 	front_poison_start(f);
 	front_routes_start(f);
+	front_item_start(f);
 	f->leader = leader_link_new(&(leader_link_options_t){
 		.loop = f->loop,
 		.controls = (const char *const *)f->settings.controls.v,
--- a/src/proto/link.x
+++ b/src/proto/link.x
@@ -32,6 +32,9 @@
 /* Value of replica in the hello of an entry that is cut off from the replicas. It sets draining too,
  * so that leaders that do not know this value leave it out of look-ups. */
 const LINK_ENTRY_CUT_OFF = 1;
+/* Value of replica in the hello of an entry that answers LINK_ASK_ITEM_FAILURES; 0 and
+ * LINK_ENTRY_CUT_OFF leave that open. */
+const LINK_ENTRY_KNOWS_FAILURES = 2;
 
 struct link_hello_t {
 	wire_bytes_t name;
@@ -39,8 +42,8 @@
 	wire_bytes_t zone;
 	bool draining;
 	wire_bytes_t control;		/* ip:port of its RPC; empty for an entry */
-	unsigned hyper replica;		/* id of its replica of group 0; of an entry: 0 or
-					   LINK_ENTRY_CUT_OFF */
+	unsigned hyper replica;		/* id of its replica of group 0; of an entry: 0 or a value
+					   LINK_ENTRY_* */
 	link_config_id_t text;		/* config whose routes it uses; number 0: none */
 	link_run_t runs<>;
 	link_leaving_t leaving_replicas<>;
@@ -331,6 +334,17 @@
 	unsigned int item;
 };
 
+/* Failed runs of an item that an entry has reported to earlier leaders. */
+struct link_item_failures_t {
+	wire_bytes_t job;
+	unsigned int item;
+	unsigned int failures;
+};
+
+struct link_failures_t {
+	link_item_failures_t items<>;
+};
+
 enum link_item_end_t {
 	LINK_ITEM_END_DONE = 0,
 	LINK_ITEM_END_IMPOSSIBLE = 1,	/* the replica replied 422: none can run it */
@@ -465,8 +479,11 @@
 					   crashed replicas at this entry, has ended whole */
 	LINK_REQUEST_FACTS = 30,
 	LINK_REPLICA_LOADS = 31,	/* from an entry */
-	LINK_ENTRY_CAPACITIES = 32	/* from an entry: its own; from the leader: of the
+	LINK_ENTRY_CAPACITIES = 32,	/* from an entry: its own; from the leader: of the
 					   entries in the view that it sends */
+	LINK_ASK_ITEM_FAILURES = 33,	/* from a new leader, to each entry once: it knows nothing of
+					   what was reported before */
+	LINK_ITEM_FAILURES = 34		/* from an entry, in reply */
 };
 
 union link_msg_t switch (link_kind_t kind) {
@@ -528,6 +545,10 @@
 	link_replica_loads_t replica_loads;
 case LINK_ENTRY_CAPACITIES:
 	link_entry_capacities_t capacities;
+case LINK_ASK_ITEM_FAILURES:
+	void;
+case LINK_ITEM_FAILURES:
+	link_failures_t item_failures;
 case LINK_CALL:
 	link_call_t call;
 case LINK_REPLY:
--- a/src/proto/link_xdr.c
+++ b/src/proto/link_xdr.c
@@ -957,6 +957,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_link_item_failures_t (XDR *xdrs, link_item_failures_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_bytes_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->item))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->failures))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_link_failures_t (XDR *xdrs, link_failures_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, ~0,
+		sizeof (link_item_failures_t), (xdrproc_t) xdr_link_item_failures_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_link_item_end_t (XDR *xdrs, link_item_end_t *objp)
 {
@@ -1308,6 +1333,12 @@
 		 if (!xdr_link_entry_capacities_t (xdrs, &objp->link_msg_t_u.capacities))
 			 return FALSE;
 		break;
+	case LINK_ASK_ITEM_FAILURES:
+		break;
+	case LINK_ITEM_FAILURES:
+		 if (!xdr_link_failures_t (xdrs, &objp->link_msg_t_u.item_failures))
+			 return FALSE;
+		break;
 	case LINK_CALL:
 		 if (!xdr_link_call_t (xdrs, &objp->link_msg_t_u.call))
 			 return FALSE;
--- a/src/proto/link_xdr.h
+++ b/src/proto/link_xdr.h
@@ -35,6 +35,7 @@
 };
 typedef struct link_leaving_t link_leaving_t;
 #define LINK_ENTRY_CUT_OFF 1
+#define LINK_ENTRY_KNOWS_FAILURES 2
 
 struct link_hello_t {
 	wire_bytes_t name;
@@ -398,6 +399,21 @@
 };
 typedef struct link_item_ref_t link_item_ref_t;
 
+struct link_item_failures_t {
+	wire_bytes_t job;
+	u_int item;
+	u_int failures;
+};
+typedef struct link_item_failures_t link_item_failures_t;
+
+struct link_failures_t {
+	struct {
+		u_int items_len;
+		link_item_failures_t *items_val;
+	} items;
+};
+typedef struct link_failures_t link_failures_t;
+
 enum link_item_end_t {
 	LINK_ITEM_END_DONE = 0,
 	LINK_ITEM_END_IMPOSSIBLE = 1,
@@ -524,6 +540,8 @@
 	LINK_REQUEST_FACTS = 30,
 	LINK_REPLICA_LOADS = 31,
 	LINK_ENTRY_CAPACITIES = 32,
+	LINK_ASK_ITEM_FAILURES = 33,
+	LINK_ITEM_FAILURES = 34,
 };
 typedef enum link_kind_t link_kind_t;
 
@@ -558,6 +576,7 @@
 		link_request_facts_t facts;
 		link_replica_loads_t replica_loads;
 		link_entry_capacities_t capacities;
+		link_failures_t item_failures;
 		link_call_t call;
 		link_reply_t reply;
 	} link_msg_t_u;
@@ -606,6 +625,8 @@
 extern  bool_t xdr_link_ended_t (XDR *, link_ended_t*);
 extern  bool_t xdr_link_item_run_t (XDR *, link_item_run_t*);
 extern  bool_t xdr_link_item_ref_t (XDR *, link_item_ref_t*);
+extern  bool_t xdr_link_item_failures_t (XDR *, link_item_failures_t*);
+extern  bool_t xdr_link_failures_t (XDR *, link_failures_t*);
 extern  bool_t xdr_link_item_end_t (XDR *, link_item_end_t*);
 extern  bool_t xdr_link_item_ended_t (XDR *, link_item_ended_t*);
 extern  bool_t xdr_link_item_progress_t (XDR *, link_item_progress_t*);
@@ -659,6 +680,8 @@
 extern bool_t xdr_link_ended_t ();
 extern bool_t xdr_link_item_run_t ();
 extern bool_t xdr_link_item_ref_t ();
+extern bool_t xdr_link_item_failures_t ();
+extern bool_t xdr_link_failures_t ();
 extern bool_t xdr_link_item_end_t ();
 extern bool_t xdr_link_item_ended_t ();
 extern bool_t xdr_link_item_progress_t ();
