An order to retire a VM that is down, or gone, is not refused for good

What callers saw: an order for a VM whose process had just lost its link got 404, and so did an order that was sent again after the VM had been removed, though it had been accepted (PROTOCOL: never refused).

Cause: the leader knows names by links only and took what isn't linked for unknown.

Change: while a member isn't linked the answer is 503, as its name isn't known; an order for a VM that is retired already is acknowledged again.

--- a/src/control/hub_retire.c
+++ b/src/control/hub_retire.c
@@ -113,9 +113,51 @@
 	free(o);
 }
 
+static bool is_linked(const hub_t *h, const char *rpc_addr)
+{
+	for (const hub_peer_t *p = h->peers; p; p = p->hh.next) {
+		if (strcmp(p->rpc_addr, rpc_addr) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* True if a member is neither linked nor this process: its name is not known. */
+static bool has_nameless_member(const hub_t *h, const group_status_t *st)
+{
+	for (unsigned i = 0; i < st->npeers; i++) {
+		if (st->peers[i].id != st->self && !is_linked(h, st->peers[i].addr))
+			return true;
+	}
+	return false;
+}
+
+static void read_has_retired(control_group_t *g, void *arg)
+{
+	retired_lookup_t *f = arg;
+
+	f->retired = fleet_has_retired(g->fleet, f->node);
+}
+
+/* Judges an order for a name that no linked process has: it may be repeated after the VM was
+ * removed, or name a VM that is down. */
+static status_t judge_unlinked(hub_t *h, const char *node, const group_status_t *st)
+{
+	retired_lookup_t f = {.node = str_c(node)};
+
+	if (has_nameless_member(h, st))
+		return status_fail(STATUS_UNAVAILABLE,
+				   "no VM named %s is linked, and one is not linked", node);
+	control_group_read(&h->control->groups[0], read_has_retired, &f);
+	if (f.retired)
+		return STATUS_OK;
+	return status_fail(STATUS_NOT_FOUND, "no VM named %s is known", node);
+}
+
 /* Finds the process with this name, its address and the ids of its replicas: of the linked one, and
- * of members that had this address before its disk was lost. Returns STATUS_NOT_FOUND if it is
- * neither linked nor this process. A process whose disk refuses writes links without an id. */
+ * of members that had this address before its disk was lost. Leaves the address empty and returns
+ * what the order is answered with if the process is neither linked nor this one. A process whose
+ * disk refuses writes links without an id. */
 static status_t find_process(hub_t *h, retire_task_t *o)
 {
 	str_t node = str_c(o->node);
@@ -137,7 +179,7 @@
 		snprintf(o->addr, sizeof(o->addr), "%s", p->rpc_addr);
 	}
 	if (!o->addr[0])
-		return status_fail(STATUS_NOT_FOUND, "no VM with this name is linked");
+		return judge_unlinked(h, o->node, &st);
 	o->nreplicas = membership_ids_at(&st, o->addr, current, o->replica_ids);
 	if (o->nreplicas == 0)
 		return status_fail(STATUS_UNAVAILABLE,
@@ -169,14 +211,15 @@
 	return clock_now_ms() - st.leader_since > PEERS_LINK_MS;
 }
 
-/* Refuses to retire a control process: with status st, or as "unavailable" while st may be wrong
- * because others have not linked yet. */
-static void refuse_retire(hub_t *h, const hub_origin_t *from, const char *node, status_t st)
+/* Answers an order without a commit: it was accepted before, or is refused with status st, or as
+ * "unavailable" while st may be wrong because others have not linked yet. */
+static void answer_retire(hub_t *h, const hub_origin_t *from, const char *node, status_t st)
 {
-	if (!peers_had_time_to_link(h))
+	if (st != STATUS_OK && !peers_had_time_to_link(h))
 		st = status_fail(STATUS_UNAVAILABLE, "this process became leader only moments ago");
-	log_event(LOG_LEVEL_INFO, "retire_refused", LOG_CSTR("node", node),
-		  LOG_CSTR("status", status_name(st)), LOG_CSTR("message", status_message()));
+	log_event(LOG_LEVEL_INFO, st == STATUS_OK ? "retire_repeated" : "retire_refused",
+		  LOG_CSTR("node", node), LOG_CSTR("status", status_name(st)),
+		  LOG_CSTR("message", st == STATUS_OK ? "" : status_message()));
 	hub_reply_status(h, from, st);
 }
 
@@ -191,11 +234,11 @@
 	o->node = str_dup(wire_str(arg->link_call_arg_t_u.node));
 	if (arg->kind == LINK_CALL_RETIRE) {
 		st = find_process(h, o);
-		if (st == STATUS_OK)
+		if (st == STATUS_OK && o->addr[0])
 			st = check_order(h, o);
 	}
-	if (st != STATUS_OK) {
-		refuse_retire(h, from, o->node, st);
+	if (st != STATUS_OK || (arg->kind == LINK_CALL_RETIRE && !o->addr[0])) {
+		answer_retire(h, from, o->node, st);
 		free(o->node);
 		free(o);
 		return;
--- a/tests/proc/test_retired_store.py
+++ b/tests/proc/test_retired_store.py
@@ -12,6 +12,7 @@
 
 GRACE_S = 1.5       # replace_grace_ms of the kit
 MARGIN_S = 2.0
+PEERS_LINK_S = 3.5  # after this, a new leader says of a VM that it is unknown
 KNOWN_S = 10        # an order is acknowledged, and a state is readable, within this time
 
 
@@ -86,6 +87,31 @@
         self.retire()
         self.assertEqual(self.state([self.leader]), "completed")
 
+    def order(self, node):
+        """The status of one order."""
+        return self.kit.loop.run(self.kit.call(self.leader.ip, self.kit.port + 2, "POST", "/retire/%s/start" % node, [],
+                                               b'{"durationS":10}', 3))[0]
+
+    def test_order_for_a_vm_that_is_down_is_not_refused_for_good(self):
+        """A leader knows the name of a VM by its link only."""
+        time.sleep(PEERS_LINK_S)
+        self.assertEqual(self.order("nobody"), 404)
+        self.retired.stop()
+        self.wait_line(self.leader, "peer_lost", KNOWN_S, peer=self.retired.name)
+        self.assertEqual(self.order(self.retired.name), 503)
+        self.retired.start()
+        self.retire()
+        self.assertEqual(self.order("nobody"), 404)
+
+    def test_order_is_acknowledged_again_after_the_vm_is_removed(self):
+        self.retire()
+        self.wait_line(self.leader, "voter_removed", KNOWN_S)
+        self.retired.stop()
+        self.wait_line(self.leader, "peer_lost", KNOWN_S, peer=self.retired.name)
+        time.sleep(PEERS_LINK_S)
+        self.assertEqual(self.order(self.retired.name), 200)
+        self.assertEqual(self.state([self.leader]), "completed")
+
     def test_new_leader_keeps_the_order_for_the_vm(self):
         self.retire()
         self.wait_line(self.leader, "voter_removed", KNOWN_S)
