A read that waits for a lot is answered when the lot is removed

What callers saw: a read with a long Wait-Ms of a lot whose time was over meanwhile got 503 when its own time was over (21 s of 20), and the leader kept it until it stopped leading.

Cause: a waiting read was answered only while its lot is found.

Change: such a read gets 404 at once; the look-up for it is the one that was made before.

The kit's read_lot waits as long as the read may. test_retention and test_public_lots pass.

--- a/src/control/hub_lots.c
+++ b/src/control/hub_lots.c
@@ -196,20 +196,24 @@
 	}
 }
 
-/* Replies to a read of results. Returns false, without a reply, if the lot is unknown here. If
- * `wait` is set, also returns false while there is no new result but more can come. */
-static bool try_answer_read(hub_t *h, const hub_origin_t *from, str_t lot, uint32_t after,
-			    bool wait)
+typedef enum { READ_ANSWERED, READ_UNKNOWN_LOT, READ_WAITS } read_result_t;
+
+/* Replies to a read of results, unless the lot is unknown here or, if `wait` is set, there is no
+ * new result but more can come. */
+static read_result_t try_answer_read(hub_t *h, const hub_origin_t *from, str_t lot, uint32_t after,
+				     bool wait)
 {
 	results_read_t x = {.lot = lot, .after = after};
-	bool done;
+	read_result_t result = READ_UNKNOWN_LOT;
 
 	control_group_read(&h->control->groups[0], read_results, &x);
-	done = x.found && (!wait || x.over || x.r.results.results_len > 0);
-	if (done)
+	if (x.found)
+		result = wait && !x.over && x.r.results.results_len == 0 ? READ_WAITS
+									 : READ_ANSWERED;
+	if (result == READ_ANSWERED)
 		hub_reply(h, from, &x.r);
 	wire_free(XDR_PROC(link_reply_t), &x.r);
-	return done;
+	return result;
 }
 
 static void waiter_free(hub_t *h, hub_waiter_t *w)
@@ -219,8 +223,8 @@
 	free(w);
 }
 
-/* Replies to the waiting reads that have new results, whose lot is over, or that are past their
- * deadline. A read of a lot that has been removed stays queued until this process stops leading. */
+/* Replies to the waiting reads that have new results, whose lot is over or has been removed, or
+ * that are past their deadline. */
 static void wake_waiters(hub_t *h, deadline_t now)
 {
 	hub_waiter_t *w;
@@ -228,8 +232,15 @@
 
 	DL_FOREACH_SAFE(h->waiters, w, next)
 	{
-		if (try_answer_read(h, &w->origin, str_c(w->lot), w->after, now < w->deadline))
-			waiter_free(h, w);
+		read_result_t result =
+			try_answer_read(h, &w->origin, str_c(w->lot), w->after, now < w->deadline);
+
+		if (result == READ_WAITS)
+			continue;
+		if (result == READ_UNKNOWN_LOT)
+			hub_reply_status(h, &w->origin,
+					 status_fail(STATUS_NOT_FOUND, "the lot was removed"));
+		waiter_free(h, w);
 	}
 }
 
@@ -289,17 +300,14 @@
 static bool try_answer_or_wait(hub_t *h, const hub_origin_t *from, const link_call_arg_t *arg)
 {
 	const link_lot_read_t *m = &arg->link_call_arg_t_u.read;
-	results_read_t x = {.lot = wire_str(m->job), .after = UINT32_MAX};
+	read_result_t result;
 	hub_waiter_t *waiter;
 
 	if (arg->kind == LINK_CALL_ITEM_BODY)
 		return try_answer_body(h, from, &arg->link_call_arg_t_u.body);
-	if (try_answer_read(h, from, wire_str(m->job), m->after, m->wait_ms > 0))
-		return true;
-	control_group_read(&h->control->groups[0], read_results, &x);
-	wire_free(XDR_PROC(link_reply_t), &x.r);
-	if (!x.found)
-		return false;
+	result = try_answer_read(h, from, wire_str(m->job), m->after, m->wait_ms > 0);
+	if (result != READ_WAITS)
+		return result == READ_ANSWERED;
 	waiter = mem_new(sizeof(*waiter));
 	waiter->origin = *from;
 	waiter->lot = str_dup(wire_str(m->job));
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -634,7 +634,7 @@
 
     async def read_lot(self, front, lot, after=0, wait=0, headers=()):
         h = [("Host", HOST)] + ([("Wait-Ms", wait)] if wait else []) + list(headers)
-        s, _, b = await self.call(front.ip, self.port, "GET", "/lots/%s?after=%d" % (lot, after), h, b"", 4)
+        s, _, b = await self.call(front.ip, self.port, "GET", "/lots/%s?after=%d" % (lot, after), h, b"", 4 + wait / 1000)
         return s, json.loads(b) if s == 200 else None
 
     async def read_whole(self, lot, s=30):
--- a/tests/proc/test_retention.py
+++ b/tests/proc/test_retention.py
@@ -10,12 +10,22 @@
 
 RETENTION_S = 1
 GIVEN_UP_S = RETENTION_S + 5 + 2    # with DROP_MARGIN_MS of the leader, and time for the commit
+WAIT_S = 20         # of a read that waits for results
 LONG_S = [24 * 86400, 25 * 86400, 30 * 86400, 3650 * 86400]
 
 
+class ShortLived(Kit):
+    """Lots are removed as soon as their items may be given up."""
+
+    def before_start(self):
+        for c in self.controls:
+            c.settings["lot_ttl_ms"] = 1000 * RETENTION_S
+            c.write_settings()
+
+
 class Retention(unittest.TestCase):
-    def start(self, retention):
-        self.kit = Kit(fronts=1, replicas=1)
+    def start(self, retention, kit=Kit):
+        self.kit = kit(fronts=1, replicas=1)
         self.addCleanup(self.kit.close)
         self.kit.up(retention=retention)
 
@@ -33,6 +43,15 @@
         self.assertEqual(status, 200)
         self.assertEqual({x["id"]: x["state"] for x in r["results"]}, {x["id"]: "dead" for x in items})
 
+    def test_read_that_waits_for_a_lot_is_answered_when_the_lot_is_removed(self):
+        self.start(RETENTION_S, ShortLived)
+        self.kit.replicas[0].full = True
+        lot, _ = self.open_lot()
+        began = time.time()
+        status, _ = self.kit.loop.run(self.kit.read_lot(self.kit.fronts[0], lot, 0, 1000 * WAIT_S))
+        self.assertEqual(status, 404)
+        self.assertLess(time.time() - began, GIVEN_UP_S)
+
     def test_items_that_are_kept_for_long_are_run(self):
         self.start(60)
         for retention in LONG_S:
