An entry doesn't acknowledge a config that it can't decode

What callers could see: an entry that goes on by an old config, or by none, while the leader takes it for up to date.

Cause: the end of each decoding was reported as the config in force, also after a failure, and nothing was sent again.

Change: after a failure the entry asks for the whole config five seconds later, as if it had none. Without an acknowledgement alone the leader would send it nothing more, also no newer config.

--- a/src/front/front.h
+++ b/src/front/front.h
@@ -106,6 +106,7 @@
 	unsigned fleet_entries; /* as the last leader said; 0: unknown */
 	worker_pool_t *decoder; /* one thread: decodes one config at a time */
 	bool decoding; /* decoder is decoding a config */
+	deadline_t next_routes_try; /* when a config is asked for again; 0: the last one was read */
 	link_config_t pending_config; /* the last that arrived during decoding; owned */
 	link_view_t view; /* replicas, entries and control processes, as the leader last sent them;
 			     without a leader, the replicas may be from upstream_list */
@@ -173,6 +174,8 @@
  * the config in force, only reports the id of the config in force. Of the configs that arrive
  * during decoding, only the last is decoded. */
 void front_routes_update(front_t *f, const link_config_t *m);
+/** Asks again for a config that could not be decoded. */
+void front_routes_tick(front_t *f, deadline_t now);
 /** Tells the leader that this config is in force here, which also asks it for the newest one. */
 void front_routes_report(front_t *f, link_config_id_t id);
 
--- a/src/front/front_routes.c
+++ b/src/front/front_routes.c
@@ -5,6 +5,9 @@
 #include "client/delta.h"
 #include "front/front.h"
 
+/** A config that could not be decoded is asked for again, whole, after this time in ms. */
+#define RETRY_MS 5000
+
 typedef struct {
 	worker_task_t task; /* must be first: the callbacks cast the task back */
 	front_t *f;
@@ -71,9 +74,11 @@
 
 	f->decoding = false;
 	f->pending_config = (link_config_t){0};
+	f->next_routes_try = 0;
 	if (!d->routes) {
 		log_event(LOG_LEVEL_ERROR, "text_unreadable", LOG_INT("number", d->m.text.number),
-			  LOG_CSTR("what", d->message));
+			  LOG_CSTR("what", d->message), LOG_INT("in_force", f->config_id.number));
+		f->next_routes_try = clock_now_ms() + RETRY_MS;
 	} else if (f->routes && d->routes->version <= f->routes_version) {
 		/* A leader that lost its disk may send an older config. The config is acknowledged
 		 * below, but not put in force. */
@@ -84,7 +89,8 @@
 	} else {
 		install_routes(f, d->m.text, d->routes);
 	}
-	front_routes_report(f, d->m.text);
+	if (f->next_routes_try == 0)
+		front_routes_report(f, d->m.text);
 	wire_free(XDR_PROC(link_config_t), &d->m);
 	free(d);
 	if (next.text.number)
@@ -115,6 +121,15 @@
 	worker_pool_submit(f->decoder, &d->task);
 }
 
+void front_routes_tick(front_t *f, deadline_t now)
+{
+	if (f->next_routes_try == 0 || now < f->next_routes_try || f->decoding)
+		return;
+	f->next_routes_try = 0;
+	/* As if this entry had none: a delta may be what could not be decoded. */
+	front_routes_report(f, (link_config_id_t){0});
+}
+
 void front_routes_start(front_t *f)
 {
 	f->decoder = worker_pool_new(f->loop, 1);
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -177,6 +177,7 @@
 
 	front_link_tick(f, now);
 	front_reach_tick(f, now);
+	front_routes_tick(f, now);
 	front_customer_tick(f, now);
 	front_quarantine_tick(f, now);
 	front_poison_tick(f, now);
--- a/tests/proc/link_kit.py
+++ b/tests/proc/link_kit.py
@@ -1,4 +1,6 @@
-"""Simulated entries that hold a link to the leading control process, hundreds of them in one process."""
+"""Simulated ends of links: entries that link to the leading control process, hundreds of them in one process, and a leader
+to which real entries link.
+"""
 import asyncio
 import struct
 
@@ -91,3 +93,46 @@
         for t in self.tasks:
             t.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+class SimulatedLeader:
+    """A control process that leads, to which entries link."""
+
+    def __init__(self, kit):
+        self.kit = kit
+
+    async def start(self):
+        self.ip = self.kit.next_ip()
+        self.server = await asyncio.start_server(self.serve, self.ip, self.kit.port + 1)
+
+    def on_hello(self, m, send):
+        """Called with the contents of each hello, once it is answered."""
+
+    def on_message(self, kind, m, send):
+        """Called with the contents of each other message from an entry."""
+
+    async def serve(self, reader, writer):
+        def send(m):
+            writer.write(struct.pack(">I", len(m)) + m)
+
+        async def ping():
+            while True:
+                send(struct.pack(">I", PING))
+                await asyncio.sleep(PING_S)
+        pings = None
+        try:
+            while True:
+                n, = struct.unpack(">I", await reader.readexactly(4))
+                m = await reader.readexactly(n)
+                kind, = struct.unpack(">I", m[:4])
+                if kind == HELLO:
+                    send(struct.pack(">II", WELCOME, 1) + opaque(b""))
+                    pings = pings or asyncio.ensure_future(ping())
+                    self.on_hello(m[4:], send)
+                else:
+                    self.on_message(kind, m[4:], send)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            if pings:
+                pings.cancel()
--- a/tests/proc/test_early_items.py
+++ b/tests/proc/test_early_items.py
@@ -4,12 +4,11 @@
 name a customer, or bring a key, to a replica. The leader gives items to entries that have a config; an entry without one
 gives them back.
 """
-import asyncio
 import struct
 import time
 import unittest
 
-from link_kit import HELLO, LinkEntry, PING, PING_S, WELCOME, opaque
+from link_kit import LinkEntry, SimulatedLeader, opaque
 from platform_kit import HOST, Kit
 
 ITEM_RUN, ITEM_ENDED = 10, 12           # link_kind_t in src/proto/link.x
@@ -60,42 +59,19 @@
             time.sleep(0.2)
 
 
-class SimulatedLeader:
-    """A leader with one entry, which tells it to run an item and sends it no config."""
+class ItemLeader(SimulatedLeader):
+    """Tells its entry to run an item and sends it no config."""
 
     def __init__(self, kit):
-        self.kit = kit
+        super().__init__(kit)
         self.ended = []     # (job, item, replica, end, outcome) of the items that the entry reports as ended
 
-    async def start(self):
-        self.ip = self.kit.next_ip()
-        self.server = await asyncio.start_server(self.serve, self.ip, self.kit.port + 1)
-
-    async def serve(self, reader, writer):
-        def send(m):
-            writer.write(struct.pack(">I", len(m)) + m)
-
-        async def ping():
-            while True:
-                send(struct.pack(">I", PING))
-                await asyncio.sleep(PING_S)
-        pings = None
-        try:
-            while True:
-                n, = struct.unpack(">I", await reader.readexactly(4))
-                m = await reader.readexactly(n)
-                kind, = struct.unpack(">I", m[:4])
-                if kind == HELLO:
-                    send(struct.pack(">II", WELCOME, 1) + opaque(b""))
-                    pings = pings or asyncio.ensure_future(ping())
-                    send(self.item_run())
-                elif kind == ITEM_ENDED:
-                    self.ended.append(self.decode_ended(m[4:]))
-        except (OSError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            if pings:
-                pings.cancel()
+    def on_hello(self, m, send):
+        send(self.item_run())
+
+    def on_message(self, kind, m, send):
+        if kind == ITEM_ENDED:
+            self.ended.append(self.decode_ended(m))
 
     def item_run(self):
         """Runs item 3 of a lot of the customer ada, whose client named another customer."""
@@ -124,7 +100,7 @@
     def test_entry_without_a_config_gives_an_item_back_unrun(self):
         kit = Kit(controls=0, fronts=0, replicas=1)
         self.addCleanup(kit.close)
-        leader = SimulatedLeader(kit)
+        leader = ItemLeader(kit)
         kit.loop.run(leader.start())
         kit.seeds = ["%s:%d" % (leader.ip, kit.port)]
         front = kit.make_front("front-0", "za")
