--- a/src/state/fleet.c
+++ b/src/state/fleet.c
@@ -116,6 +116,19 @@
 	c->text_n = 0;
 }
 
+void fleet_config_drop_old_texts(fleet_state_t *f)
+{
+	size_t bytes = 0;
+	uint64_t kept = 0;
+
+	for (uint64_t number = f->nconfigs; number > 0 && f->configs[number - 1].text; number--) {
+		bytes += f->configs[number - 1].text_n;
+		kept++;
+		if (kept > 1 && (kept > FLEET_CONFIG_TEXTS_MAX || bytes > FLEET_CONFIG_TEXTS_BYTES))
+			fleet_config_drop_text(f, number);
+	}
+}
+
 /** Handles the submission of a config under a number that is already taken. */
 static status_t resubmit_config(const fleet_state_t *f, uint64_t number, uint64_t digest,
 				wire_fleet_res_t *res)
@@ -143,8 +156,7 @@
 	if (c->number <= f->nconfigs)
 		return resubmit_config(f, c->number, digest, res);
 	fleet_config_add(f, digest, wire_str(c->operator_name), wire_str(c->text));
-	if (f->nconfigs > FLEET_CONFIG_TEXTS_MAX)
-		fleet_config_drop_text(f, f->nconfigs - FLEET_CONFIG_TEXTS_MAX);
+	fleet_config_drop_old_texts(f);
 	res->number = c->number;
 	res->winner_digest = digest;
 	return STATUS_OK;
--- a/src/state/fleet.h
+++ b/src/state/fleet.h
@@ -17,6 +17,11 @@
 
 typedef struct fleet_state fleet_state_t;
 
+/** Number of newest configs whose text is stored, and the most bytes of their texts; the newest is
+ * stored whatever its size, older ones without their text. Each snapshot has all of them. */
+#define FLEET_CONFIG_TEXTS_MAX	 50
+#define FLEET_CONFIG_TEXTS_BYTES (4U << 20)
+
 fleet_state_t *fleet_new(unsigned ledger_groups);
 void fleet_free(fleet_state_t *f);
 /** Applies one command and fills res, which owns its bytes. */
--- a/src/state/fleet_internal.h
+++ b/src/state/fleet_internal.h
@@ -5,9 +5,6 @@
 #include <uthash.h>
 #include "state/fleet.h"
 
-/** Number of newest configs whose text is stored; older ones are stored without their text. */
-#define FLEET_CONFIG_TEXTS_MAX 50
-
 /** One numbered config. Numbers and digests are stored for ever. */
 typedef struct {
 	uint64_t digest;
@@ -73,6 +70,8 @@
 fleet_upstream_t *fleet_find_upstream(const fleet_state_t *f, str_t id);
 void fleet_config_add(fleet_state_t *f, uint64_t digest, str_t operator_name, str_t text);
 void fleet_config_drop_text(fleet_state_t *f, uint64_t number);
+/** Drops the texts beyond the limits. */
+void fleet_config_drop_old_texts(fleet_state_t *f);
 void fleet_member_add(fleet_state_t *f, fleet_member_t *m);
 void fleet_upstream_add(fleet_state_t *f, fleet_upstream_t *u);
 void fleet_upstream_free(fleet_state_t *f, fleet_upstream_t *u);
--- a/src/state/fleet_snapshot.c
+++ b/src/state/fleet_snapshot.c
@@ -125,6 +125,7 @@
 	f->view_version = unpack_u64(&in);
 	for (n = unpack_u64(&in); n > 0 && !in.bad; n--)
 		unpack_config(&in, f);
+	fleet_config_drop_old_texts(f);
 	for (n = unpack_u64(&in); n > 0 && !in.bad; n--)
 		unpack_member(&in, f);
 	for (n = unpack_u64(&in); n > 0 && !in.bad; n--)
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -197,6 +197,47 @@
 }
 END_TEST
 
+static bool has_text(uint64_t number)
+{
+	wire_query_t q = {.kind = WIRE_QUERY_CONFIG};
+	AUTO_QRES res;
+
+	q.wire_query_t_u.number = number;
+	fleet_query(fleet, &q, &res);
+	return res.status == STATUS_OK;
+}
+
+/* Guards against old texts that fill the memory and the disk, and delay each snapshot: a process
+ * that has lost its disk then votes too late to bear the next loss. */
+START_TEST(texts_of_large_configs_are_dropped_sooner)
+{
+	size_t n = FLEET_CONFIG_TEXTS_BYTES / 4;
+	AUTO_FREE char *text = mem_new(4 * n + 2);
+	AUTO_BUF snap = {0};
+
+	memset(text, ' ', n);
+	for (uint64_t number = 1; number <= 8; number++) {
+		text[0] = (char)('a' + number);
+		AUTO_RES res = submit_config(number, text);
+
+		ck_assert_int_eq(res.status, STATUS_OK);
+	}
+	for (uint64_t number = 1; number <= 8; number++)
+		ck_assert_int_eq(has_text(number), number >= 5);
+	fleet_snapshot(fleet, &snap);
+	ck_assert_uint_lt(snap.n, FLEET_CONFIG_TEXTS_BYTES + 4096);
+	/* The newest is kept whatever its size. */
+	memset(text, ' ', 4 * n + 1);
+	AUTO_RES res = submit_config(9, text);
+
+	ck_assert_int_eq(res.status, STATUS_OK);
+	ck_assert(has_text(9));
+	ck_assert(!has_text(8));
+	restore_from_snapshot();
+	ck_assert(has_text(9));
+}
+END_TEST
+
 static void retire(const char *key, uint64_t replica)
 {
 	wire_fleet_cmd_t cmd = {.kind = WIRE_FLEET_RETIRE};
@@ -257,6 +298,7 @@
 	tcase_add_test(t, an_owner_change_needs_the_current_fence_and_raises_it);
 	tcase_add_test(t, an_upstream_off_the_list_is_kept_until_it_is_released);
 	tcase_add_test(t, an_upstream_listed_again_keeps_its_owner);
+	tcase_add_test(t, texts_of_large_configs_are_dropped_sooner);
 	tcase_add_test(t, a_retired_vm_is_known_by_its_name_and_address);
 	tcase_add_test(t, a_repeated_order_adds_nothing);
 	return suite_run(s);
