Entries send newer messages only to leaders that say that they know them

Cause: that build drops a link for a kind of message that it doesn't know, and kinds 30 to 32 were sent without a sign that the other end knows them.

Change: the hello of this build says that it understands LINK_KINDS_KNOWN, by values that older builds ignore; the leader answers with the last kind that it knows. Entries send kinds above LINK_REQUEST_SOUND only then, and leaders send capacities only to processes that have said so or have reported one. Leaders of the builds in between say nothing and get none of them.

--- a/src/client/leader_link.c
+++ b/src/client/leader_link.c
@@ -22,7 +22,6 @@
 /** Period in which at most one failed try at a control process is logged, in ms. */
 #define TRY_LOG_MS 1000
 /** Newest kind of message that this build knows. */
-#define LINK_KIND_LAST LINK_ITEM_FAILURES
 
 typedef struct {
 	uint64_t id;
@@ -387,7 +386,7 @@
 		return false;
 	memcpy(kind, message.p, sizeof(*kind));
 	*kind = ntohl(*kind);
-	return *kind > LINK_KIND_LAST;
+	return *kind > LEADER_LINK_LAST_KIND;
 }
 
 /* The try that uses this connection; NULL: it is the link. */
--- a/src/control/hub.c
+++ b/src/control/hub.c
@@ -156,6 +156,14 @@
 	hub_send(p, &m);
 }
 
+static void send_kinds_known(hub_t *h, hub_peer_t *p)
+{
+	link_msg_t m = {.kind = LINK_KINDS_KNOWN};
+
+	m.link_msg_t_u.last_kind = LEADER_LINK_LAST_KIND;
+	hub_send(p, &m);
+}
+
 /* A control process whose disk refuses writes says so by id 0, which all builds understand as no
  * candidate. */
 static void update_replica(hub_t *h, hub_peer_t *p, uint64_t id)
@@ -205,6 +213,7 @@
 static void on_hello(hub_t *h, hub_peer_t *p, const link_hello_t *m)
 {
 	bool first = !p->registered;
+	bool knew_kinds = p->knows_kinds;
 
 	if (first && h->role == HUB_LEADER && !drop_former_links(h, p, m))
 		return;
@@ -213,12 +222,16 @@
 	copy_str(p->zone, sizeof(p->zone), m->zone);
 	copy_str(p->rpc_addr, sizeof(p->rpc_addr), m->control);
 	update_replica(h, p, m->replica);
+	p->knows_kinds |= p->addr[0] ? m->replica == LINK_ENTRY_KNOWS_KINDS
+				     : m->text.digest == LINK_CONTROL_KNOWS_KINDS;
 	hub_view_note_reach(h, p, m->replica == LINK_ENTRY_CUT_OFF && p->addr[0]);
 	p->draining = m->draining && !p->cut_off;
 	if (first)
 		send_welcome(h, p);
 	if (h->role != HUB_LEADER)
 		return;
+	if (p->knows_kinds && p->addr[0] && (first || !knew_kinds))
+		send_kinds_known(h, p);
 	if (first)
 		log_event(LOG_LEVEL_INFO, "peer_linked", LOG_CSTR("peer", p->name),
 			  LOG_CSTR("zone", p->zone), LOG_INT("runs", m->runs.runs_len),
@@ -513,6 +526,7 @@
 		.zone = wire_bytes(str_c(h->control->settings.zone)),
 		.control = wire_bytes(str_c(h->control->settings.listen)),
 		.replica = st.failed ? 0 : st.self,
+		.text.digest = LINK_CONTROL_KNOWS_KINDS,
 	};
 	leader_link_report_leaving(out, h->leaving_replicas);
 }
--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -67,6 +67,7 @@
 	bool counts_quotas; /* an entry that knows the messages on quotas */
 	bool knows_prompt_parts; /* an entry that knows the messages on prompt parts */
 	bool knows_poisons; /* an entry that knows the messages on poison requests */
+	bool knows_kinds; /* knows the kinds of messages above LINK_REQUEST_SOUND */
 	bool skipped_newer; /* a message of a newer build was skipped and logged */
 	u_int sent_fleet_entries; /* number of entries that it was last told */
 	char name[64];
--- a/src/control/hub_capacity.c
+++ b/src/control/hub_capacity.c
@@ -80,8 +80,10 @@
 		v[list->entries.entries_len++] = (link_entry_capacity_t){entries[i].addr, capacity};
 		digest = (digest ^ str_hash(addr) ^ capacity) * 0x9e3779b97f4a7c15ULL;
 	}
-	if (digest != p->sent_capacities)
+	/* An entry that has reported its own knows the message. */
+	if (digest != p->sent_capacities && (p->knows_kinds || p->reported_capacity)) {
 		hub_send(p, &m);
-	p->sent_capacities = digest;
+		p->sent_capacities = digest;
+	}
 	free(v);
 }
--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -492,7 +492,7 @@
 		hub_view_note_leaving(h, p, &hello->leaving_replicas.leaving_replicas_val[i]);
 	if (!p->addr[0])
 		return;
-	if (hello->replica == LINK_ENTRY_KNOWS_FAILURES)
+	if (p->knows_kinds)
 		ask_for_failures(h, p);
 	p->has_config |= hello->text.number != 0;
 	update_entry(h, p);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -113,6 +113,8 @@
 	link_entry_capacities_t capacities; /* of the entries in the view */
 	front_replica_t *replicas; /* hash by id, from view */
 	front_hop_t *hops;
+	u_int leader_last_kind; /* of the messages that the leader knows, as it said; 0: it said
+				   nothing */
 	size_t item_text_bytes; /* of all items */
 	item_failures_t *item_failures;
 	uint64_t hop_random; /* state of prng_next() */
@@ -143,6 +145,9 @@
 void front_link_tick(front_t *f, deadline_t now);
 /** Tells the leader the capacity in the settings. */
 void front_link_report_capacity(front_t *f);
+/** True if the leader has said that it knows this kind of message. Those up to LINK_REQUEST_SOUND
+ * have signs of their own. */
+bool front_leader_knows(const front_t *f, link_kind_t kind);
 /** Finds a replica in the view, or NULL. */
 const front_replica_t *front_find_replica(const front_t *f, str_t id);
 /** Records that a replica announced that it leaves; reports this to the leader and to the local
--- a/src/front/front_link.c
+++ b/src/front/front_link.c
@@ -177,6 +177,11 @@
 	case LINK_POISONS:
 		front_poison_update(f, &m->link_msg_t_u.poisons);
 		break;
+	case LINK_KINDS_KNOWN:
+		f->leader_last_kind = m->link_msg_t_u.last_kind;
+		if (f->settings.capacity > 0)
+			front_link_report_capacity(f);
+		break;
 	case LINK_ASK_ITEM_FAILURES:
 		front_item_report_failures(f);
 		break;
@@ -188,12 +193,19 @@
 	}
 }
 
+bool front_leader_knows(const front_t *f, link_kind_t kind)
+{
+	return (u_int)kind <= f->leader_last_kind;
+}
+
 void front_link_report_capacity(front_t *f)
 {
 	double thousandths = f->settings.capacity * 1000;
 	link_entry_capacity_t own = {.addr = wire_bytes(str_c(f->settings.listen))};
 	link_msg_t m = {.kind = LINK_ENTRY_CAPACITIES};
 
+	if (!front_leader_knows(f, m.kind))
+		return;
 	/* 0 would say that the capacity is unknown. */
 	if (thousandths > 0)
 		own.capacity = thousandths < 1 ? 1 : (u_int)lround(thousandths);
@@ -206,8 +218,6 @@
 {
 	front_t *f = ctx;
 
-	if (f->settings.capacity > 0)
-		front_link_report_capacity(f);
 	front_customer_link_up(f);
 	front_slot_leader_up(f);
 	front_item_leader_up(f);
@@ -215,6 +225,7 @@
 
 static void on_down(void *ctx)
 {
+	((front_t *)ctx)->leader_last_kind = 0;
 	front_pause_link_down(ctx);
 	front_customer_link_down(ctx);
 	front_quarantine_link_down(ctx);
@@ -227,7 +238,7 @@
 static uint64_t entry_flags(const front_t *f)
 {
 	return !front_is_stopping(f) && front_is_cut_off(f) ? LINK_ENTRY_CUT_OFF
-							    : LINK_ENTRY_KNOWS_FAILURES;
+							    : LINK_ENTRY_KNOWS_KINDS;
 }
 
 /* Fills the hello that opens a link: this entry, its running requests and items (RUNS_MAX at most),
--- a/src/front/front_load.c
+++ b/src/front/front_load.c
@@ -89,7 +89,7 @@
 	f->next_load_report = now + REPORT_MS;
 	if (f->local_dispatch)
 		report_locally(f, now);
-	else
+	else if (front_leader_knows(f, LINK_REPLICA_LOADS))
 		report_to_leader(f, now);
 	HASH_ITER (hh, f->loads, x, next) {
 		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): unlinked before free() */
--- a/src/front/front_slot.c
+++ b/src/front/front_slot.c
@@ -83,7 +83,7 @@
 	link_msg_t m = {.kind = LINK_REQUEST_FACTS};
 	link_prompt_tokens_t parts[DISPATCH_PARTS_MAX];
 
-	if (!q->customer && !f->speeds_stated)
+	if ((!q->customer && !f->speeds_stated) || !front_leader_knows(f, m.kind))
 		return;
 	m.link_msg_t_u.facts = (link_request_facts_t){
 		.request = q->number,
--- a/src/proto/link.x
+++ b/src/proto/link.x
@@ -32,9 +32,11 @@
 /* Value of replica in the hello of an entry that is cut off from the replicas. It sets draining too,
  * so that leaders that do not know this value leave it out of look-ups. */
 const LINK_ENTRY_CUT_OFF = 1;
-/* Value of replica in the hello of an entry that answers LINK_ASK_ITEM_FAILURES; 0 and
- * LINK_ENTRY_CUT_OFF leave that open. */
-const LINK_ENTRY_KNOWS_FAILURES = 2;
+/* Value of replica in the hello of an entry that knows the kinds of messages up to this build's last
+ * one; 0 and LINK_ENTRY_CUT_OFF leave that open. */
+const LINK_ENTRY_KNOWS_KINDS = 2;
+/* The same of a control process, as the digest of its text, whose number is 0. */
+const LINK_CONTROL_KNOWS_KINDS = 1;
 
 struct link_hello_t {
 	wire_bytes_t name;
@@ -44,7 +46,8 @@
 	wire_bytes_t control;		/* ip:port of its RPC; empty for an entry */
 	unsigned hyper replica;		/* id of its replica of group 0; of an entry: 0 or a value
 					   LINK_ENTRY_* */
-	link_config_id_t text;		/* config whose routes it uses; number 0: none */
+	link_config_id_t text;		/* config whose routes it uses; number 0: none, as of a
+					   control process */
 	link_run_t runs<>;
 	link_leaving_t leaving_replicas<>;
 };
@@ -481,9 +484,14 @@
 	LINK_REPLICA_LOADS = 31,	/* from an entry */
 	LINK_ENTRY_CAPACITIES = 32,	/* from an entry: its own; from the leader: of the
 					   entries in the view that it sends */
-	LINK_ASK_ITEM_FAILURES = 33,	/* from a new leader, to each entry once: it knows nothing of
+	LINK_KINDS_KNOWN = 33,		/* from the leader, to an entry whose hello says that it knows
+					   this kind: the last kind that the leader knows. Builds up
+					   to 215a144 end a link on which a kind comes that they
+					   don't know, so nothing above LINK_REQUEST_SOUND is sent
+					   without this. */
+	LINK_ASK_ITEM_FAILURES = 34,	/* from a new leader, to each entry once: it knows nothing of
 					   what was reported before */
-	LINK_ITEM_FAILURES = 34		/* from an entry, in reply */
+	LINK_ITEM_FAILURES = 35		/* from an entry, in reply */
 };
 
 union link_msg_t switch (link_kind_t kind) {
@@ -545,6 +553,8 @@
 	link_replica_loads_t replica_loads;
 case LINK_ENTRY_CAPACITIES:
 	link_entry_capacities_t capacities;
+case LINK_KINDS_KNOWN:
+	unsigned int last_kind;
 case LINK_ASK_ITEM_FAILURES:
 	void;
 case LINK_ITEM_FAILURES:
--- a/src/proto/link_xdr.c
+++ b/src/proto/link_xdr.c
@@ -1333,6 +1333,10 @@
 		 if (!xdr_link_entry_capacities_t (xdrs, &objp->link_msg_t_u.capacities))
 			 return FALSE;
 		break;
+	case LINK_KINDS_KNOWN:
+		 if (!xdr_u_int (xdrs, &objp->link_msg_t_u.last_kind))
+			 return FALSE;
+		break;
 	case LINK_ASK_ITEM_FAILURES:
 		break;
 	case LINK_ITEM_FAILURES:
--- a/src/proto/link_xdr.h
+++ b/src/proto/link_xdr.h
@@ -35,7 +35,8 @@
 };
 typedef struct link_leaving_t link_leaving_t;
 #define LINK_ENTRY_CUT_OFF 1
-#define LINK_ENTRY_KNOWS_FAILURES 2
+#define LINK_ENTRY_KNOWS_KINDS 2
+#define LINK_CONTROL_KNOWS_KINDS 1
 
 struct link_hello_t {
 	wire_bytes_t name;
@@ -540,8 +541,9 @@
 	LINK_REQUEST_FACTS = 30,
 	LINK_REPLICA_LOADS = 31,
 	LINK_ENTRY_CAPACITIES = 32,
-	LINK_ASK_ITEM_FAILURES = 33,
-	LINK_ITEM_FAILURES = 34,
+	LINK_KINDS_KNOWN = 33,
+	LINK_ASK_ITEM_FAILURES = 34,
+	LINK_ITEM_FAILURES = 35,
 };
 typedef enum link_kind_t link_kind_t;
 
@@ -576,6 +578,7 @@
 		link_request_facts_t facts;
 		link_replica_loads_t replica_loads;
 		link_entry_capacities_t capacities;
+		u_int last_kind;
 		link_failures_t item_failures;
 		link_call_t call;
 		link_reply_t reply;
--- a/tests/proc/link_kit.py
+++ b/tests/proc/link_kit.py
@@ -96,14 +96,22 @@
 
 
 class SimulatedLeader:
-    """A control process that leads, to which entries link."""
+    """A control process that leads, to which entries link; for a kit without control processes."""
 
     def __init__(self, kit):
         self.kit = kit
 
-    async def start(self):
-        self.ip = self.kit.next_ip()
-        self.server = await asyncio.start_server(self.serve, self.ip, self.kit.port + 1)
+    def start(self, **settings):
+        """Starts to listen, and an entry with these settings that knows only this leader; returns the entry."""
+        ip = self.kit.next_ip()
+        self.server = self.kit.loop.run(asyncio.start_server(self.serve, ip, self.kit.port + 1))
+        self.kit.seeds = ["%s:%d" % (ip, self.kit.port)]
+        entry = self.kit.make_front("front-0", "za")
+        entry.settings.update(settings)
+        entry.write_settings()
+        self.kit.fronts.append(entry)
+        entry.start()
+        return entry
 
     def on_hello(self, m, send):
         """Called with the contents of each hello, once it is answered."""
--- a/tests/proc/test_early_items.py
+++ b/tests/proc/test_early_items.py
@@ -101,11 +101,7 @@
         kit = Kit(controls=0, fronts=0, replicas=1)
         self.addCleanup(kit.close)
         leader = ItemLeader(kit)
-        kit.loop.run(leader.start())
-        kit.seeds = ["%s:%d" % (leader.ip, kit.port)]
-        front = kit.make_front("front-0", "za")
-        kit.fronts.append(front)
-        front.start()
+        leader.start()
         end = time.time() + WAIT_S
         while not leader.ended:
             self.assertLess(time.time(), end, "the item isn't given back")
--- a/tests/proc/test_unreadable_config.py
+++ b/tests/proc/test_unreadable_config.py
@@ -41,11 +41,7 @@
         kit = Kit(controls=0, fronts=0, replicas=1)
         self.addCleanup(kit.close)
         leader = BadConfigLeader(kit)
-        kit.loop.run(leader.start())
-        kit.seeds = ["%s:%d" % (leader.ip, kit.port)]
-        front = kit.make_front("front-0", "za")
-        kit.fronts.append(front)
-        front.start()
+        front = leader.start()
         end = time.time() + 10
         while "event=text_unreadable" not in front.log_text():
             self.assertLess(time.time(), end, "the entry gets no config")
