The items of lots in the dispatcher have a file of their own

hub_dispatch.c had passed 860 lines and held two things: the dispatcher's link to the entries, and the items of lots. The second is hub_items.c now, with its own prefix; no change of behaviour.

--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -248,7 +248,7 @@
 	hub_lot_t *lots;
 	hub_asked_t *asked; /* entries that were asked for the failures of items */
 	uint64_t last_lot_serial; /* of the newest lot added to the dispatcher */
-	deadline_t next_lots_sync; /* time of the next hub_lots_sync */
+	deadline_t next_lots_sync; /* time of the next hub_items_sync */
 	deadline_t items_known_from; /* entries have reported the items that they run by then */
 	hub_waiter_t *waiters;
 	hub_batch_t batch;
@@ -391,7 +391,7 @@
 /** Names probers, ends holds, and sends the list if it has changed. */
 void hub_poison_tick(hub_t *h, deadline_t now);
 
-/* hub_dispatch.c: connects the dispatcher to entries and lots */
+/* hub_dispatch.c: connects the dispatcher to the entries */
 
 void hub_dispatch_init(hub_t *h);
 void hub_dispatch_start_leading(hub_t *h);
@@ -411,16 +411,33 @@
 void hub_dispatch_request(hub_t *h, hub_peer_t *p, const link_slot_request_t *m,
 			  const hub_facts_t *facts);
 void hub_dispatch_message(hub_t *h, hub_peer_t *p, const link_msg_t *m);
+
+/* hub_items.c: the items of lots in the dispatcher */
+
+/** Adds the lots of group 0 to a new dispatcher. No item is placed or given up before the entries
+ * have had the time to report what they run. */
+void hub_items_start_leading(hub_t *h);
+void hub_items_stop_leading(hub_t *h);
+/** Brings the dispatcher in line with the lots in group 0: adds new lots, removes finished items
+ * and the items of ended and expired lots; gives up those that wait and are not to be run any more.
+ */
+void hub_items_sync(hub_t *h);
 /** Finds an item of a lot by its index; NULL if it is unknown here or finished. */
 hub_item_t *hub_find_item(hub_t *h, wire_bytes_t lot, u_int index);
 /** Routes the items again after a change of the config or of the blocked prompt parts; gives up
- * those that wait and have no route any more. */
-void hub_dispatch_reroute(hub_t *h);
-/** The same for one item; it does not fail. */
-void hub_dispatch_reroute_item(hub_t *h, hub_item_t *it);
-/** Brings the dispatcher in line with the lots in group 0: adds new lots, removes finished items
- * and the items of ended and expired lots; gives up those that wait and have no route any more. */
-void hub_lots_sync(hub_t *h);
+ * those that wait and are not to be run any more. */
+void hub_items_reroute(hub_t *h);
+/** Routes one item again; gives none up. */
+void hub_items_reroute_one(hub_t *h, hub_item_t *it);
+/** Handles an entry's reports of a run: its end, and new events. */
+void hub_items_ended(hub_t *h, hub_peer_t *p, const link_item_ended_t *m);
+void hub_items_progressed(hub_t *h, hub_peer_t *p, const link_item_progress_t *m);
+/** Asks an entry once for what it has reported to earlier leaders: at its first link to this one,
+ * as later answers would count again what this process has counted itself. */
+void hub_items_ask_failures(hub_t *h, hub_peer_t *p);
+/** Handles the answer. Items that have failed as often as they may are given up with the next sync.
+ */
+void hub_items_add_failures(hub_t *h, const hub_peer_t *p, const link_failures_t *m);
 
 /* hub_lots.c: calls on lots, and their commits */
 
--- a/src/control/hub_lots.c
+++ b/src/control/hub_lots.c
@@ -13,7 +13,7 @@
 /** New lots are refused while more bytes than this wait for the next commit. */
 #define COMMIT_BYTES   (4U << 20)
 #define READ_BYTES_MAX 1000000
-/** Period of hub_lots_sync, in ms; commits also call it. */
+/** Period of hub_items_sync, in ms; commits also call it. */
 #define SYNC_MS 500
 /** Added to the retention times of items and lots, in ms, so that no clock drops them early. */
 #define DROP_MARGIN_MS 5000
@@ -426,7 +426,7 @@
 	if (leads) {
 		if (c->st != STATUS_OK)
 			requeue_changes(h, c);
-		hub_lots_sync(h);
+		hub_items_sync(h);
 		wake_waiters(h, clock_now_ms());
 		hub_lots_commit(h);
 	}
@@ -579,7 +579,7 @@
 		return;
 	h->next_lots_sync = now + SYNC_MS;
 	commit_batch(h, has_expired_lots(h));
-	hub_lots_sync(h);
+	hub_items_sync(h);
 }
 
 void hub_lots_stop_leading(hub_t *h)
--- a/src/control/hub_quarantine.c
+++ b/src/control/hub_quarantine.c
@@ -137,7 +137,7 @@
 	if (same)
 		return;
 	h->next_probe_search = 0;
-	hub_dispatch_reroute(h);
+	hub_items_reroute(h);
 }
 
 void hub_quarantine_crash(hub_t *h, const hub_peer_t *p, const link_crash_t *m,
@@ -260,7 +260,7 @@
 			  LOG_CSTR("part", quarantine_part_name(d->part, part)),
 			  LOG_CSTR("lot", it->lot->id), LOG_INT("item", it->index));
 		METRIC_INC("auburn_prompt_parts_probed_total");
-		hub_dispatch_reroute_item(h, it);
+		hub_items_reroute_one(h, it);
 	}
 }
 
@@ -270,7 +270,7 @@
 		return;
 	it->probes = false;
 	h->next_probe_search = 0;
-	hub_dispatch_reroute_item(h, it);
+	hub_items_reroute_one(h, it);
 }
 
 void hub_quarantine_tick(hub_t *h, deadline_t now)
@@ -279,7 +279,7 @@
 	update_doubts(h, now);
 	if (h->holds_stale) {
 		h->holds_stale = false;
-		hub_dispatch_reroute(h);
+		hub_items_reroute(h);
 	}
 	start_probes(h, now);
 	if (now < h->next_quarantine_send ||
--- a/src/control/hub_routes.c
+++ b/src/control/hub_routes.c
@@ -130,7 +130,7 @@
 			fanout_set_config(h->fan_out, config, clock_now_ms());
 		if (h->dispatch) {
 			hub_dispatch_set_services(h);
-			hub_dispatch_reroute(h);
+			hub_items_reroute(h);
 		}
 	} else {
 		/* Unexpected, as a config is checked before it is committed. */
