Soak: requests that must be served have a key that an acknowledged config holds

Traced in its findings: the last two configs, with the key that the request was given, had been answered 503 each time and were never accepted, as there was no leader for ten seconds after all processes had been killed; the entries had the newest accepted config.

The check was wrong: a config without an acknowledgement may or may not be in force. Requests of a named customer, the last ones among them, now take a key that an acknowledged config holds and none has taken away, and have to be served with it.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -147,9 +147,15 @@
             elif k in self.added_at:
                 self.revoked_at.setdefault(k, now)
 
+    def acked_keys(self, name):
+        """Keys of a customer that an acknowledged config holds, if possible such as the next one holds, too."""
+        held = [k for k, n in self.owner.items() if n == name and k in self.added_at and k not in self.revoked_at]
+        return [k for k in held if k in self.keys[name]] or held
+
     def headers(self, rid, name=None):
-        """Credentials for a request: mostly a key of the next config, sometimes one that was taken away."""
-        keys = [k for n in ([name] if name else sorted(self.keys)) for k in self.keys[n]]
+        """Credentials for a request: an acknowledged key of this customer; without a name mostly a key of the next
+        config, sometimes one that was taken away."""
+        keys = self.acked_keys(name) if name else [k for n in sorted(self.keys) for k in self.keys[n]]
         if not name and self.revoked_at and self.rng.random() < 0.2:
             keys = sorted(self.revoked_at)
         k = self.rng.choice(keys)
