The size of the log in memory is a gauge

Change: raft counts the bytes of its entries; auburn_group_log_bytes. The simulation checks the count on every replica after each step.

--- a/src/control/control_http.c
+++ b/src/control/control_http.c
@@ -33,6 +33,7 @@
 		set_group_gauge("auburn_group_term", n, (int64_t)st.term);
 		set_group_gauge("auburn_group_applied", n, (int64_t)st.applied);
 		set_group_gauge("auburn_group_commit", n, (int64_t)st.commit);
+		set_group_gauge("auburn_group_log_bytes", n, (int64_t)st.log_bytes);
 		set_group_gauge("auburn_group_syncs", n, (int64_t)st.syncs);
 		set_group_gauge("auburn_group_sync_us", n, (int64_t)st.sync_us);
 		set_group_gauge("auburn_group_voters_acknowledging", n,
--- a/src/raft/group.h
+++ b/src/raft/group.h
@@ -98,6 +98,7 @@
 	uint64_t first_index;
 	uint64_t last_index;
 	uint64_t snapshot_index;
+	uint64_t log_bytes; /* of the entries in memory */
 	bool leader;
 	bool failed; /* takes no part in the group, for example while its disk refuses writes */
 	char leader_addr[64]; /* empty if unknown */
--- a/src/raft/group_thread.c
+++ b/src/raft/group_thread.c
@@ -224,6 +224,7 @@
 			     .first_index = v.base + 1,
 			     .last_index = v.last,
 			     .snapshot_index = store_newest_snapshot(g->store),
+			     .log_bytes = v.log_bytes,
 			     .leader = v.role == RAFT_LEADER,
 			     .failed = v.failed,
 			     .leader_since = g->leader_since,
--- a/src/raft/raft.c
+++ b/src/raft/raft.c
@@ -381,6 +381,7 @@
 			       .base = r->base,
 			       .last = raft_last_index(r),
 			       .synced = r->synced,
+			       .log_bytes = r->log_bytes,
 			       .failed = r->failed,
 			       .members = r->members};
 	for (unsigned i = 0; i < r->members.n && r->role == RAFT_LEADER; i++)
--- a/src/raft/raft.h
+++ b/src/raft/raft.h
@@ -129,6 +129,7 @@
 	uint64_t base;
 	uint64_t last;
 	uint64_t synced;
+	uint64_t log_bytes; /* of the entries in memory */
 	bool failed;
 	raft_members_t members;
 	uint64_t match[GROUP_PEERS_MAX]; /* leader only: highest index that each member has synced,
--- a/src/raft/raft_internal.h
+++ b/src/raft/raft_internal.h
@@ -75,6 +75,7 @@
 	uint64_t *persist_seqs; /* sequence number under which each entry was persisted */
 	size_t nlog;
 	size_t log_cap;
+	size_t log_bytes; /* of the data of its entries */
 	uint64_t submitted; /* given to persist_entries up to here; may not be durable yet */
 	uint64_t synced; /* durable up to here */
 	uint64_t verified; /* follower: known to equal the leader's log up to here */
--- a/src/raft/raft_log.c
+++ b/src/raft/raft_log.c
@@ -40,6 +40,7 @@
 	r->log[r->nlog] = e;
 	r->persist_seqs[r->nlog] = RAFT_SEQ_NOT_PERSISTED;
 	r->nlog++;
+	r->log_bytes += e.data.data_len;
 	if (e.kind == RAFT_ENTRY_MEMBERS) {
 		raft_members_t members;
 
@@ -48,11 +49,22 @@
 	}
 }
 
+static void free_data(raft_t *r, raft_entry_t *e)
+{
+	r->log_bytes -= e->data.data_len;
+	free(e->data.data_val);
+}
+
+static void drop_last(raft_t *r)
+{
+	free_data(r, &r->log[--r->nlog]);
+}
+
 void raft_log_truncate(raft_t *r, uint64_t last)
 {
 	assert(last >= r->commit); /* committed entries never change */
 	while (raft_last_index(r) > last)
-		free(r->log[--r->nlog].data.data_val);
+		drop_last(r);
 	if (r->submitted > last)
 		r->submitted = last;
 	if (r->synced > last)
@@ -67,7 +79,7 @@
 {
 	assert(index >= r->commit);
 	while (r->nlog)
-		free(r->log[--r->nlog].data.data_val);
+		drop_last(r);
 	r->base = index;
 	r->base_term = term;
 	r->base_members = *members;
@@ -160,7 +172,7 @@
 	r->base_term = raft_term_at(r, index);
 	r->base_members = members;
 	for (size_t i = 0; i < n; i++)
-		free(r->log[i].data.data_val);
+		free_data(r, &r->log[i]);
 	memmove(r->log, r->log + n, (r->nlog - n) * sizeof(*r->log));
 	memmove(r->persist_seqs, r->persist_seqs + n, (r->nlog - n) * sizeof(*r->persist_seqs));
 	r->nlog -= n;
--- a/tests/unit/sim.c
+++ b/tests/unit/sim.c
@@ -446,6 +446,14 @@
 	}
 }
 
+static void check_logs(sim_t *s)
+{
+	for (unsigned i = 0; i < SIM_ADDRS; i++) {
+		if (s->nodes[i].raft)
+			sim_check_log_bytes(&s->nodes[i]);
+	}
+}
+
 bool sim_run(const sim_options_t *o, sim_result_t *res)
 {
 	sim_t *s = sim_new(o->seed, 0, res);
@@ -457,6 +465,7 @@
 		random_fault(s);
 		if (o->disk_faults)
 			random_disk_fault(s);
+		check_logs(s);
 	}
 	if (!res->violated)
 		run_calm_phase(s);
--- a/tests/unit/sim.h
+++ b/tests/unit/sim.h
@@ -207,6 +207,8 @@
 void sim_check_apply(sim_node_t *n, uint64_t index, const raft_entry_t *e);
 /** Checks that a term has only one leader. */
 void sim_check_leader(sim_node_t *n, uint64_t term);
+/** Checks the size of the log in memory. */
+void sim_check_log_bytes(sim_node_t *n);
 /** Records the start of a read or write. token: a read's token or a write's op; index: the write's
  * log index. */
 void sim_call_begin(sim_t *s, sim_node_t *n, bool read, uint64_t token, uint64_t index,
--- a/tests/unit/sim_check.c
+++ b/tests/unit/sim_check.c
@@ -3,6 +3,7 @@
 #include "sim.h"
 
 #include <string.h>
+#include "raft/raft_internal.h"
 
 /* Checks that an index holds the same entry on every replica, that entries are applied in order,
  * and that no write is applied twice. */
@@ -95,6 +96,19 @@
 	answer_write(n, index, e->term, &cmd);
 }
 
+void sim_check_log_bytes(sim_node_t *n)
+{
+	raft_status_t v;
+	uint64_t bytes = 0;
+
+	raft_get_status(n->raft, &v);
+	for (uint64_t i = v.base + 1; i <= v.last; i++)
+		bytes += raft_entry_at(n->raft, i)->data.data_len;
+	if (bytes != v.log_bytes)
+		sim_report_violation(n->sim, "a log of %lu bytes counts %lu", (unsigned long)bytes,
+				     (unsigned long)v.log_bytes);
+}
+
 void sim_check_leader(sim_node_t *n, uint64_t term)
 {
 	sim_t *s = n->sim;
