A leader has at most 4 MiB of entries in flight to a follower

Cause: appends in flight were bounded by number (32) alone, and an entry with lots has up to 8 MB. Change: no further append is sent while 4 MiB are in flight; one message may always be.

--- a/src/raft/raft_internal.h
+++ b/src/raft/raft_internal.h
@@ -4,15 +4,23 @@
 
 #include "raft/raft.h"
 
-#define RAFT_INFLIGHT_MAX      32 /* append messages in flight per follower */
-#define RAFT_BATCH_BYTES_MAX   (256 * 1024)
-#define RAFT_BATCH_ENTRIES_MAX 1024
-#define RAFT_SEQ_NOT_PERSISTED UINT64_MAX
+#define RAFT_INFLIGHT_MAX 32 /* append messages in flight per follower */
+/** No further append is sent to a follower while this many bytes of entries are in flight. */
+#define RAFT_INFLIGHT_BYTES_MAX (4U << 20)
+#define RAFT_BATCH_BYTES_MAX	(256 * 1024)
+#define RAFT_BATCH_ENTRIES_MAX	1024
+#define RAFT_SEQ_NOT_PERSISTED	UINT64_MAX
 
 /** A leader probes with one append at a time until the logs match, then sends entries without
  * waiting for answers, or sends a snapshot if its log no longer has the next entry. */
 typedef enum { RAFT_MODE_PROBE, RAFT_MODE_REPLICATE, RAFT_MODE_SNAPSHOT } raft_send_mode_t;
 
+/** An append whose entries the member has not acknowledged. */
+typedef struct {
+	uint64_t last; /* index of its last entry */
+	uint64_t bytes; /* of its entries */
+} raft_inflight_t;
+
 /** A leader's knowledge of one other member. */
 typedef struct {
 	uint64_t id;
@@ -20,7 +28,8 @@
 	uint64_t next; /* next index to send */
 	uint64_t round_acked; /* newest read round that the member has acknowledged */
 	uint64_t round_sent;
-	uint64_t inflight[RAFT_INFLIGHT_MAX]; /* last index of each append in flight */
+	raft_inflight_t inflight[RAFT_INFLIGHT_MAX]; /* ring of the appends in flight */
+	uint64_t inflight_bytes; /* of their entries */
 	uint64_t snap_index; /* snapshot being sent; 0: the newest */
 	uint64_t snap_offset; /* of the next chunk, or of the unanswered one */
 	unsigned inflight_head;
--- a/src/raft/raft_leader.c
+++ b/src/raft/raft_leader.c
@@ -211,18 +211,25 @@
 
 static void remove_acked_inflight(raft_progress_t *p)
 {
-	while (p->inflight_n && p->inflight[p->inflight_head] <= p->match) {
+	while (p->inflight_n && p->inflight[p->inflight_head].last <= p->match) {
+		p->inflight_bytes -= p->inflight[p->inflight_head].bytes;
 		p->inflight_head = (p->inflight_head + 1) % RAFT_INFLIGHT_MAX;
 		p->inflight_n--;
 	}
 }
 
+static void forget_inflight(raft_progress_t *p)
+{
+	p->inflight_n = 0;
+	p->inflight_bytes = 0;
+}
+
 static void start_probe(raft_progress_t *p, uint64_t next)
 {
 	p->mode = RAFT_MODE_PROBE;
 	p->next = next;
 	p->probe_pending = false;
-	p->inflight_n = 0;
+	forget_inflight(p);
 }
 
 static void handle_append_reject(raft_t *r, raft_progress_t *p, const raft_msg_t *m)
@@ -283,7 +290,7 @@
 		p->mode = RAFT_MODE_REPLICATE;
 		p->probe_pending = false;
 		p->next = p->match + 1;
-		p->inflight_n = 0;
+		forget_inflight(p);
 	}
 	p->next = max_u64(p->next, p->match + 1);
 	raft_leader_update_commit(r);
--- a/src/raft/raft_send.c
+++ b/src/raft/raft_send.c
@@ -40,17 +40,22 @@
 	raft_send_msg(r, &m, p->id);
 }
 
-static void record_sent(raft_progress_t *p, size_t n)
+static void record_sent(const raft_t *r, raft_progress_t *p, size_t n)
 {
+	raft_inflight_t *sent;
+
 	if (n == 0)
 		return;
 	if (p->mode == RAFT_MODE_PROBE) {
 		p->probe_pending = true;
 		return;
 	}
-	p->next += n;
-	p->inflight[(p->inflight_head + p->inflight_n) % RAFT_INFLIGHT_MAX] = p->next - 1;
-	p->inflight_n++;
+	sent = &p->inflight[(p->inflight_head + p->inflight_n++) % RAFT_INFLIGHT_MAX];
+	sent->bytes = 0;
+	for (size_t i = 0; i < n; i++)
+		sent->bytes += raft_entry_at(r, p->next++)->data.data_len;
+	sent->last = p->next - 1;
+	p->inflight_bytes += sent->bytes;
 }
 
 /* Prevents a member that receives a snapshot from starting an election meanwhile. */
@@ -82,11 +87,12 @@
 	}
 	do {
 		n = 0;
-		if (p->inflight_n < RAFT_INFLIGHT_MAX && !p->probe_pending)
+		if (p->inflight_n < RAFT_INFLIGHT_MAX &&
+		    p->inflight_bytes < RAFT_INFLIGHT_BYTES_MAX && !p->probe_pending)
 			n = count_batch_entries(r, p->next);
 		if (n || must_send)
 			send_entries(r, p, n);
-		record_sent(p, n);
+		record_sent(r, p, n);
 		p->round_sent = r->round;
 		must_send = false;
 	} while (n && p->mode == RAFT_MODE_REPLICATE);
--- a/tests/unit/test_raft.c
+++ b/tests/unit/test_raft.c
@@ -84,6 +84,34 @@
 		buf_free(&sim->packets[--sim->npackets].bytes);
 }
 
+/* Entries of several MB, as of large batch lots, must not fill the memory of a leader once for each
+ * message that may be in flight. */
+START_TEST(a_follower_that_does_not_answer_is_sent_few_bytes)
+{
+	static char data[1 << 20];
+	sim_node_t *leader = elect(0);
+	size_t bytes = 0;
+
+	sim->nodes[1].partition = 1;
+	drop_all_packets();
+	for (int i = 0; i < RAFT_INFLIGHT_MAX; i++) {
+		sim_cmd_t cmd = {.op = ++sim->next_op};
+
+		memcpy(data, &cmd, sizeof(cmd));
+		ck_assert_uint_ne(raft_propose(leader->raft, (str_t){data, sizeof(data)}), 0);
+		raft_flush(leader->raft);
+	}
+	for (unsigned i = 0; i < sim->npackets; i++)
+		bytes += sim->packets[i].to == 1 ? sim->packets[i].bytes.n : 0;
+	ck_assert_uint_ge(bytes, RAFT_INFLIGHT_BYTES_MAX);
+	ck_assert_uint_lt(bytes, RAFT_INFLIGHT_BYTES_MAX + 2 * sizeof(data));
+	sim->nodes[1].partition = 0;
+	tick(leader, 2 * HEARTBEAT_TICKS);
+	sim_settle(sim);
+	ck_assert_uint_eq(status_of(&sim->nodes[1]).last, status_of(leader).last);
+}
+END_TEST
+
 START_TEST(random_runs_keep_the_invariants)
 {
 	sim_options_t o = {.steps = 2000};
@@ -686,6 +714,7 @@
 	tcase_add_test(seeds, random_runs_keep_the_invariants);
 	tcase_add_test(seeds, random_runs_with_disk_faults_keep_the_invariants);
 	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, a_follower_that_does_not_answer_is_sent_few_bytes);
 	tcase_add_test(t, prevote_keeps_the_term_of_an_isolated_follower);
 	tcase_add_test(t, a_follower_of_a_live_leader_refuses_votes);
 	tcase_add_test(t, an_isolated_leader_steps_down);
