Freed memory of large messages goes back to the system

Cause: after the burst, with 98 MB of lots and a log of 20 to 38 MB, a follower has 212 MiB and the leader 246 MiB of private memory: once a large block is freed, glibc keeps all later ones of up to its size in the heap of the thread that freed them, and buffers for messages, the log's writes and links keep the size of the largest message. Change: the threshold for blocks of their own is fixed at 128 KiB; the buffers that are reused keep 32 KiB; messages are encoded in place.

--- a/src/base/str.c
+++ b/src/base/str.c
@@ -1,6 +1,7 @@
 #include "base/str.h"
 
 #include <assert.h>
+#include <malloc.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -8,7 +9,9 @@
 #include <sodium.h>
 #include <xxhash.h>
 
-#define BUF_MIN_BYTES 64
+#define BUF_MIN_BYTES	  64
+#define LARGE_BLOCK_BYTES (128 << 10)
+#define HEAP_SPARE_BYTES  (1 << 20)
 
 str_t str_c(const char *c)
 {
@@ -62,7 +65,7 @@
 	return XXH3_64bits(s.p, s.n);
 }
 
-static void buf_reserve(buf_t *b, size_t more)
+void buf_reserve(buf_t *b, size_t more)
 {
 	size_t need = b->n + more + 1;
 
@@ -139,6 +142,18 @@
 	b->p[b->n] = 0;
 }
 
+void buf_shrink(buf_t *b)
+{
+	if (b->n == 0 && b->cap > BUF_SPARE_BYTES)
+		buf_free(b);
+}
+
+void buf_clear(buf_t *b)
+{
+	b->n = 0;
+	buf_shrink(b);
+}
+
 void buf_free(buf_t *b)
 {
 	free(b->p);
@@ -150,6 +165,14 @@
 	free(*(void **)pp);
 }
 
+void mem_setup(void)
+{
+	/* Setting the threshold stops glibc from raising it to the size of freed blocks, after
+	 * which blocks of that size would stay in the heaps of the threads that freed them. */
+	mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES);
+	mallopt(M_TRIM_THRESHOLD, HEAP_SPARE_BYTES);
+}
+
 void *mem_new(size_t n)
 {
 	void *p = calloc(1, n ? n : 1);
--- a/src/base/str.h
+++ b/src/base/str.h
@@ -19,6 +19,9 @@
 	size_t cap;
 } buf_t;
 
+/** Most memory that an empty buffer keeps for its next use. */
+#define BUF_SPARE_BYTES 32768
+
 /** A view of a string literal. */
 #define STR(lit) ((str_t){(lit), sizeof(lit) - 1})
 /** Arguments for "%.*s". */
@@ -39,14 +42,20 @@
 unsigned long long str_hash(str_t s);
 
 void buf_add(buf_t *b, str_t s);
-/** Makes room for this many more bytes, without the spare room that buf_add allocates; for a large
- * buffer that is filled piece by piece. */
+/** Makes room for this many more bytes and a final 0. */
+void buf_reserve(buf_t *b, size_t more);
+/** Like buf_reserve, without the spare room that it allocates; for a large buffer that is filled
+ * piece by piece. */
 void buf_reserve_exact(buf_t *b, size_t more);
 void buf_addc(buf_t *b, char c);
 void buf_addf(buf_t *b, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
 /** Appends s as a JSON string with its quotes. */
 void buf_add_json(buf_t *b, str_t s);
 void buf_drop_front(buf_t *b, size_t n);
+/** Frees the memory of an empty buffer if it is more than BUF_SPARE_BYTES. */
+void buf_shrink(buf_t *b);
+/** Empties a buffer that is about to be filled again, and shrinks it. */
+void buf_clear(buf_t *b);
 void buf_free(buf_t *b);
 
 void str_cleanup_free(void *pp);
@@ -54,6 +63,9 @@
 #define AUTO_BUF  __attribute__((cleanup(buf_free))) buf_t
 #define AUTO_FREE __attribute__((cleanup(str_cleanup_free)))
 
+/** Has the allocator return the memory of large blocks to the system as soon as they are freed; for
+ * main, before other threads start. */
+void mem_setup(void);
 /** Zeroed allocation, and realloc; both abort the program when out of memory. */
 void *mem_new(size_t n);
 void *mem_grow(void *p, size_t n);
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -142,6 +142,7 @@
 
 	if (code >= 0)
 		return code;
+	mem_setup();
 	if (control_settings_load(args.config, &ctl.settings) != STATUS_OK)
 		return fail_with(EXIT_SETTINGS);
 	if (args.check)
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -121,6 +121,7 @@
 
 	if (code >= 0)
 		return code;
+	mem_setup();
 	if (sodium_init() < 0)
 		return EXIT_FAILED;
 	if (entry_settings_load(args.config, &en.settings) != STATUS_OK)
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -286,6 +286,7 @@
 
 	if (code >= 0)
 		return code;
+	mem_setup();
 	if (front_settings_load(args.config, &f.settings) != STATUS_OK) {
 		fprintf(stderr, "auburn-front: %s\n", status_message());
 		return EXIT_SETTINGS;
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -27,8 +27,6 @@
 /** A client that leaves more than this of a reply in chunks unread loses its connection, in bytes:
  * as much as the largest body that clients may send. */
 #define UNREAD_MAX_BYTES (4U << 20)
-/** Buffers that have grown beyond this are freed after a request, in bytes. */
-#define KEEP_BYTES 32768
 /** Retry-After of a refusal for lack of memory, in seconds. */
 #define RETRY_MEMORY "Retry-After: 1\r\n"
 /** Defaults of the bounds. A machine of 120 MB has 45 MB for its clients: seven bodies of 4 MB with
@@ -162,12 +160,6 @@
 				c->user_held);
 }
 
-static void shrink(buf_t *b)
-{
-	if (b->n == 0 && b->cap > KEEP_BYTES)
-		buf_free(b);
-}
-
 /* Closes the connection from the loop: client_gone must not run inside the user's call of
  * http_reply. on_readable runs it. */
 static void break_conn(http_conn_t *c)
@@ -195,7 +187,7 @@
 		conn_account(c);
 		return;
 	}
-	shrink(&c->out);
+	buf_shrink(&c->out);
 	conn_account(c);
 	ev_io_stop(c->server->options.loop, &c->wr);
 	/* Requests that were read ahead wait until the answers before them have been read. */
@@ -410,9 +402,9 @@
 	long n;
 
 	if (!c->busy && !c->parse_started) {
-		shrink(&c->body);
-		shrink(&c->in);
-		shrink(&c->out);
+		buf_shrink(&c->body);
+		buf_shrink(&c->in);
+		buf_shrink(&c->out);
 		conn_account(c);
 	}
 	if (!may_read(c))
@@ -636,7 +628,7 @@
 	ev_io_start(c->server->options.loop, &c->rd);
 	/* A pipelined request is parsed from the loop, not inside the call that sent the reply.
 	 * Large buffers are freed there, too: the caller may still use the request. */
-	if (c->in.n > 0 || c->body.cap > KEEP_BYTES || c->in.cap > KEEP_BYTES)
+	if (c->in.n > 0 || c->body.cap > BUF_SPARE_BYTES || c->in.cap > BUF_SPARE_BYTES)
 		ev_feed_event(c->server->options.loop, &c->rd, EV_READ);
 }
 
--- a/src/net/msgconn.c
+++ b/src/net/msgconn.c
@@ -82,8 +82,10 @@
 		c->options.message(c->options.ctx, c, (str_t){c->in.p + at, n});
 		at += n;
 	}
-	if (!c->is_closed)
-		buf_drop_front(&c->in, at);
+	if (c->is_closed)
+		return;
+	buf_drop_front(&c->in, at);
+	buf_shrink(&c->in);
 }
 
 static void on_readable(struct ev_loop *loop, ev_io *w, int events)
@@ -108,6 +110,7 @@
 		ev_io_start(c->options.loop, &c->wr);
 	else
 		ev_io_stop(c->options.loop, &c->wr);
+	buf_shrink(&c->out);
 }
 
 static void on_writable(struct ev_loop *loop, ev_io *w, int events)
--- a/src/proto/wire.c
+++ b/src/proto/wire.c
@@ -21,17 +21,17 @@
 void wire_encode(buf_t *out, xdrproc_t proc, const void *msg)
 {
 	u_long n = xdr_sizeof(proc, (void *)msg);
-	char *tmp = mem_new(n);
 	XDR x;
 	bool_t ok;
 
-	xdrmem_create(&x, tmp, (u_int)n, XDR_ENCODE);
+	buf_reserve(out, n);
+	xdrmem_create(&x, out->p + out->n, (u_int)n, XDR_ENCODE);
 	ok = proc(&x, (void *)msg);
 	assert(ok);
 	(void)ok;
-	buf_add(out, (str_t){tmp, xdr_getpos(&x)});
+	out->n += xdr_getpos(&x);
+	out->p[out->n] = 0;
 	xdr_destroy(&x);
-	str_cleanup_free(&tmp);
 }
 
 status_t wire_decode_first(str_t s, xdrproc_t proc, void *msg, size_t msg_size, str_t *rest)
--- a/src/raft/group_raft.c
+++ b/src/raft/group_raft.c
@@ -65,7 +65,7 @@
 		return;
 	copy.addr.addr_val = g->addr;
 	copy.addr.addr_len = (u_int)strlen(g->addr);
-	g->encoded_msg.n = 0;
+	buf_clear(&g->encoded_msg);
 	wire_encode(&g->encoded_msg, XDR_PROC(raft_msg_t), &copy);
 	g->options.send(g->options.ctx, addr, g->options.group, str_buf(&g->encoded_msg));
 }
@@ -132,7 +132,7 @@
 	group_t *g = ctx;
 	group_input_t *it = pop_proposal(g, index);
 
-	g->cmd_result.n = 0;
+	buf_clear(&g->cmd_result);
 	g->applied_bytes += e->data.data_len;
 	if (e->kind == RAFT_ENTRY_COMMAND) {
 		g->commands++;
--- a/src/raft/store_log.c
+++ b/src/raft/store_log.c
@@ -270,7 +270,7 @@
 		if (seg->max_index < s->writing_max)
 			seg->max_index = s->writing_max;
 		s->writing_max = 0;
-		s->writing.n = 0;
+		buf_clear(&s->writing);
 	}
 	pthread_mutex_unlock(&s->lock);
 }
--- a/tests/unit/test_base.c
+++ b/tests/unit/test_base.c
@@ -1,4 +1,5 @@
 /* Tests of strings, buffers and status codes (base/str.h, base/status.h). */
+#include <malloc.h>
 #include <stdlib.h>
 #include "base/status.h"
 #include "base/str.h"
@@ -16,6 +17,39 @@
 }
 END_TEST
 
+START_TEST(an_empty_buffer_keeps_little_memory)
+{
+	AUTO_BUF b = {0};
+
+	buf_reserve(&b, 10 * BUF_SPARE_BYTES);
+	buf_add(&b, STR("x"));
+	buf_shrink(&b);
+	ck_assert_str_eq(b.p, "x");
+	buf_clear(&b);
+	ck_assert_uint_eq(b.cap, 0);
+	buf_add(&b, STR("x"));
+	buf_clear(&b);
+	ck_assert_uint_gt(b.cap, 0);
+}
+END_TEST
+
+/* A process that has freed a block of 8 MB must not keep all later ones of up to that size. */
+START_TEST(large_blocks_go_back_to_the_system)
+{
+	void *p;
+	size_t before;
+
+	mem_setup();
+	p = mem_grow(NULL, 8 << 20);
+	free(p);
+	before = mallinfo2().hblkhd;
+	p = mem_grow(NULL, 1 << 20);
+	ck_assert_uint_gt(mallinfo2().hblkhd, before);
+	free(p);
+	ck_assert_uint_eq(mallinfo2().hblkhd, before);
+}
+END_TEST
+
 START_TEST(a_json_string_is_escaped)
 {
 	AUTO_BUF b = {0};
@@ -41,6 +75,8 @@
 
 	suite_add_tcase(s, t);
 	tcase_add_test(t, bytes_are_appended_to_a_buffer_and_dropped_from_its_front);
+	tcase_add_test(t, an_empty_buffer_keeps_little_memory);
+	tcase_add_test(t, large_blocks_go_back_to_the_system);
 	tcase_add_test(t, a_json_string_is_escaped);
 	tcase_add_test(t, a_status_keeps_its_last_message);
 	return suite_run(s);
