The check of returned memory runs on the C library's allocator

The check was wrong there, not the product: the sanitizer replaces malloc by an allocator that doesn't know mallopt, holds freed blocks back in its quarantine and reports nothing in mallinfo2; hblkhd was 0 before and after the block of 1 MB was taken, so the first assertion could never hold.

--- a/tests/unit/test_base.c
+++ b/tests/unit/test_base.c
@@ -33,6 +33,9 @@
 }
 END_TEST
 
+/* AddressSanitizer has an allocator of its own, which keeps freed blocks to find uses of them. */
+#ifndef __SANITIZE_ADDRESS__
+
 /* A process that has freed a block of 8 MB must not keep all later ones of up to that size. */
 START_TEST(large_blocks_go_back_to_the_system)
 {
@@ -50,6 +53,8 @@
 }
 END_TEST
 
+#endif
+
 START_TEST(a_json_string_is_escaped)
 {
 	AUTO_BUF b = {0};
@@ -76,7 +81,9 @@
 	suite_add_tcase(s, t);
 	tcase_add_test(t, bytes_are_appended_to_a_buffer_and_dropped_from_its_front);
 	tcase_add_test(t, an_empty_buffer_keeps_little_memory);
+#ifndef __SANITIZE_ADDRESS__
 	tcase_add_test(t, large_blocks_go_back_to_the_system);
+#endif
 	tcase_add_test(t, a_json_string_is_escaped);
 	tcase_add_test(t, a_status_keeps_its_last_message);
 	return suite_run(s);
