The log in memory has a part of it, and lots that would exceed theirs wait

Change: policy/lots_memory decides about a new lot: 35% for lots (else 429), 12% for the log (16 MiB at least, else 503); what waits or is being committed counts for both.

--- a/src/control/control_group.c
+++ b/src/control/control_group.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "base/metric.h"
 #include "control/control.h"
+#include "policy/lots_memory.h"
 #include "state/pack.h"
 
 #define MIB (1024 * 1024)
@@ -142,6 +143,9 @@
 static group_options_t make_options(control_t *ctl, control_group_t *g, const char *dir,
 				    bool bootstrap)
 {
+	/* The other groups hold no lots. */
+	size_t memory = g->number == 0 ? (size_t)ctl->settings.memory_mib * MIB : 0;
+
 	return (group_options_t){
 		.group = g->number,
 		.dir = dir,
@@ -154,6 +158,7 @@
 		.election_ms = (unsigned)ctl->settings.election_ms,
 		.snapshot_entries = (uint64_t)ctl->settings.snapshot_entries,
 		.snapshot_bytes = (uint64_t)ctl->settings.snapshot_mib * MIB,
+		.log_bytes_max = memory ? lots_memory_log_max(memory) : 0,
 		.ctx = g,
 		.apply = on_apply,
 		.snapshot = on_snapshot,
--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -253,6 +253,7 @@
 	hub_waiter_t *waiters;
 	hub_batch_t batch;
 	bool committing; /* a commit of lots is in progress */
+	size_t committing_bytes; /* hub_batch_t.bytes of that commit */
 	_Atomic bool busy; /* see hub_is_busy */
 	deadline_t next_announce;
 	msgconn_t *announce_links[HUB_ANNOUNCE_MAX]; /* see hub_announce.c */
@@ -439,6 +440,13 @@
  */
 void hub_items_add_failures(hub_t *h, const hub_peer_t *p, const link_failures_t *m);
 
+/* hub_lots_memory.c: memory for new lots */
+
+/** Returns STATUS_OK if there is memory for a lot of `bytes`, or if the lot exists. STATUS_LIMIT:
+ * lots fill their part until some expire; STATUS_UNAVAILABLE: the log fills its part until the next
+ * snapshot. */
+status_t hub_lots_reserve(hub_t *h, str_t lot, size_t bytes);
+
 /* hub_lots.c: calls on lots, and their commits */
 
 void hub_lots_handle_call(hub_t *h, const hub_origin_t *from, const link_call_arg_t *arg);
--- a/src/control/hub_lots.c
+++ b/src/control/hub_lots.c
@@ -18,10 +18,6 @@
 /** Added to the retention times of items and lots, in ms, so that no clock drops them early. */
 #define DROP_MARGIN_MS 5000
 #define BARRIER_MS     1000
-/** Percentage of memory_mib that lots may fill: writing a snapshot takes as much again, and the
- * log, links and messages take the rest. */
-#define LOTS_MEMORY_PERCENT 35
-#define MIB		    (1U << 20)
 
 typedef struct {
 	worker_task_t task;
@@ -417,6 +413,7 @@
 	bool leads = h->role == HUB_LEADER && h->term == c->term;
 
 	h->committing = false;
+	h->committing_bytes = 0;
 	if (c->st != STATUS_OK)
 		log_event(LOG_LEVEL_WARN, "commit_failed", LOG_CSTR("status", status_name(c->st)),
 			  LOG_CSTR("message", c->message),
@@ -461,6 +458,7 @@
 	c->h = h;
 	c->term = h->term;
 	c->batch = h->batch;
+	h->committing_bytes = h->batch.bytes;
 	c->batch.cmd.now_wall_ms = clock_wall_ms();
 	h->batch = (hub_batch_t){0};
 	cmd.wire_fleet_cmd_t_u.lots = c->batch.cmd;
@@ -486,43 +484,12 @@
 	return next <= clock_wall_ms();
 }
 
-typedef struct {
-	str_t lot;
-	bool exists;
-	size_t bytes;
-} memory_check_t;
-
-static void read_memory_use(control_group_t *g, void *arg)
-{
-	memory_check_t *r = arg;
-
-	r->exists = lots_find(g->lots, r->lot) != NULL;
-	r->bytes = r->exists ? 0 : lots_bytes_expected(g->lots);
-}
-
-/* An accepted lot stays in memory until it expires, so new lots are refused once the lots have
- * filled their part of the memory. */
-static bool has_memory_for(hub_t *h, str_t lot)
-{
-	size_t limit = (size_t)h->control->settings.memory_mib * MIB / 100 * LOTS_MEMORY_PERCENT;
-	memory_check_t r = {.lot = lot};
-
-	if (limit == 0)
-		return true;
-	control_group_read(&h->control->groups[0], read_memory_use, &r);
-	if (r.exists || r.bytes + h->batch.bytes < limit)
-		return true;
-	log_event(LOG_LEVEL_WARN, "lots_fill_memory", LOG_STR("lot", lot),
-		  LOG_INT("bytes", r.bytes), LOG_INT("most", limit));
-	METRIC_INC("auburn_lots_refused_for_memory_total");
-	return false;
-}
-
 static void open_lot(hub_t *h, const hub_origin_t *from, const wire_lot_open_t *m)
 {
 	wire_lot_open_t o = *m;
 	const route_spec_t *r = NULL;
 	int64_t wall = clock_wall_ms();
+	status_t st;
 
 	if (h->routes && o.items.items_len > 0)
 		r = route_table_match(h->routes, wire_str(o.host),
@@ -538,10 +505,9 @@
 			status_fail(STATUS_UNAVAILABLE, "too many bytes wait for the log"));
 		return;
 	}
-	if (!has_memory_for(h, wire_str(o.lot))) {
-		hub_reply_status(
-			h, from,
-			status_fail(STATUS_LIMIT, "lots have filled their share of memory"));
+	st = hub_lots_reserve(h, wire_str(o.lot), xdr_sizeof(XDR_PROC(wire_lot_open_t), (void *)m));
+	if (st != STATUS_OK) {
+		hub_reply_status(h, from, st);
 		return;
 	}
 	o.quota = (uint64_t)r->waiting_tokens_max;
--- a/src/raft/group.h
+++ b/src/raft/group.h
@@ -40,6 +40,10 @@
 	unsigned election_ms; /* minimum; each timeout is random, up to twice as long */
 	uint64_t snapshot_entries; /* applied entries between snapshots */
 	uint64_t snapshot_bytes; /* or bytes of applied entries, whichever comes first */
+	/** Part of the memory that the log may fill, in bytes. A snapshot is also begun when the
+	 * log fills three quarters of it, or all of it while a follower receives one; proposals are
+	 * not refused. 0: any. */
+	uint64_t log_bytes_max;
 	void *ctx;
 	/** Applies one command; the proposer gets the result. Must be deterministic. */
 	void (*apply)(void *ctx, uint64_t index, str_t cmd, buf_t *result);
--- a/src/raft/group_disk.c
+++ b/src/raft/group_disk.c
@@ -208,16 +208,28 @@
 	pthread_mutex_unlock(&g->lock);
 }
 
-/* Joins the snapshot thread, which has ended, and drops the entries that the older of the two
- * snapshots covers, or the only one, from the log in memory. A snapshot that failed is due again
- * after a pause. */
+/* Drops the entries that the older of the two snapshots covers, or the only one, from the log in
+ * memory. A follower may still need those after it; if they fill half of the memory for the log,
+ * or all of it while one receives a snapshot, it gets the newer snapshot instead. */
+static void compact_log(group_t *g)
+{
+	uint64_t max = g->options.log_bytes_max;
+	uint64_t most = raft_sending_snapshot(g->raft) ? max : max / 2;
+
+	raft_compact(g->raft, g->snap_cuts ? store_newest_snapshot(g->store)
+					   : store_oldest_snapshot(g->store));
+	if (max && raft_log_bytes(g->raft) >= most)
+		raft_compact(g->raft, store_newest_snapshot(g->store));
+}
+
+/* Joins the snapshot thread, which has ended, and drops entries that the snapshots cover. A
+ * snapshot that failed is due again after a pause. */
 void group_snapshot_end(group_t *g)
 {
 	group_snapshot_join(g);
 	if (g->snap_failed)
 		postpone_snapshot(g);
-	raft_compact(g->raft, g->snap_cuts ? store_newest_snapshot(g->store)
-					   : store_oldest_snapshot(g->store));
+	compact_log(g);
 	if (g->snap_cuts)
 		group_cut_done(g);
 }
--- a/src/raft/group_thread.c
+++ b/src/raft/group_thread.c
@@ -183,13 +183,23 @@
 	       clock_left_ms(g->next_snap) == 0;
 }
 
+/* A follower that receives a snapshot needs the entries after it, so they stay for as long as there
+ * is memory. */
+static bool log_nears_limit(const group_t *g)
+{
+	uint64_t max = g->options.log_bytes_max;
+	uint64_t most = raft_sending_snapshot(g->raft) ? max : max / 4 * 3;
+
+	return max && raft_log_bytes(g->raft) >= most;
+}
+
 static bool snapshot_is_due(group_t *g)
 {
 	uint64_t factor = raft_sending_snapshot(g->raft) ? SNAPSHOT_POSTPONE_FACTOR : 1;
 	uint64_t entries = raft_applied_index(g->raft) - g->snap_index;
 
 	return entries >= g->options.snapshot_entries * factor ||
-	       g->applied_bytes >= g->options.snapshot_bytes * factor;
+	       g->applied_bytes >= g->options.snapshot_bytes * factor || log_nears_limit(g);
 }
 
 /* Begins a snapshot if one is due. One that makes room is written even while the disk refuses the
--- a/src/raft/raft.c
+++ b/src/raft/raft.c
@@ -370,6 +370,11 @@
 	return r->applied;
 }
 
+uint64_t raft_log_bytes(const raft_t *r)
+{
+	return r->log_bytes;
+}
+
 void raft_get_status(const raft_t *r, raft_status_t *out)
 {
 	*out = (raft_status_t){.self = r->self,
--- a/src/raft/raft.h
+++ b/src/raft/raft.h
@@ -150,6 +150,8 @@
 uint64_t raft_commit_index(const raft_t *r);
 raft_role_t raft_role(const raft_t *r);
 uint64_t raft_applied_index(const raft_t *r);
+/** Size of the entries in memory. */
+uint64_t raft_log_bytes(const raft_t *r);
 
 /** Encodes the members as stored in log entries and snapshots. */
 void raft_members_encode(const raft_members_t *c, buf_t *out);
--- a/src/state/lots.c
+++ b/src/state/lots.c
@@ -360,6 +360,8 @@
 {
 	lot_t *t;
 	lot_t *next;
+	early_end_t *e;
+	early_end_t *next_end;
 
 	HASH_ITER (hh, l->lots, t, next) {
 		for (uint32_t i = 0; !t->ended && now >= t->drop_wall_ms && i < t->nitems; i++) {
@@ -369,8 +371,11 @@
 		if (now >= t->forget_wall_ms)
 			lot_free(l, t);
 	}
-	while (l->early_ends && now >= l->early_ends->forget_wall_ms)
-		early_end_free(l, l->early_ends);
+	HASH_ITER (hh, l->early_ends, e, next_end) {
+		if (now < e->forget_wall_ms)
+			break;
+		early_end_free(l, e);
+	}
 }
 
 int64_t lots_next_expiry(const lots_t *l)
@@ -524,33 +529,40 @@
 		get_route_backlog(l, str_c(t->route))->waiting += open_tokens(t);
 }
 
-status_t lots_restore(lots_t *l, str_t snap)
+/* Adds what a snapshot holds to l; without `keep`, only checks that it can be read. */
+static status_t unpack_lots(lots_t *l, str_t snap, bool keep)
 {
 	unpacker_t in = {snap, false};
-	lots_t *fresh = lots_new();
-	lots_t old = *l;
 	uint64_t magic = unpack_u64(&in);
 	uint64_t version = unpack_u64(&in);
-	status_t st;
 
-	if (magic != SNAPSHOT_MAGIC || version < SNAPSHOT_OLDEST || version > SNAPSHOT_VERSION) {
-		lots_free(fresh);
+	if (magic != SNAPSHOT_MAGIC || version < SNAPSHOT_OLDEST || version > SNAPSHOT_VERSION)
 		return status_fail(STATUS_CORRUPT, "not a lots snapshot of version %u to %u",
 				   SNAPSHOT_OLDEST, SNAPSHOT_VERSION);
+	l->serial = unpack_u64(&in);
+	for (uint64_t n = unpack_u64(&in); n > 0 && !in.bad; n--) {
+		unpack_lot(&in, l);
+		if (!keep)
+			lot_free(l, l->lots);
 	}
-	fresh->serial = unpack_u64(&in);
-	for (uint64_t n = unpack_u64(&in); n > 0 && !in.bad; n--)
-		unpack_lot(&in, fresh);
 	for (uint64_t n = version > SNAPSHOT_OLDEST ? unpack_u64(&in) : 0; n > 0 && !in.bad; n--) {
 		str_t id = unpack_str(&in);
 
-		add_early_end(fresh, id, unpack_i64(&in));
-	}
-	st = unpack_end(&in, "lots");
-	if (st == STATUS_OK) {
-		*l = *fresh;
-		*fresh = old;
+		add_early_end(l, id, unpack_i64(&in));
 	}
-	lots_free(fresh);
-	return st;
+	return unpack_end(&in, "lots");
+}
+
+status_t lots_restore(lots_t *l, str_t snap)
+{
+	lots_t *checked = lots_new();
+	status_t st = unpack_lots(checked, snap, false);
+
+	lots_free(checked);
+	if (st != STATUS_OK)
+		return st;
+	/* The old lots and the new ones together may not fit into the memory. */
+	free_contents(l);
+	*l = (lots_t){0};
+	return unpack_lots(l, snap, true);
 }
--- a/tests/unit/test_group.c
+++ b/tests/unit/test_group.c
@@ -28,11 +28,13 @@
 	uint64_t applied;
 	uint64_t sum;
 	uint64_t restores;
+	_Atomic uint64_t snapshots;
 } node_t;
 
 static node_t nodes[REPLICAS_MAX];
 static char root_dir[64];
 static _Atomic int threads_refused; /* threads that still can't be created */
+static uint64_t log_bytes_max; /* option of replicas that are opened from now on */
 
 int pthread_create(pthread_t *t, const pthread_attr_t *attr, void *(*fn)(void *), void *arg)
 {
@@ -70,6 +72,7 @@
 {
 	node_t *n = ctx;
 
+	n->snapshots++;
 	buf_addf(out, "%lu %lu", (unsigned long)n->applied, (unsigned long)n->sum);
 	for (int i = 0; i < 400000; i++)
 		buf_addc(out, ' ');
@@ -125,6 +128,7 @@
 			     .election_ms = 300,
 			     .snapshot_entries = snapshot_entries,
 			     .snapshot_bytes = 1 << 30,
+			     .log_bytes_max = log_bytes_max,
 			     .ctx = n,
 			     .apply = on_apply,
 			     .snapshot = on_snapshot,
@@ -669,6 +673,36 @@
 }
 
 /* One sync per command would limit the group to the rate of the disk's syncs. */
+/* Guards against a log in memory that grows until the process is ended, and against one that is
+ * kept so long that a snapshot follows on the other. */
+START_TEST(a_snapshot_is_begun_when_the_log_nears_its_bound)
+{
+	enum { CMD_BYTES = 32 << 10, CMDS = 200 };
+	AUTO_BUF cmd = {0};
+	group_status_t s;
+	deadline_t d;
+
+	log_bytes_max = 1 << 20;
+	start_replica(0, 1);
+	wait_leader(-1);
+	while (cmd.n < CMD_BYTES - 1)
+		buf_addc(&cmd, '0');
+	buf_addc(&cmd, '1');
+	for (int i = 0; i < CMDS; i++)
+		ck_assert_int_eq(
+			group_propose(nodes[0].group, str_buf(&cmd), wait_deadline(), NULL),
+			STATUS_OK);
+	d = wait_deadline();
+	do {
+		ck_assert(clock_left_ms(d) > 0);
+		group_get_status(nodes[0].group, &s);
+	} while (s.log_bytes >= log_bytes_max / 4 * 3);
+	ck_assert_uint_gt(nodes[0].snapshots, 0);
+	ck_assert_uint_le(nodes[0].snapshots, CMD_BYTES * CMDS / (log_bytes_max / 4 * 3));
+	ck_assert_uint_eq(nodes[0].sum, CMDS);
+}
+END_TEST
+
 START_TEST(concurrent_proposals_share_syncs)
 {
 	unsigned done[16] = {0};
@@ -712,6 +746,7 @@
 	tcase_add_test(t, a_disk_that_is_full_of_old_log_entries_is_freed_by_a_snapshot);
 	tcase_add_test(t, a_snapshot_whose_thread_could_not_be_created_is_logged_and_tried_again);
 	tcase_add_test(t, the_log_leaves_the_last_space_on_the_disk_to_the_snapshot);
+	tcase_add_test(t, a_snapshot_is_begun_when_the_log_nears_its_bound);
 	tcase_add_test(t, concurrent_proposals_share_syncs);
 	return suite_run(s);
 }
