The request of two tests on slow links lasts longer than a search for the leader

Logs weren't kept. With the two remaining control processes held for 2.2 s more the leader was found 3.39 s after the beginning, and the same assertion failed: the request was done, with 200. A search may take 12 s, so the test asked for more than the system promises. Change: the request lasts 4.4 s, near the 5 s that its route allows; all checks are as before.

--- a/tests/proc/test_slow_links.py
+++ b/tests/proc/test_slow_links.py
@@ -104,10 +104,10 @@
         self.assertEqual(self.stream(front, "two")[0], 200)
 
     def start_with_request(self):
-        """Starts a request that takes 3.4 s, with one free replica besides that which runs it."""
+        """Starts a request that takes 4.4 s, with one free replica besides that which runs it."""
         self.start(controls=3, fronts=1, replicas=2, slots=1)
         for r in self.kit.replicas:
-            r.events = 170
+            r.events = 220
         self.first = asyncio.run_coroutine_threadsafe(
             self.kit.stream(self.kit.fronts[0], "/brief/one", "one"), self.kit.loop.loop)
         while not self.kit.runs_of("one"):
