--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -445,7 +445,7 @@
 /** Returns STATUS_OK if there is memory for a lot of `bytes`, or if the lot exists. STATUS_LIMIT:
  * lots fill their part until some expire; STATUS_UNAVAILABLE: the log fills its part until the next
  * snapshot. */
-status_t hub_lots_reserve(hub_t *h, str_t lot, size_t bytes);
+status_t hub_lots_check_memory(hub_t *h, str_t lot, size_t bytes);
 
 /* hub_lots.c: calls on lots, and their commits */
 
--- a/src/control/hub_lots.c
+++ b/src/control/hub_lots.c
@@ -505,7 +505,8 @@
 			status_fail(STATUS_UNAVAILABLE, "too many bytes wait for the log"));
 		return;
 	}
-	st = hub_lots_reserve(h, wire_str(o.lot), xdr_sizeof(XDR_PROC(wire_lot_open_t), (void *)m));
+	st = hub_lots_check_memory(h, wire_str(o.lot),
+				   xdr_sizeof(XDR_PROC(wire_lot_open_t), (void *)m));
 	if (st != STATUS_OK) {
 		hub_reply_status(h, from, st);
 		return;
--- a/src/control/hub_lots_memory.c
+++ b/src/control/hub_lots_memory.c
@@ -29,7 +29,7 @@
 	METRIC_INC("auburn_lots_refused_for_memory_total");
 }
 
-status_t hub_lots_reserve(hub_t *h, str_t lot, size_t bytes)
+status_t hub_lots_check_memory(hub_t *h, str_t lot, size_t bytes)
 {
 	control_group_t *g = &h->control->groups[0];
 	memory_use_t use = {.lot = lot};
