review/15: wait for contactMs before the SIGTERM

Cause: the rule excuses what comes within contactMs of a start. Change: the signal and the requests come more than 3 s after the entries are up.

--- a/review/15/case.py
+++ b/review/15/case.py
@@ -14,6 +14,7 @@
 DEADLINE_MS = 7000              # of the client and of the route
 CLIENTS = 3
 SENT_S = 0.2                    # after the signal
+CONTACT_S = 3                   # contactMs: what is judged comes later than this after the start
 
 
 class FileReplica(Replica):
@@ -50,7 +51,7 @@
 
 
 async def client(kit, record, front, i, sent):
-    """One client on a kept connection: a request in calm, then one that takes long to read."""
+    """One client with an open connection, which sends a request whose answer takes long to read."""
     reader, writer = await asyncio.open_connection(front.ip, kit.port, limit=65536)
 
     async def ask(path, rid):
@@ -58,7 +59,6 @@
                       (path, HOST, rid, DEADLINE_MS)).encode())
         await writer.drain()
     try:
-        await asyncio.sleep(0.1 * i)
         await sent.wait()
         rid = "%016x" % (0xf11e + i)
         began = time.time()
@@ -83,14 +83,14 @@
     async def play():
         sent = asyncio.Event()
         clients = [asyncio.ensure_future(client(kit, record, front, i, sent)) for i in range(CLIENTS)]
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(CONTACT_S + 0.5)
         if TROUBLE:
             front.signal(signal.SIGTERM)
             record("%s gets SIGTERM, graceS is %d", front.name, GRACE_S)
         await asyncio.sleep(SENT_S)
         sent.set()
         return await asyncio.gather(*clients)
-    answers = kit.loop.run(play(), 30)
+    answers = kit.loop.run(play(), 40)
     broken = []
     for rid, status, whole, s in answers:
         runs = kit.runs_of(rid)
