--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,109 +1,63 @@
-"""An entry gets SIGTERM: do clients that read slowly still get the whole answers to requests that it has taken?"""
-import asyncio
+"""A config brings the first tenants, and a later one has none: are the lots that were accepted before still there?"""
 import os
-import signal
 import sys
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
-from kit4 import GRACE_S, HOST, TROUBLE, CannotRun, Replica, SmallKit, run_case, up  # noqa: E402
+from kit4 import TROUBLE, CannotRun, SmallKit, open_lot, read_lot, run_case, submit, up  # noqa: E402
 
-ANSWER_BYTES = 8 << 20
-READ_BYTES_PER_S = 2 << 20      # 16.8 Mbit/s
-DEADLINE_MS = 7000              # of the client and of the route
-CLIENTS = 3
-SENT_S = 0.2                    # after the signal
-CONTACT_S = 3                   # contactMs: what is judged comes later than this after the start
+APPLY_S = 3.5       # applyMs is 2,000 to 3,000; contactMs 3,000
+ADA = {"name": "ada", "apiKeys": ["first-test-value"], "ratePerS": 0, "burst": 0}
+KEY = [("Authorization", "Bearer first-test-value")]
 
 
-class FileReplica(Replica):
-    async def stream(self, run, signed, reader, writer):
-        run["end"], run["ended"] = "done", time.time()
-        return await self.reply(writer, 200, signed + [("Content-Type", "application/octet-stream")], b"a" * ANSWER_BYTES)
+def finish(kit, record, lot, n, headers):
+    """Waits until all items are listed."""
+    end = time.time() + 15
+    while time.time() < end:
+        status, results = read_lot(kit, record, kit.fronts[0], lot, headers)
+        if status == 200 and len(results) == n:
+            return
+        time.sleep(0.5)
+    raise CannotRun("lot %s was not finished" % lot)
 
 
-class FileKit(SmallKit):
-    replica_class = FileReplica
-
-    def config(self, version, **changes):
-        conf = super().config(version, **changes)
-        conf["routes"].append({
-            "name": "file", "host": HOST, "pathPrefix": "/file/", "kind": "unsafe", "timeoutMs": DEADLINE_MS,
-            "sloMs": 1000, "priority": 0, "service": "llm", "attempts": 1})
-        return conf
-
-
-async def read_slowly(reader, record, rid):
-    """Reads an answer at READ_BYTES_PER_S; returns (status, bytes of the body, its length as stated)."""
-    head = await reader.readuntil(b"\r\n\r\n")
-    fields = dict(x.split(": ", 1) for x in head.decode().split("\r\n")[1:] if x)
-    length, got, began = int(fields["Content-Length"]), 0, time.time()
-    while got < length:
-        piece = await reader.read(65536)
-        if not piece:
-            break
-        got += len(piece)
-        await asyncio.sleep(max(0, began + got / READ_BYTES_PER_S - time.time()))
-    record("request %s: status %s, %d of %d bytes of the body in %.2f s%s", rid, head.split()[1].decode(), got, length,
-           time.time() - began, "" if got == length else ", then the entry closes the connection")
-    return int(head.split()[1]), got, length
-
-
-async def client(kit, record, front, i, sent):
-    """One client with an open connection, which sends a request whose answer takes long to read."""
-    reader, writer = await asyncio.open_connection(front.ip, kit.port, limit=65536)
-
-    async def ask(path, rid):
-        writer.write(("POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: 4\r\n\r\nbody" %
-                      (path, HOST, rid, DEADLINE_MS)).encode())
-        await writer.drain()
-    try:
-        await sent.wait()
-        rid = "%016x" % (0xf11e + i)
-        began = time.time()
-        record("request %s sent on an open connection to %s", rid, front.name)
-        await ask("/file/%d" % i, rid)
-        try:
-            status, got, length = await read_slowly(reader, record, rid)
-        except (ConnectionError, asyncio.IncompleteReadError) as e:
-            record("request %s: the connection ended without an answer (%s)", rid, type(e).__name__)
-            status, got, length = 0, 0, 1
-        return rid, status, got == length, time.time() - began
-    finally:
-        writer.close()
+def judge(kit, record, lot, headers, note, broken):
+    """LOST: a machine in touch answers 404 or 410 for a lot, later than settleMs after it was accepted."""
+    for front in kit.fronts:
+        status, _ = read_lot(kit, record, front, lot, headers, note)
+        if status in (404, 410):
+            broken.append("%s answers %d for the accepted lot %s%s" % (front.name, status, lot, note))
 
 
 def check(record, kits):
-    kit = FileKit(fronts=2, replicas=3)
+    kit = SmallKit(fronts=2, replicas=3)
     kits.append(kit)
     up(kit, record)
-    front = kit.fronts[0]
-
-    async def play():
-        sent = asyncio.Event()
-        clients = [asyncio.ensure_future(client(kit, record, front, i, sent)) for i in range(CLIENTS)]
-        await asyncio.sleep(CONTACT_S + 0.5)
-        if TROUBLE:
-            front.signal(signal.SIGTERM)
-            record("%s gets SIGTERM, graceS is %d", front.name, GRACE_S)
-        await asyncio.sleep(SENT_S)
-        sent.set()
-        return await asyncio.gather(*clients)
-    answers = kit.loop.run(play(), 40)
     broken = []
-    for rid, status, whole, s in answers:
-        runs = kit.runs_of(rid)
-        for r in runs:
-            record.at(r["at"], "request %s ran at %s, which answered it whole %.2f s later", rid, r["replica"],
-                      r["ended"] - r["at"])
-        if runs and status != 0 and not whole and s < DEADLINE_MS / 1000:
-            broken.append("request %s was read whole and passed on to a replica, and its connection ended after %.2f s "
-                          "without a complete answer" % (rid, s))
-        elif runs and status == 0:
-            broken.append("request %s was passed on to a replica, and its connection ended without an answer" % rid)
-    if not any(kit.runs_of(rid) for rid, _, _, _ in answers):
-        raise CannotRun("no request has run")
+    keyed = KEY if TROUBLE else []
+
+    lot, items = kit.lot(3)
+    open_lot(kit, record, kit.fronts[0], lot, items)
+    finish(kit, record, lot, len(items), [])
+    submit(kit, record, **({"tenants": [ADA]} if TROUBLE else {"extra": "added"}))
+    time.sleep(APPLY_S)
+    # Where the config has tenants, a client's calls on lots bring a key of its tenant.
+    judge(kit, record, lot, keyed, " with a key of the tenant" if TROUBLE else "", broken)
+    if TROUBLE:
+        read_lot(kit, record, kit.fronts[0], lot, [], " without a key (not judged)")
+
+    lot, items = kit.lot(3)
+    open_lot(kit, record, kit.fronts[0], lot, items, keyed)
+    finish(kit, record, lot, len(items), keyed)
+    submit(kit, record)
+    time.sleep(APPLY_S)
+    judge(kit, record, lot, [], " without a key, as the config has no tenants", broken)
+    if TROUBLE:
+        read_lot(kit, record, kit.fronts[0], lot, keyed, " with the key (not judged)")
+    for r in kit.runs:
+        record.at(r["at"], "item %s ran at %s, end: %s", r["id"], r["replica"], r["end"])
     return broken
 
 
