--- a/src/base/log.c
+++ b/src/base/log.c
@@ -10,6 +10,7 @@
 #include <log4c.h>
 #include "base/clock.h"
 #include "base/metric.h"
+#include "base/utf8.h"
 
 #define RING_LINES	4096
 #define VALUE_MAX_BYTES 512 /* longer string values are cut */
@@ -85,7 +86,8 @@
 	log4c_category_set_priority(category, priorities[level]);
 }
 
-/* Empty values and values with separators are quoted, so that a parser finds their end. */
+/* Empty values and values with separators are quoted, so that a parser finds their end; what is no
+ * UTF-8, so that what replaces it stands out. */
 static bool needs_quotes(str_t s)
 {
 	if (s.n == 0)
@@ -96,7 +98,7 @@
 		if (c <= ' ' || c == '"' || c == '=' || c == '\\' || c == 0x7f)
 			return true;
 	}
-	return false;
+	return !utf8_is_valid(s);
 }
 
 static void add_value(buf_t *b, str_t s)
--- a/src/base/str.c
+++ b/src/base/str.c
@@ -8,10 +8,12 @@
 #include <string.h>
 #include <sodium.h>
 #include <xxhash.h>
+#include "base/utf8.h"
 
 #define BUF_MIN_BYTES	  64
 #define LARGE_BLOCK_BYTES (128 << 10)
 #define HEAP_SPARE_BYTES  (1 << 20)
+#define REPLACEMENT	  STR("\xef\xbf\xbd") /* U+FFFD */
 
 str_t str_c(const char *c)
 {
@@ -114,20 +116,56 @@
 	b->n += (size_t)n;
 }
 
+static bool json_is_escaped(unsigned char c)
+{
+	return c == '"' || c == '\\' || c < 0x20;
+}
+
+static void add_json_escape(buf_t *b, unsigned char c)
+{
+	if (c == '"' || c == '\\')
+		buf_addf(b, "\\%c", c);
+	else if (c == '\n')
+		buf_add(b, STR("\\n"));
+	else
+		buf_addf(b, "\\u%04x", c);
+}
+
+/* Bytes up to `from` have been added. Those from there on are added in one piece up to the next one
+ * that can't stay as it is. */
 void buf_add_json(buf_t *b, str_t s)
 {
+	utf8_t u = {0};
+	size_t from = 0;
+	size_t begin = 0; /* of the current character */
+	size_t i = 0;
+
 	buf_addc(b, '"');
-	for (size_t i = 0; i < s.n; i++) {
+	while (i < s.n) {
 		unsigned char c = (unsigned char)s.p[i];
-
-		if (c == '"' || c == '\\')
-			buf_addf(b, "\\%c", c);
-		else if (c == '\n')
-			buf_add(b, STR("\\n"));
-		else if (c < 0x20)
-			buf_addf(b, "\\u%04x", c);
-		else
-			buf_addc(b, (char)c);
+		bool cut = !utf8_is_whole(&u);
+
+		if (!cut)
+			begin = i;
+		if (!utf8_next(&u, c)) {
+			buf_add(b, (str_t){s.p + from, begin - from});
+			buf_add(b, REPLACEMENT);
+			/* The byte that cuts a character may begin another one. */
+			from = i = cut ? i : i + 1;
+			u = (utf8_t){0};
+		} else if (json_is_escaped(c)) {
+			buf_add(b, (str_t){s.p + from, i - from});
+			add_json_escape(b, c);
+			from = ++i;
+		} else {
+			i++;
+		}
+	}
+	if (utf8_is_whole(&u)) {
+		buf_add(b, (str_t){s.p + from, s.n - from});
+	} else {
+		buf_add(b, (str_t){s.p + from, begin - from});
+		buf_add(b, REPLACEMENT);
 	}
 	buf_addc(b, '"');
 }
--- a/src/base/str.h
+++ b/src/base/str.h
@@ -49,7 +49,8 @@
 void buf_reserve_exact(buf_t *b, size_t more);
 void buf_addc(buf_t *b, char c);
 void buf_addf(buf_t *b, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
-/** Appends s as a JSON string with its quotes. */
+/** Appends s as a JSON string with its quotes. What is no UTF-8 in it is replaced by U+FFFD, one
+ * for each longest beginning of a character, as the decoders of the Encoding Standard do. */
 void buf_add_json(buf_t *b, str_t s);
 void buf_drop_front(buf_t *b, size_t n);
 /** Frees the memory of an empty buffer if it is more than BUF_SPARE_BYTES. */
--- a/src/ctl/ctl_request.c
+++ b/src/ctl/ctl_request.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "base/args.h"
+#include "base/utf8.h"
 #include "ctl/ctl.h"
 
 #define PATH_BYTES 1024
@@ -75,6 +76,10 @@
 	}
 	if (ctl->path)
 		return send_plain(ctl);
+	if (!utf8_is_valid(str_c(ctl->service)) || !utf8_is_valid(str_c(ctl->prompt))) {
+		fprintf(stderr, "auburnctl: --service and --prompt must be UTF-8\n");
+		return EXIT_USAGE;
+	}
 	o = json_pack("{s:s,s:s,s:i,s:b}", "model", ctl->service, "prompt", ctl->prompt,
 		      "max_tokens", ctl->max_tokens ? ctl->max_tokens : 64, "stream", 1);
 	body = json_dumps(o, JSON_COMPACT);
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -265,7 +265,7 @@
                     run["end"] = "crash"
                     asyncio.ensure_future(self.crash())
                     return False
-                data = ("id: %d\ndata: %s\n\n" % (n, self.kit.text_of(run, n))).encode()
+                data = ("id: %d\ndata: %s\n\n" % (n, self.kit.text_of(run, n))).encode(errors="surrogateescape")
                 if self.break_after == n:
                     self.break_after = None
                     run["end"] = "cut"
@@ -656,7 +656,7 @@
         return (await self.call(front.ip, self.port, "DELETE", "/lots/" + lot, [("Host", HOST)] + list(headers), b"", 4))[0]
 
     def text_of(self, run, n):
-        """The text of event `n` of a run."""
+        """The text of event `n` of a run; a lone surrogate U+DC80 to U+DCFF in it is sent as a byte 0x80 to 0xff."""
         if self.names_runs:
             return run_order.event_text(run["id"], n, run["serial"], run["after"])
         return event_text(run["id"], n)
--- a/tests/proc/test_bad_input.py
+++ b/tests/proc/test_bad_input.py
@@ -122,6 +122,14 @@
                 with self.subTest(program=program, text=text[:20]):
                     self.assert_refused(program, text, None)
 
+    def test_prompt_that_is_no_utf8_is_refused_before_it_is_sent(self):
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as f:
+            f.write(fleet.toml({"entries": ["127.0.0.1:1"], "key": "k"}))
+            f.flush()
+            p = subprocess.run([os.path.join(fleet.BIN, "auburnctl"), "--config", f.name, "request", "send", "--service",
+                                "chat", "--prompt", b"caf\xe9"], capture_output=True, text=True, timeout=60)
+        self.assertEqual((p.returncode, p.stderr), (2, "auburnctl: --service and --prompt must be UTF-8\n"))
+
     def test_settings_file_missing_or_a_directory(self):
         for program in PROGRAMS:
             for path in ("/nowhere/x.toml", tempfile.gettempdir()):
--- a/tests/proc/test_bad_service.py
+++ b/tests/proc/test_bad_service.py
@@ -1,6 +1,8 @@
-"""A plain service whose answers have a status that HTTP does not know, or are reset while the call is still being sent.
+"""A plain service whose answers have a status that HTTP does not know, are reset while the call is still being sent, or
+are no UTF-8.
 
-Guards against an entry that stores such an answer as the result of a call and gives it to its caller.
+Guards against an entry that stores such an answer as the result of a call and gives it to its caller, and against a
+stored result that can't be looked up because of its bytes.
 """
 import json
 import os
@@ -87,7 +89,8 @@
     def send(self, body="{}"):
         """Calls the service, again with another key while it isn't known yet."""
         for i in range(100):
-            status, _, b = call(self.f.addr(), "POST", PLAIN, body, bearer(CALLER_KEY, "call-%d" % i))
+            self.key = "call-%d" % i
+            status, _, b = call(self.f.addr(), "POST", PLAIN, body, bearer(CALLER_KEY, self.key))
             if self.service.calls:
                 return status, b
             time.sleep(0.1)
@@ -114,6 +117,12 @@
         self.service.answer, self.service.resets = PART, True
         self.check_not_a_result(*self.send(BODY))
 
+    def test_result_that_is_no_utf8_can_be_looked_up(self):
+        self.service.answer = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\ncaf\xe9"
+        self.assertEqual(self.send(), (200, b"caf\xe9"))
+        status, _, b = call(self.f.addr(), "GET", "/v1/requests/" + self.key, None, bearer(CALLER_KEY))
+        self.assertEqual((status, json.loads(b)["result"]), (200, "caf\ufffd"))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/test_base.c
+++ b/tests/unit/test_base.c
@@ -5,6 +5,8 @@
 #include "base/str.h"
 #include "suite_kit.h"
 
+#define FFFD "\xef\xbf\xbd" /* U+FFFD, replacement character */
+
 START_TEST(bytes_are_appended_to_a_buffer_and_dropped_from_its_front)
 {
 	AUTO_BUF b = {0};
@@ -64,6 +66,45 @@
 }
 END_TEST
 
+/* Guards against JSON that no parser reads because of a wrong byte in one of its strings. */
+START_TEST(a_json_string_is_utf8_whatever_its_bytes)
+{
+	static const struct {
+		const char *bytes;
+		const char *json;
+	} texts[] = {
+		{"caf\xc3\xa9 \xe2\x82\xac \xf0\x9f\x98\x80",
+		 "caf\xc3\xa9 \xe2\x82\xac \xf0\x9f\x98\x80"},
+		{"caf\xe9", "caf" FFFD},
+		{"\xff"
+		 "a",
+		 FFFD "a"},
+		/* a character that is cut, at the end and before another one */
+		{"a\xe2\x82", "a" FFFD},
+		{"\xe2\x82"
+		 "b\xc3\xa9",
+		 FFFD "b\xc3\xa9"},
+		{"\xe2\xc3\xa9", FFFD "\xc3\xa9"},
+		{"\x82\xac", FFFD FFFD},
+		/* longer than need be, a surrogate, above U+10FFFF */
+		{"\xc0\xaf", FFFD FFFD},
+		{"\xe0\x80\xaf", FFFD FFFD FFFD},
+		{"\xed\xa0\x80", FFFD FFFD FFFD},
+		{"\xf4\x90\x80\x80", FFFD FFFD FFFD FFFD},
+		{"\xc3\n", FFFD "\\n"},
+	};
+
+	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+		AUTO_BUF b = {0};
+		AUTO_BUF want = {0};
+
+		buf_add_json(&b, str_c(texts[i].bytes));
+		buf_addf(&want, "\"%s\"", texts[i].json);
+		ck_assert_str_eq(b.p, want.p);
+	}
+}
+END_TEST
+
 START_TEST(a_status_keeps_its_last_message)
 {
 	ck_assert_int_eq(status_fail(STATUS_LIMIT, "over %d", 3), STATUS_LIMIT);
@@ -85,6 +126,7 @@
 	tcase_add_test(t, large_blocks_go_back_to_the_system);
 #endif
 	tcase_add_test(t, a_json_string_is_escaped);
+	tcase_add_test(t, a_json_string_is_utf8_whatever_its_bytes);
 	tcase_add_test(t, a_status_keeps_its_last_message);
 	return suite_run(s);
 }
--- a/tests/unit/test_log.c
+++ b/tests/unit/test_log.c
@@ -58,6 +58,29 @@
 }
 END_TEST
 
+/* Guards against a log that a reader of UTF-8 gives up because of the id of one request. */
+START_TEST(a_line_is_utf8_whatever_the_bytes_of_its_values)
+{
+	char buf[4096] = {0};
+	int fds[2];
+	int old_stdout = redirect_stdout(fds);
+	char cut[600];
+
+	memset(cut, 'a', 511);
+	memset(cut + 511, '\xc3', 2);
+	log_open("test", LOG_LEVEL_INFO);
+	log_event(LOG_LEVEL_INFO, "odd_id",
+		  LOG_STR("request", STR("r\xff"
+					 "1")),
+		  LOG_STR("sound", STR("caf\xc3\xa9")), LOG_STR("cut", ((str_t){cut, 513})));
+	dup2(old_stdout, STDOUT_FILENO);
+	ck_assert_int_gt(read(fds[0], buf, sizeof(buf) - 1), 0);
+	ck_assert_ptr_nonnull(strstr(buf, "event=odd_id request=\"r\xef\xbf\xbd"
+					  "1\" sound=caf\xc3\xa9 cut=\"a"));
+	ck_assert_ptr_nonnull(strstr(buf, "a\xef\xbf\xbd\"\n"));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("log");
@@ -65,6 +88,7 @@
 
 	tcase_add_test(t, a_reader_that_does_not_read_blocks_no_writer);
 	tcase_add_test(t, a_frequent_event_is_limited_and_the_lines_left_out_are_counted);
+	tcase_add_test(t, a_line_is_utf8_whatever_the_bytes_of_its_values);
 	suite_add_tcase(s, t);
 	return suite_run(s);
 }
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "platform/platform.h"
+#include <jansson.h>
 #include "suite_kit.h"
 
 static const char config_json[] =
@@ -630,6 +631,26 @@
 }
 END_TEST
 
+/* Guards against a lot whose results can't be read at all because of a wrong byte in one of them.
+ */
+START_TEST(results_are_json_whatever_the_bytes_of_a_text)
+{
+	link_result_t v[2] = {{wire_bytes(STR("e5")), false,
+			       wire_bytes(STR("a\xff"
+					      "b"))},
+			      {wire_bytes(STR("e6")), false, wire_bytes(STR("sound"))}};
+	link_reply_t r = {.total = 2, .results = {2, v}};
+	AUTO_BUF b = {0};
+	json_t *root;
+
+	platform_lot_results_encode(&b, &r, 0);
+	root = json_loadb(b.p, b.n, 0, NULL);
+	ck_assert_ptr_nonnull(root);
+	ck_assert_uint_eq(json_array_size(json_object_get(root, "results")), 2);
+	json_decref(root);
+}
+END_TEST
+
 START_TEST(operators_calls_are_decoded)
 {
 	static const struct {
@@ -704,6 +725,7 @@
 	tcase_add_test(t, a_lot_is_decoded);
 	tcase_add_test(t, an_invalid_lot_is_refused);
 	tcase_add_test(t, the_results_of_a_lot_are_encoded);
+	tcase_add_test(t, results_are_json_whatever_the_bytes_of_a_text);
 	tcase_add_test(t, operators_calls_are_decoded);
 	tcase_add_test(t, operators_replies_are_encoded);
 	suite_add_tcase(s, t);
