--- a/src/control/hub_items.c
+++ b/src/control/hub_items.c
@@ -287,9 +287,29 @@
 	METRIC_INC("auburn_item_runs_differing_total");
 }
 
+static void log_damaged_run(const hub_item_t *it, const hub_peer_t *p, uint32_t events)
+{
+	log_event(LOG_LEVEL_WARN, "item_text_damaged", LOG_CSTR("lot", it->lot->id),
+		  LOG_INT("item", it->index), LOG_CSTR("entry", p->name),
+		  LOG_INT("events", it->output.events), LOG_INT("run_events", events),
+		  LOG_INT("runs_rejected", it->output.rejected));
+	METRIC_INC("auburn_item_texts_damaged_total");
+}
+
+static void log_report(const hub_item_t *it, const hub_peer_t *p, uint32_t events,
+		       item_report_t report)
+{
+	if (report == ITEM_REPORT_DIFFERS)
+		log_differing_run(it, p, events);
+	else if (report == ITEM_REPORT_DAMAGED)
+		log_damaged_run(it, p, events);
+}
+
 void hub_items_ended(hub_t *h, hub_peer_t *p, const link_item_ended_t *m)
 {
 	hub_item_t *it = hub_find_item(h, m->job, m->item);
+	dispatch_outcome_t outcome = (dispatch_outcome_t)m->outcome;
+	item_report_t report = ITEM_REPORT_DAMAGED;
 	uint32_t had;
 	size_t bytes;
 	bool current;
@@ -304,8 +324,18 @@
 	switch (m->end) {
 	case LINK_ITEM_END_DONE:
 		hub_quarantine_alive(h, wire_str(m->replica));
-		end_item(h, it, current, false, m->events, wire_str(m->text), "complete");
-		return;
+		if (item_output_accept(&it->output, wire_str(m->text))) {
+			end_item(h, it, current, false, m->events, wire_str(m->text), "complete");
+			return;
+		}
+		if (!current) {
+			log_damaged_run(it, p, m->events);
+			return;
+		}
+		/* Does not count against the replica, whose text this may be. */
+		outcome = DISPATCH_CANCELLED;
+		dispatch_item_avoid(it->dispatch_ref, wire_str(m->replica));
+		break;
 	case LINK_ITEM_END_IMPOSSIBLE:
 		end_item(h, it, true, true, had, (str_t){"", 0},
 			 "replica reports the item as impossible");
@@ -322,37 +352,32 @@
 		break;
 	}
 	bytes = it->output.text.n;
-	if (!item_output_take(&it->output, m->events, wire_str(m->text)))
-		log_differing_run(it, p, m->events);
-	else if (it->output.events > had)
+	if (m->end != LINK_ITEM_END_DONE)
+		report = item_output_take(&it->output, m->events, wire_str(m->text));
+	log_report(it, p, m->events, report);
+	if (it->output.events > had)
 		hub_lots_add_progress(h, it, it->output.text.n - bytes);
 	log_event(LOG_LEVEL_INFO, "item_requeued", LOG_CSTR("lot", it->lot->id),
-		  LOG_INT("item", it->index),
-		  LOG_CSTR("outcome", dispatch_outcome_name((dispatch_outcome_t)m->outcome)),
+		  LOG_INT("item", it->index), LOG_CSTR("outcome", dispatch_outcome_name(outcome)),
 		  LOG_STR("replica", wire_str(m->replica)), LOG_INT("events", it->output.events),
 		  LOG_INT("failures", it->failures));
 	hub_quarantine_item_ended(h, it);
-	dispatch_item_requeue(h->dispatch, it->dispatch_ref, (dispatch_outcome_t)m->outcome,
-			      clock_now_ms());
+	dispatch_item_requeue(h->dispatch, it->dispatch_ref, outcome, clock_now_ms());
 }
 
 void hub_items_progressed(hub_t *h, hub_peer_t *p, const link_item_progress_t *m)
 {
 	hub_item_t *it = hub_find_item(h, m->job, m->item);
+	item_report_t report;
 	size_t bytes;
 
 	if (!it)
 		return;
 	bytes = it->output.text.n;
-	switch (item_output_progress(&it->output, p->id, m->from, m->events, wire_str(m->text))) {
-	case ITEM_REPORT_TAKEN:
-		break;
-	case ITEM_REPORT_DIFFERS:
-		log_differing_run(it, p, m->events);
+	report = item_output_progress(&it->output, p->id, m->from, m->events, wire_str(m->text));
+	log_report(it, p, m->events, report);
+	if (report != ITEM_REPORT_TAKEN)
 		return;
-	case ITEM_REPORT_IGNORED:
-		return;
-	}
 	hub_lots_add_progress(h, it, it->output.text.n - bytes);
 	dispatch_item_progressed(h->dispatch, it->dispatch_ref, clock_now_ms());
 }
--- a/src/state/item_output.h
+++ b/src/state/item_output.h
@@ -8,18 +8,28 @@
  * the output changes only to a longer text of a run that begins with the output, byte for byte. It
  * thus is the whole text of one run at all times.
  *
+ * Event streams are UTF-8. Text that isn't has most likely been damaged by a replica, so it doesn't
+ * become part of the output, and a run that ends with it is repeated. A sound replica may split a
+ * character between two events, so UTF-8 is looked for without the line feeds between them.
+ *
  * Pure. Not thread-safe.
  */
 #ifndef AUBURN_ITEM_OUTPUT_H
 #define AUBURN_ITEM_OUTPUT_H
 
 #include <stdint.h>
-#include "base/str.h"
+#include "base/utf8.h"
+
+/** Most complete runs of an item that are rejected because their text isn't UTF-8. If it never is,
+ * that is what the replicas make of the item. */
+#define ITEM_OUTPUT_REJECTED_MAX 2
 
 /** Initialised with {0}. Entries are numbered by their links; 0 is none. */
 typedef struct {
 	buf_t text; /* events, separated by line feeds */
 	uint32_t events;
+	utf8_t utf8; /* at the end of text */
+	unsigned rejected; /* complete runs whose text isn't UTF-8 */
 	uint64_t entry; /* that has the current run */
 	bool joined; /* the current run is known to continue the output */
 	uint64_t *refused; /* entries that were told to stop a run, whose end is still to come */
@@ -29,6 +39,7 @@
 typedef enum {
 	ITEM_REPORT_TAKEN,
 	ITEM_REPORT_DIFFERS, /* the run's text doesn't begin with the output */
+	ITEM_REPORT_DAMAGED, /* the text isn't UTF-8; so are later reports of this run */
 	ITEM_REPORT_IGNORED /* of another run, or of one that isn't known to continue the output */
 } item_report_t;
 
@@ -51,9 +62,12 @@
 /** A run at the entry has ended. Returns true if it was the current one; then there is none any
  * more. */
 bool item_output_end(item_output_t *o, uint64_t entry);
-/** Replaces the output by the whole text of a run. Returns false, without a change, unless that
- * begins with the output. */
-bool item_output_take(item_output_t *o, uint32_t events, str_t text);
+/** Replaces the output by the whole text of a run. Returns ITEM_REPORT_TAKEN or, without a change,
+ * why it can't be. */
+item_report_t item_output_take(item_output_t *o, uint32_t events, str_t text);
+/** Returns whether the text of a complete run is the item's result. If not, the item is to be run
+ * again. */
+bool item_output_accept(item_output_t *o, str_t text);
 /** Sets *rest to the part of the output after a saved one; it may be empty. Returns false if the
  * output doesn't begin with that. */
 bool item_output_unsaved(const item_output_t *o, str_t saved, uint32_t events, str_t *rest);
--- a/tests/proc/test_unreadable_text.py
+++ b/tests/proc/test_unreadable_text.py
@@ -60,6 +60,22 @@
         return "\n".join(self.kit.odd_texts.get(i, event_text(self.kit.odd_item, i)) for i in range(1, n + 1)).encode(
             errors="surrogateescape").decode(errors="replace")
 
+    def test_item_whose_text_was_damaged_is_run_again(self):
+        self.kit.odd_runs = 1
+        items, texts = self.run_lot()
+        self.check_sound_items(items, texts)
+        self.assertEqual(texts[self.kit.odd_item], self.kit.whole_text(self.kit.odd_item))
+        self.assertEqual(len(self.kit.runs_of(self.kit.odd_item)), 2)
+
+    def test_item_whose_text_was_damaged_before_its_progress_was_saved_is_run_again(self):
+        """The run lasts longer than the time between two reports to the leader."""
+        for r in self.kit.replicas:
+            r.events = 150
+        self.kit.odd_runs = 1
+        items, texts = self.run_lot()
+        self.check_sound_items(items, texts)
+        self.assertEqual(texts[self.kit.odd_item], self.kit.whole_text(self.kit.odd_item))
+
     def test_item_whose_text_is_never_utf8_is_listed_with_replacement_characters(self):
         items, texts = self.run_lot()
         self.check_sound_items(items, texts)
--- a/tests/unit/test_item_output.c
+++ b/tests/unit/test_item_output.c
@@ -99,7 +99,7 @@
 	ck_assert_uint_eq(o.events, 5);
 	ck_assert(item_output_end(&o, 7));
 	go_on(&t, 1);
-	ck_assert(item_output_take(&o, t.events, str_buf(&t.text)));
+	ck_assert_int_eq(item_output_take(&o, t.events, str_buf(&t.text)), ITEM_REPORT_TAKEN);
 	ck_assert(!item_output_end(&o, 7));
 	ck_assert_uint_eq(o.events, 6);
 	item_output_free(&o);
@@ -131,7 +131,8 @@
 	n = slow.text.n;
 	go_on(&slow, 1);
 	ck_assert_int_eq(report(&o, 7, &slow, 7, n), ITEM_REPORT_IGNORED);
-	ck_assert(!item_output_take(&o, slow.events, str_buf(&slow.text)));
+	ck_assert_int_eq(item_output_take(&o, slow.events, str_buf(&slow.text)),
+			 ITEM_REPORT_DIFFERS);
 	ck_assert(str_eq(str_buf(&o.text), str_buf(&before)));
 	item_output_free(&o);
 	buf_free(&base.text);
@@ -188,16 +189,16 @@
 	item_output_t o = {0};
 	str_t rest;
 
-	ck_assert(item_output_take(&o, 0, STR("")));
-	ck_assert(item_output_take(&o, 2, STR("a\nb")));
-	ck_assert(!item_output_take(&o, 3, STR("a\nbc\nd")));
-	ck_assert(!item_output_take(&o, 3, STR("a\nb")));
-	ck_assert(!item_output_take(&o, 2, STR("a\nbc")));
-	ck_assert(!item_output_take(&o, 1, STR("a\nb")));
-	ck_assert(!item_output_take(&o, 1, STR("a")));
-	ck_assert(!item_output_take(&o, 3, STR("x\nb\nc")));
-	ck_assert(item_output_take(&o, 2, STR("a\nb")));
-	ck_assert(item_output_take(&o, 3, STR("a\nb\n")));
+	ck_assert_int_eq(item_output_take(&o, 0, STR("")), ITEM_REPORT_TAKEN);
+	ck_assert_int_eq(item_output_take(&o, 2, STR("a\nb")), ITEM_REPORT_TAKEN);
+	ck_assert_int_eq(item_output_take(&o, 3, STR("a\nbc\nd")), ITEM_REPORT_DIFFERS);
+	ck_assert_int_eq(item_output_take(&o, 3, STR("a\nb")), ITEM_REPORT_DIFFERS);
+	ck_assert_int_eq(item_output_take(&o, 2, STR("a\nbc")), ITEM_REPORT_DIFFERS);
+	ck_assert_int_eq(item_output_take(&o, 1, STR("a\nb")), ITEM_REPORT_DIFFERS);
+	ck_assert_int_eq(item_output_take(&o, 1, STR("a")), ITEM_REPORT_DIFFERS);
+	ck_assert_int_eq(item_output_take(&o, 3, STR("x\nb\nc")), ITEM_REPORT_DIFFERS);
+	ck_assert_int_eq(item_output_take(&o, 2, STR("a\nb")), ITEM_REPORT_TAKEN);
+	ck_assert_int_eq(item_output_take(&o, 3, STR("a\nb\n")), ITEM_REPORT_TAKEN);
 	ck_assert(item_output_unsaved(&o, STR("a"), 1, &rest));
 	ck_assert(str_eq(rest, STR("\nb\n")));
 	ck_assert(item_output_unsaved(&o, STR(""), 0, &rest));
@@ -210,6 +211,51 @@
 }
 END_TEST
 
+/* Guards against a text that isn't UTF-8 and becomes a part of all later runs of its item. */
+START_TEST(damaged_text_does_not_become_part_of_the_output)
+{
+	item_output_t o = {0};
+
+	item_output_start(&o, 1);
+	ck_assert_int_eq(item_output_progress(&o, 1, 0, 1, STR("sound")), ITEM_REPORT_TAKEN);
+	ck_assert_int_eq(item_output_progress(&o, 1, 1, 2, STR("\na\xff")), ITEM_REPORT_DAMAGED);
+	ck_assert_int_eq(item_output_progress(&o, 1, 2, 3, STR("\nc")), ITEM_REPORT_IGNORED);
+	ck_assert_int_eq(item_output_take(&o, 3, STR("sound\na\xff\nc")), ITEM_REPORT_DAMAGED);
+	ck_assert(str_eq(str_buf(&o.text), STR("sound")));
+	ck_assert_uint_eq(o.events, 1);
+	item_output_free(&o);
+}
+END_TEST
+
+START_TEST(character_split_between_two_events_is_no_damage)
+{
+	item_output_t o = {0};
+
+	item_output_start(&o, 1);
+	ck_assert_int_eq(item_output_progress(&o, 1, 0, 1, STR("a\xe2\x82")), ITEM_REPORT_TAKEN);
+	ck_assert_int_eq(item_output_progress(&o, 1, 1, 2, STR("\n\xac")), ITEM_REPORT_TAKEN);
+	ck_assert(item_output_accept(&o, STR("a\xe2\x82\n\xac\nb")));
+	ck_assert(!item_output_accept(&o, STR("a\xe2\x82\nb")));
+	ck_assert(!item_output_accept(&o, STR("a\xe2\x82")));
+	item_output_free(&o);
+}
+END_TEST
+
+/* Guards against an item that runs without end. */
+START_TEST(text_that_is_never_utf8_is_accepted_in_the_end)
+{
+	item_output_t o = {0};
+
+	item_output_init(&o, STR("\xff from an older build"), 1);
+	for (int i = 0; i < ITEM_OUTPUT_REJECTED_MAX; i++)
+		ck_assert(!item_output_accept(&o, STR("\xff")));
+	ck_assert(item_output_accept(&o, STR("\xff")));
+	ck_assert_int_eq(item_output_take(&o, 2, STR("\xff from an older build\nb")),
+			 ITEM_REPORT_TAKEN);
+	item_output_free(&o);
+}
+END_TEST
+
 /* ---- random plays ---- */
 
 /* Faults that the plays must find. */
@@ -740,6 +786,9 @@
 	tcase_add_test(t, new_leader_takes_the_whole_text_of_an_adopted_run);
 	tcase_add_test(t, reports_before_the_end_of_a_refused_run_are_ignored);
 	tcase_add_test(t, text_must_begin_with_whole_events);
+	tcase_add_test(t, damaged_text_does_not_become_part_of_the_output);
+	tcase_add_test(t, character_split_between_two_events_is_no_damage);
+	tcase_add_test(t, text_that_is_never_utf8_is_accepted_in_the_end);
 	tcase_add_test(t, random_runs_keep_the_order);
 	tcase_add_test(t, random_runs_find_flaws);
 	suite_add_tcase(s, t);
