--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -336,6 +336,8 @@
 /** True if the routes in force are those of the newest config; false while that is being decoded.
  */
 bool hub_routes_are_newest(const hub_t *h);
+/** True if the entry is known to use the newest routes. peer: id of its link. */
+bool hub_routes_peer_is_current(const hub_t *h, uint64_t peer);
 /** Handles an entry's report of the config whose routes it has. */
 void hub_routes_ack(hub_t *h, const hub_peer_t *p, const link_config_id_t *holds);
 
@@ -442,11 +444,23 @@
 
 /* hub_lots_memory.c: memory for new lots */
 
-/** Returns STATUS_OK if there is memory for a lot of `bytes`, or if the lot exists. STATUS_LIMIT:
- * lots fill their part until some expire; STATUS_UNAVAILABLE: the log fills its part until the next
- * snapshot. */
+/** Returns STATUS_OK if there is memory for a new lot of `bytes`. STATUS_LIMIT: lots fill their
+ * part until some expire; STATUS_UNAVAILABLE: the log fills its part until the next snapshot. */
 status_t hub_lots_check_memory(hub_t *h, str_t lot, size_t bytes);
 
+/* hub_lots_access.c: which lots the callers of calls may use */
+
+/** Returns the lot that a call means, or NULL. id: as the entry made it for the caller. */
+const lot_t *hub_lots_find(const hub_t *h, const lots_t *lots, str_t id);
+/** Returns STATUS_OK if the call of an entry finds a lot. STATUS_UNAVAILABLE: it does not, but it
+ * might once this process and the entry have the newest config; STATUS_NOT_FOUND: it never will. */
+status_t hub_lots_check_access(hub_t *h, const hub_origin_t *from, str_t id);
+/** The same of an opening: STATUS_OK if it is one of a lot that exists. */
+status_t hub_lots_check_open(hub_t *h, const hub_origin_t *from, const wire_lot_open_t *o);
+/** Replaces the ids in openings and ends by those of the lots that they mean. To be called before a
+ * commit, with the state that it changes: the state machine knows no config. */
+void hub_lots_resolve(const hub_t *h, const lots_t *lots, wire_lots_cmd_t *cmd);
+
 /* hub_lots.c: calls on lots, and their commits */
 
 void hub_lots_handle_call(hub_t *h, const hub_origin_t *from, const link_call_arg_t *arg);
--- a/src/control/hub_lots.c
+++ b/src/control/hub_lots.c
@@ -130,13 +130,15 @@
 	return p->events > p->from;
 }
 
-/* Fills in the progress of the batch and removes that without new events. */
+/* Fills in the progress of the batch and removes that without new events; finds the lots of its
+ * calls. */
 static void fill_batch(control_group_t *g, void *arg)
 {
 	hub_t *h = arg;
 	wire_lots_cmd_t *c = &h->batch.cmd;
 	u_int kept = 0;
 
+	hub_lots_resolve(h, g->lots, c);
 	for (u_int i = 0; i < c->progress.progress_len; i++) {
 		wire_lot_progress_t *p = &c->progress.progress_val[i];
 
@@ -159,9 +161,10 @@
 /* ---- reads ---- */
 
 typedef struct {
+	const hub_t *h;
 	str_t lot;
 	uint32_t after;
-	bool found;
+	char *found; /* id of the lot; NULL: unknown here */
 	bool over; /* no further results will come */
 	link_reply_t r;
 } results_read_t;
@@ -169,12 +172,12 @@
 static void read_results(control_group_t *g, void *arg)
 {
 	results_read_t *x = arg;
-	const lot_t *t = lots_find(g->lots, x->lot);
+	const lot_t *t = hub_lots_find(x->h, g->lots, x->lot);
 	size_t bytes = 0;
 
 	if (!t)
 		return;
-	x->found = true;
+	x->found = str_dup(str_c(t->id));
 	x->over = t->ended || t->nfinished == t->nitems;
 	x->r.total = t->nitems;
 	x->r.results.results_val = mem_new((t->nfinished + 1) * sizeof(link_result_t));
@@ -195,11 +198,12 @@
 typedef enum { READ_ANSWERED, READ_UNKNOWN_LOT, READ_WAITS } read_result_t;
 
 /* Replies to a read of results, unless the lot is unknown here or, if `wait` is set, there is no
- * new result but more can come. */
+ * new result but more can come. *found: id of the lot, which the caller frees; NULL if it is
+ * unknown. */
 static read_result_t try_answer_read(hub_t *h, const hub_origin_t *from, str_t lot, uint32_t after,
-				     bool wait)
+				     bool wait, char **found)
 {
-	results_read_t x = {.lot = lot, .after = after};
+	results_read_t x = {.h = h, .lot = lot, .after = after};
 	read_result_t result = READ_UNKNOWN_LOT;
 
 	control_group_read(&h->control->groups[0], read_results, &x);
@@ -209,6 +213,7 @@
 	if (result == READ_ANSWERED)
 		hub_reply(h, from, &x.r);
 	wire_free(XDR_PROC(link_reply_t), &x.r);
+	*found = x.found;
 	return result;
 }
 
@@ -228,8 +233,9 @@
 
 	DL_FOREACH_SAFE(h->waiters, w, next)
 	{
-		read_result_t result =
-			try_answer_read(h, &w->origin, str_c(w->lot), w->after, now < w->deadline);
+		AUTO_FREE char *found = NULL;
+		read_result_t result = try_answer_read(h, &w->origin, str_c(w->lot), w->after,
+						       now < w->deadline, &found);
 
 		if (result == READ_WAITS)
 			continue;
@@ -256,6 +262,7 @@
 }
 
 typedef struct {
+	const hub_t *h;
 	str_t lot;
 	str_t item;
 	status_t st;
@@ -265,7 +272,7 @@
 static void read_body(control_group_t *g, void *arg)
 {
 	body_read_t *b = arg;
-	const lot_t *t = lots_find(g->lots, b->lot);
+	const lot_t *t = hub_lots_find(b->h, g->lots, b->lot);
 	long i = t ? lot_find_item(t, b->item) : -1;
 
 	b->st = STATUS_NOT_FOUND;
@@ -279,7 +286,7 @@
  * or the item is not open. */
 static bool try_answer_body(hub_t *h, const hub_origin_t *from, const link_item_body_t *m)
 {
-	body_read_t b = {.lot = wire_str(m->job), .item = wire_str(m->item)};
+	body_read_t b = {.h = h, .lot = wire_str(m->job), .item = wire_str(m->item)};
 	link_reply_t r = {0};
 
 	control_group_read(&h->control->groups[0], read_body, &b);
@@ -298,21 +305,34 @@
 	const link_lot_read_t *m = &arg->link_call_arg_t_u.read;
 	read_result_t result;
 	hub_waiter_t *waiter;
+	char *found;
 
 	if (arg->kind == LINK_CALL_ITEM_BODY)
 		return try_answer_body(h, from, &arg->link_call_arg_t_u.body);
-	result = try_answer_read(h, from, wire_str(m->job), m->after, m->wait_ms > 0);
-	if (result != READ_WAITS)
+	result = try_answer_read(h, from, wire_str(m->job), m->after, m->wait_ms > 0, &found);
+	if (result != READ_WAITS) {
+		free(found);
 		return result == READ_ANSWERED;
+	}
 	waiter = mem_new(sizeof(*waiter));
 	waiter->origin = *from;
-	waiter->lot = str_dup(wire_str(m->job));
+	/* Found once, it stays the caller's whatever the next config says. */
+	waiter->lot = found;
 	waiter->after = m->after;
 	waiter->deadline = clock_now_ms() + m->wait_ms;
 	DL_APPEND(h->waiters, waiter);
 	return true;
 }
 
+static status_t why_not_found(hub_t *h, const hub_origin_t *from, const link_call_arg_t *arg)
+{
+	str_t lot = wire_str(arg->kind == LINK_CALL_ITEM_BODY ? arg->link_call_arg_t_u.body.job
+							      : arg->link_call_arg_t_u.read.job);
+	status_t st = hub_lots_check_access(h, from, lot);
+
+	return st == STATUS_OK ? status_fail(STATUS_NOT_FOUND, "no such item") : st;
+}
+
 static void barrier_done(worker_task_t *task)
 {
 	barrier_task_t *c = (barrier_task_t *)task;
@@ -322,8 +342,7 @@
 			c->h, &c->from,
 			status_fail(STATUS_UNAVAILABLE, "leadership could not be confirmed"));
 	else if (!try_answer_or_wait(c->h, &c->from, &c->arg))
-		hub_reply_status(c->h, &c->from,
-				 status_fail(STATUS_NOT_FOUND, "no such lot or item"));
+		hub_reply_status(c->h, &c->from, why_not_found(c->h, &c->from, &c->arg));
 	wire_free(XDR_PROC(link_call_arg_t), &c->arg);
 	free(c);
 }
@@ -448,7 +467,7 @@
 
 	if (h->committing)
 		return;
-	if (h->batch.cmd.progress.progress_len > 0)
+	if (!batch_is_empty(&h->batch))
 		control_group_read(&h->control->groups[0], fill_batch, h);
 	if (!expires && batch_is_empty(&h->batch))
 		return;
@@ -505,8 +524,10 @@
 			status_fail(STATUS_UNAVAILABLE, "too many bytes wait for the log"));
 		return;
 	}
-	st = hub_lots_check_memory(h, wire_str(o.lot),
-				   xdr_sizeof(XDR_PROC(wire_lot_open_t), (void *)m));
+	st = hub_lots_check_open(h, from, m);
+	if (st == STATUS_NOT_FOUND)
+		st = hub_lots_check_memory(h, wire_str(o.lot),
+					   xdr_sizeof(XDR_PROC(wire_lot_open_t), (void *)m));
 	if (st != STATUS_OK) {
 		hub_reply_status(h, from, st);
 		return;
@@ -521,6 +542,18 @@
 	hub_lots_commit(h);
 }
 
+static void end_lot(hub_t *h, const hub_origin_t *from, str_t lot)
+{
+	status_t st = hub_lots_check_access(h, from, lot);
+
+	if (st == STATUS_UNAVAILABLE) {
+		hub_reply_status(h, from, st);
+		return;
+	}
+	add_lot_end(h, from, lot);
+	hub_lots_commit(h);
+}
+
 void hub_lots_handle_call(hub_t *h, const hub_origin_t *from, const link_call_arg_t *arg)
 {
 	switch (arg->kind) {
@@ -528,8 +561,7 @@
 		open_lot(h, from, &arg->link_call_arg_t_u.open);
 		break;
 	case LINK_CALL_LOT_END:
-		add_lot_end(h, from, wire_str(arg->link_call_arg_t_u.job));
-		hub_lots_commit(h);
+		end_lot(h, from, wire_str(arg->link_call_arg_t_u.job));
 		break;
 	default:
 		if (!try_answer_or_wait(h, from, arg))
--- a/src/control/hub_lots_memory.c
+++ b/src/control/hub_lots_memory.c
@@ -6,18 +6,9 @@
 
 #define MIB ((size_t)1 << 20)
 
-typedef struct {
-	str_t lot;
-	bool exists;
-	size_t bytes;
-} memory_use_t;
-
-static void read_memory_use(control_group_t *g, void *arg)
+static void read_bytes(control_group_t *g, void *arg)
 {
-	memory_use_t *r = arg;
-
-	r->exists = lots_find(g->lots, r->lot) != NULL;
-	r->bytes = r->exists ? 0 : lots_bytes_expected(g->lots);
+	*(size_t *)arg = lots_bytes_expected(g->lots);
 }
 
 static void log_refusal(const char *event, const lots_memory_t *m, str_t lot, size_t bytes,
@@ -32,7 +23,6 @@
 status_t hub_lots_check_memory(hub_t *h, str_t lot, size_t bytes)
 {
 	control_group_t *g = &h->control->groups[0];
-	memory_use_t use = {.lot = lot};
 	group_status_t st;
 	lots_memory_t m = {.memory = (size_t)h->control->settings.memory_mib * MIB,
 			   .waiting = h->batch.bytes + h->committing_bytes,
@@ -40,11 +30,8 @@
 
 	if (m.memory == 0)
 		return STATUS_OK;
-	control_group_read(g, read_memory_use, &use);
-	if (use.exists)
-		return STATUS_OK;
+	control_group_read(g, read_bytes, &m.lots);
 	group_get_status(g->raft, &st);
-	m.lots = use.bytes;
 	m.log = st.log_bytes;
 	switch (lots_memory_decide(&m)) {
 	case LOTS_MEMORY_AMPLE:
--- a/src/control/hub_routes.c
+++ b/src/control/hub_routes.c
@@ -179,6 +179,11 @@
 	return h->routes && h->config_seen >= hub_routes_newest_number(h);
 }
 
+bool hub_routes_peer_is_current(const hub_t *h, uint64_t peer)
+{
+	return h->fan_out && fanout_peer_is_current(h->fan_out, peer);
+}
+
 /* ---- entries ---- */
 
 void hub_routes_start_leading(hub_t *h)
--- a/src/policy/fanout.c
+++ b/src/policy/fanout.c
@@ -109,6 +109,13 @@
 	}
 }
 
+bool fanout_peer_is_current(const fanout_t *f, uint64_t peer)
+{
+	const peer_t *p = find_peer(f, peer);
+
+	return p && !is_behind(f, p);
+}
+
 void fanout_tick(fanout_t *f, deadline_t now)
 {
 	if (f->newest.number == 0)
--- a/src/policy/fanout.h
+++ b/src/policy/fanout.h
@@ -58,6 +58,8 @@
 /** Records the config that a peer acknowledged, which may differ from the one sent, and allows the
  * next send to this peer. */
 void fanout_peer_acked(fanout_t *f, uint64_t peer, fanout_config_id_t config, deadline_t now);
+/** True if the peer is known to have the newest config. */
+bool fanout_peer_is_current(const fanout_t *f, uint64_t peer);
 /** Sends the newest config to peers that do not have it, as far as the limits allow. To be called
  * periodically; fanout_set_config, fanout_peer_add and fanout_peer_acked also send. */
 void fanout_tick(fanout_t *f, deadline_t now);
--- a/src/state/lots.c
+++ b/src/state/lots.c
@@ -3,6 +3,7 @@
 #include <assert.h>
 #include <stdlib.h>
 #include <string.h>
+#include "state/lot_namesakes.h"
 #include "state/pack.h"
 
 #define SNAPSHOT_MAGIC	 0x4c4fU
@@ -38,47 +39,27 @@
 
 struct lots {
 	lot_t *lots;
+	lot_namesakes_t *namesakes;
 	route_backlog_t *backlogs;
 	early_end_t *early_ends;
 	uint64_t serial;
 };
 
-/** Ends the owner in the id of a lot, and the route in an account. Neither ids, which come from
- * headers and paths, nor names of customers contain it. */
-#define OWNER_SEPARATOR '\n'
-
-void lot_id_make(buf_t *out, str_t owner, str_t id)
-{
-	if (owner.n > 0) {
-		buf_add(out, owner);
-		buf_addc(out, OWNER_SEPARATOR);
-	}
-	buf_add(out, id);
-}
-
-str_t lot_id_owner(str_t id)
-{
-	const char *end = id.n ? memchr(id.p, OWNER_SEPARATOR, id.n) : NULL;
-
-	return (str_t){id.p, end ? (size_t)(end - id.p) : 0};
-}
-
-void lot_account_make(buf_t *route, str_t owner)
+lots_t *lots_new(void)
 {
-	if (owner.n == 0)
-		return;
-	buf_addc(route, OWNER_SEPARATOR);
-	buf_add(route, owner);
+	return mem_new(sizeof(lots_t));
 }
 
-lots_t *lots_new(void)
+static void add_lot(lots_t *l, lot_t *t)
 {
-	return mem_new(sizeof(lots_t));
+	HASH_ADD_KEYPTR(hh, l->lots, t->id, strlen(t->id), t);
+	lot_namesakes_add(&l->namesakes, t);
 }
 
 static void lot_free(lots_t *l, lot_t *t)
 {
 	HASH_DEL(l->lots, t);
+	lot_namesakes_remove(&l->namesakes, t);
 	for (uint32_t i = 0; i < t->nitems; i++) {
 		free(t->items[i].id);
 		free(t->items[i].path);
@@ -141,6 +122,11 @@
 	return find_lot(l, id);
 }
 
+const lot_t *lots_find_namesakes(const lots_t *l, str_t id)
+{
+	return lot_namesakes_find(l->namesakes, id);
+}
+
 const lot_t *lots_first(const lots_t *l)
 {
 	return l->lots;
@@ -169,11 +155,11 @@
 	return r;
 }
 
-uint64_t lots_waiting_tokens(const lots_t *l, str_t route)
+uint64_t lots_waiting_tokens(const lots_t *l, str_t account)
 {
 	route_backlog_t *r;
 
-	HASH_FIND(hh, l->backlogs, route.p, route.n, r);
+	HASH_FIND(hh, l->backlogs, account.p, account.n, r);
 	return r ? r->waiting : 0;
 }
 
@@ -279,7 +265,7 @@
 	t->finished = mem_new((t->nitems + 1) * sizeof(*t->finished));
 	for (uint32_t i = 0; i < t->nitems; i++)
 		init_item(&t->items[i], &c->items.items_val[i]);
-	HASH_ADD_KEYPTR(hh, l->lots, t->id, wire_str(c->lot).n, t);
+	add_lot(l, t);
 	if (ended) {
 		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): the freed element was unlinked */
 		early_end_free(l, ended);
@@ -524,7 +510,7 @@
 	n = unpack_u64_max(in, t->nitems);
 	for (uint32_t i = 0; i < n && t->nitems; i++)
 		t->finished[t->nfinished++] = (uint32_t)unpack_u64_max(in, t->nitems - 1);
-	HASH_ADD_KEYPTR(hh, l->lots, t->id, strlen(t->id), t);
+	add_lot(l, t);
 	if (!t->ended)
 		get_route_backlog(l, str_c(t->route))->waiting += open_tokens(t);
 }
--- a/src/state/lots.h
+++ b/src/state/lots.h
@@ -15,6 +15,7 @@
 
 #include <uthash.h>
 #include "proto/wire.h"
+#include "state/lot_id.h"
 
 /** LOT_ITEM_DEAD: given up, without a result. */
 typedef enum { LOT_ITEM_OPEN, LOT_ITEM_DONE, LOT_ITEM_DEAD } lot_item_state_t;
@@ -46,19 +47,10 @@
 	lot_item_t *items;
 	uint32_t *finished; /* indices of items in the order in which they finished */
 	bool ended; /* its client wants no more results */
+	struct lot *next_namesake; /* a lot of another owner whose caller gave the same id */
 	UT_hash_handle hh; /* in order of acceptance */
 } lot_t;
 
-/** Appends the id under which a lot is stored: each owner has ids of its own, so that no customer
- * can find or take the id of another's lot. owner: name of a customer; empty: the lot belongs to
- * nobody. */
-void lot_id_make(buf_t *out, str_t owner, str_t id);
-/** Owner of the lot that is stored under this id; empty: none. */
-str_t lot_id_owner(str_t id);
-/** Appends the owner to the route that a lot counts against: each customer has its own quota of
- * waiting tokens on a route. */
-void lot_account_make(buf_t *route, str_t owner);
-
 typedef struct lots lots_t;
 
 lots_t *lots_new(void);
@@ -78,12 +70,16 @@
 /** Replaces the state; after STATUS_CORRUPT the old state is unchanged. */
 status_t lots_restore(lots_t *l, str_t snap);
 
+/** id: as stored, see lot_id_make. */
 const lot_t *lots_find(const lots_t *l, str_t id);
+/** Returns the oldest lot whose caller gave this id, whoever owns it; follow next_namesake for the
+ * others, in order of acceptance. */
+const lot_t *lots_find_namesakes(const lots_t *l, str_t id);
 /** Returns the oldest lot; follow hh.next for the others. */
 const lot_t *lots_first(const lots_t *l);
 /** Returns the index of the item with this id, or -1. */
 long lot_find_item(const lot_t *lot, str_t id);
-/** Tokens of open items of lots that have not ended, on one route. */
-uint64_t lots_waiting_tokens(const lots_t *l, str_t route);
+/** Tokens of open items of lots that have not ended, on one route and of one owner. */
+uint64_t lots_waiting_tokens(const lots_t *l, str_t account);
 
 #endif
--- a/tests/proc/test_public_lots.py
+++ b/tests/proc/test_public_lots.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 
+from lots_kit import LotCalls
 from platform_kit import HOST, Kit
 from test_customers import ADA, BOB, key
 
@@ -23,7 +24,7 @@
         return conf
 
 
-class PublicLots(unittest.TestCase):
+class PublicLots(LotCalls, unittest.TestCase):
     def setUp(self):
         self.kit = PublicKit(fronts=2, replicas=2, revoke_ms=2500)
         self.addCleanup(self.kit.close)
@@ -34,27 +35,6 @@
         self.assertTrue(self.kit.loop.run(self.kit.submit(tenants=[ADA, BOB], **changes)))
         time.sleep(IN_FORCE_S)
 
-    def open(self, n=2, lot=None, headers=()):
-        lot, items = self.kit.lot(n, lot)
-        self.assertEqual(self.kit.loop.run(self.kit.open_lot(self.kit.fronts[0], lot, items, headers)), 202)
-        return lot, items
-
-    def read(self, front, lot, headers=()):
-        """Reads until the answer isn't 503; returns the status and the ids of the results."""
-        end = time.time() + 5
-        while True:
-            s, r = self.kit.loop.run(self.kit.read_lot(self.kit.fronts[front], lot, 0, 0, headers))
-            if s != 503 or time.time() > end:
-                return s, {x["id"] for x in r["results"]} if r else None
-            time.sleep(0.05)
-
-    def wait_done(self, lot, items, headers=()):
-        ids = {x["id"] for x in items}
-        end = time.time() + 10
-        while self.read(0, lot, headers)[1] != ids:
-            self.assertLess(time.time(), end)
-            time.sleep(0.1)
-
     def test_lot_opened_with_a_key_is_read_with_a_key_of_the_customer(self):
         lot, items = self.open(headers=key("ada-key-1"))
         self.wait_done(lot, items, key("ada-key-2"))
@@ -77,14 +57,9 @@
         lot, items = self.open()
         self.submit(public=False)
         self.assertEqual(self.read(1, lot)[0], 200)
-        s, _, body = self.kit.loop.run(self.kit.call(
-            self.kit.fronts[1].ip, self.kit.port, "GET", "/items/%s?id=%s" % (lot, items[0]["id"]), [("Host", HOST)]))
-        self.assertEqual((s, body), (200, b"item body0"))
+        self.assertEqual(self.body(1, lot, items[0]["id"]), (200, b"item body0"))
         self.assertEqual(self.kit.loop.run(self.kit.end_lot(self.kit.fronts[1], lot)), 200)
-        end = time.time() + 5
-        while any(r["ended"] is None for r in self.kit.runs):
-            self.assertLess(time.time(), end, "the items of the ended lot are stopped")
-            time.sleep(0.05)
+        self.wait_stopped()
 
     def test_lot_that_comes_again_is_the_same_whether_its_route_is_public(self):
         for r in self.kit.replicas:
--- a/tests/unit/test_fanout.c
+++ b/tests/unit/test_fanout.c
@@ -182,6 +182,30 @@
 
 /* An operator may publish configs faster than the entries take them. An entry then gets only the
  * newest one, so that nothing queues up. */
+START_TEST(an_entry_is_current_once_it_has_the_newest_config)
+{
+	const fanout_config_id_t configs[] = {{1, 11}, {2, 22}};
+	fanout_callbacks_t cb = {NULL, on_send, on_converged};
+
+	memset(&fleet, 0, sizeof(fleet));
+	fleet.fanout = fanout_new(&cb);
+	fleet.config = configs[0];
+	fanout_set_config(fleet.fanout, configs[0], 0);
+	ck_assert(!fanout_peer_is_current(fleet.fanout, 1));
+	fanout_peer_add(fleet.fanout, 1, configs[0], 0);
+	ck_assert(fanout_peer_is_current(fleet.fanout, 1));
+	fleet.config = configs[1];
+	fanout_set_config(fleet.fanout, configs[1], 1);
+	ck_assert(!fanout_peer_is_current(fleet.fanout, 1));
+	fanout_peer_acked(fleet.fanout, 1, configs[1], 2);
+	ck_assert(fanout_peer_is_current(fleet.fanout, 1));
+	fanout_peer_remove(fleet.fanout, 1);
+	ck_assert(!fanout_peer_is_current(fleet.fanout, 1));
+	fanout_free(fleet.fanout);
+	fleet.fanout = NULL;
+}
+END_TEST
+
 START_TEST(configs_in_quick_succession_are_skipped_not_queued)
 {
 	for (unsigned i = 0; i < 25; i++) {
@@ -368,6 +392,7 @@
 	tcase_add_test(t, all_entries_get_a_first_config_in_time_with_bounded_bytes_in_flight);
 	tcase_add_test(t, a_new_leader_sends_nothing_to_entries_that_have_the_config);
 	tcase_add_test(t, entries_with_an_earlier_config_get_only_the_delta);
+	tcase_add_test(t, an_entry_is_current_once_it_has_the_newest_config);
 	tcase_add_test(t, configs_in_quick_succession_are_skipped_not_queued);
 	tcase_add_test(t, frozen_entries_do_not_delay_others);
 	tcase_add_test(t, a_leader_lost_during_a_fan_out_is_replaced_by_the_next);
