--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -457,8 +457,9 @@
 status_t hub_lots_check_access(hub_t *h, const hub_origin_t *from, str_t id);
 /** The same of an opening: STATUS_OK if it is one of a lot that exists. */
 status_t hub_lots_check_open(hub_t *h, const hub_origin_t *from, const wire_lot_open_t *o);
-/** Replaces the ids in openings and ends by those of the lots that they mean. To be called before a
- * commit, with the state that it changes: the state machine knows no config. */
+/** Replaces the ids in openings and ends by those of the lots that they mean, and takes off the
+ * quotas what lots of other owners use of them. To be called before a commit, with the state that
+ * it changes: the state machine knows no config. */
 void hub_lots_resolve(const hub_t *h, const lots_t *lots, wire_lots_cmd_t *cmd);
 
 /* hub_lots.c: calls on lots, and their commits */
--- a/src/control/hub_lots_access.c
+++ b/src/control/hub_lots_access.c
@@ -86,6 +86,7 @@
 		wire_lot_open_t *o = &cmd->opens.opens_val[i];
 
 		set_lot(&o->lot, lot_access_find_opened(lots, o, access), "open");
+		o->quota = lot_access_quota(lots, wire_str(o->route), o->quota, access);
 	}
 	for (u_int i = 0; i < cmd->ends.ends_len; i++) {
 		wire_bytes_t *id = &cmd->ends.ends_val[i];
--- a/src/state/lot_access.c
+++ b/src/state/lot_access.c
@@ -44,3 +44,14 @@
 	}
 	return NULL;
 }
+
+uint64_t lot_access_quota(const lots_t *l, str_t account, uint64_t quota, lot_access_t access)
+{
+	uint64_t others;
+
+	if (quota == 0 || access == LOT_ACCESS_OWN)
+		return quota;
+	others = lots_waiting_tokens_of_all(l, lot_account_route(account)) -
+		 lots_waiting_tokens(l, account);
+	return others < quota ? quota - others : 1;
+}
--- a/src/state/lot_access.h
+++ b/src/state/lot_access.h
@@ -25,5 +25,9 @@
 /** Returns the lot that an opening means, or NULL if it is a new one. A lot of another owner is the
  * same one if it has the same items. */
 const lot_t *lot_access_find_opened(const lots_t *l, const wire_lot_open_t *o, lot_access_t access);
+/** Returns what is left of a route's quota of waiting tokens for the lots of one account, together
+ * with those that wait already. Without customers in the config, lots of all owners share it.
+ * quota: 0 if there is none, and so is the result; otherwise that is at least 1. */
+uint64_t lot_access_quota(const lots_t *l, str_t account, uint64_t quota, lot_access_t access);
 
 #endif
--- a/src/state/lot_id.c
+++ b/src/state/lot_id.c
@@ -52,3 +52,12 @@
 	buf_addc(route, OWNER_SEPARATOR);
 	buf_add(route, owner);
 }
+
+str_t lot_account_route(str_t account)
+{
+	str_t route = account;
+	str_t owner;
+
+	split(account, &route, &owner);
+	return route;
+}
--- a/src/state/lot_id.h
+++ b/src/state/lot_id.h
@@ -14,5 +14,7 @@
 /** Appends the owner to the route that a lot counts against: each customer has its own quota of
  * waiting tokens on a route. */
 void lot_account_make(buf_t *route, str_t owner);
+/** The route of an account. */
+str_t lot_account_route(str_t account);
 
 #endif
--- a/src/state/lots.c
+++ b/src/state/lots.c
@@ -163,6 +163,17 @@
 	return r ? r->waiting : 0;
 }
 
+uint64_t lots_waiting_tokens_of_all(const lots_t *l, str_t route)
+{
+	uint64_t n = 0;
+
+	for (const route_backlog_t *r = l->backlogs; r; r = r->hh.next) {
+		if (str_eq(lot_account_route(str_c(r->name)), route))
+			n += r->waiting;
+	}
+	return n;
+}
+
 /* Tokens of the lot's open items. */
 static uint64_t open_tokens(const lot_t *t)
 {
--- a/src/state/lots.h
+++ b/src/state/lots.h
@@ -81,5 +81,7 @@
 long lot_find_item(const lot_t *lot, str_t id);
 /** Tokens of open items of lots that have not ended, on one route and of one owner. */
 uint64_t lots_waiting_tokens(const lots_t *l, str_t account);
+/** The same of all owners. */
+uint64_t lots_waiting_tokens_of_all(const lots_t *l, str_t route);
 
 #endif
--- a/tests/proc/test_first_customers.py
+++ b/tests/proc/test_first_customers.py
@@ -163,6 +163,15 @@
         self.check_found(lot, items)
         self.check_ended_by(lot)
 
+    def test_lots_of_customers_count_against_the_quota_of_the_route_once_there_are_none(self):
+        self.kit.up(tenants=[ADA, BOB], quota=2500)
+        self.run_long()
+        self.open(headers=ADA_KEY)      # 1,100 tokens each
+        self.open(headers=BOB_KEY)
+        self.submit(quota=2500)
+        lot, items = self.kit.lot(1)
+        self.assertEqual(self.kit.loop.run(self.kit.open_lot(self.kit.fronts[0], lot, items)), 429)
+
     def test_waiting_read_is_not_answered_404_when_the_first_customers_come_back(self):
         self.kit.up(tenants=[ADA, BOB])
         self.run_long()
--- a/tests/unit/test_lot_access.c
+++ b/tests/unit/test_lot_access.c
@@ -14,9 +14,12 @@
 
 static wire_lot_open_t make_open(buf_t *id, const char *owner, const char *given, const char *item)
 {
-	wire_lot_open_t o = {.route = wire_bytes(STR("h/p/")), .host = wire_bytes(STR("h"))};
+	wire_lot_open_t o = {.host = wire_bytes(STR("h"))};
+	static char account[32];
 
 	lot_id_make(id, str_c(owner), str_c(given));
+	snprintf(account, sizeof(account), "h/p/%s%s", owner[0] ? "\n" : "", owner);
+	o.route = wire_bytes(str_c(account));
 	o.lot = wire_bytes(str_buf(id));
 	o.forget_wall_ms = o.drop_wall_ms = o.due_wall_ms = NOW_MS + 1000;
 	items[0] = (wire_lot_item_t){.id = wire_bytes(str_c(item)),
@@ -127,6 +130,31 @@
 }
 END_TEST
 
+/* Guards against a quota that each former customer has once more. */
+START_TEST(without_customers_the_lots_of_all_owners_share_a_quota)
+{
+	lots_t *l = lots_new();
+	static const char *const owners[] = {"ada", "bob", NOBODY};
+
+	for (int i = 0; i < 3; i++)
+		open_lot(l, owners[i], "7f", "a"); /* 20 tokens each */
+	for (int i = 0; i < 3; i++) {
+		AUTO_BUF account = {0};
+		str_t a;
+
+		buf_add(&account, STR("h/p/"));
+		lot_account_make(&account, str_c(owners[i]));
+		a = str_buf(&account);
+		ck_assert_uint_eq(lot_access_quota(l, a, 100, LOT_ACCESS_OWN), 100);
+		ck_assert_uint_eq(lot_access_quota(l, a, 100, LOT_ACCESS_ALL), 60);
+		ck_assert_uint_eq(lot_access_quota(l, a, 30, LOT_ACCESS_ALL), 1);
+		ck_assert_uint_eq(lot_access_quota(l, a, 0, LOT_ACCESS_ALL), 0);
+	}
+	ck_assert_uint_eq(lot_access_quota(l, STR("h/q/"), 100, LOT_ACCESS_ALL), 100);
+	lots_free(l);
+}
+END_TEST
+
 START_TEST(lots_of_the_same_id_are_listed_in_order_until_they_are_removed)
 {
 	lots_t *l = lots_new();
@@ -161,6 +189,7 @@
 
 	tcase_add_test(t, callers_find_their_lots_whatever_became_of_the_customers);
 	tcase_add_test(t, a_lot_that_comes_again_is_known_by_its_items);
+	tcase_add_test(t, without_customers_the_lots_of_all_owners_share_a_quota);
 	tcase_add_test(t, lots_of_the_same_id_are_listed_in_order_until_they_are_removed);
 	suite_add_tcase(s, t);
 	return suite_run(s);
