--- a/tests/unit/test_fuzz_network.c
+++ b/tests/unit/test_fuzz_network.c
@@ -1,11 +1,14 @@
 /* Fuzz tests of the decoders that read bytes from other processes: HTTP heads and bodies,
  * server-sent events, the platform's lists, lots and configs, and link messages between entries and
- * the leader. Guard against a crash, a memory error or an endless loop on damaged input.
+ * the leader; and of the encoder that puts such bytes into JSON. Guard against a crash, a memory
+ * error or an endless loop on damaged input, and against JSON that nobody can read.
  * AUBURN_FUZZ_MS: how long each decoder is fed, in ms. AUBURN_FUZZ_SEED: another seed. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <time.h>
+#include <jansson.h>
 #include "base/clock.h"
+#include "base/utf8.h"
 #include "client/routes_decode.h"
 #include "fuzz_kit.h"
 #include "net/sse.h"
@@ -463,6 +466,50 @@
 }
 END_TEST
 
+/* Whatever a text is made of, its JSON string can be read, and gives the text back if it is UTF-8.
+ * jansson checks both. */
+START_TEST(json_strings_are_read_whatever_their_bytes)
+{
+	static const char *const tokens[] = {"\xc3\xa9",
+					     "\xe2\x82\xac",
+					     "\xf0\x9f\x98\x80",
+					     "\xed\xa0\x80",
+					     "\xf4\x90\x80\x80",
+					     "\xc0\xaf",
+					     "\xff",
+					     "\"\\/",
+					     "\n\t\x7f"};
+	deadline_t end = clock_now_ms() + env_number("AUBURN_FUZZ_MS", DECODER_MS);
+	unsigned long inputs = 0;
+	unsigned long sound = 0;
+
+	prng_state = (uint64_t)env_number("AUBURN_FUZZ_SEED", 20261207);
+	while (clock_now_ms() < end) {
+		AUTO_BUF text = {0};
+		AUTO_BUF json = {0};
+		json_t *as_is;
+		json_t *back;
+
+		buf_add(&text, STR("caf\xc3\xa9 \xe2\x82\xac \xf0\x9f\x98\x80 \"x\"\n"));
+		mutate_bytes(&text, CORPUS(tokens));
+		buf_add_json(&json, str_buf(&text));
+		as_is = json_stringn(text.p, text.n);
+		back = json_loadb(json.p, json.n, JSON_DECODE_ANY | JSON_ALLOW_NUL, NULL);
+		ck_assert_msg(back != NULL, "%s", json.p);
+		ck_assert_int_eq(utf8_is_valid(str_buf(&text)), as_is != NULL);
+		if (as_is)
+			ck_assert(json_equal(as_is, back));
+		sound += as_is != NULL;
+		inputs++;
+		json_decref(as_is);
+		json_decref(back);
+	}
+	printf("JSON strings: %lu inputs, %lu of them UTF-8\n", inputs, sound);
+	ck_assert_uint_gt(sound, 0);
+	ck_assert_uint_gt(inputs, sound);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("fuzz_network");
@@ -472,6 +519,7 @@
 	tcase_add_loop_test(t, decoders_survive_damaged_bytes, 0,
 			    sizeof(decoders) / sizeof(decoders[0]));
 	tcase_add_test(t, sound_entries_hold_beside_an_odd_one);
+	tcase_add_test(t, json_strings_are_read_whatever_their_bytes);
 	tcase_add_loop_test(t, the_time_to_decode_a_page_is_bounded, 0,
 			    sizeof(pieces) / sizeof(pieces[0]));
 	suite_add_tcase(s, t);
