--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -462,7 +462,17 @@
  * it changes: the state machine knows no config. */
 void hub_lots_resolve(const hub_t *h, const lots_t *lots, wire_lots_cmd_t *cmd);
 
-/* hub_lots.c: calls on lots, and their commits */
+/* hub_lots_read.c: reads of lots */
+
+/** Answers a read of results or of an item's body, at once or when there are results. */
+void hub_lots_read(hub_t *h, const hub_origin_t *from, const link_call_arg_t *arg);
+/** Replies to the waiting reads that have new results, whose lot is over or has been removed, or
+ * that are past their deadline. */
+void hub_lots_wake_readers(hub_t *h, deadline_t now);
+/** Replies to all waiting reads that this process no longer leads. */
+void hub_lots_refuse_readers(hub_t *h);
+
+/* hub_lots.c: calls that open and end lots, and the commits of changes */
 
 void hub_lots_handle_call(hub_t *h, const hub_origin_t *from, const link_call_arg_t *arg);
 /** Adds an item's result to the next commit. dead: the item failed for good. */
