--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -15,7 +15,7 @@
 /** While a request is being answered, reading stops once this many bytes are read ahead. */
 #define READ_AHEAD_BYTES 65536
 #define READ_BYTES	 16384
-/** Time for the client to read the last reply before the socket is closed, in ms. */
+/** Time for the client to close its side once it has taken the last reply, in ms. */
 #define LINGER_MS 1000
 /** Limit on a body with its framing: a multiple of the body's own limit, plus a constant. A chunk
  * of one byte takes six bytes. */
@@ -67,6 +67,8 @@
 	bool takes_chunks; /* the client speaks HTTP/1.1 */
 	bool keep_alive;
 	bool closing; /* the last reply has been made; input is discarded */
+	uint64_t written; /* bytes */
+	uint64_t taken; /* of these, when it was last looked at */
 	bool write_failed;
 	bool given_up; /* closed for the sake of other connections, or because it is stalled */
 	bool closed;
@@ -181,6 +183,7 @@
 		break_conn(c);
 		return;
 	}
+	c->written += before - c->out.n;
 	intake_advance(c->server->options.intake, &c->client, before - c->out.n, clock_now_ms());
 	if (c->out.n > 0) {
 		ev_io_start(c->server->options.loop, &c->wr);
@@ -435,12 +438,26 @@
 		c->server->options.drained(c->server->options.ctx, c);
 }
 
+/* True if the client has not taken all of the last reply, but more of it since the last call. */
+static bool takes_reply(http_conn_t *c)
+{
+	size_t untaken = tcp_untaken(c->fd);
+	uint64_t taken = c->written - (untaken < c->written ? untaken : c->written);
+	bool more = taken > c->taken;
+
+	c->taken = taken;
+	return more && (c->out.n > 0 || untaken > 0);
+}
+
 static void on_timer(void *ctx)
 {
 	http_conn_t *c = ctx;
 
 	if (c->parse_started && !c->busy && !c->closing)
 		give_up(c, 408, "request not received in time");
+	else if (takes_reply(c))
+		timeout_set(&c->timer, c->closing ? HTTP_READ_SILENT_MS
+						  : c->server->options.limits.idle_timeout_ms);
 	else
 		conn_close(c);
 }
@@ -613,6 +630,7 @@
 	c->in_body = false;
 	c->body.n = 0;
 	c->request_bytes = c->in.n;
+	c->taken = c->written;
 	if (!c->keep_alive) {
 		c->closing = true;
 		timeout_set(&c->timer, LINGER_MS);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -18,12 +18,18 @@
 	deadline_t received; /* when it was read whole */
 } http_request_t;
 
+/** A client that takes nothing of its connection's last reply for this long loses it, in ms. Longer
+ * than a client with a large receive buffer that reads steadily seems to pause: its window opens
+ * when half of that is free. */
+#define HTTP_READ_SILENT_MS 5000
+
 /** Limits on the size and the duration of a request. */
 typedef struct {
 	size_t max_header_bytes;
 	size_t max_body_bytes;
 	int64_t header_timeout_ms; /* from the first byte to the end of the head */
-	int64_t idle_timeout_ms; /* between requests; within it a body ends or advances by
+	int64_t idle_timeout_ms; /* between requests, and while a client takes nothing of a
+				    reply; within it a body ends or advances by
 				    INTAKE_PERIOD_BYTES */
 } http_limits_t;
 
--- a/src/net/tcp.c
+++ b/src/net/tcp.c
@@ -2,9 +2,11 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include "base/rpc.h"
@@ -150,3 +152,10 @@
 	buf_drop_front(out, done);
 	return result;
 }
+
+size_t tcp_untaken(int fd)
+{
+	int n = 0;
+
+	return ioctl(fd, SIOCOUTQ, &n) == 0 && n > 0 ? (size_t)n : 0;
+}
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -32,5 +32,7 @@
 /** Writes from the front of out and removes the written bytes, also if the connection then fails.
  */
 tcp_write_t tcp_write(int fd, buf_t *out);
+/** Bytes written that the peer's system has not taken yet; 0 if this system can't tell. */
+size_t tcp_untaken(int fd);
 
 #endif
--- a/tests/unit/test_http_limits.c
+++ b/tests/unit/test_http_limits.c
@@ -3,6 +3,7 @@
  * busy. */
 #include <arpa/inet.h>
 #include <errno.h>
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -402,6 +403,83 @@
 }
 END_TEST
 
+/* ---- clients that read slowly ---- */
+
+#define REPLY_BYTES (16U << 20)
+#define READ_PIECE  65536
+/* At most as many times as a reply has pieces. */
+#define STALLED_AFTER 40
+
+/* A client with a small receive buffer, and a reply to its request that the sockets' buffers don't
+ * hold. */
+static int open_slow_reader(http_pair_t *p, bool draining)
+{
+	AUTO_BUF body = {0};
+	int bytes = READ_PIECE;
+	int fd;
+
+	pair_open_limited(p, large_limits, NULL);
+	p->reply_mode = REPLY_NONE;
+	fd = connect_to(p);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+	send_some(fd, post_request);
+	run_loop(p, 0.05);
+	if (draining)
+		http_server_drain(p->server);
+	buf_reserve_exact(&body, REPLY_BYTES);
+	memset(body.p, 'x', REPLY_BYTES);
+	body.n = REPLY_BYTES;
+	http_reply(p->last_conn, 200, STR(""), str_buf(&body));
+	return fd;
+}
+
+/* Reads a piece every 10 ms, that is 6 MB/s at most, up to this many pieces; returns the bytes that
+ * came. */
+static size_t read_slowly(http_pair_t *p, int fd, unsigned pieces)
+{
+	static char piece[READ_PIECE];
+	size_t n = 0;
+
+	for (unsigned i = 0; i < pieces; i++) {
+		ssize_t got = recv(fd, piece, sizeof(piece), MSG_DONTWAIT);
+
+		if (got == 0 || (got < 0 && errno != EAGAIN))
+			break;
+		n += got > 0 ? (size_t)got : 0;
+		run_loop(p, 0.01);
+	}
+	return n;
+}
+
+/* Guards against a reply that is cut because its reader needs longer for it than a client may be
+ * silent. _i: it is the last one, after which the connection is closed. */
+START_TEST(reply_that_is_read_slowly_but_steadily_is_not_cut)
+{
+	http_pair_t p;
+	int fd = open_slow_reader(&p, _i);
+
+	ck_assert_uint_ge(read_slowly(&p, fd, UINT_MAX), REPLY_BYTES);
+	close(fd);
+	pair_close(&p);
+}
+END_TEST
+
+/* Guards against connections that stay as long as their clients like. */
+START_TEST(reply_that_is_no_longer_read_is_given_up)
+{
+	http_pair_t p;
+	int fd = open_slow_reader(&p, _i);
+
+	ck_assert_uint_gt(read_slowly(&p, fd, STALLED_AFTER), 0);
+	ck_assert(http_server_pending(p.server));
+	for (int i = 0; i < 2 * HTTP_READ_SILENT_MS / 100 && http_server_pending(p.server); i++)
+		run_loop(&p, 0.1);
+	ck_assert(!http_server_pending(p.server));
+	close(fd);
+	pair_close(&p);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("http_limits");
@@ -417,6 +495,8 @@
 	tcase_add_test(t, answers_that_are_not_read_hold_back_the_requests_after_them);
 	tcase_add_test(t, idle_connections_beyond_the_bound_are_closed_and_a_new_one_is_served);
 	tcase_add_test(t, client_that_does_not_read_a_stream_is_given_up);
+	tcase_add_loop_test(t, reply_that_is_read_slowly_but_steadily_is_not_cut, 0, 2);
+	tcase_add_loop_test(t, reply_that_is_no_longer_read_is_given_up, 0, 2);
 	tcase_add_test(t, one_connection_is_closed_for_each_beyond_the_bound);
 	tcase_add_test(t, parsing_events_takes_time_in_proportion_to_their_bytes);
 	tcase_add_test(t, an_endless_event_is_an_error);
