--- a/src/control/hub.c
+++ b/src/control/hub.c
@@ -296,7 +296,7 @@
 	msgconn_options_t o = {loop, h, on_message, on_closed, NULL};
 	int fd;
 
-	while ((fd = tcp_accept(h->listener)) >= 0) {
+	while ((fd = tcp_accept(h->listener, TCP_UNTAKEN_MAX_MS)) >= 0) {
 		hub_peer_t *p = mem_new(sizeof(*p));
 
 		p->hub = h;
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -498,7 +498,7 @@
 	http_server_t *s = w->data;
 
 	for (int i = 0; i < ACCEPTS_MAX; i++) {
-		int fd = tcp_accept(s->fd);
+		int fd = tcp_accept(s->fd, HTTP_READ_SILENT_MS);
 
 		if (fd < 0)
 			return;
@@ -557,7 +557,7 @@
 
 	if (s->fd < 0)
 		return;
-	while ((fd = tcp_accept(s->fd)) >= 0)
+	while ((fd = tcp_accept(s->fd, HTTP_READ_SILENT_MS)) >= 0)
 		conn_new(s, fd);
 	ev_io_stop(s->options.loop, &s->accept);
 	close(s->fd);
--- a/src/net/tcp.c
+++ b/src/net/tcp.c
@@ -12,12 +12,9 @@
 #include "base/rpc.h"
 
 #define BACKLOG 1024
-/** A connection breaks when sent bytes stay unacknowledged for this long, in ms. The links between
- * processes notice a silent peer sooner. */
-#define UNACKED_MAX_MS 2000
 /** A connection to a server on which nothing was received for this long is probed each second; it
- * breaks at the first probe after UNACKED_MAX_MS without any packet: a TCP_USER_TIMEOUT replaces
- * the number of probes. */
+ * breaks at the first probe after TCP_UNTAKEN_MAX_MS without any packet: a TCP_USER_TIMEOUT
+ * replaces the number of probes. */
 #define KEEPALIVE_S 1
 
 static bool parse_addr(const char *addr, struct sockaddr_in *sa)
@@ -33,13 +30,12 @@
 	return inet_pton(AF_INET, ip, &sa->sin_addr) == 1;
 }
 
-static void set_socket_options(int fd)
+static void set_socket_options(int fd, unsigned untaken_max_ms)
 {
 	int one = 1;
-	unsigned unacked = UNACKED_MAX_MS;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof(unacked));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &untaken_max_ms, sizeof(untaken_max_ms));
 }
 
 /* The peer's kernel answers keep-alive probes, so a process that pauses keeps its connections. */
@@ -72,12 +68,12 @@
 	return -1;
 }
 
-int tcp_accept(int listener)
+int tcp_accept(int listener, unsigned untaken_max_ms)
 {
 	int fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
 	if (fd >= 0)
-		set_socket_options(fd);
+		set_socket_options(fd, untaken_max_ms);
 	return fd;
 }
 
@@ -91,7 +87,7 @@
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
 		return -1;
-	set_socket_options(fd);
+	set_socket_options(fd, TCP_UNTAKEN_MAX_MS);
 	set_keepalive(fd);
 	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0 || errno == EINPROGRESS)
 		return fd;
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -7,8 +7,13 @@
 
 /** Listens on "ip:port"; -1 with a message on failure. */
 int tcp_listen(const char *addr);
-/** Accepts one connection; -1 if none is pending or accepting failed. */
-int tcp_accept(int listener);
+/** A connection breaks when sent bytes stay unacknowledged for this long, or when its peer's window
+ * stays full, in ms. The links between processes notice a silent peer sooner. */
+#define TCP_UNTAKEN_MAX_MS 2000
+
+/** Accepts one connection; -1 if none is pending or accepting failed. untaken_max_ms: as
+ * TCP_UNTAKEN_MAX_MS, which tcp_connect sets. */
+int tcp_accept(int listener, unsigned untaken_max_ms);
 /** Starts to connect to "ip:port"; -1 if that fails at once. */
 int tcp_connect(const char *addr);
 /** Closing the socket from now on resets the connection, or ends it in order again. */
--- a/tests/unit/test_http_limits.c
+++ b/tests/unit/test_http_limits.c
@@ -464,6 +464,20 @@
 }
 END_TEST
 
+/* Guards against a reply that the system cuts, as a window that stays full looks like a dead peer. */
+START_TEST(reply_whose_reader_pauses_is_not_cut)
+{
+	http_pair_t p;
+	int fd = open_slow_reader(&p, true);
+	size_t n = read_slowly(&p, fd, STALLED_AFTER);
+
+	run_loop(&p, 0.7 * HTTP_READ_SILENT_MS / 1000);
+	ck_assert_uint_ge(n + read_slowly(&p, fd, UINT_MAX), REPLY_BYTES);
+	close(fd);
+	pair_close(&p);
+}
+END_TEST
+
 /* Guards against connections that stay as long as their clients like. */
 START_TEST(reply_that_is_no_longer_read_is_given_up)
 {
@@ -496,6 +510,7 @@
 	tcase_add_test(t, idle_connections_beyond_the_bound_are_closed_and_a_new_one_is_served);
 	tcase_add_test(t, client_that_does_not_read_a_stream_is_given_up);
 	tcase_add_loop_test(t, reply_that_is_read_slowly_but_steadily_is_not_cut, 0, 2);
+	tcase_add_test(t, reply_whose_reader_pauses_is_not_cut);
 	tcase_add_loop_test(t, reply_that_is_no_longer_read_is_given_up, 0, 2);
 	tcase_add_test(t, one_connection_is_closed_for_each_beyond_the_bound);
 	tcase_add_test(t, parsing_events_takes_time_in_proportion_to_their_bytes);
