--- a/tests/proc/disk_kit.py
+++ b/tests/proc/disk_kit.py
@@ -55,7 +55,8 @@
         """Waits until the process logs a line of this event; returns its fields."""
         end = time.time() + s
         while not self.log_lines(control, event, since, **want):
-            self.assertLess(time.time(), end, "%s logs no %s" % (control.name, event))
+            self.assertLess(time.time(), end, "%s logs no %s after %.0f, but %s" % (
+                control.name, event, since, self.log_lines(control, event)[-3:]))
             time.sleep(0.02)
         return self.log_lines(control, event, since, **want)[0]
 
--- a/tests/unit/test_http_limits.c
+++ b/tests/unit/test_http_limits.c
@@ -464,7 +464,8 @@
 }
 END_TEST
 
-/* Guards against a reply that the system cuts, as a window that stays full looks like a dead peer. */
+/* Guards against a reply that the system cuts, as a window that stays full looks like a dead peer.
+ */
 START_TEST(reply_whose_reader_pauses_is_not_cut)
 {
 	http_pair_t p;
