--- a/src/control/hub_items.c
+++ b/src/control/hub_items.c
@@ -349,6 +349,8 @@
 		dispatch_item_avoid(it->dispatch_ref, wire_str(m->replica));
 		break;
 	default:
+		if (outcome == DISPATCH_SILENT)
+			dispatch_item_avoid(it->dispatch_ref, wire_str(m->replica));
 		break;
 	}
 	bytes = it->output.text.n;
--- a/src/policy/dispatch.c
+++ b/src/policy/dispatch.c
@@ -93,7 +93,8 @@
 
 static void item_free(dispatch_item_t *it)
 {
-	free(it->avoid);
+	for (unsigned i = 0; i < DISPATCH_AVOID_MAX; i++)
+		free(it->avoid[i]);
 	free(it->prompt);
 	free(it);
 }
@@ -636,8 +637,10 @@
 
 void dispatch_item_avoid(dispatch_item_t *it, str_t replica)
 {
-	free(it->avoid);
-	it->avoid = str_dup(replica);
+	char **oldest = &it->avoid[it->navoid++ % DISPATCH_AVOID_MAX];
+
+	free(*oldest);
+	*oldest = str_dup(replica);
 }
 
 bool dispatch_item_has_service(const dispatch_item_t *it)
--- a/src/policy/dispatch.h
+++ b/src/policy/dispatch.h
@@ -228,7 +228,8 @@
 void dispatch_item_set_service(dispatch_t *d, dispatch_item_t *it, str_t service);
 bool dispatch_item_has_service(const dispatch_item_t *it);
 bool dispatch_item_is_waiting(const dispatch_item_t *it);
-/** Records that the item itself failed on this replica; later runs prefer another one. */
+/** Records that a run of the item failed on this replica, or was silent; later runs prefer others.
+ * The last DISPATCH_AVOID_MAX are kept. */
 void dispatch_item_avoid(dispatch_item_t *it, str_t replica);
 /** True if dispatch_item_adopt may be called: the item waits, or its entry disconnected less than
  * DISPATCH_ADOPT_MS ago. */
--- a/src/policy/dispatch_internal.h
+++ b/src/policy/dispatch_internal.h
@@ -140,7 +140,8 @@
 
 struct dispatch_item {
 	service_t *service;
-	char *avoid; /* replica last passed to dispatch_item_avoid, or NULL */
+	char *avoid[DISPATCH_AVOID_MAX]; /* as last passed to dispatch_item_avoid, in a ring */
+	unsigned navoid; /* of all calls */
 	prompt_chain_t *prompt; /* NULL: the tokens of its parts are not stated */
 	int64_t expected_tokens; /* of the prompt and the expected output */
 	int64_t reserved_tokens; /* in replica->prompts */
--- a/src/policy/dispatch_pick.c
+++ b/src/policy/dispatch_pick.c
@@ -252,11 +252,14 @@
 	return NULL;
 }
 
-/* True if the item itself last failed on this replica; runs that broke or were silent don't count.
- */
+/* True if one of the item's last runs failed or was silent on this replica. */
 static bool failed_on(const dispatch_item_t *it, const replica_t *r)
 {
-	return it->avoid && strcmp(it->avoid, r->id) == 0;
+	for (unsigned i = 0; i < DISPATCH_AVOID_MAX; i++) {
+		if (it->avoid[i] && strcmp(it->avoid[i], r->id) == 0)
+			return true;
+	}
+	return false;
 }
 
 /* The speed class of a replica for an item, lower is better; 0 for all on which it meets its due
@@ -308,13 +311,13 @@
 
 replica_t *dispatch_pick_for_item(dispatch_t *d, const dispatch_item_t *it, deadline_t now)
 {
-	replica_t *best = NULL;
-	replica_t *fallback = NULL;
-	int64_t best_class = 0;
+	replica_t *best[2] = {NULL, NULL}; /* of those on which it has not failed, and the others */
+	int64_t best_class[2] = {0, 0};
 	bool no_memory = false;
 
 	for (replica_t *r = d->replicas; r; r = r->hh.next) {
 		int64_t class;
+		bool failed;
 
 		if (!can_take_item(d, it, r, now))
 			continue;
@@ -322,23 +325,21 @@
 			no_memory = true;
 			continue;
 		}
-		if (failed_on(it, r)) {
-			fallback = r;
-			continue;
-		}
+		failed = failed_on(it, r);
 		class = item_class(d, it, r, now);
-		if (best && (class > best_class ||
-			     (class == best_class &&
-			      slots_used(r) * best->slots >= slots_used(best) * r->slots)))
+		if (best[failed] &&
+		    (class > best_class[failed] ||
+		     (class == best_class[failed] &&
+		      slots_used(r) * best[failed]->slots >= slots_used(best[failed]) * r->slots)))
 			continue;
-		best = r;
-		best_class = class;
+		best[failed] = r;
+		best_class[failed] = class;
 	}
-	if (no_memory && !best && !fallback)
+	if (no_memory && !best[0] && !best[1])
 		it->service->no_memory_for = it->tokens;
-	if (best && it->prompt && d->prompts && d->weighing.prompts && it->service->states_speed)
-		best = prefer_holder(d, it, best, now);
-	return best ? best : fallback;
+	if (best[0] && it->prompt && d->prompts && d->weighing.prompts && it->service->states_speed)
+		best[0] = prefer_holder(d, it, best[0], now);
+	return best[0] ? best[0] : best[1];
 }
 
 entry_t *dispatch_pick_entry(dispatch_t *d, const replica_t *r, deadline_t now)
--- a/tests/unit/test_dispatch_items.c
+++ b/tests/unit/test_dispatch_items.c
@@ -285,6 +285,29 @@
 }
 END_TEST
 
+/* Guards against an item that goes back and forth between silent replicas beside a sound one. */
+START_TEST(an_item_runs_on_all_replicas_before_it_comes_to_one_again)
+{
+	enum { REPLICAS = 5 };
+	dispatch_t *d = new_dispatcher(REPLICAS, 2);
+	int data;
+	dispatch_item_t *it = dispatch_item_add(d, STR("s"), 60000, &data);
+
+	dispatch_tick(d, 0);
+	for (int run = 1; run < REPLICAS; run++) {
+		dispatch_item_avoid(it, str_c(effects[run - 1].replica));
+		dispatch_item_requeue(d, it, DISPATCH_CANCELLED, 10 * run);
+		ck_assert_int_eq(neffects, run + 1);
+		for (int earlier = 0; earlier < run; earlier++)
+			ck_assert_str_ne(effects[run].replica, effects[earlier].replica);
+	}
+	dispatch_item_avoid(it, str_c(effects[REPLICAS - 1].replica));
+	dispatch_item_requeue(d, it, DISPATCH_CANCELLED, 100);
+	ck_assert_int_eq(neffects, REPLICAS + 1);
+	dispatch_free(d);
+}
+END_TEST
+
 /* After a failure a replica has one slot until a run succeeds; an item may hold it for seconds. */
 START_TEST(a_replica_that_failed_is_used_again_once_an_item_on_it_makes_progress)
 {
@@ -324,6 +347,7 @@
 	tcase_add_test(t, an_entry_that_reconnects_keeps_its_item);
 	tcase_add_test(t, no_item_starts_before_entries_have_reported_the_items_they_run);
 	tcase_add_test(t, an_item_that_failed_on_a_replica_runs_on_another);
+	tcase_add_test(t, an_item_runs_on_all_replicas_before_it_comes_to_one_again);
 	tcase_add_test(t, a_replica_that_failed_is_used_again_once_an_item_on_it_makes_progress);
 	suite_add_tcase(s, t);
 	return suite_run(s);
