--- a/src/client/leader_link.h
+++ b/src/client/leader_link.h
@@ -16,7 +16,7 @@
 typedef struct leader_link leader_link_t;
 
 /** The last kind of message that this build knows. */
-#define LEADER_LINK_LAST_KIND LINK_ITEM_FAILURES
+#define LEADER_LINK_LAST_KIND LINK_ITEM_PATIENCE
 
 /** Bytes of an "ip:port" string with its terminating zero. */
 #define LEADER_LINK_ADDR_BYTES 32
--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -110,6 +110,7 @@
 	bool in_batch; /* the next commit saves its output */
 	uint32_t failures; /* runs that ended in LINK_ITEM_END_FAILED, also those of which entries
 			      had told earlier leaders */
+	uint32_t silent_runs; /* in a row that were cut for silence without a new event */
 	uint32_t attempts_max; /* the item fails for good after this many failures; 0: its route is
 				  not known yet */
 	uint64_t *parts; /* of its prompt, as in prompt_parts_t */
--- a/src/control/hub_dispatch.c
+++ b/src/control/hub_dispatch.c
@@ -7,6 +7,7 @@
 #include "base/metric.h"
 #include "control/hub.h"
 #include "platform/platform.h"
+#include "policy/item_patience.h"
 
 /** Period of the gauges of replica speeds. */
 #define SPEEDS_PERIOD_MS 500
@@ -80,6 +81,20 @@
 	return left > INT_MAX ? INT_MAX : (int)left;
 }
 
+/* Entries that aren't told use the time of a first run. */
+static void send_patience(hub_peer_t *p, const hub_item_t *it)
+{
+	link_msg_t m = {.kind = LINK_ITEM_PATIENCE};
+
+	if (it->silent_runs == 0 || !p->knows_kinds)
+		return;
+	m.link_msg_t_u.patience =
+		(link_item_patience_t){.job = wire_bytes(str_c(it->lot->id)),
+				       .item = it->index,
+				       .silent_ms = (int)item_patience_ms(it->silent_runs)};
+	hub_send(p, &m);
+}
+
 static void send_item_run(control_group_t *g, void *arg)
 {
 	item_start_t *r = arg;
@@ -107,6 +122,7 @@
 		.events = r->it->output.events,
 		.deadline_ms = ms_left(t->drop_wall_ms),
 	};
+	send_patience(r->p, r->it);
 	hub_send(r->p, &m);
 	r->sent = true;
 }
@@ -127,7 +143,7 @@
 	log_event(LOG_LEVEL_INFO, "item_run", LOG_CSTR("lot", r.it->lot->id),
 		  LOG_INT("item", r.it->index), LOG_STR("replica", replica),
 		  LOG_CSTR("entry", r.p->name), LOG_INT("events", r.it->output.events),
-		  LOG_INT("failures", r.it->failures));
+		  LOG_INT("failures", r.it->failures), LOG_INT("silent_runs", r.it->silent_runs));
 	METRIC_INC("auburn_item_runs_total");
 }
 
--- a/src/control/hub_items.c
+++ b/src/control/hub_items.c
@@ -357,8 +357,12 @@
 	if (m->end != LINK_ITEM_END_DONE)
 		report = item_output_take(&it->output, m->events, wire_str(m->text));
 	log_report(it, p, m->events, report);
-	if (it->output.events > had)
+	if (it->output.events > had) {
+		it->silent_runs = 0;
 		hub_lots_add_progress(h, it, it->output.text.n - bytes);
+	} else if (outcome == DISPATCH_SILENT) {
+		it->silent_runs++;
+	}
 	log_event(LOG_LEVEL_INFO, "item_requeued", LOG_CSTR("lot", it->lot->id),
 		  LOG_INT("item", it->index), LOG_CSTR("outcome", dispatch_outcome_name(outcome)),
 		  LOG_STR("replica", wire_str(m->replica)), LOG_INT("events", it->output.events),
@@ -380,6 +384,7 @@
 	log_report(it, p, m->events, report);
 	if (report != ITEM_REPORT_TAKEN)
 		return;
+	it->silent_runs = 0;
 	hub_lots_add_progress(h, it, it->output.text.n - bytes);
 	dispatch_item_progressed(h->dispatch, it->dispatch_ref, clock_now_ms());
 }
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -116,6 +116,7 @@
 	u_int leader_last_kind; /* of the messages that the leader knows, as it said; 0: it said
 				   nothing */
 	size_t item_text_bytes; /* of all items */
+	link_item_patience_t patience; /* of the next run, as the leader told it; owned */
 	item_failures_t *item_failures;
 	uint64_t hop_random; /* state of prng_next() */
 	front_reach_t *reach; /* whether this process reaches the replicas */
@@ -467,6 +468,8 @@
 /** Runs an item on the replica that the leader chose; gives it back before the first config.
  * Cancels an earlier run of the item here. */
 void front_item_run(front_t *f, const link_item_run_t *m);
+/** Sets how long the replica may be silent in the run that the leader orders next. */
+void front_item_set_patience(front_t *f, const link_item_patience_t *m);
 /** Reports an item as unfinished that has not been run. reason: for the log; a literal. */
 void front_item_give_back(front_t *f, const link_item_run_t *m, const char *reason);
 void front_item_stop(front_t *f, const link_item_ref_t *m);
--- a/src/front/front_item.c
+++ b/src/front/front_item.c
@@ -6,11 +6,9 @@
 #include "base/log.h"
 #include "base/metric.h"
 #include "front/front.h"
+#include "policy/item_patience.h"
 #include "state/lots.h"
 
-/** Silence timeout of a run, after which the leader starts another one: many times the usual pause
- * between events, because no caller waits for the next event. */
-#define SILENT_MS 1500
 /** Limit of the text of an item, in bytes: per token that its output may have, but not below
  * TEXT_BYTES_MIN, as callers may state too few, nor above TEXT_BYTES_MAX. */
 #define TOKEN_BYTES_MAX 64
@@ -258,6 +256,26 @@
 							 : (size_t)tokens * TOKEN_BYTES_MAX;
 }
 
+void front_item_set_patience(front_t *f, const link_item_patience_t *m)
+{
+	wire_free(XDR_PROC(link_item_patience_t), &f->patience);
+	wire_dup(XDR_PROC(link_item_patience_t), m, &f->patience, sizeof(f->patience));
+}
+
+/* Longest silence in this run, after which the leader starts another one; what the leader told
+ * holds for one run. */
+static int64_t take_patience(front_t *f, const link_item_run_t *m)
+{
+	const link_item_patience_t *p = &f->patience;
+	bool told = p->silent_ms > 0 && p->item == m->item &&
+		    str_eq(wire_str(p->job), wire_str(m->job));
+	int64_t ms = told ? p->silent_ms : item_patience_ms(0);
+
+	wire_free(XDR_PROC(link_item_patience_t), &f->patience);
+	f->patience = (link_item_patience_t){0};
+	return ms;
+}
+
 void front_item_run(front_t *f, const link_item_run_t *m)
 {
 	front_item_t *it = find_item(f, m->job, m->item);
@@ -265,6 +283,7 @@
 	AUTO_FREE char *addr = str_dup(wire_str(m->addr));
 	replica_ref_t replica = {wire_str(m->replica), m->start_time};
 	str_t owner = lot_id_owner(wire_str(m->job));
+	int64_t silent_ms = take_patience(f, m);
 	platform_send_t s;
 	prompt_parts_t prompt;
 
@@ -312,8 +331,8 @@
 		.replica = replica,
 		.prompt = prompt,
 		.addr = addr,
-		.first_event_ms = SILENT_MS,
-		.event_gap_ms = SILENT_MS,
+		.first_event_ms = silent_ms,
+		.event_gap_ms = silent_ms,
 		.ctx = it,
 		.head = on_head,
 		.event = on_event,
--- a/src/front/front_link.c
+++ b/src/front/front_link.c
@@ -185,6 +185,9 @@
 	case LINK_ASK_ITEM_FAILURES:
 		front_item_report_failures(f);
 		break;
+	case LINK_ITEM_PATIENCE:
+		front_item_set_patience(f, &m->link_msg_t_u.patience);
+		break;
 	case LINK_ITEM_STOP:
 		front_item_stop(f, &m->link_msg_t_u.stop);
 		break;
--- a/src/proto/link.x
+++ b/src/proto/link.x
@@ -332,6 +332,13 @@
 	int deadline_ms;
 };
 
+/* How long a replica may be silent in the run of this item, which follows. */
+struct link_item_patience_t {
+	wire_bytes_t job;
+	unsigned int item;
+	int silent_ms;
+};
+
 struct link_item_ref_t {
 	wire_bytes_t job;
 	unsigned int item;
@@ -491,7 +498,9 @@
 					   without this. */
 	LINK_ASK_ITEM_FAILURES = 34,	/* from a new leader, to each entry once: it knows nothing of
 					   what was reported before */
-	LINK_ITEM_FAILURES = 35		/* from an entry, in reply */
+	LINK_ITEM_FAILURES = 35,	/* from an entry, in reply */
+	LINK_ITEM_PATIENCE = 36		/* from the leader, before LINK_ITEM_RUN. Builds that don't
+					   know it skip it. */
 };
 
 union link_msg_t switch (link_kind_t kind) {
@@ -559,6 +568,8 @@
 	void;
 case LINK_ITEM_FAILURES:
 	link_failures_t item_failures;
+case LINK_ITEM_PATIENCE:
+	link_item_patience_t patience;
 case LINK_CALL:
 	link_call_t call;
 case LINK_REPLY:
--- a/src/proto/link_xdr.c
+++ b/src/proto/link_xdr.c
@@ -945,6 +945,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_link_item_patience_t (XDR *xdrs, link_item_patience_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_bytes_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->item))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->silent_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_link_item_ref_t (XDR *xdrs, link_item_ref_t *objp)
 {
@@ -1343,6 +1357,10 @@
 		 if (!xdr_link_failures_t (xdrs, &objp->link_msg_t_u.item_failures))
 			 return FALSE;
 		break;
+	case LINK_ITEM_PATIENCE:
+		 if (!xdr_link_item_patience_t (xdrs, &objp->link_msg_t_u.patience))
+			 return FALSE;
+		break;
 	case LINK_CALL:
 		 if (!xdr_link_call_t (xdrs, &objp->link_msg_t_u.call))
 			 return FALSE;
--- a/src/proto/link_xdr.h
+++ b/src/proto/link_xdr.h
@@ -394,6 +394,13 @@
 };
 typedef struct link_item_run_t link_item_run_t;
 
+struct link_item_patience_t {
+	wire_bytes_t job;
+	u_int item;
+	int silent_ms;
+};
+typedef struct link_item_patience_t link_item_patience_t;
+
 struct link_item_ref_t {
 	wire_bytes_t job;
 	u_int item;
@@ -544,6 +551,7 @@
 	LINK_KINDS_KNOWN = 33,
 	LINK_ASK_ITEM_FAILURES = 34,
 	LINK_ITEM_FAILURES = 35,
+	LINK_ITEM_PATIENCE = 36,
 };
 typedef enum link_kind_t link_kind_t;
 
@@ -580,6 +588,7 @@
 		link_entry_capacities_t capacities;
 		u_int last_kind;
 		link_failures_t item_failures;
+		link_item_patience_t patience;
 		link_call_t call;
 		link_reply_t reply;
 	} link_msg_t_u;
@@ -627,6 +636,7 @@
 extern  bool_t xdr_link_over_quota_t (XDR *, link_over_quota_t*);
 extern  bool_t xdr_link_ended_t (XDR *, link_ended_t*);
 extern  bool_t xdr_link_item_run_t (XDR *, link_item_run_t*);
+extern  bool_t xdr_link_item_patience_t (XDR *, link_item_patience_t*);
 extern  bool_t xdr_link_item_ref_t (XDR *, link_item_ref_t*);
 extern  bool_t xdr_link_item_failures_t (XDR *, link_item_failures_t*);
 extern  bool_t xdr_link_failures_t (XDR *, link_failures_t*);
@@ -682,6 +692,7 @@
 extern bool_t xdr_link_over_quota_t ();
 extern bool_t xdr_link_ended_t ();
 extern bool_t xdr_link_item_run_t ();
+extern bool_t xdr_link_item_patience_t ();
 extern bool_t xdr_link_item_ref_t ();
 extern bool_t xdr_link_item_failures_t ();
 extern bool_t xdr_link_failures_t ();
--- a/tests/proc/test_known_kinds.py
+++ b/tests/proc/test_known_kinds.py
@@ -11,7 +11,7 @@
 from platform_kit import Kit
 
 # link_kind_t in src/proto/link.x
-LAST_OF_OLD_BUILDS, ENTRY_CAPACITIES, KINDS_KNOWN, LAST = 29, 32, 33, 35
+LAST_OF_OLD_BUILDS, ENTRY_CAPACITIES, KINDS_KNOWN, LAST = 29, 32, 33, 36
 LINKED_S = 1.5
 
 
--- a/tests/proc/test_slow_replicas.py
+++ b/tests/proc/test_slow_replicas.py
@@ -69,6 +69,16 @@
         self.assertEqual({r["id"]: (r["state"], r["output"]) for r in results},
                          {x["id"]: ("completed", self.kit.whole_text(x["id"])) for x in items})
 
+    def test_items_are_done_by_replicas_that_read_their_bodies_slowly(self):
+        for r in self.kit.replicas:
+            r.read_bytes_per_s = READ_BYTES_PER_S
+        self.check_done(BODY_BYTES)
+
+    def test_items_are_done_by_replicas_that_read_their_prompts_slowly(self):
+        for r in self.kit.replicas:
+            r.prompt_s = PROMPT_S
+        self.check_done(10)
+
     def test_item_comes_to_the_sound_replica_beside_silent_ones(self):
         self.kit.replicas[0].silent_after = self.kit.replicas[1].silent_after = 0
         self.check_done(10)
--- a/tests/unit/test_policy.c
+++ b/tests/unit/test_policy.c
@@ -8,6 +8,7 @@
 #include "policy/balance.h"
 #include "policy/retry.h"
 #include "policy/bucket.h"
+#include "policy/item_patience.h"
 #include "suite_kit.h"
 
 #define ROUNDS 20000
@@ -198,6 +199,22 @@
 }
 END_TEST
 
+/* Guards against an item that is cut by the same time limit at each of its runs. */
+START_TEST(a_run_that_follows_silent_ones_gets_more_time_up_to_a_bound)
+{
+	int64_t last = 0;
+
+	for (unsigned n = 0; n < 5; n++) {
+		ck_assert_int_gt(item_patience_ms(n), last);
+		last = item_patience_ms(n);
+	}
+	ck_assert_int_eq(item_patience_ms(0), ITEM_PATIENCE_MS);
+	ck_assert_int_eq(last, ITEM_PATIENCE_MAX_MS);
+	ck_assert_int_eq(item_patience_ms(5), ITEM_PATIENCE_MAX_MS);
+	ck_assert_int_eq(item_patience_ms(UINT32_MAX), ITEM_PATIENCE_MAX_MS);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("policy");
@@ -212,5 +229,6 @@
 	tcase_add_test(t, the_breaker_lets_one_probe_through_after_a_doubling_pause);
 	tcase_add_test(t, the_pick_prefers_free_slots_then_zone_and_prefix);
 	tcase_add_test(t, the_pick_spreads_load_and_never_takes_an_unusable_replica);
+	tcase_add_test(t, a_run_that_follows_silent_ones_gets_more_time_up_to_a_bound);
 	return suite_run(s);
 }
