--- a/src/front/front_attempt.c
+++ b/src/front/front_attempt.c
@@ -98,10 +98,12 @@
 }
 
 /* Ends the attempt as broken, but only once the running callback has returned to the event loop:
- * the parser that is calling still uses the attempt. */
+ * the parser that is calling still uses the attempt. The call may end before that, and its
+ * connection must not be used again. */
 static void mark_broken(front_attempt_t *a)
 {
 	a->broken = true;
+	http_call_close_conn_after(a->call);
 	timeout_expire_now(&a->silence_timer);
 }
 
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -51,7 +51,8 @@
 	bool connected;
 	bool skip_response; /* the response being read is interim, belongs to another request, or
 			       no call is left to receive it */
-	bool keep_alive;
+	bool keep_alive; /* as the last head says */
+	bool spoilt; /* not to be used again, whatever later heads say */
 	bool response_complete;
 	bool reused; /* has served an earlier call */
 	unsigned interim_heads; /* interim heads before the current response */
@@ -180,7 +181,7 @@
 /* Adds the connection to the idle pool, or closes it if it cannot be reused. */
 static void release_conn(conn_t *c)
 {
-	if (!c->keep_alive || c->in.n > 0 || c->out.n > 0 || c->idle_ms <= 0 ||
+	if (!c->keep_alive || c->spoilt || c->in.n > 0 || c->out.n > 0 || c->idle_ms <= 0 ||
 	    c->host->nidle >= IDLE_MAX) {
 		conn_close(c);
 		return;
@@ -400,7 +401,7 @@
 void http_call_close_conn_after(http_call_t *call)
 {
 	if (call->conn)
-		call->conn->keep_alive = false;
+		call->conn->spoilt = true;
 }
 
 http_call_t *http_call_start(http_client_t *h, const http_call_options_t *options)
