--- a/src/control/hub.h
+++ b/src/control/hub.h
@@ -32,6 +32,7 @@
 #include "policy/ring.h"
 #include "policy/fanout.h"
 #include "state/item_output.h"
+#include "state/lot_access.h"
 #include "state/lots.h"
 #include "state/route_table.h"
 
@@ -451,8 +452,9 @@
 
 /* hub_lots_access.c: which lots the callers of calls may use */
 
-/** Returns the lot that a call means, or NULL. id: as the entry made it for the caller. */
-const lot_t *hub_lots_find(const hub_t *h, const lots_t *lots, str_t id);
+/** Which lots a caller may use by the newest config: all only if it is known to have no customers.
+ * Not to be called while group 0 is locked. */
+lot_access_t hub_lots_access(const hub_t *h);
 /** Returns STATUS_OK if the call of an entry finds a lot. STATUS_UNAVAILABLE: it does not, but it
  * might once this process and the entry have the newest config; STATUS_NOT_FOUND: it never will. */
 status_t hub_lots_check_access(hub_t *h, const hub_origin_t *from, str_t id);
@@ -461,7 +463,7 @@
 /** Replaces the ids in openings and ends by those of the lots that they mean, and takes off the
  * quotas what lots of other owners use of them. To be called before a commit, with the state that
  * it changes: the state machine knows no config. */
-void hub_lots_resolve(const hub_t *h, const lots_t *lots, wire_lots_cmd_t *cmd);
+void hub_lots_resolve(const lots_t *lots, lot_access_t access, wire_lots_cmd_t *cmd);
 
 /* hub_lots_read.c: reads of lots */
 
--- a/src/control/hub_lots.c
+++ b/src/control/hub_lots.c
@@ -126,15 +126,21 @@
 	return p->events > p->from;
 }
 
+typedef struct {
+	hub_t *h;
+	lot_access_t access;
+} batch_fill_t;
+
 /* Fills in the progress of the batch and removes that without new events; finds the lots of its
  * calls. */
 static void fill_batch(control_group_t *g, void *arg)
 {
-	hub_t *h = arg;
+	batch_fill_t *fill = arg;
+	hub_t *h = fill->h;
 	wire_lots_cmd_t *c = &h->batch.cmd;
 	u_int kept = 0;
 
-	hub_lots_resolve(h, g->lots, c);
+	hub_lots_resolve(g->lots, fill->access, c);
 	for (u_int i = 0; i < c->progress.progress_len; i++) {
 		wire_lot_progress_t *p = &c->progress.progress_val[i];
 
@@ -261,8 +267,11 @@
 
 	if (h->committing)
 		return;
-	if (!batch_is_empty(&h->batch))
-		control_group_read(&h->control->groups[0], fill_batch, h);
+	if (!batch_is_empty(&h->batch)) {
+		batch_fill_t fill = {h, hub_lots_access(h)};
+
+		control_group_read(&h->control->groups[0], fill_batch, &fill);
+	}
 	if (!expires && batch_is_empty(&h->batch))
 		return;
 	h->committing = true;
--- a/src/control/hub_lots_access.c
+++ b/src/control/hub_lots_access.c
@@ -2,19 +2,12 @@
 #include <stdlib.h>
 #include "base/log.h"
 #include "control/hub.h"
-#include "state/lot_access.h"
 
-/* Callers see all lots only if it is known that the newest config has no customers. */
-static lot_access_t current_access(const hub_t *h)
+lot_access_t hub_lots_access(const hub_t *h)
 {
 	return hub_routes_are_newest(h) && !h->routes->customers ? LOT_ACCESS_ALL : LOT_ACCESS_OWN;
 }
 
-const lot_t *hub_lots_find(const hub_t *h, const lots_t *lots, str_t id)
-{
-	return lot_access_find(lots, id, current_access(h));
-}
-
 /* Whether both this process and the entry that sent the call judge its caller by the newest config.
  */
 static bool is_sure(const hub_t *h, const hub_origin_t *from)
@@ -23,9 +16,9 @@
 }
 
 typedef struct {
-	const hub_t *h;
 	str_t id;
 	const wire_lot_open_t *open; /* NULL: another call */
+	lot_access_t access;
 	bool found;
 	bool hidden; /* it would be found if callers weren't told apart */
 } look_up_t;
@@ -35,16 +28,17 @@
 	look_up_t *x = arg;
 
 	if (x->open) {
-		x->found = lot_access_find_opened(g->lots, x->open, current_access(x->h));
+		x->found = lot_access_find_opened(g->lots, x->open, x->access);
 		x->hidden = !x->found && lot_access_find_opened(g->lots, x->open, LOT_ACCESS_ALL);
 	} else {
-		x->found = hub_lots_find(x->h, g->lots, x->id);
+		x->found = lot_access_find(g->lots, x->id, x->access);
 		x->hidden = !x->found && lot_access_find(g->lots, x->id, LOT_ACCESS_ALL);
 	}
 }
 
 static status_t check(hub_t *h, const hub_origin_t *from, look_up_t *x)
 {
+	x->access = hub_lots_access(h);
 	control_group_read(&h->control->groups[0], look_up, x);
 	if (x->found)
 		return STATUS_OK;
@@ -59,12 +53,12 @@
 
 status_t hub_lots_check_access(hub_t *h, const hub_origin_t *from, str_t id)
 {
-	return check(h, from, &(look_up_t){.h = h, .id = id});
+	return check(h, from, &(look_up_t){.id = id});
 }
 
 status_t hub_lots_check_open(hub_t *h, const hub_origin_t *from, const wire_lot_open_t *o)
 {
-	return check(h, from, &(look_up_t){.h = h, .id = wire_str(o->lot), .open = o});
+	return check(h, from, &(look_up_t){.id = wire_str(o->lot), .open = o});
 }
 
 /* Replaces the id in a call by that of the lot that the call means. */
@@ -78,10 +72,8 @@
 	*id = wire_copy(str_c(t->id));
 }
 
-void hub_lots_resolve(const hub_t *h, const lots_t *lots, wire_lots_cmd_t *cmd)
+void hub_lots_resolve(const lots_t *lots, lot_access_t access, wire_lots_cmd_t *cmd)
 {
-	lot_access_t access = current_access(h);
-
 	for (u_int i = 0; i < cmd->opens.opens_len; i++) {
 		wire_lot_open_t *o = &cmd->opens.opens_val[i];
 
--- a/src/control/hub_lots_read.c
+++ b/src/control/hub_lots_read.c
@@ -7,8 +7,8 @@
 #define BARRIER_MS     1000
 
 typedef struct {
-	const hub_t *h;
 	str_t lot;
+	lot_access_t access;
 	uint32_t after;
 	char *found; /* id of the lot; NULL: unknown here */
 	bool over; /* no further results will come */
@@ -18,7 +18,7 @@
 static void read_results(control_group_t *g, void *arg)
 {
 	results_read_t *x = arg;
-	const lot_t *t = hub_lots_find(x->h, g->lots, x->lot);
+	const lot_t *t = lot_access_find(g->lots, x->lot, x->access);
 	size_t bytes = 0;
 
 	if (!t)
@@ -49,7 +49,7 @@
 static read_result_t try_answer_read(hub_t *h, const hub_origin_t *from, str_t lot, uint32_t after,
 				     bool wait, char **found)
 {
-	results_read_t x = {.h = h, .lot = lot, .after = after};
+	results_read_t x = {.lot = lot, .access = hub_lots_access(h), .after = after};
 	read_result_t result = READ_UNKNOWN_LOT;
 
 	control_group_read(&h->control->groups[0], read_results, &x);
@@ -106,8 +106,8 @@
 }
 
 typedef struct {
-	const hub_t *h;
 	str_t lot;
+	lot_access_t access;
 	str_t item;
 	status_t st;
 	buf_t body;
@@ -116,7 +116,7 @@
 static void read_body(control_group_t *g, void *arg)
 {
 	body_read_t *b = arg;
-	const lot_t *t = hub_lots_find(b->h, g->lots, b->lot);
+	const lot_t *t = lot_access_find(g->lots, b->lot, b->access);
 	long i = t ? lot_find_item(t, b->item) : -1;
 
 	b->st = STATUS_NOT_FOUND;
@@ -130,7 +130,8 @@
  * or the item is not open. */
 static bool try_answer_body(hub_t *h, const hub_origin_t *from, const link_item_body_t *m)
 {
-	body_read_t b = {.h = h, .lot = wire_str(m->job), .item = wire_str(m->item)};
+	body_read_t b = {
+		.lot = wire_str(m->job), .access = hub_lots_access(h), .item = wire_str(m->item)};
 	link_reply_t r = {0};
 
 	control_group_read(&h->control->groups[0], read_body, &b);
