--- a/src/raft/store_file.c
+++ b/src/raft/store_file.c
@@ -10,6 +10,8 @@
 #include <sys/statvfs.h>
 #include <unistd.h>
 #include "base/clock.h"
+#include "base/log.h"
+#include "base/metric.h"
 
 #define READ_BYTES	    (1024 * 1024)
 #define SYNC_INTERVAL_BYTES (1024 * 1024)
@@ -150,11 +152,25 @@
 	return left != 0 && !fault_is_full(f);
 }
 
+/* Syncs with one of the system's calls, and logs a disk that takes long for it: until it is done
+ * the process neither acknowledges nor starts. */
+static status_t sync_timed(store_disk_fault_t *f, int fd, const char *name, int (*sync)(int fd))
+{
+	deadline_t began = clock_now_ms();
+	status_t st = fault_allows_sync(f) && sync(fd) == 0 ? STATUS_OK : io_error("sync", name);
+	int64_t ms = clock_now_ms() - began;
+
+	if (ms < STORE_SLOW_SYNC_MS)
+		return st;
+	METRIC_INC("auburn_disk_slow_syncs_total");
+	log_event(LOG_LEVEL_WARN, "sync_slow", LOG_CSTR("file", name), LOG_INT("ms", ms),
+		  LOG_CSTR("status", status_name(st)));
+	return st;
+}
+
 status_t store_file_sync(store_disk_fault_t *f, int fd, const char *name)
 {
-	if (!fault_allows_sync(f) || fdatasync(fd) != 0)
-		return io_error("sync", name);
-	return STATUS_OK;
+	return sync_timed(f, fd, name, fdatasync);
 }
 
 status_t store_dir_sync(store_disk_fault_t *f, const char *dir)
@@ -164,7 +180,7 @@
 
 	if (fd < 0)
 		return io_error("open", dir);
-	st = fault_allows_sync(f) && fsync(fd) == 0 ? STATUS_OK : io_error("sync", dir);
+	st = sync_timed(f, fd, dir, fsync);
 	close(fd);
 	return st;
 }
--- a/src/raft/store_file.h
+++ b/src/raft/store_file.h
@@ -19,6 +19,9 @@
 	long sync_ms; /* that a sync takes longer; -1: none */
 } store_disk_fault_t;
 
+/** A sync that takes this long, in ms, is logged: longer than followers wait for a leader. */
+#define STORE_SLOW_SYNC_MS 500
+
 void store_disk_fault_from_env(store_disk_fault_t *f);
 
 /** Returns the bytes that can still be written to files in this folder; UINT64_MAX if unknown. */
--- a/tests/proc/platform_kit.py
+++ b/tests/proc/platform_kit.py
@@ -606,9 +606,14 @@
         for f in fronts or self.fronts:
             while not await self.ready(f):
                 if time.time() > end:
-                    raise AssertionError("%s is not ready, end of its log: %s" % (f.name, f.log_text()[-2000:]))
+                    raise AssertionError("%s is not ready, slow syncs: %s, end of its log: %s" % (
+                        f.name, self.slow_syncs(), f.log_text()[-2000:]))
                 await asyncio.sleep(0.05)
 
+    def slow_syncs(self):
+        """What the control processes log of a disk that holds them up."""
+        return [x for c in self.controls for x in c.log_text().splitlines() if "event=sync_slow" in x]
+
     async def directory_addresses(self, front):
         s, _, b = await self.call(front.ip, self.port + 3, "GET", "/resolve?name=x&zone=za", [], b"", 1)
         return json.loads(b)["addresses"] if s == 200 else []
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <sys/resource.h>
 #include <unistd.h>
+#include "base/log.h"
 #include "raft/store_internal.h"
 #include "suite_kit.h"
 
@@ -931,6 +932,27 @@
 }
 END_TEST
 
+/* Without this line a process whose disk hangs for seconds looks like one that does nothing. */
+START_TEST(a_sync_that_takes_long_is_logged)
+{
+	store_disk_fault_t f = {.fsync_fail_after = -1,
+				.full_after_bytes = -1,
+				.capacity_bytes = -1,
+				.sync_ms = STORE_SLOW_SYNC_MS};
+	FILE *file = tmpfile();
+	AUTO_BUF lines = {0};
+
+	ck_assert_ptr_nonnull(file);
+	ck_assert_int_eq(store_file_sync(&f, fileno(file), "slow-file"), STATUS_OK);
+	f.sync_ms = -1;
+	ck_assert_int_eq(store_file_sync(&f, fileno(file), "fast-file"), STATUS_OK);
+	log_find(&lines, STR("event=sync_slow file="), 10);
+	ck_assert_ptr_nonnull(strstr(lines.p, "slow-file ms="));
+	ck_assert_ptr_null(strstr(lines.p, "fast-file"));
+	fclose(file);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("store");
@@ -971,6 +993,7 @@
 	tcase_add_test(t, a_snapshot_whose_name_could_not_be_synced_keeps_no_space);
 	tcase_add_test(t, a_snapshot_that_is_received_twice_keeps_its_file);
 	tcase_add_loop_test(t, a_torn_write_leaves_a_prefix_of_the_records, 1, 9);
+	tcase_add_test(t, a_sync_that_takes_long_is_logged);
 	tcase_set_timeout(t, 60);
 	return suite_run(suite);
 }
